--- /dev/null
+++ b/common/clock.c
@@ -0,0 +1,21 @@
+#include "common/clock.h"
+
+#include <time.h>
+
+int64_t
+clock_now_us (void)
+{
+	struct timespec now;
+
+	clock_gettime (CLOCK_MONOTONIC, &now);
+	return (int64_t) now.tv_sec * US_PER_S + now.tv_nsec / 1000;
+}
+
+uint64_t
+clock_wall_ns (void)
+{
+	struct timespec now;
+
+	clock_gettime (CLOCK_REALTIME, &now);
+	return (uint64_t) now.tv_sec * 1000000000u + (uint64_t) now.tv_nsec;
+}
--- /dev/null
+++ b/flamingospring/main.c
@@ -0,0 +1,25 @@
+#include "ctl/commands.h"
+#include "flamingospring/proxy.h"
+
+#include <stdio.h>
+#include <string.h>
+
+int
+main (int argc, char **argv)
+{
+	if (argc < 2)
+	{
+		commands_print_help ();
+		return EXIT_CODE_USAGE;
+	}
+	if (strcmp (argv[1], "--version") == 0)
+	{
+		puts ("flamingospring 0.1.0");
+		return EXIT_CODE_OK;
+	}
+	if (strcmp (argv[1], "--help") == 0)
+		argv[1] = "help";
+	if (strcmp (argv[1], "proxy") == 0)
+		return proxy_run (argc - 1, argv + 1);
+	return commands_run (argc - 1, argv + 1);
+}
--- /dev/null
+++ b/include/common/clock.h
@@ -0,0 +1,19 @@
+/**
+ * @file
+ * Monotonic time in microseconds for decisions, wall-clock time for logs and traces only.
+ */
+#pragma once
+
+#include <stdint.h>
+
+enum
+{
+	US_PER_MS = 1000,
+	US_PER_S = 1000000,
+};
+
+/** Monotonic time in microseconds. */
+int64_t clock_now_us (void);
+
+/** Wall-clock time in nanoseconds since 1970. */
+uint64_t clock_wall_ns (void);
--- /dev/null
+++ b/include/common/counters.h
@@ -0,0 +1,66 @@
+/**
+ * @file
+ * Counters and gauges of the process, updated without locks from any thread.
+ */
+#pragma once
+
+#include <stdint.h>
+
+#define COUNTER_LIST(X)                                                                            \
+	X (REQUESTS, "requests")                                                                       \
+	X (REQUESTS_DONE, "requests_done")                                                             \
+	X (REQUESTS_REFUSED, "requests_refused")                                                       \
+	X (REQUESTS_FAILED, "requests_failed")                                                         \
+	X (REQUESTS_UNKNOWN, "requests_unknown")                                                       \
+	X (READS_REPLICA, "reads_replica")                                                             \
+	X (READS_PRIMARY, "reads_primary")                                                             \
+	X (READS_REPLICA_POSSIBLE, "reads_replica_possible")                                           \
+	X (WRITES, "writes")                                                                           \
+	X (REPLAYS, "replays")                                                                         \
+	X (RETRIES, "retries")                                                                         \
+	X (FORWARDS, "forwards")                                                                       \
+	X (FORWARDS_LOST, "forwards_lost")                                                             \
+	X (LATE_ANSWERS, "late_answers")                                                               \
+	X (OVERDUE_CONNECTIONS, "overdue_connections")                                                 \
+	X (UPSTREAM_CONNECTIONS, "upstream_connections")                                               \
+	X (UPSTREAM_CONNECT_ERRORS, "upstream_connect_errors")                                         \
+	X (TRANSACTIONS, "transactions")                                                               \
+	X (TRANSACTIONS_ABANDONED, "transactions_abandoned")                                           \
+	X (ACKNOWLEDGE_TIMEOUTS, "acknowledge_timeouts")                                               \
+	X (ACKNOWLEDGE_REPLACED, "acknowledge_replaced")                                               \
+	X (FAILOVERS, "failovers")                                                                     \
+	X (FENCES_REJECTED, "fences_rejected")                                                         \
+	X (GOSSIP_SENT, "gossip_sent")                                                                 \
+	X (GOSSIP_RECEIVED, "gossip_received")                                                         \
+	X (GOSSIP_SENT_BYTES, "gossip_sent_bytes")                                                     \
+	X (GOSSIP_RECEIVED_BYTES, "gossip_received_bytes")                                             \
+	X (CONTROL_SENT_BYTES, "control_sent_bytes")                                                   \
+	X (CONTROL_RECEIVED_BYTES, "control_received_bytes")                                           \
+	X (PLATFORM_CALLS, "platform_calls")                                                           \
+	X (PLATFORM_ERRORS, "platform_errors")                                                         \
+	X (CONFIG_ADOPTED, "config_adopted")                                                           \
+	X (CONFIG_REJECTED, "config_rejected")                                                         \
+	X (RPC_MALFORMED, "rpc_malformed")                                                             \
+	X (INVARIANT_VIOLATIONS, "invariant_violations")
+
+enum counter
+{
+#define COUNTER_ENUM(id, name) COUNTER_##id,
+	COUNTER_LIST (COUNTER_ENUM)
+#undef COUNTER_ENUM
+		COUNTER_COUNT,
+};
+
+void counter_add (enum counter counter, int64_t amount);
+uint64_t counter_get (enum counter counter);
+const char *counter_name (enum counter counter);
+
+/** Counts and logs a broken guarantee; stays on in production. */
+#define INVARIANT(condition, guarantee)                                                            \
+	do                                                                                             \
+	{                                                                                              \
+		if (!(condition))                                                                          \
+			invariant_report (guarantee, #condition, __FILE__, __LINE__);                          \
+	} while (0)
+
+void invariant_report (const char *guarantee, const char *condition, const char *file, int line);
--- /dev/null
+++ b/include/decision/configuration.h
@@ -0,0 +1,90 @@
+/**
+ * @file
+ * Which service documents to adopt, and where to get newer ones.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum
+{
+	CONFIGURATION_NAME_BYTES = 64,
+};
+
+/** Revision of one service document as known here. */
+struct configuration_entry
+{
+	char service[CONFIGURATION_NAME_BYTES];
+	uint64_t revision; /**< The platform's modification revision. */
+	bool is_deleted;
+};
+
+struct configuration_settings
+{
+	int64_t pull_retry_min_us;
+	int64_t pull_retry_max_us;
+	int64_t watch_retry_min_us;
+	int64_t watch_retry_max_us;
+};
+
+extern const struct configuration_settings configuration_default_settings;
+
+enum configuration_effect_type
+{
+	CONFIGURATION_NONE,
+	CONFIGURATION_LOAD,  /**< Read documents newer than @c revision from the platform. */
+	CONFIGURATION_WATCH, /**< Watch the platform from @c revision + 1. */
+	CONFIGURATION_UNWATCH,
+	CONFIGURATION_PULL, /**< Pull documents newer than @c revision from the VM @c peer. */
+};
+
+struct configuration_effect
+{
+	enum configuration_effect_type type;
+	uint64_t revision;
+	uint32_t peer;
+};
+
+struct configuration;
+
+size_t configuration_size (uint32_t max_services);
+
+struct configuration *configuration_init (void *memory,
+                                          const struct configuration_settings *settings,
+                                          uint32_t max_services, uint64_t seed, int64_t now_us);
+
+void configuration_finish (struct configuration *configuration);
+
+/** Offers a document's revision. @return true when it is to be adopted (it is newer). */
+bool configuration_offer (struct configuration *configuration, const char *service,
+                          uint64_t revision, bool is_deleted);
+
+/** The source (platform, or a peer's pull) was read completely up to @p revision. */
+void configuration_handle_complete (struct configuration *configuration, uint64_t revision,
+                                    int64_t now_us);
+
+/** This VM became, or stopped being, a platform watcher of its zone. */
+void configuration_set_watcher (struct configuration *configuration, bool is_watcher,
+                                int64_t now_us);
+
+/** The load or watch failed, or its stream ended. */
+void configuration_handle_platform_error (struct configuration *configuration, int64_t now_us);
+
+/** The platform compacted the watched revision away: load in full. */
+void configuration_handle_compacted (struct configuration *configuration, int64_t now_us);
+
+/** A peer is known to have @p revision; 0 for @p peer: none has newer. */
+void configuration_handle_peer (struct configuration *configuration, uint32_t peer,
+                                uint64_t revision, int64_t now_us);
+
+void configuration_handle_pull_error (struct configuration *configuration, int64_t now_us);
+
+struct configuration_effect configuration_next (struct configuration *configuration,
+                                                int64_t now_us);
+
+int64_t configuration_next_time_us (const struct configuration *configuration);
+
+/** Revision up to which this VM has everything. */
+uint64_t configuration_revision (const struct configuration *configuration);
--- /dev/null
+++ b/include/flamingospring/settings.h
@@ -0,0 +1,56 @@
+/**
+ * @file
+ * Settings of `flamingospring proxy`: flags and environment variables, checked together.
+ */
+#pragma once
+
+#include "common/findings.h"
+#include "common/log.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+enum
+{
+	SETTINGS_MAX_SEEDS = 32,
+};
+
+struct settings_address
+{
+	uint32_t ip; /**< IPv4, host byte order. */
+	uint16_t port;
+};
+
+struct settings
+{
+	uint32_t vm_id; /**< Unique in the fleet, from 1. */
+	char *zone;
+	uint32_t ip; /**< Address of all listeners; host byte order. */
+	uint16_t caller_port;
+	uint16_t traffic_port;
+	uint16_t control_port;
+	char *platform;                                    /**< Base URL. */
+	struct settings_address seeds[SETTINGS_MAX_SEEDS]; /**< Control ports of other VMs. */
+	uint32_t seed_count;
+	uint32_t traffic_threads;
+	uint32_t max_connections; /**< Client connections of a traffic thread. */
+	uint32_t max_body_bytes;
+	uint32_t transaction_idle_ms;  /**< An idle transaction is rolled back. */
+	uint32_t transaction_limit_ms; /**< Longest life of a transaction. */
+	uint32_t acknowledge_timeout_ms;
+	uint32_t drain_limit_ms;
+	char *trace; /**< "-" or a file; NULL: none. */
+	uint32_t trace_sample_per_million;
+	enum log_level log_level;
+	bool check_only;
+	char *acknowledge; /**< "majority", or "primary" for measurements only. */
+};
+
+/** Reads flags and environment variables (FLAMINGOSPRING_...); flags go before the environment.
+ * @return 0, -EINVAL when there are findings, or 1 when --help was printed. */
+int settings_init (struct settings *settings, int argc, char **argv, struct findings *findings);
+void settings_finish (struct settings *settings);
+
+/** Prints the effective settings, one name=value a line. */
+void settings_print (const struct settings *settings, FILE *stream);
