--- a/schema/schema.c
+++ b/schema/schema.c
@@ -466,7 +466,7 @@
 void
 schema_service_finish (struct schema_service *service)
 {
-	for (size_t i = 0; i < service->call_count; i++)
+	for (size_t i = 0; service->calls && i < service->call_count; i++)
 		free (service->calls[i].statement);
 	free (service->tenants);
 	free (service->databases);
@@ -474,21 +474,23 @@
 	memset (service, 0, sizeof *service);
 }
 
+static int
+call_compare_name (const void *name, const void *call)
+{
+	return strcmp (name, ((const struct schema_call *) call)->name);
+}
+
 const struct schema_call *
 schema_find_call (const struct schema_service *service, const char *name)
 {
-	struct schema_call key;
-
-	if (strlen (name) >= sizeof key.name)
-		return NULL;
-	strcpy (key.name, name);
-	return bsearch (&key, service->calls, service->call_count, sizeof key, call_compare);
+	return bsearch (name, service->calls, service->call_count, sizeof *service->calls,
+	                call_compare_name);
 }
 
 const struct schema_database *
 schema_find_database (const struct schema_service *service, const char *name)
 {
-	for (size_t i = 0; i < service->database_count; i++)
+	for (size_t i = 0; service->databases && i < service->database_count; i++)
 	{
 		if (strcmp (service->databases[i].name, name) == 0)
 			return &service->databases[i];
--- a/schema/yaml_reader.c
+++ b/schema/yaml_reader.c
@@ -188,6 +188,18 @@
 	return true;
 }
 
+static bool
+parse_number (const char *text, unsigned long long *value)
+{
+	char *end;
+
+	if (!text || !isdigit ((unsigned char) text[0]))
+		return false;
+	errno = 0;
+	*value = strtoull (text, &end, 10);
+	return *end == 0 && errno == 0;
+}
+
 uint32_t
 yaml_reader_number (struct yaml_reader *reader, const yaml_node_t *mapping, const char *key,
                     const char *subject, uint32_t min, uint32_t max, uint32_t fallback,
@@ -196,7 +208,6 @@
 	yaml_node_t *node = yaml_reader_find (reader, mapping, key);
 	const char *text = scalar_text (node);
 	unsigned long long value;
-	char *end;
 
 	if (!node)
 	{
@@ -204,9 +215,7 @@
 			yaml_reader_report (reader, mapping, subject, "key \"%s\" is missing", key);
 		return fallback;
 	}
-	errno = 0;
-	value = text && isdigit ((unsigned char) text[0]) ? strtoull (text, &end, 10) : 0;
-	if (!text || !isdigit ((unsigned char) text[0]) || *end || errno || value < min || value > max)
+	if (!parse_number (text, &value) || value < min || value > max)
 	{
 		yaml_reader_report (reader, node, subject, "\"%s\" must be a number from %u to %u", key,
 		                    min, max);
