--- /dev/null
+++ b/flamingospring/control_observer.c
@@ -0,0 +1,626 @@
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "flamingospring/control_private.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	LINK_STUCK_US = 1000000, /* A connection whose answer is later is replaced. */
+	LINK_CONNECT_US = 1000000,
+};
+
+static const char guarantee_replaced_primary[] = "P2";
+
+/** What is to be sent on a link as soon as it is ready. */
+struct link_request
+{
+	enum failover_effect_type type; /* FAILOVER_NONE, _POLL, _FENCE or _PROMOTE. */
+	uint64_t term;
+};
+
+/** Control connection of an observer to one server of its group. */
+struct observer_link
+{
+	struct upstream upstream;
+	struct control_observer *observer;
+	uint32_t server;
+	bool is_connecting;
+	int64_t started_us; /* Of the connection attempt or the outstanding request. */
+	struct link_request wanted;
+	struct link_request outstanding;
+};
+
+/** Observer of one group: the decision module and its connections. */
+struct control_observer
+{
+	struct control_observer *next;
+	struct control *control;
+	char database[SCHEMA_NAME_BYTES];
+	struct schema_server servers[ROUTING_MAX_SERVERS];
+	uint32_t server_count;
+	uint32_t self_servers; /* Bit set of the servers that this VM owns. */
+	struct failover failover;
+	void *memory;
+	struct loop_timer timer;
+	struct observer_link links[ROUTING_MAX_SERVERS];
+	bool is_pumping;
+	bool is_used;
+	uint64_t announced_term;
+};
+
+/** An opinion asked of another observer; the observer itself may be gone when it arrives. */
+struct opinion_request
+{
+	char database[SCHEMA_NAME_BYTES];
+	uint32_t observer;
+};
+
+static void observer_pump (struct control_observer *observer);
+
+static struct control_observer *
+observer_find (const struct control *control, const char *database)
+{
+	for (struct control_observer *o = control->observers; o; o = o->next)
+	{
+		if (strcmp (o->database, database) == 0)
+			return o;
+	}
+	return NULL;
+}
+
+static void
+link_close (struct observer_link *link)
+{
+	link->upstream.ops->close (&link->upstream);
+	link->is_connecting = false;
+	link->outstanding.type = FAILOVER_NONE;
+}
+
+static void
+link_fail (struct observer_link *link)
+{
+	link_close (link);
+	link->wanted.type = FAILOVER_NONE;
+	failover_handle_error (&link->observer->failover, link->server, clock_now_us ());
+}
+
+static int
+link_send (struct observer_link *link)
+{
+	struct upstream *upstream = &link->upstream;
+	uint32_t claimant = link->observer->control->settings->vm_id;
+
+	link->outstanding = link->wanted;
+	link->wanted.type = FAILOVER_NONE;
+	link->started_us = clock_now_us ();
+	switch (link->outstanding.type)
+	{
+	case FAILOVER_POLL:
+		return upstream->ops->ask_status (upstream);
+	case FAILOVER_FENCE:
+		return upstream->ops->fence (upstream, link->outstanding.term, claimant);
+	case FAILOVER_PROMOTE:
+		return upstream->ops->promote (upstream, link->outstanding.term, claimant);
+	default:
+		return 0;
+	}
+}
+
+static void
+link_connect (struct observer_link *link)
+{
+	const struct schema_server *server = &link->observer->servers[link->server];
+
+	link->is_connecting = true;
+	link->started_us = clock_now_us ();
+	if (link->upstream.ops->connect (&link->upstream, server->ip, server->port,
+	                                 link->observer->database) < 0)
+		link_fail (link);
+}
+
+/** Asks the server for something; a poll waits for an outstanding answer, a fence or a promotion takes a
+ * fresh connection instead, since the old one may belong to a frozen server. */
+static void
+link_request (struct observer_link *link, enum failover_effect_type type, uint64_t term)
+{
+	int64_t waited_us = clock_now_us () - link->started_us;
+	bool is_urgent = type != FAILOVER_POLL;
+
+	if (type == FAILOVER_POLL && link->wanted.type != FAILOVER_NONE && waited_us < LINK_CONNECT_US)
+		return;
+	link->wanted = (struct link_request){ .type = type, .term = term };
+	if (link->is_connecting)
+	{
+		if (waited_us < LINK_CONNECT_US)
+			return;
+		link_close (link);
+	}
+	else if (link->upstream.is_connected && link->outstanding.type == FAILOVER_NONE)
+	{
+		if (link_send (link) < 0)
+			link_fail (link);
+		return;
+	}
+	else if (link->upstream.is_connected)
+	{
+		if (!is_urgent && waited_us < LINK_STUCK_US)
+		{
+			link->wanted.type = FAILOVER_NONE;
+			return;
+		}
+		link_close (link);
+	}
+	link_connect (link);
+}
+
+static void
+handle_connected (struct upstream *upstream, int error)
+{
+	struct observer_link *link = upstream->data;
+
+	link->is_connecting = false;
+	if (error < 0 || (link->wanted.type != FAILOVER_NONE && link_send (link) < 0))
+		link_fail (link);
+	observer_pump (link->observer);
+}
+
+static void
+handle_answer (struct upstream *upstream, const struct upstream_answer *answer)
+{
+	struct observer_link *link = upstream->data;
+	struct failover *failover = &link->observer->failover;
+	struct link_request request = link->outstanding;
+	bool is_accepted = answer->result == UPSTREAM_OK;
+	int64_t now_us = clock_now_us ();
+
+	link->outstanding.type = FAILOVER_NONE;
+	if (answer->result == UPSTREAM_TERM_REJECTED)
+		counter_add (COUNTER_FENCES_REJECTED, 1);
+	if (!is_accepted && answer->result != UPSTREAM_TERM_REJECTED)
+		link_fail (link);
+	else if (request.type == FAILOVER_POLL)
+		failover_handle_status (failover, link->server, &answer->status, link->started_us, now_us);
+	else if (request.type == FAILOVER_FENCE)
+		failover_handle_fenced (failover, link->server, request.term, is_accepted, &answer->status,
+		                        now_us);
+	else if (request.type == FAILOVER_PROMOTE)
+		failover_handle_promoted (failover, link->server, request.term, is_accepted,
+		                          &answer->status, now_us);
+	observer_pump (link->observer);
+}
+
+static void
+handle_closed (struct upstream *upstream)
+{
+	struct observer_link *link = upstream->data;
+
+	link_fail (link);
+	observer_pump (link->observer);
+}
+
+static const struct upstream_user_ops link_user_ops = {
+	.handle_connected = handle_connected,
+	.handle_answer = handle_answer,
+	.handle_closed = handle_closed,
+};
+
+static void
+handle_opinion (struct control *control, void *data, int status, void *result)
+{
+	struct opinion_request *request = data;
+	struct control_observer *observer = observer_find (control, request->database);
+	const struct fs_opinion_result *answer = result;
+
+	if (status == 0 && observer && answer->is_observer)
+	{
+		struct failover_opinion opinion = {
+			.term = answer->term,
+			.primary = answer->primary,
+			.suspects = answer->suspects,
+		};
+
+		failover_handle_opinion (&observer->failover, request->observer, &opinion, clock_now_us ());
+		observer_pump (observer);
+	}
+	free (request);
+}
+
+static void
+opinion_ask (struct control_observer *observer, uint32_t id)
+{
+	struct control *control = observer->control;
+	struct fs_opinion_args args = { .database = observer->database };
+	struct control_call_request request = {
+		.program = FS_PEER_PROGRAM,
+		.procedure = FS_PEER_OPINION,
+		.encode = (xdrproc_t) xdr_fs_opinion_args,
+		.args = &args,
+		.decode = (xdrproc_t) xdr_fs_opinion_result,
+		.result_size = sizeof (struct fs_opinion_result),
+		.handle = handle_opinion,
+	};
+	struct opinion_request *asked;
+	struct member member;
+
+	if (!membership_find (control->membership, id, &member))
+		return;
+	asked = calloc (1, sizeof *asked);
+	if (!asked)
+		return;
+	g_strlcpy (asked->database, observer->database, sizeof asked->database);
+	asked->observer = id;
+	request.data = asked;
+	request.ip = member.address.ip;
+	request.port = member.address.control_port;
+	if (control_call_start (control, &request) < 0)
+		free (asked);
+}
+
+static void
+handle_announce_answer (struct control *control, void *data, int status, void *result)
+{
+	/* A lost announcement is repaired by gossip and by the first refused write. */
+	(void) control;
+	(void) data;
+	(void) status;
+	(void) result;
+}
+
+/** Tells the VMs that own servers of the group directly; the others hear it by gossip. */
+static void
+announce_to_owners (struct control_observer *observer, uint64_t term, uint32_t primary)
+{
+	struct control *control = observer->control;
+	struct fs_announce_args args = { .database = observer->database,
+		                             .term = term,
+		                             .primary = primary };
+	struct control_call_request request = {
+		.program = FS_PEER_PROGRAM,
+		.procedure = FS_PEER_ANNOUNCE,
+		.encode = (xdrproc_t) xdr_fs_announce_args,
+		.args = &args,
+		.decode = (xdrproc_t) xdr_void,
+		.handle = handle_announce_answer,
+	};
+	const struct snapshot_group *group =
+		snapshot_find_group (control->snapshots->current, observer->database);
+
+	for (uint32_t s = 0; group && s < group->database->server_count; s++)
+	{
+		struct member member;
+
+		if (group->servers[s].owners.owner == control->settings->vm_id ||
+		    !membership_find (control->membership, group->servers[s].owners.owner, &member))
+			continue;
+		request.ip = member.address.ip;
+		request.port = member.address.control_port;
+		control_call_start (control, &request);
+	}
+}
+
+static void
+publish_primary (struct control_observer *observer, uint64_t term, uint32_t primary)
+{
+	struct membership_item item = { .type = ITEM_GROUP, .version = term, .value = primary };
+
+	if (term <= observer->announced_term)
+		return;
+	observer->announced_term = term;
+	g_strlcpy (item.key, observer->database, sizeof item.key);
+	control_merge_item (observer->control, &item);
+	control_gossip_pump (observer->control);
+}
+
+static void
+handle_announce (struct control_observer *observer, uint64_t term, uint32_t primary)
+{
+	const struct failover_trace *trace = failover_last_trace (&observer->failover);
+
+	INVARIANT (term > observer->announced_term, guarantee_replaced_primary);
+	counter_add (COUNTER_FAILOVERS, 1);
+	log_event (
+		LOG_LEVEL_WARN, "primary_promoted",
+		"database=%s term=%llu server=%u detect_us=%lld agree_us=%lld fence_us=%lld promote_us=%lld",
+		observer->database, (unsigned long long) term, primary, (long long) trace->detect_us,
+		(long long) trace->agree_us, (long long) trace->fence_us, (long long) trace->promote_us);
+	announce_to_owners (observer, term, primary);
+	publish_primary (observer, term, primary);
+}
+
+static void
+effect_run (struct control_observer *observer, const struct failover_effect *effect)
+{
+	switch (effect->type)
+	{
+	case FAILOVER_POLL:
+	case FAILOVER_FENCE:
+	case FAILOVER_PROMOTE:
+		if (effect->type != FAILOVER_POLL)
+			log_event (LOG_LEVEL_WARN,
+			           effect->type == FAILOVER_FENCE ? "fence_sent" : "promotion_sent",
+			           "database=%s server=%u term=%llu", observer->database, effect->server,
+			           (unsigned long long) effect->term);
+		link_request (&observer->links[effect->server], effect->type, effect->term);
+		break;
+	case FAILOVER_ASK:
+		opinion_ask (observer, effect->observer);
+		break;
+	case FAILOVER_ANNOUNCE:
+		handle_announce (observer, effect->term, effect->server);
+		break;
+	case FAILOVER_NONE:
+		break;
+	}
+}
+
+static void
+observer_pump (struct control_observer *observer)
+{
+	uint64_t term;
+	uint32_t primary;
+
+	/* Effects may report errors at once, which lead back here. */
+	if (observer->is_pumping)
+		return;
+	observer->is_pumping = true;
+	for (;;)
+	{
+		struct failover_effect effect = failover_next (&observer->failover, clock_now_us ());
+
+		if (effect.type == FAILOVER_NONE)
+			break;
+		effect_run (observer, &effect);
+	}
+	if (failover_primary (&observer->failover, &term, &primary))
+		publish_primary (observer, term, primary);
+	loop_set_timer (&observer->control->loop, &observer->timer,
+	                failover_next_time_us (&observer->failover));
+	observer->is_pumping = false;
+}
+
+static void
+handle_timer (struct loop_timer *timer, int64_t now_us)
+{
+	(void) now_us;
+	observer_pump (timer->data);
+}
+
+static void
+observer_free (struct control_observer *observer)
+{
+	loop_cancel_timer (&observer->control->loop, &observer->timer);
+	for (uint32_t s = 0; s < observer->server_count; s++)
+		upstream_pg_finish (&observer->links[s].upstream);
+	failover_finish (&observer->failover);
+	free (observer->memory);
+	free (observer);
+}
+
+static struct control_observer *
+observer_new (struct control *control, const struct schema_database *database)
+{
+	struct control_observer *observer = calloc (1, sizeof *observer);
+
+	if (!observer)
+		return NULL;
+	observer->control = control;
+	g_strlcpy (observer->database, database->name, sizeof observer->database);
+	memcpy (observer->servers, database->servers, sizeof observer->servers);
+	observer->server_count = database->server_count;
+	observer->memory = calloc (1, failover_size (database->server_count));
+	if (!observer->memory ||
+	    failover_init (&observer->failover, observer->memory, &failover_default_settings,
+	                   control->settings->vm_id, database->server_count, control->random++,
+	                   clock_now_us ()) < 0)
+	{
+		free (observer->memory);
+		free (observer);
+		return NULL;
+	}
+	for (uint32_t s = 0; s < database->server_count; s++)
+	{
+		observer->links[s].observer = observer;
+		observer->links[s].server = s;
+		upstream_pg_init (&observer->links[s].upstream, &control->loop, &link_user_ops,
+		                  &observer->links[s]);
+	}
+	observer->timer.handle_timer = handle_timer;
+	observer->timer.data = observer;
+	observer->next = control->observers;
+	control->observers = observer;
+	return observer;
+}
+
+static bool
+observer_has_servers (const struct control_observer *observer,
+                      const struct schema_database *database)
+{
+	if (observer->server_count != database->server_count)
+		return false;
+	for (uint32_t s = 0; s < database->server_count; s++)
+	{
+		if (observer->servers[s].ip != database->servers[s].ip ||
+		    observer->servers[s].port != database->servers[s].port)
+			return false;
+	}
+	return true;
+}
+
+/** Lists the owners of the group's servers once each, those of servers that are not primary first. */
+static size_t
+list_observers (const struct control *control, const struct snapshot_group *group,
+                struct failover_observer *observers)
+{
+	uint32_t servers = group->database->server_count;
+	uint32_t first = group->has_primary ? group->primary + 1 : 0;
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < servers; i++)
+	{
+		uint32_t owner = group->servers[(first + i) % servers].owners.owner;
+		struct member member;
+		size_t seen = 0;
+
+		while (seen < count && observers[seen].id != owner)
+			seen++;
+		if (seen < count || !membership_find (control->membership, owner, &member))
+			continue;
+		observers[count++] = (struct failover_observer){ .id = owner, .zone = member.address.zone };
+	}
+	return count;
+}
+
+/** A leaving primary hands over to a server that stays. */
+static void
+replace_leaving_primary (struct control_observer *observer, const struct snapshot_group *group,
+                         const struct failover_observer *first)
+{
+	if (!group->has_primary || !group->servers[group->primary].is_leaving ||
+	    first->id != observer->control->settings->vm_id)
+		return;
+	for (uint32_t s = 0; s < group->database->server_count; s++)
+	{
+		if (s == group->primary || group->servers[s].is_leaving)
+			continue;
+		if (failover_request_promotion (&observer->failover, s, clock_now_us ()) == 0)
+			return;
+	}
+}
+
+static bool
+is_owner (const struct control *control, const struct snapshot_group *group)
+{
+	for (uint32_t s = 0; s < group->database->server_count; s++)
+	{
+		if (group->servers[s].owners.owner == control->settings->vm_id)
+			return true;
+	}
+	return false;
+}
+
+static void
+observer_update (struct control *control, const struct snapshot_group *group)
+{
+	struct failover_observer observers[FAILOVER_MAX_OBSERVERS];
+	struct control_observer *observer = observer_find (control, group->database->name);
+	int64_t now_us = clock_now_us ();
+	size_t count;
+
+	if (observer && !observer_has_servers (observer, group->database))
+		return;
+	if (!observer)
+		observer = observer_new (control, group->database);
+	if (!observer)
+		return;
+	observer->is_used = true;
+	count = list_observers (control, group, observers);
+	failover_set_observers (&observer->failover, observers, count, now_us);
+	if (group->has_primary)
+		failover_handle_announced (&observer->failover, group->term, group->primary, now_us);
+	if (count > 0)
+		replace_leaving_primary (observer, group, &observers[0]);
+	loop_set_timer (&control->loop, &observer->timer, now_us);
+}
+
+static void
+remove_unused (struct control *control)
+{
+	struct control_observer **link = &control->observers;
+
+	while (*link)
+	{
+		struct control_observer *observer = *link;
+
+		if (observer->is_used || observer->is_pumping)
+		{
+			link = &observer->next;
+			continue;
+		}
+		*link = observer->next;
+		observer_free (observer);
+	}
+}
+
+void
+control_observers_update (struct control *control, const struct snapshot *snapshot)
+{
+	for (struct control_observer *o = control->observers; o; o = o->next)
+		o->is_used = false;
+	for (size_t i = 0; i < snapshot->group_count; i++)
+	{
+		if (is_owner (control, &snapshot->groups[i]))
+			observer_update (control, &snapshot->groups[i]);
+	}
+	remove_unused (control);
+}
+
+void
+control_observers_finish (struct control *control)
+{
+	while (control->observers)
+	{
+		struct control_observer *observer = control->observers;
+
+		control->observers = observer->next;
+		observer_free (observer);
+	}
+}
+
+void
+control_observers_handle_observation (struct control *control,
+                                      const struct control_observation *observation)
+{
+	struct control_observer *observer = observer_find (control, observation->database);
+	int64_t now_us = clock_now_us ();
+
+	if (!observer || observation->server >= observer->server_count)
+		return;
+	failover_handle_traffic (&observer->failover, observation->server, observation->answered,
+	                         now_us);
+	if (observation->answered && observation->status.promised_term > 0)
+		failover_handle_status (&observer->failover, observation->server, &observation->status,
+		                        now_us, now_us);
+	observer_pump (observer);
+}
+
+void
+control_observers_handle_announced (struct control *control, const char *database, uint64_t term,
+                                    uint32_t primary)
+{
+	struct control_observer *observer = observer_find (control, database);
+
+	if (!observer || primary >= observer->server_count)
+		return;
+	failover_handle_announced (&observer->failover, term, primary, clock_now_us ());
+	observer_pump (observer);
+}
+
+bool
+control_observers_opinion (struct control *control, const char *database,
+                           struct failover_opinion *opinion)
+{
+	struct control_observer *observer = observer_find (control, database);
+
+	if (!observer)
+		return false;
+	*opinion = failover_opinion (&observer->failover);
+	return true;
+}
+
+int
+control_observers_promote (struct control *control, const char *database, uint32_t server)
+{
+	struct control_observer *observer = observer_find (control, database);
+	int result;
+
+	if (!observer)
+		return -ENOENT;
+	result = failover_request_promotion (&observer->failover, server, clock_now_us ());
+	observer_pump (observer);
+	return result;
+}
--- /dev/null
+++ b/flamingospring/control_server.c
@@ -0,0 +1,269 @@
+#include "common/counters.h"
+#include "common/log.h"
+#include "flamingospring/control_private.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct control_client
+{
+	struct rpc_connection connection;
+	struct control_client *next;
+	struct control *control;
+	uint64_t id;
+	struct loop_timer free_timer;
+};
+
+static bool
+reply_state (struct control *control, struct rpc_connection *connection, uint32_t xid)
+{
+	size_t members = membership_count (control->membership);
+	size_t others = membership_item_count (control->membership);
+	struct fs_state_result result = { 0 };
+	struct membership_item *items = g_new0 (struct membership_item, members + others + 1);
+	u_int count = 0;
+
+	result.items.items_val = g_new0 (struct fs_item, members + others + 1);
+	for (size_t i = 0; i < members && count < FS_MAX_STATE; i++)
+	{
+		struct member member;
+
+		/* Dead members are left out: a joining VM does not need them. */
+		if (!membership_get (control->membership, i, &member) || member.state == MEMBER_DEAD)
+			continue;
+		if (!membership_find_item (control->membership, ITEM_MEMBER, "", &items[count]))
+			memset (&items[count], 0, sizeof items[count]);
+		items[count].type = ITEM_MEMBER;
+		items[count].member = member.id;
+		items[count].state = member.state;
+		items[count].address = member.address;
+		items[count].config_revision = member.config_revision;
+		count++;
+	}
+	for (size_t i = 0; i < others && count < FS_MAX_STATE; i++)
+	{
+		if (membership_get_item (control->membership, i, &items[count]))
+			count++;
+	}
+	for (u_int i = 0; i < count; i++)
+		control_item_encode (&items[i], &result.items.items_val[i]);
+	result.items.items_len = count;
+	rpc_connection_reply (connection, xid, (xdrproc_t) xdr_fs_state_result, &result);
+	g_free (result.items.items_val);
+	g_free (items);
+	return true;
+}
+
+static bool
+reply_config (struct control *control, struct rpc_connection *connection, uint32_t xid, XDR *args)
+{
+	struct fs_config_result result = { 0 };
+	u_quad_t revision;
+
+	if (!xdr_u_quad_t (args, &revision))
+		return rpc_connection_reject (connection, xid, GARBAGE_ARGS) == 0;
+	control_documents_list (control, revision, &result);
+	rpc_connection_reply (connection, xid, (xdrproc_t) xdr_fs_config_result, &result);
+	free (result.documents.documents_val);
+	return true;
+}
+
+static bool
+reply_opinion (struct control *control, struct rpc_connection *connection, uint32_t xid, XDR *args)
+{
+	struct fs_opinion_args in = { 0 };
+	struct fs_opinion_result out = { 0 };
+	struct failover_opinion opinion;
+
+	if (!xdr_fs_opinion_args (args, &in))
+		return rpc_connection_reject (connection, xid, GARBAGE_ARGS) == 0;
+	out.is_observer = control_observers_opinion (control, in.database, &opinion);
+	if (out.is_observer)
+	{
+		out.term = opinion.term;
+		out.primary = opinion.primary;
+		out.suspects = opinion.suspects;
+	}
+	xdr_free ((xdrproc_t) xdr_fs_opinion_args, &in);
+	rpc_connection_reply (connection, xid, (xdrproc_t) xdr_fs_opinion_result, &out);
+	return true;
+}
+
+static bool
+reply_announce (struct control *control, struct rpc_connection *connection, uint32_t xid, XDR *args)
+{
+	struct fs_announce_args in = { 0 };
+	struct membership_item item = { .type = ITEM_GROUP };
+
+	if (!xdr_fs_announce_args (args, &in))
+		return rpc_connection_reject (connection, xid, GARBAGE_ARGS) == 0;
+	g_strlcpy (item.key, in.database, sizeof item.key);
+	item.version = in.term;
+	item.value = in.primary;
+	control_merge_item (control, &item);
+	xdr_free ((xdrproc_t) xdr_fs_announce_args, &in);
+	rpc_connection_reply (connection, xid, (xdrproc_t) xdr_void, NULL);
+	return true;
+}
+
+static bool
+handle_peer_call (struct control *control, struct rpc_connection *connection, uint32_t xid,
+                  uint32_t procedure, XDR *args)
+{
+	switch (procedure)
+	{
+	case FS_PEER_NULL:
+		return rpc_connection_reply (connection, xid, (xdrproc_t) xdr_void, NULL) == 0;
+	case FS_PEER_STATE_PULL:
+		return reply_state (control, connection, xid);
+	case FS_PEER_CONFIG_PULL:
+		return reply_config (control, connection, xid, args);
+	case FS_PEER_OPINION:
+		return reply_opinion (control, connection, xid, args);
+	case FS_PEER_ANNOUNCE:
+		return reply_announce (control, connection, xid, args);
+	default:
+		return rpc_connection_reject (connection, xid, PROC_UNAVAIL) == 0;
+	}
+}
+
+static bool
+handle_call (struct rpc_connection *connection, uint32_t xid, uint32_t program, uint32_t procedure,
+             XDR *args)
+{
+	struct control_client *client = connection->data;
+
+	if (program == FS_PEER_PROGRAM)
+		return handle_peer_call (client->control, connection, xid, procedure, args);
+	if (program == FS_OPERATOR_PROGRAM)
+		return control_operator_handle_call (client->control, connection, xid, procedure, args);
+	return rpc_connection_reject (connection, xid, PROG_UNAVAIL) == 0;
+}
+
+static void
+client_remove (struct control_client *client)
+{
+	struct control *control = client->control;
+	struct control_client **link = &control->clients;
+
+	while (*link != client)
+		link = &(*link)->next;
+	*link = client->next;
+	control->client_count--;
+	rpc_connection_finish (&client->connection);
+	free (client);
+}
+
+static void
+handle_free_timer (struct loop_timer *timer, int64_t now_us)
+{
+	(void) now_us;
+	client_remove (timer->data);
+}
+
+static void
+handle_closed (struct rpc_connection *connection, int error)
+{
+	struct control_client *client = connection->data;
+
+	(void) error;
+	counter_add (COUNTER_CONTROL_SENT_BYTES, (int64_t) connection->sent_bytes);
+	counter_add (COUNTER_CONTROL_RECEIVED_BYTES, (int64_t) connection->received_bytes);
+	/* The connection's own code is still on the stack. */
+	loop_set_timer (&client->control->loop, &client->free_timer, 0);
+}
+
+static const struct rpc_connection_ops client_ops = {
+	.handle_call = handle_call,
+	.handle_closed = handle_closed,
+};
+
+static void
+client_add (struct control *control, int fd)
+{
+	static uint64_t next_id;
+	struct control_client *client = calloc (1, sizeof *client);
+
+	if (!client ||
+	    rpc_connection_init (&client->connection, &control->loop, &client_ops, client, fd) < 0)
+	{
+		free (client);
+		close (fd);
+		return;
+	}
+	client->control = control;
+	client->id = ++next_id;
+	client->free_timer.handle_timer = handle_free_timer;
+	client->free_timer.data = client;
+	client->next = control->clients;
+	control->clients = client;
+	control->client_count++;
+}
+
+static void
+handle_accept (struct loop_source *source, uint32_t epoll_events)
+{
+	struct control *control = source->data;
+	int fd;
+
+	(void) epoll_events;
+	while ((fd = accept4 (source->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+	{
+		if (control->client_count < CONTROL_MAX_CLIENTS)
+			client_add (control, fd);
+		else
+			close (fd);
+	}
+}
+
+struct control_reply_handle
+control_reply_hold (struct control *control, struct rpc_connection *connection, uint32_t xid)
+{
+	const struct control_client *client = connection->data;
+
+	(void) control;
+	return (struct control_reply_handle){ .client = client->id, .xid = xid };
+}
+
+void
+control_reply_send (struct control *control, struct control_reply_handle handle, xdrproc_t encode,
+                    const void *result)
+{
+	for (struct control_client *client = control->clients; client; client = client->next)
+	{
+		if (client->id != handle.client)
+			continue;
+		rpc_connection_reply (&client->connection, handle.xid, encode, result);
+		return;
+	}
+}
+
+int
+control_server_init (struct control *control)
+{
+	int fd = rpc_listen (control->settings->ip, control->settings->control_port);
+
+	if (fd < 0)
+		return fd;
+	control->listener.fd = fd;
+	control->listener.data = control;
+	control->listener.handle_ready = handle_accept;
+	return loop_set_source (&control->loop, &control->listener, EPOLLIN);
+}
+
+void
+control_server_finish (struct control *control)
+{
+	while (control->clients)
+	{
+		loop_cancel_timer (&control->loop, &control->clients->free_timer);
+		client_remove (control->clients);
+	}
+	if (control->listener.fd >= 0)
+		close (control->listener.fd);
+}
