--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -1,5 +1,7 @@
 #include "ctl/commands.h"
 
+#include "ctl/cmd.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,7 +17,17 @@
 
 /* Sorted by name for bsearch(). */
 static const struct command commands[] = {
+	{ "apply", cmd_apply, "put a service document into force" },
+	{ "counters", cmd_counters, "print the counters of a VM" },
+	{ "diff", cmd_diff, "compare a file with the document in force" },
+	{ "drain", cmd_drain, "give a server no new work, or stop a VM as planned" },
+	{ "get", cmd_get, "print a service document, or list the services" },
 	{ "help", cmd_help, "list the commands" },
+	{ "promote", cmd_promote, "change the primary of a database group" },
+	{ "schema", cmd_schema, "check a service document, or generate its typed calls" },
+	{ "status", cmd_status, "members, servers, owners and primaries as a VM sees them" },
+	{ "trace", cmd_trace, "print the latest sampled spans of a VM" },
+	{ "undrain", cmd_undrain, "take a drain back" },
 };
 
 static int
@@ -33,6 +45,7 @@
 	puts ("Usage: flamingospring COMMAND [OPTION...]\n\nCommands:");
 	for (size_t i = 0; i < sizeof commands / sizeof commands[0]; i++)
 		printf ("  %-10s %s\n", commands[i].name, commands[i].help);
+	printf ("  %-10s %s\n", "proxy", "run the proxy on this VM");
 	puts ("\nflamingospring COMMAND --help describes a command.");
 }
 
--- a/flamingospring/control_call.c
+++ b/flamingospring/control_call.c
@@ -42,9 +42,10 @@
 {
 	struct control_call **link = &call->control->calls;
 
-	while (*link != call)
+	while (*link && *link != call)
 		link = &(*link)->next;
-	*link = call->next;
+	if (*link)
+		*link = call->next;
 	free (call);
 }
 
--- a/flamingospring/control_server.c
+++ b/flamingospring/control_server.c
@@ -151,9 +151,10 @@
 	struct control *control = client->control;
 	struct control_client **link = &control->clients;
 
-	while (*link != client)
+	while (*link && *link != client)
 		link = &(*link)->next;
-	*link = client->next;
+	if (*link)
+		*link = client->next;
 	control->client_count--;
 	rpc_connection_finish (&client->connection);
 	free (client);
@@ -259,10 +260,15 @@
 void
 control_server_finish (struct control *control)
 {
-	while (control->clients)
+	struct control_client *client = control->clients;
+
+	while (client)
 	{
-		loop_cancel_timer (&control->loop, &control->clients->free_timer);
-		client_remove (control->clients);
+		struct control_client *next = client->next;
+
+		loop_cancel_timer (&control->loop, &client->free_timer);
+		client_remove (client);
+		client = next;
 	}
 	if (control->listener.fd >= 0)
 		close (control->listener.fd);
--- a/schema/schema.c
+++ b/schema/schema.c
@@ -1,5 +1,6 @@
 #include "schema/schema.h"
 
+#include "schema/generate.h"
 #include "schema/yaml_reader.h"
 
 #include <arpa/inet.h>
@@ -391,6 +392,11 @@
 	{
 		if (strcmp (service->calls[i].name, call->name) == 0)
 			yaml_reader_report (reader, node, call->name, "the call stands twice");
+		else if (schema_procedure_number (service->calls[i].name) ==
+		         schema_procedure_number (call->name))
+			yaml_reader_report (reader, node, call->name,
+			                    "the name hashes to the procedure number of \"%s\"; choose another",
+			                    service->calls[i].name);
 	}
 	service->call_count++;
 	read_call_database (reader, node, service, call);
