--- a/decision/routing.c
+++ b/decision/routing.c
@@ -92,6 +92,18 @@
 	return server->fresh_at_us != 0 && now_us - server->fresh_at_us <= request->max_age_us;
 }
 
+/* Expected wait in the queue of a server: what it reported, less the time since then. Otherwise a
+ * server that nobody asks any more would keep its last, long queue for ever. */
+static int64_t
+routing_queue_us (const struct routing_server *server, int64_t now_us)
+{
+	int64_t queue_us = server->queue_us;
+
+	if (server->position_at_us != 0)
+		queue_us -= now_us - server->position_at_us;
+	return queue_us > 0 ? queue_us : 0;
+}
+
 static struct routing_candidate
 routing_rate_replica (const struct routing_server *server, const struct routing_request *request,
                       int64_t majority_lag_us, int64_t now_us)
@@ -108,7 +120,7 @@
 	}
 	candidate.is_usable = true;
 	candidate.wait_us = routing_token_wait_us (server, request, majority_lag_us, now_us);
-	candidate.time_us = (int64_t) server->link_us + server->queue_us + candidate.wait_us;
+	candidate.time_us = server->link_us + routing_queue_us (server, now_us) + candidate.wait_us;
 	candidate.cost_us = candidate.time_us;
 	if (!is_known)
 		candidate.cost_us += ROUTING_GUESS_US + server->lag_us / ROUTING_GUESS_LAG_SHARE;
@@ -138,21 +150,19 @@
               int64_t limit_us, uint64_t seed)
 {
 	int64_t best_us = INT64_MAX;
-	uint32_t equal[ROUTING_MAX_SERVERS];
+	uint32_t equal[ROUTING_MAX_SERVERS] = { 0 };
 	uint32_t equals = 0;
 
 	for (size_t i = 0; i < count; i++)
 		if (candidates[i].is_usable && (may_wait || candidates[i].wait_us == 0) &&
 		    candidates[i].time_us <= limit_us && candidates[i].cost_us < best_us)
 			best_us = candidates[i].cost_us;
-	if (best_us == INT64_MAX)
-		return -1;
 	for (size_t i = 0; i < count; i++)
 		if (candidates[i].is_usable && (may_wait || candidates[i].wait_us == 0) &&
 		    candidates[i].time_us <= limit_us &&
 		    candidates[i].cost_us <= best_us + ROUTING_EQUAL_US)
 			equal[equals++] = (uint32_t) i;
-	return (int) equal[seed % equals];
+	return equals > 0 ? (int) equal[seed % equals] : -1;
 }
 
 static struct routing_choice
@@ -197,8 +207,9 @@
 	found = routing_pick (candidates, count, false, left_us, seed);
 	if (found >= 0)
 		return routing_result (candidates, found);
-	primary_us =
-		primary < 0 ? INT64_MAX : (int64_t) servers[primary].link_us + servers[primary].queue_us;
+	primary_us = primary < 0
+	                 ? INT64_MAX
+	                 : servers[primary].link_us + routing_queue_us (&servers[primary], now_us);
 	found =
 		routing_pick (candidates, count, true, primary_us < left_us ? primary_us : left_us, seed);
 	if (found < 0 && primary >= 0 && primary_us <= left_us)
--- a/tests/unit/admission.c
+++ b/tests/unit/admission.c
@@ -152,7 +152,7 @@
 	int64_t arrived_us, deadline_us;
 	uint32_t run_us, tenant;
 	enum rank rank;
-	char state; /* 'q' queued, 'r' running, 'd' done with. */
+	uint8_t state; /* 'q' queued, 'r' running, 'd' done with. */
 };
 
 struct server
@@ -316,38 +316,38 @@
 	{
 		const char *name;
 		struct load loads[RANK_COUNT];
-		int least_percent[RANK_COUNT]; /* Share of the slot time. */
 		int64_t urgent_wait_us;
+		int least_percent[RANK_COUNT]; /* Share of the slot time. */
 		int expired_percent; /* Most requests that may expire in the queue, of those offered. */
 	} cases[] = {
 		{ "urgent flood",
 		  { { 2000, 10000, 200000, { 100 } },
 		    { 20000, 10000, 500000, { 100 } },
 		    { 200000, 100000, 2000000, { 100 } } },
-		  { 60, 19, 9 },
 		  400000,
+		  { 60, 19, 9 },
 		  5 },
 		{ "urgent flood and reports longer than the window",
 		  { { 2000, 10000, 200000, { 100 } },
 		    { 20000, 10000, 500000, { 100 } },
 		    { 500000, 1500000, 4000000, { 100 } } },
-		  { 60, 18, 8 },
 		  400000,
+		  { 60, 18, 8 },
 		  /* One report takes 7.5 s of the floor, so that few are queued at all. */
 		  10 },
 		{ "low flood",
 		  { { 20000, 10000, 200000, { 100 } },
 		    { 50000, 10000, 500000, { 100 } },
 		    { 10000, 100000, 2000000, { 100 } } },
-		  { 24, 9, 45 },
 		  100000,
+		  { 24, 9, 45 },
 		  5 },
 		{ "normal flood",
 		  { { 50000, 10000, 200000, { 100 } },
 		    { 1000, 10000, 500000, { 100 } },
 		    { 100000, 100000, 2000000, { 100 } } },
-		  { 9, 70, 9 },
 		  70000,
+		  { 9, 70, 9 },
 		  5 },
 	};
 	const int64_t duration_us = 60000000;
