--- /dev/null
+++ b/charts/resources.h
@@ -0,0 +1,7 @@
+#ifndef __RESOURCE_charts_H__
+#define __RESOURCE_charts_H__
+
+#include <gio/gio.h>
+
+extern GResource *charts_get_resource (void);
+#endif
--- /dev/null
+++ b/decision/membership.c
@@ -0,0 +1,647 @@
+#include "decision/membership.h"
+
+#include "charts/embedded.h"
+#include "decision/membership_table.h"
+#include "decision/retry.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+const struct membership_settings membership_default_settings = {
+	.period_min_us = 200000,
+	.period_max_us = 1000000,
+	.period_max_members = 750,
+	.ack_timeout_us = 300000,
+	.suspect_us = 2000000,
+	.indirect_pings = 3,
+	.spread_factor = 3,
+};
+
+enum
+{
+	/* Datagrams with news go out at this interval, and at the slow one when the news do not fit one
+	 * datagram: a lost zone makes hundreds of them, and the limit of 6 KB/s comes before their
+	 * speed. Leaving servers and configuration are always fast. */
+	RUMOR_FAST_US = 100000,
+	RUMOR_SLOW_US = 250000,
+	RUMOR_SLOW_ITEMS = 6,
+	/* A ping that is not answered after this many ack timeouts, direct and indirect, failed. */
+	PROBE_TIMEOUTS = 3,
+	/* Dead members are pinged to notice the end of a partition, each this often in a period. */
+	DEAD_PINGS_PER_PERIOD = 3,
+	REARM_US = 5000000,
+	/* News from shortly before a member went silent may not have reached it either. */
+	REARM_MARGIN_US = 10000000,
+	RANDOM_TRIES = 8,
+};
+
+static const int64_t FORGET_US = 3600000000;
+static const int64_t FORGET_CHECK_US = 60000000;
+
+size_t
+membership_size (uint32_t max_members, uint32_t max_items)
+{
+	return membership_table_place (NULL, max_members, max_items);
+}
+
+static void
+find_chart_numbers (struct membership *membership)
+{
+	static const char *const states[MEMBER_STATE_COUNT] = { "alive", "suspect", "leaving", "dead" };
+	static const char *const events[MEMBER_EVENT_COUNT] = {
+		"told_alive", "told_suspect", "told_leaving", "told_dead", "silent", "answered", "expired",
+	};
+
+	membership->chart = chart_embedded ("member");
+	for (int i = 0; i < MEMBER_STATE_COUNT; i++)
+		membership->chart_states[i] = chart_find_state (membership->chart, states[i]);
+	for (int i = 0; i < MEMBER_EVENT_COUNT; i++)
+		membership->chart_events[i] = chart_find_event (membership->chart, events[i]);
+}
+
+struct membership *
+membership_init (void *memory, const struct membership_settings *settings, uint32_t max_members,
+                 uint32_t max_items, uint32_t self, const struct member_address *address,
+                 uint64_t incarnation, uint64_t seed, int64_t now_us)
+{
+	struct membership *membership = memory;
+	struct member_record *member;
+
+	memset (memory, 0, membership_size (max_members, max_items));
+	membership_table_place (membership, max_members, max_items);
+	membership->settings = settings;
+	membership->seed = seed;
+	membership->period_at_us = now_us;
+	membership->rumor_at_us = now_us;
+	membership->expiry_at_us = INT64_MAX;
+	membership->forget_at_us = now_us + FORGET_CHECK_US;
+	find_chart_numbers (membership);
+	member = member_table_add (membership, self, address);
+	member->incarnation = incarnation;
+	rumor_add_member (membership, member);
+	return membership;
+}
+
+void
+membership_finish (struct membership *membership)
+{
+	membership->member_count = 0;
+	membership->item_count = 0;
+}
+
+static struct member_record *
+self_record (const struct membership *membership)
+{
+	return &membership->members[0];
+}
+
+int
+membership_add (struct membership *membership, uint32_t id, const struct member_address *address,
+                int64_t now_us)
+{
+	if (member_table_find (membership, id))
+		return -EEXIST;
+	if (!member_table_add (membership, id, address))
+	{
+		member_table_forget (membership, now_us);
+		if (!member_table_add (membership, id, address))
+			return -ENOSPC;
+	}
+	return 0;
+}
+
+void
+membership_set_leaving (struct membership *membership, bool leaving, int64_t now_us)
+{
+	struct member_record *self = self_record (membership);
+
+	if (leaving == (self->state == MEMBER_LEAVING))
+		return;
+	self->incarnation++;
+	member_handle_event (membership, self, leaving ? MEMBER_TOLD_LEAVING : MEMBER_TOLD_ALIVE,
+	                     now_us);
+	rumor_add_member (membership, self);
+}
+
+void
+membership_set_config_revision (struct membership *membership, uint64_t revision)
+{
+	struct member_record *self = self_record (membership);
+
+	if (revision <= self->config_revision)
+		return;
+	self->config_revision = revision;
+	membership->config_sends_left = rumor_limit (membership);
+}
+
+static void
+queue (struct membership *membership, enum gossip_type type, uint32_t to, uint32_t target,
+       uint64_t sequence)
+{
+	if (membership->out_count == MEMBERSHIP_MAX_OUT)
+		return; /* As if it were lost on the way. */
+	membership->out[(membership->out_first + membership->out_count++) % MEMBERSHIP_MAX_OUT] =
+		(struct outgoing){ type, to, target, sequence };
+}
+
+/* A member answers again: what changed meanwhile has to reach it and those behind it. */
+static void
+handle_rejoin (struct membership *membership, struct member_record *member, uint32_t heard_from,
+               int64_t now_us)
+{
+	if (now_us - membership->rearmed_at_us >= REARM_US)
+	{
+		membership->rearmed_at_us = now_us;
+		rumor_add_changed (membership, member->down_since_us - REARM_MARGIN_US);
+	}
+	member->down_since_us = 0;
+	if (heard_from == member->id)
+		queue (membership, GOSSIP_ACK, member->id, 0, 0);
+}
+
+/* Others take this VM for suspect or dead, or remember its earlier life. */
+static bool
+merge_self (struct membership *membership, const struct membership_item *item)
+{
+	struct member_record *self = self_record (membership);
+
+	if (item->version <= member_version (self))
+		return false;
+	self->incarnation = (item->version >> 2) + 1;
+	membership->generation++;
+	rumor_add_member (membership, self);
+	return true;
+}
+
+static bool
+is_same_address (const struct member_address *a, const struct member_address *b)
+{
+	return a->ip == b->ip && a->traffic_port == b->traffic_port &&
+	       a->control_port == b->control_port && a->zone == b->zone;
+}
+
+static bool
+merge_member (struct membership *membership, const struct membership_item *item,
+              uint32_t heard_from, int64_t now_us)
+{
+	struct member_record *member = member_table_find (membership, item->member);
+	enum member_state state = (enum member_state) (item->version & 3);
+	bool is_first = false;
+	bool was_down;
+
+	if (item->member == self_record (membership)->id)
+		return merge_self (membership, item);
+	if (!member)
+	{
+		/* A dead member that was forgotten here is no news. */
+		if (state == MEMBER_DEAD ||
+		    membership_add (membership, item->member, &item->address, now_us))
+			return false;
+		member = member_table_find (membership, item->member);
+		is_first = true;
+	}
+	else if (item->version == member_version (member) &&
+	         item->config_revision > member->config_revision)
+		member->config_revision = item->config_revision;
+	if (item->version <= member_version (member) && !is_first)
+		return false;
+	was_down = member->down_since_us != 0;
+	/* The first word of a member that settings or the VM list named is no news to others, since
+	 * they have the same lists: at the start of a fleet this saves a rumor for each member. */
+	if (member->incarnation != 0 || is_first || state != MEMBER_ALIVE ||
+	    !is_same_address (&member->address, &item->address))
+		rumor_add_member (membership, member);
+	member->incarnation = item->version >> 2;
+	member->config_revision = item->config_revision;
+	if (!is_same_address (&member->address, &item->address))
+		membership->generation++;
+	member->address = item->address;
+	member_handle_event (membership, member, (enum member_event) state, now_us);
+	if (was_down && (state == MEMBER_ALIVE || state == MEMBER_LEAVING))
+		handle_rejoin (membership, member, heard_from, now_us);
+	return true;
+}
+
+static bool
+merge (struct membership *membership, const struct membership_item *item, uint32_t heard_from,
+       int64_t now_us)
+{
+	struct item_record *record;
+
+	if (item->type == ITEM_MEMBER)
+		return merge_member (membership, item, heard_from, now_us);
+	if (item->type != ITEM_LEAVING && item->type != ITEM_GROUP)
+		return false;
+	record = item_table_find (membership, item->type, item->key);
+	if (!record)
+		record = item_table_add (membership, item->type, item->key);
+	if (!record || item->version <= record->version)
+		return false;
+	record->version = item->version;
+	record->value = item->value;
+	record->changed_at_us = now_us;
+	membership->generation++;
+	rumor_add_item (membership, record);
+	return true;
+}
+
+bool
+membership_merge (struct membership *membership, const struct membership_item *item, int64_t now_us)
+{
+	return merge (membership, item, 0, now_us);
+}
+
+static void
+handle_ack (struct membership *membership, const struct gossip_message *message,
+            struct member_record *member, int64_t now_us)
+{
+	for (int i = 0; i < MEMBERSHIP_MAX_PROBES && message->sequence; i++)
+	{
+		struct probe *probe = &membership->probes[i];
+
+		if (probe->sequence != message->sequence)
+			continue;
+		if (probe->id == member->id && !probe->is_indirect)
+		{
+			uint32_t rtt_us = (uint32_t) (now_us - probe->sent_us);
+
+			member->rtt_us = member->rtt_us ? (7 * member->rtt_us + rtt_us) / 8 : rtt_us;
+		}
+		probe->sequence = 0;
+	}
+	for (int i = 0; i < MEMBERSHIP_MAX_RELAYS && message->sequence; i++)
+	{
+		struct relay *relay = &membership->relays[i];
+
+		if (relay->sequence != message->sequence)
+			continue;
+		relay->sequence = 0;
+		queue (membership, GOSSIP_ACK, relay->origin, member->id, relay->origin_sequence);
+	}
+}
+
+static void
+handle_ping_request (struct membership *membership, const struct gossip_message *message)
+{
+	struct relay *relay = &membership->relays[membership->relay_next++ % MEMBERSHIP_MAX_RELAYS];
+
+	if (!member_table_find (membership, message->target))
+		return;
+	*relay = (struct relay){ ++membership->sequence, message->from, message->sequence };
+	queue (membership, GOSSIP_PING, message->target, 0, relay->sequence);
+}
+
+void
+membership_handle_message (struct membership *membership, const struct gossip_message *message,
+                           int64_t now_us)
+{
+	struct member_record *member;
+
+	if (message->from == self_record (membership)->id)
+		return;
+	for (uint32_t i = 0; i < message->item_count && i < MEMBERSHIP_MAX_ITEMS; i++)
+		merge (membership, &message->items[i], message->from, now_us);
+	member = member_table_find (membership, message->from);
+	if (!member)
+		return; /* Its address comes with its own item, in one of its next datagrams. */
+	if (message->config_revision > self_record (membership)->config_revision &&
+	    message->config_revision != member->config_revision)
+		membership->generation++;
+	member->config_revision = message->config_revision;
+	member_handle_event (membership, member, MEMBER_ANSWERED, now_us);
+	if (member->state == MEMBER_LEAVING)
+		member->down_since_us = 0;
+	if (message->type == GOSSIP_PING)
+		queue (membership, GOSSIP_ACK, member->id, self_record (membership)->id, message->sequence);
+	else if (message->type == GOSSIP_PING_REQUEST)
+		handle_ping_request (membership, message);
+	else
+		handle_ack (membership, message, member, now_us);
+}
+
+/* A random member that is not this VM; dead ones only, or none of them. NULL when none is found. */
+static struct member_record *
+pick_member (struct membership *membership, bool is_dead)
+{
+	uint32_t count = membership->member_count;
+	uint32_t tries = is_dead ? count : RANDOM_TRIES;
+	uint32_t start = (uint32_t) (random_next (&membership->seed) % count);
+
+	for (uint32_t i = 0; i < tries; i++)
+	{
+		uint32_t at =
+			is_dead ? (start + i) % count : (uint32_t) (random_next (&membership->seed) % count);
+		struct member_record *member = &membership->members[at];
+
+		if (at != 0 && (member->state == MEMBER_DEAD) == is_dead)
+			return member;
+	}
+	return NULL;
+}
+
+static int64_t
+period_us (const struct membership *membership)
+{
+	const struct membership_settings *settings = membership->settings;
+	int64_t members = membership->member_count;
+
+	if (members > settings->period_max_members)
+		members = settings->period_max_members;
+	return settings->period_min_us + (settings->period_max_us - settings->period_min_us) * members /
+	                                     settings->period_max_members;
+}
+
+static void
+ping_next (struct membership *membership, int64_t now_us)
+{
+	struct member_record *member = NULL;
+	struct probe *probe = &membership->probes[0];
+
+	for (uint32_t i = 0; i < membership->member_count && !member; i++)
+	{
+		uint32_t at;
+
+		if (membership->order_at >= membership->member_count)
+			member_table_shuffle (membership);
+		at = membership->order[membership->order_at++];
+		if (at != 0 && membership->members[at].state != MEMBER_DEAD)
+			member = &membership->members[at];
+	}
+	for (int i = 0; i < MEMBERSHIP_MAX_PROBES; i++)
+		if (membership->probes[i].sequence == 0)
+			probe = &membership->probes[i];
+	if (!member || probe->sequence != 0)
+		return;
+	*probe = (struct probe){ ++membership->sequence, member->id, now_us, false };
+	queue (membership, GOSSIP_PING, member->id, 0, probe->sequence);
+}
+
+static void
+ping_dead (struct membership *membership)
+{
+	uint32_t live = membership->member_count - membership->dead_count;
+	struct member_record *member;
+
+	/* All live members together ping each dead one a few times in a period. */
+	if (membership->dead_count == 0 ||
+	    random_next (&membership->seed) % live >=
+	        (uint64_t) membership->dead_count * DEAD_PINGS_PER_PERIOD)
+		return;
+	member = pick_member (membership, true);
+	if (member)
+		queue (membership, GOSSIP_PING, member->id, 0, ++membership->sequence);
+}
+
+static void
+fail_probe (struct membership *membership, struct probe *probe, int64_t now_us)
+{
+	struct member_record *member = member_table_find (membership, probe->id);
+
+	probe->sequence = 0;
+	if (!member || member->state == MEMBER_DEAD)
+		return;
+	if (member_handle_event (membership, member, MEMBER_SILENT, now_us))
+	{
+		rumor_add_member (membership, member);
+		queue (membership, GOSSIP_ACK, member->id, 0, 0);
+	}
+}
+
+static void
+step_probes (struct membership *membership, int64_t now_us)
+{
+	for (int i = 0; i < MEMBERSHIP_MAX_PROBES; i++)
+	{
+		struct probe *probe = &membership->probes[i];
+		int64_t age_us = now_us - probe->sent_us;
+
+		if (probe->sequence == 0 || age_us < membership->settings->ack_timeout_us)
+			continue;
+		if (!probe->is_indirect)
+		{
+			probe->is_indirect = true;
+			for (uint32_t n = 0; n < membership->settings->indirect_pings; n++)
+			{
+				struct member_record *helper = pick_member (membership, false);
+
+				if (helper && helper->id != probe->id)
+					queue (membership, GOSSIP_PING_REQUEST, helper->id, probe->id, probe->sequence);
+			}
+		}
+		if (age_us >= PROBE_TIMEOUTS * membership->settings->ack_timeout_us)
+			fail_probe (membership, probe, now_us);
+	}
+}
+
+static void
+step_suspicions (struct membership *membership, int64_t now_us)
+{
+	if (now_us < membership->expiry_at_us)
+		return;
+	membership->expiry_at_us = INT64_MAX;
+	for (uint32_t i = 1; i < membership->member_count && membership->suspected_count; i++)
+	{
+		struct member_record *member = &membership->members[i];
+		int64_t expiry_us = member->suspected_at_us + membership->settings->suspect_us;
+
+		if (member->suspected_at_us == 0)
+			continue;
+		if (now_us >= expiry_us)
+		{
+			if (member_handle_event (membership, member, MEMBER_EXPIRED, now_us))
+				rumor_add_member (membership, member);
+		}
+		else if (expiry_us < membership->expiry_at_us)
+			membership->expiry_at_us = expiry_us;
+	}
+}
+
+static bool
+has_news (const struct membership *membership)
+{
+	return membership->rumor_count > 0 || membership->config_sends_left > 0;
+}
+
+static void
+step_rumors (struct membership *membership, int64_t now_us)
+{
+	bool is_fast = membership->rumor_count <= RUMOR_SLOW_ITEMS ||
+	               membership->config_sends_left > 0 || rumor_is_urgent (membership);
+	struct member_record *member;
+
+	if (!has_news (membership) || now_us < membership->rumor_at_us)
+		return;
+	membership->rumor_at_us = now_us + (is_fast ? RUMOR_FAST_US : RUMOR_SLOW_US);
+	member = pick_member (membership, false);
+	if (member)
+		queue (membership, GOSSIP_ACK, member->id, 0, 0);
+}
+
+static void
+step (struct membership *membership, int64_t now_us)
+{
+	step_probes (membership, now_us);
+	step_suspicions (membership, now_us);
+	if (now_us >= membership->period_at_us)
+	{
+		int64_t period = period_us (membership);
+
+		membership->period_at_us =
+			now_us + period - period / 20 +
+			(int64_t) (random_next (&membership->seed) % (uint64_t) (period / 10 + 1));
+		ping_next (membership, now_us);
+		ping_dead (membership);
+	}
+	step_rumors (membership, now_us);
+	if (now_us >= membership->forget_at_us)
+	{
+		membership->forget_at_us = now_us + FORGET_CHECK_US;
+		member_table_forget (membership, now_us - FORGET_US);
+	}
+}
+
+bool
+membership_next (struct membership *membership, struct membership_effect *effect, int64_t now_us)
+{
+	step (membership, now_us);
+	while (membership->out_count > 0)
+	{
+		const struct outgoing *out = &membership->out[membership->out_first];
+		const struct member_record *member = member_table_find (membership, out->to);
+
+		membership->out_first = (membership->out_first + 1) % MEMBERSHIP_MAX_OUT;
+		membership->out_count--;
+		if (!member)
+			continue;
+		effect->to = out->to;
+		effect->address = member->address;
+		effect->message.type = out->type;
+		effect->message.from = self_record (membership)->id;
+		effect->message.target = out->target;
+		effect->message.sequence = out->sequence;
+		effect->message.config_revision = self_record (membership)->config_revision;
+		membership_fill_items (membership, &effect->message, out->to, out->sequence != 0, now_us);
+		if (membership->config_sends_left > 0)
+			membership->config_sends_left--;
+		return true;
+	}
+	return false;
+}
+
+int64_t
+membership_next_time_us (const struct membership *membership)
+{
+	int64_t next_us = membership->period_at_us;
+
+	if (membership->out_count > 0)
+		return 0;
+	if (has_news (membership) && membership->rumor_at_us < next_us)
+		next_us = membership->rumor_at_us;
+	if (membership->expiry_at_us < next_us)
+		next_us = membership->expiry_at_us;
+	for (int i = 0; i < MEMBERSHIP_MAX_PROBES; i++)
+	{
+		const struct probe *probe = &membership->probes[i];
+		int64_t timeouts = probe->is_indirect ? PROBE_TIMEOUTS : 1;
+		int64_t due_us = probe->sent_us + timeouts * membership->settings->ack_timeout_us;
+
+		if (probe->sequence != 0 && due_us < next_us)
+			next_us = due_us;
+	}
+	return next_us;
+}
+
+uint64_t
+membership_generation (const struct membership *membership)
+{
+	return membership->generation;
+}
+
+size_t
+membership_count (const struct membership *membership)
+{
+	return membership->member_count;
+}
+
+bool
+membership_get (const struct membership *membership, size_t at, struct member *member)
+{
+	const struct member_record *record;
+
+	if (at >= membership->member_count)
+		return false;
+	record = &membership->members[at];
+	*member = (struct member){
+		.id = record->id,
+		.state = (enum member_state) record->state,
+		.address = record->address,
+		.config_revision = record->config_revision,
+		.rtt_us = record->rtt_us,
+	};
+	return true;
+}
+
+bool
+membership_find (const struct membership *membership, uint32_t id, struct member *member)
+{
+	const struct member_record *record = member_table_find (membership, id);
+
+	return record && membership_get (membership, (size_t) (record - membership->members), member);
+}
+
+size_t
+membership_item_count (const struct membership *membership)
+{
+	return membership->item_count;
+}
+
+bool
+membership_get_item (const struct membership *membership, size_t at, struct membership_item *item)
+{
+	if (at >= membership->item_count)
+		return false;
+	item_to_item (&membership->items[at], item);
+	return true;
+}
+
+bool
+membership_find_item (const struct membership *membership, enum item_type type, const char *key,
+                      struct membership_item *item)
+{
+	const struct member_record *member;
+	const struct item_record *record;
+
+	if (type == ITEM_MEMBER)
+	{
+		member = member_table_find (membership, (uint32_t) strtoul (key, NULL, 10));
+		if (member)
+			member_to_item (member, item);
+		return member != NULL;
+	}
+	record = item_table_find (membership, type, key);
+	if (record)
+		item_to_item (record, item);
+	return record != NULL;
+}
+
+uint32_t
+membership_find_newer (const struct membership *membership, uint64_t revision, uint64_t seed)
+{
+	uint32_t zone = self_record (membership)->address.zone;
+	uint32_t other = 0;
+
+	for (uint32_t i = 0; i < membership->member_count; i++)
+	{
+		const struct member_record *member =
+			&membership->members[(i + seed) % membership->member_count];
+
+		if (member->state == MEMBER_DEAD || member->config_revision <= revision)
+			continue;
+		if (member->address.zone == zone)
+			return member->id;
+		if (other == 0)
+			other = member->id;
+	}
+	return other;
+}
--- /dev/null
+++ b/decision/membership_table.c
@@ -0,0 +1,479 @@
+#include "decision/membership_table.h"
+
+#include "decision/retry.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+	ITEMS_BYTES = 400,
+	ITEM_FIXED_BYTES = 60, /* XDR size of fs_item without the characters of its key. */
+	/* Rumors above this number are sent less often: a fleet that starts, or a lost zone, makes
+	 * hundreds, and members that miss one get it from the state pull or the next contact. */
+	MANY_RUMORS = 64,
+	RECENT_US = 60000000, /* Recent news also ride on pings, for members that were cut off. */
+	RECENT_PER_MESSAGE = 3,
+};
+
+static uint32_t
+hash_slots (uint32_t entries)
+{
+	uint32_t slots = 8;
+
+	while (slots < 2 * entries)
+		slots *= 2;
+	return slots;
+}
+
+static void *
+place (char *base, size_t *offset, size_t bytes)
+{
+	void *memory = base ? base + *offset : NULL;
+
+	*offset += (bytes + 15) & ~(size_t) 15;
+	return memory;
+}
+
+size_t
+membership_table_place (struct membership *membership, uint32_t max_members, uint32_t max_items)
+{
+	struct membership unused;
+	char *base = (char *) membership;
+	size_t size = 0;
+
+	if (!membership)
+		membership = &unused;
+	place (base, &size, sizeof *membership);
+	membership->members = place (base, &size, max_members * sizeof *membership->members);
+	membership->items = place (base, &size, max_items * sizeof *membership->items);
+	membership->rumors =
+		place (base, &size, (max_members + max_items) * sizeof *membership->rumors);
+	membership->member_hash =
+		place (base, &size, hash_slots (max_members) * sizeof *membership->member_hash);
+	membership->item_hash =
+		place (base, &size, hash_slots (max_items) * sizeof *membership->item_hash);
+	membership->order = place (base, &size, max_members * sizeof *membership->order);
+	membership->max_members = max_members;
+	membership->max_items = max_items;
+	membership->member_hash_mask = hash_slots (max_members) - 1;
+	membership->item_hash_mask = hash_slots (max_items) - 1;
+	return size;
+}
+
+static uint32_t *
+member_hash_slot (const struct membership *membership, uint32_t id)
+{
+	uint32_t slot = (uint32_t) XXH64 (&id, sizeof id, 0);
+
+	for (;; slot++)
+	{
+		uint32_t *entry = &membership->member_hash[slot & membership->member_hash_mask];
+
+		if (*entry == 0 || membership->members[*entry - 1].id == id)
+			return entry;
+	}
+}
+
+struct member_record *
+member_table_find (const struct membership *membership, uint32_t id)
+{
+	uint32_t entry = *member_hash_slot (membership, id);
+
+	return entry ? &membership->members[entry - 1] : NULL;
+}
+
+struct member_record *
+member_table_add (struct membership *membership, uint32_t id, const struct member_address *address)
+{
+	struct member_record *member;
+	uint32_t at = membership->member_count;
+	uint32_t swap;
+
+	if (at == membership->max_members)
+		return NULL;
+	member = &membership->members[at];
+	*member = (struct member_record){ .id = id, .address = *address };
+	*member_hash_slot (membership, id) = at + 1;
+	membership->member_count++;
+	membership->generation++;
+	/* Takes a random place in the rest of this round of pings. */
+	swap = membership->order_at +
+	       (uint32_t) (random_next (&membership->seed) % (at + 1 - membership->order_at));
+	membership->order[at] = membership->order[swap];
+	membership->order[swap] = at;
+	return member;
+}
+
+void
+member_table_shuffle (struct membership *membership)
+{
+	uint32_t *order = membership->order;
+
+	for (uint32_t i = 0; i < membership->member_count; i++)
+		order[i] = i;
+	for (uint32_t i = membership->member_count; i > 1; i--)
+	{
+		uint32_t swap = (uint32_t) (random_next (&membership->seed) % i);
+		uint32_t at = order[i - 1];
+
+		order[i - 1] = order[swap];
+		order[swap] = at;
+	}
+	membership->order_at = 0;
+}
+
+static void
+member_table_remove (struct membership *membership, uint32_t at)
+{
+	uint32_t last = membership->member_count - 1;
+
+	for (uint32_t i = 0; i < membership->rumor_count;)
+	{
+		struct record_reference *rumor = &membership->rumors[i];
+
+		if (rumor->is_member && rumor->at == at)
+		{
+			*rumor = membership->rumors[--membership->rumor_count];
+			continue;
+		}
+		if (rumor->is_member && rumor->at == last)
+			rumor->at = at;
+		i++;
+	}
+	membership->members[at] = membership->members[last];
+	membership->member_count--;
+	membership->dead_count--;
+	membership->generation++;
+}
+
+void
+member_table_forget (struct membership *membership, int64_t before_us)
+{
+	bool is_changed = false;
+
+	for (uint32_t i = membership->member_count; i > 1; i--)
+	{
+		const struct member_record *member = &membership->members[i - 1];
+
+		if (member->state != MEMBER_DEAD || member->down_since_us > before_us)
+			continue;
+		member_table_remove (membership, i - 1);
+		is_changed = true;
+	}
+	if (!is_changed)
+		return;
+	memset (membership->member_hash, 0,
+	        ((size_t) membership->member_hash_mask + 1) * sizeof *membership->member_hash);
+	for (uint32_t i = 0; i < membership->member_count; i++)
+		*member_hash_slot (membership, membership->members[i].id) = i + 1;
+	member_table_shuffle (membership);
+}
+
+/* A member whose chart takes an event. */
+struct member_step
+{
+	struct membership *membership;
+	struct member_record *member;
+	int64_t now_us;
+};
+
+static void
+handle_action (void *context, const char *name)
+{
+	struct member_step *step = context;
+	struct member_record *member = step->member;
+
+	if (strcmp (name, "end_suspicion") == 0)
+	{
+		step->membership->suspected_count -= member->suspected_at_us != 0;
+		member->suspected_at_us = 0;
+		return;
+	}
+	if (member->down_since_us == 0)
+		member->down_since_us = step->now_us;
+	if (strcmp (name, "start_suspicion") == 0 && member->suspected_at_us == 0)
+	{
+		int64_t expiry_us = step->now_us + step->membership->settings->suspect_us;
+
+		member->suspected_at_us = step->now_us;
+		step->membership->suspected_count++;
+		if (expiry_us < step->membership->expiry_at_us)
+			step->membership->expiry_at_us = expiry_us;
+	}
+}
+
+static bool
+handle_condition (void *context, const char *name)
+{
+	return false;
+}
+
+static const struct chart_ops member_ops = { handle_action, handle_condition };
+
+bool
+member_handle_event (struct membership *membership, struct member_record *member,
+                     enum member_event event, int64_t now_us)
+{
+	struct member_step step = { membership, member, now_us };
+	struct chart_instance instance = { membership->chart, membership->chart_states[member->state] };
+	uint8_t old = member->state;
+
+	chart_instance_handle (&instance, membership->chart_events[event], &member_ops, &step);
+	for (uint8_t state = 0; state < MEMBER_STATE_COUNT; state++)
+		if (membership->chart_states[state] == instance.state)
+			member->state = state;
+	if (member->state == old)
+		return false;
+	membership->dead_count += member->state == MEMBER_DEAD;
+	membership->dead_count -= old == MEMBER_DEAD;
+	membership->generation++;
+	return true;
+}
+
+uint64_t
+member_version (const struct member_record *member)
+{
+	return member->incarnation << 2 | member->state;
+}
+
+static uint32_t *
+item_hash_slot (const struct membership *membership, enum item_type type, const char *key)
+{
+	uint32_t slot = (uint32_t) XXH64 (key, strlen (key), type);
+
+	for (;; slot++)
+	{
+		uint32_t *entry = &membership->item_hash[slot & membership->item_hash_mask];
+		const struct item_record *item;
+
+		if (*entry == 0)
+			return entry;
+		item = &membership->items[*entry - 1];
+		if (item->type == type && strcmp (item->key, key) == 0)
+			return entry;
+	}
+}
+
+struct item_record *
+item_table_find (const struct membership *membership, enum item_type type, const char *key)
+{
+	uint32_t entry = *item_hash_slot (membership, type, key);
+
+	return entry ? &membership->items[entry - 1] : NULL;
+}
+
+struct item_record *
+item_table_add (struct membership *membership, enum item_type type, const char *key)
+{
+	uint32_t at = membership->item_count;
+	struct item_record *item;
+
+	if (at == membership->max_items)
+		return NULL;
+	item = &membership->items[at];
+	memset (item, 0, sizeof *item);
+	item->type = (uint8_t) type;
+	snprintf (item->key, sizeof item->key, "%s", key);
+	*item_hash_slot (membership, type, key) = at + 1;
+	membership->item_count++;
+	return item;
+}
+
+uint32_t
+rumor_limit (const struct membership *membership)
+{
+	uint32_t log2_members = 1;
+
+	while (log2_members < 31 && 1u << log2_members < membership->member_count + 1)
+		log2_members++;
+	if (membership->rumor_count > MANY_RUMORS)
+		return log2_members + 2;
+	return membership->settings->spread_factor * log2_members;
+}
+
+static bool
+reference_is_urgent (const struct membership *membership, struct record_reference reference)
+{
+	if (reference.is_member)
+		return membership->members[reference.at].state == MEMBER_LEAVING;
+	return membership->items[reference.at].type == ITEM_LEAVING;
+}
+
+static uint16_t *
+reference_sends (const struct membership *membership, struct record_reference reference)
+{
+	return reference.is_member ? &membership->members[reference.at].sends_left
+	                           : &membership->items[reference.at].sends_left;
+}
+
+static void
+rumor_add (struct membership *membership, struct record_reference reference)
+{
+	uint16_t *sends_left = reference_sends (membership, reference);
+
+	if (*sends_left == 0)
+		membership->rumors[membership->rumor_count++] = reference;
+	*sends_left = (uint16_t) rumor_limit (membership);
+}
+
+void
+rumor_add_member (struct membership *membership, struct member_record *member)
+{
+	rumor_add (membership,
+	           (struct record_reference){ (uint32_t) (member - membership->members), true });
+}
+
+void
+rumor_add_item (struct membership *membership, struct item_record *item)
+{
+	uint32_t at = (uint32_t) (item - membership->items);
+
+	rumor_add (membership, (struct record_reference){ at, false });
+	membership->recent[membership->recent_next++ % MEMBERSHIP_MAX_RECENT] = at + 1;
+}
+
+void
+rumor_add_changed (struct membership *membership, int64_t since_us)
+{
+	for (uint32_t i = 0; i < membership->item_count; i++)
+		if (membership->items[i].changed_at_us >= since_us && membership->items[i].sends_left == 0)
+			rumor_add (membership, (struct record_reference){ i, false });
+}
+
+void
+member_to_item (const struct member_record *member, struct membership_item *item)
+{
+	memset (item, 0, sizeof *item);
+	item->type = ITEM_MEMBER;
+	snprintf (item->key, sizeof item->key, "%u", member->id);
+	item->version = member_version (member);
+	item->member = member->id;
+	item->state = (enum member_state) member->state;
+	item->address = member->address;
+	item->config_revision = member->config_revision;
+}
+
+void
+item_to_item (const struct item_record *record, struct membership_item *item)
+{
+	memset (item, 0, sizeof *item);
+	item->type = (enum item_type) record->type;
+	memcpy (item->key, record->key, sizeof item->key);
+	item->version = record->version;
+	item->value = record->value;
+}
+
+/* Adds a record when it is not in the datagram and fits. */
+static bool
+message_add (const struct membership *membership, struct gossip_message *message, size_t *bytes,
+             struct record_reference reference)
+{
+	struct membership_item *item = &message->items[message->item_count];
+	size_t item_bytes;
+
+	if (message->item_count == MEMBERSHIP_MAX_ITEMS)
+		return false;
+	if (reference.is_member)
+		member_to_item (&membership->members[reference.at], item);
+	else
+		item_to_item (&membership->items[reference.at], item);
+	item_bytes = ITEM_FIXED_BYTES + ((strlen (item->key) + 3) & ~(size_t) 3);
+	if (*bytes + item_bytes > ITEMS_BYTES)
+		return false;
+	for (uint32_t i = 0; i < message->item_count; i++)
+		if (message->items[i].type == item->type && strcmp (message->items[i].key, item->key) == 0)
+			return false;
+	message->item_count++;
+	*bytes += item_bytes;
+	return true;
+}
+
+/* Order in which rumors are sent: leaving first, then groups, then members; the fewest sends so far
+ * first. The index makes it unique. */
+static uint64_t
+rumor_order (const struct membership *membership, uint32_t at)
+{
+	struct record_reference reference = membership->rumors[at];
+	uint64_t order = *reference_sends (membership, reference);
+
+	order += reference.is_member ? 0 : 1 << 16;
+	order += reference_is_urgent (membership, reference) ? 1 << 17 : 0;
+	return order << 32 | at;
+}
+
+bool
+rumor_is_urgent (const struct membership *membership)
+{
+	for (uint32_t i = 0; i < membership->rumor_count; i++)
+		if (reference_is_urgent (membership, membership->rumors[i]))
+			return true;
+	return false;
+}
+
+static void
+fill_rumors (struct membership *membership, struct gossip_message *message, size_t *bytes)
+{
+	uint64_t last = UINT64_MAX;
+	uint32_t sent[MEMBERSHIP_MAX_ITEMS];
+	uint32_t sent_count = 0;
+
+	for (;;)
+	{
+		uint64_t best = 0;
+
+		for (uint32_t i = 0; i < membership->rumor_count; i++)
+		{
+			uint64_t order = rumor_order (membership, i);
+
+			if (order < last && order > best)
+				best = order;
+		}
+		last = best;
+		if (best == 0 ||
+		    !message_add (membership, message, bytes, membership->rumors[(uint32_t) best]))
+			break;
+		sent[sent_count++] = (uint32_t) best;
+	}
+	for (uint32_t i = 0; i < sent_count; i++)
+		(*reference_sends (membership, membership->rumors[sent[i]]))--;
+	for (uint32_t i = membership->rumor_count; i > 0; i--)
+		if (*reference_sends (membership, membership->rumors[i - 1]) == 0)
+			membership->rumors[i - 1] = membership->rumors[--membership->rumor_count];
+}
+
+static void
+fill_recent (struct membership *membership, struct gossip_message *message, size_t *bytes,
+             int64_t now_us)
+{
+	int added = 0;
+
+	for (int i = 0; i < MEMBERSHIP_MAX_RECENT && added < RECENT_PER_MESSAGE; i++)
+	{
+		uint32_t entry = membership->recent[membership->recent_cursor++ % MEMBERSHIP_MAX_RECENT];
+		struct record_reference reference = { entry - 1, false };
+
+		if (entry == 0 || membership->items[entry - 1].changed_at_us < now_us - RECENT_US)
+			continue;
+		added += message_add (membership, message, bytes, reference);
+	}
+}
+
+void
+membership_fill_items (struct membership *membership, struct gossip_message *message, uint32_t to,
+                       bool with_recent, int64_t now_us)
+{
+	const struct member_record *receiver = member_table_find (membership, to);
+	size_t bytes = 0;
+
+	message->item_count = 0;
+	/* A member that is taken for suspect or dead has to hear it, to refute it. */
+	if (receiver && (receiver->state == MEMBER_SUSPECT || receiver->state == MEMBER_DEAD))
+		message_add (
+			membership, message, &bytes,
+			(struct record_reference){ (uint32_t) (receiver - membership->members), true });
+	fill_rumors (membership, message, &bytes);
+	if (with_recent)
+		fill_recent (membership, message, &bytes, now_us);
+}
