--- /dev/null
+++ b/flamingospring/snapshot.c
@@ -0,0 +1,179 @@
+#include "flamingospring/snapshot.h"
+
+#include <ck_pr.h>
+#include <stdlib.h>
+#include <string.h>
+
+CK_EPOCH_CONTAINER (struct snapshot, epoch_entry, snapshot_of_entry)
+
+struct name_key
+{
+	const char *name;
+};
+
+static int
+service_compare (const void *key, const void *element)
+{
+	const struct snapshot_service *const *service = element;
+
+	return strcmp (((const struct name_key *) key)->name, (*service)->schema.name);
+}
+
+static int
+group_compare (const void *key, const void *element)
+{
+	const struct snapshot_group *group = element;
+
+	return strcmp (((const struct name_key *) key)->name, group->database->name);
+}
+
+static int
+member_compare (const void *key, const void *element)
+{
+	uint32_t id = *(const uint32_t *) key;
+	const struct snapshot_member *member = element;
+
+	if (id == member->id)
+		return 0;
+	return id < member->id ? -1 : 1;
+}
+
+const struct schema_service *
+snapshot_find_service (const struct snapshot *snapshot, const char *name)
+{
+	struct name_key key = { name };
+	struct snapshot_service **found;
+
+	if (snapshot->service_count == 0)
+		return NULL;
+	found = bsearch (&key, snapshot->services, snapshot->service_count, sizeof (void *),
+	                 service_compare);
+	return found ? &(*found)->schema : NULL;
+}
+
+const struct snapshot_member *
+snapshot_find_member (const struct snapshot *snapshot, uint32_t id)
+{
+	if (snapshot->member_count == 0)
+		return NULL;
+	return bsearch (&id, snapshot->members, snapshot->member_count, sizeof *snapshot->members,
+	                member_compare);
+}
+
+const struct snapshot_group *
+snapshot_find_group (const struct snapshot *snapshot, const char *database)
+{
+	struct name_key key = { database };
+
+	if (snapshot->group_count == 0)
+		return NULL;
+	return bsearch (&key, snapshot->groups, snapshot->group_count, sizeof *snapshot->groups,
+	                group_compare);
+}
+
+void
+snapshot_source_init (struct snapshot_source *source)
+{
+	ck_epoch_init (&source->epoch);
+	source->current = NULL;
+}
+
+void
+snapshot_source_finish (struct snapshot_source *source)
+{
+	snapshot_free (source->current);
+	source->current = NULL;
+}
+
+void
+snapshot_reader_init (struct snapshot_reader *reader, struct snapshot_source *source)
+{
+	memset (reader, 0, sizeof *reader);
+	reader->source = source;
+	ck_epoch_register (&source->epoch, &reader->record, NULL);
+}
+
+void
+snapshot_reader_finish (struct snapshot_reader *reader)
+{
+	if (!reader->source)
+		return;
+	ck_epoch_barrier (&reader->record);
+	ck_epoch_unregister (&reader->record);
+	reader->source = NULL;
+}
+
+const struct snapshot *
+snapshot_acquire (struct snapshot_reader *reader)
+{
+	ck_epoch_begin (&reader->record, NULL);
+	return ck_pr_load_ptr (&reader->source->current);
+}
+
+void
+snapshot_release (struct snapshot_reader *reader)
+{
+	ck_epoch_end (&reader->record, NULL);
+}
+
+static void
+handle_unused (ck_epoch_entry_t *entry)
+{
+	snapshot_free (snapshot_of_entry (entry));
+}
+
+void
+snapshot_publish (struct snapshot_reader *writer, struct snapshot *snapshot)
+{
+	struct snapshot *old = ck_pr_load_ptr (&writer->source->current);
+
+	ck_pr_fence_store ();
+	ck_pr_store_ptr (&writer->source->current, snapshot);
+	if (old)
+		ck_epoch_call (&writer->record, &old->epoch_entry, handle_unused);
+	ck_epoch_poll (&writer->record);
+}
+
+struct snapshot *
+snapshot_new (size_t services, size_t members, size_t groups)
+{
+	struct snapshot *snapshot = calloc (1, sizeof *snapshot);
+
+	if (!snapshot)
+		return NULL;
+	/* calloc (0) may return NULL, which must not look like a failure. */
+	snapshot->services = calloc (services + 1, sizeof (void *));
+	snapshot->members = calloc (members + 1, sizeof *snapshot->members);
+	snapshot->groups = calloc (groups + 1, sizeof *snapshot->groups);
+	if (!snapshot->services || !snapshot->members || !snapshot->groups)
+	{
+		snapshot_free (snapshot);
+		return NULL;
+	}
+	snapshot->service_count = services;
+	snapshot->member_count = members;
+	snapshot->group_count = groups;
+	return snapshot;
+}
+
+static void
+service_release (struct snapshot_service *service)
+{
+	if (!service || --service->references > 0)
+		return;
+	schema_service_finish (&service->schema);
+	free (service);
+}
+
+void
+snapshot_free (struct snapshot *snapshot)
+{
+	if (!snapshot)
+		return;
+	for (size_t i = 0; snapshot->services && i < snapshot->service_count; i++)
+		service_release (snapshot->services[i]);
+	free (snapshot->services);
+	free (snapshot->members);
+	free (snapshot->groups);
+	free (snapshot);
+}
--- /dev/null
+++ b/include/flamingospring/signed_text.h
@@ -0,0 +1,48 @@
+/**
+ * @file
+ * Short texts that callers keep and hand back: base64url of a payload and its HMAC-SHA256 under a
+ * key of the service.
+ */
+#pragma once
+
+#include "schema/schema.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum
+{
+	SIGNED_TEXT_MAX_PAYLOAD_BYTES = 1400,
+	SIGNED_TEXT_HEADER_BYTES = 5, /**< Type and key id. */
+	SIGNED_TEXT_TAG_BYTES = 16,   /**< Leading half of the HMAC, as RFC 2104 allows. */
+	SIGNED_TEXT_MAX_BYTES =
+		SIGNED_TEXT_HEADER_BYTES + SIGNED_TEXT_MAX_PAYLOAD_BYTES + SIGNED_TEXT_TAG_BYTES,
+};
+
+/** What a text is; part of what is signed, so that one kind is never taken for another. */
+enum signed_text_type
+{
+	SIGNED_TEXT_SESSION = 1,
+	SIGNED_TEXT_TRANSACTION = 2,
+};
+
+/** A decoded text. The payload must not be trusted before signed_text_check(). */
+struct signed_text
+{
+	uint8_t bytes[SIGNED_TEXT_MAX_BYTES];
+	size_t length;
+	const uint8_t *payload;
+	size_t payload_length;
+	uint32_t key_id;
+};
+
+/** Signs with the service's first key. @return the length of @p text without the final 0,
+ * -ENOSPC, -ENOKEY when the service has no key, or -EIO. */
+int signed_text_encode (const struct schema_service *service, enum signed_text_type type,
+                        const uint8_t *payload, size_t length, char *text, size_t capacity);
+
+/** Decodes without a check of the signature. @return 0 or -EBADMSG. */
+int signed_text_decode (struct signed_text *decoded, enum signed_text_type type, const char *text);
+
+/** Checks the signature with the service's key that the text names. @return 0 or -EKEYREJECTED. */
+int signed_text_check (const struct signed_text *decoded, const struct schema_service *service);
--- a/include/flamingospring/snapshot.h
+++ b/include/flamingospring/snapshot.h
@@ -89,6 +89,11 @@
 /** Registers a thread; the control thread registers one as well, to publish. */
 void snapshot_reader_init (struct snapshot_reader *reader, struct snapshot_source *source);
 
+/** Waits for the read sections of all threads, frees the snapshots that this thread replaced, and
+ * ends its registration. The memory of @p reader stays part of the epoch: it must not be freed
+ * before the last use of the source by any thread. */
+void snapshot_reader_finish (struct snapshot_reader *reader);
+
 /** Begins a read section and returns the present snapshot; not NULL once the proxy runs. Sections
  * may nest. */
 const struct snapshot *snapshot_acquire (struct snapshot_reader *reader);
@@ -99,4 +104,6 @@
 
 /** Allocates an empty snapshot. @return NULL when out of memory. */
 struct snapshot *snapshot_new (size_t services, size_t members, size_t groups);
+
+/** Frees a snapshot and drops one reference of each of its services. */
 void snapshot_free (struct snapshot *snapshot);
--- a/tests/unit/schema.c
+++ b/tests/unit/schema.c
@@ -61,11 +61,11 @@
 	{ "service: x\n" KEYS "ranks: {low: {target_ms: 9, timeout_ms: 3}}\n" DATABASES CALLS, 4,
 	  "target_ms 9 is above timeout_ms 3" },
 	{ "service: x\n" KEYS "databases: [{name: d, slots: 0, connections: 16, servers: [{address: "
-	                      "\"127.0.0.1:1\", zone: a}]}]\n"
+	  "\"127.0.0.1:1\", zone: a}]}]\n"
 	  "calls: [{name: c, database: d, statement: X}]\n",
 	  4, "number from 1 to 1000" },
 	{ "service: x\n" KEYS "databases: [{name: d, slots: 1, connections: 16, servers: [{address: "
-	                      "\"host:1\", zone: a}]}]\n"
+	  "\"host:1\", zone: a}]}]\n"
 	  "calls: [{name: c, database: d, statement: X}]\n",
 	  4, "not IP:PORT" },
 	{ "service: x\n" KEYS DATABASES "calls: [{name: c, database: nowhere, statement: X}]\n", 9,
