--- /dev/null
+++ b/flamingospring/owner.c
@@ -0,0 +1,511 @@
+#include "flamingospring/owner_private.h"
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	OWNER_POLL_US = US_PER_MS,          /* While writes or reads wait for a position. */
+	OWNER_CATCH_UP_US = 10 * US_PER_MS, /* While a round of questions is not answered. */
+	OWNER_MAINTAIN_US = US_PER_S,       /* Idle connections, lag measurement. */
+	OWNER_LAG_ACTIVE_US = 2 * US_PER_S, /* The lag is measured this long after a read. */
+	OWNER_OBSERVE_US = 100 * US_PER_MS, /* Between equal observations: the alert poll period. */
+	OWNER_ROLE_US = 2 * US_PER_S,       /* An older status tells no role. */
+	OWNER_RESERVED_CONNECTIONS = 6,     /* For monitors, of owners and of observers. */
+	OWNER_RETRY_PERCENT = 10,           /* Retries per 100 first attempts. */
+	OWNER_RETRY_BURST = 10,
+	OWNER_MAX_TRANSACTIONS = 4096,
+};
+
+bool
+owner_is_primary (const struct owner *owner)
+{
+	int64_t at_us = owner->status_at_us[owner->server];
+	const struct server_status *status = &owner->status[owner->server];
+
+	if (at_us != 0 && clock_now_us () - at_us < OWNER_ROLE_US)
+		return status->is_primary;
+	return owner->has_primary && owner->primary == owner->server;
+}
+
+void
+owner_observe (struct owner *owner, uint32_t server, bool answered,
+               const struct server_status *status)
+{
+	const struct owner_settings *settings = owner->set->settings;
+	int64_t now_us = clock_now_us ();
+
+	/* Every answer would cost a message to the control thread. */
+	if (answered && owner->was_answered && !status &&
+	    now_us - owner->observed_us < OWNER_OBSERVE_US)
+		return;
+	if (!status)
+	{
+		owner->observed_us = now_us;
+		owner->was_answered = answered;
+	}
+	if (settings->handle_observation)
+		settings->handle_observation (settings->observation_data, owner->database.name, server,
+		                              answered, status);
+}
+
+void
+owner_see_position (struct owner *owner, struct log_position position)
+{
+	int64_t now_us = clock_now_us ();
+
+	owner->position_at_us = now_us;
+	if (log_position_covers (position, owner->position))
+		owner->position = position;
+	freshness_reach (&owner->freshness, position, now_us);
+}
+
+void
+owner_ask_self (struct owner *owner, bool is_new)
+{
+	owner_monitor_ask (&owner->monitors[owner->server], is_new, clock_now_us ());
+}
+
+static void
+handle_pool_answered (void *data, bool answered)
+{
+	struct owner *owner = data;
+
+	owner_observe (owner, owner->server, answered, NULL);
+}
+
+static const struct owner_pool_ops pool_ops = {
+	.handle_answered = handle_pool_answered,
+};
+
+/* Tells the control thread of a role, a term or a promise that changed, and otherwise now and then. */
+static bool
+is_worth_telling (const struct owner *owner, uint32_t server, const struct server_status *status,
+                  int64_t now_us)
+{
+	const struct server_status *known = &owner->status[server];
+
+	return known->is_primary != status->is_primary ||
+	       known->promised_term != status->promised_term ||
+	       known->position.term != status->position.term ||
+	       now_us - owner->told_us[server] >= OWNER_OBSERVE_US;
+}
+
+static void
+handle_status (struct owner_monitor *monitor, const struct server_status *status, int64_t sent_us)
+{
+	struct owner *owner = monitor->data;
+	uint32_t server = monitor->server;
+	int64_t now_us = clock_now_us ();
+
+	if (is_worth_telling (owner, server, status, now_us))
+	{
+		owner->told_us[server] = now_us;
+		owner_observe (owner, server, true, status);
+	}
+	owner->status[server] = *status;
+	owner->status_at_us[server] = now_us;
+	owner->status_sent_us[server] = sent_us;
+	if (status->is_primary && status->position.term > owner->term)
+	{
+		owner->has_primary = true;
+		owner->term = status->position.term;
+		owner->primary = server;
+	}
+	freshness_report (&owner->freshness, server, status, sent_us, now_us);
+	if (server == owner->server)
+		owner_see_position (owner, status->position);
+	acknowledgement_report (owner->acknowledgement, server, status);
+	owner_acknowledge_settle (owner);
+}
+
+static void
+handle_silence (struct owner_monitor *monitor)
+{
+	struct owner *owner = monitor->data;
+
+	owner_observe (owner, monitor->server, false, NULL);
+}
+
+static const struct owner_monitor_ops monitor_ops = {
+	.handle_status = handle_status,
+	.handle_silence = handle_silence,
+};
+
+void
+owner_pump (struct owner *owner)
+{
+	owner->pump_again = true;
+	if (owner->is_pumping)
+		return;
+	owner->is_pumping = true;
+	while (owner->pump_again)
+	{
+		struct admission_result result = admission_next (owner->admission, clock_now_us ());
+		struct owner_task **task = handle_table_get (&owner->set->tasks, (uint32_t) result.cookie);
+
+		owner->pump_again = false;
+		if (result.verdict == ADMISSION_NONE)
+			continue;
+		owner->pump_again = true;
+		INVARIANT (task && (*task)->state == TASK_QUEUED, "P4");
+		if (!task)
+			continue;
+		(*task)->state = TASK_NEW;
+		if (result.verdict == ADMISSION_START)
+			owner_task_start (*task);
+		else
+			owner_task_refuse (*task, REASON_DEADLINE, result.retry_after_us);
+	}
+	owner->is_pumping = false;
+}
+
+static bool
+owner_is_active (const struct owner *owner)
+{
+	return owner->tasks.length > 0 || handle_table_count (&owner->transactions) > 0;
+}
+
+static bool
+owner_has_connections (const struct owner *owner)
+{
+	if (owner_pool_open (&owner->pool) > 0)
+		return true;
+	for (uint32_t i = 0; i < owner->database.server_count; i++)
+	{
+		if (owner->monitors[i].state != MONITOR_CLOSED)
+			return true;
+	}
+	return false;
+}
+
+void
+owner_schedule (struct owner *owner)
+{
+	int64_t now_us = clock_now_us ();
+	int64_t due_us = admission_next_expiry_us (owner->admission);
+
+	if (owner->checking.length > 0 || acknowledgement_is_waiting (owner->acknowledgement))
+		due_us = now_us + OWNER_POLL_US;
+	else if (owner->freshness.pending_count > 0 && due_us > now_us + OWNER_CATCH_UP_US)
+		due_us = now_us + OWNER_CATCH_UP_US;
+	if (due_us > owner->maintained_us + OWNER_MAINTAIN_US)
+		due_us = owner->maintained_us + OWNER_MAINTAIN_US;
+	if (owner->timer.slot == 0 || owner->timer.due_us > due_us)
+		loop_set_timer (owner->set->loop, &owner->timer, due_us);
+}
+
+static void
+owner_check_reads (struct owner *owner)
+{
+	/* A check may answer its request, and the submitter may then submit or cancel others. */
+	for (uint32_t left = owner->checking.length; left > 0; left--)
+	{
+		GList *link = g_queue_pop_head_link (&owner->checking);
+		struct owner_task *task;
+
+		if (!link)
+			return;
+		task = link->data;
+		task->state = TASK_NEW;
+		owner_task_check (task);
+	}
+}
+
+/* Measures age and lag while reads come, so that the entry VMs can choose between the servers. */
+static void
+owner_measure (struct owner *owner, int64_t now_us)
+{
+	if (now_us - owner->read_at_us > OWNER_LAG_ACTIVE_US || owner->is_retired)
+		return;
+	if (!freshness_start (&owner->freshness, now_us))
+		return;
+	for (uint32_t i = 0; i < owner->database.server_count; i++)
+		owner_monitor_ask (&owner->monitors[i], true, now_us);
+}
+
+static void
+owner_maintain (struct owner *owner, int64_t now_us)
+{
+	bool close_all = owner->is_retired || !owner->is_owned;
+
+	owner->maintained_us = now_us;
+	owner_pool_close_idle (&owner->pool, now_us, close_all);
+	for (uint32_t i = 0; i < owner->database.server_count; i++)
+		owner_monitor_close_idle (&owner->monitors[i], now_us);
+	owner_measure (owner, now_us);
+}
+
+static void
+owner_free (struct owner *owner)
+{
+	struct owner_set *set = owner->set;
+
+	loop_cancel_timer (set->loop, &owner->timer);
+	owner_pool_finish (&owner->pool);
+	for (uint32_t i = 0; i < owner->database.server_count; i++)
+		owner_monitor_finish (&owner->monitors[i]);
+	free (owner->monitors);
+	free (owner->admission);
+	free (owner->acknowledgement);
+	handle_table_finish (&owner->transactions);
+	free (owner);
+}
+
+static void
+handle_owner_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct owner *owner = timer->data;
+
+	owner_acknowledge_settle (owner);
+	owner_acknowledge_poll (owner, now_us);
+	owner_check_reads (owner);
+	if (owner->freshness.pending_count > 0)
+		owner_ask_self (owner, false);
+	if (now_us - owner->maintained_us >= OWNER_MAINTAIN_US)
+		owner_maintain (owner, now_us);
+	owner_pump (owner);
+	if (owner_is_active (owner) || owner_has_connections (owner))
+	{
+		owner_schedule (owner);
+		return;
+	}
+	if (owner->is_owned && !owner->is_retired)
+		return;
+	owner_set_remove (owner->set, owner);
+	owner_free (owner);
+}
+
+static struct admission_settings
+make_admission_settings (const struct schema_service *service,
+                         const struct schema_database *database)
+{
+	struct admission_settings settings = { .slots = database->slots };
+
+	for (int rank = 0; rank < RANK_COUNT; rank++)
+	{
+		settings.queue_limit[rank] = service->ranks[rank].queue_limit;
+		settings.floor_percent[rank] = service->ranks[rank].floor_percent;
+	}
+	/* A running statement cannot be interrupted, so one slot is kept from the lowest rank. */
+	settings.max_slots[RANK_LOW] = database->slots > 1 ? database->slots - 1 : 1;
+	for (size_t i = 0; i < service->tenant_count && i < OWNER_DEFAULT_TENANT; i++)
+		settings.tenant_weight[i] = service->tenants[i].weight;
+	return settings;
+}
+
+static struct admission *
+admission_new (const struct admission_settings *settings)
+{
+	void *memory = malloc (admission_size (settings));
+
+	return memory ? admission_init (memory, settings, clock_now_us ()) : NULL;
+}
+
+static uint32_t
+work_connections (const struct schema_database *database)
+{
+	/* Owner and standby may both believe to be the owner; together they keep the limit. */
+	if (database->connections < OWNER_RESERVED_CONNECTIONS + 2)
+		return 1;
+	return (database->connections - OWNER_RESERVED_CONNECTIONS) / 2;
+}
+
+static int
+owner_init_connections (struct owner *owner)
+{
+	struct owner_set *set = owner->set;
+	const struct schema_database *database = &owner->database;
+	const struct schema_server *self = &database->servers[owner->server];
+	const struct owner_upstream_factory *factory =
+		set->settings->upstreams ? set->settings->upstreams : &owner_upstream_pg;
+	int result;
+
+	owner->monitors = calloc (database->server_count, sizeof *owner->monitors);
+	if (!owner->monitors)
+		return -ENOMEM;
+	result = owner_pool_init (&owner->pool, set->loop, factory, &pool_ops, owner,
+	                          work_connections (database), self->ip, self->port, database->name,
+	                          random_next (&owner->random));
+	if (result < 0)
+		return result;
+	for (uint32_t i = 0; i < database->server_count; i++)
+		owner_monitor_init (&owner->monitors[i], set->loop, factory, &monitor_ops, owner, i,
+		                    database->servers[i].ip, database->servers[i].port, database->name,
+		                    random_next (&owner->random));
+	return 0;
+}
+
+static void
+owner_adopt (struct owner *owner, const struct snapshot_group *group)
+{
+	const struct ownership *owners = &group->servers[owner->server].owners;
+	uint32_t self = owner->set->settings->vm_id;
+
+	owner->is_owned = owners->owner == self || owners->standby == self;
+	if (!group->servers[owner->server].is_leaving)
+		owner->leaving_at_us = 0;
+	else if (owner->leaving_at_us == 0)
+		owner->leaving_at_us = clock_now_us ();
+	if (group->has_primary && (!owner->has_primary || group->term >= owner->term))
+	{
+		owner->has_primary = true;
+		owner->term = group->term;
+		owner->primary = group->primary;
+	}
+}
+
+struct owner *
+owner_new (struct owner_set *set, const struct snapshot_group *group, uint32_t server)
+{
+	struct owner *owner = calloc (1, sizeof *owner);
+	uint32_t servers = group->database->server_count;
+	void *memory = malloc (acknowledgement_size (servers, OWNER_MAX_WRITES));
+
+	if (!owner || !memory)
+		goto fail;
+	owner->set = set;
+	owner->database = *group->database;
+	owner->server = server;
+	owner->random = random_next (&set->random);
+	owner->service_revision = group->service->revision;
+	owner->admission_settings = make_admission_settings (group->service, group->database);
+	owner->admission = admission_new (&owner->admission_settings);
+	if (!owner->admission)
+		goto fail;
+	if (owner_init_connections (owner) < 0)
+		goto fail;
+	owner->acknowledgement = acknowledgement_init (memory, servers, OWNER_MAX_WRITES);
+	freshness_init (&owner->freshness, servers, server);
+	retry_budget_init (&owner->retry_budget, OWNER_RETRY_PERCENT, OWNER_RETRY_BURST);
+	handle_table_init (&owner->transactions, sizeof (struct owner_transaction *),
+	                   OWNER_MAX_TRANSACTIONS);
+	g_queue_init (&owner->tasks);
+	g_queue_init (&owner->checking);
+	owner->timer.handle_timer = handle_owner_timer;
+	owner->timer.data = owner;
+	owner->maintained_us = clock_now_us ();
+	owner_adopt (owner, group);
+	return owner;
+
+fail:
+	if (owner)
+	{
+		free (owner->admission);
+		free (owner->monitors);
+	}
+	free (owner);
+	free (memory);
+	return NULL;
+}
+
+static bool
+is_same_server (const struct schema_server *a, const struct schema_server *b)
+{
+	return a->ip == b->ip && a->port == b->port;
+}
+
+static bool
+is_same_database (const struct schema_database *a, const struct schema_database *b)
+{
+	if (a->server_count != b->server_count || a->connections != b->connections)
+		return false;
+	for (uint32_t i = 0; i < a->server_count; i++)
+	{
+		if (!is_same_server (&a->servers[i], &b->servers[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Moves requests to a queue with the changed settings. Running ones come first and keep their
+ * slots; where the new settings have none for them, they run on uncounted. */
+static void
+owner_change_admission (struct owner *owner, const struct admission_settings *settings)
+{
+	struct admission *changed = admission_new (settings);
+	int64_t now_us = clock_now_us ();
+	size_t count = 0;
+	uint32_t *queued;
+
+	if (!changed)
+		return;
+	queued = g_new (uint32_t, owner->tasks.length + 1);
+	for (GList *link = owner->tasks.head; link; link = link->next)
+	{
+		struct owner_task *task = link->data;
+		struct admission_request request = { .cookie = task->handle,
+			                                 .rank = task->rank,
+			                                 .tenant = task->tenant,
+			                                 .deadline_us = INT64_MAX };
+
+		if (task->state == TASK_QUEUED)
+		{
+			task->state = TASK_NEW;
+			queued[count++] = task->handle;
+		}
+		if (!task->has_slot)
+			continue;
+		task->has_slot = admission_submit (changed, &request, now_us).verdict == ADMISSION_START;
+		if (!task->has_slot)
+			admission_cancel (changed, task->handle);
+	}
+	admission_finish (owner->admission);
+	free (owner->admission);
+	owner->admission = changed;
+	owner->admission_settings = *settings;
+	for (size_t i = 0; i < count; i++)
+	{
+		struct owner_task **task = handle_table_get (&owner->set->tasks, queued[i]);
+
+		if (task && (*task)->state == TASK_NEW)
+			owner_task_admit (*task);
+	}
+	g_free (queued);
+}
+
+void
+owner_handle_snapshot (struct owner *owner, const struct snapshot *snapshot)
+{
+	const struct snapshot_group *group = snapshot_find_group (snapshot, owner->database.name);
+	struct admission_settings settings;
+
+	if (!group || !is_same_database (&owner->database, group->database))
+	{
+		owner->is_retired = true;
+		owner_schedule (owner);
+		return;
+	}
+	owner_adopt (owner, group);
+	if (owner->service_revision != group->service->revision)
+	{
+		owner->service_revision = group->service->revision;
+		owner->database = *group->database;
+		settings = make_admission_settings (group->service, group->database);
+		if (memcmp (&settings, &owner->admission_settings, sizeof settings) != 0)
+			owner_change_admission (owner, &settings);
+	}
+	owner_schedule (owner);
+}
+
+void
+owner_finish (struct owner *owner)
+{
+	owner_transaction_finish_all (owner);
+	/* Answers do not start further work. */
+	owner->is_pumping = true;
+	while (owner->tasks.head)
+	{
+		struct owner_task *task = owner->tasks.head->data;
+
+		if (task->state == TASK_RUNNING || task->state == TASK_ACKNOWLEDGING)
+			task->may_have_run = true;
+		owner_task_refuse (task, REASON_LEAVING, 0);
+	}
+	owner_free (owner);
+}
--- /dev/null
+++ b/flamingospring/owner_once.c
@@ -0,0 +1,217 @@
+#include "flamingospring/owner_private.h"
+
+#include "common/counters.h"
+
+/* At-most-once execution: the request id and the answer are stored in the transaction of the
+ * statement, so that the id tells whether it ran, on whichever server is the primary later. */
+
+static const char insert_statement[] =
+	"INSERT INTO flamingospring_request (id, answer) VALUES ($1, $2)";
+static const char store_statement[] = "UPDATE flamingospring_request SET answer = $2 WHERE id = $1";
+static const char lookup_statement[] = "SELECT answer FROM flamingospring_request WHERE id = $1";
+
+static void
+run_step (struct owner_task *task, enum owner_once_step step)
+{
+	const char *id_and_answer[] = { task->request_id, task->stored ? task->stored : "" };
+
+	task->step = step;
+	switch (step)
+	{
+	case ONCE_BEGIN:
+		owner_task_execute (task, "BEGIN", NULL, 0);
+		return;
+	case ONCE_INSERT:
+		owner_task_execute (task, insert_statement, id_and_answer, 2);
+		return;
+	case ONCE_STATEMENT:
+		owner_task_execute (task, task->statement, task->params, task->param_count);
+		return;
+	case ONCE_STORE:
+		owner_task_execute (task, store_statement, id_and_answer, 2);
+		return;
+	case ONCE_COMMIT:
+		owner_task_execute (task, "COMMIT", NULL, 0);
+		return;
+	case ONCE_ROLLBACK_FAILED:
+	case ONCE_ROLLBACK_DUPLICATE:
+		owner_task_execute (task, "ROLLBACK", NULL, 0);
+		return;
+	case ONCE_LOOKUP:
+		counter_add (COUNTER_ONCE_LOOKUPS, 1);
+		owner_task_execute (task, lookup_statement, id_and_answer, 1);
+		return;
+	}
+}
+
+void
+owner_once_run (struct owner_task *task)
+{
+	/* After a lost COMMIT the same steps find out: the insert conflicts with that of the first
+	 * attempt, even when its COMMIT is still in progress at the server. */
+	g_free (task->stored);
+	task->stored = NULL;
+	owner_rows_finish (&task->rows);
+	run_step (task, ONCE_BEGIN);
+}
+
+static void
+fail_after_rollback (struct owner_task *task, const struct upstream_answer *answer)
+{
+	bool is_refused = answer->result == UPSTREAM_NOT_PRIMARY;
+
+	task->end_outcome = is_refused ? OUTCOME_REFUSED : OUTCOME_FAILED;
+	task->end_reason = is_refused ? REASON_NOT_PRIMARY : REASON_STATEMENT;
+	g_strlcpy (task->failure, answer->message ? answer->message : "", sizeof task->failure);
+	run_step (task, ONCE_ROLLBACK_FAILED);
+}
+
+static void
+end_failed (struct owner_task *task)
+{
+	if (task->end_outcome == OUTCOME_REFUSED)
+		owner_task_refuse (task, task->end_reason, 0);
+	else
+		owner_task_finish (task, task->may_have_run ? OUTCOME_UNKNOWN : task->end_outcome,
+		                   task->end_reason, task->failure, NULL, 0);
+}
+
+static void
+take_rows (struct owner_task *task, const struct upstream_answer *answer)
+{
+	struct owner_rows rows = owner_rows_of (answer);
+	struct upstream_answer too_large = { .result = UPSTREAM_STATEMENT_ERROR,
+		                                 .message = "the answer is too large" };
+
+	if (!owner_rows_fit (&rows) || owner_rows_copy (&task->rows, &rows) < 0)
+	{
+		fail_after_rollback (task, &too_large);
+		return;
+	}
+	task->stored = owner_rows_encode (&task->rows);
+	run_step (task, ONCE_STORE);
+}
+
+static void
+take_lookup (struct owner_task *task, const struct upstream_answer *answer)
+{
+	struct log_position position = { 0 };
+
+	if (answer->has_status)
+		position = answer->status.position;
+	if (answer->row_count == 0)
+	{
+		/* The transaction that the insert conflicted with was rolled back. */
+		owner_pool_give_back (&task->owner->pool, &task->user);
+		owner_task_retry (task);
+		return;
+	}
+	owner_rows_finish (&task->rows);
+	if (answer->column_count != 1 || !answer->cells[0] ||
+	    owner_rows_decode (&task->rows, answer->cells[0]) < 0)
+	{
+		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_STATEMENT,
+		                   "the stored answer is not readable", NULL, 0);
+		return;
+	}
+	task->is_replay = true;
+	owner_pool_give_back (&task->owner->pool, &task->user);
+	owner_acknowledge (task, position);
+}
+
+static void
+take_commit (struct owner_task *task, const struct upstream_answer *answer)
+{
+	struct log_position position = { 0 };
+
+	if (answer->has_status)
+		position = answer->status.position;
+	task->may_have_run = true;
+	owner_pool_give_back (&task->owner->pool, &task->user);
+	owner_acknowledge (task, position);
+}
+
+static void
+handle_ok (struct owner_task *task, const struct upstream_answer *answer)
+{
+	switch (task->step)
+	{
+	case ONCE_BEGIN:
+		task->expected_term = answer->has_status ? answer->status.position.term : 0;
+		run_step (task, ONCE_INSERT);
+		return;
+	case ONCE_INSERT:
+		run_step (task, ONCE_STATEMENT);
+		return;
+	case ONCE_STATEMENT:
+		take_rows (task, answer);
+		return;
+	case ONCE_STORE:
+		run_step (task, ONCE_COMMIT);
+		return;
+	case ONCE_COMMIT:
+		take_commit (task, answer);
+		return;
+	case ONCE_ROLLBACK_FAILED:
+		end_failed (task);
+		return;
+	case ONCE_ROLLBACK_DUPLICATE:
+		run_step (task, ONCE_LOOKUP);
+		return;
+	case ONCE_LOOKUP:
+		take_lookup (task, answer);
+		return;
+	}
+}
+
+void
+owner_once_handle_answer (struct owner_task *task, const struct upstream_answer *answer)
+{
+	bool is_id_taken = answer->result == UPSTREAM_DUPLICATE &&
+	                   (task->step == ONCE_INSERT || task->step == ONCE_COMMIT);
+
+	if (answer->result == UPSTREAM_LOST)
+		owner_once_handle_lost (task, false);
+	else if (answer->result == UPSTREAM_OK)
+		handle_ok (task, answer);
+	else if (is_id_taken)
+		run_step (task, ONCE_ROLLBACK_DUPLICATE);
+	else if (task->step == ONCE_LOOKUP)
+		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_STATEMENT, answer->message, NULL, 0);
+	else if (task->step == ONCE_BEGIN)
+		owner_task_fail (task, answer);
+	else if (task->step == ONCE_ROLLBACK_FAILED || task->step == ONCE_ROLLBACK_DUPLICATE)
+	{
+		owner_pool_discard (&task->owner->pool, &task->user);
+		owner_once_handle_lost (task, false);
+	}
+	else
+		fail_after_rollback (task, answer);
+}
+
+void
+owner_once_handle_lost (struct owner_task *task, bool is_overdue)
+{
+	switch (task->step)
+	{
+	case ONCE_ROLLBACK_FAILED:
+		/* The server aborts the transaction of a closed connection. */
+		end_failed (task);
+		return;
+	case ONCE_STATEMENT:
+		/* A repeated statement would be overdue again. */
+		if (is_overdue)
+		{
+			owner_task_finish (task, OUTCOME_UNKNOWN, REASON_DEADLINE, "the answer is overdue",
+			                   NULL, 0);
+			return;
+		}
+		break;
+	case ONCE_COMMIT:
+		task->may_have_run = true;
+		break;
+	default:
+		break;
+	}
+	owner_task_retry (task);
+}
--- /dev/null
+++ b/flamingospring/owner_pool.c
@@ -0,0 +1,450 @@
+#include "flamingospring/owner_pool.h"
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	POOL_IDLE_US = 10 * US_PER_S, /* An unused connection is closed. */
+	POOL_CONNECT_US = US_PER_S,   /* Limit for opening one; it costs about 12 ms. */
+	POOL_RETRY_MIN_US = 5 * US_PER_MS,
+	POOL_RETRY_MAX_US = 500 * US_PER_MS,
+	POOL_CIRCUIT_FAILURES = 3,
+	POOL_CIRCUIT_OPEN_US = 200 * US_PER_MS, /* Short beside the 1 s of a typical failover. */
+};
+
+enum pool_state
+{
+	POOL_CLOSED,
+	POOL_CONNECTING,
+	POOL_IDLE,
+	POOL_HELD,
+};
+
+struct pool_connection
+{
+	struct upstream upstream;
+	struct owner_pool *pool;
+	struct pool_user *user; /* POOL_HELD only. */
+	struct loop_timer timer;
+	enum pool_state state;
+	int64_t idle_at_us;
+};
+
+const struct owner_upstream_factory owner_upstream_pg = {
+	.init = upstream_pg_init,
+	.finish = upstream_pg_finish,
+};
+
+uint32_t
+owner_pool_open (const struct owner_pool *pool)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < pool->limit; i++)
+		count += pool->connections[i].state != POOL_CLOSED;
+	return count;
+}
+
+static struct pool_connection *
+pool_find (struct owner_pool *pool, enum pool_state state)
+{
+	for (uint32_t i = 0; i < pool->limit; i++)
+	{
+		if (pool->connections[i].state == state)
+			return &pool->connections[i];
+	}
+	return NULL;
+}
+
+static void
+waiter_add (struct owner_pool *pool, struct pool_user *user)
+{
+	user->is_waiting = true;
+	user->next = NULL;
+	if (pool->last_waiter)
+		pool->last_waiter->next = user;
+	else
+		pool->first_waiter = user;
+	pool->last_waiter = user;
+}
+
+static void
+waiter_remove (struct owner_pool *pool, struct pool_user *user)
+{
+	struct pool_user *previous = NULL;
+	struct pool_user *at = pool->first_waiter;
+
+	if (!user->is_waiting)
+		return;
+	for (; at != user; at = at->next)
+		previous = at;
+	if (previous)
+		previous->next = user->next;
+	else
+		pool->first_waiter = user->next;
+	if (pool->last_waiter == user)
+		pool->last_waiter = previous;
+	user->next = NULL;
+	user->is_waiting = false;
+}
+
+/* Closed or lost: the entry can be opened again. */
+static struct pool_user *
+connection_reset (struct pool_connection *connection)
+{
+	struct pool_user *user = connection->user;
+
+	loop_cancel_timer (connection->pool->loop, &connection->timer);
+	if (connection->state != POOL_CLOSED && connection->state != POOL_CONNECTING)
+		counter_add (COUNTER_UPSTREAM_CONNECTIONS, -1);
+	connection->state = POOL_CLOSED;
+	connection->user = NULL;
+	if (user)
+		user->connection = NULL;
+	return user;
+}
+
+static void
+connection_close (struct pool_connection *connection)
+{
+	connection->upstream.ops->close (&connection->upstream);
+	connection_reset (connection);
+}
+
+static void
+pool_count_failure (struct owner_pool *pool, int error, int64_t now_us)
+{
+	counter_add (COUNTER_UPSTREAM_CONNECT_ERRORS, 1);
+	log_event (LOG_LEVEL_WARN, "connect_failed", "database=%s error=\"%s\" failures=%u",
+	           pool->database, strerror (-error), pool->failures + 1);
+	pool->failures++;
+	pool->retry_at_us = now_us + backoff_delay_us (pool->failures, POOL_RETRY_MIN_US,
+	                                               POOL_RETRY_MAX_US, random_next (&pool->random));
+	/* At its connection limit the server answers, so that the circuit stays as it is. */
+	if (error != -EUSERS)
+		circuit_report (&pool->circuit, false, now_us);
+	if (loop_set_timer (pool->loop, &pool->timer, now_us) < 0)
+		log_event (LOG_LEVEL_ERROR, "out_of_memory", "at=pool_timer");
+}
+
+static void
+pool_open_one (struct owner_pool *pool, struct pool_connection *connection, int64_t now_us)
+{
+	int result = connection->upstream.ops->connect (&connection->upstream, pool->ip, pool->port,
+	                                                pool->database);
+
+	if (result < 0)
+	{
+		pool_count_failure (pool, result, now_us);
+		return;
+	}
+	connection->state = POOL_CONNECTING;
+	loop_set_timer (pool->loop, &connection->timer, now_us + POOL_CONNECT_US);
+}
+
+/* Opens as many connections as users wait for. */
+static void
+pool_open_wanted (struct owner_pool *pool, int64_t now_us)
+{
+	uint32_t wanted = 0;
+	uint32_t connecting = 0;
+
+	for (struct pool_user *user = pool->first_waiter; user; user = user->next)
+		wanted++;
+	for (uint32_t i = 0; i < pool->limit; i++)
+		connecting += pool->connections[i].state == POOL_CONNECTING;
+	while (connecting < wanted && now_us >= pool->retry_at_us)
+	{
+		struct pool_connection *connection = pool_find (pool, POOL_CLOSED);
+
+		if (!connection || !circuit_allows (&pool->circuit, now_us))
+			return;
+		pool_open_one (pool, connection, now_us);
+		connecting++;
+	}
+}
+
+bool
+owner_pool_is_down (const struct owner_pool *pool, int64_t now_us, int64_t *remaining_us)
+{
+	int64_t until_us = pool->circuit.opened_at_us + pool->circuit.open_us;
+
+	if (pool->circuit.state != CIRCUIT_OPEN || now_us >= until_us)
+		return false;
+	*remaining_us = until_us - now_us;
+	return true;
+}
+
+static void
+pool_fail_waiters (struct owner_pool *pool, int error)
+{
+	while (pool->first_waiter)
+	{
+		struct pool_user *user = pool->first_waiter;
+
+		waiter_remove (pool, user);
+		user->ops->handle_connection (user, error);
+	}
+}
+
+static void
+handle_pool_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct owner_pool *pool = timer->data;
+	int64_t remaining_us;
+
+	if (owner_pool_is_down (pool, now_us, &remaining_us))
+		pool_fail_waiters (pool, -ECONNREFUSED);
+	pool_open_wanted (pool, now_us);
+	if (pool->first_waiter && now_us < pool->retry_at_us)
+		loop_set_timer (pool->loop, &pool->timer, pool->retry_at_us);
+}
+
+static void
+connection_offer (struct pool_connection *connection)
+{
+	struct owner_pool *pool = connection->pool;
+	struct pool_user *user = pool->first_waiter;
+
+	connection->user = NULL;
+	connection->state = POOL_IDLE;
+	connection->idle_at_us = clock_now_us ();
+	if (!user)
+		return;
+	waiter_remove (pool, user);
+	connection->state = POOL_HELD;
+	connection->user = user;
+	user->connection = connection;
+	user->ops->handle_connection (user, 0);
+}
+
+static void
+handle_connected (struct upstream *upstream, int error)
+{
+	struct pool_connection *connection = upstream->data;
+	struct owner_pool *pool = connection->pool;
+	int64_t now_us = clock_now_us ();
+
+	loop_cancel_timer (pool->loop, &connection->timer);
+	if (error < 0)
+	{
+		connection_reset (connection);
+		pool_count_failure (pool, error, now_us);
+		if (error != -EUSERS)
+			pool->ops->handle_answered (pool->data, false);
+		return;
+	}
+	pool->failures = 0;
+	circuit_report (&pool->circuit, true, now_us);
+	counter_add (COUNTER_UPSTREAM_CONNECTIONS, 1);
+	connection_offer (connection);
+	/* After a probe of the circuit breaker, users may wait for more connections. */
+	if (pool->first_waiter)
+		pool_open_wanted (pool, now_us);
+}
+
+static void
+handle_answer (struct upstream *upstream, const struct upstream_answer *answer)
+{
+	struct pool_connection *connection = upstream->data;
+	struct owner_pool *pool = connection->pool;
+	struct pool_user *user = connection->user;
+
+	loop_cancel_timer (pool->loop, &connection->timer);
+	INVARIANT (user && user->connection == connection, "P4");
+	if (answer->result == UPSTREAM_LOST)
+	{
+		connection_reset (connection);
+		pool->ops->handle_answered (pool->data, false);
+	}
+	else
+		pool->ops->handle_answered (pool->data, true);
+	if (user)
+		user->ops->handle_answer (user, answer);
+	if (pool->first_waiter)
+		pool_open_wanted (pool, clock_now_us ());
+}
+
+static void
+handle_closed (struct upstream *upstream)
+{
+	struct pool_connection *connection = upstream->data;
+	struct pool_user *user = connection_reset (connection);
+
+	if (user)
+		user->ops->handle_closed (user);
+}
+
+static const struct upstream_user_ops pool_upstream_ops = {
+	.handle_connected = handle_connected,
+	.handle_answer = handle_answer,
+	.handle_closed = handle_closed,
+};
+
+static void
+handle_connection_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct pool_connection *connection = timer->data;
+	struct owner_pool *pool = connection->pool;
+	struct pool_user *user = connection->user;
+	bool was_connecting = connection->state == POOL_CONNECTING;
+
+	connection_close (connection);
+	pool->ops->handle_answered (pool->data, false);
+	if (was_connecting)
+	{
+		pool_count_failure (pool, -ETIMEDOUT, now_us);
+		return;
+	}
+	counter_add (COUNTER_OVERDUE_CONNECTIONS, 1);
+	log_event (LOG_LEVEL_WARN, "answer_overdue", "database=%s", pool->database);
+	if (user)
+		user->ops->handle_overdue (user);
+	pool_open_wanted (pool, now_us);
+}
+
+int
+owner_pool_init (struct owner_pool *pool, struct loop *loop,
+                 const struct owner_upstream_factory *factory, const struct owner_pool_ops *ops,
+                 void *data, uint32_t limit, uint32_t ip, uint16_t port, const char *database,
+                 uint64_t seed)
+{
+	memset (pool, 0, sizeof *pool);
+	pool->connections = calloc (limit, sizeof *pool->connections);
+	if (!pool->connections)
+		return -ENOMEM;
+	pool->ops = ops;
+	pool->data = data;
+	pool->loop = loop;
+	pool->factory = factory;
+	pool->limit = limit;
+	pool->ip = ip;
+	pool->port = port;
+	pool->database = database;
+	pool->random = seed;
+	pool->timer.handle_timer = handle_pool_timer;
+	pool->timer.data = pool;
+	circuit_init (&pool->circuit, POOL_CIRCUIT_FAILURES, POOL_CIRCUIT_OPEN_US);
+	for (uint32_t i = 0; i < limit; i++)
+	{
+		struct pool_connection *connection = &pool->connections[i];
+
+		factory->init (&connection->upstream, loop, &pool_upstream_ops, connection);
+		connection->pool = pool;
+		connection->timer.handle_timer = handle_connection_timer;
+		connection->timer.data = connection;
+	}
+	return 0;
+}
+
+void
+owner_pool_finish (struct owner_pool *pool)
+{
+	for (uint32_t i = 0; i < pool->limit; i++)
+	{
+		if (pool->connections[i].state != POOL_CLOSED)
+			connection_close (&pool->connections[i]);
+		pool->factory->finish (&pool->connections[i].upstream);
+	}
+	loop_cancel_timer (pool->loop, &pool->timer);
+	free (pool->connections);
+	memset (pool, 0, sizeof *pool);
+}
+
+int
+owner_pool_take (struct owner_pool *pool, struct pool_user *user)
+{
+	struct pool_connection *connection = pool_find (pool, POOL_IDLE);
+	int64_t now_us = clock_now_us ();
+	int64_t remaining_us;
+
+	if (connection)
+	{
+		connection->state = POOL_HELD;
+		connection->user = user;
+		user->connection = connection;
+		return 0;
+	}
+	if (owner_pool_is_down (pool, now_us, &remaining_us))
+		return -ECONNREFUSED;
+	waiter_add (pool, user);
+	pool_open_wanted (pool, now_us);
+	if (now_us < pool->retry_at_us && pool->timer.slot == 0)
+		loop_set_timer (pool->loop, &pool->timer, pool->retry_at_us);
+	return -EINPROGRESS;
+}
+
+int
+owner_pool_execute (struct pool_user *user, const char *statement, const char *const *params,
+                    size_t param_count, int64_t limit_us)
+{
+	struct pool_connection *connection = user->connection;
+	int result;
+
+	if (!connection)
+		return -ENOTCONN;
+	result =
+		connection->upstream.ops->execute (&connection->upstream, statement, params, param_count);
+	if (result < 0)
+	{
+		connection_close (connection);
+		return -ENOTCONN;
+	}
+	loop_set_timer (connection->pool->loop, &connection->timer, clock_now_us () + limit_us);
+	return 0;
+}
+
+void
+owner_pool_give_back (struct owner_pool *pool, struct pool_user *user)
+{
+	struct pool_connection *connection = user->connection;
+
+	waiter_remove (pool, user);
+	if (!connection)
+		return;
+	/* A statement whose answer is still to come would reach the next user. */
+	INVARIANT (!connection->upstream.is_busy, "P4");
+	user->connection = NULL;
+	if (connection->upstream.is_busy)
+		connection_close (connection);
+	else
+		connection_offer (connection);
+}
+
+void
+owner_pool_discard (struct owner_pool *pool, struct pool_user *user)
+{
+	waiter_remove (pool, user);
+	if (user->connection)
+		connection_close (user->connection);
+	if (pool->first_waiter)
+		loop_set_timer (pool->loop, &pool->timer, clock_now_us ());
+}
+
+void
+owner_pool_move (struct pool_user *from, struct pool_user *to)
+{
+	to->connection = from->connection;
+	from->connection = NULL;
+	if (to->connection)
+		to->connection->user = to;
+}
+
+void
+owner_pool_close_idle (struct owner_pool *pool, int64_t now_us, bool close_all)
+{
+	for (uint32_t i = 0; i < pool->limit; i++)
+	{
+		struct pool_connection *connection = &pool->connections[i];
+
+		if (connection->state == POOL_IDLE &&
+		    (close_all || now_us - connection->idle_at_us >= POOL_IDLE_US))
+			connection_close (connection);
+	}
+}
--- /dev/null
+++ b/flamingospring/upstream_pg.c
@@ -0,0 +1,465 @@
+#include "flamingospring/upstream.h"
+
+#include "common/clock.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <libpq-fe.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+
+enum
+{
+	PG_STATEMENT_BYTES = 128, /* Fence and promotion with their numbers. */
+};
+
+struct pg_connection
+{
+	struct upstream *upstream;
+	PGconn *conn;
+	PGresult *result; /* Of the outstanding statement. */
+	bool is_commit;
+	struct loop_timer failure_timer; /* Reports a failed send outside of execute(). */
+	const char **names;
+	const char **cells;
+	size_t cell_capacity;
+	size_t name_capacity;
+};
+
+static void
+pg_close (struct upstream *upstream)
+{
+	struct pg_connection *pg = upstream->connection;
+
+	upstream->is_connected = false;
+	upstream->is_busy = false;
+	upstream->is_control = false;
+	if (!pg->conn)
+		return;
+	loop_cancel_timer (upstream->loop, &pg->failure_timer);
+	loop_remove_source (upstream->loop, &upstream->source);
+	PQclear (pg->result);
+	pg->result = NULL;
+	PQfinish (pg->conn);
+	pg->conn = NULL;
+}
+
+/* The SQLSTATE of a refused connection is only in the text of a verbose message. */
+static int
+pg_connect_error (const PGconn *conn)
+{
+	return strstr (PQerrorMessage (conn), "53300") ? -EUSERS : -ECONNREFUSED;
+}
+
+static void
+pg_fail_connect (struct upstream *upstream)
+{
+	struct pg_connection *pg = upstream->connection;
+	int error = pg_connect_error (pg->conn);
+
+	pg_close (upstream);
+	upstream->user_ops->handle_connected (upstream, error);
+}
+
+static void
+pg_fail (struct upstream *upstream)
+{
+	struct upstream_answer answer = { .result = UPSTREAM_LOST, .message = "connection lost" };
+	bool was_busy = upstream->is_busy;
+
+	pg_close (upstream);
+	if (was_busy)
+		upstream->user_ops->handle_answer (upstream, &answer);
+	else
+		upstream->user_ops->handle_closed (upstream);
+}
+
+static void
+handle_failure_timer (struct loop_timer *timer, int64_t now_us)
+{
+	(void) now_us;
+	pg_fail (timer->data);
+}
+
+static bool
+number_parse (const char *text, uint64_t *number)
+{
+	char *end;
+
+	if (!text || !text[0])
+		return false;
+	errno = 0;
+	*number = strtoull (text, &end, 10);
+	return errno == 0 && *end == 0;
+}
+
+static bool
+pg_read_position (const PGconn *conn, struct log_position *position)
+{
+	return number_parse (PQparameterStatus (conn, "group_term"), &position->term) &&
+	       number_parse (PQparameterStatus (conn, "group_position"), &position->index);
+}
+
+static bool
+pg_read_field (const PGresult *result, const char *name, uint64_t *number)
+{
+	int field = PQfnumber (result, name);
+
+	return field >= 0 && number_parse (PQgetvalue (result, 0, field), number);
+}
+
+/* Reads the row of group_status(), group_fence() and group_promote(). */
+static bool
+pg_read_status (const PGresult *result, struct server_status *status)
+{
+	int role;
+
+	if (PQresultStatus (result) != PGRES_TUPLES_OK || PQntuples (result) != 1)
+		return false;
+	role = PQfnumber (result, "role");
+	if (role < 0)
+		return false;
+	status->is_primary = strcmp (PQgetvalue (result, 0, role), "primary") == 0;
+	return pg_read_field (result, "log_term", &status->position.term) &&
+	       pg_read_field (result, "log_index", &status->position.index) &&
+	       pg_read_field (result, "promised_term", &status->promised_term);
+}
+
+static enum upstream_result
+pg_result_of (const struct pg_connection *pg, const char *sqlstate)
+{
+	ExecStatusType status = PQresultStatus (pg->result);
+
+	if (status == PGRES_TUPLES_OK)
+		return UPSTREAM_OK;
+	if (status == PGRES_COMMAND_OK)
+	{
+		/* COMMIT of an aborted transaction succeeds with the tag ROLLBACK. */
+		if (pg->is_commit && strcmp (PQcmdStatus (pg->result), "ROLLBACK") == 0)
+			return UPSTREAM_STATEMENT_ERROR;
+		return UPSTREAM_OK;
+	}
+	if (strcmp (sqlstate, "25006") == 0)
+		return UPSTREAM_NOT_PRIMARY;
+	if (strcmp (sqlstate, "23505") == 0)
+		return UPSTREAM_DUPLICATE;
+	if (strcmp (sqlstate, "FS001") == 0)
+		return UPSTREAM_TERM_REJECTED;
+	return UPSTREAM_STATEMENT_ERROR;
+}
+
+static int
+pg_reserve (const char ***array, size_t *capacity, size_t count)
+{
+	const char **memory;
+
+	if (count <= *capacity)
+		return 0;
+	memory = realloc (*array, count * sizeof **array);
+	if (!memory)
+		return -ENOMEM;
+	*array = memory;
+	*capacity = count;
+	return 0;
+}
+
+static int
+pg_read_rows (struct pg_connection *pg, struct upstream_answer *answer)
+{
+	size_t columns = (size_t) PQnfields (pg->result);
+	size_t rows = (size_t) PQntuples (pg->result);
+
+	if (pg_reserve (&pg->names, &pg->name_capacity, columns) < 0 ||
+	    pg_reserve (&pg->cells, &pg->cell_capacity, columns * rows) < 0)
+		return -ENOMEM;
+	for (size_t i = 0; i < columns; i++)
+		pg->names[i] = PQfname (pg->result, (int) i);
+	for (size_t i = 0; i < columns * rows; i++)
+	{
+		int row = (int) (i / columns);
+		int column = (int) (i % columns);
+
+		pg->cells[i] =
+			PQgetisnull (pg->result, row, column) ? NULL : PQgetvalue (pg->result, row, column);
+	}
+	answer->column_count = columns;
+	answer->row_count = rows;
+	answer->columns = pg->names;
+	answer->cells = pg->cells;
+	return 0;
+}
+
+/* Hands over the result after the server's ReadyForQuery; only then has the statement's effect,
+ * which an implicit transaction commits at Sync, been decided. */
+static void
+pg_deliver (struct upstream *upstream)
+{
+	struct pg_connection *pg = upstream->connection;
+	PGresult *result = pg->result;
+	struct upstream_answer answer = { 0 };
+	const char *sqlstate;
+
+	if (PQstatus (pg->conn) == CONNECTION_BAD || !result || pg_read_rows (pg, &answer) < 0)
+	{
+		pg_fail (upstream);
+		return;
+	}
+	sqlstate = PQresultErrorField (result, PG_DIAG_SQLSTATE);
+	snprintf (answer.sqlstate, sizeof answer.sqlstate, "%s", sqlstate ? sqlstate : "00000");
+	answer.result = pg_result_of (pg, answer.sqlstate);
+	answer.message = PQresultErrorField (result, PG_DIAG_MESSAGE_PRIMARY);
+	if (!answer.message)
+		answer.message = "";
+	if (upstream->is_control)
+		answer.has_status = pg_read_status (result, &answer.status);
+	else
+		answer.has_status = pg_read_position (pg->conn, &answer.status.position);
+	pg->result = NULL;
+	upstream->is_busy = false;
+	upstream->is_control = false;
+	/* The callback may send the next statement or close the connection. */
+	upstream->user_ops->handle_answer (upstream, &answer);
+	PQclear (result);
+}
+
+static void
+pg_take_result (struct pg_connection *pg, PGresult *result)
+{
+	/* An error that follows rows replaces them. */
+	if (pg->result && PQresultStatus (pg->result) == PGRES_FATAL_ERROR)
+	{
+		PQclear (result);
+		return;
+	}
+	PQclear (pg->result);
+	pg->result = result;
+}
+
+static void
+pg_flush (struct upstream *upstream)
+{
+	struct pg_connection *pg = upstream->connection;
+	/* A failed write shows up as an error when reading. */
+	bool is_pending = PQflush (pg->conn) == 1;
+
+	loop_set_source (upstream->loop, &upstream->source, is_pending ? EPOLLIN | EPOLLOUT : EPOLLIN);
+}
+
+static void
+pg_read (struct upstream *upstream)
+{
+	struct pg_connection *pg = upstream->connection;
+	bool is_broken = PQconsumeInput (pg->conn) == 0;
+
+	while (upstream->is_busy && !PQisBusy (pg->conn))
+	{
+		PGresult *result = PQgetResult (pg->conn);
+
+		if (!result)
+		{
+			pg_deliver (upstream);
+			return;
+		}
+		pg_take_result (pg, result);
+	}
+	if (!is_broken && !upstream->is_busy)
+		PQisBusy (pg->conn); /* Parses notices and parameter changes. */
+	if (is_broken || PQstatus (pg->conn) == CONNECTION_BAD)
+		pg_fail (upstream);
+}
+
+static void
+pg_poll_connect (struct upstream *upstream)
+{
+	struct pg_connection *pg = upstream->connection;
+	PostgresPollingStatusType status = PQconnectPoll (pg->conn);
+
+	if (status == PGRES_POLLING_FAILED)
+	{
+		pg_fail_connect (upstream);
+		return;
+	}
+	if (PQsocket (pg->conn) != upstream->source.fd)
+	{
+		loop_remove_source (upstream->loop, &upstream->source);
+		upstream->source.fd = PQsocket (pg->conn);
+	}
+	if (status != PGRES_POLLING_OK)
+	{
+		loop_set_source (upstream->loop, &upstream->source,
+		                 status == PGRES_POLLING_READING ? EPOLLIN : EPOLLOUT);
+		return;
+	}
+	PQsetErrorVerbosity (pg->conn, PQERRORS_DEFAULT);
+	if (PQsetnonblocking (pg->conn, 1) != 0 ||
+	    loop_set_source (upstream->loop, &upstream->source, EPOLLIN) < 0)
+	{
+		pg_fail_connect (upstream);
+		return;
+	}
+	upstream->is_connected = true;
+	upstream->user_ops->handle_connected (upstream, 0);
+}
+
+static void
+handle_ready (struct loop_source *source, uint32_t epoll_events)
+{
+	struct upstream *upstream = source->data;
+
+	if (!upstream->is_connected)
+	{
+		pg_poll_connect (upstream);
+		return;
+	}
+	if (epoll_events & EPOLLOUT)
+		pg_flush (upstream);
+	if (epoll_events & ~(uint32_t) EPOLLOUT)
+		pg_read (upstream);
+}
+
+static void
+ignore_notice (void *data, const PGresult *result)
+{
+	(void) data;
+	(void) result;
+}
+
+static int
+pg_connect (struct upstream *upstream, uint32_t ip, uint16_t port, const char *database)
+{
+	struct pg_connection *pg = upstream->connection;
+	char address[16];
+	char port_text[8];
+	/* The file of passwords does not exist on purpose: libpq would search the home directory for
+	 * one and may ask a name service for it. */
+	const char *const keywords[] = { "hostaddr",         "port",
+		                             "dbname",           "user",
+		                             "sslmode",          "gssencmode",
+		                             "passfile",         "client_encoding",
+		                             "application_name", NULL };
+	const char *const values[] = { address,   port_text,      database, "flamingospring", "disable",
+		                           "disable", "/nonexistent", "UTF8",   "flamingospring", NULL };
+
+	if (pg->conn)
+		return -EBUSY;
+	snprintf (address, sizeof address, "%u.%u.%u.%u", ip >> 24 & 255, ip >> 16 & 255, ip >> 8 & 255,
+	          ip & 255);
+	snprintf (port_text, sizeof port_text, "%u", port);
+	pg->conn = PQconnectStartParams (keywords, values, 0);
+	if (!pg->conn)
+		return -ENOMEM;
+	if (PQstatus (pg->conn) == CONNECTION_BAD)
+		goto fail;
+	PQsetErrorVerbosity (pg->conn, PQERRORS_VERBOSE);
+	PQsetNoticeReceiver (pg->conn, ignore_notice, NULL);
+	upstream->source.fd = PQsocket (pg->conn);
+	if (loop_set_source (upstream->loop, &upstream->source, EPOLLOUT) < 0)
+		goto fail;
+	return 0;
+
+fail:
+	pg_close (upstream);
+	return -ECONNREFUSED;
+}
+
+static int
+pg_send (struct upstream *upstream, const char *statement, const char *const *params,
+         size_t param_count, bool is_control)
+{
+	struct pg_connection *pg = upstream->connection;
+
+	if (!upstream->is_connected || PQstatus (pg->conn) != CONNECTION_OK)
+		return -ENOTCONN;
+	if (upstream->is_busy)
+		return -EBUSY;
+	upstream->is_busy = true;
+	upstream->is_control = is_control;
+	pg->is_commit = strcmp (statement, "COMMIT") == 0;
+	if (PQsendQueryParams (pg->conn, statement, (int) param_count, NULL, params, NULL, NULL, 0))
+	{
+		pg_flush (upstream);
+		return 0;
+	}
+	/* libpq does not tell how much went out, so the statement counts as sent and lost. */
+	return loop_set_timer (upstream->loop, &pg->failure_timer, clock_now_us ());
+}
+
+static int
+pg_execute (struct upstream *upstream, const char *statement, const char *const *params,
+            size_t param_count)
+{
+	return pg_send (upstream, statement, params, param_count, false);
+}
+
+static int
+pg_ask_status (struct upstream *upstream)
+{
+	return pg_send (upstream, "SELECT * FROM group_status()", NULL, 0, true);
+}
+
+static int
+pg_fence (struct upstream *upstream, uint64_t term, uint32_t claimant)
+{
+	char statement[PG_STATEMENT_BYTES];
+
+	snprintf (statement, sizeof statement, "SELECT * FROM group_fence(%" PRIu64 ", '%" PRIu32 "')",
+	          term, claimant);
+	return pg_send (upstream, statement, NULL, 0, true);
+}
+
+static int
+pg_promote (struct upstream *upstream, uint64_t term, uint32_t claimant)
+{
+	char statement[PG_STATEMENT_BYTES];
+
+	snprintf (statement, sizeof statement,
+	          "SELECT * FROM group_promote(%" PRIu64 ", '%" PRIu32 "')", term, claimant);
+	return pg_send (upstream, statement, NULL, 0, true);
+}
+
+static const struct upstream_ops pg_ops = {
+	.connect = pg_connect,
+	.execute = pg_execute,
+	.ask_status = pg_ask_status,
+	.fence = pg_fence,
+	.promote = pg_promote,
+	.close = pg_close,
+};
+
+void
+upstream_pg_init (struct upstream *upstream, struct loop *loop,
+                  const struct upstream_user_ops *user_ops, void *data)
+{
+	struct pg_connection *pg = calloc (1, sizeof *pg);
+
+	memset (upstream, 0, sizeof *upstream);
+	upstream->ops = &pg_ops;
+	upstream->user_ops = user_ops;
+	upstream->data = data;
+	upstream->loop = loop;
+	upstream->source.handle_ready = handle_ready;
+	upstream->source.data = upstream;
+	upstream->source.fd = -1;
+	upstream->connection = pg;
+	if (!pg)
+		abort ();
+	pg->upstream = upstream;
+	pg->failure_timer.handle_timer = handle_failure_timer;
+	pg->failure_timer.data = upstream;
+}
+
+void
+upstream_pg_finish (struct upstream *upstream)
+{
+	struct pg_connection *pg = upstream->connection;
+
+	if (!pg)
+		return;
+	pg_close (upstream);
+	free (pg->names);
+	free (pg->cells);
+	free (pg);
+	upstream->connection = NULL;
+}
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -24,6 +24,11 @@
 	X (OVERDUE_CONNECTIONS, "overdue_connections")                                                 \
 	X (UPSTREAM_CONNECTIONS, "upstream_connections")                                               \
 	X (UPSTREAM_CONNECT_ERRORS, "upstream_connect_errors")                                         \
+	X (STATUS_QUESTIONS, "status_questions")                                                       \
+	X (ADMISSION_REFUSED, "admission_refused")                                                     \
+	X (READS_BEHIND, "reads_behind")                                                               \
+	X (READS_TOO_OLD, "reads_too_old")                                                             \
+	X (ONCE_LOOKUPS, "once_lookups")                                                               \
 	X (TRANSACTIONS, "transactions")                                                               \
 	X (TRANSACTIONS_ABANDONED, "transactions_abandoned")                                           \
 	X (ACKNOWLEDGE_TIMEOUTS, "acknowledge_timeouts")                                               \
--- a/include/flamingospring/owner.h
+++ b/include/flamingospring/owner.h
@@ -6,6 +6,7 @@
  */
 #pragma once
 
+#include "common/handle_table.h"
 #include "common/loop.h"
 #include "common/trace.h"
 #include "decision/acknowledgement.h"
@@ -16,6 +17,13 @@
 #include <stdint.h>
 
 struct owner;
+struct owner_upstream_factory;
+
+enum
+{
+	/** server_age_ms of a result when the age of the server's content is not known. */
+	OWNER_AGE_UNKNOWN = UINT32_MAX,
+};
 
 /** A request as handed to an owner. The submitter keeps the memory, @c args included, until
  * handle_done ran. */
@@ -39,10 +47,13 @@
 	int64_t transaction_idle_us;
 	int64_t transaction_limit_us;
 	/** Called in the owner's thread when an answer or its absence tells about a server, so that the
-	 * control thread can observe without polls of its own. */
+	 * control thread can observe without polls of its own. @p status is NULL when the answer told no
+	 * role; a promised_term of 0 in it is unknown. */
 	void (*handle_observation) (void *data, const char *database, uint32_t server, bool answered,
 	                            const struct server_status *status);
 	void *observation_data;
+	/** Connections to upstream servers; NULL: those of upstream_pg. Tests set doubles. */
+	const struct owner_upstream_factory *upstreams;
 };
 
 /** All owners of one traffic thread, by database and server index. */
@@ -54,6 +65,8 @@
 	struct owner **owners;
 	size_t count;
 	size_t capacity;
+	struct handle_table tasks; /**< Requests of all owners. */
+	uint64_t random;
 };
 
 int owner_set_init (struct owner_set *set, struct loop *loop, struct snapshot_reader *reader,
--- /dev/null
+++ b/include/flamingospring/owner_private.h
@@ -0,0 +1,233 @@
+/**
+ * @file
+ * Shared by the modules of the owner: state of one server's owner and of its requests.
+ */
+#pragma once
+
+#include "common/handle_table.h"
+#include "decision/admission.h"
+#include "flamingospring/owner.h"
+#include "flamingospring/owner_freshness.h"
+#include "flamingospring/owner_monitor.h"
+#include "flamingospring/owner_pool.h"
+#include "flamingospring/owner_rows.h"
+
+#include <glib.h>
+
+enum
+{
+	OWNER_MAX_WRITES = 4096, /**< Writes that run or wait for their acknowledgement. */
+	OWNER_DEFAULT_TENANT = ADMISSION_MAX_TENANTS - 1,
+};
+
+enum owner_task_state
+{
+	TASK_NEW,
+	TASK_CHECKING,      /**< Waits for the server's position or age. */
+	TASK_TURN,          /**< Waits for an earlier statement of its transaction. */
+	TASK_QUEUED,        /**< In the admission queue. */
+	TASK_STARTING,      /**< Holds a slot; waits for a connection, or before a retry. */
+	TASK_RUNNING,       /**< A statement is outstanding. */
+	TASK_ACKNOWLEDGING, /**< Committed; waits for a majority. */
+};
+
+/** Steps of an at-most-once call. */
+enum owner_once_step
+{
+	ONCE_BEGIN,
+	ONCE_INSERT,
+	ONCE_STATEMENT,
+	ONCE_STORE,
+	ONCE_COMMIT,
+	ONCE_ROLLBACK_FAILED,    /**< The statement failed; the id is not taken. */
+	ONCE_ROLLBACK_DUPLICATE, /**< The id is taken; its answer is looked up next. */
+	ONCE_LOOKUP,
+};
+
+struct owner_transaction;
+
+/** One request inside an owner. */
+struct owner_task
+{
+	struct owner *owner;
+	struct owner_request *request; /**< NULL: its caller went away. */
+	GList link;                    /**< In owner->tasks. */
+	GList wait_link;               /**< In owner->checking, or in transaction->waiting. */
+	uint32_t handle;
+	enum owner_task_state state;
+	enum fs_operation operation;
+	bool is_write;
+	bool is_idempotent;
+	bool uses_once;
+	bool has_slot;
+	bool may_have_run; /**< A statement was sent whose effect is not known. */
+	bool is_retrying;  /**< TASK_STARTING: before a retry. */
+	bool is_replay;
+	bool is_acknowledged;
+	bool is_counted; /**< In owner->writes. */
+	enum owner_once_step step;
+	uint32_t attempts;
+	enum rank rank;
+	uint32_t tenant;
+	enum read_consistency consistency;
+	int64_t max_age_us;
+	int64_t run_limit_us;
+	int64_t deadline_us;
+	int64_t arrived_us;
+	int64_t started_us;
+	struct log_position required;
+	struct log_position written;
+	uint64_t expected_term;   /**< Term of the server before the write; 0: unknown. */
+	enum outcome end_outcome; /**< How a call ends after its rollback. */
+	enum reason end_reason;
+	char failure[256]; /**< Message of the failed statement, kept during its rollback. */
+	char *stored;      /**< JSON answer that is stored with the request id. */
+	char *statement;
+	char *request_id;
+	const char **params;
+	size_t param_count;
+	struct pool_user user;
+	struct loop_timer timer; /**< TASK_STARTING only. */
+	struct owner_transaction *transaction;
+	struct owner_rows rows;
+	struct trace_context trace;
+	struct trace_span span;
+};
+
+struct owner
+{
+	struct owner_set *set;
+	struct schema_database database; /**< A copy: documents come and go with snapshots. */
+	uint32_t server;
+	bool is_retired;       /**< The servers changed: finishes its work beside a new owner. */
+	bool is_owned;         /**< This VM is owner or standby. */
+	int64_t leaving_at_us; /**< The server was marked as leaving; 0: it is not. */
+	bool has_primary;
+	uint64_t term;
+	uint32_t primary;
+	uint64_t service_revision;
+	struct admission *admission;
+	struct admission_settings admission_settings;
+	struct acknowledgement *acknowledgement;
+	struct owner_pool pool;
+	struct owner_monitor *monitors; /**< One for each server of the group. */
+	struct server_status status[ROUTING_MAX_SERVERS];
+	int64_t status_at_us[ROUTING_MAX_SERVERS];
+	int64_t status_sent_us[ROUTING_MAX_SERVERS];
+	int64_t told_us[ROUTING_MAX_SERVERS]; /**< Last status that went to the control thread. */
+	struct log_position position;
+	int64_t position_at_us;
+	struct freshness freshness;
+	struct retry_budget retry_budget;
+	struct loop_timer timer;
+	GQueue tasks;
+	GQueue checking;
+	uint32_t writes; /**< Tasks that run or wait for their acknowledgement. */
+	uint32_t begins; /**< Transactions that are being opened. */
+	struct handle_table transactions;
+	uint32_t run_mean_us[RANK_COUNT];
+	int64_t read_at_us;
+	int64_t maintained_us;
+	int64_t observed_us;
+	bool was_answered; /**< Last observation. */
+	uint64_t random;
+	bool is_pumping;
+	bool pump_again;
+};
+
+/* owner.c */
+
+/** @return NULL when out of memory. */
+struct owner *owner_new (struct owner_set *set, const struct snapshot_group *group,
+                         uint32_t server);
+/** Answers all requests and frees the owner. */
+void owner_finish (struct owner *owner);
+/** Adopts settings, primary and ownership. */
+void owner_handle_snapshot (struct owner *owner, const struct snapshot *snapshot);
+
+/** Sets the owner's timer for what is due next. */
+void owner_schedule (struct owner *owner);
+/** Starts what the admission queue releases, and refuses what expired. */
+void owner_pump (struct owner *owner);
+/** Position that came with an answer of the owned server. */
+void owner_see_position (struct owner *owner, struct log_position position);
+/** Asks the owned server for its status. */
+void owner_ask_self (struct owner *owner, bool is_new);
+void owner_observe (struct owner *owner, uint32_t server, bool answered,
+                    const struct server_status *status);
+bool owner_is_primary (const struct owner *owner);
+
+/* owner_set.c */
+
+/** Takes an owner that is about to be freed off the set. */
+void owner_set_remove (struct owner_set *set, const struct owner *owner);
+
+/* owner_result.c */
+
+/** Answers a request that did not become a task; @p owner may be NULL. */
+void owner_reject (const struct owner *owner, struct owner_request *request, enum outcome outcome,
+                   enum reason reason, const char *message, uint32_t retry_after_us);
+/** Answers @p task, frees it and lets the next request go. @p rows may be NULL. */
+void owner_task_finish (struct owner_task *task, enum outcome outcome, enum reason reason,
+                        const char *message, const struct owner_rows *rows,
+                        uint32_t retry_after_us);
+/** Refuses a task that did not run; it ends as unknown when it may have run. */
+void owner_task_refuse (struct owner_task *task, enum reason reason, uint32_t retry_after_us);
+/** Removes a task without an answer. */
+void owner_task_drop (struct owner_task *task);
+/** Gives the slot back: the statement has ended. */
+void owner_task_release_slot (struct owner_task *task);
+
+/* owner_request.c */
+
+/** Copies a request. @p call: NULL for operations on a transaction. @return NULL: out of memory. */
+struct owner_task *owner_task_new (struct owner *owner, struct owner_request *request,
+                                   const struct schema_call *call, uint32_t tenant);
+/** Checks a read against the server's position and age, then admits it. */
+void owner_task_check (struct owner_task *task);
+void owner_task_admit (struct owner_task *task);
+/** The admission queue started the task. */
+void owner_task_start (struct owner_task *task);
+/** Sends a statement on the task's connection. */
+void owner_task_execute (struct owner_task *task, const char *statement, const char *const *params,
+                         size_t param_count);
+/** Takes the connection again after a back-off. */
+void owner_task_retry (struct owner_task *task);
+/** Ends a task by the answer to a statement that had no effect. */
+void owner_task_fail (struct owner_task *task, const struct upstream_answer *answer);
+struct owner_rows owner_rows_of (const struct upstream_answer *answer);
+
+/* owner_once.c */
+
+void owner_once_run (struct owner_task *task);
+void owner_once_handle_answer (struct owner_task *task, const struct upstream_answer *answer);
+/** The connection is gone, perhaps with a statement outstanding (@p is_overdue: by our limit). */
+void owner_once_handle_lost (struct owner_task *task, bool is_overdue);
+
+/* owner_acknowledge.c */
+
+/** Waits until a majority has @p position, then ends the task as done with its rows. */
+void owner_acknowledge (struct owner_task *task, struct log_position position);
+/** Ends the writes that are settled. */
+void owner_acknowledge_settle (struct owner *owner);
+/** Asks the servers again while writes wait. */
+void owner_acknowledge_poll (struct owner *owner, int64_t now_us);
+
+/* owner_transaction.c */
+
+/** Transactions that may be open at once. */
+uint32_t owner_transaction_limit (const struct owner *owner);
+struct owner_transaction *owner_transaction_find (const struct owner *owner, uint64_t id);
+/** Opens a transaction on the connection that ran BEGIN, and ends the task. */
+void owner_transaction_open (struct owner_task *task, const struct upstream_answer *answer);
+/** Takes a statement, COMMIT or ROLLBACK, to run after the earlier ones. */
+void owner_transaction_submit (struct owner_transaction *transaction, struct owner_task *task);
+/** Sends the statement of the transaction's present task. */
+void owner_transaction_run (struct owner_task *task);
+/** A task of the transaction is about to be answered or dropped. */
+void owner_transaction_detach (struct owner_task *task);
+/** Starts the next statement, or the idle limit. @p id of a transaction that may have ended. */
+void owner_transaction_next (struct owner *owner, uint64_t id);
+uint64_t owner_transaction_id (const struct owner_transaction *transaction);
+/** Closes all transactions without answers. */
+void owner_transaction_finish_all (struct owner *owner);
