--- /dev/null
+++ b/tests/standin/database.c
@@ -0,0 +1,735 @@
+/* One upstream server of a database group; tests/standin/README.md lists its statements. */
+#include "database.h"
+
+#include "common/clock.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	PROTOCOL_3 = 196608,
+	REQUEST_CANCEL = 80877102,
+	REQUEST_SSL = 80877103,
+	REQUEST_GSS = 80877104,
+	TYPE_TEXT = 25,
+	LOCK_WAIT_US = US_PER_S, /* PostgreSQL looks for deadlocks after 1 s. */
+};
+
+static void session_process (struct session *session);
+static void database_start_waiting (struct database *database);
+
+static void
+put_int16 (GByteArray *out, uint16_t value)
+{
+	value = htons (value);
+	g_byte_array_append (out, (const guint8 *) &value, sizeof value);
+}
+
+static void
+put_int32 (GByteArray *out, uint32_t value)
+{
+	value = htonl (value);
+	g_byte_array_append (out, (const guint8 *) &value, sizeof value);
+}
+
+static void
+put_text (GByteArray *out, const char *text)
+{
+	g_byte_array_append (out, (const guint8 *) text, (guint) strlen (text) + 1);
+}
+
+static guint
+message_begin (GByteArray *out, char type)
+{
+	g_byte_array_append (out, (const guint8 *) &type, 1);
+	put_int32 (out, 0);
+	return out->len - (guint) sizeof (uint32_t);
+}
+
+static void
+message_end (GByteArray *out, guint begin)
+{
+	uint32_t length = htonl (out->len - begin);
+
+	memcpy (out->data + begin, &length, sizeof length);
+}
+
+static void
+put_empty_message (GByteArray *out, char type)
+{
+	message_end (out, message_begin (out, type));
+}
+
+static void
+put_parameter_status (GByteArray *out, const char *name, const char *value)
+{
+	guint begin = message_begin (out, 'S');
+
+	put_text (out, name);
+	put_text (out, value);
+	message_end (out, begin);
+}
+
+static void
+put_error (GByteArray *out, const char *severity, const char *sqlstate, const char *message)
+{
+	guint begin = message_begin (out, 'E');
+	const char *const fields[] = { "S", severity, "V", severity, "C", sqlstate, "M", message };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (fields); i += 2)
+	{
+		g_byte_array_append (out, (const guint8 *) fields[i], 1);
+		put_text (out, fields[i + 1]);
+	}
+	put_text (out, "");
+	message_end (out, begin);
+}
+
+static void
+put_row_description (GByteArray *out, const struct statement *statement)
+{
+	guint begin;
+	uint16_t count = 0;
+
+	while (count < MAX_COLUMNS && statement->columns[count])
+		count++;
+	if (count == 0)
+	{
+		put_empty_message (out, 'n');
+		return;
+	}
+	begin = message_begin (out, 'T');
+	put_int16 (out, count);
+	for (uint16_t i = 0; i < count; i++)
+	{
+		put_text (out, statement->columns[i]);
+		put_int32 (out, 0);
+		put_int16 (out, 0);
+		put_int32 (out, TYPE_TEXT);
+		put_int16 (out, UINT16_MAX);
+		put_int32 (out, UINT32_MAX);
+		put_int16 (out, 0);
+	}
+	message_end (out, begin);
+}
+
+void
+answer_add_row (struct answer *answer, size_t count, const char *const *cells)
+{
+	guint begin = message_begin (answer->rows, 'D');
+
+	put_int16 (answer->rows, (uint16_t) count);
+	for (size_t i = 0; i < count; i++)
+	{
+		put_int32 (answer->rows, (uint32_t) strlen (cells[i]));
+		g_byte_array_append (answer->rows, (const guint8 *) cells[i], (guint) strlen (cells[i]));
+	}
+	message_end (answer->rows, begin);
+}
+
+static void
+session_send_ready (struct session *session)
+{
+	GByteArray *out = session->stream.out;
+	struct log_position position = group_position (&session->database->group);
+	guint8 state = (guint8) session->transaction;
+	char text[24];
+	guint begin;
+
+	g_snprintf (text, sizeof text, "%lu", position.term);
+	put_parameter_status (out, "group_term", text);
+	g_snprintf (text, sizeof text, "%lu", position.index);
+	put_parameter_status (out, "group_position", text);
+	begin = message_begin (out, 'Z');
+	g_byte_array_append (out, &state, 1);
+	message_end (out, begin);
+	stream_flush (&session->stream);
+}
+
+void
+session_abort (struct session *session)
+{
+	GHashTableIter iter;
+	void *row;
+
+	g_hash_table_iter_init (&iter, session->written);
+	while (g_hash_table_iter_next (&iter, &row, NULL))
+		g_hash_table_remove (session->database->locks, row);
+	g_hash_table_remove_all (session->written);
+	session->transaction = TRANSACTION_NONE;
+}
+
+static void
+session_free (struct session *session)
+{
+	struct database *database = session->database;
+
+	session_abort (session);
+	loop_cancel_timer (&database->loop, &session->timer);
+	g_ptr_array_remove (database->sessions, session);
+	call_clear (&session->call);
+	g_hash_table_unref (session->prepared);
+	g_hash_table_unref (session->written);
+	stream_finish (&session->stream);
+	g_free (session);
+	database_run_blocked (database);
+}
+
+static bool
+session_is_busy (const struct session *session)
+{
+	return session->state >= SESSION_QUEUED;
+}
+
+static void
+session_send_answer (struct session *session, const struct answer *answer)
+{
+	GByteArray *out = session->stream.out;
+	guint begin;
+
+	if (answer->sqlstate)
+	{
+		put_error (out, "ERROR", answer->sqlstate, answer->message);
+		session->skips_until_sync = session->is_extended;
+	}
+	else
+	{
+		if (!session->is_extended && session->call.statement->columns[0])
+			put_row_description (out, session->call.statement);
+		g_byte_array_append (out, answer->rows->data, answer->rows->len);
+		begin = message_begin (out, 'C');
+		put_text (out, answer->tag);
+		message_end (out, begin);
+	}
+	if (!session->is_extended)
+		session_send_ready (session);
+}
+
+/** Tells whether a fault control asks to lose this answer. */
+static bool
+session_loses_answer (struct session *session, const struct answer *answer)
+{
+	struct database *database = session->database;
+
+	if (database->drop_commits > 0 && g_strcmp0 (answer->tag, "COMMIT") == 0)
+	{
+		database->drop_commits--;
+		return true;
+	}
+	if (database->drop_answers > 0 && session->call.statement->takes_slot)
+	{
+		database->drop_answers--;
+		return true;
+	}
+	return false;
+}
+
+/** Runs the session's statement to its end, or leaves it blocked on a row lock. */
+static void
+session_run (struct session *session)
+{
+	struct database *database = session->database;
+	const struct statement *statement = session->call.statement;
+	struct answer answer = { .rows = g_byte_array_new () };
+	enum transaction before = session->transaction;
+
+	session->state = SESSION_IDLE;
+	if (statement->run (session, &session->call, &answer) == RUN_BLOCKED)
+	{
+		session->state = SESSION_BLOCKED;
+		if (session->timer.slot == 0)
+			loop_set_timer (&database->loop, &session->timer, clock_now_us () + LOCK_WAIT_US);
+	}
+	else
+	{
+		loop_cancel_timer (&database->loop, &session->timer);
+		if (answer.sqlstate && session->transaction == TRANSACTION_OPEN)
+		{
+			session_abort (session);
+			session->transaction = TRANSACTION_ABORTED;
+		}
+		if (session_loses_answer (session, &answer))
+			stream_close (&session->stream);
+		else
+			session_send_answer (session, &answer);
+	}
+	g_free (answer.message);
+	g_free (answer.tag);
+	g_byte_array_unref (answer.rows);
+	if (before == TRANSACTION_OPEN && session->transaction != TRANSACTION_OPEN)
+		database_run_blocked (database);
+}
+
+/** A closed session stays until its statement has ended, as in PostgreSQL. */
+static void
+session_continue (struct session *session)
+{
+	if (session_is_busy (session))
+		return;
+	if (session->is_gone)
+		session_free (session);
+	else if (!session->stream.is_closed)
+		session_process (session);
+}
+
+void
+database_run_blocked (struct database *database)
+{
+	for (guint i = 0; i < database->sessions->len; i++)
+	{
+		struct session *session = database->sessions->pdata[i];
+
+		if (session->state != SESSION_BLOCKED)
+			continue;
+		/* The timer continues the session, so that this walk frees none. */
+		session_run (session);
+		if (session->state != SESSION_BLOCKED)
+			loop_set_timer (&database->loop, &session->timer, 0);
+	}
+}
+
+static void
+session_fail_lock_wait (struct session *session)
+{
+	struct answer answer = { .sqlstate = "40P01", .message = "row lock not available in time" };
+
+	session->state = SESSION_IDLE;
+	if (session->transaction == TRANSACTION_OPEN)
+	{
+		session_abort (session);
+		session->transaction = TRANSACTION_ABORTED;
+	}
+	session_send_answer (session, &answer);
+	database_run_blocked (session->database);
+}
+
+static int64_t
+session_run_us (const struct session *session)
+{
+	const struct call *call = &session->call;
+
+	if (g_str_has_prefix (call->statement->pattern, "SELECT report"))
+		return atoll (call->arguments[0]) * US_PER_MS;
+	return session->database->run_us;
+}
+
+static void
+database_start_waiting (struct database *database)
+{
+	while (database->running < database->slots && !g_queue_is_empty (&database->waiting))
+	{
+		struct session *session = g_queue_pop_head (&database->waiting);
+
+		database->running++;
+		session->state = SESSION_RUNNING;
+		loop_set_timer (&database->loop, &session->timer,
+		                clock_now_us () + session_run_us (session));
+	}
+}
+
+static void
+handle_session_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct session *session = timer->data;
+	struct database *database = session->database;
+
+	if (session->state == SESSION_CONNECTING)
+	{
+		session->state = SESSION_IDLE;
+		session_send_ready (session);
+	}
+	else if (session->state == SESSION_BLOCKED)
+		session_fail_lock_wait (session);
+	else if (session->state == SESSION_RUNNING)
+	{
+		database->running--;
+		session_run (session);
+	}
+	session_continue (session);
+	database_start_waiting (database);
+}
+
+static void
+session_execute (struct session *session)
+{
+	const struct statement *statement = session->call.statement;
+	struct answer aborted = { .sqlstate = "25P02",
+		                      .message = "current transaction is aborted, commands ignored until "
+		                                 "end of transaction block" };
+
+	if (session->transaction == TRANSACTION_ABORTED && strcmp (statement->pattern, "COMMIT") != 0 &&
+	    strcmp (statement->pattern, "ROLLBACK") != 0)
+	{
+		session_send_answer (session, &aborted);
+		return;
+	}
+	if (!statement->takes_slot)
+	{
+		session_run (session);
+		return;
+	}
+	session->state = SESSION_QUEUED;
+	g_queue_push_tail (&session->database->waiting, session);
+	database_start_waiting (session->database);
+}
+
+/** Reads a text that ends with 0. @return "" at the end of the message. */
+static const char *
+take_text (const char **at, const char *end)
+{
+	const char *text = *at;
+	const char *zero = memchr (text, 0, (size_t) (end - text));
+
+	*at = zero ? zero + 1 : end;
+	return zero ? text : "";
+}
+
+static uint32_t
+take_int (const char **at, const char *end, size_t bytes)
+{
+	uint32_t value = 0;
+
+	for (; bytes > 0 && *at < end; bytes--)
+		value = value << 8 | (uint8_t) * (*at)++;
+	return value;
+}
+
+static void
+session_fail (struct session *session, const char *sqlstate, const char *message)
+{
+	struct answer answer = { .sqlstate = sqlstate, .message = (char *) message };
+
+	if (session->transaction == TRANSACTION_OPEN)
+	{
+		session_abort (session);
+		session->transaction = TRANSACTION_ABORTED;
+		database_run_blocked (session->database);
+	}
+	session_send_answer (session, &answer);
+}
+
+static void
+prepared_free (void *data)
+{
+	call_clear (data);
+	g_free (data);
+}
+
+static void
+handle_parse (struct session *session, const char *at, const char *end)
+{
+	const char *name = take_text (&at, end);
+	const char *text = take_text (&at, end);
+	struct call *call = g_new0 (struct call, 1);
+
+	if (!call_parse (call, text))
+	{
+		g_free (call);
+		session_fail (session, "42601", "unknown statement");
+		return;
+	}
+	g_hash_table_replace (session->prepared, g_strdup (name), call);
+	put_empty_message (session->stream.out, '1');
+}
+
+static void
+bind_parameter (struct call *call, int number, const char *value, uint32_t length)
+{
+	for (size_t i = 0; i < MAX_ARGUMENTS; i++)
+	{
+		if (call->parameters[i] == number)
+			call->arguments[i] = g_strndup (value, length);
+	}
+}
+
+static bool
+call_is_complete (const struct call *call)
+{
+	for (size_t i = 0; i < MAX_ARGUMENTS; i++)
+	{
+		if (call->parameters[i] && !call->arguments[i])
+			return false;
+	}
+	return true;
+}
+
+/** Bind fills the one portal of the session; parameters are text and not NULL. */
+static void
+handle_bind (struct session *session, const char *at, const char *end)
+{
+	const struct call *prepared;
+	uint32_t count;
+
+	take_text (&at, end);
+	prepared = g_hash_table_lookup (session->prepared, take_text (&at, end));
+	call_clear (&session->call);
+	if (!prepared)
+	{
+		session_fail (session, "26000", "prepared statement does not exist");
+		return;
+	}
+	session->call.statement = prepared->statement;
+	for (size_t i = 0; i < MAX_ARGUMENTS; i++)
+	{
+		session->call.parameters[i] = prepared->parameters[i];
+		session->call.arguments[i] = g_strdup (prepared->arguments[i]);
+	}
+	for (count = take_int (&at, end, 2); count > 0; count--)
+		take_int (&at, end, 2);
+	count = take_int (&at, end, 2);
+	for (int number = 1; number <= (int) count; number++)
+	{
+		uint32_t length = take_int (&at, end, 4);
+
+		if (length > (size_t) (end - at))
+			break;
+		bind_parameter (&session->call, number, at, length);
+		at += length;
+	}
+	if (!call_is_complete (&session->call))
+		session_fail (session, "08P01", "missing or NULL parameter");
+	else
+		put_empty_message (session->stream.out, '2');
+}
+
+static void
+handle_describe (struct session *session, const char *at, const char *end)
+{
+	GByteArray *out = session->stream.out;
+	const struct call *call = &session->call;
+	guint begin;
+
+	if (take_int (&at, end, 1) == 'S')
+	{
+		call = g_hash_table_lookup (session->prepared, take_text (&at, end));
+		if (!call)
+		{
+			session_fail (session, "26000", "prepared statement does not exist");
+			return;
+		}
+		begin = message_begin (out, 't');
+		put_int16 (out, MAX_ARGUMENTS);
+		for (size_t i = 0; i < MAX_ARGUMENTS; i++)
+			put_int32 (out, TYPE_TEXT);
+		message_end (out, begin);
+	}
+	if (call->statement)
+		put_row_description (out, call->statement);
+}
+
+static void
+handle_simple_query (struct session *session, const char *at, const char *end)
+{
+	call_clear (&session->call);
+	session->is_extended = false;
+	if (call_parse (&session->call, take_text (&at, end)) && call_is_complete (&session->call))
+		session_execute (session);
+	else
+		session_fail (session, "42601", "unknown statement");
+}
+
+static void
+handle_sync (struct session *session)
+{
+	session->skips_until_sync = false;
+	session_send_ready (session);
+}
+
+static void
+handle_message (struct session *session, char type, const char *at, const char *end)
+{
+	if (session->skips_until_sync && type != 'S' && type != 'X')
+		return;
+	session->is_extended = true;
+	switch (type)
+	{
+	case 'P':
+		handle_parse (session, at, end);
+		break;
+	case 'B':
+		handle_bind (session, at, end);
+		break;
+	case 'D':
+		handle_describe (session, at, end);
+		break;
+	case 'E':
+		if (session->call.statement)
+			session_execute (session);
+		else
+			session_fail (session, "34000", "portal does not exist");
+		break;
+	case 'C':
+		put_empty_message (session->stream.out, '3');
+		break;
+	case 'H':
+		stream_flush (&session->stream);
+		break;
+	case 'S':
+		handle_sync (session);
+		break;
+	case 'Q':
+		handle_simple_query (session, at, end);
+		break;
+	default:
+		stream_close (&session->stream);
+		break;
+	}
+}
+
+static void
+session_start (struct session *session)
+{
+	struct database *database = session->database;
+	GByteArray *out = session->stream.out;
+	guint begin;
+
+	if ((int64_t) database->sessions->len > database->connections)
+	{
+		put_error (out, "FATAL", "53300", "sorry, too many clients already");
+		stream_flush (&session->stream);
+		stream_close (&session->stream);
+		return;
+	}
+	begin = message_begin (out, 'R');
+	put_int32 (out, 0);
+	message_end (out, begin);
+	put_parameter_status (out, "server_version", "15.0");
+	put_parameter_status (out, "server_encoding", "UTF8");
+	put_parameter_status (out, "client_encoding", "UTF8");
+	put_parameter_status (out, "standard_conforming_strings", "on");
+	begin = message_begin (out, 'K');
+	put_int32 (out, (uint32_t) getpid ());
+	put_int32 (out, 0);
+	message_end (out, begin);
+	session->state = SESSION_CONNECTING;
+	loop_set_timer (&database->loop, &session->timer,
+	                clock_now_us () + database->connect_ms * US_PER_MS);
+}
+
+static void
+handle_startup (struct session *session, const char *at, const char *end)
+{
+	uint32_t code = take_int (&at, end, 4);
+
+	if (code == REQUEST_SSL || code == REQUEST_GSS)
+	{
+		g_byte_array_append (session->stream.out, (const guint8 *) "N", 1);
+		stream_flush (&session->stream);
+	}
+	else if (code == PROTOCOL_3)
+		session_start (session);
+	else
+		stream_close (&session->stream);
+}
+
+static void
+session_process (struct session *session)
+{
+	struct stream *stream = &session->stream;
+
+	while (!stream->is_closed &&
+	       (session->state == SESSION_STARTUP || session->state == SESSION_IDLE))
+	{
+		size_t type_bytes = session->state == SESSION_STARTUP ? 0 : 1;
+		const char *at = (const char *) stream->in->data + type_bytes;
+		uint32_t length;
+		char *message;
+
+		if (stream->in->len < type_bytes + 4)
+			return;
+		length = take_int (&at, at + 4, 4);
+		if (stream->in->len < type_bytes + length)
+			return;
+		message = g_memdup2 (stream->in->data, type_bytes + length);
+		stream_consume (stream, type_bytes + length);
+		if (type_bytes == 0)
+			handle_startup (session, message + 4, message + length);
+		else
+			handle_message (session, message[0], message + 5, message + 1 + length);
+		g_free (message);
+	}
+}
+
+static void
+handle_session_input (struct stream *stream)
+{
+	session_process ((struct session *) stream);
+}
+
+static void
+handle_session_closed (struct stream *stream)
+{
+	struct session *session = (struct session *) stream;
+
+	session->is_gone = true;
+	session_continue (session);
+}
+
+static const struct stream_ops session_ops = {
+	.handle_input = handle_session_input,
+	.handle_closed = handle_session_closed,
+};
+
+static void
+handle_accept (void *owner, int fd)
+{
+	struct database *database = owner;
+	struct session *session = g_new0 (struct session, 1);
+
+	session->database = database;
+	session->transaction = TRANSACTION_NONE;
+	session->timer.data = session;
+	session->timer.handle_timer = handle_session_timer;
+	session->written = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	session->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, prepared_free);
+	g_ptr_array_add (database->sessions, session);
+	stream_init (&session->stream, &database->loop, &session_ops, fd);
+}
+
+int
+main (int argc, char **argv)
+{
+	struct database database = { .slots = 2, .run_us = 500, .connect_ms = 12, .connections = 16 };
+	struct group *group = &database.group;
+	int64_t index = 0, lag_ms = 200;
+	char *address = NULL, *peers = NULL, *state = NULL;
+	const GOptionEntry entries[] = {
+		{ "address", 0, 0, G_OPTION_ARG_STRING, &address, "where clients connect", "IP:PORT" },
+		{ "peers", 0, 0, G_OPTION_ARG_STRING, &peers, "replication, all servers", "IP:PORT,..." },
+		{ "index", 0, 0, G_OPTION_ARG_INT64, &index, "place of this server in the peers", "N" },
+		{ "slots", 0, 0, G_OPTION_ARG_INT64, &database.slots, "statements at once", "N" },
+		{ "connections", 0, 0, G_OPTION_ARG_INT64, &database.connections, "limit", "N" },
+		{ "connect-ms", 0, 0, G_OPTION_ARG_INT64, &database.connect_ms, "connection cost", "MS" },
+		{ "run-us", 0, 0, G_OPTION_ARG_INT64, &database.run_us, "run time of a statement", "US" },
+		{ "lag-ms", 0, 0, G_OPTION_ARG_INT64, &lag_ms, "replication lag", "MS" },
+		{ "state", 0, 0, G_OPTION_ARG_STRING, &state, "keeps log and promised term", "FILE" },
+		{ 0 },
+	};
+	GOptionContext *context = g_option_context_new ("- one server of a database group");
+	struct sockaddr_in listen_address;
+
+	g_option_context_add_main_entries (context, entries, NULL);
+	if (!g_option_context_parse (context, &argc, &argv, NULL) || !address || !peers ||
+	    stream_parse_address (address, &listen_address) < 0)
+	{
+		fprintf (stderr, "database: --address IP:PORT and --peers IP:PORT,... are required\n");
+		return EXIT_FAILURE;
+	}
+	signal (SIGPIPE, SIG_IGN);
+	loop_init (&database.loop);
+	database.locks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+	database.sessions = g_ptr_array_new ();
+	g_queue_init (&database.waiting);
+	if (group_init (group, &database.loop, peers, (uint32_t) index, state) < 0 ||
+	    listener_init (&database.listener, &database.loop, &listen_address, handle_accept,
+	                   &database) < 0)
+	{
+		fprintf (stderr, "database: %s: cannot listen on %s\n", peers, address);
+		return EXIT_FAILURE;
+	}
+	group->lag_ms = lag_ms;
+	return loop_run (&database.loop) == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/standin/database.h
@@ -0,0 +1,112 @@
+/**
+ * @file
+ * Sessions and statements of the database stand-in.
+ */
+#pragma once
+
+#include "group.h"
+
+enum
+{
+	MAX_ARGUMENTS = 2,
+	MAX_COLUMNS = 4,
+};
+
+/* Transaction states of the protocol's ReadyForQuery. */
+enum transaction
+{
+	TRANSACTION_NONE = 'I',
+	TRANSACTION_OPEN = 'T',
+	TRANSACTION_ABORTED = 'E',
+};
+
+struct session;
+struct statement;
+
+/** One statement with its arguments: from literals, or from parameters at Bind. */
+struct call
+{
+	const struct statement *statement;
+	char *arguments[MAX_ARGUMENTS];
+	int parameters[MAX_ARGUMENTS]; /**< 1 for $1; 0: a literal. */
+};
+
+struct answer
+{
+	GByteArray *rows;     /**< DataRow messages. */
+	const char *sqlstate; /**< NULL: no error. */
+	char *message;
+	char *tag;
+};
+
+enum run_result
+{
+	RUN_DONE,
+	RUN_BLOCKED, /**< Another transaction holds the row lock: run again when one ends. */
+};
+
+struct statement
+{
+	const char *pattern; /**< $1 and $2 also match literals. */
+	const char *columns[MAX_COLUMNS];
+	enum run_result (*run) (struct session *session, const struct call *call,
+	                        struct answer *answer);
+	bool takes_slot;
+};
+
+struct database
+{
+	struct loop loop;
+	struct listener listener;
+	struct group group;
+	GHashTable *locks; /**< Row to session of the transaction that wrote it. */
+	GPtrArray *sessions;
+	GQueue waiting; /**< Sessions whose statement waits for a slot. */
+	int64_t running;
+	int64_t connection_count;
+	int64_t slots;
+	int64_t run_us;
+	int64_t connect_ms;
+	int64_t connections;
+	int64_t drop_answers; /**< Answers to lose, after the statement took effect. */
+	int64_t drop_commits; /**< As drop_answers, for COMMIT only. */
+};
+
+enum session_state
+{
+	SESSION_STARTUP,
+	SESSION_CONNECTING, /**< The connection cost has not passed. */
+	SESSION_IDLE,
+	SESSION_QUEUED,
+	SESSION_RUNNING,
+	SESSION_BLOCKED,
+};
+
+struct session
+{
+	struct stream stream;
+	struct database *database;
+	enum session_state state;
+	struct loop_timer timer;
+	enum transaction transaction;
+	uint64_t transaction_term;
+	GHashTable *written;  /**< Rows ("L" or "R" and key) to values of the open transaction. */
+	GHashTable *prepared; /**< Name to struct call. */
+	struct call call;     /**< The present portal or simple query. */
+	bool is_extended;
+	bool skips_until_sync;
+	bool is_gone; /**< The client closed; freed when the statement ends. */
+};
+
+/** Matches @p text to a statement of the table. @return false for an unknown one. */
+bool call_parse (struct call *call, const char *text);
+void call_clear (struct call *call);
+
+/** Ends an open transaction without effect, and releases its row locks. */
+void session_abort (struct session *session);
+
+/** Appends one DataRow; NULL cells are not supported. */
+void answer_add_row (struct answer *answer, size_t count, const char *const *cells);
+
+/** Runs the sessions again that waited for row locks. */
+void database_run_blocked (struct database *database);
--- /dev/null
+++ b/tests/standin/group.c
@@ -0,0 +1,652 @@
+#include "group.h"
+
+#include "common/clock.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+	CONNECT_RETRY_US = 50 * US_PER_MS,
+};
+
+/* Kinds of frames, on replication connections and in the state file. */
+enum frame_type
+{
+	FRAME_HELLO,   /* Primary: its term. */
+	FRAME_LOG,     /* Follower: first index of each term in its log; index: last index. */
+	FRAME_ENTRIES, /* Entries after index; the follower drops what it has behind index. */
+	FRAME_REJECT,  /* Follower: it promised a higher term. */
+	FRAME_PROMISE, /* State file: promised term and claimant. */
+	FRAME_PRIMARY, /* State file: promoted in term. */
+};
+
+struct frame
+{
+	uint32_t length; /* Of the payload. */
+	uint32_t type;
+	uint64_t term;
+	uint64_t index;
+	uint64_t count;
+};
+
+struct entry_header
+{
+	uint64_t term;
+	uint64_t length;
+};
+
+/* First index of one term in a log. */
+struct term_run
+{
+	uint64_t term;
+	uint64_t first_index;
+};
+
+struct held_frame
+{
+	int64_t arrived_us;
+	struct frame *frame;
+};
+
+/* A follower's connection from a primary. */
+struct incoming
+{
+	struct stream stream;
+	struct group *group;
+	GQueue held; /* Entries that wait until the lag has passed. */
+	struct loop_timer lag_timer;
+};
+
+static void group_connect (struct group *group);
+
+struct log_position
+group_position (const struct group *group)
+{
+	struct log_position position = { 0, group->log->len };
+
+	if (group->log->len > 0)
+		position.term = g_array_index (group->log, struct entry, group->log->len - 1).term;
+	return position;
+}
+
+GHashTable *
+group_table (const struct group *group, enum table table)
+{
+	return table == TABLE_LEDGER ? group->ledger : group->requests;
+}
+
+void
+group_add_change (GByteArray *changes, enum table table, const char *key, const char *value)
+{
+	guint8 letter = (guint8) table;
+
+	g_byte_array_append (changes, &letter, 1);
+	g_byte_array_append (changes, (const guint8 *) key, (guint) strlen (key) + 1);
+	g_byte_array_append (changes, (const guint8 *) value, (guint) strlen (value) + 1);
+}
+
+static void
+entry_apply (struct group *group, const struct entry *entry)
+{
+	gsize length;
+	const char *text = g_bytes_get_data (entry->changes, &length);
+	const char *end = text + length;
+
+	while (text < end)
+	{
+		GHashTable *table = group_table (group, (enum table) * text);
+		const char *key = text + 1;
+		const char *value = key + strlen (key) + 1;
+
+		g_hash_table_replace (table, g_strdup (key), g_strdup (value));
+		text = value + strlen (value) + 1;
+	}
+}
+
+static void
+group_truncate (struct group *group, uint64_t index)
+{
+	if (index >= group->log->len)
+		return;
+	fprintf (stderr, "database: drops log entries %lu to %u\n", index + 1, group->log->len);
+	g_array_set_size (group->log, (guint) index);
+	g_hash_table_remove_all (group->ledger);
+	g_hash_table_remove_all (group->requests);
+	for (guint i = 0; i < group->log->len; i++)
+		entry_apply (group, &g_array_index (group->log, struct entry, i));
+}
+
+/** Takes a frame of entries, from a primary or from the state file. */
+static void
+group_take_entries (struct group *group, const struct frame *frame)
+{
+	const char *payload = (const char *) (frame + 1);
+
+	group_truncate (group, frame->index);
+	for (uint64_t i = 0; i < frame->count; i++)
+	{
+		struct entry_header header;
+		struct entry entry;
+
+		memcpy (&header, payload, sizeof header);
+		payload += sizeof header;
+		entry.term = header.term;
+		entry.changes = g_bytes_new (payload, header.length);
+		payload += header.length;
+		g_array_append_val (group->log, entry);
+		entry_apply (group, &entry);
+	}
+}
+
+static void
+frame_write (GByteArray *out, enum frame_type type, uint64_t term, uint64_t index, uint64_t count,
+             const void *payload, size_t length)
+{
+	struct frame frame = { (uint32_t) length, type, term, index, count };
+
+	g_byte_array_append (out, (const guint8 *) &frame, sizeof frame);
+	g_byte_array_append (out, payload, (guint) length);
+}
+
+static void
+frame_write_entries (const struct group *group, GByteArray *out, uint64_t after_index)
+{
+	GByteArray *payload = g_byte_array_new ();
+
+	for (guint i = (guint) after_index; i < group->log->len; i++)
+	{
+		const struct entry *entry = &g_array_index (group->log, struct entry, i);
+		gsize length;
+		const void *changes = g_bytes_get_data (entry->changes, &length);
+		struct entry_header header = { entry->term, length };
+
+		g_byte_array_append (payload, (const guint8 *) &header, sizeof header);
+		g_byte_array_append (payload, changes, (guint) length);
+	}
+	frame_write (out, FRAME_ENTRIES, group->term, after_index, group->log->len - after_index,
+	             payload->data, payload->len);
+	g_byte_array_unref (payload);
+}
+
+static void
+state_write (struct group *group, const GByteArray *frames)
+{
+	if (!group->state)
+		return;
+	fwrite (frames->data, 1, frames->len, group->state);
+	fflush (group->state);
+}
+
+static void
+state_write_frame (struct group *group, enum frame_type type, uint64_t term, const char *text)
+{
+	GByteArray *frames = g_byte_array_new ();
+
+	frame_write (frames, type, term, 0, 0, text, text ? strlen (text) + 1 : 0);
+	state_write (group, frames);
+	g_byte_array_unref (frames);
+}
+
+static void
+group_promise (struct group *group, uint64_t term, const char *claimant)
+{
+	group->promised_term = term;
+	g_free (group->claimant);
+	group->claimant = g_strdup (claimant);
+	state_write_frame (group, FRAME_PROMISE, term, claimant);
+}
+
+static void
+group_close_links (struct group *group)
+{
+	for (uint32_t i = 0; i < group->count; i++)
+	{
+		if (group->links[i].is_open)
+			stream_close (&group->links[i].stream);
+	}
+}
+
+static void
+group_step_down (struct group *group, uint64_t term)
+{
+	if (!group->is_primary)
+		return;
+	fprintf (stderr, "database: primary of term %lu steps down for term %lu\n", group->term, term);
+	group->is_primary = false;
+	group_close_links (group);
+}
+
+static void
+link_send (struct link *link)
+{
+	if (!link->is_open || !link->is_streaming || link->sent_index == link->group->log->len)
+		return;
+	frame_write_entries (link->group, link->stream.out, link->sent_index);
+	link->sent_index = link->group->log->len;
+	stream_flush (&link->stream);
+}
+
+void
+group_append (struct group *group, const GByteArray *changes)
+{
+	struct entry entry = { group->term, g_bytes_new (changes->data, changes->len) };
+	GByteArray *frames = g_byte_array_new ();
+
+	g_array_append_val (group->log, entry);
+	entry_apply (group, &entry);
+	frame_write_entries (group, frames, group->log->len - 1);
+	state_write (group, frames);
+	g_byte_array_unref (frames);
+	for (uint32_t i = 0; i < group->count; i++)
+		link_send (&group->links[i]);
+}
+
+static void
+group_become_primary (struct group *group, uint64_t term)
+{
+	group->term = term;
+	group->is_primary = true;
+	state_write_frame (group, FRAME_PRIMARY, term, NULL);
+	if (group_position (group).term != term)
+	{
+		GByteArray *none = g_byte_array_new ();
+
+		group_append (group, none);
+		g_byte_array_unref (none);
+	}
+	group_connect (group);
+}
+
+bool
+group_fence (struct group *group, uint64_t term, const char *claimant)
+{
+	if (term <= group->promised_term)
+		return false;
+	group_promise (group, term, claimant);
+	group_step_down (group, term);
+	return true;
+}
+
+bool
+group_promote (struct group *group, uint64_t term, const char *claimant)
+{
+	if (term != group->promised_term || !group->claimant ||
+	    strcmp (claimant, group->claimant) != 0 || group->followed_term >= term)
+		return false;
+	if (group->is_primary)
+		return true;
+	group_become_primary (group, term);
+	return true;
+}
+
+/** Length of the part that both logs share. Two logs agree up to an index where their terms agree,
+ * since each term has one primary. */
+static uint64_t
+log_common_index (const struct group *group, const struct frame *frame)
+{
+	const struct term_run *runs = (const struct term_run *) (frame + 1);
+	uint64_t common = 0;
+
+	for (uint64_t i = 0; i < frame->count; i++)
+	{
+		uint64_t end = i + 1 < frame->count ? runs[i + 1].first_index - 1 : frame->index;
+		uint64_t index = MIN (end, group->log->len);
+
+		while (index >= runs[i].first_index &&
+		       g_array_index (group->log, struct entry, index - 1).term != runs[i].term)
+			index--;
+		if (index >= runs[i].first_index)
+			common = index;
+	}
+	return common;
+}
+
+/** Takes a complete frame from the start of the input; free with g_free(). */
+static struct frame *
+stream_take_frame (struct stream *stream)
+{
+	struct frame header;
+	struct frame *frame;
+
+	if (stream->in->len < sizeof header)
+		return NULL;
+	memcpy (&header, stream->in->data, sizeof header);
+	if (stream->in->len < sizeof header + header.length)
+		return NULL;
+	frame = g_memdup2 (stream->in->data, sizeof header + header.length);
+	stream_consume (stream, sizeof header + header.length);
+	return frame;
+}
+
+static void
+handle_link_input (struct stream *stream)
+{
+	struct link *link = (struct link *) stream;
+	struct group *group = link->group;
+	struct frame *frame;
+
+	while (!stream->is_closed && (frame = stream_take_frame (stream)))
+	{
+		if (frame->type == FRAME_REJECT && frame->term > group->term)
+			group_step_down (group, frame->term);
+		else if (frame->type == FRAME_LOG)
+		{
+			link->sent_index = log_common_index (group, frame);
+			link->is_streaming = true;
+			frame_write_entries (group, stream->out, link->sent_index);
+			link->sent_index = group->log->len;
+			stream_flush (stream);
+		}
+		g_free (frame);
+	}
+}
+
+static void
+handle_link_connected (struct stream *stream)
+{
+	struct link *link = (struct link *) stream;
+
+	frame_write (stream->out, FRAME_HELLO, link->group->term, 0, 0, NULL, 0);
+	stream_flush (stream);
+}
+
+static void
+handle_link_closed (struct stream *stream)
+{
+	struct link *link = (struct link *) stream;
+
+	stream_finish (stream);
+	link->is_open = false;
+}
+
+static const struct stream_ops link_ops = {
+	.handle_input = handle_link_input,
+	.handle_connected = handle_link_connected,
+	.handle_closed = handle_link_closed,
+};
+
+static void
+group_connect (struct group *group)
+{
+	loop_set_timer (group->loop, &group->connect_timer, clock_now_us () + CONNECT_RETRY_US);
+	if (!group->is_primary || group->cut_replication)
+		return;
+	for (uint32_t i = 0; i < group->count; i++)
+	{
+		struct link *link = &group->links[i];
+
+		if (i == group->self || link->is_open)
+			continue;
+		link->group = group;
+		link->is_open = true;
+		link->is_streaming = false;
+		stream_connect (&link->stream, group->loop, &link_ops, &group->peers[i]);
+	}
+}
+
+static void
+handle_connect_timer (struct loop_timer *timer, int64_t now_us)
+{
+	(void) now_us;
+	group_connect (timer->data);
+}
+
+static void
+incoming_reject (struct incoming *incoming)
+{
+	frame_write (incoming->stream.out, FRAME_REJECT, incoming->group->promised_term, 0, 0, NULL, 0);
+	stream_flush (&incoming->stream);
+	stream_close (&incoming->stream);
+}
+
+static void
+incoming_send_log (struct incoming *incoming)
+{
+	const GArray *log = incoming->group->log;
+	GArray *runs = g_array_new (FALSE, FALSE, sizeof (struct term_run));
+
+	for (guint i = 0; i < log->len; i++)
+	{
+		uint64_t term = g_array_index (log, struct entry, i).term;
+		struct term_run run = { term, i + 1 };
+
+		if (i == 0 || g_array_index (log, struct entry, i - 1).term != term)
+			g_array_append_val (runs, run);
+	}
+	frame_write (incoming->stream.out, FRAME_LOG, 0, log->len, runs->len, runs->data,
+	             runs->len * sizeof (struct term_run));
+	stream_flush (&incoming->stream);
+	g_array_unref (runs);
+}
+
+static void
+incoming_take_hello (struct incoming *incoming, uint64_t term)
+{
+	struct group *group = incoming->group;
+
+	if (term < group->promised_term || (group->is_primary && term == group->term))
+	{
+		incoming_reject (incoming);
+		return;
+	}
+	if (term > group->promised_term)
+		group_promise (group, term, "");
+	group_step_down (group, term);
+	group->followed_term = term;
+	incoming_send_log (incoming);
+}
+
+static void
+incoming_take_entries (struct incoming *incoming, const struct frame *frame)
+{
+	struct group *group = incoming->group;
+	GByteArray *bytes;
+
+	if (frame->term < group->promised_term)
+	{
+		incoming_reject (incoming);
+		return;
+	}
+	group_take_entries (group, frame);
+	bytes = g_byte_array_new ();
+	g_byte_array_append (bytes, (const guint8 *) frame, (guint) (sizeof *frame + frame->length));
+	state_write (group, bytes);
+	g_byte_array_unref (bytes);
+}
+
+static void
+held_frame_free (void *data)
+{
+	struct held_frame *held = data;
+
+	g_free (held->frame);
+	g_free (held);
+}
+
+static void
+incoming_run_held (struct incoming *incoming)
+{
+	int64_t now_us = clock_now_us ();
+	struct held_frame *held;
+
+	while (!incoming->stream.is_closed && (held = g_queue_peek_head (&incoming->held)))
+	{
+		int64_t due_us = held->arrived_us + incoming->group->lag_ms * US_PER_MS;
+
+		if (due_us > now_us)
+		{
+			loop_set_timer (incoming->stream.loop, &incoming->lag_timer, due_us);
+			return;
+		}
+		g_queue_pop_head (&incoming->held);
+		incoming_take_entries (incoming, held->frame);
+		held_frame_free (held);
+	}
+}
+
+static void
+handle_lag_timer (struct loop_timer *timer, int64_t now_us)
+{
+	(void) now_us;
+	incoming_run_held (timer->data);
+}
+
+static void
+handle_incoming_input (struct stream *stream)
+{
+	struct incoming *incoming = (struct incoming *) stream;
+	struct frame *frame;
+
+	while (!stream->is_closed && (frame = stream_take_frame (stream)))
+	{
+		if (frame->type == FRAME_ENTRIES)
+		{
+			struct held_frame held = { clock_now_us (), frame };
+
+			g_queue_push_tail (&incoming->held, g_memdup2 (&held, sizeof held));
+			continue;
+		}
+		incoming_take_hello (incoming, frame->term);
+		g_free (frame);
+	}
+	incoming_run_held (incoming);
+}
+
+static void
+handle_incoming_closed (struct stream *stream)
+{
+	struct incoming *incoming = (struct incoming *) stream;
+
+	loop_cancel_timer (stream->loop, &incoming->lag_timer);
+	g_queue_clear_full (&incoming->held, held_frame_free);
+	stream_finish (stream);
+	g_ptr_array_remove (incoming->group->followed, incoming);
+	g_free (incoming);
+}
+
+static const struct stream_ops incoming_ops = {
+	.handle_input = handle_incoming_input,
+	.handle_closed = handle_incoming_closed,
+};
+
+static void
+handle_incoming (void *owner, int fd)
+{
+	struct group *group = owner;
+	struct incoming *incoming = g_new0 (struct incoming, 1);
+
+	incoming->group = group;
+	incoming->lag_timer.data = incoming;
+	incoming->lag_timer.handle_timer = handle_lag_timer;
+	g_queue_init (&incoming->held);
+	stream_init (&incoming->stream, group->loop, &incoming_ops, fd);
+	g_ptr_array_add (group->followed, incoming);
+	if (group->cut_replication)
+		stream_close (&incoming->stream);
+}
+
+void
+group_cut (struct group *group)
+{
+	if (!group->cut_replication)
+		return;
+	group_close_links (group);
+	for (guint i = 0; i < group->followed->len; i++)
+		stream_close (&((struct incoming *) group->followed->pdata[i])->stream);
+}
+
+static void
+state_take_frame (struct group *group, const struct frame *frame)
+{
+	if (frame->type == FRAME_ENTRIES)
+	{
+		group_take_entries (group, frame);
+		return;
+	}
+	if (frame->type == FRAME_PRIMARY)
+	{
+		group->term = frame->term;
+		return;
+	}
+	group->promised_term = frame->term;
+	g_free (group->claimant);
+	group->claimant = g_strdup ((const char *) (frame + 1));
+}
+
+/** Reads the state file. @return false when it is new. A cut-off last record is ignored: its effect
+ * was never answered. */
+static bool
+state_read (struct group *group, const char *path)
+{
+	char *bytes = NULL;
+	gsize length = 0;
+	gsize at = 0;
+
+	if (!g_file_get_contents (path, &bytes, &length, NULL))
+		return false;
+	while (length - at >= sizeof (struct frame))
+	{
+		struct frame *frame = g_memdup2 (bytes + at, sizeof *frame);
+		gsize size = sizeof *frame + frame->length;
+
+		g_free (frame);
+		if (length - at < size)
+			break;
+		frame = g_memdup2 (bytes + at, size);
+		state_take_frame (group, frame);
+		g_free (frame);
+		at += size;
+	}
+	g_free (bytes);
+	if (truncate (path, (off_t) at) < 0)
+		return false;
+	group->followed_term = group_position (group).term;
+	return at > 0;
+}
+
+static void
+entry_clear (void *data)
+{
+	g_bytes_unref (((struct entry *) data)->changes);
+}
+
+int
+group_init (struct group *group, struct loop *loop, const char *peers, uint32_t self,
+            const char *state_path)
+{
+	char **addresses = g_strsplit (peers, ",", GROUP_MAX_SERVERS);
+	bool is_restart;
+	int result = 0;
+
+	memset (group, 0, sizeof *group);
+	group->loop = loop;
+	group->self = self;
+	for (; addresses[group->count] && result == 0; group->count++)
+		result = stream_parse_address (addresses[group->count], &group->peers[group->count]);
+	g_strfreev (addresses);
+	if (result < 0 || self >= group->count)
+		return -EINVAL;
+	group->followed = g_ptr_array_new ();
+	group->log = g_array_new (FALSE, FALSE, sizeof (struct entry));
+	g_array_set_clear_func (group->log, entry_clear);
+	group->ledger = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	group->requests = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	group->connect_timer.data = group;
+	group->connect_timer.handle_timer = handle_connect_timer;
+	group->promised_term = 1;
+	is_restart = state_path && state_read (group, state_path);
+	if (state_path && !(group->state = fopen (state_path, "ab")))
+		return -errno;
+	if (is_restart && group->term > 0 && group->term == group->promised_term)
+		group_become_primary (group, group->term);
+	else if (!is_restart)
+	{
+		group_promise (group, 1, "initial");
+		if (self == 0)
+			group_promote (group, 1, "initial");
+	}
+	return listener_init (&group->listener, loop, &group->peers[self], handle_incoming, group);
+}
--- /dev/null
+++ b/tests/standin/statements.c
@@ -0,0 +1,400 @@
+#include "database.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static enum run_result
+answer_error (struct answer *answer, const char *sqlstate, const char *message)
+{
+	answer->sqlstate = sqlstate;
+	answer->message = g_strdup (message);
+	return RUN_DONE;
+}
+
+static enum run_result
+answer_value (struct answer *answer, const char *value)
+{
+	answer_add_row (answer, 1, &value);
+	answer->tag = g_strdup ("SELECT 1");
+	return RUN_DONE;
+}
+
+static char *
+row_name (enum table table, const char *key)
+{
+	return g_strdup_printf ("%c%s", table, key);
+}
+
+static const char *
+session_read (struct session *session, enum table table, const char *key)
+{
+	char *row = row_name (table, key);
+	const char *value = g_hash_table_lookup (session->written, row);
+
+	g_free (row);
+	return value ? value
+	             : g_hash_table_lookup (group_table (&session->database->group, table), key);
+}
+
+static bool
+session_can_write (const struct session *session)
+{
+	const struct group *group = &session->database->group;
+
+	return group->is_primary &&
+	       (session->transaction == TRANSACTION_NONE || session->transaction_term == group->term);
+}
+
+static bool
+session_is_blocked (struct session *session, enum table table, const char *key)
+{
+	char *row = row_name (table, key);
+	const struct session *holder = g_hash_table_lookup (session->database->locks, row);
+
+	g_free (row);
+	return holder && holder != session;
+}
+
+static void
+session_write (struct session *session, enum table table, const char *key, const char *value)
+{
+	GByteArray *changes;
+
+	if (session->transaction == TRANSACTION_OPEN)
+	{
+		g_hash_table_replace (session->written, row_name (table, key), g_strdup (value));
+		g_hash_table_replace (session->database->locks, row_name (table, key), session);
+		return;
+	}
+	changes = g_byte_array_new ();
+	group_add_change (changes, table, key, value);
+	group_append (&session->database->group, changes);
+	g_byte_array_unref (changes);
+}
+
+static enum run_result
+run_insert (struct session *session, const struct call *call, struct answer *answer,
+            enum table table)
+{
+	const char *key = call->arguments[0];
+
+	if (!session_can_write (session))
+		return answer_error (answer, "25006", "this server is not the primary");
+	if (session_is_blocked (session, table, key))
+		return RUN_BLOCKED;
+	if (session_read (session, table, key))
+		return answer_error (answer, "23505", "duplicate key");
+	session_write (session, table, key, call->arguments[1]);
+	answer->tag = g_strdup ("INSERT 0 1");
+	return RUN_DONE;
+}
+
+static enum run_result
+run_insert_ledger (struct session *session, const struct call *call, struct answer *answer)
+{
+	return run_insert (session, call, answer, TABLE_LEDGER);
+}
+
+static enum run_result
+run_insert_request (struct session *session, const struct call *call, struct answer *answer)
+{
+	return run_insert (session, call, answer, TABLE_REQUEST);
+}
+
+static enum run_result
+run_update_request (struct session *session, const struct call *call, struct answer *answer)
+{
+	const char *key = call->arguments[0];
+	bool is_present;
+
+	if (!session_can_write (session))
+		return answer_error (answer, "25006", "this server is not the primary");
+	if (session_is_blocked (session, TABLE_REQUEST, key))
+		return RUN_BLOCKED;
+	is_present = session_read (session, TABLE_REQUEST, key) != NULL;
+	if (is_present)
+		session_write (session, TABLE_REQUEST, key, call->arguments[1]);
+	answer->tag = g_strdup (is_present ? "UPDATE 1" : "UPDATE 0");
+	return RUN_DONE;
+}
+
+static enum run_result
+run_add (struct session *session, const struct call *call, struct answer *answer)
+{
+	const char *key = call->arguments[0];
+	const char *old;
+	char *sum;
+
+	if (!session_can_write (session))
+		return answer_error (answer, "25006", "this server is not the primary");
+	if (session_is_blocked (session, TABLE_LEDGER, key))
+		return RUN_BLOCKED;
+	old = session_read (session, TABLE_LEDGER, key);
+	sum = g_strdup_printf ("%lld", (old ? atoll (old) : 0) + atoll (call->arguments[1]));
+	session_write (session, TABLE_LEDGER, key, sum);
+	answer_value (answer, sum);
+	g_free (answer->tag);
+	answer->tag = g_strdup ("UPDATE 1");
+	g_free (sum);
+	return RUN_DONE;
+}
+
+static enum run_result
+run_find (struct session *session, const struct call *call, struct answer *answer, enum table table)
+{
+	const char *value = session_read (session, table, call->arguments[0]);
+
+	if (value)
+		return answer_value (answer, value);
+	answer->tag = g_strdup ("SELECT 0");
+	return RUN_DONE;
+}
+
+static enum run_result
+run_find_ledger (struct session *session, const struct call *call, struct answer *answer)
+{
+	return run_find (session, call, answer, TABLE_LEDGER);
+}
+
+static enum run_result
+run_find_request (struct session *session, const struct call *call, struct answer *answer)
+{
+	return run_find (session, call, answer, TABLE_REQUEST);
+}
+
+/** Rows that the open transaction added are counted too. */
+static enum run_result
+run_count (struct session *session, const struct call *call, struct answer *answer)
+{
+	GHashTable *ledger = session->database->group.ledger;
+	guint count = g_hash_table_size (ledger);
+	char text[16];
+	GHashTableIter iter;
+	void *row;
+
+	g_hash_table_iter_init (&iter, session->written);
+	while (g_hash_table_iter_next (&iter, &row, NULL))
+	{
+		const char *name = row;
+
+		if (name[0] == TABLE_LEDGER && !g_hash_table_contains (ledger, name + 1))
+			count++;
+	}
+	g_snprintf (text, sizeof text, "%u", count);
+	return answer_value (answer, text);
+}
+
+static enum run_result
+run_begin (struct session *session, const struct call *call, struct answer *answer)
+{
+	if (session->transaction == TRANSACTION_NONE)
+	{
+		session->transaction = TRANSACTION_OPEN;
+		session->transaction_term = session->database->group.term;
+	}
+	answer->tag = g_strdup ("BEGIN");
+	return RUN_DONE;
+}
+
+static enum run_result
+run_rollback (struct session *session, const struct call *call, struct answer *answer)
+{
+	session_abort (session);
+	answer->tag = g_strdup ("ROLLBACK");
+	return RUN_DONE;
+}
+
+static enum run_result
+run_commit (struct session *session, const struct call *call, struct answer *answer)
+{
+	GByteArray *changes;
+	GHashTableIter iter;
+	void *row, *value;
+
+	if (session->transaction == TRANSACTION_ABORTED)
+		return run_rollback (session, call, answer);
+	if (g_hash_table_size (session->written) > 0 && !session_can_write (session))
+	{
+		session_abort (session);
+		return answer_error (answer, "25006", "this server is not the primary any more");
+	}
+	changes = g_byte_array_new ();
+	g_hash_table_iter_init (&iter, session->written);
+	while (g_hash_table_iter_next (&iter, &row, &value))
+		group_add_change (changes, (enum table) ((char *) row)[0], (char *) row + 1, value);
+	if (changes->len > 0)
+		group_append (&session->database->group, changes);
+	g_byte_array_unref (changes);
+	session_abort (session);
+	answer->tag = g_strdup ("COMMIT");
+	return RUN_DONE;
+}
+
+static enum run_result
+run_status (struct session *session, const struct call *call, struct answer *answer)
+{
+	const struct group *group = &session->database->group;
+	struct log_position position = group_position (group);
+	char text[3][24];
+	const char *cells[] = { group->is_primary ? "primary" : "replica", text[0], text[1], text[2] };
+
+	g_snprintf (text[0], sizeof text[0], "%lu", position.term);
+	g_snprintf (text[1], sizeof text[1], "%lu", position.index);
+	g_snprintf (text[2], sizeof text[2], "%lu", group->promised_term);
+	answer_add_row (answer, MAX_COLUMNS, cells);
+	answer->tag = g_strdup ("SELECT 1");
+	return RUN_DONE;
+}
+
+static enum run_result
+run_fence (struct session *session, const struct call *call, struct answer *answer)
+{
+	if (!group_fence (&session->database->group, strtoull (call->arguments[0], NULL, 10),
+	                  call->arguments[1]))
+		return answer_error (answer, "FS001", "an equal or higher term is promised");
+	return run_status (session, call, answer);
+}
+
+static enum run_result
+run_promote (struct session *session, const struct call *call, struct answer *answer)
+{
+	if (!group_promote (&session->database->group, strtoull (call->arguments[0], NULL, 10),
+	                    call->arguments[1]))
+		return answer_error (answer, "FS001", "the term is not promised to this claimant");
+	return run_status (session, call, answer);
+}
+
+static enum run_result
+run_fault (struct session *session, const struct call *call, struct answer *answer)
+{
+	struct database *database = session->database;
+	const struct
+	{
+		const char *name;
+		int64_t *value;
+	} faults[] = {
+		{ "connect_ms", &database->connect_ms },
+		{ "connections", &database->connections },
+		{ "cut_replication", &database->group.cut_replication },
+		{ "drop_answers", &database->drop_answers },
+		{ "drop_commits", &database->drop_commits },
+		{ "lag_ms", &database->group.lag_ms },
+		{ "run_us", &database->run_us },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+	{
+		if (strcmp (faults[i].name, call->arguments[0]) != 0)
+			continue;
+		*faults[i].value = atoll (call->arguments[1]);
+		group_cut (&database->group);
+		return answer_value (answer, call->arguments[1]);
+	}
+	return answer_error (answer, "22023", "unknown fault");
+}
+
+#define STATUS_COLUMNS                                                                             \
+	{                                                                                              \
+		"role", "log_term", "log_index", "promised_term"                                           \
+	}
+
+static const struct statement statements[] = {
+	{ "BEGIN", { 0 }, run_begin, false },
+	{ "COMMIT", { 0 }, run_commit, true },
+	{ "ROLLBACK", { 0 }, run_rollback, false },
+	{ "SELECT value FROM ledger WHERE key = $1", { "value" }, run_find_ledger, true },
+	{ "SELECT count(*) FROM ledger", { "count" }, run_count, true },
+	{ "SELECT report($1)", { "report" }, run_count, true },
+	{ "INSERT INTO ledger (key, value) VALUES ($1, $2)", { 0 }, run_insert_ledger, true },
+	{ "UPDATE ledger SET value = value + $2 WHERE key = $1 RETURNING value",
+	  { "value" },
+	  run_add,
+	  true },
+	{ "INSERT INTO flamingospring_request (id, answer) VALUES ($1, $2)",
+	  { 0 },
+	  run_insert_request,
+	  true },
+	{ "UPDATE flamingospring_request SET answer = $2 WHERE id = $1",
+	  { 0 },
+	  run_update_request,
+	  true },
+	{ "SELECT answer FROM flamingospring_request WHERE id = $1",
+	  { "answer" },
+	  run_find_request,
+	  true },
+	{ "SELECT * FROM group_status()", STATUS_COLUMNS, run_status, false },
+	{ "SELECT * FROM group_fence($1, $2)", STATUS_COLUMNS, run_fence, false },
+	{ "SELECT * FROM group_promote($1, $2)", STATUS_COLUMNS, run_promote, false },
+	{ "SELECT standin_fault($1, $2)", { "standin_fault" }, run_fault, false },
+};
+
+void
+call_clear (struct call *call)
+{
+	for (size_t i = 0; i < MAX_ARGUMENTS; i++)
+		g_free (call->arguments[i]);
+	memset (call, 0, sizeof *call);
+}
+
+/** Reads $N, a number or a 'quoted text' at @p text. @return what follows, or NULL. */
+static const char *
+argument_parse (const char *text, char **literal, int *parameter)
+{
+	const char *end = text;
+
+	if (*text == '$')
+	{
+		*parameter = (int) strtol (text + 1, (char **) &end, 10);
+		return end > text + 1 ? end : NULL;
+	}
+	if (*text == '\'')
+	{
+		end = strchr (text + 1, '\'');
+		if (!end)
+			return NULL;
+		*literal = g_strndup (text + 1, (gsize) (end - text - 1));
+		return end + 1;
+	}
+	while (*end == '-' || g_ascii_isdigit (*end))
+		end++;
+	*literal = g_strndup (text, (gsize) (end - text));
+	return end > text ? end : NULL;
+}
+
+static bool
+pattern_match (const char *pattern, const char *text, struct call *call)
+{
+	while (*pattern)
+	{
+		if (*pattern == '$')
+		{
+			size_t index = (size_t) (pattern[1] - '1');
+
+			text = argument_parse (text, &call->arguments[index], &call->parameters[index]);
+			if (!text)
+				return false;
+			pattern += 2;
+			continue;
+		}
+		if (g_ascii_toupper (*pattern++) != g_ascii_toupper (*text++))
+			return false;
+	}
+	while (g_ascii_isspace (*text) || *text == ';')
+		text++;
+	return *text == 0;
+}
+
+bool
+call_parse (struct call *call, const char *text)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS (statements); i++)
+	{
+		if (pattern_match (statements[i].pattern, text, call))
+		{
+			call->statement = &statements[i];
+			return true;
+		}
+		call_clear (call);
+	}
+	return false;
+}
--- /dev/null
+++ b/tests/standin/stream.h
@@ -0,0 +1,62 @@
+/**
+ * @file
+ * Buffered, non-blocking TCP socket and listener on an event loop.
+ */
+#pragma once
+
+#include "common/loop.h"
+
+#include <glib.h>
+#include <netinet/in.h>
+
+struct stream;
+
+struct stream_ops
+{
+	/** New bytes are in stream->in; the handler removes what it uses. */
+	void (*handle_input) (struct stream *stream);
+	/** May be NULL. */
+	void (*handle_connected) (struct stream *stream);
+	/** The last callback, always from the loop; the owner may free the stream here. */
+	void (*handle_closed) (struct stream *stream);
+};
+
+struct stream
+{
+	const struct stream_ops *ops;
+	struct loop *loop;
+	struct loop_source source;
+	struct loop_timer closed_timer;
+	bool is_connecting;
+	bool is_closed;
+	GByteArray *in;
+	GByteArray *out;
+};
+
+struct listener
+{
+	struct loop_source source;
+	void (*handle_accept) (void *owner, int fd);
+	void *owner;
+};
+
+void stream_init (struct stream *stream, struct loop *loop, const struct stream_ops *ops, int fd);
+void stream_connect (struct stream *stream, struct loop *loop, const struct stream_ops *ops,
+                     const struct sockaddr_in *address);
+void stream_finish (struct stream *stream);
+
+/** Sends what is in stream->out, now or when the socket is ready. */
+void stream_flush (struct stream *stream);
+
+/** Closes the socket; handle_closed() follows from the loop. */
+void stream_close (struct stream *stream);
+
+/** Removes bytes from the start of stream->in. */
+void stream_consume (struct stream *stream, size_t bytes);
+
+/** @return 0 or a negative error number. */
+int listener_init (struct listener *listener, struct loop *loop, const struct sockaddr_in *address,
+                   void (*handle_accept) (void *owner, int fd), void *owner);
+
+/** Parses IP:PORT. @return 0 or -EINVAL. */
+int stream_parse_address (const char *text, struct sockaddr_in *address);
