--- a/tests/standin/database.c
+++ b/tests/standin/database.c
@@ -21,32 +21,33 @@
 static void session_process (struct session *session);
 static void database_start_waiting (struct database *database);
 
+/** Appends values: 'b' byte, 'h' 16 bits, 'i' 32 bits, 's' text with its final 0. */
 static void
-put_int16 (GByteArray *out, uint16_t value)
+put_values (GByteArray *out, const char *format, va_list values)
 {
-	value = htons (value);
-	g_byte_array_append (out, (const guint8 *) &value, sizeof value);
+	for (; *format; format++)
+	{
+		const char *text = *format == 's' ? va_arg (values, const char *) : NULL;
+		uint32_t number = text ? 0 : va_arg (values, uint32_t);
+		uint8_t bytes[] = { (uint8_t) (number >> 24), (uint8_t) (number >> 16),
+			                (uint8_t) (number >> 8), (uint8_t) number };
+		size_t skipped = *format == 'b' ? 3 : *format == 'h' ? 2 : 0;
+
+		if (text)
+			g_byte_array_append (out, (const guint8 *) text, (guint) strlen (text) + 1);
+		else
+			g_byte_array_append (out, bytes + skipped, (guint) (sizeof bytes - skipped));
+	}
 }
 
 static void
-put_int32 (GByteArray *out, uint32_t value)
+put (GByteArray *out, const char *format, ...)
 {
-	value = htonl (value);
-	g_byte_array_append (out, (const guint8 *) &value, sizeof value);
-}
+	va_list values;
 
-static void
-put_text (GByteArray *out, const char *text)
-{
-	g_byte_array_append (out, (const guint8 *) text, (guint) strlen (text) + 1);
-}
-
-static guint
-message_begin (GByteArray *out, char type)
-{
-	g_byte_array_append (out, (const guint8 *) &type, 1);
-	put_int32 (out, 0);
-	return out->len - (guint) sizeof (uint32_t);
+	va_start (values, format);
+	put_values (out, format, values);
+	va_end (values);
 }
 
 static void
@@ -57,62 +58,50 @@
 	memcpy (out->data + begin, &length, sizeof length);
 }
 
-static void
-put_empty_message (GByteArray *out, char type)
+static guint
+message_begin (GByteArray *out, char type)
 {
-	message_end (out, message_begin (out, type));
+	put (out, "bi", type, 0);
+	return out->len - (guint) sizeof (uint32_t);
 }
 
 static void
-put_parameter_status (GByteArray *out, const char *name, const char *value)
+put_message (GByteArray *out, char type, const char *format, ...)
 {
-	guint begin = message_begin (out, 'S');
+	guint begin = message_begin (out, type);
+	va_list values;
 
-	put_text (out, name);
-	put_text (out, value);
+	va_start (values, format);
+	put_values (out, format, values);
+	va_end (values);
 	message_end (out, begin);
 }
 
 static void
 put_error (GByteArray *out, const char *severity, const char *sqlstate, const char *message)
 {
-	guint begin = message_begin (out, 'E');
-	const char *const fields[] = { "S", severity, "V", severity, "C", sqlstate, "M", message };
-
-	for (size_t i = 0; i < G_N_ELEMENTS (fields); i += 2)
-	{
-		g_byte_array_append (out, (const guint8 *) fields[i], 1);
-		put_text (out, fields[i + 1]);
-	}
-	put_text (out, "");
-	message_end (out, begin);
+	put_message (out, 'E', "bsbsbsbsb", 'S', severity, 'V', severity, 'C', sqlstate, 'M', message,
+	             0);
 }
 
 static void
 put_row_description (GByteArray *out, const struct statement *statement)
 {
 	guint begin;
-	uint16_t count = 0;
+	unsigned count = 0;
 
 	while (count < MAX_COLUMNS && statement->columns[count])
 		count++;
 	if (count == 0)
 	{
-		put_empty_message (out, 'n');
+		put_message (out, 'n', "");
 		return;
 	}
 	begin = message_begin (out, 'T');
-	put_int16 (out, count);
-	for (uint16_t i = 0; i < count; i++)
-	{
-		put_text (out, statement->columns[i]);
-		put_int32 (out, 0);
-		put_int16 (out, 0);
-		put_int32 (out, TYPE_TEXT);
-		put_int16 (out, UINT16_MAX);
-		put_int32 (out, UINT32_MAX);
-		put_int16 (out, 0);
-	}
+	put (out, "h", count);
+	/* Name, table, column, type, size (-1: varies), modifier (-1: none), format (0: text). */
+	for (unsigned i = 0; i < count; i++)
+		put (out, "sihihih", statement->columns[i], 0, 0, TYPE_TEXT, -1, -1, 0);
 	message_end (out, begin);
 }
 
@@ -121,10 +110,10 @@
 {
 	guint begin = message_begin (answer->rows, 'D');
 
-	put_int16 (answer->rows, (uint16_t) count);
+	put (answer->rows, "h", (uint32_t) count);
 	for (size_t i = 0; i < count; i++)
 	{
-		put_int32 (answer->rows, (uint32_t) strlen (cells[i]));
+		put (answer->rows, "i", (uint32_t) strlen (cells[i]));
 		g_byte_array_append (answer->rows, (const guint8 *) cells[i], (guint) strlen (cells[i]));
 	}
 	message_end (answer->rows, begin);
@@ -135,17 +124,13 @@
 {
 	GByteArray *out = session->stream.out;
 	struct log_position position = group_position (&session->database->group);
-	guint8 state = (guint8) session->transaction;
 	char text[24];
-	guint begin;
 
 	g_snprintf (text, sizeof text, "%lu", position.term);
-	put_parameter_status (out, "group_term", text);
+	put_message (out, 'S', "ss", "group_term", text);
 	g_snprintf (text, sizeof text, "%lu", position.index);
-	put_parameter_status (out, "group_position", text);
-	begin = message_begin (out, 'Z');
-	g_byte_array_append (out, &state, 1);
-	message_end (out, begin);
+	put_message (out, 'S', "ss", "group_position", text);
+	put_message (out, 'Z', "b", session->transaction);
 	stream_flush (&session->stream);
 }
 
@@ -188,7 +173,6 @@
 session_send_answer (struct session *session, const struct answer *answer)
 {
 	GByteArray *out = session->stream.out;
-	guint begin;
 
 	if (answer->sqlstate)
 	{
@@ -200,9 +184,7 @@
 		if (!session->is_extended && session->call.statement->columns[0])
 			put_row_description (out, session->call.statement);
 		g_byte_array_append (out, answer->rows->data, answer->rows->len);
-		begin = message_begin (out, 'C');
-		put_text (out, answer->tag);
-		message_end (out, begin);
+		put_message (out, 'C', "s", answer->tag);
 	}
 	if (!session->is_extended)
 		session_send_ready (session);
@@ -219,7 +201,7 @@
 		database->drop_commits--;
 		return true;
 	}
-	if (database->drop_answers > 0 && session->call.statement->takes_slot)
+	if (database->drop_answers > 0 && session->call.statement->kind != STATEMENT_CONTROL)
 	{
 		database->drop_answers--;
 		return true;
@@ -232,12 +214,11 @@
 session_run (struct session *session)
 {
 	struct database *database = session->database;
-	const struct statement *statement = session->call.statement;
 	struct answer answer = { .rows = g_byte_array_new () };
 	enum transaction before = session->transaction;
 
 	session->state = SESSION_IDLE;
-	if (statement->run (session, &session->call, &answer) == RUN_BLOCKED)
+	if (call_run (session, &answer) == RUN_BLOCKED)
 	{
 		session->state = SESSION_BLOCKED;
 		if (session->timer.slot == 0)
@@ -291,19 +272,19 @@
 	}
 }
 
+/** Answers with an error, which aborts an open transaction. */
 static void
-session_fail_lock_wait (struct session *session)
+session_fail (struct session *session, const char *sqlstate, const char *message)
 {
-	struct answer answer = { .sqlstate = "40P01", .message = "row lock not available in time" };
+	struct answer answer = { .sqlstate = sqlstate, .message = (char *) message };
 
-	session->state = SESSION_IDLE;
 	if (session->transaction == TRANSACTION_OPEN)
 	{
 		session_abort (session);
 		session->transaction = TRANSACTION_ABORTED;
+		database_run_blocked (session->database);
 	}
 	session_send_answer (session, &answer);
-	database_run_blocked (session->database);
 }
 
 static int64_t
@@ -342,7 +323,10 @@
 		session_send_ready (session);
 	}
 	else if (session->state == SESSION_BLOCKED)
-		session_fail_lock_wait (session);
+	{
+		session->state = SESSION_IDLE;
+		session_fail (session, "40P01", "row lock not available in time");
+	}
 	else if (session->state == SESSION_RUNNING)
 	{
 		database->running--;
@@ -356,17 +340,14 @@
 session_execute (struct session *session)
 {
 	const struct statement *statement = session->call.statement;
-	struct answer aborted = { .sqlstate = "25P02",
-		                      .message = "current transaction is aborted, commands ignored until "
-		                                 "end of transaction block" };
 
 	if (session->transaction == TRANSACTION_ABORTED && strcmp (statement->pattern, "COMMIT") != 0 &&
 	    strcmp (statement->pattern, "ROLLBACK") != 0)
 	{
-		session_send_answer (session, &aborted);
+		session_fail (session, "25P02", "current transaction is aborted");
 		return;
 	}
-	if (!statement->takes_slot)
+	if (statement->kind == STATEMENT_CONTROL)
 	{
 		session_run (session);
 		return;
@@ -397,20 +378,6 @@
 	return value;
 }
 
-static void
-session_fail (struct session *session, const char *sqlstate, const char *message)
-{
-	struct answer answer = { .sqlstate = sqlstate, .message = (char *) message };
-
-	if (session->transaction == TRANSACTION_OPEN)
-	{
-		session_abort (session);
-		session->transaction = TRANSACTION_ABORTED;
-		database_run_blocked (session->database);
-	}
-	session_send_answer (session, &answer);
-}
-
 static void
 prepared_free (void *data)
 {
@@ -432,7 +399,7 @@
 		return;
 	}
 	g_hash_table_replace (session->prepared, g_strdup (name), call);
-	put_empty_message (session->stream.out, '1');
+	put_message (session->stream.out, '1', "");
 }
 
 static void
@@ -492,7 +459,7 @@
 	if (!call_is_complete (&session->call))
 		session_fail (session, "08P01", "missing or NULL parameter");
 	else
-		put_empty_message (session->stream.out, '2');
+		put_message (session->stream.out, '2', "");
 }
 
 static void
@@ -500,7 +467,6 @@
 {
 	GByteArray *out = session->stream.out;
 	const struct call *call = &session->call;
-	guint begin;
 
 	if (take_int (&at, end, 1) == 'S')
 	{
@@ -510,11 +476,7 @@
 			session_fail (session, "26000", "prepared statement does not exist");
 			return;
 		}
-		begin = message_begin (out, 't');
-		put_int16 (out, MAX_ARGUMENTS);
-		for (size_t i = 0; i < MAX_ARGUMENTS; i++)
-			put_int32 (out, TYPE_TEXT);
-		message_end (out, begin);
+		put_message (out, 't', "hii", MAX_ARGUMENTS, TYPE_TEXT, TYPE_TEXT);
 	}
 	if (call->statement)
 		put_row_description (out, call->statement);
@@ -562,7 +524,7 @@
 			session_fail (session, "34000", "portal does not exist");
 		break;
 	case 'C':
-		put_empty_message (session->stream.out, '3');
+		put_message (session->stream.out, '3', "");
 		break;
 	case 'H':
 		stream_flush (&session->stream);
@@ -584,7 +546,6 @@
 {
 	struct database *database = session->database;
 	GByteArray *out = session->stream.out;
-	guint begin;
 
 	if ((int64_t) database->sessions->len > database->connections)
 	{
@@ -593,17 +554,11 @@
 		stream_close (&session->stream);
 		return;
 	}
-	begin = message_begin (out, 'R');
-	put_int32 (out, 0);
-	message_end (out, begin);
-	put_parameter_status (out, "server_version", "15.0");
-	put_parameter_status (out, "server_encoding", "UTF8");
-	put_parameter_status (out, "client_encoding", "UTF8");
-	put_parameter_status (out, "standard_conforming_strings", "on");
-	begin = message_begin (out, 'K');
-	put_int32 (out, (uint32_t) getpid ());
-	put_int32 (out, 0);
-	message_end (out, begin);
+	put_message (out, 'R', "i", 0);
+	put_message (out, 'S', "ss", "server_version", "15.0");
+	put_message (out, 'S', "ss", "client_encoding", "UTF8");
+	put_message (out, 'S', "ss", "standard_conforming_strings", "on");
+	put_message (out, 'K', "ii", (uint32_t) getpid (), 0);
 	session->state = SESSION_CONNECTING;
 	loop_set_timer (&database->loop, &session->timer,
 	                clock_now_us () + database->connect_ms * US_PER_MS);
--- a/tests/standin/database.h
+++ b/tests/standin/database.h
@@ -45,13 +45,21 @@
 	RUN_BLOCKED, /**< Another transaction holds the row lock: run again when one ends. */
 };
 
+enum statement_kind
+{
+	STATEMENT_CONTROL, /**< Takes no slot. */
+	STATEMENT_READ,
+	STATEMENT_WRITE, /**< Its row is named by its first argument. */
+};
+
 struct statement
 {
 	const char *pattern; /**< $1 and $2 also match literals. */
-	const char *columns[MAX_COLUMNS];
 	enum run_result (*run) (struct session *session, const struct call *call,
 	                        struct answer *answer);
-	bool takes_slot;
+	enum statement_kind kind;
+	enum table table;
+	const char *columns[MAX_COLUMNS];
 };
 
 struct database
@@ -102,6 +110,9 @@
 bool call_parse (struct call *call, const char *text);
 void call_clear (struct call *call);
 
+/** Runs the session's present call. */
+enum run_result call_run (struct session *session, struct answer *answer);
+
 /** Ends an open transaction without effect, and releases its row locks. */
 void session_abort (struct session *session);
 
--- a/tests/standin/group.c
+++ b/tests/standin/group.c
@@ -15,10 +15,8 @@
 /* Kinds of frames, on replication connections and in the state file. */
 enum frame_type
 {
-	FRAME_HELLO,   /* Primary: its term. */
-	FRAME_LOG,     /* Follower: first index of each term in its log; index: last index. */
-	FRAME_ENTRIES, /* Entries after index; the follower drops what it has behind index. */
-	FRAME_REJECT,  /* Follower: it promised a higher term. */
+	FRAME_ENTRIES, /* Entries after index, by the primary of term. A new connection starts with all. */
+	FRAME_REJECT,  /* By a follower that promised the higher term. */
 	FRAME_PROMISE, /* State file: promised term and claimant. */
 	FRAME_PRIMARY, /* State file: promoted in term. */
 };
@@ -38,13 +36,6 @@
 	uint64_t length;
 };
 
-/* First index of one term in a log. */
-struct term_run
-{
-	uint64_t term;
-	uint64_t first_index;
-};
-
 struct held_frame
 {
 	int64_t arrived_us;
@@ -62,13 +53,19 @@
 
 static void group_connect (struct group *group);
 
+static uint64_t
+log_term (const struct group *group, uint64_t element)
+{
+	return g_array_index (group->log, struct entry, element).term;
+}
+
 struct log_position
 group_position (const struct group *group)
 {
 	struct log_position position = { 0, group->log->len };
 
-	if (group->log->len > 0)
-		position.term = g_array_index (group->log, struct entry, group->log->len - 1).term;
+	if (position.index > 0)
+		position.term = log_term (group, position.index - 1);
 	return position;
 }
 
@@ -119,14 +116,14 @@
 		entry_apply (group, &g_array_index (group->log, struct entry, i));
 }
 
-/** Takes a frame of entries, from a primary or from the state file. */
+/** Takes a frame of entries, from a primary or from the state file. Entries that are present with
+ * the same term are equal, since each term has one primary. */
 static void
 group_take_entries (struct group *group, const struct frame *frame)
 {
 	const char *payload = (const char *) (frame + 1);
 
-	group_truncate (group, frame->index);
-	for (uint64_t i = 0; i < frame->count; i++)
+	for (uint64_t index = frame->index; index < frame->index + frame->count; index++)
 	{
 		struct entry_header header;
 		struct entry entry;
@@ -134,11 +131,16 @@
 		memcpy (&header, payload, sizeof header);
 		payload += sizeof header;
 		entry.term = header.term;
-		entry.changes = g_bytes_new (payload, header.length);
+		if (index >= group->log->len || log_term (group, index) != entry.term)
+		{
+			group_truncate (group, index);
+			entry.changes = g_bytes_new (payload, header.length);
+			g_array_append_val (group->log, entry);
+			entry_apply (group, &entry);
+		}
 		payload += header.length;
-		g_array_append_val (group->log, entry);
-		entry_apply (group, &entry);
 	}
+	group_truncate (group, frame->index + frame->count);
 }
 
 static void
@@ -185,7 +187,7 @@
 {
 	GByteArray *frames = g_byte_array_new ();
 
-	frame_write (frames, type, term, 0, 0, text, text ? strlen (text) + 1 : 0);
+	frame_write (frames, type, term, 0, 0, text, strlen (text) + 1);
 	state_write (group, frames);
 	g_byte_array_unref (frames);
 }
@@ -249,7 +251,7 @@
 {
 	group->term = term;
 	group->is_primary = true;
-	state_write_frame (group, FRAME_PRIMARY, term, NULL);
+	state_write_frame (group, FRAME_PRIMARY, term, "");
 	if (group_position (group).term != term)
 	{
 		GByteArray *none = g_byte_array_new ();
@@ -282,28 +284,6 @@
 	return true;
 }
 
-/** Length of the part that both logs share. Two logs agree up to an index where their terms agree,
- * since each term has one primary. */
-static uint64_t
-log_common_index (const struct group *group, const struct frame *frame)
-{
-	const struct term_run *runs = (const struct term_run *) (frame + 1);
-	uint64_t common = 0;
-
-	for (uint64_t i = 0; i < frame->count; i++)
-	{
-		uint64_t end = i + 1 < frame->count ? runs[i + 1].first_index - 1 : frame->index;
-		uint64_t index = MIN (end, group->log->len);
-
-		while (index >= runs[i].first_index &&
-		       g_array_index (group->log, struct entry, index - 1).term != runs[i].term)
-			index--;
-		if (index >= runs[i].first_index)
-			common = index;
-	}
-	return common;
-}
-
 /** Takes a complete frame from the start of the input; free with g_free(). */
 static struct frame *
 stream_take_frame (struct stream *stream)
@@ -330,16 +310,8 @@
 
 	while (!stream->is_closed && (frame = stream_take_frame (stream)))
 	{
-		if (frame->type == FRAME_REJECT && frame->term > group->term)
+		if (frame->term > group->term)
 			group_step_down (group, frame->term);
-		else if (frame->type == FRAME_LOG)
-		{
-			link->sent_index = log_common_index (group, frame);
-			link->is_streaming = true;
-			frame_write_entries (group, stream->out, link->sent_index);
-			link->sent_index = group->log->len;
-			stream_flush (stream);
-		}
 		g_free (frame);
 	}
 }
@@ -349,8 +321,8 @@
 {
 	struct link *link = (struct link *) stream;
 
-	frame_write (stream->out, FRAME_HELLO, link->group->term, 0, 0, NULL, 0);
-	stream_flush (stream);
+	link->is_streaming = true;
+	link_send (link);
 }
 
 static void
@@ -383,6 +355,7 @@
 		link->group = group;
 		link->is_open = true;
 		link->is_streaming = false;
+		link->sent_index = 0;
 		stream_connect (&link->stream, group->loop, &link_ops, &group->peers[i]);
 	}
 }
@@ -397,33 +370,14 @@
 static void
 incoming_reject (struct incoming *incoming)
 {
-	frame_write (incoming->stream.out, FRAME_REJECT, incoming->group->promised_term, 0, 0, NULL, 0);
+	frame_write (incoming->stream.out, FRAME_REJECT, incoming->group->promised_term, 0, 0, "", 0);
 	stream_flush (&incoming->stream);
 	stream_close (&incoming->stream);
 }
 
+/** Follows a primary at once, though its entries wait until the lag has passed. */
 static void
-incoming_send_log (struct incoming *incoming)
-{
-	const GArray *log = incoming->group->log;
-	GArray *runs = g_array_new (FALSE, FALSE, sizeof (struct term_run));
-
-	for (guint i = 0; i < log->len; i++)
-	{
-		uint64_t term = g_array_index (log, struct entry, i).term;
-		struct term_run run = { term, i + 1 };
-
-		if (i == 0 || g_array_index (log, struct entry, i - 1).term != term)
-			g_array_append_val (runs, run);
-	}
-	frame_write (incoming->stream.out, FRAME_LOG, 0, log->len, runs->len, runs->data,
-	             runs->len * sizeof (struct term_run));
-	stream_flush (&incoming->stream);
-	g_array_unref (runs);
-}
-
-static void
-incoming_take_hello (struct incoming *incoming, uint64_t term)
+incoming_follow (struct incoming *incoming, uint64_t term)
 {
 	struct group *group = incoming->group;
 
@@ -436,7 +390,6 @@
 		group_promise (group, term, "");
 	group_step_down (group, term);
 	group->followed_term = term;
-	incoming_send_log (incoming);
 }
 
 static void
@@ -502,15 +455,10 @@
 
 	while (!stream->is_closed && (frame = stream_take_frame (stream)))
 	{
-		if (frame->type == FRAME_ENTRIES)
-		{
-			struct held_frame held = { clock_now_us (), frame };
+		struct held_frame held = { clock_now_us (), frame };
 
-			g_queue_push_tail (&incoming->held, g_memdup2 (&held, sizeof held));
-			continue;
-		}
-		incoming_take_hello (incoming, frame->term);
-		g_free (frame);
+		g_queue_push_tail (&incoming->held, g_memdup2 (&held, sizeof held));
+		incoming_follow (incoming, frame->term);
 	}
 	incoming_run_held (incoming);
 }
--- a/tests/standin/group.h
+++ b/tests/standin/group.h
@@ -35,7 +35,7 @@
 	struct stream stream;
 	struct group *group;
 	bool is_open;
-	bool is_streaming; /**< The common part of both logs is known. */
+	bool is_streaming; /**< Connected. */
 	uint64_t sent_index;
 };
 
--- a/tests/standin/statements.c
+++ b/tests/standin/statements.c
@@ -73,15 +73,11 @@
 }
 
 static enum run_result
-run_insert (struct session *session, const struct call *call, struct answer *answer,
-            enum table table)
+run_insert (struct session *session, const struct call *call, struct answer *answer)
 {
+	enum table table = call->statement->table;
 	const char *key = call->arguments[0];
 
-	if (!session_can_write (session))
-		return answer_error (answer, "25006", "this server is not the primary");
-	if (session_is_blocked (session, table, key))
-		return RUN_BLOCKED;
 	if (session_read (session, table, key))
 		return answer_error (answer, "23505", "duplicate key");
 	session_write (session, table, key, call->arguments[1]);
@@ -90,27 +86,11 @@
 }
 
 static enum run_result
-run_insert_ledger (struct session *session, const struct call *call, struct answer *answer)
-{
-	return run_insert (session, call, answer, TABLE_LEDGER);
-}
-
-static enum run_result
-run_insert_request (struct session *session, const struct call *call, struct answer *answer)
-{
-	return run_insert (session, call, answer, TABLE_REQUEST);
-}
-
-static enum run_result
-run_update_request (struct session *session, const struct call *call, struct answer *answer)
+run_update (struct session *session, const struct call *call, struct answer *answer)
 {
 	const char *key = call->arguments[0];
 	bool is_present;
 
-	if (!session_can_write (session))
-		return answer_error (answer, "25006", "this server is not the primary");
-	if (session_is_blocked (session, TABLE_REQUEST, key))
-		return RUN_BLOCKED;
 	is_present = session_read (session, TABLE_REQUEST, key) != NULL;
 	if (is_present)
 		session_write (session, TABLE_REQUEST, key, call->arguments[1]);
@@ -125,10 +105,6 @@
 	const char *old;
 	char *sum;
 
-	if (!session_can_write (session))
-		return answer_error (answer, "25006", "this server is not the primary");
-	if (session_is_blocked (session, TABLE_LEDGER, key))
-		return RUN_BLOCKED;
 	old = session_read (session, TABLE_LEDGER, key);
 	sum = g_strdup_printf ("%lld", (old ? atoll (old) : 0) + atoll (call->arguments[1]));
 	session_write (session, TABLE_LEDGER, key, sum);
@@ -140,8 +116,9 @@
 }
 
 static enum run_result
-run_find (struct session *session, const struct call *call, struct answer *answer, enum table table)
+run_find (struct session *session, const struct call *call, struct answer *answer)
 {
+	enum table table = call->statement->table;
 	const char *value = session_read (session, table, call->arguments[0]);
 
 	if (value)
@@ -150,18 +127,6 @@
 	return RUN_DONE;
 }
 
-static enum run_result
-run_find_ledger (struct session *session, const struct call *call, struct answer *answer)
-{
-	return run_find (session, call, answer, TABLE_LEDGER);
-}
-
-static enum run_result
-run_find_request (struct session *session, const struct call *call, struct answer *answer)
-{
-	return run_find (session, call, answer, TABLE_REQUEST);
-}
-
 /** Rows that the open transaction added are counted too. */
 static enum run_result
 run_count (struct session *session, const struct call *call, struct answer *answer)
@@ -293,40 +258,48 @@
 	return answer_error (answer, "22023", "unknown fault");
 }
 
-#define STATUS_COLUMNS                                                                             \
-	{                                                                                              \
-		"role", "log_term", "log_index", "promised_term"                                           \
-	}
+#define STATUS_COLUMNS "role", "log_term", "log_index", "promised_term"
 
+/* clang-format off */
 static const struct statement statements[] = {
-	{ "BEGIN", { 0 }, run_begin, false },
-	{ "COMMIT", { 0 }, run_commit, true },
-	{ "ROLLBACK", { 0 }, run_rollback, false },
-	{ "SELECT value FROM ledger WHERE key = $1", { "value" }, run_find_ledger, true },
-	{ "SELECT count(*) FROM ledger", { "count" }, run_count, true },
-	{ "SELECT report($1)", { "report" }, run_count, true },
-	{ "INSERT INTO ledger (key, value) VALUES ($1, $2)", { 0 }, run_insert_ledger, true },
+	{ "BEGIN", run_begin, STATEMENT_CONTROL, 0, { 0 } },
+	{ "COMMIT", run_commit, STATEMENT_READ, 0, { 0 } },
+	{ "ROLLBACK", run_rollback, STATEMENT_CONTROL, 0, { 0 } },
+	{ "SELECT value FROM ledger WHERE key = $1",
+	  run_find, STATEMENT_READ, TABLE_LEDGER, { "value" } },
+	{ "SELECT count(*) FROM ledger", run_count, STATEMENT_READ, TABLE_LEDGER, { "count" } },
+	{ "SELECT report($1)", run_count, STATEMENT_READ, TABLE_LEDGER, { "report" } },
+	{ "INSERT INTO ledger (key, value) VALUES ($1, $2)",
+	  run_insert, STATEMENT_WRITE, TABLE_LEDGER, { 0 } },
 	{ "UPDATE ledger SET value = value + $2 WHERE key = $1 RETURNING value",
-	  { "value" },
-	  run_add,
-	  true },
+	  run_add, STATEMENT_WRITE, TABLE_LEDGER, { "value" } },
 	{ "INSERT INTO flamingospring_request (id, answer) VALUES ($1, $2)",
-	  { 0 },
-	  run_insert_request,
-	  true },
+	  run_insert, STATEMENT_WRITE, TABLE_REQUEST, { 0 } },
 	{ "UPDATE flamingospring_request SET answer = $2 WHERE id = $1",
-	  { 0 },
-	  run_update_request,
-	  true },
+	  run_update, STATEMENT_WRITE, TABLE_REQUEST, { 0 } },
 	{ "SELECT answer FROM flamingospring_request WHERE id = $1",
-	  { "answer" },
-	  run_find_request,
-	  true },
-	{ "SELECT * FROM group_status()", STATUS_COLUMNS, run_status, false },
-	{ "SELECT * FROM group_fence($1, $2)", STATUS_COLUMNS, run_fence, false },
-	{ "SELECT * FROM group_promote($1, $2)", STATUS_COLUMNS, run_promote, false },
-	{ "SELECT standin_fault($1, $2)", { "standin_fault" }, run_fault, false },
+	  run_find, STATEMENT_READ, TABLE_REQUEST, { "answer" } },
+	{ "SELECT * FROM group_status()", run_status, STATEMENT_CONTROL, 0, { STATUS_COLUMNS } },
+	{ "SELECT * FROM group_fence($1, $2)", run_fence, STATEMENT_CONTROL, 0, { STATUS_COLUMNS } },
+	{ "SELECT * FROM group_promote($1, $2)", run_promote, STATEMENT_CONTROL, 0, { STATUS_COLUMNS } },
+	{ "SELECT standin_fault($1, $2)", run_fault, STATEMENT_CONTROL, 0, { "standin_fault" } },
 };
+/* clang-format on */
+
+enum run_result
+call_run (struct session *session, struct answer *answer)
+{
+	const struct call *call = &session->call;
+	const struct statement *statement = call->statement;
+
+	if (statement->kind != STATEMENT_WRITE)
+		return statement->run (session, call, answer);
+	if (!session_can_write (session))
+		return answer_error (answer, "25006", "this server is not the primary");
+	if (session_is_blocked (session, statement->table, call->arguments[0]))
+		return RUN_BLOCKED;
+	return statement->run (session, call, answer);
+}
 
 void
 call_clear (struct call *call)
