--- /dev/null
+++ b/flamingospring/peer.c
@@ -0,0 +1,514 @@
+#include "flamingospring/peer.h"
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "decision/retry.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	PEER_MAX_CALLS = 65536,
+	PEER_IDLE_US = 30 * US_PER_S,
+	PEER_CHECK_US = 250 * US_PER_MS, /* Between checks of a connection with calls. */
+	/* Two lost packets in a row delay an answer by 600 ms (retransmission after 200 and 400 ms). */
+	PEER_SILENCE_US = 1000 * US_PER_MS,
+	PEER_GRACE_US = 100 * US_PER_MS, /* From the deadline until the answer counts as missing. */
+	PEER_CIRCUIT_FAILURES = 1,       /* The standby takes over at once. */
+	PEER_CIRCUIT_OPEN_US = 500 * US_PER_MS,
+};
+
+/** A call on a connection. One that timed out or was cancelled keeps its xid until the late answer
+ * or the end of the connection, so that a late answer never meets a newer call with its xid. */
+struct peer_call
+{
+	struct peer *peer;
+	struct execution *execution; /**< NULL: a ping, or abandoned. */
+	struct peer_call *previous;
+	struct peer_call *next;
+	struct loop_timer timer;
+	struct trace_span span;
+	uint64_t end_offset; /**< Bytes of the connection after this call's record. */
+	uint32_t xid;
+	bool is_ping;
+};
+
+/** Connection to one VM. */
+struct peer
+{
+	struct peer_set *set;
+	uint32_t vm;
+	uint32_t ip;
+	uint16_t port;
+	bool is_open;
+	bool is_broken; /**< Sent something malformed; closed by the next timer. */
+	struct rpc_connection connection;
+	struct circuit circuit;
+	struct loop_timer timer;
+	struct peer_call *calls;
+	uint32_t waiting;        /**< Calls with an execution. */
+	uint32_t pings;          /**< Pings without an answer. */
+	uint64_t heard_bytes;    /**< received_bytes at the last check. */
+	int64_t heard_at_us;     /**< When something was last received, or the first call sent. */
+	int64_t last_used_at_us; /**< Last demand. */
+};
+
+static struct peer_call *
+call_new (struct peer *peer, struct execution *execution)
+{
+	struct peer_call **place;
+	struct peer_call *call = calloc (1, sizeof *call);
+
+	if (!call)
+		return NULL;
+	call->xid = handle_table_add (&peer->set->calls);
+	if (call->xid == HANDLE_NONE)
+	{
+		free (call);
+		return NULL;
+	}
+	place = handle_table_get (&peer->set->calls, call->xid);
+	*place = call;
+	call->peer = peer;
+	call->execution = execution;
+	call->is_ping = !execution;
+	call->next = peer->calls;
+	if (peer->calls)
+		peer->calls->previous = call;
+	peer->calls = call;
+	if (execution)
+		peer->waiting++;
+	else
+		peer->pings++;
+	return call;
+}
+
+static void
+call_free (struct peer_call *call)
+{
+	struct peer *peer = call->peer;
+
+	loop_cancel_timer (peer->set->loop, &call->timer);
+	if (call->execution)
+		peer->waiting--;
+	if (call->is_ping)
+		peer->pings--;
+	if (call->next)
+		call->next->previous = call->previous;
+	if (call->previous)
+		call->previous->next = call->next;
+	else
+		peer->calls = call->next;
+	handle_table_remove (&peer->set->calls, call->xid);
+	free (call);
+}
+
+/** Ends the wait of the submitter; the call itself stays. @return the execution, or NULL. */
+static struct execution *
+call_detach (struct peer_call *call, enum execution_status status)
+{
+	struct execution *execution = call->execution;
+
+	if (!execution)
+		return NULL;
+	call->execution = NULL;
+	call->peer->waiting--;
+	loop_cancel_timer (call->peer->set->loop, &call->timer);
+	trace_span_end (&call->span, status == EXECUTION_ANSWERED ? "answered" : "not answered");
+	if (status == EXECUTION_LOST || status == EXECUTION_TIMED_OUT)
+		counter_add (COUNTER_FORWARDS_LOST, 1);
+	execution->handle = 0;
+	return execution;
+}
+
+/** Gives up a call whose answer may still come. */
+static void
+call_abandon (struct peer_call *call, enum execution_status status)
+{
+	struct execution *execution = call_detach (call, status);
+
+	if (execution)
+		execution->handle_done (execution, status, NULL);
+}
+
+/** Closes the connection and ends its calls. */
+static void
+peer_close (struct peer *peer, int error)
+{
+	uint64_t sent = peer->connection.sent_bytes;
+	bool was_used = peer->waiting > 0 || peer->pings > 0;
+	int64_t now_us = clock_now_us ();
+	struct peer_call *calls = peer->calls;
+
+	if (!peer->is_open)
+		return;
+	rpc_connection_finish (&peer->connection);
+	peer->is_open = false;
+	peer->is_broken = false;
+	peer->calls = NULL;
+	if (was_used)
+	{
+		circuit_report (&peer->circuit, false, now_us);
+		log_event (LOG_LEVEL_WARN, "peer_lost", "vm=%u error=%d calls=%u", peer->vm, error,
+		           peer->waiting);
+		loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CIRCUIT_OPEN_US);
+	}
+	/* Handlers may send new calls to this peer, so the old ones are off its list by now. */
+	while (calls)
+	{
+		struct peer_call *call = calls;
+
+		calls = call->next;
+		call_abandon (call, call->end_offset <= sent ? EXECUTION_LOST : EXECUTION_NOT_SENT);
+		if (call->is_ping)
+			peer->pings--;
+		handle_table_remove (&peer->set->calls, call->xid);
+		free (call);
+	}
+}
+
+/** Decodes a result. @return 0 or -EBADMSG; free it with xdr_free(). */
+static int
+result_decode (XDR *xdrs, struct fs_execute_result *result)
+{
+	memset (result, 0, sizeof *result);
+	if (xdr_fs_execute_result (xdrs, result) && result->outcome >= OUTCOME_DONE &&
+	    result->outcome <= OUTCOME_UNKNOWN)
+		return 0;
+	xdr_free ((xdrproc_t) xdr_fs_execute_result, result);
+	return -EBADMSG;
+}
+
+/** Ends a call with its answer. The handler may close the connection, so the call is freed first. */
+static void
+call_take_answer (struct peer_call *call, int status, XDR *xdrs)
+{
+	struct peer *peer = call->peer;
+	/* When the peer rejected the call itself, nothing ran. */
+	enum execution_status outcome = status < 0 ? EXECUTION_NOT_SENT : EXECUTION_ANSWERED;
+	struct fs_execute_result result;
+	struct execution *execution;
+
+	if (outcome == EXECUTION_ANSWERED && result_decode (xdrs, &result) < 0)
+	{
+		counter_add (COUNTER_RPC_MALFORMED, 1);
+		peer->is_broken = true;
+		loop_set_timer (peer->set->loop, &peer->timer, clock_now_us ());
+		outcome = EXECUTION_LOST;
+	}
+	execution = call_detach (call, outcome);
+	call_free (call);
+	execution->handle_done (execution, outcome, outcome == EXECUTION_ANSWERED ? &result : NULL);
+	if (outcome == EXECUTION_ANSWERED)
+		xdr_free ((xdrproc_t) xdr_fs_execute_result, &result);
+}
+
+static void
+handle_reply (struct rpc_connection *connection, uint32_t xid, int status, XDR *xdrs)
+{
+	struct peer *peer = connection->data;
+	struct peer_call **place = handle_table_get (&peer->set->calls, xid);
+	struct peer_call *call = place ? *place : NULL;
+
+	/* An unknown xid, one of another connection, or a call that was given up. */
+	if (!call || call->peer != peer || (!call->execution && !call->is_ping))
+	{
+		counter_add (COUNTER_LATE_ANSWERS, 1);
+		if (call && call->peer == peer)
+			call_free (call);
+		return;
+	}
+	if (peer->is_broken)
+		return;
+	if (peer->circuit.state != CIRCUIT_CLOSED)
+		circuit_report (&peer->circuit, true, clock_now_us ());
+	if (call->is_ping)
+		call_free (call);
+	else
+		call_take_answer (call, status, xdrs);
+}
+
+static void
+handle_closed (struct rpc_connection *connection, int error)
+{
+	peer_close (connection->data, error);
+}
+
+static const struct rpc_connection_ops peer_connection_ops = {
+	.handle_reply = handle_reply,
+	.handle_closed = handle_closed,
+};
+
+static int
+peer_open (struct peer *peer, int64_t now_us)
+{
+	int result;
+
+	if (peer->is_open)
+		return 0;
+	result = rpc_connection_connect (&peer->connection, peer->set->loop, &peer_connection_ops, peer,
+	                                 peer->ip, peer->port);
+	if (result < 0)
+		return result;
+	peer->is_open = true;
+	peer->heard_at_us = now_us;
+	peer->heard_bytes = 0;
+	return loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CHECK_US);
+}
+
+static void
+peer_ping (struct peer *peer)
+{
+	struct peer_call *call = call_new (peer, NULL);
+
+	if (!call)
+		return;
+	if (rpc_connection_call (&peer->connection, call->xid, FS_PEER_PROGRAM, FS_PEER_VERSION,
+	                         FS_PEER_NULL, (xdrproc_t) xdr_void, NULL) < 0)
+	{
+		call_free (call);
+		return;
+	}
+	call->end_offset = peer->connection.sent_bytes + peer->connection.out_length;
+}
+
+/** A VM that failed is probed with a ping while there is demand, so that no request is risked. */
+static void
+peer_probe (struct peer *peer, int64_t now_us)
+{
+	if (now_us - peer->last_used_at_us > peer->set->idle_us)
+	{
+		circuit_init (&peer->circuit, PEER_CIRCUIT_FAILURES, PEER_CIRCUIT_OPEN_US);
+		return;
+	}
+	if (circuit_allows (&peer->circuit, now_us) && peer_open (peer, now_us) == 0)
+	{
+		peer_ping (peer);
+		return;
+	}
+	loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CIRCUIT_OPEN_US);
+}
+
+static void
+handle_peer_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct peer *peer = timer->data;
+
+	if (!peer->is_open)
+	{
+		if (peer->circuit.state != CIRCUIT_CLOSED)
+			peer_probe (peer, now_us);
+		return;
+	}
+	if (peer->connection.received_bytes != peer->heard_bytes)
+	{
+		peer->heard_bytes = peer->connection.received_bytes;
+		peer->heard_at_us = now_us;
+	}
+	if (peer->is_broken)
+	{
+		peer_close (peer, -EBADMSG);
+		return;
+	}
+	if (peer->waiting == 0 && peer->pings == 0)
+	{
+		if (now_us - peer->last_used_at_us > peer->set->idle_us)
+			peer_close (peer, 0);
+		else
+			loop_set_timer (peer->set->loop, &peer->timer,
+			                peer->last_used_at_us + peer->set->idle_us + 1);
+		return;
+	}
+	if (now_us - peer->heard_at_us > PEER_SILENCE_US)
+	{
+		peer_close (peer, -ETIMEDOUT);
+		return;
+	}
+	if (peer->pings == 0 && now_us - peer->heard_at_us >= PEER_CHECK_US)
+		peer_ping (peer);
+	loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CHECK_US);
+}
+
+static struct peer *
+peer_find (const struct peer_set *set, uint32_t vm)
+{
+	for (size_t i = 0; i < set->count; i++)
+	{
+		if (set->peers[i]->vm == vm)
+			return set->peers[i];
+	}
+	return NULL;
+}
+
+static struct peer *
+peer_add (struct peer_set *set, uint32_t vm, uint32_t ip, uint16_t port)
+{
+	struct peer *peer;
+
+	if (set->count == set->capacity)
+	{
+		size_t capacity = set->capacity ? set->capacity * 2 : 16;
+		struct peer **peers = realloc (set->peers, capacity * sizeof (void *));
+
+		if (!peers)
+			return NULL;
+		set->peers = peers;
+		set->capacity = capacity;
+	}
+	peer = calloc (1, sizeof *peer);
+	if (!peer)
+		return NULL;
+	peer->set = set;
+	peer->vm = vm;
+	peer->ip = ip;
+	peer->port = port;
+	peer->timer.handle_timer = handle_peer_timer;
+	peer->timer.data = peer;
+	circuit_init (&peer->circuit, PEER_CIRCUIT_FAILURES, PEER_CIRCUIT_OPEN_US);
+	set->peers[set->count++] = peer;
+	return peer;
+}
+
+int
+peer_set_init (struct peer_set *set, struct loop *loop, uint64_t seed)
+{
+	memset (set, 0, sizeof *set);
+	set->loop = loop;
+	set->random_state = seed;
+	set->idle_us = PEER_IDLE_US;
+	return handle_table_init (&set->calls, sizeof (struct peer_call *), PEER_MAX_CALLS);
+}
+
+void
+peer_set_finish (struct peer_set *set)
+{
+	for (size_t i = 0; i < set->count; i++)
+	{
+		peer_close (set->peers[i], 0);
+		loop_cancel_timer (set->loop, &set->peers[i]->timer);
+		free (set->peers[i]);
+	}
+	free (set->peers);
+	handle_table_finish (&set->calls);
+}
+
+static void
+handle_call_timer (struct loop_timer *timer, int64_t now_us)
+{
+	(void) now_us;
+	call_abandon (timer->data, EXECUTION_TIMED_OUT);
+}
+
+static int
+call_send (struct peer_call *call, const struct execution *execution)
+{
+	struct rpc_connection *connection = &call->peer->connection;
+	struct fs_execute_args args = *execution->args;
+	char traceparent[TRACEPARENT_BYTES];
+	int result;
+
+	call->span = trace_span_start (&execution->trace, "peer",
+	                               random_next (&call->peer->set->random_state));
+	trace_context_format (&call->span.context, traceparent);
+	args.traceparent = traceparent;
+	result = rpc_connection_call (connection, call->xid, FS_PEER_PROGRAM, FS_PEER_VERSION,
+	                              FS_PEER_EXECUTE, (xdrproc_t) xdr_fs_execute_args, &args);
+	if (result < 0)
+		return result;
+	call->end_offset = connection->sent_bytes + connection->out_length;
+	call->timer.handle_timer = handle_call_timer;
+	call->timer.data = call;
+	return loop_set_timer (call->peer->set->loop, &call->timer,
+	                       execution->deadline_us + PEER_GRACE_US);
+}
+
+/** @return 0, or a negative error number when nothing was sent. */
+static int
+peer_send (struct peer *peer, struct execution *execution, int64_t now_us)
+{
+	struct peer_call *call;
+	int result = peer_open (peer, now_us);
+
+	if (result < 0)
+	{
+		circuit_report (&peer->circuit, false, now_us);
+		loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CIRCUIT_OPEN_US);
+		return result;
+	}
+	if (peer->waiting == 0)
+	{
+		peer->heard_at_us = now_us;
+		loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CHECK_US);
+	}
+	call = call_new (peer, execution);
+	if (!call)
+		return -ENOMEM;
+	result = call_send (call, execution);
+	if (result < 0)
+	{
+		call_free (call);
+		return result;
+	}
+	execution->handle = call->xid;
+	return 0;
+}
+
+void
+peer_set_execute (struct peer_set *set, struct execution *execution, uint32_t ip, uint16_t port)
+{
+	struct peer *peer = peer_find (set, execution->vm);
+	int64_t now_us = clock_now_us ();
+
+	if (!peer)
+		peer = peer_add (set, execution->vm, ip, port);
+	if (peer && (peer->ip != ip || peer->port != port))
+	{
+		/* The VM was replaced by one with the same number. */
+		peer_close (peer, -ESTALE);
+		peer->ip = ip;
+		peer->port = port;
+		circuit_init (&peer->circuit, PEER_CIRCUIT_FAILURES, PEER_CIRCUIT_OPEN_US);
+	}
+	if (peer)
+		peer->last_used_at_us = now_us;
+	if (!peer || peer_send (peer, execution, now_us) < 0)
+	{
+		execution->handle_done (execution, EXECUTION_NOT_SENT, NULL);
+		return;
+	}
+	counter_add (COUNTER_FORWARDS, 1);
+}
+
+void
+peer_set_cancel (struct peer_set *set, struct execution *execution)
+{
+	struct peer_call **place = handle_table_get (&set->calls, (uint32_t) execution->handle);
+
+	if (place && (*place)->execution == execution)
+		call_abandon (*place, EXECUTION_CANCELLED);
+}
+
+bool
+peer_set_is_down (struct peer_set *set, uint32_t vm, int64_t now_us)
+{
+	struct peer *peer = peer_find (set, vm);
+
+	if (!peer || peer->circuit.state == CIRCUIT_CLOSED)
+		return false;
+	/* Demand keeps the probes going. */
+	peer->last_used_at_us = now_us;
+	return true;
+}
+
+uint32_t
+peer_set_in_flight (const struct peer_set *set)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < set->count; i++)
+		count += set->peers[i]->waiting;
+	return count;
+}
--- /dev/null
+++ b/flamingospring/peer_listener.c
@@ -0,0 +1,301 @@
+#include "common/clock.h"
+#include "common/counters.h"
+#include "common/log.h"
+#include "flamingospring/peer.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+	LISTENER_MAX_CONNECTIONS = 4096, /* Of one thread; a fleet of 750 VMs with several threads each. */
+	LISTENER_MAX_BUDGET_MS = 3600000,
+};
+
+/** Connection accepted from another VM. */
+struct peer_connection
+{
+	struct peer_listener *listener;
+	uint32_t handle;
+	struct rpc_connection rpc;
+	struct incoming_call *calls;
+};
+
+/** A call of another VM that runs here. */
+struct incoming_call
+{
+	struct execution execution;
+	struct fs_execute_args args;
+	struct peer_listener *listener;
+	struct peer_connection *connection; /**< NULL: closed meanwhile. */
+	struct incoming_call *previous;
+	struct incoming_call *next;
+	uint32_t xid;
+};
+
+static void
+call_unlink (struct incoming_call *call)
+{
+	if (!call->connection)
+		return;
+	if (call->next)
+		call->next->previous = call->previous;
+	if (call->previous)
+		call->previous->next = call->next;
+	else
+		call->connection->calls = call->next;
+	call->connection = NULL;
+}
+
+static void
+call_link (struct incoming_call *call, struct peer_connection *connection)
+{
+	call->connection = connection;
+	call->next = connection->calls;
+	if (connection->calls)
+		connection->calls->previous = call;
+	connection->calls = call;
+}
+
+/** Answers; a result above the record limit is sent without its rows. */
+static void
+connection_answer (struct peer_connection *connection, uint32_t xid,
+                   const struct fs_execute_result *result)
+{
+	struct fs_execute_result small;
+	int error = rpc_connection_reply (&connection->rpc, xid, (xdrproc_t) xdr_fs_execute_result,
+	                                  result);
+
+	if (error != -EMSGSIZE)
+		return;
+	small = *result;
+	small.message = (char *) "the rows exceed the largest answer";
+	memset (&small.columns, 0, sizeof small.columns);
+	memset (&small.cells, 0, sizeof small.cells);
+	/* A write was applied and must not look as if it had failed. */
+	if (small.outcome == OUTCOME_DONE && small.written.term == 0)
+	{
+		small.outcome = OUTCOME_FAILED;
+		small.reason = REASON_STATEMENT;
+	}
+	rpc_connection_reply (&connection->rpc, xid, (xdrproc_t) xdr_fs_execute_result, &small);
+}
+
+static void
+handle_done (struct execution *execution, enum execution_status status,
+             const struct fs_execute_result *result)
+{
+	struct incoming_call *call = execution->data;
+	struct peer_connection *connection = call->connection;
+	struct fs_execute_result unknown =
+		execution_result (OUTCOME_UNKNOWN, REASON_CONNECTION_LOST, "the owner gave no answer");
+
+	call_unlink (call);
+	if (connection)
+		connection_answer (connection, call->xid, status == EXECUTION_ANSWERED ? result : &unknown);
+	call->listener->in_flight--;
+	xdr_free ((xdrproc_t) xdr_fs_execute_args, &call->args);
+	free (call);
+}
+
+/** @return false when the arguments are malformed. */
+static bool
+connection_execute (struct peer_connection *connection, uint32_t xid, XDR *xdrs)
+{
+	struct peer_listener *listener = connection->listener;
+	struct incoming_call *call = calloc (1, sizeof *call);
+	uint32_t budget_ms;
+
+	if (!call)
+		return false;
+	if (!xdr_fs_execute_args (xdrs, &call->args) ||
+	    (unsigned) call->args.operation > FS_OPERATION_ROLLBACK)
+	{
+		xdr_free ((xdrproc_t) xdr_fs_execute_args, &call->args);
+		free (call);
+		return false;
+	}
+	budget_ms = call->args.budget_ms;
+	if (budget_ms > LISTENER_MAX_BUDGET_MS)
+		budget_ms = LISTENER_MAX_BUDGET_MS;
+	call->listener = listener;
+	call->xid = xid;
+	call->execution.args = &call->args;
+	call->execution.trace = trace_context_parse (call->args.traceparent, xid);
+	call->execution.deadline_us = clock_now_us () + (int64_t) budget_ms * US_PER_MS;
+	call->execution.handle_done = handle_done;
+	call->execution.data = call;
+	call_link (call, connection);
+	listener->in_flight++;
+	listener->ops->execute (listener->transport, &call->execution);
+	return true;
+}
+
+static bool
+handle_call (struct rpc_connection *rpc, uint32_t xid, uint32_t program, uint32_t procedure,
+             XDR *args)
+{
+	struct peer_connection *connection = rpc->data;
+
+	if (program == FS_PEER_PROGRAM && procedure == FS_PEER_EXECUTE)
+		return connection_execute (connection, xid, args);
+	if (program == FS_PEER_PROGRAM && procedure == FS_PEER_NULL)
+		return rpc_connection_reply (rpc, xid, (xdrproc_t) xdr_void, NULL) == 0;
+	return rpc_connection_reject (rpc, xid, PROC_UNAVAIL) == 0;
+}
+
+static void
+connection_free (struct peer_connection *connection)
+{
+	struct peer_listener *listener = connection->listener;
+
+	while (connection->calls)
+	{
+		struct incoming_call *call = connection->calls;
+
+		call_unlink (call);
+		listener->ops->cancel (listener->transport, &call->execution);
+	}
+	rpc_connection_finish (&connection->rpc);
+	handle_table_remove (&listener->connections, connection->handle);
+	free (connection);
+}
+
+static void
+handle_closed (struct rpc_connection *rpc, int error)
+{
+	(void) error;
+	connection_free (rpc->data);
+}
+
+static const struct rpc_connection_ops listener_connection_ops = {
+	.handle_call = handle_call,
+	.handle_closed = handle_closed,
+};
+
+/** Takes over @p fd. @return 0 or a negative error number. */
+static int
+listener_add (struct peer_listener *listener, int fd)
+{
+	struct peer_connection *connection = calloc (1, sizeof *connection);
+	struct peer_connection **place;
+	int result = -ENOMEM;
+
+	if (!connection)
+		goto fail;
+	connection->listener = listener;
+	connection->handle = handle_table_add (&listener->connections);
+	if (connection->handle == HANDLE_NONE)
+		goto fail;
+	place = handle_table_get (&listener->connections, connection->handle);
+	*place = connection;
+	result = rpc_connection_init (&connection->rpc, listener->loop, &listener_connection_ops,
+	                              connection, fd);
+	if (result < 0)
+		goto fail_handle;
+	return 0;
+
+fail_handle:
+	handle_table_remove (&listener->connections, connection->handle);
+fail:
+	close (fd);
+	free (connection);
+	return result;
+}
+
+static void
+handle_ready (struct loop_source *source, uint32_t epoll_events)
+{
+	struct peer_listener *listener = source->data;
+
+	(void) epoll_events;
+	for (;;)
+	{
+		int fd = accept4 (source->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd < 0 && errno == EINTR)
+			continue;
+		if (fd < 0)
+		{
+			if (errno != EAGAIN)
+				log_event (LOG_LEVEL_WARN, "peer_accept_failed", "errno=%d", errno);
+			return;
+		}
+		if (listener_add (listener, fd) < 0)
+			log_event (LOG_LEVEL_WARN, "peer_refused", "reason=too_many_connections");
+	}
+}
+
+int
+peer_listener_init (struct peer_listener *listener, struct loop *loop,
+                    const struct execution_ops *ops, void *transport, uint32_t ip, uint16_t port)
+{
+	int result;
+	int fd;
+
+	memset (listener, 0, sizeof *listener);
+	listener->loop = loop;
+	listener->ops = ops;
+	listener->transport = transport;
+	listener->source.fd = -1;
+	result = handle_table_init (&listener->connections, sizeof (void *), LISTENER_MAX_CONNECTIONS);
+	if (result < 0)
+		return result;
+	fd = rpc_listen (ip, port);
+	if (fd < 0)
+	{
+		result = fd;
+		goto fail;
+	}
+	listener->source.fd = fd;
+	listener->source.handle_ready = handle_ready;
+	listener->source.data = listener;
+	result = loop_set_source (loop, &listener->source, EPOLLIN);
+	if (result < 0)
+		goto fail;
+	return 0;
+
+fail:
+	peer_listener_finish (listener);
+	return result;
+}
+
+void
+peer_listener_finish (struct peer_listener *listener)
+{
+	uint32_t handle;
+
+	while ((handle = handle_table_next (&listener->connections, HANDLE_NONE)) != HANDLE_NONE)
+	{
+		struct peer_connection **place = handle_table_get (&listener->connections, handle);
+
+		connection_free (*place);
+	}
+	if (listener->source.fd >= 0)
+	{
+		loop_remove_source (listener->loop, &listener->source);
+		close (listener->source.fd);
+		listener->source.fd = -1;
+	}
+	handle_table_finish (&listener->connections);
+}
+
+uint32_t
+peer_listener_in_flight (const struct peer_listener *listener)
+{
+	uint32_t count = listener->in_flight;
+	uint32_t handle = handle_table_next (&listener->connections, HANDLE_NONE);
+
+	for (; handle != HANDLE_NONE; handle = handle_table_next (&listener->connections, handle))
+	{
+		struct peer_connection **place = handle_table_get (&listener->connections, handle);
+
+		if ((*place)->rpc.out_length > 0)
+			count++;
+	}
+	return count;
+}
--- /dev/null
+++ b/include/flamingospring/peer.h
@@ -0,0 +1,71 @@
+/**
+ * @file
+ * Calls between VMs on the traffic port: one RPC connection for each VM in use and thread, and the
+ * connections accepted from other VMs.
+ */
+#pragma once
+
+#include "common/handle_table.h"
+#include "common/loop.h"
+#include "common/rpc.h"
+#include "flamingospring/execution.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct peer;
+
+/** Outgoing connections of one thread. */
+struct peer_set
+{
+	struct loop *loop;
+	struct handle_table calls; /**< Of struct peer_call pointers; the handle is the xid. */
+	struct peer **peers;
+	size_t count;
+	size_t capacity;
+	uint64_t random_state;
+	int64_t idle_us; /**< A connection without calls is closed after it. */
+};
+
+int peer_set_init (struct peer_set *set, struct loop *loop, uint64_t seed);
+
+/** Ends all calls as EXECUTION_LOST and closes all connections. */
+void peer_set_finish (struct peer_set *set);
+
+/** Sends @p execution to the VM with this address (IPv4, host byte order). */
+void peer_set_execute (struct peer_set *set, struct execution *execution, uint32_t ip,
+                       uint16_t port);
+
+/** Ends the call as EXECUTION_CANCELLED; its answer is dropped. */
+void peer_set_cancel (struct peer_set *set, struct execution *execution);
+
+/** Tells whether the VM's connection failed recently, so that its standby should be asked. */
+bool peer_set_is_down (struct peer_set *set, uint32_t vm, int64_t now_us);
+
+/** Calls that wait for an answer. */
+uint32_t peer_set_in_flight (const struct peer_set *set);
+
+struct peer_listener;
+
+/** Incoming connections of one thread. */
+struct peer_listener
+{
+	struct loop *loop;
+	struct loop_source source;
+	struct handle_table connections; /**< Of struct peer_connection pointers. */
+	const struct execution_ops *ops; /**< Runs what arrives; execution.vm is 0. */
+	void *transport;
+	uint32_t in_flight;
+};
+
+/** Listens at @p ip and @p port with SO_REUSEPORT. @return 0 or a negative error number. */
+int peer_listener_init (struct peer_listener *listener, struct loop *loop,
+                        const struct execution_ops *ops, void *transport, uint32_t ip,
+                        uint16_t port);
+
+/** Closes all connections; calls in flight still end, and their results are dropped. */
+void peer_listener_finish (struct peer_listener *listener);
+
+/** Calls that run, and connections with unsent answers. */
+uint32_t peer_listener_in_flight (const struct peer_listener *listener);
