--- /dev/null
+++ b/flamingospring/traffic.c
@@ -0,0 +1,412 @@
+#include "flamingospring/traffic.h"
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "common/mailbox.h"
+#include "flamingospring/dispatch.h"
+#include "flamingospring/entry.h"
+#include "flamingospring/http.h"
+#include "flamingospring/owner.h"
+#include "flamingospring/peer.h"
+
+#include <ck_pr.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	TRAFFIC_MAX_WAIT_US = 200 * US_PER_MS, /* Keeps the number of requests in flight up to date. */
+	TRAFFIC_DRAIN_ROUNDS = 4, /* A result crosses threads once, a cancellation twice. */
+};
+
+struct traffic_thread
+{
+	struct snapshot_reader reader; /**< Aligned to a cache line by its type. */
+	struct traffic *traffic;
+	uint32_t index;
+	pthread_t pthread;
+	bool is_running;
+	struct loop loop;
+	struct mailbox mailbox;
+	struct mailbox_message snapshot_message;
+	uint32_t has_snapshot_message; /**< The message is on its way. */
+	uint32_t in_flight;            /**< Written by the thread, read by all. */
+	struct owner_set owners;
+	struct dispatcher dispatcher;
+	struct peer_set peers;
+	struct peer_listener listener;
+	struct entry_set entries;
+	struct http_server http;
+	bool has_loop;
+	bool has_mailbox;
+	bool has_owners;
+	bool has_listener;
+	bool has_entries;
+	bool has_peers;
+};
+
+struct traffic
+{
+	struct snapshot_source *source;
+	struct owner_settings owner_settings;
+	const struct traffic_control_ops *control_ops;
+	void *control;
+	uint32_t vm_id;
+	uint32_t thread_count;
+	struct dispatch_thread *dispatch_threads;
+	struct traffic_thread *threads;
+};
+
+static void
+transport_execute (void *transport, struct execution *execution)
+{
+	struct traffic_thread *thread = transport;
+	const struct snapshot_member *member;
+	struct member_address address = { 0 };
+
+	if (execution->vm == thread->traffic->vm_id)
+	{
+		dispatcher_execute (&thread->dispatcher, execution);
+		return;
+	}
+	member = snapshot_find_member (snapshot_acquire (&thread->reader), execution->vm);
+	if (member)
+		address = member->address;
+	snapshot_release (&thread->reader);
+	if (address.traffic_port)
+		peer_set_execute (&thread->peers, execution, address.ip, address.traffic_port);
+	else
+		execution->handle_done (execution, EXECUTION_NOT_SENT, NULL);
+}
+
+static void
+transport_cancel (void *transport, struct execution *execution)
+{
+	struct traffic_thread *thread = transport;
+
+	if (execution->vm == thread->traffic->vm_id)
+		dispatcher_cancel (&thread->dispatcher, execution);
+	else
+		peer_set_cancel (&thread->peers, execution);
+}
+
+static bool
+transport_vm_is_down (void *transport, uint32_t vm, int64_t now_us)
+{
+	struct traffic_thread *thread = transport;
+
+	return peer_set_is_down (&thread->peers, vm, now_us);
+}
+
+/** Of requests of this VM's callers. */
+static const struct execution_ops entry_transport = {
+	.execute = transport_execute,
+	.cancel = transport_cancel,
+	.vm_is_down = transport_vm_is_down,
+};
+
+static void
+incoming_execute (void *transport, struct execution *execution)
+{
+	dispatcher_execute (&((struct traffic_thread *) transport)->dispatcher, execution);
+}
+
+static void
+incoming_cancel (void *transport, struct execution *execution)
+{
+	dispatcher_cancel (&((struct traffic_thread *) transport)->dispatcher, execution);
+}
+
+/** Of requests that other VMs forward; they are never forwarded again. */
+static const struct execution_ops incoming_transport = {
+	.execute = incoming_execute,
+	.cancel = incoming_cancel,
+};
+
+static void
+thread_handle_snapshot (struct traffic_thread *thread)
+{
+	const struct snapshot *snapshot = snapshot_acquire (&thread->reader);
+	bool is_leaving = snapshot && snapshot->is_leaving;
+	bool refuses_connections = snapshot && snapshot->refuses_connections;
+
+	snapshot_release (&thread->reader);
+	if (!snapshot)
+		return;
+	owner_set_handle_snapshot (&thread->owners);
+	entry_set_handle_snapshot (&thread->entries);
+	http_server_set_leaving (&thread->http, is_leaving, refuses_connections);
+}
+
+static void
+handle_snapshot_message (struct mailbox_message *message, void *receiver)
+{
+	struct traffic_thread *thread = receiver;
+
+	(void) message;
+	/* Cleared first: a snapshot published from now on sends the message again. */
+	ck_pr_store_32 (&thread->has_snapshot_message, 0);
+	ck_pr_fence_memory ();
+	thread_handle_snapshot (thread);
+}
+
+static void
+handle_observation (void *data, const char *database, uint32_t server, bool answered,
+                    const struct server_status *status)
+{
+	struct traffic *traffic = data;
+
+	if (traffic->control_ops)
+		traffic->control_ops->handle_observation (traffic->control, database, server, answered,
+		                                          status);
+}
+
+static int
+thread_init (struct traffic_thread *thread, const struct settings *settings)
+{
+	struct traffic *traffic = thread->traffic;
+	struct http_settings http = {
+		.ip = settings->ip,
+		.port = settings->caller_port,
+		.max_connections = settings->max_connections,
+		.max_body_bytes = settings->max_body_bytes,
+	};
+	uint64_t seed = clock_wall_ns () ^ (uint64_t) settings->vm_id << 32 ^ thread->index;
+	int result = loop_init (&thread->loop);
+
+	if (result < 0)
+		return result;
+	thread->has_loop = true;
+	result = mailbox_init (&thread->mailbox, &thread->loop, thread);
+	if (result < 0)
+		return result;
+	thread->has_mailbox = true;
+	result =
+		owner_set_init (&thread->owners, &thread->loop, &thread->reader, &traffic->owner_settings);
+	if (result < 0)
+		return result;
+	thread->has_owners = true;
+	result = dispatcher_init (&thread->dispatcher, traffic->dispatch_threads,
+	                          traffic->thread_count, thread->index);
+	if (result < 0)
+		return result;
+	result = peer_set_init (&thread->peers, &thread->loop, seed);
+	if (result < 0)
+		return result;
+	thread->has_peers = true;
+	result = entry_set_init (&thread->entries, &thread->loop, &thread->reader, &entry_transport,
+	                         thread, seed + 1);
+	if (result < 0)
+		return result;
+	thread->has_entries = true;
+	result = peer_listener_init (&thread->listener, &thread->loop, &incoming_transport, thread,
+	                             settings->ip, settings->traffic_port);
+	if (result < 0)
+		return result;
+	thread->has_listener = true;
+	return http_server_init (&thread->http, &thread->loop, &thread->entries, &http);
+}
+
+static void
+thread_prepare (struct traffic_thread *thread, struct traffic *traffic, uint32_t index)
+{
+	thread->traffic = traffic;
+	thread->index = index;
+	thread->snapshot_message.handle_message = handle_snapshot_message;
+	traffic->dispatch_threads[index].mailbox = &thread->mailbox;
+	traffic->dispatch_threads[index].owners = &thread->owners;
+	snapshot_reader_init (&thread->reader, traffic->source);
+}
+
+struct traffic *
+traffic_new (const struct settings *settings, struct snapshot_source *source)
+{
+	struct traffic *traffic = calloc (1, sizeof *traffic);
+	uint32_t count = settings->traffic_threads;
+	int result = -ENOMEM;
+
+	if (!traffic)
+		return NULL;
+	traffic->source = source;
+	traffic->vm_id = settings->vm_id;
+	traffic->owner_settings = (struct owner_settings){
+		.vm_id = settings->vm_id,
+		.acknowledge_timeout_us = (int64_t) settings->acknowledge_timeout_ms * US_PER_MS,
+		.acknowledge_at_primary =
+			settings->acknowledge && strcmp (settings->acknowledge, "primary") == 0,
+		.transaction_idle_us = (int64_t) settings->transaction_idle_ms * US_PER_MS,
+		.transaction_limit_us = (int64_t) settings->transaction_limit_ms * US_PER_MS,
+		.handle_observation = handle_observation,
+		.observation_data = traffic,
+	};
+	traffic->dispatch_threads = calloc (count, sizeof *traffic->dispatch_threads);
+	traffic->threads =
+		aligned_alloc (_Alignof (struct traffic_thread), count * sizeof *traffic->threads);
+	if (!traffic->dispatch_threads || !traffic->threads)
+		goto fail;
+	memset (traffic->threads, 0, count * sizeof *traffic->threads);
+	traffic->thread_count = count;
+	for (uint32_t i = 0; i < count; i++)
+		thread_prepare (&traffic->threads[i], traffic, i);
+	for (uint32_t i = 0; i < count; i++)
+	{
+		result = thread_init (&traffic->threads[i], settings);
+		if (result < 0)
+			goto fail;
+	}
+	return traffic;
+
+fail:
+	log_event (LOG_LEVEL_ERROR, "traffic_failed", "error=%d caller_port=%u traffic_port=%u", result,
+	           settings->caller_port, settings->traffic_port);
+	traffic_free (traffic);
+	return NULL;
+}
+
+static uint32_t
+thread_in_flight (const struct traffic_thread *thread)
+{
+	return http_server_in_flight (&thread->http) + peer_listener_in_flight (&thread->listener) +
+	       owner_set_in_flight (&thread->owners);
+}
+
+static void *
+thread_run (void *data)
+{
+	struct traffic_thread *thread = data;
+
+	thread_handle_snapshot (thread);
+	while (!ck_pr_load_8 ((uint8_t *) &thread->loop.is_stopped))
+	{
+		int result = loop_step (&thread->loop, TRAFFIC_MAX_WAIT_US);
+
+		if (result < 0)
+		{
+			log_event (LOG_LEVEL_ERROR, "loop_failed", "error=%d", result);
+			break;
+		}
+		ck_pr_store_32 (&thread->in_flight, thread_in_flight (thread));
+	}
+	return NULL;
+}
+
+int
+traffic_start (struct traffic *traffic, const struct traffic_control_ops *ops, void *control)
+{
+	traffic->control_ops = ops;
+	traffic->control = control;
+	for (uint32_t i = 0; i < traffic->thread_count; i++)
+	{
+		struct traffic_thread *thread = &traffic->threads[i];
+		int error = pthread_create (&thread->pthread, NULL, thread_run, thread);
+
+		if (error)
+			return -error;
+		thread->is_running = true;
+	}
+	return 0;
+}
+
+void
+traffic_handle_snapshot (struct traffic *traffic)
+{
+	for (uint32_t i = 0; i < traffic->thread_count; i++)
+	{
+		struct traffic_thread *thread = &traffic->threads[i];
+
+		if (ck_pr_fas_32 (&thread->has_snapshot_message, 1) == 0)
+			mailbox_send (&thread->mailbox, &thread->snapshot_message);
+	}
+}
+
+uint32_t
+traffic_in_flight (const struct traffic *traffic)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < traffic->thread_count; i++)
+		count += ck_pr_load_32 (&traffic->threads[i].in_flight);
+	return count;
+}
+
+void
+traffic_stop (struct traffic *traffic)
+{
+	for (uint32_t i = 0; i < traffic->thread_count; i++)
+	{
+		if (traffic->threads[i].is_running)
+			loop_stop (&traffic->threads[i].loop);
+	}
+	for (uint32_t i = 0; i < traffic->thread_count; i++)
+	{
+		struct traffic_thread *thread = &traffic->threads[i];
+
+		if (thread->is_running)
+			pthread_join (thread->pthread, NULL);
+		thread->is_running = false;
+	}
+}
+
+/** Delivers what threads sent to each other before they ended. */
+static void
+drain_mailboxes (struct traffic *traffic)
+{
+	for (unsigned round = 0; round < TRAFFIC_DRAIN_ROUNDS; round++)
+	{
+		for (uint32_t i = 0; i < traffic->thread_count; i++)
+		{
+			struct mailbox *mailbox = &traffic->threads[i].mailbox;
+
+			if (traffic->threads[i].has_mailbox)
+				mailbox->source.handle_ready (&mailbox->source, 0);
+		}
+	}
+}
+
+static void
+thread_finish (struct traffic_thread *thread)
+{
+	if (thread->http.daemon)
+		http_server_finish (&thread->http);
+	if (thread->has_listener)
+		peer_listener_finish (&thread->listener);
+	if (thread->has_peers)
+		peer_set_finish (&thread->peers);
+	if (thread->has_entries)
+		entry_set_finish (&thread->entries);
+	if (thread->has_owners)
+		owner_set_finish (&thread->owners);
+}
+
+void
+traffic_free (struct traffic *traffic)
+{
+	uint32_t count = traffic->thread_count;
+
+	for (uint32_t i = 0; i < count; i++)
+	{
+		if (traffic->threads[i].has_entries)
+			entry_set_stop (&traffic->threads[i].entries);
+	}
+	drain_mailboxes (traffic);
+	for (uint32_t i = 0; i < count; i++)
+		thread_finish (&traffic->threads[i]);
+	drain_mailboxes (traffic);
+	for (uint32_t i = 0; i < count; i++)
+	{
+		struct traffic_thread *thread = &traffic->threads[i];
+
+		if (thread->has_owners)
+			dispatcher_finish (&thread->dispatcher);
+		if (thread->has_mailbox)
+			mailbox_finish (&thread->mailbox);
+		if (thread->has_loop)
+			loop_finish (&thread->loop);
+		snapshot_reader_finish (&thread->reader);
+	}
+	free (traffic->dispatch_threads);
+	free (traffic->threads);
+	free (traffic);
+}
--- a/include/flamingospring/execution.h
+++ b/include/flamingospring/execution.h
@@ -8,6 +8,7 @@
 #include "decision/request.h"
 #include "protocols/peer.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
 enum execution_status
@@ -40,6 +41,9 @@
 	void (*execute) (void *transport, struct execution *execution);
 	/** The caller went away. A queued request is dropped; a running one goes on. */
 	void (*cancel) (void *transport, struct execution *execution);
+	/** Tells whether calls to the VM failed recently, so that the standby should be asked. NULL:
+	 * never. */
+	bool (*vm_is_down) (void *transport, uint32_t vm, int64_t now_us);
 };
 
 /** A result with @p outcome, @p reason and @p message and nothing else. The message is not copied. */
