--- a/flamingospring/dispatch.c
+++ b/flamingospring/dispatch.c
@@ -171,8 +171,8 @@
 
 	if (!dispatch)
 	{
-		struct fs_execute_result result = execution_result (OUTCOME_REFUSED, REASON_QUEUE_FULL,
-		                                                    "too many requests in this VM");
+		struct fs_execute_result result =
+			execution_result (OUTCOME_REFUSED, REASON_QUEUE_FULL, "too many requests in this VM");
 
 		execution_end (execution, EXECUTION_ANSWERED, &result);
 		return;
--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -242,8 +242,7 @@
 		owners->owner == OWNERSHIP_NONE || owners->owner == request->avoided_vm ||
 		(set->ops->vm_is_down && set->ops->vm_is_down (set->transport, owners->owner, now_us));
 
-	if (owner_is_bad && owners->standby != OWNERSHIP_NONE &&
-	    owners->standby != request->avoided_vm)
+	if (owner_is_bad && owners->standby != OWNERSHIP_NONE && owners->standby != request->avoided_vm)
 		return owners->standby;
 	return owners->owner;
 }
@@ -312,8 +311,7 @@
 			continue;
 		}
 		request->args.server = choice.server;
-		request->execution.vm =
-			choose_vm (request, &group->servers[choice.server].owners, now_us);
+		request->execution.vm = choose_vm (request, &group->servers[choice.server].owners, now_us);
 		return request->execution.vm == OWNERSHIP_NONE ? REASON_NOT_OWNER : REASON_NONE;
 	}
 	return missing_server_reason (servers, count);
@@ -336,8 +334,8 @@
 	struct entry_set *set = request->set;
 	int64_t left_ms = (request->deadline_us - now_us) / US_PER_MS;
 
-	request->route_span = trace_span_start (&request->accept_span.context, "route",
-	                                        random_next (&set->random_state));
+	request->route_span =
+		trace_span_start (&request->accept_span.context, "route", random_next (&set->random_state));
 	request->execution.trace = request->route_span.context;
 	request->execution.deadline_us = request->deadline_us;
 	request->args.budget_ms = left_ms > 0 ? (u_int) left_ms : 1;
@@ -446,10 +444,9 @@
 		return (struct refusal_plan){ .is_retried = true, .is_excluded = true };
 	case REASON_LEAVING:
 	case REASON_UPSTREAM_DOWN:
-		return (struct refusal_plan){ .is_retried = true,
-			                          .is_charged = true,
-			                          .is_excluded = is_read,
-			                          .is_delayed = !is_read };
+		return (struct refusal_plan){
+			.is_retried = true, .is_charged = true, .is_excluded = is_read, .is_delayed = !is_read
+		};
 	case REASON_NOT_PRIMARY:
 		return (struct refusal_plan){ .is_retried = true,
 			                          .is_charged = true,
--- a/flamingospring/http.c
+++ b/flamingospring/http.c
@@ -177,8 +177,7 @@
 	}
 	call->token = header_copy (request->connection, session_header);
 	call->traceparent = header_copy (request->connection, "traceparent");
-	request->entry =
-		entry_start (request->server->entries, call, handle_entry_done, request);
+	request->entry = entry_start (request->server->entries, call, handle_entry_done, request);
 }
 
 /** The request is complete: answers it, or hands it to the entry. */
--- a/flamingospring/peer.c
+++ b/flamingospring/peer.c
@@ -410,8 +410,8 @@
 	char traceparent[TRACEPARENT_BYTES];
 	int result;
 
-	call->span = trace_span_start (&execution->trace, "peer",
-	                               random_next (&call->peer->set->random_state));
+	call->span =
+		trace_span_start (&execution->trace, "peer", random_next (&call->peer->set->random_state));
 	trace_context_format (&call->span.context, traceparent);
 	args.traceparent = traceparent;
 	result = rpc_connection_call (connection, call->xid, FS_PEER_PROGRAM, FS_PEER_VERSION,
--- a/flamingospring/peer_listener.c
+++ b/flamingospring/peer_listener.c
@@ -12,7 +12,8 @@
 
 enum
 {
-	LISTENER_MAX_CONNECTIONS = 4096, /* Of one thread; a fleet of 750 VMs with several threads each. */
+	LISTENER_MAX_CONNECTIONS =
+		4096, /* Of one thread; a fleet of 750 VMs with several threads each. */
 	LISTENER_MAX_BUDGET_MS = 3600000,
 };
 
@@ -67,8 +68,8 @@
                    const struct fs_execute_result *result)
 {
 	struct fs_execute_result small;
-	int error = rpc_connection_reply (&connection->rpc, xid, (xdrproc_t) xdr_fs_execute_result,
-	                                  result);
+	int error =
+		rpc_connection_reply (&connection->rpc, xid, (xdrproc_t) xdr_fs_execute_result, result);
 
 	if (error != -EMSGSIZE)
 		return;
--- a/flamingospring/proxy.c
+++ b/flamingospring/proxy.c
@@ -165,7 +165,10 @@
 	if (proxy.traffic)
 		traffic_stop (proxy.traffic);
 	if (proxy.control)
+	{
+		control_stop (proxy.control);
 		control_join (proxy.control);
+	}
 	if (proxy.traffic)
 		traffic_free (proxy.traffic);
 	snapshot_source_finish (&proxy.snapshots);
--- a/flamingospring/traffic.c
+++ b/flamingospring/traffic.c
@@ -188,8 +188,8 @@
 	if (result < 0)
 		return result;
 	thread->has_owners = true;
-	result = dispatcher_init (&thread->dispatcher, traffic->dispatch_threads,
-	                          traffic->thread_count, thread->index);
+	result = dispatcher_init (&thread->dispatcher, traffic->dispatch_threads, traffic->thread_count,
+	                          thread->index);
 	if (result < 0)
 		return result;
 	result = peer_set_init (&thread->peers, &thread->loop, seed);
@@ -243,7 +243,7 @@
 	};
 	traffic->dispatch_threads = calloc (count, sizeof *traffic->dispatch_threads);
 	traffic->threads =
-		aligned_alloc (_Alignof (struct traffic_thread), count * sizeof *traffic->threads);
+		aligned_alloc (_Alignof(struct traffic_thread), count * sizeof *traffic->threads);
 	if (!traffic->dispatch_threads || !traffic->threads)
 		goto fail;
 	memset (traffic->threads, 0, count * sizeof *traffic->threads);
@@ -347,6 +347,8 @@
 			pthread_join (thread->pthread, NULL);
 		thread->is_running = false;
 	}
+	/* The control thread may end before traffic_free(). */
+	traffic->control_ops = NULL;
 }
 
 /** Delivers what threads sent to each other before they ended. */
--- a/include/flamingospring/entry.h
+++ b/include/flamingospring/entry.h
@@ -43,7 +43,7 @@
 	enum outcome outcome;
 	enum reason reason;
 	const char *message;
-	uint32_t retry_after_ms; /**< 0: no hint. */
+	uint32_t retry_after_ms;                /**< 0: no hint. */
 	const struct fs_execute_result *result; /**< Rows; NULL when no owner answered. */
 	const char *server;                     /**< "database/index", or NULL. */
 	const char *token;                      /**< New session token, or NULL. */
--- a/include/flamingospring/traffic.h
+++ b/include/flamingospring/traffic.h
@@ -17,8 +17,8 @@
 struct traffic_control_ops
 {
 	/** Called in any traffic thread, when an answer or its absence tells about a server. */
-	void (*handle_observation) (void *control, const char *database, uint32_t server,
-	                            bool answered, const struct server_status *status);
+	void (*handle_observation) (void *control, const char *database, uint32_t server, bool answered,
+	                            const struct server_status *status);
 };
 
 /** Opens the listeners of all threads. The threads do not run yet; traffic_handle_snapshot() may be
