--- a/common/log.c
+++ b/common/log.c
@@ -49,6 +49,19 @@
 	.format = log_format_line,
 };
 
+/** The library's own stderr appender puts its name before each line. */
+static int
+log_append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	(void) appender;
+	return fputs (event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t log_appender_type = {
+	.name = "flamingospring_stderr",
+	.append = log_append_line,
+};
+
 int
 log_init (enum log_level level, const char *vm_name)
 {
@@ -58,9 +71,11 @@
 	if (log4c_init () != 0)
 		return -EIO;
 	log4c_layout_type_set (&log_layout_type);
+	log4c_appender_type_set (&log_appender_type);
 	layout = log4c_layout_get ("flamingospring");
 	log4c_layout_set_type (layout, &log_layout_type);
-	appender = log4c_appender_get ("stderr");
+	appender = log4c_appender_get ("flamingospring");
+	log4c_appender_set_type (appender, &log_appender_type);
 	log4c_appender_set_layout (appender, layout);
 	log_category = log4c_category_get ("flamingospring");
 	log4c_category_set_appender (log_category, appender);
--- a/flamingospring/control.c
+++ b/flamingospring/control.c
@@ -16,7 +16,7 @@
 enum
 {
 	PUBLISH_DELAY_US = 2000, /* Changes within this time share one snapshot. */
-	OBSERVATION_MIN_INTERVAL_US = 20000,
+	DRAIN_POLL_US = 20000,   /* Between looks at the requests in flight during a planned stop. */
 };
 
 static const char guarantee_configuration[] = "P9";
@@ -259,7 +259,8 @@
 		loop_stop (&control->loop);
 		return;
 	}
-	loop_set_timer (&control->loop, &control->drain_timer, drain_next_time_us (&control->drain));
+	loop_set_timer (&control->loop, &control->drain_timer,
+	                MIN (drain_next_time_us (&control->drain), now_us + DRAIN_POLL_US));
 }
 
 static void
