--- /dev/null
+++ b/tests/support/fixture.h
@@ -0,0 +1,37 @@
+/**
+ * @file
+ * A service with one group of three servers, as a snapshot, for tests of the request path.
+ */
+#pragma once
+
+#include "flamingospring/snapshot.h"
+
+enum
+{
+	FIXTURE_SERVERS = 3,
+	FIXTURE_MEMBERS = 4,
+};
+
+/** What a test changes; zero values are left out. */
+struct fixture
+{
+	uint32_t self;
+	uint32_t member_count; /**< VMs 1, 2, ... at 127.0.0.1. */
+	uint16_t traffic_ports[FIXTURE_MEMBERS];
+	struct ownership owners[FIXTURE_SERVERS];
+	bool has_primary;
+	uint32_t primary;
+	uint64_t term;
+	bool is_leaving;
+	bool refuses_connections;
+};
+
+/** Service "post": database "letters"; calls find (read, 1 param), find_primary, add (write with
+ * request id, 2 params), set (idempotent write, 2 params). */
+struct snapshot *fixture_snapshot (const struct fixture *fixture);
+
+/** The service of a snapshot of this fixture. */
+const struct schema_service *fixture_service (const struct snapshot *snapshot);
+
+/** A free TCP port of loopback. */
+uint16_t fixture_port (void);
--- /dev/null
+++ b/tests/unit/entry.c
@@ -0,0 +1,678 @@
+/* Guards against wrong retries, refusals that may have run, stale reads and mixed-up callers. The
+ * transport is scripted: executions are held until the test answers them. */
+#include "flamingospring/entry.h"
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "fixture.h"
+#include "flamingospring/session_token.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+	MAX_HELD = 2048,
+	MIXED_CALLERS = 1000,
+	MIXED_SEED = 4711,
+	SHORT_TIMEOUT_MS = 60,
+	WAIT_LIMIT_US = 5 * US_PER_S,
+};
+
+static struct execution *held[MAX_HELD];
+static uint32_t held_count;
+static uint32_t down_vm;
+static uint32_t cancelled;
+
+static void
+fake_execute (void *transport, struct execution *execution)
+{
+	(void) transport;
+	g_assert_cmpuint (held_count, <, MAX_HELD);
+	held[held_count++] = execution;
+}
+
+static struct execution *
+take_held (uint32_t at)
+{
+	struct execution *execution = held[at];
+
+	g_assert_cmpuint (at, <, held_count);
+	held[at] = held[--held_count];
+	return execution;
+}
+
+static void
+fake_cancel (void *transport, struct execution *execution)
+{
+	(void) transport;
+	for (uint32_t i = 0; i < held_count; i++)
+	{
+		if (held[i] != execution)
+			continue;
+		take_held (i);
+		cancelled++;
+		execution->handle_done (execution, EXECUTION_CANCELLED, NULL);
+		return;
+	}
+	g_assert_not_reached ();
+}
+
+static bool
+fake_vm_is_down (void *transport, uint32_t vm, int64_t now_us)
+{
+	(void) transport;
+	(void) now_us;
+	return vm == down_vm;
+}
+
+static const struct execution_ops fake_transport = {
+	.execute = fake_execute,
+	.cancel = fake_cancel,
+	.vm_is_down = fake_vm_is_down,
+};
+
+/** One VM's entry and what its last caller got. */
+struct world
+{
+	struct loop loop;
+	struct snapshot_source source;
+	struct snapshot_reader reader;
+	struct fixture fixture;
+	struct entry_set entries;
+};
+
+struct caller
+{
+	unsigned answers;
+	enum outcome outcome;
+	enum reason reason;
+	char message[64];
+	char *token;
+	char *transaction;
+};
+
+static void
+handle_answer (void *data, const struct entry_answer *answer)
+{
+	struct caller *caller = data;
+
+	caller->answers++;
+	caller->outcome = answer->outcome;
+	caller->reason = answer->reason;
+	g_strlcpy (caller->message, answer->message ? answer->message : "", sizeof caller->message);
+	caller->token = g_strdup (answer->token);
+	caller->transaction = g_strdup (answer->transaction);
+}
+
+static void
+caller_finish (struct caller *caller)
+{
+	g_free (caller->token);
+	g_free (caller->transaction);
+	memset (caller, 0, sizeof *caller);
+}
+
+/** Server 0 is the primary. VM 1 is the entry; VMs 2, 3 and 4 own a server each. */
+static struct world *
+world_new (void)
+{
+	struct world *world = g_aligned_alloc0 (1, sizeof *world, _Alignof(struct world));
+
+	held_count = 0;
+	down_vm = 0;
+	cancelled = 0;
+	world->fixture = (struct fixture){
+		.self = 1,
+		.member_count = 4,
+		.owners = { { 2, 3 }, { 3, 4 }, { 4, 2 } },
+		.has_primary = true,
+		.term = 5,
+	};
+	g_assert_cmpint (loop_init (&world->loop), ==, 0);
+	snapshot_source_init (&world->source);
+	snapshot_reader_init (&world->reader, &world->source);
+	snapshot_publish (&world->reader, fixture_snapshot (&world->fixture));
+	entry_set_init (&world->entries, &world->loop, &world->reader, &fake_transport, world, 1);
+	return world;
+}
+
+static void
+world_free (struct world *world)
+{
+	g_assert_cmpuint (held_count, ==, 0);
+	entry_set_finish (&world->entries);
+	snapshot_reader_finish (&world->reader);
+	snapshot_source_finish (&world->source);
+	loop_finish (&world->loop);
+	g_aligned_free (world);
+}
+
+static struct entry_call *
+call_new (const char *name, const char *request_id)
+{
+	struct entry_call *call = entry_call_new ();
+	bool is_read = g_str_has_prefix (name, "find");
+
+	call->operation = FS_OPERATION_CALL;
+	call->service = g_strdup ("post");
+	call->call = g_strdup (name);
+	call->request_id = g_strdup (request_id);
+	call->param_count = strcmp (name, "find") == 0 ? 1 : is_read ? 0 : 2;
+	call->params = g_new0 (char *, 3);
+	call->params[0] = call->param_count > 0 ? g_strdup ("k") : NULL;
+	return call;
+}
+
+static uint32_t
+world_start (struct world *world, struct entry_call *call, struct caller *caller)
+{
+	return entry_start (&world->entries, call, handle_answer, caller);
+}
+
+/** Runs the loop until an execution is held. */
+static struct execution *
+world_next (struct world *world)
+{
+	int64_t limit_us = clock_now_us () + WAIT_LIMIT_US;
+
+	while (held_count == 0 && clock_now_us () < limit_us)
+		loop_step (&world->loop, 10 * US_PER_MS);
+	return take_held (0);
+}
+
+static void
+world_wait_answer (struct world *world, struct caller *caller)
+{
+	int64_t limit_us = clock_now_us () + WAIT_LIMIT_US;
+
+	while (caller->answers == 0 && clock_now_us () < limit_us)
+		loop_step (&world->loop, 10 * US_PER_MS);
+	g_assert_cmpuint (caller->answers, ==, 1);
+}
+
+static struct fs_execute_result
+result_at (uint64_t term, uint64_t index)
+{
+	struct fs_execute_result result = execution_result (OUTCOME_DONE, REASON_NONE, "");
+
+	result.server_position = (fs_position){ term, index };
+	result.server_age_ms = UINT32_MAX;
+	return result;
+}
+
+static void
+answer (struct execution *execution, struct fs_execute_result result)
+{
+	execution->handle_done (execution, EXECUTION_ANSWERED, &result);
+}
+
+static void
+answer_refused (struct execution *execution, enum reason reason)
+{
+	answer (execution, execution_result (OUTCOME_REFUSED, reason, ""));
+}
+
+static void
+lose (struct execution *execution, enum execution_status status)
+{
+	execution->handle_done (execution, status, NULL);
+}
+
+/* A replica that is behind sends the read on to each other server once. */
+static void
+test_behind (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	uint32_t tried = 0;
+
+	world_start (world, call_new ("find", NULL), &caller);
+	for (unsigned i = 0; i < FIXTURE_SERVERS; i++)
+	{
+		struct execution *execution = world_next (world);
+		uint32_t server = execution->args->server;
+
+		g_assert_cmpuint (tried & 1u << server, ==, 0);
+		tried |= 1u << server;
+		g_assert_cmpuint (execution->vm, ==, world->fixture.owners[server].owner);
+		if (server == 0)
+			answer (execution, result_at (5, 1));
+		else
+			answer_refused (execution, REASON_BEHIND);
+	}
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
+	caller_finish (&caller);
+	world_free (world);
+}
+
+/* A write follows the primary that a refusal names, although the snapshot has the old one. */
+static void
+test_new_primary (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct fs_execute_result refusal = execution_result (OUTCOME_REFUSED, REASON_NOT_PRIMARY, "");
+	struct fs_execute_result done = result_at (6, 9);
+	struct execution *execution;
+
+	world_start (world, call_new ("add", "id-1"), &caller);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->args->server, ==, 0);
+	refusal.primary = 2;
+	refusal.primary_term = 6;
+	answer (execution, refusal);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->args->server, ==, 2);
+	g_assert_cmpstr (execution->args->request_id, ==, "id-1");
+	done.written = (fs_position){ 6, 9 };
+	answer (execution, done);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
+	g_assert_nonnull (caller.token);
+	caller_finish (&caller);
+	world_free (world);
+}
+
+/* What was not sent goes to the standby, also without a request id. */
+static void
+test_not_sent (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct execution *execution;
+
+	world_start (world, call_new ("set", NULL), &caller);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->vm, ==, 2);
+	lose (execution, EXECUTION_NOT_SENT);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->vm, ==, 3);
+	g_assert_cmpuint (execution->args->server, ==, 0);
+	answer (execution, result_at (5, 1));
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
+	caller_finish (&caller);
+	down_vm = 2;
+	world_start (world, call_new ("set", NULL), &caller);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->vm, ==, 3);
+	answer (execution, result_at (5, 2));
+	caller_finish (&caller);
+	world_free (world);
+}
+
+/* After a loss, only reads and calls with a request id run again (P6). */
+static void
+test_lost (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct execution *execution;
+	uint32_t server;
+
+	world_start (world, call_new ("set", NULL), &caller);
+	lose (world_next (world), EXECUTION_LOST);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_UNKNOWN);
+	g_assert_cmpint (caller.reason, ==, REASON_CONNECTION_LOST);
+	caller_finish (&caller);
+
+	world_start (world, call_new ("add", "id-2"), &caller);
+	lose (world_next (world), EXECUTION_LOST);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->vm, ==, 3);
+	answer (execution, result_at (5, 1));
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
+	caller_finish (&caller);
+
+	world_start (world, call_new ("find", NULL), &caller);
+	execution = world_next (world);
+	server = execution->args->server;
+	lose (execution, EXECUTION_LOST);
+	execution = world_next (world);
+	if (execution->args->server == server)
+		g_assert_cmpuint (execution->vm, ==, world->fixture.owners[server].standby);
+	answer (execution, result_at (5, 1));
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
+	caller_finish (&caller);
+	world_free (world);
+}
+
+/* A refusal after a lost attempt must not promise that the write did not run (P5). */
+static void
+test_refused_after_loss (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+
+	world_start (world, call_new ("add", "id-3"), &caller);
+	lose (world_next (world), EXECUTION_LOST);
+	answer_refused (world_next (world), REASON_OVERLOAD);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_UNKNOWN);
+	caller_finish (&caller);
+	world_free (world);
+}
+
+/* Retries of many requests stay within the budget: a fifth of the requests and the burst. */
+static void
+test_budget (void)
+{
+	struct world *world = world_new ();
+	uint64_t before = counter_get (COUNTER_RETRIES);
+	unsigned attempts = 0;
+	enum
+	{
+		REQUESTS = 500,
+	};
+	static struct caller callers[REQUESTS];
+
+	for (unsigned i = 0; i < REQUESTS; i++)
+	{
+		struct entry_call *call = call_new ("set", NULL);
+
+		call->timeout_ms = SHORT_TIMEOUT_MS;
+		world_start (world, call, &callers[i]);
+		while (held_count > 0)
+		{
+			attempts++;
+			answer_refused (take_held (0), REASON_NOT_PRIMARY);
+		}
+	}
+	while (world->entries.unanswered > 0)
+	{
+		loop_step (&world->loop, 10 * US_PER_MS);
+		while (held_count > 0)
+		{
+			attempts++;
+			answer_refused (take_held (0), REASON_NOT_PRIMARY);
+		}
+	}
+	g_test_message ("%u attempts of %u requests", attempts, REQUESTS);
+	g_assert_cmpuint (counter_get (COUNTER_RETRIES) - before, <=, 200 + REQUESTS / 5);
+	g_assert_cmpuint (attempts, >, REQUESTS);
+	for (unsigned i = 0; i < REQUESTS; i++)
+	{
+		g_assert_cmpuint (callers[i].answers, ==, 1);
+		g_assert_cmpint (callers[i].outcome, ==, OUTCOME_REFUSED);
+		caller_finish (&callers[i]);
+	}
+	world_free (world);
+}
+
+/* A silent owner costs the caller its deadline; the late answer reaches nobody. */
+static void
+test_late (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct entry_call *call = call_new ("set", NULL);
+	uint64_t late = counter_get (COUNTER_LATE_ANSWERS);
+	int64_t start_us = clock_now_us ();
+	struct execution *execution;
+
+	call->timeout_ms = SHORT_TIMEOUT_MS;
+	world_start (world, call, &caller);
+	execution = world_next (world);
+	world_wait_answer (world, &caller);
+	g_assert_cmpint (clock_now_us () - start_us, <, US_PER_S);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_UNKNOWN);
+	g_assert_cmpint (caller.reason, ==, REASON_DEADLINE);
+	answer (execution, result_at (5, 1));
+	g_assert_cmpuint (caller.answers, ==, 1);
+	g_assert_cmpuint (counter_get (COUNTER_LATE_ANSWERS), ==, late + 1);
+	caller_finish (&caller);
+	world_free (world);
+}
+
+/* A session reads its own writes: the token asks for them, and an older answer is not given out. */
+static void
+test_session (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct fs_execute_result done = result_at (5, 70);
+	uint64_t violations = counter_get (COUNTER_INVARIANT_VIOLATIONS);
+	struct entry_call *call = call_new ("set", NULL);
+	struct execution *execution;
+	char *token;
+
+	world_start (world, call, &caller);
+	done.written = (fs_position){ 5, 70 };
+	answer (world_next (world), done);
+	token = g_strdup (caller.token);
+	g_assert_nonnull (token);
+	caller_finish (&caller);
+
+	call = call_new ("find", NULL);
+	call->token = g_strdup (token);
+	world_start (world, call, &caller);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->args->required.term, ==, 5);
+	g_assert_cmpuint (execution->args->required.index, ==, 70);
+	answer (execution, result_at (5, 69));
+	g_assert_cmpuint (caller.answers, ==, 0);
+	g_assert_cmpuint (counter_get (COUNTER_INVARIANT_VIOLATIONS), ==, violations + 1);
+	answer (world_next (world), result_at (5, 70));
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
+	caller_finish (&caller);
+
+	call = call_new ("find", NULL);
+	call->token = g_strdup (token);
+	call->token[10] = call->token[10] == 'A' ? 'B' : 'A';
+	world_start (world, call, &caller);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_FAILED);
+	g_assert_cmpint (caller.reason, ==, REASON_BAD_TOKEN);
+	caller_finish (&caller);
+	g_free (token);
+	world_free (world);
+}
+
+/* All statements of a transaction go to the VM and server that began it; a forged handle to none. */
+static void
+test_transaction (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct fs_execute_result begun = result_at (5, 1);
+	struct fs_execute_result committed = result_at (5, 2);
+	struct entry_call *call = entry_call_new ();
+	struct execution *execution;
+	char *handle;
+
+	call->operation = FS_OPERATION_BEGIN;
+	call->service = g_strdup ("post");
+	world_start (world, call, &caller);
+	begun.transaction = 0x1234567890u;
+	answer (world_next (world), begun);
+	handle = g_strdup (caller.transaction);
+	g_assert_nonnull (handle);
+	caller_finish (&caller);
+
+	/* The primary moves meanwhile. */
+	world->fixture.primary = 1;
+	world->fixture.term = 6;
+	snapshot_publish (&world->reader, fixture_snapshot (&world->fixture));
+	call = call_new ("set", NULL);
+	call->operation = FS_OPERATION_TRANSACTION_CALL;
+	call->transaction = g_strdup (handle);
+	world_start (world, call, &caller);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->vm, ==, 2);
+	g_assert_cmpuint (execution->args->server, ==, 0);
+	g_assert_cmpuint (execution->args->transaction, ==, 0x1234567890u);
+	lose (execution, EXECUTION_LOST);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_UNKNOWN);
+	caller_finish (&caller);
+
+	call = entry_call_new ();
+	call->operation = FS_OPERATION_COMMIT;
+	call->transaction = g_strdup (handle);
+	world_start (world, call, &caller);
+	committed.written = (fs_position){ 5, 2 };
+	answer (world_next (world), committed);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
+	g_assert_nonnull (caller.token);
+	caller_finish (&caller);
+
+	for (size_t i = 0; i < strlen (handle); i++)
+	{
+		call = entry_call_new ();
+		call->operation = FS_OPERATION_COMMIT;
+		call->transaction = g_strdup (handle);
+		call->transaction[i] = handle[i] == 'A' ? 'B' : 'A';
+		world_start (world, call, &caller);
+		g_assert_cmpint (caller.outcome, ==, OUTCOME_FAILED);
+		g_assert_cmpint (caller.reason, ==, REASON_BAD_TOKEN);
+		caller_finish (&caller);
+	}
+	g_free (handle);
+	world_free (world);
+}
+
+/* Answers in random order reach the caller that asked (P4). */
+static void
+test_mixed (void)
+{
+	struct world *world = world_new ();
+	GRand *random = g_rand_new_with_seed (MIXED_SEED);
+	static struct caller callers[MIXED_CALLERS];
+	char expected[16];
+
+	for (unsigned i = 0; i < MIXED_CALLERS; i++)
+	{
+		struct entry_call *call = call_new ("find", NULL);
+
+		g_free (call->params[0]);
+		call->params[0] = g_strdup_printf ("caller-%u", i);
+		world_start (world, call, &callers[i]);
+	}
+	while (held_count > 0)
+	{
+		struct execution *execution =
+			take_held ((uint32_t) g_rand_int_range (random, 0, (int) held_count));
+		struct fs_execute_result result = result_at (5, 1);
+
+		result.message = *execution->args->params.params_val[0];
+		if (g_rand_int_range (random, 0, 4) == 0)
+			lose (execution, EXECUTION_NOT_SENT);
+		else
+			answer (execution, result);
+		loop_step (&world->loop, 0);
+	}
+	while (world->entries.unanswered > 0)
+		answer (world_next (world), execution_result (OUTCOME_REFUSED, REASON_OVERLOAD, ""));
+	for (unsigned i = 0; i < MIXED_CALLERS; i++)
+	{
+		g_assert_cmpuint (callers[i].answers, ==, 1);
+		g_snprintf (expected, sizeof expected, "caller-%u", i);
+		if (callers[i].outcome == OUTCOME_DONE)
+			g_assert_cmpstr (callers[i].message, ==, expected);
+		caller_finish (&callers[i]);
+	}
+	g_rand_free (random);
+	world_free (world);
+}
+
+/* Without a primary, a write waits for the snapshot that has one. */
+static void
+test_wait_for_primary (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct entry_call *call = call_new ("set", NULL);
+
+	world->fixture.has_primary = false;
+	snapshot_publish (&world->reader, fixture_snapshot (&world->fixture));
+	call->timeout_ms = SHORT_TIMEOUT_MS;
+	world_start (world, call, &caller);
+	world_wait_answer (world, &caller);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_REFUSED);
+	g_assert_cmpint (caller.reason, ==, REASON_NO_PRIMARY);
+	caller_finish (&caller);
+
+	world_start (world, call_new ("set", NULL), &caller);
+	g_assert_cmpuint (held_count, ==, 0);
+	world->fixture.has_primary = true;
+	world->fixture.primary = 2;
+	snapshot_publish (&world->reader, fixture_snapshot (&world->fixture));
+	entry_set_handle_snapshot (&world->entries);
+	loop_step (&world->loop, 0);
+	g_assert_cmpuint (held_count, ==, 1);
+	answer (world_next (world), result_at (5, 1));
+	caller_finish (&caller);
+	world_free (world);
+}
+
+static void
+test_cancel (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	uint32_t handle = world_start (world, call_new ("find", NULL), &caller);
+
+	entry_cancel (&world->entries, handle);
+	g_assert_cmpuint (cancelled, ==, 1);
+	g_assert_cmpuint (caller.answers, ==, 0);
+	entry_cancel (&world->entries, handle);
+	handle = world_start (world, call_new ("add", "id"), &caller);
+	entry_set_stop (&world->entries);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_UNKNOWN);
+	answer (take_held (0), result_at (5, 1));
+	caller_finish (&caller);
+	world_free (world);
+}
+
+struct bad_call
+{
+	const char *service;
+	const char *call;
+	size_t param_count;
+	enum reason reason;
+};
+
+/* Requests that can never run are told apart and reach no server. */
+static void
+test_bad_calls (void)
+{
+	static const struct bad_call cases[] = {
+		{ "nobody", "find", 1, REASON_UNKNOWN_SERVICE },
+		{ "post", "missing", 1, REASON_BAD_REQUEST },
+		{ "post", "find", 2, REASON_BAD_REQUEST },
+		{ "post", "add", 2, REASON_BAD_REQUEST }, /* Without a request id. */
+	};
+	struct world *world = world_new ();
+
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+	{
+		struct entry_call *call = entry_call_new ();
+		struct caller caller = { 0 };
+
+		call->service = g_strdup (cases[i].service);
+		call->call = g_strdup (cases[i].call);
+		call->param_count = cases[i].param_count;
+		call->params = g_new0 (char *, 4);
+		world_start (world, call, &caller);
+		g_assert_cmpint (caller.outcome, ==, OUTCOME_FAILED);
+		g_assert_cmpint (caller.reason, ==, cases[i].reason);
+		caller_finish (&caller);
+	}
+	world_free (world);
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/entry/behind", test_behind);
+	g_test_add_func ("/entry/new_primary", test_new_primary);
+	g_test_add_func ("/entry/not_sent", test_not_sent);
+	g_test_add_func ("/entry/lost", test_lost);
+	g_test_add_func ("/entry/refused_after_loss", test_refused_after_loss);
+	g_test_add_func ("/entry/budget", test_budget);
+	g_test_add_func ("/entry/late", test_late);
+	g_test_add_func ("/entry/session", test_session);
+	g_test_add_func ("/entry/transaction", test_transaction);
+	g_test_add_func ("/entry/mixed", test_mixed);
+	g_test_add_func ("/entry/wait_for_primary", test_wait_for_primary);
+	g_test_add_func ("/entry/cancel", test_cancel);
+	g_test_add_func ("/entry/bad_calls", test_bad_calls);
+	return g_test_run ();
+}
