--- a/flamingospring/http.c
+++ b/flamingospring/http.c
@@ -73,6 +73,9 @@
 		server->suspended = request->next;
 	loop_remove_source (server->loop, &request->socket_source);
 	MHD_resume_connection (request->connection);
+	/* With an external loop, libmicrohttpd takes a resumed connection up in the next MHD_run(). */
+	server->has_resumed = true;
+	loop_set_timer (server->loop, &server->timer, clock_now_us ());
 }
 
 /** Prepares the response; @p status 0: as for the outcome. */
@@ -284,8 +287,11 @@
 {
 	MHD_UNSIGNED_LONG_LONG timeout_ms;
 
+	server->has_resumed = false;
 	MHD_run (server->daemon);
-	if (MHD_get_timeout (server->daemon, &timeout_ms) == MHD_YES)
+	if (server->has_resumed)
+		loop_set_timer (server->loop, &server->timer, clock_now_us ());
+	else if (MHD_get_timeout (server->daemon, &timeout_ms) == MHD_YES)
 		loop_set_timer (server->loop, &server->timer,
 		                clock_now_us () + (int64_t) timeout_ms * US_PER_MS);
 	else
--- a/include/flamingospring/http.h
+++ b/include/flamingospring/http.h
@@ -30,6 +30,7 @@
 	uint32_t max_body_bytes;
 	uint32_t in_flight;
 	struct http_request *suspended; /**< List of the requests that wait for their answer. */
+	bool has_resumed;               /**< Connections resumed since the last MHD_run(). */
 	bool closes_connections;        /**< The planned stop has begun: answers end the connection. */
 	bool refuses_connections;
 };
--- /dev/null
+++ b/tests/unit/traffic.c
@@ -0,0 +1,538 @@
+/* Guards the request path of two VMs over real sockets: HTTP, threads, forwarding, tokens,
+ * transactions and the planned stop. The owners are fakes that echo after a random time. */
+#include "flamingospring/traffic.h"
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "fixture.h"
+#include "flamingospring/execution.h"
+#include "flamingospring/owner.h"
+#include "http_client.h"
+
+#include <ck_pr.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum
+{
+	VMS = 2,
+	THREADS = 2,
+	CLIENTS = 8,
+	REQUESTS = 250,
+	MAX_DELAY_US = 2 * US_PER_MS,
+	MAX_BODY_BYTES = 4096,
+	WAIT_LIMIT_US = 10 * US_PER_S,
+	RANDOM_ROUNDS = 200,
+	RANDOM_SEED = 60606,
+};
+
+/** A request at a fake owner. */
+struct fake_task
+{
+	struct owner_request *request;
+	struct owner_set *set;
+	struct loop_timer timer;
+};
+
+static uint64_t last_index = 100;
+static uint32_t fake_in_flight;
+static uint32_t fake_cancelled;
+static uint32_t fake_holds; /**< Requests are not answered. */
+
+int
+owner_set_init (struct owner_set *set, struct loop *loop, struct snapshot_reader *reader,
+                const struct owner_settings *settings)
+{
+	memset (set, 0, sizeof *set);
+	set->loop = loop;
+	set->reader = reader;
+	set->settings = settings;
+	return 0;
+}
+
+void
+owner_set_finish (struct owner_set *set)
+{
+	(void) set;
+}
+
+void
+owner_set_handle_snapshot (struct owner_set *set)
+{
+	(void) set;
+}
+
+uint32_t
+owner_set_in_flight (const struct owner_set *set)
+{
+	(void) set;
+	return 0;
+}
+
+static void
+handle_task_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct fake_task *task = timer->data;
+	struct owner_request *request = task->request;
+	const struct fs_execute_args *args = request->args;
+	struct fs_execute_result result = execution_result (OUTCOME_DONE, REASON_NONE, "");
+	bool is_read = g_str_has_prefix (args->call, "find");
+	char *column = (char *) "echo";
+	char *vm = g_strdup_printf ("%u", task->set->settings->vm_id);
+	fs_value cells[2] = { &vm, &vm };
+
+	if (ck_pr_load_32 (&fake_holds))
+	{
+		loop_set_timer (task->set->loop, timer, now_us + US_PER_MS);
+		return;
+	}
+	if (args->params.params_len > 0)
+		cells[0] = args->params.params_val[0];
+	result.columns.columns_len = 1;
+	result.columns.columns_val = &column;
+	result.cells.cells_len = 1;
+	result.cells.cells_val = cells;
+	result.server_is_primary = args->server == 0;
+	result.server_position = (fs_position){ 5, 1u << 30 };
+	result.server_age_ms = OWNER_AGE_UNKNOWN;
+	result.transaction = args->operation == FS_OPERATION_BEGIN ? 77 : args->transaction;
+	if (args->operation == FS_OPERATION_COMMIT ||
+	    (args->operation == FS_OPERATION_CALL && !is_read))
+		result.written = (fs_position){ 5, ck_pr_faa_64 (&last_index, 1) };
+	free (task);
+	ck_pr_dec_32 (&fake_in_flight);
+	request->handle_done (request, &result);
+	g_free (vm);
+}
+
+void
+owner_submit (struct owner_set *set, struct owner_request *request)
+{
+	struct fake_task *task = calloc (1, sizeof *task);
+	uint64_t number = (uint64_t) (uintptr_t) request ^ (uint64_t) clock_now_us ();
+
+	task->request = request;
+	task->set = set;
+	task->timer.handle_timer = handle_task_timer;
+	task->timer.data = task;
+	request->handle = 1;
+	ck_pr_inc_32 (&fake_in_flight);
+	/* Kept in the request, so that owner_cancel() finds the task. */
+	request->trace.span = (uint64_t) (uintptr_t) task;
+	loop_set_timer (set->loop, &task->timer,
+	                clock_now_us () + (int64_t) (number * 2654435761u >> 16) % MAX_DELAY_US);
+}
+
+void
+owner_cancel (struct owner_set *set, struct owner_request *request)
+{
+	struct fake_task *task = (struct fake_task *) (uintptr_t) request->trace.span;
+
+	loop_cancel_timer (set->loop, &task->timer);
+	free (task);
+	ck_pr_dec_32 (&fake_in_flight);
+	ck_pr_inc_32 (&fake_cancelled);
+}
+
+struct vm
+{
+	struct snapshot_source source;
+	struct snapshot_reader writer;
+	struct settings settings;
+	struct fixture fixture;
+	struct traffic *traffic;
+};
+
+static struct vm *vms[VMS];
+
+static void
+vm_publish (struct vm *vm)
+{
+	snapshot_publish (&vm->writer, fixture_snapshot (&vm->fixture));
+	traffic_handle_snapshot (vm->traffic);
+}
+
+/** VM 1 owns servers 1 and 2, VM 2 owns server 0, the primary. */
+static void
+vms_start (void)
+{
+	uint16_t traffic_ports[VMS];
+
+	for (unsigned i = 0; i < VMS; i++)
+		traffic_ports[i] = fixture_port ();
+	for (unsigned i = 0; i < VMS; i++)
+	{
+		struct vm *vm = g_aligned_alloc0 (1, sizeof *vm, _Alignof(struct vm));
+
+		vms[i] = vm;
+		vm->fixture = (struct fixture){
+			.self = i + 1,
+			.member_count = VMS,
+			.traffic_ports = { traffic_ports[0], traffic_ports[1] },
+			.owners = { { 2, 1 }, { 1, 2 }, { 1, 2 } },
+			.has_primary = true,
+			.term = 5,
+		};
+		vm->settings = (struct settings){
+			.vm_id = i + 1,
+			.ip = 0x7f000001,
+			.caller_port = fixture_port (),
+			.traffic_port = traffic_ports[i],
+			.traffic_threads = THREADS,
+			.max_connections = 64,
+			.max_body_bytes = MAX_BODY_BYTES,
+		};
+		snapshot_source_init (&vm->source);
+		snapshot_reader_init (&vm->writer, &vm->source);
+		vm->traffic = traffic_new (&vm->settings, &vm->source);
+		g_assert_nonnull (vm->traffic);
+		vm_publish (vm);
+	}
+	for (unsigned i = 0; i < VMS; i++)
+		g_assert_cmpint (traffic_start (vms[i]->traffic, NULL, NULL), ==, 0);
+}
+
+static void
+vms_stop (void)
+{
+	for (unsigned i = 0; i < VMS; i++)
+		traffic_stop (vms[i]->traffic);
+	for (unsigned i = 0; i < VMS; i++)
+	{
+		traffic_free (vms[i]->traffic);
+		snapshot_reader_finish (&vms[i]->writer);
+		snapshot_source_finish (&vms[i]->source);
+		g_aligned_free (vms[i]);
+	}
+	g_assert_cmpuint (fake_in_flight, ==, 0);
+}
+
+static void
+client_open (struct http_client *client, unsigned vm)
+{
+	g_assert_true (http_client_connect (client, vms[vm]->settings.caller_port));
+}
+
+static void
+assert_member (const struct http_reply *reply, const char *name, const char *expected)
+{
+	char *value = http_reply_member (reply, name);
+
+	g_assert_cmpstr (value, ==, expected);
+	g_free (value);
+}
+
+/* A write through VM 1 runs at VM 2; its token is accepted by both VMs and rises with each write. */
+static void
+test_read_write (void)
+{
+	struct http_client client;
+	struct http_reply reply;
+	char *token;
+	char *second;
+
+	vms_start ();
+	client_open (&client, 0);
+	reply = http_client_post (&client, "/v1/services/post/calls/add", NULL,
+	                          "{\"params\": [\"k\", \"v\"], \"request_id\": \"r-1\"}");
+	g_assert_cmpint (reply.status, ==, 200);
+	assert_member (&reply, "outcome", "done");
+	assert_member (&reply, "server", "letters/0");
+	assert_member (&reply, "role", "primary");
+	token = http_reply_header (&reply, "Flamingospring-Session");
+	g_assert_nonnull (token);
+	http_reply_finish (&reply);
+	http_client_close (&client);
+
+	client_open (&client, 1);
+	reply =
+		http_client_post (&client, "/v1/services/post/calls/find", token, "{\"params\": [\"k\"]}");
+	g_assert_cmpint (reply.status, ==, 200);
+	g_assert_nonnull (strstr (reply.body, "\"rows\":[[\"k\"]]"));
+	assert_member (&reply, "role", "replica");
+	http_reply_finish (&reply);
+	reply = http_client_post (&client, "/v1/services/post/calls/set", token,
+	                          "{\"params\": [\"k\", \"v\"]}");
+	second = http_reply_header (&reply, "Flamingospring-Session");
+	g_assert_cmpstr (second, !=, token);
+	http_reply_finish (&reply);
+	token[strlen (token) / 2] ^= 1;
+	reply =
+		http_client_post (&client, "/v1/services/post/calls/find", token, "{\"params\": [\"k\"]}");
+	g_assert_cmpint (reply.status, ==, 400);
+	assert_member (&reply, "reason", "bad_token");
+	http_reply_finish (&reply);
+	http_client_close (&client);
+	g_free (token);
+	g_free (second);
+	vms_stop ();
+}
+
+static void
+test_transaction (void)
+{
+	struct http_client clients[VMS];
+	struct http_reply reply;
+	char *handle;
+	char *path;
+
+	vms_start ();
+	for (unsigned i = 0; i < VMS; i++)
+		client_open (&clients[i], i);
+	reply = http_client_post (&clients[0], "/v1/services/post/transactions", NULL, "");
+	g_assert_cmpint (reply.status, ==, 200);
+	handle = http_reply_member (&reply, "transaction");
+	g_assert_nonnull (handle);
+	http_reply_finish (&reply);
+	path = g_strdup_printf ("/v1/transactions/%s/calls/set", handle);
+	for (unsigned i = 0; i < VMS; i++)
+	{
+		reply = http_client_post (&clients[i], path, NULL, "{\"params\": [\"a\", \"b\"]}");
+		g_assert_cmpint (reply.status, ==, 200);
+		assert_member (&reply, "server", "letters/0");
+		g_assert_null (http_reply_header (&reply, "Flamingospring-Session"));
+		http_reply_finish (&reply);
+	}
+	g_free (path);
+	path = g_strdup_printf ("/v1/transactions/%s/commit", handle);
+	reply = http_client_post (&clients[1], path, NULL, "{}");
+	g_assert_cmpint (reply.status, ==, 200);
+	g_free (handle);
+	handle = http_reply_header (&reply, "Flamingospring-Session");
+	g_assert_nonnull (handle);
+	http_reply_finish (&reply);
+	for (unsigned i = 0; i < VMS; i++)
+		http_client_close (&clients[i]);
+	g_free (path);
+	g_free (handle);
+	vms_stop ();
+}
+
+static void *
+run_client (void *data)
+{
+	unsigned number = GPOINTER_TO_UINT (data);
+	struct http_client client;
+
+	client_open (&client, number % VMS);
+	for (unsigned i = 0; i < REQUESTS; i++)
+	{
+		char *body = g_strdup_printf ("{\"params\": [\"c%u-%u\", \"v\"]}", number, i);
+		char *read_body = g_strdup_printf ("{\"params\": [\"c%u-%u\"]}", number, i);
+		char *rows = g_strdup_printf ("\"rows\":[[\"c%u-%u\"]]", number, i);
+		struct http_reply reply =
+			i % 4 ? http_client_post (&client, "/v1/services/post/calls/find", NULL, read_body)
+				  : http_client_post (&client, "/v1/services/post/calls/set", NULL, body);
+
+		g_assert_cmpint (reply.status, ==, 200);
+		g_assert_nonnull (strstr (reply.body, rows));
+		http_reply_finish (&reply);
+		g_free (body);
+		g_free (read_body);
+		g_free (rows);
+	}
+	http_client_close (&client);
+	return NULL;
+}
+
+/* Each caller gets its own answer, across threads and VMs (P4). */
+static void
+test_callers (void)
+{
+	pthread_t threads[CLIENTS];
+	uint64_t forwards = counter_get (COUNTER_FORWARDS);
+	int64_t start_us = clock_now_us ();
+
+	vms_start ();
+	for (unsigned i = 0; i < CLIENTS; i++)
+		pthread_create (&threads[i], NULL, run_client, GUINT_TO_POINTER (i));
+	for (unsigned i = 0; i < CLIENTS; i++)
+		pthread_join (threads[i], NULL);
+	g_test_message ("%u requests in %" G_GINT64_FORMAT " ms, %" G_GUINT64_FORMAT " forwarded",
+	                CLIENTS * REQUESTS, (clock_now_us () - start_us) / US_PER_MS,
+	                counter_get (COUNTER_FORWARDS) - forwards);
+	g_assert_cmpuint (counter_get (COUNTER_FORWARDS), >, forwards);
+	vms_stop ();
+}
+
+struct http_case
+{
+	const char *request;
+	int status; /* 0: closed without an answer is good, too. */
+};
+
+static const struct http_case http_cases[] = {
+	{ "GET /v1/health HTTP/1.1\r\nHost: a\r\n\r\n", 200 },
+	{ "POST /v1/health HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 405 },
+	{ "GET /v1/services/post/calls/find HTTP/1.1\r\nHost: a\r\n\r\n", 405 },
+	{ "POST /nowhere HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 404 },
+	{ "POST /v1/services/post/calls/find HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n{", 400 },
+	{ "POST /v1/services/none/calls/find HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 400 },
+	{ "POST /v1/services/post/calls/find HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\n{}\r\n0\r\n\r\n",
+	  400 },
+	{ "POST /v1/services/post/calls/find HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "zz\r\n{}\r\n0\r\n\r\n",
+	  0 },
+	{ "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n", 0 },
+	{ "\r\n\r\n\r\n", 0 },
+	{ "GET\r\n\r\n", 0 },
+};
+
+static void
+assert_healthy (unsigned vm)
+{
+	struct http_client client;
+	struct http_reply reply;
+
+	client_open (&client, vm);
+	http_client_request (&client, "GET", "/v1/health", NULL, "");
+	reply = http_client_read (&client);
+	g_assert_cmpint (reply.status, ==, 200);
+	http_reply_finish (&reply);
+	http_client_close (&client);
+}
+
+static void
+test_bad_requests (void)
+{
+	GRand *random = g_rand_new_with_seed (RANDOM_SEED);
+	char *large = g_strnfill (MAX_BODY_BYTES + 1, ' ');
+	struct http_client client;
+	struct http_reply reply;
+
+	vms_start ();
+	for (size_t i = 0; i < G_N_ELEMENTS (http_cases); i++)
+	{
+		client_open (&client, 0);
+		http_client_send (&client, http_cases[i].request, strlen (http_cases[i].request));
+		shutdown (client.fd, SHUT_WR);
+		reply = http_client_read (&client);
+		if (http_cases[i].status)
+			g_assert_cmpint (reply.status, ==, http_cases[i].status);
+		else
+			g_assert_cmpint (reply.status, !=, 200);
+		http_reply_finish (&reply);
+		http_client_close (&client);
+	}
+	client_open (&client, 0);
+	reply = http_client_post (&client, "/v1/services/post/calls/find", NULL, large);
+	g_assert_cmpint (reply.status, ==, 413);
+	assert_member (&reply, "reason", "bad_request");
+	http_reply_finish (&reply);
+	http_client_close (&client);
+	for (unsigned round = 0; round < RANDOM_ROUNDS; round++)
+	{
+		char bytes[600] = "POST /v1/services/post/calls/find HTTP/1.1\r\nContent-Length: 9\r\n\r\n";
+		size_t length = round % 2 ? strlen (bytes) : 0;
+
+		for (; length < sizeof bytes; length++)
+			bytes[length] = (char) g_rand_int_range (random, 0, 256);
+		client_open (&client, 0);
+		http_client_send (&client, bytes, sizeof bytes);
+		http_client_close (&client);
+	}
+	assert_healthy (0);
+	g_free (large);
+	g_rand_free (random);
+	vms_stop ();
+}
+
+static void
+wait_for (const uint32_t *value, uint32_t wanted)
+{
+	int64_t limit_us = clock_now_us () + WAIT_LIMIT_US;
+
+	while (ck_pr_load_32 (value) != wanted && clock_now_us () < limit_us)
+		g_usleep (1000);
+	g_assert_cmpuint (ck_pr_load_32 (value), ==, wanted);
+}
+
+/* The planned stop ends connections after their answers and interrupts no request (P8). */
+static void
+test_planned_stop (void)
+{
+	struct http_client client;
+	struct http_client idle;
+	struct http_client late;
+	struct http_reply reply;
+	char *connection;
+	int64_t limit_us = clock_now_us () + WAIT_LIMIT_US;
+
+	vms_start ();
+	client_open (&client, 0);
+	client_open (&idle, 0);
+	http_client_request (&idle, "GET", "/v1/health", NULL, "");
+	reply = http_client_read (&idle);
+	http_reply_finish (&reply);
+	ck_pr_store_32 (&fake_holds, 1);
+	http_client_request (&client, "POST", "/v1/services/post/calls/set", NULL,
+	                     "{\"params\": [\"k\", \"v\"]}");
+	wait_for (&fake_in_flight, 1);
+	vms[0]->fixture.is_leaving = true;
+	vms[0]->fixture.refuses_connections = true;
+	vm_publish (vms[0]);
+	while (clock_now_us () < limit_us && http_client_connect (&late, vms[0]->settings.caller_port))
+	{
+		http_client_close (&late);
+		g_usleep (1000);
+	}
+	g_assert_false (http_client_connect (&late, vms[0]->settings.caller_port));
+	g_assert_cmpuint (traffic_in_flight (vms[0]->traffic), >, 0);
+	ck_pr_store_32 (&fake_holds, 0);
+	reply = http_client_read (&client);
+	g_assert_cmpint (reply.status, ==, 200);
+	connection = http_reply_header (&reply, "Connection");
+	g_assert_cmpint (g_ascii_strcasecmp (connection, "close"), ==, 0);
+	http_reply_finish (&reply);
+	http_client_request (&idle, "GET", "/v1/health", NULL, "");
+	reply = http_client_read (&idle);
+	g_assert_cmpint (reply.status, ==, 503);
+	http_reply_finish (&reply);
+	while (traffic_in_flight (vms[0]->traffic) > 0 && clock_now_us () < limit_us)
+		g_usleep (1000);
+	g_assert_cmpuint (traffic_in_flight (vms[0]->traffic), ==, 0);
+	g_free (connection);
+	http_client_close (&client);
+	http_client_close (&idle);
+	vms_stop ();
+}
+
+/* A caller that leaves takes its queued request with it; the reads of VM 1 are local. */
+static void
+test_caller_leaves (void)
+{
+	struct http_client client;
+	uint32_t before = fake_cancelled;
+
+	vms_start ();
+	ck_pr_store_32 (&fake_holds, 1);
+	for (unsigned i = 0; i < 4; i++)
+	{
+		client_open (&client, 0);
+		http_client_request (&client, "POST", "/v1/services/post/calls/find", NULL,
+		                     "{\"params\": [\"k\"]}");
+		wait_for (&fake_in_flight, 1);
+		http_client_close (&client);
+		wait_for (&fake_in_flight, 0);
+	}
+	g_assert_cmpuint (fake_cancelled, ==, before + 4);
+	ck_pr_store_32 (&fake_holds, 0);
+	vms_stop ();
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/traffic/read_write", test_read_write);
+	g_test_add_func ("/traffic/transaction", test_transaction);
+	g_test_add_func ("/traffic/callers", test_callers);
+	g_test_add_func ("/traffic/bad_requests", test_bad_requests);
+	g_test_add_func ("/traffic/planned_stop", test_planned_stop);
+	g_test_add_func ("/traffic/caller_leaves", test_caller_leaves);
+	return g_test_run ();
+}
