--- /dev/null
+++ b/flamingospring/service_listener.c
@@ -0,0 +1,316 @@
+#include "flamingospring/service_listener.h"
+
+#include "common/counters.h"
+#include "common/log.h"
+#include "common/rpc.h"
+#include "protocols/service.h"
+#include "schema/generate.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+	LISTENER_MAX_CONNECTIONS = 65536,
+};
+
+struct service_call;
+
+struct service_connection
+{
+	struct rpc_connection rpc;
+	struct service_listener *listener;
+	uint32_t handle;
+	struct service_call *calls;
+};
+
+/** One call without an answer. */
+struct service_call
+{
+	struct service_call *next;
+	struct service_connection *connection;
+	uint32_t xid;
+	uint32_t entry; /**< Handle of the entry's request; HANDLE_NONE while it starts. */
+};
+
+static void
+call_unlink (struct service_call *call)
+{
+	struct service_call **link = &call->connection->calls;
+
+	while (*link && *link != call)
+		link = &(*link)->next;
+	if (*link)
+		*link = call->next;
+	call->connection->listener->in_flight--;
+}
+
+static char *
+text_or_empty (const char *text)
+{
+	return (char *) (text ? text : "");
+}
+
+static void
+handle_done (void *data, const struct entry_answer *answer)
+{
+	struct service_call *call = data;
+	struct fs_service_answer out = {
+		.outcome = answer->outcome,
+		.reason = (char *) reason_name (answer->reason),
+		.message = text_or_empty (answer->message),
+		.retry_after_ms = answer->retry_after_ms,
+		.session = text_or_empty (answer->token),
+	};
+
+	if (answer->result)
+	{
+		out.columns.columns_len = answer->result->columns.columns_len;
+		out.columns.columns_val = answer->result->columns.columns_val;
+		out.cells.cells_len = answer->result->cells.cells_len;
+		out.cells.cells_val = answer->result->cells.cells_val;
+	}
+	rpc_connection_reply (&call->connection->rpc, call->xid, (xdrproc_t) xdr_fs_service_answer,
+	                      &out);
+	call_unlink (call);
+	free (call);
+}
+
+/** Finds the call of a service by its numbers. @return false when there is none. */
+static bool
+find_call (struct entry_set *entries, uint32_t program, uint32_t procedure, struct entry_call *call,
+           uint32_t *param_count)
+{
+	const struct snapshot *snapshot = snapshot_acquire (entries->reader);
+	const struct schema_call *found = NULL;
+
+	for (size_t i = 0; snapshot && !found && i < snapshot->service_count; i++)
+	{
+		const struct schema_service *service = &snapshot->services[i]->schema;
+
+		if (schema_program_number (service->name) != program)
+			continue;
+		found = schema_find_procedure (service, procedure);
+		if (found)
+		{
+			call->service = g_strdup (service->name);
+			call->call = g_strdup (found->name);
+			*param_count = found->param_count;
+		}
+	}
+	snapshot_release (entries->reader);
+	return found != NULL;
+}
+
+static char *
+text_or_null (const char *text)
+{
+	return text && text[0] ? g_strdup (text) : NULL;
+}
+
+static bool
+decode_params (XDR *xdrs, struct entry_call *call, uint32_t count)
+{
+	call->params = g_new0 (char *, count + 1);
+	for (uint32_t i = 0; i < count; i++)
+	{
+		fs_service_value value = NULL;
+
+		if (!xdr_fs_service_value (xdrs, &value))
+		{
+			xdr_free ((xdrproc_t) xdr_fs_service_value, &value);
+			return false;
+		}
+		call->params[i] = value ? g_strdup (*value) : NULL;
+		call->param_count = i + 1;
+		xdr_free ((xdrproc_t) xdr_fs_service_value, &value);
+	}
+	return true;
+}
+
+/** Decodes the context and @p count parameters. @return false when they are malformed. */
+static bool
+decode_call (XDR *xdrs, struct entry_call *call, uint32_t count)
+{
+	struct fs_service_context context = { 0 };
+	bool is_good = xdr_fs_service_context (xdrs, &context);
+
+	if (is_good)
+	{
+		call->operation = FS_OPERATION_CALL;
+		call->request_id = text_or_null (context.request_id);
+		call->tenant = text_or_null (context.tenant);
+		call->token = text_or_null (context.session);
+		call->timeout_ms = context.timeout_ms;
+		is_good = decode_params (xdrs, call, count);
+	}
+	xdr_free ((xdrproc_t) xdr_fs_service_context, &context);
+	return is_good;
+}
+
+static void
+call_start (struct service_connection *connection, uint32_t xid, struct entry_call *entry_call)
+{
+	struct service_call *call = calloc (1, sizeof *call);
+	uint32_t handle;
+
+	if (!call)
+	{
+		entry_call_free (entry_call);
+		rpc_connection_reject (&connection->rpc, xid, SYSTEM_ERR);
+		return;
+	}
+	call->connection = connection;
+	call->xid = xid;
+	call->next = connection->calls;
+	connection->calls = call;
+	connection->listener->in_flight++;
+	handle = entry_start (connection->listener->entries, entry_call, handle_done, call);
+	/* HANDLE_NONE: answered already, and the call is freed. */
+	if (handle != HANDLE_NONE)
+		call->entry = handle;
+}
+
+static bool
+handle_call (struct rpc_connection *rpc, uint32_t xid, uint32_t program, uint32_t procedure,
+             XDR *args)
+{
+	struct service_connection *connection = rpc->data;
+	struct entry_call *call;
+	uint32_t param_count = 0;
+
+	if (procedure == 0)
+		return rpc_connection_reply (rpc, xid, (xdrproc_t) xdr_void, NULL) == 0;
+	call = entry_call_new ();
+	if (!find_call (connection->listener->entries, program, procedure, call, &param_count))
+	{
+		entry_call_free (call);
+		return rpc_connection_reject (rpc, xid, PROC_UNAVAIL) == 0;
+	}
+	if (!decode_call (args, call, param_count))
+	{
+		counter_add (COUNTER_RPC_MALFORMED, 1);
+		entry_call_free (call);
+		return rpc_connection_reject (rpc, xid, GARBAGE_ARGS) == 0;
+	}
+	call_start (connection, xid, call);
+	return true;
+}
+
+static void
+connection_free (struct service_connection *connection)
+{
+	struct service_listener *listener = connection->listener;
+
+	while (connection->calls)
+	{
+		struct service_call *call = connection->calls;
+
+		call_unlink (call);
+		entry_cancel (listener->entries, call->entry);
+		free (call);
+	}
+	rpc_connection_finish (&connection->rpc);
+	handle_table_remove (&listener->connections, connection->handle);
+	free (connection);
+}
+
+static void
+handle_closed (struct rpc_connection *rpc, int error)
+{
+	(void) error;
+	connection_free (rpc->data);
+}
+
+static const struct rpc_connection_ops connection_ops = {
+	.handle_call = handle_call,
+	.handle_closed = handle_closed,
+};
+
+/** Takes over @p fd. */
+static void
+listener_add (struct service_listener *listener, int fd)
+{
+	struct service_connection *connection = calloc (1, sizeof *connection);
+	struct service_connection **place;
+
+	if (!connection)
+		goto fail;
+	connection->listener = listener;
+	connection->handle = handle_table_add (&listener->connections);
+	if (connection->handle == HANDLE_NONE)
+		goto fail;
+	place = handle_table_get (&listener->connections, connection->handle);
+	*place = connection;
+	if (rpc_connection_init (&connection->rpc, listener->loop, &connection_ops, connection, fd) ==
+	    0)
+		return;
+	handle_table_remove (&listener->connections, connection->handle);
+
+fail:
+	log_event (LOG_LEVEL_WARN, "service_connection_refused", "reason=too_many_connections");
+	free (connection);
+	close (fd);
+}
+
+static void
+handle_accept (struct loop_source *source, uint32_t epoll_events)
+{
+	int fd;
+
+	(void) epoll_events;
+	while ((fd = accept4 (source->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+		listener_add (source->data, fd);
+}
+
+int
+service_listener_init (struct service_listener *listener, struct loop *loop,
+                       struct entry_set *entries, uint32_t ip, uint16_t port)
+{
+	int result;
+
+	memset (listener, 0, sizeof *listener);
+	listener->loop = loop;
+	listener->entries = entries;
+	listener->source.fd = -1;
+	result = handle_table_init (&listener->connections, sizeof (void *), LISTENER_MAX_CONNECTIONS);
+	if (result < 0)
+		return result;
+	result = rpc_listen (ip, port);
+	if (result < 0)
+		return result;
+	listener->source.fd = result;
+	listener->source.handle_ready = handle_accept;
+	listener->source.data = listener;
+	return loop_set_source (loop, &listener->source, EPOLLIN);
+}
+
+void
+service_listener_refuse_connections (struct service_listener *listener)
+{
+	if (listener->source.fd < 0)
+		return;
+	loop_remove_source (listener->loop, &listener->source);
+	close (listener->source.fd);
+	listener->source.fd = -1;
+}
+
+void
+service_listener_finish (struct service_listener *listener)
+{
+	uint32_t handle;
+
+	while ((handle = handle_table_next (&listener->connections, HANDLE_NONE)) != HANDLE_NONE)
+	{
+		struct service_connection **place = handle_table_get (&listener->connections, handle);
+
+		connection_free (*place);
+	}
+	service_listener_refuse_connections (listener);
+	handle_table_finish (&listener->connections);
+}
--- a/flamingospring/settings.c
+++ b/flamingospring/settings.c
@@ -66,6 +66,7 @@
 	      "base URL of the platform's key-value service"),
 	{ "seeds", SETTING_ADDRESSES, offsetof (struct settings, seeds), 0, 0, 0, "",
 	  "control addresses of other VMs, IP:PORT separated by commas" },
+	NUMBER (service_port, "service-port", 1, 65535, "7003", "TCP port for typed calls of services"),
 	TEXT (trace, "trace", "", "where spans go: - for standard error, or a file"),
 	NUMBER (trace_sample_per_million, "trace-sample-per-million", 0, 1000000, "1000",
 	        "share of new traces that are sampled"),
@@ -196,17 +197,31 @@
 	variable[i] = 0;
 }
 
+static void
+check_ports (const struct settings *settings, struct findings *findings)
+{
+	const uint16_t ports[] = { settings->caller_port, settings->traffic_port,
+		                       settings->control_port, settings->service_port };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (ports); i++)
+	{
+		for (size_t j = 0; j < i; j++)
+		{
+			if (ports[i] == ports[j])
+				findings_add (findings, "settings", 0, 0, "caller-port",
+				              "port %u stands for two of caller, traffic, control and service port",
+				              ports[i]);
+		}
+	}
+}
+
 static void
 settings_check (const struct settings *settings, struct findings *findings)
 {
 	if (settings->zone && strlen (settings->zone) > SETTINGS_MAX_ZONE_BYTES)
 		findings_add (findings, "settings", 0, 0, "zone", "longer than %d bytes",
 		              SETTINGS_MAX_ZONE_BYTES);
-	if (settings->caller_port == settings->traffic_port ||
-	    settings->caller_port == settings->control_port ||
-	    settings->traffic_port == settings->control_port)
-		findings_add (findings, "settings", 0, 0, "caller-port",
-		              "caller, traffic and control port must differ");
+	check_ports (settings, findings);
 	if (settings->platform && !g_str_has_prefix (settings->platform, "http://"))
 		findings_add (findings, "settings", 0, 0, "platform", "\"%s\" is not an http:// URL",
 		              settings->platform);
--- a/flamingospring/traffic.c
+++ b/flamingospring/traffic.c
@@ -8,6 +8,7 @@
 #include "flamingospring/http.h"
 #include "flamingospring/owner.h"
 #include "flamingospring/peer.h"
+#include "flamingospring/service_listener.h"
 
 #include <ck_pr.h>
 #include <errno.h>
@@ -39,12 +40,14 @@
 	struct peer_listener listener;
 	struct entry_set entries;
 	struct http_server http;
+	struct service_listener services;
 	bool has_loop;
 	bool has_mailbox;
 	bool has_owners;
 	bool has_listener;
 	bool has_entries;
 	bool has_peers;
+	bool has_services;
 };
 
 struct traffic
@@ -138,6 +141,8 @@
 	owner_set_handle_snapshot (&thread->owners);
 	entry_set_handle_snapshot (&thread->entries);
 	http_server_set_leaving (&thread->http, is_leaving, refuses_connections);
+	if (refuses_connections)
+		service_listener_refuse_connections (&thread->services);
 }
 
 static void
@@ -206,6 +211,11 @@
 	if (result < 0)
 		return result;
 	thread->has_listener = true;
+	result = service_listener_init (&thread->services, &thread->loop, &thread->entries,
+	                                settings->ip, settings->service_port);
+	if (result < 0)
+		return result;
+	thread->has_services = true;
 	return http_server_init (&thread->http, &thread->loop, &thread->entries, &http);
 }
 
@@ -268,8 +278,8 @@
 static uint32_t
 thread_in_flight (const struct traffic_thread *thread)
 {
-	return http_server_in_flight (&thread->http) + peer_listener_in_flight (&thread->listener) +
-	       owner_set_in_flight (&thread->owners);
+	return http_server_in_flight (&thread->http) + thread->services.in_flight +
+	       peer_listener_in_flight (&thread->listener) + owner_set_in_flight (&thread->owners);
 }
 
 static void *
@@ -372,6 +382,8 @@
 {
 	if (thread->http.daemon)
 		http_server_finish (&thread->http);
+	if (thread->has_services)
+		service_listener_finish (&thread->services);
 	if (thread->has_listener)
 		peer_listener_finish (&thread->listener);
 	if (thread->has_peers)
--- a/include/flamingospring/settings.h
+++ b/include/flamingospring/settings.h
@@ -28,6 +28,7 @@
 	char *zone;
 	uint32_t ip; /**< Address of all listeners; host byte order. */
 	uint16_t caller_port;
+	uint16_t service_port;
 	uint16_t traffic_port;
 	uint16_t control_port;
 	char *platform;                                    /**< Base URL. */
--- a/tests/unit/traffic.c
+++ b/tests/unit/traffic.c
@@ -180,6 +180,7 @@
 			.vm_id = i + 1,
 			.ip = 0x7f000001,
 			.caller_port = fixture_port (),
+			.service_port = fixture_port (),
 			.traffic_port = traffic_ports[i],
 			.traffic_threads = THREADS,
 			.max_connections = 64,
