--- a/tests/virtual/group.c
+++ b/tests/virtual/group.c
@@ -4,6 +4,11 @@
 #include <glib.h>
 #include <string.h>
 
+enum
+{
+	ONCE_ENTRIES = 4096, /* Newest entries searched for a repeated write. */
+};
+
 static void
 server_append (struct virtual_server *server, struct virtual_entry entry)
 {
@@ -124,11 +129,20 @@
 }
 
 static int
-server_write (struct virtual_server *server, uint64_t value)
+server_write (struct virtual_server *server, const struct virtual_request *request,
+              struct log_position *position)
 {
+	uint64_t oldest = server->length > ONCE_ENTRIES ? server->length - ONCE_ENTRIES : 0;
+
 	if (!server->is_primary)
 		return -EROFS;
-	server_append (server, (struct virtual_entry){ server->primary_term, value });
+	for (uint64_t i = server->length; request->is_once && i > oldest; i--)
+		if (server->log[i - 1].value == request->value)
+		{
+			*position = (struct log_position){ server->log[i - 1].term, i };
+			return -EEXIST;
+		}
+	server_append (server, (struct virtual_entry){ server->primary_term, request->value });
 	server_replicate (server);
 	return 0;
 }
@@ -149,14 +163,17 @@
 	struct virtual_group *group = call.group;
 	struct virtual_server *server = &group->servers[call.reply.server];
 	const struct virtual_request *request = &call.reply.request;
+	struct log_position first;
 
 	if (request->type == VIRTUAL_FENCE)
 		call.reply.result = server_fence (server, request->term, request->claimant);
 	if (request->type == VIRTUAL_PROMOTE)
 		call.reply.result = server_promote (server, request->term, request->claimant);
 	if (request->type == VIRTUAL_WRITE)
-		call.reply.result = server_write (server, request->value);
+		call.reply.result = server_write (server, request, &first);
 	call.reply.status = virtual_server_status (server);
+	if (call.reply.result == -EEXIST)
+		call.reply.status.position = first;
 	if (virtual_random (group->world) % 1000000 >= group->answer_loss_per_million)
 		virtual_send (group->world, true, group->first_node + (int) server->index, call.node,
 		              call.handler, &call.reply, sizeof call.reply);
--- a/tests/virtual/group.h
+++ b/tests/virtual/group.h
@@ -37,6 +37,7 @@
 	uint32_t claimant;
 	uint64_t value;
 	int64_t run_us;
+	bool is_once; /**< WRITE with a request id: a value in the log is not appended again. */
 };
 
 struct virtual_reply
@@ -44,7 +45,9 @@
 	struct virtual_request request;
 	uint32_t server;
 	int64_t sent_us; /**< When the caller sent the request. */
-	int result; /**< 0; -EPERM: refused FENCE or PROMOTE; -EROFS: WRITE on a server that is no primary. */
+	/** 0; -EPERM: refused FENCE or PROMOTE; -EROFS: WRITE on a server that is no primary;
+	 * -EEXIST: repeated WRITE with is_once, whose first position is in @c status. */
+	int result;
 	struct server_status status; /**< After the request; the position of a write is in it. */
 };
 
