--- /dev/null
+++ b/decision/failover.c
@@ -0,0 +1,888 @@
+#include "decision/failover.h"
+
+#include "charts/embedded.h"
+#include "common/counters.h"
+#include "decision/retry.h"
+
+#include <errno.h>
+#include <string.h>
+
+const struct failover_settings failover_default_settings = {
+	.poll_quiet_us = 1000000,
+	.poll_alert_us = 100000,
+	.reply_late_us = 300000,
+	.suspect_after_us = 500000,
+	.claim_step_us = 300000,
+	.step_timeout_us = 500000,
+	.unfinished_after_us = 1000000,
+};
+
+enum
+{
+	MAX_ATTEMPTS = 2, /* Fences of one claim; lost answers may make the first one fail. */
+	/* A claim that does not hurry waits this long for the fences that a majority does not need, so
+	 * that a healthy primary is among the fenced servers and can be promoted again. */
+	GATHER_US = 100000,
+	/* Polls of an alert that leads to nothing become fewer, since the group may be cut off. */
+	LONG_ALERT_US = 10000000,
+	ASKED_US = 1000000,
+	OPINION_POLLS = 3, /* An opinion counts for this many alert polls. */
+	MAX_EVENTS = 8,    /* Chart events of one call. */
+};
+
+enum failover_event
+{
+	EVENT_ALARM,
+	EVENT_CALM,
+	EVENT_SUSPICION,
+	EVENT_TRUST,
+	EVENT_AGREEMENT,
+	EVENT_REQUEST,
+	EVENT_MAJORITY,
+	EVENT_SUPERSEDED,
+	EVENT_TIMEOUT,
+	EVENT_PROMOTED,
+	EVENT_REFUSED,
+	EVENT_COUNT,
+};
+
+static const char *const event_names[EVENT_COUNT] = {
+	"alarm",    "calm",       "suspicion", "trust",    "agreement", "request",
+	"majority", "superseded", "timeout",   "promoted", "refused",
+};
+
+enum failover_state
+{
+	STATE_QUIET,
+	STATE_ALERT,
+	STATE_AGREEING,
+	STATE_FENCING,
+	STATE_PROMOTING,
+	STATE_COUNT,
+};
+
+static const char *const state_names[STATE_COUNT] = { "quiet", "alert", "agreeing", "fencing",
+	                                                  "promoting" };
+
+struct observed_server
+{
+	struct server_status status; /* Last known; promised terms never fall. */
+	int64_t next_poll_us;
+	int64_t last_poll_us;
+	int64_t answered_us;
+	int64_t unanswered_us; /* Silent since; 0: every poll was answered, or is on its way. */
+};
+
+struct other_observer
+{
+	struct failover_observer observer;
+	struct failover_opinion opinion;
+	int64_t opinion_at_us; /* 0: none. */
+	int64_t next_ask_us;
+};
+
+/* What the present claim has achieved. */
+struct claim
+{
+	uint64_t term;
+	uint32_t fenced;                                    /* Bit set of servers. */
+	uint32_t rejected;                                  /* Bit set of servers. */
+	uint32_t to_fence;                                  /* Bit set of fences to be sent. */
+	struct log_position positions[ROUTING_MAX_SERVERS]; /* In the answers to the fences. */
+	uint32_t preferred;
+	uint32_t server; /* To be promoted. */
+	uint32_t attempts;
+	bool is_urgent; /* The primary is silent. */
+	bool to_promote;
+	int64_t started_us;
+	int64_t step_us; /* Start of the present step. */
+};
+
+struct failover_private
+{
+	const struct failover_settings *settings;
+	struct chart_instance chart;
+	int events[EVENT_COUNT];
+	int states[STATE_COUNT];
+	uint32_t self;
+	uint32_t server_count;
+	size_t observer_count;
+	uint64_t seed;
+	int64_t now_us; /* Of the present call, for the actions. */
+	int64_t due_us; /* When the next call was due at the end of the last one. */
+
+	uint64_t term; /* Known primary. */
+	uint32_t primary;
+	uint64_t heard_term; /* Highest term in opinions of others. */
+	uint64_t announced_term;
+	bool to_announce;
+
+	struct failover_opinion opinion;
+	uint64_t stuck_term;
+	int64_t stuck_since_us; /* A promised term is above the primary's since; 0: it is not. */
+	int64_t suspected_us;
+	int64_t alert_us;
+	int64_t asked_until_us;
+	struct claim claim;
+	struct failover_trace trace;
+	struct observed_server servers[ROUTING_MAX_SERVERS];
+	struct other_observer observers[FAILOVER_MAX_OBSERVERS];
+};
+
+static bool
+is_in (const struct failover_private *f, enum failover_state state)
+{
+	return f->chart.state == f->states[state];
+}
+
+static bool
+is_claiming (const struct failover_private *f)
+{
+	return is_in (f, STATE_FENCING) || is_in (f, STATE_PROMOTING);
+}
+
+static uint32_t
+majority (const struct failover_private *f)
+{
+	return f->server_count / 2 + 1;
+}
+
+static uint32_t
+count_bits (uint32_t bits)
+{
+	return (uint32_t) __builtin_popcount (bits);
+}
+
+/* The highest term that any server has promised or that its log shows. */
+static uint64_t
+highest_term (const struct failover_private *f)
+{
+	uint64_t highest = f->term > f->heard_term ? f->term : f->heard_term;
+
+	for (uint32_t i = 0; i < f->server_count; i++)
+	{
+		const struct server_status *status = &f->servers[i].status;
+
+		if (status->promised_term > highest)
+			highest = status->promised_term;
+		if (status->position.term > highest)
+			highest = status->position.term;
+	}
+	return highest;
+}
+
+static int64_t
+silence_us (const struct failover_private *f, int64_t now_us)
+{
+	const struct observed_server *server;
+
+	if (f->primary == FAILOVER_NO_PRIMARY)
+		return 0;
+	server = &f->servers[f->primary];
+	return server->unanswered_us ? now_us - server->unanswered_us : 0;
+}
+
+static bool
+is_late (const struct failover_private *f, int64_t now_us)
+{
+	return silence_us (f, now_us) >= f->settings->reply_late_us;
+}
+
+static bool
+is_doubtful (const struct failover_private *f, int64_t now_us)
+{
+	return is_late (f, now_us) || f->stuck_since_us != 0;
+}
+
+static void
+learn_primary (struct failover_private *f, uint64_t term, uint32_t server, bool is_announced,
+               int64_t now_us)
+{
+	if (server >= f->server_count || term < f->term ||
+	    (term == f->term && f->primary != FAILOVER_NO_PRIMARY))
+		return;
+	f->term = term;
+	f->primary = server;
+	/* Its silence from before does not count against the new primary. */
+	f->servers[server].unanswered_us = 0;
+	f->servers[server].next_poll_us = now_us;
+	if (is_announced && term > f->announced_term)
+		f->announced_term = term;
+	f->to_announce = term > f->announced_term;
+}
+
+static void
+update_opinion (struct failover_private *f, int64_t now_us)
+{
+	uint64_t highest = highest_term (f);
+	bool has_suspected = f->opinion.suspects;
+
+	if (highest > f->term || (f->primary == FAILOVER_NO_PRIMARY && highest > 0))
+	{
+		if (f->stuck_since_us == 0 || highest > f->stuck_term)
+			f->stuck_since_us = now_us;
+		f->stuck_term = highest;
+		f->opinion = (struct failover_opinion){
+			.term = highest,
+			.primary = FAILOVER_NO_PRIMARY,
+			.suspects = now_us - f->stuck_since_us >= f->settings->unfinished_after_us,
+		};
+	}
+	else
+	{
+		f->stuck_since_us = 0;
+		f->opinion = (struct failover_opinion){
+			.term = f->term,
+			.primary = f->primary,
+			.suspects = silence_us (f, now_us) >= f->settings->suspect_after_us,
+		};
+	}
+	if (f->opinion.suspects && !has_suspected)
+		f->suspected_us = now_us;
+}
+
+static bool
+opinion_is_fresh (const struct failover_private *f, const struct other_observer *other,
+                  int64_t now_us)
+{
+	return other->opinion_at_us != 0 &&
+	       now_us - other->opinion_at_us <= OPINION_POLLS * f->settings->poll_alert_us;
+}
+
+/* A majority of the observers, from 2 zones where there are several, share this one's suspicion. */
+static bool
+has_agreement (const struct failover_private *f, int64_t now_us)
+{
+	size_t agreeing = 0;
+	uint32_t zone = 0;
+	bool has_zone = false;
+	bool has_zones = false;
+	bool is_one_zone = true;
+
+	for (size_t i = 0; i < f->observer_count; i++)
+	{
+		const struct other_observer *other = &f->observers[i];
+		bool agrees = other->observer.id == f->self;
+
+		has_zones = has_zones || other->observer.zone != f->observers[0].observer.zone;
+		if (!agrees && opinion_is_fresh (f, other, now_us))
+			agrees = other->opinion.suspects && other->opinion.term == f->opinion.term &&
+			         other->opinion.primary == f->opinion.primary;
+		if (!agrees)
+			continue;
+		agreeing++;
+		is_one_zone = is_one_zone && (!has_zone || other->observer.zone == zone);
+		zone = other->observer.zone;
+		has_zone = true;
+	}
+	return f->opinion.suspects && agreeing > f->observer_count / 2 && !(has_zones && is_one_zone);
+}
+
+/* Each earlier observer that answers gets some time to claim first. */
+static bool
+is_turn (const struct failover_private *f, int64_t now_us)
+{
+	int64_t place = 0;
+
+	for (size_t i = 0; i < f->observer_count; i++)
+	{
+		if (f->observers[i].observer.id == f->self)
+			return now_us - f->suspected_us >= place * f->settings->claim_step_us;
+		place += opinion_is_fresh (f, &f->observers[i], now_us);
+	}
+	return false;
+}
+
+static void
+start_fencing (struct failover_private *f)
+{
+	struct claim *claim = &f->claim;
+	uint64_t highest = highest_term (f);
+
+	if (claim->attempts++ == 0)
+	{
+		claim->started_us = f->now_us;
+		f->trace = (struct failover_trace){ 0 };
+		f->trace.detect_us = silence_us (f, f->suspected_us);
+		f->trace.agree_us = f->now_us - f->suspected_us;
+	}
+	/* A fence is never repeated with its term: a server accepts a term once, and whether the lost
+	 * answer was a promise to this claim is not known. */
+	claim->term = (highest > claim->term ? highest : claim->term) + 1;
+	claim->fenced = 0;
+	claim->rejected = 0;
+	claim->to_fence = (1u << f->server_count) - 1;
+	claim->step_us = f->now_us;
+}
+
+static void
+start_promoting (struct failover_private *f)
+{
+	struct claim *claim = &f->claim;
+	uint32_t best = FAILOVER_NO_PRIMARY;
+
+	for (uint32_t i = 0; i < f->server_count; i++)
+	{
+		int order;
+
+		if (!(claim->fenced >> i & 1))
+			continue;
+		order = best == FAILOVER_NO_PRIMARY
+		            ? 1
+		            : log_position_compare (claim->positions[i], claim->positions[best]);
+		if (order > 0 || (order == 0 && i == claim->preferred))
+			best = i;
+	}
+	INVARIANT (count_bits (claim->fenced) >= majority (f), "P2");
+	claim->server = best;
+	claim->to_promote = true;
+	f->trace.fence_us = f->now_us - claim->started_us;
+	claim->step_us = f->now_us;
+}
+
+static void
+handle_action (void *context, const char *name)
+{
+	struct failover_private *f = context;
+
+	if (strcmp (name, "poll_at_once") == 0)
+	{
+		f->alert_us = f->now_us;
+		for (uint32_t i = 0; i < f->server_count; i++)
+			f->servers[i].next_poll_us = f->now_us;
+	}
+	else if (strcmp (name, "fence") == 0)
+		start_fencing (f);
+	else if (strcmp (name, "promote") == 0)
+		start_promoting (f);
+	else if (strcmp (name, "announce") == 0)
+	{
+		f->trace.promote_us = f->now_us - f->claim.step_us;
+		learn_primary (f, f->claim.term, f->claim.server, false, f->now_us);
+	}
+}
+
+static bool
+handle_condition (void *context, const char *name)
+{
+	const struct failover_private *f = context;
+
+	if (strcmp (name, "is_turn") == 0)
+		return is_turn (f, f->now_us);
+	return f->claim.attempts < MAX_ATTEMPTS;
+}
+
+static const struct chart_ops failover_ops = { handle_action, handle_condition };
+
+static bool
+take (struct failover_private *f, enum failover_event event)
+{
+	return chart_instance_handle (&f->chart, f->events[event], &failover_ops, f);
+}
+
+static bool
+advance_agreeing (struct failover_private *f, int64_t now_us)
+{
+	if (!f->opinion.suspects)
+		return take (f, EVENT_TRUST);
+	if (!has_agreement (f, now_us))
+		return false;
+	f->claim.attempts = 0;
+	f->claim.is_urgent = is_late (f, now_us);
+	f->claim.preferred = f->primary;
+	return take (f, EVENT_AGREEMENT);
+}
+
+static bool
+advance_claim (struct failover_private *f, int64_t now_us)
+{
+	struct claim *claim = &f->claim;
+	uint32_t fenced = count_bits (claim->fenced);
+	uint32_t rejected = count_bits (claim->rejected);
+
+	/* The time limit goes first: a claimant that was paused must not act on what it knew before. */
+	if (now_us - claim->step_us >= f->settings->step_timeout_us)
+		return take (f, EVENT_TIMEOUT);
+	if (f->term > claim->term || f->heard_term > claim->term ||
+	    rejected > f->server_count - majority (f))
+		return take (f, EVENT_SUPERSEDED);
+	if (is_in (f, STATE_PROMOTING))
+		return f->term == claim->term && take (f, EVENT_PROMOTED);
+	if (fenced < majority (f))
+		return false;
+	if (!claim->is_urgent && fenced + rejected < f->server_count &&
+	    now_us - claim->step_us < GATHER_US)
+		return false;
+	return take (f, EVENT_MAJORITY);
+}
+
+static bool
+advance_once (struct failover_private *f, int64_t now_us)
+{
+	bool is_calm = !is_doubtful (f, now_us);
+
+	update_opinion (f, now_us);
+	if (is_claiming (f))
+		return advance_claim (f, now_us);
+	if (is_in (f, STATE_QUIET))
+		return (!is_calm || now_us < f->asked_until_us) && take (f, EVENT_ALARM);
+	if (is_calm && now_us >= f->asked_until_us)
+		return take (f, EVENT_CALM);
+	if (is_in (f, STATE_ALERT))
+		return f->opinion.suspects && take (f, EVENT_SUSPICION);
+	return advance_agreeing (f, now_us);
+}
+
+static void
+advance (struct failover_private *f, int64_t now_us)
+{
+	for (int i = 0; i < MAX_EVENTS && advance_once (f, now_us); i++)
+		;
+}
+
+/* After a pause of this process, silence and opinions from before it say nothing. */
+static void
+enter_call (struct failover_private *f, int64_t now_us)
+{
+	f->now_us = now_us;
+	if (now_us - f->due_us < f->settings->reply_late_us)
+		return;
+	f->due_us = now_us;
+	for (uint32_t i = 0; i < f->server_count; i++)
+	{
+		if (f->servers[i].unanswered_us)
+			f->servers[i].unanswered_us = now_us;
+		f->servers[i].next_poll_us = now_us;
+	}
+	for (size_t i = 0; i < f->observer_count; i++)
+		f->observers[i].opinion_at_us = 0;
+	if (f->stuck_since_us)
+		f->stuck_since_us = now_us;
+	f->opinion.suspects = false;
+}
+
+size_t
+failover_size (uint32_t servers)
+{
+	return sizeof (struct failover_private);
+}
+
+int
+failover_init (struct failover *failover, void *memory, const struct failover_settings *settings,
+               uint32_t self, uint32_t servers, uint64_t seed, int64_t now_us)
+{
+	const struct chart *chart = chart_embedded ("failover");
+	struct failover_private *f = memory;
+
+	if (servers == 0 || servers > ROUTING_MAX_SERVERS)
+		return -EINVAL;
+	memset (f, 0, sizeof *f);
+	failover->state = f;
+	f->settings = settings;
+	f->self = self;
+	f->server_count = servers;
+	f->seed = seed;
+	f->now_us = now_us;
+	f->due_us = now_us;
+	f->primary = FAILOVER_NO_PRIMARY;
+	f->opinion.primary = FAILOVER_NO_PRIMARY;
+	for (int i = 0; i < EVENT_COUNT; i++)
+		f->events[i] = chart_find_event (chart, event_names[i]);
+	for (int i = 0; i < STATE_COUNT; i++)
+		f->states[i] = chart_find_state (chart, state_names[i]);
+	for (uint32_t i = 0; i < servers; i++)
+		f->servers[i].next_poll_us = now_us;
+	chart_instance_init (&f->chart, chart, &failover_ops, f);
+	return 0;
+}
+
+void
+failover_finish (struct failover *failover)
+{
+	failover->state = NULL;
+}
+
+void
+failover_set_observers (struct failover *failover, const struct failover_observer *observers,
+                        size_t count, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+	struct other_observer old[FAILOVER_MAX_OBSERVERS];
+	size_t old_count = f->observer_count;
+
+	memcpy (old, f->observers, sizeof old);
+	f->observer_count = 0;
+	for (size_t i = 0; i < count && f->observer_count < FAILOVER_MAX_OBSERVERS; i++)
+	{
+		struct other_observer next = { .observer = observers[i] };
+		bool is_new = true;
+
+		/* One VM may own several servers; it has one opinion. */
+		for (size_t n = 0; n < f->observer_count; n++)
+			is_new = is_new && f->observers[n].observer.id != observers[i].id;
+		for (size_t n = 0; n < old_count; n++)
+			if (old[n].observer.id == observers[i].id)
+				next = old[n];
+		next.observer = observers[i];
+		if (is_new)
+			f->observers[f->observer_count++] = next;
+	}
+}
+
+static void
+take_status (struct failover_private *f, uint32_t server, const struct server_status *status,
+             int64_t now_us)
+{
+	struct observed_server *observed = &f->servers[server];
+	uint64_t promised = observed->status.promised_term;
+
+	observed->status = *status;
+	if (status->promised_term < promised)
+		observed->status.promised_term = promised; /* An older answer that was overtaken. */
+	observed->answered_us = now_us;
+	/* A primary whose promised term is above its log's was fenced. */
+	if (status->is_primary && status->promised_term <= status->position.term)
+		learn_primary (f, status->position.term, server, false, now_us);
+	else if (server == f->primary && !status->is_primary && status->promised_term == f->term)
+		f->primary = FAILOVER_NO_PRIMARY;
+}
+
+void
+failover_handle_status (struct failover *failover, uint32_t server,
+                        const struct server_status *status, int64_t sent_us, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+	struct observed_server *observed;
+
+	if (server >= f->server_count)
+		return;
+	enter_call (f, now_us);
+	observed = &f->servers[server];
+	/* An answer to an earlier poll leaves the later ones unanswered. */
+	if (observed->unanswered_us != 0 && sent_us >= observed->unanswered_us)
+	{
+		int64_t next_us = sent_us + f->settings->poll_alert_us;
+
+		if (next_us > observed->last_poll_us)
+			next_us = observed->last_poll_us;
+		observed->unanswered_us = sent_us >= observed->last_poll_us ? 0 : next_us;
+	}
+	take_status (f, server, status, now_us);
+	advance (f, now_us);
+}
+
+/* A failure counts as silence since the last answer, but at most as a late reply: a few polls more
+ * have to fail before the primary is suspected. */
+static void
+handle_failure (struct failover_private *f, uint32_t server, int64_t now_us)
+{
+	struct observed_server *observed = &f->servers[server];
+	int64_t since_us = now_us - f->settings->reply_late_us;
+
+	if (observed->answered_us > since_us)
+		since_us = observed->answered_us;
+	if (observed->unanswered_us == 0 || since_us < observed->unanswered_us)
+		observed->unanswered_us = since_us;
+	if (server == f->primary)
+		f->asked_until_us = now_us + ASKED_US;
+	advance (f, now_us);
+}
+
+void
+failover_handle_error (struct failover *failover, uint32_t server, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+
+	if (server >= f->server_count)
+		return;
+	enter_call (f, now_us);
+	handle_failure (f, server, now_us);
+}
+
+void
+failover_handle_traffic (struct failover *failover, uint32_t server, bool answered, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+	struct observed_server *observed;
+
+	if (server >= f->server_count)
+		return;
+	enter_call (f, now_us);
+	observed = &f->servers[server];
+	if (!answered)
+	{
+		handle_failure (f, server, now_us);
+		return;
+	}
+	observed->answered_us = now_us;
+	observed->unanswered_us = 0;
+	if (is_in (f, STATE_QUIET))
+		observed->next_poll_us = now_us + f->settings->poll_quiet_us;
+	advance (f, now_us);
+}
+
+void
+failover_handle_asked (struct failover *failover, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+
+	enter_call (f, now_us);
+	f->asked_until_us = now_us + ASKED_US;
+	advance (f, now_us);
+}
+
+void
+failover_handle_opinion (struct failover *failover, uint32_t observer,
+                         const struct failover_opinion *opinion, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+
+	enter_call (f, now_us);
+	for (size_t i = 0; i < f->observer_count; i++)
+	{
+		if (f->observers[i].observer.id != observer)
+			continue;
+		f->observers[i].opinion = *opinion;
+		f->observers[i].opinion_at_us = now_us;
+		if (opinion->term > f->heard_term)
+			f->heard_term = opinion->term;
+		if (opinion->primary != FAILOVER_NO_PRIMARY)
+			learn_primary (f, opinion->term, opinion->primary, true, now_us);
+	}
+	advance (f, now_us);
+}
+
+void
+failover_handle_fenced (struct failover *failover, uint32_t server, uint64_t term, bool accepted,
+                        const struct server_status *status, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+
+	if (server >= f->server_count)
+		return;
+	enter_call (f, now_us);
+	f->servers[server].unanswered_us = 0;
+	take_status (f, server, status, now_us);
+	if (is_in (f, STATE_FENCING) && term == f->claim.term)
+	{
+		if (accepted)
+		{
+			f->claim.fenced |= 1u << server;
+			f->claim.positions[server] = status->position;
+		}
+		else
+			f->claim.rejected |= 1u << server;
+	}
+	advance (f, now_us);
+}
+
+void
+failover_handle_promoted (struct failover *failover, uint32_t server, uint64_t term, bool accepted,
+                          const struct server_status *status, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+
+	if (server >= f->server_count)
+		return;
+	enter_call (f, now_us);
+	f->servers[server].unanswered_us = 0;
+	take_status (f, server, status, now_us);
+	if (is_in (f, STATE_PROMOTING) && term == f->claim.term && server == f->claim.server)
+		take (f, accepted ? EVENT_PROMOTED : EVENT_REFUSED);
+	advance (f, now_us);
+}
+
+void
+failover_handle_announced (struct failover *failover, uint64_t term, uint32_t server,
+                           int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+
+	enter_call (f, now_us);
+	learn_primary (f, term, server, true, now_us);
+	advance (f, now_us);
+}
+
+int
+failover_request_promotion (struct failover *failover, uint32_t server, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+
+	if (server >= f->server_count || server == f->primary)
+		return -EINVAL;
+	enter_call (f, now_us);
+	advance (f, now_us);
+	if (!is_in (f, STATE_QUIET) && !is_in (f, STATE_ALERT))
+		return -EBUSY;
+	f->claim.attempts = 0;
+	f->claim.is_urgent = false;
+	f->claim.preferred = server;
+	f->suspected_us = now_us;
+	take (f, EVENT_REQUEST);
+	return 0;
+}
+
+static int64_t
+poll_interval_us (const struct failover_private *f, int64_t now_us)
+{
+	if (is_in (f, STATE_QUIET))
+		return f->settings->poll_quiet_us;
+	if (now_us - f->alert_us < LONG_ALERT_US)
+		return f->settings->poll_alert_us;
+	return f->settings->poll_quiet_us / 2;
+}
+
+static bool
+next_poll (struct failover_private *f, struct failover_effect *effect, int64_t now_us)
+{
+	for (uint32_t i = 0; i < f->server_count; i++)
+	{
+		struct observed_server *server = &f->servers[i];
+		int64_t interval_us = poll_interval_us (f, now_us);
+
+		if (now_us < server->next_poll_us)
+			continue;
+		/* Spreads the polls of the observers and groups of a fleet. */
+		server->next_poll_us =
+			now_us + interval_us -
+			(int64_t) (random_next (&f->seed) % (uint64_t) (interval_us / 8 + 1));
+		server->last_poll_us = now_us;
+		if (server->unanswered_us == 0)
+			server->unanswered_us = now_us;
+		*effect = (struct failover_effect){ .type = FAILOVER_POLL, .server = i };
+		return true;
+	}
+	return false;
+}
+
+static bool
+next_ask (struct failover_private *f, struct failover_effect *effect, int64_t now_us)
+{
+	if (is_in (f, STATE_QUIET) || is_claiming (f) || !is_doubtful (f, now_us))
+		return false;
+	for (size_t i = 0; i < f->observer_count; i++)
+	{
+		struct other_observer *other = &f->observers[i];
+
+		if (other->observer.id == f->self || now_us < other->next_ask_us)
+			continue;
+		other->next_ask_us = now_us + poll_interval_us (f, now_us);
+		*effect = (struct failover_effect){ .type = FAILOVER_ASK, .observer = other->observer.id };
+		return true;
+	}
+	return false;
+}
+
+static bool
+next_claim_effect (struct failover_private *f, struct failover_effect *effect)
+{
+	struct claim *claim = &f->claim;
+
+	effect->term = claim->term;
+	if (is_in (f, STATE_FENCING) && claim->to_fence)
+	{
+		effect->type = FAILOVER_FENCE;
+		effect->server = (uint32_t) __builtin_ctz (claim->to_fence);
+		claim->to_fence &= claim->to_fence - 1;
+		return true;
+	}
+	if (is_in (f, STATE_PROMOTING) && claim->to_promote)
+	{
+		effect->type = FAILOVER_PROMOTE;
+		effect->server = claim->server;
+		claim->to_promote = false;
+		return true;
+	}
+	return false;
+}
+
+struct failover_effect
+failover_next (struct failover *failover, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+	struct failover_effect effect = { .type = FAILOVER_NONE };
+
+	enter_call (f, now_us);
+	advance (f, now_us);
+	if (next_claim_effect (f, &effect))
+		return effect;
+	effect = (struct failover_effect){ .type = FAILOVER_NONE };
+	if (f->to_announce)
+	{
+		f->to_announce = false;
+		f->announced_term = f->term;
+		return (struct failover_effect){ .type = FAILOVER_ANNOUNCE,
+			                             .server = f->primary,
+			                             .term = f->term };
+	}
+	if (!next_poll (f, &effect, now_us) && !next_ask (f, &effect, now_us))
+		f->due_us = failover_next_time_us (failover);
+	return effect;
+}
+
+static void
+earlier (int64_t *next_us, int64_t at_us)
+{
+	if (at_us < *next_us)
+		*next_us = at_us;
+}
+
+int64_t
+failover_next_time_us (const struct failover *failover)
+{
+	const struct failover_private *f = failover->state;
+	int64_t next_us = INT64_MAX;
+
+	if (f->to_announce)
+		return f->now_us;
+	for (uint32_t i = 0; i < f->server_count; i++)
+		earlier (&next_us, f->servers[i].next_poll_us);
+	if (is_claiming (f))
+	{
+		earlier (&next_us, f->claim.step_us + f->settings->step_timeout_us);
+		if (!f->claim.is_urgent && f->now_us < f->claim.step_us + GATHER_US)
+			earlier (&next_us, f->claim.step_us + GATHER_US);
+	}
+	else if (f->primary != FAILOVER_NO_PRIMARY && f->servers[f->primary].unanswered_us)
+	{
+		int64_t since_us = f->servers[f->primary].unanswered_us;
+
+		if (f->now_us < since_us + f->settings->reply_late_us)
+			earlier (&next_us, since_us + f->settings->reply_late_us);
+		else if (f->now_us < since_us + f->settings->suspect_after_us)
+			earlier (&next_us, since_us + f->settings->suspect_after_us);
+	}
+	if (f->stuck_since_us && f->now_us < f->stuck_since_us + f->settings->unfinished_after_us)
+		earlier (&next_us, f->stuck_since_us + f->settings->unfinished_after_us);
+	return next_us;
+}
+
+struct failover_opinion
+failover_opinion (const struct failover *failover)
+{
+	return failover->state->opinion;
+}
+
+bool
+failover_primary (const struct failover *failover, uint64_t *term, uint32_t *server)
+{
+	const struct failover_private *f = failover->state;
+
+	if (f->primary == FAILOVER_NO_PRIMARY)
+		return false;
+	*term = f->term;
+	*server = f->primary;
+	return true;
+}
+
+const struct failover_trace *
+failover_last_trace (const struct failover *failover)
+{
+	return &failover->state->trace;
+}
+
+const char *
+failover_state_name (const struct failover *failover)
+{
+	return chart_state_name (failover->state->chart.chart, failover->state->chart.state);
+}
--- a/include/decision/failover.h
+++ b/include/decision/failover.h
@@ -17,6 +17,7 @@
 enum
 {
 	FAILOVER_MAX_OBSERVERS = ROUTING_MAX_SERVERS,
+	FAILOVER_NO_PRIMARY = 0xffff, /**< In an opinion: the term has no known primary. */
 };
 
 struct failover_settings
@@ -106,6 +107,9 @@
 void failover_handle_opinion (struct failover *failover, uint32_t observer,
                               const struct failover_opinion *opinion, int64_t now_us);
 
+/** Another observer asks for this one's opinion: it doubts the primary, so this one polls at once. */
+void failover_handle_asked (struct failover *failover, int64_t now_us);
+
 /** Answer to a fence; @p accepted false: a term at or above it was promised, see @p status. */
 void failover_handle_fenced (struct failover *failover, uint32_t server, uint64_t term,
                              bool accepted, const struct server_status *status, int64_t now_us);
