--- a/tests/measure/measure.c
+++ b/tests/measure/measure.c
@@ -1,27 +1,110 @@
-/* Prints what callers see under the chosen policy and under simple baselines. */
+/* Prints what callers see under the chosen policy and under simple baselines: one JSON object for
+ * each scenario, row and policy. */
 #include "simulation.h"
 
 #include "common/clock.h"
 #include "common/counters.h"
+#include "schema/yaml_reader.h"
 
 #include <stdio.h>
-#include <string.h>
 
-enum
+static const uint64_t seeds[] = { 1, 2 };
+static const char *const policy_names[POLICY_COUNT] = { "chosen", "primary_reads", "vm_pools",
+	                                                    "primary_ack" };
+
+struct field
 {
-	DURATION_US = 20 * US_PER_S,
-	FAILOVER_DURATION_US = 28 * US_PER_S,
+	const char *key;
+	size_t offset;
+	uint32_t min, max;
 };
 
-static const uint64_t seeds[] = { 1, 2 };
+#define FIELD(type, name, min, max)                                                                \
+	{                                                                                              \
+#name, G_STRUCT_OFFSET(struct type, name), min, max                                        \
+	}
+
+static const struct field scenario_fields[] = {
+	FIELD (scenario, zones, 1, VIRTUAL_MAX_ZONES),
+	FIELD (scenario, zone_delay_ms, 0, 100),
+	FIELD (scenario, caller_delay_ms, 0, 100),
+	FIELD (scenario, vms, 3, MAX_VMS),
+	FIELD (scenario, databases, 2, MAX_DATABASES),
+	FIELD (scenario, slots, 1, VIRTUAL_MAX_SLOTS),
+	FIELD (scenario, connections, MAX_VMS, 1000),
+	FIELD (scenario, lag_ms, 0, 10000),
+	FIELD (scenario, sessions, 1, 100000),
+	FIELD (scenario, tenants, 1, ADMISSION_MAX_TENANTS),
+	FIELD (scenario, queue_limit, 1, 10000),
+	FIELD (scenario, floor_normal_percent, 0, 50),
+	FIELD (scenario, floor_low_percent, 0, 50),
+	FIELD (scenario, flood_low, 1, 100),
+	FIELD (scenario, flood_urgent, 1, 100),
+};
 
-static const char *const policy_names[POLICY_COUNT] = {
-	"chosen",
-	"primary_reads",
-	"vm_pools",
-	"primary_ack",
+static const struct field work_fields[] = {
+	FIELD (work, per_s, 1, 10000),      FIELD (work, run_ms, 1, 10000),
+	FIELD (work, target_ms, 1, 100000), FIELD (work, timeout_ms, 1, 100000),
+	FIELD (work, max_age_ms, 0, 60000),
 };
 
+static void
+load_fields (struct yaml_reader *reader, const yaml_node_t *node, void *memory,
+             const struct field *fields, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		*(uint32_t *) ((char *) memory + fields[i].offset) =
+			yaml_reader_number (reader, node, fields[i].key, fields[i].key, fields[i].min,
+		                        fields[i].max, 0, fields[i].min > 0);
+}
+
+static void
+load_document (struct yaml_reader *reader, struct scenario *scenario)
+{
+	static const char *const ranks[] = { "urgent", "normal", "low", NULL };
+	static const char *const kinds[] = { "read", "primary_read", "write", NULL };
+	const yaml_node_t *root = yaml_reader_root (reader);
+	const yaml_node_t *list = yaml_reader_find (reader, root, "work");
+	size_t count = list ? yaml_reader_sequence (reader, list, "work") : 0;
+
+	if (count < 1 || count > MAX_WORK)
+		yaml_reader_report (reader, root, "work", "has no or more than %d items", MAX_WORK);
+	yaml_reader_name (reader, root, "name", "name", scenario->name, sizeof scenario->name);
+	load_fields (reader, root, scenario, scenario_fields, G_N_ELEMENTS (scenario_fields));
+	for (uint32_t i = 0; i < count && i < MAX_WORK; i++)
+	{
+		const yaml_node_t *node = yaml_reader_item (reader, list, i);
+		struct work *work = &scenario->work[scenario->work_count++];
+
+		work->rank = (uint32_t) yaml_reader_choice (reader, node, "rank", "rank", ranks, 0);
+		work->kind = (uint32_t) yaml_reader_choice (reader, node, "kind", "kind", kinds, 0);
+		load_fields (reader, node, work, work_fields, G_N_ELEMENTS (work_fields));
+	}
+}
+
+/* Prints the mistakes of a file. @return whether there are none. */
+static bool
+load_scenario (struct scenario *scenario, const char *path)
+{
+	struct findings findings;
+	struct yaml_reader reader = { 0 };
+	g_autofree char *text = NULL;
+	gsize length = 0;
+	bool is_good;
+
+	memset (scenario, 0, sizeof *scenario);
+	findings_init (&findings);
+	if (!g_file_get_contents (path, &text, &length, NULL))
+		findings_add (&findings, path, 0, 0, "", "cannot be read");
+	else if (yaml_reader_init (&reader, path, text, length, &findings) == 0)
+		load_document (&reader, scenario);
+	yaml_reader_finish (&reader);
+	findings_print (&findings, stderr);
+	is_good = findings.count == 0;
+	findings_finish (&findings);
+	return is_good;
+}
+
 static int
 compare_latencies (const void *a, const void *b)
 {
@@ -37,143 +120,80 @@
 	return whole ? (double) part / (double) whole : 1;
 }
 
-static double
-p99_ms (const struct rank_tally *rank)
+static void
+print_rank (const struct plan *plan, const struct tally *tally, int rank)
 {
-	if (rank->latencies_us->len == 0)
-		return 0;
-	g_array_sort (rank->latencies_us, compare_latencies);
-	return g_array_index (rank->latencies_us, uint32_t, rank->latencies_us->len * 99 / 100) / 1e3;
+	GArray *sorted = tally->latencies_us[rank];
+	double p99_ms = 0;
+
+	g_array_sort (sorted, compare_latencies);
+	if (sorted->len > 0)
+		p99_ms = g_array_index (sorted, uint32_t, sorted->len * 99 / 100) / 1e3;
+	printf ("\"%s\": {\"served_share\": %.4f, \"p99_ms\": %.1f, \"in_target_share\": %.4f, "
+	        "\"slots_used\": %.2f}, ",
+	        rank_name ((enum rank) rank), share (tally->served[rank], tally->offered[rank]), p99_ms,
+	        share (tally->in_target[rank], tally->offered[rank]),
+	        (double) tally->busy_us[rank] / (double) tally->duration_us);
 }
 
+/* The simulated requests are single statements, so that "mixed" is not measured here. */
 static void
-print_json (const struct plan *plan, const struct tally *tally)
+print_tally (const struct plan *plan, const struct tally *tally)
 {
 	printf ("{\"scenario\": \"%s/%s\", \"policy\": \"%s\", \"replica_read_share\": %.4f, ",
 	        plan->scenario->name, plan->name, policy_names[plan->policy],
 	        share (tally->replica_served, tally->replica_possible));
 	if (plan->has_failover)
-		printf ("\"failover_gap_ms\": %.0f, ", (double) tally->failover_gap_us / US_PER_MS);
+		printf ("\"failover_gap_ms\": %ld, ", tally->failover_gap_us / US_PER_MS);
 	else
 		printf ("\"failover_gap_ms\": null, ");
-	printf ("\"ranks\": {");
-	for (int i = 0; i < RANK_COUNT; i++)
-	{
-		const struct rank_tally *rank = &tally->ranks[i];
-
-		printf ("%s\"%s\": {\"served_share\": %.4f, \"p99_ms\": %.1f, \"in_target_share\": %.4f}",
-		        i ? ", " : "", rank_name ((enum rank) i), share (rank->served, rank->offered),
-		        p99_ms (rank), share (rank->in_target, rank->offered));
-	}
-	/* The simulated requests are single statements: mixed transactions are not measured here. */
-	printf ("}, \"acked_lost\": %lu, \"doubled\": %lu, \"ryw_violations\": %lu, "
+	for (int rank = 0; rank < RANK_COUNT; rank++)
+		print_rank (plan, tally, rank);
+	printf ("\"acked_lost\": %lu, \"doubled\": %lu, \"ryw_violations\": %lu, "
 	        "\"not_run_but_ran\": %lu, \"mixed\": null}\n",
 	        tally->acked_lost, tally->doubled, tally->ryw_violations, tally->not_run_but_ran);
+	fflush (stdout);
 }
 
 static void
-print_heading (void)
-{
-	printf ("%-22s %-14s %7s %7s", "scenario", "policy", "replica", "gap ms");
-	for (int i = 0; i < RANK_COUNT; i++)
-		printf (" | %-6s p99 ms target", rank_name ((enum rank) i));
-	printf (" | %6s %6s %6s %6s\n", "lost", "double", "ryw", "ran");
-}
-
-static void
-print_row (const struct plan *plan, const struct tally *tally)
-{
-	char name[128];
-	char gap[32] = "-";
-
-	snprintf (name, sizeof name, "%s/%s", plan->scenario->name, plan->name);
-	if (plan->has_failover)
-		snprintf (gap, sizeof gap, "%.0f", (double) tally->failover_gap_us / US_PER_MS);
-	printf ("%-22s %-14s %7.3f %7s", name, policy_names[plan->policy],
-	        share (tally->replica_served, tally->replica_possible), gap);
-	for (int i = 0; i < RANK_COUNT; i++)
-	{
-		const struct rank_tally *rank = &tally->ranks[i];
-
-		printf (" | %6.3f %6.0f %6.3f", share (rank->served, rank->offered), p99_ms (rank),
-		        share (rank->in_target, rank->offered));
-	}
-	printf (" | %6lu %6lu %6lu %6lu\n", tally->acked_lost, tally->doubled, tally->ryw_violations,
-	        tally->not_run_but_ran);
-}
-
-static void
-run_plan (struct plan *plan, bool is_json)
+run_plan (struct plan *plan)
 {
-	struct tally tally = { .failover_gap_us = -1 };
+	struct tally tally = { 0 };
 
-	for (int i = 0; i < RANK_COUNT; i++)
-		tally.ranks[i].latencies_us = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+	for (int rank = 0; rank < RANK_COUNT; rank++)
+		tally.latencies_us[rank] = g_array_new (FALSE, FALSE, sizeof (uint32_t));
 	for (size_t i = 0; i < G_N_ELEMENTS (seeds); i++)
 	{
 		plan->seed = seeds[i];
 		simulate (plan, &tally);
 	}
-	if (is_json)
-		print_json (plan, &tally);
-	else
-		print_row (plan, &tally);
-	fflush (stdout);
-	for (int i = 0; i < RANK_COUNT; i++)
-		g_array_free (tally.ranks[i].latencies_us, TRUE);
-}
-
-static void
-run_scenario (const struct scenario *scenario, bool is_json)
-{
-	const struct plan plans[] = {
-		{ scenario, "steady", POLICY_CHOSEN, { 1, 1, 1 }, false, DURATION_US, 0 },
-		{ scenario,
-		  "low_flood",
-		  POLICY_CHOSEN,
-		  { 1, 1, scenario->flood_low },
-		  false,
-		  DURATION_US,
-		  0 },
-		{ scenario,
-		  "urgent_flood",
-		  POLICY_CHOSEN,
-		  { scenario->flood_urgent, 1, 1 },
-		  false,
-		  DURATION_US,
-		  0 },
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS (plans); i++)
-		for (int policy = 0; policy < POLICY_COUNT; policy++)
-		{
-			struct plan plan = plans[i];
-
-			plan.policy = (enum policy) policy;
-			run_plan (&plan, is_json);
-		}
+	print_tally (plan, &tally);
+	for (int rank = 0; rank < RANK_COUNT; rank++)
+		g_array_free (tally.latencies_us[rank], TRUE);
 }
 
 int
 main (int argc, char **argv)
 {
-	bool is_json = argc > 1 && strcmp (argv[1], "--json") == 0;
+	struct scenario scenario;
 
-	if (!is_json)
-		print_heading ();
-	for (int i = is_json ? 2 : 1; i < argc; i++)
+	for (int i = 1; i < argc && load_scenario (&scenario, argv[i]); i++)
 	{
-		struct scenario scenario;
-
-		if (scenario_load (&scenario, argv[i]) < 0)
-			return 1;
-		run_scenario (&scenario, is_json);
+		struct plan plans[] = {
+			{ &scenario, "steady", { 1, 1, 1 }, false, POLICY_CHOSEN, 0 },
+			{ &scenario, "low_flood", { 1, 1, scenario.flood_low }, false, POLICY_CHOSEN, 0 },
+			{ &scenario, "urgent_flood", { scenario.flood_urgent, 1, 1 }, false, POLICY_CHOSEN, 0 },
+			{ &scenario, "failover", { 1, 1, 1 }, true, POLICY_CHOSEN, 0 },
+		};
+
+		for (size_t p = 0; p < G_N_ELEMENTS (plans); p++)
+			for (int policy = 0; policy < POLICY_COUNT; policy++)
+			{
+				plans[p].policy = (enum policy) policy;
+				run_plan (&plans[p]);
+			}
 	}
 	if (counter_get (COUNTER_INVARIANT_VIOLATIONS) > 0)
-	{
-		fprintf (stderr, "measure: %lu invariant violations, see the log\n",
-		         counter_get (COUNTER_INVARIANT_VIOLATIONS));
-		return 1;
-	}
-	return 0;
+		fprintf (stderr, "measure: invariant violations, see the log\n");
+	return counter_get (COUNTER_INVARIANT_VIOLATIONS) > 0;
 }
--- a/tests/measure/owner.c
+++ b/tests/measure/owner.c
@@ -16,6 +16,8 @@
 	ATTEMPT_BITS = 6,
 };
 
+static const struct log_position no_position = { 0, 0 };
+
 /* A statement on its connection. */
 struct statement
 {
@@ -25,7 +27,11 @@
 	bool is_over;
 };
 
-static void owner_pump (struct owner *owner);
+static bool
+owner_is_pool (const struct owner *owner)
+{
+	return owner->sim->plan->policy == POLICY_VM_POOLS;
+}
 
 static uint64_t
 attempt_cookie (const struct attempt *attempt)
@@ -44,22 +50,16 @@
 owner_answer (struct owner *owner, const struct attempt *attempt, enum outcome outcome,
               enum reason reason, struct log_position position)
 {
-	struct simulation *sim = owner->sim;
+	struct virtual_world *world = &owner->sim->world;
 	struct answer answer = { *attempt, owner, outcome, reason, position, owner->self, { 0 } };
 
 	for (int rank = 0; rank < RANK_COUNT; rank++)
 		answer.queue_us[rank] =
-			admission_expected_wait_us (owner->admission, (enum rank) rank, sim->world.now_us);
-	virtual_send (&sim->world, true, owner->vm, (int) attempt->call->vm,
+			admission_expected_wait_us (owner->admission, (enum rank) rank, world->now_us);
+	virtual_send (world, true, owner->vm, (int) attempt->call->vm,
 	              (struct virtual_handler){ entry_handle_answer, NULL }, &answer, sizeof answer);
 }
 
-static void
-owner_refuse (struct owner *owner, const struct attempt *attempt, enum reason reason)
-{
-	owner_answer (owner, attempt, OUTCOME_REFUSED, reason, (struct log_position){ 0, 0 });
-}
-
 static void
 owner_settle_writes (struct owner *owner)
 {
@@ -69,46 +69,40 @@
 	       ACKNOWLEDGEMENT_NONE)
 	{
 		struct attempt attempt = attempt_find (owner, result.cookie);
+		bool is_done = result.verdict == ACKNOWLEDGEMENT_DONE;
 
-		if (result.verdict == ACKNOWLEDGEMENT_DONE)
-			owner_answer (owner, &attempt, OUTCOME_DONE, REASON_NONE, result.position);
-		else
-			owner_answer (owner, &attempt, OUTCOME_UNKNOWN, REASON_NOT_ACKNOWLEDGED,
-			              result.position);
+		owner_answer (owner, &attempt, is_done ? OUTCOME_DONE : OUTCOME_UNKNOWN,
+		              is_done ? REASON_NONE : REASON_NOT_ACKNOWLEDGED, result.position);
 	}
 }
 
+static void owner_pump (struct owner *owner);
+
+/* Returns the slot and connection of a statement. */
 static void
-owner_handle_overdue (void *context, const void *payload)
+statement_end (struct statement *statement, bool answered)
 {
-	struct statement *statement = context;
 	struct owner *owner = statement->owner;
 	const struct call *call = statement->attempt.call;
 	int64_t now_us = owner->sim->world.now_us;
 
-	if (statement->is_over)
-		return;
 	statement->is_over = true;
-	observers_traffic (owner, false);
-	admission_complete (owner->admission, call->work->rank, call->tenant,
-	                    (uint32_t) (now_us - statement->started_us), now_us);
-	owner_answer (owner, &statement->attempt, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST,
-	              (struct log_position){ 0, 0 });
+	observer_traffic (owner, answered);
+	admission_complete (owner->admission, owner_is_pool (owner) ? RANK_NORMAL : call->work->rank,
+	                    call->tenant, (uint32_t) (now_us - statement->started_us), now_us);
 	owner_pump (owner);
 }
 
 static void
-owner_handle_write (struct owner *owner, const struct attempt *attempt,
-                    struct log_position position)
+owner_handle_overdue (void *context, const void *payload)
 {
-	int64_t deadline_us =
-		MIN (attempt->call->deadline_us, owner->sim->world.now_us + ACK_TIMEOUT_US);
+	struct statement *statement = context;
 
-	if (owner->sim->plan->policy == POLICY_PRIMARY_ACK)
-		owner_answer (owner, attempt, OUTCOME_DONE, REASON_NONE, position);
-	else if (acknowledgement_add (owner->ack, attempt_cookie (attempt), position, deadline_us) < 0)
-		owner_answer (owner, attempt, OUTCOME_UNKNOWN, REASON_NOT_ACKNOWLEDGED, position);
-	owner_settle_writes (owner);
+	if (statement->is_over)
+		return;
+	owner_answer (statement->owner, &statement->attempt, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST,
+	              no_position);
+	statement_end (statement, false);
 }
 
 static void
@@ -117,28 +111,31 @@
 	struct statement *statement = context;
 	const struct virtual_reply *reply = payload;
 	struct owner *owner = statement->owner;
-	struct attempt attempt = statement->attempt;
-	int64_t now_us = owner->sim->world.now_us;
+	struct call *call = statement->attempt.call;
+	struct log_position position = reply->status.position;
+	enum policy policy = owner->sim->plan->policy;
 
-	if (reply->result == 0)
-		attempt.call->ran = true;
+	call->ran |= reply->result == 0;
 	if (statement->is_over)
 		return;
-	statement->is_over = true;
-	observers_traffic (owner, true);
-	admission_complete (owner->admission, attempt.call->work->rank, attempt.call->tenant,
-	                    (uint32_t) (now_us - statement->started_us), now_us);
+	if (reply->result == 0)
+		owner->sim->tally->busy_us[call->work->rank] += call->run_us;
 	owner->self.is_primary = reply->status.is_primary;
-	if (log_position_covers (reply->status.position, owner->self.position))
-		owner->self.position = reply->status.position;
-	owner->self.position_at_us = now_us;
+	if (log_position_covers (position, owner->self.position))
+		owner->self.position = position;
+	owner->self.position_at_us = owner->sim->world.now_us;
 	if (reply->result == -EROFS)
-		owner_refuse (owner, &attempt, REASON_NOT_PRIMARY);
-	else if (attempt.call->work->kind == WORK_WRITE)
-		owner_handle_write (owner, &attempt, reply->status.position);
-	else
-		owner_answer (owner, &attempt, OUTCOME_DONE, REASON_NONE, reply->status.position);
-	owner_pump (owner);
+		owner_answer (owner, &statement->attempt, OUTCOME_REFUSED, REASON_NOT_PRIMARY, position);
+	else if (call->work->kind != WORK_WRITE || policy == POLICY_VM_POOLS ||
+	         policy == POLICY_PRIMARY_ACK)
+		owner_answer (owner, &statement->attempt, OUTCOME_DONE, REASON_NONE, position);
+	else if (acknowledgement_add (
+				 owner->ack, attempt_cookie (&statement->attempt), position,
+				 MIN (call->deadline_us, owner->sim->world.now_us + ACK_TIMEOUT_US)) < 0)
+		owner_answer (owner, &statement->attempt, OUTCOME_UNKNOWN, REASON_NOT_ACKNOWLEDGED,
+		              position);
+	owner_settle_writes (owner);
+	statement_end (statement, true);
 }
 
 static void
@@ -150,14 +147,18 @@
 		.type = call->work->kind == WORK_WRITE ? VIRTUAL_WRITE : VIRTUAL_READ,
 		.value = call->id + 1,
 		.run_us = call->run_us,
-		.is_once = true,
+		.is_once = !owner_is_pool (owner),
 	};
+	int64_t overdue_us = sim->world.now_us + call->run_us + OVERDUE_US;
 	struct statement *statement = simulation_new (sim, sizeof *statement);
 
+	/* Statements of the pools wait for a slot inside the server. */
+	if (owner_is_pool (owner))
+		overdue_us = call->deadline_us + OVERDUE_US;
 	*statement = (struct statement){ owner, *attempt, sim->world.now_us, false };
 	virtual_group_call (&sim->groups[owner->database], owner->vm, owner->index, &request,
 	                    (struct virtual_handler){ owner_handle_reply, statement });
-	virtual_add (&sim->world, owner->vm, sim->world.now_us + call->run_us + OVERDUE_US,
+	virtual_add (&sim->world, owner->vm, overdue_us,
 	             (struct virtual_handler){ owner_handle_overdue, statement }, NULL, 0);
 }
 
@@ -174,7 +175,7 @@
 		if (result.verdict == ADMISSION_START)
 			owner_start (owner, &attempt);
 		else
-			owner_refuse (owner, &attempt, REASON_DEADLINE);
+			owner_answer (owner, &attempt, OUTCOME_REFUSED, REASON_DEADLINE, no_position);
 	}
 }
 
@@ -187,64 +188,43 @@
 static void
 owner_admit (struct owner *owner, const struct attempt *attempt)
 {
-	struct simulation *sim = owner->sim;
+	struct virtual_world *world = &owner->sim->world;
 	const struct call *call = attempt->call;
-	struct admission_request request = {
-		.cookie = attempt_cookie (attempt),
-		.rank = call->work->rank,
-		.tenant = call->tenant,
-		.deadline_us = call->deadline_us - call->work->run_us,
-		.expected_run_us = call->work->run_us,
-	};
-	struct admission_result result =
-		admission_submit (owner->admission, &request, sim->world.now_us);
+	uint32_t run_us = call->work->run_ms * US_PER_MS;
+	struct admission_request request = { attempt_cookie (attempt), call->work->rank, call->tenant,
+		                                 call->deadline_us - run_us, run_us };
+	struct admission_result result;
 
+	if (owner_is_pool (owner))
+		request.rank = RANK_NORMAL;
+	result = admission_submit (owner->admission, &request, world->now_us);
 	if (result.verdict == ADMISSION_START)
 		owner_start (owner, attempt);
 	else if (result.verdict == ADMISSION_QUEUED)
-		virtual_add (&sim->world, owner->vm, request.deadline_us + 1,
+		virtual_add (world, owner->vm, request.deadline_us + 1,
 		             (struct virtual_handler){ owner_handle_expiry, owner }, NULL, 0);
 	else
-		owner_refuse (owner, attempt,
-		              result.verdict == ADMISSION_FULL ? REASON_QUEUE_FULL : REASON_OVERLOAD);
+		owner_answer (owner, attempt, OUTCOME_REFUSED, REASON_OVERLOAD, no_position);
 }
 
 /* @return whether the attempt still waits for a position. */
 static bool
 owner_check (struct owner *owner, const struct attempt *attempt)
 {
-	const struct call *call = attempt->call;
-	struct routing_request request = {
-		.is_write = call->work->kind == WORK_WRITE,
-		.consistency = call->work->max_age_ms ? READ_BOUNDED : READ_SESSION,
-		.required = call->required,
-		.required_at_us = call->required_at_us,
-		.max_age_us = (int64_t) call->work->max_age_ms * US_PER_MS,
-		.deadline_us = MIN (call->deadline_us, attempt->wait_until_us),
-	};
-	struct routing_server self = owner->self;
-
-	if (call->work->kind == WORK_PRIMARY_READ)
-		request.consistency = READ_PRIMARY;
-	self.link_us = 0;
-	switch (routing_check_server (&self, &request, owner->sim->world.now_us))
-	{
-	case CHECK_WAIT:
-		return true;
-	case CHECK_SERVE:
+	static const enum reason reasons[] = { [CHECK_BEHIND] = REASON_BEHIND,
+		                                   [CHECK_TOO_OLD] = REASON_TOO_OLD,
+		                                   [CHECK_NOT_PRIMARY] = REASON_NOT_PRIMARY };
+	struct routing_request request = call_routing (attempt->call);
+	enum routing_check check = CHECK_SERVE;
+
+	request.deadline_us = MIN (request.deadline_us, attempt->wait_until_us);
+	if (!owner_is_pool (owner))
+		check = routing_check_server (&owner->self, &request, owner->sim->world.now_us);
+	if (check == CHECK_SERVE)
 		owner_admit (owner, attempt);
-		break;
-	case CHECK_BEHIND:
-		owner_refuse (owner, attempt, REASON_BEHIND);
-		break;
-	case CHECK_TOO_OLD:
-		owner_refuse (owner, attempt, REASON_TOO_OLD);
-		break;
-	case CHECK_NOT_PRIMARY:
-		owner_refuse (owner, attempt, REASON_NOT_PRIMARY);
-		break;
-	}
-	return false;
+	else if (check != CHECK_WAIT)
+		owner_answer (owner, attempt, OUTCOME_REFUSED, reasons[check], no_position);
+	return check == CHECK_WAIT;
 }
 
 void
@@ -256,45 +236,35 @@
 	if (attempt->call->attempt == attempt->number)
 		attempt->call->is_received = true;
 	if (owner_check (owner, attempt))
-		g_ptr_array_add (owner->waiting, g_memdup2 (attempt, sizeof *attempt));
+		g_array_append_vals (owner->waiting, attempt, 1);
 }
 
 static void
 owner_recheck (struct owner *owner)
 {
-	for (guint i = 0; i < owner->waiting->len;)
-	{
-		if (owner_check (owner, g_ptr_array_index (owner->waiting, i)))
-			i++;
-		else
-			g_ptr_array_remove_index_fast (owner->waiting, i);
-	}
+	for (guint i = owner->waiting->len; i > 0; i--)
+		if (!owner_check (owner, &g_array_index (owner->waiting, struct attempt, i - 1)))
+			g_array_remove_index_fast (owner->waiting, i - 1);
 }
 
-/* Lag and freshness: the position of a primary that a majority confirmed, asked at a local time, is
- * later held by the own server. */
+/* Lag and freshness: the position of a primary that a majority confirmed, asked for at a local
+ * time, is later held by the own server. */
 static void
 owner_sample (struct owner *owner, const struct poll_round *round)
 {
-	int64_t now_us = owner->sim->world.now_us;
-	uint32_t majority = SCENARIO_MAX_SERVERS / 2 + 1;
+	struct routing_server *self = &owner->self;
+	int64_t lag_us;
 
-	if (round && round->replies >= majority && round->primary.term != 0 &&
+	if (round->replies > SERVERS / 2 && round->primary.term != 0 &&
 	    round->promised_term <= round->primary.term && owner->sample.sent_us == 0)
 		owner->sample = *round;
-	if (owner->sample.sent_us == 0 ||
-	    !log_position_covers (owner->self.position, owner->sample.primary))
+	if (owner->sample.sent_us == 0 || !log_position_covers (self->position, owner->sample.primary))
 		return;
-	owner->self.fresh_at_us = owner->sample.sent_us;
-	if (!owner->self.is_primary)
-	{
-		int64_t lag_us = now_us - owner->sample.sent_us;
-
-		owner->self.lag_us =
-			owner->self.lag_us == 0
-				? (uint32_t) lag_us
-				: (uint32_t) (owner->self.lag_us + (lag_us - owner->self.lag_us) / LAG_SHARE);
-	}
+	lag_us = owner->sim->world.now_us - owner->sample.sent_us;
+	if (!self->is_primary)
+		self->lag_us =
+			(uint32_t) (self->lag_us ? self->lag_us + (lag_us - self->lag_us) / LAG_SHARE : lag_us);
+	self->fresh_at_us = owner->sample.sent_us;
 	owner->sample.sent_us = 0;
 }
 
@@ -303,26 +273,26 @@
 {
 	struct owner *owner = context;
 	const struct virtual_reply *reply = payload;
-	struct poll_round *round = NULL;
 
 	acknowledgement_report (owner->ack, reply->server, &reply->status);
-	for (uint32_t i = 0; i < POLL_ROUNDS; i++)
-		if (owner->rounds[i].sent_us == reply->sent_us)
-			round = &owner->rounds[i];
-	if (round)
-	{
-		round->replies++;
-		if (reply->status.is_primary)
-			round->primary = reply->status.position;
-		round->promised_term = MAX (round->promised_term, reply->status.promised_term);
-	}
 	if (reply->server == owner->index)
 	{
 		owner->self.is_primary = reply->status.is_primary;
 		owner->self.position = reply->status.position;
 		owner->self.position_at_us = owner->sim->world.now_us;
 	}
-	owner_sample (owner, round);
+	for (size_t i = 0; i < G_N_ELEMENTS (owner->rounds); i++)
+	{
+		struct poll_round *round = &owner->rounds[i];
+
+		if (round->sent_us != reply->sent_us)
+			continue;
+		round->replies++;
+		if (reply->status.is_primary)
+			round->primary = reply->status.position;
+		round->promised_term = MAX (round->promised_term, reply->status.promised_term);
+		owner_sample (owner, round);
+	}
 	owner_settle_writes (owner);
 	owner_recheck (owner);
 }
@@ -331,39 +301,39 @@
 owner_handle_poll (void *context, const void *payload)
 {
 	struct owner *owner = context;
-	struct simulation *sim = owner->sim;
+	struct virtual_world *world = &owner->sim->world;
 	struct virtual_request request = { .type = VIRTUAL_STATUS };
 	bool is_busy = acknowledgement_is_waiting (owner->ack) || owner->waiting->len > 0;
 
-	owner->rounds[owner->next_round++ % POLL_ROUNDS] =
-		(struct poll_round){ .sent_us = sim->world.now_us };
-	for (uint32_t i = 0; i < SCENARIO_MAX_SERVERS; i++)
-		virtual_group_call (&sim->groups[owner->database], owner->vm, i, &request,
+	owner->rounds[owner->next_round++ % G_N_ELEMENTS (owner->rounds)] =
+		(struct poll_round){ .sent_us = world->now_us };
+	for (uint32_t i = 0; i < SERVERS; i++)
+		virtual_group_call (&owner->sim->groups[owner->database], owner->vm, i, &request,
 		                    (struct virtual_handler){ owner_handle_status, owner });
 	owner_settle_writes (owner);
 	owner_recheck (owner);
-	virtual_add (&sim->world, owner->vm,
-	             sim->world.now_us + (is_busy ? POLL_BUSY_US : POLL_QUIET_US),
+	virtual_add (world, owner->vm, world->now_us + (is_busy ? POLL_BUSY_US : POLL_QUIET_US),
 	             (struct virtual_handler){ owner_handle_poll, owner }, NULL, 0);
 }
 
 void
 owner_init (struct owner *owner)
 {
-	struct simulation *sim = owner->sim;
-	const struct scenario *scenario = sim->plan->scenario;
-	struct admission_settings settings = { .slots = scenario->slots };
+	const struct scenario *scenario = owner->sim->plan->scenario;
+	struct admission_settings settings = {
+		.slots = scenario->slots,
+		.queue_limit = { scenario->queue_limit, scenario->queue_limit, scenario->queue_limit },
+		.floor_percent = { 0, scenario->floor_normal_percent, scenario->floor_low_percent },
+	};
 
-	for (int rank = 0; rank < RANK_COUNT; rank++)
-	{
-		settings.queue_limit[rank] = scenario->queue_limit;
-		settings.floor_percent[rank] = scenario->floor_percent[rank];
-	}
-	owner->admission = admission_init (simulation_new (sim, admission_size (&settings)), &settings,
-	                                   sim->world.now_us);
+	if (owner_is_pool (owner))
+		settings.slots = scenario->connections / scenario->vms;
+	owner->admission = admission_init (simulation_new (owner->sim, admission_size (&settings)),
+	                                   &settings, owner->sim->world.now_us);
 	owner->ack = acknowledgement_init (
-		simulation_new (sim, acknowledgement_size (SCENARIO_MAX_SERVERS, ACK_CAPACITY)),
-		SCENARIO_MAX_SERVERS, ACK_CAPACITY);
-	owner->waiting = g_ptr_array_new_with_free_func (g_free);
-	owner_handle_poll (owner, NULL);
+		simulation_new (owner->sim, acknowledgement_size (SERVERS, ACK_CAPACITY)), SERVERS,
+		ACK_CAPACITY);
+	owner->waiting = g_array_new (FALSE, FALSE, sizeof (struct attempt));
+	if (!owner_is_pool (owner))
+		owner_handle_poll (owner, NULL);
 }
--- a/tests/measure/simulation.h
+++ b/tests/measure/simulation.h
@@ -8,17 +8,47 @@
 #include "decision/admission.h"
 #include "decision/failover.h"
 #include "decision/retry.h"
-#include "decision/routing.h"
 #include "group.h"
-#include "scenario.h"
 
 #include <glib.h>
 
+enum
+{
+	MAX_WORK = 8,
+	MAX_VMS = 8,
+	MAX_DATABASES = 4,
+	SERVERS = 3, /**< Of a group. */
+};
+
+enum work_kind
+{
+	WORK_READ, /**< A replica may serve it. */
+	WORK_PRIMARY_READ,
+	WORK_WRITE,
+};
+
+/** Requests of one kind; they arrive at random. */
+struct work
+{
+	uint32_t rank, kind, per_s, run_ms, target_ms, timeout_ms;
+	uint32_t max_age_ms; /**< Stated age of a read; 0: none. */
+};
+
+/** A deployment, as in tests/scenarios/. */
+struct scenario
+{
+	char name[32];
+	uint32_t zones, zone_delay_ms, caller_delay_ms, vms, databases, slots, connections, lag_ms;
+	uint32_t sessions, tenants, queue_limit, floor_normal_percent, floor_low_percent;
+	uint32_t flood_low, flood_urgent, work_count;
+	struct work work[MAX_WORK];
+};
+
 enum policy
 {
 	POLICY_CHOSEN,
 	POLICY_PRIMARY_READS, /**< As chosen, with all reads at the primary. */
-	POLICY_VM_POOLS,    /**< Each VM has its own pools: first in, first out, no ranks, no tokens. */
+	POLICY_VM_POOLS,    /**< Per-VM pools: first in, first out, no ranks, tokens or request ids. */
 	POLICY_PRIMARY_ACK, /**< As chosen, but a write is acknowledged when the primary has it. */
 	POLICY_COUNT,
 };
@@ -27,56 +57,41 @@
 {
 	const struct scenario *scenario;
 	const char *name;
-	enum policy policy;
 	uint32_t factor[RANK_COUNT]; /**< Times the usual rate. */
 	bool has_failover;
-	int64_t duration_us;
+	enum policy policy;
 	uint64_t seed;
 };
 
-struct rank_tally
-{
-	uint64_t offered, served, in_target;
-	GArray *latencies_us; /**< uint32_t, of served requests. */
-};
-
 struct tally
 {
-	struct rank_tally ranks[RANK_COUNT];
-	uint64_t replica_possible, replica_served;
-	uint64_t acked_lost, doubled, ryw_violations, not_run_but_ran;
-	int64_t failover_gap_us; /**< Longest over the databases; -1: no failover. */
+	uint64_t offered[RANK_COUNT], served[RANK_COUNT], in_target[RANK_COUNT];
+	int64_t busy_us[RANK_COUNT]; /**< Slot time. */
+	GArray *latencies_us[RANK_COUNT];
+	uint64_t replica_possible, replica_served, acked_lost, doubled, ryw_violations, not_run_but_ran;
+	int64_t duration_us;     /**< Of all seeds. */
+	int64_t failover_gap_us; /**< Longest over databases and seeds. */
 };
 
-/** Runs a plan and adds to @p tally. */
-void simulate (const struct plan *plan, struct tally *tally);
-
 /** One request of a caller. Lives until the end of the run. */
 struct call
 {
 	struct simulation *sim;
 	const struct work *work;
 	uint32_t id; /**< Its write's value is id + 1. */
-	uint32_t session, vm, database, tenant, attempt, excluded, server;
-	int64_t created_us, deadline_us;
-	uint32_t run_us;
-	struct log_position required;
-	int64_t required_at_us;
-	struct log_position must_see_at; /**< Last acknowledged write of the session when it began. */
+	uint32_t session, vm, database, tenant, run_us, attempt, excluded, server;
+	int64_t created_us, deadline_us, required_at_us;
+	struct log_position required; /**< Last acknowledged write of the session, as the next one. */
 	uint64_t must_see;
-	bool is_pending;  /**< An attempt is on its way. */
-	bool is_received; /**< The owner has got this attempt. */
-	bool may_have_run;
-	bool ran;
-	bool is_done;
+	bool is_pending, is_received, may_have_run, ran, is_done; /**< The first two: this attempt. */
 	enum outcome outcome;
 };
 
 struct session
 {
-	struct log_position token[SCENARIO_MAX_DATABASES];
-	int64_t token_at_us[SCENARIO_MAX_DATABASES];
-	uint64_t value[SCENARIO_MAX_DATABASES];
+	struct log_position token[MAX_DATABASES];
+	int64_t token_at_us[MAX_DATABASES];
+	uint64_t value[MAX_DATABASES];
 };
 
 /** What an entry VM knows of one server. */
@@ -87,34 +102,22 @@
 	struct circuit circuit;
 };
 
-/** Connections of one VM to one server in POLICY_VM_POOLS. */
-struct pool
-{
-	GQueue waiting;
-	uint32_t busy;
-};
-
 struct vm
 {
-	struct view views[SCENARIO_MAX_DATABASES][SCENARIO_MAX_SERVERS];
-	struct pool pools[SCENARIO_MAX_DATABASES][SCENARIO_MAX_SERVERS];
+	struct view views[MAX_DATABASES][SERVERS];
+	uint64_t term[MAX_DATABASES];
 	struct retry_budget budget;
-	uint64_t term[SCENARIO_MAX_DATABASES]; /**< Of the primary that it knows. */
-};
-
-enum
-{
-	POLL_ROUNDS = 16,
 };
 
 struct poll_round
 {
 	int64_t sent_us;
 	uint32_t replies;
-	struct log_position primary;
 	uint64_t promised_term;
+	struct log_position primary;
 };
 
+/** Owner of one server; in POLICY_VM_POOLS, the pool of one VM for it. */
 struct owner
 {
 	struct simulation *sim;
@@ -123,10 +126,11 @@
 	struct routing_server self;
 	struct admission *admission;
 	struct acknowledgement *ack;
-	GPtrArray *waiting; /**< struct attempt, for the position to arrive. */
-	struct poll_round rounds[POLL_ROUNDS];
+	GArray *waiting; /**< struct attempt, for the position to arrive. */
+	struct poll_round rounds[16], sample;
 	uint32_t next_round;
-	struct poll_round sample; /**< A confirmed round that the server has not caught up with. */
+	struct failover failover;
+	int64_t failover_at_us; /**< Time of its next step. */
 };
 
 struct simulation
@@ -134,16 +138,13 @@
 	const struct plan *plan;
 	struct tally *tally;
 	struct virtual_world world;
-	struct virtual_group groups[SCENARIO_MAX_DATABASES];
-	struct owner owners[SCENARIO_MAX_DATABASES][SCENARIO_MAX_SERVERS];
-	struct vm vms[SCENARIO_MAX_VMS];
+	struct virtual_group groups[MAX_DATABASES];
+	struct owner owners[MAX_DATABASES][SERVERS], pools[MAX_VMS][MAX_DATABASES][SERVERS];
+	struct vm vms[MAX_VMS];
 	struct session *sessions;
-	GPtrArray *calls;
-	GPtrArray *memory; /**< Freed at the end. */
-	int64_t end_us;    /**< Of new requests. */
-	int64_t fault_us;
-	int64_t restored_us[SCENARIO_MAX_DATABASES]; /**< First acknowledged write after the fault. */
-	struct observer *observers;
+	GPtrArray *calls, *memory;
+	int64_t end_us;                     /**< Of new requests. */
+	int64_t restored_us[MAX_DATABASES]; /**< First acknowledged write of a later term. */
 };
 
 /** An attempt of a call, as forwarded to an owner. */
@@ -166,19 +167,17 @@
 	uint32_t queue_us[RANK_COUNT];
 };
 
-/** Memory that lives until the end of the run. */
+/** Zeroed memory that lives until the end of the run. */
 void *simulation_new (struct simulation *sim, size_t bytes);
-void simulation_arrive (struct simulation *sim, const struct work *work, uint32_t session);
-void entry_begin (struct call *call);
-void entry_handle_answer (void *context, const void *payload);
-void entry_learn_primary (struct simulation *sim, uint32_t vm, uint32_t database, uint64_t term,
-                          uint32_t server);
-void pool_begin (struct call *call);
+/** Runs a plan and adds to @p tally. */
+void simulate (const struct plan *plan, struct tally *tally);
 void call_finish (struct call *call, enum outcome outcome, bool at_replica,
                   struct log_position position);
+struct routing_request call_routing (const struct call *call);
+void entry_begin (struct call *call);
+void entry_handle_answer (void *context, const void *payload);
+void entry_learn_primary (struct vm *vm, uint32_t database, uint64_t term, uint32_t server);
 void owner_init (struct owner *owner);
 void owner_handle_attempt (void *context, const void *payload);
-void owner_announce (struct owner *owner);
-void observers_init (struct simulation *sim);
-void observers_finish (struct simulation *sim);
-void observers_traffic (struct owner *owner, bool answered);
+void observer_init (struct owner *owner);
+void observer_traffic (struct owner *owner, bool answered);
