--- a/tests/measure/entry.c
+++ b/tests/measure/entry.c
@@ -151,7 +151,7 @@
 	view->server.lag_us = answer->self.lag_us;
 	view->server.fresh_at_us = answer->self.fresh_at_us;
 	memcpy (view->queue_us, answer->queue_us, sizeof view->queue_us);
-	circuit_report (&view->circuit, true, now_us);
+	circuit_report (&view->circuit, !answer->self.is_down, now_us);
 	if (answer->self.is_primary)
 		entry_learn_primary (vm, owner->database, answer->self.position.term, owner->index);
 }
@@ -171,9 +171,11 @@
 	call->excluded |= 1u << answer->owner->index;
 	if (answer->outcome == OUTCOME_DONE)
 		call_finish (call, OUTCOME_DONE, !answer->self.is_primary, answer->position);
-	else if (answer->reason == REASON_BEHIND || answer->reason == REASON_TOO_OLD)
+	else if (answer->reason == REASON_BEHIND || answer->reason == REASON_TOO_OLD ||
+	         (answer->reason == REASON_UPSTREAM_DOWN && call->work->kind == WORK_READ))
 		entry_route (call);
-	else if (answer->reason == REASON_NOT_PRIMARY || answer->outcome == OUTCOME_UNKNOWN)
+	else if (answer->reason == REASON_NOT_PRIMARY || answer->reason == REASON_UPSTREAM_DOWN ||
+	         answer->outcome == OUTCOME_UNKNOWN)
 		entry_retry_later (call);
 	else if (call->work->kind == WORK_READ && retry_budget_take (&vm->budget))
 		entry_route (call);
--- a/tests/measure/owner.c
+++ b/tests/measure/owner.c
@@ -12,6 +12,7 @@
 	OVERDUE_US = 400 * US_PER_MS, /* Beyond the expected run; more than one lost segment. */
 	ACK_TIMEOUT_US = 2 * US_PER_S,
 	ACK_CAPACITY = 4096,
+	DOWN_US = 300 * US_PER_MS, /* Without an answer to a poll or statement. */
 	LAG_SHARE = 8,
 	ATTEMPT_BITS = 6,
 };
@@ -172,7 +173,12 @@
 	{
 		struct attempt attempt = attempt_find (owner, result.cookie);
 
-		if (result.verdict == ADMISSION_START)
+		/* A pool drops what its caller gave up while it waited. */
+		if (result.verdict == ADMISSION_START && owner_is_pool (owner) &&
+		    (attempt.call->is_done || attempt.call->attempt != attempt.number))
+			admission_complete (owner->admission, RANK_NORMAL, attempt.call->tenant, 0,
+			                    owner->sim->world.now_us);
+		else if (result.verdict == ADMISSION_START)
 			owner_start (owner, &attempt);
 		else
 			owner_answer (owner, &attempt, OUTCOME_REFUSED, REASON_DEADLINE, no_position);
@@ -195,8 +201,12 @@
 		                                 call->deadline_us - run_us, run_us };
 	struct admission_result result;
 
+	/* Equal deadlines make the pool's queue first in, first out. */
 	if (owner_is_pool (owner))
+	{
 		request.rank = RANK_NORMAL;
+		request.deadline_us = INT64_MAX - 1;
+	}
 	result = admission_submit (owner->admission, &request, world->now_us);
 	if (result.verdict == ADMISSION_START)
 		owner_start (owner, attempt);
@@ -218,8 +228,15 @@
 	enum routing_check check = CHECK_SERVE;
 
 	request.deadline_us = MIN (request.deadline_us, attempt->wait_until_us);
+	owner->self.is_down =
+		!owner_is_pool (owner) && owner->sim->world.now_us - owner->self.position_at_us > DOWN_US;
 	if (!owner_is_pool (owner))
 		check = routing_check_server (&owner->self, &request, owner->sim->world.now_us);
+	if (owner->self.is_down)
+	{
+		owner_answer (owner, attempt, OUTCOME_REFUSED, REASON_UPSTREAM_DOWN, no_position);
+		return false;
+	}
 	if (check == CHECK_SERVE)
 		owner_admit (owner, attempt);
 	else if (check != CHECK_WAIT)
@@ -333,6 +350,7 @@
 	owner->ack = acknowledgement_init (
 		simulation_new (owner->sim, acknowledgement_size (SERVERS, ACK_CAPACITY)), SERVERS,
 		ACK_CAPACITY);
+	owner->self.position_at_us = owner->sim->world.now_us;
 	owner->waiting = g_array_new (FALSE, FALSE, sizeof (struct attempt));
 	if (!owner_is_pool (owner))
 		owner_handle_poll (owner, NULL);
