--- a/decision/admission.c
+++ b/decision/admission.c
@@ -13,7 +13,11 @@
 	ADMISSION_MEAN_SHARE = 8,                /* A new measurement moves the mean by one eighth. */
 	/* A wait counts half more than estimated. With a quarter, 1.4% of the requests of a flooding urgent
 	 * rank expired in the queue (0.5% with half), at the same use of the slots. */
-	ADMISSION_MARGIN_SHARE = 2,
+	ADMISSION_MARGIN_PERCENT = 150,
+	/* A rank that has waiting requests nine tenths of the time is overloaded. A long queue then adds
+	 * delay and no throughput. */
+	ADMISSION_OVERLOAD_MARGIN_PERCENT = 400,
+	ADMISSION_OVERLOAD_PERCENT = 90,
 	/* Priority counts in full once a rank had the way free for a tenth of the time. */
 	ADMISSION_OPEN_SHARE = 10,
 	ADMISSION_RETRY_MIN_US = 10 * US_PER_MS,
@@ -66,6 +70,7 @@
 	int64_t credit_us;       /* Slot time due under the floor; negative: taken in advance. */
 	int64_t demand_until_us; /* Refused requests count as demand until then. */
 	int64_t busy;            /* Mean number of running statements, in millionths. */
+	int64_t waiting;         /* Mean share of time with waiting requests, in millionths. */
 	int64_t open; /* Mean share of time without waiting requests above it, in millionths. */
 	struct admission_tenant tenants[ADMISSION_MAX_TENANTS];
 };
@@ -201,15 +206,14 @@
 	return admission->ranks[rank].mean_run_us;
 }
 
-/* Adds to the credit within bounds: a window's floor, or one statement when that is longer. */
+/* Adds to the credit within bounds: a window's floor and one statement, whichever way. The statement
+ * is the threshold, so that a rank that missed arrivals can still catch up a window. */
 static void
 admission_add_credit (struct admission *admission, int rank, int64_t amount_us)
 {
 	struct admission_rank *state = &admission->ranks[rank];
-	int64_t bound_us = admission_floor_us (admission, rank);
+	int64_t bound_us = admission_floor_us (admission, rank) + state->mean_run_us;
 
-	if (bound_us < state->mean_run_us)
-		bound_us = state->mean_run_us;
 	state->credit_us = clamp (state->credit_us + amount_us, -bound_us, bound_us);
 }
 
@@ -225,6 +229,8 @@
 	admission_add_credit (admission, rank,
 	                      admission_floor_us (admission, rank) * demand_us / ADMISSION_WINDOW_US);
 	state->busy += (busy - state->busy) * elapsed_us / (elapsed_us + ADMISSION_WINDOW_US);
+	state->waiting += ((state->queued > 0 ? ADMISSION_MILLIONTHS : 0) - state->waiting) *
+	                  elapsed_us / (elapsed_us + ADMISSION_WINDOW_US);
 	state->open += ((is_open ? ADMISSION_MILLIONTHS : 0) - state->open) * elapsed_us /
 	               (elapsed_us + ADMISSION_WINDOW_US);
 }
@@ -552,6 +558,20 @@
 	return (uint32_t) clamp (wait_us, ADMISSION_RETRY_MIN_US, ADMISSION_RETRY_MAX_US);
 }
 
+static int64_t
+admission_margin_us (const struct admission_rank *state, int64_t wait_us)
+{
+	int64_t overload =
+		(int64_t) ADMISSION_MILLIONTHS * ADMISSION_OVERLOAD_PERCENT / ADMISSION_PERCENT;
+
+	if (wait_us > ADMISSION_LONGEST_US)
+		return wait_us;
+	return wait_us *
+	       (state->waiting > overload ? ADMISSION_OVERLOAD_MARGIN_PERCENT
+	                                  : ADMISSION_MARGIN_PERCENT) /
+	       ADMISSION_PERCENT;
+}
+
 struct admission_result
 admission_submit (struct admission *admission, const struct admission_request *request,
                   int64_t now_us)
@@ -562,6 +582,7 @@
 	uint32_t run_us = request->expected_run_us ? request->expected_run_us : state->mean_run_us;
 	int64_t left_us = request->deadline_us - now_us;
 	int64_t wait_us;
+	int64_t margin_us;
 
 	admission_account (admission, now_us);
 	admission_see_tenant (state, request->tenant, now_us);
@@ -577,12 +598,12 @@
 	wait_us = admission_ahead_us (admission, tenant, request->deadline_us);
 	wait_us = admission_rank_ahead_us (admission, state, request->tenant, wait_us);
 	wait_us = admission_wait_us (admission, (int) request->rank, wait_us, now_us);
+	margin_us = admission_margin_us (state, wait_us);
 	result.retry_after_us = admission_retry_after_us (wait_us);
-	if (wait_us + wait_us / ADMISSION_MARGIN_SHARE > left_us)
+	if (margin_us > left_us)
 	{
 		result.verdict = ADMISSION_OVERLOAD;
-		result.retry_after_us =
-			admission_retry_after_us (wait_us + wait_us / ADMISSION_MARGIN_SHARE - left_us);
+		result.retry_after_us = admission_retry_after_us (margin_us - left_us);
 	}
 	else if (!admission_has_room (admission, request->rank, request->tenant))
 		result.verdict = ADMISSION_FULL;
