--- a/decision/membership.c
+++ b/decision/membership.c
@@ -34,6 +34,7 @@
 	/* News from shortly before a member went silent may not have reached it either. */
 	REARM_MARGIN_US = 10000000,
 	RANDOM_TRIES = 8,
+	PAUSE_US = 500000, /* A call that comes later than this after it was due follows a pause. */
 };
 
 static const int64_t FORGET_US = 3600000000;
@@ -74,6 +75,7 @@
 	membership->seed = seed;
 	membership->period_at_us = now_us;
 	membership->rumor_at_us = now_us;
+	membership->due_us = now_us;
 	membership->expiry_at_us = INT64_MAX;
 	membership->forget_at_us = now_us + FORGET_CHECK_US;
 	find_chart_numbers (membership);
@@ -167,7 +169,12 @@
 	struct member_record *self = self_record (membership);
 
 	if (item->version <= member_version (self))
+	{
+		/* The refutation did not reach everybody: sends it again. */
+		if (item->version != member_version (self) && self->sends_left == 0)
+			rumor_add_member (membership, self);
 		return false;
+	}
 	self->incarnation = (item->version >> 2) + 1;
 	membership->generation++;
 	rumor_add_member (membership, self);
@@ -252,6 +259,19 @@
 	return merge (membership, item, 0, now_us);
 }
 
+bool
+membership_load (struct membership *membership, const struct membership_item *item, int64_t now_us)
+{
+	uint32_t rumors = membership->rumor_count;
+	bool is_news = merge (membership, item, 0, now_us);
+
+	/* A new rumor is the last one; this VM's own refutation has to be sent. */
+	if (membership->rumor_count > rumors &&
+	    !(item->type == ITEM_MEMBER && item->member == self_record (membership)->id))
+		rumor_remove_last (membership);
+	return is_news;
+}
+
 static void
 handle_ack (struct membership *membership, const struct gossip_message *message,
             struct member_record *member, int64_t now_us)
@@ -478,9 +498,23 @@
 		queue (membership, GOSSIP_ACK, member->id, 0, 0);
 }
 
+/* After a pause of this process, missing answers and old suspicions say nothing about others. */
+static void
+forgive_pause (struct membership *membership, int64_t now_us)
+{
+	if (now_us - membership->due_us < PAUSE_US)
+		return;
+	membership->due_us = now_us;
+	memset (membership->probes, 0, sizeof membership->probes);
+	for (uint32_t i = 1; i < membership->member_count; i++)
+		if (membership->members[i].suspected_at_us)
+			membership->members[i].suspected_at_us = now_us;
+}
+
 static void
 step (struct membership *membership, int64_t now_us)
 {
+	forgive_pause (membership, now_us);
 	step_probes (membership, now_us);
 	step_suspicions (membership, now_us);
 	if (now_us >= membership->period_at_us)
@@ -526,6 +560,7 @@
 			membership->config_sends_left--;
 		return true;
 	}
+	membership->due_us = membership_next_time_us (membership);
 	return false;
 }
 
--- a/decision/membership_table.c
+++ b/decision/membership_table.c
@@ -334,6 +334,12 @@
 	membership->recent[membership->recent_next++ % MEMBERSHIP_MAX_RECENT] = at + 1;
 }
 
+void
+rumor_remove_last (struct membership *membership)
+{
+	*reference_sends (membership, membership->rumors[--membership->rumor_count]) = 0;
+}
+
 void
 rumor_add_changed (struct membership *membership, int64_t since_us)
 {
@@ -473,6 +479,10 @@
 		message_add (
 			membership, message, &bytes,
 			(struct record_reference){ (uint32_t) (receiver - membership->members), true });
+	/* The receiver of a ping may have started with an incomplete list of members: without the
+	 * address it could not answer, and would be taken for suspect. */
+	if (message->type == GOSSIP_PING)
+		message_add (membership, message, &bytes, (struct record_reference){ 0, true });
 	fill_rumors (membership, message, &bytes);
 	if (with_recent)
 		fill_recent (membership, message, &bytes, now_us);
--- a/include/decision/membership.h
+++ b/include/decision/membership.h
@@ -115,6 +115,10 @@
 bool membership_merge (struct membership *membership, const struct membership_item *item,
                        int64_t now_us);
 
+/** Merges an item of a state pull: as membership_merge(), but does not pass it on to others. */
+bool membership_load (struct membership *membership, const struct membership_item *item,
+                      int64_t now_us);
+
 void membership_set_config_revision (struct membership *membership, uint64_t revision);
 
 void membership_handle_message (struct membership *membership, const struct gossip_message *message,
@@ -139,11 +143,13 @@
 	uint32_t rtt_us; /**< Smoothed; 0: unknown. */
 };
 
+/** Members, of which this VM is the first. */
 size_t membership_count (const struct membership *membership);
 bool membership_get (const struct membership *membership, size_t at, struct member *member);
 bool membership_find (const struct membership *membership, uint32_t id, struct member *member);
 
-/** Items other than members, for the state pull and for the control thread. */
+/** Items other than members, for the state pull and for the control thread; the state pull finds the
+ * items of members with membership_find_item(). */
 size_t membership_item_count (const struct membership *membership);
 bool membership_get_item (const struct membership *membership, size_t at,
                           struct membership_item *item);
--- a/include/decision/membership_table.h
+++ b/include/decision/membership_table.h
@@ -124,6 +124,7 @@
 	uint32_t out_first;
 	uint32_t out_count;
 
+	int64_t due_us; /**< When the next call was due at the end of the last one. */
 	int64_t period_at_us;
 	int64_t rumor_at_us;
 	int64_t expiry_at_us; /**< Not after the next expiry of a suspicion. */
@@ -159,6 +160,8 @@
 /** Starts sending a record. */
 void rumor_add_member (struct membership *membership, struct member_record *member);
 void rumor_add_item (struct membership *membership, struct item_record *item);
+/** Takes back the rumor that was added last. */
+void rumor_remove_last (struct membership *membership);
 /** Sends again all items that changed at @p since_us or later. */
 void rumor_add_changed (struct membership *membership, int64_t since_us);
 /** Tells whether a leaving server or member is among the rumors. */
--- /dev/null
+++ b/tests/virtual/fleet.c
@@ -0,0 +1,855 @@
+#include "fleet.h"
+
+#include "decision/ownership.h"
+#include "decision/retry.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+	CALL_TIMEOUT_US = 1000000,
+	ACKNOWLEDGE_US = 2000000,
+	MAX_WRITES = 256,
+	MAX_ITEMS = 2048,
+	/* XDR and RPC headers of fs_gossip, UDP and IPv4 headers. */
+	DATAGRAM_BYTES = 40 + 32 + 28,
+	ITEM_BYTES = 60,
+};
+
+static void vm_step (struct fleet_vm *vm);
+
+static int64_t
+now (const struct fleet *fleet)
+{
+	return fleet->world.now_us;
+}
+
+static void
+violate (struct fleet *fleet, const char *what)
+{
+	if (!fleet->violation)
+		fleet->violation = what;
+}
+
+int
+fleet_server_node (const struct fleet *fleet, uint32_t group, uint32_t server)
+{
+	return (int) (fleet->vm_count + group * FLEET_SERVERS + server);
+}
+
+/* A message between VMs, or between a VM and the platform. */
+enum message_type
+{
+	MESSAGE_GOSSIP,
+	MESSAGE_STATE_PULL,
+	MESSAGE_STATE, /* The receiver copies the state of the sender. */
+	MESSAGE_ASK,
+	MESSAGE_OPINION,
+	MESSAGE_PULL,
+	MESSAGE_DOCUMENTS, /* Answer to a pull. */
+	MESSAGE_PLATFORM,  /* Answer or event of the platform. */
+	MESSAGE_PLATFORM_END,
+	MESSAGE_LOAD,
+	MESSAGE_WATCH,
+};
+
+struct message
+{
+	struct fleet *fleet;
+	enum message_type type;
+	uint32_t from;
+	uint32_t to;
+	uint32_t group;
+	uint64_t number;
+	uint64_t revision;
+	uint64_t revisions[FLEET_SERVICES];
+	struct failover_opinion opinion;
+};
+
+struct gossip
+{
+	struct message message;
+	struct gossip_message gossip;
+};
+
+static void handle_message (void *context, const void *payload);
+
+static void
+send_message (const struct message *message)
+{
+	virtual_send (&message->fleet->world, true, (int) message->from, (int) message->to,
+	              (struct virtual_handler){ handle_message, NULL }, message, sizeof *message);
+}
+
+static void
+reply_message (const struct message *message, enum message_type type, uint64_t revision,
+               const uint64_t *revisions)
+{
+	struct message reply = *message;
+
+	reply.type = type;
+	reply.from = message->to;
+	reply.to = message->from;
+	reply.revision = revision;
+	memcpy (reply.revisions, revisions, sizeof reply.revisions);
+	send_message (&reply);
+}
+
+static void
+handle_platform (struct message *message)
+{
+	struct fleet *fleet = message->fleet;
+	struct fleet_platform *platform = &fleet->platform;
+
+	platform->calls++;
+	if (now (fleet) / 1000000 != platform->second)
+		platform->second_calls = 0;
+	platform->second = now (fleet) / 1000000;
+	if (++platform->second_calls > platform->peak_calls_per_s)
+		platform->peak_calls_per_s = platform->second_calls;
+	if (platform->is_down)
+	{
+		reply_message (message, MESSAGE_PLATFORM_END, 0, platform->revisions);
+		return;
+	}
+	if (message->type == MESSAGE_WATCH)
+		platform->watches[message->from] = message->number;
+	if (message->type == MESSAGE_LOAD || platform->revision > message->revision)
+		reply_message (message, MESSAGE_PLATFORM, platform->revision, platform->revisions);
+}
+
+static void
+vm_adopt (struct fleet_vm *vm, const struct message *message)
+{
+	for (uint32_t i = 0; i < FLEET_SERVICES; i++)
+	{
+		char name[16];
+
+		g_snprintf (name, sizeof name, "service%u", i);
+		if (!configuration_offer (vm->configuration, name, message->revisions[i], false))
+			continue;
+		if (message->revisions[i] <= vm->revisions[i])
+			violate (vm->fleet, "P9: a document went back");
+		vm->revisions[i] = message->revisions[i];
+	}
+	configuration_handle_complete (vm->configuration, message->revision, now (vm->fleet));
+	membership_set_config_revision (vm->membership, configuration_revision (vm->configuration));
+}
+
+static void
+vm_load_state (struct fleet_vm *vm, const struct fleet_vm *peer)
+{
+	struct membership_item item;
+	struct member member;
+	char key[16];
+
+	vm->has_state = true;
+	for (size_t i = 0; membership_get_item (peer->membership, i, &item); i++)
+		membership_load (vm->membership, &item, now (vm->fleet));
+	for (size_t i = 0; membership_get (peer->membership, i, &member); i++)
+	{
+		g_snprintf (key, sizeof key, "%u", member.id);
+		if (membership_find_item (peer->membership, ITEM_MEMBER, key, &item))
+			membership_load (vm->membership, &item, now (vm->fleet));
+	}
+}
+
+/* Asks one of the VMs that are known at the start, until one answers. */
+static void
+handle_pull_state (void *context, const void *payload)
+{
+	struct fleet_vm *vm = context;
+	struct message message = {
+		.fleet = vm->fleet,
+		.type = MESSAGE_STATE_PULL,
+		.from = vm->index,
+		.to = (uint32_t) (random_next (&vm->seed) % vm->fleet->members_known),
+	};
+
+	if (vm->has_state)
+		return;
+	if (message.to != vm->index)
+		send_message (&message);
+	virtual_add (&vm->fleet->world, (int) vm->index, now (vm->fleet) + CALL_TIMEOUT_US,
+	             (struct virtual_handler){ handle_pull_state, vm }, NULL, 0);
+}
+
+static void
+vm_handle_message (struct fleet_vm *vm, const struct message *message)
+{
+	struct fleet_group *group = &vm->groups[message->group];
+	struct message reply = *message;
+
+	switch (message->type)
+	{
+	case MESSAGE_GOSSIP:
+		membership_handle_message (vm->membership, &((const struct gossip *) message)->gossip,
+		                           now (vm->fleet));
+		break;
+	case MESSAGE_STATE_PULL:
+		reply_message (message, MESSAGE_STATE, 0, vm->revisions);
+		break;
+	case MESSAGE_STATE:
+		vm_load_state (vm, &vm->fleet->vms[message->from]);
+		break;
+	case MESSAGE_ASK:
+		if (!group->is_observer)
+			return;
+		failover_handle_asked (&group->failover, now (vm->fleet));
+		reply.opinion = failover_opinion (&group->failover);
+		reply_message (&reply, MESSAGE_OPINION, 0, vm->revisions);
+		break;
+	case MESSAGE_OPINION:
+		if (group->is_observer)
+			failover_handle_opinion (&group->failover, message->from + 1, &message->opinion,
+			                         now (vm->fleet));
+		break;
+	case MESSAGE_PULL:
+		reply_message (message, MESSAGE_DOCUMENTS, configuration_revision (vm->configuration),
+		               vm->revisions);
+		break;
+	case MESSAGE_DOCUMENTS:
+		if (message->number == vm->pull)
+			vm_adopt (vm, message);
+		vm->pull = message->number == vm->pull ? 0 : vm->pull;
+		break;
+	case MESSAGE_PLATFORM:
+		if (message->number == vm->watch)
+			vm_adopt (vm, message);
+		break;
+	case MESSAGE_PLATFORM_END:
+		if (message->number == vm->watch)
+			configuration_handle_platform_error (vm->configuration, now (vm->fleet));
+		break;
+	case MESSAGE_LOAD:
+	case MESSAGE_WATCH:
+		break;
+	}
+	vm_step (vm);
+}
+
+static void
+handle_message (void *context, const void *payload)
+{
+	const struct message *message = payload;
+	struct message copy = *message;
+
+	if ((int) message->to == message->fleet->platform_node)
+		handle_platform (&copy);
+	else
+		vm_handle_message (&message->fleet->vms[message->to], message);
+}
+
+/* A time limit of a load or a pull. */
+static void
+handle_call_timeout (void *context, const void *payload)
+{
+	struct fleet_vm *vm = context;
+	uint64_t number = *(const uint64_t *) payload;
+
+	if (vm->pull == number)
+	{
+		vm->pull = 0;
+		configuration_handle_pull_error (vm->configuration, now (vm->fleet));
+		vm_step (vm);
+	}
+	/* A watch waits without limit; a cut link is noticed by the keep-alive of the connection. */
+	else if (vm->watch == number && (vm->fleet->platform.watches[vm->index] != number ||
+	                                 vm->fleet->world.nodes[vm->index].side !=
+	                                     vm->fleet->world.nodes[vm->fleet->platform_node].side))
+	{
+		if (configuration_revision (vm->configuration) < vm->fleet->platform.revision ||
+		    vm->fleet->platform.watches[vm->index] == 0)
+		{
+			configuration_handle_platform_error (vm->configuration, now (vm->fleet));
+			vm_step (vm);
+		}
+	}
+	if (vm->watch == number)
+		virtual_add (&vm->fleet->world, (int) vm->index, now (vm->fleet) + CALL_TIMEOUT_US,
+		             (struct virtual_handler){ handle_call_timeout, vm }, &number, sizeof number);
+}
+
+static void
+vm_run_configuration (struct fleet_vm *vm)
+{
+	struct fleet *fleet = vm->fleet;
+	struct configuration_effect effect;
+
+	while ((effect = configuration_next (vm->configuration, now (fleet))).type !=
+	       CONFIGURATION_NONE)
+	{
+		struct message message = {
+			.fleet = fleet,
+			.from = vm->index,
+			.to = (uint32_t) fleet->platform_node,
+			.number = ++fleet->next_value,
+			.revision = effect.revision,
+		};
+
+		fleet->platform.watches[vm->index] =
+			effect.type == CONFIGURATION_PULL ? fleet->platform.watches[vm->index] : 0;
+		if (effect.type == CONFIGURATION_UNWATCH)
+		{
+			vm->watch = 0;
+			continue;
+		}
+		message.type = effect.type == CONFIGURATION_LOAD    ? MESSAGE_LOAD
+		               : effect.type == CONFIGURATION_WATCH ? MESSAGE_WATCH
+		                                                    : MESSAGE_PULL;
+		if (effect.type == CONFIGURATION_PULL)
+		{
+			message.to = effect.peer - 1;
+			vm->pull = message.number;
+		}
+		else
+			vm->watch = message.number;
+		send_message (&message);
+		virtual_add (&fleet->world, (int) vm->index, now (fleet) + CALL_TIMEOUT_US,
+		             (struct virtual_handler){ handle_call_timeout, vm }, &message.number,
+		             sizeof message.number);
+	}
+}
+
+static void
+vm_run_membership (struct fleet_vm *vm)
+{
+	struct fleet *fleet = vm->fleet;
+	struct membership_effect effect;
+
+	while (membership_next (vm->membership, &effect, now (fleet)))
+	{
+		struct gossip gossip = {
+			.message = { .fleet = fleet, .from = vm->index, .to = effect.to - 1 },
+			.gossip = effect.message,
+		};
+
+		vm->sent_datagrams++;
+		vm->sent_bytes += DATAGRAM_BYTES;
+		for (uint32_t i = 0; i < effect.message.item_count; i++)
+			vm->sent_bytes +=
+				ITEM_BYTES + ((strlen (effect.message.items[i].key) + 3) & ~(size_t) 3);
+		virtual_send (&fleet->world, false, (int) vm->index, (int) effect.to - 1,
+		              (struct virtual_handler){ handle_message, NULL }, &gossip, sizeof gossip);
+	}
+}
+
+static void
+group_key (uint32_t group, char *key, size_t bytes)
+{
+	g_snprintf (key, bytes, "db%u", group);
+}
+
+/* Answers of the servers to one VM. */
+static void
+handle_reply (void *context, const void *payload)
+{
+	const struct virtual_reply *reply = payload;
+	struct fleet_group *group = context;
+	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
+	int64_t now_us = now (vm->fleet);
+	bool accepted = reply->result == 0;
+
+	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
+	if (!group->is_observer)
+		return;
+	if (reply->request.type == VIRTUAL_STATUS)
+		failover_handle_status (&group->failover, reply->server, &reply->status, reply->sent_us,
+		                        now_us);
+	if (reply->request.type == VIRTUAL_FENCE)
+		failover_handle_fenced (&group->failover, reply->server, reply->request.term, accepted,
+		                        &reply->status, now_us);
+	if (reply->request.type == VIRTUAL_PROMOTE)
+		failover_handle_promoted (&group->failover, reply->server, reply->request.term, accepted,
+		                          &reply->status, now_us);
+	vm_step (vm);
+}
+
+static void
+vm_run_failover (struct fleet_vm *vm, uint32_t number)
+{
+	struct fleet *fleet = vm->fleet;
+	struct fleet_group *group = &vm->groups[number];
+	struct failover_effect effect;
+
+	while ((effect = failover_next (&group->failover, now (fleet))).type != FAILOVER_NONE)
+	{
+		struct virtual_request request = { .term = effect.term, .claimant = vm->index + 1 };
+		struct message ask = { .fleet = fleet,
+			                   .type = MESSAGE_ASK,
+			                   .from = vm->index,
+			                   .to = effect.observer - 1,
+			                   .group = number };
+		struct membership_item item = { .type = ITEM_GROUP,
+			                            .version = effect.term,
+			                            .value = effect.server };
+
+		if (effect.type == FAILOVER_ASK)
+			send_message (&ask);
+		else if (effect.type == FAILOVER_ANNOUNCE)
+		{
+			group_key (number, item.key, sizeof item.key);
+			membership_merge (vm->membership, &item, now (fleet));
+		}
+		else
+		{
+			request.type = effect.type == FAILOVER_POLL    ? VIRTUAL_STATUS
+			               : effect.type == FAILOVER_FENCE ? VIRTUAL_FENCE
+			                                               : VIRTUAL_PROMOTE;
+			virtual_group_call (&fleet->groups[number], (int) vm->index, effect.server, &request,
+			                    (struct virtual_handler){ handle_reply, group });
+		}
+	}
+}
+
+static void
+vm_set_group (struct fleet_vm *vm, uint32_t number, const struct ownership_member *members,
+              size_t count)
+{
+	struct fleet *fleet = vm->fleet;
+	struct fleet_group *group = &vm->groups[number];
+	struct failover_observer observers[FLEET_SERVERS];
+	struct membership_item item;
+	bool is_observer = false;
+	char key[16];
+
+	group_key (number, key, sizeof key);
+	for (uint32_t s = 0; s < FLEET_SERVERS; s++)
+	{
+		uint32_t zone = fleet->world.nodes[fleet_server_node (fleet, number, s)].zone;
+		uint32_t owner =
+			ownership_of_server (members, count, ownership_server_key (key, s), zone).owner;
+
+		observers[s] = (struct failover_observer){ owner, fleet->world.nodes[owner - 1].zone };
+		is_observer = is_observer || owner == vm->index + 1;
+	}
+	if (is_observer && !group->is_observer)
+		failover_init (&group->failover, (char *) group->failover_memory + 64,
+		               &failover_default_settings, vm->index + 1, FLEET_SERVERS,
+		               random_next (&vm->seed), now (fleet));
+	group->is_observer = is_observer;
+	if (!is_observer)
+		return;
+	failover_set_observers (&group->failover, observers, FLEET_SERVERS, now (fleet));
+	if (membership_find_item (vm->membership, ITEM_GROUP, key, &item))
+		failover_handle_announced (&group->failover, item.version, (uint32_t) item.value,
+		                           now (fleet));
+}
+
+static void
+vm_follow_membership (struct fleet_vm *vm)
+{
+	struct fleet *fleet = vm->fleet;
+	struct ownership_member *members = g_newa (struct ownership_member, fleet->vm_count);
+	size_t count = 0;
+	struct member member;
+	struct ownership watchers;
+	uint64_t revision = configuration_revision (vm->configuration);
+	uint32_t peer;
+
+	if (vm->generation == membership_generation (vm->membership))
+		return;
+	vm->generation = membership_generation (vm->membership);
+	for (size_t i = 0; membership_get (vm->membership, i, &member); i++)
+		if (member.state == MEMBER_ALIVE || member.state == MEMBER_SUSPECT)
+			members[count++] = (struct ownership_member){ member.id, member.address.zone };
+	watchers = ownership_of_zone (members, count, fleet->world.nodes[vm->index].zone);
+	configuration_set_watcher (vm->configuration,
+	                           watchers.owner == vm->index + 1 || watchers.standby == vm->index + 1,
+	                           now (fleet));
+	peer = membership_find_newer (vm->membership, revision, random_next (&vm->seed));
+	if (peer && membership_find (vm->membership, peer, &member))
+		configuration_handle_peer (vm->configuration, peer, member.config_revision, now (fleet));
+	for (uint32_t g = 0; g < fleet->group_count; g++)
+		vm_set_group (vm, g, members, count);
+}
+
+static void
+handle_step (void *context, const void *payload)
+{
+	struct fleet_vm *vm = context;
+
+	if (vm->step_at_us <= now (vm->fleet))
+	{
+		vm->step_at_us = INT64_MAX;
+		vm_step (vm);
+	}
+}
+
+static void
+vm_step (struct fleet_vm *vm)
+{
+	struct fleet *fleet = vm->fleet;
+	int64_t next_us;
+
+	vm_run_membership (vm);
+	vm_follow_membership (vm);
+	vm_run_configuration (vm);
+	next_us = MIN (membership_next_time_us (vm->membership),
+	               configuration_next_time_us (vm->configuration));
+	for (uint32_t g = 0; g < fleet->group_count; g++)
+	{
+		if (!vm->groups[g].is_observer)
+			continue;
+		vm_run_failover (vm, g);
+		next_us = MIN (next_us, failover_next_time_us (&vm->groups[g].failover));
+	}
+	if (next_us <= now (fleet))
+		next_us = now (fleet) + 1;
+	if (next_us >= vm->step_at_us)
+		return;
+	vm->step_at_us = next_us;
+	virtual_add (&fleet->world, (int) vm->index, next_us,
+	             (struct virtual_handler){ handle_step, vm }, NULL, 0);
+}
+
+void
+fleet_start (struct fleet *fleet, uint32_t index)
+{
+	struct fleet_vm *vm = &fleet->vms[index];
+	struct member_address address = { .ip = index + 1, .zone = fleet->world.nodes[index].zone };
+	int64_t now_us = now (fleet);
+
+	virtual_set_state (&fleet->world, (int) index, VIRTUAL_RUNNING);
+	vm->has_state = false;
+	vm->seed = virtual_random (&fleet->world);
+	vm->step_at_us = INT64_MAX;
+	vm->generation = 0;
+	vm->watch = vm->pull = 0;
+	memset (vm->revisions, 0, sizeof vm->revisions);
+	membership_init (vm->membership, &membership_default_settings, fleet->vm_count, MAX_ITEMS,
+	                 index + 1, &address, (uint64_t) now_us, random_next (&vm->seed), now_us);
+	configuration_init (vm->configuration, &configuration_default_settings, FLEET_SERVICES,
+	                    random_next (&vm->seed), now_us);
+	for (uint32_t i = 0; i < fleet->members_known; i++)
+	{
+		address = (struct member_address){ .ip = i + 1, .zone = fleet->world.nodes[i].zone };
+		if (i != index)
+			membership_add (vm->membership, i + 1, &address, now_us);
+	}
+	for (uint32_t g = 0; g < fleet->group_count; g++)
+	{
+		vm->groups[g].is_observer = false;
+		acknowledgement_init (vm->groups[g].acknowledgement, FLEET_SERVERS, MAX_WRITES);
+	}
+	handle_pull_state (vm, NULL);
+	vm_step (vm);
+}
+
+void
+fleet_crash (struct fleet *fleet, uint32_t vm)
+{
+	virtual_set_state (&fleet->world, (int) vm, VIRTUAL_CRASHED);
+	fleet->platform.watches[vm] = 0;
+}
+
+static void
+handle_promoted (void *context, const void *payload)
+{
+	struct fleet *fleet = context;
+	const struct virtual_server *server = payload;
+	const struct fleet_history *history = &fleet->histories[server->group - fleet->groups];
+
+	for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+		if (i != server->index && server->group->servers[i].primary_term == server->primary_term)
+			violate (fleet, "P2: two primaries of one term");
+	for (size_t i = 0; i < history->count; i++)
+	{
+		const struct fleet_write *write = &history->writes[i];
+
+		/* A late promotion that can get no acknowledgement may lack later writes. */
+		if (write->position.term >= server->primary_term)
+			continue;
+		if (write->position.index > server->length ||
+		    server->log[write->position.index - 1].value != write->value)
+			violate (fleet, "P2: an acknowledged write is missing from a later primary");
+	}
+}
+
+static void
+group_acknowledge (struct fleet *fleet, uint32_t number, struct fleet_group *group)
+{
+	struct fleet_history *history = &fleet->histories[number];
+	struct acknowledgement_result result;
+
+	while ((result = acknowledgement_next (group->acknowledgement, now (fleet))).verdict !=
+	       ACKNOWLEDGEMENT_NONE)
+	{
+		struct fleet_write write = { result.position, result.cookie >> 3,
+			                         (uint32_t) (result.cookie & 7) };
+
+		if (result.verdict != ACKNOWLEDGEMENT_DONE)
+			continue;
+		for (size_t i = history->count; i > 0 && i + 64 > history->count; i--)
+			if (history->writes[i - 1].position.term == write.position.term &&
+			    history->writes[i - 1].server != write.server)
+				violate (fleet, "P2: two primaries got acknowledgements in one term");
+		for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+		{
+			const struct virtual_server *server = &fleet->groups[number].servers[i];
+
+			if (server->primary_term > write.position.term &&
+			    (write.position.index > server->length ||
+			     server->log[write.position.index - 1].value != write.value))
+				violate (fleet, "P2: a write was acknowledged that a later primary lacks");
+		}
+		if (history->count % 256 == 0)
+			history->writes = g_renew (struct fleet_write, history->writes, history->count + 256);
+		history->writes[history->count++] = write;
+		if (history->last_us && now (fleet) - history->last_us > history->longest_gap_us)
+			history->longest_gap_us = now (fleet) - history->last_us;
+		history->last_us = now (fleet);
+	}
+}
+
+static void
+handle_write_status (void *context, const void *payload)
+{
+	const struct virtual_reply *reply = payload;
+	struct fleet_group *group = context;
+	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
+
+	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
+	group_acknowledge (vm->fleet, (uint32_t) (group - vm->groups), group);
+}
+
+/* While writes wait, the owner asks the replicas for their status again and again. */
+static void
+handle_write_poll (void *context, const void *payload)
+{
+	struct fleet_group *group = context;
+	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
+	uint32_t number = (uint32_t) (group - vm->groups);
+	struct virtual_request status = { .type = VIRTUAL_STATUS };
+
+	group_acknowledge (vm->fleet, number, group);
+	if (!acknowledgement_is_waiting (group->acknowledgement))
+		return;
+	for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+		virtual_group_call (&vm->fleet->groups[number], (int) vm->index, i, &status,
+		                    (struct virtual_handler){ handle_write_status, group });
+	virtual_add (&vm->fleet->world, (int) vm->index, now (vm->fleet) + 20000,
+	             (struct virtual_handler){ handle_write_poll, group }, NULL, 0);
+}
+
+static void
+handle_written (void *context, const void *payload)
+{
+	const struct virtual_reply *reply = payload;
+	struct fleet_group *group = context;
+	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
+
+	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
+	if (reply->result != 0)
+		return;
+	acknowledgement_add (group->acknowledgement, reply->request.value << 3 | reply->server,
+	                     reply->status.position, now (vm->fleet) + ACKNOWLEDGE_US);
+	handle_write_poll (group, NULL);
+}
+
+/* Any running VM may take itself for the owner of the primary: here each does so at times. */
+static void
+fleet_write (struct fleet *fleet, uint32_t number)
+{
+	struct fleet_vm *vm = &fleet->vms[virtual_random (&fleet->world) % fleet->vm_count];
+	struct virtual_request request = { .type = VIRTUAL_WRITE,
+		                               .value = ++fleet->next_value,
+		                               .run_us = 1000 };
+	struct membership_item item;
+	char key[16];
+
+	group_key (number, key, sizeof key);
+	if (fleet->world.nodes[vm->index].state == VIRTUAL_RUNNING &&
+	    membership_find_item (vm->membership, ITEM_GROUP, key, &item))
+		virtual_group_call (&fleet->groups[number], (int) vm->index, (uint32_t) item.value,
+		                    &request,
+		                    (struct virtual_handler){ handle_written, &vm->groups[number] });
+}
+
+void
+fleet_run (struct fleet *fleet, int64_t time_us, int64_t write_every_us)
+{
+	int64_t end_us = now (fleet) + time_us;
+
+	while (now (fleet) < end_us)
+	{
+		int64_t next_us = write_every_us ? now (fleet) + write_every_us : end_us;
+
+		for (uint32_t g = 0; write_every_us && g < fleet->group_count; g++)
+			fleet_write (fleet, g);
+		virtual_run (&fleet->world, MIN (next_us, end_us));
+	}
+}
+
+void
+fleet_init (struct fleet *fleet, uint64_t seed, uint32_t vms, uint32_t zones, uint32_t groups,
+            struct virtual_link link, bool knows_all)
+{
+	uint32_t nodes = vms + groups * FLEET_SERVERS + 1;
+
+	memset (fleet, 0, sizeof *fleet);
+	virtual_world_init (&fleet->world, seed, nodes, link);
+	fleet->vm_count = vms;
+	fleet->zone_count = zones;
+	fleet->group_count = groups;
+	fleet->platform_node = (int) nodes - 1;
+	fleet->members_known = knows_all ? vms : MIN (vms, FLEET_SEEDS);
+	fleet->platform.watches = g_new0 (uint64_t, vms);
+	fleet->platform.revision = 1;
+	fleet->vms = g_new0 (struct fleet_vm, vms);
+	for (uint32_t i = 0; i < nodes; i++)
+		fleet->world.nodes[i].zone = (i < vms ? i : i - vms) % zones;
+	for (uint32_t g = 0; g < groups; g++)
+	{
+		virtual_group_init (&fleet->groups[g], &fleet->world, fleet_server_node (fleet, g, 0),
+		                    FLEET_SERVERS, 2);
+		fleet->groups[g].promoted = (struct virtual_handler){ handle_promoted, fleet };
+	}
+	for (uint32_t i = 0; i < vms; i++)
+	{
+		struct fleet_vm *vm = &fleet->vms[i];
+
+		vm->fleet = fleet;
+		vm->index = i;
+		vm->membership = g_malloc (membership_size (vms, MAX_ITEMS));
+		vm->configuration = g_malloc (configuration_size (FLEET_SERVICES));
+		for (uint32_t g = 0; g < groups; g++)
+		{
+			/* The VM's address stands before the failover's memory, for the handlers. */
+			vm->groups[g].failover_memory = g_malloc0 (64 + failover_size (FLEET_SERVERS));
+			*(struct fleet_vm **) vm->groups[g].failover_memory = vm;
+			vm->groups[g].acknowledgement =
+				g_malloc (acknowledgement_size (FLEET_SERVERS, MAX_WRITES));
+		}
+	}
+	for (uint32_t i = 0; i < vms; i++)
+		fleet_start (fleet, i);
+}
+
+void
+fleet_finish (struct fleet *fleet)
+{
+	for (uint32_t i = 0; i < fleet->vm_count; i++)
+	{
+		for (uint32_t g = 0; g < fleet->group_count; g++)
+		{
+			g_free (fleet->vms[i].groups[g].failover_memory);
+			g_free (fleet->vms[i].groups[g].acknowledgement);
+		}
+		g_free (fleet->vms[i].membership);
+		g_free (fleet->vms[i].configuration);
+	}
+	for (uint32_t g = 0; g < fleet->group_count; g++)
+	{
+		g_free (fleet->histories[g].writes);
+		virtual_group_finish (&fleet->groups[g]);
+	}
+	g_free (fleet->vms);
+	g_free (fleet->platform.watches);
+	virtual_world_finish (&fleet->world);
+}
+
+void
+fleet_change_document (struct fleet *fleet, uint32_t service)
+{
+	struct fleet_platform *platform = &fleet->platform;
+
+	platform->revisions[service] = ++platform->revision;
+	for (uint32_t i = 0; i < fleet->vm_count; i++)
+	{
+		struct message event = { .fleet = fleet,
+			                     .from = i,
+			                     .to = (uint32_t) fleet->platform_node,
+			                     .number = platform->watches[i] };
+
+		if (event.number)
+			reply_message (&event, MESSAGE_PLATFORM, platform->revision, platform->revisions);
+	}
+}
+
+void
+fleet_set_platform (struct fleet *fleet, bool is_down)
+{
+	struct fleet_platform *platform = &fleet->platform;
+
+	platform->is_down = is_down;
+	for (uint32_t i = 0; i < fleet->vm_count && is_down; i++)
+	{
+		struct message event = { .fleet = fleet,
+			                     .from = i,
+			                     .to = (uint32_t) fleet->platform_node,
+			                     .number = platform->watches[i] };
+
+		if (event.number)
+			reply_message (&event, MESSAGE_PLATFORM_END, 0, platform->revisions);
+		platform->watches[i] = 0;
+	}
+}
+
+void
+fleet_mark_leaving (struct fleet *fleet, uint32_t vm, const char *key, uint64_t version)
+{
+	struct membership_item item = { .type = ITEM_LEAVING, .version = version, .value = 1 };
+
+	g_strlcpy (item.key, key, sizeof item.key);
+	membership_merge (fleet->vms[vm].membership, &item, now (fleet));
+	vm_step (&fleet->vms[vm]);
+}
+
+static bool
+is_running (const struct fleet *fleet, uint32_t vm)
+{
+	return fleet->world.nodes[vm].state == VIRTUAL_RUNNING;
+}
+
+uint32_t
+fleet_count_without (const struct fleet *fleet, enum item_type type, const char *key,
+                     uint64_t version)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < fleet->vm_count; i++)
+	{
+		struct membership_item item;
+		bool knows = membership_find_item (fleet->vms[i].membership, type, key, &item) &&
+		             item.version >= version;
+
+		count += is_running (fleet, i) && !knows;
+	}
+	return count;
+}
+
+uint32_t
+fleet_count_behind (const struct fleet *fleet)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < fleet->vm_count; i++)
+		count +=
+			is_running (fleet, i) && memcmp (fleet->vms[i].revisions, fleet->platform.revisions,
+		                                     sizeof fleet->vms[i].revisions) != 0;
+	return count;
+}
+
+uint32_t
+fleet_count_unsettled (const struct fleet *fleet)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < fleet->vm_count; i++)
+	{
+		bool is_settled = true;
+
+		for (uint32_t other = 0; other < fleet->vm_count; other++)
+		{
+			struct member member;
+			bool is_alive = membership_find (fleet->vms[i].membership, other + 1, &member) &&
+			                member.state == MEMBER_ALIVE;
+
+			is_settled = is_settled && is_alive == is_running (fleet, other);
+		}
+		count += is_running (fleet, i) && !is_settled;
+	}
+	return count;
+}
