--- a/tests/measure/entry.c
+++ b/tests/measure/entry.c
@@ -2,6 +2,7 @@
 #include "simulation.h"
 
 #include "common/clock.h"
+#include "decision/ownership.h"
 
 enum
 {
@@ -41,7 +42,7 @@
 	while (server < SERVERS - 1 && !servers[server].is_primary)
 		server++;
 	if (call->work->kind == WORK_READ)
-		server += 1 + virtual_random (&call->sim->world) % (SERVERS - 1);
+		server += 1 + virtual_random (call->sim->world) % (SERVERS - 1);
 	return (struct routing_choice){ ROUTE_SERVE, server % SERVERS, 0 };
 }
 
@@ -59,7 +60,7 @@
 static void
 entry_retry_later (struct call *call)
 {
-	struct virtual_world *world = &call->sim->world;
+	struct virtual_world *world = call->sim->world;
 	int64_t delay_us =
 		backoff_delay_us (call->attempt, BACKOFF_MIN_US, BACKOFF_MAX_US, virtual_random (world));
 
@@ -75,40 +76,69 @@
 {
 	const struct attempt *attempt = payload;
 	struct call *call = attempt->call;
-	struct view *view = &call->sim->vms[call->vm].views[call->database][call->server];
+	struct view *view = &call->sim->views[call->vm][call->database][call->server];
 
 	if (call->is_done || call->attempt != attempt->number || call->is_received)
 		return;
-	circuit_report (&view->circuit, false, call->sim->world.now_us);
+	circuit_report (&view->circuit, false, call->sim->world->now_us);
 	call->may_have_run = true;
 	entry_retry_later (call);
 }
 
+static void
+group_item (uint32_t database, uint64_t term, uint32_t primary, struct membership_item *item)
+{
+	*item = (struct membership_item){ .type = ITEM_GROUP, .version = term, .value = primary };
+	g_snprintf (item->key, sizeof item->key, "db%u", database);
+}
+
+static uint32_t
+entry_find_owner (const struct call *call, const char *database, uint32_t server)
+{
+	const struct fleet *fleet = &call->sim->fleet;
+	struct ownership_member members[MAX_VMS];
+	size_t count = 0;
+	struct member member;
+	int node = fleet_server_node (fleet, call->database, server);
+
+	for (size_t i = 0; membership_get (fleet->vms[call->vm].membership, i, &member); i++)
+		if (member.state == MEMBER_ALIVE || member.state == MEMBER_SUSPECT)
+			members[count++] = (struct ownership_member){ member.id, member.address.zone };
+	return ownership_of_server (members, count, ownership_server_key (database, server),
+	                            fleet->world.nodes[node].zone)
+	           .owner -
+	       1;
+}
+
 static void
 entry_route (struct call *call)
 {
 	struct simulation *sim = call->sim;
 	bool has_pools = sim->plan->policy == POLICY_VM_POOLS;
-	struct view *views = sim->vms[call->vm].views[call->database];
-	int64_t now_us = sim->world.now_us;
+	struct view *views = sim->views[call->vm][call->database];
+	int64_t now_us = sim->world->now_us;
 	struct routing_server servers[SERVERS];
 	struct routing_request request = call_routing (call);
 	struct routing_choice choice;
+	struct membership_item item;
 	struct owner *owner;
 	struct attempt attempt = { call, ++call->attempt, 0 };
 
 	if (call->attempt > MAX_ATTEMPTS)
 		return;
+	group_item (call->database, 0, 0, &item);
+	membership_find_item (sim->fleet.vms[call->vm].membership, ITEM_GROUP, item.key, &item);
 	for (uint32_t i = 0; i < SERVERS; i++)
 	{
 		servers[i] = views[i].server;
 		servers[i].queue_us = views[i].queue_us[call->work->rank];
+		servers[i].is_primary = i == item.value;
 		servers[i].is_down = views[i].circuit.state != CIRCUIT_CLOSED &&
 		                     now_us - views[i].circuit.opened_at_us < views[i].circuit.open_us;
 	}
-	choice = has_pools ? choose_without_token (call, servers)
-	                   : routing_choose (servers, SERVERS, &request, virtual_random (&sim->world),
-	                                     now_us);
+	choice = has_pools
+	             ? choose_without_token (call, servers)
+	             : routing_choose (servers, SERVERS, &request, virtual_random (sim->world), now_us);
 	if (choice.action == ROUTE_NONE)
 	{
 		entry_retry_later (call);
@@ -121,39 +151,31 @@
 	/* A wait at the owner that takes longer than planned gives way to another server. */
 	attempt.wait_until_us =
 		now_us + servers[choice.server].link_us + 2LL * choice.wait_us + WAIT_MARGIN_US;
-	owner = has_pools ? &sim->pools[call->vm][call->database][choice.server]
-	                  : &sim->owners[call->database][choice.server];
-	virtual_add (&sim->world, (int) call->vm, now_us + SILENT_US,
+	owner = &sim->owners[has_pools ? call->vm : entry_find_owner (call, item.key, choice.server)]
+	                    [call->database][choice.server];
+	virtual_add (sim->world, (int) call->vm, now_us + SILENT_US,
 	             (struct virtual_handler){ entry_handle_silence, NULL }, &attempt, sizeof attempt);
-	virtual_send (&sim->world, true, (int) call->vm, owner->vm,
+	virtual_send (sim->world, true, (int) call->vm, (int) owner->vm,
 	              (struct virtual_handler){ owner_handle_attempt, owner }, &attempt,
 	              sizeof attempt);
 }
 
-void
-entry_learn_primary (struct vm *vm, uint32_t database, uint64_t term, uint32_t server)
-{
-	if (term <= vm->term[database])
-		return;
-	vm->term[database] = term;
-	for (uint32_t i = 0; i < SERVERS; i++)
-		vm->views[database][i].server.is_primary = i == server;
-}
-
 static void
-entry_learn (struct vm *vm, const struct answer *answer, int64_t now_us)
+entry_learn (struct simulation *sim, uint32_t vm, const struct answer *answer)
 {
 	const struct owner *owner = answer->owner;
-	struct view *view = &vm->views[owner->database][owner->index];
+	struct view *view = &sim->views[vm][owner->database][owner->index];
+	uint32_t link_us = view->server.link_us;
+	struct membership_item item;
 
-	view->server.position = answer->self.position;
-	view->server.position_at_us = now_us;
-	view->server.lag_us = answer->self.lag_us;
-	view->server.fresh_at_us = answer->self.fresh_at_us;
+	view->server = answer->self;
+	view->server.position_at_us = sim->world->now_us;
+	view->server.link_us = link_us;
 	memcpy (view->queue_us, answer->queue_us, sizeof view->queue_us);
-	circuit_report (&view->circuit, !answer->self.is_down, now_us);
+	circuit_report (&view->circuit, !answer->self.is_down, sim->world->now_us);
+	group_item (owner->database, answer->self.position.term, owner->index, &item);
 	if (answer->self.is_primary)
-		entry_learn_primary (vm, owner->database, answer->self.position.term, owner->index);
+		membership_merge (sim->fleet.vms[vm].membership, &item, sim->world->now_us);
 }
 
 void
@@ -161,9 +183,8 @@
 {
 	const struct answer *answer = payload;
 	struct call *call = answer->attempt.call;
-	struct vm *vm = &call->sim->vms[call->vm];
 
-	entry_learn (vm, answer, call->sim->world.now_us);
+	entry_learn (call->sim, call->vm, answer);
 	if (call->is_done || !call->is_pending || call->attempt != answer->attempt.number)
 		return;
 	call->is_pending = false;
@@ -177,7 +198,7 @@
 	else if (answer->reason == REASON_NOT_PRIMARY || answer->reason == REASON_UPSTREAM_DOWN ||
 	         answer->outcome == OUTCOME_UNKNOWN)
 		entry_retry_later (call);
-	else if (call->work->kind == WORK_READ && retry_budget_take (&vm->budget))
+	else if (call->work->kind == WORK_READ && retry_budget_take (&call->sim->budgets[call->vm]))
 		entry_route (call);
 	else
 		call_finish (call, call->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_REFUSED, false,
@@ -211,8 +232,8 @@
 void
 entry_begin (struct call *call)
 {
-	retry_budget_count_attempt (&call->sim->vms[call->vm].budget);
-	virtual_add (&call->sim->world, (int) call->vm, call->deadline_us,
+	retry_budget_count_attempt (&call->sim->budgets[call->vm]);
+	virtual_add (call->sim->world, (int) call->vm, call->deadline_us,
 	             (struct virtual_handler){ entry_handle_deadline, call }, NULL, 0);
 	entry_route (call);
 }
--- a/tests/measure/measure.c
+++ b/tests/measure/measure.c
@@ -29,7 +29,7 @@
 	FIELD (scenario, zone_delay_ms, 0, 100),
 	FIELD (scenario, caller_delay_ms, 0, 100),
 	FIELD (scenario, vms, 3, MAX_VMS),
-	FIELD (scenario, databases, 2, MAX_DATABASES),
+	FIELD (scenario, databases, 2, FLEET_MAX_GROUPS),
 	FIELD (scenario, slots, 1, VIRTUAL_MAX_SLOTS),
 	FIELD (scenario, connections, MAX_VMS, 1000),
 	FIELD (scenario, lag_ms, 0, 10000),
--- a/tests/measure/owner.c
+++ b/tests/measure/owner.c
@@ -12,6 +12,7 @@
 	OVERDUE_US = 400 * US_PER_MS, /* Beyond the expected run; more than one lost segment. */
 	ACK_TIMEOUT_US = 2 * US_PER_S,
 	ACK_CAPACITY = 4096,
+	IDLE_US = 2 * US_PER_S,    /* An owner that gets no requests stops to poll. */
 	DOWN_US = 300 * US_PER_MS, /* Without an answer to a poll or statement. */
 	LAG_SHARE = 8,
 	ATTEMPT_BITS = 6,
@@ -19,6 +20,29 @@
 
 static const struct log_position no_position = { 0, 0 };
 
+/* Takes the server's own status. It is as new as the time at which the primary was asked for a
+ * position that it holds by now; the time since is the lag. */
+static void
+owner_learn (struct owner *owner, const struct virtual_reply *reply)
+{
+	struct routing_server *self = &owner->self;
+	int64_t lag_us = owner->sim->world->now_us - owner->sample.sent_us;
+
+	owner->answered_us = owner->sim->world->now_us;
+	self->is_primary = reply->status.is_primary;
+	self->position_at_us = owner->answered_us;
+	if (reply->result == 0)
+		self->position = reply->status.position;
+	if (owner->sample.sent_us == 0 ||
+	    !log_position_covers (self->position, owner->sample.status.position))
+		return;
+	if (!self->is_primary)
+		self->lag_us =
+			(uint32_t) (self->lag_us ? self->lag_us + (lag_us - self->lag_us) / LAG_SHARE : lag_us);
+	self->fresh_at_us = owner->sample.sent_us;
+	owner->sample.sent_us = 0;
+}
+
 /* A statement on its connection. */
 struct statement
 {
@@ -51,13 +75,13 @@
 owner_answer (struct owner *owner, const struct attempt *attempt, enum outcome outcome,
               enum reason reason, struct log_position position)
 {
-	struct virtual_world *world = &owner->sim->world;
+	struct virtual_world *world = owner->sim->world;
 	struct answer answer = { *attempt, owner, outcome, reason, position, owner->self, { 0 } };
 
 	for (int rank = 0; rank < RANK_COUNT; rank++)
 		answer.queue_us[rank] =
 			admission_expected_wait_us (owner->admission, (enum rank) rank, world->now_us);
-	virtual_send (world, true, owner->vm, (int) attempt->call->vm,
+	virtual_send (world, true, (int) owner->vm, (int) attempt->call->vm,
 	              (struct virtual_handler){ entry_handle_answer, NULL }, &answer, sizeof answer);
 }
 
@@ -66,7 +90,7 @@
 {
 	struct acknowledgement_result result;
 
-	while ((result = acknowledgement_next (owner->ack, owner->sim->world.now_us)).verdict !=
+	while ((result = acknowledgement_next (owner->ack, owner->sim->world->now_us)).verdict !=
 	       ACKNOWLEDGEMENT_NONE)
 	{
 		struct attempt attempt = attempt_find (owner, result.cookie);
@@ -85,10 +109,12 @@
 {
 	struct owner *owner = statement->owner;
 	const struct call *call = statement->attempt.call;
-	int64_t now_us = owner->sim->world.now_us;
+	struct fleet_group *group = &owner->sim->fleet.vms[owner->vm].groups[owner->database];
+	int64_t now_us = owner->sim->world->now_us;
 
 	statement->is_over = true;
-	observer_traffic (owner, answered);
+	if (group->is_observer)
+		failover_handle_traffic (&group->failover, owner->index, answered, now_us);
 	admission_complete (owner->admission, owner_is_pool (owner) ? RANK_NORMAL : call->work->rank,
 	                    call->tenant, (uint32_t) (now_us - statement->started_us), now_us);
 	owner_pump (owner);
@@ -121,10 +147,7 @@
 		return;
 	if (reply->result == 0)
 		owner->sim->tally->busy_us[call->work->rank] += call->run_us;
-	owner->self.is_primary = reply->status.is_primary;
-	if (log_position_covers (position, owner->self.position))
-		owner->self.position = position;
-	owner->self.position_at_us = owner->sim->world.now_us;
+	owner_learn (owner, reply);
 	if (reply->result == -EROFS)
 		owner_answer (owner, &statement->attempt, OUTCOME_REFUSED, REASON_NOT_PRIMARY, position);
 	else if (call->work->kind != WORK_WRITE || policy == POLICY_VM_POOLS ||
@@ -132,7 +155,7 @@
 		owner_answer (owner, &statement->attempt, OUTCOME_DONE, REASON_NONE, position);
 	else if (acknowledgement_add (
 				 owner->ack, attempt_cookie (&statement->attempt), position,
-				 MIN (call->deadline_us, owner->sim->world.now_us + ACK_TIMEOUT_US)) < 0)
+				 MIN (call->deadline_us, owner->sim->world->now_us + ACK_TIMEOUT_US)) < 0)
 		owner_answer (owner, &statement->attempt, OUTCOME_UNKNOWN, REASON_NOT_ACKNOWLEDGED,
 		              position);
 	owner_settle_writes (owner);
@@ -150,16 +173,16 @@
 		.run_us = call->run_us,
 		.is_once = !owner_is_pool (owner),
 	};
-	int64_t overdue_us = sim->world.now_us + call->run_us + OVERDUE_US;
+	int64_t overdue_us = sim->world->now_us + call->run_us + OVERDUE_US;
 	struct statement *statement = simulation_new (sim, sizeof *statement);
 
 	/* Statements of the pools wait for a slot inside the server. */
 	if (owner_is_pool (owner))
 		overdue_us = call->deadline_us + OVERDUE_US;
-	*statement = (struct statement){ owner, *attempt, sim->world.now_us, false };
-	virtual_group_call (&sim->groups[owner->database], owner->vm, owner->index, &request,
-	                    (struct virtual_handler){ owner_handle_reply, statement });
-	virtual_add (&sim->world, owner->vm, overdue_us,
+	*statement = (struct statement){ owner, *attempt, sim->world->now_us, false };
+	virtual_group_call (&sim->fleet.groups[owner->database], (int) owner->vm, owner->index,
+	                    &request, (struct virtual_handler){ owner_handle_reply, statement });
+	virtual_add (sim->world, (int) owner->vm, overdue_us,
 	             (struct virtual_handler){ owner_handle_overdue, statement }, NULL, 0);
 }
 
@@ -168,7 +191,7 @@
 {
 	struct admission_result result;
 
-	while ((result = admission_next (owner->admission, owner->sim->world.now_us)).verdict !=
+	while ((result = admission_next (owner->admission, owner->sim->world->now_us)).verdict !=
 	       ADMISSION_NONE)
 	{
 		struct attempt attempt = attempt_find (owner, result.cookie);
@@ -177,7 +200,7 @@
 		if (result.verdict == ADMISSION_START && owner_is_pool (owner) &&
 		    (attempt.call->is_done || attempt.call->attempt != attempt.number))
 			admission_complete (owner->admission, RANK_NORMAL, attempt.call->tenant, 0,
-			                    owner->sim->world.now_us);
+			                    owner->sim->world->now_us);
 		else if (result.verdict == ADMISSION_START)
 			owner_start (owner, &attempt);
 		else
@@ -194,7 +217,7 @@
 static void
 owner_admit (struct owner *owner, const struct attempt *attempt)
 {
-	struct virtual_world *world = &owner->sim->world;
+	struct virtual_world *world = owner->sim->world;
 	const struct call *call = attempt->call;
 	uint32_t run_us = call->work->run_ms * US_PER_MS;
 	struct admission_request request = { attempt_cookie (attempt), call->work->rank, call->tenant,
@@ -211,7 +234,7 @@
 	if (result.verdict == ADMISSION_START)
 		owner_start (owner, attempt);
 	else if (result.verdict == ADMISSION_QUEUED)
-		virtual_add (world, owner->vm, request.deadline_us + 1,
+		virtual_add (world, (int) owner->vm, request.deadline_us + 1,
 		             (struct virtual_handler){ owner_handle_expiry, owner }, NULL, 0);
 	else
 		owner_answer (owner, attempt, OUTCOME_REFUSED, REASON_OVERLOAD, no_position);
@@ -229,9 +252,9 @@
 
 	request.deadline_us = MIN (request.deadline_us, attempt->wait_until_us);
 	owner->self.is_down =
-		!owner_is_pool (owner) && owner->sim->world.now_us - owner->self.position_at_us > DOWN_US;
+		!owner_is_pool (owner) && owner->sim->world->now_us - owner->answered_us > DOWN_US;
 	if (!owner_is_pool (owner))
-		check = routing_check_server (&owner->self, &request, owner->sim->world.now_us);
+		check = routing_check_server (&owner->self, &request, owner->sim->world->now_us);
 	if (owner->self.is_down)
 	{
 		owner_answer (owner, attempt, OUTCOME_REFUSED, REASON_UPSTREAM_DOWN, no_position);
@@ -244,18 +267,6 @@
 	return check == CHECK_WAIT;
 }
 
-void
-owner_handle_attempt (void *context, const void *payload)
-{
-	struct owner *owner = context;
-	const struct attempt *attempt = payload;
-
-	if (attempt->call->attempt == attempt->number)
-		attempt->call->is_received = true;
-	if (owner_check (owner, attempt))
-		g_array_append_vals (owner->waiting, attempt, 1);
-}
-
 static void
 owner_recheck (struct owner *owner)
 {
@@ -264,27 +275,6 @@
 			g_array_remove_index_fast (owner->waiting, i - 1);
 }
 
-/* Lag and freshness: the position of a primary that a majority confirmed, asked for at a local
- * time, is later held by the own server. */
-static void
-owner_sample (struct owner *owner, const struct poll_round *round)
-{
-	struct routing_server *self = &owner->self;
-	int64_t lag_us;
-
-	if (round->replies > SERVERS / 2 && round->primary.term != 0 &&
-	    round->promised_term <= round->primary.term && owner->sample.sent_us == 0)
-		owner->sample = *round;
-	if (owner->sample.sent_us == 0 || !log_position_covers (self->position, owner->sample.primary))
-		return;
-	lag_us = owner->sim->world.now_us - owner->sample.sent_us;
-	if (!self->is_primary)
-		self->lag_us =
-			(uint32_t) (self->lag_us ? self->lag_us + (lag_us - self->lag_us) / LAG_SHARE : lag_us);
-	self->fresh_at_us = owner->sample.sent_us;
-	owner->sample.sent_us = 0;
-}
-
 static void
 owner_handle_status (void *context, const void *payload)
 {
@@ -293,23 +283,9 @@
 
 	acknowledgement_report (owner->ack, reply->server, &reply->status);
 	if (reply->server == owner->index)
-	{
-		owner->self.is_primary = reply->status.is_primary;
-		owner->self.position = reply->status.position;
-		owner->self.position_at_us = owner->sim->world.now_us;
-	}
-	for (size_t i = 0; i < G_N_ELEMENTS (owner->rounds); i++)
-	{
-		struct poll_round *round = &owner->rounds[i];
-
-		if (round->sent_us != reply->sent_us)
-			continue;
-		round->replies++;
-		if (reply->status.is_primary)
-			round->primary = reply->status.position;
-		round->promised_term = MAX (round->promised_term, reply->status.promised_term);
-		owner_sample (owner, round);
-	}
+		owner_learn (owner, reply);
+	if (reply->status.is_primary && owner->sample.sent_us == 0)
+		owner->sample = *reply;
 	owner_settle_writes (owner);
 	owner_recheck (owner);
 }
@@ -318,21 +294,40 @@
 owner_handle_poll (void *context, const void *payload)
 {
 	struct owner *owner = context;
-	struct virtual_world *world = &owner->sim->world;
+	struct virtual_world *world = owner->sim->world;
 	struct virtual_request request = { .type = VIRTUAL_STATUS };
 	bool is_busy = acknowledgement_is_waiting (owner->ack) || owner->waiting->len > 0;
 
-	owner->rounds[owner->next_round++ % G_N_ELEMENTS (owner->rounds)] =
-		(struct poll_round){ .sent_us = world->now_us };
+	owner->is_polling = is_busy || world->now_us - owner->used_us < IDLE_US;
+	if (!owner->is_polling)
+		return;
 	for (uint32_t i = 0; i < SERVERS; i++)
-		virtual_group_call (&owner->sim->groups[owner->database], owner->vm, i, &request,
-		                    (struct virtual_handler){ owner_handle_status, owner });
+		virtual_group_call (&owner->sim->fleet.groups[owner->database], (int) owner->vm, i,
+		                    &request, (struct virtual_handler){ owner_handle_status, owner });
 	owner_settle_writes (owner);
 	owner_recheck (owner);
-	virtual_add (world, owner->vm, world->now_us + (is_busy ? POLL_BUSY_US : POLL_QUIET_US),
+	virtual_add (world, (int) owner->vm, world->now_us + (is_busy ? POLL_BUSY_US : POLL_QUIET_US),
 	             (struct virtual_handler){ owner_handle_poll, owner }, NULL, 0);
 }
 
+void
+owner_handle_attempt (void *context, const void *payload)
+{
+	struct owner *owner = context;
+	const struct attempt *attempt = payload;
+
+	if (attempt->call->attempt == attempt->number)
+		attempt->call->is_received = true;
+	owner->used_us = owner->sim->world->now_us;
+	if (!owner->is_polling && !owner_is_pool (owner))
+	{
+		owner->answered_us = owner->used_us;
+		owner_handle_poll (owner, NULL);
+	}
+	if (owner_check (owner, attempt))
+		g_array_append_vals (owner->waiting, attempt, 1);
+}
+
 void
 owner_init (struct owner *owner)
 {
@@ -346,12 +341,9 @@
 	if (owner_is_pool (owner))
 		settings.slots = scenario->connections / scenario->vms;
 	owner->admission = admission_init (simulation_new (owner->sim, admission_size (&settings)),
-	                                   &settings, owner->sim->world.now_us);
+	                                   &settings, owner->sim->world->now_us);
 	owner->ack = acknowledgement_init (
 		simulation_new (owner->sim, acknowledgement_size (SERVERS, ACK_CAPACITY)), SERVERS,
 		ACK_CAPACITY);
-	owner->self.position_at_us = owner->sim->world.now_us;
 	owner->waiting = g_array_new (FALSE, FALSE, sizeof (struct attempt));
-	if (!owner_is_pool (owner))
-		owner_handle_poll (owner, NULL);
 }
--- a/tests/measure/simulation.c
+++ b/tests/measure/simulation.c
@@ -33,7 +33,7 @@
 static uint32_t
 draw (struct simulation *sim, uint32_t below)
 {
-	return (uint32_t) (virtual_random (&sim->world) % below);
+	return (uint32_t) (virtual_random (sim->world) % below);
 }
 
 static void
@@ -56,8 +56,8 @@
 		.database = database,
 		.tenant = is_flood ? 0 : draw (sim, scenario->tenants),
 		.run_us = run_us / 2 + draw (sim, run_us + 1),
-		.created_us = sim->world.now_us,
-		.deadline_us = sim->world.now_us + (int64_t) work->timeout_ms * US_PER_MS,
+		.created_us = sim->world->now_us,
+		.deadline_us = sim->world->now_us + (int64_t) work->timeout_ms * US_PER_MS,
 		.required = state->token[database],
 		.required_at_us = state->token_at_us[database],
 		.must_see = state->value[database],
@@ -71,13 +71,13 @@
 {
 	struct simulation *sim = context;
 	const struct work *work = *(const struct work *const *) payload;
-	double uniform = (double) (virtual_random (&sim->world) >> 11) / 9007199254740992.0;
+	double uniform = (double) (virtual_random (sim->world) >> 11) / 9007199254740992.0;
 	double per_us = (double) work->per_s * sim->plan->factor[work->rank] / US_PER_S;
 
-	if (sim->world.now_us >= sim->end_us)
+	if (sim->world->now_us >= sim->end_us)
 		return;
-	virtual_add (&sim->world, VIRTUAL_NO_NODE,
-	             sim->world.now_us + (int64_t) (-log (1 - uniform) / per_us),
+	virtual_add (sim->world, VIRTUAL_NO_NODE,
+	             sim->world->now_us + (int64_t) (-log (1 - uniform) / per_us),
 	             (struct virtual_handler){ handle_arrival, sim }, &work, sizeof work);
 	simulation_arrive (sim, work, draw (sim, sim->plan->scenario->sessions));
 }
@@ -91,14 +91,14 @@
 	uint32_t database = call->database;
 
 	if (position.term > 1 && sim->restored_us[database] == 0)
-		sim->restored_us[database] = sim->world.now_us;
+		sim->restored_us[database] = sim->world->now_us;
 	if (log_position_covers (position, session->token[database]))
 	{
 		session->token[database] = position;
-		session->token_at_us[database] = sim->world.now_us;
+		session->token_at_us[database] = sim->world->now_us;
 		session->value[database] = call->id + 1;
 	}
-	if (draw (sim, 2) == 0 || sim->world.now_us >= sim->end_us)
+	if (draw (sim, 2) == 0 || sim->world->now_us >= sim->end_us)
 		return;
 	for (uint32_t i = 0; i < sim->plan->scenario->work_count; i++)
 		if (sim->plan->scenario->work[i].kind == WORK_READ)
@@ -114,8 +114,8 @@
 	struct simulation *sim = call->sim;
 	struct tally *tally = sim->tally;
 	uint32_t rank = call->work->rank;
-	const struct virtual_server *server = &sim->groups[call->database].servers[call->server];
-	uint32_t latency_us = (uint32_t) (sim->world.now_us - call->created_us) +
+	const struct virtual_server *server = &sim->fleet.groups[call->database].servers[call->server];
+	uint32_t latency_us = (uint32_t) (sim->world->now_us - call->created_us) +
 	                      2 * sim->plan->scenario->caller_delay_ms * US_PER_MS;
 	bool is_counted = call->created_us >= US_PER_S + WARM_UP_US && call->created_us < sim->end_us;
 
@@ -147,11 +147,11 @@
 
 	for (uint32_t d = 0; d < sim->plan->scenario->databases; d++)
 	{
-		const struct virtual_server *last = &sim->groups[d].servers[0];
+		const struct virtual_server *last = &sim->fleet.groups[d].servers[0];
 
 		for (uint32_t i = 1; i < SERVERS; i++)
-			if (sim->groups[d].servers[i].primary_term > last->primary_term)
-				last = &sim->groups[d].servers[i];
+			if (sim->fleet.groups[d].servers[i].primary_term > last->primary_term)
+				last = &sim->fleet.groups[d].servers[i];
 		for (uint64_t i = 0; i < last->length; i++)
 			if (found[last->log[i].value] < UINT8_MAX)
 				found[last->log[i].value]++;
@@ -170,109 +170,70 @@
 	g_free (found);
 }
 
-/* Database 0 loses its primary together with the primary's owner VM to a partition; the primary of
- * database 1 crashes. */
+/* Database 0 loses its primary together with a VM to a partition; the primary of database 1
+ * crashes. */
 static void
 run_fault (struct simulation *sim)
 {
-	int first = sim->groups[0].first_node;
-	int crashed = sim->groups[1].first_node;
-	int64_t fault_us = sim->world.now_us + FAULT_US;
-
-	virtual_run (&sim->world, fault_us);
-	sim->world.nodes[first].side = 1;
-	sim->world.nodes[sim->owners[0][0].vm].side = 1;
-	virtual_set_state (&sim->world, crashed, VIRTUAL_CRASHED);
-	virtual_run (&sim->world, fault_us + FAULT_US);
-	virtual_heal (&sim->world, (size_t) first);
-	sim->world.nodes[first].side = 0;
-	virtual_set_state (&sim->world, crashed, VIRTUAL_RUNNING);
+	int partitioned = fleet_server_node (&sim->fleet, 0, 0);
+	int crashed = fleet_server_node (&sim->fleet, 1, 0);
+	int64_t fault_us = sim->world->now_us + FAULT_US;
+
+	virtual_run (sim->world, fault_us);
+	sim->world->nodes[partitioned].side = 1;
+	sim->world->nodes[0].side = 1;
+	virtual_set_state (sim->world, crashed, VIRTUAL_CRASHED);
+	virtual_run (sim->world, fault_us + FAULT_US);
+	virtual_heal (sim->world, (size_t) partitioned + 1);
+	virtual_set_state (sim->world, crashed, VIRTUAL_RUNNING);
 	for (uint32_t d = 0; d < 2; d++)
 	{
-		int64_t restored_us = sim->restored_us[d] ? sim->restored_us[d] : sim->world.now_us;
+		int64_t restored_us = sim->restored_us[d] ? sim->restored_us[d] : sim->world->now_us;
 
 		sim->tally->failover_gap_us = MAX (sim->tally->failover_gap_us, restored_us - fault_us);
 	}
 }
 
 static void
-init_world (struct simulation *sim)
+init_fleet (struct simulation *sim)
 {
 	const struct scenario *scenario = sim->plan->scenario;
 	int64_t delay_us = scenario->zone_delay_ms * US_PER_MS;
-	uint32_t next[VIRTUAL_MAX_ZONES] = { 0 };
 
-	virtual_world_init (
-		&sim->world, sim->plan->seed, scenario->vms + scenario->databases * SERVERS,
-		(struct virtual_link){ delay_us, delay_us / JITTER_SHARE, LOSS_PER_MILLION, false });
+	fleet_init (&sim->fleet, sim->plan->seed, scenario->vms, scenario->zones, scenario->databases,
+	            (struct virtual_link){ delay_us, delay_us / JITTER_SHARE, LOSS_PER_MILLION, false },
+	            true);
+	sim->world = &sim->fleet.world;
 	for (uint32_t z = 0; z < scenario->zones; z++)
-		sim->world.zone_links[z][z] =
+		sim->world->zone_links[z][z] =
 			(struct virtual_link){ LOCAL_DELAY_US, LOCAL_DELAY_US / JITTER_SHARE, LOSS_PER_MILLION,
 			                       false };
-	for (uint32_t v = 0; v < scenario->vms; v++)
-		sim->world.nodes[v].zone = v % scenario->zones;
 	for (uint32_t d = 0; d < scenario->databases; d++)
 	{
-		int first = (int) (scenario->vms + d * SERVERS);
-
-		virtual_group_init (&sim->groups[d], &sim->world, first, SERVERS, scenario->slots);
+		sim->fleet.groups[d].slots = scenario->slots;
 		for (uint32_t i = 0; i < SERVERS; i++)
-		{
-			uint32_t zone = (d + i) % scenario->zones;
-			uint32_t vms = (scenario->vms - zone + scenario->zones - 1) / scenario->zones;
-			int vm = (int) (zone + scenario->zones * (next[zone]++ % vms));
-
-			sim->world.nodes[first + (int) i].zone = zone;
-			sim->groups[d].servers[i].lag_us = scenario->lag_ms * US_PER_MS;
-			sim->owners[d][i] = (struct owner){ .sim = sim, .database = d, .index = i, .vm = vm };
-		}
+			sim->fleet.groups[d].servers[i].lag_us = scenario->lag_ms * US_PER_MS;
 	}
 }
 
 static void
 init_vm (struct simulation *sim, uint32_t v)
 {
-	struct vm *vm = &sim->vms[v];
-
-	retry_budget_init (&vm->budget, RETRY_PERCENT, RETRY_BURST);
+	retry_budget_init (&sim->budgets[v], RETRY_PERCENT, RETRY_BURST);
 	for (uint32_t d = 0; d < sim->plan->scenario->databases; d++)
 		for (uint32_t i = 0; i < SERVERS; i++)
 		{
-			uint32_t zone = sim->world.nodes[sim->owners[d][i].vm].zone;
-			uint32_t own_zone = sim->world.nodes[v].zone;
-
-			vm->views[d][i].server.link_us =
-				(uint32_t) (2 * sim->world.zone_links[zone][own_zone].delay_us);
-			circuit_init (&vm->views[d][i].circuit, CIRCUIT_THRESHOLD, CIRCUIT_OPEN_US);
-			entry_learn_primary (vm, d, 1, 0);
-			if (sim->plan->policy != POLICY_VM_POOLS)
-				continue;
-			sim->pools[v][d][i] = sim->owners[d][i];
-			sim->pools[v][d][i].vm = (int) v;
-			owner_init (&sim->pools[v][d][i]);
+			uint32_t zone = sim->world->nodes[fleet_server_node (&sim->fleet, d, i)].zone;
+			uint32_t own_zone = sim->world->nodes[v].zone;
+			struct view *view = &sim->views[v][d][i];
+
+			view->server.link_us = (uint32_t) (2 * sim->world->zone_links[zone][own_zone].delay_us);
+			circuit_init (&view->circuit, CIRCUIT_THRESHOLD, CIRCUIT_OPEN_US);
+			sim->owners[v][d][i] = (struct owner){ .sim = sim, .vm = v, .database = d, .index = i };
+			owner_init (&sim->owners[v][d][i]);
 		}
 }
 
-static void
-finish (struct simulation *sim)
-{
-	for (uint32_t d = 0; d < sim->plan->scenario->databases; d++)
-	{
-		virtual_group_finish (&sim->groups[d]);
-		for (uint32_t i = 0; i < SERVERS; i++)
-		{
-			g_clear_pointer (&sim->owners[d][i].waiting, g_array_unref);
-			for (uint32_t v = 0; v < MAX_VMS; v++)
-				g_clear_pointer (&sim->pools[v][d][i].waiting, g_array_unref);
-		}
-	}
-	virtual_world_finish (&sim->world);
-	g_ptr_array_free (sim->calls, TRUE);
-	g_ptr_array_free (sim->memory, TRUE);
-	g_free (sim->sessions);
-	g_free (sim);
-}
-
 void
 simulate (const struct plan *plan, struct tally *tally)
 {
@@ -283,29 +244,29 @@
 	sim->calls = g_ptr_array_new ();
 	sim->memory = g_ptr_array_new_with_free_func (g_free);
 	sim->sessions = g_new0 (struct session, plan->scenario->sessions);
-	init_world (sim);
-	sim->end_us = sim->world.now_us + (plan->has_failover ? FAILOVER_DURATION_US : DURATION_US);
-	tally->duration_us += sim->end_us - sim->world.now_us;
+	init_fleet (sim);
+	sim->end_us = sim->world->now_us + (plan->has_failover ? FAILOVER_DURATION_US : DURATION_US);
+	tally->duration_us += sim->end_us - sim->world->now_us;
 	for (uint32_t v = 0; v < plan->scenario->vms; v++)
 		init_vm (sim, v);
-	for (uint32_t d = 0; d < plan->scenario->databases; d++)
-		for (uint32_t i = 0; i < SERVERS; i++)
-		{
-			if (plan->policy != POLICY_VM_POOLS)
-				owner_init (&sim->owners[d][i]);
-			if (plan->has_failover)
-				observer_init (&sim->owners[d][i]);
-		}
 	for (uint32_t i = 0; i < plan->scenario->work_count; i++)
 	{
 		const struct work *work = &plan->scenario->work[i];
 
-		virtual_add (&sim->world, VIRTUAL_NO_NODE, sim->world.now_us,
+		virtual_add (sim->world, VIRTUAL_NO_NODE, sim->world->now_us,
 		             (struct virtual_handler){ handle_arrival, sim }, &work, sizeof work);
 	}
 	if (plan->has_failover)
 		run_fault (sim);
-	virtual_run (&sim->world, sim->end_us + SETTLE_US);
+	virtual_run (sim->world, sim->end_us + SETTLE_US);
 	check_logs (sim);
-	finish (sim);
+	for (uint32_t v = 0; v < plan->scenario->vms; v++)
+		for (uint32_t d = 0; d < plan->scenario->databases; d++)
+			for (uint32_t i = 0; i < SERVERS; i++)
+				g_array_unref (sim->owners[v][d][i].waiting);
+	fleet_finish (&sim->fleet);
+	g_ptr_array_free (sim->calls, TRUE);
+	g_ptr_array_free (sim->memory, TRUE);
+	g_free (sim->sessions);
+	g_free (sim);
 }
--- a/tests/measure/simulation.h
+++ b/tests/measure/simulation.h
@@ -1,14 +1,13 @@
 /**
  * @file
- * Simulated fleet under virtual time: entry VMs, owners and observers around the real decision
- * modules, in front of fake database groups.
+ * Callers, entry VMs and owners under virtual time, around the real decision modules, on the fleet
+ * and the database groups of tests/virtual/.
  */
 #pragma once
 
 #include "decision/admission.h"
-#include "decision/failover.h"
 #include "decision/retry.h"
-#include "group.h"
+#include "fleet.h"
 
 #include <glib.h>
 
@@ -16,8 +15,7 @@
 {
 	MAX_WORK = 8,
 	MAX_VMS = 8,
-	MAX_DATABASES = 4,
-	SERVERS = 3, /**< Of a group. */
+	SERVERS = FLEET_SERVERS,
 };
 
 enum work_kind
@@ -83,15 +81,24 @@
 	int64_t created_us, deadline_us, required_at_us;
 	struct log_position required; /**< Last acknowledged write of the session, as the next one. */
 	uint64_t must_see;
-	bool is_pending, is_received, may_have_run, ran, is_done; /**< The first two: this attempt. */
+	bool is_pending, is_received; /**< This attempt. */
+	bool may_have_run, ran, is_done;
 	enum outcome outcome;
 };
 
+/** An attempt of a call, as forwarded to an owner. */
+struct attempt
+{
+	struct call *call;
+	uint32_t number;
+	int64_t wait_until_us;
+};
+
 struct session
 {
-	struct log_position token[MAX_DATABASES];
-	int64_t token_at_us[MAX_DATABASES];
-	uint64_t value[MAX_DATABASES];
+	struct log_position token[FLEET_MAX_GROUPS];
+	int64_t token_at_us[FLEET_MAX_GROUPS];
+	uint64_t value[FLEET_MAX_GROUPS];
 };
 
 /** What an entry VM knows of one server. */
@@ -102,64 +109,40 @@
 	struct circuit circuit;
 };
 
-struct vm
-{
-	struct view views[MAX_DATABASES][SERVERS];
-	uint64_t term[MAX_DATABASES];
-	struct retry_budget budget;
-};
-
-struct poll_round
-{
-	int64_t sent_us;
-	uint32_t replies;
-	uint64_t promised_term;
-	struct log_position primary;
-};
-
-/** Owner of one server; in POLICY_VM_POOLS, the pool of one VM for it. */
+/** A VM's part as owner of a server; in POLICY_VM_POOLS, its pool for that server. */
 struct owner
 {
 	struct simulation *sim;
-	uint32_t database, index;
-	int vm;
+	uint32_t vm, database, index;
 	struct routing_server self;
 	struct admission *admission;
 	struct acknowledgement *ack;
-	GArray *waiting; /**< struct attempt, for the position to arrive. */
-	struct poll_round rounds[16], sample;
-	uint32_t next_round;
-	struct failover failover;
-	int64_t failover_at_us; /**< Time of its next step. */
+	GArray *waiting;             /**< struct attempt, for the position to arrive. */
+	struct virtual_reply sample; /**< A primary's position that the server has not reached. */
+	int64_t used_us, answered_us;
+	bool is_polling;
 };
 
 struct simulation
 {
 	const struct plan *plan;
 	struct tally *tally;
-	struct virtual_world world;
-	struct virtual_group groups[MAX_DATABASES];
-	struct owner owners[MAX_DATABASES][SERVERS], pools[MAX_VMS][MAX_DATABASES][SERVERS];
-	struct vm vms[MAX_VMS];
+	struct fleet fleet;
+	struct virtual_world *world;
+	struct view views[MAX_VMS][FLEET_MAX_GROUPS][SERVERS];
+	struct owner owners[MAX_VMS][FLEET_MAX_GROUPS][SERVERS];
+	struct retry_budget budgets[MAX_VMS];
 	struct session *sessions;
 	GPtrArray *calls, *memory;
-	int64_t end_us;                     /**< Of new requests. */
-	int64_t restored_us[MAX_DATABASES]; /**< First acknowledged write of a later term. */
-};
-
-/** An attempt of a call, as forwarded to an owner. */
-struct attempt
-{
-	struct call *call;
-	uint32_t number;
-	int64_t wait_until_us;
+	int64_t end_us;                        /**< Of new requests. */
+	int64_t restored_us[FLEET_MAX_GROUPS]; /**< First acknowledged write of a later term. */
 };
 
 /** An owner's answer, with what the entry VM learns from it. */
 struct answer
 {
 	struct attempt attempt;
-	struct owner *owner;
+	const struct owner *owner;
 	enum outcome outcome;
 	enum reason reason;
 	struct log_position position; /**< Of the write, or of the server after the read. */
@@ -167,17 +150,14 @@
 	uint32_t queue_us[RANK_COUNT];
 };
 
-/** Zeroed memory that lives until the end of the run. */
-void *simulation_new (struct simulation *sim, size_t bytes);
 /** Runs a plan and adds to @p tally. */
 void simulate (const struct plan *plan, struct tally *tally);
+/** Zeroed memory that lives until the end of the run. */
+void *simulation_new (struct simulation *sim, size_t bytes);
 void call_finish (struct call *call, enum outcome outcome, bool at_replica,
                   struct log_position position);
 struct routing_request call_routing (const struct call *call);
 void entry_begin (struct call *call);
 void entry_handle_answer (void *context, const void *payload);
-void entry_learn_primary (struct vm *vm, uint32_t database, uint64_t term, uint32_t server);
 void owner_init (struct owner *owner);
 void owner_handle_attempt (void *context, const void *payload);
-void observer_init (struct owner *owner);
-void observer_traffic (struct owner *owner, bool answered);
