--- a/tests/measure/entry.c
+++ b/tests/measure/entry.c
@@ -76,11 +76,11 @@
 {
 	const struct attempt *attempt = payload;
 	struct call *call = attempt->call;
-	struct view *view = &call->sim->views[call->vm][call->database][call->server];
+	struct circuit *peer = &call->sim->peers[call->vm][call->owner];
 
 	if (call->is_done || call->attempt != attempt->number || call->is_received)
 		return;
-	circuit_report (&view->circuit, false, call->sim->world->now_us);
+	circuit_report (peer, false, call->sim->world->now_us);
 	call->may_have_run = true;
 	entry_retry_later (call);
 }
@@ -92,6 +92,13 @@
 	g_snprintf (item->key, sizeof item->key, "db%u", database);
 }
 
+static bool
+circuit_is_open (const struct circuit *circuit, int64_t now_us)
+{
+	return circuit->state != CIRCUIT_CLOSED && now_us - circuit->opened_at_us < circuit->open_us;
+}
+
+/* Owner of a server among the members that are not silent: a standby follows at once. */
 static uint32_t
 entry_find_owner (const struct call *call, const char *database, uint32_t server)
 {
@@ -102,7 +109,8 @@
 	int node = fleet_server_node (fleet, call->database, server);
 
 	for (size_t i = 0; membership_get (fleet->vms[call->vm].membership, i, &member); i++)
-		if (member.state == MEMBER_ALIVE || member.state == MEMBER_SUSPECT)
+		if ((member.state == MEMBER_ALIVE || member.state == MEMBER_SUSPECT) &&
+		    !circuit_is_open (&call->sim->peers[call->vm][member.id - 1], fleet->world.now_us))
 			members[count++] = (struct ownership_member){ member.id, member.address.zone };
 	return ownership_of_server (members, count, ownership_server_key (database, server),
 	                            fleet->world.nodes[node].zone)
@@ -133,8 +141,7 @@
 		servers[i] = views[i].server;
 		servers[i].queue_us = views[i].queue_us[call->work->rank];
 		servers[i].is_primary = i == item.value;
-		servers[i].is_down = views[i].circuit.state != CIRCUIT_CLOSED &&
-		                     now_us - views[i].circuit.opened_at_us < views[i].circuit.open_us;
+		servers[i].is_down = circuit_is_open (&views[i].circuit, now_us);
 	}
 	choice = has_pools
 	             ? choose_without_token (call, servers)
@@ -151,8 +158,9 @@
 	/* A wait at the owner that takes longer than planned gives way to another server. */
 	attempt.wait_until_us =
 		now_us + servers[choice.server].link_us + 2LL * choice.wait_us + WAIT_MARGIN_US;
-	owner = &sim->owners[has_pools ? call->vm : entry_find_owner (call, item.key, choice.server)]
-	                    [call->database][choice.server];
+	call->owner = has_pools ? call->vm : entry_find_owner (call, item.key, choice.server);
+	circuit_allows (&sim->peers[call->vm][call->owner], now_us);
+	owner = &sim->owners[call->owner][call->database][choice.server];
 	virtual_add (sim->world, (int) call->vm, now_us + SILENT_US,
 	             (struct virtual_handler){ entry_handle_silence, NULL }, &attempt, sizeof attempt);
 	virtual_send (sim->world, true, (int) call->vm, (int) owner->vm,
@@ -173,6 +181,7 @@
 	view->server.link_us = link_us;
 	memcpy (view->queue_us, answer->queue_us, sizeof view->queue_us);
 	circuit_report (&view->circuit, !answer->self.is_down, sim->world->now_us);
+	circuit_report (&sim->peers[vm][owner->vm], true, sim->world->now_us);
 	group_item (owner->database, answer->self.position.term, owner->index, &item);
 	if (answer->self.is_primary)
 		membership_merge (sim->fleet.vms[vm].membership, &item, sim->world->now_us);
--- a/tests/measure/simulation.c
+++ b/tests/measure/simulation.c
@@ -220,6 +220,8 @@
 init_vm (struct simulation *sim, uint32_t v)
 {
 	retry_budget_init (&sim->budgets[v], RETRY_PERCENT, RETRY_BURST);
+	for (uint32_t other = 0; other < MAX_VMS; other++)
+		circuit_init (&sim->peers[v][other], 1, CIRCUIT_OPEN_US);
 	for (uint32_t d = 0; d < sim->plan->scenario->databases; d++)
 		for (uint32_t i = 0; i < SERVERS; i++)
 		{
--- a/tests/measure/simulation.h
+++ b/tests/measure/simulation.h
@@ -77,7 +77,7 @@
 	struct simulation *sim;
 	const struct work *work;
 	uint32_t id; /**< Its write's value is id + 1. */
-	uint32_t session, vm, database, tenant, run_us, attempt, excluded, server;
+	uint32_t session, vm, database, tenant, run_us, attempt, excluded, server, owner;
 	int64_t created_us, deadline_us, required_at_us;
 	struct log_position required; /**< Last acknowledged write of the session, as the next one. */
 	uint64_t must_see;
@@ -131,6 +131,7 @@
 	struct virtual_world *world;
 	struct view views[MAX_VMS][FLEET_MAX_GROUPS][SERVERS];
 	struct owner owners[MAX_VMS][FLEET_MAX_GROUPS][SERVERS];
+	struct circuit peers[MAX_VMS][MAX_VMS]; /**< Of an entry VM, for each owner VM. */
 	struct retry_budget budgets[MAX_VMS];
 	struct session *sessions;
 	GPtrArray *calls, *memory;
