--- a/include/decision/admission.h
+++ b/include/decision/admission.h
@@ -23,7 +23,8 @@
 	uint32_t slots;                     /**< Statements that the server runs at once. */
 	uint32_t queue_limit[RANK_COUNT];   /**< Waiting requests. */
 	uint32_t floor_percent[RANK_COUNT]; /**< Share of slot time a rank keeps under load. */
-	uint32_t max_slots[RANK_COUNT];     /**< Statements of a rank at once; 0: no limit. */
+	/** Statements of a rank at once; 0: no limit, and slots - 1 (at least 1) for RANK_LOW. */
+	uint32_t max_slots[RANK_COUNT];
 	uint32_t tenant_weight[ADMISSION_MAX_TENANTS]; /**< 0 counts as 1. */
 };
 
@@ -78,14 +79,15 @@
 /** Removes a queued request whose caller went away. @return false when it is not queued. */
 bool admission_cancel (struct admission *admission, uint64_t cookie);
 
-/** Changes the number of usable slots (adaptive concurrency, slow server, open circuit). */
+/** Changes the number of usable slots (adaptive concurrency, slow server, open circuit). With 0,
+ * nothing starts, and new requests with a deadline are refused. */
 void admission_set_slots (struct admission *admission, uint32_t slots);
 
-/** Expected wait of a new request of @p rank. */
+/** Expected wait of a new request of @p rank; UINT32_MAX without slots. */
 uint32_t admission_expected_wait_us (const struct admission *admission, enum rank rank,
                                      int64_t now_us);
 
-/** Next time at which a queued request expires; INT64_MAX when none. */
+/** Time from which admission_next() expires a queued request; INT64_MAX when none waits. */
 int64_t admission_next_expiry_us (const struct admission *admission);
 
 uint32_t admission_queued (const struct admission *admission, enum rank rank);
--- a/include/decision/routing.h
+++ b/include/decision/routing.h
@@ -30,7 +30,7 @@
 	bool is_down; /**< Its owner or the server does not answer at present. */
 	bool is_leaving;
 	uint32_t link_us;             /**< Estimated round trip to its owner. */
-	uint32_t queue_us;            /**< Last reported expected wait in its queue. */
+	uint32_t queue_us;            /**< Expected wait of the request's rank, as of position_at_us. */
 	uint32_t lag_us;              /**< Smoothed replication lag behind the primary. */
 	struct log_position position; /**< Last reported position. */
 	int64_t position_at_us;       /**< When it was reported; 0: never. */
--- a/tests/measure/measure.c
+++ b/tests/measure/measure.c
@@ -120,8 +120,15 @@
 	return whole ? (double) part / (double) whole : 1;
 }
 
+/* Mean number of slots in use by a rank. */
+static double
+slots_used (const struct tally *tally, int rank)
+{
+	return (double) tally->busy_us[rank] / (double) tally->duration_us;
+}
+
 static void
-print_rank (const struct plan *plan, const struct tally *tally, int rank)
+print_rank (const struct tally *tally, int rank)
 {
 	GArray *sorted = tally->latencies_us[rank];
 	double p99_ms = 0;
@@ -132,8 +139,7 @@
 	printf ("\"%s\": {\"served_share\": %.4f, \"p99_ms\": %.1f, \"in_target_share\": %.4f, "
 	        "\"slots_used\": %.2f}, ",
 	        rank_name ((enum rank) rank), share (tally->served[rank], tally->offered[rank]), p99_ms,
-	        share (tally->in_target[rank], tally->offered[rank]),
-	        (double) tally->busy_us[rank] / (double) tally->duration_us);
+	        share (tally->in_target[rank], tally->offered[rank]), slots_used (tally, rank));
 }
 
 /* The simulated requests are single statements, so that "mixed" is not measured here. */
@@ -148,16 +154,43 @@
 	else
 		printf ("\"failover_gap_ms\": null, ");
 	for (int rank = 0; rank < RANK_COUNT; rank++)
-		print_rank (plan, tally, rank);
+		print_rank (tally, rank);
 	printf ("\"acked_lost\": %lu, \"doubled\": %lu, \"ryw_violations\": %lu, "
 	        "\"not_run_but_ran\": %lu, \"mixed\": null}\n",
 	        tally->acked_lost, tally->doubled, tally->ryw_violations, tally->not_run_but_ran);
 	fflush (stdout);
 }
 
-static void
+/* Checks the targets of docs/design.md for the chosen policy. @return whether all are met. */
+static bool
+check_targets (const struct plan *plan, const struct tally *tally)
+{
+	const struct scenario *scenario = plan->scenario;
+	const uint32_t floors[RANK_COUNT] = { 0, scenario->floor_normal_percent,
+		                                  scenario->floor_low_percent };
+	double replica_slots = scenario->databases * (SERVERS - 1) * scenario->slots;
+	bool is_met =
+		share (tally->replica_served, tally->replica_possible) >= 0.95 &&
+		tally->failover_gap_us <= 5 * US_PER_S &&
+		tally->acked_lost + tally->doubled + tally->ryw_violations + tally->not_run_but_ran == 0;
+
+	if (plan->factor[RANK_URGENT] == 1 && !plan->has_failover)
+		is_met =
+			is_met && share (tally->in_target[RANK_URGENT], tally->offered[RANK_URGENT]) >= 0.99;
+	/* A tenth is left for the time until a rank has earned its first statement. */
+	for (int rank = RANK_NORMAL; rank < RANK_COUNT && !plan->has_failover; rank++)
+		is_met = is_met && (share (tally->served[rank], tally->offered[rank]) >= 0.99 ||
+		                    slots_used (tally, rank) >= 0.9 * floors[rank] / 100 * replica_slots);
+	if (!is_met)
+		fprintf (stderr, "measure: %s/%s misses a target\n", scenario->name, plan->name);
+	return is_met;
+}
+
+static bool
 run_plan (struct plan *plan)
 {
+	bool is_met;
+
 	struct tally tally = { 0 };
 
 	for (int rank = 0; rank < RANK_COUNT; rank++)
@@ -168,32 +201,39 @@
 		simulate (plan, &tally);
 	}
 	print_tally (plan, &tally);
+	is_met = plan->policy != POLICY_CHOSEN || check_targets (plan, &tally);
 	for (int rank = 0; rank < RANK_COUNT; rank++)
 		g_array_free (tally.latencies_us[rank], TRUE);
+	return is_met;
 }
 
 int
 main (int argc, char **argv)
 {
 	struct scenario scenario;
+	bool is_met = true;
 
-	for (int i = 1; i < argc && load_scenario (&scenario, argv[i]); i++)
+	for (int i = 1; i < argc; i++)
 	{
 		struct plan plans[] = {
 			{ &scenario, "steady", { 1, 1, 1 }, false, POLICY_CHOSEN, 0 },
-			{ &scenario, "low_flood", { 1, 1, scenario.flood_low }, false, POLICY_CHOSEN, 0 },
-			{ &scenario, "urgent_flood", { scenario.flood_urgent, 1, 1 }, false, POLICY_CHOSEN, 0 },
+			{ &scenario, "low_flood", { 1, 1, 1 }, false, POLICY_CHOSEN, 0 },
+			{ &scenario, "urgent_flood", { 1, 1, 1 }, false, POLICY_CHOSEN, 0 },
 			{ &scenario, "failover", { 1, 1, 1 }, true, POLICY_CHOSEN, 0 },
 		};
 
+		if (!load_scenario (&scenario, argv[i]))
+			return 2;
+		plans[1].factor[RANK_LOW] = scenario.flood_low;
+		plans[2].factor[RANK_URGENT] = scenario.flood_urgent;
 		for (size_t p = 0; p < G_N_ELEMENTS (plans); p++)
 			for (int policy = 0; policy < POLICY_COUNT; policy++)
 			{
 				plans[p].policy = (enum policy) policy;
-				run_plan (&plans[p]);
+				is_met = run_plan (&plans[p]) && is_met;
 			}
 	}
 	if (counter_get (COUNTER_INVARIANT_VIOLATIONS) > 0)
 		fprintf (stderr, "measure: invariant violations, see the log\n");
-	return counter_get (COUNTER_INVARIANT_VIOLATIONS) > 0;
+	return is_met && counter_get (COUNTER_INVARIANT_VIOLATIONS) == 0 ? 0 : 1;
 }
