--- a/tests/measure/entry.c
+++ b/tests/measure/entry.c
@@ -192,6 +192,8 @@
 {
 	const struct answer *answer = payload;
 	struct call *call = answer->attempt.call;
+	bool is_read = call->work->kind == WORK_READ;
+	bool is_overload = answer->reason == REASON_OVERLOAD || answer->reason == REASON_DEADLINE;
 
 	entry_learn (call->sim, call->vm, answer);
 	if (call->is_done || !call->is_pending || call->attempt != answer->attempt.number)
@@ -201,13 +203,11 @@
 	call->excluded |= 1u << answer->owner->index;
 	if (answer->outcome == OUTCOME_DONE)
 		call_finish (call, OUTCOME_DONE, !answer->self.is_primary, answer->position);
-	else if (answer->reason == REASON_BEHIND || answer->reason == REASON_TOO_OLD ||
-	         (answer->reason == REASON_UPSTREAM_DOWN && call->work->kind == WORK_READ))
-		entry_route (call);
-	else if (answer->reason == REASON_NOT_PRIMARY || answer->reason == REASON_UPSTREAM_DOWN ||
-	         answer->outcome == OUTCOME_UNKNOWN)
+	else if (answer->outcome == OUTCOME_UNKNOWN || answer->reason == REASON_NOT_PRIMARY ||
+	         (answer->reason == REASON_UPSTREAM_DOWN && !is_read))
 		entry_retry_later (call);
-	else if (call->work->kind == WORK_READ && retry_budget_take (&call->sim->budgets[call->vm]))
+	/* Another server may do; only a retry that adds to an overload has to be paid for. */
+	else if (is_read && (!is_overload || retry_budget_take (&call->sim->budgets[call->vm])))
 		entry_route (call);
 	else
 		call_finish (call, call->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_REFUSED, false,
--- a/tests/measure/measure.c
+++ b/tests/measure/measure.c
@@ -131,11 +131,12 @@
 print_rank (const struct tally *tally, int rank)
 {
 	GArray *sorted = tally->latencies_us[rank];
+	guint at = sorted->len * 99 / 100;
 	double p99_ms = 0;
 
 	g_array_sort (sorted, compare_latencies);
 	if (sorted->len > 0)
-		p99_ms = g_array_index (sorted, uint32_t, sorted->len * 99 / 100) / 1e3;
+		p99_ms = g_array_index (sorted, uint32_t, at) / 1e3;
 	printf ("\"%s\": {\"served_share\": %.4f, \"p99_ms\": %.1f, \"in_target_share\": %.4f, "
 	        "\"slots_used\": %.2f}, ",
 	        rank_name ((enum rank) rank), share (tally->served[rank], tally->offered[rank]), p99_ms,
--- a/tests/measure/simulation.c
+++ b/tests/measure/simulation.c
@@ -14,6 +14,7 @@
 	FAULT_US = 10 * US_PER_S,  /* From the start; lasts as long. */
 	LOCAL_DELAY_US = 250,      /* One way inside a zone. */
 	LOSS_PER_MILLION = 100,
+	ANSWER_LOSS_PER_MILLION = 2000, /* During faults: of servers, after the statement ran. */
 	JITTER_SHARE = 5,
 	CIRCUIT_THRESHOLD = 2,
 	CIRCUIT_OPEN_US = 1 * US_PER_S,
@@ -70,7 +71,8 @@
 handle_arrival (void *context, const void *payload)
 {
 	struct simulation *sim = context;
-	const struct work *work = *(const struct work *const *) payload;
+	uint32_t index = *(const uint32_t *) payload;
+	const struct work *work = &sim->plan->scenario->work[index];
 	double uniform = (double) (virtual_random (sim->world) >> 11) / 9007199254740992.0;
 	double per_us = (double) work->per_s * sim->plan->factor[work->rank] / US_PER_S;
 
@@ -78,7 +80,7 @@
 		return;
 	virtual_add (sim->world, VIRTUAL_NO_NODE,
 	             sim->world->now_us + (int64_t) (-log (1 - uniform) / per_us),
-	             (struct virtual_handler){ handle_arrival, sim }, &work, sizeof work);
+	             (struct virtual_handler){ handle_arrival, sim }, &index, sizeof index);
 	simulation_arrive (sim, work, draw (sim, sim->plan->scenario->sessions));
 }
 
@@ -211,6 +213,8 @@
 	for (uint32_t d = 0; d < scenario->databases; d++)
 	{
 		sim->fleet.groups[d].slots = scenario->slots;
+		if (sim->plan->has_failover)
+			sim->fleet.groups[d].answer_loss_per_million = ANSWER_LOSS_PER_MILLION;
 		for (uint32_t i = 0; i < SERVERS; i++)
 			sim->fleet.groups[d].servers[i].lag_us = scenario->lag_ms * US_PER_MS;
 	}
@@ -252,12 +256,8 @@
 	for (uint32_t v = 0; v < plan->scenario->vms; v++)
 		init_vm (sim, v);
 	for (uint32_t i = 0; i < plan->scenario->work_count; i++)
-	{
-		const struct work *work = &plan->scenario->work[i];
-
 		virtual_add (sim->world, VIRTUAL_NO_NODE, sim->world->now_us,
-		             (struct virtual_handler){ handle_arrival, sim }, &work, sizeof work);
-	}
+		             (struct virtual_handler){ handle_arrival, sim }, &i, sizeof i);
 	if (plan->has_failover)
 		run_fault (sim);
 	virtual_run (sim->world, sim->end_us + SETTLE_US);
