--- a/tests/unit/admission.c
+++ b/tests/unit/admission.c
@@ -144,6 +144,7 @@
 	uint64_t started[RANK_COUNT];
 	uint64_t expired[RANK_COUNT];
 	int64_t wait_us[RANK_COUNT]; /* Longest. */
+	int64_t wait_sum_us[RANK_COUNT];
 	uint64_t hash;
 };
 
@@ -186,6 +187,7 @@
 	server->running[server->count] = cookie;
 	server->end_us[server->count++] = now_us + request->run_us;
 	server->tally->started[rank]++;
+	server->tally->wait_sum_us[rank] += wait_us;
 	if (server->tally->wait_us[rank] < wait_us)
 		server->tally->wait_us[rank] = wait_us;
 }
@@ -371,6 +373,10 @@
 				                  tally.offered[rank] * (uint64_t) cases[i].expired_percent);
 			}
 			g_assert_cmpint (tally.wait_us[RANK_URGENT], <=, cases[i].urgent_wait_us);
+			/* A rank that floods itself keeps a short queue, not one as long as its time limit. */
+			for (int rank = 0; rank < RANK_LOW; rank++)
+				g_assert_cmpint (tally.wait_sum_us[rank] / (int64_t) tally.started[rank], <=,
+				                 cases[i].loads[rank].patience_us / 2);
 		}
 }
 
