--- a/decision/admission.c
+++ b/decision/admission.c
@@ -710,7 +710,9 @@
 	uint32_t item = heap_first (&admission->by_expiry);
 
 	/* A request may still start at its deadline. */
-	return item == HEAP_NONE ? INT64_MAX : admission->items[item].deadline_us + 1;
+	if (item == HEAP_NONE || admission->items[item].deadline_us == INT64_MAX)
+		return INT64_MAX;
+	return admission->items[item].deadline_us + 1;
 }
 
 uint32_t
--- a/tests/unit/admission.c
+++ b/tests/unit/admission.c
@@ -63,6 +63,9 @@
 	ASSERT_RESULT (admission_next (a, 90001), ADMISSION_EXPIRED, 3);
 	ASSERT_RESULT (admission_next (a, 90001), ADMISSION_NONE, 0);
 	g_assert_cmpint (admission_next_expiry_us (a), ==, INT64_MAX);
+	admission_set_slots (a, 0);
+	ASSERT_RESULT (submit (a, 8, RANK_NORMAL, 0, INT64_MAX, 100, 90001), ADMISSION_QUEUED, 8);
+	g_assert_cmpint (admission_next_expiry_us (a), ==, INT64_MAX);
 	g_free (a);
 }
 
