--- a/decision/routing.c
+++ b/decision/routing.c
@@ -225,16 +225,18 @@
 	return routing_result (candidates, found);
 }
 
-/* Time until the server may hold what it lacks, at the lag seen so far. */
+/* Tells whether the server may hold the required position before the deadline, at the lag seen so
+ * far. A write of unknown time counts as acknowledged just now, so that a replica far behind refuses
+ * while there is time to read elsewhere. */
 static bool
 routing_is_reachable (const struct routing_server *server, const struct routing_request *request,
                       int64_t now_us)
 {
-	int64_t expected_at_us = now_us + server->link_us;
+	int64_t written_at_us = request->required_at_us != 0 ? request->required_at_us : now_us;
+	int64_t expected_at_us = written_at_us + server->lag_us;
 
-	if (request->required_at_us != 0 && server->lag_us != 0 &&
-	    request->required_at_us + server->lag_us > expected_at_us)
-		expected_at_us = request->required_at_us + server->lag_us;
+	if (expected_at_us < now_us + server->link_us)
+		expected_at_us = now_us + server->link_us;
 	return expected_at_us <= request->deadline_us;
 }
 
