--- a/decision/failover.c
+++ b/decision/failover.c
@@ -25,6 +25,10 @@
 	GATHER_US = 100000,
 	/* Polls of an alert that leads to nothing become fewer, since the group may be cut off. */
 	LONG_ALERT_US = 10000000,
+	/* A planned change fences the old primary first, and waits this long at most for the server
+	 * that is asked for to get its last entries: a fenced one accepts none. */
+	CATCH_UP_US = 300000,
+	CATCH_UP_POLL_US = 20000,
 	ASKED_US = 1000000,
 	OPINION_POLLS = 3, /* An opinion counts for this many alert polls. */
 	MAX_EVENTS = 8,    /* Chart events of one call. */
@@ -92,7 +96,8 @@
 	uint32_t preferred;
 	uint32_t server; /* To be promoted. */
 	uint32_t attempts;
-	bool is_urgent; /* The primary is silent. */
+	bool is_urgent;      /* The primary is silent. */
+	bool is_catching_up; /* Planned change: only the old primary is being fenced. */
 	bool to_promote;
 	int64_t started_us;
 	int64_t step_us; /* Start of the present step. */
@@ -312,9 +317,28 @@
 	claim->fenced = 0;
 	claim->rejected = 0;
 	claim->to_fence = (1u << f->server_count) - 1;
+	if (claim->is_catching_up)
+		claim->to_fence = 1u << f->primary;
 	claim->step_us = f->now_us;
 }
 
+/* Second half of the fences of a planned change. */
+static void
+end_catching_up (struct failover_private *f, int64_t now_us)
+{
+	struct claim *claim = &f->claim;
+	uint32_t all = (1u << f->server_count) - 1;
+	bool is_fenced = claim->fenced >> f->primary & 1;
+	bool is_there = is_fenced && log_position_covers (f->servers[claim->preferred].status.position,
+	                                                  claim->positions[f->primary]);
+
+	if (!is_there && now_us - claim->step_us < CATCH_UP_US)
+		return;
+	claim->is_catching_up = false;
+	claim->to_fence = all & ~(1u << f->primary);
+	claim->step_us = now_us;
+}
+
 static void
 start_promoting (struct failover_private *f)
 {
@@ -340,6 +364,13 @@
 	claim->step_us = f->now_us;
 }
 
+static void
+poll_all (struct failover_private *f)
+{
+	for (uint32_t i = 0; i < f->server_count; i++)
+		f->servers[i].next_poll_us = f->now_us;
+}
+
 static void
 handle_action (void *context, const char *name)
 {
@@ -348,8 +379,7 @@
 	if (strcmp (name, "poll_at_once") == 0)
 	{
 		f->alert_us = f->now_us;
-		for (uint32_t i = 0; i < f->server_count; i++)
-			f->servers[i].next_poll_us = f->now_us;
+		poll_all (f);
 	}
 	else if (strcmp (name, "fence") == 0)
 		start_fencing (f);
@@ -388,6 +418,7 @@
 	if (!has_agreement (f, now_us))
 		return false;
 	f->claim.attempts = 0;
+	f->claim.is_catching_up = false;
 	f->claim.is_urgent = is_late (f, now_us);
 	f->claim.preferred = f->primary;
 	return take (f, EVENT_AGREEMENT);
@@ -408,6 +439,8 @@
 		return take (f, EVENT_SUPERSEDED);
 	if (is_in (f, STATE_PROMOTING))
 		return f->term == claim->term && take (f, EVENT_PROMOTED);
+	if (claim->is_catching_up)
+		end_catching_up (f, now_us);
 	if (fenced < majority (f))
 		return false;
 	if (!claim->is_urgent && fenced + rejected < f->server_count &&
@@ -716,9 +749,11 @@
 		return -EBUSY;
 	f->claim.attempts = 0;
 	f->claim.is_urgent = false;
+	f->claim.is_catching_up = f->primary != FAILOVER_NO_PRIMARY;
 	f->claim.preferred = server;
 	f->suspected_us = now_us;
 	take (f, EVENT_REQUEST);
+	poll_all (f);
 	return 0;
 }
 
@@ -740,6 +775,9 @@
 		struct observed_server *server = &f->servers[i];
 		int64_t interval_us = poll_interval_us (f, now_us);
 
+		if (is_in (f, STATE_FENCING) && f->claim.is_catching_up && i == f->claim.preferred)
+			interval_us = CATCH_UP_POLL_US;
+
 		if (now_us < server->next_poll_us)
 			continue;
 		/* Spreads the polls of the observers and groups of a fleet. */
@@ -839,6 +877,8 @@
 		earlier (&next_us, f->servers[i].next_poll_us);
 	if (is_claiming (f))
 	{
+		if (f->claim.to_fence || f->claim.to_promote)
+			return f->now_us;
 		earlier (&next_us, f->claim.step_us + f->settings->step_timeout_us);
 		if (!f->claim.is_urgent && f->now_us < f->claim.step_us + GATHER_US)
 			earlier (&next_us, f->claim.step_us + GATHER_US);
--- a/tests/unit/random_runs.c
+++ b/tests/unit/random_runs.c
@@ -7,7 +7,7 @@
 
 enum
 {
-	SEEDS = 60,
+	SEEDS = 120,
 	FIRST_SEED = 1,
 	VMS = 9,
 	ZONES = 3,
@@ -170,10 +170,17 @@
 static const char *
 run_seed (uint64_t seed)
 {
+	struct failover_settings hasty_settings = failover_default_settings;
 	struct fleet fleet;
 	const char *problem = NULL;
 
+	hasty_settings.claim_step_us = 0;
+	hasty_settings.unfinished_after_us = 200000;
 	fleet_init (&fleet, seed, VMS, ZONES, GROUPS, normal_link, false);
+	fleet.writes_at_owner = seed % 2;
+	/* Observers that do not wait for each other claim at once. */
+	if (seed % 3 == 0)
+		fleet.failover_settings = &hasty_settings;
 	fleet_run (&fleet, 10000000, WRITE_EVERY_US);
 	for (uint32_t round = 0; round < ROUNDS && !problem; round++)
 	{
--- a/tests/virtual/fleet.c
+++ b/tests/virtual/fleet.c
@@ -11,6 +11,7 @@
 	CALL_TIMEOUT_US = 1000000,
 	ACKNOWLEDGE_US = 2000000,
 	MAX_WRITES = 256,
+	OVERDUE_US = 300000, /* The traffic thread reports an answer as overdue. */
 	MAX_ITEMS = 2048,
 	/* XDR and RPC headers of fs_gossip, UDP and IPv4 headers. */
 	DATAGRAM_BYTES = 40 + 32 + 28,
@@ -421,12 +422,13 @@
 		uint32_t owner =
 			ownership_of_server (members, count, ownership_server_key (key, s), zone).owner;
 
+		group->owners[s] = owner;
 		observers[s] = (struct failover_observer){ owner, fleet->world.nodes[owner - 1].zone };
 		is_observer = is_observer || owner == vm->index + 1;
 	}
 	if (is_observer && !group->is_observer)
 		failover_init (&group->failover, (char *) group->failover_memory + 64,
-		               &failover_default_settings, vm->index + 1, FLEET_SERVERS,
+		               fleet->failover_settings, vm->index + 1, FLEET_SERVERS,
 		               random_next (&vm->seed), now (fleet));
 	group->is_observer = is_observer;
 	if (!is_observer)
@@ -531,6 +533,8 @@
 	for (uint32_t g = 0; g < fleet->group_count; g++)
 	{
 		vm->groups[g].is_observer = false;
+		vm->groups[g].is_polling = false;
+		vm->groups[g].answered_value = 0;
 		acknowledgement_init (vm->groups[g].acknowledgement, FLEET_SERVERS, MAX_WRITES);
 	}
 	handle_pull_state (vm, NULL);
@@ -624,7 +628,8 @@
 	struct virtual_request status = { .type = VIRTUAL_STATUS };
 
 	group_acknowledge (vm->fleet, number, group);
-	if (!acknowledgement_is_waiting (group->acknowledgement))
+	group->is_polling = acknowledgement_is_waiting (group->acknowledgement);
+	if (!group->is_polling)
 		return;
 	for (uint32_t i = 0; i < FLEET_SERVERS; i++)
 		virtual_group_call (&vm->fleet->groups[number], (int) vm->index, i, &status,
@@ -640,15 +645,43 @@
 	struct fleet_group *group = context;
 	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
 
+	group->answered_value = MAX (group->answered_value, reply->request.value);
+	if (group->is_observer)
+	{
+		failover_handle_traffic (&group->failover, reply->server, true, now (vm->fleet));
+		failover_handle_status (&group->failover, reply->server, &reply->status, reply->sent_us,
+		                        now (vm->fleet));
+		vm_step (vm);
+	}
 	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
 	if (reply->result != 0)
 		return;
 	acknowledgement_add (group->acknowledgement, reply->request.value << 3 | reply->server,
 	                     reply->status.position, now (vm->fleet) + ACKNOWLEDGE_US);
-	handle_write_poll (group, NULL);
+	if (!group->is_polling)
+		handle_write_poll (group, NULL);
+}
+
+/* A write that was sent. */
+struct sent_write
+{
+	uint64_t value;
+	uint32_t server;
+};
+
+static void
+handle_overdue (void *context, const void *payload)
+{
+	const struct sent_write *sent = payload;
+	struct fleet_group *group = context;
+	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
+
+	if (!group->is_observer || group->answered_value >= sent->value)
+		return;
+	failover_handle_traffic (&group->failover, sent->server, false, now (vm->fleet));
+	vm_step (vm);
 }
 
-/* Any running VM may take itself for the owner of the primary: here each does so at times. */
 static void
 fleet_write (struct fleet *fleet, uint32_t number)
 {
@@ -656,15 +689,23 @@
 	struct virtual_request request = { .type = VIRTUAL_WRITE,
 		                               .value = ++fleet->next_value,
 		                               .run_us = 1000 };
+	struct sent_write sent = { .value = request.value };
 	struct membership_item item;
 	char key[16];
 
 	group_key (number, key, sizeof key);
-	if (fleet->world.nodes[vm->index].state == VIRTUAL_RUNNING &&
-	    membership_find_item (vm->membership, ITEM_GROUP, key, &item))
-		virtual_group_call (&fleet->groups[number], (int) vm->index, (uint32_t) item.value,
-		                    &request,
-		                    (struct virtual_handler){ handle_written, &vm->groups[number] });
+	if (!membership_find_item (vm->membership, ITEM_GROUP, key, &item))
+		return;
+	sent.server = (uint32_t) item.value;
+	if (fleet->writes_at_owner && vm->groups[number].owners[sent.server])
+		vm = &fleet->vms[vm->groups[number].owners[sent.server] - 1];
+	if (fleet->world.nodes[vm->index].state != VIRTUAL_RUNNING)
+		return;
+	virtual_group_call (&fleet->groups[number], (int) vm->index, sent.server, &request,
+	                    (struct virtual_handler){ handle_written, &vm->groups[number] });
+	virtual_add (&fleet->world, (int) vm->index, now (fleet) + OVERDUE_US,
+	             (struct virtual_handler){ handle_overdue, &vm->groups[number] }, &sent,
+	             sizeof sent);
 }
 
 void
@@ -697,6 +738,7 @@
 	fleet->members_known = knows_all ? vms : MIN (vms, FLEET_SEEDS);
 	fleet->platform.watches = g_new0 (uint64_t, vms);
 	fleet->platform.revision = 1;
+	fleet->failover_settings = &failover_default_settings;
 	fleet->vms = g_new0 (struct fleet_vm, vms);
 	for (uint32_t i = 0; i < nodes; i++)
 		fleet->world.nodes[i].zone = (i < vms ? i : i - vms) % zones;
--- a/tests/virtual/fleet.h
+++ b/tests/virtual/fleet.h
@@ -28,6 +28,9 @@
 	struct failover failover;
 	void *failover_memory;
 	struct acknowledgement *acknowledgement;
+	uint32_t owners[FLEET_SERVERS]; /**< As this VM sees them. */
+	bool is_polling;                /**< Replicas are asked for the waiting writes. */
+	uint64_t answered_value;        /**< Highest write that was answered here. */
 };
 
 struct fleet_vm
@@ -88,6 +91,10 @@
 	struct virtual_group groups[FLEET_MAX_GROUPS];
 	struct fleet_history histories[FLEET_MAX_GROUPS];
 	uint64_t next_value;
+	/** Writes go to the primary's owner, which tells its observer of answers; otherwise any VM takes
+	 * itself for the owner. */
+	bool writes_at_owner;
+	const struct failover_settings *failover_settings; /**< Of VMs that become observers. */
 	size_t members_known; /**< VMs that a VM knows at its start: all, or FLEET_SEEDS. */
 	/** First broken guarantee; NULL: none. */
 	const char *violation;
