--- a/decision/membership.c
+++ b/decision/membership.c
@@ -168,6 +168,40 @@
 		queue (membership, GOSSIP_ACK, member->id, 0, 0);
 }
 
+static void
+probe_member (struct membership *membership, const struct member_record *member, int64_t now_us)
+{
+	struct probe *unused = NULL;
+
+	for (int i = 0; i < MEMBERSHIP_MAX_PROBES; i++)
+	{
+		struct probe *probe = &membership->probes[i];
+
+		if (probe->sequence == 0)
+			unused = probe;
+		else if (probe->id == member->id)
+			return;
+	}
+	if (!unused)
+		return;
+	*unused = (struct probe){ ++membership->sequence, member->id, now_us, false };
+	queue (membership, GOSSIP_PING, member->id, 0, unused->sequence);
+}
+
+/* Others speak of an earlier incarnation that was refuted. They may not know that, or the member may
+ * be down again: both are settled at once instead of by the next regular ping. */
+static void
+answer_stale_claim (struct membership *membership, struct member_record *member,
+                    uint64_t incarnation, int64_t now_us)
+{
+	if (incarnation >= member->incarnation ||
+	    (member->state != MEMBER_ALIVE && member->state != MEMBER_LEAVING))
+		return;
+	if (member->sends_left == 0)
+		rumor_add_member (membership, member);
+	probe_member (membership, member, now_us);
+}
+
 /* Others take this VM for suspect or dead, or remember its earlier life. */
 static bool
 merge_self (struct membership *membership, const struct membership_item *item)
@@ -218,13 +252,19 @@
 	         item->config_revision > member->config_revision)
 		member->config_revision = item->config_revision;
 	if (item->version <= member_version (member) && !is_first)
+	{
+		if (state == MEMBER_SUSPECT || state == MEMBER_DEAD)
+			answer_stale_claim (membership, member, item->version >> 2, now_us);
 		return false;
+	}
 	was_down = member->down_since_us != 0;
-	/* A new incarnation alone is passed on by those for whom it ends a suspicion. At the start of a
-	 * fleet, and at the end of a partition, this saves a rumor for each member. */
+	/* A new incarnation alone is passed on only by those for whom it ends a suspicion: at the end of
+	 * a partition this saves most rumors. Others hear of it from answer_stale_claim(). */
 	if (is_first || state != (enum member_state) member->state ||
 	    !is_same_address (&member->address, &item->address))
 		rumor_add_member (membership, member);
+	else if (member->incarnation == 0)
+		rumor_add_greeting (membership, member);
 	member->incarnation = item->version >> 2;
 	member->config_revision = item->config_revision;
 	if (!is_same_address (&member->address, &item->address))
@@ -381,26 +421,18 @@
 static void
 ping_next (struct membership *membership, int64_t now_us)
 {
-	struct member_record *member = NULL;
-	struct probe *probe = &membership->probes[0];
-
-	for (uint32_t i = 0; i < membership->member_count && !member; i++)
+	for (uint32_t i = 0; i < membership->member_count; i++)
 	{
 		uint32_t at;
 
 		if (membership->order_at >= membership->member_count)
 			member_table_shuffle (membership);
 		at = membership->order[membership->order_at++];
-		if (at != 0 && membership->members[at].state != MEMBER_DEAD)
-			member = &membership->members[at];
-	}
-	for (int i = 0; i < MEMBERSHIP_MAX_PROBES; i++)
-		if (membership->probes[i].sequence == 0)
-			probe = &membership->probes[i];
-	if (!member || probe->sequence != 0)
+		if (at == 0 || membership->members[at].state == MEMBER_DEAD)
+			continue;
+		probe_member (membership, &membership->members[at], now_us);
 		return;
-	*probe = (struct probe){ ++membership->sequence, member->id, now_us, false };
-	queue (membership, GOSSIP_PING, member->id, 0, probe->sequence);
+	}
 }
 
 static void
--- a/decision/membership_table.c
+++ b/decision/membership_table.c
@@ -15,6 +15,8 @@
 	 * pings the member that it takes for dead. */
 	MANY_RUMORS = 32,
 	MANY_RUMORS_SENDS = 6,
+	/* The first word of a member that all know from settings or the VM list matters less. */
+	GREETING_SENDS = 3,
 	RECENT_US = 60000000, /* Recent news also ride on pings, for members that were cut off. */
 	RECENT_PER_MESSAGE = 3,
 };
@@ -327,6 +329,16 @@
 	           (struct record_reference){ (uint32_t) (member - membership->members), true });
 }
 
+void
+rumor_add_greeting (struct membership *membership, struct member_record *member)
+{
+	bool is_new = member->sends_left == 0;
+
+	rumor_add_member (membership, member);
+	if (is_new && membership->rumor_count > MANY_RUMORS && member->sends_left > GREETING_SENDS)
+		member->sends_left = GREETING_SENDS;
+}
+
 void
 rumor_add_item (struct membership *membership, struct item_record *item)
 {
--- a/include/decision/membership_table.h
+++ b/include/decision/membership_table.h
@@ -159,6 +159,8 @@
 
 /** Starts sending a record. */
 void rumor_add_member (struct membership *membership, struct member_record *member);
+/** As rumor_add_member(), for the first word of a known member: behind other rumors. */
+void rumor_add_greeting (struct membership *membership, struct member_record *member);
 void rumor_add_item (struct membership *membership, struct item_record *item);
 /** Takes back the rumor that was added last. */
 void rumor_remove_last (struct membership *membership);
