--- a/decision/membership.c
+++ b/decision/membership.c
@@ -24,7 +24,7 @@
 	 * datagram: a lost zone makes hundreds of them, and the limit of 6 KB/s comes before their
 	 * speed. Leaving servers and configuration are always fast. */
 	RUMOR_FAST_US = 100000,
-	RUMOR_SLOW_US = 250000,
+	RUMOR_SLOW_US = 350000,
 	RUMOR_SLOW_ITEMS = 6,
 	/* A ping that is not answered after this many ack timeouts, direct and indirect, failed. */
 	PROBE_TIMEOUTS = 2,
@@ -32,8 +32,9 @@
 	 * the share of this number, up to this factor, since gossip is busy then. */
 	MANY_SUSPECTS = 8,
 	MAX_PATIENCE = 4,
-	/* Dead members are pinged to notice the end of a partition, each this often in a period. */
-	DEAD_PINGS_PER_PERIOD = 3,
+	/* Dead members are pinged to notice the end of a partition, each about this often in a period. */
+	DEAD_PINGS_PER_PERIOD = 1,
+	CLAIM_PROBE_US = 500000,
 	REARM_US = 5000000,
 	/* News from shortly before a member went silent may not have reached it either. */
 	REARM_MARGIN_US = 10000000,
@@ -142,13 +143,25 @@
 }
 
 static void
-queue (struct membership *membership, enum gossip_type type, uint32_t to, uint32_t target,
-       uint64_t sequence)
+queue_fill (struct membership *membership, enum gossip_fill fill, enum gossip_type type,
+            uint32_t to, uint32_t target, uint64_t sequence)
 {
 	if (membership->out_count == MEMBERSHIP_MAX_OUT)
 		return; /* As if it were lost on the way. */
 	membership->out[(membership->out_first + membership->out_count++) % MEMBERSHIP_MAX_OUT] =
-		(struct outgoing){ type, to, target, sequence };
+		(struct outgoing){ fill, type, to, target, sequence };
+}
+
+/* Requests carry no items: when a zone is cut off there are too many. */
+static void
+queue (struct membership *membership, enum gossip_type type, uint32_t to, uint32_t target,
+       uint64_t sequence)
+{
+	queue_fill (membership,
+	            type == GOSSIP_PING_REQUEST ? FILL_NONE
+	            : sequence != 0             ? FILL_ALL
+	                                        : FILL_RUMORS,
+	            type, to, target, sequence);
 }
 
 /* A member answers again: what changed meanwhile has to reach it and those behind it. */
@@ -199,6 +212,10 @@
 		return;
 	if (member->sends_left == 0)
 		rumor_add_member (membership, member);
+	/* After a partition there are hundreds of such claims. */
+	if (now_us - membership->claim_probe_at_us < CLAIM_PROBE_US)
+		return;
+	membership->claim_probe_at_us = now_us;
 	probe_member (membership, member, now_us);
 }
 
@@ -523,22 +540,25 @@
 static bool
 has_news (const struct membership *membership)
 {
-	return membership->rumor_count > 0 || membership->config_sends_left > 0;
+	return membership->config_sends_left > 0 || rumor_count_news (membership) > 0;
 }
 
 static void
 step_rumors (struct membership *membership, int64_t now_us)
 {
-	bool is_fast = membership->rumor_count <= RUMOR_SLOW_ITEMS ||
-	               membership->config_sends_left > 0 || rumor_is_urgent (membership);
+	bool is_urgent = membership->config_sends_left > 0 || rumor_is_urgent (membership);
+	bool is_slow = rumor_count_news (membership) > RUMOR_SLOW_ITEMS;
+	bool is_full = !is_slow || now_us >= membership->full_rumor_at_us;
 	struct member_record *member;
 
 	if (!has_news (membership) || now_us < membership->rumor_at_us)
 		return;
-	membership->rumor_at_us = now_us + (is_fast ? RUMOR_FAST_US : RUMOR_SLOW_US);
+	membership->rumor_at_us = now_us + (is_slow && !is_urgent ? RUMOR_SLOW_US : RUMOR_FAST_US);
+	if (is_full)
+		membership->full_rumor_at_us = now_us + RUMOR_SLOW_US;
 	member = pick_member (membership, false);
 	if (member)
-		queue (membership, GOSSIP_ACK, member->id, 0, 0);
+		queue_fill (membership, is_full ? FILL_RUMORS : FILL_URGENT, GOSSIP_ACK, member->id, 0, 0);
 }
 
 /* After a pause of this process, missing answers and old suspicions say nothing about others. */
@@ -598,7 +618,7 @@
 		effect->message.target = out->target;
 		effect->message.sequence = out->sequence;
 		effect->message.config_revision = self_record (membership)->config_revision;
-		membership_fill_items (membership, &effect->message, out->to, out->sequence != 0, now_us);
+		membership_fill_items (membership, &effect->message, out->to, out->fill, now_us);
 		if (membership->config_sends_left > 0)
 			membership->config_sends_left--;
 		return true;
--- a/decision/membership_table.c
+++ b/decision/membership_table.c
@@ -10,13 +10,11 @@
 {
 	ITEMS_BYTES = 400,
 	ITEM_FIXED_BYTES = 60, /* XDR size of fs_item without the characters of its key. */
-	/* Above this number each rumor is sent less often: a fleet that starts, or a lost zone, makes
+	/* Above this number each rumor that is not urgent is sent less often: a lost zone makes
 	 * hundreds. About 1 member in 400 misses a rumor that is sent 6 times, and hears it when it
 	 * pings the member that it takes for dead. */
 	MANY_RUMORS = 32,
 	MANY_RUMORS_SENDS = 6,
-	/* The first word of a member that all know from settings or the VM list matters less. */
-	GREETING_SENDS = 3,
 	RECENT_US = 60000000, /* Recent news also ride on pings, for members that were cut off. */
 	RECENT_PER_MESSAGE = 3,
 };
@@ -292,8 +290,6 @@
 
 	while (log2_members < 31 && 1u << log2_members < membership->member_count + 1)
 		log2_members++;
-	if (membership->rumor_count > MANY_RUMORS && MANY_RUMORS_SENDS < log2_members)
-		return MANY_RUMORS_SENDS;
 	return membership->settings->spread_factor * log2_members;
 }
 
@@ -312,6 +308,22 @@
 	                           : &membership->items[reference.at].sends_left;
 }
 
+static bool
+reference_is_greeting (const struct membership *membership, struct record_reference reference)
+{
+	return reference.is_member && membership->members[reference.at].is_greeting;
+}
+
+uint32_t
+rumor_count_news (const struct membership *membership)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < membership->rumor_count; i++)
+		count += !reference_is_greeting (membership, membership->rumors[i]);
+	return count;
+}
+
 static void
 rumor_add (struct membership *membership, struct record_reference reference)
 {
@@ -320,6 +332,9 @@
 	if (*sends_left == 0)
 		membership->rumors[membership->rumor_count++] = reference;
 	*sends_left = (uint16_t) rumor_limit (membership);
+	if (*sends_left > MANY_RUMORS_SENDS && !reference_is_urgent (membership, reference) &&
+	    rumor_count_news (membership) > MANY_RUMORS)
+		*sends_left = MANY_RUMORS_SENDS;
 }
 
 void
@@ -332,11 +347,10 @@
 void
 rumor_add_greeting (struct membership *membership, struct member_record *member)
 {
-	bool is_new = member->sends_left == 0;
+	bool is_greeting = member->is_greeting || member->sends_left == 0;
 
 	rumor_add_member (membership, member);
-	if (is_new && membership->rumor_count > MANY_RUMORS && member->sends_left > GREETING_SENDS)
-		member->sends_left = GREETING_SENDS;
+	member->is_greeting = is_greeting;
 }
 
 void
@@ -425,8 +439,8 @@
 	return true;
 }
 
-/* Order in which rumors are sent: leaving first, then groups, then members; the fewest sends so far
- * first. The index makes it unique. */
+/* Order in which rumors are sent: leaving first, then groups, members, greetings; the fewest sends so
+ * far first. The index makes it unique. */
 static uint64_t
 rumor_order (const struct membership *membership, uint32_t at)
 {
@@ -434,6 +448,7 @@
 	uint64_t order = *reference_sends (membership, reference);
 
 	order += reference.is_member ? 0 : 1 << 16;
+	order += reference_is_greeting (membership, reference) ? 0 : 1 << 15;
 	order += reference_is_urgent (membership, reference) ? 1 << 17 : 0;
 	return order << 32 | at;
 }
@@ -448,7 +463,8 @@
 }
 
 static void
-fill_rumors (struct membership *membership, struct gossip_message *message, size_t *bytes)
+fill_rumors (struct membership *membership, struct gossip_message *message, size_t *bytes,
+             enum gossip_fill fill)
 {
 	uint64_t last = UINT64_MAX;
 	uint32_t sent[MEMBERSHIP_MAX_ITEMS];
@@ -462,6 +478,11 @@
 		{
 			uint64_t order = rumor_order (membership, i);
 
+			if (fill < FILL_ALL && reference_is_greeting (membership, membership->rumors[i]))
+				continue;
+			if (fill < FILL_RUMORS && membership->rumors[i].is_member &&
+			    !reference_is_urgent (membership, membership->rumors[i]))
+				continue;
 			if (order < last && order > best)
 				best = order;
 		}
@@ -497,12 +518,14 @@
 
 void
 membership_fill_items (struct membership *membership, struct gossip_message *message, uint32_t to,
-                       bool with_recent, int64_t now_us)
+                       enum gossip_fill fill, int64_t now_us)
 {
 	const struct member_record *receiver = member_table_find (membership, to);
 	size_t bytes = 0;
 
 	message->item_count = 0;
+	if (fill == FILL_NONE)
+		return;
 	/* A member that is taken for suspect or dead has to hear it, to refute it. */
 	if (receiver && (receiver->state == MEMBER_SUSPECT || receiver->state == MEMBER_DEAD))
 		message_add (
@@ -512,7 +535,7 @@
 	 * address it could not answer, and would be taken for suspect. */
 	if (message->type == GOSSIP_PING)
 		message_add (membership, message, &bytes, (struct record_reference){ 0, true });
-	fill_rumors (membership, message, &bytes);
-	if (with_recent)
+	fill_rumors (membership, message, &bytes, fill);
+	if (fill == FILL_ALL)
 		fill_recent (membership, message, &bytes, now_us);
 }
--- a/include/decision/membership_table.h
+++ b/include/decision/membership_table.h
@@ -31,6 +31,7 @@
 	uint32_t rtt_us;
 	uint16_t sends_left; /**< Above 0: is a rumor. */
 	uint8_t state;       /**< enum member_state. */
+	bool is_greeting;    /**< As a rumor: rides on pings only, behind all others. */
 	uint64_t incarnation;
 	uint64_t config_revision;
 	int64_t suspected_at_us; /**< 0: not suspected. */
@@ -64,9 +65,19 @@
 	uint64_t origin_sequence;
 };
 
+/** Which items a datagram takes. */
+enum gossip_fill
+{
+	FILL_NONE,
+	FILL_URGENT, /**< Rumors of items, and of leaving members. */
+	FILL_RUMORS,
+	FILL_ALL, /**< Also greetings and recent items. */
+};
+
 /** A datagram to be built by membership_next(). */
 struct outgoing
 {
+	enum gossip_fill fill;
 	enum gossip_type type;
 	uint32_t to;
 	uint32_t target;
@@ -127,8 +138,10 @@
 	int64_t due_us; /**< When the next call was due at the end of the last one. */
 	int64_t period_at_us;
 	int64_t rumor_at_us;
-	int64_t expiry_at_us; /**< Not after the next expiry of a suspicion. */
+	int64_t full_rumor_at_us; /**< When a datagram may take all rumors again. */
+	int64_t expiry_at_us;     /**< Not after the next expiry of a suspicion. */
 	int64_t rearmed_at_us;
+	int64_t claim_probe_at_us;
 	int64_t forget_at_us;
 };
 
@@ -159,7 +172,7 @@
 
 /** Starts sending a record. */
 void rumor_add_member (struct membership *membership, struct member_record *member);
-/** As rumor_add_member(), for the first word of a known member: behind other rumors. */
+/** As rumor_add_member(), for the first word of a member that all know from settings or the VM list. */
 void rumor_add_greeting (struct membership *membership, struct member_record *member);
 void rumor_add_item (struct membership *membership, struct item_record *item);
 /** Takes back the rumor that was added last. */
@@ -168,14 +181,16 @@
 void rumor_drop_down (struct membership *membership);
 /** Sends again all items that changed at @p since_us or later. */
 void rumor_add_changed (struct membership *membership, int64_t since_us);
+/** Rumors other than greetings. */
+uint32_t rumor_count_news (const struct membership *membership);
 /** Tells whether a leaving server or member is among the rumors. */
 bool rumor_is_urgent (const struct membership *membership);
 /** Sends of a new rumor. */
 uint32_t rumor_limit (const struct membership *membership);
 
-/** Fills the items of a datagram to @p to from rumors and, when @p with_recent, recent items. */
+/** Fills the items of a datagram to @p to. */
 void membership_fill_items (struct membership *membership, struct gossip_message *message,
-                            uint32_t to, bool with_recent, int64_t now_us);
+                            uint32_t to, enum gossip_fill fill, int64_t now_us);
 
 void member_to_item (const struct member_record *member, struct membership_item *item);
 void item_to_item (const struct item_record *record, struct membership_item *item);
