--- a/decision/membership.c
+++ b/decision/membership.c
@@ -34,7 +34,7 @@
 	MAX_PATIENCE = 4,
 	/* Dead members are pinged to notice the end of a partition, each about this often in a period. */
 	DEAD_PINGS_PER_PERIOD = 1,
-	CLAIM_PROBE_US = 500000,
+	CLAIM_PROBE_US = 2000000,
 	REARM_US = 5000000,
 	/* News from shortly before a member went silent may not have reached it either. */
 	REARM_MARGIN_US = 10000000,
--- /dev/null
+++ b/tests/slopes/slopes.c
@@ -0,0 +1,457 @@
+/**
+ * @file
+ * Measures how the cost of control grows with the fleet, with the real decision modules under
+ * virtual time. Counts repeat exactly; times are the median of several runs.
+ */
+#include "charts/embedded.h"
+#include "decision/admission.h"
+#include "decision/configuration.h"
+#include "decision/failover.h"
+#include "decision/membership.h"
+#include "decision/ownership.h"
+#include "decision/routing.h"
+#include "fleet.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum
+{
+	BIG = 750,
+	ZONES = 4,
+	QUIET_US = 20000000,
+	RUNS = 9,
+	POLL_BYTES = 76, /* Sent for a status poll: statement, TCP and IP headers. */
+	MAX_ITEMS = 4096,
+};
+
+static const struct virtual_link normal_link = { 5000, 2000, 10000, false };
+
+static bool is_json;
+
+static void
+print_slope (const char *name, const char *unit, uint32_t at, double value, double budget)
+{
+	if (is_json)
+		printf (
+			"{\"name\": \"%s\", \"unit\": \"%s\", \"at\": %u, \"value\": %.3f, \"budget\": %.3f}\n",
+			name, unit, at, value, budget);
+	else
+		printf ("%-36s at %5u: %12.3f %-18s budget %g%s\n", name, at, value, unit, budget,
+		        budget > 0 && value > budget ? "  EXCEEDED" : "");
+	fflush (stdout);
+}
+
+static double
+sent_bytes (const struct fleet *fleet)
+{
+	double sum = 0;
+
+	for (uint32_t i = 0; i < fleet->vm_count; i++)
+		sum += (double) fleet->vms[i].sent_bytes;
+	return sum / fleet->vm_count;
+}
+
+/* Status polls of one quiet observer, in bytes a second. */
+static double
+poll_bytes_per_s (void)
+{
+	struct server_status status = { true, 1, { 1, 1 } };
+	struct failover failover;
+	void *memory = g_malloc (failover_size (FLEET_SERVERS));
+	int64_t now_us = 1000000;
+	int64_t end_us = now_us + 60000000;
+	uint64_t polls = 0;
+
+	failover_init (&failover, memory, &failover_default_settings, 1, FLEET_SERVERS, 1, now_us);
+	while (now_us < end_us)
+	{
+		struct failover_effect effect = failover_next (&failover, now_us);
+
+		if (effect.type == FAILOVER_NONE)
+			now_us = failover_next_time_us (&failover);
+		if (effect.type != FAILOVER_POLL)
+			continue;
+		polls++;
+		status.is_primary = effect.server == 0;
+		failover_handle_status (&failover, effect.server, &status, now_us, now_us);
+	}
+	g_free (memory);
+	return (double) polls * POLL_BYTES / 60;
+}
+
+static void
+measure_bytes (void)
+{
+	static const uint32_t sizes[] = { 10, 50, 200, BIG };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+	{
+		/* Each node observes the groups of the servers that it owns: 5,400 servers of 1,800
+		 * databases at 750 nodes, and in proportion below. */
+		double polls = 5400.0 / BIG * poll_bytes_per_s ();
+		struct fleet fleet;
+		double quiet;
+		double news;
+
+		fleet_init (&fleet, 1, sizes[i], ZONES, 0, normal_link, true);
+		fleet_run (&fleet, 15 * QUIET_US, 0);
+		quiet = sent_bytes (&fleet);
+		fleet_run (&fleet, QUIET_US, 0);
+		quiet = (sent_bytes (&fleet) - quiet) / (QUIET_US / 1e6);
+		news = sent_bytes (&fleet);
+		fleet_mark_leaving (&fleet, 0, "db/1", 1);
+		fleet_change_document (&fleet, 0);
+		fleet_run (&fleet, 4000000, 0);
+		news = (sent_bytes (&fleet) - news) / 4;
+		print_slope ("gossip_sent_quiet", "bytes/s/node", sizes[i], quiet, 2000);
+		print_slope ("gossip_sent_during_news", "bytes/s/node", sizes[i], news, 4222);
+		print_slope ("control_sent_quiet", "bytes/s/node", sizes[i], quiet + polls, 6000);
+		print_slope ("control_sent_during_news", "bytes/s/node", sizes[i], news + polls, 6000);
+		fleet_finish (&fleet);
+	}
+}
+
+/* Time until all have adopted the document, or -1. */
+static double
+run_until_adopted (struct fleet *fleet)
+{
+	int64_t start_us = fleet->world.now_us;
+
+	while (fleet->world.now_us - start_us < 20000000)
+	{
+		fleet_run (fleet, 20000, 0);
+		if (fleet_count_behind (fleet) == 0)
+			return (double) (fleet->world.now_us - start_us) / 1e6;
+	}
+	return -1;
+}
+
+static void
+measure_configuration (void)
+{
+	struct fleet fleet;
+
+	fleet_init (&fleet, 1, BIG, ZONES, 0, normal_link, true);
+	fleet_run (&fleet, QUIET_US, 0);
+	fleet_change_document (&fleet, 0);
+	print_slope ("configuration_everywhere", "s", BIG, run_until_adopted (&fleet), 4);
+	fleet_run (&fleet, QUIET_US, 0);
+	/* The zone is cut off from the others and from the platform when the change is made. */
+	for (uint32_t i = 0; i < BIG; i++)
+		fleet.world.nodes[i].side = fleet.world.nodes[i].zone == 1;
+	fleet_run (&fleet, 5000000, 0);
+	fleet_change_document (&fleet, 1);
+	fleet_run (&fleet, 5000000, 0);
+	virtual_heal (&fleet.world, BIG);
+	print_slope ("configuration_after_cut_of_a_zone", "s", BIG, run_until_adopted (&fleet), 4);
+	fleet_finish (&fleet);
+}
+
+static void
+measure_platform (void)
+{
+	static const uint32_t sizes[] = { 50, BIG };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+	{
+		struct fleet fleet;
+		uint64_t calls;
+
+		fleet_init (&fleet, 1, sizes[i], ZONES, 0, normal_link, true);
+		fleet_run (&fleet, QUIET_US, 0);
+		print_slope ("platform_calls_restart_of_fleet", "calls/s peak", sizes[i],
+		             (double) fleet.platform.peak_calls_per_s, 200);
+		calls = fleet.platform.calls;
+		for (int n = 0; n < 10; n++)
+		{
+			fleet_change_document (&fleet, (uint32_t) n % FLEET_SERVICES);
+			fleet_run (&fleet, QUIET_US / 5, 0);
+		}
+		print_slope ("platform_calls_steady", "calls/s", sizes[i],
+		             (double) (fleet.platform.calls - calls) / (2 * QUIET_US / 1e6), 20);
+		calls = fleet.platform.calls;
+		fleet_set_platform (&fleet, true);
+		fleet_run (&fleet, 2 * QUIET_US, 0);
+		print_slope ("platform_calls_during_outage", "calls/s", sizes[i],
+		             (double) (fleet.platform.calls - calls) / (2 * QUIET_US / 1e6), 20);
+		fleet.platform.peak_calls_per_s = 0;
+		fleet_set_platform (&fleet, false);
+		fleet_run (&fleet, 2 * QUIET_US, 0);
+		print_slope ("platform_calls_end_of_outage", "calls/s peak", sizes[i],
+		             (double) fleet.platform.peak_calls_per_s, 200);
+		fleet_finish (&fleet);
+	}
+}
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+	double x = *(const double *) a;
+	double y = *(const double *) b;
+
+	return x < y ? -1 : x > y;
+}
+
+static double
+thread_ns (void)
+{
+	struct timespec time;
+
+	clock_gettime (CLOCK_THREAD_CPUTIME_ID, &time);
+	return (double) time.tv_sec * 1e9 + (double) time.tv_nsec;
+}
+
+/* Median nanoseconds of one call of @p run, which repeats its work @p count times. */
+static double
+median_ns (void (*run) (void *data, uint32_t count), void *data, uint32_t count)
+{
+	double times[RUNS];
+
+	run (data, count);
+	for (int i = 0; i < RUNS; i++)
+	{
+		double start = thread_ns ();
+
+		run (data, count);
+		times[i] = (thread_ns () - start) / count;
+	}
+	qsort (times, RUNS, sizeof times[0], compare_doubles);
+	return times[RUNS / 2];
+}
+
+struct databases
+{
+	struct routing_server (*servers)[FLEET_SERVERS];
+	uint32_t count;
+	volatile uint32_t sink;
+};
+
+static void
+run_routing (void *data, uint32_t count)
+{
+	struct databases *databases = data;
+	struct routing_request request = { .required = { 1, 90 }, .deadline_us = 2000000 };
+
+	for (uint32_t i = 0; i < count; i++)
+		databases->sink += routing_choose (databases->servers[i * 7919ull % databases->count],
+		                                   FLEET_SERVERS, &request, i, 1000000)
+		                       .server;
+}
+
+static void
+measure_routing (uint32_t at)
+{
+	struct databases databases = { .count = at };
+
+	databases.servers = g_malloc0 (at * sizeof *databases.servers);
+	for (uint32_t i = 0; i < at; i++)
+		for (uint32_t s = 0; s < FLEET_SERVERS; s++)
+			databases.servers[i][s] = (struct routing_server){
+				.is_primary = s == 0,
+				.link_us = 1000 * s,
+				.position = { 1, 100 - s },
+				.position_at_us = 900000,
+			};
+	print_slope ("routing_decision", "ns", at, median_ns (run_routing, &databases, 200000), 1000);
+	g_free (databases.servers);
+}
+
+static const struct admission_settings admission_settings = {
+	.slots = 2,
+	.queue_limit = { 64, 64, 64 },
+	.floor_percent = { 0, 20, 10 },
+};
+
+struct queues
+{
+	struct admission **queues;
+	uint32_t count;
+	uint64_t next;
+};
+
+static void
+run_admission (void *data, uint32_t count)
+{
+	struct queues *queues = data;
+
+	for (uint32_t i = 0; i < count; i++)
+	{
+		struct admission *queue = queues->queues[i * 7919ull % queues->count];
+		int64_t now_us = 1000000 + (int64_t) queues->next * 10;
+		struct admission_request request = {
+			.cookie = ++queues->next,
+			.rank = (enum rank) (i % RANK_COUNT),
+			.deadline_us = now_us + 1000000,
+			.expected_run_us = 1000,
+		};
+
+		if (admission_submit (queue, &request, now_us).verdict == ADMISSION_START)
+			admission_complete (queue, request.rank, 0, 1000, now_us + 1);
+	}
+}
+
+static void
+measure_admission (uint32_t at)
+{
+	struct queues queues = { .count = at };
+
+	queues.queues = g_new0 (struct admission *, at);
+	for (uint32_t i = 0; i < at; i++)
+		queues.queues[i] = admission_init (g_malloc (admission_size (&admission_settings)),
+		                                   &admission_settings, 0);
+	print_slope ("admission_decision", "ns", at, median_ns (run_admission, &queues, 100000), 2000);
+	for (uint32_t i = 0; i < at; i++)
+		g_free (queues.queues[i]);
+	g_free (queues.queues);
+}
+
+static void
+handle_action (void *context, const char *name)
+{
+}
+
+static bool
+handle_condition (void *context, const char *name)
+{
+	return true;
+}
+
+static const struct chart_ops no_ops = { handle_action, handle_condition };
+
+struct instances
+{
+	struct chart_instance *instances;
+	uint32_t count;
+};
+
+static void
+run_chart (void *data, uint32_t count)
+{
+	struct instances *instances = data;
+	const struct chart *chart = chart_embedded ("upstream");
+	int events[] = { chart_find_event (chart, "open"), chart_find_event (chart, "connected"),
+		             chart_find_event (chart, "start"), chart_find_event (chart, "done"),
+		             chart_find_event (chart, "error") };
+
+	for (uint32_t i = 0; i < count; i++)
+		chart_instance_handle (&instances->instances[i / 5 * 7919ull % instances->count],
+		                       events[i % 5], &no_ops, NULL);
+}
+
+static void
+measure_chart (uint32_t at)
+{
+	struct instances instances = { g_new0 (struct chart_instance, at), at };
+
+	for (uint32_t i = 0; i < at; i++)
+		chart_instance_init (&instances.instances[i], chart_embedded ("upstream"), &no_ops, NULL);
+	print_slope ("chart_step", "ns", at, median_ns (run_chart, &instances, 500000), 500);
+	g_free (instances.instances);
+}
+
+struct heartbeats
+{
+	struct membership *membership;
+	uint32_t members;
+	int64_t now_us;
+	uint64_t sequence;
+};
+
+/* One heartbeat: a ping arrives and is answered, and the own ping of the period is sent. */
+static void
+run_heartbeat (void *data, uint32_t count)
+{
+	struct heartbeats *heartbeats = data;
+	struct membership_effect effect;
+
+	for (uint32_t i = 0; i < count; i++)
+	{
+		struct gossip_message ping = { .type = GOSSIP_PING,
+			                           .from = 2 + i % (heartbeats->members - 1),
+			                           .sequence = ++heartbeats->sequence };
+
+		heartbeats->now_us = membership_next_time_us (heartbeats->membership) > heartbeats->now_us
+		                         ? membership_next_time_us (heartbeats->membership)
+		                         : heartbeats->now_us;
+		membership_handle_message (heartbeats->membership, &ping, heartbeats->now_us);
+		while (membership_next (heartbeats->membership, &effect, heartbeats->now_us))
+		{
+			struct gossip_message ack = { .type = GOSSIP_ACK,
+				                          .from = effect.to,
+				                          .sequence = effect.message.sequence };
+
+			if (effect.message.type == GOSSIP_PING)
+				membership_handle_message (heartbeats->membership, &ack, heartbeats->now_us);
+		}
+	}
+}
+
+static void
+measure_heartbeat (uint32_t at)
+{
+	struct member_address address = { .ip = 1 };
+	struct heartbeats heartbeats = { .members = at, .now_us = 1000000 };
+
+	heartbeats.membership =
+		membership_init (g_malloc (membership_size (at, MAX_ITEMS)), &membership_default_settings,
+	                     at, MAX_ITEMS, 1, &address, 1, 1, heartbeats.now_us);
+	for (uint32_t id = 2; id <= at; id++)
+		membership_add (heartbeats.membership, id, &address, heartbeats.now_us);
+	print_slope ("heartbeat", "ns", at, median_ns (run_heartbeat, &heartbeats, 20000), 20000);
+	g_free (heartbeats.membership);
+}
+
+static void
+measure_times (void)
+{
+	static const uint32_t sizes[] = { 10, 100, 1000, 2000 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+		measure_routing (sizes[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+		measure_admission (sizes[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+		measure_chart (sizes[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+		measure_heartbeat (sizes[i]);
+}
+
+static void
+measure_memory (void)
+{
+	struct admission_settings larger = admission_settings;
+	double item = (double) (membership_size (BIG, 3000) - membership_size (BIG, 2000)) / 1000;
+	double member = (double) (membership_size (2000, 100) - membership_size (1000, 100)) / 1000;
+
+	for (int rank = 0; rank < RANK_COUNT; rank++)
+		larger.queue_limit[rank] += 100;
+	print_slope ("memory_member", "bytes", 1, member, 256);
+	/* Routing data of 3 servers, and the item of the group's primary. */
+	print_slope ("memory_database", "bytes", 1,
+	             item + FLEET_SERVERS * sizeof (struct routing_server), 1024);
+	print_slope ("memory_observed_group", "bytes", 1, (double) failover_size (FLEET_SERVERS), 4096);
+	print_slope ("memory_queued_request", "bytes", 1,
+	             (double) (admission_size (&larger) - admission_size (&admission_settings)) / 300,
+	             256);
+}
+
+int
+main (int argc, char **argv)
+{
+	is_json = argc > 1 && strcmp (argv[1], "--json") == 0;
+	if (argc > 2 || (argc == 2 && !is_json))
+	{
+		fprintf (stderr, "usage: slopes [--json]\n");
+		return 2;
+	}
+	measure_times ();
+	measure_memory ();
+	measure_bytes ();
+	measure_configuration ();
+	measure_platform ();
+	return 0;
+}
