--- a/charts/chart.c
+++ b/charts/chart.c
@@ -68,6 +68,14 @@
 	size_t problems;
 };
 
+/* Adds a zeroed element. */
+static void *
+array_add (GArray *array)
+{
+	g_array_set_size (array, array->len + 1);
+	return array->data + (size_t) (array->len - 1) * g_array_get_element_size (array);
+}
+
 static struct chart_state *
 chart_state_at (const struct chart_private *data, int state)
 {
@@ -231,16 +239,12 @@
 parse_state (struct chart_parser *parser, struct chart_place place, const char *element,
              const char **names, const char **values)
 {
-	struct chart_state state = {
-		.initial = CHART_NONE,
-		.parent = parser->state,
-		.is_final = strcmp (element, "final") == 0,
-		.place = place,
-	};
+	bool is_final = strcmp (element, "final") == 0;
+	struct chart_state *state;
 	const char *id = parser_require (parser, place, element, names, values, "id");
 	int depth = 0;
 
-	parser_check_attributes (parser, place, element, names, state.is_final ? "id" : "id initial");
+	parser_check_attributes (parser, place, element, names, is_final ? "id" : "id initial");
 	if (id && private_find_state (parser->data, id) != CHART_NONE)
 		parser_problem (parser, place, id, "a state of this id exists already");
 	if (parser->actions)
@@ -252,13 +256,17 @@
 		                CHART_MAX_DEPTH);
 	if (parser->state != CHART_NONE && chart_state_at (parser->data, parser->state)->is_final)
 		parser_problem (parser, place, element, "is not allowed in a final state");
-	state.id = g_strdup (id ? id : "");
-	state.initial_name = g_strdup (attribute_get (names, values, "initial"));
-	state.transitions = g_array_new (FALSE, TRUE, sizeof (struct chart_transition));
-	g_array_set_clear_func (state.transitions, transition_clear);
-	state.entry = actions_new ();
-	state.exit = actions_new ();
-	g_array_append_val (parser->data->states, state);
+	state = array_add (parser->data->states);
+	state->id = g_strdup (id ? id : "");
+	state->initial_name = g_strdup (attribute_get (names, values, "initial"));
+	state->initial = CHART_NONE;
+	state->parent = parser->state;
+	state->is_final = is_final;
+	state->place = place;
+	state->transitions = g_array_new (FALSE, TRUE, sizeof (struct chart_transition));
+	g_array_set_clear_func (state->transitions, transition_clear);
+	state->entry = actions_new ();
+	state->exit = actions_new ();
 	parser->state = (int) parser->data->states->len - 1;
 }
 
@@ -266,7 +274,7 @@
 parse_transition (struct chart_parser *parser, struct chart_place place, const char **names,
                   const char **values)
 {
-	struct chart_transition transition = { .target = CHART_NONE, .place = place };
+	struct chart_transition *transition;
 	const char *events = attribute_get (names, values, "event");
 	g_auto (GStrv) list = g_strsplit (events ? events : "", " ", -1);
 
@@ -278,10 +286,13 @@
 	}
 	if (chart_state_at (parser->data, parser->state)->is_final)
 		parser_problem (parser, place, "transition", "is not allowed in a final state");
-	transition.events = g_array_new (FALSE, TRUE, sizeof (int));
-	transition.actions = actions_new ();
-	transition.condition = g_strdup (attribute_get (names, values, "cond"));
-	transition.target_name = g_strdup (attribute_get (names, values, "target"));
+	transition = array_add (chart_state_at (parser->data, parser->state)->transitions);
+	transition->target = CHART_NONE;
+	transition->place = place;
+	transition->events = g_array_new (FALSE, TRUE, sizeof (int));
+	transition->actions = actions_new ();
+	transition->condition = g_strdup (attribute_get (names, values, "cond"));
+	transition->target_name = g_strdup (attribute_get (names, values, "target"));
 	for (char **name = list; *name; name++)
 	{
 		int event;
@@ -289,12 +300,11 @@
 		if (!**name)
 			continue;
 		event = private_add_event (parser->data, *name);
-		g_array_append_val (transition.events, event);
+		g_array_append_val (transition->events, event);
 	}
-	if (transition.events->len == 0 && !transition.target_name)
+	if (transition->events->len == 0 && !transition->target_name)
 		parser_problem (parser, place, "transition", "needs an event or a target");
-	g_array_append_val (chart_state_at (parser->data, parser->state)->transitions, transition);
-	parser->actions = transition.actions;
+	parser->actions = transition->actions;
 }
 
 static void
@@ -302,7 +312,7 @@
               const char **names, const char **values)
 {
 	const char *event = parser_require (parser, place, element, names, values, "event");
-	struct chart_action action = { .event = CHART_NONE };
+	struct chart_action *action;
 
 	parser_check_attributes (parser, place, element, names, "event");
 	if (!parser->actions)
@@ -310,11 +320,12 @@
 		                "is allowed only in a transition, onentry or onexit");
 	if (!parser->actions || !event)
 		return;
+	action = array_add (parser->actions);
+	action->event = CHART_NONE;
 	if (strcmp (element, "raise") == 0)
-		action.event = private_add_event (parser->data, event);
+		action->event = private_add_event (parser->data, event);
 	else
-		action.name = g_strdup (event);
-	g_array_append_val (parser->actions, action);
+		action->name = g_strdup (event);
 }
 
 static void
--- a/decision/failover.c
+++ b/decision/failover.c
@@ -2,6 +2,7 @@
 
 #include "charts/embedded.h"
 #include "common/counters.h"
+#include "decision/failover_view.h"
 #include "decision/retry.h"
 
 #include <errno.h>
@@ -30,24 +31,7 @@
 	CATCH_UP_US = 300000,
 	CATCH_UP_POLL_US = 20000,
 	ASKED_US = 1000000,
-	OPINION_POLLS = 3, /* An opinion counts for this many alert polls. */
-	MAX_EVENTS = 8,    /* Chart events of one call. */
-};
-
-enum failover_event
-{
-	EVENT_ALARM,
-	EVENT_CALM,
-	EVENT_SUSPICION,
-	EVENT_TRUST,
-	EVENT_AGREEMENT,
-	EVENT_REQUEST,
-	EVENT_MAJORITY,
-	EVENT_SUPERSEDED,
-	EVENT_TIMEOUT,
-	EVENT_PROMOTED,
-	EVENT_REFUSED,
-	EVENT_COUNT,
+	MAX_EVENTS = 8, /* Chart events of one call. */
 };
 
 static const char *const event_names[EVENT_COUNT] = {
@@ -55,85 +39,9 @@
 	"majority", "superseded", "timeout",   "promoted", "refused",
 };
 
-enum failover_state
-{
-	STATE_QUIET,
-	STATE_ALERT,
-	STATE_AGREEING,
-	STATE_FENCING,
-	STATE_PROMOTING,
-	STATE_COUNT,
-};
-
 static const char *const state_names[STATE_COUNT] = { "quiet", "alert", "agreeing", "fencing",
 	                                                  "promoting" };
 
-struct observed_server
-{
-	struct server_status status; /* Last known; promised terms never fall. */
-	int64_t next_poll_us;
-	int64_t last_poll_us;
-	int64_t answered_us;
-	int64_t unanswered_us; /* Silent since; 0: every poll was answered, or is on its way. */
-};
-
-struct other_observer
-{
-	struct failover_observer observer;
-	struct failover_opinion opinion;
-	int64_t opinion_at_us; /* 0: none. */
-	int64_t next_ask_us;
-};
-
-/* What the present claim has achieved. */
-struct claim
-{
-	uint64_t term;
-	uint32_t fenced;                                    /* Bit set of servers. */
-	uint32_t rejected;                                  /* Bit set of servers. */
-	uint32_t to_fence;                                  /* Bit set of fences to be sent. */
-	struct log_position positions[ROUTING_MAX_SERVERS]; /* In the answers to the fences. */
-	uint32_t preferred;
-	uint32_t server; /* To be promoted. */
-	uint32_t attempts;
-	bool is_urgent;      /* The primary is silent. */
-	bool is_catching_up; /* Planned change: only the old primary is being fenced. */
-	bool to_promote;
-	int64_t started_us;
-	int64_t step_us; /* Start of the present step. */
-};
-
-struct failover_private
-{
-	const struct failover_settings *settings;
-	struct chart_instance chart;
-	int events[EVENT_COUNT];
-	int states[STATE_COUNT];
-	uint32_t self;
-	uint32_t server_count;
-	size_t observer_count;
-	uint64_t seed;
-	int64_t now_us; /* Of the present call, for the actions. */
-	int64_t due_us; /* When the next call was due at the end of the last one. */
-
-	uint64_t term; /* Known primary. */
-	uint32_t primary;
-	uint64_t heard_term; /* Highest term in opinions of others. */
-	uint64_t announced_term;
-	bool to_announce;
-
-	struct failover_opinion opinion;
-	uint64_t stuck_term;
-	int64_t stuck_since_us; /* A promised term is above the primary's since; 0: it is not. */
-	int64_t suspected_us;
-	int64_t alert_us;
-	int64_t asked_until_us;
-	struct claim claim;
-	struct failover_trace trace;
-	struct observed_server servers[ROUTING_MAX_SERVERS];
-	struct other_observer observers[FAILOVER_MAX_OBSERVERS];
-};
-
 static bool
 is_in (const struct failover_private *f, enum failover_state state)
 {
@@ -146,169 +54,23 @@
 	return is_in (f, STATE_FENCING) || is_in (f, STATE_PROMOTING);
 }
 
-static uint32_t
-majority (const struct failover_private *f)
-{
-	return f->server_count / 2 + 1;
-}
-
 static uint32_t
 count_bits (uint32_t bits)
 {
 	return (uint32_t) __builtin_popcount (bits);
 }
 
-/* The highest term that any server has promised or that its log shows. */
-static uint64_t
-highest_term (const struct failover_private *f)
-{
-	uint64_t highest = f->term > f->heard_term ? f->term : f->heard_term;
-
-	for (uint32_t i = 0; i < f->server_count; i++)
-	{
-		const struct server_status *status = &f->servers[i].status;
-
-		if (status->promised_term > highest)
-			highest = status->promised_term;
-		if (status->position.term > highest)
-			highest = status->position.term;
-	}
-	return highest;
-}
-
-static int64_t
-silence_us (const struct failover_private *f, int64_t now_us)
-{
-	const struct observed_server *server;
-
-	if (f->primary == FAILOVER_NO_PRIMARY)
-		return 0;
-	server = &f->servers[f->primary];
-	return server->unanswered_us ? now_us - server->unanswered_us : 0;
-}
-
-static bool
-is_late (const struct failover_private *f, int64_t now_us)
-{
-	return silence_us (f, now_us) >= f->settings->reply_late_us;
-}
-
-static bool
-is_doubtful (const struct failover_private *f, int64_t now_us)
-{
-	return is_late (f, now_us) || f->stuck_since_us != 0;
-}
-
-static void
-learn_primary (struct failover_private *f, uint64_t term, uint32_t server, bool is_announced,
-               int64_t now_us)
-{
-	if (server >= f->server_count || term < f->term ||
-	    (term == f->term && f->primary != FAILOVER_NO_PRIMARY))
-		return;
-	f->term = term;
-	f->primary = server;
-	/* Its silence from before does not count against the new primary. */
-	f->servers[server].unanswered_us = 0;
-	f->servers[server].next_poll_us = now_us;
-	if (is_announced && term > f->announced_term)
-		f->announced_term = term;
-	f->to_announce = term > f->announced_term;
-}
-
-static void
-update_opinion (struct failover_private *f, int64_t now_us)
-{
-	uint64_t highest = highest_term (f);
-	bool has_suspected = f->opinion.suspects;
-
-	if (highest > f->term || (f->primary == FAILOVER_NO_PRIMARY && highest > 0))
-	{
-		if (f->stuck_since_us == 0 || highest > f->stuck_term)
-			f->stuck_since_us = now_us;
-		f->stuck_term = highest;
-		f->opinion = (struct failover_opinion){
-			.term = highest,
-			.primary = FAILOVER_NO_PRIMARY,
-			.suspects = now_us - f->stuck_since_us >= f->settings->unfinished_after_us,
-		};
-	}
-	else
-	{
-		f->stuck_since_us = 0;
-		f->opinion = (struct failover_opinion){
-			.term = f->term,
-			.primary = f->primary,
-			.suspects = silence_us (f, now_us) >= f->settings->suspect_after_us,
-		};
-	}
-	if (f->opinion.suspects && !has_suspected)
-		f->suspected_us = now_us;
-}
-
-static bool
-opinion_is_fresh (const struct failover_private *f, const struct other_observer *other,
-                  int64_t now_us)
-{
-	return other->opinion_at_us != 0 &&
-	       now_us - other->opinion_at_us <= OPINION_POLLS * f->settings->poll_alert_us;
-}
-
-/* A majority of the observers, from 2 zones where there are several, share this one's suspicion. */
-static bool
-has_agreement (const struct failover_private *f, int64_t now_us)
-{
-	size_t agreeing = 0;
-	uint32_t zone = 0;
-	bool has_zone = false;
-	bool has_zones = false;
-	bool is_one_zone = true;
-
-	for (size_t i = 0; i < f->observer_count; i++)
-	{
-		const struct other_observer *other = &f->observers[i];
-		bool agrees = other->observer.id == f->self;
-
-		has_zones = has_zones || other->observer.zone != f->observers[0].observer.zone;
-		if (!agrees && opinion_is_fresh (f, other, now_us))
-			agrees = other->opinion.suspects && other->opinion.term == f->opinion.term &&
-			         other->opinion.primary == f->opinion.primary;
-		if (!agrees)
-			continue;
-		agreeing++;
-		is_one_zone = is_one_zone && (!has_zone || other->observer.zone == zone);
-		zone = other->observer.zone;
-		has_zone = true;
-	}
-	return f->opinion.suspects && agreeing > f->observer_count / 2 && !(has_zones && is_one_zone);
-}
-
-/* Each earlier observer that answers gets some time to claim first. */
-static bool
-is_turn (const struct failover_private *f, int64_t now_us)
-{
-	int64_t place = 0;
-
-	for (size_t i = 0; i < f->observer_count; i++)
-	{
-		if (f->observers[i].observer.id == f->self)
-			return now_us - f->suspected_us >= place * f->settings->claim_step_us;
-		place += opinion_is_fresh (f, &f->observers[i], now_us);
-	}
-	return false;
-}
-
 static void
 start_fencing (struct failover_private *f)
 {
 	struct claim *claim = &f->claim;
-	uint64_t highest = highest_term (f);
+	uint64_t highest = failover_highest_term (f);
 
 	if (claim->attempts++ == 0)
 	{
 		claim->started_us = f->now_us;
 		f->trace = (struct failover_trace){ 0 };
-		f->trace.detect_us = silence_us (f, f->suspected_us);
+		f->trace.detect_us = failover_silence_us (f, f->suspected_us);
 		f->trace.agree_us = f->now_us - f->suspected_us;
 	}
 	/* A fence is never repeated with its term: a server accepts a term once, and whether the lost
@@ -318,7 +80,7 @@
 	claim->rejected = 0;
 	claim->to_fence = (1u << f->server_count) - 1;
 	if (claim->is_catching_up)
-		claim->to_fence = 1u << f->primary;
+		claim->to_fence = 1u << claim->old_primary;
 	claim->step_us = f->now_us;
 }
 
@@ -328,14 +90,14 @@
 {
 	struct claim *claim = &f->claim;
 	uint32_t all = (1u << f->server_count) - 1;
-	bool is_fenced = claim->fenced >> f->primary & 1;
+	bool is_fenced = claim->fenced >> claim->old_primary & 1;
 	bool is_there = is_fenced && log_position_covers (f->servers[claim->preferred].status.position,
-	                                                  claim->positions[f->primary]);
+	                                                  claim->positions[claim->old_primary]);
 
 	if (!is_there && now_us - claim->step_us < CATCH_UP_US)
 		return;
 	claim->is_catching_up = false;
-	claim->to_fence = all & ~(1u << f->primary);
+	claim->to_fence = all & ~(1u << claim->old_primary);
 	claim->step_us = now_us;
 }
 
@@ -357,7 +119,7 @@
 		if (order > 0 || (order == 0 && i == claim->preferred))
 			best = i;
 	}
-	INVARIANT (count_bits (claim->fenced) >= majority (f), "P2");
+	INVARIANT (count_bits (claim->fenced) >= failover_majority (f), "P2");
 	claim->server = best;
 	claim->to_promote = true;
 	f->trace.fence_us = f->now_us - claim->started_us;
@@ -388,7 +150,7 @@
 	else if (strcmp (name, "announce") == 0)
 	{
 		f->trace.promote_us = f->now_us - f->claim.step_us;
-		learn_primary (f, f->claim.term, f->claim.server, false, f->now_us);
+		failover_learn_primary (f, f->claim.term, f->claim.server, false, f->now_us);
 	}
 }
 
@@ -398,7 +160,7 @@
 	const struct failover_private *f = context;
 
 	if (strcmp (name, "is_turn") == 0)
-		return is_turn (f, f->now_us);
+		return failover_is_turn (f, f->now_us);
 	return f->claim.attempts < MAX_ATTEMPTS;
 }
 
@@ -415,11 +177,11 @@
 {
 	if (!f->opinion.suspects)
 		return take (f, EVENT_TRUST);
-	if (!has_agreement (f, now_us))
+	if (!failover_has_agreement (f, now_us))
 		return false;
 	f->claim.attempts = 0;
 	f->claim.is_catching_up = false;
-	f->claim.is_urgent = is_late (f, now_us);
+	f->claim.is_urgent = failover_is_late (f, now_us);
 	f->claim.preferred = f->primary;
 	return take (f, EVENT_AGREEMENT);
 }
@@ -435,13 +197,13 @@
 	if (now_us - claim->step_us >= f->settings->step_timeout_us)
 		return take (f, EVENT_TIMEOUT);
 	if (f->term > claim->term || f->heard_term > claim->term ||
-	    rejected > f->server_count - majority (f))
+	    rejected > f->server_count - failover_majority (f))
 		return take (f, EVENT_SUPERSEDED);
 	if (is_in (f, STATE_PROMOTING))
 		return f->term == claim->term && take (f, EVENT_PROMOTED);
 	if (claim->is_catching_up)
 		end_catching_up (f, now_us);
-	if (fenced < majority (f))
+	if (fenced < failover_majority (f))
 		return false;
 	if (!claim->is_urgent && fenced + rejected < f->server_count &&
 	    now_us - claim->step_us < GATHER_US)
@@ -452,9 +214,9 @@
 static bool
 advance_once (struct failover_private *f, int64_t now_us)
 {
-	bool is_calm = !is_doubtful (f, now_us);
+	bool is_calm = !failover_is_doubtful (f, now_us);
 
-	update_opinion (f, now_us);
+	failover_update_opinion (f, now_us);
 	if (is_claiming (f))
 		return advance_claim (f, now_us);
 	if (is_in (f, STATE_QUIET))
@@ -562,24 +324,6 @@
 	}
 }
 
-static void
-take_status (struct failover_private *f, uint32_t server, const struct server_status *status,
-             int64_t now_us)
-{
-	struct observed_server *observed = &f->servers[server];
-	uint64_t promised = observed->status.promised_term;
-
-	observed->status = *status;
-	if (status->promised_term < promised)
-		observed->status.promised_term = promised; /* An older answer that was overtaken. */
-	observed->answered_us = now_us;
-	/* A primary whose promised term is above its log's was fenced. */
-	if (status->is_primary && status->promised_term <= status->position.term)
-		learn_primary (f, status->position.term, server, false, now_us);
-	else if (server == f->primary && !status->is_primary && status->promised_term == f->term)
-		f->primary = FAILOVER_NO_PRIMARY;
-}
-
 void
 failover_handle_status (struct failover *failover, uint32_t server,
                         const struct server_status *status, int64_t sent_us, int64_t now_us)
@@ -600,7 +344,7 @@
 			next_us = observed->last_poll_us;
 		observed->unanswered_us = sent_us >= observed->last_poll_us ? 0 : next_us;
 	}
-	take_status (f, server, status, now_us);
+	failover_take_status (f, server, status, now_us);
 	advance (f, now_us);
 }
 
@@ -680,7 +424,7 @@
 		if (opinion->term > f->heard_term)
 			f->heard_term = opinion->term;
 		if (opinion->primary != FAILOVER_NO_PRIMARY)
-			learn_primary (f, opinion->term, opinion->primary, true, now_us);
+			failover_learn_primary (f, opinion->term, opinion->primary, true, now_us);
 	}
 	advance (f, now_us);
 }
@@ -695,7 +439,7 @@
 		return;
 	enter_call (f, now_us);
 	f->servers[server].unanswered_us = 0;
-	take_status (f, server, status, now_us);
+	failover_take_status (f, server, status, now_us);
 	if (is_in (f, STATE_FENCING) && term == f->claim.term)
 	{
 		if (accepted)
@@ -719,7 +463,7 @@
 		return;
 	enter_call (f, now_us);
 	f->servers[server].unanswered_us = 0;
-	take_status (f, server, status, now_us);
+	failover_take_status (f, server, status, now_us);
 	if (is_in (f, STATE_PROMOTING) && term == f->claim.term && server == f->claim.server)
 		take (f, accepted ? EVENT_PROMOTED : EVENT_REFUSED);
 	advance (f, now_us);
@@ -732,7 +476,7 @@
 	struct failover_private *f = failover->state;
 
 	enter_call (f, now_us);
-	learn_primary (f, term, server, true, now_us);
+	failover_learn_primary (f, term, server, true, now_us);
 	advance (f, now_us);
 }
 
@@ -751,6 +495,7 @@
 	f->claim.is_urgent = false;
 	f->claim.is_catching_up = f->primary != FAILOVER_NO_PRIMARY;
 	f->claim.preferred = server;
+	f->claim.old_primary = f->primary;
 	f->suspected_us = now_us;
 	take (f, EVENT_REQUEST);
 	poll_all (f);
@@ -796,7 +541,7 @@
 static bool
 next_ask (struct failover_private *f, struct failover_effect *effect, int64_t now_us)
 {
-	if (is_in (f, STATE_QUIET) || is_claiming (f) || !is_doubtful (f, now_us))
+	if (is_in (f, STATE_QUIET) || is_claiming (f) || !failover_is_doubtful (f, now_us))
 		return false;
 	for (size_t i = 0; i < f->observer_count; i++)
 	{
--- /dev/null
+++ b/decision/failover_view.c
@@ -0,0 +1,170 @@
+#include "decision/failover_view.h"
+
+enum
+{
+	OPINION_POLLS = 3, /* An opinion counts for this many alert polls. */
+};
+
+uint32_t
+failover_majority (const struct failover_private *f)
+{
+	return f->server_count / 2 + 1;
+}
+
+uint64_t
+failover_highest_term (const struct failover_private *f)
+{
+	uint64_t highest = f->term > f->heard_term ? f->term : f->heard_term;
+
+	for (uint32_t i = 0; i < f->server_count; i++)
+	{
+		const struct server_status *status = &f->servers[i].status;
+
+		if (status->promised_term > highest)
+			highest = status->promised_term;
+		if (status->position.term > highest)
+			highest = status->position.term;
+	}
+	return highest;
+}
+
+int64_t
+failover_silence_us (const struct failover_private *f, int64_t now_us)
+{
+	const struct observed_server *server;
+
+	if (f->primary == FAILOVER_NO_PRIMARY)
+		return 0;
+	server = &f->servers[f->primary];
+	return server->unanswered_us ? now_us - server->unanswered_us : 0;
+}
+
+bool
+failover_is_late (const struct failover_private *f, int64_t now_us)
+{
+	return failover_silence_us (f, now_us) >= f->settings->reply_late_us;
+}
+
+bool
+failover_is_doubtful (const struct failover_private *f, int64_t now_us)
+{
+	return failover_is_late (f, now_us) || f->stuck_since_us != 0;
+}
+
+void
+failover_learn_primary (struct failover_private *f, uint64_t term, uint32_t server,
+                        bool is_announced, int64_t now_us)
+{
+	if (server >= f->server_count || term < f->term ||
+	    (term == f->term && f->primary != FAILOVER_NO_PRIMARY))
+		return;
+	f->term = term;
+	f->primary = server;
+	/* Its silence from before does not count against the new primary. */
+	f->servers[server].unanswered_us = 0;
+	f->servers[server].next_poll_us = now_us;
+	if (is_announced && term > f->announced_term)
+		f->announced_term = term;
+	f->to_announce = term > f->announced_term;
+}
+
+void
+failover_update_opinion (struct failover_private *f, int64_t now_us)
+{
+	uint64_t highest = failover_highest_term (f);
+	bool has_suspected = f->opinion.suspects;
+
+	if (highest > f->term || (f->primary == FAILOVER_NO_PRIMARY && highest > 0))
+	{
+		if (f->stuck_since_us == 0 || highest > f->stuck_term)
+			f->stuck_since_us = now_us;
+		f->stuck_term = highest;
+		f->opinion = (struct failover_opinion){
+			.term = highest,
+			.primary = FAILOVER_NO_PRIMARY,
+			.suspects = now_us - f->stuck_since_us >= f->settings->unfinished_after_us,
+		};
+	}
+	else
+	{
+		f->stuck_since_us = 0;
+		f->opinion = (struct failover_opinion){
+			.term = f->term,
+			.primary = f->primary,
+			.suspects = failover_silence_us (f, now_us) >= f->settings->suspect_after_us,
+		};
+	}
+	if (f->opinion.suspects && !has_suspected)
+		f->suspected_us = now_us;
+}
+
+static bool
+opinion_is_fresh (const struct failover_private *f, const struct other_observer *other,
+                  int64_t now_us)
+{
+	return other->opinion_at_us != 0 &&
+	       now_us - other->opinion_at_us <= OPINION_POLLS * f->settings->poll_alert_us;
+}
+
+bool
+failover_has_agreement (const struct failover_private *f, int64_t now_us)
+{
+	size_t agreeing = 0;
+	uint32_t zone = 0;
+	bool has_zone = false;
+	bool has_zones = false;
+	bool is_one_zone = true;
+
+	for (size_t i = 0; i < f->observer_count; i++)
+	{
+		const struct other_observer *other = &f->observers[i];
+		bool agrees = other->observer.id == f->self;
+
+		has_zones = has_zones || other->observer.zone != f->observers[0].observer.zone;
+		if (!agrees && opinion_is_fresh (f, other, now_us))
+			agrees = other->opinion.suspects && other->opinion.term == f->opinion.term &&
+			         other->opinion.primary == f->opinion.primary;
+		if (!agrees)
+			continue;
+		agreeing++;
+		is_one_zone = is_one_zone && (!has_zone || other->observer.zone == zone);
+		zone = other->observer.zone;
+		has_zone = true;
+	}
+	return f->opinion.suspects && agreeing > f->observer_count / 2 && !(has_zones && is_one_zone);
+}
+
+bool
+failover_is_turn (const struct failover_private *f, int64_t now_us)
+{
+	int64_t place = 0;
+
+	for (size_t i = 0; i < f->observer_count; i++)
+	{
+		if (f->observers[i].observer.id == f->self)
+			return now_us - f->suspected_us >= place * f->settings->claim_step_us;
+		place += opinion_is_fresh (f, &f->observers[i], now_us);
+	}
+	return false;
+}
+
+void
+failover_take_status (struct failover_private *f, uint32_t server,
+                      const struct server_status *status, int64_t now_us)
+{
+	struct observed_server *observed = &f->servers[server];
+	uint64_t promised = observed->status.promised_term;
+
+	observed->status = *status;
+	if (status->promised_term < promised)
+		observed->status.promised_term = promised; /* An older answer that was overtaken. */
+	observed->answered_us = now_us;
+	/* A primary whose promised term is above its log's was fenced. */
+	if (status->is_primary && status->promised_term <= status->position.term)
+		failover_learn_primary (f, status->position.term, server, false, now_us);
+	else if (server == f->primary && !status->is_primary && status->promised_term == f->term)
+	{
+		f->primary = FAILOVER_NO_PRIMARY;
+		f->to_announce = false;
+	}
+}
