--- a/charts/chart.c
+++ b/charts/chart.c
@@ -157,7 +157,7 @@
 	int line;
 	int column;
 	const char *end = parser->text + parser->length;
-	const char *tag = parser->text;
+	const char *tag;
 	const char *at = parser->text;
 
 	g_markup_parse_context_get_position (context, &line, &column);
@@ -441,7 +441,7 @@
 parser_resolve (struct chart_parser *parser)
 {
 	struct chart_private *data = parser->data;
-	g_autofree bool *is_reached = g_new0 (bool, data->states->len + 1);
+	bool *is_reached;
 
 	if (data->states->len == 0)
 	{
@@ -456,12 +456,14 @@
 		                "initial state \"%s\" does not exist", data->initial_name);
 	if (parser->problems)
 		return;
+	is_reached = g_new0 (bool, data->states->len);
 	mark_reached (data, data->initial, is_reached);
 	for (guint i = 0; i < data->states->len; i++)
 		if (!is_reached[i])
 			parser_problem (parser, chart_state_at (data, (int) i)->place,
 			                chart_state_at (data, (int) i)->id,
 			                "no transition leads to this state");
+	g_free (is_reached);
 }
 
 int
--- a/decision/configuration.c
+++ b/decision/configuration.c
@@ -3,6 +3,7 @@
 #include "charts/embedded.h"
 #include "decision/retry.h"
 
+#include <stdio.h>
 #include <string.h>
 
 const struct configuration_settings configuration_default_settings = {
@@ -191,7 +192,7 @@
 			return false;
 		entry = &configuration->entries[configuration->service_count++];
 		memset (entry, 0, sizeof *entry);
-		strcpy (entry->service, service);
+		snprintf (entry->service, sizeof entry->service, "%s", service);
 	}
 	/* P9: a document never goes back to an earlier revision, whatever the source. */
 	if (revision <= entry->revision)
--- a/decision/membership.c
+++ b/decision/membership.c
@@ -618,7 +618,7 @@
 		effect->message.target = out->target;
 		effect->message.sequence = out->sequence;
 		effect->message.config_revision = self_record (membership)->config_revision;
-		membership_fill_items (membership, &effect->message, out->to, out->fill, now_us);
+		membership_fill_items (membership, &effect->message, member, out->fill, now_us);
 		if (membership->config_sends_left > 0)
 			membership->config_sends_left--;
 		return true;
--- a/decision/membership_table.c
+++ b/decision/membership_table.c
@@ -223,9 +223,9 @@
 	uint8_t old = member->state;
 
 	chart_instance_handle (&instance, membership->chart_events[event], &member_ops, &step);
-	for (uint8_t state = 0; state < MEMBER_STATE_COUNT; state++)
+	for (int state = 0; state < MEMBER_STATE_COUNT; state++)
 		if (membership->chart_states[state] == instance.state)
-			member->state = state;
+			member->state = (uint8_t) state;
 	if (member->state == old)
 		return false;
 	membership->dead_count += member->state == MEMBER_DEAD;
@@ -517,17 +517,16 @@
 }
 
 void
-membership_fill_items (struct membership *membership, struct gossip_message *message, uint32_t to,
-                       enum gossip_fill fill, int64_t now_us)
+membership_fill_items (struct membership *membership, struct gossip_message *message,
+                       const struct member_record *receiver, enum gossip_fill fill, int64_t now_us)
 {
-	const struct member_record *receiver = member_table_find (membership, to);
 	size_t bytes = 0;
 
 	message->item_count = 0;
 	if (fill == FILL_NONE)
 		return;
 	/* A member that is taken for suspect or dead has to hear it, to refute it. */
-	if (receiver && (receiver->state == MEMBER_SUSPECT || receiver->state == MEMBER_DEAD))
+	if (receiver->state == MEMBER_SUSPECT || receiver->state == MEMBER_DEAD)
 		message_add (
 			membership, message, &bytes,
 			(struct record_reference){ (uint32_t) (receiver - membership->members), true });
--- a/include/decision/membership_table.h
+++ b/include/decision/membership_table.h
@@ -188,9 +188,10 @@
 /** Sends of a new rumor. */
 uint32_t rumor_limit (const struct membership *membership);
 
-/** Fills the items of a datagram to @p to. */
+/** Fills the items of a datagram to @p receiver. */
 void membership_fill_items (struct membership *membership, struct gossip_message *message,
-                            uint32_t to, enum gossip_fill fill, int64_t now_us);
+                            const struct member_record *receiver, enum gossip_fill fill,
+                            int64_t now_us);
 
 void member_to_item (const struct member_record *member, struct membership_item *item);
 void item_to_item (const struct item_record *record, struct membership_item *item);
--- a/tests/unit/failover.c
+++ b/tests/unit/failover.c
@@ -12,6 +12,7 @@
 	VMS = 6,
 	ZONES = 3,
 	SEEDS = 8, /* Runs of each case. */
+	MEDIAN = SEEDS / 2,
 	START_US = 8000000,
 	GAP_US = 5000000,
 	WRITE_EVERY_US = 10000,
@@ -312,7 +313,7 @@
 			run_case (&fault_cases[i], 100 * i + seed, &gaps_us[seed]);
 		qsort (gaps_us, SEEDS, sizeof gaps_us[0], compare_gaps);
 		g_test_message ("%s: gap median %.2f s, worst %.2f s", fault_cases[i].name,
-		                (double) gaps_us[SEEDS / 2] / 1e6, (double) gaps_us[SEEDS - 1] / 1e6);
+		                (double) gaps_us[MEDIAN] / 1e6, (double) gaps_us[SEEDS - 1] / 1e6);
 		g_assert_cmpint (gaps_us[SEEDS - 1], <=, GAP_US);
 	}
 }
--- a/tests/virtual/world.c
+++ b/tests/virtual/world.c
@@ -71,6 +71,7 @@
 		world->heap[at] = world->heap[child];
 	}
 	world->heap[at] = last;
+	world->heap[world->count].payload = NULL;
 	return first;
 }
 
