--- a/decision/membership.c
+++ b/decision/membership.c
@@ -13,7 +13,7 @@
 	.period_max_us = 1000000,
 	.period_max_members = 750,
 	.ack_timeout_us = 300000,
-	.suspect_us = 2000000,
+	.suspect_us = 1500000,
 	.indirect_pings = 3,
 	.spread_factor = 3,
 };
@@ -24,12 +24,17 @@
 	 * datagram: a lost zone makes hundreds of them, and the limit of 6 KB/s comes before their
 	 * speed. Leaving servers and configuration are always fast. */
 	RUMOR_FAST_US = 100000,
-	RUMOR_SLOW_US = 250000,
+	RUMOR_SLOW_US = 350000,
 	RUMOR_SLOW_ITEMS = 6,
 	/* A ping that is not answered after this many ack timeouts, direct and indirect, failed. */
-	PROBE_TIMEOUTS = 3,
-	/* Dead members are pinged to notice the end of a partition, each this often in a period. */
-	DEAD_PINGS_PER_PERIOD = 3,
+	PROBE_TIMEOUTS = 2,
+	/* Many suspects at once are rather a cut link than many deaths: the time to refute grows by
+	 * the share of this number, up to this factor, since gossip is busy then. */
+	MANY_SUSPECTS = 8,
+	MAX_PATIENCE = 4,
+	/* Dead members are pinged to notice the end of a partition, each about this often in a period. */
+	DEAD_PINGS_PER_PERIOD = 1,
+	CLAIM_PROBE_US = 2000000,
 	REARM_US = 5000000,
 	/* News from shortly before a member went silent may not have reached it either. */
 	REARM_MARGIN_US = 10000000,
@@ -138,13 +143,25 @@
 }
 
 static void
-queue (struct membership *membership, enum gossip_type type, uint32_t to, uint32_t target,
-       uint64_t sequence)
+queue_fill (struct membership *membership, enum gossip_fill fill, enum gossip_type type,
+            uint32_t to, uint32_t target, uint64_t sequence)
 {
 	if (membership->out_count == MEMBERSHIP_MAX_OUT)
 		return; /* As if it were lost on the way. */
 	membership->out[(membership->out_first + membership->out_count++) % MEMBERSHIP_MAX_OUT] =
-		(struct outgoing){ type, to, target, sequence };
+		(struct outgoing){ fill, type, to, target, sequence };
+}
+
+/* Requests carry no items: when a zone is cut off there are too many. */
+static void
+queue (struct membership *membership, enum gossip_type type, uint32_t to, uint32_t target,
+       uint64_t sequence)
+{
+	queue_fill (membership,
+	            type == GOSSIP_PING_REQUEST ? FILL_NONE
+	            : sequence != 0             ? FILL_ALL
+	                                        : FILL_RUMORS,
+	            type, to, target, sequence);
 }
 
 /* A member answers again: what changed meanwhile has to reach it and those behind it. */
@@ -154,6 +171,8 @@
 {
 	if (now_us - membership->rearmed_at_us >= REARM_US)
 	{
+		/* The end of a partition: what this side said about the other one is wrong now. */
+		rumor_drop_down (membership);
 		membership->rearmed_at_us = now_us;
 		rumor_add_changed (membership, member->down_since_us - REARM_MARGIN_US);
 	}
@@ -162,6 +181,44 @@
 		queue (membership, GOSSIP_ACK, member->id, 0, 0);
 }
 
+static void
+probe_member (struct membership *membership, const struct member_record *member, int64_t now_us)
+{
+	struct probe *unused = NULL;
+
+	for (int i = 0; i < MEMBERSHIP_MAX_PROBES; i++)
+	{
+		struct probe *probe = &membership->probes[i];
+
+		if (probe->sequence == 0)
+			unused = probe;
+		else if (probe->id == member->id)
+			return;
+	}
+	if (!unused)
+		return;
+	*unused = (struct probe){ ++membership->sequence, member->id, now_us, false };
+	queue (membership, GOSSIP_PING, member->id, 0, unused->sequence);
+}
+
+/* Others speak of an earlier incarnation that was refuted. They may not know that, or the member may
+ * be down again: both are settled at once instead of by the next regular ping. */
+static void
+answer_stale_claim (struct membership *membership, struct member_record *member,
+                    uint64_t incarnation, int64_t now_us)
+{
+	if (incarnation >= member->incarnation ||
+	    (member->state != MEMBER_ALIVE && member->state != MEMBER_LEAVING))
+		return;
+	if (member->sends_left == 0)
+		rumor_add_member (membership, member);
+	/* After a partition there are hundreds of such claims. */
+	if (now_us - membership->claim_probe_at_us < CLAIM_PROBE_US)
+		return;
+	membership->claim_probe_at_us = now_us;
+	probe_member (membership, member, now_us);
+}
+
 /* Others take this VM for suspect or dead, or remember its earlier life. */
 static bool
 merge_self (struct membership *membership, const struct membership_item *item)
@@ -212,13 +269,19 @@
 	         item->config_revision > member->config_revision)
 		member->config_revision = item->config_revision;
 	if (item->version <= member_version (member) && !is_first)
+	{
+		if (state == MEMBER_SUSPECT || state == MEMBER_DEAD)
+			answer_stale_claim (membership, member, item->version >> 2, now_us);
 		return false;
+	}
 	was_down = member->down_since_us != 0;
-	/* The first word of a member that settings or the VM list named is no news to others, since
-	 * they have the same lists: at the start of a fleet this saves a rumor for each member. */
-	if (member->incarnation != 0 || is_first || state != MEMBER_ALIVE ||
+	/* A new incarnation alone is passed on only by those for whom it ends a suspicion: at the end of
+	 * a partition this saves most rumors. Others hear of it from answer_stale_claim(). */
+	if (is_first || state != (enum member_state) member->state ||
 	    !is_same_address (&member->address, &item->address))
 		rumor_add_member (membership, member);
+	else if (member->incarnation == 0)
+		rumor_add_greeting (membership, member);
 	member->incarnation = item->version >> 2;
 	member->config_revision = item->config_revision;
 	if (!is_same_address (&member->address, &item->address))
@@ -375,26 +438,18 @@
 static void
 ping_next (struct membership *membership, int64_t now_us)
 {
-	struct member_record *member = NULL;
-	struct probe *probe = &membership->probes[0];
-
-	for (uint32_t i = 0; i < membership->member_count && !member; i++)
+	for (uint32_t i = 0; i < membership->member_count; i++)
 	{
 		uint32_t at;
 
 		if (membership->order_at >= membership->member_count)
 			member_table_shuffle (membership);
 		at = membership->order[membership->order_at++];
-		if (at != 0 && membership->members[at].state != MEMBER_DEAD)
-			member = &membership->members[at];
-	}
-	for (int i = 0; i < MEMBERSHIP_MAX_PROBES; i++)
-		if (membership->probes[i].sequence == 0)
-			probe = &membership->probes[i];
-	if (!member || probe->sequence != 0)
+		if (at == 0 || membership->members[at].state == MEMBER_DEAD)
+			continue;
+		probe_member (membership, &membership->members[at], now_us);
 		return;
-	*probe = (struct probe){ ++membership->sequence, member->id, now_us, false };
-	queue (membership, GOSSIP_PING, member->id, 0, probe->sequence);
+	}
 }
 
 static void
@@ -457,13 +512,18 @@
 static void
 step_suspicions (struct membership *membership, int64_t now_us)
 {
+	int64_t patience = MANY_SUSPECTS + membership->suspected_count;
+
 	if (now_us < membership->expiry_at_us)
 		return;
 	membership->expiry_at_us = INT64_MAX;
+	if (patience > MAX_PATIENCE * MANY_SUSPECTS)
+		patience = MAX_PATIENCE * MANY_SUSPECTS;
 	for (uint32_t i = 1; i < membership->member_count && membership->suspected_count; i++)
 	{
 		struct member_record *member = &membership->members[i];
-		int64_t expiry_us = member->suspected_at_us + membership->settings->suspect_us;
+		int64_t expiry_us =
+			member->suspected_at_us + membership->settings->suspect_us * patience / MANY_SUSPECTS;
 
 		if (member->suspected_at_us == 0)
 			continue;
@@ -480,22 +540,25 @@
 static bool
 has_news (const struct membership *membership)
 {
-	return membership->rumor_count > 0 || membership->config_sends_left > 0;
+	return membership->config_sends_left > 0 || rumor_count_news (membership) > 0;
 }
 
 static void
 step_rumors (struct membership *membership, int64_t now_us)
 {
-	bool is_fast = membership->rumor_count <= RUMOR_SLOW_ITEMS ||
-	               membership->config_sends_left > 0 || rumor_is_urgent (membership);
+	bool is_urgent = membership->config_sends_left > 0 || rumor_is_urgent (membership);
+	bool is_slow = rumor_count_news (membership) > RUMOR_SLOW_ITEMS;
+	bool is_full = !is_slow || now_us >= membership->full_rumor_at_us;
 	struct member_record *member;
 
 	if (!has_news (membership) || now_us < membership->rumor_at_us)
 		return;
-	membership->rumor_at_us = now_us + (is_fast ? RUMOR_FAST_US : RUMOR_SLOW_US);
+	membership->rumor_at_us = now_us + (is_slow && !is_urgent ? RUMOR_SLOW_US : RUMOR_FAST_US);
+	if (is_full)
+		membership->full_rumor_at_us = now_us + RUMOR_SLOW_US;
 	member = pick_member (membership, false);
 	if (member)
-		queue (membership, GOSSIP_ACK, member->id, 0, 0);
+		queue_fill (membership, is_full ? FILL_RUMORS : FILL_URGENT, GOSSIP_ACK, member->id, 0, 0);
 }
 
 /* After a pause of this process, missing answers and old suspicions say nothing about others. */
@@ -555,7 +618,7 @@
 		effect->message.target = out->target;
 		effect->message.sequence = out->sequence;
 		effect->message.config_revision = self_record (membership)->config_revision;
-		membership_fill_items (membership, &effect->message, out->to, out->sequence != 0, now_us);
+		membership_fill_items (membership, &effect->message, member, out->fill, now_us);
 		if (membership->config_sends_left > 0)
 			membership->config_sends_left--;
 		return true;
