--- /dev/null
+++ b/tests/unit/owner_world.c
@@ -0,0 +1,498 @@
+#include "owner_world.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char document[] =
+	"service: letters\n"
+	"session_keys:\n"
+	"  - {id: 1, secret: 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f}\n"
+	"ranks: {urgent: {target_ms: 100, timeout_ms: 1000}, low: {queue_limit: 4}}\n"
+	"databases:\n"
+	"  - name: ledger\n    slots: 2\n    connections: 16\n"
+	"    servers: [{address: \"127.0.0.1:1000\", zone: a}, {address: \"127.0.0.1:1001\", zone: b},"
+	" {address: \"127.0.0.1:1002\", zone: c}]\n"
+	"calls:\n"
+	"  - {name: find, database: ledger, kind: read, params: 1, statement: \"READ $1\"}\n"
+	"  - {name: recent, database: ledger, kind: read, consistency: bounded, max_age_ms: 60,"
+	" params: 1, statement: \"READ $1\"}\n"
+	"  - {name: exact, database: ledger, kind: read, consistency: primary, params: 1,"
+	" statement: \"READ $1\"}\n"
+	"  - {name: report, database: ledger, kind: read, rank: low, run_limit_ms: 50, params: 1,"
+	" statement: \"READ $1\"}\n"
+	"  - {name: set, database: ledger, kind: write, idempotent: true, run_limit_ms: 200,"
+	" params: 1, statement: \"WRITE $1\"}\n"
+	"  - {name: add, database: ledger, kind: write, run_limit_ms: 200, params: 1,"
+	" statement: \"WRITE $1\"}\n";
+
+static struct world *world_of_fakes;
+
+struct fake_connection
+{
+	struct upstream *upstream;
+	struct loop_timer timer;
+	struct fake_server *server;
+	unsigned number;
+	bool is_opening;
+	bool is_work;
+	bool is_late; /* A status question whose answer never comes. */
+	bool in_transaction;
+	unsigned writes;
+	char *id;
+	char *answer;
+	struct upstream_answer pending;
+	const char *column;
+	char cell_text[64];
+	const char *cell;
+};
+
+static void
+fake_close (struct upstream *upstream)
+{
+	struct fake_connection *fake = upstream->connection;
+
+	loop_cancel_timer (upstream->loop, &fake->timer);
+	if (fake->is_work)
+		world_of_fakes->connections--;
+	if (fake->is_work && upstream->is_busy)
+		world_of_fakes->running--;
+	fake->is_work = false;
+	fake->is_opening = false;
+	fake->in_transaction = false;
+	fake->writes = 0;
+	g_clear_pointer (&fake->id, g_free);
+	g_clear_pointer (&fake->answer, g_free);
+	upstream->is_connected = false;
+	upstream->is_busy = false;
+}
+
+static int
+fake_connect (struct upstream *upstream, uint32_t ip, uint16_t port, const char *database)
+{
+	struct fake_connection *fake = upstream->connection;
+
+	g_assert_false (upstream->is_connected);
+	g_assert_cmpstr (database, ==, "ledger");
+	fake->server = &world_of_fakes->servers[port - 1000];
+	fake->is_opening = true;
+	loop_set_timer (upstream->loop, &fake->timer, clock_now_us () + US_PER_MS);
+	return 0;
+}
+
+static void
+handle_fake_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct upstream *upstream = timer->data;
+	struct fake_connection *fake = upstream->connection;
+	struct upstream_answer answer = fake->pending;
+
+	if (fake->is_opening)
+	{
+		bool is_refused = fake->server->is_down || fake->server->is_full;
+
+		fake->is_opening = false;
+		upstream->is_connected = !is_refused;
+		fake->number = ++world_of_fakes->next_number;
+		upstream->user_ops->handle_connected (upstream, !is_refused             ? 0
+		                                                : fake->server->is_full ? -EUSERS
+		                                                                        : -ECONNREFUSED);
+		return;
+	}
+	if (answer.result == UPSTREAM_LOST)
+		fake_close (upstream);
+	else
+	{
+		upstream->is_busy = false;
+		if (fake->is_work)
+			world_of_fakes->running--;
+	}
+	upstream->user_ops->handle_answer (upstream, &answer);
+}
+
+static enum fake_action
+find_action (const char *statement)
+{
+	for (unsigned i = 0; i < world_of_fakes->rule_count; i++)
+	{
+		struct fake_rule *rule = &world_of_fakes->rules[i];
+
+		if (g_str_has_prefix (statement, rule->prefix) && ++rule->seen == rule->nth)
+			return rule->action;
+	}
+	return 0;
+}
+
+static void
+append_entry (struct fake_server *server)
+{
+	server->status.position.index++;
+	for (unsigned i = 0; i < WORLD_SERVERS; i++)
+	{
+		if (world_of_fakes->servers[i].takes_entries)
+			world_of_fakes->servers[i].status.position = server->status.position;
+	}
+}
+
+static void
+commit (struct fake_connection *fake)
+{
+	if (fake->id)
+		g_hash_table_insert (world_of_fakes->answers, g_steal_pointer (&fake->id),
+		                     g_steal_pointer (&fake->answer));
+	world_of_fakes->applied += fake->writes;
+	if (fake->writes > 0)
+		append_entry (fake->server);
+	fake->writes = 0;
+	fake->in_transaction = false;
+}
+
+static void
+roll_back (struct fake_connection *fake)
+{
+	g_clear_pointer (&fake->id, g_free);
+	g_clear_pointer (&fake->answer, g_free);
+	fake->writes = 0;
+	fake->in_transaction = false;
+}
+
+static void
+put_cell (struct fake_connection *fake, const char *column, const char *cell)
+{
+	fake->column = column;
+	g_strlcpy (fake->cell_text, cell, sizeof fake->cell_text);
+	fake->cell = fake->cell_text;
+	fake->pending.column_count = 1;
+	fake->pending.row_count = 1;
+	fake->pending.columns = &fake->column;
+	fake->pending.cells = &fake->cell;
+}
+
+static enum upstream_result
+run_write (struct fake_connection *fake, const char *param)
+{
+	char text[64];
+
+	if (!fake->server->status.is_primary)
+		return UPSTREAM_NOT_PRIMARY;
+	fake->writes++;
+	g_snprintf (text, sizeof text, "wrote %s #%u", param, world_of_fakes->applied + 1);
+	put_cell (fake, "value", text);
+	if (!fake->in_transaction)
+		commit (fake);
+	return UPSTREAM_OK;
+}
+
+static enum upstream_result
+run_statement (struct fake_connection *fake, const char *statement, const char *const *params)
+{
+	if (g_str_has_prefix (statement, "READ"))
+		put_cell (fake, "value", params[0]);
+	else if (g_str_has_prefix (statement, "WRITE"))
+		return run_write (fake, params[0]);
+	else if (strcmp (statement, "BEGIN") == 0)
+	{
+		g_assert_false (fake->in_transaction);
+		fake->in_transaction = true;
+	}
+	else if (strcmp (statement, "COMMIT") == 0)
+		commit (fake);
+	else if (strcmp (statement, "ROLLBACK") == 0)
+		roll_back (fake);
+	else if (g_str_has_prefix (statement, "INSERT INTO flamingospring_request"))
+	{
+		if (!fake->server->status.is_primary)
+			return UPSTREAM_NOT_PRIMARY;
+		if (g_hash_table_contains (world_of_fakes->answers, params[0]))
+			return UPSTREAM_DUPLICATE;
+		fake->id = g_strdup (params[0]);
+	}
+	else if (g_str_has_prefix (statement, "UPDATE flamingospring_request"))
+	{
+		g_assert_cmpstr (params[0], ==, fake->id);
+		fake->answer = g_strdup (params[1]);
+	}
+	else if (g_str_has_prefix (statement, "SELECT answer"))
+	{
+		if (g_hash_table_contains (world_of_fakes->answers, params[0]))
+			put_cell (fake, "answer", g_hash_table_lookup (world_of_fakes->answers, params[0]));
+	}
+	else
+		g_assert_not_reached ();
+	return UPSTREAM_OK;
+}
+
+static void
+replace_primary (struct fake_server *old)
+{
+	for (unsigned i = 0; i < WORLD_SERVERS; i++)
+		world_of_fakes->servers[i].status.promised_term = 2;
+	old->status.is_primary = false;
+	old->status.position = (struct log_position){ 2, 1 };
+}
+
+static int
+fake_execute (struct upstream *upstream, const char *statement, const char *const *params,
+              size_t param_count)
+{
+	struct fake_connection *fake = upstream->connection;
+	enum fake_action action = find_action (statement);
+	struct world *world = world_of_fakes;
+
+	g_assert_true (upstream->is_connected && !upstream->is_busy);
+	if (!fake->is_work)
+	{
+		fake->is_work = true;
+		if (++world->connections > world->highest)
+			world->highest = world->connections;
+	}
+	upstream->is_busy = true;
+	if (++world->running > world->most_running)
+		world->most_running = world->running;
+	g_string_append_printf (world->log, "%u:%.*s;", fake->number, (int) strcspn (statement, " "),
+	                        statement);
+	memset (&fake->pending, 0, sizeof fake->pending);
+	fake->pending.message = "scripted";
+	if (action == FAKE_LOSE_BEFORE)
+		fake->pending.result = UPSTREAM_LOST;
+	else if (action == FAKE_NOT_PRIMARY)
+		fake->pending.result = UPSTREAM_NOT_PRIMARY;
+	else if (action == FAKE_ERROR)
+		fake->pending.result = UPSTREAM_STATEMENT_ERROR;
+	else
+		fake->pending.result = run_statement (fake, statement, params);
+	if (action == FAKE_LOSE_AFTER)
+		fake->pending.result = UPSTREAM_LOST;
+	if (action == FAKE_REPLACE)
+		replace_primary (fake->server);
+	fake->pending.has_status = true;
+	fake->pending.status.position = fake->server->status.position;
+	if (action != FAKE_HANG)
+		loop_set_timer (upstream->loop, &fake->timer, clock_now_us () + world->delay_us);
+	return 0;
+}
+
+static int
+fake_ask_status (struct upstream *upstream)
+{
+	struct fake_connection *fake = upstream->connection;
+
+	g_assert_true (upstream->is_connected && !upstream->is_busy);
+	upstream->is_busy = true;
+	fake->pending = (struct upstream_answer){ .result = UPSTREAM_OK,
+		                                      .has_status = true,
+		                                      .status = fake->server->status };
+	if (!fake->server->is_mute)
+		loop_set_timer (upstream->loop, &fake->timer, clock_now_us () + 100);
+	return 0;
+}
+
+static const struct upstream_ops fake_ops = {
+	.connect = fake_connect,
+	.execute = fake_execute,
+	.ask_status = fake_ask_status,
+	.close = fake_close,
+};
+
+static void
+fake_init (struct upstream *upstream, struct loop *loop, const struct upstream_user_ops *user_ops,
+           void *data)
+{
+	struct fake_connection *fake = g_new0 (struct fake_connection, 1);
+
+	memset (upstream, 0, sizeof *upstream);
+	upstream->ops = &fake_ops;
+	upstream->user_ops = user_ops;
+	upstream->data = data;
+	upstream->loop = loop;
+	upstream->connection = fake;
+	fake->upstream = upstream;
+	fake->timer.handle_timer = handle_fake_timer;
+	fake->timer.data = upstream;
+}
+
+static void
+fake_finish (struct upstream *upstream)
+{
+	fake_close (upstream);
+	g_free (upstream->connection);
+}
+
+static const struct owner_upstream_factory fakes = {
+	.init = fake_init,
+	.finish = fake_finish,
+};
+
+static void
+handle_observation (void *data, const char *database, uint32_t server, bool answered,
+                    const struct server_status *status)
+{
+	struct world *world = data;
+
+	g_assert_cmpstr (database, ==, "ledger");
+	if (!answered)
+		world->silent_observed++;
+	if (status && !status->is_primary && server == 0)
+		world->not_primary_observed++;
+}
+
+void
+world_publish (struct world *world, unsigned primary, uint64_t term, uint32_t owner,
+               bool is_leaving)
+{
+	struct snapshot *snapshot = snapshot_new (1, 0, 1);
+	struct snapshot_service *service = calloc (1, sizeof *service);
+	struct snapshot_group *group = &snapshot->groups[0];
+	struct findings findings;
+
+	findings_init (&findings);
+	if (schema_service_init (&service->schema, "test.yaml", document, strlen (document),
+	                         &findings) < 0)
+		findings_print (&findings, stderr);
+	g_assert_cmpuint (findings.count, ==, 0);
+	findings_finish (&findings);
+	service->references = 1;
+	snapshot->services[0] = service;
+	snapshot->self = WORLD_SELF;
+	group->service = &service->schema;
+	group->database = &service->schema.databases[0];
+	group->has_primary = true;
+	group->term = term;
+	group->primary = primary;
+	for (unsigned i = 0; i < WORLD_SERVERS; i++)
+	{
+		group->servers[i].owners.owner = owner;
+		group->servers[i].is_leaving = is_leaving;
+	}
+	snapshot_publish (&world->reader, snapshot);
+	if (world->set.loop)
+		owner_set_handle_snapshot (&world->set);
+}
+
+void
+world_start (struct world *world)
+{
+	memset (world, 0, sizeof *world);
+	world_of_fakes = world;
+	loop_init (&world->loop);
+	snapshot_source_init (&world->source);
+	snapshot_reader_init (&world->reader, &world->source);
+	world_publish (world, 0, 1, WORLD_SELF, false);
+	for (unsigned i = 0; i < WORLD_SERVERS; i++)
+	{
+		world->servers[i].status.promised_term = 1;
+		world->servers[i].status.position = (struct log_position){ 1, 10 };
+		world->servers[i].takes_entries = true;
+	}
+	world->servers[0].status.is_primary = true;
+	world->answers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	world->log = g_string_new ("");
+	world->delay_us = US_PER_MS;
+	world->settings = (struct owner_settings){
+		.vm_id = WORLD_SELF,
+		.acknowledge_timeout_us = 150 * US_PER_MS,
+		.transaction_idle_us = 100 * US_PER_MS,
+		.transaction_limit_us = 300 * US_PER_MS,
+		.handle_observation = handle_observation,
+		.observation_data = world,
+		.upstreams = &fakes,
+	};
+	g_assert_cmpint (owner_set_init (&world->set, &world->loop, &world->reader, &world->settings),
+	                 ==, 0);
+}
+
+void
+world_finish (struct world *world)
+{
+	owner_set_finish (&world->set);
+	g_assert_cmpuint (world->connections, ==, 0);
+	g_assert_cmpuint (counter_get (COUNTER_INVARIANT_VIOLATIONS), ==, 0);
+	snapshot_reader_finish (&world->reader);
+	snapshot_source_finish (&world->source);
+	loop_finish (&world->loop);
+	g_hash_table_unref (world->answers);
+	g_string_free (world->log, TRUE);
+}
+
+void
+world_rule (struct world *world, const char *prefix, unsigned nth, enum fake_action action)
+{
+	world->rules[world->rule_count++] = (struct fake_rule){ prefix, nth, action, 0 };
+}
+
+void
+world_run (struct world *world, int64_t us)
+{
+	int64_t end_us = clock_now_us () + us;
+
+	while (clock_now_us () < end_us)
+		loop_step (&world->loop, US_PER_MS);
+}
+
+static void
+handle_done (struct owner_request *request, const struct fs_execute_result *result)
+{
+	struct asked *asked = request->data;
+
+	asked->done++;
+	asked->done_us = clock_now_us ();
+	asked->outcome = result->outcome;
+	asked->reason = result->reason;
+	asked->retry_after_ms = result->retry_after_ms;
+	asked->is_replay = result->replayed;
+	asked->written = (struct log_position){ result->written.term, result->written.index };
+	asked->position =
+		(struct log_position){ result->server_position.term, result->server_position.index };
+	asked->age_ms = result->server_age_ms;
+	asked->transaction = result->transaction;
+	asked->is_primary = result->server_is_primary;
+	asked->primary = result->primary;
+	g_strlcpy (asked->message, result->message, sizeof asked->message);
+	if (result->cells.cells_len > 0)
+		g_strlcpy (asked->cell, *result->cells.cells_val[0], sizeof asked->cell);
+}
+
+void
+asked_prepare (struct asked *asked, const char *call, unsigned server, const char *id)
+{
+	memset (asked, 0, sizeof *asked);
+	asked->param = (char *) "x";
+	asked->params[0] = &asked->param;
+	asked->args.service = (char *) "letters";
+	asked->args.call = (char *) call;
+	asked->args.database = (char *) "ledger";
+	asked->args.server = server;
+	asked->args.request_id = (char *) id;
+	asked->args.tenant = (char *) "";
+	asked->args.params.params_len = 1;
+	asked->args.params.params_val = asked->params;
+	asked->request.args = &asked->args;
+	asked->request.deadline_us = clock_now_us () + US_PER_S;
+	asked->request.handle_done = handle_done;
+	asked->request.data = asked;
+}
+
+void
+asked_submit (struct world *world, struct asked *asked)
+{
+	owner_submit (&world->set, &asked->request);
+}
+
+void
+asked_wait (struct world *world, struct asked *asked)
+{
+	int64_t end_us = clock_now_us () + WORLD_LIMIT_US;
+
+	while (!asked->done && clock_now_us () < end_us)
+		loop_step (&world->loop, US_PER_MS);
+	g_assert_cmpuint (asked->done, ==, 1);
+}
+
+void
+asked_run (struct world *world, struct asked *asked, const char *call, unsigned server,
+           const char *id)
+{
+	asked_prepare (asked, call, server, id);
+	asked_submit (world, asked);
+	asked_wait (world, asked);
+}
