--- /dev/null
+++ b/tests/caller/caller.c
@@ -0,0 +1,338 @@
+/* Runs sessions against a list of entry VMs and checks every promise of the proxy; see --help. */
+#include "caller.h"
+
+#include "common/clock.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	POLL_MS = 5,
+	SETTLE_MS = 15000, /* Time for questions about unknown outcomes after the work. */
+	CHECK_MS = 30000,
+};
+
+struct options
+{
+	char *entries;
+	char *service;
+	char *prefix;
+	char *record;
+	char *load;
+	char *measure;
+	char *flood;
+	int databases;
+	int sessions;
+	int flood_sessions;
+	int seconds;
+	int seed;
+	int think_ms;
+	int report_ms;
+};
+
+static const char *const rank_names[] = { "urgent", "normal", "low" };
+static const int64_t rank_targets_ms[] = { 50, 200, 2000 };
+
+static void
+sessions_start_due (struct caller *caller, int64_t now_us)
+{
+	for (int i = 0; i < caller->session_count; i++)
+	{
+		struct session *session = &caller->sessions[i];
+
+		if (session->wake_us > 0 && session->wake_us <= now_us)
+			session_start (session, now_us);
+	}
+}
+
+static bool
+sessions_are_done (const struct caller *caller)
+{
+	for (int i = 0; i < caller->session_count; i++)
+	{
+		if (caller->sessions[i].wake_us != INT64_MAX)
+			return false;
+	}
+	return true;
+}
+
+static void
+caller_take_results (struct caller *caller)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read (caller->multi, &left)))
+	{
+		CURLcode result = message->data.result;
+		CURL *curl = message->easy_handle;
+		struct session *session;
+
+		curl_easy_getinfo (curl, CURLINFO_PRIVATE, &session);
+		curl_multi_remove_handle (caller->multi, curl);
+		session_finish (session, result, clock_now_us ());
+	}
+}
+
+/** Runs until every session has nothing left to do. */
+static void
+caller_run (struct caller *caller)
+{
+	int running;
+
+	for (int i = 0; i < caller->session_count; i++)
+		caller->sessions[i].wake_us = clock_now_us ();
+	while (!sessions_are_done (caller))
+	{
+		sessions_start_due (caller, clock_now_us ());
+		curl_multi_perform (caller->multi, &running);
+		caller_take_results (caller);
+		curl_multi_poll (caller->multi, NULL, 0, POLL_MS, NULL);
+	}
+}
+
+static void
+caller_work (struct caller *caller, int seconds)
+{
+	int64_t now_us = clock_now_us ();
+
+	caller->end_us = now_us + seconds * (int64_t) US_PER_S;
+	caller->give_up_us = caller->end_us + SETTLE_MS * US_PER_MS;
+	for (uint32_t i = 0; i < caller->database_count; i++)
+		caller->last_write_us[i] = now_us;
+	caller_run (caller);
+	for (uint32_t i = 0; i < caller->database_count; i++)
+		caller->write_gap_us[i] =
+			MAX (caller->write_gap_us[i], caller->end_us - caller->last_write_us[i]);
+}
+
+static void
+caller_check (struct caller *caller)
+{
+	caller->is_checking = true;
+	caller->give_up_us = clock_now_us () + CHECK_MS * US_PER_MS;
+	caller_run (caller);
+	records_check_groups (caller);
+}
+
+static int
+compare_numbers (const void *a, const void *b)
+{
+	int64_t left = *(const int64_t *) a, right = *(const int64_t *) b;
+
+	return left < right ? -1 : left > right;
+}
+
+static double
+percentile_ms (const GArray *sorted, unsigned percent)
+{
+	if (sorted->len == 0)
+		return 0;
+	return (double) g_array_index (sorted, int64_t, (sorted->len - 1) * percent / 100) / US_PER_MS;
+}
+
+static void
+print_ranks (const struct caller *caller)
+{
+	for (int rank = 0; rank < CALLER_RANK_COUNT; rank++)
+	{
+		GArray *latencies = caller->latencies[rank];
+		guint in_target = 0;
+
+		g_array_sort (latencies, compare_numbers);
+		while (in_target < latencies->len &&
+		       g_array_index (latencies, int64_t, in_target) <= rank_targets_ms[rank] * US_PER_MS)
+			in_target++;
+		printf ("rank=%s sent=%lu done=%u in_target=%.4f p50_ms=%.2f p99_ms=%.2f\n",
+		        rank_names[rank], caller->sent[rank], latencies->len,
+		        caller->sent[rank] ? (double) in_target / (double) caller->sent[rank] : 1.0,
+		        percentile_ms (latencies, 50), percentile_ms (latencies, 99));
+	}
+}
+
+static uint64_t
+print_summary (const struct caller *caller)
+{
+	static const char *const names[] = {
+#define VIOLATION_NAME(id, name) name,
+		VIOLATION_LIST (VIOLATION_NAME)
+#undef VIOLATION_NAME
+	};
+	unsigned states[RECORD_GROUPED + 1] = { 0 };
+	int64_t gap_us = 0;
+	uint64_t broken = 0;
+
+	for (guint i = 0; i < caller->records->len; i++)
+		states[g_array_index (caller->records, struct record, i).state]++;
+	for (uint32_t i = 0; i < caller->database_count; i++)
+	{
+		printf ("database=ledger%u longest_write_gap_ms=%ld\n", i, caller->write_gap_us[i] / 1000);
+		gap_us = MAX (gap_us, caller->write_gap_us[i]);
+	}
+	printf ("result done=%lu refused=%lu failed=%lu unknown=%lu asked_again=%lu acked=%u open=%u",
+	        caller->outcomes[CLASS_DONE], caller->outcomes[CLASS_REFUSED],
+	        caller->outcomes[CLASS_FAILED], caller->outcomes[CLASS_UNKNOWN], caller->asked_again,
+	        states[RECORD_ACKED], states[RECORD_OPEN] + states[RECORD_GROUPED]);
+	printf (" reads=%lu replica_read_share=%.4f failover_gap_ms=%ld", caller->reads,
+	        caller->reads ? (double) caller->replica_reads / (double) caller->reads : 0.0,
+	        gap_us / 1000);
+	for (int i = 0; i < VIOLATION_COUNT; i++)
+	{
+		printf (" %s=%lu", names[i], caller->violations[i]);
+		broken += caller->violations[i];
+	}
+	printf ("\n");
+	return broken;
+}
+
+static void
+caller_init (struct caller *caller, const struct options *options)
+{
+	char **entries = g_strsplit (options->entries, ",", MAX_ENTRIES);
+
+	memset (caller, 0, sizeof *caller);
+	for (; entries[caller->entry_count]; caller->entry_count++)
+		caller->entries[caller->entry_count] = entries[caller->entry_count];
+	g_free (entries);
+	caller->database_count = (uint32_t) options->databases;
+	caller->service = options->service;
+	caller->prefix = options->prefix;
+	caller->think_ms = options->think_ms;
+	caller->report_ms = options->report_ms;
+	for (int i = 0; options->flood && i < CALLER_RANK_COUNT; i++)
+	{
+		if (strcmp (options->flood, rank_names[i]) == 0)
+			caller->flood_rank = (enum caller_rank) i;
+	}
+	caller->random = g_rand_new_with_seed ((guint32) options->seed);
+	caller->multi = curl_multi_init ();
+	caller->records = g_array_new (FALSE, FALSE, sizeof (struct record));
+	for (int i = 0; i < CALLER_RANK_COUNT; i++)
+		caller->latencies[i] = g_array_new (FALSE, FALSE, sizeof (int64_t));
+	caller->session_count = options->sessions + (options->flood ? options->flood_sessions : 0);
+	caller->sessions = g_new0 (struct session, caller->session_count);
+	for (int i = 0; i < caller->session_count; i++)
+	{
+		struct session *session = &caller->sessions[i];
+
+		session->caller = caller;
+		session->number = (uint32_t) i;
+		session->is_flood = i >= options->sessions;
+		session->entry = (uint32_t) i % caller->entry_count;
+		session->answer = g_string_new ("");
+		session->own = g_array_new (FALSE, FALSE, sizeof (guint));
+	}
+}
+
+static void
+caller_finish (struct caller *caller)
+{
+	for (int i = 0; i < caller->session_count; i++)
+	{
+		struct session *session = &caller->sessions[i];
+
+		curl_easy_cleanup (session->curl);
+		curl_slist_free_all (session->headers);
+		g_string_free (session->answer, TRUE);
+		g_array_unref (session->own);
+		g_free (session->token);
+		g_free (session->handle);
+	}
+	for (guint i = 0; i < caller->records->len; i++)
+	{
+		g_free (caller_record (caller, i)->key);
+		g_free (caller_record (caller, i)->value);
+	}
+	for (int i = 0; i < CALLER_RANK_COUNT; i++)
+		g_array_unref (caller->latencies[i]);
+	for (uint32_t i = 0; i < caller->entry_count; i++)
+		g_free (caller->entries[i]);
+	g_array_unref (caller->records);
+	g_rand_free (caller->random);
+	g_free (caller->sessions);
+	curl_multi_cleanup (caller->multi);
+}
+
+static bool
+options_parse (struct options *options, int argc, char **argv)
+{
+	const GOptionEntry entries[] = {
+		{ "entries", 0, 0, G_OPTION_ARG_STRING, &options->entries, "entry VMs", "IP:PORT,..." },
+		{ "service", 0, 0, G_OPTION_ARG_STRING, &options->service, "service", "NAME" },
+		{ "databases", 0, 0, G_OPTION_ARG_INT, &options->databases, "ledger0 to ledgerN-1", "N" },
+		{ "sessions", 0, 0, G_OPTION_ARG_INT, &options->sessions, "sessions of the mix", "N" },
+		{ "seconds", 0, 0, G_OPTION_ARG_INT, &options->seconds, "length of the work", "N" },
+		{ "think-ms", 0, 0, G_OPTION_ARG_INT, &options->think_ms, "pause of a session", "MS" },
+		{ "report-ms", 0, 0, G_OPTION_ARG_INT, &options->report_ms, "run time of a report", "MS" },
+		{ "seed", 0, 0, G_OPTION_ARG_INT, &options->seed, "seed of the mix", "N" },
+		{ "prefix", 0, 0, G_OPTION_ARG_STRING, &options->prefix, "of keys; one a run", "TEXT" },
+		{ "record", 0, 0, G_OPTION_ARG_STRING, &options->record, "append all writes", "FILE" },
+		{ "check", 0, 0, G_OPTION_ARG_STRING, &options->load, "only check these writes", "FILE" },
+		{ "flood", 0, 0, G_OPTION_ARG_STRING, &options->flood, "also flood this rank", "RANK" },
+		{ "flood-sessions", 0, 0, G_OPTION_ARG_INT, &options->flood_sessions, "of the flood", "N" },
+		{ "measure", 0, 0, G_OPTION_ARG_STRING, &options->measure,
+		  "measure one read through the first entry VM and straight at this server", "IP:PORT" },
+		{ 0 },
+	};
+	GOptionContext *context =
+		g_option_context_new ("- run sessions and check the proxy's promises");
+	GError *error = NULL;
+	bool is_valid;
+
+	g_option_context_add_main_entries (context, entries, NULL);
+	is_valid = g_option_context_parse (context, &argc, &argv, &error) && options->entries &&
+	           options->databases <= MAX_DATABASES;
+	if (!is_valid)
+		fprintf (stderr, "caller: %s\n", error ? error->message : "--entries is required");
+	g_clear_error (&error);
+	g_option_context_free (context);
+	return is_valid;
+}
+
+int
+main (int argc, char **argv)
+{
+	struct options options = { .service = "letters",
+		                       .prefix = "k",
+		                       .databases = 3,
+		                       .sessions = 40,
+		                       .flood_sessions = 400,
+		                       .seconds = 10,
+		                       .seed = 1,
+		                       .think_ms = 20,
+		                       .report_ms = 20 };
+	struct caller caller;
+	uint64_t broken;
+
+	setvbuf (stdout, NULL, _IOLBF, 0);
+	if (!options_parse (&options, argc, argv))
+		return EXIT_FAILURE;
+	curl_global_init (CURL_GLOBAL_DEFAULT);
+	if (options.measure)
+	{
+		char *comma = strchr (options.entries, ',');
+
+		if (comma)
+			*comma = 0;
+		return measure_run (options.entries, options.service, options.measure, options.sessions,
+		                    options.seconds);
+	}
+	caller_init (&caller, &options);
+	if (options.load && records_load (&caller, options.load) < 0)
+	{
+		fprintf (stderr, "caller: cannot read %s\n", options.load);
+		return EXIT_FAILURE;
+	}
+	if (!options.load)
+		caller_work (&caller, options.seconds);
+	if (options.record && records_save (&caller, options.record) < 0)
+		fprintf (stderr, "caller: cannot write %s\n", options.record);
+	caller_check (&caller);
+	print_ranks (&caller);
+	broken = print_summary (&caller);
+	caller_finish (&caller);
+	curl_global_cleanup ();
+	return broken ? EXIT_FAILURE : EXIT_SUCCESS;
+}
