--- /dev/null
+++ b/tests/integration/database_group.h
@@ -0,0 +1,27 @@
+/**
+ * @file
+ * A database group of stand-in servers, each a process of its own on a free loopback port.
+ */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+enum
+{
+	GROUP_SERVERS = 3,
+};
+
+struct database_group
+{
+	uint16_t ports[GROUP_SERVERS];
+	GPid pids[GROUP_SERVERS];
+	char *peers;
+	char *directory;
+};
+
+/** Starts the servers and waits until they take connections; server 0 is the primary. */
+void database_group_start (struct database_group *group, const char *lag_ms,
+                           const char *connections);
+void database_group_kill (struct database_group *group, unsigned index);
+void database_group_stop (struct database_group *group);
--- /dev/null
+++ b/tests/integration/upstream_pg.c
@@ -0,0 +1,284 @@
+/* Guards against a driver that misreads an answer of the database group: an outcome that is not
+ * decided yet, a refused write, a lost connection, a position or a promised term. */
+#include "database_group.h"
+
+#include "common/clock.h"
+#include "flamingospring/upstream.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+
+enum
+{
+	LIMIT_US = 5 * US_PER_S,
+};
+
+/* One connection and what it told last. */
+struct client
+{
+	struct upstream upstream;
+	bool has_event;
+	bool is_closed;
+	int connect_error;
+	enum upstream_result result;
+	struct server_status status;
+	bool has_status;
+	char sqlstate[6];
+	char cell[64];
+	bool is_null;
+	size_t rows;
+};
+
+static struct loop loop;
+static struct database_group group;
+
+static void
+handle_connected (struct upstream *upstream, int error)
+{
+	struct client *client = upstream->data;
+
+	client->connect_error = error;
+	client->has_event = true;
+}
+
+static void
+handle_answer (struct upstream *upstream, const struct upstream_answer *answer)
+{
+	struct client *client = upstream->data;
+
+	g_assert_false (upstream->is_busy);
+	client->result = answer->result;
+	client->status = answer->status;
+	client->has_status = answer->has_status;
+	client->rows = answer->row_count;
+	g_strlcpy (client->sqlstate, answer->sqlstate, sizeof client->sqlstate);
+	client->cell[0] = 0;
+	client->is_null = answer->row_count > 0 && !answer->cells[0];
+	if (answer->row_count > 0 && answer->cells[0])
+		g_strlcpy (client->cell, answer->cells[0], sizeof client->cell);
+	client->has_event = true;
+}
+
+static void
+handle_closed (struct upstream *upstream)
+{
+	struct client *client = upstream->data;
+
+	client->is_closed = true;
+	client->has_event = true;
+}
+
+static const struct upstream_user_ops user_ops = {
+	.handle_connected = handle_connected,
+	.handle_answer = handle_answer,
+	.handle_closed = handle_closed,
+};
+
+static void
+wait_event (struct client *client)
+{
+	int64_t end_us = clock_now_us () + LIMIT_US;
+
+	while (!client->has_event && clock_now_us () < end_us)
+		loop_step (&loop, US_PER_MS);
+	g_assert_true (client->has_event);
+	client->has_event = false;
+}
+
+static int
+client_connect (struct client *client, unsigned server)
+{
+	memset (client, 0, sizeof *client);
+	upstream_pg_init (&client->upstream, &loop, &user_ops, client);
+	g_assert_cmpint (client->upstream.ops->connect (&client->upstream, INADDR_LOOPBACK,
+	                                                group.ports[server], "ledger"),
+	                 ==, 0);
+	wait_event (client);
+	return client->connect_error;
+}
+
+static enum upstream_result
+ask (struct client *client, const char *statement, const char *first, const char *second)
+{
+	const char *params[] = { first, second };
+	size_t count = second ? 2 : first ? 1 : 0;
+
+	g_assert_cmpint (client->upstream.ops->execute (&client->upstream, statement, params, count),
+	                 ==, 0);
+	g_assert_cmpint (client->upstream.ops->execute (&client->upstream, statement, params, count),
+	                 ==, -EBUSY);
+	wait_event (client);
+	return client->result;
+}
+
+static const char insert[] = "INSERT INTO ledger (key, value) VALUES ($1, $2)";
+static const char find[] = "SELECT value FROM ledger WHERE key = $1";
+
+static void
+test_answers (void)
+{
+	struct client primary;
+	struct client replica;
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&primary, 0), ==, 0);
+	g_assert_cmpint (client_connect (&replica, 1), ==, 0);
+	g_assert_cmpint (ask (&primary, insert, "a", "1"), ==, UPSTREAM_OK);
+	g_assert_true (primary.has_status);
+	g_assert_cmpuint (primary.status.position.term, ==, 1);
+	g_assert_cmpuint (primary.status.position.index, >, 0);
+	g_assert_cmpint (ask (&primary, find, "a", NULL), ==, UPSTREAM_OK);
+	g_assert_cmpstr (primary.cell, ==, "1");
+	g_assert_cmpint (ask (&primary, find, "b", NULL), ==, UPSTREAM_OK);
+	g_assert_cmpuint (primary.rows, ==, 0);
+	g_assert_cmpint (ask (&primary, insert, "a", "1"), ==, UPSTREAM_DUPLICATE);
+	g_assert_cmpstr (primary.sqlstate, ==, "23505");
+	g_assert_cmpint (ask (&primary, "SELEKT", NULL, NULL), ==, UPSTREAM_STATEMENT_ERROR);
+	g_assert_cmpint (ask (&replica, insert, "b", "1"), ==, UPSTREAM_NOT_PRIMARY);
+	/* A failed statement aborts the transaction, whose COMMIT rolls back. */
+	g_assert_cmpint (ask (&primary, "BEGIN", NULL, NULL), ==, UPSTREAM_OK);
+	g_assert_cmpint (ask (&primary, insert, "a", "1"), ==, UPSTREAM_DUPLICATE);
+	g_assert_cmpint (ask (&primary, "COMMIT", NULL, NULL), ==, UPSTREAM_STATEMENT_ERROR);
+	primary.upstream.ops->ask_status (&primary.upstream);
+	wait_event (&primary);
+	g_assert_true (primary.has_status && primary.status.is_primary);
+	g_assert_cmpuint (primary.status.promised_term, ==, 1);
+	replica.upstream.ops->ask_status (&replica.upstream);
+	wait_event (&replica);
+	g_assert_true (replica.has_status && !replica.status.is_primary);
+	upstream_pg_finish (&primary.upstream);
+	upstream_pg_finish (&replica.upstream);
+	database_group_stop (&group);
+}
+
+static void
+test_promotion (void)
+{
+	struct client clients[GROUP_SERVERS];
+
+	database_group_start (&group, "5", "16");
+	for (unsigned i = 0; i < GROUP_SERVERS; i++)
+		g_assert_cmpint (client_connect (&clients[i], i), ==, 0);
+	for (unsigned i = 1; i < GROUP_SERVERS; i++)
+	{
+		clients[i].upstream.ops->fence (&clients[i].upstream, 2, 7);
+		wait_event (&clients[i]);
+		g_assert_cmpint (clients[i].result, ==, UPSTREAM_OK);
+		g_assert_cmpuint (clients[i].status.promised_term, ==, 2);
+	}
+	clients[1].upstream.ops->fence (&clients[1].upstream, 2, 8);
+	wait_event (&clients[1]);
+	g_assert_cmpint (clients[1].result, ==, UPSTREAM_TERM_REJECTED);
+	clients[1].upstream.ops->promote (&clients[1].upstream, 2, 8);
+	wait_event (&clients[1]);
+	g_assert_cmpint (clients[1].result, ==, UPSTREAM_TERM_REJECTED);
+	clients[1].upstream.ops->promote (&clients[1].upstream, 2, 7);
+	wait_event (&clients[1]);
+	g_assert_cmpint (clients[1].result, ==, UPSTREAM_OK);
+	g_assert_true (clients[1].status.is_primary);
+	g_assert_cmpuint (clients[1].status.position.term, ==, 2);
+	for (unsigned i = 0; i < GROUP_SERVERS; i++)
+		upstream_pg_finish (&clients[i].upstream);
+	database_group_stop (&group);
+}
+
+static void
+test_lost (void)
+{
+	struct client busy;
+	struct client idle;
+	struct client after;
+	const char *params[] = { "1000" };
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&busy, 0), ==, 0);
+	g_assert_cmpint (client_connect (&idle, 0), ==, 0);
+	busy.upstream.ops->execute (&busy.upstream, "SELECT report($1)", params, 1);
+	for (int i = 0; i < 20; i++)
+		loop_step (&loop, US_PER_MS);
+	database_group_kill (&group, 0);
+	wait_event (&busy);
+	g_assert_cmpint (busy.result, ==, UPSTREAM_LOST);
+	g_assert_false (busy.is_closed);
+	wait_event (&idle);
+	g_assert_true (idle.is_closed);
+	g_assert_cmpint (idle.upstream.ops->execute (&idle.upstream, find, params, 1), ==, -ENOTCONN);
+	g_assert_cmpint (client_connect (&after, 0), ==, -ECONNREFUSED);
+	/* The same memory connects again. */
+	g_assert_cmpint (
+		idle.upstream.ops->connect (&idle.upstream, INADDR_LOOPBACK, group.ports[1], "ledger"), ==,
+		0);
+	wait_event (&idle);
+	g_assert_cmpint (idle.connect_error, ==, 0);
+	g_assert_cmpint (ask (&idle, find, "a", NULL), ==, UPSTREAM_OK);
+	upstream_pg_finish (&busy.upstream);
+	upstream_pg_finish (&idle.upstream);
+	upstream_pg_finish (&after.upstream);
+	database_group_stop (&group);
+}
+
+static void
+test_lost_commit (void)
+{
+	struct client client;
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&client, 0), ==, 0);
+	g_assert_cmpint (ask (&client, "SELECT standin_fault($1, $2)", "drop_commits", "1"), ==,
+	                 UPSTREAM_OK);
+	g_assert_cmpint (ask (&client, "BEGIN", NULL, NULL), ==, UPSTREAM_OK);
+	g_assert_cmpint (ask (&client, insert, "a", "1"), ==, UPSTREAM_OK);
+	g_assert_cmpint (ask (&client, "COMMIT", NULL, NULL), ==, UPSTREAM_LOST);
+	upstream_pg_finish (&client.upstream);
+	database_group_stop (&group);
+}
+
+static void
+test_connection_limit (void)
+{
+	struct client clients[3];
+
+	database_group_start (&group, "5", "2");
+	g_assert_cmpint (client_connect (&clients[0], 0), ==, 0);
+	g_assert_cmpint (client_connect (&clients[1], 0), ==, 0);
+	g_assert_cmpint (client_connect (&clients[2], 0), ==, -EUSERS);
+	for (size_t i = 0; i < G_N_ELEMENTS (clients); i++)
+		upstream_pg_finish (&clients[i].upstream);
+	database_group_stop (&group);
+}
+
+/* Larger than any socket buffer, so that sending and reading take several rounds of the loop. */
+static void
+test_large (void)
+{
+	struct client client;
+	char *text = g_strnfill (4 * 1024 * 1024, 'x');
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&client, 0), ==, 0);
+	g_assert_cmpint (ask (&client, insert, "a", text), ==, UPSTREAM_OK);
+	g_assert_cmpint (ask (&client, find, "a", NULL), ==, UPSTREAM_OK);
+	g_assert_cmpuint (client.rows, ==, 1);
+	upstream_pg_finish (&client.upstream);
+	database_group_stop (&group);
+	g_free (text);
+}
+
+int
+main (int argc, char **argv)
+{
+	int result;
+
+	g_test_init (&argc, &argv, NULL);
+	loop_init (&loop);
+	g_test_add_func ("/upstream_pg/answers", test_answers);
+	g_test_add_func ("/upstream_pg/promotion", test_promotion);
+	g_test_add_func ("/upstream_pg/lost", test_lost);
+	g_test_add_func ("/upstream_pg/lost_commit", test_lost_commit);
+	g_test_add_func ("/upstream_pg/connection_limit", test_connection_limit);
+	g_test_add_func ("/upstream_pg/large", test_large);
+	result = g_test_run ();
+	loop_finish (&loop);
+	return result;
+}
