--- a/tests/integration/database_group.c
+++ b/tests/integration/database_group.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -50,6 +51,13 @@
 	g_error ("no server listens on port %u", port);
 }
 
+/* A test that fails leaves no server behind. */
+static void
+end_with_parent (gpointer data)
+{
+	prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
 void
 database_group_start (struct database_group *group, const char *lag_ms, const char *connections)
 {
@@ -74,7 +82,7 @@
 			connections,      "--state",   state,      NULL
 		};
 
-		g_spawn_async (NULL, (char **) argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL,
+		g_spawn_async (NULL, (char **) argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, end_with_parent, NULL,
 		               &group->pids[i], &error);
 		g_assert_no_error (error);
 		g_free (address);
--- /dev/null
+++ b/tests/integration/owner_pg.c
@@ -0,0 +1,392 @@
+/* Guards against faults between the owner and real connections that scripted ones do not show:
+ * writes lost or repeated when answers are lost or the primary is replaced or killed. */
+#include "database_group.h"
+
+#include "common/clock.h"
+#include "common/counters.h"
+#include "flamingospring/owner.h"
+
+#include <libpq-fe.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	LIMIT_US = 5 * US_PER_S,
+	SELF = 1,
+	CALLS = 200,
+};
+
+static const char document_format[] =
+	"service: letters\n"
+	"session_keys:\n"
+	"  - {id: 1, secret: 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f}\n"
+	"databases:\n"
+	"  - name: ledger\n    slots: 2\n    connections: 16\n"
+	"    servers: [{address: \"127.0.0.1:%u\", zone: a}, {address: \"127.0.0.1:%u\", zone: b},"
+	" {address: \"127.0.0.1:%u\", zone: c}]\n"
+	"calls:\n"
+	"  - {name: find, database: ledger, kind: read, params: 1,"
+	" statement: \"SELECT value FROM ledger WHERE key = $1\"}\n"
+	"  - {name: recent, database: ledger, kind: read, consistency: bounded, max_age_ms: 300,"
+	" params: 1, statement: \"SELECT value FROM ledger WHERE key = $1\"}\n"
+	"  - {name: add, database: ledger, kind: write, params: 2,"
+	" statement: \"UPDATE ledger SET value = value + $2 WHERE key = $1 RETURNING value\"}\n";
+
+struct fixture
+{
+	struct database_group group;
+	struct loop loop;
+	struct snapshot_source source;
+	struct snapshot_reader reader;
+	struct owner_settings settings;
+	struct owner_set set;
+};
+
+struct asked
+{
+	struct owner_request request;
+	struct fs_execute_args args;
+	char *params[2];
+	fs_value values[2];
+	bool is_done;
+	int outcome;
+	int reason;
+	bool is_replay;
+	struct log_position written;
+	uint32_t age_ms;
+	uint32_t lag_ms;
+	char cell[32];
+	int64_t start_us;
+	int64_t took_us;
+};
+
+static void
+publish (struct fixture *fixture, uint32_t primary, uint64_t term)
+{
+	struct snapshot *snapshot = snapshot_new (1, 0, 1);
+	struct snapshot_service *service = calloc (1, sizeof *service);
+	struct snapshot_group *group = &snapshot->groups[0];
+	char *text = g_strdup_printf (document_format, fixture->group.ports[0], fixture->group.ports[1],
+	                              fixture->group.ports[2]);
+	struct findings findings;
+
+	findings_init (&findings);
+	g_assert_cmpint (
+		schema_service_init (&service->schema, "test.yaml", text, strlen (text), &findings), ==, 0);
+	findings_finish (&findings);
+	service->references = 1;
+	snapshot->services[0] = service;
+	group->service = &service->schema;
+	group->database = &service->schema.databases[0];
+	group->has_primary = true;
+	group->term = term;
+	group->primary = primary;
+	for (unsigned i = 0; i < GROUP_SERVERS; i++)
+		group->servers[i].owners.owner = SELF;
+	snapshot_publish (&fixture->reader, snapshot);
+	if (fixture->set.loop)
+		owner_set_handle_snapshot (&fixture->set);
+	g_free (text);
+}
+
+static void
+set_up (struct fixture *fixture, gconstpointer data)
+{
+	memset (fixture, 0, sizeof *fixture);
+	database_group_start (&fixture->group, "20", "16");
+	loop_init (&fixture->loop);
+	snapshot_source_init (&fixture->source);
+	snapshot_reader_init (&fixture->reader, &fixture->source);
+	publish (fixture, 0, 1);
+	fixture->settings.vm_id = SELF;
+	fixture->settings.acknowledge_timeout_us = US_PER_S;
+	owner_set_init (&fixture->set, &fixture->loop, &fixture->reader, &fixture->settings);
+}
+
+static void
+tear_down (struct fixture *fixture, gconstpointer data)
+{
+	owner_set_finish (&fixture->set);
+	snapshot_reader_finish (&fixture->reader);
+	snapshot_source_finish (&fixture->source);
+	loop_finish (&fixture->loop);
+	database_group_stop (&fixture->group);
+	g_assert_cmpuint (counter_get (COUNTER_INVARIANT_VIOLATIONS), ==, 0);
+}
+
+static void
+handle_done (struct owner_request *request, const struct fs_execute_result *result)
+{
+	struct asked *asked = request->data;
+
+	g_assert_false (asked->is_done);
+	asked->is_done = true;
+	asked->took_us = clock_now_us () - asked->start_us;
+	asked->outcome = result->outcome;
+	asked->reason = result->reason;
+	asked->is_replay = result->replayed;
+	asked->written = (struct log_position){ result->written.term, result->written.index };
+	asked->age_ms = result->server_age_ms;
+	asked->lag_ms = result->server_lag_ms;
+	if (result->cells.cells_len > 0 && result->cells.cells_val[0])
+		g_strlcpy (asked->cell, *result->cells.cells_val[0], sizeof asked->cell);
+}
+
+static void
+submit (struct fixture *fixture, struct asked *asked, const char *call, unsigned server,
+        const char *id)
+{
+	memset (asked, 0, sizeof *asked);
+	asked->params[0] = (char *) "sum";
+	asked->params[1] = (char *) "1";
+	asked->values[0] = &asked->params[0];
+	asked->values[1] = &asked->params[1];
+	asked->args.service = (char *) "letters";
+	asked->args.call = (char *) call;
+	asked->args.database = (char *) "ledger";
+	asked->args.server = server;
+	asked->args.request_id = (char *) id;
+	asked->args.tenant = (char *) "";
+	asked->args.params.params_len = strcmp (call, "add") == 0 ? 2 : 1;
+	asked->args.params.params_val = asked->values;
+	asked->start_us = clock_now_us ();
+	asked->request.args = &asked->args;
+	asked->request.deadline_us = asked->start_us + 3 * US_PER_S;
+	asked->request.handle_done = handle_done;
+	asked->request.data = asked;
+	owner_submit (&fixture->set, &asked->request);
+}
+
+static void
+wait_done (struct fixture *fixture, struct asked *asked)
+{
+	int64_t end_us = clock_now_us () + LIMIT_US;
+
+	while (!asked->is_done && clock_now_us () < end_us)
+		loop_step (&fixture->loop, US_PER_MS);
+	g_assert_true (asked->is_done);
+}
+
+static void
+run (struct fixture *fixture, struct asked *asked, const char *call, unsigned server,
+     const char *id)
+{
+	submit (fixture, asked, call, server, id);
+	wait_done (fixture, asked);
+}
+
+static void
+run_for (struct fixture *fixture, int64_t us)
+{
+	for (int64_t end_us = clock_now_us () + us; clock_now_us () < end_us;)
+		loop_step (&fixture->loop, US_PER_MS);
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+	int64_t first = *(const int64_t *) a;
+	int64_t second = *(const int64_t *) b;
+
+	return first < second ? -1 : first > second;
+}
+
+static void
+report_times (const char *name, int64_t *times, size_t count)
+{
+	qsort (times, count, sizeof *times, compare_times);
+	g_test_message ("%s: median %" G_GINT64_FORMAT " us, p99 %" G_GINT64_FORMAT " us", name,
+	                times[count / 2], times[count * 99 / 100]);
+}
+
+static void
+test_calls (struct fixture *fixture, gconstpointer data)
+{
+	struct asked asked;
+	int64_t reads[CALLS];
+	int64_t writes[CALLS];
+	char id[16];
+
+	for (unsigned i = 0; i < CALLS; i++)
+	{
+		g_snprintf (id, sizeof id, "id-%u", i);
+		run (fixture, &asked, "add", 0, id);
+		g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+		writes[i] = asked.took_us;
+		/* The session's own write, read at a replica. */
+		if (i == 0)
+		{
+			struct log_position written = asked.written;
+
+			submit (fixture, &asked, "find", 1, "");
+			asked.args.required = (fs_position){ written.term, written.index };
+			wait_done (fixture, &asked);
+			g_assert_cmpstr (asked.cell, ==, "1");
+		}
+		run (fixture, &asked, "find", 0, "");
+		g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+		reads[i] = asked.took_us;
+	}
+	g_assert_cmpint (atoi (asked.cell), ==, CALLS);
+	run (fixture, &asked, "add", 0, "id-0");
+	g_assert_true (asked.is_replay);
+	g_assert_cmpstr (asked.cell, ==, "1");
+	report_times ("read", reads, CALLS);
+	report_times ("at-most-once write, replicas 20 ms behind", writes, CALLS);
+}
+
+/* A read with a token waits for the replica, and never sees less. */
+static void
+test_session (struct fixture *fixture, gconstpointer data)
+{
+	struct asked asked;
+	char id[16];
+
+	for (int i = 1; i <= 20; i++)
+	{
+		struct log_position written;
+		unsigned replica = 1 + (unsigned) i % 2;
+
+		g_snprintf (id, sizeof id, "id-%d", i);
+		run (fixture, &asked, "add", 0, id);
+		written = asked.written;
+		submit (fixture, &asked, "find", replica, "");
+		asked.args.required = (fs_position){ written.term, written.index };
+		wait_done (fixture, &asked);
+		if (asked.outcome == OUTCOME_DONE)
+			g_assert_cmpint (atoi (asked.cell), >=, i);
+		else
+			g_assert_cmpint (asked.reason, ==, REASON_BEHIND);
+	}
+}
+
+static void
+test_age (struct fixture *fixture, gconstpointer data)
+{
+	struct asked asked;
+	uint32_t highest_ms = 0;
+
+	run (fixture, &asked, "add", 0, "id");
+	for (int i = 0; i < 20; i++)
+	{
+		run (fixture, &asked, "recent", 1, "");
+		g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+		if (asked.age_ms > highest_ms)
+			highest_ms = asked.age_ms;
+	}
+	g_assert_cmpuint (highest_ms, <=, 300);
+	g_test_message ("highest age %u ms, lag %u ms", highest_ms, asked.lag_ms);
+	/* The primary dies; the age grows past the limit of 300 ms. */
+	database_group_kill (&fixture->group, 0);
+	run_for (fixture, 350 * US_PER_MS);
+	run (fixture, &asked, "recent", 1, "");
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_REFUSED);
+	g_assert_cmpint (asked.reason, ==, REASON_TOO_OLD);
+}
+
+/* Runs a statement on a connection of the test itself. */
+static void
+ask_server (const struct fixture *fixture, unsigned server, const char *statement)
+{
+	char *info = g_strdup_printf ("hostaddr=127.0.0.1 port=%u dbname=ledger user=test "
+	                              "sslmode=disable gssencmode=disable",
+	                              fixture->group.ports[server]);
+	PGconn *connection = PQconnectdb (info);
+	PGresult *result = PQexec (connection, statement);
+
+	g_assert_cmpint (PQresultStatus (result), ==, PGRES_TUPLES_OK);
+	PQclear (result);
+	PQfinish (connection);
+	g_free (info);
+}
+
+/* Answers of statements and of commits get lost: each id is applied once. */
+static void
+test_lost_answers (struct fixture *fixture, gconstpointer data)
+{
+	static const char *const faults[] = {
+		"SELECT standin_fault('drop_commits', '1')",
+		"SELECT standin_fault('drop_commits', '2')",
+		"SELECT standin_fault('drop_answers', '1')",
+		"SELECT standin_fault('drop_answers', '3')",
+	};
+	struct asked asked;
+	unsigned replays = 0;
+	char id[16];
+
+	for (unsigned i = 0; i < 40; i++)
+	{
+		g_snprintf (id, sizeof id, "id-%u", i);
+		ask_server (fixture, 0, faults[i % G_N_ELEMENTS (faults)]);
+		run (fixture, &asked, "add", 0, id);
+		g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+		g_assert_cmpint (atoi (asked.cell), ==, (int) i + 1);
+		replays += asked.is_replay;
+	}
+	/* Of two lost commits the second hits the next call, since a replay commits nothing. */
+	g_assert_cmpuint (replays, ==, 30);
+	run (fixture, &asked, "find", 0, "");
+	g_assert_cmpstr (asked.cell, ==, "40");
+}
+
+/* The primary is cut off, a replica is promoted, and the calls go on there under their ids. The sum
+ * tells lost and repeated writes: it is the number of ids. */
+static void
+test_failover (struct fixture *fixture, gconstpointer data)
+{
+	struct asked asked[CALLS];
+	unsigned done = 0;
+	unsigned unknown = 0;
+	char ids[CALLS][16];
+
+	for (unsigned i = 0; i < CALLS; i++)
+	{
+		g_snprintf (ids[i], sizeof ids[i], "id-%u", i);
+		submit (fixture, &asked[i], "add", 0, ids[i]);
+		if (i != CALLS / 2)
+			continue;
+		run_for (fixture, 100 * US_PER_MS);
+		ask_server (fixture, 0, "SELECT standin_fault('cut_replication', '1')");
+	}
+	run_for (fixture, 300 * US_PER_MS);
+	ask_server (fixture, 1, "SELECT * FROM group_fence(2, 'test')");
+	ask_server (fixture, 2, "SELECT * FROM group_fence(2, 'test')");
+	ask_server (fixture, 1, "SELECT * FROM group_promote(2, 'test')");
+	publish (fixture, 1, 2);
+	for (unsigned i = 0; i < CALLS; i++)
+	{
+		wait_done (fixture, &asked[i]);
+		done += asked[i].outcome == OUTCOME_DONE;
+		unknown += asked[i].outcome == OUTCOME_UNKNOWN;
+		g_assert_cmpint (asked[i].outcome, !=, OUTCOME_FAILED);
+	}
+	g_test_message ("%u done, %u unknown, %u refused", done, unknown, CALLS - done - unknown);
+	g_assert_cmpuint (done, >, 0);
+	g_assert_cmpuint (unknown, >, 0);
+	for (unsigned i = 0; i < CALLS; i++)
+	{
+		bool was_done = asked[i].outcome == OUTCOME_DONE;
+
+		run (fixture, &asked[i], "add", 1, ids[i]);
+		g_assert_cmpint (asked[i].outcome, ==, OUTCOME_DONE);
+		/* An acknowledged write is there after the promotion. */
+		if (was_done)
+			g_assert_true (asked[i].is_replay);
+	}
+	run (fixture, &asked[0], "find", 1, "");
+	g_assert_cmpint (atoi (asked[0].cell), ==, CALLS);
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_add ("/owner_pg/calls", struct fixture, NULL, set_up, test_calls, tear_down);
+	g_test_add ("/owner_pg/session", struct fixture, NULL, set_up, test_session, tear_down);
+	g_test_add ("/owner_pg/age", struct fixture, NULL, set_up, test_age, tear_down);
+	g_test_add ("/owner_pg/lost_answers", struct fixture, NULL, set_up, test_lost_answers,
+	            tear_down);
+	g_test_add ("/owner_pg/failover", struct fixture, NULL, set_up, test_failover, tear_down);
+	return g_test_run ();
+}
