--- a/flamingospring/owner.c
+++ b/flamingospring/owner.c
@@ -12,6 +12,9 @@
 {
 	OWNER_POLL_US = US_PER_MS,          /* While writes or reads wait for a position. */
 	OWNER_CATCH_UP_US = 10 * US_PER_MS, /* While a round of questions is not answered. */
+	/* Requests wait and the server has told nothing for so long: its status is asked for, since
+	 * the answers to statements may be due much later. */
+	OWNER_QUIET_US = 200 * US_PER_MS,
 	OWNER_MAINTAIN_US = US_PER_S,       /* Idle connections, lag measurement. */
 	OWNER_LAG_ACTIVE_US = 2 * US_PER_S, /* The lag is measured this long after a read. */
 	OWNER_OBSERVE_US = 100 * US_PER_MS, /* Between equal observations: the alert poll period. */
@@ -79,7 +82,15 @@
 	owner_observe (owner, owner->server, answered, NULL);
 }
 
+/* A slow statement must not start a failover: the status question, which takes no slot, tells. */
+static void
+handle_pool_doubt (void *data)
+{
+	owner_ask_self (data, true);
+}
+
 static const struct owner_pool_ops pool_ops = {
+	.handle_doubt = handle_pool_doubt,
 	.handle_answered = handle_pool_answered,
 };
 
@@ -194,6 +205,8 @@
 		due_us = now_us + OWNER_POLL_US;
 	else if (owner->freshness.pending_count > 0 && due_us > now_us + OWNER_CATCH_UP_US)
 		due_us = now_us + OWNER_CATCH_UP_US;
+	if (owner->tasks.length > 0 && due_us > now_us + OWNER_QUIET_US)
+		due_us = now_us + OWNER_QUIET_US;
 	if (due_us > owner->maintained_us + OWNER_MAINTAIN_US)
 		due_us = owner->maintained_us + OWNER_MAINTAIN_US;
 	if (owner->timer.slot == 0 || owner->timer.due_us > due_us)
@@ -257,6 +270,12 @@
 	free (owner);
 }
 
+static bool
+owner_is_quiet (const struct owner *owner, int64_t now_us)
+{
+	return owner->tasks.length > 0 && now_us - owner->position_at_us >= OWNER_QUIET_US;
+}
+
 static void
 handle_owner_timer (struct loop_timer *timer, int64_t now_us)
 {
@@ -265,7 +284,7 @@
 	owner_acknowledge_settle (owner);
 	owner_acknowledge_poll (owner, now_us);
 	owner_check_reads (owner);
-	if (owner->freshness.pending_count > 0)
+	if (owner->freshness.pending_count > 0 || owner_is_quiet (owner, now_us))
 		owner_ask_self (owner, false);
 	if (now_us - owner->maintained_us >= OWNER_MAINTAIN_US)
 		owner_maintain (owner, now_us);
--- a/flamingospring/owner_pool.c
+++ b/flamingospring/owner_pool.c
@@ -261,7 +261,7 @@
 	if (answer->result == UPSTREAM_LOST)
 	{
 		connection_reset (connection);
-		pool->ops->handle_answered (pool->data, false);
+		pool->ops->handle_doubt (pool->data);
 	}
 	else
 		pool->ops->handle_answered (pool->data, true);
@@ -296,12 +296,13 @@
 	bool was_connecting = connection->state == POOL_CONNECTING;
 
 	connection_close (connection);
-	pool->ops->handle_answered (pool->data, false);
 	if (was_connecting)
 	{
 		pool_count_failure (pool, -ETIMEDOUT, now_us);
+		pool->ops->handle_answered (pool->data, false);
 		return;
 	}
+	pool->ops->handle_doubt (pool->data);
 	counter_add (COUNTER_OVERDUE_CONNECTIONS, 1);
 	log_event (LOG_LEVEL_WARN, "answer_overdue", "database=%s", pool->database);
 	if (user)
--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -290,7 +290,7 @@
 		return;
 	/* Not sent: another connection may do. */
 	task->state = TASK_STARTING;
-	owner->pool.ops->handle_answered (owner, false);
+	owner_ask_self (owner, true);
 	if (task->uses_once)
 		owner_once_handle_lost (task, false);
 	else
--- a/flamingospring/owner_set.c
+++ b/flamingospring/owner_set.c
@@ -192,7 +192,7 @@
 	task = owner_task_new (owner, request, call, owner_tenant (service, request->args->tenant));
 	if (!task)
 		owner_reject (owner, request, OUTCOME_REFUSED, REASON_QUEUE_FULL, "out of memory", 0);
-	else if (call->is_write)
+	else if (task->is_write)
 		owner_task_admit (task);
 	else
 		owner_task_check (task);
--- a/include/flamingospring/owner_pool.h
+++ b/include/flamingospring/owner_pool.h
@@ -48,8 +48,10 @@
 
 struct owner_pool_ops
 {
-	/** The server answered, refused a connection or stayed silent. */
+	/** The server answered a statement, or a connection could not be opened. */
 	void (*handle_answered) (void *data, bool answered);
+	/** A connection broke or an answer is overdue; the server itself may be alive. */
+	void (*handle_doubt) (void *data);
 };
 
 struct owner_pool
--- a/tests/unit/owner.c
+++ b/tests/unit/owner.c
@@ -348,6 +348,30 @@
 	world_finish (&world);
 }
 
+/* A server that keeps its connections but answers nothing is reported long before the run limit; one
+ * that is only slow is not. */
+static void
+test_silence (void)
+{
+	struct world world;
+	struct asked asked;
+
+	world_start (&world);
+	asked_run (&world, &asked, "find", 0, "");
+	world_rule (&world, "READ", 1, FAKE_HANG);
+	world_rule (&world, "READ", 2, FAKE_HANG);
+	asked_prepare (&asked, "find", 0, "");
+	asked_submit (&world, &asked);
+	world_run (&world, 800 * US_PER_MS);
+	g_assert_cmpuint (world.silent_observed, ==, 0);
+	world.servers[0].is_mute = true;
+	asked_prepare (&asked, "find", 0, "");
+	asked_submit (&world, &asked);
+	world_run (&world, 800 * US_PER_MS);
+	g_assert_cmpuint (world.silent_observed, >, 0);
+	world_finish (&world);
+}
+
 static void
 test_connection_limit (void)
 {
@@ -502,6 +526,7 @@
 	g_test_add_func ("/owner/primary_read", test_primary_read);
 	g_test_add_func ("/owner/overload", test_overload);
 	g_test_add_func ("/owner/down", test_down);
+	g_test_add_func ("/owner/silence", test_silence);
 	g_test_add_func ("/owner/connection_limit", test_connection_limit);
 	g_test_add_func ("/owner/not_primary_is_reported", test_not_primary_is_reported);
 	g_test_add_func ("/owner/known_elsewhere", test_known_elsewhere);
