--- /dev/null
+++ b/tests/integration/caller.c
@@ -0,0 +1,235 @@
+/* Guards against a caller program that misses a broken promise: it runs against an entry VM that breaks
+ * one promise at a time, and must name exactly this one. */
+#include <glib.h>
+#include <json-glib/json-glib.h>
+#include <microhttpd.h>
+#include <stdbool.h>
+#include <string.h>
+#include <sys/wait.h>
+
+enum fault
+{
+	FAULT_NONE,
+	FAULT_LOSE_WRITE,
+	FAULT_DOUBLE,
+	FAULT_RUN_REFUSED,
+	FAULT_WRONG_ANSWER,
+	FAULT_MISS_ROW,
+	FAULT_HALF_COMMIT,
+	FAULT_UNKNOWN, /* Allowed: the caller asks again with the request id. */
+};
+
+enum
+{
+	FAULT_EVERY = 20, /* Payments between two faults. */
+};
+
+struct request
+{
+	GString *body;
+};
+
+/* State of the entry VM; its one thread is the only user while it runs. */
+static enum fault fault;
+static GHashTable *ledger;
+static GHashTable *pending; /* Writes of open transactions: handle and key to value. */
+static unsigned payments;
+static unsigned transactions;
+
+static bool
+fault_strikes (enum fault wanted)
+{
+	return fault == wanted && ++payments % FAULT_EVERY == 0;
+}
+
+static char *
+answer (const char *outcome, const char *cell)
+{
+	return g_strdup_printf ("{\"outcome\":\"%s\",\"role\":\"replica\",\"rows\":[%s%s%s]}", outcome,
+	                        cell ? "[\"" : "", cell ? cell : "", cell ? "\"]" : "");
+}
+
+static char *
+answer_payment (const char *key, const char *value)
+{
+	const char *first = g_hash_table_lookup (ledger, key);
+
+	if (first)
+		return answer ("done", first);
+	if (!fault_strikes (FAULT_LOSE_WRITE))
+		g_hash_table_replace (ledger, g_strdup (key), g_strdup (value));
+	if (fault_strikes (FAULT_DOUBLE))
+		g_hash_table_replace (ledger, g_strdup (key),
+		                      g_strdup_printf ("%d", 2 * (int) g_ascii_strtoll (value, NULL, 10)));
+	if (fault_strikes (FAULT_RUN_REFUSED))
+		return answer ("refused", NULL);
+	if (fault_strikes (FAULT_UNKNOWN))
+		return answer ("unknown", NULL);
+	return answer ("done", fault_strikes (FAULT_WRONG_ANSWER) ? "7" : value);
+}
+
+static char *
+answer_in_transaction (char **path, const char *key, const char *value)
+{
+	char *row = g_strdup_printf ("%s/%s", path[3], key ? key : "");
+	GHashTableIter iter;
+	void *name, *written;
+	unsigned count = 0;
+
+	if (value)
+		g_hash_table_replace (pending, g_strdup (row), g_strdup (value));
+	else if (key)
+	{
+		char *text = answer ("done", g_hash_table_lookup (pending, row));
+
+		g_free (row);
+		return text;
+	}
+	g_hash_table_iter_init (&iter, pending);
+	while (!key && strcmp (path[4], "commit") == 0 &&
+	       g_hash_table_iter_next (&iter, &name, &written))
+	{
+		if (g_str_has_prefix (name, row) && (fault != FAULT_HALF_COMMIT || count++ == 0))
+			g_hash_table_replace (ledger, g_strdup ((char *) name + strlen (row)),
+			                      g_strdup (written));
+	}
+	g_free (row);
+	return answer (fault == FAULT_HALF_COMMIT && !key ? "unknown" : "done", NULL);
+}
+
+static char *
+answer_call (const char *url, JsonObject *body)
+{
+	char **path = g_strsplit (url, "/", -1);
+	JsonArray *params = json_object_has_member (body, "params")
+	                        ? json_object_get_array_member (body, "params")
+	                        : NULL;
+	guint count = params ? json_array_get_length (params) : 0;
+	const char *key = count > 0 ? json_array_get_string_element (params, 0) : NULL;
+	const char *value = count > 1 ? json_array_get_string_element (params, 1) : NULL;
+	char *text;
+
+	if (g_str_has_suffix (url, "/transactions"))
+		text = g_strdup_printf ("{\"outcome\":\"done\",\"transaction\":\"t%u\"}", ++transactions);
+	else if (g_str_has_prefix (url, "/v1/transactions/"))
+		text = answer_in_transaction (path, key, value);
+	else if (value)
+		text = answer_payment (key, value);
+	else if (strstr (url, "letter_find") && fault_strikes (FAULT_MISS_ROW))
+		text = answer ("done", NULL);
+	else
+		text = answer ("done", strstr (url, "report") ? "0" : g_hash_table_lookup (ledger, key));
+	g_strfreev (path);
+	return text;
+}
+
+static enum MHD_Result
+handle_request (void *data, struct MHD_Connection *connection, const char *url, const char *method,
+                const char *version, const char *upload, size_t *upload_length, void **state)
+{
+	struct request *request = *state;
+	JsonParser *parser;
+	struct MHD_Response *response;
+	enum MHD_Result result;
+	char *text;
+
+	if (!request)
+	{
+		request = g_new0 (struct request, 1);
+		request->body = g_string_new ("");
+		*state = request;
+		return MHD_YES;
+	}
+	g_string_append_len (request->body, upload, (gssize) *upload_length);
+	if (*upload_length > 0)
+	{
+		*upload_length = 0;
+		return MHD_YES;
+	}
+	parser = json_parser_new ();
+	g_assert_true (json_parser_load_from_data (parser, request->body->str, -1, NULL));
+	text = answer_call (url, json_node_get_object (json_parser_get_root (parser)));
+	response = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_COPY);
+	result = MHD_queue_response (connection, MHD_HTTP_OK, response);
+	MHD_destroy_response (response);
+	g_free (text);
+	g_object_unref (parser);
+	return result;
+}
+
+static void
+handle_completed (void *data, struct MHD_Connection *connection, void **state,
+                  enum MHD_RequestTerminationCode code)
+{
+	struct request *request = *state;
+
+	if (request)
+		g_string_free (request->body, TRUE);
+	g_free (request);
+}
+
+static char *
+caller_run (uint16_t port, int *status)
+{
+	char *command = g_strdup_printf (CALLER " --entries 127.0.0.1:%u --databases 1 --sessions 8 "
+	                                        "--seconds 1 --think-ms 2",
+	                                 port);
+	GError *error = NULL;
+	char *output = NULL;
+
+	g_spawn_command_line_sync (command, &output, NULL, status, &error);
+	g_assert_no_error (error);
+	g_free (command);
+	return output;
+}
+
+static void
+test_faults (void)
+{
+	static const struct
+	{
+		enum fault fault;
+		const char *expected; /* In the summary; NULL: no broken promise. */
+	} cases[] = {
+		{ FAULT_NONE, NULL },
+		{ FAULT_UNKNOWN, NULL },
+		{ FAULT_LOSE_WRITE, "violation acked_lost" },
+		{ FAULT_DOUBLE, "violation doubled" },
+		{ FAULT_RUN_REFUSED, "violation refused_ran" },
+		{ FAULT_WRONG_ANSWER, "violation wrong_answer" },
+		{ FAULT_MISS_ROW, "violation own_missed" },
+		{ FAULT_HALF_COMMIT, "violation mixed" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+	{
+		struct MHD_Daemon *daemon =
+			MHD_start_daemon (MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL, handle_request, NULL,
+		                      MHD_OPTION_NOTIFY_COMPLETED, handle_completed, NULL, MHD_OPTION_END);
+		char *output;
+		int status;
+
+		g_assert_nonnull (daemon);
+		fault = cases[i].fault;
+		ledger = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+		pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+		output =
+			caller_run (MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT)->port, &status);
+		g_test_message ("fault %d: %s", cases[i].fault, strstr (output, "result"));
+		g_assert_true ((WEXITSTATUS (status) == 0) == (cases[i].expected == NULL));
+		if (cases[i].expected)
+			g_assert_nonnull (strstr (output, cases[i].expected));
+		MHD_stop_daemon (daemon);
+		g_hash_table_unref (ledger);
+		g_hash_table_unref (pending);
+		g_free (output);
+	}
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/caller/faults", test_faults);
+	return g_test_run ();
+}
