--- a/tests/integration/caller.c
+++ b/tests/integration/caller.c
@@ -168,29 +168,56 @@
 	g_free (request);
 }
 
-static char *
-caller_run (uint16_t port, int *status)
+/** @return the exit status of the caller program; free the output with g_free(). */
+static int
+caller_run (uint16_t port, char **output)
 {
 	char *command = g_strdup_printf (CALLER " --entries 127.0.0.1:%u --databases 1 --sessions 8 "
 	                                        "--seconds 1 --think-ms 2",
 	                                 port);
 	GError *error = NULL;
-	char *output = NULL;
+	int status;
 
-	g_spawn_command_line_sync (command, &output, NULL, status, &error);
+	g_spawn_command_line_sync (command, output, NULL, &status, &error);
 	g_assert_no_error (error);
 	g_free (command);
-	return output;
+	return WEXITSTATUS (status);
+}
+
+struct fault_case
+{
+	enum fault fault;
+	const char *expected; /* In the output; NULL: no broken promise. */
+};
+
+static void
+check_fault (const struct fault_case *fault_case)
+{
+	struct MHD_Daemon *daemon =
+		MHD_start_daemon (MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL, handle_request, NULL,
+	                      MHD_OPTION_NOTIFY_COMPLETED, handle_completed, NULL, MHD_OPTION_END);
+	char *output;
+	int status;
+
+	g_assert_nonnull (daemon);
+	fault = fault_case->fault;
+	ledger = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	status = caller_run (MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT)->port, &output);
+	g_test_message ("fault %d: %s", fault, strstr (output, "result"));
+	g_assert_true ((status == 0) == (fault_case->expected == NULL));
+	if (fault_case->expected)
+		g_assert_nonnull (strstr (output, fault_case->expected));
+	MHD_stop_daemon (daemon);
+	g_hash_table_unref (ledger);
+	g_hash_table_unref (pending);
+	g_free (output);
 }
 
 static void
 test_faults (void)
 {
-	static const struct
-	{
-		enum fault fault;
-		const char *expected; /* In the summary; NULL: no broken promise. */
-	} cases[] = {
+	static const struct fault_case cases[] = {
 		{ FAULT_NONE, NULL },
 		{ FAULT_UNKNOWN, NULL },
 		{ FAULT_LOSE_WRITE, "violation acked_lost" },
@@ -202,28 +229,7 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-	{
-		struct MHD_Daemon *daemon =
-			MHD_start_daemon (MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL, handle_request, NULL,
-		                      MHD_OPTION_NOTIFY_COMPLETED, handle_completed, NULL, MHD_OPTION_END);
-		char *output;
-		int status;
-
-		g_assert_nonnull (daemon);
-		fault = cases[i].fault;
-		ledger = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-		pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-		output =
-			caller_run (MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT)->port, &status);
-		g_test_message ("fault %d: %s", cases[i].fault, strstr (output, "result"));
-		g_assert_true ((WEXITSTATUS (status) == 0) == (cases[i].expected == NULL));
-		if (cases[i].expected)
-			g_assert_nonnull (strstr (output, cases[i].expected));
-		MHD_stop_daemon (daemon);
-		g_hash_table_unref (ledger);
-		g_hash_table_unref (pending);
-		g_free (output);
-	}
+		check_fault (&cases[i]);
 }
 
 int
