--- a/tests/caller/caller.c
+++ b/tests/caller/caller.c
@@ -125,31 +125,54 @@
 	return left < right ? -1 : left > right;
 }
 
-static double
-percentile_ms (const GArray *sorted, unsigned percent)
+double
+latencies_percentile_ms (GArray *latencies_us, unsigned percent)
 {
-	if (sorted->len == 0)
+	guint index;
+
+	if (latencies_us->len == 0)
 		return 0;
-	return (double) g_array_index (sorted, int64_t, (sorted->len - 1) * percent / 100) / US_PER_MS;
+	g_array_sort (latencies_us, compare_numbers);
+	index = (latencies_us->len - 1) * percent / 100;
+	return (double) g_array_index (latencies_us, int64_t, index) / US_PER_MS;
 }
 
 static void
-print_ranks (const struct caller *caller)
+print_rank (const struct latencies *latencies, enum caller_rank rank, const char *kind)
 {
-	for (int rank = 0; rank < CALLER_RANK_COUNT; rank++)
-	{
-		GArray *latencies = caller->latencies[rank];
-		guint in_target = 0;
-
-		g_array_sort (latencies, compare_numbers);
-		while (in_target < latencies->len &&
-		       g_array_index (latencies, int64_t, in_target) <= rank_targets_ms[rank] * US_PER_MS)
-			in_target++;
-		printf ("rank=%s sent=%lu done=%u in_target=%.4f p50_ms=%.2f p99_ms=%.2f\n",
-		        rank_names[rank], caller->sent[rank], latencies->len,
-		        caller->sent[rank] ? (double) in_target / (double) caller->sent[rank] : 1.0,
-		        percentile_ms (latencies, 50), percentile_ms (latencies, 99));
-	}
+	guint in_target = 0;
+
+	for (guint i = 0; i < latencies->done_us->len; i++)
+		in_target +=
+			g_array_index (latencies->done_us, int64_t, i) <= rank_targets_ms[rank] * US_PER_MS;
+	if (latencies->sent == 0)
+		return;
+	printf ("rank=%s kind=%s sent=%lu done=%u in_target=%.4f p50_ms=%.2f p99_ms=%.2f\n",
+	        rank_names[rank], kind, latencies->sent, latencies->done_us->len,
+	        (double) in_target / (double) latencies->sent,
+	        latencies_percentile_ms (latencies->done_us, 50),
+	        latencies_percentile_ms (latencies->done_us, 99));
+}
+
+void
+caller_count_reason (struct caller *caller, enum outcome_class class, const char *reason)
+{
+	static const char *const names[] = { "done", "refused", "failed", "unknown" };
+	char *name = g_strdup_printf ("%s:%s", names[class], reason);
+	int count = GPOINTER_TO_INT (g_hash_table_lookup (caller->reasons, name));
+
+	g_hash_table_replace (caller->reasons, name, GINT_TO_POINTER (count + 1));
+}
+
+static void
+print_reasons (const struct caller *caller)
+{
+	GHashTableIter iter;
+	void *name, *count;
+
+	g_hash_table_iter_init (&iter, caller->reasons);
+	while (g_hash_table_iter_next (&iter, &name, &count))
+		printf ("reason %s=%d\n", (char *) name, GPOINTER_TO_INT (count));
 }
 
 static uint64_t
@@ -209,8 +232,9 @@
 	caller->random = g_rand_new_with_seed ((guint32) options->seed);
 	caller->multi = curl_multi_init ();
 	caller->records = g_array_new (FALSE, FALSE, sizeof (struct record));
-	for (int i = 0; i < CALLER_RANK_COUNT; i++)
-		caller->latencies[i] = g_array_new (FALSE, FALSE, sizeof (int64_t));
+	caller->reasons = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+	for (int i = 0; i < CALLER_RANK_COUNT * 2; i++)
+		caller->latencies[i / 2][i % 2].done_us = g_array_new (FALSE, FALSE, sizeof (int64_t));
 	caller->session_count = options->sessions + (options->flood ? options->flood_sessions : 0);
 	caller->sessions = g_new0 (struct session, caller->session_count);
 	for (int i = 0; i < caller->session_count; i++)
@@ -245,8 +269,9 @@
 		g_free (caller_record (caller, i)->key);
 		g_free (caller_record (caller, i)->value);
 	}
-	for (int i = 0; i < CALLER_RANK_COUNT; i++)
-		g_array_unref (caller->latencies[i]);
+	for (int i = 0; i < CALLER_RANK_COUNT * 2; i++)
+		g_array_unref (caller->latencies[i / 2][i % 2].done_us);
+	g_hash_table_unref (caller->reasons);
 	for (uint32_t i = 0; i < caller->entry_count; i++)
 		g_free (caller->entries[i]);
 	g_array_unref (caller->records);
@@ -330,7 +355,12 @@
 	if (options.record && records_save (&caller, options.record) < 0)
 		fprintf (stderr, "caller: cannot write %s\n", options.record);
 	caller_check (&caller);
-	print_ranks (&caller);
+	for (int rank = 0; rank < CALLER_RANK_COUNT; rank++)
+	{
+		print_rank (&caller.latencies[rank][0], (enum caller_rank) rank, "read");
+		print_rank (&caller.latencies[rank][1], (enum caller_rank) rank, "write");
+	}
+	print_reasons (&caller);
 	broken = print_summary (&caller);
 	caller_finish (&caller);
 	curl_global_cleanup ();
--- a/tests/caller/caller.h
+++ b/tests/caller/caller.h
@@ -41,6 +41,7 @@
 	STEP_IDLE,
 	STEP_PAYMENT,
 	STEP_COMMISSION,
+	STEP_CONFIRM,
 	STEP_FIND,
 	STEP_AGE,
 	STEP_REPORT,
@@ -89,6 +90,13 @@
 	CALLER_RANK_COUNT,
 };
 
+/** Requests of the mix; the flood is left out. */
+struct latencies
+{
+	uint64_t sent;
+	GArray *done_us; /**< Of int64_t. */
+};
+
 struct caller;
 
 struct session
@@ -140,8 +148,8 @@
 	uint64_t reads;
 	int64_t last_write_us[MAX_DATABASES];
 	int64_t write_gap_us[MAX_DATABASES];
-	GArray *latencies[CALLER_RANK_COUNT]; /**< Of int64_t, done requests of the mix. */
-	uint64_t sent[CALLER_RANK_COUNT];
+	struct latencies latencies[CALLER_RANK_COUNT][2]; /**< Of reads and of other requests. */
+	GHashTable *reasons; /**< "OUTCOME:REASON" to the number of such answers. */
 };
 
 /** Starts the session's next request. */
@@ -152,6 +160,11 @@
 
 struct record *caller_record (struct caller *caller, guint index);
 
+void caller_count_reason (struct caller *caller, enum outcome_class class, const char *reason);
+
+/** Sorts the latencies. @return a percentile in milliseconds; 0 when there are none. */
+double latencies_percentile_ms (GArray *latencies_us, unsigned percent);
+
 /** Counts and prints a broken promise. */
 void caller_report (struct caller *caller, enum violation violation, const struct record *record,
                     const char *detail);
--- a/tests/caller/measure.c
+++ b/tests/caller/measure.c
@@ -69,6 +69,12 @@
 	curl_easy_setopt (curl, CURLOPT_URL, client->url);
 	curl_easy_setopt (curl, CURLOPT_POSTFIELDS, "{\"params\":[\"measured\"]}");
 	curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, ignore_body);
+	if (connection && PQstatus (connection) != CONNECTION_OK)
+	{
+		fprintf (stderr, "caller: %s", PQerrorMessage (connection));
+		client->errors++;
+		client->end_us = 0;
+	}
 	while (clock_now_us () < client->end_us)
 	{
 		int64_t start_us = clock_now_us ();
@@ -85,14 +91,6 @@
 	return NULL;
 }
 
-static int
-compare_latencies (const void *a, const void *b)
-{
-	int64_t left = *(const int64_t *) a, right = *(const int64_t *) b;
-
-	return left < right ? -1 : left > right;
-}
-
 /** @return the number of reads that failed. */
 static uint64_t
 measure_way (const char *way, const char *url, const char *server, int connections, int seconds)
@@ -116,12 +114,9 @@
 		g_array_unref (clients[i].latencies);
 		errors += clients[i].errors;
 	}
-	g_array_sort (all, compare_latencies);
 	printf ("measure way=%s connections=%d reads_per_s=%.0f p50_ms=%.2f p99_ms=%.2f errors=%lu\n",
-	        way, connections, (double) all->len / seconds,
-	        all->len ? (double) g_array_index (all, int64_t, all->len / 2) / US_PER_MS : 0.0,
-	        all->len ? (double) g_array_index (all, int64_t, all->len * 99 / 100) / US_PER_MS : 0.0,
-	        errors);
+	        way, connections, (double) all->len / seconds, latencies_percentile_ms (all, 50),
+	        latencies_percentile_ms (all, 99), errors);
 	g_array_unref (all);
 	g_free (threads);
 	g_free (clients);
--- a/tests/caller/session.c
+++ b/tests/caller/session.c
@@ -20,7 +20,7 @@
 	enum step step;
 	int percent;
 } mix[] = {
-	{ STEP_PAYMENT, 20 }, { STEP_COMMISSION, 10 }, { STEP_FIND, 40 },
+	{ STEP_PAYMENT, 20 }, { STEP_COMMISSION, 10 }, { STEP_CONFIRM, 15 }, { STEP_FIND, 25 },
 	{ STEP_AGE, 20 },     { STEP_REPORT, 5 },      { STEP_BEGIN, 5 },
 };
 
@@ -34,6 +34,7 @@
 } steps[] = {
 	[STEP_PAYMENT] = { "payment_add", CALLER_URGENT, 2000, true, false },
 	[STEP_COMMISSION] = { "commission_add", CALLER_NORMAL, 5000, true, false },
+	[STEP_CONFIRM] = { "confirmation_find", CALLER_URGENT, 2000, false, true },
 	[STEP_FIND] = { "letter_find", CALLER_NORMAL, 5000, false, true },
 	[STEP_AGE] = { "letter_age", CALLER_NORMAL, 5000, false, true },
 	[STEP_REPORT] = { "day_report", CALLER_LOW, 10000, false, true },
@@ -52,6 +53,7 @@
 	enum outcome_class class;
 	const char *value;  /* First cell; NULL: no row. */
 	const char *handle; /* Of a started transaction. */
+	const char *reason;
 	bool is_replica;
 	bool is_duplicate;
 };
@@ -142,7 +144,8 @@
 	session->step = session_pick_step (session);
 	session->database =
 		(uint32_t) g_rand_int_range (caller->random, 0, (gint32) caller->database_count);
-	if (session->step == STEP_FIND && !session_pick_own (session))
+	if ((session->step == STEP_FIND || session->step == STEP_CONFIRM) &&
+	    !session_pick_own (session))
 		session->step = STEP_PAYMENT;
 	if (session->step == STEP_AGE && !session_pick_old (session, now_us))
 		session->step = session->is_flood ? STEP_REPORT : STEP_PAYMENT;
@@ -330,17 +333,20 @@
 }
 
 static void
-reply_parse (struct reply *reply, JsonParser *parser, const GString *text, CURLcode result)
+reply_parse (struct reply *reply, JsonParser *parser, const struct session *session,
+             CURLcode result)
 {
 	static const char *const names[] = { "done", "refused", "failed", "unknown" };
 	JsonNode *root;
 	JsonObject *object;
+	long sent_bytes = 0;
 
-	*reply = (struct reply){ .class = CLASS_UNKNOWN };
-	/* Without a connection, nothing was sent. */
-	if (result == CURLE_COULDNT_CONNECT)
+	*reply = (struct reply){ .class = CLASS_UNKNOWN, .reason = curl_easy_strerror (result) };
+	/* curl sends a request again on a new connection when a reused one breaks. */
+	curl_easy_getinfo (session->curl, CURLINFO_REQUEST_SIZE, &sent_bytes);
+	if (result == CURLE_COULDNT_CONNECT && sent_bytes == 0)
 		reply->class = CLASS_REFUSED;
-	if (result != CURLE_OK || !json_parser_load_from_data (parser, text->str, -1, NULL))
+	if (result != CURLE_OK || !json_parser_load_from_data (parser, session->answer->str, -1, NULL))
 		return;
 	root = json_parser_get_root (parser);
 	if (!root || !JSON_NODE_HOLDS_OBJECT (root))
@@ -351,6 +357,7 @@
 		if (strcmp (names[i], member_text (object, "outcome")) == 0)
 			reply->class = (enum outcome_class) i;
 	}
+	reply->reason = member_text (object, "reason");
 	reply->value = first_cell (object);
 	reply->handle = member_text (object, "transaction");
 	reply->is_replica = strcmp (member_text (object, "role"), "replica") == 0;
@@ -412,8 +419,7 @@
 	if (reply->value && strcmp (reply->value, record->value) != 0)
 		caller_report (caller, VIOLATION_WRONG_ANSWER, record, reply->value);
 	else if (!reply->value)
-		caller_report (caller,
-		               session->step == STEP_FIND ? VIOLATION_OWN_MISSED : VIOLATION_TOO_OLD,
+		caller_report (caller, session->step == STEP_AGE ? VIOLATION_TOO_OLD : VIOLATION_OWN_MISSED,
 		               record, NULL);
 }
 
@@ -482,15 +488,18 @@
 {
 	struct caller *caller = session->caller;
 	int64_t latency_us = now_us - session->sent_us;
-	enum caller_rank rank = steps[session->step].rank;
+	struct latencies *latencies =
+		&caller->latencies[steps[session->step].rank][!steps[session->step].is_replica_read];
 
 	caller->outcomes[reply->class]++;
+	if (reply->class != CLASS_DONE)
+		caller_count_reason (caller, reply->class, reply->reason);
 	caller->asked_again += session->asks_again;
 	if (session->is_flood)
 		return;
-	caller->sent[rank]++;
+	latencies->sent++;
 	if (reply->class == CLASS_DONE)
-		g_array_append_val (caller->latencies[rank], latency_us);
+		g_array_append_val (latencies->done_us, latency_us);
 }
 
 void
@@ -502,7 +511,7 @@
 	bool again = false;
 	int delay_ms = caller->think_ms;
 
-	reply_parse (&reply, parser, session->answer, result);
+	reply_parse (&reply, parser, session, result);
 	if (session->step != STEP_CHECK)
 		session_count (session, &reply, now_us);
 	if (session->step == STEP_CHECK)
