--- a/tests/caller/caller.c
+++ b/tests/caller/caller.c
@@ -155,10 +155,11 @@
 }
 
 void
-caller_count_reason (struct caller *caller, enum outcome_class class, const char *reason)
+caller_count_reason (struct caller *caller, enum outcome_class class, const char *call,
+                     const char *reason, const char *message)
 {
 	static const char *const names[] = { "done", "refused", "failed", "unknown" };
-	char *name = g_strdup_printf ("%s:%s", names[class], reason);
+	char *name = g_strdup_printf ("%s %s %s: %s", names[class], call, reason, message);
 	int count = GPOINTER_TO_INT (g_hash_table_lookup (caller->reasons, name));
 
 	g_hash_table_replace (caller->reasons, name, GINT_TO_POINTER (count + 1));
@@ -172,7 +173,7 @@
 
 	g_hash_table_iter_init (&iter, caller->reasons);
 	while (g_hash_table_iter_next (&iter, &name, &count))
-		printf ("reason %s=%d\n", (char *) name, GPOINTER_TO_INT (count));
+		printf ("reason count=%d %s\n", GPOINTER_TO_INT (count), (char *) name);
 }
 
 static uint64_t
--- a/tests/caller/caller.h
+++ b/tests/caller/caller.h
@@ -149,7 +149,7 @@
 	int64_t last_write_us[MAX_DATABASES];
 	int64_t write_gap_us[MAX_DATABASES];
 	struct latencies latencies[CALLER_RANK_COUNT][2]; /**< Of reads and of other requests. */
-	GHashTable *reasons; /**< "OUTCOME:REASON" to the number of such answers. */
+	GHashTable *reasons; /**< Outcome, call, reason and message to their number. */
 };
 
 /** Starts the session's next request. */
@@ -160,7 +160,8 @@
 
 struct record *caller_record (struct caller *caller, guint index);
 
-void caller_count_reason (struct caller *caller, enum outcome_class class, const char *reason);
+void caller_count_reason (struct caller *caller, enum outcome_class class, const char *call,
+                          const char *reason, const char *message);
 
 /** Sorts the latencies. @return a percentile in milliseconds; 0 when there are none. */
 double latencies_percentile_ms (GArray *latencies_us, unsigned percent);
--- a/tests/caller/session.c
+++ b/tests/caller/session.c
@@ -38,12 +38,12 @@
 	[STEP_FIND] = { "letter_find", CALLER_NORMAL, 5000, false, true },
 	[STEP_AGE] = { "letter_age", CALLER_NORMAL, 5000, false, true },
 	[STEP_REPORT] = { "day_report", CALLER_LOW, 10000, false, true },
-	[STEP_BEGIN] = { NULL, CALLER_NORMAL, 5000, false, false },
+	[STEP_BEGIN] = { "transactions", CALLER_NORMAL, 5000, false, false },
 	[STEP_FIRST_WRITE] = { "commission_add", CALLER_NORMAL, 5000, false, false },
 	[STEP_SECOND_WRITE] = { "commission_add", CALLER_NORMAL, 5000, false, false },
 	[STEP_READ_BACK] = { "letter_check", CALLER_NORMAL, 5000, false, false },
-	[STEP_COMMIT] = { NULL, CALLER_NORMAL, 5000, false, false },
-	[STEP_ROLLBACK] = { NULL, CALLER_NORMAL, 5000, false, false },
+	[STEP_COMMIT] = { "commit", CALLER_NORMAL, 5000, false, false },
+	[STEP_ROLLBACK] = { "rollback", CALLER_NORMAL, 5000, false, false },
 	[STEP_CHECK] = { "letter_check", CALLER_NORMAL, 5000, false, false },
 };
 
@@ -54,8 +54,8 @@
 	const char *value;  /* First cell; NULL: no row. */
 	const char *handle; /* Of a started transaction. */
 	const char *reason;
+	const char *message;
 	bool is_replica;
-	bool is_duplicate;
 };
 
 static struct record *
@@ -167,10 +167,9 @@
 	const char *call = steps[session->step].call;
 
 	if (session->step == STEP_BEGIN)
-		return g_strdup_printf ("http://%s/v1/services/%s/transactions", entry, caller->service);
-	if (!call)
-		return g_strdup_printf ("http://%s/v1/transactions/%s/%s", entry, session->handle,
-		                        session->step == STEP_COMMIT ? "commit" : "rollback");
+		return g_strdup_printf ("http://%s/v1/services/%s/%s", entry, caller->service, call);
+	if (session->step == STEP_COMMIT || session->step == STEP_ROLLBACK)
+		return g_strdup_printf ("http://%s/v1/transactions/%s/%s", entry, session->handle, call);
 	if (session->handle)
 		return g_strdup_printf ("http://%s/v1/transactions/%s/calls/%s_%u", entry, session->handle,
 		                        call, session->database);
@@ -341,7 +340,9 @@
 	JsonObject *object;
 	long sent_bytes = 0;
 
-	*reply = (struct reply){ .class = CLASS_UNKNOWN, .reason = curl_easy_strerror (result) };
+	*reply = (struct reply){ .class = CLASS_UNKNOWN,
+		                     .reason = curl_easy_strerror (result),
+		                     .message = "" };
 	/* curl sends a request again on a new connection when a reused one breaks. */
 	curl_easy_getinfo (session->curl, CURLINFO_REQUEST_SIZE, &sent_bytes);
 	if (result == CURLE_COULDNT_CONNECT && sent_bytes == 0)
@@ -361,7 +362,7 @@
 	reply->value = first_cell (object);
 	reply->handle = member_text (object, "transaction");
 	reply->is_replica = strcmp (member_text (object, "role"), "replica") == 0;
-	reply->is_duplicate = strstr (member_text (object, "message"), "duplicate key") != NULL;
+	reply->message = member_text (object, "message");
 }
 
 static void
@@ -387,7 +388,8 @@
 
 	/* A repeated insert that finds its key proves that the first one took effect. */
 	if (reply->class == CLASS_DONE ||
-	    (reply->class == CLASS_FAILED && reply->is_duplicate && session->step == STEP_COMMISSION))
+	    (reply->class == CLASS_FAILED && session->step == STEP_COMMISSION &&
+	     strstr (reply->message, "duplicate key")))
 	{
 		if (session->step == STEP_PAYMENT && g_strcmp0 (reply->value, record->value) != 0)
 			caller_report (session->caller, VIOLATION_WRONG_ANSWER, record, reply->value);
@@ -493,7 +495,8 @@
 
 	caller->outcomes[reply->class]++;
 	if (reply->class != CLASS_DONE)
-		caller_count_reason (caller, reply->class, reply->reason);
+		caller_count_reason (caller, reply->class, steps[session->step].call, reply->reason,
+		                     reply->message);
 	caller->asked_again += session->asks_again;
 	if (session->is_flood)
 		return;
