--- a/tests/caller/caller.c
+++ b/tests/caller/caller.c
@@ -317,11 +317,21 @@
 	return is_valid;
 }
 
+static void
+options_finish (struct options *options)
+{
+	char *const texts[] = { options->entries, options->service, options->prefix, options->record,
+		                    options->load,    options->measure, options->flood };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+		g_free (texts[i]);
+}
+
 int
 main (int argc, char **argv)
 {
-	struct options options = { .service = "letters",
-		                       .prefix = "k",
+	struct options options = { .service = g_strdup ("letters"),
+		                       .prefix = g_strdup ("k"),
 		                       .databases = 3,
 		                       .sessions = 40,
 		                       .flood_sessions = 400,
@@ -364,6 +374,7 @@
 	print_reasons (&caller);
 	broken = print_summary (&caller);
 	caller_finish (&caller);
+	options_finish (&options);
 	curl_global_cleanup ();
 	return broken ? EXIT_FAILURE : EXIT_SUCCESS;
 }
