--- /dev/null
+++ b/flamingospring/entry_attempt.c
@@ -0,0 +1,388 @@
+#include "common/clock.h"
+#include "common/counters.h"
+#include "flamingospring/entry_request.h"
+
+enum
+{
+	ATTEMPT_MAX = 32,
+	ATTEMPT_BACKOFF_MIN_US = 10 * US_PER_MS,
+	ATTEMPT_BACKOFF_MAX_US = 250 * US_PER_MS,
+	/* The owner answers at the deadline; the caller gets an answer soon after it in any case. */
+	ATTEMPT_GRACE_US = 150 * US_PER_MS,
+};
+
+/** Tries again after @p delay_us, or ends with the reason when the time is over by then. */
+static void
+request_wait (struct entry_request *request, enum reason reason, int64_t delay_us, int64_t now_us)
+{
+	int64_t due_us = now_us + delay_us;
+
+	request->wait_reason = reason;
+	request->is_waiting = true;
+	if (due_us > request->deadline_us)
+		due_us = request->deadline_us;
+	if (loop_set_timer (request->set->loop, &request->timer, due_us) < 0)
+		entry_request_finish_reason (request, OUTCOME_REFUSED, reason, "out of memory");
+}
+
+static int64_t
+request_backoff_us (struct entry_request *request)
+{
+	return backoff_delay_us (request->attempts, ATTEMPT_BACKOFF_MIN_US, ATTEMPT_BACKOFF_MAX_US,
+	                         random_next (&request->set->random_state));
+}
+
+static bool
+retry_is_allowed (struct entry_request *request, bool is_charged)
+{
+	if (request->set->is_stopped || request->attempts >= ATTEMPT_MAX)
+		return false;
+	if (is_charged && !retry_budget_take (&request->set->budget))
+		return false;
+	counter_add (COUNTER_RETRIES, 1);
+	return true;
+}
+
+/** Picks owner or standby; OWNERSHIP_NONE when neither is known. */
+static uint32_t
+choose_vm (const struct entry_request *request, const struct ownership *owners, int64_t now_us)
+{
+	const struct entry_set *set = request->set;
+	bool owner_is_bad =
+		owners->owner == OWNERSHIP_NONE || owners->owner == request->avoided_vm ||
+		(set->ops->vm_is_down && set->ops->vm_is_down (set->transport, owners->owner, now_us));
+
+	if (owner_is_bad && owners->standby != OWNERSHIP_NONE && owners->standby != request->avoided_vm)
+		return owners->standby;
+	return owners->owner;
+}
+
+static void
+fill_routing_request (const struct entry_request *request, struct routing_request *routing,
+                      int64_t now_us)
+{
+	const struct entry_plan *plan = &request->plan;
+
+	*routing = (struct routing_request){
+		.is_write = plan->is_write,
+		.consistency = plan->consistency,
+		.required = session_token_find (&plan->token, plan->database_hash),
+		.max_age_us = plan->max_age_us,
+		.deadline_us = request->deadline_us,
+		.excluded = request->excluded,
+	};
+	for (uint32_t i = 0; i < plan->token.count; i++)
+	{
+		uint64_t wall_ms = clock_wall_ns () / 1000000;
+		uint64_t written_ms = plan->token.entries[i].written_ms;
+
+		if (plan->token.entries[i].database != plan->database_hash || written_ms == 0)
+			continue;
+		/* The clocks of VMs differ; the time is a hint only. */
+		routing->required_at_us =
+			wall_ms > written_ms ? now_us - (int64_t) (wall_ms - written_ms) * US_PER_MS : now_us;
+	}
+}
+
+static enum reason
+missing_server_reason (const struct routing_server *servers, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+	{
+		if (servers[i].is_primary)
+			return servers[i].is_leaving ? REASON_LEAVING : REASON_UPSTREAM_DOWN;
+	}
+	return REASON_NO_PRIMARY;
+}
+
+/** Picks server and VM. @return REASON_NONE, or why there is none. */
+static enum reason
+request_route (struct entry_request *request, const struct snapshot *snapshot, int64_t now_us)
+{
+	const struct snapshot_group *group = snapshot_find_group (snapshot, request->plan.database);
+	struct routing_server servers[ROUTING_MAX_SERVERS];
+	struct routing_request routing;
+	size_t count;
+
+	if (!group)
+		return REASON_CONFIG_BEHIND;
+	count = known_group_routing (request->known, snapshot, group, servers, now_us);
+	fill_routing_request (request, &routing, now_us);
+	for (size_t tries = 0; tries < count; tries++)
+	{
+		struct routing_choice choice = routing_choose (
+			servers, count, &routing, random_next (&request->set->random_state), now_us);
+
+		if (choice.action == ROUTE_NONE)
+			break;
+		if (!known_group_allows (request->known, choice.server, now_us))
+		{
+			servers[choice.server].is_down = true;
+			continue;
+		}
+		request->args.server = choice.server;
+		request->execution.vm = choose_vm (request, &group->servers[choice.server].owners, now_us);
+		return request->execution.vm == OWNERSHIP_NONE ? REASON_NOT_OWNER : REASON_NONE;
+	}
+	return missing_server_reason (servers, count);
+}
+
+static enum reason
+request_route_pinned (struct entry_request *request, const struct snapshot *snapshot)
+{
+	request->args.server = request->plan.pinned_server;
+	request->execution.vm = request->plan.pinned_vm;
+	if (request->execution.vm == snapshot->self ||
+	    snapshot_find_member (snapshot, request->execution.vm))
+		return REASON_NONE;
+	return REASON_NO_TRANSACTION;
+}
+
+static void
+request_execute (struct entry_request *request, int64_t now_us)
+{
+	struct entry_set *set = request->set;
+	int64_t left_ms = (request->deadline_us - now_us) / US_PER_MS;
+
+	request->route_span =
+		trace_span_start (&request->accept_span.context, "route", random_next (&set->random_state));
+	request->execution.trace = request->route_span.context;
+	request->execution.deadline_us = request->deadline_us;
+	request->args.budget_ms = left_ms > 0 ? (u_int) left_ms : 1;
+	request->attempts++;
+	request->is_executing = true;
+	loop_set_timer (set->loop, &request->timer, request->deadline_us + ATTEMPT_GRACE_US);
+	set->ops->execute (set->transport, &request->execution);
+}
+
+/** The VM of a transaction is gone from the fleet. */
+static void
+request_finish_without_vm (struct entry_request *request)
+{
+	if (request->call->operation == FS_OPERATION_COMMIT)
+		entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST,
+		                       "the VM of the transaction is gone");
+	else
+		entry_request_finish_reason (request, OUTCOME_FAILED, REASON_NO_TRANSACTION,
+		                       "the VM of the transaction is gone");
+}
+
+void
+entry_request_attempt (struct entry_request *request, int64_t now_us)
+{
+	const struct snapshot *snapshot;
+	const struct schema_service *service;
+	enum reason reason;
+
+	request->is_waiting = false;
+	if (now_us >= request->deadline_us)
+	{
+		entry_request_finish_reason (request, OUTCOME_REFUSED, request->wait_reason,
+		                       "no server could take the request in time");
+		return;
+	}
+	snapshot = snapshot_acquire (request->set->reader);
+	service = snapshot_find_service (snapshot, request->plan.service);
+	request->args.service_revision = service ? service->revision : 0;
+	reason = request->plan.is_pinned ? request_route_pinned (request, snapshot)
+	                                 : request_route (request, snapshot, now_us);
+	snapshot_release (request->set->reader);
+	if (reason == REASON_NONE)
+		request_execute (request, now_us);
+	else if (request->plan.is_pinned)
+		request_finish_without_vm (request);
+	else
+	{
+		/* Servers that refused may take it by the next try. */
+		request->excluded = 0;
+		request->avoided_vm = OWNERSHIP_NONE;
+		request_wait (request, reason, ATTEMPT_BACKOFF_MIN_US + request_backoff_us (request), now_us);
+	}
+}
+
+/** Reads and other calls that a VM or server lost on the way go to the next one. */
+static void
+request_handle_loss (struct entry_request *request, enum execution_status status, int64_t now_us)
+{
+	const struct entry_plan *plan = &request->plan;
+	int64_t delay_us = request->avoided_vm ? request_backoff_us (request) : 0;
+
+	request->avoided_vm = request->execution.vm;
+	if (status == EXECUTION_NOT_SENT)
+	{
+		if (!plan->is_pinned && retry_is_allowed (request, false))
+			request_wait (request, REASON_CONNECTION_LOST, delay_us, now_us);
+		else
+			entry_request_finish_reason (request, OUTCOME_REFUSED, REASON_CONNECTION_LOST,
+			                       "the owner of the server cannot be reached");
+		return;
+	}
+	if (plan->has_effect)
+		request->may_have_run = true;
+	if (status == EXECUTION_LOST && plan->is_retryable && retry_is_allowed (request, true))
+		request_wait (request, REASON_CONNECTION_LOST, delay_us, now_us);
+	else if (status == EXECUTION_TIMED_OUT)
+		entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_DEADLINE,
+		                       "the owner gave no answer in time");
+	else
+		entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST,
+		                       "the connection to the owner broke");
+}
+
+/** What to do about a refusal. */
+struct refusal_plan
+{
+	bool is_retried;
+	bool is_charged;  /**< Takes from the retry budget. */
+	bool is_excluded; /**< Not on this server. */
+	bool is_avoided;  /**< Not at this VM. */
+	bool is_delayed;
+};
+
+static struct refusal_plan
+plan_refusal (const struct entry_request *request, const struct fs_execute_result *result)
+{
+	bool is_read = !request->plan.is_write;
+	bool has_new_primary =
+		request->known->term > 0 && request->known->primary != request->args.server;
+
+	switch (result->reason)
+	{
+	case REASON_BEHIND:
+	case REASON_TOO_OLD:
+		/* Refused before it took a slot, and at most once for each server: free of charge. */
+		return (struct refusal_plan){ .is_retried = true, .is_excluded = true };
+	case REASON_LEAVING:
+	case REASON_UPSTREAM_DOWN:
+		return (struct refusal_plan){
+			.is_retried = true, .is_charged = true, .is_excluded = is_read, .is_delayed = !is_read
+		};
+	case REASON_NOT_PRIMARY:
+		return (struct refusal_plan){ .is_retried = true,
+			                          .is_charged = true,
+			                          .is_delayed = !has_new_primary || request->attempts > 2 };
+	case REASON_NOT_OWNER:
+		return (struct refusal_plan){ .is_retried = true,
+			                          .is_charged = true,
+			                          .is_avoided = true,
+			                          .is_delayed = request->attempts > 1 };
+	case REASON_NO_PRIMARY:
+	case REASON_CONFIG_BEHIND:
+	case REASON_CONNECTION_LOST:
+		return (struct refusal_plan){ .is_retried = true, .is_charged = true, .is_delayed = true };
+	default:
+		return (struct refusal_plan){ 0 };
+	}
+}
+
+static void
+request_handle_refusal (struct entry_request *request, const struct fs_execute_result *result,
+                        int64_t now_us)
+{
+	struct refusal_plan refusal = plan_refusal (request, result);
+
+	if (request->plan.is_pinned || !refusal.is_retried ||
+	    !retry_is_allowed (request, refusal.is_charged))
+	{
+		entry_request_finish_result (request, result);
+		return;
+	}
+	if (refusal.is_excluded)
+		request->excluded |= 1u << request->args.server;
+	if (refusal.is_avoided)
+		request->avoided_vm = request->execution.vm;
+	request_wait (request, (enum reason) result->reason,
+	              refusal.is_delayed ? request_backoff_us (request) : 0, now_us);
+}
+
+/** The owner lost its connection to the server while the statement ran. */
+static bool
+request_retries_unknown (struct entry_request *request, const struct fs_execute_result *result,
+                         int64_t now_us)
+{
+	if (result->outcome != OUTCOME_UNKNOWN || result->reason != REASON_CONNECTION_LOST ||
+	    !request->plan.is_retryable || !retry_is_allowed (request, true))
+		return false;
+	if (request->plan.has_effect)
+		request->may_have_run = true;
+	else if (!request->plan.is_write)
+		request->excluded |= 1u << request->args.server;
+	request_wait (request, REASON_CONNECTION_LOST, request_backoff_us (request), now_us);
+	return true;
+}
+
+/** A read whose answer is older than the session's writes breaks P1 and must not be given out. */
+static bool
+result_breaks_session (const struct entry_request *request, const struct fs_execute_result *result)
+{
+	const struct entry_plan *plan = &request->plan;
+	struct log_position position = { result->server_position.term, result->server_position.index };
+
+	return !plan->is_write && result->outcome == OUTCOME_DONE && position.term > 0 &&
+	       !log_position_covers (position, session_token_find (&plan->token, plan->database_hash));
+}
+
+static void
+request_handle_answer (struct entry_request *request, const struct fs_execute_result *result,
+                       int64_t now_us)
+{
+	bool is_stale = result_breaks_session (request, result);
+
+	known_group_report (request->known, request->args.server, result, now_us);
+	INVARIANT (!is_stale, "P1");
+	if (is_stale)
+	{
+		struct fs_execute_result behind =
+			execution_result (OUTCOME_REFUSED, REASON_BEHIND, "the server lacks a write");
+
+		request_handle_refusal (request, &behind, now_us);
+		return;
+	}
+	if (result->outcome == OUTCOME_REFUSED)
+		request_handle_refusal (request, result, now_us);
+	else if (!request_retries_unknown (request, result, now_us))
+		entry_request_finish_result (request, result);
+}
+
+void
+entry_handle_execution_done (struct execution *execution, enum execution_status status,
+                       const struct fs_execute_result *result)
+{
+	struct entry_request *request = execution->data;
+	int64_t now_us = clock_now_us ();
+
+	request->is_executing = false;
+	trace_span_end (&request->route_span,
+	                result ? reason_name ((enum reason) result->reason) : "no answer");
+	if (!request->handle_done)
+	{
+		/* The caller is gone, or has its answer; the response still tells about the server. */
+		if (result)
+		{
+			known_group_report (request->known, request->args.server, result, now_us);
+			counter_add (COUNTER_LATE_ANSWERS, 1);
+		}
+		entry_request_free (request);
+		return;
+	}
+	loop_cancel_timer (request->set->loop, &request->timer);
+	if (status == EXECUTION_ANSWERED)
+		request_handle_answer (request, result, now_us);
+	else
+		request_handle_loss (request, status, now_us);
+}
+
+void
+entry_handle_request_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct entry_request *request = timer->data;
+
+	if (!request->is_executing)
+	{
+		entry_request_attempt (request, now_us);
+		return;
+	}
+	entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_DEADLINE,
+	                       "the owner gave no answer in time");
+}
+
--- a/flamingospring/peer.c
+++ b/flamingospring/peer.c
@@ -154,8 +154,8 @@
 		circuit_report (&peer->circuit, false, now_us);
 		log_event (LOG_LEVEL_WARN, "peer_lost", "vm=%u error=%d calls=%u", peer->vm, error,
 		           peer->waiting);
-		loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CIRCUIT_OPEN_US);
 	}
+	loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CIRCUIT_OPEN_US);
 	/* Handlers may send new calls to this peer, so the old ones are off its list by now. */
 	while (calls)
 	{
@@ -275,53 +275,31 @@
 	call->end_offset = peer->connection.sent_bytes + peer->connection.out_length;
 }
 
+static bool
+peer_is_idle (const struct peer *peer, int64_t now_us)
+{
+	return peer->waiting == 0 && now_us - peer->last_used_at_us > peer->set->idle_us;
+}
+
 /** A VM that failed is probed with a ping while there is demand, so that no request is risked. */
 static void
 peer_probe (struct peer *peer, int64_t now_us)
 {
-	if (now_us - peer->last_used_at_us > peer->set->idle_us)
-	{
-		circuit_init (&peer->circuit, PEER_CIRCUIT_FAILURES, PEER_CIRCUIT_OPEN_US);
-		return;
-	}
 	if (circuit_allows (&peer->circuit, now_us) && peer_open (peer, now_us) == 0)
-	{
 		peer_ping (peer);
-		return;
-	}
-	loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CIRCUIT_OPEN_US);
+	else
+		loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CIRCUIT_OPEN_US);
 }
 
+/** Keeps an eye on a connection with calls: a silent one is lost. */
 static void
-handle_peer_timer (struct loop_timer *timer, int64_t now_us)
+peer_check (struct peer *peer, int64_t now_us)
 {
-	struct peer *peer = timer->data;
-
-	if (!peer->is_open)
-	{
-		if (peer->circuit.state != CIRCUIT_CLOSED)
-			peer_probe (peer, now_us);
-		return;
-	}
 	if (peer->connection.received_bytes != peer->heard_bytes)
 	{
 		peer->heard_bytes = peer->connection.received_bytes;
 		peer->heard_at_us = now_us;
 	}
-	if (peer->is_broken)
-	{
-		peer_close (peer, -EBADMSG);
-		return;
-	}
-	if (peer->waiting == 0 && peer->pings == 0)
-	{
-		if (now_us - peer->last_used_at_us > peer->set->idle_us)
-			peer_close (peer, 0);
-		else
-			loop_set_timer (peer->set->loop, &peer->timer,
-			                peer->last_used_at_us + peer->set->idle_us + 1);
-		return;
-	}
 	if (now_us - peer->heard_at_us > PEER_SILENCE_US)
 	{
 		peer_close (peer, -ETIMEDOUT);
@@ -332,35 +310,35 @@
 	loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CHECK_US);
 }
 
+static void
+handle_peer_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct peer *peer = timer->data;
+
+	if (peer->is_broken)
+		peer_close (peer, -EBADMSG);
+	else if (peer_is_idle (peer, now_us))
+		g_hash_table_remove (peer->set->peers, GUINT_TO_POINTER (peer->vm));
+	else if (!peer->is_open && peer->circuit.state != CIRCUIT_CLOSED)
+		peer_probe (peer, now_us);
+	else if (peer->is_open && (peer->waiting > 0 || peer->pings > 0))
+		peer_check (peer, now_us);
+	else
+		loop_set_timer (peer->set->loop, &peer->timer,
+		                peer->last_used_at_us + peer->set->idle_us + 1);
+}
+
 static struct peer *
 peer_find (const struct peer_set *set, uint32_t vm)
 {
-	for (size_t i = 0; i < set->count; i++)
-	{
-		if (set->peers[i]->vm == vm)
-			return set->peers[i];
-	}
-	return NULL;
+	return g_hash_table_lookup (set->peers, GUINT_TO_POINTER (vm));
 }
 
 static struct peer *
 peer_add (struct peer_set *set, uint32_t vm, uint32_t ip, uint16_t port)
 {
-	struct peer *peer;
-
-	if (set->count == set->capacity)
-	{
-		size_t capacity = set->capacity ? set->capacity * 2 : 16;
-		struct peer **peers = realloc (set->peers, capacity * sizeof (void *));
+	struct peer *peer = g_new0 (struct peer, 1);
 
-		if (!peers)
-			return NULL;
-		set->peers = peers;
-		set->capacity = capacity;
-	}
-	peer = calloc (1, sizeof *peer);
-	if (!peer)
-		return NULL;
 	peer->set = set;
 	peer->vm = vm;
 	peer->ip = ip;
@@ -368,10 +346,20 @@
 	peer->timer.handle_timer = handle_peer_timer;
 	peer->timer.data = peer;
 	circuit_init (&peer->circuit, PEER_CIRCUIT_FAILURES, PEER_CIRCUIT_OPEN_US);
-	set->peers[set->count++] = peer;
+	g_hash_table_insert (set->peers, GUINT_TO_POINTER (vm), peer);
 	return peer;
 }
 
+static void
+peer_free (gpointer data)
+{
+	struct peer *peer = data;
+
+	peer_close (peer, 0);
+	loop_cancel_timer (peer->set->loop, &peer->timer);
+	g_free (peer);
+}
+
 int
 peer_set_init (struct peer_set *set, struct loop *loop, uint64_t seed)
 {
@@ -379,19 +367,14 @@
 	set->loop = loop;
 	set->random_state = seed;
 	set->idle_us = PEER_IDLE_US;
+	set->peers = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, peer_free);
 	return handle_table_init (&set->calls, sizeof (struct peer_call *), PEER_MAX_CALLS);
 }
 
 void
 peer_set_finish (struct peer_set *set)
 {
-	for (size_t i = 0; i < set->count; i++)
-	{
-		peer_close (set->peers[i], 0);
-		loop_cancel_timer (set->loop, &set->peers[i]->timer);
-		free (set->peers[i]);
-	}
-	free (set->peers);
+	g_hash_table_destroy (set->peers);
 	handle_table_finish (&set->calls);
 }
 
@@ -464,7 +447,7 @@
 
 	if (!peer)
 		peer = peer_add (set, execution->vm, ip, port);
-	if (peer && (peer->ip != ip || peer->port != port))
+	if (peer->ip != ip || peer->port != port)
 	{
 		/* The VM was replaced by one with the same number. */
 		peer_close (peer, -ESTALE);
@@ -472,9 +455,8 @@
 		peer->port = port;
 		circuit_init (&peer->circuit, PEER_CIRCUIT_FAILURES, PEER_CIRCUIT_OPEN_US);
 	}
-	if (peer)
-		peer->last_used_at_us = now_us;
-	if (!peer || peer_send (peer, execution, now_us) < 0)
+	peer->last_used_at_us = now_us;
+	if (peer_send (peer, execution, now_us) < 0)
 	{
 		execution->handle_done (execution, EXECUTION_NOT_SENT, NULL);
 		return;
@@ -506,9 +488,12 @@
 uint32_t
 peer_set_in_flight (const struct peer_set *set)
 {
+	GHashTableIter iterator;
+	gpointer peer;
 	uint32_t count = 0;
 
-	for (size_t i = 0; i < set->count; i++)
-		count += set->peers[i]->waiting;
+	g_hash_table_iter_init (&iterator, set->peers);
+	while (g_hash_table_iter_next (&iterator, NULL, &peer))
+		count += ((struct peer *) peer)->waiting;
 	return count;
 }
--- a/flamingospring/peer_listener.c
+++ b/flamingospring/peer_listener.c
@@ -288,7 +288,13 @@
 uint32_t
 peer_listener_in_flight (const struct peer_listener *listener)
 {
-	uint32_t count = listener->in_flight;
+	return listener->in_flight;
+}
+
+uint32_t
+peer_listener_unsent (const struct peer_listener *listener)
+{
+	uint32_t count = 0;
 	uint32_t handle = handle_table_next (&listener->connections, HANDLE_NONE);
 
 	for (; handle != HANDLE_NONE; handle = handle_table_next (&listener->connections, handle))
--- a/flamingospring/traffic.c
+++ b/flamingospring/traffic.c
@@ -268,8 +268,13 @@
 static uint32_t
 thread_in_flight (const struct traffic_thread *thread)
 {
-	return http_server_in_flight (&thread->http) + peer_listener_in_flight (&thread->listener) +
-	       owner_set_in_flight (&thread->owners);
+	uint32_t count = http_server_in_flight (&thread->http) + owner_set_in_flight (&thread->owners) +
+	                 peer_listener_in_flight (&thread->listener);
+
+	/* Only the planned stop has to know about unsent answers, and the walk takes time. */
+	if (thread->http.closes_connections)
+		count += peer_listener_unsent (&thread->listener);
+	return count;
 }
 
 static void *
--- a/include/flamingospring/entry_request.h
+++ b/include/flamingospring/entry_request.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * State of one request at its entry VM; shared by entry.c and entry_check.c only.
+ * State of one request at its entry VM; shared by entry.c, entry_attempt.c and entry_check.c only.
  */
 #pragma once
 
@@ -66,3 +66,22 @@
 /** Checks @p call against the snapshot. @return 0, or -EINVAL with @p problem set. */
 int entry_check (struct entry_plan *plan, const struct entry_call *call,
                  const struct snapshot *snapshot, struct entry_problem *problem);
+
+/** Routes and executes, or waits for a server that can take the request. */
+void entry_request_attempt (struct entry_request *request, int64_t now_us);
+
+/** Of entry_request.execution. */
+void entry_handle_execution_done (struct execution *execution, enum execution_status status,
+                                  const struct fs_execute_result *result);
+
+/** Of entry_request.timer. */
+void entry_handle_request_timer (struct loop_timer *timer, int64_t now_us);
+
+/** Gives the caller its answer; the request may be freed. */
+void entry_request_finish_result (struct entry_request *request,
+                                  const struct fs_execute_result *result);
+void entry_request_finish_reason (struct entry_request *request, enum outcome outcome,
+                                  enum reason reason, const char *message);
+
+/** Frees a request that is answered and has no execution; otherwise does nothing. */
+void entry_request_free (struct entry_request *request);
--- a/include/flamingospring/peer.h
+++ b/include/flamingospring/peer.h
@@ -10,6 +10,7 @@
 #include "common/rpc.h"
 #include "flamingospring/execution.h"
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -21,9 +22,7 @@
 {
 	struct loop *loop;
 	struct handle_table calls; /**< Of struct peer_call pointers; the handle is the xid. */
-	struct peer **peers;
-	size_t count;
-	size_t capacity;
+	GHashTable *peers; /**< Of struct peer, by VM id. */
 	uint64_t random_state;
 	int64_t idle_us; /**< A connection without calls is closed after it. */
 };
@@ -67,5 +66,8 @@
 /** Closes all connections; calls in flight still end, and their results are dropped. */
 void peer_listener_finish (struct peer_listener *listener);
 
-/** Calls that run, and connections with unsent answers. */
+/** Calls that run. */
 uint32_t peer_listener_in_flight (const struct peer_listener *listener);
+
+/** Connections with unsent answers. */
+uint32_t peer_listener_unsent (const struct peer_listener *listener);
--- a/tests/unit/traffic.c
+++ b/tests/unit/traffic.c
@@ -81,8 +81,8 @@
 	struct fs_execute_result result = execution_result (OUTCOME_DONE, REASON_NONE, "");
 	bool is_read = g_str_has_prefix (args->call, "find");
 	char *column = (char *) "echo";
-	char *vm = g_strdup_printf ("%u", task->set->settings->vm_id);
-	fs_value cells[2] = { &vm, &vm };
+	char *none = (char *) "";
+	fs_value cell = &none;
 
 	if (ck_pr_load_32 (&fake_holds))
 	{
@@ -90,11 +90,11 @@
 		return;
 	}
 	if (args->params.params_len > 0)
-		cells[0] = args->params.params_val[0];
+		cell = args->params.params_val[0];
 	result.columns.columns_len = 1;
 	result.columns.columns_val = &column;
 	result.cells.cells_len = 1;
-	result.cells.cells_val = cells;
+	result.cells.cells_val = &cell;
 	result.server_is_primary = args->server == 0;
 	result.server_position = (fs_position){ 5, 1u << 30 };
 	result.server_age_ms = OWNER_AGE_UNKNOWN;
@@ -105,7 +105,6 @@
 	free (task);
 	ck_pr_dec_32 (&fake_in_flight);
 	request->handle_done (request, &result);
-	g_free (vm);
 }
 
 void
