--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -11,8 +11,8 @@
 enum
 {
 	ENTRY_MAX_REQUESTS = 1 << 18,
-	ENTRY_RETRY_PERCENT = 20, /* Retries per 100 requests. */
-	ENTRY_RETRY_BURST = 200,  /* Retries at once, for a failover of one group. */
+	ENTRY_RETRY_PERCENT = 20,  /* Retries per 100 requests. */
+	ENTRY_RETRY_BURST = 200,   /* Retries at once, for a failover of one group. */
 	ENTRY_RETRY_HINT_MS = 500, /* No server can take it now; a failover takes near 1 s. */
 	ENTRY_SERVER_BYTES = SCHEMA_NAME_BYTES + 16,
 };
@@ -171,8 +171,8 @@
 }
 
 void
-entry_request_finish_reason (struct entry_request *request, enum outcome outcome, enum reason reason,
-                       const char *message)
+entry_request_finish_reason (struct entry_request *request, enum outcome outcome,
+                             enum reason reason, const char *message)
 {
 	struct entry_answer answer = { .outcome = outcome, .reason = reason, .message = message };
 
--- a/flamingospring/entry_attempt.c
+++ b/flamingospring/entry_attempt.c
@@ -161,10 +161,10 @@
 {
 	if (request->call->operation == FS_OPERATION_COMMIT)
 		entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST,
-		                       "the VM of the transaction is gone");
+		                             "the VM of the transaction is gone");
 	else
 		entry_request_finish_reason (request, OUTCOME_FAILED, REASON_NO_TRANSACTION,
-		                       "the VM of the transaction is gone");
+		                             "the VM of the transaction is gone");
 }
 
 void
@@ -178,7 +178,7 @@
 	if (now_us >= request->deadline_us)
 	{
 		entry_request_finish_reason (request, OUTCOME_REFUSED, request->wait_reason,
-		                       "no server could take the request in time");
+		                             "no server could take the request in time");
 		return;
 	}
 	snapshot = snapshot_acquire (request->set->reader);
@@ -196,7 +196,8 @@
 		/* Servers that refused may take it by the next try. */
 		request->excluded = 0;
 		request->avoided_vm = OWNERSHIP_NONE;
-		request_wait (request, reason, ATTEMPT_BACKOFF_MIN_US + request_backoff_us (request), now_us);
+		request_wait (request, reason, ATTEMPT_BACKOFF_MIN_US + request_backoff_us (request),
+		              now_us);
 	}
 }
 
@@ -214,7 +215,7 @@
 			request_wait (request, REASON_CONNECTION_LOST, delay_us, now_us);
 		else
 			entry_request_finish_reason (request, OUTCOME_REFUSED, REASON_CONNECTION_LOST,
-			                       "the owner of the server cannot be reached");
+			                             "the owner of the server cannot be reached");
 		return;
 	}
 	if (plan->has_effect)
@@ -223,10 +224,10 @@
 		request_wait (request, REASON_CONNECTION_LOST, delay_us, now_us);
 	else if (status == EXECUTION_TIMED_OUT)
 		entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_DEADLINE,
-		                       "the owner gave no answer in time");
+		                             "the owner gave no answer in time");
 	else
 		entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST,
-		                       "the connection to the owner broke");
+		                             "the connection to the owner broke");
 }
 
 /** What to do about a refusal. */
@@ -346,7 +347,7 @@
 
 void
 entry_handle_execution_done (struct execution *execution, enum execution_status status,
-                       const struct fs_execute_result *result)
+                             const struct fs_execute_result *result)
 {
 	struct entry_request *request = execution->data;
 	int64_t now_us = clock_now_us ();
@@ -383,6 +384,5 @@
 		return;
 	}
 	entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_DEADLINE,
-	                       "the owner gave no answer in time");
+	                             "the owner gave no answer in time");
 }
-
--- a/include/flamingospring/peer.h
+++ b/include/flamingospring/peer.h
@@ -22,7 +22,7 @@
 {
 	struct loop *loop;
 	struct handle_table calls; /**< Of struct peer_call pointers; the handle is the xid. */
-	GHashTable *peers; /**< Of struct peer, by VM id. */
+	GHashTable *peers;         /**< Of struct peer, by VM id. */
 	uint64_t random_state;
 	int64_t idle_us; /**< A connection without calls is closed after it. */
 };
