--- a/flamingospring/snapshot.c
+++ b/flamingospring/snapshot.c
@@ -1,11 +1,19 @@
 #include "flamingospring/snapshot.h"
 
 #include <ck_pr.h>
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
 CK_EPOCH_CONTAINER (struct snapshot, epoch_entry, snapshot_of_entry)
 
+/** The epoch keeps pointers to its records, so they live as long as the source. */
+struct snapshot_record
+{
+	ck_epoch_record_t epoch_record;
+	struct snapshot_record *next;
+};
+
 struct name_key
 {
 	const char *name;
@@ -76,11 +84,20 @@
 {
 	ck_epoch_init (&source->epoch);
 	source->current = NULL;
+	source->records = NULL;
 }
 
 void
 snapshot_source_finish (struct snapshot_source *source)
 {
+	while (source->records)
+	{
+		struct snapshot_record *record = source->records;
+
+		source->records = record->next;
+		ck_epoch_reclaim (&record->epoch_record);
+		g_aligned_free (record);
+	}
 	snapshot_free (source->current);
 	source->current = NULL;
 }
@@ -88,32 +105,35 @@
 void
 snapshot_reader_init (struct snapshot_reader *reader, struct snapshot_source *source)
 {
-	memset (reader, 0, sizeof *reader);
+	struct snapshot_record *record =
+		g_aligned_alloc0 (1, sizeof *record, _Alignof(struct snapshot_record));
+
 	reader->source = source;
-	ck_epoch_register (&source->epoch, &reader->record, NULL);
+	reader->record = record;
+	ck_epoch_register (&source->epoch, &record->epoch_record, NULL);
+	do
+		record->next = ck_pr_load_ptr (&source->records);
+	while (!ck_pr_cas_ptr (&source->records, record->next, record));
 }
 
 void
 snapshot_reader_finish (struct snapshot_reader *reader)
 {
-	if (!reader->source)
-		return;
-	ck_epoch_barrier (&reader->record);
-	ck_epoch_unregister (&reader->record);
 	reader->source = NULL;
+	reader->record = NULL;
 }
 
 const struct snapshot *
 snapshot_acquire (struct snapshot_reader *reader)
 {
-	ck_epoch_begin (&reader->record, NULL);
+	ck_epoch_begin (&reader->record->epoch_record, NULL);
 	return ck_pr_load_ptr (&reader->source->current);
 }
 
 void
 snapshot_release (struct snapshot_reader *reader)
 {
-	ck_epoch_end (&reader->record, NULL);
+	ck_epoch_end (&reader->record->epoch_record, NULL);
 }
 
 static void
@@ -130,8 +150,8 @@
 	ck_pr_fence_store ();
 	ck_pr_store_ptr (&writer->source->current, snapshot);
 	if (old)
-		ck_epoch_call (&writer->record, &old->epoch_entry, handle_unused);
-	ck_epoch_poll (&writer->record);
+		ck_epoch_call (&writer->record->epoch_record, &old->epoch_entry, handle_unused);
+	ck_epoch_poll (&writer->record->epoch_record);
 }
 
 struct snapshot *
--- a/flamingospring/traffic.c
+++ b/flamingospring/traffic.c
@@ -23,7 +23,7 @@
 
 struct traffic_thread
 {
-	struct snapshot_reader reader; /**< Aligned to a cache line by its type. */
+	struct snapshot_reader reader;
 	struct traffic *traffic;
 	uint32_t index;
 	pthread_t pthread;
@@ -242,11 +242,9 @@
 		.observation_data = traffic,
 	};
 	traffic->dispatch_threads = calloc (count, sizeof *traffic->dispatch_threads);
-	traffic->threads =
-		aligned_alloc (_Alignof(struct traffic_thread), count * sizeof *traffic->threads);
+	traffic->threads = calloc (count, sizeof *traffic->threads);
 	if (!traffic->dispatch_threads || !traffic->threads)
 		goto fail;
-	memset (traffic->threads, 0, count * sizeof *traffic->threads);
 	traffic->thread_count = count;
 	for (uint32_t i = 0; i < count; i++)
 		thread_prepare (&traffic->threads[i], traffic, i);
--- a/include/flamingospring/snapshot.h
+++ b/include/flamingospring/snapshot.h
@@ -69,29 +69,32 @@
 const struct snapshot_group *snapshot_find_group (const struct snapshot *snapshot,
                                                   const char *database);
 
+struct snapshot_record;
+
 /** Publication point: one writer, any number of reading threads. */
 struct snapshot_source
 {
 	ck_epoch_t epoch;
 	struct snapshot *current;
+	struct snapshot_record *records; /**< Of all readers; the epoch refers to them to its end. */
 };
 
 /** One reading thread's registration. */
 struct snapshot_reader
 {
 	struct snapshot_source *source;
-	ck_epoch_record_t record;
+	struct snapshot_record *record;
 };
 
 void snapshot_source_init (struct snapshot_source *source);
+
+/** Frees all snapshots; no thread may use its reader any more. */
 void snapshot_source_finish (struct snapshot_source *source);
 
 /** Registers a thread; the control thread registers one as well, to publish. */
 void snapshot_reader_init (struct snapshot_reader *reader, struct snapshot_source *source);
 
-/** Waits for the read sections of all threads, frees the snapshots that this thread replaced, and
- * ends its registration. The memory of @p reader stays part of the epoch: it must not be freed
- * before the last use of the source by any thread. */
+/** Ends the use of a reader, outside of read sections. */
 void snapshot_reader_finish (struct snapshot_reader *reader);
 
 /** Begins a read section and returns the present snapshot; not NULL once the proxy runs. Sections
