--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -167,6 +167,9 @@
 	request->handle_done = NULL;
 	if (handle_done)
 		handle_done (request->data, answer);
+	answer->token = NULL;
+	answer->transaction = NULL;
+	answer->server = NULL;
 	entry_request_free (request);
 }
 
@@ -277,12 +280,20 @@
 	entry_request_attempt (request, now_us);
 }
 
+static struct entry_request *
+request_find (const struct entry_set *set, uint32_t handle)
+{
+	struct entry_request **place = handle_table_get (&set->requests, handle);
+
+	return place ? *place : NULL;
+}
+
 uint32_t
 entry_start (struct entry_set *set, struct entry_call *call, entry_handle_done *handle_done,
              void *data)
 {
 	struct entry_request *request = set->is_stopped ? NULL : request_new (set, call);
-	uint32_t handle = HANDLE_NONE;
+	uint32_t handle;
 
 	counter_add (COUNTER_REQUESTS, 1);
 	if (!request)
@@ -303,20 +314,20 @@
 	request->data = data;
 	request->is_starting = true;
 	set->unanswered++;
+	handle = request->handle;
 	request_start (request);
+	request = request_find (set, handle);
 	request->is_starting = false;
 	if (request->handle_done)
-		handle = request->handle;
-	else
-		entry_request_free (request);
-	return handle;
+		return handle;
+	entry_request_free (request);
+	return HANDLE_NONE;
 }
 
 void
 entry_cancel (struct entry_set *set, uint32_t handle)
 {
-	struct entry_request **place = handle_table_get (&set->requests, handle);
-	struct entry_request *request = place ? *place : NULL;
+	struct entry_request *request = request_find (set, handle);
 
 	if (!request || !request->handle_done)
 		return;
--- a/flamingospring/entry_attempt.c
+++ b/flamingospring/entry_attempt.c
@@ -367,7 +367,7 @@
 		return;
 	}
 	loop_cancel_timer (request->set->loop, &request->timer);
-	if (status == EXECUTION_ANSWERED)
+	if (result)
 		request_handle_answer (request, result, now_us);
 	else
 		request_handle_loss (request, status, now_us);
--- a/flamingospring/peer_listener.c
+++ b/flamingospring/peer_listener.c
@@ -216,7 +216,10 @@
 	(void) epoll_events;
 	for (;;)
 	{
-		int fd = accept4 (source->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		struct sockaddr_storage address;
+		socklen_t length = sizeof address;
+		int fd = accept4 (source->fd, (struct sockaddr *) &address, &length,
+		                  SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (fd < 0 && errno == EINTR)
 			continue;
--- a/tests/unit/entry.c
+++ b/tests/unit/entry.c
@@ -612,7 +612,7 @@
 	g_assert_cmpuint (cancelled, ==, 1);
 	g_assert_cmpuint (caller.answers, ==, 0);
 	entry_cancel (&world->entries, handle);
-	handle = world_start (world, call_new ("add", "id"), &caller);
+	world_start (world, call_new ("add", "id"), &caller);
 	entry_set_stop (&world->entries);
 	g_assert_cmpint (caller.outcome, ==, OUTCOME_UNKNOWN);
 	answer (take_held (0), result_at (5, 1));
--- a/tests/unit/http_message.c
+++ b/tests/unit/http_message.c
@@ -76,6 +76,7 @@
 		if (test->problem)
 		{
 			g_assert_cmpint (result, ==, -EINVAL);
+			g_assert_nonnull (problem);
 			g_assert_nonnull (strstr (problem, test->problem));
 		}
 		else
--- a/tests/unit/session_token.c
+++ b/tests/unit/session_token.c
@@ -108,15 +108,15 @@
 	g_assert_cmpint (session_token_encode (&token, &service, text, sizeof text), >, 0);
 	for (size_t i = 0; i < strlen (text); i++)
 	{
-		strcpy (changed, text);
+		g_strlcpy (changed, text, sizeof changed);
 		changed[i] = text[i] == 'A' ? 'B' : 'A';
 		g_assert_cmpint (session_token_decode (&decoded, &service, changed), <, 0);
-		strcpy (changed, text);
+		g_strlcpy (changed, text, sizeof changed);
 		changed[i] = 0;
 		g_assert_cmpint (session_token_decode (&decoded, &service, changed), <, 0);
 	}
-	strcpy (changed, text);
-	strcat (changed, "A");
+	g_strlcpy (changed, text, sizeof changed);
+	g_strlcat (changed, "A", sizeof changed);
 	g_assert_cmpint (session_token_decode (&decoded, &service, changed), <, 0);
 }
 
--- a/tests/unit/snapshot.c
+++ b/tests/unit/snapshot.c
@@ -103,7 +103,7 @@
 	{
 		struct snapshot_service *service = calloc (1, sizeof *service);
 
-		strcpy (service->schema.name, i == 0 ? "post" : "shop");
+		g_strlcpy (service->schema.name, i == 0 ? "post" : "shop", sizeof service->schema.name);
 		service->references = 2;
 		first->services[i] = service;
 		second->services[i] = service;
