--- a/flamingospring/entry_attempt.c
+++ b/flamingospring/entry_attempt.c
@@ -43,18 +43,21 @@
 	return true;
 }
 
-/** Picks owner or standby; OWNERSHIP_NONE when neither is known. */
+/** Picks owner or standby; OWNERSHIP_NONE when neither can be asked now. */
 static uint32_t
 choose_vm (const struct entry_request *request, const struct ownership *owners, int64_t now_us)
 {
 	const struct entry_set *set = request->set;
-	bool owner_is_bad =
-		owners->owner == OWNERSHIP_NONE || owners->owner == request->avoided_vm ||
-		(set->ops->vm_is_down && set->ops->vm_is_down (set->transport, owners->owner, now_us));
+	const uint32_t vms[] = { owners->owner, owners->standby };
 
-	if (owner_is_bad && owners->standby != OWNERSHIP_NONE && owners->standby != request->avoided_vm)
-		return owners->standby;
-	return owners->owner;
+	for (size_t i = 0; i < sizeof vms / sizeof vms[0]; i++)
+	{
+		if (vms[i] == OWNERSHIP_NONE || vms[i] == request->avoided_vm)
+			continue;
+		if (!set->ops->vm_is_down || !set->ops->vm_is_down (set->transport, vms[i], now_us))
+			return vms[i];
+	}
+	return OWNERSHIP_NONE;
 }
 
 static void
@@ -115,14 +118,12 @@
 
 		if (choice.action == ROUTE_NONE)
 			break;
-		if (!known_group_allows (request->known, choice.server, now_us))
-		{
-			servers[choice.server].is_down = true;
-			continue;
-		}
 		request->args.server = choice.server;
 		request->execution.vm = choose_vm (request, &group->servers[choice.server].owners, now_us);
-		return request->execution.vm == OWNERSHIP_NONE ? REASON_NOT_OWNER : REASON_NONE;
+		if (request->execution.vm != OWNERSHIP_NONE &&
+		    known_group_allows (request->known, choice.server, now_us))
+			return REASON_NONE;
+		servers[choice.server].is_down = true;
 	}
 	return missing_server_reason (servers, count);
 }
--- a/tests/unit/entry.c
+++ b/tests/unit/entry.c
@@ -300,6 +300,37 @@
 	world_free (world);
 }
 
+/* A server whose only VM is down is passed over: a read runs on another one, a write waits. */
+static void
+test_vm_down (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct entry_call *call = call_new ("set", NULL);
+	struct execution *execution;
+
+	for (uint32_t i = 0; i < FIXTURE_SERVERS; i++)
+		world->fixture.owners[i].standby = OWNERSHIP_NONE;
+	snapshot_publish (&world->reader, fixture_snapshot (&world->fixture));
+	down_vm = 3;
+	for (unsigned i = 0; i < 20; i++)
+	{
+		world_start (world, call_new ("find", NULL), &caller);
+		execution = world_next (world);
+		g_assert_cmpuint (execution->args->server, ==, 2);
+		answer (execution, result_at (5, 1));
+		caller_finish (&caller);
+	}
+	down_vm = 2;
+	call->timeout_ms = SHORT_TIMEOUT_MS;
+	world_start (world, call, &caller);
+	world_wait_answer (world, &caller);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_REFUSED);
+	g_assert_cmpint (caller.reason, ==, REASON_UPSTREAM_DOWN);
+	caller_finish (&caller);
+	world_free (world);
+}
+
 /* After a loss, only reads and calls with a request id run again (P6). */
 static void
 test_lost (void)
@@ -664,6 +695,7 @@
 	g_test_add_func ("/entry/behind", test_behind);
 	g_test_add_func ("/entry/new_primary", test_new_primary);
 	g_test_add_func ("/entry/not_sent", test_not_sent);
+	g_test_add_func ("/entry/vm_down", test_vm_down);
 	g_test_add_func ("/entry/lost", test_lost);
 	g_test_add_func ("/entry/refused_after_loss", test_refused_after_loss);
 	g_test_add_func ("/entry/budget", test_budget);
