--- a/flamingospring/peer_listener.c
+++ b/flamingospring/peer_listener.c
@@ -216,7 +216,10 @@
 	(void) epoll_events;
 	for (;;)
 	{
-		int fd = accept4 (source->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		struct sockaddr_storage address;
+		socklen_t length = sizeof address;
+		int fd = accept4 (source->fd, (struct sockaddr *) &address, &length,
+		                  SOCK_NONBLOCK | SOCK_CLOEXEC);
 
 		if (fd < 0 && errno == EINTR)
 			continue;
@@ -288,7 +291,13 @@
 uint32_t
 peer_listener_in_flight (const struct peer_listener *listener)
 {
-	uint32_t count = listener->in_flight;
+	return listener->in_flight;
+}
+
+uint32_t
+peer_listener_unsent (const struct peer_listener *listener)
+{
+	uint32_t count = 0;
 	uint32_t handle = handle_table_next (&listener->connections, HANDLE_NONE);
 
 	for (; handle != HANDLE_NONE; handle = handle_table_next (&listener->connections, handle))
--- a/flamingospring/traffic.c
+++ b/flamingospring/traffic.c
@@ -24,7 +24,7 @@
 
 struct traffic_thread
 {
-	struct snapshot_reader reader; /**< Aligned to a cache line by its type. */
+	struct snapshot_reader reader;
 	struct traffic *traffic;
 	uint32_t index;
 	pthread_t pthread;
@@ -252,11 +252,9 @@
 		.observation_data = traffic,
 	};
 	traffic->dispatch_threads = calloc (count, sizeof *traffic->dispatch_threads);
-	traffic->threads =
-		aligned_alloc (_Alignof(struct traffic_thread), count * sizeof *traffic->threads);
+	traffic->threads = calloc (count, sizeof *traffic->threads);
 	if (!traffic->dispatch_threads || !traffic->threads)
 		goto fail;
-	memset (traffic->threads, 0, count * sizeof *traffic->threads);
 	traffic->thread_count = count;
 	for (uint32_t i = 0; i < count; i++)
 		thread_prepare (&traffic->threads[i], traffic, i);
@@ -278,8 +276,14 @@
 static uint32_t
 thread_in_flight (const struct traffic_thread *thread)
 {
-	return http_server_in_flight (&thread->http) + thread->services.in_flight +
-	       peer_listener_in_flight (&thread->listener) + owner_set_in_flight (&thread->owners);
+	uint32_t count = http_server_in_flight (&thread->http) + thread->services.in_flight +
+	                 owner_set_in_flight (&thread->owners) +
+	                 peer_listener_in_flight (&thread->listener);
+
+	/* Only the planned stop has to know about unsent answers, and the walk takes time. */
+	if (thread->http.closes_connections)
+		count += peer_listener_unsent (&thread->listener);
+	return count;
 }
 
 static void *
