--- a/tests/unit/failover.c
+++ b/tests/unit/failover.c
@@ -255,35 +255,42 @@
 	const char *name;
 	void (*run) (struct fleet *fleet);
 	bool changes_primary;
+	bool is_hasty; /**< Observers do not wait for each other: several claim at once. */
 };
 
 static const struct fault_case fault_cases[] = {
-	{ "primary crashes", crash_primary, true },
-	{ "primary freezes", freeze_primary, true },
-	{ "answers to fence and promote are lost", lose_answers, true },
-	{ "primary is cut off with its zone", cut_primary_zone, true },
-	{ "platform is down", lose_platform, true },
-	{ "primary and its owner crash", lose_primary_and_owner, true },
-	{ "claimant is paused before it fences", pause_agreeing, true },
-	{ "claimant is paused while it fences", pause_fencing, true },
-	{ "claimant is paused while it promotes", pause_promoting, true },
-	{ "claimant crashes while it fences", crash_fencing, true },
-	{ "claimant crashes while it promotes", crash_promoting, true },
-	{ "a fence was left unfinished", leave_fence, true },
-	{ "two failovers in a row", fail_twice, true },
-	{ "old primary comes back", return_primary, true },
-	{ "slow link between one observer and the primary", slow_link, false },
-	{ "one observer does not hear the primary", cut_link, false },
-	{ "observers were paused", pause_observers, false },
+	{ "primary crashes", crash_primary, true, false },
+	{ "primary freezes", freeze_primary, true, false },
+	{ "answers to fence and promote are lost", lose_answers, true, false },
+	{ "primary is cut off with its zone", cut_primary_zone, true, false },
+	{ "several claim at once", crash_primary, true, true },
+	{ "several claim at once, answers are lost", lose_answers, true, true },
+	{ "platform is down", lose_platform, true, false },
+	{ "primary and its owner crash", lose_primary_and_owner, true, false },
+	{ "claimant is paused before it fences", pause_agreeing, true, false },
+	{ "claimant is paused while it fences", pause_fencing, true, false },
+	{ "claimant is paused while it promotes", pause_promoting, true, false },
+	{ "claimant crashes while it fences", crash_fencing, true, false },
+	{ "claimant crashes while it promotes", crash_promoting, true, false },
+	{ "a fence was left unfinished", leave_fence, true, false },
+	{ "two failovers in a row", fail_twice, true, false },
+	{ "old primary comes back", return_primary, true, false },
+	{ "slow link between one observer and the primary", slow_link, false, false },
+	{ "one observer does not hear the primary", cut_link, false, false },
+	{ "observers were paused", pause_observers, false, false },
 };
 
 static void
 run_case (const struct fault_case *item, uint64_t seed, int64_t *gap_us)
 {
+	struct failover_settings settings = failover_default_settings;
 	struct fleet fleet;
 
+	if (item->is_hasty)
+		settings.claim_step_us = 0;
 	fleet_init (&fleet, seed, VMS, ZONES, 1, normal_link, true);
 	fleet.writes_at_owner = true;
+	fleet.failover_settings = &settings;
 	run (&fleet, START_US + (int64_t) (virtual_random (&fleet.world) % 1000000));
 	g_assert_cmpuint (term_of (&fleet), ==, 1);
 	g_assert_cmpuint (fleet.histories[0].count, >, 100);
