--- a/decision/ownership.c
+++ b/decision/ownership.c
@@ -51,9 +51,15 @@
                      uint32_t zone)
 {
 	struct ownership ownership = pick (members, count, key, false, zone);
+	struct ownership any_zone;
 
+	if (ownership.standby != OWNERSHIP_NONE)
+		return ownership;
+	any_zone = pick (members, count, key, true, zone);
 	if (ownership.owner == OWNERSHIP_NONE)
-		ownership = pick (members, count, key, true, zone);
+		return any_zone;
+	/* The zone's only VM: its standby is the VM that would own the server without it. */
+	ownership.standby = any_zone.owner == ownership.owner ? any_zone.standby : any_zone.owner;
 	return ownership;
 }
 
--- a/include/decision/ownership.h
+++ b/include/decision/ownership.h
@@ -26,7 +26,8 @@
 
 /**
  * Picks owner and standby of the server @p key in @p zone among live members, leaving ones left out.
- * When the zone has no member, all members are candidates.
+ * When the zone has no member, all members are candidates; when it has one, the standby is of another
+ * zone.
  */
 struct ownership ownership_of_server (const struct ownership_member *members, size_t count,
                                       uint64_t key, uint32_t zone);
--- a/tests/unit/ownership.c
+++ b/tests/unit/ownership.c
@@ -76,12 +76,13 @@
 	bool has_standby;
 };
 
-/* Guards against the edges: no members, one member, an empty zone. */
+/* Guards against the edges: no members, one member, an empty zone, a zone with one member. */
 static const struct small_case small_cases[] = {
 	{ "no members", 0, 0, false, false },
 	{ "one member", 1, 0, true, false },
 	{ "one member in another zone", 1, 3, true, false },
 	{ "empty zone", 2, 3, true, true },
+	{ "zone with one member", 4, 2, true, true },
 };
 
 static void
@@ -97,6 +98,17 @@
 		g_assert_true ((found.owner != OWNERSHIP_NONE) == item->has_owner);
 		g_assert_true ((found.standby != OWNERSHIP_NONE) == item->has_standby);
 	}
+	/* The standby of a zone's only VM becomes the owner when that VM is gone. */
+	for (uint64_t key = 0; key < 100; key++)
+	{
+		struct ownership before = ownership_of_server (members, ZONES, key, 2);
+
+		g_assert_cmpuint (members[before.owner - 1].zone, ==, 2);
+		members[before.owner - 1] = members[ZONES - 1];
+		g_assert_cmpuint (ownership_of_server (members, ZONES - 1, key, 2).owner, ==,
+		                  before.standby);
+		fill ();
+	}
 	/* A zone without members has no watchers: another zone's VM would be none of its. */
 	g_assert_cmpuint (ownership_of_zone (members, 1, 3).owner, ==, OWNERSHIP_NONE);
 	g_assert_cmpuint (ownership_of_zone (members, MEMBERS, 3).owner, !=, OWNERSHIP_NONE);
