--- a/common/rpc.c
+++ b/common/rpc.c
@@ -480,6 +480,21 @@
 	return fd;
 }
 
+int
+rpc_accept (int listener)
+{
+	for (;;)
+	{
+		/* cppcheck-suppress nullPointer; the address arguments may be NULL. */
+		int fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (fd >= 0)
+			return fd;
+		if (errno != EINTR)
+			return -errno;
+	}
+}
+
 int
 rpc_datagram_encode (char *buffer, size_t capacity, uint32_t xid, uint32_t program,
                      uint32_t version, uint32_t procedure, xdrproc_t encode, const void *args)
--- a/flamingospring/control_server.c
+++ b/flamingospring/control_server.c
@@ -213,7 +213,7 @@
 	int fd;
 
 	(void) epoll_events;
-	while ((fd = accept4 (source->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+	while ((fd = rpc_accept (source->fd)) >= 0)
 	{
 		if (control->client_count < CONTROL_MAX_CLIENTS)
 			client_add (control, fd);
--- a/flamingospring/peer_listener.c
+++ b/flamingospring/peer_listener.c
@@ -216,17 +216,12 @@
 	(void) epoll_events;
 	for (;;)
 	{
-		struct sockaddr_storage address;
-		socklen_t length = sizeof address;
-		int fd = accept4 (source->fd, (struct sockaddr *) &address, &length,
-		                  SOCK_NONBLOCK | SOCK_CLOEXEC);
+		int fd = rpc_accept (source->fd);
 
-		if (fd < 0 && errno == EINTR)
-			continue;
 		if (fd < 0)
 		{
-			if (errno != EAGAIN)
-				log_event (LOG_LEVEL_WARN, "peer_accept_failed", "errno=%d", errno);
+			if (fd != -EAGAIN)
+				log_event (LOG_LEVEL_WARN, "peer_accept_failed", "error=%d", fd);
 			return;
 		}
 		if (listener_add (listener, fd) < 0)
--- a/flamingospring/service_listener.c
+++ b/flamingospring/service_listener.c
@@ -35,7 +35,9 @@
 	struct service_call *next;
 	struct service_connection *connection;
 	uint32_t xid;
-	uint32_t entry; /**< Handle of the entry's request; HANDLE_NONE while it starts. */
+	uint32_t entry;   /**< Handle of the entry's request. */
+	bool is_starting; /**< Inside entry_start(), which may answer at once. */
+	bool is_done;
 };
 
 static void
@@ -78,7 +80,9 @@
 	rpc_connection_reply (&call->connection->rpc, call->xid, (xdrproc_t) xdr_fs_service_answer,
 	                      &out);
 	call_unlink (call);
-	free (call);
+	call->is_done = true;
+	if (!call->is_starting)
+		free (call);
 }
 
 /** Finds the call of a service by its numbers. @return false when there is none. */
@@ -157,7 +161,6 @@
 call_start (struct service_connection *connection, uint32_t xid, struct entry_call *entry_call)
 {
 	struct service_call *call = calloc (1, sizeof *call);
-	uint32_t handle;
 
 	if (!call)
 	{
@@ -170,10 +173,11 @@
 	call->next = connection->calls;
 	connection->calls = call;
 	connection->listener->in_flight++;
-	handle = entry_start (connection->listener->entries, entry_call, handle_done, call);
-	/* HANDLE_NONE: answered already, and the call is freed. */
-	if (handle != HANDLE_NONE)
-		call->entry = handle;
+	call->is_starting = true;
+	call->entry = entry_start (connection->listener->entries, entry_call, handle_done, call);
+	call->is_starting = false;
+	if (call->is_done)
+		free (call);
 }
 
 static bool
@@ -211,7 +215,8 @@
 	{
 		struct service_call *call = connection->calls;
 
-		call_unlink (call);
+		connection->calls = call->next;
+		listener->in_flight--;
 		entry_cancel (listener->entries, call->entry);
 		free (call);
 	}
@@ -264,7 +269,7 @@
 	int fd;
 
 	(void) epoll_events;
-	while ((fd = accept4 (source->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+	while ((fd = rpc_accept (source->fd)) >= 0)
 		listener_add (source->data, fd);
 }
 
--- a/include/common/rpc.h
+++ b/include/common/rpc.h
@@ -76,6 +76,10 @@
 /** Listening TCP socket with SO_REUSEPORT. @return the descriptor or a negative error number. */
 int rpc_listen (uint32_t ip, uint16_t port);
 
+/** Accepts a connection, non-blocking. @return the descriptor, or a negative error number: -EAGAIN when
+ * none waits. */
+int rpc_accept (int listener);
+
 /** Encodes a one-way call into @p buffer. @return its length or a negative error number. */
 int rpc_datagram_encode (char *buffer, size_t capacity, uint32_t xid, uint32_t program,
                          uint32_t version, uint32_t procedure, xdrproc_t encode, const void *args);
