--- a/tests/integration/database_group.c
+++ b/tests/integration/database_group.c
@@ -10,6 +10,9 @@
 enum
 {
 	START_TRIES = 500, /* Of 10 ms. */
+	FIRST_PORT = 20000,
+	PORT_RANGES = 300,
+	PORTS_PER_PROCESS = 40,
 };
 
 static struct sockaddr_in
@@ -20,17 +23,27 @@
 		                         .sin_port = htons (port) };
 }
 
+/* Ports below those that the kernel gives to clients, and others for each process, so that tests that
+ * run at the same time do not take each other's ports between this check and the server's start. */
 static uint16_t
 free_port (void)
 {
-	struct sockaddr_in address = loopback (0);
-	socklen_t length = sizeof address;
-	int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	g_assert_cmpint (bind (fd, (struct sockaddr *) &address, sizeof address), ==, 0);
-	getsockname (fd, (struct sockaddr *) &address, &length);
-	close (fd);
-	return ntohs (address.sin_port);
+	static unsigned next;
+
+	for (unsigned tries = 0; tries < PORTS_PER_PROCESS; tries++)
+	{
+		unsigned range = (unsigned) getpid () % PORT_RANGES;
+		uint16_t port =
+			(uint16_t) (FIRST_PORT + range * PORTS_PER_PROCESS + next++ % PORTS_PER_PROCESS);
+		struct sockaddr_in address = loopback (port);
+		int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		int result = bind (fd, (struct sockaddr *) &address, sizeof address);
+
+		close (fd);
+		if (result == 0)
+			return port;
+	}
+	g_error ("no free port");
 }
 
 static void
--- a/tests/integration/owner_pg.c
+++ b/tests/integration/owner_pg.c
@@ -134,8 +134,8 @@
 }
 
 static void
-submit (struct fixture *fixture, struct asked *asked, const char *call, unsigned server,
-        const char *id)
+submit_after (struct fixture *fixture, struct asked *asked, const char *call, unsigned server,
+              const char *id, struct log_position required)
 {
 	memset (asked, 0, sizeof *asked);
 	asked->params[0] = (char *) "sum";
@@ -147,6 +147,7 @@
 	asked->args.database = (char *) "ledger";
 	asked->args.server = server;
 	asked->args.request_id = (char *) id;
+	asked->args.required = (fs_position){ required.term, required.index };
 	asked->args.tenant = (char *) "";
 	asked->args.params.params_len = strcmp (call, "add") == 0 ? 2 : 1;
 	asked->args.params.params_val = asked->values;
@@ -158,6 +159,13 @@
 	owner_submit (&fixture->set, &asked->request);
 }
 
+static void
+submit (struct fixture *fixture, struct asked *asked, const char *call, unsigned server,
+        const char *id)
+{
+	submit_after (fixture, asked, call, server, id, (struct log_position){ 0, 0 });
+}
+
 static void
 wait_done (struct fixture *fixture, struct asked *asked)
 {
@@ -219,8 +227,7 @@
 		{
 			struct log_position written = asked.written;
 
-			submit (fixture, &asked, "find", 1, "");
-			asked.args.required = (fs_position){ written.term, written.index };
+			submit_after (fixture, &asked, "find", 1, "", written);
 			wait_done (fixture, &asked);
 			g_assert_cmpstr (asked.cell, ==, "1");
 		}
@@ -250,9 +257,12 @@
 
 		g_snprintf (id, sizeof id, "id-%d", i);
 		run (fixture, &asked, "add", 0, id);
+		g_test_message ("%d: %s %s after %" G_GINT64_FORMAT " us", i,
+		                outcome_name ((enum outcome) asked.outcome),
+		                reason_name ((enum reason) asked.reason), asked.took_us);
+		g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
 		written = asked.written;
-		submit (fixture, &asked, "find", replica, "");
-		asked.args.required = (fs_position){ written.term, written.index };
+		submit_after (fixture, &asked, "find", replica, "", written);
 		wait_done (fixture, &asked);
 		if (asked.outcome == OUTCOME_DONE)
 			g_assert_cmpint (atoi (asked.cell), >=, i);
@@ -285,8 +295,8 @@
 	g_assert_cmpint (asked.reason, ==, REASON_TOO_OLD);
 }
 
-/* Runs a statement on a connection of the test itself. */
-static void
+/* Runs a statement on a connection of the test itself. @return the log index of a status, or 0. */
+static int
 ask_server (const struct fixture *fixture, unsigned server, const char *statement)
 {
 	char *info = g_strdup_printf ("hostaddr=127.0.0.1 port=%u dbname=ledger user=test "
@@ -294,11 +304,15 @@
 	                              fixture->group.ports[server]);
 	PGconn *connection = PQconnectdb (info);
 	PGresult *result = PQexec (connection, statement);
+	int index = 0;
 
 	g_assert_cmpint (PQresultStatus (result), ==, PGRES_TUPLES_OK);
+	if (PQnfields (result) > 2)
+		index = atoi (PQgetvalue (result, 0, PQfnumber (result, "log_index")));
 	PQclear (result);
 	PQfinish (connection);
 	g_free (info);
+	return index;
 }
 
 /* Answers of statements and of commits get lost: each id is applied once. */
@@ -330,7 +344,7 @@
 	g_assert_cmpstr (asked.cell, ==, "40");
 }
 
-/* The primary is cut off, a replica is promoted, and the calls go on there under their ids. The sum
+/* The primary is cut off, the replica with the longest log is promoted, and the calls go on there under their ids. The sum
  * tells lost and repeated writes: it is the number of ids. */
 static void
 test_failover (struct fixture *fixture, gconstpointer data)
@@ -339,6 +353,8 @@
 	unsigned done = 0;
 	unsigned unknown = 0;
 	char ids[CALLS][16];
+	int indexes[GROUP_SERVERS] = { 0 };
+	unsigned primary;
 
 	for (unsigned i = 0; i < CALLS; i++)
 	{
@@ -350,10 +366,11 @@
 		ask_server (fixture, 0, "SELECT standin_fault('cut_replication', '1')");
 	}
 	run_for (fixture, 300 * US_PER_MS);
-	ask_server (fixture, 1, "SELECT * FROM group_fence(2, 'test')");
-	ask_server (fixture, 2, "SELECT * FROM group_fence(2, 'test')");
-	ask_server (fixture, 1, "SELECT * FROM group_promote(2, 'test')");
-	publish (fixture, 1, 2);
+	for (unsigned i = 1; i < GROUP_SERVERS; i++)
+		indexes[i] = ask_server (fixture, i, "SELECT * FROM group_fence(2, 'test')");
+	primary = indexes[2] > indexes[1] ? 2 : 1;
+	ask_server (fixture, primary, "SELECT * FROM group_promote(2, 'test')");
+	publish (fixture, primary, 2);
 	for (unsigned i = 0; i < CALLS; i++)
 	{
 		wait_done (fixture, &asked[i]);
@@ -368,13 +385,13 @@
 	{
 		bool was_done = asked[i].outcome == OUTCOME_DONE;
 
-		run (fixture, &asked[i], "add", 1, ids[i]);
+		run (fixture, &asked[i], "add", primary, ids[i]);
 		g_assert_cmpint (asked[i].outcome, ==, OUTCOME_DONE);
 		/* An acknowledged write is there after the promotion. */
 		if (was_done)
 			g_assert_true (asked[i].is_replay);
 	}
-	run (fixture, &asked[0], "find", 1, "");
+	run (fixture, &asked[0], "find", primary, "");
 	g_assert_cmpint (atoi (asked[0].cell), ==, CALLS);
 }
 
