--- a/tests/unit/owner_world.c
+++ b/tests/unit/owner_world.c
@@ -16,8 +16,8 @@
 	"calls:\n"
 	"  - {name: find, database: ledger, kind: read, params: 1, statement: \"READ $1\"}\n"
 	"  - {name: recent, database: ledger, kind: read, consistency: bounded, max_age_ms: 60,"
-	" params: 1, statement: \"READ $1\"}\n"
-	"  - {name: exact, database: ledger, kind: read, consistency: primary, params: 1,"
+	" run_limit_ms: 200, params: 1, statement: \"READ $1\"}\n"
+	"  - {name: exact, database: ledger, kind: read, consistency: primary, run_limit_ms: 200, params: 1,"
 	" statement: \"READ $1\"}\n"
 	"  - {name: report, database: ledger, kind: read, rank: low, run_limit_ms: 50, params: 1,"
 	" statement: \"READ $1\"}\n"
@@ -120,6 +120,9 @@
 		if (g_str_has_prefix (statement, rule->prefix) && ++rule->seen == rule->nth)
 			return rule->action;
 	}
+	if (random_next (&world_of_fakes->random) % 100 < world_of_fakes->fault_percent)
+		return FAKE_LOSE_BEFORE +
+		       random_next (&world_of_fakes->random) % (FAKE_ERROR - FAKE_LOSE_BEFORE + 1);
 	return 0;
 }
 
@@ -137,6 +140,8 @@
 static void
 commit (struct fake_connection *fake)
 {
+	if (fake->id)
+		g_assert_false (g_hash_table_contains (world_of_fakes->answers, fake->id));
 	if (fake->id)
 		g_hash_table_insert (world_of_fakes->answers, g_steal_pointer (&fake->id),
 		                     g_steal_pointer (&fake->answer));
--- a/tests/unit/owner_world.h
+++ b/tests/unit/owner_world.h
@@ -66,6 +66,8 @@
 	unsigned most_running;
 	unsigned next_number;
 	int64_t delay_us; /* Of a statement's answer. */
+	uint64_t random;
+	unsigned fault_percent; /* Statements that get a random fault. */
 	unsigned not_primary_observed;
 	unsigned silent_observed;
 };
