--- a/flamingospring/owner_once.c
+++ b/flamingospring/owner_once.c
@@ -2,6 +2,8 @@
 
 #include "common/counters.h"
 
+#include <string.h>
+
 /* At-most-once execution: the request id and the answer are stored in the transaction of the
  * statement, so that the id tells whether it ran, on whichever server is the primary later. */
 
@@ -60,6 +62,9 @@
 {
 	bool is_refused = answer->result == UPSTREAM_NOT_PRIMARY;
 
+	/* Class 40: rolled back because of another transaction, such as an earlier attempt with the same
+	 * id that is still in progress. */
+	task->is_conflict = strncmp (answer->sqlstate, "40", 2) == 0;
 	task->end_outcome = is_refused ? OUTCOME_REFUSED : OUTCOME_FAILED;
 	task->end_reason = is_refused ? REASON_NOT_PRIMARY : REASON_STATEMENT;
 	g_strlcpy (task->failure, answer->message ? answer->message : "", sizeof task->failure);
@@ -69,6 +74,12 @@
 static void
 end_failed (struct owner_task *task)
 {
+	if (task->is_conflict)
+	{
+		owner_pool_give_back (&task->owner->pool, &task->user);
+		owner_task_retry (task);
+		return;
+	}
 	if (task->end_outcome == OUTCOME_REFUSED)
 		owner_task_refuse (task, task->end_reason, 0);
 	else
--- a/include/flamingospring/owner_private.h
+++ b/include/flamingospring/owner_private.h
@@ -63,6 +63,7 @@
 	bool may_have_run; /**< A statement was sent whose effect is not known. */
 	bool is_retrying;  /**< TASK_STARTING: before a retry. */
 	bool is_replay;
+	bool is_conflict; /**< An at-most-once call is tried again after its rollback. */
 	bool is_acknowledged;
 	bool is_counted; /**< In owner->writes. */
 	enum owner_once_step step;
--- a/tests/integration/owner_pg.c
+++ b/tests/integration/owner_pg.c
@@ -344,6 +344,29 @@
 	g_assert_cmpstr (asked.cell, ==, "40");
 }
 
+/* Two attempts with one id at the same time, as when a caller asks again: the second waits for the
+ * first at the server and returns its answer. */
+static void
+test_same_id (struct fixture *fixture, gconstpointer data)
+{
+	struct asked asked[2];
+	char id[16];
+
+	for (int i = 1; i <= 20; i++)
+	{
+		g_snprintf (id, sizeof id, "id-%d", i);
+		for (size_t j = 0; j < 2; j++)
+			submit (fixture, &asked[j], "add", 0, id);
+		for (size_t j = 0; j < 2; j++)
+		{
+			wait_done (fixture, &asked[j]);
+			g_assert_cmpint (asked[j].outcome, ==, OUTCOME_DONE);
+			g_assert_cmpint (atoi (asked[j].cell), ==, i);
+		}
+		g_assert_cmpint (asked[0].is_replay + asked[1].is_replay, ==, 1);
+	}
+}
+
 /* The primary is cut off, the replica with the longest log is promoted, and the calls go on there under their ids. The sum
  * tells lost and repeated writes: it is the number of ids. */
 static void
@@ -404,6 +427,7 @@
 	g_test_add ("/owner_pg/age", struct fixture, NULL, set_up, test_age, tear_down);
 	g_test_add ("/owner_pg/lost_answers", struct fixture, NULL, set_up, test_lost_answers,
 	            tear_down);
+	g_test_add ("/owner_pg/same_id", struct fixture, NULL, set_up, test_same_id, tear_down);
 	g_test_add ("/owner_pg/failover", struct fixture, NULL, set_up, test_failover, tear_down);
 	return g_test_run ();
 }
--- a/tests/unit/owner_world.c
+++ b/tests/unit/owner_world.c
@@ -122,7 +122,7 @@
 	}
 	if (random_next (&world_of_fakes->random) % 100 < world_of_fakes->fault_percent)
 		return FAKE_LOSE_BEFORE +
-		       random_next (&world_of_fakes->random) % (FAKE_ERROR - FAKE_LOSE_BEFORE + 1);
+		       random_next (&world_of_fakes->random) % (FAKE_CONFLICT - FAKE_LOSE_BEFORE + 1);
 	return 0;
 }
 
@@ -262,10 +262,12 @@
 		fake->pending.result = UPSTREAM_LOST;
 	else if (action == FAKE_NOT_PRIMARY)
 		fake->pending.result = UPSTREAM_NOT_PRIMARY;
-	else if (action == FAKE_ERROR)
+	else if (action == FAKE_ERROR || action == FAKE_CONFLICT)
 		fake->pending.result = UPSTREAM_STATEMENT_ERROR;
 	else
 		fake->pending.result = run_statement (fake, statement, params);
+	g_strlcpy (fake->pending.sqlstate, action == FAKE_CONFLICT ? "40P01" : "",
+	           sizeof fake->pending.sqlstate);
 	if (action == FAKE_LOSE_AFTER)
 		fake->pending.result = UPSTREAM_LOST;
 	if (action == FAKE_REPLACE)
--- a/tests/unit/owner_world.h
+++ b/tests/unit/owner_world.h
@@ -26,7 +26,8 @@
 	FAKE_HANG,            /* The statement runs, its answer never comes. */
 	FAKE_NOT_PRIMARY,
 	FAKE_ERROR,
-	FAKE_REPLACE, /* Another primary is promoted, and takes the entry back, before the answer. */
+	FAKE_CONFLICT, /* Serialization failure or deadlock. */
+	FAKE_REPLACE,  /* Another primary is promoted, and takes the entry back, before the answer. */
 };
 
 /* What happens to the nth statement that starts with a prefix, counted from 1. */
