--- a/tests/unit/owner_world.h
+++ b/tests/unit/owner_world.h
@@ -26,7 +26,8 @@
 	FAKE_HANG,            /* The statement runs, its answer never comes. */
 	FAKE_NOT_PRIMARY,
 	FAKE_ERROR,
-	FAKE_REPLACE, /* Another primary is promoted, and takes the entry back, before the answer. */
+	FAKE_CONFLICT, /* Serialization failure or deadlock. */
+	FAKE_REPLACE,  /* Another primary is promoted, and takes the entry back, before the answer. */
 };
 
 /* What happens to the nth statement that starts with a prefix, counted from 1. */
@@ -66,6 +67,8 @@
 	unsigned most_running;
 	unsigned next_number;
 	int64_t delay_us; /* Of a statement's answer. */
+	uint64_t random;
+	unsigned fault_percent; /* Statements that get a random fault. */
 	unsigned not_primary_observed;
 	unsigned silent_observed;
 };
