--- a/flamingospring/peer.c
+++ b/flamingospring/peer.c
@@ -13,9 +13,9 @@
 {
 	PEER_MAX_CALLS = 65536,
 	PEER_IDLE_US = 30 * US_PER_S,
-	PEER_CHECK_US = 250 * US_PER_MS, /* Between checks of a connection with calls. */
+	PEER_CHECK_US = 150 * US_PER_MS, /* Between checks of a connection with calls. */
 	/* Two lost packets in a row delay an answer by 600 ms (retransmission after 200 and 400 ms). */
-	PEER_SILENCE_US = 1000 * US_PER_MS,
+	PEER_SILENCE_US = 700 * US_PER_MS,
 	PEER_GRACE_US = 100 * US_PER_MS, /* From the deadline until the answer counts as missing. */
 	PEER_CIRCUIT_FAILURES = 1,       /* The standby takes over at once. */
 	PEER_CIRCUIT_OPEN_US = 500 * US_PER_MS,
