--- a/decision/membership.c
+++ b/decision/membership.c
@@ -34,7 +34,7 @@
 	MAX_PATIENCE = 4,
 	/* Dead members are pinged to notice the end of a partition, each about this often in a period. */
 	DEAD_PINGS_PER_PERIOD = 1,
-	CLAIM_PROBE_US = 500000,
+	CLAIM_PROBE_US = 2000000,
 	REARM_US = 5000000,
 	/* News from shortly before a member went silent may not have reached it either. */
 	REARM_MARGIN_US = 10000000,
@@ -618,7 +618,7 @@
 		effect->message.target = out->target;
 		effect->message.sequence = out->sequence;
 		effect->message.config_revision = self_record (membership)->config_revision;
-		membership_fill_items (membership, &effect->message, out->to, out->fill, now_us);
+		membership_fill_items (membership, &effect->message, member, out->fill, now_us);
 		if (membership->config_sends_left > 0)
 			membership->config_sends_left--;
 		return true;
