--- a/flamingospring/dispatch.c
+++ b/flamingospring/dispatch.c
@@ -26,7 +26,6 @@
 	uint32_t handle;
 	bool has_ended; /**< (owner) The result is on its way. */
 	bool is_cancelled;
-	bool is_returned;
 };
 
 uint32_t
@@ -89,7 +88,6 @@
 	(void) receiver;
 	if (!dispatch->result)
 		status = dispatch->is_cancelled ? EXECUTION_CANCELLED : EXECUTION_LOST;
-	dispatch->is_returned = true;
 	execution_end (dispatch->execution, status, dispatch->result);
 	/* The cancel message still refers to it. */
 	if (!dispatch->is_cancelled)
--- a/flamingospring/http.c
+++ b/flamingospring/http.c
@@ -17,7 +17,6 @@
 	HTTP_IDLE_TIMEOUT_S = 75,
 	HTTP_CONNECTION_MEMORY_BYTES = 16 * 1024, /* Holds all headers; a token takes up to 2 KB. */
 	HTTP_BODY_FIRST_BYTES = 1024,
-	HTTP_HEADER_MAX_BYTES = 4096,
 };
 
 /** One request of a connection. */
--- a/flamingospring/peer.c
+++ b/flamingospring/peer.c
@@ -291,7 +291,7 @@
 		loop_set_timer (peer->set->loop, &peer->timer, now_us + PEER_CIRCUIT_OPEN_US);
 }
 
-/** Keeps an eye on a connection with calls: a silent one is lost. */
+/** Checks a connection with calls: a silent one is lost. */
 static void
 peer_check (struct peer *peer, int64_t now_us)
 {
--- a/tests/unit/peer_listener.c
+++ b/tests/unit/peer_listener.c
@@ -286,7 +286,7 @@
 	world_finish (&world);
 }
 
-/* A caller's VM that goes away takes its queued calls with it. */
+/* Queued calls are cancelled when the connection of the calling VM closes. */
 static void
 test_closed (void)
 {
--- a/tests/unit/traffic.c
+++ b/tests/unit/traffic.c
@@ -499,7 +499,7 @@
 	vms_stop ();
 }
 
-/* A caller that leaves takes its queued request with it; the reads of VM 1 are local. */
+/* A queued request is cancelled when its caller closes the connection. VM 1 owns the replicas. */
 static void
 test_caller_leaves (void)
 {
