--- a/flamingospring/entry_check.c
+++ b/flamingospring/entry_check.c
@@ -140,6 +140,10 @@
 	{
 		g_strlcpy (plan->service, call->service ? call->service : "", sizeof plan->service);
 		*service = snapshot_find_service (snapshot, plan->service);
+		/* A VM that has just started may serve the name as soon as it has pulled the documents. */
+		if (!*service && snapshot->service_count == 0)
+			return refuse (problem, OUTCOME_REFUSED, REASON_CONFIG_BEHIND,
+			               "this VM has no configuration yet");
 		if (!*service)
 			return refuse (problem, OUTCOME_FAILED, REASON_UNKNOWN_SERVICE,
 			               "there is no service of this name");
--- a/tests/unit/entry.c
+++ b/tests/unit/entry.c
@@ -657,6 +657,24 @@
 	world_free (world);
 }
 
+/* Guards against a final failure from a VM that has not adopted its first configuration. */
+static void
+test_no_configuration (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	size_t services = world->source.current->service_count;
+
+	world->source.current->service_count = 0;
+	world_start (world, call_new ("find", NULL), &caller);
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_REFUSED);
+	g_assert_cmpint (caller.reason, ==, REASON_CONFIG_BEHIND);
+	g_assert_cmpuint (held_count, ==, 0);
+	caller_finish (&caller);
+	world->source.current->service_count = services;
+	world_free (world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -674,5 +692,6 @@
 	g_test_add_func ("/entry/wait_for_primary", test_wait_for_primary);
 	g_test_add_func ("/entry/cancel", test_cancel);
 	g_test_add_func ("/entry/bad_calls", test_bad_calls);
+	g_test_add_func ("/entry/no_configuration", test_no_configuration);
 	return g_test_run ();
 }
