--- a/flamingospring/control_gossip.c
+++ b/flamingospring/control_gossip.c
@@ -212,6 +212,16 @@
 	return true;
 }
 
+/** Takes an item of a state pull, which is not passed on: others know it already. */
+static void
+load_item (struct control *control, const struct membership_item *item)
+{
+	if (!membership_load (control->membership, item, clock_now_us ()))
+		return;
+	control_schedule_publish (control);
+	items_announce (control, item, 1);
+}
+
 static void
 handle_state (struct control *control, void *data, int status, void *result)
 {
@@ -224,7 +234,7 @@
 	for (u_int i = 0; i < state->items.items_len; i++)
 	{
 		if (control_item_decode (&state->items.items_val[i], &item))
-			control_merge_item (control, &item);
+			load_item (control, &item);
 	}
 	control_gossip_pump (control);
 }
--- a/flamingospring/control_observer.c
+++ b/flamingospring/control_observer.c
@@ -608,7 +608,10 @@
 
 	if (!observer)
 		return false;
+	/* The asker doubts the primary; polling it at once here saves the wait for the next quiet poll. */
+	failover_handle_asked (&observer->failover, clock_now_us ());
 	*opinion = failover_opinion (&observer->failover);
+	observer_pump (observer);
 	return true;
 }
 
--- a/flamingospring/control_server.c
+++ b/flamingospring/control_server.c
@@ -31,19 +31,15 @@
 	result.items.items_val = g_new0 (struct fs_item, members + others + 1);
 	for (size_t i = 0; i < members && count < FS_MAX_STATE; i++)
 	{
+		char key[MEMBERSHIP_KEY_BYTES];
 		struct member member;
 
 		/* Dead members are left out: a joining VM does not need them. */
 		if (!membership_get (control->membership, i, &member) || member.state == MEMBER_DEAD)
 			continue;
-		if (!membership_find_item (control->membership, ITEM_MEMBER, "", &items[count]))
-			memset (&items[count], 0, sizeof items[count]);
-		items[count].type = ITEM_MEMBER;
-		items[count].member = member.id;
-		items[count].state = member.state;
-		items[count].address = member.address;
-		items[count].config_revision = member.config_revision;
-		count++;
+		g_snprintf (key, sizeof key, "%u", member.id);
+		if (membership_find_item (control->membership, ITEM_MEMBER, key, &items[count]))
+			count++;
 	}
 	for (size_t i = 0; i < others && count < FS_MAX_STATE; i++)
 	{
