--- a/flamingospring/owner.c
+++ b/flamingospring/owner.c
@@ -10,8 +10,9 @@
 
 enum
 {
-	OWNER_POLL_US = US_PER_MS,          /* While writes or reads wait for a position. */
-	OWNER_CATCH_UP_US = 10 * US_PER_MS, /* While a round of questions is not answered. */
+	OWNER_POLL_US = US_PER_MS, /* While writes or reads wait for a position. */
+	OWNER_CATCH_UP_MIN_US = 10 * US_PER_MS,
+	OWNER_CATCH_UP_MAX_US = 50 * US_PER_MS,
 	/* Requests wait and the server has told nothing for so long: its status is asked for, since
 	 * the answers to statements may be due much later. */
 	OWNER_QUIET_US = 200 * US_PER_MS,
@@ -195,6 +196,18 @@
 	return false;
 }
 
+/* Between questions while the server has not reached the position of a round; answers to statements
+ * tell it as well. One eighth of the lag is precise enough for it. */
+static int64_t
+catch_up_us (const struct owner *owner)
+{
+	int64_t share_us = owner->freshness.lag_us / 8;
+
+	if (share_us < OWNER_CATCH_UP_MIN_US)
+		return OWNER_CATCH_UP_MIN_US;
+	return share_us < OWNER_CATCH_UP_MAX_US ? share_us : OWNER_CATCH_UP_MAX_US;
+}
+
 void
 owner_schedule (struct owner *owner)
 {
@@ -203,8 +216,8 @@
 
 	if (owner->checking.length > 0 || acknowledgement_is_waiting (owner->acknowledgement))
 		due_us = now_us + OWNER_POLL_US;
-	else if (owner->freshness.pending_count > 0 && due_us > now_us + OWNER_CATCH_UP_US)
-		due_us = now_us + OWNER_CATCH_UP_US;
+	else if (owner->freshness.pending_count > 0 && due_us > now_us + catch_up_us (owner))
+		due_us = now_us + catch_up_us (owner);
 	if (owner->tasks.length > 0 && due_us > now_us + OWNER_QUIET_US)
 		due_us = now_us + OWNER_QUIET_US;
 	if (due_us > owner->maintained_us + OWNER_MAINTAIN_US)
@@ -270,10 +283,15 @@
 	free (owner);
 }
 
+/* Tells whether the server's position is wanted, and no answer told it lately. */
 static bool
 owner_is_quiet (const struct owner *owner, int64_t now_us)
 {
-	return owner->tasks.length > 0 && now_us - owner->position_at_us >= OWNER_QUIET_US;
+	int64_t quiet_us = now_us - owner->position_at_us;
+
+	if (owner->freshness.pending_count > 0 && quiet_us >= catch_up_us (owner))
+		return true;
+	return owner->tasks.length > 0 && quiet_us >= OWNER_QUIET_US;
 }
 
 static void
@@ -284,7 +302,7 @@
 	owner_acknowledge_settle (owner);
 	owner_acknowledge_poll (owner, now_us);
 	owner_check_reads (owner);
-	if (owner->freshness.pending_count > 0 || owner_is_quiet (owner, now_us))
+	if (owner_is_quiet (owner, now_us))
 		owner_ask_self (owner, false);
 	if (now_us - owner->maintained_us >= OWNER_MAINTAIN_US)
 		owner_maintain (owner, now_us);
--- a/flamingospring/owner_freshness.c
+++ b/flamingospring/owner_freshness.c
@@ -34,6 +34,10 @@
 {
 	int64_t change_us = (sample_us - (int64_t) freshness->lag_us) / FRESHNESS_LAG_SHARE;
 
+	/* At one round a second, smoothing up from 0 would take many seconds. */
+	if (!freshness->has_lag)
+		change_us = sample_us;
+	freshness->has_lag = true;
 	freshness->lag_us = (uint32_t) ((int64_t) freshness->lag_us + change_us);
 }
 
--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -162,7 +162,7 @@
 	return routing_check_server (&server, &request, now_us);
 }
 
-/* A bounded read starts a round of questions to the group, as long as one can still help it. */
+/* Starts a round of questions to the group for a bounded read. */
 static void
 ask_age (struct owner *owner, int64_t now_us)
 {
@@ -207,6 +207,9 @@
 	owner->read_at_us = now_us;
 	if (check == CHECK_SERVE)
 	{
+		/* The next round is under way before the age is used up, so that reads do not wait for it. */
+		if (needs_age && now_us - owner->freshness.fresh_at_us > task->max_age_us / 2)
+			ask_age (owner, now_us);
 		owner_task_admit (task);
 		return;
 	}
--- a/include/flamingospring/owner_freshness.h
+++ b/include/flamingospring/owner_freshness.h
@@ -39,6 +39,7 @@
 	uint32_t pending_count;
 	int64_t fresh_at_us; /**< Content is at least as new as this; 0: unknown. */
 	uint32_t lag_us;     /**< Smoothed. */
+	bool has_lag;
 };
 
 void freshness_init (struct freshness *freshness, uint32_t servers, uint32_t self);
--- a/tests/integration/owner_pg.c
+++ b/tests/integration/owner_pg.c
@@ -295,6 +295,27 @@
 	g_assert_cmpint (asked.reason, ==, REASON_TOO_OLD);
 }
 
+/* Guards against a lag that routing cannot use: the stand-in holds entries back for 20 ms. */
+static void
+test_lag (struct fixture *fixture, gconstpointer data)
+{
+	int64_t end_us = clock_now_us () + 2500 * US_PER_MS;
+	struct asked asked;
+	char id[16];
+
+	for (unsigned i = 0; clock_now_us () < end_us; i++)
+	{
+		g_snprintf (id, sizeof id, "id-%u", i);
+		submit (fixture, &asked, "add", 0, id);
+		wait_done (fixture, &asked);
+		run (fixture, &asked, "find", 1, "");
+		g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	}
+	g_test_message ("measured lag %u ms", asked.lag_ms);
+	g_assert_cmpuint (asked.lag_ms, >, 0);
+	g_assert_cmpuint (asked.lag_ms, <, 100);
+}
+
 /* Runs a statement on a connection of the test itself. @return the log index of a status, or 0. */
 static int
 ask_server (const struct fixture *fixture, unsigned server, const char *statement)
@@ -425,6 +446,7 @@
 	g_test_add ("/owner_pg/calls", struct fixture, NULL, set_up, test_calls, tear_down);
 	g_test_add ("/owner_pg/session", struct fixture, NULL, set_up, test_session, tear_down);
 	g_test_add ("/owner_pg/age", struct fixture, NULL, set_up, test_age, tear_down);
+	g_test_add ("/owner_pg/lag", struct fixture, NULL, set_up, test_lag, tear_down);
 	g_test_add ("/owner_pg/lost_answers", struct fixture, NULL, set_up, test_lost_answers,
 	            tear_down);
 	g_test_add ("/owner_pg/same_id", struct fixture, NULL, set_up, test_same_id, tear_down);
