--- a/flamingospring/entry_attempt.c
+++ b/flamingospring/entry_attempt.c
@@ -109,7 +109,8 @@
 
 	if (!group)
 		return REASON_CONFIG_BEHIND;
-	count = known_group_routing (request->known, snapshot, group, servers, now_us);
+	count =
+		known_group_routing (request->known, snapshot, group, request->plan.rank, servers, now_us);
 	fill_routing_request (request, &routing, now_us);
 	for (size_t tries = 0; tries < count; tries++)
 	{
@@ -330,7 +331,7 @@
 {
 	bool is_stale = result_breaks_session (request, result);
 
-	known_group_report (request->known, request->args.server, result, now_us);
+	known_group_report (request->known, request->args.server, request->plan.rank, result, now_us);
 	INVARIANT (!is_stale, "P1");
 	if (is_stale)
 	{
@@ -361,7 +362,8 @@
 		/* The caller is gone, or has its answer; the response still tells about the server. */
 		if (result)
 		{
-			known_group_report (request->known, request->args.server, result, now_us);
+			known_group_report (request->known, request->args.server, request->plan.rank, result,
+			                    now_us);
 			counter_add (COUNTER_LATE_ANSWERS, 1);
 		}
 		entry_request_free (request);
--- a/flamingospring/entry_check.c
+++ b/flamingospring/entry_check.c
@@ -61,7 +61,8 @@
 		return refuse_request (problem, "the service has no call of this name");
 	if ((*found)->param_count != call->param_count)
 		return refuse_request (problem, "the number of params differs from the call's");
-	plan->timeout_ms = service->ranks[(*found)->rank].timeout_ms;
+	plan->rank = (*found)->rank;
+	plan->timeout_ms = service->ranks[plan->rank].timeout_ms;
 	return 0;
 }
 
@@ -179,7 +180,8 @@
 	result = check_token (plan, call, service, problem);
 	if (result < 0)
 		return result;
-	plan->timeout_ms = service->ranks[RANK_NORMAL].timeout_ms;
+	plan->rank = RANK_NORMAL;
+	plan->timeout_ms = service->ranks[plan->rank].timeout_ms;
 	if (call->operation == FS_OPERATION_CALL)
 		result = plan_call (plan, call, service, problem);
 	else if (call->operation == FS_OPERATION_BEGIN)
--- a/flamingospring/known_servers.c
+++ b/flamingospring/known_servers.c
@@ -51,17 +51,18 @@
 
 /** A queue drains in real time, so an old report of a long one does not keep requests away. */
 static uint32_t
-remaining_queue_us (const struct known_server *server, int64_t now_us)
+remaining_queue_us (const struct known_server *server, enum rank rank, int64_t now_us)
 {
-	int64_t passed_us = now_us - server->queue_at_us;
+	int64_t passed_us = now_us - server->queue_at_us[rank];
+	uint32_t queue_us = server->queue_us[rank];
 
-	return passed_us < server->queue_us ? server->queue_us - (uint32_t) passed_us : 0;
+	return passed_us < queue_us ? queue_us - (uint32_t) passed_us : 0;
 }
 
 size_t
 known_group_routing (const struct known_group *known, const struct snapshot *snapshot,
-                     const struct snapshot_group *group, struct routing_server *servers,
-                     int64_t now_us)
+                     const struct snapshot_group *group, enum rank rank,
+                     struct routing_server *servers, int64_t now_us)
 {
 	bool knows_newer = known->term > 0 && (!group->has_primary || known->term > group->term);
 	size_t count = group->database->server_count;
@@ -78,7 +79,7 @@
 			           now_us - circuit->opened_at_us < circuit->open_us,
 			.is_leaving = group->servers[i].is_leaving,
 			.link_us = link_us (snapshot, group->servers[i].owners.owner),
-			.queue_us = remaining_queue_us (server, now_us),
+			.queue_us = remaining_queue_us (server, rank, now_us),
 			.lag_us = server->lag_us,
 			.position = server->position,
 			.position_at_us = server->position_at_us,
@@ -89,8 +90,8 @@
 }
 
 void
-known_group_report (struct known_group *known, uint32_t at, const struct fs_execute_result *result,
-                    int64_t now_us)
+known_group_report (struct known_group *known, uint32_t at, enum rank rank,
+                    const struct fs_execute_result *result, int64_t now_us)
 {
 	struct known_server *server = &known->servers[at];
 	bool is_down = result->outcome != OUTCOME_DONE && result->reason == REASON_UPSTREAM_DOWN;
@@ -110,8 +111,8 @@
 	}
 	if (result->reason != REASON_NOT_OWNER)
 	{
-		server->queue_us = result->server_queue_us;
-		server->queue_at_us = now_us;
+		server->queue_us[rank] = result->server_queue_us;
+		server->queue_at_us[rank] = now_us;
 	}
 	if (result->primary >= 0 && result->primary < ROUTING_MAX_SERVERS &&
 	    result->primary_term > known->term)
--- a/include/flamingospring/known_servers.h
+++ b/include/flamingospring/known_servers.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "decision/request.h"
 #include "decision/retry.h"
 #include "decision/routing.h"
 #include "flamingospring/snapshot.h"
@@ -19,8 +20,8 @@
 	int64_t position_at_us;
 	int64_t fresh_at_us;
 	uint32_t lag_us;
-	uint32_t queue_us;
-	int64_t queue_at_us;
+	uint32_t queue_us[RANK_COUNT]; /**< A flood of one rank says nothing about the others. */
+	int64_t queue_at_us[RANK_COUNT];
 	struct circuit circuit;
 };
 
@@ -42,13 +43,13 @@
 /** Finds the entry of a database, or adds one. The entry stays valid until known_servers_finish(). */
 struct known_group *known_servers_group (struct known_servers *known, const char *database);
 
-/** Fills @p servers for routing_choose(). @return the number of servers. */
+/** Fills @p servers for routing_choose() of a request of @p rank. @return the number of servers. */
 size_t known_group_routing (const struct known_group *known, const struct snapshot *snapshot,
-                            const struct snapshot_group *group, struct routing_server *servers,
-                            int64_t now_us);
+                            const struct snapshot_group *group, enum rank rank,
+                            struct routing_server *servers, int64_t now_us);
 
-/** Takes what a response of server @p at tells. */
-void known_group_report (struct known_group *known, uint32_t at,
+/** Takes what a response of server @p at to a request of @p rank tells. */
+void known_group_report (struct known_group *known, uint32_t at, enum rank rank,
                          const struct fs_execute_result *result, int64_t now_us);
 
 /** Takes the news that server @p at or its owner did not answer. */
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -21,6 +21,7 @@
 	"  - {name: find, database: letters, kind: read, params: 1, statement: \"SELECT $1\"}\n"
 	"  - {name: find_primary, database: letters, kind: read, consistency: primary, params: 0,\n"
 	"     statement: \"SELECT 1\"}\n"
+	"  - {name: find_low, database: letters, kind: read, rank: low, params: 0, statement: \"SELECT 1\"}\n"
 	"  - {name: add, database: letters, kind: write, params: 2, statement: \"INSERT $1 $2\"}\n"
 	"  - {name: set, database: letters, kind: write, idempotent: true, params: 2,\n"
 	"     statement: \"UPDATE $1 $2\"}\n";
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -26,7 +26,7 @@
 	bool refuses_connections;
 };
 
-/** Service "post": database "letters"; calls find (read, 1 param), find_primary, add (write with
+/** Service "post": database "letters"; calls find (read, 1 param), find_primary, find_low, add (write with
  * request id, 2 params), set (idempotent write, 2 params). */
 struct snapshot *fixture_snapshot (const struct fixture *fixture);
 
--- a/tests/unit/entry.c
+++ b/tests/unit/entry.c
@@ -428,6 +428,36 @@
 	world_free (world);
 }
 
+/* A long queue of one rank must not move the reads of other ranks to the primary. */
+static void
+test_queue_by_rank (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct fs_execute_result result = result_at (5, 1);
+	struct execution *execution;
+
+	for (unsigned i = 0; i < 40; i++)
+	{
+		world_start (world, call_new ("find_low", NULL), &caller);
+		execution = world_next (world);
+		result.server_queue_us = execution->args->server == 0 ? 0 : 60 * US_PER_S;
+		answer (execution, result);
+		caller_finish (&caller);
+	}
+	world_start (world, call_new ("find_low", NULL), &caller);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->args->server, ==, 0);
+	answer (execution, result);
+	caller_finish (&caller);
+	world_start (world, call_new ("find", NULL), &caller);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->args->server, !=, 0);
+	answer (execution, result);
+	caller_finish (&caller);
+	world_free (world);
+}
+
 /* A silent owner costs the caller its deadline; the late answer reaches nobody. */
 static void
 test_late (void)
@@ -699,6 +729,7 @@
 	g_test_add_func ("/entry/lost", test_lost);
 	g_test_add_func ("/entry/refused_after_loss", test_refused_after_loss);
 	g_test_add_func ("/entry/budget", test_budget);
+	g_test_add_func ("/entry/queue_by_rank", test_queue_by_rank);
 	g_test_add_func ("/entry/late", test_late);
 	g_test_add_func ("/entry/session", test_session);
 	g_test_add_func ("/entry/transaction", test_transaction);
