--- a/flamingospring/entry_attempt.c
+++ b/flamingospring/entry_attempt.c
@@ -9,6 +9,10 @@
 	ATTEMPT_BACKOFF_MAX_US = 250 * US_PER_MS,
 	/* The owner answers at the deadline; the caller gets an answer soon after it in any case. */
 	ATTEMPT_GRACE_US = 150 * US_PER_MS,
+	/* A replica that is this much later than expected has fallen behind; another server may have the
+	 * position already. */
+	WAIT_FACTOR = 2,
+	WAIT_SLACK_MS = 50,
 };
 
 /** Tries again after @p delay_us, or ends with the reason when the time is over by then. */
@@ -120,6 +124,7 @@
 		if (choice.action == ROUTE_NONE)
 			break;
 		request->args.server = choice.server;
+		request->args.wait_ms = WAIT_FACTOR * choice.wait_us / US_PER_MS + WAIT_SLACK_MS;
 		request->execution.vm = choose_vm (request, &group->servers[choice.server].owners, now_us);
 		if (request->execution.vm != OWNERSHIP_NONE &&
 		    known_group_allows (request->known, choice.server, now_us))
--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -126,6 +126,10 @@
 	task->deadline_us = request->deadline_us;
 	task->arrived_us = clock_now_us ();
 	task->required = (struct log_position){ args->required.term, args->required.index };
+	task->wait_until_us = task->deadline_us;
+	if (args->wait_ms != 0)
+		task->wait_until_us =
+			MIN (task->deadline_us, task->arrived_us + (int64_t) args->wait_ms * US_PER_MS);
 	copy_request (task, args, call);
 	if (call)
 		copy_call (task, call);
@@ -213,7 +217,8 @@
 		owner_task_admit (task);
 		return;
 	}
-	if (now_us >= task->deadline_us || (is_fresh && check != CHECK_WAIT))
+	if (now_us >= task->deadline_us || (is_fresh && check != CHECK_WAIT) ||
+	    (now_us >= task->wait_until_us && !log_position_covers (owner->position, task->required)))
 	{
 		refuse_check (task, check);
 		return;
--- a/include/flamingospring/owner_private.h
+++ b/include/flamingospring/owner_private.h
@@ -74,6 +74,7 @@
 	int64_t max_age_us;
 	int64_t run_limit_us;
 	int64_t deadline_us;
+	int64_t wait_until_us; /**< Limit of the wait for the required position. */
 	int64_t arrived_us;
 	int64_t started_us;
 	struct log_position required;
--- a/include/protocols/peer.h
+++ b/include/protocols/peer.h
@@ -59,6 +59,7 @@
 	char *tenant;
 	fs_position required;
 	u_int budget_ms;
+	u_int wait_ms;
 	char *traceparent;
 };
 typedef struct fs_execute_args fs_execute_args;
--- a/protocols/peer.x
+++ b/protocols/peer.x
@@ -40,6 +40,7 @@
 	string tenant<FS_MAX_NAME>;
 	fs_position required;
 	unsigned int budget_ms;
+	unsigned int wait_ms; /* Longest wait for the required position; 0: the budget. */
 	string traceparent<FS_MAX_ID>;
 };
 
--- a/protocols/peer_xdr.c
+++ b/protocols/peer_xdr.c
@@ -77,6 +77,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->budget_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->traceparent, FS_MAX_ID))
 		 return FALSE;
 	return TRUE;
