--- a/decision/failover.c
+++ b/decision/failover.c
@@ -10,6 +10,10 @@
 
 const struct failover_settings failover_default_settings = {
 	.poll_quiet_us = 1000000,
+	.poll_quiet_max_us = 3000000,
+	/* A poll takes about 460 bytes both ways; a VM that observes more than 3 groups makes 6 polls a
+	 * second, 2.8 KB of the 6 KB that control may take. */
+	.poll_per_group_us = 280000,
 	.poll_alert_us = 100000,
 	.reply_late_us = 300000,
 	.suspect_after_us = 500000,
@@ -20,6 +24,9 @@
 
 enum
 {
+	/* Quiet polls of the primary for one of each replica. A replica's fence by a claimant that died is
+	 * seen that late in a group without traffic; writes see it at once in the acknowledgement. */
+	REPLICA_POLLS = 3,
 	MAX_ATTEMPTS = 2, /* Fences of one claim; lost answers may make the first one fail. */
 	/* A claim that does not hurry waits this long for the fences that a majority does not need, so
 	 * that a healthy primary is among the fenced servers and can be promoted again. */
@@ -274,6 +281,7 @@
 	memset (f, 0, sizeof *f);
 	failover->state = f;
 	f->settings = settings;
+	f->quiet_us = settings->poll_quiet_us;
 	f->self = self;
 	f->server_count = servers;
 	f->seed = seed;
@@ -376,6 +384,18 @@
 	handle_failure (f, server, now_us);
 }
 
+static int64_t
+poll_interval_us (const struct failover_private *f, uint32_t server, int64_t now_us)
+{
+	bool is_replica = f->primary != FAILOVER_NO_PRIMARY && server != f->primary;
+
+	if (is_in (f, STATE_QUIET))
+		return is_replica ? REPLICA_POLLS * f->quiet_us : f->quiet_us;
+	if (now_us - f->alert_us < LONG_ALERT_US)
+		return f->settings->poll_alert_us;
+	return f->settings->poll_quiet_us / 2;
+}
+
 void
 failover_handle_traffic (struct failover *failover, uint32_t server, bool answered, int64_t now_us)
 {
@@ -394,7 +414,7 @@
 	observed->answered_us = now_us;
 	observed->unanswered_us = 0;
 	if (is_in (f, STATE_QUIET))
-		observed->next_poll_us = now_us + f->settings->poll_quiet_us;
+		observed->next_poll_us = now_us + poll_interval_us (f, server, now_us);
 	advance (f, now_us);
 }
 
@@ -502,14 +522,17 @@
 	return 0;
 }
 
-static int64_t
-poll_interval_us (const struct failover_private *f, int64_t now_us)
+void
+failover_set_load (struct failover *failover, size_t groups)
 {
-	if (is_in (f, STATE_QUIET))
-		return f->settings->poll_quiet_us;
-	if (now_us - f->alert_us < LONG_ALERT_US)
-		return f->settings->poll_alert_us;
-	return f->settings->poll_quiet_us / 2;
+	const struct failover_settings *settings = failover->state->settings;
+	int64_t quiet_us = settings->poll_per_group_us * (int64_t) groups;
+
+	if (quiet_us < settings->poll_quiet_us)
+		quiet_us = settings->poll_quiet_us;
+	if (quiet_us > settings->poll_quiet_max_us)
+		quiet_us = settings->poll_quiet_max_us;
+	failover->state->quiet_us = quiet_us;
 }
 
 static bool
@@ -518,7 +541,7 @@
 	for (uint32_t i = 0; i < f->server_count; i++)
 	{
 		struct observed_server *server = &f->servers[i];
-		int64_t interval_us = poll_interval_us (f, now_us);
+		int64_t interval_us = poll_interval_us (f, i, now_us);
 
 		if (is_in (f, STATE_FENCING) && f->claim.is_catching_up && i == f->claim.preferred)
 			interval_us = CATCH_UP_POLL_US;
@@ -549,7 +572,7 @@
 
 		if (other->observer.id == f->self || now_us < other->next_ask_us)
 			continue;
-		other->next_ask_us = now_us + poll_interval_us (f, now_us);
+		other->next_ask_us = now_us + poll_interval_us (f, f->primary, now_us);
 		*effect = (struct failover_effect){ .type = FAILOVER_ASK, .observer = other->observer.id };
 		return true;
 	}
--- a/flamingospring/control_observer.c
+++ b/flamingospring/control_observer.c
@@ -549,6 +549,8 @@
 void
 control_observers_update (struct control *control, const struct snapshot *snapshot)
 {
+	size_t count = 0;
+
 	for (struct control_observer *o = control->observers; o; o = o->next)
 		o->is_used = false;
 	for (size_t i = 0; i < snapshot->group_count; i++)
@@ -557,6 +559,10 @@
 			observer_update (control, &snapshot->groups[i]);
 	}
 	remove_unused (control);
+	for (struct control_observer *o = control->observers; o; o = o->next)
+		count++;
+	for (struct control_observer *o = control->observers; o; o = o->next)
+		failover_set_load (&o->failover, count);
 }
 
 void
--- a/flamingospring/entry_attempt.c
+++ b/flamingospring/entry_attempt.c
@@ -12,7 +12,7 @@
 	/* A replica that is this much later than expected has fallen behind; another server may have the
 	 * position already. */
 	WAIT_FACTOR = 2,
-	WAIT_SLACK_MS = 50,
+	WAIT_SLACK_MS = 250,
 };
 
 /** Tries again after @p delay_us, or ends with the reason when the time is over by then. */
--- a/include/decision/failover.h
+++ b/include/decision/failover.h
@@ -22,9 +22,12 @@
 
 struct failover_settings
 {
-	int64_t poll_quiet_us;    /**< Between polls in quiet times. */
-	int64_t poll_alert_us;    /**< Between polls after a late reply. */
-	int64_t reply_late_us;    /**< A reply later than this starts the alert. */
+	int64_t poll_quiet_us;     /**< Between polls of the primary in quiet times. */
+	int64_t poll_quiet_max_us; /**< Its limit when a VM observes many groups. */
+	int64_t
+		poll_per_group_us; /**< Least share of the interval for each group that the VM observes. */
+	int64_t poll_alert_us; /**< Between polls after a late reply. */
+	int64_t reply_late_us; /**< A reply later than this starts the alert. */
 	int64_t suspect_after_us; /**< Silence after which the primary is suspected. */
 	int64_t claim_step_us;    /**< Added delay per place in the order of claimants. */
 	int64_t step_timeout_us;  /**< Limit for each of agree, fence and promote. */
@@ -89,6 +92,10 @@
 
 void failover_finish (struct failover *failover);
 
+/** Sets the interval of quiet polls for a VM that observes @p groups groups, so that the bytes of all
+ * polls stay within its budget. */
+void failover_set_load (struct failover *failover, size_t groups);
+
 /** Replaces the list of observers (owners of the group's servers), in claimant order. */
 void failover_set_observers (struct failover *failover, const struct failover_observer *observers,
                              size_t count, int64_t now_us);
--- a/include/decision/failover_view.h
+++ b/include/decision/failover_view.h
@@ -73,6 +73,7 @@
 struct failover_private
 {
 	const struct failover_settings *settings;
+	int64_t quiet_us; /**< Present interval of quiet polls of the primary. */
 	struct chart_instance chart;
 	int events[EVENT_COUNT];
 	int states[STATE_COUNT];
