--- a/tests/integration/owner_pg.c
+++ b/tests/integration/owner_pg.c
@@ -300,7 +300,7 @@
 test_lag (struct fixture *fixture, gconstpointer data)
 {
 	int64_t end_us = clock_now_us () + 2500 * US_PER_MS;
-	struct asked asked;
+	struct asked asked = { 0 };
 	char id[16];
 
 	for (unsigned i = 0; clock_now_us () < end_us; i++)
