--- a/tests/integration/standin_database.c
+++ b/tests/integration/standin_database.c
@@ -1,47 +1,50 @@
 /* The database stand-in as the proxy meets it: separate processes, libpq as the client. */
 #include "common/clock.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <libpq-fe.h>
 #include <signal.h>
 #include <string.h>
-#include <sys/socket.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 enum
 {
 	SERVERS = 3,
+	FIRST_PORT = 5432,
+	FIRST_PEER_PORT = 5442,
 	WAIT_LIMIT_US = 5 * US_PER_S,
 };
 
 struct fixture
 {
-	uint16_t ports[SERVERS];
+	char *ip;
 	GPid pids[SERVERS];
 	char *peers;
 	char *directory;
 };
 
-static uint16_t
-free_port (void)
+/** An address of this process only: ports of 127.0.0.1 are taken at any time by outgoing connections. */
+static char *
+own_address (void)
+{
+	pid_t pid = getpid ();
+
+	return g_strdup_printf ("127.%d.%d.%d", 128 + (pid >> 16 & 63), pid >> 8 & 255, pid & 255);
+}
+
+/** A server must not outlive a test that is aborted. */
+static void
+handle_child_setup (void *data)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET,
-		                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-	socklen_t length = sizeof address;
-	int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-	g_assert_cmpint (bind (fd, (struct sockaddr *) &address, sizeof address), ==, 0);
-	getsockname (fd, (struct sockaddr *) &address, &length);
-	close (fd);
-	return ntohs (address.sin_port);
+	prctl (PR_SET_PDEATHSIG, SIGKILL);
 }
 
 static void
 server_start (struct fixture *fixture, size_t index)
 {
-	char *address = g_strdup_printf ("127.0.0.1:%u", fixture->ports[index]);
+	char *address = g_strdup_printf ("%s:%zu", fixture->ip, FIRST_PORT + index);
 	char *place = g_strdup_printf ("%zu", index);
 	char *state = g_strdup_printf ("%s/%zu", fixture->directory, index);
 	char *argv[] = { STANDIN_DATABASE,
@@ -62,8 +65,8 @@
 		             NULL };
 	GError *error = NULL;
 
-	g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &fixture->pids[index],
-	               &error);
+	g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, handle_child_setup, NULL,
+	               &fixture->pids[index], &error);
 	g_assert_no_error (error);
 	g_free (address);
 	g_free (place);
@@ -84,11 +87,9 @@
 	GString *peers = g_string_new ("");
 
 	fixture->directory = g_dir_make_tmp ("standin-XXXXXX", NULL);
+	fixture->ip = own_address ();
 	for (size_t i = 0; i < SERVERS; i++)
-	{
-		fixture->ports[i] = free_port ();
-		g_string_append_printf (peers, "%s127.0.0.1:%u", i ? "," : "", free_port ());
-	}
+		g_string_append_printf (peers, "%s%s:%zu", i ? "," : "", fixture->ip, FIRST_PEER_PORT + i);
 	fixture->peers = g_string_free (peers, FALSE);
 	for (size_t i = 0; i < SERVERS; i++)
 		server_start (fixture, i);
@@ -109,14 +110,15 @@
 	rmdir (fixture->directory);
 	g_free (fixture->directory);
 	g_free (fixture->peers);
+	g_free (fixture->ip);
 }
 
 static PGconn *
 server_try_connect (const struct fixture *fixture, size_t index)
 {
-	char *info = g_strdup_printf ("host=127.0.0.1 port=%u dbname=ledger0 user=proxy sslmode=prefer "
+	char *info = g_strdup_printf ("host=%s port=%zu dbname=ledger0 user=proxy sslmode=prefer "
 	                              "gssencmode=disable connect_timeout=5",
-	                              fixture->ports[index]);
+	                              fixture->ip, FIRST_PORT + index);
 	PGconn *connection = PQconnectdb (info);
 
 	g_free (info);
--- a/tests/integration/standin_platform.c
+++ b/tests/integration/standin_platform.c
@@ -1,13 +1,12 @@
 /* The platform stand-in as the proxy meets it: a separate process, libcurl as the client. */
 #include "common/clock.h"
 
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <string.h>
-#include <sys/socket.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -22,18 +21,11 @@
 static char *control_url;
 static GPid platform_pid;
 
-static uint16_t
-free_port (void)
+/** The stand-in must not outlive a test that is aborted. */
+static void
+handle_child_setup (void *data)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET,
-		                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-	socklen_t length = sizeof address;
-	int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-	g_assert_cmpint (bind (fd, (struct sockaddr *) &address, sizeof address), ==, 0);
-	getsockname (fd, (struct sockaddr *) &address, &length);
-	close (fd);
-	return ntohs (address.sin_port);
+	prctl (PR_SET_PDEATHSIG, SIGKILL);
 }
 
 static size_t
@@ -66,13 +58,18 @@
 static void
 platform_start (void)
 {
-	char *service = g_strdup_printf ("127.0.0.1:%u", free_port ());
-	char *control = g_strdup_printf ("127.0.0.1:%u", free_port ());
+	/* An address of this process only: ports of 127.0.0.1 are taken at any time by outgoing
+	 * connections. */
+	pid_t pid = getpid ();
+	char *ip = g_strdup_printf ("127.%d.%d.%d", 128 + (pid >> 16 & 63), pid >> 8 & 255, pid & 255);
+	char *service = g_strconcat (ip, ":2379", NULL);
+	char *control = g_strconcat (ip, ":2380", NULL);
 	char *argv[] = { STANDIN_PLATFORM, service, control, NULL };
 	GString *answer = g_string_new ("");
 	GError *error = NULL;
 
-	g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &platform_pid, &error);
+	g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, handle_child_setup, NULL,
+	               &platform_pid, &error);
 	g_assert_no_error (error);
 	service_url = g_strconcat ("http://", service, NULL);
 	control_url = g_strconcat ("http://", control, NULL);
@@ -83,6 +80,7 @@
 		g_usleep (10 * US_PER_MS);
 	}
 	g_string_free (answer, TRUE);
+	g_free (ip);
 	g_free (service);
 	g_free (control);
 }
