--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -126,6 +126,10 @@
 	task->deadline_us = request->deadline_us;
 	task->arrived_us = clock_now_us ();
 	task->required = (struct log_position){ args->required.term, args->required.index };
+	task->wait_until_us = task->deadline_us;
+	if (args->wait_ms != 0)
+		task->wait_until_us =
+			MIN (task->deadline_us, task->arrived_us + (int64_t) args->wait_ms * US_PER_MS);
 	copy_request (task, args, call);
 	if (call)
 		copy_call (task, call);
@@ -162,7 +166,7 @@
 	return routing_check_server (&server, &request, now_us);
 }
 
-/* A bounded read starts a round of questions to the group, as long as one can still help it. */
+/* Starts a round of questions to the group for a bounded read. */
 static void
 ask_age (struct owner *owner, int64_t now_us)
 {
@@ -207,10 +211,14 @@
 	owner->read_at_us = now_us;
 	if (check == CHECK_SERVE)
 	{
+		/* The next round is under way before the age is used up, so that reads do not wait for it. */
+		if (needs_age && now_us - owner->freshness.fresh_at_us > task->max_age_us / 2)
+			ask_age (owner, now_us);
 		owner_task_admit (task);
 		return;
 	}
-	if (now_us >= task->deadline_us || (is_fresh && check != CHECK_WAIT))
+	if (now_us >= task->deadline_us || (is_fresh && check != CHECK_WAIT) ||
+	    (now_us >= task->wait_until_us && !log_position_covers (owner->position, task->required)))
 	{
 		refuse_check (task, check);
 		return;
--- a/flamingospring/peer_listener.c
+++ b/flamingospring/peer_listener.c
@@ -216,14 +216,12 @@
 	(void) epoll_events;
 	for (;;)
 	{
-		int fd = accept4 (source->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		int fd = rpc_accept (source->fd);
 
-		if (fd < 0 && errno == EINTR)
-			continue;
 		if (fd < 0)
 		{
-			if (errno != EAGAIN)
-				log_event (LOG_LEVEL_WARN, "peer_accept_failed", "errno=%d", errno);
+			if (fd != -EAGAIN)
+				log_event (LOG_LEVEL_WARN, "peer_accept_failed", "error=%d", fd);
 			return;
 		}
 		if (listener_add (listener, fd) < 0)
@@ -288,7 +286,13 @@
 uint32_t
 peer_listener_in_flight (const struct peer_listener *listener)
 {
-	uint32_t count = listener->in_flight;
+	return listener->in_flight;
+}
+
+uint32_t
+peer_listener_unsent (const struct peer_listener *listener)
+{
+	uint32_t count = 0;
 	uint32_t handle = handle_table_next (&listener->connections, HANDLE_NONE);
 
 	for (; handle != HANDLE_NONE; handle = handle_table_next (&listener->connections, handle))
