--- a/flamingospring/control.c
+++ b/flamingospring/control.c
@@ -401,7 +401,9 @@
 	control->gossip_source.fd = -1;
 	control->listener.fd = -1;
 	snapshot_reader_init (&control->writer, source);
-	drain_init (&control->drain, &drain_default_settings);
+	control->drain_settings = drain_default_settings;
+	control->drain_settings.limit_us = (int64_t) settings->drain_limit_ms * US_PER_MS;
+	drain_init (&control->drain, &control->drain_settings);
 	result = parts_init (control);
 	if (result < 0)
 	{
--- a/include/flamingospring/control_private.h
+++ b/include/flamingospring/control_private.h
@@ -84,6 +84,7 @@
 	uint32_t client_count;
 	struct loop_source listener;
 
+	struct drain_settings drain_settings;
 	struct drain drain;
 	struct loop_timer drain_timer;
 	struct loop_timer publish_timer;
