--- a/ctl/client.c
+++ b/ctl/client.c
@@ -59,6 +59,16 @@
 	return result;
 }
 
+int
+client_check_arguments (char **arguments, unsigned max)
+{
+	if (g_strv_length (arguments) <= max + 1)
+		return EXIT_CODE_OK;
+	fprintf (stderr, "flamingospring %s: unexpected argument \"%s\"\n", arguments[0],
+	         arguments[max + 1]);
+	return EXIT_CODE_USAGE;
+}
+
 void
 client_options_finish (struct client_options *options)
 {
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -49,6 +49,15 @@
 	puts ("\nflamingospring COMMAND --help describes a command.");
 }
 
+bool
+commands_print_version (int argc, char **argv)
+{
+	if (argc != 2 || strcmp (argv[1], "--version") != 0)
+		return false;
+	puts ("flamingospring " FLAMINGOSPRING_VERSION);
+	return true;
+}
+
 static int
 command_compare (const void *key, const void *entry)
 {
@@ -68,5 +77,7 @@
 		         argv[0]);
 		return EXIT_CODE_USAGE;
 	}
+	if (commands_print_version (argc, argv))
+		return EXIT_CODE_OK;
 	return command->run (argc, argv);
 }
--- a/ctl/commands/counters.c
+++ b/ctl/commands/counters.c
@@ -51,6 +51,8 @@
 	int code =
 		client_parse (&options, argc, argv, "- print the counters of a VM", NULL, &arguments);
 
+	if (code == EXIT_CODE_OK)
+		code = client_check_arguments (arguments, 0);
 	if (code == EXIT_CODE_OK)
 		code = counters_call (&options);
 	g_strfreev (arguments);
--- a/ctl/commands/drain.c
+++ b/ctl/commands/drain.c
@@ -34,11 +34,8 @@
 	char **arguments;
 	int code = client_parse (&options, argc, argv, usage, NULL, &arguments);
 
-	if (code == EXIT_CODE_OK && g_strv_length (arguments) > 2)
-	{
-		fprintf (stderr, "flamingospring %s: at most one DATABASE/INDEX\n", argv[0]);
-		code = EXIT_CODE_USAGE;
-	}
+	if (code == EXIT_CODE_OK)
+		code = client_check_arguments (arguments, 1);
 	if (code == EXIT_CODE_OK)
 		code = drain_call (&options, arguments[1] ? arguments[1] : "", leaving);
 	g_strfreev (arguments);
--- a/ctl/commands/get.c
+++ b/ctl/commands/get.c
@@ -15,6 +15,8 @@
 	                         "[SERVICE] - print a service document, or list the services", NULL,
 	                         &arguments);
 
+	if (code == EXIT_CODE_OK)
+		code = client_check_arguments (arguments, 1);
 	if (code != EXIT_CODE_OK)
 		goto out;
 	code = document_fetch (&options, arguments[1] ? arguments[1] : "", &result);
--- a/ctl/commands/status.c
+++ b/ctl/commands/status.c
@@ -120,6 +120,8 @@
 	                         "- members, servers, owners and primaries as a VM sees them", NULL,
 	                         &arguments);
 
+	if (code == EXIT_CODE_OK)
+		code = client_check_arguments (arguments, 0);
 	if (code == EXIT_CODE_OK)
 		code = status_call (&options);
 	g_strfreev (arguments);
--- a/ctl/commands/trace.c
+++ b/ctl/commands/trace.c
@@ -34,6 +34,8 @@
 		client_parse (&options, argc, argv, "- print the latest sampled spans of a VM as OTLP/JSON",
 	                  NULL, &arguments);
 
+	if (code == EXIT_CODE_OK)
+		code = client_check_arguments (arguments, 0);
 	if (code == EXIT_CODE_OK)
 		code = trace_call (&options);
 	g_strfreev (arguments);
--- a/flamingospring/main.c
+++ b/flamingospring/main.c
@@ -12,14 +12,13 @@
 		commands_print_help ();
 		return EXIT_CODE_USAGE;
 	}
-	if (strcmp (argv[1], "--version") == 0)
-	{
-		puts ("flamingospring 0.1.0");
+	if (commands_print_version (argc, argv))
 		return EXIT_CODE_OK;
-	}
 	if (strcmp (argv[1], "--help") == 0)
 		argv[1] = "help";
-	if (strcmp (argv[1], "proxy") == 0)
-		return proxy_run (argc - 1, argv + 1);
-	return commands_run (argc - 1, argv + 1);
+	if (strcmp (argv[1], "proxy") != 0)
+		return commands_run (argc - 1, argv + 1);
+	if (commands_print_version (argc - 1, argv + 1))
+		return EXIT_CODE_OK;
+	return proxy_run (argc - 1, argv + 1);
 }
--- a/include/ctl/client.h
+++ b/include/ctl/client.h
@@ -32,6 +32,10 @@
 int client_parse (struct client_options *options, int argc, char **argv, const char *usage,
                   const GOptionEntry *entries, char ***arguments);
 
+/** Reports arguments beyond @p max, which a command would ignore otherwise.
+ * @return EXIT_CODE_OK or EXIT_CODE_USAGE. */
+int client_check_arguments (char **arguments, unsigned max);
+
 void client_options_finish (struct client_options *options);
 
 /** Connects to the first VM that answers. @return 0, or -EHOSTUNREACH with a message on stderr. */
--- a/include/ctl/commands.h
+++ b/include/ctl/commands.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include <stdbool.h>
+
 /** Exit codes of the commands. */
 enum exit_code
 {
@@ -17,5 +19,8 @@
 /** Runs the command named by argv[0]. @return an exit code. */
 int commands_run (int argc, char **argv);
 
+/** Handles COMMAND --version. @return whether the arguments ask for it. */
+bool commands_print_version (int argc, char **argv);
+
 /** Prints the list of commands. */
 void commands_print_help (void);
