--- a/ctl/commands/apply.c
+++ b/ctl/commands/apply.c
@@ -107,6 +107,16 @@
 	return result->code == -EINVAL ? EXIT_CODE_USAGE : EXIT_CODE_FAILED;
 }
 
+/** Without the expected revision, a repeat would take the present one and could undo a change made since. */
+static void
+print_repeat (const struct fs_apply_args *args)
+{
+	fprintf (stderr,
+	         "flamingospring apply: the outcome is unknown; repeat with --operation-id %s "
+	         "--expected-revision %llu\n",
+	         args->operation_id, (unsigned long long) args->expected_revision);
+}
+
 static int
 apply_service (struct client *client, const struct client_options *options,
                const struct apply_options *apply, const char *service, const char *text)
@@ -131,12 +141,12 @@
 	if (client_call (client, FS_OPERATOR_APPLY, (xdrproc_t) xdr_fs_apply_args, &args,
 	                 (xdrproc_t) xdr_fs_apply_result, &result) < 0)
 	{
-		fprintf (stderr,
-		         "flamingospring apply: the outcome is unknown; repeat with --operation-id %s\n",
-		         apply->operation_id);
+		print_repeat (&args);
 		return EXIT_CODE_FAILED;
 	}
 	code = print_result (&result, options, service);
+	if (result.code == -ETIMEDOUT)
+		print_repeat (&args);
 	if (code == EXIT_CODE_OK && apply->wait)
 		code = wait_for_members (client, result.revision);
 	xdr_free ((xdrproc_t) xdr_fs_apply_result, &result);
--- a/flamingospring/control_operator.c
+++ b/flamingospring/control_operator.c
@@ -204,6 +204,9 @@
 	}
 	if (!args.operation_id[0] || !args.service[0])
 		problems = g_strdup ("operation id and service are needed");
+	else if (strlen (args.operation_id) >= SCHEMA_NAME_BYTES)
+		problems =
+			g_strdup_printf ("the operation id is longer than %d bytes", SCHEMA_NAME_BYTES - 1);
 	else
 		problems = apply_check (control, &args);
 	result.message = problems;
--- a/tests/integration/command_line.c
+++ b/tests/integration/command_line.c
@@ -14,6 +14,7 @@
 enum
 {
 	EXIT_OK = 0,
+	EXIT_FAILED = 1,
 	EXIT_USAGE = 2,
 	EXIT_UNREACHABLE = 3,
 	MAX_ARGUMENTS = 16,
@@ -288,45 +289,100 @@
 	return -1;
 }
 
+/** A proxy that reaches no platform. */
+struct proxy
+{
+	GPid pid;
+	uint16_t caller_port;
+	uint16_t control_port;
+};
+
+static void
+proxy_start (struct proxy *proxy)
+{
+	char *line;
+	char **argv;
+	GError *error = NULL;
+	int fd;
+
+	proxy->caller_port = free_port ();
+	proxy->control_port = free_port ();
+	line = g_strdup_printf (
+		FLAMINGOSPRING " proxy --vm-id 1 --zone a --platform http://127.0.0.1:1 --log-level error "
+					   "--caller-port %u --traffic-port %u --control-port %u --service-port %u "
+					   "--drain-limit-ms %d",
+		proxy->caller_port, free_port (), proxy->control_port, free_port (), STOP_LIMIT_MS);
+	argv = g_strsplit (line, " ", -1);
+	g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &proxy->pid, &error);
+	g_assert_no_error (error);
+	fd = connect_to (proxy->control_port);
+	if (fd < 0)
+		kill (proxy->pid, SIGKILL);
+	g_assert_cmpint (fd, >=, 0);
+	close (fd);
+	g_strfreev (argv);
+	g_free (line);
+}
+
+/** Stops the proxy as planned. @return how long it took, in milliseconds. */
+static int64_t
+proxy_stop (struct proxy *proxy)
+{
+	int64_t begin_us = clock_now_us ();
+	int status;
+
+	kill (proxy->pid, SIGTERM);
+	g_assert_cmpint (waitpid (proxy->pid, &status, 0), ==, proxy->pid);
+	g_assert_true (WIFEXITED (status));
+	g_assert_cmpint (WEXITSTATUS (status), ==, EXIT_OK);
+	return (clock_now_us () - begin_us) / US_PER_MS;
+}
+
 /* --drain-limit-ms was once parsed and then ignored: a planned stop waited 60 s for a request in flight. */
 static void
 test_drain_limit (void)
 {
 	static const char unfinished[] =
 		"POST /v1/services/a/calls/b HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{";
-	uint16_t port = free_port ();
-	char *line = g_strdup_printf (
-		FLAMINGOSPRING " proxy --vm-id 1 --zone a --platform http://127.0.0.1:1 --log-level error "
-					   "--caller-port %u --traffic-port %u --control-port %u --service-port %u "
-					   "--drain-limit-ms %d",
-		port, free_port (), free_port (), free_port (), STOP_LIMIT_MS);
-	char **argv = g_strsplit (line, " ", -1);
-	GError *error = NULL;
-	int64_t begin_us;
+	struct proxy proxy;
 	int64_t took_ms;
-	int status;
-	GPid pid;
 	int fd;
 
-	g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, NULL, NULL, &pid, &error);
-	g_assert_no_error (error);
-	fd = connect_to (port);
-	if (fd < 0)
-		kill (pid, SIGKILL);
-	g_assert_cmpint (fd, >=, 0);
+	proxy_start (&proxy);
+	fd = connect_to (proxy.caller_port);
 	g_assert_cmpint (send (fd, unfinished, strlen (unfinished), 0), ==, strlen (unfinished));
 	g_usleep (200 * US_PER_MS);
-	begin_us = clock_now_us ();
-	kill (pid, SIGTERM);
-	g_assert_cmpint (waitpid (pid, &status, 0), ==, pid);
-	took_ms = (clock_now_us () - begin_us) / US_PER_MS;
-	g_assert_true (WIFEXITED (status));
-	g_assert_cmpint (WEXITSTATUS (status), ==, EXIT_OK);
+	took_ms = proxy_stop (&proxy);
 	g_assert_cmpint (took_ms, >=, STOP_ANNOUNCE_MS + STOP_LIMIT_MS);
 	g_assert_cmpint (took_ms, <, STOP_ANNOUNCE_MS + STOP_LIMIT_MS + STOP_SLACK_MS);
 	close (fd);
-	g_strfreev (argv);
+}
+
+/* An operator whose change ended as unknown needs its id and its expected revision to repeat it; an id that the
+ * VM would cut could not be found again. */
+static void
+test_apply_unknown (void)
+{
+	struct proxy proxy;
+	struct output output;
+	char *line;
+
+	proxy_start (&proxy);
+	line = g_strdup_printf ("apply --control 127.0.0.1:%u --operation-id op1 " DOCUMENT,
+	                        proxy.control_port);
+	output = run (line, NULL);
+	g_assert_cmpint (output.code, ==, EXIT_FAILED);
+	assert_contains (output.err, "--operation-id op1 --expected-revision 0");
+	output_finish (&output);
+	g_free (line);
+	line = g_strdup_printf ("apply --control 127.0.0.1:%u --operation-id %064d " DOCUMENT,
+	                        proxy.control_port, 1);
+	output = run (line, NULL);
+	g_assert_cmpint (output.code, ==, EXIT_USAGE);
+	assert_contains (output.err, "longer than 63 bytes");
+	output_finish (&output);
 	g_free (line);
+	proxy_stop (&proxy);
 }
 
 int
@@ -339,5 +395,6 @@
 	g_test_add_func ("/command_line/command_lines", test_command_lines);
 	g_test_add_func ("/command_line/page_names_settings", test_page_names_settings);
 	g_test_add_func ("/command_line/drain_limit", test_drain_limit);
+	g_test_add_func ("/command_line/apply_unknown", test_apply_unknown);
 	return g_test_run ();
 }
