--- a/decision/failover.c
+++ b/decision/failover.c
@@ -37,6 +37,8 @@
 	 * that is asked for to get its last entries: a fenced one accepts none. */
 	CATCH_UP_US = 300000,
 	CATCH_UP_POLL_US = 20000,
+	/* A planned change waits this long for the server that is asked for to have the primary's log. */
+	PLANNED_LIMIT_US = 4000000,
 	ASKED_US = 1000000,
 	MAX_EVENTS = 8, /* Chart events of one call. */
 };
@@ -218,6 +220,44 @@
 	return take (f, EVENT_MAJORITY);
 }
 
+/** Compares answers from after the request only: the primary's last quiet poll may be seconds old. */
+static bool
+planned_is_covered (const struct failover_private *f)
+{
+	const struct observed_server *target = &f->servers[f->planned.server];
+	const struct observed_server *primary = &f->servers[f->primary];
+
+	return target->answered_us > f->planned.since_us &&
+	       primary->answered_us > f->planned.since_us &&
+	       log_position_covers (target->status.position, primary->status.position);
+}
+
+/** Starts the planned change once its server has what the primary has: a fenced primary may stop to
+ * replicate, and the highest log is promoted, so an earlier fence would bring the old primary back. */
+static bool
+advance_planned (struct failover_private *f, int64_t now_us)
+{
+	struct planned_change *planned = &f->planned;
+
+	if (!planned->is_wanted)
+		return false;
+	if (now_us >= planned->until_us || f->primary == planned->server)
+	{
+		planned->is_wanted = false;
+		return false;
+	}
+	if (f->primary != FAILOVER_NO_PRIMARY && !planned_is_covered (f))
+		return false;
+	planned->is_wanted = false;
+	f->claim.attempts = 0;
+	f->claim.is_urgent = false;
+	f->claim.is_catching_up = f->primary != FAILOVER_NO_PRIMARY;
+	f->claim.preferred = planned->server;
+	f->claim.old_primary = f->primary;
+	f->suspected_us = now_us;
+	return take (f, EVENT_REQUEST);
+}
+
 static bool
 advance_once (struct failover_private *f, int64_t now_us)
 {
@@ -226,6 +266,8 @@
 	failover_update_opinion (f, now_us);
 	if (is_claiming (f))
 		return advance_claim (f, now_us);
+	if ((is_in (f, STATE_QUIET) || is_in (f, STATE_ALERT)) && advance_planned (f, now_us))
+		return true;
 	if (is_in (f, STATE_QUIET))
 		return (!is_calm || now_us < f->asked_until_us) && take (f, EVENT_ALARM);
 	if (is_calm && now_us >= f->asked_until_us)
@@ -509,15 +551,12 @@
 		return -EINVAL;
 	enter_call (f, now_us);
 	advance (f, now_us);
-	if (!is_in (f, STATE_QUIET) && !is_in (f, STATE_ALERT))
+	if (f->planned.is_wanted || (!is_in (f, STATE_QUIET) && !is_in (f, STATE_ALERT)))
 		return -EBUSY;
-	f->claim.attempts = 0;
-	f->claim.is_urgent = false;
-	f->claim.is_catching_up = f->primary != FAILOVER_NO_PRIMARY;
-	f->claim.preferred = server;
-	f->claim.old_primary = f->primary;
-	f->suspected_us = now_us;
-	take (f, EVENT_REQUEST);
+	f->planned = (struct planned_change){ .is_wanted = true,
+		                                  .server = server,
+		                                  .since_us = now_us,
+		                                  .until_us = now_us + PLANNED_LIMIT_US };
 	poll_all (f);
 	return 0;
 }
@@ -545,7 +584,8 @@
 
 		if (is_in (f, STATE_FENCING) && f->claim.is_catching_up && i == f->claim.preferred)
 			interval_us = CATCH_UP_POLL_US;
-
+		if (f->planned.is_wanted && (i == f->planned.server || i == f->primary))
+			interval_us = CATCH_UP_POLL_US;
 		if (now_us < server->next_poll_us)
 			continue;
 		/* Spreads the polls of the observers and groups of a fleet. */
--- a/flamingospring/control.c
+++ b/flamingospring/control.c
@@ -100,7 +100,8 @@
 	qsort (snapshot->members, snapshot->member_count, sizeof *snapshot->members, compare_member);
 }
 
-/** Tells whether a mark is set: by an operator, or with the prefix "@" by the platform's VM list. */
+/** Tells whether a mark is set: by an operator's drain, with the prefix "@" by the platform's VM list, with
+ * "=" by an operator's change of primary. */
 static bool
 is_marked_leaving (const struct control *control, const char *prefix, const char *database,
                    uint32_t server)
@@ -127,6 +128,8 @@
 		                                      control_zone_hash (database->servers[s].zone));
 		server->is_leaving = is_marked_leaving (control, "", database->name, s) ||
 		                     is_marked_leaving (control, "@", database->name, s);
+		server->is_handing_over = is_marked_leaving (control, "=", database->name, s);
+		server->is_leaving = server->is_leaving || server->is_handing_over;
 	}
 }
 
--- a/flamingospring/control_observer.c
+++ b/flamingospring/control_observer.c
@@ -12,6 +12,10 @@
 {
 	LINK_STUCK_US = 1000000, /* A connection whose answer is later is replaced. */
 	LINK_CONNECT_US = 1000000,
+	/* A leaving primary is replaced in one attempt at a time: each takes up to 4 s. */
+	PLANNED_RETRY_US = 5000000,
+	/* Writes to a primary that hands over are refused for this long at most. */
+	HANDOVER_US = 4200000,
 };
 
 static const char guarantee_replaced_primary[] = "P2";
@@ -48,6 +52,9 @@
 	void *memory;
 	struct loop_timer timer;
 	struct observer_link links[ROUTING_MAX_SERVERS];
+	struct loop_timer handover_timer;
+	uint32_t handing_over; /* The server with the mark. */
+	int64_t planned_at_us; /* Last planned change that a leaving primary asked for. */
 	bool is_pumping;
 	bool is_used;
 	uint64_t announced_term;
@@ -390,10 +397,32 @@
 	observer_pump (timer->data);
 }
 
+/** Marks the server as handing over, or takes the mark back. */
+static void
+handover_mark (struct control_observer *observer, uint32_t server, bool is_set)
+{
+	struct membership_item item = { .type = ITEM_LEAVING, .value = is_set };
+
+	g_snprintf (item.key, sizeof item.key, "=%.40s/%u", observer->database, server);
+	item.version = clock_wall_ns () / 1000000u;
+	control_merge_item (observer->control, &item);
+	control_gossip_pump (observer->control);
+}
+
+static void
+handle_handover_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct control_observer *observer = timer->data;
+
+	(void) now_us;
+	handover_mark (observer, observer->handing_over, false);
+}
+
 static void
 observer_free (struct control_observer *observer)
 {
 	loop_cancel_timer (&observer->control->loop, &observer->timer);
+	loop_cancel_timer (&observer->control->loop, &observer->handover_timer);
 	for (uint32_t s = 0; s < observer->server_count; s++)
 		upstream_pg_finish (&observer->links[s].upstream);
 	failover_finish (&observer->failover);
@@ -431,6 +460,9 @@
 	}
 	observer->timer.handle_timer = handle_timer;
 	observer->timer.data = observer;
+	observer->handover_timer.handle_timer = handle_handover_timer;
+	observer->handover_timer.data = observer;
+	observer->planned_at_us = clock_now_us () - PLANNED_RETRY_US;
 	observer->next = control->observers;
 	control->observers = observer;
 	return observer;
@@ -475,20 +507,29 @@
 	return count;
 }
 
-/** A leaving primary hands over to a server that stays. */
+/** A leaving primary hands over to a server that stays. Its owner has stopped new writes, so the others
+ * catch up. */
 static void
 replace_leaving_primary (struct control_observer *observer, const struct snapshot_group *group,
                          const struct failover_observer *first)
 {
+	int64_t now_us = clock_now_us ();
+
 	if (!group->has_primary || !group->servers[group->primary].is_leaving ||
-	    first->id != observer->control->settings->vm_id)
+	    group->servers[group->primary].is_handing_over ||
+	    first->id != observer->control->settings->vm_id ||
+	    now_us - observer->planned_at_us < PLANNED_RETRY_US)
 		return;
 	for (uint32_t s = 0; s < group->database->server_count; s++)
 	{
 		if (s == group->primary || group->servers[s].is_leaving)
 			continue;
-		if (failover_request_promotion (&observer->failover, s, clock_now_us ()) == 0)
-			return;
+		if (failover_request_promotion (&observer->failover, s, now_us) < 0)
+			continue;
+		observer->planned_at_us = now_us;
+		log_event (LOG_LEVEL_INFO, "leaving_primary", "database=%s primary=%u target=%u",
+		           observer->database, group->primary, s);
+		return;
 	}
 }
 
@@ -625,11 +666,22 @@
 control_observers_promote (struct control *control, const char *database, uint32_t server)
 {
 	struct control_observer *observer = observer_find (control, database);
+	uint32_t primary = UINT32_MAX;
+	uint64_t term;
 	int result;
 
 	if (!observer)
 		return -ENOENT;
+	if (failover_primary (&observer->failover, &term, &primary) && server == primary)
+		return 0;
 	result = failover_request_promotion (&observer->failover, server, clock_now_us ());
+	if (result == 0 && primary < observer->server_count)
+	{
+		/* Without new writes the target catches up with the primary, at the price of a short pause. */
+		observer->handing_over = primary;
+		handover_mark (observer, primary, true);
+		loop_set_timer (&control->loop, &observer->handover_timer, clock_now_us () + HANDOVER_US);
+	}
 	observer_pump (observer);
 	return result;
 }
--- a/include/decision/failover_view.h
+++ b/include/decision/failover_view.h
@@ -70,6 +70,15 @@
 	int64_t step_us; /* Start of the present step. */
 };
 
+/* A change of primary that an operator or a leaving server asks for; it waits in quiet times. */
+struct planned_change
+{
+	bool is_wanted;
+	uint32_t server;
+	int64_t since_us;
+	int64_t until_us;
+};
+
 struct failover_private
 {
 	const struct failover_settings *settings;
@@ -97,6 +106,7 @@
 	int64_t alert_us;
 	int64_t asked_until_us;
 	struct claim claim;
+	struct planned_change planned;
 	struct failover_trace trace;
 	struct observed_server servers[ROUTING_MAX_SERVERS];
 	struct other_observer observers[FAILOVER_MAX_OBSERVERS];
--- a/include/flamingospring/snapshot.h
+++ b/include/flamingospring/snapshot.h
@@ -32,7 +32,8 @@
 struct snapshot_server
 {
 	struct ownership owners;
-	bool is_leaving;
+	bool is_leaving;      /**< Gets no new work. */
+	bool is_handing_over; /**< Leaving only until an operator's change of primary is over. */
 };
 
 struct snapshot_group
