--- a/flamingospring/control_documents.c
+++ b/flamingospring/control_documents.c
@@ -203,9 +203,13 @@
 	document->is_deleted = is_deleted;
 	g_free (document->value);
 	document->value = g_strdup (value);
-	counter_add (COUNTER_CONFIG_ADOPTED, 1);
-	log_event (LOG_LEVEL_INFO, "config_adopted", "service=%s revision=%llu author=%s operation=%s",
-	           service, (unsigned long long) revision, author, operation_id);
+	if (is_deleted || adopted)
+	{
+		counter_add (COUNTER_CONFIG_ADOPTED, 1);
+		log_event (LOG_LEVEL_INFO, "config_adopted",
+		           "service=%s revision=%llu author=%s operation=%s", service,
+		           (unsigned long long) revision, author, operation_id);
+	}
 	control_schedule_publish (control);
 	g_free (operation_id);
 	g_free (author);
--- a/flamingospring/control_observer.c
+++ b/flamingospring/control_observer.c
@@ -58,6 +58,7 @@
 	bool is_pumping;
 	bool is_used;
 	uint64_t announced_term;
+	uint64_t promoted_term; /* Of the last promotion that was sent. */
 };
 
 /** An opinion asked of another observer; the observer itself may be gone when it arrives. */
@@ -323,18 +324,31 @@
 	control_gossip_pump (observer->control);
 }
 
+/** Counts and logs a promotion that this observer ran; a primary that it found as it was is no failover. */
 static void
-handle_announce (struct control_observer *observer, uint64_t term, uint32_t primary)
+log_primary (const struct control_observer *observer, uint64_t term, uint32_t primary)
 {
 	const struct failover_trace *trace = failover_last_trace (&observer->failover);
 
-	INVARIANT (term > observer->announced_term, guarantee_replaced_primary);
+	if (term != observer->promoted_term)
+	{
+		log_event (LOG_LEVEL_INFO, "primary_found", "database=%s term=%llu server=%u",
+		           observer->database, (unsigned long long) term, primary);
+		return;
+	}
 	counter_add (COUNTER_FAILOVERS, 1);
 	log_event (
 		LOG_LEVEL_WARN, "primary_promoted",
 		"database=%s term=%llu server=%u detect_us=%lld agree_us=%lld fence_us=%lld promote_us=%lld",
 		observer->database, (unsigned long long) term, primary, (long long) trace->detect_us,
 		(long long) trace->agree_us, (long long) trace->fence_us, (long long) trace->promote_us);
+}
+
+static void
+handle_announce (struct control_observer *observer, uint64_t term, uint32_t primary)
+{
+	INVARIANT (term > observer->announced_term, guarantee_replaced_primary);
+	log_primary (observer, term, primary);
 	announce_to_owners (observer, term, primary);
 	publish_primary (observer, term, primary);
 }
@@ -352,6 +366,8 @@
 			           effect->type == FAILOVER_FENCE ? "fence_sent" : "promotion_sent",
 			           "database=%s server=%u term=%llu", observer->database, effect->server,
 			           (unsigned long long) effect->term);
+		if (effect->type == FAILOVER_PROMOTE)
+			observer->promoted_term = effect->term;
 		link_request (&observer->links[effect->server], effect->type, effect->term);
 		break;
 	case FAILOVER_ASK:
