--- a/flamingospring/control.c
+++ b/flamingospring/control.c
@@ -410,6 +410,7 @@
 	}
 	if (pthread_create (&control->thread, NULL, control_main, control) != 0)
 		goto fail;
+	pthread_setname_np (control->thread, "control");
 	return control;
 
 fail:
--- a/flamingospring/traffic.c
+++ b/flamingospring/traffic.c
@@ -12,6 +12,7 @@
 
 #include <ck_pr.h>
 #include <errno.h>
+#include <glib.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -315,10 +316,14 @@
 	{
 		struct traffic_thread *thread = &traffic->threads[i];
 		int error = pthread_create (&thread->pthread, NULL, thread_run, thread);
+		char name[16];
 
 		if (error)
 			return -error;
 		thread->is_running = true;
+		/* The index fits: a thread name has up to 15 bytes. */
+		g_snprintf (name, sizeof name, "traffic-%u", i);
+		pthread_setname_np (thread->pthread, name);
 	}
 	return 0;
 }
