--- a/common/rpc.c
+++ b/common/rpc.c
@@ -18,6 +18,8 @@
 	RPC_KEEP_BUFFER_BYTES = 64 * 1024, /* Larger empty buffers are given back. */
 	RPC_READ_BYTES = 16 * 1024,
 	RPC_LISTEN_BACKLOG = 1024,
+	/* libtirpc's clients send fragments of 64 KB; 8 MB take 128 of them. */
+	RPC_MAX_FRAGMENTS = 256,
 };
 
 static const uint32_t rpc_last_fragment = 0x80000000u;
@@ -116,6 +118,55 @@
 	return is_good;
 }
 
+/** Looks for a whole record at @p start; @p end is where it ends, or what has to arrive at least.
+ * @return the number of its fragments, 0 when it is incomplete, or -EBADMSG. */
+static int
+find_record (const struct rpc_connection *connection, size_t start, size_t *end)
+{
+	size_t length = 0;
+
+	*end = start;
+	for (int count = 1; count <= RPC_MAX_FRAGMENTS; count++)
+	{
+		uint32_t mark;
+
+		if (connection->in_length < *end + RPC_MARK_BYTES)
+			return 0;
+		memcpy (&mark, connection->in + *end, sizeof mark);
+		mark = ntohl (mark);
+		length += mark & ~rpc_last_fragment;
+		if (length > RPC_MAX_RECORD_BYTES)
+			return -EBADMSG;
+		*end += RPC_MARK_BYTES + (mark & ~rpc_last_fragment);
+		if (connection->in_length < *end)
+			return 0;
+		if (mark & rpc_last_fragment)
+			return count;
+	}
+	return -EBADMSG;
+}
+
+/** Moves the contents of a record's fragments together, behind the first mark. @return their length. */
+static size_t
+join_fragments (char *record, int count)
+{
+	char *from = record;
+	char *to = record + RPC_MARK_BYTES;
+
+	while (count-- > 0)
+	{
+		uint32_t mark;
+		size_t length;
+
+		memcpy (&mark, from, sizeof mark);
+		length = ntohl (mark) & ~rpc_last_fragment;
+		memmove (to, from + RPC_MARK_BYTES, length);
+		from += RPC_MARK_BYTES + length;
+		to += length;
+	}
+	return (size_t) (to - record) - RPC_MARK_BYTES;
+}
+
 /** Handles the whole records in the input buffer. @return 0 or a negative error number. */
 static int
 handle_input (struct rpc_connection *connection)
@@ -124,29 +175,27 @@
 
 	while (!connection->is_closed && connection->in_length - start >= RPC_MARK_BYTES)
 	{
-		uint32_t mark;
+		size_t end;
 		size_t length;
+		int fragments = find_record (connection, start, &end);
 
-		memcpy (&mark, connection->in + start, sizeof mark);
-		mark = ntohl (mark);
-		length = mark & ~rpc_last_fragment;
-		/* Both ends of this protocol send whole records in one fragment; others are refused. */
-		if (!(mark & rpc_last_fragment) || length > RPC_MAX_RECORD_BYTES)
+		if (fragments < 0)
 		{
 			counter_add (COUNTER_RPC_MALFORMED, 1);
-			return -EBADMSG;
+			return fragments;
 		}
-		if (connection->in_length - start - RPC_MARK_BYTES < length)
+		if (fragments == 0)
 		{
 			/* Room for the rest of this record, so that reading does not stall. */
-			if (buffer_reserve (&connection->in, &connection->in_capacity,
-			                    start + RPC_MARK_BYTES + length + RPC_READ_BYTES) < 0)
+			if (buffer_reserve (&connection->in, &connection->in_capacity, end + RPC_READ_BYTES) <
+			    0)
 				return -ENOMEM;
 			break;
 		}
+		length = join_fragments (connection->in + start, fragments);
 		if (!handle_record (connection, connection->in + start + RPC_MARK_BYTES, length))
 			return -EBADMSG;
-		start += RPC_MARK_BYTES + length;
+		start = end;
 	}
 	if (connection->is_closed)
 		return 0;
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -2,6 +2,7 @@
 
 #include "ctl/cmd.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -68,5 +69,7 @@
 		         argv[0]);
 		return EXIT_CODE_USAGE;
 	}
+	/* A VM that closes the connection during a call is reported as an error of the call. */
+	signal (SIGPIPE, SIG_IGN);
 	return command->run (argc, argv);
 }
--- a/tests/unit/peer_listener.c
+++ b/tests/unit/peer_listener.c
@@ -201,6 +201,52 @@
 	world_finish (&world);
 }
 
+/* libtirpc's clients send a call above 64 KB in several fragments. Refusing these made large service
+ * documents impossible to apply. */
+static void
+test_fragments (void)
+{
+	enum
+	{
+		PIECE_BYTES = 7,
+		EMPTY_FRAGMENTS = 1000,
+	};
+	struct world world;
+	char record[RECORD_BYTES];
+	char pieces[2 * RECORD_BYTES] = { 0 };
+	char answer[RECORD_BYTES];
+	fs_value values[2];
+	fs_text text;
+	struct fs_execute_args args = args_sample (values, &text);
+	size_t length = record_make (record, FS_PEER_EXECUTE, &args);
+	size_t out = 0;
+
+	world_init (&world);
+	for (size_t at = MARK_BYTES; at < length; at += PIECE_BYTES)
+	{
+		size_t size = MIN (PIECE_BYTES, length - at);
+		uint32_t mark = htonl ((uint32_t) size | (at + size == length ? 0x80000000u : 0));
+
+		memcpy (pieces + out, &mark, sizeof mark);
+		memcpy (pieces + out + MARK_BYTES, record + at, size);
+		out += MARK_BYTES + size;
+	}
+	g_assert_cmpint (world_exchange (&world, pieces, out, answer, sizeof answer), >, HEADER_BYTES);
+	g_assert_cmpuint (executed, ==, 1);
+	/* Two calls at once, the first in fragments. */
+	memcpy (pieces + out, record, length);
+	world_exchange (&world, pieces, out + length, answer, sizeof answer);
+	g_assert_cmpuint (executed, ==, 3);
+	/* Fragments without an end are refused before the caller closes the connection. */
+	memset (pieces, 0, sizeof pieces);
+	g_assert_cmpint (EMPTY_FRAGMENTS * MARK_BYTES, <, sizeof pieces);
+	out = counter_get (COUNTER_RPC_MALFORMED);
+	world_exchange (&world, pieces, (size_t) EMPTY_FRAGMENTS * MARK_BYTES, answer, sizeof answer);
+	g_assert_cmpuint (counter_get (COUNTER_RPC_MALFORMED), ==, out + 1);
+	g_assert_cmpuint (executed, ==, 3);
+	world_finish (&world);
+}
+
 /* Each case changes one word of a good record: offset from the record's start, and value. */
 struct word_case
 {
@@ -316,6 +362,7 @@
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/peer_listener/fragments", test_fragments);
 	g_test_add_func ("/peer_listener/truncated", test_truncated);
 	g_test_add_func ("/peer_listener/words", test_words);
 	g_test_add_func ("/peer_listener/random", test_random);
