--- a/flamingospring/http.c
+++ b/flamingospring/http.c
@@ -15,7 +15,9 @@
 enum
 {
 	HTTP_IDLE_TIMEOUT_S = 75,
-	HTTP_CONNECTION_MEMORY_BYTES = 16 * 1024, /* Holds all headers; a token takes up to 2 KB. */
+	/* Resident for each idle connection, since libmicrohttpd clears it after a request. Holds 4 KB of a
+	 * request's headers next to the largest token of the request and of its answer, 1.5 KB each. */
+	HTTP_CONNECTION_MEMORY_BYTES = 8 * 1024,
 	HTTP_BODY_FIRST_BYTES = 1024,
 };
 
--- a/tests/unit/traffic.c
+++ b/tests/unit/traffic.c
@@ -7,6 +7,7 @@
 #include "fixture.h"
 #include "flamingospring/execution.h"
 #include "flamingospring/owner.h"
+#include "flamingospring/session_token.h"
 #include "http_client.h"
 
 #include <ck_pr.h>
@@ -270,6 +271,55 @@
 	vms_stop ();
 }
 
+/* Guards against a connection buffer that holds the largest token of a request but not that of its
+ * answer: the write would have run, and its caller would get no answer. */
+static void
+test_largest_token (void)
+{
+	enum
+	{
+		OTHER_HEADER_BYTES = 2500,
+	};
+	static const char body[] = "{\"params\": [\"k\", \"v\"]}";
+	struct session_token token = { .id = UINT64_MAX };
+	char text[SESSION_TOKEN_MAX_BYTES];
+	char *other = g_strnfill (OTHER_HEADER_BYTES, 'x');
+	struct http_client client;
+	char *request;
+
+	vms_start ();
+	for (uint32_t i = 1; i < SESSION_TOKEN_MAX_ENTRIES; i++)
+		g_assert_cmpint (session_token_update (&token, UINT32_MAX - i,
+		                                       (struct log_position){ UINT64_MAX, UINT64_MAX },
+		                                       UINT64_MAX),
+		                 ==, 0);
+	g_assert_cmpint (
+		session_token_encode (&token, fixture_service (vms[0]->source.current), text, sizeof text),
+		>, SESSION_TOKEN_MAX_BYTES / 2);
+	request =
+		g_strdup_printf ("POST /v1/services/post/calls/set HTTP/1.1\r\nHost: x\r\nOther: %s\r\n"
+	                     "Flamingospring-Session: %s\r\nContent-Length: %zu\r\n\r\n%s",
+	                     other, text, strlen (body), body);
+	client_open (&client, 0);
+	for (int i = 0; i < 3; i++)
+	{
+		struct http_reply reply;
+		char *answered;
+
+		http_client_send (&client, request, strlen (request));
+		reply = http_client_read (&client);
+		g_assert_cmpint (reply.status, ==, 200);
+		answered = http_reply_header (&reply, "Flamingospring-Session");
+		g_assert_cmpuint (strlen (answered), >, strlen (text));
+		g_free (answered);
+		http_reply_finish (&reply);
+	}
+	http_client_close (&client);
+	g_free (request);
+	g_free (other);
+	vms_stop ();
+}
+
 static void
 test_transaction (void)
 {
@@ -527,6 +577,7 @@
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/traffic/read_write", test_read_write);
+	g_test_add_func ("/traffic/largest_token", test_largest_token);
 	g_test_add_func ("/traffic/transaction", test_transaction);
 	g_test_add_func ("/traffic/callers", test_callers);
 	g_test_add_func ("/traffic/bad_requests", test_bad_requests);
