--- a/flamingospring/owner_acknowledge.c
+++ b/flamingospring/owner_acknowledge.c
@@ -3,13 +3,23 @@
 #include "common/clock.h"
 #include "common/counters.h"
 
+enum
+{
+	/* The primary's own answers only tell of a fence; the replicas' answers settle the writes. */
+	PRIMARY_POLL_US = 10 * US_PER_MS,
+};
+
 void
 owner_acknowledge_poll (struct owner *owner, int64_t now_us)
 {
 	if (!acknowledgement_is_waiting (owner->acknowledgement))
 		return;
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
+	{
+		if (i == owner->server && now_us - owner->monitors[i].sent_us < PRIMARY_POLL_US)
+			continue;
 		owner_monitor_ask (&owner->monitors[i], false, now_us);
+	}
 }
 
 static void
