--- a/tests/slopes/slopes.c
+++ b/tests/slopes/slopes.c
@@ -12,6 +12,7 @@
 #include "decision/ownership.h"
 #include "decision/retry.h"
 #include "decision/routing.h"
+#include "flamingospring/session_token.h"
 #include "fleet.h"
 
 #include <glib.h>
@@ -433,6 +434,46 @@
 	add_timing ("heartbeat", at, 20000, run_heartbeat, heartbeats, 10000);
 }
 
+struct tokens
+{
+	struct schema_service service;
+	struct session_token token;
+	char text[SESSION_TOKEN_MAX_BYTES];
+};
+
+static void
+run_token_encode (void *data, uint32_t count)
+{
+	struct tokens *tokens = data;
+
+	for (uint32_t i = 0; i < count; i++)
+		g_assert_cmpint (session_token_encode (&tokens->token, &tokens->service, tokens->text,
+		                                       sizeof tokens->text),
+		                 >, 0);
+}
+
+static void
+run_token_check (void *data, uint32_t count)
+{
+	struct tokens *tokens = data;
+
+	for (uint32_t i = 0; i < count; i++)
+		g_assert_cmpint (session_token_decode (&tokens->token, &tokens->service, tokens->text), ==,
+		                 0);
+}
+
+static void
+measure_token (uint32_t entries)
+{
+	struct tokens *tokens = g_new0 (struct tokens, 1);
+
+	tokens->service.key_count = 1;
+	for (uint32_t i = 0; i < entries; i++)
+		session_token_update (&tokens->token, i + 1, (struct log_position){ 1, i }, i);
+	add_timing ("token_encode", entries, 0, run_token_encode, tokens, 2000);
+	add_timing ("token_check", entries, 0, run_token_check, tokens, 2000);
+}
+
 static void
 measure_times (void)
 {
@@ -446,6 +487,8 @@
 		measure_chart (sizes[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
 		measure_heartbeat (sizes[i]);
+	measure_token (1);
+	measure_token (SESSION_TOKEN_MAX_ENTRIES);
 	run_timings ();
 }
 
