--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -2,6 +2,7 @@
 
 #include "ctl/cmd.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -79,5 +80,7 @@
 	}
 	if (commands_print_version (argc, argv))
 		return EXIT_CODE_OK;
+	/* A VM that closes the connection during a call is reported as an error of the call. */
+	signal (SIGPIPE, SIG_IGN);
 	return command->run (argc, argv);
 }
