--- a/ctl/commands/apply.c
+++ b/ctl/commands/apply.c
@@ -1,8 +1,7 @@
-#include "common/findings.h"
 #include "ctl/client.h"
 #include "ctl/cmd.h"
 #include "ctl/commands.h"
-#include "ctl/file.h"
+#include "ctl/document.h"
 #include "protocols/operator.h"
 #include "schema/schema.h"
 
@@ -158,27 +157,16 @@
             const char *path)
 {
 	struct schema_service service;
-	struct findings findings;
 	struct client client = { 0 };
-	char *text = NULL;
-	int code = EXIT_CODE_USAGE;
+	char *text;
+	int code = EXIT_CODE_UNREACHABLE;
 
-	findings_init (&findings);
-	if (file_read (path, &text) < 0)
-		goto out;
-	if (schema_service_init (&service, path, text, strlen (text), &findings) < 0)
-	{
-		findings_print (&findings, stderr);
-		goto out;
-	}
-	code = EXIT_CODE_UNREACHABLE;
+	if (document_read (path, &service, &text) < 0)
+		return EXIT_CODE_USAGE;
 	if (client_init (&client, options, FS_OPERATOR_PROGRAM) == 0)
 		code = apply_service (&client, options, apply, service.name, text);
-	schema_service_finish (&service);
-
-out:
 	client_finish (&client);
-	findings_finish (&findings);
+	schema_service_finish (&service);
 	g_free (text);
 	return code;
 }
--- a/ctl/commands/diff.c
+++ b/ctl/commands/diff.c
@@ -1,9 +1,7 @@
-#include "common/findings.h"
 #include "ctl/client.h"
 #include "ctl/cmd.h"
 #include "ctl/commands.h"
 #include "ctl/document.h"
-#include "ctl/file.h"
 #include "schema/schema.h"
 
 #include <stdbool.h>
@@ -71,26 +69,16 @@
 {
 	struct fs_get_result result = { 0 };
 	struct schema_service service;
-	struct findings findings;
-	char *text = NULL;
-	int code = EXIT_CODE_USAGE;
+	char *text;
+	int code;
 
-	findings_init (&findings);
-	if (file_read (path, &text) < 0)
-		goto out;
-	if (schema_service_init (&service, path, text, strlen (text), &findings) < 0)
-	{
-		findings_print (&findings, stderr);
-		goto out;
-	}
+	if (document_read (path, &service, &text) < 0)
+		return EXIT_CODE_USAGE;
 	code = document_fetch (options, service.name, &result);
 	schema_service_finish (&service);
 	if (code == EXIT_CODE_OK && print_difference (result.text, text))
 		code = EXIT_CODE_FAILED;
-
-out:
 	xdr_free ((xdrproc_t) xdr_fs_get_result, &result);
-	findings_finish (&findings);
 	g_free (text);
 	return code;
 }
--- a/ctl/commands/schema.c
+++ b/ctl/commands/schema.c
@@ -1,8 +1,7 @@
 #include "schema/schema.h"
-#include "common/findings.h"
 #include "ctl/cmd.h"
 #include "ctl/commands.h"
-#include "ctl/file.h"
+#include "ctl/document.h"
 #include "schema/generate.h"
 
 #include <glib.h>
@@ -13,30 +12,18 @@
 schema_run (const char *action, const char *path)
 {
 	struct schema_service service;
-	struct findings findings;
-	char *text = NULL;
-	int code = EXIT_CODE_USAGE;
+	char *text;
 
-	findings_init (&findings);
-	if (file_read (path, &text) < 0)
-		goto out;
-	if (schema_service_init (&service, path, text, strlen (text), &findings) < 0)
-	{
-		findings_print (&findings, stderr);
-		goto out;
-	}
+	if (document_read (path, &service, &text) < 0)
+		return EXIT_CODE_USAGE;
 	if (strcmp (action, "generate") == 0)
 		schema_generate (&service, stdout);
 	else
 		printf ("%s: ok: service %s, %zu databases, %zu calls\n", path, service.name,
 		        service.database_count, service.call_count);
 	schema_service_finish (&service);
-	code = EXIT_CODE_OK;
-
-out:
-	findings_finish (&findings);
 	g_free (text);
-	return code;
+	return EXIT_CODE_OK;
 }
 
 int
--- a/ctl/document.c
+++ b/ctl/document.c
@@ -1,8 +1,34 @@
 #include "ctl/document.h"
 
+#include "common/findings.h"
 #include "ctl/commands.h"
+#include "ctl/file.h"
 
+#include <errno.h>
 #include <stdio.h>
+#include <string.h>
+
+int
+document_read (const char *path, struct schema_service *service, char **text)
+{
+	struct findings findings;
+	int result = -EINVAL;
+
+	findings_init (&findings);
+	if (file_read (path, text) < 0)
+		goto out;
+	result = schema_service_init (service, path, *text, strlen (*text), &findings);
+	if (result < 0)
+	{
+		findings_print (&findings, stderr);
+		g_free (*text);
+		*text = NULL;
+	}
+
+out:
+	findings_finish (&findings);
+	return result;
+}
 
 int
 document_fetch (const struct client_options *options, const char *service,
