--- a/charts/embedded.c
+++ b/charts/embedded.c
@@ -39,6 +39,7 @@
 
 	if (g_once_init_enter (&is_loaded))
 	{
+		charts_register_resource ();
 		for (size_t i = 0; i < G_N_ELEMENTS (chart_names); i++)
 			chart_load (chart_names[i], &charts[i]);
 		g_once_init_leave (&is_loaded, 1);
