--- a/tests/caller/caller.c
+++ b/tests/caller/caller.c
@@ -314,6 +314,10 @@
 		fprintf (stderr, "caller: %s\n", error ? error->message : "--entries is required");
 	g_clear_error (&error);
 	g_option_context_free (context);
+	if (!options->service)
+		options->service = g_strdup ("letters");
+	if (!options->prefix)
+		options->prefix = g_strdup ("k");
 	return is_valid;
 }
 
@@ -330,9 +334,7 @@
 int
 main (int argc, char **argv)
 {
-	struct options options = { .service = g_strdup ("letters"),
-		                       .prefix = g_strdup ("k"),
-		                       .databases = 3,
+	struct options options = { .databases = 3,
 		                       .sessions = 40,
 		                       .flood_sessions = 400,
 		                       .seconds = 10,
@@ -349,11 +351,14 @@
 	if (options.measure)
 	{
 		char *comma = strchr (options.entries, ',');
+		int code;
 
 		if (comma)
 			*comma = 0;
-		return measure_run (options.entries, options.service, options.measure, options.sessions,
+		code = measure_run (options.entries, options.service, options.measure, options.sessions,
 		                    options.seconds);
+		options_finish (&options);
+		return code;
 	}
 	caller_init (&caller, &options);
 	if (options.load && records_load (&caller, options.load) < 0)
