--- a/tests/integration/command_line.c
+++ b/tests/integration/command_line.c
@@ -2,6 +2,7 @@
  * exit code is wrong, and against a page for operators that does not name a setting, counter or log event. */
 #include "common/clock.h"
 #include "common/counters.h"
+#include "free_port.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -256,20 +257,6 @@
 	output_finish (&output);
 }
 
-static uint16_t
-free_port (void)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET,
-		                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-	socklen_t length = sizeof address;
-	int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-	g_assert_cmpint (bind (fd, (struct sockaddr *) &address, sizeof address), ==, 0);
-	getsockname (fd, (struct sockaddr *) &address, &length);
-	close (fd);
-	return ntohs (address.sin_port);
-}
-
 static int
 connect_to (uint16_t port)
 {
--- a/tests/integration/database_group.c
+++ b/tests/integration/database_group.c
@@ -1,5 +1,7 @@
 #include "database_group.h"
 
+#include "free_port.h"
+
 #include <arpa/inet.h>
 #include <signal.h>
 #include <sys/prctl.h>
@@ -10,9 +12,6 @@
 enum
 {
 	START_TRIES = 500, /* Of 10 ms. */
-	FIRST_PORT = 20000,
-	PORT_RANGES = 300,
-	PORTS_PER_PROCESS = 40,
 };
 
 static struct sockaddr_in
@@ -23,29 +22,6 @@
 		                         .sin_port = htons (port) };
 }
 
-/* Ports below those that the kernel gives to clients, and others for each process, so that tests that
- * run at the same time do not take each other's ports between this check and the server's start. */
-static uint16_t
-free_port (void)
-{
-	static unsigned next;
-
-	for (unsigned tries = 0; tries < PORTS_PER_PROCESS; tries++)
-	{
-		unsigned range = (unsigned) getpid () % PORT_RANGES;
-		uint16_t port =
-			(uint16_t) (FIRST_PORT + range * PORTS_PER_PROCESS + next++ % PORTS_PER_PROCESS);
-		struct sockaddr_in address = loopback (port);
-		int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		int result = bind (fd, (struct sockaddr *) &address, sizeof address);
-
-		close (fd);
-		if (result == 0)
-			return port;
-	}
-	g_error ("no free port");
-}
-
 static void
 wait_for_port (uint16_t port)
 {
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -1,5 +1,7 @@
 #include "fixture.h"
 
+#include "free_port.h"
+
 #include <arpa/inet.h>
 #include <glib.h>
 #include <stdlib.h>
@@ -80,13 +82,5 @@
 uint16_t
 fixture_port (void)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t length = sizeof address;
-	int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-	g_assert_cmpint (bind (fd, (struct sockaddr *) &address, sizeof address), ==, 0);
-	g_assert_cmpint (getsockname (fd, (struct sockaddr *) &address, &length), ==, 0);
-	close (fd);
-	return ntohs (address.sin_port);
+	return free_port ();
 }
--- a/tests/unit/snapshot.c
+++ b/tests/unit/snapshot.c
@@ -54,7 +54,7 @@
 			g_assert_cmpuint (snapshot_find_member (snapshot, id)->rtt_us, ==,
 			                  (uint32_t) generation);
 		snapshot_release (&thread->reader);
-		thread->reads++;
+		ck_pr_inc_64 (&thread->reads);
 	}
 	return NULL;
 }
@@ -74,6 +74,10 @@
 		snapshot_reader_init (&threads[i].reader, &source);
 		pthread_create (&threads[i].thread, NULL, run_reader, &threads[i]);
 	}
+	/* On a busy machine a thread may start only after all publications, and would then test nothing. */
+	for (unsigned i = 0; i < READERS; i++)
+		while (ck_pr_load_64 (&threads[i].reads) == 0)
+			g_usleep (100);
 	for (uint64_t i = 1; i <= PUBLICATIONS; i++)
 	{
 		snapshot_publish (&writer, snapshot_numbered (i));
