--- a/tests/virtual/fleet.c
+++ b/tests/virtual/fleet.c
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include "fleet_private.h"
+
 #include "decision/ownership.h"
 #include "decision/retry.h"
 
@@ -9,30 +11,13 @@
 enum
 {
 	CALL_TIMEOUT_US = 1000000,
-	ACKNOWLEDGE_US = 2000000,
 	MAX_WRITES = 256,
-	OVERDUE_US = 300000, /* The traffic thread reports an answer as overdue. */
 	MAX_ITEMS = 2048,
 	/* XDR and RPC headers of fs_gossip, UDP and IPv4 headers. */
 	DATAGRAM_BYTES = 40 + 32 + 28,
 	ITEM_BYTES = 60,
 };
 
-static void vm_step (struct fleet_vm *vm);
-
-static int64_t
-now (const struct fleet *fleet)
-{
-	return fleet->world.now_us;
-}
-
-static void
-violate (struct fleet *fleet, const char *what)
-{
-	if (!fleet->violation)
-		fleet->violation = what;
-}
-
 int
 fleet_server_node (const struct fleet *fleet, uint32_t group, uint32_t server)
 {
@@ -104,9 +89,9 @@
 	struct fleet_platform *platform = &fleet->platform;
 
 	platform->calls++;
-	if (now (fleet) / 1000000 != platform->second)
+	if (fleet_now (fleet) / 1000000 != platform->second)
 		platform->second_calls = 0;
-	platform->second = now (fleet) / 1000000;
+	platform->second = fleet_now (fleet) / 1000000;
 	if (++platform->second_calls > platform->peak_calls_per_s)
 		platform->peak_calls_per_s = platform->second_calls;
 	if (platform->is_down)
@@ -131,10 +116,10 @@
 		if (!configuration_offer (vm->configuration, name, message->revisions[i], false))
 			continue;
 		if (message->revisions[i] <= vm->revisions[i])
-			violate (vm->fleet, "P9: a document went back");
+			fleet_violate (vm->fleet, "P9: a document went back");
 		vm->revisions[i] = message->revisions[i];
 	}
-	configuration_handle_complete (vm->configuration, message->revision, now (vm->fleet));
+	configuration_handle_complete (vm->configuration, message->revision, fleet_now (vm->fleet));
 	membership_set_config_revision (vm->membership, configuration_revision (vm->configuration));
 }
 
@@ -147,12 +132,12 @@
 
 	vm->has_state = true;
 	for (size_t i = 0; membership_get_item (peer->membership, i, &item); i++)
-		membership_load (vm->membership, &item, now (vm->fleet));
+		membership_load (vm->membership, &item, fleet_now (vm->fleet));
 	for (size_t i = 0; membership_get (peer->membership, i, &member); i++)
 	{
 		g_snprintf (key, sizeof key, "%u", member.id);
 		if (membership_find_item (peer->membership, ITEM_MEMBER, key, &item))
-			membership_load (vm->membership, &item, now (vm->fleet));
+			membership_load (vm->membership, &item, fleet_now (vm->fleet));
 	}
 }
 
@@ -172,7 +157,7 @@
 		return;
 	if (message.to != vm->index)
 		send_message (&message);
-	virtual_add (&vm->fleet->world, (int) vm->index, now (vm->fleet) + CALL_TIMEOUT_US,
+	virtual_add (&vm->fleet->world, (int) vm->index, fleet_now (vm->fleet) + CALL_TIMEOUT_US,
 	             (struct virtual_handler){ handle_pull_state, vm }, NULL, 0);
 }
 
@@ -186,7 +171,7 @@
 	{
 	case MESSAGE_GOSSIP:
 		membership_handle_message (vm->membership, &((const struct gossip *) message)->gossip,
-		                           now (vm->fleet));
+		                           fleet_now (vm->fleet));
 		break;
 	case MESSAGE_STATE_PULL:
 		reply_message (message, MESSAGE_STATE, 0, vm->revisions);
@@ -197,14 +182,14 @@
 	case MESSAGE_ASK:
 		if (!group->is_observer)
 			return;
-		failover_handle_asked (&group->failover, now (vm->fleet));
+		failover_handle_asked (&group->failover, fleet_now (vm->fleet));
 		reply.opinion = failover_opinion (&group->failover);
 		reply_message (&reply, MESSAGE_OPINION, 0, vm->revisions);
 		break;
 	case MESSAGE_OPINION:
 		if (group->is_observer)
 			failover_handle_opinion (&group->failover, message->from + 1, &message->opinion,
-			                         now (vm->fleet));
+			                         fleet_now (vm->fleet));
 		break;
 	case MESSAGE_PULL:
 		reply_message (message, MESSAGE_DOCUMENTS, configuration_revision (vm->configuration),
@@ -221,13 +206,13 @@
 		break;
 	case MESSAGE_PLATFORM_END:
 		if (message->number == vm->watch)
-			configuration_handle_platform_error (vm->configuration, now (vm->fleet));
+			configuration_handle_platform_error (vm->configuration, fleet_now (vm->fleet));
 		break;
 	case MESSAGE_LOAD:
 	case MESSAGE_WATCH:
 		break;
 	}
-	vm_step (vm);
+	fleet_vm_step (vm);
 }
 
 static void
@@ -252,8 +237,8 @@
 	if (vm->pull == number)
 	{
 		vm->pull = 0;
-		configuration_handle_pull_error (vm->configuration, now (vm->fleet));
-		vm_step (vm);
+		configuration_handle_pull_error (vm->configuration, fleet_now (vm->fleet));
+		fleet_vm_step (vm);
 	}
 	/* A watch waits without limit; a cut link is noticed by the keep-alive of the connection. */
 	else if (vm->watch == number && (vm->fleet->platform.watches[vm->index] != number ||
@@ -263,12 +248,12 @@
 		if (configuration_revision (vm->configuration) < vm->fleet->platform.revision ||
 		    vm->fleet->platform.watches[vm->index] == 0)
 		{
-			configuration_handle_platform_error (vm->configuration, now (vm->fleet));
-			vm_step (vm);
+			configuration_handle_platform_error (vm->configuration, fleet_now (vm->fleet));
+			fleet_vm_step (vm);
 		}
 	}
 	if (vm->watch == number)
-		virtual_add (&vm->fleet->world, (int) vm->index, now (vm->fleet) + CALL_TIMEOUT_US,
+		virtual_add (&vm->fleet->world, (int) vm->index, fleet_now (vm->fleet) + CALL_TIMEOUT_US,
 		             (struct virtual_handler){ handle_call_timeout, vm }, &number, sizeof number);
 }
 
@@ -278,7 +263,7 @@
 	struct fleet *fleet = vm->fleet;
 	struct configuration_effect effect;
 
-	while ((effect = configuration_next (vm->configuration, now (fleet))).type !=
+	while ((effect = configuration_next (vm->configuration, fleet_now (fleet))).type !=
 	       CONFIGURATION_NONE)
 	{
 		struct message message = {
@@ -307,7 +292,7 @@
 		else
 			vm->watch = message.number;
 		send_message (&message);
-		virtual_add (&fleet->world, (int) vm->index, now (fleet) + CALL_TIMEOUT_US,
+		virtual_add (&fleet->world, (int) vm->index, fleet_now (fleet) + CALL_TIMEOUT_US,
 		             (struct virtual_handler){ handle_call_timeout, vm }, &message.number,
 		             sizeof message.number);
 	}
@@ -319,7 +304,7 @@
 	struct fleet *fleet = vm->fleet;
 	struct membership_effect effect;
 
-	while (membership_next (vm->membership, &effect, now (fleet)))
+	while (membership_next (vm->membership, &effect, fleet_now (fleet)))
 	{
 		struct gossip gossip = {
 			.message = { .fleet = fleet, .from = vm->index, .to = effect.to - 1 },
@@ -336,8 +321,8 @@
 	}
 }
 
-static void
-group_key (uint32_t group, char *key, size_t bytes)
+void
+fleet_group_key (uint32_t group, char *key, size_t bytes)
 {
 	g_snprintf (key, bytes, "db%u", group);
 }
@@ -349,7 +334,7 @@
 	const struct virtual_reply *reply = payload;
 	struct fleet_group *group = context;
 	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
-	int64_t now_us = now (vm->fleet);
+	int64_t now_us = fleet_now (vm->fleet);
 	bool accepted = reply->result == 0;
 
 	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
@@ -364,7 +349,7 @@
 	if (reply->request.type == VIRTUAL_PROMOTE)
 		failover_handle_promoted (&group->failover, reply->server, reply->request.term, accepted,
 		                          &reply->status, now_us);
-	vm_step (vm);
+	fleet_vm_step (vm);
 }
 
 static void
@@ -374,7 +359,7 @@
 	struct fleet_group *group = &vm->groups[number];
 	struct failover_effect effect;
 
-	while ((effect = failover_next (&group->failover, now (fleet))).type != FAILOVER_NONE)
+	while ((effect = failover_next (&group->failover, fleet_now (fleet))).type != FAILOVER_NONE)
 	{
 		struct virtual_request request = { .term = effect.term, .claimant = vm->index + 1 };
 		struct message ask = { .fleet = fleet,
@@ -390,8 +375,8 @@
 			send_message (&ask);
 		else if (effect.type == FAILOVER_ANNOUNCE)
 		{
-			group_key (number, item.key, sizeof item.key);
-			membership_merge (vm->membership, &item, now (fleet));
+			fleet_group_key (number, item.key, sizeof item.key);
+			membership_merge (vm->membership, &item, fleet_now (fleet));
 		}
 		else
 		{
@@ -415,7 +400,7 @@
 	bool is_observer = false;
 	char key[16];
 
-	group_key (number, key, sizeof key);
+	fleet_group_key (number, key, sizeof key);
 	for (uint32_t s = 0; s < FLEET_SERVERS; s++)
 	{
 		uint32_t zone = fleet->world.nodes[fleet_server_node (fleet, number, s)].zone;
@@ -429,14 +414,14 @@
 	if (is_observer && !group->is_observer)
 		failover_init (&group->failover, (char *) group->failover_memory + 64,
 		               fleet->failover_settings, vm->index + 1, FLEET_SERVERS,
-		               random_next (&vm->seed), now (fleet));
+		               random_next (&vm->seed), fleet_now (fleet));
 	group->is_observer = is_observer;
 	if (!is_observer)
 		return;
-	failover_set_observers (&group->failover, observers, FLEET_SERVERS, now (fleet));
+	failover_set_observers (&group->failover, observers, FLEET_SERVERS, fleet_now (fleet));
 	if (membership_find_item (vm->membership, ITEM_GROUP, key, &item))
 		failover_handle_announced (&group->failover, item.version, (uint32_t) item.value,
-		                           now (fleet));
+		                           fleet_now (fleet));
 }
 
 static void
@@ -459,10 +444,11 @@
 	watchers = ownership_of_zone (members, count, fleet->world.nodes[vm->index].zone);
 	configuration_set_watcher (vm->configuration,
 	                           watchers.owner == vm->index + 1 || watchers.standby == vm->index + 1,
-	                           now (fleet));
+	                           fleet_now (fleet));
 	peer = membership_find_newer (vm->membership, revision, random_next (&vm->seed));
 	if (peer && membership_find (vm->membership, peer, &member))
-		configuration_handle_peer (vm->configuration, peer, member.config_revision, now (fleet));
+		configuration_handle_peer (vm->configuration, peer, member.config_revision,
+		                           fleet_now (fleet));
 	for (uint32_t g = 0; g < fleet->group_count; g++)
 		vm_set_group (vm, g, members, count);
 }
@@ -472,15 +458,15 @@
 {
 	struct fleet_vm *vm = context;
 
-	if (vm->step_at_us <= now (vm->fleet))
+	if (vm->step_at_us <= fleet_now (vm->fleet))
 	{
 		vm->step_at_us = INT64_MAX;
-		vm_step (vm);
+		fleet_vm_step (vm);
 	}
 }
 
-static void
-vm_step (struct fleet_vm *vm)
+void
+fleet_vm_step (struct fleet_vm *vm)
 {
 	struct fleet *fleet = vm->fleet;
 	int64_t next_us;
@@ -497,8 +483,8 @@
 		vm_run_failover (vm, g);
 		next_us = MIN (next_us, failover_next_time_us (&vm->groups[g].failover));
 	}
-	if (next_us <= now (fleet))
-		next_us = now (fleet) + 1;
+	if (next_us <= fleet_now (fleet))
+		next_us = fleet_now (fleet) + 1;
 	if (next_us >= vm->step_at_us)
 		return;
 	vm->step_at_us = next_us;
@@ -511,7 +497,7 @@
 {
 	struct fleet_vm *vm = &fleet->vms[index];
 	struct member_address address = { .ip = index + 1, .zone = fleet->world.nodes[index].zone };
-	int64_t now_us = now (fleet);
+	int64_t now_us = fleet_now (fleet);
 
 	virtual_set_state (&fleet->world, (int) index, VIRTUAL_RUNNING);
 	vm->has_state = false;
@@ -538,7 +524,7 @@
 		acknowledgement_init (vm->groups[g].acknowledgement, FLEET_SERVERS, MAX_WRITES);
 	}
 	handle_pull_state (vm, NULL);
-	vm_step (vm);
+	fleet_vm_step (vm);
 }
 
 void
@@ -548,174 +534,14 @@
 	fleet->platform.watches[vm] = 0;
 }
 
-static void
-handle_promoted (void *context, const void *payload)
-{
-	struct fleet *fleet = context;
-	const struct virtual_server *server = payload;
-	const struct fleet_history *history = &fleet->histories[server->group - fleet->groups];
-
-	for (uint32_t i = 0; i < FLEET_SERVERS; i++)
-		if (i != server->index && server->group->servers[i].primary_term == server->primary_term)
-			violate (fleet, "P2: two primaries of one term");
-	for (size_t i = 0; i < history->count; i++)
-	{
-		const struct fleet_write *write = &history->writes[i];
-
-		/* A late promotion that can get no acknowledgement may lack later writes. */
-		if (write->position.term >= server->primary_term)
-			continue;
-		if (write->position.index > server->length ||
-		    server->log[write->position.index - 1].value != write->value)
-			violate (fleet, "P2: an acknowledged write is missing from a later primary");
-	}
-}
-
-static void
-group_acknowledge (struct fleet *fleet, uint32_t number, struct fleet_group *group)
-{
-	struct fleet_history *history = &fleet->histories[number];
-	struct acknowledgement_result result;
-
-	while ((result = acknowledgement_next (group->acknowledgement, now (fleet))).verdict !=
-	       ACKNOWLEDGEMENT_NONE)
-	{
-		struct fleet_write write = { result.position, result.cookie >> 3,
-			                         (uint32_t) (result.cookie & 7) };
-
-		if (result.verdict != ACKNOWLEDGEMENT_DONE)
-			continue;
-		for (size_t i = history->count; i > 0 && i + 64 > history->count; i--)
-			if (history->writes[i - 1].position.term == write.position.term &&
-			    history->writes[i - 1].server != write.server)
-				violate (fleet, "P2: two primaries got acknowledgements in one term");
-		for (uint32_t i = 0; i < FLEET_SERVERS; i++)
-		{
-			const struct virtual_server *server = &fleet->groups[number].servers[i];
-
-			if (server->primary_term > write.position.term &&
-			    (write.position.index > server->length ||
-			     server->log[write.position.index - 1].value != write.value))
-				violate (fleet, "P2: a write was acknowledged that a later primary lacks");
-		}
-		if (history->count % 256 == 0)
-			history->writes = g_renew (struct fleet_write, history->writes, history->count + 256);
-		history->writes[history->count++] = write;
-		if (history->last_us && now (fleet) - history->last_us > history->longest_gap_us)
-			history->longest_gap_us = now (fleet) - history->last_us;
-		history->last_us = now (fleet);
-	}
-}
-
-static void
-handle_write_status (void *context, const void *payload)
-{
-	const struct virtual_reply *reply = payload;
-	struct fleet_group *group = context;
-	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
-
-	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
-	group_acknowledge (vm->fleet, (uint32_t) (group - vm->groups), group);
-}
-
-/* While writes wait, the owner asks the replicas for their status again and again. */
-static void
-handle_write_poll (void *context, const void *payload)
-{
-	struct fleet_group *group = context;
-	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
-	uint32_t number = (uint32_t) (group - vm->groups);
-	struct virtual_request status = { .type = VIRTUAL_STATUS };
-
-	group_acknowledge (vm->fleet, number, group);
-	group->is_polling = acknowledgement_is_waiting (group->acknowledgement);
-	if (!group->is_polling)
-		return;
-	for (uint32_t i = 0; i < FLEET_SERVERS; i++)
-		virtual_group_call (&vm->fleet->groups[number], (int) vm->index, i, &status,
-		                    (struct virtual_handler){ handle_write_status, group });
-	virtual_add (&vm->fleet->world, (int) vm->index, now (vm->fleet) + 20000,
-	             (struct virtual_handler){ handle_write_poll, group }, NULL, 0);
-}
-
-static void
-handle_written (void *context, const void *payload)
-{
-	const struct virtual_reply *reply = payload;
-	struct fleet_group *group = context;
-	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
-
-	group->answered_value = MAX (group->answered_value, reply->request.value);
-	if (group->is_observer)
-	{
-		failover_handle_traffic (&group->failover, reply->server, true, now (vm->fleet));
-		failover_handle_status (&group->failover, reply->server, &reply->status, reply->sent_us,
-		                        now (vm->fleet));
-		vm_step (vm);
-	}
-	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
-	if (reply->result != 0)
-		return;
-	acknowledgement_add (group->acknowledgement, reply->request.value << 3 | reply->server,
-	                     reply->status.position, now (vm->fleet) + ACKNOWLEDGE_US);
-	if (!group->is_polling)
-		handle_write_poll (group, NULL);
-}
-
-/* A write that was sent. */
-struct sent_write
-{
-	uint64_t value;
-	uint32_t server;
-};
-
-static void
-handle_overdue (void *context, const void *payload)
-{
-	const struct sent_write *sent = payload;
-	struct fleet_group *group = context;
-	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
-
-	if (!group->is_observer || group->answered_value >= sent->value)
-		return;
-	failover_handle_traffic (&group->failover, sent->server, false, now (vm->fleet));
-	vm_step (vm);
-}
-
-static void
-fleet_write (struct fleet *fleet, uint32_t number)
-{
-	struct fleet_vm *vm = &fleet->vms[virtual_random (&fleet->world) % fleet->vm_count];
-	struct virtual_request request = { .type = VIRTUAL_WRITE,
-		                               .value = ++fleet->next_value,
-		                               .run_us = 1000 };
-	struct sent_write sent = { .value = request.value };
-	struct membership_item item;
-	char key[16];
-
-	group_key (number, key, sizeof key);
-	if (!membership_find_item (vm->membership, ITEM_GROUP, key, &item))
-		return;
-	sent.server = (uint32_t) item.value;
-	if (fleet->writes_at_owner && vm->groups[number].owners[sent.server])
-		vm = &fleet->vms[vm->groups[number].owners[sent.server] - 1];
-	if (fleet->world.nodes[vm->index].state != VIRTUAL_RUNNING)
-		return;
-	virtual_group_call (&fleet->groups[number], (int) vm->index, sent.server, &request,
-	                    (struct virtual_handler){ handle_written, &vm->groups[number] });
-	virtual_add (&fleet->world, (int) vm->index, now (fleet) + OVERDUE_US,
-	             (struct virtual_handler){ handle_overdue, &vm->groups[number] }, &sent,
-	             sizeof sent);
-}
-
 void
 fleet_run (struct fleet *fleet, int64_t time_us, int64_t write_every_us)
 {
-	int64_t end_us = now (fleet) + time_us;
+	int64_t end_us = fleet_now (fleet) + time_us;
 
-	while (now (fleet) < end_us)
+	while (fleet_now (fleet) < end_us)
 	{
-		int64_t next_us = write_every_us ? now (fleet) + write_every_us : end_us;
+		int64_t next_us = write_every_us ? fleet_now (fleet) + write_every_us : end_us;
 
 		for (uint32_t g = 0; write_every_us && g < fleet->group_count; g++)
 			fleet_write (fleet, g);
@@ -746,7 +572,7 @@
 	{
 		virtual_group_init (&fleet->groups[g], &fleet->world, fleet_server_node (fleet, g, 0),
 		                    FLEET_SERVERS, 2);
-		fleet->groups[g].promoted = (struct virtual_handler){ handle_promoted, fleet };
+		fleet->groups[g].promoted = (struct virtual_handler){ fleet_handle_promoted, fleet };
 	}
 	for (uint32_t i = 0; i < vms; i++)
 	{
@@ -835,8 +661,8 @@
 	struct membership_item item = { .type = ITEM_LEAVING, .version = version, .value = 1 };
 
 	g_strlcpy (item.key, key, sizeof item.key);
-	membership_merge (fleet->vms[vm].membership, &item, now (fleet));
-	vm_step (&fleet->vms[vm]);
+	membership_merge (fleet->vms[vm].membership, &item, fleet_now (fleet));
+	fleet_vm_step (&fleet->vms[vm]);
 }
 
 static bool
--- /dev/null
+++ b/tests/virtual/fleet_write.c
@@ -0,0 +1,170 @@
+/* Writes of the virtual fleet, and the checks of what was acknowledged. */
+#include "fleet_private.h"
+
+#include <glib.h>
+
+enum
+{
+	ACKNOWLEDGE_US = 2000000,
+	OVERDUE_US = 300000, /* The traffic thread reports an answer as overdue. */
+};
+
+void
+fleet_handle_promoted (void *context, const void *payload)
+{
+	struct fleet *fleet = context;
+	const struct virtual_server *server = payload;
+	const struct fleet_history *history = &fleet->histories[server->group - fleet->groups];
+
+	for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+		if (i != server->index && server->group->servers[i].primary_term == server->primary_term)
+			fleet_violate (fleet, "P2: two primaries of one term");
+	for (size_t i = 0; i < history->count; i++)
+	{
+		const struct fleet_write *write = &history->writes[i];
+
+		/* A late promotion that can get no acknowledgement may lack later writes. */
+		if (write->position.term >= server->primary_term)
+			continue;
+		if (write->position.index > server->length ||
+		    server->log[write->position.index - 1].value != write->value)
+			fleet_violate (fleet, "P2: an acknowledged write is missing from a later primary");
+	}
+}
+
+static void
+group_acknowledge (struct fleet *fleet, uint32_t number, struct fleet_group *group)
+{
+	struct fleet_history *history = &fleet->histories[number];
+	struct acknowledgement_result result;
+
+	while ((result = acknowledgement_next (group->acknowledgement, fleet_now (fleet))).verdict !=
+	       ACKNOWLEDGEMENT_NONE)
+	{
+		struct fleet_write write = { result.position, result.cookie >> 3,
+			                         (uint32_t) (result.cookie & 7) };
+
+		if (result.verdict != ACKNOWLEDGEMENT_DONE)
+			continue;
+		for (size_t i = history->count; i > 0 && i + 64 > history->count; i--)
+			if (history->writes[i - 1].position.term == write.position.term &&
+			    history->writes[i - 1].server != write.server)
+				fleet_violate (fleet, "P2: two primaries got acknowledgements in one term");
+		for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+		{
+			const struct virtual_server *server = &fleet->groups[number].servers[i];
+
+			if (server->primary_term > write.position.term &&
+			    (write.position.index > server->length ||
+			     server->log[write.position.index - 1].value != write.value))
+				fleet_violate (fleet, "P2: a write was acknowledged that a later primary lacks");
+		}
+		if (history->count % 256 == 0)
+			history->writes = g_renew (struct fleet_write, history->writes, history->count + 256);
+		history->writes[history->count++] = write;
+		if (history->last_us && fleet_now (fleet) - history->last_us > history->longest_gap_us)
+			history->longest_gap_us = fleet_now (fleet) - history->last_us;
+		history->last_us = fleet_now (fleet);
+	}
+}
+
+static void
+handle_write_status (void *context, const void *payload)
+{
+	const struct virtual_reply *reply = payload;
+	struct fleet_group *group = context;
+	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
+
+	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
+	group_acknowledge (vm->fleet, (uint32_t) (group - vm->groups), group);
+}
+
+/* While writes wait, the owner asks the replicas for their status again and again. */
+static void
+handle_write_poll (void *context, const void *payload)
+{
+	struct fleet_group *group = context;
+	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
+	uint32_t number = (uint32_t) (group - vm->groups);
+	struct virtual_request status = { .type = VIRTUAL_STATUS };
+
+	group_acknowledge (vm->fleet, number, group);
+	group->is_polling = acknowledgement_is_waiting (group->acknowledgement);
+	if (!group->is_polling)
+		return;
+	for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+		virtual_group_call (&vm->fleet->groups[number], (int) vm->index, i, &status,
+		                    (struct virtual_handler){ handle_write_status, group });
+	virtual_add (&vm->fleet->world, (int) vm->index, fleet_now (vm->fleet) + 20000,
+	             (struct virtual_handler){ handle_write_poll, group }, NULL, 0);
+}
+
+static void
+handle_written (void *context, const void *payload)
+{
+	const struct virtual_reply *reply = payload;
+	struct fleet_group *group = context;
+	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
+
+	group->answered_value = MAX (group->answered_value, reply->request.value);
+	if (group->is_observer)
+	{
+		failover_handle_traffic (&group->failover, reply->server, true, fleet_now (vm->fleet));
+		failover_handle_status (&group->failover, reply->server, &reply->status, reply->sent_us,
+		                        fleet_now (vm->fleet));
+		fleet_vm_step (vm);
+	}
+	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
+	if (reply->result != 0)
+		return;
+	acknowledgement_add (group->acknowledgement, reply->request.value << 3 | reply->server,
+	                     reply->status.position, fleet_now (vm->fleet) + ACKNOWLEDGE_US);
+	if (!group->is_polling)
+		handle_write_poll (group, NULL);
+}
+
+/* A write that was sent. */
+struct sent_write
+{
+	uint64_t value;
+	uint32_t server;
+};
+
+static void
+handle_overdue (void *context, const void *payload)
+{
+	const struct sent_write *sent = payload;
+	struct fleet_group *group = context;
+	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
+
+	if (!group->is_observer || group->answered_value >= sent->value)
+		return;
+	failover_handle_traffic (&group->failover, sent->server, false, fleet_now (vm->fleet));
+	fleet_vm_step (vm);
+}
+
+void
+fleet_write (struct fleet *fleet, uint32_t number)
+{
+	struct fleet_vm *vm = &fleet->vms[virtual_random (&fleet->world) % fleet->vm_count];
+	struct virtual_request request = { .type = VIRTUAL_WRITE,
+		                               .value = ++fleet->next_value,
+		                               .run_us = 1000 };
+	struct sent_write sent = { .value = request.value };
+	struct membership_item item;
+	char key[16];
+
+	fleet_group_key (number, key, sizeof key);
+	if (!membership_find_item (vm->membership, ITEM_GROUP, key, &item))
+		return;
+	sent.server = (uint32_t) item.value;
+	if (fleet->writes_at_owner && vm->groups[number].owners[sent.server])
+		vm = &fleet->vms[vm->groups[number].owners[sent.server] - 1];
+	if (fleet->world.nodes[vm->index].state != VIRTUAL_RUNNING)
+		return;
+	virtual_group_call (&fleet->groups[number], (int) vm->index, sent.server, &request,
+	                    (struct virtual_handler){ handle_written, &vm->groups[number] });
+	virtual_add (&fleet->world, (int) vm->index, fleet_now (fleet) + OVERDUE_US,
+	             (struct virtual_handler){ handle_overdue, &vm->groups[number] }, &sent,
+	             sizeof sent);
+}
