--- a/include/flamingospring/settings.h
+++ b/include/flamingospring/settings.h
@@ -49,7 +49,7 @@
 };
 
 /** Reads flags and environment variables (FLAMINGOSPRING_...); flags go before the environment.
- * @return 0, -EINVAL when there are findings, or 1 when --help was printed. */
+ * --help prints the flags and ends the process. @return 0, or -EINVAL when there are findings. */
 int settings_init (struct settings *settings, int argc, char **argv, struct findings *findings);
 void settings_finish (struct settings *settings);
 
