--- a/flamingospring/owner.c
+++ b/flamingospring/owner.c
@@ -214,8 +214,10 @@
 	int64_t now_us = clock_now_us ();
 	int64_t due_us = admission_next_expiry_us (owner->admission);
 
-	if (owner->checking.length > 0 || acknowledgement_is_waiting (owner->acknowledgement))
+	if (owner->checking.length > 0)
 		due_us = now_us + OWNER_POLL_US;
+	else if (acknowledgement_is_waiting (owner->acknowledgement))
+		due_us = now_us + owner_acknowledge_interval_us (owner);
 	else if (owner->freshness.pending_count > 0 && due_us > now_us + catch_up_us (owner))
 		due_us = now_us + catch_up_us (owner);
 	if (owner->tasks.length > 0 && due_us > now_us + OWNER_QUIET_US)
--- a/flamingospring/owner_acknowledge.c
+++ b/flamingospring/owner_acknowledge.c
@@ -7,16 +7,31 @@
 {
 	/* The primary's own answers only tell of a fence; the replicas' answers settle the writes. */
 	PRIMARY_POLL_US = 10 * US_PER_MS,
+	/* Questions are at most 1/16 of the usual wait apart, which adds as much to the wait at most. */
+	POLL_SHARE = 16,
+	POLL_MIN_US = US_PER_MS,
+	POLL_MAX_US = 10 * US_PER_MS,
+	MEAN_SHARE = 8,
 };
 
+int64_t
+owner_acknowledge_interval_us (const struct owner *owner)
+{
+	return CLAMP (owner->acknowledge_mean_us / POLL_SHARE, POLL_MIN_US, POLL_MAX_US);
+}
+
 void
 owner_acknowledge_poll (struct owner *owner, int64_t now_us)
 {
+	int64_t interval_us = owner_acknowledge_interval_us (owner);
+
 	if (!acknowledgement_is_waiting (owner->acknowledgement))
 		return;
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
 	{
-		if (i == owner->server && now_us - owner->monitors[i].sent_us < PRIMARY_POLL_US)
+		int64_t asked_us = now_us - owner->monitors[i].sent_us;
+
+		if (asked_us < (i == owner->server ? PRIMARY_POLL_US : interval_us))
 			continue;
 		owner_monitor_ask (&owner->monitors[i], false, now_us);
 	}
@@ -56,6 +71,9 @@
 		{
 		case ACKNOWLEDGEMENT_DONE:
 			(*task)->is_acknowledged = true;
+			owner->acknowledge_mean_us +=
+				(clock_now_us () - (*task)->acknowledge_us - owner->acknowledge_mean_us) /
+				MEAN_SHARE;
 			end_done (*task);
 			break;
 		case ACKNOWLEDGEMENT_TIMEOUT:
@@ -82,6 +100,7 @@
 	task->span = trace_span_start (&task->trace, "acknowledge", random_next (&owner->random));
 	task->state = TASK_ACKNOWLEDGING;
 	task->written = position;
+	task->acknowledge_us = now_us;
 	if (task->deadline_us < deadline_us)
 		deadline_us = task->deadline_us;
 	if (owner->set->settings->acknowledge_at_primary)
--- a/include/flamingospring/owner_private.h
+++ b/include/flamingospring/owner_private.h
@@ -74,7 +74,8 @@
 	int64_t max_age_us;
 	int64_t run_limit_us;
 	int64_t deadline_us;
-	int64_t wait_until_us; /**< Limit of the wait for the required position. */
+	int64_t wait_until_us;  /**< Limit of the wait for the required position. */
+	int64_t acknowledge_us; /**< Start of the wait for a majority. */
 	int64_t arrived_us;
 	int64_t started_us;
 	struct log_position required;
@@ -124,8 +125,9 @@
 	struct loop_timer timer;
 	GQueue tasks;
 	GQueue checking;
-	uint32_t writes; /**< Tasks that run or wait for their acknowledgement. */
-	uint32_t begins; /**< Transactions that are being opened. */
+	uint32_t writes;             /**< Tasks that run or wait for their acknowledgement. */
+	uint32_t begins;             /**< Transactions that are being opened. */
+	int64_t acknowledge_mean_us; /**< Running mean of the wait for a majority. */
 	struct handle_table transactions;
 	uint32_t run_mean_us[RANK_COUNT];
 	int64_t read_at_us;
@@ -213,6 +215,8 @@
 /** Ends the writes that are settled. */
 void owner_acknowledge_settle (struct owner *owner);
 /** Asks the servers again while writes wait. */
+/** Time between two questions to a replica while writes wait. */
+int64_t owner_acknowledge_interval_us (const struct owner *owner);
 void owner_acknowledge_poll (struct owner *owner, int64_t now_us);
 
 /* owner_transaction.c */
