--- a/flamingospring/owner.c
+++ b/flamingospring/owner.c
@@ -18,6 +18,7 @@
 	OWNER_QUIET_US = 200 * US_PER_MS,
 	OWNER_MAINTAIN_US = US_PER_S,       /* Idle connections, lag measurement. */
 	OWNER_LAG_ACTIVE_US = 2 * US_PER_S, /* The lag is measured this long after a read. */
+	OWNER_SAMPLE_US = 100 * US_PER_MS,  /* Between rounds until the lag is known. */
 	OWNER_OBSERVE_US = 100 * US_PER_MS, /* Between equal observations: the alert poll period. */
 	OWNER_ROLE_US = 2 * US_PER_S,       /* An older status tells no role. */
 	OWNER_RESERVED_CONNECTIONS = 6,     /* For monitors, of owners and of observers. */
@@ -66,7 +67,7 @@
 	owner->position_at_us = now_us;
 	if (log_position_covers (position, owner->position))
 		owner->position = position;
-	freshness_reach (&owner->freshness, position, now_us);
+	freshness_reach (&owner->freshness, position, now_us, now_us);
 }
 
 void
@@ -222,6 +223,8 @@
 		due_us = now_us + catch_up_us (owner);
 	if (owner->tasks.length > 0 && due_us > now_us + OWNER_QUIET_US)
 		due_us = now_us + OWNER_QUIET_US;
+	if (freshness_wants_sample (&owner->freshness) && due_us > now_us + OWNER_SAMPLE_US)
+		due_us = now_us + OWNER_SAMPLE_US;
 	if (due_us > owner->maintained_us + OWNER_MAINTAIN_US)
 		due_us = owner->maintained_us + OWNER_MAINTAIN_US;
 	if (owner->timer.slot == 0 || owner->timer.due_us > due_us)
@@ -308,6 +311,9 @@
 		owner_ask_self (owner, false);
 	if (now_us - owner->maintained_us >= OWNER_MAINTAIN_US)
 		owner_maintain (owner, now_us);
+	else if (freshness_wants_sample (&owner->freshness) &&
+	         now_us - owner->freshness.started_us >= OWNER_SAMPLE_US)
+		owner_measure (owner, now_us);
 	owner_pump (owner);
 	if (owner_is_active (owner) || owner_has_connections (owner))
 	{
--- a/flamingospring/owner_freshness.c
+++ b/flamingospring/owner_freshness.c
@@ -7,7 +7,8 @@
 enum
 {
 	FRESHNESS_ROUND_US = 300 * US_PER_MS, /* A round without a majority by then has failed. */
-	FRESHNESS_LAG_SHARE = 4,              /* Weight of a new lag sample: one fourth. */
+	FRESHNESS_RISE = 2,                   /* Weight of a higher lag sample: one half. */
+	FRESHNESS_FALL = 16,                  /* Weight of a lower one: one sixteenth. */
 };
 
 void
@@ -29,43 +30,73 @@
 	return true;
 }
 
+/* A sample starts at the primary's answer, which comes some time after the write: it is a lower
+ * bound, so that the estimate follows higher samples more than lower ones. */
 static void
 lag_sample (struct freshness *freshness, int64_t sample_us)
 {
-	int64_t change_us = (sample_us - (int64_t) freshness->lag_us) / FRESHNESS_LAG_SHARE;
+	int64_t change_us = sample_us - (int64_t) freshness->lag_us;
 
 	/* At one round a second, smoothing up from 0 would take many seconds. */
-	if (!freshness->has_lag)
-		change_us = sample_us;
+	if (freshness->has_lag)
+		change_us /= change_us > 0 ? FRESHNESS_RISE : FRESHNESS_FALL;
 	freshness->has_lag = true;
 	freshness->lag_us = (uint32_t) ((int64_t) freshness->lag_us + change_us);
 }
 
+/* The server held the position when the primary answered, so that its lag is not above the time
+ * since the last answer with a lower position. Without that bound, a quiet group tells nothing. */
+static void
+lag_limit (struct freshness *freshness, const struct freshness_round *round)
+{
+	int64_t limit_us = round->answered_us - round->lower_us;
+
+	if (round->lower_us != 0 && (int64_t) freshness->lag_us > limit_us)
+		freshness->lag_us = (uint32_t) limit_us;
+}
+
+static void
+end_round (struct freshness *freshness, const struct freshness_round *round)
+{
+	if (round->asked_us > freshness->fresh_at_us)
+		freshness->fresh_at_us = round->asked_us;
+	if (freshness->position_asked_us <= round->answered_us)
+		lag_limit (freshness, round);
+	else
+		lag_sample (freshness, freshness->position_at_us - round->answered_us);
+}
+
+bool
+freshness_wants_sample (const struct freshness *freshness)
+{
+	return !freshness->has_lag && freshness->has_moved && freshness->round_us == 0 &&
+	       freshness->pending_count == 0;
+}
+
 void
-freshness_reach (struct freshness *freshness, struct log_position position, int64_t now_us)
+freshness_reach (struct freshness *freshness, struct log_position position, int64_t asked_us,
+                 int64_t now_us)
 {
 	uint32_t kept = 0;
-	int64_t sample_us = -1;
 
 	if (!log_position_covers (position, freshness->position))
 		return;
-	freshness->position = position;
+	if (!log_position_covers (freshness->position, position))
+	{
+		freshness->position = position;
+		freshness->position_asked_us = asked_us;
+		freshness->position_at_us = now_us;
+	}
 	for (uint32_t i = 0; i < freshness->pending_count; i++)
 	{
-		struct freshness_round *round = &freshness->pending[i];
+		const struct freshness_round round = freshness->pending[i];
 
-		if (!log_position_covers (position, round->position))
-		{
-			freshness->pending[kept++] = *round;
-			continue;
-		}
-		if (round->asked_us > freshness->fresh_at_us)
-			freshness->fresh_at_us = round->asked_us;
-		sample_us = now_us - round->answered_us;
+		if (log_position_covers (position, round.position))
+			end_round (freshness, &round);
+		else
+			freshness->pending[kept++] = round;
 	}
 	freshness->pending_count = kept;
-	if (sample_us >= 0)
-		lag_sample (freshness, sample_us);
 }
 
 /* @return the index of the primary with the highest term among the answers, or -1. */
@@ -95,34 +126,54 @@
 	return count > freshness->servers / 2;
 }
 
+/* Keeps when a lower position of the primary was last seen. */
+static void
+see_primary (struct freshness *freshness, struct log_position position, int64_t now_us)
+{
+	freshness->has_moved = !log_position_covers (freshness->primary_position, position);
+	if (freshness->has_moved)
+		freshness->lower_us = freshness->primary_at_us;
+	freshness->primary_position = position;
+	freshness->primary_at_us = now_us;
+}
+
+static void
+complete_round (struct freshness *freshness, int primary, int64_t now_us)
+{
+	struct freshness_round *round;
+
+	see_primary (freshness, freshness->answers[primary].position,
+	             freshness->answered_us[primary]);
+	/* A full list drops its newest round, since the oldest one ends first. */
+	if (freshness->pending_count == FRESHNESS_MAX_PENDING)
+		freshness->pending_count--;
+	round = &freshness->pending[freshness->pending_count++];
+	*round = (struct freshness_round){ .asked_us = freshness->round_us,
+		                               .answered_us = freshness->answered_us[primary],
+		                               .lower_us = freshness->lower_us,
+		                               .position = freshness->answers[primary].position };
+	freshness->round_us = 0;
+	freshness_reach (freshness, freshness->position, freshness->position_asked_us, now_us);
+}
+
 void
 freshness_report (struct freshness *freshness, uint32_t server, const struct server_status *status,
                   int64_t sent_us, int64_t now_us)
 {
-	struct freshness_round *round;
 	int primary;
 
 	if (freshness->round_us != 0 && sent_us >= freshness->round_us && server < freshness->servers)
 	{
 		freshness->has_answer[server] = true;
 		freshness->answers[server] = *status;
+		freshness->answered_us[server] = now_us;
 		primary = find_primary (freshness);
 		if (primary >= 0 &&
 		    freshness->answers[primary].promised_term <=
 		        freshness->answers[primary].position.term &&
 		    has_majority (freshness, freshness->answers[primary].position.term))
-		{
-			/* A full list drops its newest round, since the oldest one ends first. */
-			if (freshness->pending_count == FRESHNESS_MAX_PENDING)
-				freshness->pending_count--;
-			round = &freshness->pending[freshness->pending_count++];
-			*round = (struct freshness_round){ .asked_us = freshness->round_us,
-				                               .answered_us = now_us,
-				                               .position = freshness->answers[primary].position };
-			freshness->round_us = 0;
-			freshness_reach (freshness, freshness->position, now_us);
-		}
+			complete_round (freshness, primary, now_us);
 	}
 	if (server == freshness->self)
-		freshness_reach (freshness, status->position, now_us);
+		freshness_reach (freshness, status->position, sent_us, now_us);
 }
--- a/tests/unit/owner_freshness.c
+++ b/tests/unit/owner_freshness.c
@@ -21,15 +21,66 @@
 	freshness_report (&freshness, 1, &replica, 1000, 4000);
 	g_assert_cmpuint (freshness.pending_count, ==, 1);
 	g_assert_cmpint (freshness.fresh_at_us, ==, 0);
-	freshness_reach (&freshness, (struct log_position){ 1, 9 }, 5000);
+	freshness_reach (&freshness, (struct log_position){ 1, 9 }, 5000, 5000);
 	g_assert_cmpint (freshness.fresh_at_us, ==, 0);
-	freshness_reach (&freshness, (struct log_position){ 1, 10 }, 44000);
+	freshness_reach (&freshness, (struct log_position){ 1, 10 }, 43000, 44000);
 	g_assert_cmpint (freshness.fresh_at_us, ==, 1000);
+	/* From the answer of the primary. */
+	g_assert_cmpuint (freshness.lag_us, ==, 41000);
+}
+
+/* One round whose primary answers at @p start_us + 1000 with log @p index. */
+static void
+run_round (struct freshness *freshness, int64_t start_us, uint64_t index)
+{
+	struct server_status status = { true, 1, { 1, index } };
+
+	g_assert_true (freshness_start (freshness, start_us));
+	freshness_report (freshness, 0, &status, start_us, start_us + 1000);
+	freshness_report (freshness, 2, &replica, start_us, start_us + 2000);
+}
+
+/* Guards against a lag of 0 that a round between two writes reported: the server held the position
+ * before the primary was asked, which says nothing about the time that the entry took. */
+static void
+test_lag_of_rounds (void)
+{
+	struct freshness freshness;
+	struct server_status reached = { false, 1, { 1, 12 } };
+
+	freshness_init (&freshness, 3, 1);
+	g_assert_false (freshness_wants_sample (&freshness));
+	freshness_reach (&freshness, (struct log_position){ 1, 10 }, 40000, 41000);
+	run_round (&freshness, 50000, 10);
+	g_assert_true (freshness_wants_sample (&freshness));
+	run_round (&freshness, 60000, 10);
+	g_assert_false (freshness_wants_sample (&freshness));
+	run_round (&freshness, 100000, 11);
+	g_assert_false (freshness_wants_sample (&freshness));
+	freshness_reach (&freshness, (struct log_position){ 1, 11 }, 140000, 141000);
 	g_assert_cmpuint (freshness.lag_us, ==, 40000);
-	/* Later samples move it by one fourth. */
-	freshness_start (&freshness, 50000);
-	freshness_report (&freshness, 0, &primary, 50000, 51000);
-	freshness_report (&freshness, 1, &primary, 50000, 51000);
+	/* Higher samples count half, lower ones one sixteenth. */
+	run_round (&freshness, 200000, 12);
+	freshness_reach (&freshness, (struct log_position){ 1, 12 }, 260000, 261000);
+	g_assert_cmpuint (freshness.lag_us, ==, 50000);
+	run_round (&freshness, 300000, 13);
+	freshness_reach (&freshness, (struct log_position){ 1, 13 }, 318000, 319000);
+	g_assert_cmpuint (freshness.lag_us, ==, 48000);
+	/* The same position again, and a server that had reached it before: no sample. */
+	run_round (&freshness, 400000, 13);
+	g_assert_cmpuint (freshness.pending_count, ==, 0);
+	g_assert_cmpint (freshness.fresh_at_us, ==, 400000);
+	g_assert_cmpuint (freshness.lag_us, ==, 48000);
+	/* Written and replicated since the last round, 30 ms before: the lag is not above that. */
+	freshness_reach (&freshness, (struct log_position){ 1, 14 }, 425000, 426000);
+	run_round (&freshness, 430000, 14);
+	g_assert_cmpuint (freshness.lag_us, ==, 30000);
+	/* The server's answer of the same round was asked for before the primary answered. */
+	g_assert_true (freshness_start (&freshness, 500000));
+	reached.position.index = 15;
+	freshness_report (&freshness, 0, &(struct server_status){ true, 1, { 1, 15 } }, 500000, 501000);
+	freshness_report (&freshness, 1, &reached, 500000, 502000);
+	g_assert_cmpint (freshness.fresh_at_us, ==, 500000);
 	g_assert_cmpuint (freshness.lag_us, ==, 30000);
 }
 
@@ -69,6 +120,7 @@
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/owner_freshness/majority", test_majority);
+	g_test_add_func ("/owner_freshness/lag_of_rounds", test_lag_of_rounds);
 	g_test_add_func ("/owner_freshness/fenced_majority", test_fenced_majority);
 	g_test_add_func ("/owner_freshness/old_answer", test_old_answer);
 	return g_test_run ();
