--- a/flamingospring/owner_freshness.c
+++ b/flamingospring/owner_freshness.c
@@ -142,8 +142,7 @@
 {
 	struct freshness_round *round;
 
-	see_primary (freshness, freshness->answers[primary].position,
-	             freshness->answered_us[primary]);
+	see_primary (freshness, freshness->answers[primary].position, freshness->answered_us[primary]);
 	/* A full list drops its newest round, since the oldest one ends first. */
 	if (freshness->pending_count == FRESHNESS_MAX_PENDING)
 		freshness->pending_count--;
