--- a/tests/standin/database.c
+++ b/emulator/database.c
@@ -1,7 +1,8 @@
-/* One upstream server of a database group; tests/standin/README.md lists its statements. */
-#include "database.h"
+/* One upstream server of a database group; docs/emulator.md lists its statements. */
+#include "emulator/database.h"
 
 #include "common/clock.h"
+#include "emulator/commands.h"
 
 #include <arpa/inet.h>
 #include <signal.h>
@@ -645,7 +646,7 @@
 }
 
 int
-main (int argc, char **argv)
+cmd_database (int argc, char **argv)
 {
 	struct database database = { .slots = 2, .run_us = 500, .connect_ms = 12, .connections = 16 };
 	struct group *group = &database.group;
@@ -665,12 +666,22 @@
 	};
 	GOptionContext *context = g_option_context_new ("- one server of a database group");
 	struct sockaddr_in listen_address;
+	GError *error = NULL;
+	bool is_parsed;
 
 	g_option_context_add_main_entries (context, entries, NULL);
-	if (!g_option_context_parse (context, &argc, &argv, NULL) || !address || !peers ||
-	    stream_parse_address (address, &listen_address) < 0)
+	is_parsed = g_option_context_parse (context, &argc, &argv, &error);
+	g_option_context_free (context);
+	if (!is_parsed || !address || !peers || stream_parse_address (address, &listen_address) < 0)
 	{
-		fprintf (stderr, "database: --address IP:PORT and --peers IP:PORT,... are required\n");
+		fprintf (stderr, "database: %s\n",
+		         error ? error->message : "--address IP:PORT and --peers IP:PORT,... are required");
+		return EXIT_FAILURE;
+	}
+	if (database.slots < 1 || database.connections < 1 || database.connect_ms < 0 ||
+	    database.run_us < 0 || lag_ms < 0 || index < 0)
+	{
+		fprintf (stderr, "database: --slots and --connections start at 1, the others at 0\n");
 		return EXIT_FAILURE;
 	}
 	signal (SIGPIPE, SIG_IGN);
--- a/tests/standin/group.c
+++ b/emulator/group.c
@@ -1,4 +1,4 @@
-#include "group.h"
+#include "emulator/group.h"
 
 #include "common/clock.h"
 
--- a/tests/caller/caller.c
+++ b/emulator/load.c
@@ -1,7 +1,8 @@
 /* Runs sessions against a list of entry VMs and checks every promise of the proxy; see --help. */
-#include "caller.h"
+#include "emulator/load.h"
 
 #include "common/clock.h"
+#include "emulator/commands.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -154,6 +155,18 @@
 	        latencies_percentile_ms (latencies->done_us, 99));
 }
 
+void
+caller_add_record (struct caller *caller, const struct record *record, const char *key,
+                   const char *value)
+{
+	struct record *added;
+
+	g_array_append_vals (caller->records, record, 1);
+	added = caller_record (caller, caller->records->len - 1);
+	added->key = g_strdup (key);
+	added->value = g_strdup (value);
+}
+
 void
 caller_count_reason (struct caller *caller, enum outcome_class class, const char *call,
                      const char *reason, const char *message)
@@ -309,9 +322,13 @@
 
 	g_option_context_add_main_entries (context, entries, NULL);
 	is_valid = g_option_context_parse (context, &argc, &argv, &error) && options->entries &&
-	           options->databases <= MAX_DATABASES;
+	           options->databases >= 1 && options->databases <= MAX_DATABASES &&
+	           options->sessions >= 1 && options->seconds >= 1;
 	if (!is_valid)
-		fprintf (stderr, "caller: %s\n", error ? error->message : "--entries is required");
+		fprintf (stderr, "load: %s\n",
+		         error ? error->message
+		               : "--entries is required; --databases is 1 to 16, --sessions and --seconds "
+		                 "start at 1");
 	g_clear_error (&error);
 	g_option_context_free (context);
 	if (!options->service)
@@ -332,7 +349,7 @@
 }
 
 int
-main (int argc, char **argv)
+cmd_load (int argc, char **argv)
 {
 	struct options options = { .databases = 3,
 		                       .sessions = 40,
@@ -363,13 +380,13 @@
 	caller_init (&caller, &options);
 	if (options.load && records_load (&caller, options.load) < 0)
 	{
-		fprintf (stderr, "caller: cannot read %s\n", options.load);
+		fprintf (stderr, "load: cannot read %s\n", options.load);
 		return EXIT_FAILURE;
 	}
 	if (!options.load)
 		caller_work (&caller, options.seconds);
 	if (options.record && records_save (&caller, options.record) < 0)
-		fprintf (stderr, "caller: cannot write %s\n", options.record);
+		fprintf (stderr, "load: cannot write %s\n", options.record);
 	caller_check (&caller);
 	for (int rank = 0; rank < CALLER_RANK_COUNT; rank++)
 	{
--- a/tests/caller/measure.c
+++ b/emulator/load_measure.c
@@ -1,4 +1,4 @@
-#include "caller.h"
+#include "emulator/load.h"
 
 #include "common/clock.h"
 
--- a/tests/caller/record.c
+++ b/emulator/load_record.c
@@ -1,4 +1,4 @@
-#include "caller.h"
+#include "emulator/load.h"
 
 #include <errno.h>
 #include <stdio.h>
@@ -73,9 +73,7 @@
 	               value) == 5)
 	{
 		record.state = (enum record_state) state;
-		record.key = g_strdup (key);
-		record.value = g_strdup (value);
-		g_array_append_val (caller->records, record);
+		caller_add_record (caller, &record, key, value);
 	}
 	fclose (file);
 	return 0;
--- a/tests/caller/session.c
+++ b/emulator/load_session.c
@@ -1,4 +1,4 @@
-#include "caller.h"
+#include "emulator/load.h"
 
 #include "common/clock.h"
 
@@ -69,12 +69,14 @@
 {
 	struct caller *caller = session->caller;
 	guint index = caller->records->len;
-	struct record record = { .database = session->database, .group = group };
-
-	record.key = g_strdup_printf ("%s-%u", caller->prefix, index);
+	const struct record record = { .database = session->database, .group = group };
+	char *key = g_strdup_printf ("%s-%u", caller->prefix, index);
 	/* Distinct values show an answer that belongs to another request. */
-	record.value = g_strdup_printf ("%u", 1000000 + index);
-	g_array_append_val (caller->records, record);
+	char *value = g_strdup_printf ("%u", 1000000 + index);
+
+	caller_add_record (caller, &record, key, value);
+	g_free (key);
+	g_free (value);
 	return index;
 }
 
--- a/tests/standin/platform.c
+++ b/emulator/platform.c
@@ -1,7 +1,8 @@
 /* The platform's key-value service: the etcd v3 JSON interface over HTTP, with counters and faults.
  * The control address serves GET /counters and POST /fault during an outage too. */
 #include "common/clock.h"
-#include "stream.h"
+#include "emulator/commands.h"
+#include "emulator/stream.h"
 
 #include <json-glib/json-glib.h>
 #include <microhttpd.h>
@@ -734,15 +735,29 @@
 }
 
 int
-main (int argc, char **argv)
+cmd_platform (int argc, char **argv)
 {
 	struct sockaddr_in address, control_address;
 	struct MHD_Daemon *control;
-
-	if (argc != 3 || stream_parse_address (argv[1], &address) < 0 ||
-	    stream_parse_address (argv[2], &control_address) < 0)
+	char *service_text = NULL, *control_text = NULL;
+	const GOptionEntry entries[] = {
+		{ "address", 0, 0, G_OPTION_ARG_STRING, &service_text, "where proxies connect", "IP:PORT" },
+		{ "control", 0, 0, G_OPTION_ARG_STRING, &control_text, "faults and counters", "IP:PORT" },
+		{ 0 },
+	};
+	GOptionContext *context = g_option_context_new ("- the platform's key-value service");
+	GError *error = NULL;
+	bool is_parsed;
+
+	g_option_context_add_main_entries (context, entries, NULL);
+	is_parsed = g_option_context_parse (context, &argc, &argv, &error);
+	g_option_context_free (context);
+	if (!is_parsed || !service_text || !control_text ||
+	    stream_parse_address (service_text, &address) < 0 ||
+	    stream_parse_address (control_text, &control_address) < 0)
 	{
-		fprintf (stderr, "usage: platform IP:PORT CONTROL_IP:PORT\n");
+		fprintf (stderr, "platform: %s\n",
+		         error ? error->message : "--address IP:PORT and --control IP:PORT are required");
 		return EXIT_FAILURE;
 	}
 	signal (SIGPIPE, SIG_IGN);
@@ -757,7 +772,7 @@
 	control = daemon_start (&control_address);
 	if (!store.daemon || !control)
 	{
-		fprintf (stderr, "platform: cannot listen on %s and %s\n", argv[1], argv[2]);
+		fprintf (stderr, "platform: cannot listen on %s and %s\n", service_text, control_text);
 		return EXIT_FAILURE;
 	}
 	for (;;)
--- a/tests/standin/statements.c
+++ b/emulator/statements.c
@@ -1,4 +1,4 @@
-#include "database.h"
+#include "emulator/database.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/tests/standin/stream.c
+++ b/emulator/stream.c
@@ -1,4 +1,4 @@
-#include "stream.h"
+#include "emulator/stream.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -170,6 +170,7 @@
 	int fd;
 
 	(void) epoll_events;
+	/* cppcheck-suppress nullPointer; the address arguments may be NULL. */
 	while ((fd = accept4 (source->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
 		listener->handle_accept (listener->owner, fd);
 }
--- a/tests/standin/database.h
+++ b/include/emulator/database.h
@@ -1,10 +1,10 @@
 /**
  * @file
- * Sessions and statements of the database stand-in.
+ * Sessions and statements of the emulated database.
  */
 #pragma once
 
-#include "group.h"
+#include "emulator/group.h"
 
 enum
 {
--- a/tests/standin/group.h
+++ b/include/emulator/group.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "decision/position.h"
-#include "stream.h"
+#include "emulator/stream.h"
 
 #include <stdio.h>
 
--- a/tests/caller/caller.h
+++ b/include/emulator/load.h
@@ -160,6 +160,10 @@
 
 struct record *caller_record (struct caller *caller, guint index);
 
+/** Adds a copy of @p record with copies of @p key and @p value. */
+void caller_add_record (struct caller *caller, const struct record *record, const char *key,
+                        const char *value);
+
 void caller_count_reason (struct caller *caller, enum outcome_class class, const char *call,
                           const char *reason, const char *message);
 
--- a/tests/integration/database_group.c
+++ b/tests/integration/database_group.c
@@ -65,11 +65,9 @@
 		char *address = g_strdup_printf ("127.0.0.1:%u", group->ports[i]);
 		char *place = g_strdup_printf ("%u", i);
 		char *state = g_strdup_printf ("%s/%u", group->directory, i);
-		const char *argv[] = {
-			STANDIN_DATABASE, "--address", address,    "--peers", group->peers,
-			"--index",        place,       "--lag-ms", lag_ms,    "--connections",
-			connections,      "--state",   state,      NULL
-		};
+		const char *argv[] = { EMULATOR,        "database",  "--address", address,    "--peers",
+			                   group->peers,    "--index",   place,       "--lag-ms", lag_ms,
+			                   "--connections", connections, "--state",   state,      NULL };
 
 		g_spawn_async (NULL, (char **) argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, end_with_parent, NULL,
 		               &group->pids[i], &error);
--- a/tests/integration/standin_database.c
+++ b/tests/integration/emulator_database.c
@@ -1,4 +1,4 @@
-/* The database stand-in as the proxy meets it: separate processes, libpq as the client. */
+/* The emulated database as the proxy meets it: separate processes, libpq as the client. */
 #include "common/clock.h"
 
 #include <glib.h>
@@ -47,22 +47,10 @@
 	char *address = g_strdup_printf ("%s:%zu", fixture->ip, FIRST_PORT + index);
 	char *place = g_strdup_printf ("%zu", index);
 	char *state = g_strdup_printf ("%s/%zu", fixture->directory, index);
-	char *argv[] = { STANDIN_DATABASE,
-		             "--address",
-		             address,
-		             "--peers",
-		             fixture->peers,
-		             "--index",
-		             place,
-		             "--lag-ms",
-		             "20",
-		             "--connections",
-		             "4",
-		             "--run-us",
-		             "1000",
-		             "--state",
-		             state,
-		             NULL };
+	char *argv[] = { EMULATOR,        "database", "--address", address,    "--peers",
+		             fixture->peers,  "--index",  place,       "--lag-ms", "20",
+		             "--connections", "4",        "--run-us",  "1000",     "--state",
+		             state,           NULL };
 	GError *error = NULL;
 
 	g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, handle_child_setup, NULL,
@@ -86,7 +74,7 @@
 {
 	GString *peers = g_string_new ("");
 
-	fixture->directory = g_dir_make_tmp ("standin-XXXXXX", NULL);
+	fixture->directory = g_dir_make_tmp ("emulator-XXXXXX", NULL);
 	fixture->ip = own_address ();
 	for (size_t i = 0; i < SERVERS; i++)
 		g_string_append_printf (peers, "%s%s:%zu", i ? "," : "", fixture->ip, FIRST_PEER_PORT + i);
@@ -404,13 +392,13 @@
 		const char *path;
 		void (*run) (struct fixture *fixture, gconstpointer data);
 	} tests[] = {
-		{ "/standin_database/statements", test_statements },
-		{ "/standin_database/transactions", test_transactions },
-		{ "/standin_database/limits", test_limits },
-		{ "/standin_database/failover", test_failover },
-		{ "/standin_database/fenced_commit", test_fenced_commit },
-		{ "/standin_database/restart", test_restart },
-		{ "/standin_database/lost_answers", test_lost_answers },
+		{ "/emulator_database/statements", test_statements },
+		{ "/emulator_database/transactions", test_transactions },
+		{ "/emulator_database/limits", test_limits },
+		{ "/emulator_database/failover", test_failover },
+		{ "/emulator_database/fenced_commit", test_fenced_commit },
+		{ "/emulator_database/restart", test_restart },
+		{ "/emulator_database/lost_answers", test_lost_answers },
 	};
 
 	g_test_init (&argc, &argv, NULL);
--- a/tests/integration/caller.c
+++ b/tests/integration/emulator_load.c
@@ -172,9 +172,10 @@
 static int
 caller_run (uint16_t port, char **output)
 {
-	char *command = g_strdup_printf (CALLER " --entries 127.0.0.1:%u --databases 1 --sessions 8 "
-	                                        "--seconds 1 --think-ms 2",
-	                                 port);
+	char *command =
+		g_strdup_printf (EMULATOR " load --entries 127.0.0.1:%u --databases 1 --sessions 8 "
+	                              "--seconds 1 --think-ms 2",
+	                     port);
 	GError *error = NULL;
 	int status;
 
--- a/tests/integration/standin_platform.c
+++ b/tests/integration/emulator_platform.c
@@ -1,4 +1,4 @@
-/* The platform stand-in as the proxy meets it: a separate process, libcurl as the client. */
+/* The emulated platform as the proxy meets it: a separate process, libcurl as the client. */
 #include "common/clock.h"
 
 #include <curl/curl.h>
@@ -21,7 +21,7 @@
 static char *control_url;
 static GPid platform_pid;
 
-/** The stand-in must not outlive a test that is aborted. */
+/** The emulator must not outlive a test that is aborted. */
 static void
 handle_child_setup (void *data)
 {
@@ -64,7 +64,7 @@
 	char *ip = g_strdup_printf ("127.%d.%d.%d", 128 + (pid >> 16 & 63), pid >> 8 & 255, pid & 255);
 	char *service = g_strconcat (ip, ":2379", NULL);
 	char *control = g_strconcat (ip, ":2380", NULL);
-	char *argv[] = { STANDIN_PLATFORM, service, control, NULL };
+	char *argv[] = { EMULATOR, "platform", "--address", service, "--control", control, NULL };
 	GString *answer = g_string_new ("");
 	GError *error = NULL;
 
@@ -155,7 +155,7 @@
 	g_test_init (&argc, &argv, NULL);
 	curl_global_init (CURL_GLOBAL_DEFAULT);
 	platform_start ();
-	g_test_add_func ("/standin_platform/steps", test_steps);
+	g_test_add_func ("/emulator_platform/steps", test_steps);
 	result = g_test_run ();
 	kill (platform_pid, SIGKILL);
 	waitpid (platform_pid, NULL, 0);
--- a/tests/slopes/processes.py
+++ b/tests/slopes/processes.py
@@ -55,7 +55,8 @@
         self.processes = []
 
     def __enter__(self):
-        self.start(BUILD / "tests/standin/standin_platform", PLATFORM, PLATFORM.replace("2379", "2380"))
+        self.start(BUILD / "emulator/flamingospring-emulator", "platform", "--address", PLATFORM, "--control",
+                   PLATFORM.replace("2379", "2380"))
         return self
 
     def __exit__(self, *_):
@@ -71,7 +72,7 @@
         peers = ",".join(address.replace(":5432", ":5433") for address in addresses)
         for index, address in enumerate(addresses):
             # As many connections as all observers of databases that share this stand-in need.
-            self.start(BUILD / "tests/standin/standin_database", "--address", address, "--peers", peers, "--index",
+            self.start(BUILD / "emulator/flamingospring-emulator", "database", "--address", address, "--peers", peers, "--index",
                        index, "--slots", slots, "--connections", 9000, "--run-us", run_us, "--lag-ms", lag_ms)
 
     def start_vm(self, number, zone):
