--- a/emulator/load.c
+++ b/emulator/load.c
@@ -323,12 +323,12 @@
 	g_option_context_add_main_entries (context, entries, NULL);
 	is_valid = g_option_context_parse (context, &argc, &argv, &error) && options->entries &&
 	           options->databases >= 1 && options->databases <= MAX_DATABASES &&
-	           options->sessions >= 1 && options->seconds >= 1;
+	           options->sessions >= 1 && options->seconds >= 0;
 	if (!is_valid)
 		fprintf (stderr, "load: %s\n",
 		         error ? error->message
-		               : "--entries is required; --databases is 1 to 16, --sessions and --seconds "
-		                 "start at 1");
+		               : "--entries is required; --databases is 1 to 16, --sessions starts at 1, "
+		                 "--seconds at 0");
 	g_clear_error (&error);
 	g_option_context_free (context);
 	if (!options->service)
