--- a/flamingospring/control.c
+++ b/flamingospring/control.c
@@ -402,7 +402,7 @@
 	control->loop.epoll_fd = -1;
 	control->loop.wake_fd = -1;
 	control->gossip_source.fd = -1;
-	control->listener.fd = -1;
+	control->server.source.fd = -1;
 	snapshot_reader_init (&control->writer, source);
 	control->drain_settings = drain_default_settings;
 	control->drain_settings.limit_us = (int64_t) settings->drain_limit_ms * US_PER_MS;
--- a/flamingospring/control_operator.c
+++ b/flamingospring/control_operator.c
@@ -213,7 +213,7 @@
 	if (problems)
 		rpc_connection_reply (connection, xid, (xdrproc_t) xdr_fs_apply_result, &result);
 	else
-		apply_start (control, control_reply_hold (control, connection, xid), &args);
+		apply_start (control, control_reply_hold (connection, xid), &args);
 	g_free (problems);
 	xdr_free ((xdrproc_t) xdr_fs_apply_args, &args);
 	return true;
@@ -495,8 +495,7 @@
 	result.code = control_observers_promote (control, args.database, args.server);
 	if (result.code == -ENOENT)
 	{
-		result.code =
-			promote_forward (control, &args, control_reply_hold (control, connection, xid));
+		result.code = promote_forward (control, &args, control_reply_hold (connection, xid));
 		if (result.code == 0)
 			goto out;
 		result.message = (char *) "no such database";
--- a/flamingospring/control_server.c
+++ b/flamingospring/control_server.c
@@ -10,15 +10,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-struct control_client
-{
-	struct rpc_connection connection;
-	struct control_client *next;
-	struct control *control;
-	uint64_t id;
-	struct loop_timer free_timer;
-};
-
 static bool
 reply_state (struct control *control, struct rpc_connection *connection, uint32_t xid)
 {
@@ -129,143 +120,64 @@
 }
 
 static bool
-handle_call (struct rpc_connection *connection, uint32_t xid, uint32_t program, uint32_t procedure,
+handle_call (struct rpc_accepted *accepted, uint32_t xid, uint32_t program, uint32_t procedure,
              XDR *args)
 {
-	struct control_client *client = connection->data;
+	struct control *control = accepted->listener->data;
 
 	if (program == FS_PEER_PROGRAM)
-		return handle_peer_call (client->control, connection, xid, procedure, args);
+		return handle_peer_call (control, &accepted->rpc, xid, procedure, args);
 	if (program == FS_OPERATOR_PROGRAM)
-		return control_operator_handle_call (client->control, connection, xid, procedure, args);
-	return rpc_connection_reject (connection, xid, PROG_UNAVAIL) == 0;
-}
-
-static void
-client_remove (struct control_client *client)
-{
-	struct control *control = client->control;
-	struct control_client **link = &control->clients;
-
-	while (*link && *link != client)
-		link = &(*link)->next;
-	if (*link)
-		*link = client->next;
-	control->client_count--;
-	rpc_connection_finish (&client->connection);
-	free (client);
-}
-
-static void
-handle_free_timer (struct loop_timer *timer, int64_t now_us)
-{
-	(void) now_us;
-	client_remove (timer->data);
+		return control_operator_handle_call (control, &accepted->rpc, xid, procedure, args);
+	return rpc_connection_reject (&accepted->rpc, xid, PROG_UNAVAIL) == 0;
 }
 
 static void
-handle_closed (struct rpc_connection *connection, int error)
+handle_closed (struct rpc_accepted *accepted)
 {
-	struct control_client *client = connection->data;
-
-	(void) error;
-	counter_add (COUNTER_CONTROL_SENT_BYTES, (int64_t) connection->sent_bytes);
-	counter_add (COUNTER_CONTROL_RECEIVED_BYTES, (int64_t) connection->received_bytes);
-	/* The connection's own code is still on the stack. */
-	loop_set_timer (&client->control->loop, &client->free_timer, 0);
+	counter_add (COUNTER_CONTROL_SENT_BYTES, (int64_t) accepted->rpc.sent_bytes);
+	counter_add (COUNTER_CONTROL_RECEIVED_BYTES, (int64_t) accepted->rpc.received_bytes);
 }
 
-static const struct rpc_connection_ops client_ops = {
+static const struct rpc_listener_ops server_ops = {
 	.handle_call = handle_call,
 	.handle_closed = handle_closed,
 };
 
-static void
-client_add (struct control *control, int fd)
-{
-	static uint64_t next_id;
-	struct control_client *client = calloc (1, sizeof *client);
-
-	if (!client ||
-	    rpc_connection_init (&client->connection, &control->loop, &client_ops, client, fd) < 0)
-	{
-		free (client);
-		close (fd);
-		return;
-	}
-	client->control = control;
-	client->id = ++next_id;
-	client->free_timer.handle_timer = handle_free_timer;
-	client->free_timer.data = client;
-	client->next = control->clients;
-	control->clients = client;
-	control->client_count++;
-}
-
-static void
-handle_accept (struct loop_source *source, uint32_t epoll_events)
-{
-	struct control *control = source->data;
-	int fd;
-
-	(void) epoll_events;
-	while ((fd = rpc_accept (source->fd)) >= 0)
-	{
-		if (control->client_count < CONTROL_MAX_CLIENTS)
-			client_add (control, fd);
-		else
-			close (fd);
-	}
-}
-
 struct control_reply_handle
-control_reply_hold (struct control *control, struct rpc_connection *connection, uint32_t xid)
+control_reply_hold (struct rpc_connection *connection, uint32_t xid)
 {
-	const struct control_client *client = connection->data;
+	const struct rpc_accepted *accepted = connection->data;
 
-	(void) control;
-	return (struct control_reply_handle){ .client = client->id, .xid = xid };
+	return (struct control_reply_handle){ .connection = accepted->handle, .xid = xid };
 }
 
 void
 control_reply_send (struct control *control, struct control_reply_handle handle, xdrproc_t encode,
                     const void *result)
 {
-	for (struct control_client *client = control->clients; client; client = client->next)
-	{
-		if (client->id != handle.client)
-			continue;
-		rpc_connection_reply (&client->connection, handle.xid, encode, result);
-		return;
-	}
+	struct rpc_accepted *accepted = rpc_listener_find (&control->server, handle.connection);
+
+	if (accepted)
+		rpc_connection_reply (&accepted->rpc, handle.xid, encode, result);
 }
 
 int
 control_server_init (struct control *control)
 {
-	int fd = rpc_listen (control->settings->ip, control->settings->control_port);
+	const struct rpc_listener_settings settings = {
+		.name = "control",
+		.connection_bytes = sizeof (struct rpc_accepted),
+		.max_connections = CONTROL_MAX_CLIENTS,
+		.ip = control->settings->ip,
+		.port = control->settings->control_port,
+	};
 
-	if (fd < 0)
-		return fd;
-	control->listener.fd = fd;
-	control->listener.data = control;
-	control->listener.handle_ready = handle_accept;
-	return loop_set_source (&control->loop, &control->listener, EPOLLIN);
+	return rpc_listener_init (&control->server, &control->loop, &server_ops, control, &settings);
 }
 
 void
 control_server_finish (struct control *control)
 {
-	struct control_client *client = control->clients;
-
-	while (client)
-	{
-		struct control_client *next = client->next;
-
-		loop_cancel_timer (&control->loop, &client->free_timer);
-		client_remove (client);
-		client = next;
-	}
-	if (control->listener.fd >= 0)
-		close (control->listener.fd);
+	rpc_listener_finish (&control->server);
 }
--- a/flamingospring/peer_listener.c
+++ b/flamingospring/peer_listener.c
@@ -1,14 +1,9 @@
 #include "common/clock.h"
-#include "common/counters.h"
-#include "common/log.h"
 #include "flamingospring/peer.h"
 
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 enum
 {
@@ -20,9 +15,7 @@
 /** Connection accepted from another VM. */
 struct peer_connection
 {
-	struct peer_listener *listener;
-	uint32_t handle;
-	struct rpc_connection rpc;
+	struct rpc_accepted accepted;
 	struct incoming_call *calls;
 };
 
@@ -68,8 +61,8 @@
                    const struct fs_execute_result *result)
 {
 	struct fs_execute_result small;
-	int error =
-		rpc_connection_reply (&connection->rpc, xid, (xdrproc_t) xdr_fs_execute_result, result);
+	int error = rpc_connection_reply (&connection->accepted.rpc, xid,
+	                                  (xdrproc_t) xdr_fs_execute_result, result);
 
 	if (error != -EMSGSIZE)
 		return;
@@ -83,7 +76,8 @@
 		small.outcome = OUTCOME_FAILED;
 		small.reason = REASON_STATEMENT;
 	}
-	rpc_connection_reply (&connection->rpc, xid, (xdrproc_t) xdr_fs_execute_result, &small);
+	rpc_connection_reply (&connection->accepted.rpc, xid, (xdrproc_t) xdr_fs_execute_result,
+	                      &small);
 }
 
 static void
@@ -107,7 +101,7 @@
 static bool
 connection_execute (struct peer_connection *connection, uint32_t xid, XDR *xdrs)
 {
-	struct peer_listener *listener = connection->listener;
+	struct peer_listener *listener = connection->accepted.listener->data;
 	struct incoming_call *call = calloc (1, sizeof *call);
 	uint32_t budget_ms;
 
@@ -137,22 +131,23 @@
 }
 
 static bool
-handle_call (struct rpc_connection *rpc, uint32_t xid, uint32_t program, uint32_t procedure,
+handle_call (struct rpc_accepted *accepted, uint32_t xid, uint32_t program, uint32_t procedure,
              XDR *args)
 {
-	struct peer_connection *connection = rpc->data;
+	struct peer_connection *connection = (struct peer_connection *) accepted;
 
 	if (program == FS_PEER_PROGRAM && procedure == FS_PEER_EXECUTE)
 		return connection_execute (connection, xid, args);
 	if (program == FS_PEER_PROGRAM && procedure == FS_PEER_NULL)
-		return rpc_connection_reply (rpc, xid, (xdrproc_t) xdr_void, NULL) == 0;
-	return rpc_connection_reject (rpc, xid, PROC_UNAVAIL) == 0;
+		return rpc_connection_reply (&accepted->rpc, xid, (xdrproc_t) xdr_void, NULL) == 0;
+	return rpc_connection_reject (&accepted->rpc, xid, PROC_UNAVAIL) == 0;
 }
 
 static void
-connection_free (struct peer_connection *connection)
+handle_closed (struct rpc_accepted *accepted)
 {
-	struct peer_listener *listener = connection->listener;
+	struct peer_connection *connection = (struct peer_connection *) accepted;
+	struct peer_listener *listener = accepted->listener->data;
 
 	while (connection->calls)
 	{
@@ -161,126 +156,39 @@
 		call_unlink (call);
 		listener->ops->cancel (listener->transport, &call->execution);
 	}
-	rpc_connection_finish (&connection->rpc);
-	handle_table_remove (&listener->connections, connection->handle);
-	free (connection);
-}
-
-static void
-handle_closed (struct rpc_connection *rpc, int error)
-{
-	(void) error;
-	connection_free (rpc->data);
 }
 
-static const struct rpc_connection_ops listener_connection_ops = {
+static const struct rpc_listener_ops listener_ops = {
 	.handle_call = handle_call,
 	.handle_closed = handle_closed,
 };
 
-/** Takes over @p fd. @return 0 or a negative error number. */
-static int
-listener_add (struct peer_listener *listener, int fd)
-{
-	struct peer_connection *connection = calloc (1, sizeof *connection);
-	struct peer_connection **place;
-	int result = -ENOMEM;
-
-	if (!connection)
-		goto fail;
-	connection->listener = listener;
-	connection->handle = handle_table_add (&listener->connections);
-	if (connection->handle == HANDLE_NONE)
-		goto fail;
-	place = handle_table_get (&listener->connections, connection->handle);
-	*place = connection;
-	result = rpc_connection_init (&connection->rpc, listener->loop, &listener_connection_ops,
-	                              connection, fd);
-	if (result < 0)
-		goto fail_handle;
-	return 0;
-
-fail_handle:
-	handle_table_remove (&listener->connections, connection->handle);
-fail:
-	close (fd);
-	free (connection);
-	return result;
-}
-
-static void
-handle_ready (struct loop_source *source, uint32_t epoll_events)
-{
-	struct peer_listener *listener = source->data;
-
-	(void) epoll_events;
-	for (;;)
-	{
-		int fd = rpc_accept (source->fd);
-
-		if (fd < 0)
-		{
-			if (fd != -EAGAIN)
-				log_event (LOG_LEVEL_WARN, "peer_accept_failed", "error=%d", fd);
-			return;
-		}
-		if (listener_add (listener, fd) < 0)
-			log_event (LOG_LEVEL_WARN, "peer_refused", "reason=too_many_connections");
-	}
-}
-
 int
 peer_listener_init (struct peer_listener *listener, struct loop *loop,
                     const struct execution_ops *ops, void *transport, uint32_t ip, uint16_t port)
 {
+	const struct rpc_listener_settings settings = {
+		.name = "peer",
+		.connection_bytes = sizeof (struct peer_connection),
+		.max_connections = LISTENER_MAX_CONNECTIONS,
+		.ip = ip,
+		.port = port,
+	};
 	int result;
-	int fd;
 
-	memset (listener, 0, sizeof *listener);
-	listener->loop = loop;
 	listener->ops = ops;
 	listener->transport = transport;
-	listener->source.fd = -1;
-	result = handle_table_init (&listener->connections, sizeof (void *), LISTENER_MAX_CONNECTIONS);
+	listener->in_flight = 0;
+	result = rpc_listener_init (&listener->connections, loop, &listener_ops, listener, &settings);
 	if (result < 0)
-		return result;
-	fd = rpc_listen (ip, port);
-	if (fd < 0)
-	{
-		result = fd;
-		goto fail;
-	}
-	listener->source.fd = fd;
-	listener->source.handle_ready = handle_ready;
-	listener->source.data = listener;
-	result = loop_set_source (loop, &listener->source, EPOLLIN);
-	if (result < 0)
-		goto fail;
-	return 0;
-
-fail:
-	peer_listener_finish (listener);
+		rpc_listener_finish (&listener->connections);
 	return result;
 }
 
 void
 peer_listener_finish (struct peer_listener *listener)
 {
-	uint32_t handle;
-
-	while ((handle = handle_table_next (&listener->connections, HANDLE_NONE)) != HANDLE_NONE)
-	{
-		struct peer_connection **place = handle_table_get (&listener->connections, handle);
-
-		connection_free (*place);
-	}
-	if (listener->source.fd >= 0)
-	{
-		loop_remove_source (listener->loop, &listener->source);
-		close (listener->source.fd);
-		listener->source.fd = -1;
-	}
-	handle_table_finish (&listener->connections);
+	rpc_listener_finish (&listener->connections);
 }
 
 uint32_t
@@ -292,15 +200,5 @@
 uint32_t
 peer_listener_unsent (const struct peer_listener *listener)
 {
-	uint32_t count = 0;
-	uint32_t handle = handle_table_next (&listener->connections, HANDLE_NONE);
-
-	for (; handle != HANDLE_NONE; handle = handle_table_next (&listener->connections, handle))
-	{
-		struct peer_connection **place = handle_table_get (&listener->connections, handle);
-
-		if ((*place)->rpc.out_length > 0)
-			count++;
-	}
-	return count;
+	return rpc_listener_unsent (&listener->connections);
 }
--- a/flamingospring/service_listener.c
+++ b/flamingospring/service_listener.c
@@ -1,18 +1,11 @@
 #include "flamingospring/service_listener.h"
 
 #include "common/counters.h"
-#include "common/log.h"
-#include "common/rpc.h"
 #include "protocols/service.h"
 #include "schema/generate.h"
 
-#include <errno.h>
 #include <glib.h>
 #include <stdlib.h>
-#include <string.h>
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 enum
 {
@@ -23,9 +16,7 @@
 
 struct service_connection
 {
-	struct rpc_connection rpc;
-	struct service_listener *listener;
-	uint32_t handle;
+	struct rpc_accepted accepted;
 	struct service_call *calls;
 };
 
@@ -40,6 +31,12 @@
 	bool is_done;
 };
 
+static struct service_listener *
+connection_listener (const struct service_connection *connection)
+{
+	return connection->accepted.listener->data;
+}
+
 static void
 call_unlink (struct service_call *call)
 {
@@ -49,7 +46,7 @@
 		link = &(*link)->next;
 	if (*link)
 		*link = call->next;
-	call->connection->listener->in_flight--;
+	connection_listener (call->connection)->in_flight--;
 }
 
 static char *
@@ -77,8 +74,8 @@
 		out.cells.cells_len = answer->result->cells.cells_len;
 		out.cells.cells_val = answer->result->cells.cells_val;
 	}
-	rpc_connection_reply (&call->connection->rpc, call->xid, (xdrproc_t) xdr_fs_service_answer,
-	                      &out);
+	rpc_connection_reply (&call->connection->accepted.rpc, call->xid,
+	                      (xdrproc_t) xdr_fs_service_answer, &out);
 	call_unlink (call);
 	call->is_done = true;
 	if (!call->is_starting)
@@ -165,33 +162,36 @@
 	if (!call)
 	{
 		entry_call_free (entry_call);
-		rpc_connection_reject (&connection->rpc, xid, SYSTEM_ERR);
+		rpc_connection_reject (&connection->accepted.rpc, xid, SYSTEM_ERR);
 		return;
 	}
 	call->connection = connection;
 	call->xid = xid;
 	call->next = connection->calls;
 	connection->calls = call;
-	connection->listener->in_flight++;
+	connection_listener (connection)->in_flight++;
 	call->is_starting = true;
-	call->entry = entry_start (connection->listener->entries, entry_call, handle_done, call);
+	call->entry =
+		entry_start (connection_listener (connection)->entries, entry_call, handle_done, call);
 	call->is_starting = false;
 	if (call->is_done)
 		free (call);
 }
 
 static bool
-handle_call (struct rpc_connection *rpc, uint32_t xid, uint32_t program, uint32_t procedure,
+handle_call (struct rpc_accepted *accepted, uint32_t xid, uint32_t program, uint32_t procedure,
              XDR *args)
 {
-	struct service_connection *connection = rpc->data;
+	struct service_connection *connection = (struct service_connection *) accepted;
+	struct rpc_connection *rpc = &accepted->rpc;
 	struct entry_call *call;
 	uint32_t param_count = 0;
 
 	if (procedure == 0)
 		return rpc_connection_reply (rpc, xid, (xdrproc_t) xdr_void, NULL) == 0;
 	call = entry_call_new ();
-	if (!find_call (connection->listener->entries, program, procedure, call, &param_count))
+	if (!find_call (connection_listener (connection)->entries, program, procedure, call,
+	                &param_count))
 	{
 		entry_call_free (call);
 		return rpc_connection_reject (rpc, xid, PROC_UNAVAIL) == 0;
@@ -207,9 +207,10 @@
 }
 
 static void
-connection_free (struct service_connection *connection)
+handle_closed (struct rpc_accepted *accepted)
 {
-	struct service_listener *listener = connection->listener;
+	struct service_connection *connection = (struct service_connection *) accepted;
+	struct service_listener *listener = connection_listener (connection);
 
 	while (connection->calls)
 	{
@@ -220,102 +221,38 @@
 		entry_cancel (listener->entries, call->entry);
 		free (call);
 	}
-	rpc_connection_finish (&connection->rpc);
-	handle_table_remove (&listener->connections, connection->handle);
-	free (connection);
-}
-
-static void
-handle_closed (struct rpc_connection *rpc, int error)
-{
-	(void) error;
-	connection_free (rpc->data);
 }
 
-static const struct rpc_connection_ops connection_ops = {
+static const struct rpc_listener_ops listener_ops = {
 	.handle_call = handle_call,
 	.handle_closed = handle_closed,
 };
 
-/** Takes over @p fd. */
-static void
-listener_add (struct service_listener *listener, int fd)
-{
-	struct service_connection *connection = calloc (1, sizeof *connection);
-	struct service_connection **place;
-
-	if (!connection)
-		goto fail;
-	connection->listener = listener;
-	connection->handle = handle_table_add (&listener->connections);
-	if (connection->handle == HANDLE_NONE)
-		goto fail;
-	place = handle_table_get (&listener->connections, connection->handle);
-	*place = connection;
-	if (rpc_connection_init (&connection->rpc, listener->loop, &connection_ops, connection, fd) ==
-	    0)
-		return;
-	handle_table_remove (&listener->connections, connection->handle);
-
-fail:
-	log_event (LOG_LEVEL_WARN, "service_connection_refused", "reason=too_many_connections");
-	free (connection);
-	close (fd);
-}
-
-static void
-handle_accept (struct loop_source *source, uint32_t epoll_events)
-{
-	int fd;
-
-	(void) epoll_events;
-	while ((fd = rpc_accept (source->fd)) >= 0)
-		listener_add (source->data, fd);
-}
-
 int
 service_listener_init (struct service_listener *listener, struct loop *loop,
                        struct entry_set *entries, uint32_t ip, uint16_t port)
 {
-	int result;
+	const struct rpc_listener_settings settings = {
+		.name = "service",
+		.connection_bytes = sizeof (struct service_connection),
+		.max_connections = LISTENER_MAX_CONNECTIONS,
+		.ip = ip,
+		.port = port,
+	};
 
-	memset (listener, 0, sizeof *listener);
-	listener->loop = loop;
 	listener->entries = entries;
-	listener->source.fd = -1;
-	result = handle_table_init (&listener->connections, sizeof (void *), LISTENER_MAX_CONNECTIONS);
-	if (result < 0)
-		return result;
-	result = rpc_listen (ip, port);
-	if (result < 0)
-		return result;
-	listener->source.fd = result;
-	listener->source.handle_ready = handle_accept;
-	listener->source.data = listener;
-	return loop_set_source (loop, &listener->source, EPOLLIN);
+	listener->in_flight = 0;
+	return rpc_listener_init (&listener->connections, loop, &listener_ops, listener, &settings);
 }
 
 void
 service_listener_refuse_connections (struct service_listener *listener)
 {
-	if (listener->source.fd < 0)
-		return;
-	loop_remove_source (listener->loop, &listener->source);
-	close (listener->source.fd);
-	listener->source.fd = -1;
+	rpc_listener_refuse_connections (&listener->connections);
 }
 
 void
 service_listener_finish (struct service_listener *listener)
 {
-	uint32_t handle;
-
-	while ((handle = handle_table_next (&listener->connections, HANDLE_NONE)) != HANDLE_NONE)
-	{
-		struct service_connection **place = handle_table_get (&listener->connections, handle);
-
-		connection_free (*place);
-	}
-	service_listener_refuse_connections (listener);
-	handle_table_finish (&listener->connections);
+	rpc_listener_finish (&listener->connections);
 }
--- a/include/flamingospring/control_private.h
+++ b/include/flamingospring/control_private.h
@@ -6,7 +6,7 @@
 
 #include "common/loop.h"
 #include "common/mailbox.h"
-#include "common/rpc.h"
+#include "common/rpc_listener.h"
 #include "decision/configuration.h"
 #include "decision/drain.h"
 #include "decision/failover.h"
@@ -39,7 +39,6 @@
 
 struct control_observer;
 struct control_call;
-struct control_client;
 
 struct control
 {
@@ -80,9 +79,7 @@
 
 	struct control_observer *observers;
 	struct control_call *calls;
-	struct control_client *clients;
-	uint32_t client_count;
-	struct loop_source listener;
+	struct rpc_listener server;
 
 	struct drain_settings drain_settings;
 	struct drain drain;
@@ -142,15 +139,14 @@
 int control_server_init (struct control *control);
 void control_server_finish (struct control *control);
 
-/** Answers later: names a client that may be gone by then. */
+/** Answers later: names a connection that may be closed by then. */
 struct control_reply_handle
 {
-	uint64_t client;
+	uint32_t connection;
 	uint32_t xid;
 };
 
-struct control_reply_handle control_reply_hold (struct control *control,
-                                                struct rpc_connection *connection, uint32_t xid);
+struct control_reply_handle control_reply_hold (struct rpc_connection *connection, uint32_t xid);
 void control_reply_send (struct control *control, struct control_reply_handle handle,
                          xdrproc_t encode, const void *result);
 
--- a/include/flamingospring/peer.h
+++ b/include/flamingospring/peer.h
@@ -7,7 +7,7 @@
 
 #include "common/handle_table.h"
 #include "common/loop.h"
-#include "common/rpc.h"
+#include "common/rpc_listener.h"
 #include "flamingospring/execution.h"
 
 #include <glib.h>
@@ -50,9 +50,7 @@
 /** Incoming connections of one thread. */
 struct peer_listener
 {
-	struct loop *loop;
-	struct loop_source source;
-	struct handle_table connections; /**< Of struct peer_connection pointers. */
+	struct rpc_listener connections;
 	const struct execution_ops *ops; /**< Runs what arrives; execution.vm is 0. */
 	void *transport;
 	uint32_t in_flight;
--- a/include/flamingospring/service_listener.h
+++ b/include/flamingospring/service_listener.h
@@ -5,8 +5,7 @@
  */
 #pragma once
 
-#include "common/handle_table.h"
-#include "common/loop.h"
+#include "common/rpc_listener.h"
 #include "flamingospring/entry.h"
 
 #include <stdbool.h>
@@ -14,11 +13,9 @@
 
 struct service_listener
 {
-	struct loop *loop;
+	struct rpc_listener connections;
 	struct entry_set *entries;
-	struct loop_source source;
-	struct handle_table connections; /**< Of struct service_connection pointers. */
-	uint32_t in_flight;              /**< Calls without an answer. */
+	uint32_t in_flight; /**< Calls without an answer. */
 };
 
 /** Listens at @p ip and @p port with SO_REUSEPORT. @return 0 or a negative error number. */
