--- /dev/null
+++ b/tests/fuzz/fuzz.h
@@ -0,0 +1,11 @@
+/**
+ * @file
+ * Entry point that libFuzzer calls with each input. A target stops the run by a sanitizer report or
+ * by abort().
+ */
+#pragma once
+
+#include <stddef.h>
+#include <stdint.h>
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
--- /dev/null
+++ b/tests/fuzz/token.c
@@ -0,0 +1,51 @@
+/* Guards against a token or a transaction's handle that is accepted without a valid signature, and
+ * against a signed payload, such as one of an older version, that is read outside its memory. */
+#include "flamingospring/session_token.h"
+#include "flamingospring/transaction_handle.h"
+#include "fuzz.h"
+
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+run_signed (const struct schema_service *service, const uint8_t *data, size_t size)
+{
+	char text[2 * SIGNED_TEXT_MAX_BYTES];
+	struct transaction_handle handle;
+	struct session_token token;
+	struct signed_text decoded;
+
+	if (size > SIGNED_TEXT_MAX_PAYLOAD_BYTES)
+		return;
+	if (signed_text_encode (service, SIGNED_TEXT_SESSION, data, size, text, sizeof text) > 0 &&
+	    session_token_decode (&token, service, text) == 0 &&
+	    token.count > SESSION_TOKEN_MAX_ENTRIES)
+		abort ();
+	if (signed_text_encode (service, SIGNED_TEXT_TRANSACTION, data, size, text, sizeof text) > 0 &&
+	    transaction_handle_decode (&handle, &decoded, text) == 0 &&
+	    (!memchr (handle.database, 0, sizeof handle.database) ||
+	     !memchr (handle.service, 0, sizeof handle.service)))
+		abort ();
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+	static const struct schema_service service = { .keys = { { .id = 1, .secret = { 7 } } },
+		                                           .key_count = 1 };
+	struct transaction_handle handle;
+	struct session_token token;
+	struct signed_text decoded;
+	char *text = g_strndup ((const char *) data, size);
+
+	/* No input has a valid signature, but for one in 2^128. */
+	if (session_token_decode (&token, &service, text) == 0)
+		abort ();
+	if (transaction_handle_decode (&handle, &decoded, text) == 0 &&
+	    signed_text_check (&decoded, &service) == 0)
+		abort ();
+	g_free (text);
+	run_signed (&service, data, size);
+	return 0;
+}
