--- a/tests/standin/database.c
+++ b/tests/standin/database.c
@@ -549,11 +549,14 @@
 
 	if ((int64_t) database->sessions->len > database->connections)
 	{
+		database->refused++;
 		put_error (out, "FATAL", "53300", "sorry, too many clients already");
 		stream_flush (&session->stream);
 		stream_close (&session->stream);
 		return;
 	}
+	if ((int64_t) database->sessions->len > database->highest)
+		database->highest = database->sessions->len;
 	put_message (out, 'R', "i", 0);
 	put_message (out, 'S', "ss", "server_version", "15.0");
 	put_message (out, 'S', "ss", "client_encoding", "UTF8");
--- a/tests/standin/database.h
+++ b/tests/standin/database.h
@@ -76,6 +76,8 @@
 	int64_t run_us;
 	int64_t connect_ms;
 	int64_t connections;
+	int64_t highest;      /**< Most connections at a time. */
+	int64_t refused;      /**< Connections above the limit. */
 	int64_t drop_answers; /**< Answers to lose, after the statement took effect. */
 	int64_t drop_commits; /**< As drop_answers, for COMMIT only. */
 };
--- a/tests/standin/statements.c
+++ b/tests/standin/statements.c
@@ -258,6 +258,20 @@
 	return answer_error (answer, "22023", "unknown fault");
 }
 
+static enum run_result
+run_connections (struct session *session, const struct call *call, struct answer *answer)
+{
+	char highest[24];
+	char refused[24];
+	const char *cells[] = { highest, refused };
+
+	g_snprintf (highest, sizeof highest, "%ld", session->database->highest);
+	g_snprintf (refused, sizeof refused, "%ld", session->database->refused);
+	answer_add_row (answer, G_N_ELEMENTS (cells), cells);
+	answer->tag = g_strdup ("SELECT 1");
+	return RUN_DONE;
+}
+
 #define STATUS_COLUMNS "role", "log_term", "log_index", "promised_term"
 
 /* clang-format off */
@@ -282,6 +296,8 @@
 	{ "SELECT * FROM group_status()", run_status, STATEMENT_CONTROL, 0, { STATUS_COLUMNS } },
 	{ "SELECT * FROM group_fence($1, $2)", run_fence, STATEMENT_CONTROL, 0, { STATUS_COLUMNS } },
 	{ "SELECT * FROM group_promote($1, $2)", run_promote, STATEMENT_CONTROL, 0, { STATUS_COLUMNS } },
+	{ "SELECT * FROM standin_connections()",
+	  run_connections, STATEMENT_CONTROL, 0, { "highest", "refused" } },
 	{ "SELECT standin_fault($1, $2)", run_fault, STATEMENT_CONTROL, 0, { "standin_fault" } },
 };
 /* clang-format on */
