--- a/flamingospring/control.c
+++ b/flamingospring/control.c
@@ -317,6 +317,27 @@
 	mailbox_send (&control->mailbox, &observation->message);
 }
 
+static void
+handle_observer_answer (struct mailbox_message *message, void *receiver)
+{
+	struct control_answer *answer = (struct control_answer *) message;
+
+	control_observers_handle_answer (receiver, &answer->answer);
+	free (answer);
+}
+
+void
+control_answer (struct control *control, const struct observer_answer *answer)
+{
+	struct control_answer *message = calloc (1, sizeof *message);
+
+	if (!message)
+		return;
+	message->message.handle_message = handle_observer_answer;
+	message->answer = *answer;
+	mailbox_send (&control->mailbox, &message->message);
+}
+
 static void *
 control_main (void *data)
 {
--- a/flamingospring/control_observer.c
+++ b/flamingospring/control_observer.c
@@ -10,8 +10,6 @@
 
 enum
 {
-	LINK_STUCK_US = 1000000, /* A connection whose answer is later is replaced. */
-	LINK_CONNECT_US = 1000000,
 	/* A leaving primary is replaced in one attempt at a time: each takes up to 4 s. */
 	PLANNED_RETRY_US = 5000000,
 	/* Writes to a primary that hands over are refused for this long at most. */
@@ -20,26 +18,7 @@
 
 static const char guarantee_replaced_primary[] = "P2";
 
-/** What is to be sent on a link as soon as it is ready. */
-struct link_request
-{
-	enum failover_effect_type type; /* FAILOVER_NONE, _POLL, _FENCE or _PROMOTE. */
-	uint64_t term;
-};
-
-/** Control connection of an observer to one server of its group. */
-struct observer_link
-{
-	struct upstream upstream;
-	struct control_observer *observer;
-	uint32_t server;
-	bool is_connecting;
-	int64_t started_us; /* Of the connection attempt or the outstanding request. */
-	struct link_request wanted;
-	struct link_request outstanding;
-};
-
-/** Observer of one group: the decision module and its connections. */
+/** Observer of one group: the decision module. The group's traffic thread asks the servers. */
 struct control_observer
 {
 	struct control_observer *next;
@@ -51,7 +30,6 @@
 	struct failover failover;
 	void *memory;
 	struct loop_timer timer;
-	struct observer_link links[ROUTING_MAX_SERVERS];
 	struct loop_timer handover_timer;
 	uint32_t handing_over; /* The server with the mark. */
 	int64_t planned_at_us; /* Last planned change that a leaving primary asked for. */
@@ -82,141 +60,24 @@
 }
 
 static void
-link_close (struct observer_link *link)
-{
-	link->upstream.ops->close (&link->upstream);
-	link->is_connecting = false;
-	link->outstanding.type = FAILOVER_NONE;
-}
-
-static void
-link_fail (struct observer_link *link)
-{
-	link_close (link);
-	link->wanted.type = FAILOVER_NONE;
-	failover_handle_error (&link->observer->failover, link->server, clock_now_us ());
-}
-
-static int
-link_send (struct observer_link *link)
-{
-	struct upstream *upstream = &link->upstream;
-	uint32_t claimant = link->observer->control->settings->vm_id;
-
-	link->outstanding = link->wanted;
-	link->wanted.type = FAILOVER_NONE;
-	link->started_us = clock_now_us ();
-	switch (link->outstanding.type)
-	{
-	case FAILOVER_POLL:
-		return upstream->ops->ask_status (upstream);
-	case FAILOVER_FENCE:
-		return upstream->ops->fence (upstream, link->outstanding.term, claimant);
-	case FAILOVER_PROMOTE:
-		return upstream->ops->promote (upstream, link->outstanding.term, claimant);
-	default:
-		return 0;
-	}
-}
-
-static void
-link_connect (struct observer_link *link)
+observer_request (struct control_observer *observer, enum observer_question question,
+                  uint32_t server, uint64_t term)
 {
-	const struct schema_server *server = &link->observer->servers[link->server];
-
-	link->is_connecting = true;
-	link->started_us = clock_now_us ();
-	if (link->upstream.ops->connect (&link->upstream, server->ip, server->port,
-	                                 link->observer->database) < 0)
-		link_fail (link);
-}
-
-/** Asks the server for something; a poll waits for an outstanding answer, a fence or a promotion takes a
- * fresh connection instead, since the old one may belong to a frozen server. */
-static void
-link_request (struct observer_link *link, enum failover_effect_type type, uint64_t term)
-{
-	int64_t waited_us = clock_now_us () - link->started_us;
-	bool is_urgent = type != FAILOVER_POLL;
-
-	if (type == FAILOVER_POLL && link->wanted.type != FAILOVER_NONE && waited_us < LINK_CONNECT_US)
-		return;
-	link->wanted = (struct link_request){ .type = type, .term = term };
-	if (link->is_connecting)
-	{
-		if (waited_us < LINK_CONNECT_US)
-			return;
-		link_close (link);
-	}
-	else if (link->upstream.is_connected && link->outstanding.type == FAILOVER_NONE)
-	{
-		if (link_send (link) < 0)
-			link_fail (link);
-		return;
-	}
-	else if (link->upstream.is_connected)
-	{
-		if (!is_urgent && waited_us < LINK_STUCK_US)
-		{
-			link->wanted.type = FAILOVER_NONE;
-			return;
-		}
-		link_close (link);
-	}
-	link_connect (link);
-}
-
-static void
-handle_connected (struct upstream *upstream, int error)
-{
-	struct observer_link *link = upstream->data;
-
-	link->is_connecting = false;
-	if (error < 0 || (link->wanted.type != FAILOVER_NONE && link_send (link) < 0))
-		link_fail (link);
-	observer_pump (link->observer);
-}
-
-static void
-handle_answer (struct upstream *upstream, const struct upstream_answer *answer)
-{
-	struct observer_link *link = upstream->data;
-	struct failover *failover = &link->observer->failover;
-	struct link_request request = link->outstanding;
-	bool is_accepted = answer->result == UPSTREAM_OK;
-	int64_t now_us = clock_now_us ();
-
-	link->outstanding.type = FAILOVER_NONE;
-	if (answer->result == UPSTREAM_TERM_REJECTED)
-		counter_add (COUNTER_FENCES_REJECTED, 1);
-	if (!is_accepted && answer->result != UPSTREAM_TERM_REJECTED)
-		link_fail (link);
-	else if (request.type == FAILOVER_POLL)
-		failover_handle_status (failover, link->server, &answer->status, link->started_us, now_us);
-	else if (request.type == FAILOVER_FENCE)
-		failover_handle_fenced (failover, link->server, request.term, is_accepted, &answer->status,
-		                        now_us);
-	else if (request.type == FAILOVER_PROMOTE)
-		failover_handle_promoted (failover, link->server, request.term, is_accepted,
-		                          &answer->status, now_us);
-	observer_pump (link->observer);
-}
-
-static void
-handle_closed (struct upstream *upstream)
-{
-	struct observer_link *link = upstream->data;
+	const struct schema_server *asked = &observer->servers[server];
+	struct control *control = observer->control;
+	struct observer_request request = {
+		.question = question,
+		.server = server,
+		.ip = asked->ip,
+		.port = asked->port,
+		.term = term,
+		.claimant = control->settings->vm_id,
+	};
 
-	link_fail (link);
-	observer_pump (link->observer);
+	g_strlcpy (request.database, observer->database, sizeof request.database);
+	control->ops->observe (control->data, &request);
 }
 
-static const struct upstream_user_ops link_user_ops = {
-	.handle_connected = handle_connected,
-	.handle_answer = handle_answer,
-	.handle_closed = handle_closed,
-};
-
 static void
 handle_opinion (struct control *control, void *data, int status, void *result)
 {
@@ -353,6 +214,14 @@
 	publish_primary (observer, term, primary);
 }
 
+static enum observer_question
+question_of (enum failover_effect_type type)
+{
+	if (type == FAILOVER_FENCE)
+		return OBSERVER_FENCE;
+	return type == FAILOVER_PROMOTE ? OBSERVER_PROMOTE : OBSERVER_STATUS;
+}
+
 static void
 effect_run (struct control_observer *observer, const struct failover_effect *effect)
 {
@@ -368,7 +237,7 @@
 			           (unsigned long long) effect->term);
 		if (effect->type == FAILOVER_PROMOTE)
 			observer->promoted_term = effect->term;
-		link_request (&observer->links[effect->server], effect->type, effect->term);
+		observer_request (observer, question_of (effect->type), effect->server, effect->term);
 		break;
 	case FAILOVER_ASK:
 		opinion_ask (observer, effect->observer);
@@ -440,7 +309,7 @@
 	loop_cancel_timer (&observer->control->loop, &observer->timer);
 	loop_cancel_timer (&observer->control->loop, &observer->handover_timer);
 	for (uint32_t s = 0; s < observer->server_count; s++)
-		upstream_pg_finish (&observer->links[s].upstream);
+		observer_request (observer, OBSERVER_END, s, 0);
 	failover_finish (&observer->failover);
 	free (observer->memory);
 	free (observer);
@@ -467,13 +336,6 @@
 		free (observer);
 		return NULL;
 	}
-	for (uint32_t s = 0; s < database->server_count; s++)
-	{
-		observer->links[s].observer = observer;
-		observer->links[s].server = s;
-		upstream_pg_init (&observer->links[s].upstream, &control->loop, &link_user_ops,
-		                  &observer->links[s]);
-	}
 	observer->timer.handle_timer = handle_timer;
 	observer->timer.data = observer;
 	observer->handover_timer.handle_timer = handle_handover_timer;
@@ -651,6 +513,48 @@
 	observer_pump (observer);
 }
 
+static void
+take_answer (struct control_observer *observer, const struct observer_answer *answer)
+{
+	const struct observer_request *request = &answer->request;
+	struct failover *failover = &observer->failover;
+	bool is_accepted = answer->result == OBSERVER_ACCEPTED;
+	int64_t now_us = clock_now_us ();
+
+	if (answer->result == OBSERVER_REJECTED)
+		counter_add (COUNTER_FENCES_REJECTED, 1);
+	if (answer->result == OBSERVER_REFUSED)
+		failover_handle_traffic (failover, request->server, true, now_us);
+	else if (answer->result == OBSERVER_FAILED)
+		failover_handle_error (failover, request->server, now_us);
+	else if (request->question == OBSERVER_STATUS)
+		failover_handle_status (failover, request->server, &answer->status, answer->sent_us,
+		                        now_us);
+	else if (request->question == OBSERVER_FENCE)
+		failover_handle_fenced (failover, request->server, request->term, is_accepted,
+		                        &answer->status, now_us);
+	else
+		failover_handle_promoted (failover, request->server, request->term, is_accepted,
+		                          &answer->status, now_us);
+}
+
+void
+control_observers_handle_answer (struct control *control, const struct observer_answer *answer)
+{
+	const struct observer_request *request = &answer->request;
+	struct control_observer *observer = observer_find (control, request->database);
+	const struct schema_server *server;
+
+	if (!observer || request->server >= observer->server_count)
+		return;
+	server = &observer->servers[request->server];
+	/* The configuration may have replaced the server that was asked. */
+	if (server->ip != request->ip || server->port != request->port)
+		return;
+	take_answer (observer, answer);
+	observer_pump (observer);
+}
+
 void
 control_observers_handle_announced (struct control *control, const char *database, uint64_t term,
                                     uint32_t primary)
--- a/flamingospring/owner.c
+++ b/flamingospring/owner.c
@@ -21,7 +21,9 @@
 	OWNER_OBSERVE_US = 100 * US_PER_MS, /* Between equal observations: the alert poll period. */
 	OWNER_ROLE_US = 2 * US_PER_S,       /* An older status tells no role. */
 	OWNER_RESERVED_CONNECTIONS = 6,     /* For monitors, of owners and of observers. */
-	OWNER_RETRY_PERCENT = 10,           /* Retries per 100 first attempts. */
+	/* Owners observe the group too, which keeps the connection open; a standby gives it back. */
+	OWNER_MONITOR_IDLE_US = 2 * US_PER_S,
+	OWNER_RETRY_PERCENT = 10, /* Retries per 100 first attempts. */
 	OWNER_RETRY_BURST = 10,
 	OWNER_MAX_TRANSACTIONS = 4096,
 };
@@ -72,7 +74,7 @@
 void
 owner_ask_self (struct owner *owner, bool is_new)
 {
-	owner_monitor_ask (&owner->monitors[owner->server], is_new, clock_now_us ());
+	owner_monitor_ask (owner->monitors[owner->server].monitor, is_new, clock_now_us ());
 }
 
 static void
@@ -109,10 +111,10 @@
 }
 
 static void
-handle_status (struct owner_monitor *monitor, const struct server_status *status, int64_t sent_us)
+handle_status (struct monitor_user *user, const struct server_status *status, int64_t sent_us)
 {
-	struct owner *owner = monitor->data;
-	uint32_t server = monitor->server;
+	struct owner *owner = user->data;
+	uint32_t server = user->server;
 	int64_t now_us = clock_now_us ();
 
 	if (is_worth_telling (owner, server, status, now_us))
@@ -137,14 +139,14 @@
 }
 
 static void
-handle_silence (struct owner_monitor *monitor)
+handle_silence (struct monitor_user *user)
 {
-	struct owner *owner = monitor->data;
+	struct owner *owner = user->data;
 
-	owner_observe (owner, monitor->server, false, NULL);
+	owner_observe (owner, user->server, false, NULL);
 }
 
-static const struct owner_monitor_ops monitor_ops = {
+static const struct monitor_user_ops monitor_ops = {
 	.handle_status = handle_status,
 	.handle_silence = handle_silence,
 };
@@ -183,19 +185,6 @@
 	return owner->tasks.length > 0 || handle_table_count (&owner->transactions) > 0;
 }
 
-static bool
-owner_has_connections (const struct owner *owner)
-{
-	if (owner_pool_open (&owner->pool) > 0)
-		return true;
-	for (uint32_t i = 0; i < owner->database.server_count; i++)
-	{
-		if (owner->monitors[i].state != MONITOR_CLOSED)
-			return true;
-	}
-	return false;
-}
-
 /* Between questions while the server has not reached the position of a round; answers to statements
  * tell it as well. One eighth of the lag is precise enough for it. */
 static int64_t
@@ -254,18 +243,14 @@
 	if (!freshness_start (&owner->freshness, now_us))
 		return;
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
-		owner_monitor_ask (&owner->monitors[i], true, now_us);
+		owner_monitor_ask (owner->monitors[i].monitor, true, now_us);
 }
 
 static void
 owner_maintain (struct owner *owner, int64_t now_us)
 {
-	bool close_all = owner->is_retired || !owner->is_owned;
-
 	owner->maintained_us = now_us;
-	owner_pool_close_idle (&owner->pool, now_us, close_all);
-	for (uint32_t i = 0; i < owner->database.server_count; i++)
-		owner_monitor_close_idle (&owner->monitors[i], now_us);
+	owner_pool_close_idle (&owner->pool, now_us, owner->is_retired || !owner->is_first);
 	owner_measure (owner, now_us);
 }
 
@@ -277,7 +262,7 @@
 	loop_cancel_timer (set->loop, &owner->timer);
 	owner_pool_finish (&owner->pool);
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
-		owner_monitor_finish (&owner->monitors[i]);
+		owner_monitor_leave (&owner->monitors[i]);
 	free (owner->monitors);
 	free (owner->admission);
 	free (owner->acknowledgement);
@@ -309,7 +294,7 @@
 	if (now_us - owner->maintained_us >= OWNER_MAINTAIN_US)
 		owner_maintain (owner, now_us);
 	owner_pump (owner);
-	if (owner_is_active (owner) || owner_has_connections (owner))
+	if (owner_is_active (owner) || owner_pool_open (&owner->pool) > 0)
 	{
 		owner_schedule (owner);
 		return;
@@ -361,23 +346,30 @@
 	struct owner_set *set = owner->set;
 	const struct schema_database *database = &owner->database;
 	const struct schema_server *self = &database->servers[owner->server];
-	const struct owner_upstream_factory *factory =
-		set->settings->upstreams ? set->settings->upstreams : &owner_upstream_pg;
 	int result;
 
 	owner->monitors = calloc (database->server_count, sizeof *owner->monitors);
 	if (!owner->monitors)
 		return -ENOMEM;
-	result = owner_pool_init (&owner->pool, set->loop, factory, &pool_ops, owner,
+	result = owner_pool_init (&owner->pool, set->loop, set->monitors.factory, &pool_ops, owner,
 	                          work_connections (database), self->ip, self->port, database->name,
 	                          random_next (&owner->random));
 	if (result < 0)
 		return result;
-	for (uint32_t i = 0; i < database->server_count; i++)
-		owner_monitor_init (&owner->monitors[i], set->loop, factory, &monitor_ops, owner, i,
-		                    database->servers[i].ip, database->servers[i].port, database->name,
-		                    random_next (&owner->random));
-	return 0;
+	for (uint32_t i = 0; i < database->server_count && result == 0; i++)
+	{
+		const struct schema_server *server = &database->servers[i];
+
+		owner->monitors[i] = (struct monitor_user){
+			.ops = &monitor_ops,
+			.data = owner,
+			.server = i,
+			.idle_us = OWNER_MONITOR_IDLE_US,
+		};
+		result = owner_monitor_join (&set->monitors, &owner->monitors[i], server->ip, server->port,
+		                             database->name);
+	}
+	return result;
 }
 
 static void
@@ -386,7 +378,9 @@
 	const struct ownership *owners = &group->servers[owner->server].owners;
 	uint32_t self = owner->set->settings->vm_id;
 
-	owner->is_owned = owners->owner == self || owners->standby == self;
+	owner->is_first = owners->owner == self;
+	owner->is_owned = owner->is_first || owners->standby == self;
+	owner_pool_set_leaving (&owner->pool, !owner->is_owned);
 	if (!group->servers[owner->server].is_leaving)
 		owner->leaving_at_us = 0;
 	else if (owner->leaving_at_us == 0)
@@ -435,6 +429,8 @@
 fail:
 	if (owner)
 	{
+		for (uint32_t i = 0; owner->monitors && i < servers; i++)
+			owner_monitor_leave (&owner->monitors[i]);
 		free (owner->admission);
 		free (owner->monitors);
 	}
@@ -443,6 +439,14 @@
 	return NULL;
 }
 
+/* A role that is lost gives its connections back at once, since the next owner opens as many. */
+static void
+owner_maintain_now (struct owner *owner)
+{
+	owner->maintained_us = clock_now_us () - OWNER_MAINTAIN_US;
+	owner_schedule (owner);
+}
+
 static bool
 is_same_server (const struct schema_server *a, const struct schema_server *b)
 {
@@ -517,7 +521,8 @@
 	if (!group || !is_same_database (&owner->database, group->database))
 	{
 		owner->is_retired = true;
-		owner_schedule (owner);
+		owner_pool_set_leaving (&owner->pool, true);
+		owner_maintain_now (owner);
 		return;
 	}
 	owner_adopt (owner, group);
@@ -529,7 +534,10 @@
 		if (memcmp (&settings, &owner->admission_settings, sizeof settings) != 0)
 			owner_change_admission (owner, &settings);
 	}
-	owner_schedule (owner);
+	if (owner->is_first)
+		owner_schedule (owner);
+	else
+		owner_maintain_now (owner);
 }
 
 void
--- a/flamingospring/owner_acknowledge.c
+++ b/flamingospring/owner_acknowledge.c
@@ -29,11 +29,11 @@
 		return;
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
 	{
-		int64_t asked_us = now_us - owner->monitors[i].sent_us;
+		int64_t asked_us = now_us - owner->monitors[i].monitor->sent_us;
 
 		if (asked_us < (i == owner->server ? PRIMARY_POLL_US : interval_us))
 			continue;
-		owner_monitor_ask (&owner->monitors[i], false, now_us);
+		owner_monitor_ask (owner->monitors[i].monitor, false, now_us);
 	}
 }
 
@@ -121,7 +121,7 @@
 		return;
 	}
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
-		owner_monitor_ask (&owner->monitors[i], true, now_us);
+		owner_monitor_ask (owner->monitors[i].monitor, true, now_us);
 	owner_acknowledge_settle (owner);
 	owner_pump (owner);
 	owner_schedule (owner);
--- a/flamingospring/owner_monitor.c
+++ b/flamingospring/owner_monitor.c
@@ -3,57 +3,227 @@
 #include "common/clock.h"
 #include "common/counters.h"
 
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum
 {
 	MONITOR_ANSWER_US = 300 * US_PER_MS, /* As reply_late_us of failover observers. */
+	MONITOR_COMMAND_US = US_PER_S,       /* A fence or promotion is written to the server's log. */
+	/* A command waits so long for an outstanding answer, then takes a fresh connection: the old one
+	 * may belong to a frozen server. */
+	MONITOR_HURRY_US = 50 * US_PER_MS,
 	MONITOR_CONNECT_US = 500 * US_PER_MS,
-	MONITOR_IDLE_US = 5 * US_PER_S,
 	MONITOR_RETRY_MIN_US = 5 * US_PER_MS,
 	MONITOR_RETRY_MAX_US = 200 * US_PER_MS,
+	/* A place at the server becomes free as soon as another VM closes a connection. */
+	MONITOR_REFUSED_MAX_US = 50 * US_PER_MS,
 };
 
+static void
+tell_silence (struct owner_monitor *monitor)
+{
+	struct monitor_user *next;
+
+	for (struct monitor_user *user = monitor->users; user; user = next)
+	{
+		next = user->next;
+		user->ops->handle_silence (user);
+	}
+}
+
+static void
+tell_refused (struct owner_monitor *monitor)
+{
+	struct monitor_user *next;
+
+	for (struct monitor_user *user = monitor->users; user; user = next)
+	{
+		next = user->next;
+		if (user->ops->handle_refused)
+			user->ops->handle_refused (user);
+	}
+}
+
+static void
+tell_status (struct owner_monitor *monitor, const struct server_status *status, int64_t sent_us)
+{
+	struct monitor_user *next;
+
+	for (struct monitor_user *user = monitor->users; user; user = next)
+	{
+		next = user->next;
+		user->ops->handle_status (user, status, sent_us);
+	}
+}
+
+/* Answers a command that @p request names; it may be a newer one that is still to be sent. */
+static void
+tell_command (struct owner_monitor *monitor, struct observer_request *request,
+              enum observer_result result, const struct server_status *status)
+{
+	struct observer_answer answer = {
+		.request = *request,
+		.result = result,
+		.sent_us = monitor->sent_us,
+	};
+
+	if (request->question == OBSERVER_NONE)
+		return;
+	request->question = OBSERVER_NONE;
+	if (status)
+		answer.status = *status;
+	if (monitor->commander)
+		monitor->commander->ops->handle_command (monitor->commander, &answer);
+}
+
+static bool
+has_work (const struct owner_monitor *monitor)
+{
+	return monitor->is_wanted || monitor->command.question != OBSERVER_NONE;
+}
+
+static void
+monitor_connect (struct owner_monitor *monitor, int64_t now_us)
+{
+	if (monitor->upstream.ops->connect (&monitor->upstream, monitor->ip, monitor->port,
+	                                    monitor->database) < 0)
+	{
+		monitor->retry_at_us = now_us + MONITOR_RETRY_MAX_US;
+		tell_command (monitor, &monitor->command, OBSERVER_FAILED, NULL);
+		return;
+	}
+	monitor->state = MONITOR_CONNECTING;
+	loop_set_timer (monitor->set->loop, &monitor->timer, now_us + MONITOR_CONNECT_US);
+}
+
+/* The connection is gone: an outstanding command and, without a connection, a wanted one fail. */
 static void
 monitor_fail (struct owner_monitor *monitor)
 {
 	int64_t now_us = clock_now_us ();
+	bool was_connecting = monitor->state == MONITOR_CONNECTING;
 
-	loop_cancel_timer (monitor->loop, &monitor->timer);
+	loop_cancel_timer (monitor->set->loop, &monitor->timer);
 	monitor->state = MONITOR_CLOSED;
 	monitor->failures++;
+	monitor->refusals = 0;
 	monitor->silent_at_us = now_us;
+	monitor->is_wanted = false;
 	monitor->retry_at_us =
 		now_us + backoff_delay_us (monitor->failures, MONITOR_RETRY_MIN_US, MONITOR_RETRY_MAX_US,
-	                               random_next (&monitor->random));
-	monitor->ops->handle_silence (monitor);
+	                               random_next (&monitor->set->random));
+	tell_command (monitor, &monitor->outstanding, OBSERVER_FAILED, NULL);
+	if (was_connecting)
+		tell_command (monitor, &monitor->command, OBSERVER_FAILED, NULL);
+	tell_silence (monitor);
+	if (monitor->state == MONITOR_CLOSED && monitor->command.question != OBSERVER_NONE)
+		monitor_connect (monitor, now_us);
 }
 
+/* At its connection limit the server lives; what is wanted stays wanted. */
 static void
-handle_timer (struct loop_timer *timer, int64_t now_us)
+monitor_handle_refusal (struct owner_monitor *monitor)
 {
-	struct owner_monitor *monitor = timer->data;
+	int64_t now_us = clock_now_us ();
 
-	(void) now_us;
-	monitor->upstream.ops->close (&monitor->upstream);
-	monitor_fail (monitor);
+	monitor->state = MONITOR_CLOSED;
+	monitor->refusals++;
+	monitor->retry_at_us =
+		now_us + backoff_delay_us (monitor->refusals, MONITOR_RETRY_MIN_US, MONITOR_REFUSED_MAX_US,
+	                               random_next (&monitor->set->random));
+	loop_set_timer (monitor->set->loop, &monitor->timer, monitor->retry_at_us);
+	tell_refused (monitor);
+}
+
+static int64_t
+idle_limit_us (const struct owner_monitor *monitor)
+{
+	int64_t idle_us = 0;
+
+	for (const struct monitor_user *user = monitor->users; user; user = user->next)
+		idle_us = MAX (idle_us, user->idle_us);
+	return idle_us;
+}
+
+static void
+monitor_rest (struct owner_monitor *monitor)
+{
+	monitor->state = MONITOR_READY;
+	loop_set_timer (monitor->set->loop, &monitor->timer,
+	                monitor->used_us + idle_limit_us (monitor));
 }
 
+static int
+monitor_send_question (struct owner_monitor *monitor)
+{
+	struct upstream *upstream = &monitor->upstream;
+	const struct observer_request *command = &monitor->outstanding;
+
+	switch (command->question)
+	{
+	case OBSERVER_FENCE:
+		return upstream->ops->fence (upstream, command->term, command->claimant);
+	case OBSERVER_PROMOTE:
+		return upstream->ops->promote (upstream, command->term, command->claimant);
+	default:
+		counter_add (COUNTER_STATUS_QUESTIONS, 1);
+		return upstream->ops->ask_status (upstream);
+	}
+}
+
+/* Sends what is wanted, a command first. */
 static void
 monitor_send (struct owner_monitor *monitor, int64_t now_us)
 {
-	monitor->is_wanted = false;
-	if (monitor->upstream.ops->ask_status (&monitor->upstream) < 0)
+	bool is_command = monitor->command.question != OBSERVER_NONE;
+
+	monitor->outstanding = monitor->command;
+	monitor->command.question = OBSERVER_NONE;
+	monitor->is_wanted = monitor->is_wanted && is_command;
+	monitor->state = is_command ? MONITOR_COMMANDED : MONITOR_ASKING;
+	monitor->sent_us = now_us;
+	if (monitor_send_question (monitor) < 0)
 	{
 		monitor->upstream.ops->close (&monitor->upstream);
-		monitor->state = MONITOR_CLOSED;
-		monitor->retry_at_us = now_us + MONITOR_RETRY_MIN_US;
+		monitor_fail (monitor);
 		return;
 	}
-	counter_add (COUNTER_STATUS_QUESTIONS, 1);
-	monitor->state = MONITOR_ASKING;
-	monitor->sent_us = now_us;
-	loop_set_timer (monitor->loop, &monitor->timer, now_us + MONITOR_ANSWER_US);
+	loop_set_timer (monitor->set->loop, &monitor->timer,
+	                now_us + (is_command ? MONITOR_COMMAND_US : MONITOR_ANSWER_US));
+}
+
+static void
+handle_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct owner_monitor *monitor = timer->data;
+	bool is_hurried =
+		monitor->state == MONITOR_ASKING && now_us - monitor->sent_us < MONITOR_ANSWER_US;
+
+	if (monitor->state == MONITOR_CLOSED)
+	{
+		if (has_work (monitor))
+			monitor_connect (monitor, now_us);
+		return;
+	}
+	if (monitor->state == MONITOR_READY && now_us - monitor->used_us < idle_limit_us (monitor))
+	{
+		monitor_rest (monitor);
+		return;
+	}
+	monitor->upstream.ops->close (&monitor->upstream);
+	if (monitor->state == MONITOR_READY)
+		monitor->state = MONITOR_CLOSED;
+	else if (is_hurried)
+	{
+		/* Too early to call the server silent; the question is asked again after the command. */
+		monitor->is_wanted = true;
+		monitor_connect (monitor, now_us);
+	}
+	else
+		monitor_fail (monitor);
 }
 
 static void
@@ -61,37 +231,60 @@
 {
 	struct owner_monitor *monitor = upstream->data;
 
-	loop_cancel_timer (monitor->loop, &monitor->timer);
+	loop_cancel_timer (monitor->set->loop, &monitor->timer);
+	if (error == -EUSERS)
+	{
+		counter_add (COUNTER_UPSTREAM_REFUSED, 1);
+		monitor_handle_refusal (monitor);
+		return;
+	}
 	if (error < 0)
 	{
 		counter_add (COUNTER_UPSTREAM_CONNECT_ERRORS, 1);
 		monitor_fail (monitor);
 		return;
 	}
-	monitor->state = MONITOR_READY;
-	if (monitor->is_wanted)
+	monitor->refusals = 0;
+	monitor_rest (monitor);
+	if (has_work (monitor))
 		monitor_send (monitor, clock_now_us ());
 }
 
+static void
+handle_command_answer (struct owner_monitor *monitor, const struct upstream_answer *answer)
+{
+	bool is_accepted = answer->result == UPSTREAM_OK;
+	bool is_rejected = answer->result == UPSTREAM_TERM_REJECTED;
+
+	tell_command (monitor, &monitor->outstanding,
+	              is_accepted   ? OBSERVER_ACCEPTED
+	              : is_rejected ? OBSERVER_REJECTED
+	                            : OBSERVER_FAILED,
+	              &answer->status);
+}
+
 static void
 handle_answer (struct upstream *upstream, const struct upstream_answer *answer)
 {
 	struct owner_monitor *monitor = upstream->data;
 	int64_t sent_us = monitor->sent_us;
+	bool was_command = monitor->state == MONITOR_COMMANDED;
 
-	loop_cancel_timer (monitor->loop, &monitor->timer);
 	if (answer->result == UPSTREAM_LOST)
 	{
 		monitor_fail (monitor);
 		return;
 	}
-	monitor->state = MONITOR_READY;
-	if (!answer->has_status)
-		return;
-	monitor->failures = 0;
-	monitor->silent_at_us = 0;
-	monitor->ops->handle_status (monitor, &answer->status, sent_us);
-	if (monitor->is_wanted && monitor->state == MONITOR_READY)
+	monitor_rest (monitor);
+	if (was_command)
+		handle_command_answer (monitor, answer);
+	else if (answer->has_status)
+	{
+		monitor->failures = 0;
+		monitor->silent_at_us = 0;
+		tell_status (monitor, &answer->status, sent_us);
+	}
+	if (monitor->state == MONITOR_READY && has_work (monitor))
 		monitor_send (monitor, clock_now_us ());
 }
 
@@ -109,33 +302,77 @@
 	.handle_closed = handle_closed,
 };
 
-void
-owner_monitor_init (struct owner_monitor *monitor, struct loop *loop,
-                    const struct owner_upstream_factory *factory,
-                    const struct owner_monitor_ops *ops, void *data, uint32_t server, uint32_t ip,
-                    uint16_t port, const char *database, uint64_t seed)
-{
-	memset (monitor, 0, sizeof *monitor);
-	monitor->ops = ops;
-	monitor->data = data;
-	monitor->server = server;
-	monitor->loop = loop;
-	monitor->factory = factory;
+static struct owner_monitor *
+monitor_new (struct monitor_set *set, uint32_t ip, uint16_t port, const char *database)
+{
+	struct owner_monitor *monitor = calloc (1, sizeof *monitor);
+
+	if (!monitor)
+		return NULL;
+	monitor->set = set;
 	monitor->ip = ip;
 	monitor->port = port;
-	monitor->database = database;
-	monitor->random = seed;
+	g_strlcpy (monitor->database, database, sizeof monitor->database);
 	monitor->timer.handle_timer = handle_timer;
 	monitor->timer.data = monitor;
-	factory->init (&monitor->upstream, loop, &monitor_upstream_ops, monitor);
+	set->factory->init (&monitor->upstream, set->loop, &monitor_upstream_ops, monitor);
+	monitor->next = set->first;
+	set->first = monitor;
+	return monitor;
 }
 
-void
-owner_monitor_finish (struct owner_monitor *monitor)
+static void
+monitor_free (struct owner_monitor *monitor)
 {
-	loop_cancel_timer (monitor->loop, &monitor->timer);
+	struct owner_monitor **link = &monitor->set->first;
+
+	while (*link != monitor)
+		link = &(*link)->next;
+	*link = monitor->next;
+	loop_cancel_timer (monitor->set->loop, &monitor->timer);
 	monitor->upstream.ops->close (&monitor->upstream);
-	monitor->factory->finish (&monitor->upstream);
+	monitor->set->factory->finish (&monitor->upstream);
+	free (monitor);
+}
+
+int
+owner_monitor_join (struct monitor_set *set, struct monitor_user *user, uint32_t ip, uint16_t port,
+                    const char *database)
+{
+	struct owner_monitor *monitor = set->first;
+
+	while (monitor && (monitor->ip != ip || monitor->port != port ||
+	                   strcmp (monitor->database, database) != 0))
+		monitor = monitor->next;
+	if (!monitor)
+		monitor = monitor_new (set, ip, port, database);
+	if (!monitor)
+		return -ENOMEM;
+	user->monitor = monitor;
+	user->next = monitor->users;
+	monitor->users = user;
+	return 0;
+}
+
+void
+owner_monitor_leave (struct monitor_user *user)
+{
+	struct owner_monitor *monitor = user->monitor;
+	struct monitor_user **link;
+
+	if (!monitor)
+		return;
+	for (link = &monitor->users; *link != user;)
+		link = &(*link)->next;
+	*link = user->next;
+	user->monitor = NULL;
+	if (monitor->commander == user)
+	{
+		monitor->commander = NULL;
+		monitor->command.question = OBSERVER_NONE;
+	}
+	if (!monitor->users)
+		monitor_free (monitor);
 }
 
 void
@@ -145,17 +382,12 @@
 	switch (monitor->state)
 	{
 	case MONITOR_CLOSED:
+		if (monitor->refusals > 0)
+			monitor->is_wanted = true;
 		if (now_us < monitor->retry_at_us)
 			return;
 		monitor->is_wanted = true;
-		if (monitor->upstream.ops->connect (&monitor->upstream, monitor->ip, monitor->port,
-		                                    monitor->database) < 0)
-		{
-			monitor->retry_at_us = now_us + MONITOR_RETRY_MAX_US;
-			return;
-		}
-		monitor->state = MONITOR_CONNECTING;
-		loop_set_timer (monitor->loop, &monitor->timer, now_us + MONITOR_CONNECT_US);
+		monitor_connect (monitor, now_us);
 		return;
 	case MONITOR_CONNECTING:
 		monitor->is_wanted = true;
@@ -166,14 +398,46 @@
 	case MONITOR_ASKING:
 		monitor->is_wanted = monitor->is_wanted || is_new;
 		return;
+	case MONITOR_COMMANDED:
+		monitor->is_wanted = true;
+		return;
 	}
 }
 
 void
-owner_monitor_close_idle (struct owner_monitor *monitor, int64_t now_us)
+owner_monitor_ask_at_once (struct owner_monitor *monitor, int64_t now_us)
+{
+	/* The back-off after a refusal goes on: the server is alive. */
+	if (monitor->state == MONITOR_CLOSED && monitor->refusals == 0)
+		monitor->retry_at_us = now_us;
+	owner_monitor_ask (monitor, true, now_us);
+}
+
+void
+owner_monitor_command (struct monitor_user *user, const struct observer_request *command,
+                       int64_t now_us)
 {
-	if (monitor->state != MONITOR_READY || now_us - monitor->used_us < MONITOR_IDLE_US)
+	struct owner_monitor *monitor = user->monitor;
+	int64_t hurry_us = now_us + MONITOR_HURRY_US;
+
+	monitor->command = *command;
+	monitor->commander = user;
+	monitor->used_us = now_us;
+	switch (monitor->state)
+	{
+	case MONITOR_CLOSED:
+		if (monitor->refusals == 0)
+			monitor_connect (monitor, now_us);
 		return;
-	monitor->upstream.ops->close (&monitor->upstream);
-	monitor->state = MONITOR_CLOSED;
+	case MONITOR_CONNECTING:
+		return;
+	case MONITOR_READY:
+		monitor_send (monitor, now_us);
+		return;
+	case MONITOR_ASKING:
+	case MONITOR_COMMANDED:
+		if (monitor->timer.due_us > hurry_us)
+			loop_set_timer (monitor->set->loop, &monitor->timer, hurry_us);
+		return;
+	}
 }
--- /dev/null
+++ b/flamingospring/owner_observe.c
@@ -0,0 +1,171 @@
+#include "flamingospring/owner_observe.h"
+
+#include "common/clock.h"
+#include "common/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	/* Quiet polls of a replica are up to 9 s apart; the connection stays open between them. */
+	OBSERVE_IDLE_US = 12 * US_PER_S,
+};
+
+/** A server that this VM observes. */
+struct observed
+{
+	struct monitor_user user;
+	struct observed *next;
+	struct owner_set *set;
+	struct observer_request status; /**< A status that was asked for; OBSERVER_NONE: none. */
+	int64_t asked_us;               /**< Of it: the answer to an earlier question is too old. */
+};
+
+static void
+answer_send (struct observed *observed, const struct observer_answer *answer)
+{
+	const struct owner_settings *settings = observed->set->settings;
+
+	if (settings->handle_observer_answer)
+		settings->handle_observer_answer (settings->observation_data, answer);
+}
+
+static void
+answer_status (struct observed *observed, enum observer_result result,
+               const struct server_status *status, int64_t sent_us)
+{
+	struct observer_answer answer = { .request = observed->status,
+		                              .result = result,
+		                              .sent_us = sent_us };
+
+	/* Questions of the owners are told by their own observations. */
+	if (observed->status.question == OBSERVER_NONE)
+		return;
+	observed->status.question = OBSERVER_NONE;
+	if (status)
+		answer.status = *status;
+	answer_send (observed, &answer);
+}
+
+static void
+handle_status (struct monitor_user *user, const struct server_status *status, int64_t sent_us)
+{
+	struct observed *observed = user->data;
+
+	if (sent_us >= observed->asked_us)
+		answer_status (observed, OBSERVER_ACCEPTED, status, sent_us);
+}
+
+static void
+handle_silence (struct monitor_user *user)
+{
+	answer_status (user->data, OBSERVER_FAILED, NULL, user->monitor->sent_us);
+}
+
+static void
+handle_refused (struct monitor_user *user)
+{
+	answer_status (user->data, OBSERVER_REFUSED, NULL, user->monitor->sent_us);
+}
+
+static void
+handle_command (struct monitor_user *user, const struct observer_answer *answer)
+{
+	answer_send (user->data, answer);
+}
+
+static const struct monitor_user_ops observed_ops = {
+	.handle_status = handle_status,
+	.handle_silence = handle_silence,
+	.handle_refused = handle_refused,
+	.handle_command = handle_command,
+};
+
+static struct observed **
+observed_find (struct owner_set *set, const struct observer_request *request)
+{
+	struct observed **link = &set->observed;
+
+	while (*link)
+	{
+		const struct owner_monitor *monitor = (*link)->user.monitor;
+
+		if (monitor->ip == request->ip && monitor->port == request->port &&
+		    strcmp (monitor->database, request->database) == 0)
+			return link;
+		link = &(*link)->next;
+	}
+	return link;
+}
+
+static struct observed *
+observed_new (struct owner_set *set, const struct observer_request *request)
+{
+	struct observed *observed = calloc (1, sizeof *observed);
+
+	if (!observed)
+		return NULL;
+	observed->set = set;
+	observed->user.ops = &observed_ops;
+	observed->user.data = observed;
+	observed->user.server = request->server;
+	observed->user.idle_us = OBSERVE_IDLE_US;
+	if (owner_monitor_join (&set->monitors, &observed->user, request->ip, request->port,
+	                        request->database) < 0)
+	{
+		free (observed);
+		return NULL;
+	}
+	observed->next = set->observed;
+	set->observed = observed;
+	return observed;
+}
+
+static void
+observed_remove (struct observed **link)
+{
+	struct observed *observed = *link;
+
+	if (!observed)
+		return;
+	*link = observed->next;
+	owner_monitor_leave (&observed->user);
+	free (observed);
+}
+
+void
+owner_set_observe (struct owner_set *set, const struct observer_request *request)
+{
+	struct observed **link = observed_find (set, request);
+	struct observed *observed = *link;
+	int64_t now_us = clock_now_us ();
+
+	if (request->question == OBSERVER_END)
+	{
+		observed_remove (link);
+		return;
+	}
+	if (!observed)
+		observed = observed_new (set, request);
+	if (!observed)
+	{
+		log_event (LOG_LEVEL_ERROR, "out_of_memory", "at=observed_server");
+		return;
+	}
+	if (request->question != OBSERVER_STATUS)
+	{
+		owner_monitor_command (&observed->user, request, now_us);
+		return;
+	}
+	observed->status = *request;
+	observed->asked_us = now_us;
+	owner_monitor_ask_at_once (observed->user.monitor, now_us);
+}
+
+void
+owner_set_observe_nothing (struct owner_set *set)
+{
+	while (set->observed)
+		observed_remove (&set->observed);
+}
--- a/flamingospring/owner_pool.c
+++ b/flamingospring/owner_pool.c
@@ -15,6 +15,14 @@
 	POOL_RETRY_MIN_US = 5 * US_PER_MS,
 	POOL_RETRY_MAX_US = 500 * US_PER_MS,
 	POOL_CIRCUIT_FAILURES = 3,
+	/* At its limit a server takes a new connection as soon as another one is closed, often by a VM
+	 * that has just lost its role. */
+	POOL_REFUSED_MAX_US = 50 * US_PER_MS,
+	/* After a refusal the number grows again by one in half of this time up to this time. */
+	POOL_GROW_US = US_PER_S,
+	/* The server counts a connection that was closed over an overdue statement until the statement
+	 * ends, which nobody tells. */
+	POOL_LINGER_US = US_PER_S,
 	POOL_CIRCUIT_OPEN_US = 200 * US_PER_MS, /* Short beside the 1 s of a typical failover. */
 };
 
@@ -34,6 +42,7 @@
 	struct loop_timer timer;
 	enum pool_state state;
 	int64_t idle_at_us;
+	int64_t lingers_until_us; /* POOL_CLOSED: the server may still count it. */
 };
 
 const struct owner_upstream_factory owner_upstream_pg = {
@@ -62,6 +71,31 @@
 	return NULL;
 }
 
+static struct pool_connection *
+pool_find_closed (struct owner_pool *pool, int64_t now_us)
+{
+	for (uint32_t i = 0; i < pool->limit; i++)
+	{
+		struct pool_connection *connection = &pool->connections[i];
+
+		if (connection->state == POOL_CLOSED && connection->lingers_until_us <= now_us)
+			return connection;
+	}
+	return NULL;
+}
+
+uint32_t
+owner_pool_allowed (struct owner_pool *pool, int64_t now_us)
+{
+	if (pool->allowed < pool->limit && now_us >= pool->grow_at_us)
+	{
+		pool->allowed++;
+		pool->grow_at_us = now_us + POOL_GROW_US / 2 +
+		                   (int64_t) (random_next (&pool->random) % (POOL_GROW_US / 2));
+	}
+	return pool->is_leaving ? 1 : pool->allowed;
+}
+
 static void
 waiter_add (struct owner_pool *pool, struct pool_user *user)
 {
@@ -126,13 +160,33 @@
 	pool->failures++;
 	pool->retry_at_us = now_us + backoff_delay_us (pool->failures, POOL_RETRY_MIN_US,
 	                                               POOL_RETRY_MAX_US, random_next (&pool->random));
-	/* At its connection limit the server answers, so that the circuit stays as it is. */
-	if (error != -EUSERS)
-		circuit_report (&pool->circuit, false, now_us);
+	circuit_report (&pool->circuit, false, now_us);
 	if (loop_set_timer (pool->loop, &pool->timer, now_us) < 0)
 		log_event (LOG_LEVEL_ERROR, "out_of_memory", "at=pool_timer");
 }
 
+/* Back-pressure of a server at its connection limit: users wait for the connections that stand, and
+ * more are tried later. The server answered, so the circuit stays as it is. */
+static void
+pool_handle_refusal (struct owner_pool *pool, int64_t now_us)
+{
+	uint32_t open = owner_pool_open (pool);
+
+	counter_add (COUNTER_UPSTREAM_REFUSED, 1);
+	if (pool->refusals == 0)
+		log_event (LOG_LEVEL_WARN, "connection_refused", "database=%s open=%u", pool->database,
+		           open);
+	pool->refusals++;
+	pool->allowed = open > 0 ? open : 1;
+	pool->grow_at_us =
+		now_us + POOL_GROW_US / 2 + (int64_t) (random_next (&pool->random) % (POOL_GROW_US / 2));
+	pool->retry_at_us =
+		now_us + backoff_delay_us (pool->refusals, POOL_RETRY_MIN_US, POOL_REFUSED_MAX_US,
+	                               random_next (&pool->random));
+	if (loop_set_timer (pool->loop, &pool->timer, pool->retry_at_us) < 0)
+		log_event (LOG_LEVEL_ERROR, "out_of_memory", "at=pool_timer");
+}
+
 static void
 pool_open_one (struct owner_pool *pool, struct pool_connection *connection, int64_t now_us)
 {
@@ -159,9 +213,10 @@
 		wanted++;
 	for (uint32_t i = 0; i < pool->limit; i++)
 		connecting += pool->connections[i].state == POOL_CONNECTING;
-	while (connecting < wanted && now_us >= pool->retry_at_us)
+	while (connecting < wanted && now_us >= pool->retry_at_us &&
+	       owner_pool_open (pool) < owner_pool_allowed (pool, now_us))
 	{
-		struct pool_connection *connection = pool_find (pool, POOL_CLOSED);
+		struct pool_connection *connection = pool_find_closed (pool, now_us);
 
 		if (!connection || !circuit_allows (&pool->circuit, now_us))
 			return;
@@ -193,6 +248,19 @@
 	}
 }
 
+/* Tries again for users that no connection can be opened for at present. */
+static void
+pool_schedule (struct owner_pool *pool, int64_t now_us)
+{
+	int64_t due_us = now_us + POOL_REFUSED_MAX_US;
+
+	if (!pool->first_waiter || pool->timer.slot != 0 || owner_pool_open (pool) == pool->limit)
+		return;
+	if (pool->retry_at_us > now_us)
+		due_us = pool->retry_at_us;
+	loop_set_timer (pool->loop, &pool->timer, due_us);
+}
+
 static void
 handle_pool_timer (struct loop_timer *timer, int64_t now_us)
 {
@@ -202,8 +270,7 @@
 	if (owner_pool_is_down (pool, now_us, &remaining_us))
 		pool_fail_waiters (pool, -ECONNREFUSED);
 	pool_open_wanted (pool, now_us);
-	if (pool->first_waiter && now_us < pool->retry_at_us)
-		loop_set_timer (pool->loop, &pool->timer, pool->retry_at_us);
+	pool_schedule (pool, now_us);
 }
 
 static void
@@ -215,6 +282,8 @@
 	connection->user = NULL;
 	connection->state = POOL_IDLE;
 	connection->idle_at_us = clock_now_us ();
+	if (!user && pool->is_leaving)
+		connection_close (connection);
 	if (!user)
 		return;
 	waiter_remove (pool, user);
@@ -235,12 +304,17 @@
 	if (error < 0)
 	{
 		connection_reset (connection);
+		if (error == -EUSERS)
+		{
+			pool_handle_refusal (pool, now_us);
+			return;
+		}
 		pool_count_failure (pool, error, now_us);
-		if (error != -EUSERS)
-			pool->ops->handle_answered (pool->data, false);
+		pool->ops->handle_answered (pool->data, false);
 		return;
 	}
 	pool->failures = 0;
+	pool->refusals = 0;
 	circuit_report (&pool->circuit, true, now_us);
 	counter_add (COUNTER_UPSTREAM_CONNECTIONS, 1);
 	connection_offer (connection);
@@ -302,12 +376,14 @@
 		pool->ops->handle_answered (pool->data, false);
 		return;
 	}
+	connection->lingers_until_us = now_us + POOL_LINGER_US;
 	pool->ops->handle_doubt (pool->data);
 	counter_add (COUNTER_OVERDUE_CONNECTIONS, 1);
 	log_event (LOG_LEVEL_WARN, "answer_overdue", "database=%s", pool->database);
 	if (user)
 		user->ops->handle_overdue (user);
 	pool_open_wanted (pool, now_us);
+	pool_schedule (pool, now_us);
 }
 
 int
@@ -325,6 +401,7 @@
 	pool->loop = loop;
 	pool->factory = factory;
 	pool->limit = limit;
+	pool->allowed = limit;
 	pool->ip = ip;
 	pool->port = port;
 	pool->database = database;
@@ -376,8 +453,7 @@
 		return -ECONNREFUSED;
 	waiter_add (pool, user);
 	pool_open_wanted (pool, now_us);
-	if (now_us < pool->retry_at_us && pool->timer.slot == 0)
-		loop_set_timer (pool->loop, &pool->timer, pool->retry_at_us);
+	pool_schedule (pool, now_us);
 	return -EINPROGRESS;
 }
 
@@ -437,6 +513,12 @@
 		to->connection->user = to;
 }
 
+void
+owner_pool_set_leaving (struct owner_pool *pool, bool is_leaving)
+{
+	pool->is_leaving = is_leaving;
+}
+
 void
 owner_pool_close_idle (struct owner_pool *pool, int64_t now_us, bool close_all)
 {
--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -173,7 +173,7 @@
 	if (!freshness_start (&owner->freshness, now_us))
 		return;
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
-		owner_monitor_ask (&owner->monitors[i], true, now_us);
+		owner_monitor_ask (owner->monitors[i].monitor, true, now_us);
 }
 
 static void
@@ -195,7 +195,7 @@
 static bool
 is_silent (const struct owner *owner, int64_t since_us)
 {
-	return owner->monitors[owner->server].silent_at_us >= since_us;
+	return owner->monitors[owner->server].monitor->silent_at_us >= since_us;
 }
 
 void
--- a/flamingospring/owner_set.c
+++ b/flamingospring/owner_set.c
@@ -1,3 +1,4 @@
+#include "flamingospring/owner_observe.h"
 #include "flamingospring/owner_private.h"
 
 #include "common/clock.h"
@@ -79,7 +80,10 @@
 	set->loop = loop;
 	set->reader = reader;
 	set->settings = settings;
+	set->monitors.loop = loop;
+	set->monitors.factory = settings->upstreams ? settings->upstreams : &owner_upstream_pg;
 	set->random = (uint64_t) clock_now_us () ^ (uint64_t) settings->vm_id << 40 ^ clock_wall_ns ();
+	set->monitors.random = random_next (&set->random);
 	return handle_table_init (&set->tasks, sizeof (struct owner_task *), SET_MAX_TASKS);
 }
 
@@ -88,6 +92,7 @@
 {
 	while (set->count > 0)
 		owner_finish (set->owners[--set->count]);
+	owner_set_observe_nothing (set);
 	free (set->owners);
 	handle_table_finish (&set->tasks);
 	set->owners = NULL;
--- a/flamingospring/owner_transaction.c
+++ b/flamingospring/owner_transaction.c
@@ -47,9 +47,9 @@
 }
 
 uint32_t
-owner_transaction_limit (const struct owner *owner)
+owner_transaction_limit (struct owner *owner)
 {
-	uint32_t connections = owner->pool.limit;
+	uint32_t connections = owner_pool_allowed (&owner->pool, clock_now_us ());
 	uint32_t slots = owner->database.slots;
 
 	/* Single calls always have a connection left, and one for each slot where there are enough. */
--- a/flamingospring/proxy.c
+++ b/flamingospring/proxy.c
@@ -40,6 +40,14 @@
 	traffic_handle_snapshot (proxy->traffic);
 }
 
+static void
+observe (void *data, const struct observer_request *request)
+{
+	struct proxy *proxy = data;
+
+	traffic_observe (proxy->traffic, request);
+}
+
 static uint32_t
 in_flight (void *data)
 {
@@ -58,6 +66,7 @@
 
 static const struct control_traffic_ops control_traffic = {
 	.handle_snapshot = handle_snapshot,
+	.observe = observe,
 	.in_flight = in_flight,
 	.handle_stopped = handle_stopped,
 };
@@ -69,8 +78,15 @@
 	control_observe (control, database, server, answered, status);
 }
 
+static void
+handle_observer_answer (void *control, const struct observer_answer *answer)
+{
+	control_answer (control, answer);
+}
+
 static const struct traffic_control_ops traffic_control = {
 	.handle_observation = handle_observation,
+	.handle_observer_answer = handle_observer_answer,
 };
 
 static void
--- a/flamingospring/traffic.c
+++ b/flamingospring/traffic.c
@@ -7,6 +7,7 @@
 #include "flamingospring/entry.h"
 #include "flamingospring/http.h"
 #include "flamingospring/owner.h"
+#include "flamingospring/owner_observe.h"
 #include "flamingospring/peer.h"
 #include "flamingospring/service_listener.h"
 
@@ -169,6 +170,15 @@
 		                                          status);
 }
 
+static void
+handle_observer_answer (void *data, const struct observer_answer *answer)
+{
+	struct traffic *traffic = data;
+
+	if (traffic->control_ops)
+		traffic->control_ops->handle_observer_answer (traffic->control, answer);
+}
+
 static int
 thread_init (struct traffic_thread *thread, const struct settings *settings)
 {
@@ -250,6 +260,7 @@
 		.transaction_idle_us = (int64_t) settings->transaction_idle_ms * US_PER_MS,
 		.transaction_limit_us = (int64_t) settings->transaction_limit_ms * US_PER_MS,
 		.handle_observation = handle_observation,
+		.handle_observer_answer = handle_observer_answer,
 		.observation_data = traffic,
 	};
 	traffic->dispatch_threads = calloc (count, sizeof *traffic->dispatch_threads);
@@ -340,6 +351,36 @@
 	}
 }
 
+/** A request on its way to its thread. */
+struct observer_message
+{
+	struct mailbox_message message;
+	struct observer_request request;
+};
+
+static void
+handle_observer_message (struct mailbox_message *message, void *receiver)
+{
+	struct observer_message *request = (struct observer_message *) message;
+	struct traffic_thread *thread = receiver;
+
+	owner_set_observe (&thread->owners, &request->request);
+	free (request);
+}
+
+void
+traffic_observe (struct traffic *traffic, const struct observer_request *request)
+{
+	struct observer_message *message = calloc (1, sizeof *message);
+	uint32_t index = dispatch_thread_of (request->database, traffic->thread_count);
+
+	if (!message)
+		return;
+	message->message.handle_message = handle_observer_message;
+	message->request = *request;
+	mailbox_send (&traffic->threads[index].mailbox, &message->message);
+}
+
 uint32_t
 traffic_in_flight (const struct traffic *traffic)
 {
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -24,6 +24,7 @@
 	X (OVERDUE_CONNECTIONS, "overdue_connections")                                                 \
 	X (UPSTREAM_CONNECTIONS, "upstream_connections")                                               \
 	X (UPSTREAM_CONNECT_ERRORS, "upstream_connect_errors")                                         \
+	X (UPSTREAM_REFUSED, "upstream_refused")                                                       \
 	X (STATUS_QUESTIONS, "status_questions")                                                       \
 	X (ADMISSION_REFUSED, "admission_refused")                                                     \
 	X (READS_BEHIND, "reads_behind")                                                               \
--- a/include/flamingospring/control.h
+++ b/include/flamingospring/control.h
@@ -6,6 +6,7 @@
 
 #include "common/mailbox.h"
 #include "decision/acknowledgement.h"
+#include "flamingospring/observer_request.h"
 #include "flamingospring/settings.h"
 #include "flamingospring/snapshot.h"
 
@@ -25,11 +26,20 @@
 	struct server_status status;
 };
 
+/** Sent by traffic threads; freed by the control thread. */
+struct control_answer
+{
+	struct mailbox_message message;
+	struct observer_answer answer;
+};
+
 /** What the control thread needs of the traffic threads. */
 struct control_traffic_ops
 {
 	/** Wakes all traffic threads to adopt a published snapshot. */
 	void (*handle_snapshot) (void *data);
+	/** Carries out a request of an observer; control_answer() brings the answer. */
+	void (*observe) (void *data, const struct observer_request *request);
 	/** Requests and transactions in flight in all traffic threads. */
 	uint32_t (*in_flight) (void *data);
 	/** The planned stop is complete: end the process. */
@@ -49,3 +59,6 @@
 /** Hands an observation over; any thread. Drops it when out of memory. */
 void control_observe (struct control *control, const char *database, uint32_t server, bool answered,
                       const struct server_status *status);
+
+/** Hands the answer to an observer over; any thread. Drops it when out of memory. */
+void control_answer (struct control *control, const struct observer_answer *answer);
--- a/include/flamingospring/control_private.h
+++ b/include/flamingospring/control_private.h
@@ -13,7 +13,6 @@
 #include "decision/membership.h"
 #include "flamingospring/control.h"
 #include "flamingospring/platform.h"
-#include "flamingospring/upstream.h"
 #include "protocols/operator.h"
 #include "protocols/peer.h"
 
@@ -196,6 +195,8 @@
 void control_observers_finish (struct control *control);
 void control_observers_handle_observation (struct control *control,
                                            const struct control_observation *observation);
+void control_observers_handle_answer (struct control *control,
+                                      const struct observer_answer *answer);
 void control_observers_handle_announced (struct control *control, const char *database,
                                          uint64_t term, uint32_t primary);
 bool control_observers_opinion (struct control *control, const char *database,
--- a/include/flamingospring/dispatch.h
+++ b/include/flamingospring/dispatch.h
@@ -40,5 +40,5 @@
 /** Executions without a result. */
 uint32_t dispatcher_in_flight (const struct dispatcher *dispatcher);
 
-/** Thread of the owner of a server. */
-uint32_t dispatch_thread_of (const char *database, uint32_t server, uint32_t thread_count);
+/** Thread of the owners of a group's servers, which share their monitors. */
+uint32_t dispatch_thread_of (const char *database, uint32_t thread_count);
--- /dev/null
+++ b/include/flamingospring/observer_request.h
@@ -0,0 +1,47 @@
+/**
+ * @file
+ * Questions of a group's observer in the control thread to a server, and their answers. The traffic
+ * thread of the group carries them out, on the connection that the group's owners in this VM use too.
+ */
+#pragma once
+
+#include "decision/acknowledgement.h"
+#include "schema/schema.h"
+
+#include <stdint.h>
+
+enum observer_question
+{
+	OBSERVER_NONE,
+	OBSERVER_STATUS,
+	OBSERVER_FENCE,
+	OBSERVER_PROMOTE,
+	OBSERVER_END, /**< The VM observes the server no longer. */
+};
+
+struct observer_request
+{
+	enum observer_question question;
+	char database[SCHEMA_NAME_BYTES];
+	uint32_t server; /**< Index in the group. */
+	uint32_t ip;
+	uint16_t port;
+	uint64_t term; /**< Fence and promotion. */
+	uint32_t claimant;
+};
+
+enum observer_result
+{
+	OBSERVER_ACCEPTED,
+	OBSERVER_REJECTED, /**< Another term or claimant was promised. */
+	OBSERVER_FAILED,   /**< No connection, or no answer in time. */
+	OBSERVER_REFUSED,  /**< The server is alive, but at its connection limit. */
+};
+
+struct observer_answer
+{
+	struct observer_request request;
+	enum observer_result result;
+	struct server_status status; /**< Of accepted and rejected requests. */
+	int64_t sent_us;
+};
--- a/include/flamingospring/owner.h
+++ b/include/flamingospring/owner.h
@@ -10,14 +10,16 @@
 #include "common/loop.h"
 #include "common/trace.h"
 #include "decision/acknowledgement.h"
+#include "flamingospring/observer_request.h"
+#include "flamingospring/owner_monitor.h"
 #include "flamingospring/snapshot.h"
 #include "protocols/peer.h"
 
 #include <stdbool.h>
 #include <stdint.h>
 
+struct observed;
 struct owner;
-struct owner_upstream_factory;
 
 enum
 {
@@ -51,7 +53,9 @@
 	 * role; a promised_term of 0 in it is unknown. */
 	void (*handle_observation) (void *data, const char *database, uint32_t server, bool answered,
 	                            const struct server_status *status);
-	void *observation_data;
+	/** Called in the owner's thread with the answer to a request of owner_set_observe(). */
+	void (*handle_observer_answer) (void *data, const struct observer_answer *answer);
+	void *observation_data; /**< Of both. */
 	/** Connections to upstream servers; NULL: those of upstream_pg. Tests set doubles. */
 	const struct owner_upstream_factory *upstreams;
 };
@@ -66,6 +70,8 @@
 	size_t count;
 	size_t capacity;
 	struct handle_table tasks; /**< Requests of all owners. */
+	struct monitor_set monitors;
+	struct observed *observed; /**< Servers that the control thread observes. */
 	uint64_t random;
 };
 
--- a/include/flamingospring/owner_monitor.h
+++ b/include/flamingospring/owner_monitor.h
@@ -1,25 +1,52 @@
 /**
  * @file
- * Connection that asks one server of a group for its status, one question at a time. Opened on
- * first use, closed when not used for some time.
+ * The one connection of a VM to a server for status questions, fences and promotions. The owners of a
+ * group and its observer in this VM share it, because each VM's monitors come out of the connections
+ * that a server reserves. Opened on first use, closed when not used for some time.
  */
 #pragma once
 
 #include "common/loop.h"
+#include "flamingospring/observer_request.h"
 #include "flamingospring/owner_pool.h"
 
 #include <stdbool.h>
 #include <stdint.h>
 
 struct owner_monitor;
+struct monitor_user;
 
-struct owner_monitor_ops
+struct monitor_user_ops
 {
-	/** Answer to the question that was sent at @p sent_us. */
-	void (*handle_status) (struct owner_monitor *monitor, const struct server_status *status,
+	/** Answer to the question that was sent at @p sent_us, by any of the users. */
+	void (*handle_status) (struct monitor_user *user, const struct server_status *status,
 	                       int64_t sent_us);
 	/** No connection, or no answer in time. */
-	void (*handle_silence) (struct owner_monitor *monitor);
+	void (*handle_silence) (struct monitor_user *user);
+	/** The server is at its connection limit, and so alive; the monitor tries again. May be NULL. */
+	void (*handle_refused) (struct monitor_user *user);
+	/** Answer to the command of this user. NULL for users without commands. */
+	void (*handle_command) (struct monitor_user *user, const struct observer_answer *answer);
+};
+
+/** Membership of an owner or observer in a monitor. */
+struct monitor_user
+{
+	const struct monitor_user_ops *ops;
+	void *data;
+	uint32_t server; /**< Index in the group. */
+	int64_t idle_us; /**< An unused connection stays open for so long. */
+	struct owner_monitor *monitor;
+	struct monitor_user *next;
+};
+
+/** All monitors of one traffic thread. */
+struct monitor_set
+{
+	struct loop *loop;
+	const struct owner_upstream_factory *factory;
+	struct owner_monitor *first;
+	uint64_t random;
 };
 
 enum monitor_state
@@ -28,39 +55,47 @@
 	MONITOR_CONNECTING,
 	MONITOR_READY,
 	MONITOR_ASKING,
+	MONITOR_COMMANDED, /**< A fence or a promotion is outstanding. */
 };
 
 struct owner_monitor
 {
-	const struct owner_monitor_ops *ops;
-	void *data;
-	uint32_t server; /**< Index in the group. */
-	struct loop *loop;
-	const struct owner_upstream_factory *factory;
+	struct monitor_set *set;
+	struct owner_monitor *next;
+	struct monitor_user *users;
 	struct upstream upstream;
 	struct loop_timer timer;
 	enum monitor_state state;
-	bool is_wanted; /**< Ask again as soon as possible. */
+	bool is_wanted;                  /**< Ask again as soon as possible. */
+	struct observer_request command; /**< To be sent; OBSERVER_NONE: none. */
+	struct observer_request outstanding;
+	struct monitor_user *commander; /**< The user of the commands. */
 	int64_t sent_us;
 	int64_t used_us;
 	int64_t retry_at_us;
 	int64_t silent_at_us; /**< Last failure; 0 after an answer. */
 	uint32_t failures;
-	uint64_t random;
+	uint32_t refusals; /**< In a row, because of the connection limit. */
 	uint32_t ip;
 	uint16_t port;
-	const char *database;
+	char database[SCHEMA_NAME_BYTES];
 };
 
-void owner_monitor_init (struct owner_monitor *monitor, struct loop *loop,
-                         const struct owner_upstream_factory *factory,
-                         const struct owner_monitor_ops *ops, void *data, uint32_t server,
-                         uint32_t ip, uint16_t port, const char *database, uint64_t seed);
-void owner_monitor_finish (struct owner_monitor *monitor);
+/** Joins @p user, with ops, data, server and idle_us set, to the monitor of a server.
+ * @return 0 or -ENOMEM. */
+int owner_monitor_join (struct monitor_set *set, struct monitor_user *user, uint32_t ip,
+                        uint16_t port, const char *database);
+
+/** Leaves the monitor, which the last user closes. */
+void owner_monitor_leave (struct monitor_user *user);
 
 /** Asks for the status. With @p is_new, a question that is already outstanding does not count, and
  * a new one follows it. */
 void owner_monitor_ask (struct owner_monitor *monitor, bool is_new, int64_t now_us);
 
-/** Closes the connection when it was not used for long. */
-void owner_monitor_close_idle (struct owner_monitor *monitor, int64_t now_us);
+/** As owner_monitor_ask() with is_new, but tries a connection even during the back-off after a failure. */
+void owner_monitor_ask_at_once (struct owner_monitor *monitor, int64_t now_us);
+
+/** Sends a fence or a promotion of @p user; it replaces one that was not sent yet. */
+void owner_monitor_command (struct monitor_user *user, const struct observer_request *command,
+                            int64_t now_us);
--- /dev/null
+++ b/include/flamingospring/owner_observe.h
@@ -0,0 +1,16 @@
+/**
+ * @file
+ * Carries out the questions of the control thread's observers in the traffic thread of the group, on
+ * the monitors that the group's owners use.
+ */
+#pragma once
+
+#include "flamingospring/observer_request.h"
+#include "flamingospring/owner_private.h"
+
+/** Asks a server; the answer goes to handle_observer_answer() of the settings. A status request that
+ * follows another one before its answer replaces it. */
+void owner_set_observe (struct owner_set *set, const struct observer_request *request);
+
+/** Drops all observed servers. */
+void owner_set_observe_nothing (struct owner_set *set);
--- a/include/flamingospring/owner_pool.h
+++ b/include/flamingospring/owner_pool.h
@@ -69,7 +69,11 @@
 	struct pool_user *last_waiter;
 	struct circuit circuit;
 	struct loop_timer timer;
-	uint32_t failures; /**< In a row. */
+	uint32_t failures;  /**< In a row. */
+	uint32_t refusals;  /**< In a row, because of the server's connection limit. */
+	uint32_t allowed;   /**< At once, after refusals; at most limit. */
+	int64_t grow_at_us; /**< Next time that allowed grows. */
+	bool is_leaving;    /**< Keeps no idle connection, and opens one only when none is open. */
 	int64_t retry_at_us;
 	uint64_t random;
 };
@@ -99,11 +103,17 @@
 /** Moves the held connection to another user. */
 void owner_pool_move (struct pool_user *from, struct pool_user *to);
 
+/** The VM lost its role: only work that is under way may use connections. */
+void owner_pool_set_leaving (struct owner_pool *pool, bool is_leaving);
+
 /** Closes connections that were idle for long; all idle ones with @p close_all. */
 void owner_pool_close_idle (struct owner_pool *pool, int64_t now_us, bool close_all);
 
 /** Tells whether connections would be refused at present, and for how long. */
 bool owner_pool_is_down (const struct owner_pool *pool, int64_t now_us, int64_t *remaining_us);
 
+/** Connections that may be open at once; fewer than the limit for some time after a refusal. */
+uint32_t owner_pool_allowed (struct owner_pool *pool, int64_t now_us);
+
 /** Connections that are open or being opened. */
 uint32_t owner_pool_open (const struct owner_pool *pool);
--- a/include/flamingospring/owner_private.h
+++ b/include/flamingospring/owner_private.h
@@ -103,6 +103,7 @@
 	struct schema_database database; /**< A copy: documents come and go with snapshots. */
 	uint32_t server;
 	bool is_retired;       /**< The servers changed: finishes its work beside a new owner. */
+	bool is_first;         /**< This VM is the owner. */
 	bool is_owned;         /**< This VM is owner or standby. */
 	int64_t leaving_at_us; /**< The server was marked as leaving; 0: it is not. */
 	bool has_primary;
@@ -113,7 +114,7 @@
 	struct admission_settings admission_settings;
 	struct acknowledgement *acknowledgement;
 	struct owner_pool pool;
-	struct owner_monitor *monitors; /**< One for each server of the group. */
+	struct monitor_user *monitors; /**< One for each server of the group. */
 	struct server_status status[ROUTING_MAX_SERVERS];
 	int64_t status_at_us[ROUTING_MAX_SERVERS];
 	int64_t status_sent_us[ROUTING_MAX_SERVERS];
@@ -222,7 +223,7 @@
 /* owner_transaction.c */
 
 /** Transactions that may be open at once. */
-uint32_t owner_transaction_limit (const struct owner *owner);
+uint32_t owner_transaction_limit (struct owner *owner);
 struct owner_transaction *owner_transaction_find (const struct owner *owner, uint64_t id);
 /** Opens a transaction on the connection that ran BEGIN, and ends the task. */
 void owner_transaction_open (struct owner_task *task, const struct upstream_answer *answer);
--- a/include/flamingospring/traffic.h
+++ b/include/flamingospring/traffic.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "decision/acknowledgement.h"
+#include "flamingospring/observer_request.h"
 #include "flamingospring/settings.h"
 #include "flamingospring/snapshot.h"
 
@@ -19,6 +20,8 @@
 	/** Called in any traffic thread, when an answer or its absence tells about a server. */
 	void (*handle_observation) (void *control, const char *database, uint32_t server, bool answered,
 	                            const struct server_status *status);
+	/** Called in any traffic thread with the answer to traffic_observe(). */
+	void (*handle_observer_answer) (void *control, const struct observer_answer *answer);
 };
 
 /** Opens the listeners of all threads. The threads do not run yet; traffic_handle_snapshot() may be
@@ -32,6 +35,10 @@
 /** A snapshot was published: wakes all threads to adopt it. Any thread. */
 void traffic_handle_snapshot (struct traffic *traffic);
 
+/** Sends a request of an observer in the control thread to the group's thread. Any thread. It is
+ * dropped when out of memory. */
+void traffic_observe (struct traffic *traffic, const struct observer_request *request);
+
 /** Requests and transactions in flight in all threads. Any thread. */
 uint32_t traffic_in_flight (const struct traffic *traffic);
 
--- a/tests/unit/owner_world.c
+++ b/tests/unit/owner_world.c
@@ -35,6 +35,7 @@
 	struct fake_server *server;
 	unsigned number;
 	bool is_opening;
+	bool is_counted;
 	bool is_work;
 	bool is_late; /* A status question whose answer never comes. */
 	bool in_transaction;
@@ -57,6 +58,9 @@
 		world_of_fakes->connections--;
 	if (fake->is_work && upstream->is_busy)
 		world_of_fakes->running--;
+	if (fake->is_counted)
+		fake->server->open--;
+	fake->is_counted = false;
 	fake->is_work = false;
 	fake->is_opening = false;
 	fake->in_transaction = false;
@@ -76,6 +80,9 @@
 	g_assert_cmpstr (database, ==, "ledger");
 	fake->server = &world_of_fakes->servers[port - 1000];
 	fake->is_opening = true;
+	fake->is_counted = true;
+	if (++fake->server->open > fake->server->highest)
+		fake->server->highest = fake->server->open;
 	loop_set_timer (upstream->loop, &fake->timer, clock_now_us () + US_PER_MS);
 	return 0;
 }
@@ -92,6 +99,9 @@
 		bool is_refused = fake->server->is_down || fake->server->is_full;
 
 		fake->is_opening = false;
+		fake->server->refused += is_refused;
+		if (is_refused)
+			fake_close (upstream);
 		upstream->is_connected = !is_refused;
 		fake->number = ++world_of_fakes->next_number;
 		upstream->user_ops->handle_connected (upstream, !is_refused             ? 0
@@ -294,10 +304,28 @@
 	return 0;
 }
 
+static int
+fake_fence (struct upstream *upstream, uint64_t term, uint32_t claimant)
+{
+	struct fake_connection *fake = upstream->connection;
+	struct server_status *status = &fake->server->status;
+
+	g_assert_true (upstream->is_connected && !upstream->is_busy);
+	upstream->is_busy = true;
+	fake->server->fences++;
+	fake->pending.result = term > status->promised_term ? UPSTREAM_OK : UPSTREAM_TERM_REJECTED;
+	status->promised_term = MAX (status->promised_term, term);
+	fake->pending.has_status = true;
+	fake->pending.status = *status;
+	loop_set_timer (upstream->loop, &fake->timer, clock_now_us () + 100);
+	return 0;
+}
+
 static const struct upstream_ops fake_ops = {
 	.connect = fake_connect,
 	.execute = fake_execute,
 	.ask_status = fake_ask_status,
+	.fence = fake_fence,
 	.close = fake_close,
 };
 
@@ -343,6 +371,15 @@
 		world->not_primary_observed++;
 }
 
+static void
+handle_observer_answer (void *data, const struct observer_answer *answer)
+{
+	struct world *world = data;
+
+	world->observer_answers++;
+	world->observer_answer = *answer;
+}
+
 void
 world_publish (struct world *world, unsigned primary, uint64_t term, uint32_t owner,
                bool is_leaving)
@@ -401,6 +438,7 @@
 		.transaction_idle_us = 100 * US_PER_MS,
 		.transaction_limit_us = 300 * US_PER_MS,
 		.handle_observation = handle_observation,
+		.handle_observer_answer = handle_observer_answer,
 		.observation_data = world,
 		.upstreams = &fakes,
 	};
--- a/tests/unit/owner_world.h
+++ b/tests/unit/owner_world.h
@@ -46,6 +46,10 @@
 	bool is_full;       /* At its connection limit. */
 	bool is_mute;       /* Does not answer questions for the status. */
 	bool takes_entries; /* Replicates at once. */
+	unsigned open;      /* Connections, with monitors and those being opened. */
+	unsigned highest;   /* Most at a time. */
+	unsigned refused;
+	unsigned fences;
 };
 
 struct world
@@ -71,6 +75,8 @@
 	unsigned fault_percent; /* Statements that get a random fault. */
 	unsigned not_primary_observed;
 	unsigned silent_observed;
+	unsigned observer_answers;
+	struct observer_answer observer_answer; /* The last one. */
 };
 
 /* One request and its result. */
