--- a/decision/acknowledgement.c
+++ b/decision/acknowledgement.c
@@ -175,6 +175,17 @@
 	return heap_first (&ack->by_position) != HEAP_NONE;
 }
 
+bool
+acknowledgement_first (const struct acknowledgement *ack, uint64_t *cookie)
+{
+	uint32_t item = heap_first (&ack->by_position);
+
+	if (item == HEAP_NONE)
+		return false;
+	*cookie = ack->writes[item].cookie;
+	return true;
+}
+
 int64_t
 acknowledgement_next_deadline_us (const struct acknowledgement *ack)
 {
--- a/flamingospring/owner.c
+++ b/flamingospring/owner.c
@@ -206,7 +206,7 @@
 	if (owner->checking.length > 0)
 		due_us = now_us + OWNER_POLL_US;
 	else if (acknowledgement_is_waiting (owner->acknowledgement))
-		due_us = now_us + owner_acknowledge_interval_us (owner);
+		due_us = owner_acknowledge_due_us (owner, now_us);
 	else if (owner->freshness.pending_count > 0 && due_us > now_us + catch_up_us (owner))
 		due_us = now_us + catch_up_us (owner);
 	if (owner->tasks.length > 0 && due_us > now_us + OWNER_QUIET_US)
--- a/flamingospring/owner_acknowledge.c
+++ b/flamingospring/owner_acknowledge.c
@@ -5,38 +5,114 @@
 
 enum
 {
-	/* The primary's own answers only tell of a fence; the replicas' answers settle the writes. */
-	PRIMARY_POLL_US = 10 * US_PER_MS,
-	/* Questions are at most 1/16 of the usual wait apart, which adds as much to the wait at most. */
-	POLL_SHARE = 16,
+	/* The primary's own answers only tell of a fence, of which the replicas' answers tell as well;
+	 * those settle the writes. */
+	PRIMARY_POLL_US = 100 * US_PER_MS,
+	/* Questions around the expected end of the wait are 1/20 of the wait apart, which adds half as much
+	 * to it on average. */
+	POLL_SHARE = 20,
 	POLL_MIN_US = US_PER_MS,
-	POLL_MAX_US = 10 * US_PER_MS,
-	MEAN_SHARE = 8,
+	POLL_MAX_US = 50 * US_PER_MS,
+	/* Below this wait each write asks at once. */
+	SHORT_WAIT_US = 8 * US_PER_MS,
+	RISE_SHARE = 8,
 };
 
+/* Time between questions, for a wait of @p wait_us. */
+static int64_t
+interval_us (int64_t wait_us)
+{
+	return CLAMP (wait_us / POLL_SHARE, POLL_MIN_US, POLL_MAX_US);
+}
+
+/* Age of a write at which to ask next, when the last question came at @p age_us. Before 7/8 of the usual
+ * wait a few questions notice a lag that became shorter; after it they follow closely. */
+static int64_t
+next_question_us (int64_t age_us, int64_t wait_us)
+{
+	static const int64_t eighths[] = { 2, 5, 7 };
+	int64_t least_us = age_us + interval_us (wait_us);
+
+	if (wait_us < SHORT_WAIT_US && age_us < 0)
+		return 0;
+	for (size_t i = 0; i < G_N_ELEMENTS (eighths); i++)
+	{
+		if (age_us < wait_us * eighths[i] / 8)
+			return MAX (wait_us * eighths[i] / 8, least_us);
+	}
+	return age_us + interval_us (MAX (wait_us, age_us));
+}
+
+/* Next question to a replica for the write that waits for the lowest position; later writes follow. */
+static int64_t
+question_due_us (const struct owner *owner, const struct owner_task *first, uint32_t server)
+{
+	int64_t sent_us = owner->monitors[server].monitor->sent_us;
+
+	if (server == owner->server)
+		return sent_us + PRIMARY_POLL_US;
+	return first->acknowledge_us +
+	       next_question_us (sent_us - first->acknowledge_us, owner->acknowledge_wait_us);
+}
+
+static const struct owner_task *
+find_first (const struct owner *owner)
+{
+	uint64_t cookie;
+	struct owner_task **task;
+
+	if (!acknowledgement_first (owner->acknowledgement, &cookie))
+		return NULL;
+	task = handle_table_get (&owner->set->tasks, (uint32_t) cookie);
+	return task ? *task : NULL;
+}
+
 int64_t
-owner_acknowledge_interval_us (const struct owner *owner)
+owner_acknowledge_due_us (const struct owner *owner, int64_t now_us)
 {
-	return CLAMP (owner->acknowledge_mean_us / POLL_SHARE, POLL_MIN_US, POLL_MAX_US);
+	const struct owner_task *first = find_first (owner);
+	int64_t deadline_us = acknowledgement_next_deadline_us (owner->acknowledgement);
+	int64_t due_us = INT64_MAX;
+
+	if (!first)
+		return INT64_MAX;
+	for (uint32_t i = 0; i < owner->database.server_count; i++)
+		due_us = MIN (due_us, question_due_us (owner, first, i));
+	/* While a question is outstanding, or the monitor has no connection, it stays due. */
+	due_us = MAX (due_us, now_us + interval_us (owner->acknowledge_wait_us));
+	return MIN (due_us, deadline_us);
 }
 
 void
 owner_acknowledge_poll (struct owner *owner, int64_t now_us)
 {
-	int64_t interval_us = owner_acknowledge_interval_us (owner);
+	const struct owner_task *first = find_first (owner);
 
-	if (!acknowledgement_is_waiting (owner->acknowledgement))
+	if (!first)
 		return;
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
 	{
-		int64_t asked_us = now_us - owner->monitors[i].monitor->sent_us;
-
-		if (asked_us < (i == owner->server ? PRIMARY_POLL_US : interval_us))
-			continue;
-		owner_monitor_ask (owner->monitors[i].monitor, false, now_us);
+		if (now_us >= question_due_us (owner, first, i))
+			owner_monitor_ask (owner->monitors[i].monitor, false, now_us);
 	}
 }
 
+/* Follows shorter waits at once and longer ones slowly, so that one long wait does not make the next
+ * write's questions come late. */
+static void
+wait_update (struct owner *owner, const struct owner_task *task)
+{
+	int64_t wait_us = clock_now_us () - task->acknowledge_us;
+
+	/* A replay's position was reached long ago. */
+	if (task->is_replay)
+		return;
+	if (owner->acknowledge_wait_us == 0 || wait_us < owner->acknowledge_wait_us)
+		owner->acknowledge_wait_us = wait_us;
+	else
+		owner->acknowledge_wait_us += (wait_us - owner->acknowledge_wait_us) / RISE_SHARE;
+}
+
 static void
 end_unknown (struct owner_task *task, enum counter counter, const char *message)
 {
@@ -71,9 +147,7 @@
 		{
 		case ACKNOWLEDGEMENT_DONE:
 			(*task)->is_acknowledged = true;
-			owner->acknowledge_mean_us +=
-				(clock_now_us () - (*task)->acknowledge_us - owner->acknowledge_mean_us) /
-				MEAN_SHARE;
+			wait_update (owner, *task);
 			end_done (*task);
 			break;
 		case ACKNOWLEDGEMENT_TIMEOUT:
@@ -88,6 +162,16 @@
 	}
 }
 
+static void
+ask_replicas (struct owner *owner, int64_t now_us)
+{
+	for (uint32_t i = 0; i < owner->database.server_count; i++)
+	{
+		if (i != owner->server)
+			owner_monitor_ask (owner->monitors[i].monitor, true, now_us);
+	}
+}
+
 void
 owner_acknowledge (struct owner_task *task, struct log_position position)
 {
@@ -120,8 +204,8 @@
 		end_unknown (task, COUNTER_ACKNOWLEDGE_TIMEOUTS, "too many writes wait");
 		return;
 	}
-	for (uint32_t i = 0; i < owner->database.server_count; i++)
-		owner_monitor_ask (owner->monitors[i].monitor, true, now_us);
+	if (owner->acknowledge_wait_us < SHORT_WAIT_US)
+		ask_replicas (owner, now_us);
 	owner_acknowledge_settle (owner);
 	owner_pump (owner);
 	owner_schedule (owner);
--- a/include/decision/acknowledgement.h
+++ b/include/decision/acknowledgement.h
@@ -56,6 +56,9 @@
 /** Tells whether replicas have to be polled. */
 bool acknowledgement_is_waiting (const struct acknowledgement *acknowledgement);
 
+/** Write that waits for the lowest position. @return false when none waits. */
+bool acknowledgement_first (const struct acknowledgement *acknowledgement, uint64_t *cookie);
+
 int64_t acknowledgement_next_deadline_us (const struct acknowledgement *acknowledgement);
 
 /** The highest position that a majority is known to have in the current term. */
--- a/include/flamingospring/owner_private.h
+++ b/include/flamingospring/owner_private.h
@@ -128,7 +128,7 @@
 	GQueue checking;
 	uint32_t writes;             /**< Tasks that run or wait for their acknowledgement. */
 	uint32_t begins;             /**< Transactions that are being opened. */
-	int64_t acknowledge_mean_us; /**< Running mean of the wait for a majority. */
+	int64_t acknowledge_wait_us; /**< Usual wait for a majority, near its lower end; 0: unknown. */
 	struct handle_table transactions;
 	uint32_t run_mean_us[RANK_COUNT];
 	int64_t read_at_us;
@@ -215,9 +215,9 @@
 void owner_acknowledge (struct owner_task *task, struct log_position position);
 /** Ends the writes that are settled. */
 void owner_acknowledge_settle (struct owner *owner);
-/** Asks the servers again while writes wait. */
-/** Time between two questions to a replica while writes wait. */
-int64_t owner_acknowledge_interval_us (const struct owner *owner);
+/** Time at which the replicas are to be asked next while writes wait. */
+int64_t owner_acknowledge_due_us (const struct owner *owner, int64_t now_us);
+/** Asks the servers again while writes wait, as far as that is due. */
 void owner_acknowledge_poll (struct owner *owner, int64_t now_us);
 
 /* owner_transaction.c */
--- a/tests/unit/acknowledgement.c
+++ b/tests/unit/acknowledgement.c
@@ -56,6 +56,7 @@
 		g_assert_cmpint (result.verdict, ==, cases[i].verdict);
 		g_assert_cmpuint (result.cookie, ==, 7);
 		g_assert_false (acknowledgement_is_waiting (ack));
+		g_assert_false (acknowledgement_first (ack, &result.cookie));
 		g_assert_cmpint (acknowledgement_next (ack, 101).verdict, ==, ACKNOWLEDGEMENT_NONE);
 		acknowledgement_finish (ack);
 		g_free (memory);
@@ -71,6 +72,7 @@
 	struct server_status status = { false, 2, { 2, 60 } };
 	struct server_status older = { false, 2, { 2, 20 } };
 	unsigned count = 0;
+	uint64_t first;
 
 	for (uint64_t i = 0; i < 100; i++)
 		g_assert_cmpint (
@@ -78,11 +80,16 @@
 			0);
 	g_assert_cmpint (acknowledgement_add (ack, 100, (struct log_position){ 2, 101 }, 1000), ==,
 	                 -ENOSPC);
+	g_assert_true (acknowledgement_first (ack, &first));
+	g_assert_cmpuint (first, ==, 0);
 	acknowledgement_report (ack, 1, &status);
 	acknowledgement_report (ack, 1, &older);
 	for (; acknowledgement_next (ack, 10).verdict == ACKNOWLEDGEMENT_DONE; count++)
 		;
 	g_assert_cmpuint (count, ==, 60);
+	/* 61 = 80 * 37 % 100 + 1 */
+	g_assert_true (acknowledgement_first (ack, &first));
+	g_assert_cmpuint (first, ==, 80);
 	status.promised_term = 3;
 	acknowledgement_report (ack, 2, &status);
 	for (; acknowledgement_next (ack, 10).verdict == ACKNOWLEDGEMENT_REPLACED; count++)
--- a/tests/unit/owner.c
+++ b/tests/unit/owner.c
@@ -196,6 +196,67 @@
 	world_finish (&world);
 }
 
+/* Replicates the next write after @p lag_us. @return how long after that it was acknowledged. */
+static int64_t
+run_lagging_write (struct world *world, int64_t lag_us)
+{
+	unsigned applied = world->applied;
+	struct asked asked;
+	int64_t end_us;
+
+	asked_prepare (&asked, "set", 0, "");
+	asked_submit (world, &asked);
+	while (world->applied == applied)
+		world_run (world, 100);
+	end_us = clock_now_us () + lag_us;
+	world_run (world, lag_us);
+	world->servers[1].status.position = world->servers[0].status.position;
+	world->servers[2].status.position = world->servers[0].status.position;
+	asked_wait (world, &asked);
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	return asked.done_us - end_us;
+}
+
+/* Guards against questions that cost more than they save, and that add more than 5% to the wait: few
+ * while the replicas cannot have the write yet, close ones around the usual lag. */
+static void
+test_question_rate (void)
+{
+	enum
+	{
+		LAG_US = 100 * US_PER_MS,
+		WRITES = 8,
+	};
+	struct world world;
+	int64_t added[WRITES];
+	int64_t least_us = INT64_MAX;
+	uint64_t questions;
+
+	world_start (&world);
+	world.servers[1].takes_entries = false;
+	world.servers[2].takes_entries = false;
+	for (unsigned i = 0; i < WRITES; i++)
+		run_lagging_write (&world, LAG_US);
+	questions = counter_get (COUNTER_STATUS_QUESTIONS);
+	for (unsigned i = 0; i < WRITES; i++)
+	{
+		added[i] = run_lagging_write (&world, LAG_US);
+		least_us = MIN (least_us, added[i]);
+	}
+	questions = counter_get (COUNTER_STATUS_QUESTIONS) - questions;
+	g_test_message ("%.1f questions a write, at least %ld us added", (double) questions / WRITES,
+	                (long) least_us);
+	/* Two replicas, and the primary now and then; every 1/16 of the wait were 48. */
+	g_assert_cmpuint (questions, <=, 24 * WRITES);
+	g_assert_cmpint (least_us, <=, LAG_US / 20 + 2 * US_PER_MS);
+	/* The lag becomes short: after a few writes it is followed closely again. */
+	least_us = INT64_MAX;
+	for (unsigned i = 0; i < 2 * WRITES; i++)
+		least_us = MIN (least_us, run_lagging_write (&world, 2 * US_PER_MS));
+	g_assert_cmpint (least_us, <=, 4 * US_PER_MS);
+	world_finish (&world);
+}
+
 /* The slot is free while a write waits for its acknowledgement. */
 static void
 test_slot_is_free_during_wait (void)
@@ -535,6 +596,7 @@
 	g_test_add_func ("/owner/lost_then_replaced", test_lost_then_replaced);
 	g_test_add_func ("/owner/bad_requests", test_bad_requests);
 	g_test_add_func ("/owner/acknowledge", test_acknowledge);
+	g_test_add_func ("/owner/question_rate", test_question_rate);
 	g_test_add_func ("/owner/slot_is_free_during_wait", test_slot_is_free_during_wait);
 	g_test_add_func ("/owner/behind", test_behind);
 	g_test_add_func ("/owner/age", test_age);
