--- a/decision/acknowledgement.c
+++ b/decision/acknowledgement.c
@@ -12,6 +12,7 @@
 	uint64_t cookie;
 	struct log_position position;
 	int64_t deadline_us;
+	uint32_t server; /* Where it was committed. */
 	uint32_t next_free;
 };
 
@@ -63,8 +64,8 @@
 }
 
 int
-acknowledgement_add (struct acknowledgement *ack, uint64_t cookie, struct log_position position,
-                     int64_t deadline_us)
+acknowledgement_add (struct acknowledgement *ack, uint64_t cookie, uint32_t server,
+                     struct log_position position, int64_t deadline_us)
 {
 	uint32_t item = ack->first_free;
 	struct acknowledgement_write *write;
@@ -74,6 +75,7 @@
 	write = &ack->writes[item];
 	ack->first_free = write->next_free;
 	write->cookie = cookie;
+	write->server = server;
 	write->position = position;
 	write->deadline_us = deadline_us > 0 ? deadline_us : 0;
 	heap_insert (&ack->by_position, item, (struct heap_key){ position.term, position.index });
@@ -113,10 +115,12 @@
 		ack->term = status->position.term;
 }
 
-/* Tells whether a majority has the write. The primary committed it and counts as one. A log that
- * ends in another term is not counted: it may lack an entry that was never acknowledged. */
+/* Tells whether a majority has the write. Its own server committed it and counts as one, but not once more
+ * when it answers as a replica: a primary that hears of a higher term steps down with its log. A log that ends in
+ * another term is not counted: it may lack an entry that was never acknowledged. */
 static bool
-acknowledgement_has_majority (const struct acknowledgement *ack, struct log_position position)
+acknowledgement_has_majority (const struct acknowledgement *ack, uint32_t server,
+                              struct log_position position)
 {
 	uint32_t holders = 1;
 
@@ -124,7 +128,7 @@
 	{
 		const struct server_status *status = &ack->status[i];
 
-		if (!status->is_primary && status->promised_term <= position.term &&
+		if (i != server && !status->is_primary && status->promised_term <= position.term &&
 		    status->position.term == position.term && status->position.index >= position.index)
 			holders++;
 	}
@@ -145,7 +149,7 @@
 	if (verdict == ACKNOWLEDGEMENT_DONE)
 	{
 		INVARIANT (result.position.term >= ack->promised_term, "P2");
-		INVARIANT (acknowledgement_has_majority (ack, result.position), "P2");
+		INVARIANT (acknowledgement_has_majority (ack, write->server, result.position), "P2");
 	}
 	return result;
 }
@@ -162,7 +166,7 @@
 	 * has none before it that could be settled for the same reason. */
 	if (ack->writes[item].position.term < ack->promised_term)
 		return acknowledgement_settle (ack, item, ACKNOWLEDGEMENT_REPLACED);
-	if (acknowledgement_has_majority (ack, ack->writes[item].position))
+	if (acknowledgement_has_majority (ack, ack->writes[item].server, ack->writes[item].position))
 		return acknowledgement_settle (ack, item, ACKNOWLEDGEMENT_DONE);
 	if (ack->writes[overdue].deadline_us <= now_us)
 		return acknowledgement_settle (ack, overdue, ACKNOWLEDGEMENT_TIMEOUT);
--- a/flamingospring/owner_acknowledge.c
+++ b/flamingospring/owner_acknowledge.c
@@ -115,7 +115,8 @@
 		end_unknown (task, COUNTER_ACKNOWLEDGE_REPLACED, "the term changed during the write");
 		return;
 	}
-	if (acknowledgement_add (owner->acknowledgement, task->handle, position, deadline_us) < 0)
+	if (acknowledgement_add (owner->acknowledgement, task->handle, owner->server, position,
+	                         deadline_us) < 0)
 	{
 		end_unknown (task, COUNTER_ACKNOWLEDGE_TIMEOUTS, "too many writes wait");
 		return;
--- a/include/decision/acknowledgement.h
+++ b/include/decision/acknowledgement.h
@@ -41,8 +41,8 @@
 
 void acknowledgement_finish (struct acknowledgement *acknowledgement);
 
-/** Adds a write that the primary committed at @p position. @return 0, or -ENOSPC when full. */
-int acknowledgement_add (struct acknowledgement *acknowledgement, uint64_t cookie,
+/** Adds a write that @p server committed at @p position as the primary. @return 0, or -ENOSPC when full. */
+int acknowledgement_add (struct acknowledgement *acknowledgement, uint64_t cookie, uint32_t server,
                          struct log_position position, int64_t deadline_us);
 
 /** Takes a status answer of the server with this index in the group. */
--- a/tests/measure/owner.c
+++ b/tests/measure/owner.c
@@ -154,7 +154,7 @@
 	         policy == POLICY_PRIMARY_ACK)
 		owner_answer (owner, &statement->attempt, OUTCOME_DONE, REASON_NONE, position);
 	else if (acknowledgement_add (
-				 owner->ack, attempt_cookie (&statement->attempt), position,
+				 owner->ack, attempt_cookie (&statement->attempt), owner->index, position,
 				 MIN (call->deadline_us, owner->sim->world->now_us + ACK_TIMEOUT_US)) < 0)
 		owner_answer (owner, &statement->attempt, OUTCOME_UNKNOWN, REASON_NOT_ACKNOWLEDGED,
 		              position);
--- a/tests/unit/acknowledgement.c
+++ b/tests/unit/acknowledgement.c
@@ -45,7 +45,7 @@
 		struct acknowledgement *ack = acknowledgement_init (memory, 3, 4);
 		struct acknowledgement_result result;
 
-		g_assert_cmpint (acknowledgement_add (ack, 7, primary.position, 100), ==, 0);
+		g_assert_cmpint (acknowledgement_add (ack, 7, 0, primary.position, 100), ==, 0);
 		acknowledgement_report (ack, 0, &primary);
 		g_assert_cmpint (acknowledgement_next (ack, 99).verdict, ==, ACKNOWLEDGEMENT_NONE);
 		acknowledgement_report (ack, 1, &cases[i].replica);
@@ -62,6 +62,25 @@
 	}
 }
 
+/* A primary that hears of a higher term steps down before it promises that term, and answers as a replica that holds
+ * the write. It was counted twice, so that a write that no other server had was acknowledged. */
+static void
+test_stepped_down (void)
+{
+	const struct server_status own = { false, 5, { 5, 10 } };
+	const struct server_status behind = { false, 5, { 5, 9 } };
+	void *memory = g_malloc (acknowledgement_size (3, 4));
+	struct acknowledgement *ack = acknowledgement_init (memory, 3, 4);
+
+	g_assert_cmpint (acknowledgement_add (ack, 7, 0, own.position, 100), ==, 0);
+	acknowledgement_report (ack, 0, &own);
+	acknowledgement_report (ack, 1, &behind);
+	g_assert_cmpint (acknowledgement_next (ack, 99).verdict, ==, ACKNOWLEDGEMENT_NONE);
+	g_assert_cmpint (acknowledgement_next (ack, 100).verdict, ==, ACKNOWLEDGEMENT_TIMEOUT);
+	acknowledgement_finish (ack);
+	g_free (memory);
+}
+
 /* One report settles all covered writes in any order of arrival; a higher term settles the rest. */
 static void
 test_batch (void)
@@ -74,9 +93,9 @@
 
 	for (uint64_t i = 0; i < 100; i++)
 		g_assert_cmpint (
-			acknowledgement_add (ack, i, (struct log_position){ 2, i * 37 % 100 + 1 }, 1000), ==,
+			acknowledgement_add (ack, i, 0, (struct log_position){ 2, i * 37 % 100 + 1 }, 1000), ==,
 			0);
-	g_assert_cmpint (acknowledgement_add (ack, 100, (struct log_position){ 2, 101 }, 1000), ==,
+	g_assert_cmpint (acknowledgement_add (ack, 100, 0, (struct log_position){ 2, 101 }, 1000), ==,
 	                 -ENOSPC);
 	acknowledgement_report (ack, 1, &status);
 	acknowledgement_report (ack, 1, &older);
@@ -124,7 +143,7 @@
 		{
 		case 0: /* A write at the primary of the term that the module serves. */
 			truth[0].position.index++;
-			if (acknowledgement_add (ack, i, truth[0].position,
+			if (acknowledgement_add (ack, i, 0, truth[0].position,
 			                         i + 1 + random_next (&random) % 200) == 0)
 			{
 				open[i] = true;
@@ -192,6 +211,7 @@
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/acknowledgement/cases", test_cases);
+	g_test_add_func ("/acknowledgement/stepped_down", test_stepped_down);
 	g_test_add_func ("/acknowledgement/batch", test_batch);
 	g_test_add_func ("/acknowledgement/random", test_random);
 	return g_test_run ();
--- a/tests/virtual/fleet_write.c
+++ b/tests/virtual/fleet_write.c
@@ -118,7 +118,8 @@
 	if (reply->result != 0)
 		return;
 	acknowledgement_add (group->acknowledgement, reply->request.value << 3 | reply->server,
-	                     reply->status.position, fleet_now (vm->fleet) + ACKNOWLEDGE_US);
+	                     reply->server, reply->status.position,
+	                     fleet_now (vm->fleet) + ACKNOWLEDGE_US);
 	if (!group->is_polling)
 		handle_write_poll (group, NULL);
 }
