--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -141,13 +141,15 @@
 	char handle[TRANSACTION_HANDLE_MAX_BYTES];
 	char server[ENTRY_SERVER_BYTES];
 
-	/* An earlier attempt may have run, so a refusal of the last one proves nothing (P5). */
+	/* An earlier attempt may have run, so a refusal or an error of the last one proves nothing (P5). */
 	if (request->may_have_run && answer->outcome == OUTCOME_REFUSED)
 	{
-		answer->outcome = OUTCOME_UNKNOWN;
 		answer->reason = REASON_CONNECTION_LOST;
 		answer->message = "an earlier attempt may have run";
 	}
+	if (request->may_have_run &&
+	    (answer->outcome == OUTCOME_REFUSED || answer->outcome == OUTCOME_FAILED))
+		answer->outcome = OUTCOME_UNKNOWN;
 	loop_cancel_timer (request->set->loop, &request->timer);
 	request->is_waiting = false;
 	request->set->unanswered--;
--- a/tests/unit/entry.c
+++ b/tests/unit/entry.c
@@ -382,6 +382,24 @@
 	world_free (world);
 }
 
+/* An error of the second attempt, such as the duplicate key of a first insert that ran, says nothing about the first;
+ * "failed" told callers that the row was absent. */
+static void
+test_failed_after_loss (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+
+	world_start (world, call_new ("add", "id-4"), &caller);
+	lose (world_next (world), EXECUTION_LOST);
+	answer (world_next (world),
+	        execution_result (OUTCOME_FAILED, REASON_STATEMENT, "duplicate key"));
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_UNKNOWN);
+	g_assert_cmpint (caller.reason, ==, REASON_STATEMENT);
+	caller_finish (&caller);
+	world_free (world);
+}
+
 /* Retries of many requests stay within the budget: a fifth of the requests and the burst. */
 static void
 test_budget (void)
@@ -746,6 +764,7 @@
 	g_test_add_func ("/entry/vm_down", test_vm_down);
 	g_test_add_func ("/entry/lost", test_lost);
 	g_test_add_func ("/entry/refused_after_loss", test_refused_after_loss);
+	g_test_add_func ("/entry/failed_after_loss", test_failed_after_loss);
 	g_test_add_func ("/entry/budget", test_budget);
 	g_test_add_func ("/entry/queue_by_rank", test_queue_by_rank);
 	g_test_add_func ("/entry/late", test_late);
