--- a/decision/failover.c
+++ b/decision/failover.c
@@ -261,8 +261,10 @@
 static bool
 advance_once (struct failover_private *f, int64_t now_us)
 {
-	bool is_calm = !failover_is_doubtful (f, now_us);
+	bool is_calm;
 
+	failover_update_reach (f, now_us);
+	is_calm = !failover_is_doubtful (f, now_us);
 	failover_update_opinion (f, now_us);
 	if (is_claiming (f))
 		return advance_claim (f, now_us);
--- a/decision/failover_view.c
+++ b/decision/failover_view.c
@@ -68,6 +68,36 @@
 	f->to_announce = term > f->announced_term;
 }
 
+/** Servers that have answered the recent polls of an alert. */
+static uint32_t
+count_answering (const struct failover_private *f, int64_t now_us)
+{
+	int64_t limit_us = f->settings->suspect_after_us + f->settings->reply_late_us;
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < f->server_count; i++)
+		count += f->servers[i].answered_us != 0 && now_us - f->servers[i].answered_us <= limit_us;
+	return count;
+}
+
+void
+failover_update_reach (struct failover_private *f, int64_t now_us)
+{
+	bool was_cut_off = f->is_cut_off;
+	uint32_t silent = 0;
+
+	for (uint32_t i = 0; i < f->server_count; i++)
+		silent += f->servers[i].unanswered_us != 0 &&
+		          now_us - f->servers[i].unanswered_us >= f->settings->suspect_after_us;
+	f->is_cut_off = f->server_count - silent < failover_majority (f);
+	if (!was_cut_off || f->is_cut_off)
+		return;
+	if (f->primary != FAILOVER_NO_PRIMARY && f->servers[f->primary].unanswered_us)
+		f->servers[f->primary].unanswered_us = now_us;
+	if (f->stuck_since_us)
+		f->stuck_since_us = now_us;
+}
+
 void
 failover_update_opinion (struct failover_private *f, int64_t now_us)
 {
@@ -131,7 +161,8 @@
 		zone = other->observer.zone;
 		has_zone = true;
 	}
-	return f->opinion.suspects && agreeing > f->observer_count / 2 && !(has_zones && is_one_zone);
+	return f->opinion.suspects && agreeing > f->observer_count / 2 && !(has_zones && is_one_zone) &&
+	       count_answering (f, now_us) >= failover_majority (f);
 }
 
 bool
--- a/include/decision/failover_view.h
+++ b/include/decision/failover_view.h
@@ -103,6 +103,7 @@
 	uint64_t stuck_term;
 	int64_t stuck_since_us; /* A promised term is above the primary's since; 0: it is not. */
 	int64_t suspected_us;
+	bool is_cut_off; /* No majority of the servers answers. */
 	int64_t alert_us;
 	int64_t asked_until_us;
 	struct claim claim;
@@ -126,9 +127,13 @@
                              bool is_announced, int64_t now_us);
 void failover_take_status (struct failover_private *f, uint32_t server,
                            const struct server_status *status, int64_t now_us);
+/** Notes whether a majority of the servers answers. While none does, this VM may be the one that is cut off,
+ * so the silence of the primary counts only from when a majority answers again. */
+void failover_update_reach (struct failover_private *f, int64_t now_us);
 void failover_update_opinion (struct failover_private *f, int64_t now_us);
 /** Tells whether a majority of the observers, from 2 zones where there are several, share this one's
- * suspicion. */
+ * suspicion, and a majority of the servers answers. The VMs of a zone that is cut off observe every group, so
+ * their agreement alone is no proof. */
 bool failover_has_agreement (const struct failover_private *f, int64_t now_us);
 /** Tells whether each earlier observer that answers has had its time to claim first. */
 bool failover_is_turn (const struct failover_private *f, int64_t now_us);
--- a/tests/unit/failover.c
+++ b/tests/unit/failover.c
@@ -214,6 +214,18 @@
 	g_assert_cmpuint (server->promised_term, ==, term_of (fleet));
 }
 
+/* The VMs of a zone that is cut off become observers of the whole group, hear none of it, and must not replace the
+ * primary that they find when the links are back. */
+static void
+cut_replica_zone (struct fleet *fleet)
+{
+	for (int i = 0; i < fleet->platform_node; i++)
+		fleet->world.nodes[i].side = fleet->world.nodes[i].zone == 2;
+	run (fleet, 2 * GAP_US + (int64_t) (virtual_random (&fleet->world) % 1000000));
+	virtual_heal (&fleet->world, (size_t) fleet->platform_node + 1);
+	run (fleet, GAP_US);
+}
+
 static void
 slow_link (struct fleet *fleet)
 {
@@ -278,6 +290,7 @@
 	{ "slow link between one observer and the primary", slow_link, false, false },
 	{ "one observer does not hear the primary", cut_link, false, false },
 	{ "observers were paused", pause_observers, false, false },
+	{ "a replica's zone is cut off and comes back", cut_replica_zone, false, false },
 };
 
 static void
