--- a/common/rpc.c
+++ b/common/rpc.c
@@ -322,9 +322,10 @@
 int
 rpc_connection_connect (struct rpc_connection *connection, struct loop *loop,
                         const struct rpc_connection_ops *ops, void *data, uint32_t ip,
-                        uint16_t port)
+                        uint16_t port, uint32_t source_ip)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
+	struct sockaddr_in source = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (source_ip) };
 	int result;
 	int fd;
 
@@ -335,6 +336,11 @@
 	if (fd < 0)
 		return -errno;
 	address.sin_addr.s_addr = htonl (ip);
+	if (source_ip && bind (fd, (struct sockaddr *) &source, sizeof source) < 0)
+	{
+		result = -errno;
+		goto fail;
+	}
 	if (connect (fd, (struct sockaddr *) &address, sizeof address) < 0 && errno != EINPROGRESS)
 	{
 		result = -errno;
--- a/flamingospring/control.c
+++ b/flamingospring/control.c
@@ -373,7 +373,7 @@
 	if (result < 0)
 		return result;
 	result = platform_etcd_init (&control->platform, &control->loop, control->settings->platform,
-	                             CONTROL_PLATFORM_TIMEOUT_US);
+	                             control->settings->source_ip, CONTROL_PLATFORM_TIMEOUT_US);
 	if (result < 0)
 		return result;
 	result = control_documents_init (control);
--- a/flamingospring/control_call.c
+++ b/flamingospring/control_call.c
@@ -107,7 +107,7 @@
 	if (!call->result)
 		goto fail;
 	result = rpc_connection_connect (&call->connection, &control->loop, &call_ops, call,
-	                                 request->ip, request->port);
+	                                 request->ip, request->port, control->settings->source_ip);
 	if (result < 0)
 		goto fail;
 	result = rpc_connection_call (&call->connection, 1, request->program, 1, request->procedure,
--- a/flamingospring/control_gossip.c
+++ b/flamingospring/control_gossip.c
@@ -270,7 +270,8 @@
 		const struct settings_address *seed =
 			&settings->seeds[control->next_seed++ % settings->seed_count];
 
-		if (seed->ip != settings->ip || seed->port != settings->control_port)
+		if ((seed->ip != settings->ip && seed->ip != settings->advertise_ip) ||
+		    seed->port != settings->control_port)
 			state_pull (control, seed->ip, seed->port);
 	}
 	loop_set_timer (&control->loop, timer, now_us + (is_alone ? SEED_RETRY_US : SEED_REFRESH_US));
@@ -298,7 +299,7 @@
 {
 	const struct settings *settings = control->settings;
 	struct member_address address = {
-		.ip = settings->ip,
+		.ip = settings->advertise_ip ? settings->advertise_ip : settings->ip,
 		.traffic_port = settings->traffic_port,
 		.control_port = settings->control_port,
 		.zone = control_zone_hash (settings->zone),
--- a/flamingospring/control_observer.c
+++ b/flamingospring/control_observer.c
@@ -473,6 +473,7 @@
 		observer->links[s].server = s;
 		upstream_pg_init (&observer->links[s].upstream, &control->loop, &link_user_ops,
 		                  &observer->links[s]);
+		observer->links[s].upstream.vm_id = control->settings->vm_id;
 	}
 	observer->timer.handle_timer = handle_timer;
 	observer->timer.data = observer;
--- a/flamingospring/owner.c
+++ b/flamingospring/owner.c
@@ -373,10 +373,14 @@
 	                          random_next (&owner->random));
 	if (result < 0)
 		return result;
+	owner_pool_set_vm (&owner->pool, set->settings->vm_id);
 	for (uint32_t i = 0; i < database->server_count; i++)
+	{
 		owner_monitor_init (&owner->monitors[i], set->loop, factory, &monitor_ops, owner, i,
 		                    database->servers[i].ip, database->servers[i].port, database->name,
 		                    random_next (&owner->random));
+		owner->monitors[i].upstream.vm_id = set->settings->vm_id;
+	}
 	return 0;
 }
 
--- a/flamingospring/owner_pool.c
+++ b/flamingospring/owner_pool.c
@@ -344,6 +344,13 @@
 	return 0;
 }
 
+void
+owner_pool_set_vm (struct owner_pool *pool, uint32_t vm_id)
+{
+	for (uint32_t i = 0; i < pool->limit; i++)
+		pool->connections[i].upstream.vm_id = vm_id;
+}
+
 void
 owner_pool_finish (struct owner_pool *pool)
 {
--- a/flamingospring/peer.c
+++ b/flamingospring/peer.c
@@ -250,7 +250,7 @@
 	if (peer->is_open)
 		return 0;
 	result = rpc_connection_connect (&peer->connection, peer->set->loop, &peer_connection_ops, peer,
-	                                 peer->ip, peer->port);
+	                                 peer->ip, peer->port, peer->set->source_ip);
 	if (result < 0)
 		return result;
 	peer->is_open = true;
--- a/flamingospring/platform_etcd.c
+++ b/flamingospring/platform_etcd.c
@@ -14,6 +14,7 @@
 enum
 {
 	ETCD_MAX_BODY_BYTES = 64 * 1024 * 1024,
+	ETCD_SOURCE_BYTES = 24,
 	ETCD_URL_BYTES = 512,
 	/* A watch whose connection died silently is found by TCP keep-alive after about 10 s. */
 	ETCD_KEEPALIVE_IDLE_S = 5,
@@ -57,6 +58,7 @@
 	struct loop_timer reap_timer; /* Removes dropped calls outside of libcurl's callbacks. */
 	struct etcd_call *calls;
 	char url[ETCD_URL_BYTES];
+	char source[ETCD_SOURCE_BYTES]; /* Empty: the system's choice. */
 	long timeout_ms;
 };
 
@@ -328,6 +330,8 @@
 	curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt (call->easy, CURLOPT_FAILONERROR, 1L);
 	curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
+	if (call->client->source[0])
+		curl_easy_setopt (call->easy, CURLOPT_INTERFACE, call->client->source);
 	curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPALIVE, 1L);
 	curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPIDLE, (long) ETCD_KEEPALIVE_IDLE_S);
 	curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPINTVL, (long) ETCD_KEEPALIVE_INTERVAL_S);
@@ -447,7 +451,7 @@
 
 int
 platform_etcd_init (struct platform *platform, struct loop *loop, const char *url,
-                    int64_t timeout_us)
+                    uint32_t source_ip, int64_t timeout_us)
 {
 	struct etcd_client *client = calloc (1, sizeof *client);
 
@@ -461,6 +465,9 @@
 	client->reap_timer.handle_timer = handle_reap;
 	client->reap_timer.data = client;
 	snprintf (client->url, sizeof client->url, "%s", url);
+	if (source_ip)
+		snprintf (client->source, sizeof client->source, "host!%u.%u.%u.%u", source_ip >> 24,
+		          source_ip >> 16 & 255, source_ip >> 8 & 255, source_ip & 255);
 	client->multi = curl_multi_init ();
 	client->headers = curl_slist_append (NULL, "Content-Type: application/json");
 	if (!client->multi || !client->headers)
--- a/flamingospring/traffic.c
+++ b/flamingospring/traffic.c
@@ -202,6 +202,7 @@
 	if (result < 0)
 		return result;
 	thread->has_peers = true;
+	thread->peers.source_ip = settings->source_ip;
 	result = entry_set_init (&thread->entries, &thread->loop, &thread->reader, &entry_transport,
 	                         thread, seed + 1);
 	if (result < 0)
--- a/flamingospring/upstream_pg.c
+++ b/flamingospring/upstream_pg.c
@@ -332,6 +332,7 @@
 	struct pg_connection *pg = upstream->connection;
 	char address[16];
 	char port_text[8];
+	char name[32]; /* Tells operators of the server which VM holds the connection. */
 	/* The file of passwords does not exist on purpose: libpq would search the home directory for
 	 * one and may ask a name service for it. */
 	const char *const keywords[] = { "hostaddr",         "port",
@@ -339,14 +340,16 @@
 		                             "sslmode",          "gssencmode",
 		                             "passfile",         "client_encoding",
 		                             "application_name", NULL };
-	const char *const values[] = { address,   port_text,      database, "flamingospring", "disable",
-		                           "disable", "/nonexistent", "UTF8",   "flamingospring", NULL };
+	const char *const values[] = { address,   port_text, database,       "flamingospring",
+		                           "disable", "disable", "/nonexistent", "UTF8",
+		                           name,      NULL };
 
 	if (pg->conn)
 		return -EBUSY;
 	snprintf (address, sizeof address, "%u.%u.%u.%u", ip >> 24 & 255, ip >> 16 & 255, ip >> 8 & 255,
 	          ip & 255);
 	snprintf (port_text, sizeof port_text, "%u", port);
+	snprintf (name, sizeof name, "flamingospring-%u", upstream->vm_id);
 	pg->conn = PQconnectStartParams (keywords, values, 0);
 	if (!pg->conn)
 		return -ENOMEM;
--- a/include/common/rpc.h
+++ b/include/common/rpc.h
@@ -57,10 +57,11 @@
 int rpc_connection_init (struct rpc_connection *connection, struct loop *loop,
                          const struct rpc_connection_ops *ops, void *data, int fd);
 
-/** Connects to an IPv4 address (host byte order). @return 0 or a negative error number. */
+/** Connects to an IPv4 address from @p source_ip (both in host byte order; source 0: the system's
+ * choice). @return 0 or a negative error number. */
 int rpc_connection_connect (struct rpc_connection *connection, struct loop *loop,
                             const struct rpc_connection_ops *ops, void *data, uint32_t ip,
-                            uint16_t port);
+                            uint16_t port, uint32_t source_ip);
 void rpc_connection_finish (struct rpc_connection *connection);
 
 /** Sends a call. @return 0, -EMSGSIZE, -ENOMEM, -ENOTCONN. */
--- a/include/flamingospring/owner_pool.h
+++ b/include/flamingospring/owner_pool.h
@@ -81,6 +81,9 @@
                      uint64_t seed);
 void owner_pool_finish (struct owner_pool *pool);
 
+/** Names this VM to the server in later connections. */
+void owner_pool_set_vm (struct owner_pool *pool, uint32_t vm_id);
+
 /** Takes a connection. @return 0 when it is held now, -EINPROGRESS when handle_connection() will be
  * called, -ECONNREFUSED when the circuit is open. */
 int owner_pool_take (struct owner_pool *pool, struct pool_user *user);
--- a/include/flamingospring/platform.h
+++ b/include/flamingospring/platform.h
@@ -56,6 +56,7 @@
 	void *client; /**< Of the implementation. */
 };
 
-/** etcd v3 JSON over HTTP at @p url. @return 0 or a negative error number. */
+/** etcd v3 JSON over HTTP at @p url, from @p source_ip (host byte order; 0: the system's choice).
+ * @return 0 or a negative error number. */
 int platform_etcd_init (struct platform *platform, struct loop *loop, const char *url,
-                        int64_t timeout_us);
+                        uint32_t source_ip, int64_t timeout_us);
--- a/include/flamingospring/settings.h
+++ b/include/flamingospring/settings.h
@@ -26,7 +26,9 @@
 {
 	uint32_t vm_id; /**< Unique in the fleet, from 1. */
 	char *zone;
-	uint32_t ip; /**< Address of all listeners; host byte order. */
+	uint32_t ip;           /**< Address of all listeners; host byte order. */
+	uint32_t advertise_ip; /**< Where other VMs reach this one; 0: ip. */
+	uint32_t source_ip;    /**< Of connections to VMs and the platform; 0: the system's choice. */
 	uint16_t caller_port;
 	uint16_t service_port;
 	uint16_t traffic_port;
--- a/include/flamingospring/upstream.h
+++ b/include/flamingospring/upstream.h
@@ -71,6 +71,7 @@
 	struct loop *loop;
 	struct loop_source source;
 	void *connection; /**< Of the implementation. */
+	uint32_t vm_id;   /**< Set by the user; names this VM to the server. */
 	bool is_connected;
 	bool is_busy;
 	bool is_control; /**< The outstanding statement is status, fence or promote. */
