--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -519,6 +519,7 @@
 handle_overdue (struct pool_user *user)
 {
 	struct owner_task *task = task_of (user);
+	const struct owner *owner = task->owner;
 
 	task->state = TASK_STARTING;
 	if (task->uses_once)
@@ -526,6 +527,11 @@
 	else if (task->is_write)
 		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_DEADLINE, "the answer is overdue", NULL,
 		                   0);
+	else if (owner->monitors[owner->server].silent_at_us >= task->started_us)
+		/* The server answers nothing at all: the entry may try another one. A statement that is slow by itself would
+		 * be slow there too. */
+		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST, "the server is silent",
+		                   NULL, 0);
 	else
 		owner_task_finish (task, OUTCOME_FAILED, REASON_DEADLINE, "the answer is overdue", NULL, 0);
 }
--- a/tests/unit/owner.c
+++ b/tests/unit/owner.c
@@ -387,6 +387,27 @@
 	world_finish (&world);
 }
 
+/* A read at a server that became silent, as when it is cut off, is not failed: the entry asks another server. */
+static void
+test_silent_read (void)
+{
+	struct world world;
+	struct asked asked;
+
+	world_start (&world);
+	asked_run (&world, &asked, "find", 0, "");
+	world_rule (&world, "READ", 1, FAKE_HANG);
+	world_rule (&world, "READ", 1, FAKE_HANG);
+	asked_run (&world, &asked, "long", 0, "");
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_FAILED);
+	g_assert_cmpint (asked.reason, ==, REASON_DEADLINE);
+	world.servers[0].is_mute = true;
+	asked_run (&world, &asked, "long", 0, "");
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_UNKNOWN);
+	g_assert_cmpint (asked.reason, ==, REASON_CONNECTION_LOST);
+	world_finish (&world);
+}
+
 static void
 test_connection_limit (void)
 {
@@ -542,6 +563,7 @@
 	g_test_add_func ("/owner/overload", test_overload);
 	g_test_add_func ("/owner/down", test_down);
 	g_test_add_func ("/owner/silence", test_silence);
+	g_test_add_func ("/owner/silent_read", test_silent_read);
 	g_test_add_func ("/owner/connection_limit", test_connection_limit);
 	g_test_add_func ("/owner/not_primary_is_reported", test_not_primary_is_reported);
 	g_test_add_func ("/owner/known_elsewhere", test_known_elsewhere);
--- a/tests/unit/owner_world.c
+++ b/tests/unit/owner_world.c
@@ -19,6 +19,7 @@
 	" run_limit_ms: 200, params: 1, statement: \"READ $1\"}\n"
 	"  - {name: exact, database: ledger, kind: read, consistency: primary, run_limit_ms: 200, params: 1,"
 	" statement: \"READ $1\"}\n"
+	"  - {name: long, database: ledger, kind: read, run_limit_ms: 1000, params: 1, statement: \"READ $1\"}\n"
 	"  - {name: report, database: ledger, kind: read, rank: low, run_limit_ms: 50, params: 1,"
 	" statement: \"READ $1\"}\n"
 	"  - {name: set, database: ledger, kind: write, idempotent: true, run_limit_ms: 200,"
