--- a/flamingospring/owner.c
+++ b/flamingospring/owner.c
@@ -362,6 +362,7 @@
 	                          random_next (&owner->random));
 	if (result < 0)
 		return result;
+	owner_pool_set_vm (&owner->pool, set->settings->vm_id);
 	for (uint32_t i = 0; i < database->server_count && result == 0; i++)
 	{
 		const struct schema_server *server = &database->servers[i];
--- a/flamingospring/owner_monitor.c
+++ b/flamingospring/owner_monitor.c
@@ -316,6 +316,7 @@
 	monitor->timer.handle_timer = handle_timer;
 	monitor->timer.data = monitor;
 	set->factory->init (&monitor->upstream, set->loop, &monitor_upstream_ops, monitor);
+	monitor->upstream.vm_id = set->vm_id;
 	monitor->next = set->first;
 	set->first = monitor;
 	return monitor;
--- a/flamingospring/owner_set.c
+++ b/flamingospring/owner_set.c
@@ -81,6 +81,7 @@
 	set->reader = reader;
 	set->settings = settings;
 	set->monitors.loop = loop;
+	set->monitors.vm_id = settings->vm_id;
 	set->monitors.factory = settings->upstreams ? settings->upstreams : &owner_upstream_pg;
 	set->random = (uint64_t) clock_now_us () ^ (uint64_t) settings->vm_id << 40 ^ clock_wall_ns ();
 	set->monitors.random = random_next (&set->random);
--- a/include/flamingospring/owner_monitor.h
+++ b/include/flamingospring/owner_monitor.h
@@ -44,6 +44,7 @@
 struct monitor_set
 {
 	struct loop *loop;
+	uint32_t vm_id; /**< Named to the servers. */
 	const struct owner_upstream_factory *factory;
 	struct owner_monitor *first;
 	uint64_t random;
