--- a/decision/membership.c
+++ b/decision/membership.c
@@ -245,6 +245,17 @@
 	       a->control_port == b->control_port && a->zone == b->zone;
 }
 
+/* A newer revision may come first in a rumor or in a datagram of the member itself. The generation tells
+ * the configuration module in both cases, since the other one is then no news. */
+static void
+learn_config_revision (struct membership *membership, struct member_record *member,
+                       uint64_t revision)
+{
+	if (revision > self_record (membership)->config_revision && revision != member->config_revision)
+		membership->generation++;
+	member->config_revision = revision;
+}
+
 static bool
 merge_member (struct membership *membership, const struct membership_item *item,
               uint32_t heard_from, int64_t now_us)
@@ -267,7 +278,7 @@
 	}
 	else if (item->version == member_version (member) &&
 	         item->config_revision > member->config_revision)
-		member->config_revision = item->config_revision;
+		learn_config_revision (membership, member, item->config_revision);
 	if (item->version <= member_version (member) && !is_first)
 	{
 		if (state == MEMBER_SUSPECT || state == MEMBER_DEAD)
@@ -283,7 +294,7 @@
 	else if (member->incarnation == 0)
 		rumor_add_greeting (membership, member);
 	member->incarnation = item->version >> 2;
-	member->config_revision = item->config_revision;
+	learn_config_revision (membership, member, item->config_revision);
 	if (!is_same_address (&member->address, &item->address))
 		membership->generation++;
 	member->address = item->address;
@@ -388,10 +399,7 @@
 	member = member_table_find (membership, message->from);
 	if (!member)
 		return; /* Its address comes with its own item, in one of its next datagrams. */
-	if (message->config_revision > self_record (membership)->config_revision &&
-	    message->config_revision != member->config_revision)
-		membership->generation++;
-	member->config_revision = message->config_revision;
+	learn_config_revision (membership, member, message->config_revision);
 	member_handle_event (membership, member, MEMBER_ANSWERED, now_us);
 	if (member->state == MEMBER_LEAVING)
 		member->down_since_us = 0;
--- a/tests/unit/membership.c
+++ b/tests/unit/membership.c
@@ -107,6 +107,29 @@
 	g_free (self);
 }
 
+/* Guards against a newer configuration that is never pulled: its revision came in a rumor about the
+ * member, and the member's own datagram was then no news. */
+static void
+test_config_revision (void)
+{
+	struct membership *self = new_membership (1, 5);
+	struct membership_item told = member_item (2, 1, MEMBER_ALIVE);
+	uint64_t generation;
+
+	membership_merge (self, &told, 2000000);
+	generation = membership_generation (self);
+	told.config_revision = 7;
+	membership_merge (self, &told, 3000000);
+	g_assert_cmpuint (membership_find_newer (self, 6, 1), ==, 2);
+	g_assert_cmpuint (membership_generation (self), >, generation);
+	generation = membership_generation (self);
+	told = member_item (2, 2, MEMBER_ALIVE);
+	told.config_revision = 8;
+	membership_merge (self, &told, 4000000);
+	g_assert_cmpuint (membership_generation (self), >, generation);
+	g_free (self);
+}
+
 /* Guards against tables that overflow. */
 static void
 test_full (void)
@@ -253,6 +276,7 @@
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/membership/merge", test_merge);
 	g_test_add_func ("/membership/refute", test_refute);
+	g_test_add_func ("/membership/config_revision", test_config_revision);
 	g_test_add_func ("/membership/full", test_full);
 	g_test_add_func ("/membership/big", test_big);
 	g_test_add_func ("/membership/rejoin", test_rejoin);
