--- a/decision/failover.c
+++ b/decision/failover.c
@@ -27,18 +27,24 @@
 	/* Quiet polls of the primary for one of each replica. A replica's fence by a claimant that died is
 	 * seen that late in a group without traffic; writes see it at once in the acknowledgement. */
 	REPLICA_POLLS = 3,
-	MAX_ATTEMPTS = 2, /* Fences of one claim; lost answers may make the first one fail. */
+	/* Fences of one claim. A claimant that hears a majority of the servers may go on after the first
+	 * ones, since lost answers make them fail; one that hears none leaves the claim to others. */
+	MAX_ATTEMPTS = 2,
+	MAX_HEARD_ATTEMPTS = 10,
+	/* The answer to a fence counts as lost when polls show the promise this long after. */
+	ANSWER_LOST_US = 300000,
 	/* A claim that does not hurry waits this long for the fences that a majority does not need, so
 	 * that a healthy primary is among the fenced servers and can be promoted again. */
 	GATHER_US = 100000,
+	/* A planned change waits longer for the answer of its target, since it fails without it. Below
+	 * step_timeout_us, which ends the claim. */
+	GATHER_TARGET_US = 400000,
 	/* Polls of an alert that leads to nothing become fewer, since the group may be cut off. */
 	LONG_ALERT_US = 10000000,
 	/* A planned change fences the old primary first, and waits this long at most for the server
 	 * that is asked for to get its last entries: a fenced one accepts none. */
 	CATCH_UP_US = 300000,
 	CATCH_UP_POLL_US = 20000,
-	/* A planned change waits this long for the server that is asked for to have the primary's log. */
-	PLANNED_LIMIT_US = 4000000,
 	ASKED_US = 1000000,
 	MAX_EVENTS = 8, /* Chart events of one call. */
 };
@@ -110,6 +116,18 @@
 	claim->step_us = now_us;
 }
 
+/* Decides between servers with equal logs. */
+static bool
+is_better_target (const struct failover_private *f, uint32_t server, uint32_t other)
+{
+	bool is_leaving = f->leaving >> server & 1;
+	bool is_other_leaving = f->leaving >> other & 1;
+
+	if (is_leaving != is_other_leaving)
+		return is_other_leaving;
+	return server == f->claim.preferred;
+}
+
 static void
 start_promoting (struct failover_private *f)
 {
@@ -125,7 +143,7 @@
 		order = best == FAILOVER_NO_PRIMARY
 		            ? 1
 		            : log_position_compare (claim->positions[i], claim->positions[best]);
-		if (order > 0 || (order == 0 && i == claim->preferred))
+		if (order > 0 || (order == 0 && is_better_target (f, i, best)))
 			best = i;
 	}
 	INVARIANT (count_bits (claim->fenced) >= failover_majority (f), "P2");
@@ -135,13 +153,6 @@
 	claim->step_us = f->now_us;
 }
 
-static void
-poll_all (struct failover_private *f)
-{
-	for (uint32_t i = 0; i < f->server_count; i++)
-		f->servers[i].next_poll_us = f->now_us;
-}
-
 static void
 handle_action (void *context, const char *name)
 {
@@ -150,7 +161,7 @@
 	if (strcmp (name, "poll_at_once") == 0)
 	{
 		f->alert_us = f->now_us;
-		poll_all (f);
+		failover_poll_all (f);
 	}
 	else if (strcmp (name, "fence") == 0)
 		start_fencing (f);
@@ -163,6 +174,16 @@
 	}
 }
 
+static bool
+hears_majority (const struct failover_private *f)
+{
+	uint32_t answered = 0;
+
+	for (uint32_t i = 0; i < f->server_count; i++)
+		answered += f->servers[i].answered_us >= f->claim.step_us;
+	return answered >= failover_majority (f);
+}
+
 static bool
 handle_condition (void *context, const char *name)
 {
@@ -170,7 +191,7 @@
 
 	if (strcmp (name, "is_turn") == 0)
 		return failover_is_turn (f, f->now_us);
-	return f->claim.attempts < MAX_ATTEMPTS;
+	return f->claim.attempts < (hears_majority (f) ? MAX_HEARD_ATTEMPTS : MAX_ATTEMPTS);
 }
 
 static const struct chart_ops failover_ops = { handle_action, handle_condition };
@@ -188,13 +209,41 @@
 		return take (f, EVENT_TRUST);
 	if (!failover_has_agreement (f, now_us))
 		return false;
-	f->claim.attempts = 0;
-	f->claim.is_catching_up = false;
-	f->claim.is_urgent = failover_is_late (f, now_us);
-	f->claim.preferred = f->primary;
+	f->claim = (struct claim){
+		.term = f->claim.term,
+		.is_urgent = failover_is_late (f, now_us),
+		.preferred = f->primary,
+		.old_primary = f->primary,
+	};
 	return take (f, EVENT_AGREEMENT);
 }
 
+/* How long a claim with a majority waits for more answers. */
+static int64_t
+gather_us (const struct claim *claim)
+{
+	uint32_t answered = claim->fenced | claim->rejected;
+
+	if (claim->is_planned && !(answered >> claim->preferred & 1))
+		return GATHER_TARGET_US;
+	return GATHER_US;
+}
+
+/* Tells whether a server is known to have promised the claim's term a while ago, and its answer has
+ * not come: it is probably lost, and waiting for the time limit would not bring it. */
+static bool
+has_lost_answer (const struct failover_private *f)
+{
+	const struct claim *claim = &f->claim;
+
+	for (uint32_t i = 0; i < f->server_count; i++)
+		if (!((claim->fenced | claim->rejected | claim->to_fence) >> i & 1) &&
+		    f->servers[i].status.promised_term == claim->term &&
+		    f->servers[i].answered_us - claim->step_us >= ANSWER_LOST_US)
+			return true;
+	return false;
+}
+
 static bool
 advance_claim (struct failover_private *f, int64_t now_us)
 {
@@ -213,49 +262,17 @@
 	if (claim->is_catching_up)
 		end_catching_up (f, now_us);
 	if (fenced < failover_majority (f))
-		return false;
+		return has_lost_answer (f) && take (f, EVENT_TIMEOUT);
 	if (!claim->is_urgent && fenced + rejected < f->server_count &&
-	    now_us - claim->step_us < GATHER_US)
+	    now_us - claim->step_us < gather_us (claim))
 		return false;
 	return take (f, EVENT_MAJORITY);
 }
 
-/** Compares answers from after the request only: the primary's last quiet poll may be seconds old. */
-static bool
-planned_is_covered (const struct failover_private *f)
-{
-	const struct observed_server *target = &f->servers[f->planned.server];
-	const struct observed_server *primary = &f->servers[f->primary];
-
-	return target->answered_us > f->planned.since_us &&
-	       primary->answered_us > f->planned.since_us &&
-	       log_position_covers (target->status.position, primary->status.position);
-}
-
-/** Starts the planned change once its server has what the primary has: a fenced primary may stop to
- * replicate, and the highest log is promoted, so an earlier fence would bring the old primary back. */
 static bool
 advance_planned (struct failover_private *f, int64_t now_us)
 {
-	struct planned_change *planned = &f->planned;
-
-	if (!planned->is_wanted)
-		return false;
-	if (now_us >= planned->until_us || f->primary == planned->server)
-	{
-		planned->is_wanted = false;
-		return false;
-	}
-	if (f->primary != FAILOVER_NO_PRIMARY && !planned_is_covered (f))
-		return false;
-	planned->is_wanted = false;
-	f->claim.attempts = 0;
-	f->claim.is_urgent = false;
-	f->claim.is_catching_up = f->primary != FAILOVER_NO_PRIMARY;
-	f->claim.preferred = planned->server;
-	f->claim.old_primary = f->primary;
-	f->suspected_us = now_us;
-	return take (f, EVENT_REQUEST);
+	return failover_start_planned (f, now_us) && take (f, EVENT_REQUEST);
 }
 
 static bool
@@ -431,6 +448,10 @@
 {
 	bool is_replica = f->primary != FAILOVER_NO_PRIMARY && server != f->primary;
 
+	if (is_in (f, STATE_FENCING) && f->claim.is_catching_up && server == f->claim.preferred)
+		return CATCH_UP_POLL_US;
+	if (f->planned.is_wanted && (f->planned.servers >> server & 1 || server == f->primary))
+		return CATCH_UP_POLL_US;
 	if (is_in (f, STATE_QUIET))
 		return is_replica ? REPLICA_POLLS * f->quiet_us : f->quiet_us;
 	if (now_us - f->alert_us < LONG_ALERT_US)
@@ -553,14 +574,20 @@
 	advance (f, now_us);
 	if (f->planned.is_wanted || (!is_in (f, STATE_QUIET) && !is_in (f, STATE_ALERT)))
 		return -EBUSY;
-	f->planned = (struct planned_change){ .is_wanted = true,
-		                                  .server = server,
-		                                  .since_us = now_us,
-		                                  .until_us = now_us + PLANNED_LIMIT_US };
-	poll_all (f);
+	failover_want_planned (f, 1u << server, now_us);
 	return 0;
 }
 
+void
+failover_set_leaving (struct failover *failover, uint32_t servers, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+
+	enter_call (f, now_us);
+	f->leaving = servers;
+	advance (f, now_us);
+}
+
 void
 failover_set_load (struct failover *failover, size_t groups)
 {
@@ -582,10 +609,6 @@
 		struct observed_server *server = &f->servers[i];
 		int64_t interval_us = poll_interval_us (f, i, now_us);
 
-		if (is_in (f, STATE_FENCING) && f->claim.is_catching_up && i == f->claim.preferred)
-			interval_us = CATCH_UP_POLL_US;
-		if (f->planned.is_wanted && (i == f->planned.server || i == f->primary))
-			interval_us = CATCH_UP_POLL_US;
 		if (now_us < server->next_poll_us)
 			continue;
 		/* Spreads the polls of the observers and groups of a fleet. */
@@ -688,8 +711,8 @@
 		if (f->claim.to_fence || f->claim.to_promote)
 			return f->now_us;
 		earlier (&next_us, f->claim.step_us + f->settings->step_timeout_us);
-		if (!f->claim.is_urgent && f->now_us < f->claim.step_us + GATHER_US)
-			earlier (&next_us, f->claim.step_us + GATHER_US);
+		if (!f->claim.is_urgent && f->now_us < f->claim.step_us + gather_us (&f->claim))
+			earlier (&next_us, f->claim.step_us + gather_us (&f->claim));
 	}
 	else if (f->primary != FAILOVER_NO_PRIMARY && f->servers[f->primary].unanswered_us)
 	{
@@ -700,6 +723,8 @@
 		else if (f->now_us < since_us + f->settings->suspect_after_us)
 			earlier (&next_us, since_us + f->settings->suspect_after_us);
 	}
+	if (failover_has_leaving_primary (f) && f->now_us < f->replace_at_us)
+		earlier (&next_us, f->replace_at_us);
 	if (f->stuck_since_us && f->now_us < f->stuck_since_us + f->settings->unfinished_after_us)
 		earlier (&next_us, f->stuck_since_us + f->settings->unfinished_after_us);
 	return next_us;
--- a/decision/failover_view.c
+++ b/decision/failover_view.c
@@ -5,6 +5,13 @@
 	OPINION_POLLS = 3, /* An opinion counts for this many alert polls. */
 };
 
+void
+failover_poll_all (struct failover_private *f)
+{
+	for (uint32_t i = 0; i < f->server_count; i++)
+		f->servers[i].next_poll_us = f->now_us;
+}
+
 uint32_t
 failover_majority (const struct failover_private *f)
 {
--- a/flamingospring/control_observer.c
+++ b/flamingospring/control_observer.c
@@ -12,8 +12,6 @@
 {
 	LINK_STUCK_US = 1000000, /* A connection whose answer is later is replaced. */
 	LINK_CONNECT_US = 1000000,
-	/* A leaving primary is replaced in one attempt at a time: each takes up to 4 s. */
-	PLANNED_RETRY_US = 5000000,
 	/* Writes to a primary that hands over are refused for this long at most. */
 	HANDOVER_US = 4200000,
 };
@@ -54,7 +52,6 @@
 	struct observer_link links[ROUTING_MAX_SERVERS];
 	struct loop_timer handover_timer;
 	uint32_t handing_over; /* The server with the mark. */
-	int64_t planned_at_us; /* Last planned change that a leaving primary asked for. */
 	bool is_pumping;
 	bool is_used;
 	uint64_t announced_term;
@@ -478,7 +475,6 @@
 	observer->timer.data = observer;
 	observer->handover_timer.handle_timer = handle_handover_timer;
 	observer->handover_timer.data = observer;
-	observer->planned_at_us = clock_now_us () - PLANNED_RETRY_US;
 	observer->next = control->observers;
 	control->observers = observer;
 	return observer;
@@ -523,30 +519,16 @@
 	return count;
 }
 
-/** A leaving primary hands over to a server that stays. Its owner has stopped new writes, so the others
- * catch up. */
-static void
-replace_leaving_primary (struct control_observer *observer, const struct snapshot_group *group,
-                         const struct failover_observer *first)
+/** Leaving servers as a bit set, without a primary whose handover an operator asked for. */
+static uint32_t
+leaving_servers (const struct snapshot_group *group)
 {
-	int64_t now_us = clock_now_us ();
+	uint32_t servers = 0;
 
-	if (!group->has_primary || !group->servers[group->primary].is_leaving ||
-	    group->servers[group->primary].is_handing_over ||
-	    first->id != observer->control->settings->vm_id ||
-	    now_us - observer->planned_at_us < PLANNED_RETRY_US)
-		return;
 	for (uint32_t s = 0; s < group->database->server_count; s++)
-	{
-		if (s == group->primary || group->servers[s].is_leaving)
-			continue;
-		if (failover_request_promotion (&observer->failover, s, now_us) < 0)
-			continue;
-		observer->planned_at_us = now_us;
-		log_event (LOG_LEVEL_INFO, "leaving_primary", "database=%s primary=%u target=%u",
-		           observer->database, group->primary, s);
-		return;
-	}
+		if (group->servers[s].is_leaving && !group->servers[s].is_handing_over)
+			servers |= 1u << s;
+	return servers;
 }
 
 static bool
@@ -579,8 +561,7 @@
 	failover_set_observers (&observer->failover, observers, count, now_us);
 	if (group->has_primary)
 		failover_handle_announced (&observer->failover, group->term, group->primary, now_us);
-	if (count > 0)
-		replace_leaving_primary (observer, group, &observers[0]);
+	failover_set_leaving (&observer->failover, leaving_servers (group), now_us);
 	loop_set_timer (&control->loop, &observer->timer, now_us);
 }
 
--- a/include/decision/failover.h
+++ b/include/decision/failover.h
@@ -128,6 +128,10 @@
 void failover_handle_announced (struct failover *failover, uint64_t term, uint32_t server,
                                 int64_t now_us);
 
+/** Tells which servers are leaving, as a bit set. The first observer replaces a leaving primary by any
+ * server that stays and has its log. */
+void failover_set_leaving (struct failover *failover, uint32_t servers, int64_t now_us);
+
 /** An operator asks for a change of primary to @p server. @return 0, -EBUSY or -EINVAL. */
 int failover_request_promotion (struct failover *failover, uint32_t server, int64_t now_us);
 
--- a/include/decision/failover_view.h
+++ b/include/decision/failover_view.h
@@ -1,7 +1,7 @@
 /**
  * @file
  * State of a failover observer, and its view of the group: what servers and other observers say.
- * For failover.c and failover_view.c only.
+ * For failover.c, failover_planned.c and failover_view.c only.
  */
 #pragma once
 
@@ -63,7 +63,8 @@
 	uint32_t old_primary; /* Of a planned change. */
 	uint32_t server;      /* To be promoted. */
 	uint32_t attempts;
-	bool is_urgent;      /* The primary is silent. */
+	bool is_urgent; /* The primary is silent. */
+	bool is_planned;
 	bool is_catching_up; /* Planned change: only the old primary is being fenced. */
 	bool to_promote;
 	int64_t started_us;
@@ -74,7 +75,8 @@
 struct planned_change
 {
 	bool is_wanted;
-	uint32_t server;
+	bool is_replacement; /* Of a leaving primary. */
+	uint32_t servers; /* Bit set: the first one that has the primary's log becomes the primary. */
 	int64_t since_us;
 	int64_t until_us;
 };
@@ -107,18 +109,30 @@
 	int64_t asked_until_us;
 	struct claim claim;
 	struct planned_change planned;
+	uint32_t leaving;      /* Bit set of servers. */
+	int64_t replace_at_us; /* A leaving primary asks for its replacement no earlier. */
 	struct failover_trace trace;
 	struct observed_server servers[ROUTING_MAX_SERVERS];
 	struct other_observer observers[FAILOVER_MAX_OBSERVERS];
 };
 
+/** Polls each server at once. */
+void failover_poll_all (struct failover_private *f);
+/** Asks for a change of primary to one of @p servers, a bit set. */
+void failover_want_planned (struct failover_private *f, uint32_t servers, int64_t now_us);
+/** Prepares a planned claim once its server has what the primary has: a fenced primary may stop to
+ * replicate, and the highest log is promoted, so an earlier fence would bring the old primary back.
+ * @return true when the claim is to start. */
+bool failover_start_planned (struct failover_private *f, int64_t now_us);
+/** Tells whether this observer has to replace the primary. Its owner has stopped new writes. */
+bool failover_has_leaving_primary (const struct failover_private *f);
 /** Servers that make a majority. */
 uint32_t failover_majority (const struct failover_private *f);
 /** The highest term that any server has promised or that its log shows. */
 uint64_t failover_highest_term (const struct failover_private *f);
 /** How long the known primary has not answered; 0: it has. */
 int64_t failover_silence_us (const struct failover_private *f, int64_t now_us);
-/** Tells whether the primary is late, or a promised term is above its term. */
+/** Tells whether the primary is late, its replicas do not follow, or a promised term is above its own. */
 bool failover_is_doubtful (const struct failover_private *f, int64_t now_us);
 bool failover_is_late (const struct failover_private *f, int64_t now_us);
 /** Takes over a newer primary; @p is_announced: the fleet knows it. */
