--- a/decision/failover.c
+++ b/decision/failover.c
@@ -20,6 +20,9 @@
 	.claim_step_us = 300000,
 	.step_timeout_us = 500000,
 	.unfinished_after_us = 1000000,
+	/* Not longer, since ownership may need 2.5 s to move first, and 5 s is the longest gap. Not much
+	 * shorter: replicas that lag this much after a quiet time look the same. */
+	.stalled_after_us = 1500000,
 };
 
 enum
@@ -96,6 +99,9 @@
 	claim->to_fence = (1u << f->server_count) - 1;
 	if (claim->is_catching_up)
 		claim->to_fence = 1u << claim->old_primary;
+	/* The old primary has the highest log, and would be promoted again. */
+	if (claim->is_stalled)
+		claim->to_fence &= ~(1u << claim->old_primary);
 	claim->step_us = f->now_us;
 }
 
@@ -212,6 +218,7 @@
 	f->claim = (struct claim){
 		.term = f->claim.term,
 		.is_urgent = failover_is_late (f, now_us),
+		.is_stalled = !failover_is_late (f, now_us) && failover_is_stalled (f, f->stall_limit_us),
 		.preferred = f->primary,
 		.old_primary = f->primary,
 	};
@@ -341,6 +348,7 @@
 	failover->state = f;
 	f->settings = settings;
 	f->quiet_us = settings->poll_quiet_us;
+	f->stall_limit_us = settings->stalled_after_us;
 	f->self = self;
 	f->server_count = servers;
 	f->seed = seed;
--- a/decision/failover_view.c
+++ b/decision/failover_view.c
@@ -3,6 +3,9 @@
 enum
 {
 	OPINION_POLLS = 3, /* An opinion counts for this many alert polls. */
+	/* Where a change of primary does not help, the next one waits twice as long, up to this: lag may
+	 * keep the replicas back as well as a cut link. */
+	STALL_LIMIT_MAX_US = 64000000,
 };
 
 void
@@ -52,10 +55,53 @@
 	return failover_silence_us (f, now_us) >= f->settings->reply_late_us;
 }
 
+bool
+failover_is_stalled (const struct failover_private *f, int64_t limit_us)
+{
+	uint32_t behind = 0;
+
+	if (f->primary == FAILOVER_NO_PRIMARY || f->stall_since_us == 0)
+		return false;
+	for (uint32_t i = 0; i < f->server_count; i++)
+	{
+		const struct observed_server *server = &f->servers[i];
+
+		behind += i != f->primary && server->answered_us - f->stall_since_us >= limit_us &&
+		          !log_position_covers (server->status.position, f->stall_position);
+	}
+	return behind >= failover_majority (f);
+}
+
+/* Follows how far the replicas are, with the answer of a server whose last position was @p old. */
+static void
+follow_replicas (struct failover_private *f, uint32_t server, struct log_position old,
+                 int64_t now_us)
+{
+	struct log_position position = f->servers[server].status.position;
+	uint32_t holders = 0;
+
+	if (f->primary == FAILOVER_NO_PRIMARY)
+		return;
+	if (server != f->primary && log_position_compare (position, old) > 0)
+		f->stall_since_us = 0;
+	if (f->stall_since_us == 0)
+	{
+		f->stall_position = f->servers[f->primary].status.position;
+		f->stall_since_us = now_us;
+	}
+	for (uint32_t i = 0; i < f->server_count; i++)
+		holders += log_position_covers (f->servers[i].status.position, f->stall_position);
+	if (holders < failover_majority (f))
+		return;
+	f->stall_since_us = 0;
+	f->stall_limit_us = f->settings->stalled_after_us;
+}
+
 bool
 failover_is_doubtful (const struct failover_private *f, int64_t now_us)
 {
-	return failover_is_late (f, now_us) || f->stuck_since_us != 0;
+	return failover_is_late (f, now_us) || f->stuck_since_us != 0 ||
+	       failover_is_stalled (f, f->settings->reply_late_us);
 }
 
 void
@@ -65,6 +111,9 @@
 	if (server >= f->server_count || term < f->term ||
 	    (term == f->term && f->primary != FAILOVER_NO_PRIMARY))
 		return;
+	if (failover_is_stalled (f, f->stall_limit_us) && f->stall_limit_us < STALL_LIMIT_MAX_US)
+		f->stall_limit_us *= 2;
+	f->stall_since_us = 0;
 	f->term = term;
 	f->primary = server;
 	/* Its silence from before does not count against the new primary. */
@@ -98,7 +147,8 @@
 		f->opinion = (struct failover_opinion){
 			.term = f->term,
 			.primary = f->primary,
-			.suspects = failover_silence_us (f, now_us) >= f->settings->suspect_after_us,
+			.suspects = failover_silence_us (f, now_us) >= f->settings->suspect_after_us ||
+			            failover_is_stalled (f, f->stall_limit_us),
 		};
 	}
 	if (f->opinion.suspects && !has_suspected)
@@ -161,6 +211,7 @@
 {
 	struct observed_server *observed = &f->servers[server];
 	uint64_t promised = observed->status.promised_term;
+	struct log_position old = observed->status.position;
 
 	observed->status = *status;
 	if (status->promised_term < promised)
@@ -174,4 +225,5 @@
 		f->primary = FAILOVER_NO_PRIMARY;
 		f->to_announce = false;
 	}
+	follow_replicas (f, server, old, now_us);
 }
--- a/include/decision/failover.h
+++ b/include/decision/failover.h
@@ -33,6 +33,7 @@
 	int64_t step_timeout_us;  /**< Limit for each of agree, fence and promote. */
 	int64_t
 		unfinished_after_us; /**< A promised term above the primary's for this long is completed. */
+	int64_t stalled_after_us; /**< A primary that no replica follows for this long is suspected. */
 };
 
 extern const struct failover_settings failover_default_settings;
--- a/include/decision/failover_view.h
+++ b/include/decision/failover_view.h
@@ -63,7 +63,8 @@
 	uint32_t old_primary; /* Of a planned change. */
 	uint32_t server;      /* To be promoted. */
 	uint32_t attempts;
-	bool is_urgent; /* The primary is silent. */
+	bool is_urgent;  /* The primary is silent. */
+	bool is_stalled; /* The primary answers, and its replicas do not follow. */
 	bool is_planned;
 	bool is_catching_up; /* Planned change: only the old primary is being fenced. */
 	bool to_promote;
@@ -101,6 +102,10 @@
 	uint64_t announced_term;
 	bool to_announce;
 
+	struct log_position stall_position; /* The primary had it at stall_since_us. */
+	int64_t stall_since_us; /* No replica moved since, no majority has the position; 0: not so. */
+	int64_t stall_limit_us; /* Grows while changes of primary do not help. */
+
 	struct failover_opinion opinion;
 	uint64_t stuck_term;
 	int64_t stuck_since_us; /* A promised term is above the primary's since; 0: it is not. */
@@ -132,6 +137,9 @@
 uint64_t failover_highest_term (const struct failover_private *f);
 /** How long the known primary has not answered; 0: it has. */
 int64_t failover_silence_us (const struct failover_private *f, int64_t now_us);
+/** Tells whether enough replicas to withhold a majority, and to make one, answered @p limit_us after
+ * the primary had an entry that they lack, and none of them had moved. */
+bool failover_is_stalled (const struct failover_private *f, int64_t limit_us);
 /** Tells whether the primary is late, its replicas do not follow, or a promised term is above its own. */
 bool failover_is_doubtful (const struct failover_private *f, int64_t now_us);
 bool failover_is_late (const struct failover_private *f, int64_t now_us);
