--- a/tests/virtual/fleet.c
+++ b/tests/virtual/fleet.c
@@ -82,6 +82,36 @@
 	send_message (&reply);
 }
 
+static void
+handle_delayed (void *context, const void *payload)
+{
+	send_message (payload);
+}
+
+/* Sends what the platform says, unless that is lost with its connection. */
+static void
+platform_send (const struct message *message, enum message_type type)
+{
+	struct fleet *fleet = message->fleet;
+	struct fleet_platform *platform = &fleet->platform;
+	struct message reply = *message;
+
+	reply.type = type;
+	reply.from = message->to;
+	reply.to = message->from;
+	reply.revision = platform->revision;
+	memcpy (reply.revisions, platform->revisions, sizeof reply.revisions);
+	if (platform->answer_loss_per_million &&
+	    virtual_random (&fleet->world) % 1000000 < platform->answer_loss_per_million)
+		platform->watches[message->from] = 0;
+	else if (!platform->answer_delay_us)
+		send_message (&reply);
+	else
+		virtual_add (&fleet->world, fleet->platform_node,
+		             fleet_now (fleet) + platform->answer_delay_us,
+		             (struct virtual_handler){ handle_delayed, NULL }, &reply, sizeof reply);
+}
+
 static void
 handle_platform (struct message *message)
 {
@@ -102,7 +132,7 @@
 	if (message->type == MESSAGE_WATCH)
 		platform->watches[message->from] = message->number;
 	if (message->type == MESSAGE_LOAD || platform->revision > message->revision)
-		reply_message (message, MESSAGE_PLATFORM, platform->revision, platform->revisions);
+		platform_send (message, MESSAGE_PLATFORM);
 }
 
 static void
@@ -422,6 +452,7 @@
 	if (membership_find_item (vm->membership, ITEM_GROUP, key, &item))
 		failover_handle_announced (&group->failover, item.version, (uint32_t) item.value,
 		                           fleet_now (fleet));
+	fleet_tell_leaving (vm, number);
 }
 
 static void
@@ -632,7 +663,7 @@
 			                     .number = platform->watches[i] };
 
 		if (event.number)
-			reply_message (&event, MESSAGE_PLATFORM, platform->revision, platform->revisions);
+			platform_send (&event, MESSAGE_PLATFORM);
 	}
 }
 
--- a/tests/virtual/fleet.h
+++ b/tests/virtual/fleet.h
@@ -31,6 +31,7 @@
 	uint32_t owners[FLEET_SERVERS]; /**< As this VM sees them. */
 	bool is_polling;                /**< Replicas are asked for the waiting writes. */
 	uint64_t answered_value;        /**< Highest write that was answered here. */
+	int64_t told_us[FLEET_SERVERS]; /**< The observer was told of the server's status. */
 };
 
 struct fleet_vm
@@ -54,6 +55,8 @@
 struct fleet_platform
 {
 	bool is_down;
+	int64_t answer_delay_us;
+	uint32_t answer_loss_per_million; /**< Answers and events lost; the connection breaks. */
 	uint64_t revision;
 	uint64_t revisions[FLEET_SERVICES];
 	uint64_t calls;
@@ -77,6 +80,8 @@
 	size_t count;
 	int64_t last_us; /**< Time of the last acknowledgement. */
 	int64_t longest_gap_us;
+	uint64_t unknown; /**< A write of unknown outcome that is to be asked again; 0: none. */
+	uint64_t reads;   /**< Reads with a token that a server was allowed to serve. */
 };
 
 struct fleet
@@ -95,7 +100,14 @@
 	 * itself for the owner. */
 	bool writes_at_owner;
 	const struct failover_settings *failover_settings; /**< Of VMs that become observers. */
-	size_t members_known; /**< VMs that a VM knows at its start: all, or FLEET_SEEDS. */
+	/** Writes carry a request id, and those of unknown outcome are asked again. */
+	bool repeats_writes;
+	/** VMs act on leaving servers of group 0; set by fleet_set_leaving(). */
+	bool heeds_leaving;
+	/** Servers of group 0 that are marked as leaving, since when; 0: not. */
+	int64_t leaving_since_us[FLEET_SERVERS];
+	int64_t whole_since_us; /**< All VMs run and reach each other since; INT64_MAX: they do not. */
+	size_t members_known;   /**< VMs that a VM knows at its start: all, or FLEET_SEEDS. */
 	/** First broken guarantee; NULL: none. */
 	const char *violation;
 };
@@ -113,12 +125,24 @@
  * no writes. */
 void fleet_run (struct fleet *fleet, int64_t time_us, int64_t write_every_us);
 
+/** Sends a write to the primary of group @p number as a random VM knows it. */
+void fleet_write (struct fleet *fleet, uint32_t number);
+/** A read with the token of the last acknowledged write, at a random VM and server of a group. */
+void fleet_read (struct fleet *fleet, uint32_t number);
+
+/** Compares the newest primary with what was acknowledged, and looks for doubled writes. */
+void fleet_check_log (struct fleet *fleet, uint32_t number);
+
 /** Changes a service's document at the platform. */
 void fleet_change_document (struct fleet *fleet, uint32_t service);
 /** Takes the platform down, or up again. */
 void fleet_set_platform (struct fleet *fleet, bool is_down);
 /** Marks a server as leaving at one VM. */
 void fleet_mark_leaving (struct fleet *fleet, uint32_t vm, const char *key, uint64_t version);
+/** Marks a server of group 0 as leaving at one VM, or as staying; its work is checked from then on. */
+void fleet_set_leaving (struct fleet *fleet, uint32_t vm, uint32_t server, bool is_leaving);
+/** Tells whether all VMs have had the time to learn that a server of group 0 is leaving (P7). */
+bool fleet_leaving_is_due (const struct fleet *fleet, uint32_t server);
 
 /** Running VMs that do not know the item with this version. */
 uint32_t fleet_count_without (const struct fleet *fleet, enum item_type type, const char *key,
--- a/tests/virtual/fleet_private.h
+++ b/tests/virtual/fleet_private.h
@@ -26,8 +26,11 @@
 /** Key of a group in items. */
 void fleet_group_key (uint32_t group, char *key, size_t bytes);
 
-/** Sends a write to the primary of group @p number as a random VM knows it. */
-void fleet_write (struct fleet *fleet, uint32_t number);
+/** Tells whether a VM may send new work to a server, and checks that none goes to a leaving one. */
+bool fleet_may_use (struct fleet_vm *vm, uint32_t number, uint32_t server);
+
+/** Tells the observer at this VM which servers are leaving. */
+void fleet_tell_leaving (struct fleet_vm *vm, uint32_t number);
 
 /** Checks a new primary against everything acknowledged; payload: struct virtual_server. */
 void fleet_handle_promoted (void *context, const void *payload);
--- a/tests/virtual/fleet_write.c
+++ b/tests/virtual/fleet_write.c
@@ -1,12 +1,15 @@
 /* Writes of the virtual fleet, and the checks of what was acknowledged. */
 #include "fleet_private.h"
 
+#include <errno.h>
 #include <glib.h>
 
 enum
 {
 	ACKNOWLEDGE_US = 2000000,
 	OVERDUE_US = 300000, /* The traffic thread reports an answer as overdue. */
+	TELL_US = 100000,    /* The traffic thread tells the observer of a status at most this often. */
+	REPLAY = 7,          /* In place of the server: the write was found in the log. */
 };
 
 void
@@ -32,6 +35,42 @@
 	}
 }
 
+/* Finds the first position of a repeated write, whose acknowledgement waited for a later one. */
+static bool
+find_replay (const struct virtual_group *group, struct fleet_write *write)
+{
+	for (uint32_t s = 0; s < FLEET_SERVERS; s++)
+	{
+		const struct virtual_server *server = &group->servers[s];
+
+		for (uint64_t i = server->length; server->primary_term == write->position.term && i > 0;
+		     i--)
+			if (server->log[i - 1].value == write->value)
+			{
+				write->position = (struct log_position){ server->log[i - 1].term, i };
+				return true;
+			}
+	}
+	return false;
+}
+
+void
+fleet_check_log (struct fleet *fleet, uint32_t number)
+{
+	const struct virtual_server *newest = &fleet->groups[number].servers[0];
+	g_autoptr (GHashTable) values = g_hash_table_new (g_int64_hash, g_int64_equal);
+
+	for (uint32_t s = 1; s < FLEET_SERVERS; s++)
+		if (fleet->groups[number].servers[s].primary_term > newest->primary_term)
+			newest = &fleet->groups[number].servers[s];
+	for (uint64_t i = 0; i < newest->length; i++)
+		if (newest->log[i].value && !g_hash_table_add (values, &newest->log[i].value))
+			fleet_violate (fleet, "P6: a write is in the log twice");
+	for (size_t i = 0; i < fleet->histories[number].count; i++)
+		if (!g_hash_table_contains (values, &fleet->histories[number].writes[i].value))
+			fleet_violate (fleet, "P2: an acknowledged write is missing at the end");
+}
+
 static void
 group_acknowledge (struct fleet *fleet, uint32_t number, struct fleet_group *group)
 {
@@ -44,10 +83,18 @@
 		struct fleet_write write = { result.position, result.cookie >> 3,
 			                         (uint32_t) (result.cookie & 7) };
 
+		if (result.verdict != ACKNOWLEDGEMENT_DONE)
+			history->unknown = write.value;
 		if (result.verdict != ACKNOWLEDGEMENT_DONE)
 			continue;
+		if (write.server == REPLAY && !find_replay (&fleet->groups[number], &write))
+		{
+			fleet_violate (fleet, "P2: a repeated write was acknowledged that no primary has");
+			continue;
+		}
 		for (size_t i = history->count; i > 0 && i + 64 > history->count; i--)
 			if (history->writes[i - 1].position.term == write.position.term &&
+			    write.server != REPLAY && history->writes[i - 1].server != REPLAY &&
 			    history->writes[i - 1].server != write.server)
 				fleet_violate (fleet, "P2: two primaries got acknowledgements in one term");
 		for (uint32_t i = 0; i < FLEET_SERVERS; i++)
@@ -76,6 +123,15 @@
 	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
 
 	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
+	if (vm->fleet->writes_at_owner && group->is_observer &&
+	    fleet_now (vm->fleet) - group->told_us[reply->server] >= TELL_US)
+	{
+		group->told_us[reply->server] = fleet_now (vm->fleet);
+		failover_handle_traffic (&group->failover, reply->server, true, fleet_now (vm->fleet));
+		failover_handle_status (&group->failover, reply->server, &reply->status, reply->sent_us,
+		                        fleet_now (vm->fleet));
+		fleet_vm_step (vm);
+	}
 	group_acknowledge (vm->fleet, (uint32_t) (group - vm->groups), group);
 }
 
@@ -115,10 +171,12 @@
 		fleet_vm_step (vm);
 	}
 	acknowledgement_report (group->acknowledgement, reply->server, &reply->status);
-	if (reply->result != 0)
+	if (reply->result != 0 && reply->result != -EEXIST)
 		return;
-	acknowledgement_add (group->acknowledgement, reply->request.value << 3 | reply->server,
-	                     reply->status.position, fleet_now (vm->fleet) + ACKNOWLEDGE_US);
+	acknowledgement_add (group->acknowledgement,
+	                     reply->request.value << 3 | (reply->result ? REPLAY : reply->server),
+	                     reply->result ? reply->last : reply->status.position,
+	                     fleet_now (vm->fleet) + ACKNOWLEDGE_US);
 	if (!group->is_polling)
 		handle_write_poll (group, NULL);
 }
@@ -137,7 +195,10 @@
 	struct fleet_group *group = context;
 	struct fleet_vm *vm = *(struct fleet_vm **) group->failover_memory;
 
-	if (!group->is_observer || group->answered_value >= sent->value)
+	if (group->answered_value >= sent->value)
+		return;
+	vm->fleet->histories[group - vm->groups].unknown = sent->value;
+	if (!group->is_observer)
 		return;
 	failover_handle_traffic (&group->failover, sent->server, false, fleet_now (vm->fleet));
 	fleet_vm_step (vm);
@@ -150,7 +211,8 @@
 	struct virtual_request request = { .type = VIRTUAL_WRITE,
 		                               .value = ++fleet->next_value,
 		                               .run_us = 1000 };
-	struct sent_write sent = { .value = request.value };
+	struct fleet_history *history = &fleet->histories[number];
+	struct sent_write sent;
 	struct membership_item item;
 	char key[16];
 
@@ -160,8 +222,14 @@
 	sent.server = (uint32_t) item.value;
 	if (fleet->writes_at_owner && vm->groups[number].owners[sent.server])
 		vm = &fleet->vms[vm->groups[number].owners[sent.server] - 1];
-	if (fleet->world.nodes[vm->index].state != VIRTUAL_RUNNING)
+	if (fleet->world.nodes[vm->index].state != VIRTUAL_RUNNING ||
+	    !fleet_may_use (vm, number, sent.server))
 		return;
+	request.is_once = fleet->repeats_writes;
+	if (fleet->repeats_writes && history->unknown)
+		request.value = history->unknown;
+	history->unknown = 0;
+	sent.value = request.value;
 	virtual_group_call (&fleet->groups[number], (int) vm->index, sent.server, &request,
 	                    (struct virtual_handler){ handle_written, &vm->groups[number] });
 	virtual_add (&fleet->world, (int) vm->index, fleet_now (fleet) + OVERDUE_US,
--- a/tests/virtual/group.c
+++ b/tests/virtual/group.c
@@ -172,6 +172,7 @@
 	if (request->type == VIRTUAL_WRITE)
 		call.reply.result = server_write (server, request, &first);
 	call.reply.status = virtual_server_status (server);
+	call.reply.last = call.reply.status.position;
 	if (call.reply.result == -EEXIST)
 		call.reply.status.position = first;
 	if (virtual_random (group->world) % 1000000 >= group->answer_loss_per_million)
@@ -207,7 +208,7 @@
                     const struct virtual_request *request, struct virtual_handler handler)
 {
 	struct call call = {
-		group, node, handler, { *request, server, group->world->now_us, 0, { 0 } }
+		group, node, handler, { *request, server, group->world->now_us, 0, { 0 }, { 0 } }
 	};
 
 	virtual_send (group->world, true, node, group->first_node + (int) server,
--- a/tests/virtual/group.h
+++ b/tests/virtual/group.h
@@ -49,6 +49,7 @@
 	 * -EEXIST: repeated WRITE with is_once, whose first position is in @c status. */
 	int result;
 	struct server_status status; /**< After the request; the position of a write is in it. */
+	struct log_position last;    /**< End of the log after the request. */
 };
 
 struct virtual_group;
