--- a/include/decision/failover.h
+++ b/include/decision/failover.h
@@ -33,6 +33,7 @@
 	int64_t step_timeout_us;  /**< Limit for each of agree, fence and promote. */
 	int64_t
 		unfinished_after_us; /**< A promised term above the primary's for this long is completed. */
+	int64_t stalled_after_us; /**< A primary that no replica follows for this long is suspected. */
 };
 
 extern const struct failover_settings failover_default_settings;
@@ -128,6 +129,10 @@
 void failover_handle_announced (struct failover *failover, uint64_t term, uint32_t server,
                                 int64_t now_us);
 
+/** Tells which servers are leaving, as a bit set. The first observer replaces a leaving primary by any
+ * server that stays and has its log. */
+void failover_set_leaving (struct failover *failover, uint32_t servers, int64_t now_us);
+
 /** An operator asks for a change of primary to @p server. @return 0, -EBUSY or -EINVAL. */
 int failover_request_promotion (struct failover *failover, uint32_t server, int64_t now_us);
 
