--- a/flamingospring/owner_observe.c
+++ b/flamingospring/owner_observe.c
@@ -18,8 +18,9 @@
 	struct monitor_user user;
 	struct observed *next;
 	struct owner_set *set;
-	struct observer_request status; /**< A status that was asked for; OBSERVER_NONE: none. */
-	int64_t asked_us;               /**< Of it: the answer to an earlier question is too old. */
+	struct observer_request status; /**< The last status that was asked for. */
+	bool is_asked;                  /**< It has no answer yet. */
+	int64_t asked_us;               /**< The answer to an earlier question is too old. */
 };
 
 static void
@@ -39,10 +40,7 @@
 		                              .result = result,
 		                              .sent_us = sent_us };
 
-	/* Questions of the owners are told by their own observations. */
-	if (observed->status.question == OBSERVER_NONE)
-		return;
-	observed->status.question = OBSERVER_NONE;
+	observed->is_asked = false;
 	if (status)
 		answer.status = *status;
 	answer_send (observed, &answer);
@@ -53,20 +51,28 @@
 {
 	struct observed *observed = user->data;
 
-	if (sent_us >= observed->asked_us)
+	/* Questions of the owners are told by their own observations. */
+	if (observed->is_asked && sent_us >= observed->asked_us)
 		answer_status (observed, OBSERVER_ACCEPTED, status, sent_us);
 }
 
 static void
 handle_silence (struct monitor_user *user)
 {
-	answer_status (user->data, OBSERVER_FAILED, NULL, user->monitor->sent_us);
+	struct observed *observed = user->data;
+
+	/* A connection that breaks tells at once, without waiting for the next question. */
+	if (observed->status.question != OBSERVER_NONE)
+		answer_status (observed, OBSERVER_FAILED, NULL, user->monitor->sent_us);
 }
 
 static void
 handle_refused (struct monitor_user *user)
 {
-	answer_status (user->data, OBSERVER_REFUSED, NULL, user->monitor->sent_us);
+	struct observed *observed = user->data;
+
+	if (observed->is_asked)
+		answer_status (observed, OBSERVER_REFUSED, NULL, user->monitor->sent_us);
 }
 
 static void
@@ -159,6 +165,7 @@
 		return;
 	}
 	observed->status = *request;
+	observed->is_asked = true;
 	observed->asked_us = now_us;
 	owner_monitor_ask_at_once (observed->user.monitor, now_us);
 }
--- a/tests/integration/connection_limit.c
+++ b/tests/integration/connection_limit.c
@@ -377,11 +377,34 @@
 	PQfinish (connection);
 }
 
+/* Guards against a killed primary that is noticed only by the next question to it. */
+static void
+test_killed (struct fixture *fixture, gconstpointer data)
+{
+	int64_t start_us;
+
+	run_for (fixture, 200 * US_PER_MS);
+	fixture->is_ending = true;
+	run_for (fixture, 200 * US_PER_MS);
+	for (unsigned i = 0; i < VMS; i++)
+		fixture->vms[i].polled_us = clock_now_us () + US_PER_S;
+	g_assert_cmpuint (fixture->observer_failures, ==, 0);
+	start_us = clock_now_us ();
+	database_group_kill (&fixture->group, 0);
+	while (fixture->observer_failures < GROUP_SERVERS && clock_now_us () - start_us < US_PER_S)
+		step (fixture);
+	g_test_message ("%u observers told after %ld us", fixture->observer_failures,
+	                (long) (clock_now_us () - start_us));
+	g_assert_cmpuint (fixture->observer_failures, >=, GROUP_SERVERS);
+	g_assert_cmpint (clock_now_us () - start_us, <, 500 * US_PER_MS);
+}
+
 int
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add ("/connection_limit/moves", struct fixture, NULL, set_up, test_moves, tear_down);
 	g_test_add ("/connection_limit/full", struct fixture, NULL, set_up, test_full, tear_down);
+	g_test_add ("/connection_limit/killed", struct fixture, NULL, set_up, test_killed, tear_down);
 	return g_test_run ();
 }
