--- a/tests/standin/group.c
+++ b/tests/standin/group.c
@@ -343,6 +343,9 @@
 static void
 group_connect (struct group *group)
 {
+	struct sockaddr_in source = group->peers[group->self];
+
+	source.sin_port = 0;
 	loop_set_timer (group->loop, &group->connect_timer, clock_now_us () + CONNECT_RETRY_US);
 	if (!group->is_primary || group->cut_replication)
 		return;
@@ -356,7 +359,7 @@
 		link->is_open = true;
 		link->is_streaming = false;
 		link->sent_index = 0;
-		stream_connect (&link->stream, group->loop, &link_ops, &group->peers[i]);
+		stream_connect (&link->stream, group->loop, &link_ops, &group->peers[i], &source);
 	}
 }
 
--- a/tests/standin/stream.c
+++ b/tests/standin/stream.c
@@ -148,14 +148,15 @@
 
 void
 stream_connect (struct stream *stream, struct loop *loop, const struct stream_ops *ops,
-                const struct sockaddr_in *address)
+                const struct sockaddr_in *address, const struct sockaddr_in *source)
 {
 	int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	stream_prepare (stream, loop, ops, fd);
 	stream->is_connecting = true;
-	if (connect (fd, (const struct sockaddr *) address, sizeof *address) < 0 &&
-	    errno != EINPROGRESS)
+	if ((source && bind (fd, (const struct sockaddr *) source, sizeof *source) < 0) ||
+	    (connect (fd, (const struct sockaddr *) address, sizeof *address) < 0 &&
+	     errno != EINPROGRESS))
 	{
 		stream_close (stream);
 		return;
--- a/tests/standin/stream.h
+++ b/tests/standin/stream.h
@@ -41,8 +41,9 @@
 };
 
 void stream_init (struct stream *stream, struct loop *loop, const struct stream_ops *ops, int fd);
+/** @p source: address to connect from; NULL: the system's choice. */
 void stream_connect (struct stream *stream, struct loop *loop, const struct stream_ops *ops,
-                     const struct sockaddr_in *address);
+                     const struct sockaddr_in *address, const struct sockaddr_in *source);
 void stream_finish (struct stream *stream);
 
 /** Sends what is in stream->out, now or when the socket is ready. */
