--- a/include/emulator/commands.h
+++ b/include/emulator/commands.h
@@ -12,3 +12,6 @@
 
 /** The platform's key-value service. @return the exit code. */
 int cmd_platform (int argc, char **argv);
+
+/** Links between processes, cut on commands from standard input. @return the exit code. */
+int cmd_relay (int argc, char **argv);
