--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -92,8 +92,8 @@
 
 	if (outcome == OUTCOME_DONE)
 		position = &result->written;
-	else if (outcome == OUTCOME_FAILED && result->reason == REASON_STATEMENT && plan->is_write &&
-	         result->server_is_primary)
+	else if (result->outcome == OUTCOME_FAILED && result->reason == REASON_STATEMENT &&
+	         plan->is_write && result->server_is_primary)
 		position = &result->server_position;
 	if (!position)
 		return (struct log_position){ 0 };
--- a/tests/unit/entry.c
+++ b/tests/unit/entry.c
@@ -389,13 +389,18 @@
 {
 	struct world *world = world_new ();
 	struct caller caller = { 0 };
+	struct fs_execute_result failed =
+		execution_result (OUTCOME_FAILED, REASON_STATEMENT, "duplicate key");
 
+	failed.server_position = (fs_position){ 5, 70 };
+	failed.server_is_primary = true;
 	world_start (world, call_new ("add", "id-4"), &caller);
 	lose (world_next (world), EXECUTION_LOST);
-	answer (world_next (world),
-	        execution_result (OUTCOME_FAILED, REASON_STATEMENT, "duplicate key"));
+	answer (world_next (world), failed);
 	g_assert_cmpint (caller.outcome, ==, OUTCOME_UNKNOWN);
 	g_assert_cmpint (caller.reason, ==, REASON_STATEMENT);
+	/* The next read sees what the second attempt failed on. */
+	g_assert_nonnull (caller.token);
 	caller_finish (&caller);
 	world_free (world);
 }
