--- a/flamingospring/owner_pool.c
+++ b/flamingospring/owner_pool.c
@@ -381,17 +381,10 @@
 	return -EINPROGRESS;
 }
 
-int
-owner_pool_execute (struct pool_user *user, const char *statement, const char *const *params,
-                    size_t param_count, int64_t limit_us)
+/* Limits the time of the answer, or closes the connection after a send that failed. */
+static int
+connection_sent (struct pool_connection *connection, int result, int64_t limit_us)
 {
-	struct pool_connection *connection = user->connection;
-	int result;
-
-	if (!connection)
-		return -ENOTCONN;
-	result =
-		connection->upstream.ops->execute (&connection->upstream, statement, params, param_count);
 	if (result < 0)
 	{
 		connection_close (connection);
@@ -401,6 +394,32 @@
 	return 0;
 }
 
+int
+owner_pool_execute (struct pool_user *user, const char *statement, const char *const *params,
+                    size_t param_count, int64_t limit_us)
+{
+	struct upstream *upstream = user->connection ? &user->connection->upstream : NULL;
+
+	if (!upstream)
+		return -ENOTCONN;
+	return connection_sent (user->connection,
+	                        upstream->ops->execute (upstream, statement, params, param_count),
+	                        limit_us);
+}
+
+int
+owner_pool_commit (struct pool_user *user, const char *statement, const char *const *params,
+                   size_t param_count, int64_t limit_us)
+{
+	struct upstream *upstream = user->connection ? &user->connection->upstream : NULL;
+
+	if (!upstream)
+		return -ENOTCONN;
+	return connection_sent (user->connection,
+	                        upstream->ops->commit (upstream, statement, params, param_count),
+	                        limit_us);
+}
+
 void
 owner_pool_give_back (struct owner_pool *pool, struct pool_user *user)
 {
--- a/flamingospring/upstream_pg.c
+++ b/flamingospring/upstream_pg.c
@@ -21,6 +21,8 @@
 	PGconn *conn;
 	PGresult *result; /* Of the outstanding statement. */
 	bool is_commit;
+	bool is_pipeline;                /* A statement and COMMIT are outstanding. */
+	bool is_before_commit;           /* The statement before COMMIT failed. */
 	struct loop_timer failure_timer; /* Reports a failed send outside of execute(). */
 	const char **names;
 	const char **cells;
@@ -209,6 +211,7 @@
 	sqlstate = PQresultErrorField (result, PG_DIAG_SQLSTATE);
 	snprintf (answer.sqlstate, sizeof answer.sqlstate, "%s", sqlstate ? sqlstate : "00000");
 	answer.result = pg_result_of (pg, answer.sqlstate);
+	answer.is_before_commit = pg->is_before_commit;
 	answer.message = PQresultErrorField (result, PG_DIAG_MESSAGE_PRIMARY);
 	if (!answer.message)
 		answer.message = "";
@@ -237,6 +240,30 @@
 	pg->result = result;
 }
 
+/* @return true when the outstanding statements have ended. */
+static bool
+pg_take_pipeline_result (struct pg_connection *pg, PGresult *result)
+{
+	if (!result)
+		return PQstatus (pg->conn) == CONNECTION_BAD;
+	if (PQresultStatus (result) == PGRES_PIPELINE_SYNC)
+	{
+		PQclear (result);
+		pg->is_pipeline = false;
+		/* Fails only with commands outstanding; without a result the connection counts as lost. */
+		if (PQexitPipelineMode (pg->conn) == 0)
+		{
+			PQclear (pg->result);
+			pg->result = NULL;
+		}
+		return true;
+	}
+	if (!pg->result && PQresultStatus (result) == PGRES_FATAL_ERROR)
+		pg->is_before_commit = true;
+	pg_take_result (pg, result);
+	return false;
+}
+
 static void
 pg_flush (struct upstream *upstream)
 {
@@ -256,13 +283,17 @@
 	while (upstream->is_busy && !PQisBusy (pg->conn))
 	{
 		PGresult *result = PQgetResult (pg->conn);
+		bool has_ended = !result;
 
-		if (!result)
+		if (pg->is_pipeline)
+			has_ended = pg_take_pipeline_result (pg, result);
+		else if (result)
+			pg_take_result (pg, result);
+		if (has_ended)
 		{
 			pg_deliver (upstream);
 			return;
 		}
-		pg_take_result (pg, result);
 	}
 	if (!is_broken && !upstream->is_busy)
 		PQisBusy (pg->conn); /* Parses notices and parameter changes. */
@@ -364,9 +395,24 @@
 	return -ECONNREFUSED;
 }
 
+static bool
+pg_send_query (PGconn *conn, const char *statement, const char *const *params, size_t param_count)
+{
+	return PQsendQueryParams (conn, statement, (int) param_count, NULL, params, NULL, NULL, 0) == 1;
+}
+
+static bool
+pg_send_with_commit (PGconn *conn, const char *statement, const char *const *params,
+                     size_t param_count)
+{
+	/* The server skips COMMIT when the statement before it fails. */
+	return PQenterPipelineMode (conn) == 1 &&
+	       pg_send_query (conn, statement, params, param_count) &&
+	       pg_send_query (conn, "COMMIT", NULL, 0) && PQpipelineSync (conn) == 1;
+}
+
 static int
-pg_send (struct upstream *upstream, const char *statement, const char *const *params,
-         size_t param_count, bool is_control)
+pg_start (struct upstream *upstream)
 {
 	struct pg_connection *pg = upstream->connection;
 
@@ -375,9 +421,18 @@
 	if (upstream->is_busy)
 		return -EBUSY;
 	upstream->is_busy = true;
-	upstream->is_control = is_control;
-	pg->is_commit = strcmp (statement, "COMMIT") == 0;
-	if (PQsendQueryParams (pg->conn, statement, (int) param_count, NULL, params, NULL, NULL, 0))
+	upstream->is_control = false;
+	pg->is_pipeline = false;
+	pg->is_before_commit = false;
+	return 0;
+}
+
+static int
+pg_finish_send (struct upstream *upstream, bool is_sent)
+{
+	struct pg_connection *pg = upstream->connection;
+
+	if (is_sent)
 	{
 		pg_flush (upstream);
 		return 0;
@@ -386,6 +441,35 @@
 	return loop_set_timer (upstream->loop, &pg->failure_timer, clock_now_us ());
 }
 
+static int
+pg_send (struct upstream *upstream, const char *statement, const char *const *params,
+         size_t param_count, bool is_control)
+{
+	struct pg_connection *pg = upstream->connection;
+	int result = pg_start (upstream);
+
+	if (result < 0)
+		return result;
+	upstream->is_control = is_control;
+	pg->is_commit = strcmp (statement, "COMMIT") == 0;
+	return pg_finish_send (upstream, pg_send_query (pg->conn, statement, params, param_count));
+}
+
+static int
+pg_commit (struct upstream *upstream, const char *statement, const char *const *params,
+           size_t param_count)
+{
+	struct pg_connection *pg = upstream->connection;
+	int result = pg_start (upstream);
+
+	if (result < 0)
+		return result;
+	pg->is_commit = true;
+	pg->is_pipeline = true;
+	return pg_finish_send (upstream,
+	                       pg_send_with_commit (pg->conn, statement, params, param_count));
+}
+
 static int
 pg_execute (struct upstream *upstream, const char *statement, const char *const *params,
             size_t param_count)
@@ -422,6 +506,7 @@
 static const struct upstream_ops pg_ops = {
 	.connect = pg_connect,
 	.execute = pg_execute,
+	.commit = pg_commit,
 	.ask_status = pg_ask_status,
 	.fence = pg_fence,
 	.promote = pg_promote,
--- a/include/flamingospring/owner_pool.h
+++ b/include/flamingospring/owner_pool.h
@@ -90,6 +90,10 @@
 int owner_pool_execute (struct pool_user *user, const char *statement, const char *const *params,
                         size_t param_count, int64_t limit_us);
 
+/** As owner_pool_execute(), with COMMIT behind the statement: see upstream_ops.commit. */
+int owner_pool_commit (struct pool_user *user, const char *statement, const char *const *params,
+                       size_t param_count, int64_t limit_us);
+
 /** Returns the held connection for reuse, or stops waiting for one. */
 void owner_pool_give_back (struct owner_pool *pool, struct pool_user *user);
 
--- a/include/flamingospring/upstream.h
+++ b/include/flamingospring/upstream.h
@@ -36,6 +36,7 @@
 	const char *const *cells;    /**< Row by row; NULL for NULL. */
 	struct server_status status; /**< Term and position that came with the answer. */
 	bool has_status;
+	bool is_before_commit; /**< Of commit(): the statement before COMMIT failed. */
 };
 
 /** Callbacks to the user of a connection, in its loop's thread. */
@@ -56,6 +57,11 @@
 	 * @return 0, -EBUSY, -ENOTCONN: it was not sent. */
 	int (*execute) (struct upstream *upstream, const char *statement, const char *const *params,
 	                size_t param_count);
+	/** Sends a statement of the open transaction and COMMIT behind it, in one round trip. The answer is
+	 * that of COMMIT; an error of the statement leaves the transaction aborted.
+	 * @return as execute(). */
+	int (*commit) (struct upstream *upstream, const char *statement, const char *const *params,
+	               size_t param_count);
 	int (*ask_status) (struct upstream *upstream);
 	int (*fence) (struct upstream *upstream, uint64_t term, uint32_t claimant);
 	int (*promote) (struct upstream *upstream, uint64_t term, uint32_t claimant);
--- a/tests/integration/upstream_pg.c
+++ b/tests/integration/upstream_pg.c
@@ -24,6 +24,7 @@
 	enum upstream_result result;
 	struct server_status status;
 	bool has_status;
+	bool is_before_commit;
 	char sqlstate[6];
 	char cell[64];
 	bool is_null;
@@ -51,6 +52,7 @@
 	client->result = answer->result;
 	client->status = answer->status;
 	client->has_status = answer->has_status;
+	client->is_before_commit = answer->is_before_commit;
 	client->rows = answer->row_count;
 	g_strlcpy (client->sqlstate, answer->sqlstate, sizeof client->sqlstate);
 	client->cell[0] = 0;
@@ -234,6 +236,87 @@
 	database_group_stop (&group);
 }
 
+static enum upstream_result
+commit (struct client *client, const char *statement, const char *first, const char *second)
+{
+	const char *params[] = { first, second };
+
+	g_assert_cmpint (client->upstream.ops->commit (&client->upstream, statement, params, 2), ==, 0);
+	wait_event (client);
+	return client->result;
+}
+
+/* Guards against a statement and its COMMIT that are told apart wrongly: an error of the statement
+ * must leave nothing committed, and the connection must serve the next statement. */
+static void
+test_commit (void)
+{
+	struct client client;
+	struct client other;
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&client, 0), ==, 0);
+	g_assert_cmpint (client_connect (&other, 0), ==, 0);
+	ask (&client, "BEGIN", NULL, NULL);
+	g_assert_cmpint (ask (&client, insert, "a", "1"), ==, UPSTREAM_OK);
+	g_assert_cmpint (commit (&client, insert, "b", "2"), ==, UPSTREAM_OK);
+	g_assert_true (client.has_status);
+	g_assert_cmpuint (client.status.position.index, ==, 2);
+	g_assert_cmpint (ask (&other, find, "a", NULL), ==, UPSTREAM_OK);
+	g_assert_cmpstr (other.cell, ==, "1");
+
+	ask (&client, "BEGIN", NULL, NULL);
+	g_assert_cmpint (ask (&client, insert, "c", "1"), ==, UPSTREAM_OK);
+	g_assert_cmpint (commit (&client, insert, "b", "2"), ==, UPSTREAM_DUPLICATE);
+	g_assert_true (client.is_before_commit);
+	g_assert_cmpint (ask (&client, "ROLLBACK", NULL, NULL), ==, UPSTREAM_OK);
+	g_assert_cmpint (ask (&client, find, "c", NULL), ==, UPSTREAM_OK);
+	g_assert_cmpuint (client.rows, ==, 0);
+
+	g_assert_cmpint (ask (&other, "SELECT standin_fault($1, $2)", "drop_commits", "1"), ==,
+	                 UPSTREAM_OK);
+	ask (&client, "BEGIN", NULL, NULL);
+	g_assert_cmpint (commit (&client, insert, "d", "1"), ==, UPSTREAM_LOST);
+	g_assert_cmpint (ask (&other, find, "d", NULL), ==, UPSTREAM_OK);
+	g_assert_cmpstr (other.cell, ==, "1");
+	upstream_pg_finish (&client.upstream);
+	upstream_pg_finish (&other.upstream);
+	database_group_stop (&group);
+}
+
+/* Guards against a stand-in that is kinder than PostgreSQL: the insert of an id that an open
+ * transaction has waits for its end, and succeeds or conflicts by how it ended. */
+static void
+test_duplicate_waits (void)
+{
+	static const char insert_id[] =
+		"INSERT INTO flamingospring_request (id, answer) VALUES ($1, $2)";
+	static const char *const ends[] = { "COMMIT", "ROLLBACK" };
+	const char *params[] = { "id", "" };
+	struct client holder;
+	struct client waiter;
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&holder, 0), ==, 0);
+	g_assert_cmpint (client_connect (&waiter, 0), ==, 0);
+	for (unsigned i = 0; i < G_N_ELEMENTS (ends); i++)
+	{
+		params[0] = ends[i];
+		ask (&holder, "BEGIN", NULL, NULL);
+		g_assert_cmpint (ask (&holder, insert_id, params[0], ""), ==, UPSTREAM_OK);
+		waiter.upstream.ops->execute (&waiter.upstream, insert_id, params, 2);
+		for (int64_t end_us = clock_now_us () + 200 * US_PER_MS; clock_now_us () < end_us;)
+			loop_step (&loop, US_PER_MS);
+		g_assert_false (waiter.has_event);
+		g_assert_cmpint (ask (&holder, ends[i], NULL, NULL), ==, UPSTREAM_OK);
+		wait_event (&waiter);
+		g_assert_cmpint (waiter.result, ==, i == 0 ? UPSTREAM_DUPLICATE : UPSTREAM_OK);
+	}
+	upstream_pg_finish (&holder.upstream);
+	upstream_pg_finish (&waiter.upstream);
+	database_group_stop (&group);
+}
+
 static void
 test_connection_limit (void)
 {
@@ -276,6 +359,8 @@
 	g_test_add_func ("/upstream_pg/promotion", test_promotion);
 	g_test_add_func ("/upstream_pg/lost", test_lost);
 	g_test_add_func ("/upstream_pg/lost_commit", test_lost_commit);
+	g_test_add_func ("/upstream_pg/commit", test_commit);
+	g_test_add_func ("/upstream_pg/duplicate_waits", test_duplicate_waits);
 	g_test_add_func ("/upstream_pg/connection_limit", test_connection_limit);
 	g_test_add_func ("/upstream_pg/large", test_large);
 	result = g_test_run ();
--- a/tests/standin/database.c
+++ b/tests/standin/database.c
@@ -336,11 +336,34 @@
 	database_start_waiting (database);
 }
 
+/** Tells whether a fault control asks to break the connection before the statement. */
+static bool
+session_is_cut (struct session *session)
+{
+	struct database *database = session->database;
+	const char *pattern = session->call.statement->pattern;
+	int64_t *count = NULL;
+
+	if (strcmp (pattern, "COMMIT") == 0)
+		count = &database->cut_commits;
+	else if (g_str_has_prefix (pattern, "INSERT INTO flamingospring_request"))
+		count = &database->cut_ids;
+	if (!count || *count == 0)
+		return false;
+	(*count)--;
+	return true;
+}
+
 static void
 session_execute (struct session *session)
 {
 	const struct statement *statement = session->call.statement;
 
+	if (session_is_cut (session))
+	{
+		stream_close (&session->stream);
+		return;
+	}
 	if (session->transaction == TRANSACTION_ABORTED && strcmp (statement->pattern, "COMMIT") != 0 &&
 	    strcmp (statement->pattern, "ROLLBACK") != 0)
 	{
--- a/tests/standin/database.h
+++ b/tests/standin/database.h
@@ -78,6 +78,8 @@
 	int64_t connections;
 	int64_t drop_answers; /**< Answers to lose, after the statement took effect. */
 	int64_t drop_commits; /**< As drop_answers, for COMMIT only. */
+	int64_t cut_ids;      /**< Inserts of a request id whose connection breaks before they run. */
+	int64_t cut_commits;  /**< As cut_ids, for COMMIT. */
 };
 
 enum session_state
--- a/tests/standin/statements.c
+++ b/tests/standin/statements.c
@@ -240,6 +240,8 @@
 	} faults[] = {
 		{ "connect_ms", &database->connect_ms },
 		{ "connections", &database->connections },
+		{ "cut_commits", &database->cut_commits },
+		{ "cut_ids", &database->cut_ids },
 		{ "cut_replication", &database->group.cut_replication },
 		{ "drop_answers", &database->drop_answers },
 		{ "drop_commits", &database->drop_commits },
--- a/tests/unit/owner_world.c
+++ b/tests/unit/owner_world.c
@@ -41,12 +41,28 @@
 	unsigned writes;
 	char *id;
 	char *answer;
+	char *blocked_id; /* Its insert waits for the open transaction that has the same id. */
+	char *blocked_answer;
+	bool is_commit; /* COMMIT follows the statement. */
+	enum fake_action action;
+	enum fake_action commit_action;
 	struct upstream_answer pending;
 	const char *column;
 	char cell_text[64];
 	const char *cell;
 };
 
+static void
+roll_back (struct fake_connection *fake)
+{
+	if (fake->id)
+		g_hash_table_remove (world_of_fakes->open_ids, fake->id);
+	g_clear_pointer (&fake->id, g_free);
+	g_clear_pointer (&fake->answer, g_free);
+	fake->writes = 0;
+	fake->in_transaction = false;
+}
+
 static void
 fake_close (struct upstream *upstream)
 {
@@ -59,14 +75,15 @@
 		world_of_fakes->running--;
 	fake->is_work = false;
 	fake->is_opening = false;
-	fake->in_transaction = false;
-	fake->writes = 0;
-	g_clear_pointer (&fake->id, g_free);
-	g_clear_pointer (&fake->answer, g_free);
+	roll_back (fake);
+	g_clear_pointer (&fake->blocked_id, g_free);
+	g_clear_pointer (&fake->blocked_answer, g_free);
 	upstream->is_connected = false;
 	upstream->is_busy = false;
 }
 
+static void continue_blocked (struct fake_connection *fake);
+
 static int
 fake_connect (struct upstream *upstream, uint32_t ip, uint16_t port, const char *database)
 {
@@ -99,6 +116,11 @@
 		                                                                        : -ECONNREFUSED);
 		return;
 	}
+	if (fake->blocked_id)
+	{
+		continue_blocked (fake);
+		return;
+	}
 	if (answer.result == UPSTREAM_LOST)
 		fake_close (upstream);
 	else
@@ -140,27 +162,22 @@
 static void
 commit (struct fake_connection *fake)
 {
+	bool has_changes = fake->writes > 0 || fake->id;
+
 	if (fake->id)
+	{
 		g_assert_false (g_hash_table_contains (world_of_fakes->answers, fake->id));
-	if (fake->id)
+		g_hash_table_remove (world_of_fakes->open_ids, fake->id);
 		g_hash_table_insert (world_of_fakes->answers, g_steal_pointer (&fake->id),
 		                     g_steal_pointer (&fake->answer));
+	}
 	world_of_fakes->applied += fake->writes;
-	if (fake->writes > 0)
+	if (has_changes)
 		append_entry (fake->server);
 	fake->writes = 0;
 	fake->in_transaction = false;
 }
 
-static void
-roll_back (struct fake_connection *fake)
-{
-	g_clear_pointer (&fake->id, g_free);
-	g_clear_pointer (&fake->answer, g_free);
-	fake->writes = 0;
-	fake->in_transaction = false;
-}
-
 static void
 put_cell (struct fake_connection *fake, const char *column, const char *cell)
 {
@@ -188,6 +205,28 @@
 	return UPSTREAM_OK;
 }
 
+/* As in PostgreSQL, a duplicate waits for the end of the transaction that has the id. */
+static enum upstream_result
+insert_id (struct fake_connection *fake, const char *id, const char *answer)
+{
+	struct fake_connection *holder = g_hash_table_lookup (world_of_fakes->open_ids, id);
+
+	if (!fake->server->status.is_primary)
+		return UPSTREAM_NOT_PRIMARY;
+	if (holder && holder != fake)
+	{
+		fake->blocked_id = g_strdup (id);
+		fake->blocked_answer = g_strdup (answer);
+		return UPSTREAM_OK;
+	}
+	if (g_hash_table_contains (world_of_fakes->answers, id))
+		return UPSTREAM_DUPLICATE;
+	fake->id = g_strdup (id);
+	fake->answer = g_strdup (answer);
+	g_hash_table_insert (world_of_fakes->open_ids, g_strdup (id), fake);
+	return UPSTREAM_OK;
+}
+
 static enum upstream_result
 run_statement (struct fake_connection *fake, const char *statement, const char *const *params)
 {
@@ -205,16 +244,11 @@
 	else if (strcmp (statement, "ROLLBACK") == 0)
 		roll_back (fake);
 	else if (g_str_has_prefix (statement, "INSERT INTO flamingospring_request"))
-	{
-		if (!fake->server->status.is_primary)
-			return UPSTREAM_NOT_PRIMARY;
-		if (g_hash_table_contains (world_of_fakes->answers, params[0]))
-			return UPSTREAM_DUPLICATE;
-		fake->id = g_strdup (params[0]);
-	}
+		return insert_id (fake, params[0], params[1]);
 	else if (g_str_has_prefix (statement, "UPDATE flamingospring_request"))
 	{
 		g_assert_cmpstr (params[0], ==, fake->id);
+		g_free (fake->answer);
 		fake->answer = g_strdup (params[1]);
 	}
 	else if (g_str_has_prefix (statement, "SELECT answer"))
@@ -236,12 +270,73 @@
 	old->status.position = (struct log_position){ 2, 1 };
 }
 
+static enum upstream_result
+run_action (struct fake_connection *fake, enum fake_action action, const char *statement,
+            const char *const *params)
+{
+	if (action == FAKE_LOSE_BEFORE)
+		return UPSTREAM_LOST;
+	if (action == FAKE_NOT_PRIMARY)
+		return UPSTREAM_NOT_PRIMARY;
+	if (action == FAKE_ERROR || action == FAKE_CONFLICT)
+		return UPSTREAM_STATEMENT_ERROR;
+	return run_statement (fake, statement, params);
+}
+
+static void
+answer_later (struct fake_connection *fake, enum fake_action action)
+{
+	g_strlcpy (fake->pending.sqlstate, action == FAKE_CONFLICT ? "40P01" : "",
+	           sizeof fake->pending.sqlstate);
+	if (action == FAKE_LOSE_AFTER)
+		fake->pending.result = UPSTREAM_LOST;
+	if (action == FAKE_REPLACE)
+		replace_primary (fake->server);
+	fake->pending.has_status = true;
+	fake->pending.status.position = fake->server->status.position;
+	if (action != FAKE_HANG)
+		loop_set_timer (fake->upstream->loop, &fake->timer,
+		                clock_now_us () + world_of_fakes->delay_us);
+}
+
+/* The statement has run, or waits for a row. */
+static void
+after_statement (struct fake_connection *fake)
+{
+	bool has_failed = fake->pending.result != UPSTREAM_OK || fake->action != 0;
+
+	if (fake->blocked_id)
+	{
+		loop_set_timer (fake->upstream->loop, &fake->timer, clock_now_us () + US_PER_MS);
+		return;
+	}
+	if (!fake->is_commit || has_failed)
+	{
+		fake->pending.is_before_commit = fake->is_commit;
+		answer_later (fake, fake->action);
+		return;
+	}
+	fake->pending.result = run_action (fake, fake->commit_action, "COMMIT", NULL);
+	answer_later (fake, fake->commit_action);
+}
+
+static void
+continue_blocked (struct fake_connection *fake)
+{
+	char *id = g_steal_pointer (&fake->blocked_id);
+	char *answer = g_steal_pointer (&fake->blocked_answer);
+
+	fake->pending.result = insert_id (fake, id, answer);
+	after_statement (fake);
+	g_free (id);
+	g_free (answer);
+}
+
 static int
-fake_execute (struct upstream *upstream, const char *statement, const char *const *params,
-              size_t param_count)
+start_statement (struct upstream *upstream, const char *statement, const char *const *params,
+                 bool is_commit)
 {
 	struct fake_connection *fake = upstream->connection;
-	enum fake_action action = find_action (statement);
 	struct world *world = world_of_fakes;
 
 	g_assert_true (upstream->is_connected && !upstream->is_busy);
@@ -254,31 +349,33 @@
 	upstream->is_busy = true;
 	if (++world->running > world->most_running)
 		world->most_running = world->running;
-	g_string_append_printf (world->log, "%u:%.*s;", fake->number, (int) strcspn (statement, " "),
-	                        statement);
+	world->round_trips++;
+	g_string_append_printf (world->log, "%u:%.*s%s;", fake->number, (int) strcspn (statement, " "),
+	                        statement, is_commit ? "+COMMIT" : "");
 	memset (&fake->pending, 0, sizeof fake->pending);
 	fake->pending.message = "scripted";
-	if (action == FAKE_LOSE_BEFORE)
-		fake->pending.result = UPSTREAM_LOST;
-	else if (action == FAKE_NOT_PRIMARY)
-		fake->pending.result = UPSTREAM_NOT_PRIMARY;
-	else if (action == FAKE_ERROR || action == FAKE_CONFLICT)
-		fake->pending.result = UPSTREAM_STATEMENT_ERROR;
-	else
-		fake->pending.result = run_statement (fake, statement, params);
-	g_strlcpy (fake->pending.sqlstate, action == FAKE_CONFLICT ? "40P01" : "",
-	           sizeof fake->pending.sqlstate);
-	if (action == FAKE_LOSE_AFTER)
-		fake->pending.result = UPSTREAM_LOST;
-	if (action == FAKE_REPLACE)
-		replace_primary (fake->server);
-	fake->pending.has_status = true;
-	fake->pending.status.position = fake->server->status.position;
-	if (action != FAKE_HANG)
-		loop_set_timer (upstream->loop, &fake->timer, clock_now_us () + world->delay_us);
+	fake->is_commit = is_commit;
+	fake->action = find_action (statement);
+	fake->commit_action = is_commit ? find_action ("COMMIT") : 0;
+	fake->pending.result = run_action (fake, fake->action, statement, params);
+	after_statement (fake);
 	return 0;
 }
 
+static int
+fake_execute (struct upstream *upstream, const char *statement, const char *const *params,
+              size_t param_count)
+{
+	return start_statement (upstream, statement, params, false);
+}
+
+static int
+fake_commit (struct upstream *upstream, const char *statement, const char *const *params,
+             size_t param_count)
+{
+	return start_statement (upstream, statement, params, true);
+}
+
 static int
 fake_ask_status (struct upstream *upstream)
 {
@@ -297,6 +394,7 @@
 static const struct upstream_ops fake_ops = {
 	.connect = fake_connect,
 	.execute = fake_execute,
+	.commit = fake_commit,
 	.ask_status = fake_ask_status,
 	.close = fake_close,
 };
@@ -393,6 +491,7 @@
 	}
 	world->servers[0].status.is_primary = true;
 	world->answers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	world->open_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 	world->log = g_string_new ("");
 	world->delay_us = US_PER_MS;
 	world->settings = (struct owner_settings){
@@ -418,6 +517,7 @@
 	snapshot_source_finish (&world->source);
 	loop_finish (&world->loop);
 	g_hash_table_unref (world->answers);
+	g_hash_table_unref (world->open_ids);
 	g_string_free (world->log, TRUE);
 }
 
--- a/tests/unit/owner_world.h
+++ b/tests/unit/owner_world.h
@@ -59,11 +59,13 @@
 	struct fake_rule rules[WORLD_MAX_RULES];
 	unsigned rule_count;
 	GHashTable *answers;  /* Committed request ids. */
+	GHashTable *open_ids; /* Of open transactions, to their connections. */
 	GString *log;         /* Statements of work connections, "connection:statement;". */
 	unsigned applied;     /* Committed runs of the statement "WRITE". */
 	unsigned connections; /* Open now, without monitors. */
 	unsigned highest;     /* Most at a time. */
 	unsigned running;     /* Statements outstanding. */
+	unsigned round_trips; /* To the servers, without status questions. */
 	unsigned most_running;
 	unsigned next_number;
 	int64_t delay_us; /* Of a statement's answer. */
