--- a/decision/request.c
+++ b/decision/request.c
@@ -31,6 +31,7 @@
 		[REASON_NOT_ACKNOWLEDGED] = "not_acknowledged",
 		[REASON_STATEMENT] = "statement",
 		[REASON_NO_TRANSACTION] = "no_transaction",
+		[REASON_ROLLED_BACK] = "rolled_back",
 	};
 
 	return (unsigned) reason < REASON_COUNT ? names[reason] : "other";
--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -141,8 +141,10 @@
 	char handle[TRANSACTION_HANDLE_MAX_BYTES];
 	char server[ENTRY_SERVER_BYTES];
 
-	/* An earlier attempt may have run, so a refusal of the last one proves nothing (P5). */
-	if (request->may_have_run && answer->outcome == OUTCOME_REFUSED)
+	/* An earlier attempt may have run, so a refusal of the last one proves nothing (P5), unless it
+	 * settles a commit. */
+	if (request->may_have_run && answer->outcome == OUTCOME_REFUSED &&
+	    answer->reason != REASON_ROLLED_BACK)
 	{
 		answer->outcome = OUTCOME_UNKNOWN;
 		answer->reason = REASON_CONNECTION_LOST;
--- a/flamingospring/entry_attempt.c
+++ b/flamingospring/entry_attempt.c
@@ -162,10 +162,30 @@
 	set->ops->execute (set->transport, &request->execution);
 }
 
+/** Asks the current primary what became of a COMMIT with a request id, because its transaction
+ * cannot be reached or has ended. @return false when the request may not be tried again. */
+static bool
+request_settle (struct entry_request *request, int64_t now_us)
+{
+	if (!request->plan.can_settle || !retry_is_allowed (request, false))
+		return false;
+	counter_add (COUNTER_COMMITS_SETTLED, 1);
+	request->plan.can_settle = false;
+	request->plan.is_pinned = false;
+	request->plan.is_retryable = true;
+	request->args.operation = FS_OPERATION_SETTLE;
+	/* By this request or by an earlier one of the caller. */
+	request->may_have_run = true;
+	request_wait (request, REASON_CONNECTION_LOST, 0, now_us);
+	return true;
+}
+
 /** The VM of a transaction is gone from the fleet. */
 static void
-request_finish_without_vm (struct entry_request *request)
+request_finish_without_vm (struct entry_request *request, int64_t now_us)
 {
+	if (request_settle (request, now_us))
+		return;
 	if (request->call->operation == FS_OPERATION_COMMIT)
 		entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST,
 		                             "the VM of the transaction is gone");
@@ -197,7 +217,7 @@
 	if (reason == REASON_NONE)
 		request_execute (request, now_us);
 	else if (request->plan.is_pinned)
-		request_finish_without_vm (request);
+		request_finish_without_vm (request, now_us);
 	else
 	{
 		/* Servers that refused may take it by the next try. */
@@ -216,6 +236,8 @@
 	int64_t delay_us = request->avoided_vm ? request_backoff_us (request) : 0;
 
 	request->avoided_vm = request->execution.vm;
+	if (status != EXECUTION_TIMED_OUT && request_settle (request, now_us))
+		return;
 	if (status == EXECUTION_NOT_SENT)
 	{
 		if (!plan->is_pinned && retry_is_allowed (request, false))
@@ -319,6 +341,16 @@
 	return true;
 }
 
+/** The transaction of a COMMIT has ended, or the answer to COMMIT is lost. */
+static bool
+result_asks_to_settle (const struct fs_execute_result *result)
+{
+	if (result->outcome == OUTCOME_FAILED)
+		return result->reason == REASON_NO_TRANSACTION;
+	return result->outcome == OUTCOME_UNKNOWN &&
+	       (result->reason == REASON_CONNECTION_LOST || result->reason == REASON_DEADLINE);
+}
+
 /** A read whose answer is older than the session's writes breaks P1 and must not be given out. */
 static bool
 result_breaks_session (const struct entry_request *request, const struct fs_execute_result *result)
@@ -346,6 +378,8 @@
 		request_handle_refusal (request, &behind, now_us);
 		return;
 	}
+	if (result_asks_to_settle (result) && request_settle (request, now_us))
+		return;
 	if (result->outcome == OUTCOME_REFUSED)
 		request_handle_refusal (request, result, now_us);
 	else if (!request_retries_unknown (request, result, now_us))
--- a/flamingospring/entry_check.c
+++ b/flamingospring/entry_check.c
@@ -118,6 +118,8 @@
 	plan->is_pinned = true;
 	plan->is_write = true;
 	plan->has_effect = call->operation != FS_OPERATION_ROLLBACK;
+	plan->can_settle =
+		call->operation == FS_OPERATION_COMMIT && call->request_id && call->request_id[0];
 	if (call->operation != FS_OPERATION_TRANSACTION_CALL)
 		return 0;
 	result = check_statement (plan, call, service, &found, problem);
--- a/flamingospring/owner_acknowledge.c
+++ b/flamingospring/owner_acknowledge.c
@@ -45,11 +45,14 @@
 }
 
 static void
-end_done (struct owner_task *task)
+end_settled (struct owner_task *task)
 {
 	if (task->is_replay)
 		counter_add (COUNTER_REPLAYS, 1);
-	owner_task_finish (task, OUTCOME_DONE, REASON_NONE, NULL, &task->rows, 0);
+	/* The stored mark rules out every attempt to commit the transaction. */
+	if (task->end_reason == REASON_ROLLED_BACK)
+		task->may_have_run = false;
+	owner_task_finish (task, task->end_outcome, task->end_reason, task->failure, &task->rows, 0);
 }
 
 void
@@ -74,7 +77,7 @@
 			owner->acknowledge_mean_us +=
 				(clock_now_us () - (*task)->acknowledge_us - owner->acknowledge_mean_us) /
 				MEAN_SHARE;
-			end_done (*task);
+			end_settled (*task);
 			break;
 		case ACKNOWLEDGEMENT_TIMEOUT:
 			end_unknown (*task, COUNTER_ACKNOWLEDGE_TIMEOUTS, "no majority confirmed it in time");
@@ -105,7 +108,7 @@
 		deadline_us = task->deadline_us;
 	if (owner->set->settings->acknowledge_at_primary)
 	{
-		end_done (task);
+		end_settled (task);
 		return;
 	}
 	/* A replaced primary drops the entries that the new one does not have. A position of another
--- a/flamingospring/owner_once.c
+++ b/flamingospring/owner_once.c
@@ -5,10 +5,13 @@
 #include <string.h>
 
 /* At-most-once execution: the request id and the answer are stored in the transaction of the
- * statement, so that the id tells whether it ran, on whichever server is the primary later. */
+ * statement, so that the id tells whether it ran, on whichever server is the primary later.
+ *
+ * A settle step takes the same steps without a statement. It inserts the id of a commit whose answer
+ * is not known with the mark "rolled back": when the id is taken, the mark found there is the answer;
+ * when it is not, the COMMIT can never take effect, because its own insert of the id conflicts. */
 
-static const char insert_statement[] =
-	"INSERT INTO flamingospring_request (id, answer) VALUES ($1, $2)";
+const char owner_once_insert[] = "INSERT INTO flamingospring_request (id, answer) VALUES ($1, $2)";
 static const char store_statement[] = "UPDATE flamingospring_request SET answer = $2 WHERE id = $1";
 static const char lookup_statement[] = "SELECT answer FROM flamingospring_request WHERE id = $1";
 
@@ -24,7 +27,7 @@
 		owner_task_execute (task, "BEGIN", NULL, 0);
 		return;
 	case ONCE_INSERT:
-		owner_task_execute (task, insert_statement, id_and_answer, 2);
+		owner_task_execute (task, owner_once_insert, id_and_answer, 2);
 		return;
 	case ONCE_STATEMENT:
 		owner_task_execute (task, task->statement, task->params, task->param_count);
@@ -53,7 +56,15 @@
 	 * attempt, even when its COMMIT is still in progress at the server. */
 	g_free (task->stored);
 	task->stored = NULL;
+	task->end_outcome = OUTCOME_DONE;
+	task->end_reason = REASON_NONE;
+	task->failure[0] = 0;
 	owner_rows_finish (&task->rows);
+	if (task->operation == FS_OPERATION_SETTLE)
+	{
+		task->stored = g_malloc (OWNER_MARK_BYTES);
+		owner_mark_format (task->stored, OWNER_MARK_ROLLED_BACK, task->transaction_id);
+	}
 	run_step (task, ONCE_BEGIN);
 }
 
@@ -83,8 +94,8 @@
 	if (task->end_outcome == OUTCOME_REFUSED)
 		owner_task_refuse (task, task->end_reason, 0);
 	else
-		owner_task_finish (task, task->may_have_run ? OUTCOME_UNKNOWN : task->end_outcome,
-		                   task->end_reason, task->failure, NULL, 0);
+		owner_task_finish (task, owner_task_failure_outcome (task), task->end_reason, task->failure,
+		                   NULL, 0);
 }
 
 static void
@@ -103,6 +114,40 @@
 	run_step (task, ONCE_STORE);
 }
 
+static void
+set_end (struct owner_task *task, enum outcome outcome, enum reason reason, const char *message)
+{
+	task->end_outcome = outcome;
+	task->end_reason = reason;
+	g_strlcpy (task->failure, message, sizeof task->failure);
+}
+
+static void
+set_end_rolled_back (struct owner_task *task)
+{
+	set_end (task, OUTCOME_REFUSED, REASON_ROLLED_BACK,
+	         "the transaction is rolled back and cannot be committed any more");
+}
+
+/* @return 0, or -EBADMSG when the stored answer is not readable. */
+static int
+read_stored (struct owner_task *task, const char *stored)
+{
+	bool settles = task->operation == FS_OPERATION_SETTLE;
+	uint64_t transaction = 0;
+	enum owner_mark mark = owner_mark_parse (stored, &transaction);
+
+	owner_rows_finish (&task->rows);
+	if (!settles && mark == OWNER_MARK_NONE)
+		return owner_rows_decode (&task->rows, stored);
+	if (!settles || mark == OWNER_MARK_NONE || transaction != task->transaction_id)
+		set_end (task, OUTCOME_FAILED, REASON_BAD_REQUEST,
+		         "the request id belongs to another request");
+	else if (mark == OWNER_MARK_ROLLED_BACK)
+		set_end_rolled_back (task);
+	return 0;
+}
+
 static void
 take_lookup (struct owner_task *task, const struct upstream_answer *answer)
 {
@@ -117,9 +162,7 @@
 		owner_task_retry (task);
 		return;
 	}
-	owner_rows_finish (&task->rows);
-	if (answer->column_count != 1 || !answer->cells[0] ||
-	    owner_rows_decode (&task->rows, answer->cells[0]) < 0)
+	if (answer->column_count != 1 || !answer->cells[0] || read_stored (task, answer->cells[0]) < 0)
 	{
 		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_STATEMENT,
 		                   "the stored answer is not readable", NULL, 0);
@@ -138,6 +181,8 @@
 	if (answer->has_status)
 		position = answer->status.position;
 	task->may_have_run = true;
+	if (task->operation == FS_OPERATION_SETTLE)
+		set_end_rolled_back (task);
 	owner_pool_give_back (&task->owner->pool, &task->user);
 	owner_acknowledge (task, position);
 }
@@ -152,7 +197,7 @@
 		run_step (task, ONCE_INSERT);
 		return;
 	case ONCE_INSERT:
-		run_step (task, ONCE_STATEMENT);
+		run_step (task, task->operation == FS_OPERATION_SETTLE ? ONCE_COMMIT : ONCE_STATEMENT);
 		return;
 	case ONCE_STATEMENT:
 		take_rows (task, answer);
--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -119,6 +119,7 @@
 	task->request = request;
 	request->handle = task->handle;
 	task->operation = args->operation;
+	task->transaction_id = args->transaction;
 	task->rank = RANK_NORMAL;
 	task->consistency = READ_PRIMARY;
 	task->run_limit_us = REQUEST_CONTROL_LIMIT_US;
@@ -432,16 +433,23 @@
 	owner_task_refuse (task, REASON_UPSTREAM_DOWN, (uint32_t) remaining_us);
 }
 
+enum outcome
+owner_task_failure_outcome (const struct owner_task *task)
+{
+	/* The error of a second attempt says nothing about the effect of the first, and that of a settle
+	 * step nothing about the commit. */
+	if (task->is_write && (task->may_have_run || task->operation == FS_OPERATION_SETTLE))
+		return OUTCOME_UNKNOWN;
+	return OUTCOME_FAILED;
+}
+
 void
 owner_task_fail (struct owner_task *task, const struct upstream_answer *answer)
 {
-	/* The error of a second attempt says nothing about the effect of the first. */
-	bool is_unknown = task->may_have_run && task->is_write;
-
 	if (answer->result == UPSTREAM_NOT_PRIMARY)
 		owner_task_refuse (task, REASON_NOT_PRIMARY, 0);
 	else
-		owner_task_finish (task, is_unknown ? OUTCOME_UNKNOWN : OUTCOME_FAILED, REASON_STATEMENT,
+		owner_task_finish (task, owner_task_failure_outcome (task), REASON_STATEMENT,
 		                   answer->message, NULL, 0);
 }
 
--- a/flamingospring/owner_result.c
+++ b/flamingospring/owner_result.c
@@ -132,7 +132,7 @@
 }
 
 static void
-check_guarantees (const struct owner_task *task, enum outcome outcome)
+check_guarantees (const struct owner_task *task, enum outcome outcome, enum reason reason)
 {
 	bool is_committed_write = task->is_write && outcome == OUTCOME_DONE &&
 	                          task->operation != FS_OPERATION_TRANSACTION_CALL;
@@ -141,6 +141,9 @@
 		INVARIANT (!task->may_have_run, "P5");
 	if (is_committed_write && !task->owner->set->settings->acknowledge_at_primary)
 		INVARIANT (task->is_acknowledged, "P2");
+	/* Without a majority, a new primary may lack the mark and still have the commit. */
+	if (reason == REASON_ROLLED_BACK && !task->owner->set->settings->acknowledge_at_primary)
+		INVARIANT (task->is_acknowledged, "P6");
 	if (outcome == OUTCOME_DONE && task->is_write && !task->is_idempotent &&
 	    task->operation == FS_OPERATION_CALL)
 		INVARIANT (task->uses_once, "P6");
@@ -156,7 +159,7 @@
 	struct fs_execute_result result = { .primary = -1, .server_age_ms = OWNER_AGE_UNKNOWN };
 	fs_value *cells = NULL;
 
-	check_guarantees (task, outcome);
+	check_guarantees (task, outcome, reason);
 	task_detach (task);
 	trace_span_end (&task->span, reason_name (reason));
 	result.outcome = outcome;
--- a/flamingospring/owner_set.c
+++ b/flamingospring/owner_set.c
@@ -221,6 +221,30 @@
 	owner_task_check (task);
 }
 
+static void
+submit_settle (struct owner *owner, const struct schema_service *service,
+               struct owner_request *request)
+{
+	const struct fs_execute_args *args = request->args;
+	struct owner_task *task;
+
+	if (!args->request_id || !args->request_id[0])
+	{
+		owner_reject (owner, request, OUTCOME_FAILED, REASON_BAD_REQUEST,
+		              "a commit is settled by its request id", 0);
+		return;
+	}
+	task = owner_task_new (owner, request, NULL, owner_tenant (service, args->tenant));
+	if (!task)
+	{
+		owner_reject (owner, request, OUTCOME_REFUSED, REASON_QUEUE_FULL, "out of memory", 0);
+		return;
+	}
+	task->is_write = true;
+	task->uses_once = true;
+	owner_task_admit (task);
+}
+
 static void
 submit_new_work (struct owner_set *set, const struct snapshot *snapshot,
                  struct owner_request *request)
@@ -257,6 +281,8 @@
 		owner_reject (owner, request, OUTCOME_REFUSED, REASON_DEADLINE, NULL, 0);
 	else if (args->operation == FS_OPERATION_BEGIN)
 		submit_begin (owner, service, request);
+	else if (args->operation == FS_OPERATION_SETTLE)
+		submit_settle (owner, service, request);
 	else
 		submit_call (owner, service, request);
 }
@@ -268,7 +294,8 @@
 
 	request->handle = HANDLE_NONE;
 	if (request->args->operation == FS_OPERATION_CALL ||
-	    request->args->operation == FS_OPERATION_BEGIN)
+	    request->args->operation == FS_OPERATION_BEGIN ||
+	    request->args->operation == FS_OPERATION_SETTLE)
 		submit_new_work (set, snapshot, request);
 	else
 		submit_to_transaction (set, snapshot, request);
--- a/flamingospring/owner_transaction.c
+++ b/flamingospring/owner_transaction.c
@@ -143,6 +143,14 @@
 	task->transaction = NULL;
 }
 
+static void
+end_not_sent (struct owner_transaction *transaction, struct owner_task *task)
+{
+	transaction_end (transaction, false);
+	owner_task_finish (task, OUTCOME_FAILED, REASON_CONNECTION_LOST,
+	                   "the connection broke; the transaction is rolled back", NULL, 0);
+}
+
 static void
 execute (struct owner_transaction *transaction, struct owner_task *task, const char *statement)
 {
@@ -152,11 +160,23 @@
 	task->state = TASK_RUNNING;
 	if (owner_pool_execute (&transaction->user, statement, is_call ? task->params : NULL,
 	                        is_call ? task->param_count : 0,
-	                        is_call ? task->run_limit_us : TRANSACTION_END_LIMIT_US) == 0)
-		return;
-	transaction_end (transaction, false);
-	owner_task_finish (task, OUTCOME_FAILED, REASON_CONNECTION_LOST,
-	                   "the connection broke; the transaction is rolled back", NULL, 0);
+	                        is_call ? task->run_limit_us : TRANSACTION_END_LIMIT_US) < 0)
+		end_not_sent (transaction, task);
+}
+
+/* The request id is inserted in the transaction itself: found later, it proves the commit. */
+static void
+execute_commit (struct owner_transaction *transaction, struct owner_task *task)
+{
+	char mark[OWNER_MARK_BYTES];
+	const char *id_and_answer[] = { task->request_id, mark };
+
+	INVARIANT (transaction->current == task, "P3");
+	task->state = TASK_RUNNING;
+	owner_mark_format (mark, OWNER_MARK_COMMITTED, owner_transaction_id (transaction));
+	if (owner_pool_commit (&transaction->user, owner_once_insert, id_and_answer, 2,
+	                       TRANSACTION_END_LIMIT_US) < 0)
+		end_not_sent (transaction, task);
 }
 
 void
@@ -168,7 +188,10 @@
 static void
 run_commit (struct owner_transaction *transaction, struct owner_task *task)
 {
-	task->is_write = transaction->has_written;
+	bool has_id = task->request_id[0] && !transaction->is_aborted;
+
+	/* The id is a row of its own, also in a transaction that only read. */
+	task->is_write = transaction->has_written || has_id;
 	task->expected_term = transaction->term;
 	if (task->is_write)
 	{
@@ -179,7 +202,10 @@
 	task->started_us = clock_now_us ();
 	trace_span_end (&task->span, NULL);
 	task->span = trace_span_start (&task->trace, "upstream", random_next (&task->owner->random));
-	execute (transaction, task, transaction->is_aborted ? "ROLLBACK" : "COMMIT");
+	if (has_id)
+		execute_commit (transaction, task);
+	else
+		execute (transaction, task, transaction->is_aborted ? "ROLLBACK" : "COMMIT");
 }
 
 void
@@ -245,6 +271,7 @@
 	struct log_position position = { 0 };
 	bool was_aborted = transaction->is_aborted;
 	bool is_lost = answer->result == UPSTREAM_LOST;
+	bool is_id_taken = answer->result == UPSTREAM_DUPLICATE && answer->is_before_commit;
 
 	if (answer->has_status)
 		position = answer->status.position;
@@ -255,6 +282,10 @@
 	else if (is_lost && task->is_write)
 		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST,
 		                   "the connection broke before the answer", NULL, 0);
+	/* By an attempt that was settled meanwhile, or by another request: the entry settles it. */
+	else if (is_id_taken)
+		owner_task_finish (task, OUTCOME_FAILED, REASON_NO_TRANSACTION,
+		                   "the request id is taken; the transaction is rolled back", NULL, 0);
 	else if (answer->result != UPSTREAM_OK && !is_lost)
 		owner_task_finish (task, OUTCOME_FAILED,
 		                   answer->result == UPSTREAM_NOT_PRIMARY ? REASON_NOT_PRIMARY
--- a/flamingospring/peer_listener.c
+++ b/flamingospring/peer_listener.c
@@ -114,7 +114,7 @@
 	if (!call)
 		return false;
 	if (!xdr_fs_execute_args (xdrs, &call->args) ||
-	    (unsigned) call->args.operation > FS_OPERATION_ROLLBACK)
+	    (unsigned) call->args.operation > FS_OPERATION_SETTLE)
 	{
 		xdr_free ((xdrproc_t) xdr_fs_execute_args, &call->args);
 		free (call);
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -31,6 +31,7 @@
 	X (ONCE_LOOKUPS, "once_lookups")                                                               \
 	X (TRANSACTIONS, "transactions")                                                               \
 	X (TRANSACTIONS_ABANDONED, "transactions_abandoned")                                           \
+	X (COMMITS_SETTLED, "commits_settled")                                                         \
 	X (ACKNOWLEDGE_TIMEOUTS, "acknowledge_timeouts")                                               \
 	X (ACKNOWLEDGE_REPLACED, "acknowledge_replaced")                                               \
 	X (FAILOVERS, "failovers")                                                                     \
--- a/include/decision/request.h
+++ b/include/decision/request.h
@@ -44,6 +44,7 @@
 	REASON_NOT_ACKNOWLEDGED, /**< No majority confirmed the write in time. */
 	REASON_STATEMENT,        /**< The database reported an error for the statement. */
 	REASON_NO_TRANSACTION,   /**< The transaction handle is not valid any more. */
+	REASON_ROLLED_BACK,      /**< The transaction had no effect and cannot have one any more. */
 	REASON_COUNT,
 };
 
--- a/include/flamingospring/entry_request.h
+++ b/include/flamingospring/entry_request.h
@@ -18,6 +18,7 @@
 	bool has_effect;   /**< An attempt without an answer may have changed the database. */
 	bool is_retryable; /**< May run again after an attempt without an answer. */
 	bool is_pinned;    /**< Belongs to a transaction, which lives in one VM. */
+	bool can_settle;   /**< COMMIT with a request id that was not settled yet. */
 	enum rank rank;
 	enum read_consistency consistency;
 	int64_t max_age_us;
--- a/include/flamingospring/owner_private.h
+++ b/include/flamingospring/owner_private.h
@@ -81,12 +81,13 @@
 	struct log_position required;
 	struct log_position written;
 	uint64_t expected_term;   /**< Term of the server before the write; 0: unknown. */
-	enum outcome end_outcome; /**< How a call ends after its rollback. */
+	enum outcome end_outcome; /**< How a call ends after its rollback or acknowledgement. */
 	enum reason end_reason;
-	char failure[256]; /**< Message of the failed statement, kept during its rollback. */
-	char *stored;      /**< JSON answer that is stored with the request id. */
+	char failure[256]; /**< Message for that end, such as that of the failed statement. */
+	char *stored;      /**< JSON answer, or mark of a transaction, that is stored with the id. */
 	char *statement;
 	char *request_id;
+	uint64_t transaction_id; /**< COMMIT and SETTLE: the transaction meant. */
 	const char **params;
 	size_t param_count;
 	struct pool_user user;
@@ -197,20 +198,42 @@
                          size_t param_count);
 /** Takes the connection again after a back-off. */
 void owner_task_retry (struct owner_task *task);
+/** Outcome of a task whose statement failed without an effect. */
+enum outcome owner_task_failure_outcome (const struct owner_task *task);
 /** Ends a task by the answer to a statement that had no effect. */
 void owner_task_fail (struct owner_task *task, const struct upstream_answer *answer);
 struct owner_rows owner_rows_of (const struct upstream_answer *answer);
 
 /* owner_once.c */
 
+extern const char owner_once_insert[];
 void owner_once_run (struct owner_task *task);
 void owner_once_handle_answer (struct owner_task *task, const struct upstream_answer *answer);
 /** The connection is gone, perhaps with a statement outstanding (@p is_overdue: by our limit). */
 void owner_once_handle_lost (struct owner_task *task, bool is_overdue);
 
+/* owner_mark.c */
+
+/** What the answer stored with a request id says about a transaction. */
+enum owner_mark
+{
+	OWNER_MARK_NONE,        /**< It is the answer of a single call. */
+	OWNER_MARK_COMMITTED,   /**< Stored in the transaction itself. */
+	OWNER_MARK_ROLLED_BACK, /**< Stored by a settle step: a late COMMIT conflicts with it. */
+};
+
+enum
+{
+	OWNER_MARK_BYTES = 32, /**< A mark's text with its final 0. */
+};
+
+void owner_mark_format (char text[OWNER_MARK_BYTES], enum owner_mark mark, uint64_t transaction);
+/** Reads a stored answer. @p transaction is set unless the result is OWNER_MARK_NONE. */
+enum owner_mark owner_mark_parse (const char *text, uint64_t *transaction);
+
 /* owner_acknowledge.c */
 
-/** Waits until a majority has @p position, then ends the task as done with its rows. */
+/** Waits until a majority has @p position, then ends the task with end_outcome and its rows. */
 void owner_acknowledge (struct owner_task *task, struct log_position position);
 /** Ends the writes that are settled. */
 void owner_acknowledge_settle (struct owner *owner);
--- a/include/protocols/peer.h
+++ b/include/protocols/peer.h
@@ -40,6 +40,7 @@
 	FS_OPERATION_TRANSACTION_CALL = 2,
 	FS_OPERATION_COMMIT = 3,
 	FS_OPERATION_ROLLBACK = 4,
+	FS_OPERATION_SETTLE = 5,
 };
 typedef enum fs_operation fs_operation;
 
--- a/protocols/peer.x
+++ b/protocols/peer.x
@@ -24,7 +24,9 @@
 	FS_OPERATION_BEGIN = 1,
 	FS_OPERATION_TRANSACTION_CALL = 2,
 	FS_OPERATION_COMMIT = 3,
-	FS_OPERATION_ROLLBACK = 4
+	FS_OPERATION_ROLLBACK = 4,
+	/* Finds out by the request id whether a transaction was committed; rules it out if not. */
+	FS_OPERATION_SETTLE = 5
 };
 
 struct fs_execute_args {
--- a/tests/integration/owner_pg.c
+++ b/tests/integration/owner_pg.c
@@ -15,6 +15,7 @@
 	LIMIT_US = 5 * US_PER_S,
 	SELF = 1,
 	CALLS = 200,
+	COMMIT_TRIES = 20,
 };
 
 static const char document_format[] =
@@ -53,6 +54,7 @@
 	int outcome;
 	int reason;
 	bool is_replay;
+	uint64_t transaction;
 	struct log_position written;
 	uint32_t age_ms;
 	uint32_t lag_ms;
@@ -101,6 +103,8 @@
 	publish (fixture, 0, 1);
 	fixture->settings.vm_id = SELF;
 	fixture->settings.acknowledge_timeout_us = US_PER_S;
+	fixture->settings.transaction_idle_us = 3 * US_PER_S;
+	fixture->settings.transaction_limit_us = 5 * US_PER_S;
 	owner_set_init (&fixture->set, &fixture->loop, &fixture->reader, &fixture->settings);
 }
 
@@ -126,6 +130,7 @@
 	asked->outcome = result->outcome;
 	asked->reason = result->reason;
 	asked->is_replay = result->replayed;
+	asked->transaction = result->transaction;
 	asked->written = (struct log_position){ result->written.term, result->written.index };
 	asked->age_ms = result->server_age_ms;
 	asked->lag_ms = result->server_lag_ms;
@@ -134,8 +139,8 @@
 }
 
 static void
-submit_after (struct fixture *fixture, struct asked *asked, const char *call, unsigned server,
-              const char *id, struct log_position required)
+prepare (struct asked *asked, const char *call, unsigned server, const char *id,
+         struct log_position required)
 {
 	memset (asked, 0, sizeof *asked);
 	asked->params[0] = (char *) "sum";
@@ -156,6 +161,13 @@
 	asked->request.deadline_us = asked->start_us + 3 * US_PER_S;
 	asked->request.handle_done = handle_done;
 	asked->request.data = asked;
+}
+
+static void
+submit_after (struct fixture *fixture, struct asked *asked, const char *call, unsigned server,
+              const char *id, struct log_position required)
+{
+	prepare (asked, call, server, id, required);
 	owner_submit (&fixture->set, &asked->request);
 }
 
@@ -439,6 +451,308 @@
 	g_assert_cmpint (atoi (asked[0].cell), ==, CALLS);
 }
 
+/* Submits BEGIN, a statement, COMMIT or the settling of a transaction. */
+static void
+submit_step (struct owner_set *set, struct asked *asked, fs_operation operation, unsigned server,
+             uint64_t transaction, const char *id)
+{
+	bool is_call = operation == FS_OPERATION_TRANSACTION_CALL;
+
+	prepare (asked, is_call ? "add" : "", server, id, (struct log_position){ 0, 0 });
+	asked->args.operation = operation;
+	asked->args.transaction = transaction;
+	if (!is_call)
+		asked->args.params.params_len = 0;
+	owner_submit (set, &asked->request);
+}
+
+static void
+run_step (struct fixture *fixture, struct asked *asked, fs_operation operation, unsigned server,
+          uint64_t transaction, const char *id)
+{
+	submit_step (&fixture->set, asked, operation, server, transaction, id);
+	wait_done (fixture, asked);
+}
+
+/* @return a transaction that has added 1 to the sum. */
+static uint64_t
+begin_and_add (struct fixture *fixture)
+{
+	struct asked asked;
+	uint64_t transaction;
+
+	run_step (fixture, &asked, FS_OPERATION_BEGIN, 0, 0, "");
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	transaction = asked.transaction;
+	run_step (fixture, &asked, FS_OPERATION_TRANSACTION_CALL, 0, transaction, "");
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	return transaction;
+}
+
+/* The sum on a server, read past the proxy; 0 without a row. */
+static int
+server_sum (const struct fixture *fixture, unsigned server)
+{
+	char *info = g_strdup_printf ("hostaddr=127.0.0.1 port=%u dbname=ledger user=test "
+	                              "sslmode=disable gssencmode=disable",
+	                              fixture->group.ports[server]);
+	PGconn *connection = PQconnectdb (info);
+	PGresult *result = PQexec (connection, "SELECT value FROM ledger WHERE key = 'sum'");
+	int sum = 0;
+
+	g_assert_cmpint (PQresultStatus (result), ==, PGRES_TUPLES_OK);
+	if (PQntuples (result) > 0)
+		sum = atoi (PQgetvalue (result, 0, 0));
+	PQclear (result);
+	PQfinish (connection);
+	g_free (info);
+	return sum;
+}
+
+static void
+set_fault (const struct fixture *fixture, const char *name, const char *value)
+{
+	char *statement = g_strdup_printf ("SELECT standin_fault('%s', '%s')", name, value);
+
+	ask_server (fixture, 0, statement);
+	g_free (statement);
+}
+
+/* Promotes the replica with the longest log. @return its number. */
+static unsigned
+replace_primary (struct fixture *fixture)
+{
+	int indexes[GROUP_SERVERS] = { 0 };
+	unsigned primary;
+
+	for (unsigned i = 1; i < GROUP_SERVERS; i++)
+		indexes[i] = ask_server (fixture, i, "SELECT * FROM group_fence(2, 'test')");
+	primary = indexes[2] > indexes[1] ? 2 : 1;
+	ask_server (fixture, primary, "SELECT * FROM group_promote(2, 'test')");
+	publish (fixture, primary, 2);
+	return primary;
+}
+
+/* Ends the owner with all its connections; another VM takes the servers over. */
+static void
+replace_owner (struct fixture *fixture)
+{
+	owner_set_finish (&fixture->set);
+	owner_set_init (&fixture->set, &fixture->loop, &fixture->reader, &fixture->settings);
+}
+
+/* Asks as an entry does: first the owner of the transaction, then the current primary. */
+static void
+ask_commit (struct fixture *fixture, struct asked *asked, unsigned primary, uint64_t transaction)
+{
+	for (unsigned tries = 0; tries < COMMIT_TRIES; tries++)
+	{
+		run_step (fixture, asked, FS_OPERATION_COMMIT, 0, transaction, "commit-1");
+		if (asked->outcome != OUTCOME_DONE)
+			run_step (fixture, asked, FS_OPERATION_SETTLE, primary, transaction, "commit-1");
+		if (asked->outcome == OUTCOME_DONE || asked->reason == REASON_ROLLED_BACK)
+			return;
+		g_test_message ("  %s %s", outcome_name ((enum outcome) asked->outcome),
+		                reason_name ((enum reason) asked->reason));
+		run_for (fixture, 50 * US_PER_MS);
+	}
+	g_error ("the commit is not settled");
+}
+
+enum commit_fault
+{
+	COMMIT_RUNS = 0,
+	COMMIT_IS_REPEATED,    /* The first one never arrived; the transaction is open. */
+	COMMIT_OWNER_GONE,     /* Before COMMIT. */
+	COMMIT_OWNER_GONE_NOW, /* While COMMIT runs. */
+};
+
+struct commit_case
+{
+	const char *name;
+	enum commit_fault commit;
+	const char *fault; /* Of the primary. */
+	bool is_healed;    /* The fault ends before the commit is asked again. */
+	bool is_replaced;  /* The primary is replaced before that. */
+	int first;         /* Outcome of COMMIT; -1: none, or either. */
+	int expected;      /* When asked again; -1: either. */
+};
+
+static const struct commit_case commit_cases[] = {
+	{ "no fault", COMMIT_RUNS, NULL, false, false, OUTCOME_DONE, OUTCOME_DONE },
+	{ "repeat of an open one", COMMIT_IS_REPEATED, NULL, false, false, -1, OUTCOME_DONE },
+	{ "lost before the id", COMMIT_RUNS, "cut_ids", false, false, OUTCOME_UNKNOWN,
+	  OUTCOME_REFUSED },
+	{ "lost after the id", COMMIT_RUNS, "drop_answers", false, false, OUTCOME_UNKNOWN,
+	  OUTCOME_REFUSED },
+	{ "lost before COMMIT took effect", COMMIT_RUNS, "cut_commits", false, false, OUTCOME_UNKNOWN,
+	  OUTCOME_REFUSED },
+	{ "lost after COMMIT took effect", COMMIT_RUNS, "drop_commits", false, false, OUTCOME_UNKNOWN,
+	  OUTCOME_DONE },
+	{ "owner gone", COMMIT_OWNER_GONE, NULL, false, false, -1, OUTCOME_REFUSED },
+	{ "owner gone during COMMIT", COMMIT_OWNER_GONE_NOW, NULL, false, false, -1, -1 },
+	{ "owner and primary gone during COMMIT", COMMIT_OWNER_GONE_NOW, NULL, false, true, -1, -1 },
+	{ "no majority in time", COMMIT_RUNS, "cut_replication", true, false, OUTCOME_UNKNOWN,
+	  OUTCOME_DONE },
+	{ "primary replaced without the commit", COMMIT_RUNS, "cut_replication", false, true,
+	  OUTCOME_UNKNOWN, OUTCOME_REFUSED },
+	{ "primary replaced, answer lost", COMMIT_RUNS, "drop_commits", false, true, OUTCOME_UNKNOWN,
+	  OUTCOME_DONE },
+	{ "primary replaced, answer given", COMMIT_RUNS, NULL, false, true, OUTCOME_DONE,
+	  OUTCOME_DONE },
+};
+
+static void
+run_commit (struct fixture *fixture, struct asked *asked, const struct commit_case *commit,
+            uint64_t transaction)
+{
+	if (commit->commit == COMMIT_IS_REPEATED)
+		return;
+	if (commit->commit == COMMIT_OWNER_GONE)
+	{
+		replace_owner (fixture);
+		return;
+	}
+	submit_step (&fixture->set, asked, FS_OPERATION_COMMIT, 0, transaction, "commit-1");
+	if (commit->commit == COMMIT_OWNER_GONE_NOW)
+	{
+		run_for (fixture, US_PER_MS / 2);
+		replace_owner (fixture);
+		return;
+	}
+	wait_done (fixture, asked);
+	if (commit->first >= 0)
+		g_assert_cmpint (asked->outcome, ==, commit->first);
+}
+
+/* Guards against a commit whose answer, when it is asked for again, differs from the rows on the
+ * current primary, from an earlier answer, or is not definite. */
+static void
+test_commit (struct fixture *fixture, gconstpointer data)
+{
+	const struct commit_case *commit = data;
+	struct asked asked = { 0 };
+	uint64_t transaction = begin_and_add (fixture);
+	unsigned primary = 0;
+	int outcome;
+
+	if (commit->fault)
+		set_fault (fixture, commit->fault, "1");
+	run_commit (fixture, &asked, commit, transaction);
+	if (commit->is_healed)
+		set_fault (fixture, commit->fault, "0");
+	/* The replicas are 20 ms behind; what was committed and not cut off arrives there. */
+	if (commit->is_replaced)
+	{
+		run_for (fixture, 100 * US_PER_MS);
+		primary = replace_primary (fixture);
+	}
+	ask_commit (fixture, &asked, primary, transaction);
+	outcome = asked.outcome;
+	g_test_message ("%s: %s %s", commit->name, outcome_name ((enum outcome) asked.outcome),
+	                reason_name ((enum reason) asked.reason));
+	if (commit->expected >= 0)
+		g_assert_cmpint (outcome, ==, commit->expected);
+	g_assert_cmpint (server_sum (fixture, primary), ==, outcome == OUTCOME_DONE ? 1 : 0);
+	/* Asked once more, at another VM. */
+	replace_owner (fixture);
+	ask_commit (fixture, &asked, primary, transaction);
+	g_assert_cmpint (asked.outcome, ==, outcome);
+	g_assert_cmpint (asked.is_replay, ==, outcome == OUTCOME_DONE);
+	run_for (fixture, 100 * US_PER_MS);
+	g_assert_cmpint (server_sum (fixture, primary), ==, outcome == OUTCOME_DONE ? 1 : 0);
+}
+
+/* Two VMs settle the same commit at once, after COMMIT took effect and before: one answer. */
+static void
+test_settle_together (struct fixture *fixture, gconstpointer data)
+{
+	static const char *const faults[] = { "drop_commits", "cut_commits" };
+	struct snapshot_reader reader;
+	struct owner_set other;
+	int sum = 0;
+
+	snapshot_reader_init (&reader, &fixture->source);
+	owner_set_init (&other, &fixture->loop, &reader, &fixture->settings);
+	for (unsigned i = 0; i < 20; i++)
+	{
+		uint64_t transaction = begin_and_add (fixture);
+		struct asked asked[2];
+		char id[16];
+
+		g_snprintf (id, sizeof id, "commit-%u", i);
+		set_fault (fixture, faults[i % 2], "1");
+		run_step (fixture, &asked[0], FS_OPERATION_COMMIT, 0, transaction, id);
+		g_assert_cmpint (asked[0].outcome, ==, OUTCOME_UNKNOWN);
+		submit_step (&fixture->set, &asked[0], FS_OPERATION_SETTLE, 0, transaction, id);
+		submit_step (&other, &asked[1], FS_OPERATION_SETTLE, 0, transaction, id);
+		for (size_t j = 0; j < G_N_ELEMENTS (asked); j++)
+		{
+			wait_done (fixture, &asked[j]);
+			g_assert_cmpint (asked[j].outcome, ==, i % 2 == 0 ? OUTCOME_DONE : OUTCOME_REFUSED);
+		}
+		sum += i % 2 == 0;
+		g_assert_cmpint (server_sum (fixture, 0), ==, sum);
+	}
+	owner_set_finish (&other);
+	snapshot_reader_finish (&reader);
+}
+
+/* Guards against a transaction that takes effect after it was reported as rolled back: its owner is
+ * alive, and sends COMMIT to the same primary, or to one that was replaced. */
+static void
+test_late_commit (struct fixture *fixture, gconstpointer data)
+{
+	bool is_replaced = data != NULL;
+	uint64_t transaction = begin_and_add (fixture);
+	unsigned primary = 0;
+	struct asked asked;
+
+	if (is_replaced)
+	{
+		set_fault (fixture, "cut_replication", "1");
+		primary = replace_primary (fixture);
+	}
+	run_step (fixture, &asked, FS_OPERATION_SETTLE, primary, transaction, "commit-1");
+	g_assert_cmpint (asked.reason, ==, REASON_ROLLED_BACK);
+	run_step (fixture, &asked, FS_OPERATION_COMMIT, 0, transaction, "commit-1");
+	g_test_message ("late commit: %s %s", outcome_name ((enum outcome) asked.outcome),
+	                reason_name ((enum reason) asked.reason));
+	g_assert_cmpint (asked.outcome, !=, OUTCOME_DONE);
+	run_for (fixture, 200 * US_PER_MS);
+	g_assert_cmpint (server_sum (fixture, primary), ==, 0);
+	run_step (fixture, &asked, FS_OPERATION_SETTLE, primary, transaction, "commit-1");
+	g_assert_cmpint (asked.reason, ==, REASON_ROLLED_BACK);
+}
+
+static int64_t
+time_commit (struct fixture *fixture, const char *id)
+{
+	uint64_t transaction = begin_and_add (fixture);
+	struct asked asked;
+
+	run_step (fixture, &asked, FS_OPERATION_COMMIT, 0, transaction, id);
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	return asked.took_us;
+}
+
+/* Reports what the request id costs a commit; the round trips are asserted in owner_transaction. */
+static void
+test_commit_times (struct fixture *fixture, gconstpointer data)
+{
+	int64_t times[2][CALLS / 2];
+	char id[16];
+
+	for (unsigned i = 0; i < CALLS / 2; i++)
+	{
+		g_snprintf (id, sizeof id, "commit-%u", i);
+		times[0][i] = time_commit (fixture, "");
+		times[1][i] = time_commit (fixture, id);
+	}
+	report_times ("commit without an id, replicas 20 ms behind", times[0], CALLS / 2);
+	report_times ("commit with an id, replicas 20 ms behind", times[1], CALLS / 2);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -451,5 +765,19 @@
 	            tear_down);
 	g_test_add ("/owner_pg/same_id", struct fixture, NULL, set_up, test_same_id, tear_down);
 	g_test_add ("/owner_pg/failover", struct fixture, NULL, set_up, test_failover, tear_down);
+	for (size_t i = 0; i < G_N_ELEMENTS (commit_cases); i++)
+	{
+		char *path = g_strdup_printf ("/owner_pg/commit/%s", commit_cases[i].name);
+
+		g_test_add (path, struct fixture, &commit_cases[i], set_up, test_commit, tear_down);
+		g_free (path);
+	}
+	g_test_add ("/owner_pg/settle_together", struct fixture, NULL, set_up, test_settle_together,
+	            tear_down);
+	g_test_add ("/owner_pg/late_commit", struct fixture, NULL, set_up, test_late_commit, tear_down);
+	g_test_add ("/owner_pg/late_commit_replaced", struct fixture, "replaced", set_up,
+	            test_late_commit, tear_down);
+	g_test_add ("/owner_pg/commit_times", struct fixture, NULL, set_up, test_commit_times,
+	            tear_down);
 	return g_test_run ();
 }
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -56,12 +56,18 @@
 	snapshot->is_leaving = fixture->is_leaving;
 	snapshot->refuses_connections = fixture->refuses_connections;
 	snapshot->services[0] = fixture_service_new ();
+	snapshot->member_count = 0;
 	for (uint32_t i = 0; i < fixture->member_count; i++)
 	{
-		snapshot->members[i].id = i + 1;
-		snapshot->members[i].is_live = true;
-		snapshot->members[i].address.ip = INADDR_LOOPBACK;
-		snapshot->members[i].address.traffic_port = fixture->traffic_ports[i];
+		struct snapshot_member *member = &snapshot->members[snapshot->member_count];
+
+		if (i + 1 == fixture->without_vm)
+			continue;
+		member->id = i + 1;
+		member->is_live = true;
+		member->address.ip = INADDR_LOOPBACK;
+		member->address.traffic_port = fixture->traffic_ports[i];
+		snapshot->member_count++;
 	}
 	group->service = &snapshot->services[0]->schema;
 	group->database = &group->service->databases[0];
--- a/tests/support/fixture.h
+++ b/tests/support/fixture.h
@@ -17,6 +17,7 @@
 {
 	uint32_t self;
 	uint32_t member_count; /**< VMs 1, 2, ... at 127.0.0.1. */
+	uint32_t without_vm;   /**< This one has left. */
 	uint16_t traffic_ports[FIXTURE_MEMBERS];
 	struct ownership owners[FIXTURE_SERVERS];
 	bool has_primary;
--- a/tests/unit/owner_transaction.c
+++ b/tests/unit/owner_transaction.c
@@ -244,6 +244,327 @@
 	}
 }
 
+static void
+commit_prepare (struct asked *asked, uint64_t transaction, const char *id)
+{
+	step_prepare (asked, FS_OPERATION_COMMIT, "", transaction);
+	asked->args.request_id = (char *) id;
+}
+
+static void
+settle_prepare (struct asked *asked, unsigned server, uint64_t transaction, const char *id)
+{
+	step_prepare (asked, FS_OPERATION_SETTLE, "", transaction);
+	asked->args.request_id = (char *) id;
+	asked->args.server = server;
+}
+
+static void
+settle (struct world *world, struct asked *asked, uint64_t transaction, const char *id)
+{
+	settle_prepare (asked, 0, transaction, id);
+	asked_submit (world, asked);
+	asked_wait (world, asked);
+}
+
+/* @return the handle of a transaction with one write. */
+static uint64_t
+begin_and_write (struct world *world)
+{
+	struct asked asked;
+	uint64_t id;
+
+	begin (world, &asked);
+	id = asked.transaction;
+	step (world, &asked, FS_OPERATION_TRANSACTION_CALL, "add", id);
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	return id;
+}
+
+struct settle_case
+{
+	const char *prefix;
+	enum fake_action action;
+	int commit_outcome;
+	int commit_reason;
+	int settle_outcome;
+	int settle_reason;
+	unsigned applied;
+};
+
+static const struct settle_case settle_cases[] = {
+	{ "NONE", 0, OUTCOME_DONE, REASON_NONE, OUTCOME_DONE, REASON_NONE, 1 },
+	{ "INSERT", FAKE_LOSE_BEFORE, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST, OUTCOME_REFUSED,
+	  REASON_ROLLED_BACK, 0 },
+	{ "INSERT", FAKE_LOSE_AFTER, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST, OUTCOME_REFUSED,
+	  REASON_ROLLED_BACK, 0 },
+	{ "INSERT", FAKE_HANG, OUTCOME_UNKNOWN, REASON_DEADLINE, OUTCOME_REFUSED, REASON_ROLLED_BACK,
+	  0 },
+	{ "INSERT", FAKE_ERROR, OUTCOME_FAILED, REASON_STATEMENT, OUTCOME_REFUSED, REASON_ROLLED_BACK,
+	  0 },
+	{ "INSERT", FAKE_NOT_PRIMARY, OUTCOME_FAILED, REASON_NOT_PRIMARY, OUTCOME_REFUSED,
+	  REASON_ROLLED_BACK, 0 },
+	{ "COMMIT", FAKE_LOSE_BEFORE, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST, OUTCOME_REFUSED,
+	  REASON_ROLLED_BACK, 0 },
+	{ "COMMIT", FAKE_LOSE_AFTER, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST, OUTCOME_DONE, REASON_NONE,
+	  1 },
+	{ "COMMIT", FAKE_HANG, OUTCOME_UNKNOWN, REASON_DEADLINE, OUTCOME_DONE, REASON_NONE, 1 },
+	{ "COMMIT", FAKE_ERROR, OUTCOME_FAILED, REASON_STATEMENT, OUTCOME_REFUSED, REASON_ROLLED_BACK,
+	  0 },
+};
+
+/* Guards against a commit whose answer is lost and that is settled otherwise than it ended. */
+static void
+test_settle (void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS (settle_cases); i++)
+	{
+		const struct settle_case *settled = &settle_cases[i];
+		struct world world;
+		struct asked asked;
+		uint64_t id;
+
+		world_start (&world);
+		world_rule (&world, settled->prefix, 1, settled->action);
+		id = begin_and_write (&world);
+		commit_prepare (&asked, id, "commit-1");
+		asked_submit (&world, &asked);
+		asked_wait (&world, &asked);
+		g_test_message ("%zu: %s %s", i, outcome_name ((enum outcome) asked.outcome),
+		                reason_name ((enum reason) asked.reason));
+		g_assert_cmpint (asked.outcome, ==, settled->commit_outcome);
+		g_assert_cmpint (asked.reason, ==, settled->commit_reason);
+		/* The second time finds what the first one stored. */
+		for (unsigned again = 0; again < 2; again++)
+		{
+			settle (&world, &asked, id, "commit-1");
+			g_assert_cmpint (asked.outcome, ==, settled->settle_outcome);
+			g_assert_cmpint (asked.reason, ==, settled->settle_reason);
+			g_assert_cmpint (asked.is_replay, ==, settled->settle_outcome == OUTCOME_DONE);
+		}
+		g_assert_cmpuint (world.applied, ==, settled->applied);
+		g_assert_cmpuint (owner_set_in_flight (&world.set), ==, 0);
+		world_finish (&world);
+	}
+}
+
+/* Guards against a settled transaction that takes effect later: it is still open at its owner. */
+static void
+test_settle_before_commit (void)
+{
+	struct world world;
+	struct asked asked;
+	uint64_t id;
+
+	world_start (&world);
+	id = begin_and_write (&world);
+	settle (&world, &asked, id, "commit-1");
+	g_assert_cmpint (asked.reason, ==, REASON_ROLLED_BACK);
+	commit_prepare (&asked, id, "commit-1");
+	asked_submit (&world, &asked);
+	asked_wait (&world, &asked);
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_FAILED);
+	g_assert_cmpint (asked.reason, ==, REASON_NO_TRANSACTION);
+	settle (&world, &asked, id, "commit-1");
+	g_assert_cmpint (asked.reason, ==, REASON_ROLLED_BACK);
+	g_assert_cmpuint (world.applied, ==, 0);
+	world_finish (&world);
+}
+
+/* Repeats that arrive while the commit runs, or together after it, get one and the same answer. */
+static void
+test_settle_together (void)
+{
+	struct world world;
+	struct asked asked[4];
+	uint64_t id;
+
+	for (unsigned is_open = 0; is_open < 2; is_open++)
+	{
+		world_start (&world);
+		id = begin_and_write (&world);
+		if (is_open == 1)
+			commit_prepare (&asked[0], id, "commit-1");
+		else
+			settle_prepare (&asked[0], 0, id, "commit-1");
+		asked_submit (&world, &asked[0]);
+		for (size_t i = 1; i < G_N_ELEMENTS (asked); i++)
+		{
+			settle_prepare (&asked[i], 0, id, "commit-1");
+			asked_submit (&world, &asked[i]);
+		}
+		for (size_t i = 0; i < G_N_ELEMENTS (asked); i++)
+		{
+			asked_wait (&world, &asked[i]);
+			g_assert_cmpint (asked[i].outcome, ==, is_open ? OUTCOME_DONE : OUTCOME_REFUSED);
+		}
+		g_assert_cmpuint (world.applied, ==, is_open);
+		world_finish (&world);
+	}
+}
+
+/* Guards against answers before a majority has what they rest on, the mark as well as the commit. */
+static void
+test_settle_majority (void)
+{
+	for (unsigned has_committed = 0; has_committed < 2; has_committed++)
+	{
+		struct world world;
+		struct asked asked;
+		uint64_t id;
+
+		world_start (&world);
+		id = begin_and_write (&world);
+		if (has_committed)
+			world_rule (&world, "COMMIT", 1, FAKE_LOSE_AFTER);
+		for (unsigned i = 1; i < WORLD_SERVERS; i++)
+			world.servers[i].takes_entries = false;
+		if (has_committed)
+		{
+			commit_prepare (&asked, id, "commit-1");
+			asked_submit (&world, &asked);
+			asked_wait (&world, &asked);
+		}
+		settle (&world, &asked, id, "commit-1");
+		g_assert_cmpint (asked.outcome, ==, OUTCOME_UNKNOWN);
+		g_assert_cmpint (asked.reason, ==, REASON_NOT_ACKNOWLEDGED);
+		world.servers[1].status.position = world.servers[0].status.position;
+		settle (&world, &asked, id, "commit-1");
+		g_assert_cmpint (asked.outcome, ==, has_committed ? OUTCOME_DONE : OUTCOME_REFUSED);
+		world_finish (&world);
+	}
+}
+
+/* Guards against an answer that belongs to another use of the id. */
+static void
+test_id_of_another (void)
+{
+	struct world world;
+	struct asked asked;
+	uint64_t first;
+	uint64_t second;
+
+	world_start (&world);
+	first = begin_and_write (&world);
+	settle (&world, &asked, first, "rolled-back");
+	commit_prepare (&asked, first, "committed");
+	asked_submit (&world, &asked);
+	asked_wait (&world, &asked);
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	/* A single call does not take a mark for its own first answer. */
+	asked_run (&world, &asked, "add", 0, "rolled-back");
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_FAILED);
+	g_assert_cmpint (asked.reason, ==, REASON_BAD_REQUEST);
+	asked_run (&world, &asked, "add", 0, "committed");
+	g_assert_cmpint (asked.reason, ==, REASON_BAD_REQUEST);
+	g_assert_cmpuint (world.applied, ==, 1);
+	/* Nor does another transaction, or the settling of one that has the id of a single call. */
+	second = begin_and_write (&world);
+	commit_prepare (&asked, second, "committed");
+	asked_submit (&world, &asked);
+	asked_wait (&world, &asked);
+	g_assert_cmpint (asked.reason, ==, REASON_NO_TRANSACTION);
+	settle (&world, &asked, second, "committed");
+	g_assert_cmpint (asked.reason, ==, REASON_BAD_REQUEST);
+	asked_run (&world, &asked, "add", 0, "single");
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	settle (&world, &asked, second, "single");
+	g_assert_cmpint (asked.reason, ==, REASON_BAD_REQUEST);
+	settle (&world, &asked, second, "");
+	g_assert_cmpint (asked.reason, ==, REASON_BAD_REQUEST);
+	g_assert_cmpuint (world.applied, ==, 2);
+	world_finish (&world);
+}
+
+/* A settle step that cannot run says nothing about the commit: never refused as rolled back, never
+ * failed. A server that is not the primary sends it on. */
+static void
+test_settle_faults (void)
+{
+	static const struct
+	{
+		const char *prefix;
+		enum fake_action action;
+		int outcome;
+		int reason;
+	} cases[] = {
+		{ "BEGIN", FAKE_ERROR, OUTCOME_UNKNOWN, REASON_STATEMENT },
+		{ "INSERT", FAKE_ERROR, OUTCOME_UNKNOWN, REASON_STATEMENT },
+		{ "INSERT", FAKE_NOT_PRIMARY, OUTCOME_REFUSED, REASON_NOT_PRIMARY },
+		{ "COMMIT", FAKE_ERROR, OUTCOME_UNKNOWN, REASON_STATEMENT },
+		{ "INSERT", FAKE_CONFLICT, OUTCOME_REFUSED, REASON_ROLLED_BACK },
+		{ "INSERT", FAKE_LOSE_AFTER, OUTCOME_REFUSED, REASON_ROLLED_BACK },
+		{ "COMMIT", FAKE_LOSE_BEFORE, OUTCOME_REFUSED, REASON_ROLLED_BACK },
+		{ "COMMIT", FAKE_LOSE_AFTER, OUTCOME_REFUSED, REASON_ROLLED_BACK },
+		{ "COMMIT", FAKE_REPLACE, OUTCOME_UNKNOWN, REASON_NOT_ACKNOWLEDGED },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+	{
+		struct world world;
+		struct asked asked;
+
+		world_start (&world);
+		world_rule (&world, cases[i].prefix, 1, cases[i].action);
+		settle (&world, &asked, 1, "commit-1");
+		g_test_message ("%zu: %s %s", i, outcome_name ((enum outcome) asked.outcome),
+		                reason_name ((enum reason) asked.reason));
+		g_assert_cmpint (asked.outcome, ==, cases[i].outcome);
+		g_assert_cmpint (asked.reason, ==, cases[i].reason);
+		world_finish (&world);
+	}
+}
+
+/* Guards against a commit that costs a round trip more with a request id than without. */
+static void
+test_round_trips (void)
+{
+	unsigned trips[2];
+
+	for (unsigned has_id = 0; has_id < 2; has_id++)
+	{
+		struct world world;
+		struct asked asked;
+		unsigned before;
+		uint64_t id;
+
+		world_start (&world);
+		id = begin_and_write (&world);
+		before = world.round_trips;
+		commit_prepare (&asked, id, has_id ? "commit-1" : "");
+		asked_submit (&world, &asked);
+		asked_wait (&world, &asked);
+		g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+		trips[has_id] = world.round_trips - before;
+		world_finish (&world);
+	}
+	g_test_message ("round trips of a commit: %u without an id, %u with one", trips[0], trips[1]);
+	g_assert_cmpuint (trips[0], ==, 1);
+	g_assert_cmpuint (trips[1], ==, 1);
+}
+
+/* A commit with an id of a transaction that only read is answered alike each time. */
+static void
+test_settle_read_only (void)
+{
+	struct world world;
+	struct asked asked;
+	uint64_t id;
+
+	world_start (&world);
+	begin (&world, &asked);
+	id = asked.transaction;
+	step (&world, &asked, FS_OPERATION_TRANSACTION_CALL, "find", id);
+	commit_prepare (&asked, id, "commit-1");
+	asked_submit (&world, &asked);
+	asked_wait (&world, &asked);
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	settle (&world, &asked, id, "commit-1");
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	g_assert_true (asked.is_replay);
+	world_finish (&world);
+}
+
 /* Statements that wait behind one that never ends are answered when the transaction ends. */
 static void
 test_waiting (void)
@@ -331,6 +652,14 @@
 	g_test_add_func ("/owner_transaction/limits", test_limits);
 	g_test_add_func ("/owner_transaction/failed_statement", test_failed_statement);
 	g_test_add_func ("/owner_transaction/faults", test_faults);
+	g_test_add_func ("/owner_transaction/settle", test_settle);
+	g_test_add_func ("/owner_transaction/settle_before_commit", test_settle_before_commit);
+	g_test_add_func ("/owner_transaction/settle_together", test_settle_together);
+	g_test_add_func ("/owner_transaction/settle_majority", test_settle_majority);
+	g_test_add_func ("/owner_transaction/id_of_another", test_id_of_another);
+	g_test_add_func ("/owner_transaction/settle_faults", test_settle_faults);
+	g_test_add_func ("/owner_transaction/round_trips", test_round_trips);
+	g_test_add_func ("/owner_transaction/settle_read_only", test_settle_read_only);
 	g_test_add_func ("/owner_transaction/waiting", test_waiting);
 	g_test_add_func ("/owner_transaction/cancelled_begin", test_cancelled_begin);
 	g_test_add_func ("/owner_transaction/moved", test_moved);
