--- a/flamingospring/entry_attempt.c
+++ b/flamingospring/entry_attempt.c
@@ -163,12 +163,18 @@
 }
 
 /** Asks the current primary what became of a COMMIT with a request id, because its transaction
- * cannot be reached or has ended. @return false when the request may not be tried again. */
+ * cannot be reached or has ended. @return false when the request is no such COMMIT. */
 static bool
 request_settle (struct entry_request *request, int64_t now_us)
 {
-	if (!request->plan.can_settle || !retry_is_allowed (request, false))
+	if (!request->plan.can_settle)
 		return false;
+	if (!retry_is_allowed (request, false))
+	{
+		entry_request_finish_reason (request, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST,
+		                             "the commit is not settled");
+		return true;
+	}
 	counter_add (COUNTER_COMMITS_SETTLED, 1);
 	request->plan.can_settle = false;
 	request->plan.is_pinned = false;
--- a/tests/caller/caller.c
+++ b/tests/caller/caller.c
@@ -10,7 +10,6 @@
 enum
 {
 	POLL_MS = 5,
-	SETTLE_MS = 15000, /* Time for questions about unknown outcomes after the work. */
 	CHECK_MS = 30000,
 };
 
@@ -29,6 +28,7 @@
 	int seconds;
 	int seed;
 	int think_ms;
+	int settle_ms;
 	int report_ms;
 };
 
@@ -99,7 +99,7 @@
 	int64_t now_us = clock_now_us ();
 
 	caller->end_us = now_us + seconds * (int64_t) US_PER_S;
-	caller->give_up_us = caller->end_us + SETTLE_MS * US_PER_MS;
+	caller->give_up_us = caller->end_us + (int64_t) caller->settle_ms * US_PER_MS;
 	for (uint32_t i = 0; i < caller->database_count; i++)
 		caller->last_write_us[i] = now_us;
 	caller_run (caller);
@@ -195,6 +195,8 @@
 		printf ("database=ledger%u longest_write_gap_ms=%ld\n", i, caller->write_gap_us[i] / 1000);
 		gap_us = MAX (gap_us, caller->write_gap_us[i]);
 	}
+	printf ("commits_asked_again done=%lu rolled_back=%lu open=%lu\n", caller->commits.done,
+	        caller->commits.rolled_back, caller->commits.open);
 	printf ("result done=%lu refused=%lu failed=%lu unknown=%lu asked_again=%lu acked=%u open=%u",
 	        caller->outcomes[CLASS_DONE], caller->outcomes[CLASS_REFUSED],
 	        caller->outcomes[CLASS_FAILED], caller->outcomes[CLASS_UNKNOWN], caller->asked_again,
@@ -224,6 +226,7 @@
 	caller->service = options->service;
 	caller->prefix = options->prefix;
 	caller->think_ms = options->think_ms;
+	caller->settle_ms = options->settle_ms;
 	caller->report_ms = options->report_ms;
 	for (int i = 0; options->flood && i < CALLER_RANK_COUNT; i++)
 	{
@@ -291,6 +294,8 @@
 		{ "sessions", 0, 0, G_OPTION_ARG_INT, &options->sessions, "sessions of the mix", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &options->seconds, "length of the work", "N" },
 		{ "think-ms", 0, 0, G_OPTION_ARG_INT, &options->think_ms, "pause of a session", "MS" },
+		{ "settle-ms", 0, 0, G_OPTION_ARG_INT, &options->settle_ms,
+		  "time for questions about unknown outcomes after the work", "MS" },
 		{ "report-ms", 0, 0, G_OPTION_ARG_INT, &options->report_ms, "run time of a report", "MS" },
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &options->seed, "seed of the mix", "N" },
 		{ "prefix", 0, 0, G_OPTION_ARG_STRING, &options->prefix, "of keys; one a run", "TEXT" },
@@ -340,6 +345,7 @@
 		                       .seconds = 10,
 		                       .seed = 1,
 		                       .think_ms = 20,
+		                       .settle_ms = 15000,
 		                       .report_ms = 20 };
 	struct caller caller;
 	uint64_t broken;
--- a/tests/caller/caller.h
+++ b/tests/caller/caller.h
@@ -20,10 +20,10 @@
 /** What the caller knows of a write. */
 enum record_state
 {
-	RECORD_OPEN,    /**< Unknown: may be present or absent. */
-	RECORD_ACKED,   /**< Must be present once. */
-	RECORD_ABSENT,  /**< Refused, failed or rolled back: must not be present. */
-	RECORD_GROUPED, /**< Open, but all writes of its transaction are present or none. */
+	RECORD_OPEN,   /**< Unknown: may be present or absent. */
+	RECORD_ACKED,  /**< Must be present once. */
+	RECORD_ABSENT, /**< Refused, failed or rolled back: must not be present. */
+	RECORD_GROUPED, /**< Its commit stayed open, but all writes of its transaction are present or none. */
 };
 
 struct record
@@ -114,7 +114,8 @@
 	guint second; /**< Second write of the transaction. */
 	char *handle; /**< Of the open transaction. */
 	bool rolls_back;
-	bool asks_again; /**< Settles an unknown write. */
+	bool asks_again; /**< Settles an unknown write or commit. */
+	bool gives_up;   /**< Breaks off the commit in flight after a short time. */
 	bool is_flood;
 	int64_t wake_us; /**< When the next request is sent; 0: one is in flight. */
 	int64_t sent_us;
@@ -129,6 +130,7 @@
 	char *service;
 	char *prefix; /**< Of keys and request ids; tells runs apart. */
 	int think_ms;
+	int settle_ms;
 	int report_ms;
 	enum caller_rank flood_rank;
 	GRand *random;
@@ -144,6 +146,12 @@
 	uint64_t outcomes[CLASS_COUNT];
 	uint64_t violations[VIOLATION_COUNT];
 	uint64_t asked_again;
+	struct
+	{
+		uint64_t done;
+		uint64_t rolled_back;
+		uint64_t open;
+	} commits; /**< Those that were asked again, by their last answer. */
 	uint64_t replica_reads;
 	uint64_t reads;
 	int64_t last_write_us[MAX_DATABASES];
--- a/tests/caller/session.c
+++ b/tests/caller/session.c
@@ -11,6 +11,8 @@
 	RECENT_WRITES = 4,
 	MOVE_PERCENT = 30, /* Share of requests that go to another VM than the last one. */
 	ROLLBACK_PERCENT = 20,
+	GIVE_UP_PERCENT = 30,     /* Share of commits that the caller breaks off, to ask again. */
+	GIVE_UP_MAX_MS = 300,     /* Near the time of a commit with 200 ms of replication lag. */
 	TIMEOUT_MARGIN_MS = 2000, /* The caller waits longer than the proxy's time limit. */
 };
 
@@ -235,6 +237,18 @@
 	return length;
 }
 
+static long
+session_timeout_ms (struct session *session)
+{
+	GRand *random = session->caller->random;
+
+	session->gives_up = session->step == STEP_COMMIT && !session->asks_again &&
+	                    g_rand_int_range (random, 0, 100) < GIVE_UP_PERCENT;
+	if (session->gives_up)
+		return g_rand_int_range (random, 1, GIVE_UP_MAX_MS);
+	return steps[session->step].timeout_ms + TIMEOUT_MARGIN_MS;
+}
+
 static void
 session_send (struct session *session, int64_t now_us)
 {
@@ -259,8 +273,7 @@
 	curl_easy_setopt (session->curl, CURLOPT_HEADERFUNCTION, handle_header);
 	curl_easy_setopt (session->curl, CURLOPT_HEADERDATA, session);
 	curl_easy_setopt (session->curl, CURLOPT_PRIVATE, session);
-	curl_easy_setopt (session->curl, CURLOPT_TIMEOUT_MS,
-	                  (long) (steps[session->step].timeout_ms + TIMEOUT_MARGIN_MS));
+	curl_easy_setopt (session->curl, CURLOPT_TIMEOUT_MS, session_timeout_ms (session));
 	curl_easy_setopt (session->curl, CURLOPT_NOSIGNAL, 1L);
 	session->sent_us = now_us;
 	session->wake_us = 0;
@@ -299,9 +312,10 @@
 		if (!caller->is_checking)
 			session_begin_work (session, now_us);
 	}
-	/* A transaction stays with the VM that started it, though its handle is valid at any VM. */
-	if (!session->handle &&
-	    (session->asks_again || g_rand_int_range (caller->random, 0, 100) < MOVE_PERCENT))
+	/* A transaction stays with the VM that started it, though its handle is valid at any VM; a commit is
+	 * asked again anywhere. */
+	if (session->asks_again ||
+	    (!session->handle && g_rand_int_range (caller->random, 0, 100) < MOVE_PERCENT))
 		session->entry =
 			(uint32_t) g_rand_int_range (caller->random, 0, (gint32) caller->entry_count);
 	session_send (session, now_us);
@@ -443,6 +457,34 @@
 	session->step = STEP_IDLE;
 }
 
+/** Asks again by the request id until the answer is definite. */
+static void
+session_finish_commit (struct session *session, const struct reply *reply, int64_t now_us)
+{
+	struct caller *caller = session->caller;
+	bool is_rolled_back =
+		reply->class == CLASS_REFUSED && strcmp (reply->reason, "rolled_back") == 0;
+	/* Another refusal says that this attempt did not run; an earlier unknown one still may have. */
+	bool is_open = reply->class == CLASS_UNKNOWN ||
+	               (reply->class == CLASS_REFUSED && session->asks_again && !is_rolled_back);
+	enum record_state state = is_open                      ? RECORD_GROUPED
+	                          : reply->class == CLASS_DONE ? RECORD_ACKED
+	                                                       : RECORD_ABSENT;
+
+	if (is_open && now_us < caller->give_up_us)
+	{
+		session->asks_again = true;
+		return;
+	}
+	if (is_open)
+		caller->commits.open++;
+	else if (session->asks_again && state == RECORD_ACKED)
+		caller->commits.done++;
+	else if (session->asks_again)
+		caller->commits.rolled_back++;
+	session_end_transaction (session, state, now_us);
+}
+
 /** A step other than COMMIT that ends badly leaves nothing: the server rolls back. */
 static void
 session_finish_transaction_step (struct session *session, const struct reply *reply, int64_t now_us)
@@ -456,11 +498,7 @@
 	}
 	if (done == STEP_COMMIT)
 	{
-		session_end_transaction (session,
-		                         reply->class == CLASS_DONE      ? RECORD_ACKED
-		                         : reply->class == CLASS_UNKNOWN ? RECORD_GROUPED
-		                                                         : RECORD_ABSENT,
-		                         now_us);
+		session_finish_commit (session, reply, now_us);
 		return;
 	}
 	if (done == STEP_BEGIN)
@@ -495,6 +533,9 @@
 	struct latencies *latencies =
 		&caller->latencies[steps[session->step].rank][!steps[session->step].is_replica_read];
 
+	/* The caller's own doing, not an outcome of the proxy. */
+	if (session->gives_up && reply->class == CLASS_UNKNOWN)
+		return;
 	caller->outcomes[reply->class]++;
 	if (reply->class != CLASS_DONE)
 		caller_count_reason (caller, reply->class, steps[session->step].call, reply->reason,
@@ -540,7 +581,7 @@
 	else if (caller->is_checking)
 		delay_ms = 0;
 	/* Another VM is tried after a failure. */
-	if (reply.class != CLASS_DONE && !session->handle)
+	if (reply.class != CLASS_DONE && (!session->handle || session->asks_again))
 		session->entry = (session->entry + 1) % caller->entry_count;
 	session->wake_us = now_us + delay_ms * US_PER_MS;
 	g_object_unref (parser);
--- a/tests/integration/caller.c
+++ b/tests/integration/caller.c
@@ -16,7 +16,9 @@
 	FAULT_WRONG_ANSWER,
 	FAULT_MISS_ROW,
 	FAULT_HALF_COMMIT,
-	FAULT_UNKNOWN, /* Allowed: the caller asks again with the request id. */
+	FAULT_ROLLED_BACK_RAN, /* A commit that took effect is reported as rolled back later. */
+	FAULT_COMMIT_UNKNOWN,  /* Allowed: the first answer to a commit is "unknown". */
+	FAULT_UNKNOWN,         /* Allowed: the caller asks again with the request id. */
 };
 
 enum
@@ -33,6 +35,7 @@
 static enum fault fault;
 static GHashTable *ledger;
 static GHashTable *pending; /* Writes of open transactions: handle and key to value. */
+static GHashTable *asked;   /* Handles whose commit was asked for. */
 static unsigned payments;
 static unsigned transactions;
 
@@ -68,6 +71,18 @@
 	return answer ("done", fault_strikes (FAULT_WRONG_ANSWER) ? "7" : value);
 }
 
+static char *
+answer_commit (const char *handle)
+{
+	bool is_repeat = !g_hash_table_add (asked, g_strdup (handle));
+
+	if (fault == FAULT_HALF_COMMIT || (!is_repeat && fault >= FAULT_ROLLED_BACK_RAN))
+		return answer ("unknown", NULL);
+	if (fault == FAULT_ROLLED_BACK_RAN)
+		return g_strdup ("{\"outcome\":\"refused\",\"reason\":\"rolled_back\"}");
+	return answer ("done", NULL);
+}
+
 static char *
 answer_in_transaction (char **path, const char *key, const char *value)
 {
@@ -94,7 +109,9 @@
 			                      g_strdup (written));
 	}
 	g_free (row);
-	return answer (fault == FAULT_HALF_COMMIT && !key ? "unknown" : "done", NULL);
+	if (strcmp (path[4], "commit") == 0)
+		return answer_commit (path[3]);
+	return answer ("done", NULL);
 }
 
 static char *
@@ -173,7 +190,7 @@
 caller_run (uint16_t port, char **output)
 {
 	char *command = g_strdup_printf (CALLER " --entries 127.0.0.1:%u --databases 1 --sessions 8 "
-	                                        "--seconds 1 --think-ms 2",
+	                                        "--seconds 1 --think-ms 2 --settle-ms 500",
 	                                 port);
 	GError *error = NULL;
 	int status;
@@ -203,14 +220,16 @@
 	fault = fault_case->fault;
 	ledger = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 	pending = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	asked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 	status = caller_run (MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT)->port, &output);
-	g_test_message ("fault %d: %s", fault, strstr (output, "result"));
+	g_test_message ("fault %d: %s", fault, strstr (output, "commits_asked_again"));
 	g_assert_true ((status == 0) == (fault_case->expected == NULL));
 	if (fault_case->expected)
 		g_assert_nonnull (strstr (output, fault_case->expected));
 	MHD_stop_daemon (daemon);
 	g_hash_table_unref (ledger);
 	g_hash_table_unref (pending);
+	g_hash_table_unref (asked);
 	g_free (output);
 }
 
@@ -226,6 +245,8 @@
 		{ FAULT_WRONG_ANSWER, "violation wrong_answer" },
 		{ FAULT_MISS_ROW, "violation own_missed" },
 		{ FAULT_HALF_COMMIT, "violation mixed" },
+		{ FAULT_ROLLED_BACK_RAN, "violation refused_ran" },
+		{ FAULT_COMMIT_UNKNOWN, NULL },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
