--- a/tests/support/free_port.c
+++ b/tests/support/free_port.c
@@ -26,8 +26,13 @@
 			                           .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
 			                           .sin_port = htons (port) };
 		int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		int result = bind (fd, (struct sockaddr *) &address, sizeof address);
+		int reuse = 1;
+		int result;
 
+		/* As listeners do: ports of connections that ended in the last minute count as free. Without it,
+		 * a process that starts many servers is given one port twice. */
+		setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+		result = bind (fd, (struct sockaddr *) &address, sizeof address);
 		close (fd);
 		if (result == 0)
 			return port;
