--- a/tests/unit/owner_world.c
+++ b/tests/unit/owner_world.c
@@ -303,6 +303,7 @@
 static void
 after_statement (struct fake_connection *fake)
 {
+	static const char *const no_params[] = { NULL };
 	bool has_failed = fake->pending.result != UPSTREAM_OK || fake->action != 0;
 
 	if (fake->blocked_id)
@@ -316,7 +317,7 @@
 		answer_later (fake, fake->action);
 		return;
 	}
-	fake->pending.result = run_action (fake, fake->commit_action, "COMMIT", NULL);
+	fake->pending.result = run_action (fake, fake->commit_action, "COMMIT", no_params);
 	answer_later (fake, fake->commit_action);
 }
 
