--- a/flamingospring/control.c
+++ b/flamingospring/control.c
@@ -317,6 +317,27 @@
 	mailbox_send (&control->mailbox, &observation->message);
 }
 
+static void
+handle_observer_answer (struct mailbox_message *message, void *receiver)
+{
+	struct control_answer *answer = (struct control_answer *) message;
+
+	control_observers_handle_answer (receiver, &answer->answer);
+	free (answer);
+}
+
+void
+control_answer (struct control *control, const struct observer_answer *answer)
+{
+	struct control_answer *message = calloc (1, sizeof *message);
+
+	if (!message)
+		return;
+	message->message.handle_message = handle_observer_answer;
+	message->answer = *answer;
+	mailbox_send (&control->mailbox, &message->message);
+}
+
 static void *
 control_main (void *data)
 {
@@ -373,7 +394,7 @@
 	if (result < 0)
 		return result;
 	result = platform_etcd_init (&control->platform, &control->loop, control->settings->platform,
-	                             CONTROL_PLATFORM_TIMEOUT_US);
+	                             control->settings->source_ip, CONTROL_PLATFORM_TIMEOUT_US);
 	if (result < 0)
 		return result;
 	result = control_documents_init (control);
--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -152,6 +152,14 @@
 	snapshot_release (request->set->reader);
 }
 
+/** Tells whether the answer of a settle step covers all attempts to commit. */
+static bool
+answer_settles (const struct entry_request *request, const struct entry_answer *answer)
+{
+	return request->args.operation == FS_OPERATION_SETTLE &&
+	       (answer->reason == REASON_ROLLED_BACK || answer->reason == REASON_BAD_REQUEST);
+}
+
 /** Gives the answer to the caller, once. */
 static void
 request_finish (struct entry_request *request, struct entry_answer *answer)
@@ -160,16 +168,16 @@
 	char token[SESSION_TOKEN_MAX_BYTES];
 	char handle[TRANSACTION_HANDLE_MAX_BYTES];
 	char server[ENTRY_SERVER_BYTES];
+	bool is_open = request->may_have_run && !answer_settles (request, answer);
 
-	/* An earlier attempt may have run, so a refusal of the last one proves nothing (P5), unless it
-	 * settles a commit. */
-	if (request->may_have_run && answer->outcome == OUTCOME_REFUSED &&
-	    answer->reason != REASON_ROLLED_BACK)
+	/* An earlier attempt may have run, so a refusal or an error of the last one proves nothing (P5). */
+	if (is_open && answer->outcome == OUTCOME_REFUSED)
 	{
-		answer->outcome = OUTCOME_UNKNOWN;
 		answer->reason = REASON_CONNECTION_LOST;
 		answer->message = "an earlier attempt may have run";
 	}
+	if (is_open && (answer->outcome == OUTCOME_REFUSED || answer->outcome == OUTCOME_FAILED))
+		answer->outcome = OUTCOME_UNKNOWN;
 	loop_cancel_timer (request->set->loop, &request->timer);
 	request->is_waiting = false;
 	request->set->unanswered--;
--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -174,7 +174,7 @@
 	if (!freshness_start (&owner->freshness, now_us))
 		return;
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
-		owner_monitor_ask (&owner->monitors[i], true, now_us);
+		owner_monitor_ask (owner->monitors[i].monitor, true, now_us);
 }
 
 static void
@@ -196,7 +196,7 @@
 static bool
 is_silent (const struct owner *owner, int64_t since_us)
 {
-	return owner->monitors[owner->server].silent_at_us >= since_us;
+	return owner->monitors[owner->server].monitor->silent_at_us >= since_us;
 }
 
 void
@@ -527,6 +527,7 @@
 handle_overdue (struct pool_user *user)
 {
 	struct owner_task *task = task_of (user);
+	const struct owner *owner = task->owner;
 
 	task->state = TASK_STARTING;
 	if (task->uses_once)
@@ -534,6 +535,11 @@
 	else if (task->is_write)
 		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_DEADLINE, "the answer is overdue", NULL,
 		                   0);
+	else if (is_silent (owner, task->started_us))
+		/* The server answers nothing at all: the entry may try another one. A statement that is slow by itself would
+		 * be slow there too. */
+		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST, "the server is silent",
+		                   NULL, 0);
 	else
 		owner_task_finish (task, OUTCOME_FAILED, REASON_DEADLINE, "the answer is overdue", NULL, 0);
 }
--- a/tests/unit/entry.c
+++ b/tests/unit/entry.c
@@ -382,6 +382,24 @@
 	world_free (world);
 }
 
+/* An error of the second attempt, such as the duplicate key of a first insert that ran, says nothing about the first;
+ * "failed" told callers that the row was absent. */
+static void
+test_failed_after_loss (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+
+	world_start (world, call_new ("add", "id-4"), &caller);
+	lose (world_next (world), EXECUTION_LOST);
+	answer (world_next (world),
+	        execution_result (OUTCOME_FAILED, REASON_STATEMENT, "duplicate key"));
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_UNKNOWN);
+	g_assert_cmpint (caller.reason, ==, REASON_STATEMENT);
+	caller_finish (&caller);
+	world_free (world);
+}
+
 /* Retries of many requests stay within the budget: a fifth of the requests and the burst. */
 static void
 test_budget (void)
@@ -754,6 +772,24 @@
 	}
 }
 
+/* An id that belongs to another request is a definite answer: asking again would not help. */
+static void
+test_settle_bad_request (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	char *handle = begin_transaction (world);
+
+	start_commit (world, handle, "commit-1", &caller);
+	answer (world_next (world), execution_result (OUTCOME_FAILED, REASON_NO_TRANSACTION, ""));
+	answer (world_next (world), execution_result (OUTCOME_FAILED, REASON_BAD_REQUEST, ""));
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_FAILED);
+	g_assert_cmpint (caller.reason, ==, REASON_BAD_REQUEST);
+	caller_finish (&caller);
+	g_free (handle);
+	world_free (world);
+}
+
 /* Guards against "not run" about a commit that may have run: another refusal than "rolled back" says
  * nothing about it. */
 static void
@@ -930,6 +966,7 @@
 	g_test_add_func ("/entry/vm_down", test_vm_down);
 	g_test_add_func ("/entry/lost", test_lost);
 	g_test_add_func ("/entry/refused_after_loss", test_refused_after_loss);
+	g_test_add_func ("/entry/failed_after_loss", test_failed_after_loss);
 	g_test_add_func ("/entry/budget", test_budget);
 	g_test_add_func ("/entry/queue_by_rank", test_queue_by_rank);
 	g_test_add_func ("/entry/late", test_late);
@@ -937,6 +974,7 @@
 	g_test_add_func ("/entry/session_after_failure", test_session_after_failure);
 	g_test_add_func ("/entry/transaction", test_transaction);
 	g_test_add_func ("/entry/settle", test_settle);
+	g_test_add_func ("/entry/settle_bad_request", test_settle_bad_request);
 	g_test_add_func ("/entry/settle_refused", test_settle_refused);
 	g_test_add_func ("/entry/mixed", test_mixed);
 	g_test_add_func ("/entry/wait_for_primary", test_wait_for_primary);
