--- a/flamingospring/owner.c
+++ b/flamingospring/owner.c
@@ -75,6 +75,13 @@
 	owner_monitor_ask (&owner->monitors[owner->server], is_new, clock_now_us ());
 }
 
+bool
+owner_is_replaced (const struct owner *owner)
+{
+	return owner->has_primary && owner->primary != owner->server &&
+	       owner->term > owner->position.term;
+}
+
 static void
 handle_pool_answered (void *data, bool answered)
 {
@@ -512,6 +519,26 @@
 	g_free (queued);
 }
 
+/* Writes that wait for a slot of a replaced primary, which may be stuck at a silent server, go to the new one. */
+static void
+owner_refuse_queued_writes (struct owner *owner)
+{
+	GList *link = owner->tasks.head;
+	bool was_pumping = owner->is_pumping;
+
+	owner->is_pumping = true;
+	while (link)
+	{
+		struct owner_task *task = link->data;
+
+		link = link->next;
+		if (task->state == TASK_QUEUED && task->is_write && !task->transaction)
+			owner_task_refuse (task, REASON_NOT_PRIMARY, 0);
+	}
+	owner->is_pumping = was_pumping;
+	owner_pump (owner);
+}
+
 void
 owner_handle_snapshot (struct owner *owner, const struct snapshot *snapshot)
 {
@@ -525,6 +552,8 @@
 		return;
 	}
 	owner_adopt (owner, group);
+	if (owner_is_replaced (owner))
+		owner_refuse_queued_writes (owner);
 	if (owner->service_revision != group->service->revision)
 	{
 		owner->service_revision = group->service->revision;
--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -338,8 +338,6 @@
 owner_task_start (struct owner_task *task)
 {
 	struct owner *owner = task->owner;
-	bool is_elsewhere =
-		owner->has_primary && owner->primary != owner->server && owner->term > owner->position.term;
 
 	task->has_slot = true;
 	task->started_us = clock_now_us ();
@@ -357,7 +355,7 @@
 		return;
 	}
 	/* A primary that was replaced would lose the write. */
-	if (task->is_write && is_elsewhere)
+	if (task->is_write && owner_is_replaced (owner))
 	{
 		owner_ask_self (owner, true);
 		owner_task_refuse (task, REASON_NOT_PRIMARY, 0);
--- a/include/flamingospring/owner_private.h
+++ b/include/flamingospring/owner_private.h
@@ -159,6 +159,8 @@
 void owner_ask_self (struct owner *owner, bool is_new);
 void owner_observe (struct owner *owner, uint32_t server, bool answered,
                     const struct server_status *status);
+/** Tells whether another server is the primary of a term that this one has not reached. */
+bool owner_is_replaced (const struct owner *owner);
 bool owner_is_primary (const struct owner *owner);
 
 /* owner_set.c */
--- a/tests/unit/owner.c
+++ b/tests/unit/owner.c
@@ -459,6 +459,38 @@
 	world_finish (&world);
 }
 
+/* Writes in the queue of a silent primary waited for its slots after another one had been promoted, for up to 1 s of
+ * the gap in service. */
+static void
+test_queued_elsewhere (void)
+{
+	struct world world;
+	struct asked running[2];
+	struct asked queued;
+
+	world_start (&world);
+	world_rule (&world, "WRITE", 1, FAKE_HANG);
+	world_rule (&world, "WRITE", 1, FAKE_HANG);
+	for (size_t i = 0; i < G_N_ELEMENTS (running); i++)
+	{
+		asked_prepare (&running[i], "set", 0, "");
+		asked_submit (&world, &running[i]);
+	}
+	asked_prepare (&queued, "set", 0, "");
+	asked_submit (&world, &queued);
+	world_run (&world, 20 * US_PER_MS);
+	g_assert_cmpuint (queued.done, ==, 0);
+	world_publish (&world, 1, 2, WORLD_SELF, false);
+	world_run (&world, 20 * US_PER_MS);
+	g_assert_cmpuint (running[0].done + running[1].done, ==, 0);
+	g_assert_cmpuint (queued.done, ==, 1);
+	g_assert_cmpint (queued.outcome, ==, OUTCOME_REFUSED);
+	g_assert_cmpint (queued.reason, ==, REASON_NOT_PRIMARY);
+	for (size_t i = 0; i < G_N_ELEMENTS (running); i++)
+		asked_wait (&world, &running[i]);
+	world_finish (&world);
+}
+
 static void
 test_cancel (void)
 {
@@ -567,6 +599,7 @@
 	g_test_add_func ("/owner/connection_limit", test_connection_limit);
 	g_test_add_func ("/owner/not_primary_is_reported", test_not_primary_is_reported);
 	g_test_add_func ("/owner/known_elsewhere", test_known_elsewhere);
+	g_test_add_func ("/owner/queued_elsewhere", test_queued_elsewhere);
 	g_test_add_func ("/owner/cancel", test_cancel);
 	g_test_add_func ("/owner/ownership", test_ownership);
 	g_test_add_func ("/owner/finish", test_finish);
