--- a/flamingospring/control.c
+++ b/flamingospring/control.c
@@ -317,6 +317,27 @@
 	mailbox_send (&control->mailbox, &observation->message);
 }
 
+static void
+handle_observer_answer (struct mailbox_message *message, void *receiver)
+{
+	struct control_answer *answer = (struct control_answer *) message;
+
+	control_observers_handle_answer (receiver, &answer->answer);
+	free (answer);
+}
+
+void
+control_answer (struct control *control, const struct observer_answer *answer)
+{
+	struct control_answer *message = calloc (1, sizeof *message);
+
+	if (!message)
+		return;
+	message->message.handle_message = handle_observer_answer;
+	message->answer = *answer;
+	mailbox_send (&control->mailbox, &message->message);
+}
+
 static void *
 control_main (void *data)
 {
@@ -402,7 +423,7 @@
 	control->loop.epoll_fd = -1;
 	control->loop.wake_fd = -1;
 	control->gossip_source.fd = -1;
-	control->listener.fd = -1;
+	control->server.source.fd = -1;
 	snapshot_reader_init (&control->writer, source);
 	control->drain_settings = drain_default_settings;
 	control->drain_settings.limit_us = (int64_t) settings->drain_limit_ms * US_PER_MS;
--- a/tests/standin/relay.c
+++ b/tests/relay/relay.c
@@ -1,5 +1,5 @@
-/* A relay in the links between nodes that cuts, delays and loses; tests/standin/README.md lists its commands. */
-#include "stream.h"
+/* A relay in the links between nodes that cuts, delays and loses; tests/relay/README.md lists its commands. */
+#include "emulator/stream.h"
 
 #include "common/clock.h"
 
