--- a/tests/relay/relay.c
+++ b/tests/relay/relay.c
@@ -413,7 +413,7 @@
 handle_datagrams (struct loop_source *source, uint32_t epoll_events)
 {
 	static guint8 buffer[DATAGRAM_BYTES];
-	struct sockaddr_in from;
+	struct sockaddr_in from = { 0 };
 	socklen_t size = sizeof from;
 	ssize_t length;
 
