--- a/tests/unit/acknowledgement.c
+++ b/tests/unit/acknowledgement.c
@@ -187,12 +187,66 @@
 	g_assert_cmpuint (counter_get (COUNTER_INVARIANT_VIOLATIONS), ==, 0);
 }
 
+/* All reports of a replica that concern a write at {1, 2}: term of the promise, and end of the log. */
+static const struct server_status small_reports[] = {
+	{ false, 1, { 1, 1 } }, { false, 1, { 1, 2 } }, { false, 2, { 1, 1 } },
+	{ false, 2, { 1, 2 } }, { false, 2, { 2, 2 } }, { true, 2, { 2, 2 } },
+};
+
+/* What the reports so far allow for the write. */
+static enum acknowledgement_verdict
+expected_verdict (const size_t *order, size_t reports)
+{
+	for (size_t i = 0; i < reports; i++)
+		if (small_reports[order[i]].promised_term > 1)
+			return ACKNOWLEDGEMENT_REPLACED;
+	for (size_t i = 0; i < reports; i++)
+		if (small_reports[order[i]].position.index >= 2)
+			return ACKNOWLEDGEMENT_DONE;
+	return ACKNOWLEDGEMENT_NONE;
+}
+
+/* Guards against an acknowledgement with a promise above the write's term, for each sequence of four
+ * reports of the two replicas of a group. */
+static void
+test_every_report (void)
+{
+	enum
+	{
+		REPORTS = 4,
+	};
+	const struct server_status primary = { true, 1, { 1, 2 } };
+	size_t kinds = G_N_ELEMENTS (small_reports);
+
+	for (size_t code = 0; code < kinds * kinds * kinds * kinds; code++)
+	{
+		void *memory = g_malloc (acknowledgement_size (3, 4));
+		struct acknowledgement *ack = acknowledgement_init (memory, 3, 4);
+		enum acknowledgement_verdict verdict = ACKNOWLEDGEMENT_NONE;
+		size_t order[REPORTS];
+		size_t rest = code;
+
+		g_assert_cmpint (acknowledgement_add (ack, 7, primary.position, 100), ==, 0);
+		acknowledgement_report (ack, 0, &primary);
+		for (size_t i = 0; i < REPORTS && verdict == ACKNOWLEDGEMENT_NONE; i++, rest /= kinds)
+		{
+			order[i] = rest % kinds;
+			acknowledgement_report (ack, 1 + (uint32_t) (i % 2), &small_reports[order[i]]);
+			verdict = acknowledgement_next (ack, 1).verdict;
+			g_assert_cmpint (verdict, ==, expected_verdict (order, i + 1));
+		}
+		g_free (memory);
+	}
+	g_assert_cmpuint (counter_get (COUNTER_INVARIANT_VIOLATIONS), ==, 0);
+}
+
 int
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/acknowledgement/cases", test_cases);
 	g_test_add_func ("/acknowledgement/batch", test_batch);
+	g_test_add_func ("/acknowledgement/every_report", test_every_report);
 	g_test_add_func ("/acknowledgement/random", test_random);
 	return g_test_run ();
 }
