--- a/tests/unit/owner_transaction.c
+++ b/tests/unit/owner_transaction.c
@@ -136,6 +136,63 @@
 	world_finish (&world);
 }
 
+/* Guards against a late statement of an ended transaction that reaches the next one with its handle:
+ * the handles of the table repeat, and the number beside them does not. */
+static void
+test_repeated_handle (void)
+{
+	struct world world;
+	struct asked asked;
+	uint64_t id;
+
+	world_start (&world);
+	begin (&world, &asked);
+	id = asked.transaction;
+	step (&world, &asked, FS_OPERATION_TRANSACTION_CALL, "add", id ^ (uint64_t) 1 << 40);
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_FAILED);
+	g_assert_cmpint (asked.reason, ==, REASON_NO_TRANSACTION);
+	step (&world, &asked, FS_OPERATION_COMMIT, "", id);
+	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+	g_assert_cmpuint (world.applied, ==, 0);
+	world_finish (&world);
+}
+
+/* Guards against other work on a connection whose transaction was given up while its statement ran,
+ * or was not rolled back: that work would be part of the transaction. */
+static void
+check_given_up (const char *prefix, enum fake_action action)
+{
+	struct world world;
+	struct asked asked;
+	uint64_t id;
+	int given_up;
+
+	world_start (&world);
+	world_rule (&world, prefix, 1, action);
+	begin (&world, &asked);
+	id = asked.transaction;
+	g_string_truncate (world.log, 0);
+	step (&world, &asked, FS_OPERATION_TRANSACTION_CALL, "add", id);
+	given_up = atoi (world.log->str);
+	step (&world, &asked, FS_OPERATION_ROLLBACK, "", id);
+	g_assert_cmpuint (owner_set_in_flight (&world.set), ==, 0);
+	for (int i = 0; i < 4; i++)
+	{
+		g_string_truncate (world.log, 0);
+		asked_run (&world, &asked, "find", 0, "");
+		g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
+		g_assert_cmpint (atoi (world.log->str), !=, given_up);
+	}
+	world_finish (&world);
+}
+
+static void
+test_given_up (void)
+{
+	check_given_up ("WRITE", FAKE_HANG);
+	check_given_up ("ROLLBACK", FAKE_ERROR);
+}
+
 static void
 test_limits (void)
 {
@@ -328,6 +385,8 @@
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/owner_transaction/commit", test_commit);
 	g_test_add_func ("/owner_transaction/isolation", test_isolation);
+	g_test_add_func ("/owner_transaction/repeated_handle", test_repeated_handle);
+	g_test_add_func ("/owner_transaction/given_up", test_given_up);
 	g_test_add_func ("/owner_transaction/limits", test_limits);
 	g_test_add_func ("/owner_transaction/failed_statement", test_failed_statement);
 	g_test_add_func ("/owner_transaction/faults", test_faults);
