--- a/tests/caller/caller.c
+++ b/emulator/load.c
@@ -1,7 +1,8 @@
 /* Runs sessions against a list of entry VMs and checks every promise of the proxy; see --help. */
-#include "caller.h"
+#include "emulator/load.h"
 
 #include "common/clock.h"
+#include "emulator/commands.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,7 +11,6 @@
 enum
 {
 	POLL_MS = 5,
-	SETTLE_MS = 15000, /* Time for questions about unknown outcomes after the work. */
 	CHECK_MS = 30000,
 };
 
@@ -29,6 +29,7 @@
 	int seconds;
 	int seed;
 	int think_ms;
+	int settle_ms;
 	int report_ms;
 };
 
@@ -99,7 +100,7 @@
 	int64_t now_us = clock_now_us ();
 
 	caller->end_us = now_us + seconds * (int64_t) US_PER_S;
-	caller->give_up_us = caller->end_us + SETTLE_MS * US_PER_MS;
+	caller->give_up_us = caller->end_us + (int64_t) caller->settle_ms * US_PER_MS;
 	for (uint32_t i = 0; i < caller->database_count; i++)
 		caller->last_write_us[i] = now_us;
 	caller_run (caller);
@@ -154,6 +155,18 @@
 	        latencies_percentile_ms (latencies->done_us, 99));
 }
 
+void
+caller_add_record (struct caller *caller, const struct record *record, const char *key,
+                   const char *value)
+{
+	struct record *added;
+
+	g_array_append_vals (caller->records, record, 1);
+	added = caller_record (caller, caller->records->len - 1);
+	added->key = g_strdup (key);
+	added->value = g_strdup (value);
+}
+
 void
 caller_count_reason (struct caller *caller, enum outcome_class class, const char *call,
                      const char *reason, const char *message)
@@ -195,6 +208,8 @@
 		printf ("database=ledger%u longest_write_gap_ms=%ld\n", i, caller->write_gap_us[i] / 1000);
 		gap_us = MAX (gap_us, caller->write_gap_us[i]);
 	}
+	printf ("commits_asked_again done=%lu rolled_back=%lu open=%lu\n", caller->commits.done,
+	        caller->commits.rolled_back, caller->commits.open);
 	printf ("result done=%lu refused=%lu failed=%lu unknown=%lu asked_again=%lu acked=%u open=%u",
 	        caller->outcomes[CLASS_DONE], caller->outcomes[CLASS_REFUSED],
 	        caller->outcomes[CLASS_FAILED], caller->outcomes[CLASS_UNKNOWN], caller->asked_again,
@@ -224,6 +239,7 @@
 	caller->service = options->service;
 	caller->prefix = options->prefix;
 	caller->think_ms = options->think_ms;
+	caller->settle_ms = options->settle_ms;
 	caller->report_ms = options->report_ms;
 	for (int i = 0; options->flood && i < CALLER_RANK_COUNT; i++)
 	{
@@ -291,6 +307,8 @@
 		{ "sessions", 0, 0, G_OPTION_ARG_INT, &options->sessions, "sessions of the mix", "N" },
 		{ "seconds", 0, 0, G_OPTION_ARG_INT, &options->seconds, "length of the work", "N" },
 		{ "think-ms", 0, 0, G_OPTION_ARG_INT, &options->think_ms, "pause of a session", "MS" },
+		{ "settle-ms", 0, 0, G_OPTION_ARG_INT, &options->settle_ms,
+		  "time for questions about unknown outcomes after the work", "MS" },
 		{ "report-ms", 0, 0, G_OPTION_ARG_INT, &options->report_ms, "run time of a report", "MS" },
 		{ "seed", 0, 0, G_OPTION_ARG_INT, &options->seed, "seed of the mix", "N" },
 		{ "prefix", 0, 0, G_OPTION_ARG_STRING, &options->prefix, "of keys; one a run", "TEXT" },
@@ -309,9 +327,13 @@
 
 	g_option_context_add_main_entries (context, entries, NULL);
 	is_valid = g_option_context_parse (context, &argc, &argv, &error) && options->entries &&
-	           options->databases <= MAX_DATABASES;
+	           options->databases >= 1 && options->databases <= MAX_DATABASES &&
+	           options->sessions >= 1 && options->seconds >= 0;
 	if (!is_valid)
-		fprintf (stderr, "caller: %s\n", error ? error->message : "--entries is required");
+		fprintf (stderr, "load: %s\n",
+		         error ? error->message
+		               : "--entries is required; --databases is 1 to 16, --sessions starts at 1, "
+		                 "--seconds at 0");
 	g_clear_error (&error);
 	g_option_context_free (context);
 	if (!options->service)
@@ -332,7 +354,7 @@
 }
 
 int
-main (int argc, char **argv)
+cmd_load (int argc, char **argv)
 {
 	struct options options = { .databases = 3,
 		                       .sessions = 40,
@@ -340,6 +362,7 @@
 		                       .seconds = 10,
 		                       .seed = 1,
 		                       .think_ms = 20,
+		                       .settle_ms = 15000,
 		                       .report_ms = 20 };
 	struct caller caller;
 	uint64_t broken;
@@ -363,13 +386,13 @@
 	caller_init (&caller, &options);
 	if (options.load && records_load (&caller, options.load) < 0)
 	{
-		fprintf (stderr, "caller: cannot read %s\n", options.load);
+		fprintf (stderr, "load: cannot read %s\n", options.load);
 		return EXIT_FAILURE;
 	}
 	if (!options.load)
 		caller_work (&caller, options.seconds);
 	if (options.record && records_save (&caller, options.record) < 0)
-		fprintf (stderr, "caller: cannot write %s\n", options.record);
+		fprintf (stderr, "load: cannot write %s\n", options.record);
 	caller_check (&caller);
 	for (int rank = 0; rank < CALLER_RANK_COUNT; rank++)
 	{
--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -81,20 +81,40 @@
 	counter_add (result->server_is_primary ? COUNTER_READS_PRIMARY : COUNTER_READS_REPLICA, 1);
 }
 
-/** Raises the token after an acknowledged write. */
+/* The position that the session's later reads have to see; term 0: none. A write that fails at the
+ * primary has read what it failed on, perhaps an earlier attempt of the same insert, whose answer was
+ * lost; that the position may be lost with the primary is harmless, since any higher term covers it. */
+static struct log_position
+position_seen (const struct entry_plan *plan, enum outcome outcome,
+               const struct fs_execute_result *result)
+{
+	const struct fs_position *position = NULL;
+
+	if (outcome == OUTCOME_DONE)
+		position = &result->written;
+	else if (result->outcome == OUTCOME_FAILED && result->reason == REASON_STATEMENT &&
+	         plan->is_write && result->server_is_primary)
+		position = &result->server_position;
+	if (!position)
+		return (struct log_position){ 0 };
+	return (struct log_position){ position->term, position->index };
+}
+
+/** Raises the token after a write that was acknowledged or failed. */
 static void
 update_token (struct entry_request *request, enum outcome outcome,
               const struct fs_execute_result *result)
 {
 	struct entry_plan *plan = &request->plan;
-	struct log_position written;
+	struct log_position seen = { 0 };
 	int updated;
 
-	if (outcome != OUTCOME_DONE || !result || result->written.term == 0)
+	if (result)
+		seen = position_seen (plan, outcome, result);
+	if (seen.term == 0)
 		return;
-	written = (struct log_position){ result->written.term, result->written.index };
-	updated = session_token_update (&plan->token, plan->database_hash, written,
-	                                clock_wall_ns () / 1000000);
+	updated =
+		session_token_update (&plan->token, plan->database_hash, seen, clock_wall_ns () / 1000000);
 	/* The room was checked before the write ran. */
 	INVARIANT (updated == 0, "P1");
 	if (!plan->has_token)
@@ -132,6 +152,14 @@
 	snapshot_release (request->set->reader);
 }
 
+/** Tells whether the answer of a settle step covers all attempts to commit. */
+static bool
+answer_settles (const struct entry_request *request, const struct entry_answer *answer)
+{
+	return request->args.operation == FS_OPERATION_SETTLE &&
+	       (answer->reason == REASON_ROLLED_BACK || answer->reason == REASON_BAD_REQUEST);
+}
+
 /** Gives the answer to the caller, once. */
 static void
 request_finish (struct entry_request *request, struct entry_answer *answer)
@@ -140,14 +168,16 @@
 	char token[SESSION_TOKEN_MAX_BYTES];
 	char handle[TRANSACTION_HANDLE_MAX_BYTES];
 	char server[ENTRY_SERVER_BYTES];
+	bool is_open = request->may_have_run && !answer_settles (request, answer);
 
-	/* An earlier attempt may have run, so a refusal of the last one proves nothing (P5). */
-	if (request->may_have_run && answer->outcome == OUTCOME_REFUSED)
+	/* An earlier attempt may have run, so a refusal or an error of the last one proves nothing (P5). */
+	if (is_open && answer->outcome == OUTCOME_REFUSED)
 	{
-		answer->outcome = OUTCOME_UNKNOWN;
 		answer->reason = REASON_CONNECTION_LOST;
 		answer->message = "an earlier attempt may have run";
 	}
+	if (is_open && (answer->outcome == OUTCOME_REFUSED || answer->outcome == OUTCOME_FAILED))
+		answer->outcome = OUTCOME_UNKNOWN;
 	loop_cancel_timer (request->set->loop, &request->timer);
 	request->is_waiting = false;
 	request->set->unanswered--;
--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -119,6 +119,7 @@
 	task->request = request;
 	request->handle = task->handle;
 	task->operation = args->operation;
+	task->transaction_id = args->transaction;
 	task->rank = RANK_NORMAL;
 	task->consistency = READ_PRIMARY;
 	task->run_limit_us = REQUEST_CONTROL_LIMIT_US;
@@ -173,7 +174,7 @@
 	if (!freshness_start (&owner->freshness, now_us))
 		return;
 	for (uint32_t i = 0; i < owner->database.server_count; i++)
-		owner_monitor_ask (&owner->monitors[i], true, now_us);
+		owner_monitor_ask (owner->monitors[i].monitor, true, now_us);
 }
 
 static void
@@ -195,7 +196,7 @@
 static bool
 is_silent (const struct owner *owner, int64_t since_us)
 {
-	return owner->monitors[owner->server].silent_at_us >= since_us;
+	return owner->monitors[owner->server].monitor->silent_at_us >= since_us;
 }
 
 void
@@ -432,16 +433,23 @@
 	owner_task_refuse (task, REASON_UPSTREAM_DOWN, (uint32_t) remaining_us);
 }
 
+enum outcome
+owner_task_failure_outcome (const struct owner_task *task)
+{
+	/* The error of a second attempt says nothing about the effect of the first, and that of a settle
+	 * step nothing about the commit. */
+	if (task->is_write && (task->may_have_run || task->operation == FS_OPERATION_SETTLE))
+		return OUTCOME_UNKNOWN;
+	return OUTCOME_FAILED;
+}
+
 void
 owner_task_fail (struct owner_task *task, const struct upstream_answer *answer)
 {
-	/* The error of a second attempt says nothing about the effect of the first. */
-	bool is_unknown = task->may_have_run && task->is_write;
-
 	if (answer->result == UPSTREAM_NOT_PRIMARY)
 		owner_task_refuse (task, REASON_NOT_PRIMARY, 0);
 	else
-		owner_task_finish (task, is_unknown ? OUTCOME_UNKNOWN : OUTCOME_FAILED, REASON_STATEMENT,
+		owner_task_finish (task, owner_task_failure_outcome (task), REASON_STATEMENT,
 		                   answer->message, NULL, 0);
 }
 
@@ -519,6 +527,7 @@
 handle_overdue (struct pool_user *user)
 {
 	struct owner_task *task = task_of (user);
+	const struct owner *owner = task->owner;
 
 	task->state = TASK_STARTING;
 	if (task->uses_once)
@@ -526,6 +535,11 @@
 	else if (task->is_write)
 		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_DEADLINE, "the answer is overdue", NULL,
 		                   0);
+	else if (is_silent (owner, task->started_us))
+		/* The server answers nothing at all: the entry may try another one. A statement that is slow by itself would
+		 * be slow there too. */
+		owner_task_finish (task, OUTCOME_UNKNOWN, REASON_CONNECTION_LOST, "the server is silent",
+		                   NULL, 0);
 	else
 		owner_task_finish (task, OUTCOME_FAILED, REASON_DEADLINE, "the answer is overdue", NULL, 0);
 }
--- a/include/flamingospring/control_private.h
+++ b/include/flamingospring/control_private.h
@@ -6,14 +6,13 @@
 
 #include "common/loop.h"
 #include "common/mailbox.h"
-#include "common/rpc.h"
+#include "common/rpc_listener.h"
 #include "decision/configuration.h"
 #include "decision/drain.h"
 #include "decision/failover.h"
 #include "decision/membership.h"
 #include "flamingospring/control.h"
 #include "flamingospring/platform.h"
-#include "flamingospring/upstream.h"
 #include "protocols/operator.h"
 #include "protocols/peer.h"
 
@@ -39,7 +38,6 @@
 
 struct control_observer;
 struct control_call;
-struct control_client;
 
 struct control
 {
@@ -80,9 +78,7 @@
 
 	struct control_observer *observers;
 	struct control_call *calls;
-	struct control_client *clients;
-	uint32_t client_count;
-	struct loop_source listener;
+	struct rpc_listener server;
 
 	struct drain_settings drain_settings;
 	struct drain drain;
@@ -142,15 +138,14 @@
 int control_server_init (struct control *control);
 void control_server_finish (struct control *control);
 
-/** Answers later: names a client that may be gone by then. */
+/** Answers later: names a connection that may be closed by then. */
 struct control_reply_handle
 {
-	uint64_t client;
+	uint32_t connection;
 	uint32_t xid;
 };
 
-struct control_reply_handle control_reply_hold (struct control *control,
-                                                struct rpc_connection *connection, uint32_t xid);
+struct control_reply_handle control_reply_hold (struct rpc_connection *connection, uint32_t xid);
 void control_reply_send (struct control *control, struct control_reply_handle handle,
                          xdrproc_t encode, const void *result);
 
@@ -196,6 +191,8 @@
 void control_observers_finish (struct control *control);
 void control_observers_handle_observation (struct control *control,
                                            const struct control_observation *observation);
+void control_observers_handle_answer (struct control *control,
+                                      const struct observer_answer *answer);
 void control_observers_handle_announced (struct control *control, const char *database,
                                          uint64_t term, uint32_t primary);
 bool control_observers_opinion (struct control *control, const char *database,
--- a/include/flamingospring/peer.h
+++ b/include/flamingospring/peer.h
@@ -7,7 +7,7 @@
 
 #include "common/handle_table.h"
 #include "common/loop.h"
-#include "common/rpc.h"
+#include "common/rpc_listener.h"
 #include "flamingospring/execution.h"
 
 #include <glib.h>
@@ -24,7 +24,8 @@
 	struct handle_table calls; /**< Of struct peer_call pointers; the handle is the xid. */
 	GHashTable *peers;         /**< Of struct peer, by VM id. */
 	uint64_t random_state;
-	int64_t idle_us; /**< A connection without calls is closed after it. */
+	int64_t idle_us;    /**< A connection without calls is closed after it. */
+	uint32_t source_ip; /**< Of connections; 0: the system's choice. */
 };
 
 int peer_set_init (struct peer_set *set, struct loop *loop, uint64_t seed);
@@ -50,9 +51,7 @@
 /** Incoming connections of one thread. */
 struct peer_listener
 {
-	struct loop *loop;
-	struct loop_source source;
-	struct handle_table connections; /**< Of struct peer_connection pointers. */
+	struct rpc_listener connections;
 	const struct execution_ops *ops; /**< Runs what arrives; execution.vm is 0. */
 	void *transport;
 	uint32_t in_flight;
--- a/tests/virtual/fleet_write.c
+++ b/tests/virtual/fleet_write.c
@@ -175,7 +175,7 @@
 		return;
 	acknowledgement_add (group->acknowledgement,
 	                     reply->request.value << 3 | (reply->result ? REPLAY : reply->server),
-	                     reply->result ? reply->last : reply->status.position,
+	                     reply->server, reply->result ? reply->last : reply->status.position,
 	                     fleet_now (vm->fleet) + ACKNOWLEDGE_US);
 	if (!group->is_polling)
 		handle_write_poll (group, NULL);
