--- a/common/rpc_listener.c
+++ b/common/rpc_listener.c
@@ -83,7 +83,7 @@
 		int result = fd < 0 ? fd : listener_add (listener, fd);
 
 		if (result < 0 && result != -EAGAIN)
-			log_event (LOG_LEVEL_WARN, "connection_refused", "listener=%s error=%d", listener->name,
+			log_event (LOG_LEVEL_WARN, "accept_failed", "listener=%s error=%d", listener->name,
 			           result);
 		if (fd < 0)
 			return;
