--- a/decision/configuration.c
+++ b/decision/configuration.c
@@ -13,10 +13,16 @@
 	/* With 8 watchers, one of them is back within 3 s of an outage's end in all but 1 of 2,000 cases;
 	 * the calls during the outage are about 3 a second. */
 	.watch_retry_max_us = 4000000,
+	.pull_spread_us = 2400000,
+	.pull_spread_members = 750,
 };
 
 enum
 {
+	/* Parts of the time over which pulls are spread: in the first one, pulls start at once, so that
+	 * enough VMs have the document; late ones are spread over the last one. */
+	AT_ONCE_DIVISOR = 13,
+	LATE_DIVISOR = 4,
 	MAX_ATTEMPT = 16, /* Delays do not grow after this many failures. */
 };
 
@@ -56,6 +62,8 @@
 	uint64_t revision;
 	uint64_t peer_revision; /* Highest that the peer is known to have. */
 	uint32_t peer;
+	int64_t pull_spread_us;
+	int64_t news_since_us;
 	int64_t now_us; /* Of the present call, for the actions. */
 	int idle_state;
 	int waiting_state;
@@ -66,6 +74,24 @@
 	struct configuration_entry entries[];
 };
 
+/* Each VM has its turn in the time after the change, so that the bytes of the pulls are spread evenly;
+ * those that hear of it later pull at once. */
+static int64_t
+first_pull_delay_us (const struct configuration *configuration, uint64_t random)
+{
+	int64_t age_us = configuration->now_us - configuration->news_since_us;
+	int64_t left_us = configuration->pull_spread_us - age_us;
+
+	/* The end of a partition tells many at once. */
+	if (left_us <= -configuration->pull_spread_us)
+		left_us = configuration->pull_spread_us * 3 / 4;
+	else if (left_us < configuration->pull_spread_us / LATE_DIVISOR)
+		left_us = configuration->pull_spread_us / LATE_DIVISOR;
+	if (age_us < configuration->pull_spread_us / AT_ONCE_DIVISOR || left_us <= 0)
+		return 0;
+	return (int64_t) (random % (uint64_t) left_us);
+}
+
 static int64_t
 source_delay_us (struct configuration_source *source)
 {
@@ -73,12 +99,11 @@
 	const struct configuration_settings *settings = owner->settings;
 	uint64_t random = random_next (&owner->seed);
 
-	/* The first pull waits for nothing: each member learns of news at another time. */
+	if (!source->is_platform && source->attempt == 0)
+		return first_pull_delay_us (owner, random);
 	if (!source->is_platform)
-		return source->attempt == 0
-		           ? 0
-		           : backoff_delay_us (source->attempt, settings->pull_retry_min_us,
-		                               settings->pull_retry_max_us, random);
+		return backoff_delay_us (source->attempt, settings->pull_retry_min_us,
+		                         settings->pull_retry_max_us, random);
 	/* At a restart of the whole fleet every VM is alone at first, and takes itself for a watcher:
 	 * the first load waits until membership has had time to tell it otherwise. */
 	if (source->attempt == 0)
@@ -267,10 +292,25 @@
 	source_fail (&configuration->platform, SOURCE_COMPACTED, now_us);
 }
 
+void
+configuration_set_fleet (struct configuration *configuration, size_t members, int64_t news_since_us)
+{
+	const struct configuration_settings *settings = configuration->settings;
+
+	if (members > settings->pull_spread_members)
+		members = settings->pull_spread_members;
+	configuration->pull_spread_us =
+		settings->pull_spread_us * (int64_t) members / (int64_t) settings->pull_spread_members;
+	configuration->news_since_us = news_since_us;
+}
+
 void
 configuration_handle_peer (struct configuration *configuration, uint32_t peer, uint64_t revision,
                            int64_t now_us)
 {
+	/* A pull that waits is not given up for a peer that has nothing new. */
+	if (peer && revision <= configuration->revision && peer_is_newer (configuration))
+		return;
 	configuration->peer = peer;
 	configuration->peer_revision = peer ? revision : 0;
 	if (peer_is_newer (configuration))
--- a/decision/failover.c
+++ b/decision/failover.c
@@ -11,9 +11,9 @@
 const struct failover_settings failover_default_settings = {
 	.poll_quiet_us = 1000000,
 	.poll_quiet_max_us = 3000000,
-	/* A poll takes about 460 bytes both ways; a VM that observes more than 3 groups makes 6 polls a
-	 * second, 2.8 KB of the 6 KB that control may take. */
-	.poll_per_group_us = 280000,
+	/* A poll takes about 460 bytes both ways; a VM that observes more than 3 groups makes 5 polls a
+	 * second, 2.7 KB of the 6 KB that control may take. */
+	.poll_per_group_us = 310000,
 	.poll_alert_us = 100000,
 	.reply_late_us = 300000,
 	.suspect_after_us = 500000,
@@ -574,6 +574,27 @@
 	failover->state->quiet_us = quiet_us;
 }
 
+void
+failover_postpone_replicas (struct failover *failover, int64_t by_us, int64_t now_us)
+{
+	struct failover_private *f = failover->state;
+
+	/* The bytes of few groups are no burden. */
+	if (!is_in (f, STATE_QUIET) || f->planned.is_wanted || f->primary == FAILOVER_NO_PRIMARY ||
+	    f->quiet_us <= f->settings->poll_quiet_us)
+		return;
+	/* All by the same time, so that they stay spread. A poll is put off once, or frequent changes
+	 * would stop them. */
+	for (uint32_t i = 0; i < f->server_count; i++)
+	{
+		struct observed_server *server = &f->servers[i];
+
+		if (i != f->primary &&
+		    server->next_poll_us - server->last_poll_us <= poll_interval_us (f, i, now_us))
+			server->next_poll_us += by_us;
+	}
+}
+
 static bool
 next_poll (struct failover_private *f, struct failover_effect *effect, int64_t now_us)
 {
--- a/decision/membership.c
+++ b/decision/membership.c
@@ -16,16 +16,23 @@
 	.suspect_us = 1500000,
 	.indirect_pings = 3,
 	.spread_factor = 3,
+	/* Status polls take 3,034 of the 6,000 bytes/s of a node at the target size (tools/slopes), 1,671
+	 * while a change of configuration spreads, and its pulls up to 2,400; what one VM sends another
+	 * receives. */
+	.bytes_per_s_max = 6000,
+	.bytes_per_s_min = 1150,
+	.bytes_per_s_change = 850,
+	.change_us = 3500000,
 };
 
 enum
 {
-	/* Datagrams with news go out at this interval, and at the slow one when the news do not fit one
-	 * datagram: a lost zone makes hundreds of them, and the limit of 6 KB/s comes before their
-	 * speed. Leaving servers and configuration are always fast. */
-	RUMOR_FAST_US = 100000,
-	RUMOR_SLOW_US = 350000,
-	RUMOR_SLOW_ITEMS = 6,
+	/* Datagrams with news go out at this interval, as far as the budget allows. A full one costs less
+	 * for each of its items; leaving servers and configuration do not wait for one. */
+	RUMOR_INTERVAL_US = 100000,
+	DATAGRAM_BARE_BYTES = 128, /* With a configuration revision only. */
+	DATAGRAM_MIN_BYTES = 192,  /* Room for one item with a long key. */
+	DATAGRAM_MAX_BYTES = 500,
 	/* A ping that is not answered after this many ack timeouts, direct and indirect, failed. */
 	PROBE_TIMEOUTS = 2,
 	/* Many suspects at once are rather a cut link than many deaths: the time to refute grows by
@@ -35,9 +42,11 @@
 	/* Dead members are pinged to notice the end of a partition, each about this often in a period. */
 	DEAD_PINGS_PER_PERIOD = 1,
 	CLAIM_PROBE_US = 2000000,
-	REARM_US = 5000000,
-	/* News from shortly before a member went silent may not have reached it either. */
-	REARM_MARGIN_US = 10000000,
+	CLAIM_PROBERS = 8,
+	VIEW_INTERVAL_US = 2000000,
+	VIEW_PROBES = 2,
+	/* After the end of a partition, blocks of live members settle stale claims. */
+	CLAIM_REJOIN_US = 10000000,
 	RANDOM_TRIES = 8,
 	PAUSE_US = 500000, /* A call that comes later than this after it was due follows a pause. */
 };
@@ -86,7 +95,8 @@
 	find_chart_numbers (membership);
 	member = member_table_add (membership, self, address);
 	member->incarnation = incarnation;
-	rumor_add_member (membership, member);
+	rumor_add_introduction (membership, member);
+	budget_init (membership, now_us);
 	return membership;
 }
 
@@ -131,15 +141,28 @@
 	rumor_add_member (membership, self);
 }
 
+static void
+handle_config_revision (struct membership *membership, uint64_t revision, int64_t since_us)
+{
+	if (revision <= membership->config_heard)
+		return;
+	membership->config_heard = revision;
+	membership->config_since_us = since_us;
+	budget_handle_change (membership);
+}
+
 void
-membership_set_config_revision (struct membership *membership, uint64_t revision)
+membership_set_config_revision (struct membership *membership, uint64_t revision, int64_t now_us)
 {
 	struct member_record *self = self_record (membership);
 
 	if (revision <= self->config_revision)
 		return;
 	self->config_revision = revision;
-	membership->config_sends_left = rumor_limit (membership);
+	handle_config_revision (membership, revision, now_us);
+	budget_handle_change (membership);
+	/* Pings and answers carry the revision anyway. */
+	membership->config_sends_left = rumor_limit (membership) / 2;
 }
 
 static void
@@ -169,13 +192,7 @@
 handle_rejoin (struct membership *membership, struct member_record *member, uint32_t heard_from,
                int64_t now_us)
 {
-	if (now_us - membership->rearmed_at_us >= REARM_US)
-	{
-		/* The end of a partition: what this side said about the other one is wrong now. */
-		rumor_drop_down (membership);
-		membership->rearmed_at_us = now_us;
-		rumor_add_changed (membership, member->down_since_us - REARM_MARGIN_US);
-	}
+	rejoin_start (membership, member->down_since_us, now_us);
 	member->down_since_us = 0;
 	if (heard_from == member->id)
 		queue (membership, GOSSIP_ACK, member->id, 0, 0);
@@ -210,10 +227,13 @@
 	if (incarnation >= member->incarnation ||
 	    (member->state != MEMBER_ALIVE && member->state != MEMBER_LEAVING))
 		return;
+	if (membership->rejoin_at_us && now_us - membership->rejoin_at_us < CLAIM_REJOIN_US)
+		return;
 	if (member->sends_left == 0)
 		rumor_add_member (membership, member);
-	/* After a partition there are hundreds of such claims. */
-	if (now_us - membership->claim_probe_at_us < CLAIM_PROBE_US)
+	/* After a partition there are hundreds of such claims, and a claim reaches hundreds of members. */
+	if (now_us - membership->claim_probe_at_us < CLAIM_PROBE_US ||
+	    random_next (&membership->seed) % membership->member_count >= CLAIM_PROBERS)
 		return;
 	membership->claim_probe_at_us = now_us;
 	probe_member (membership, member, now_us);
@@ -221,20 +241,29 @@
 
 /* Others take this VM for suspect or dead, or remember its earlier life. */
 static bool
-merge_self (struct membership *membership, const struct membership_item *item)
+merge_self (struct membership *membership, const struct membership_item *item, int64_t now_us)
 {
 	struct member_record *self = self_record (membership);
+	enum member_state told = (enum member_state) (item->version & 3);
+	bool is_partition = rejoin_can_vouch (membership, now_us);
 
+	if (told == MEMBER_DEAD)
+		membership->is_told_dead = true;
 	if (item->version <= member_version (self))
 	{
 		/* The refutation did not reach everybody: sends it again. */
-		if (item->version != member_version (self) && self->sends_left == 0)
+		if (told != MEMBER_ALIVE && item->version != member_version (self) &&
+		    self->sends_left == 0 && !is_partition)
 			rumor_add_member (membership, self);
 		return false;
 	}
 	self->incarnation = (item->version >> 2) + 1;
 	membership->generation++;
-	rumor_add_member (membership, self);
+	/* The blocks of live members that both sides exchange refute for all of them at once. */
+	if (!is_partition)
+		rumor_add_introduction (membership, self);
+	else if (told != MEMBER_DEAD)
+		rumor_add_member (membership, self);
 	return true;
 }
 
@@ -255,7 +284,7 @@
 	bool was_down;
 
 	if (item->member == self_record (membership)->id)
-		return merge_self (membership, item);
+		return merge_self (membership, item, now_us);
 	if (!member)
 	{
 		/* A dead member that was forgotten here is no news. */
@@ -268,6 +297,12 @@
 	else if (item->version == member_version (member) &&
 	         item->config_revision > member->config_revision)
 		member->config_revision = item->config_revision;
+	if (item->version > member_version (member) &&
+	    (state == MEMBER_SUSPECT || state == MEMBER_DEAD) && rejoin_is_stale (member, now_us))
+	{
+		member->incarnation = (item->version >> 2) + 1;
+		return false;
+	}
 	if (item->version <= member_version (member) && !is_first)
 	{
 		if (state == MEMBER_SUSPECT || state == MEMBER_DEAD)
@@ -277,8 +312,11 @@
 	was_down = member->down_since_us != 0;
 	/* A new incarnation alone is passed on only by those for whom it ends a suspicion: at the end of
 	 * a partition this saves most rumors. Others hear of it from answer_stale_claim(). */
-	if (is_first || state != (enum member_state) member->state ||
-	    !is_same_address (&member->address, &item->address))
+	/* A member that comes back may be unknown to VMs that started while it was down. */
+	if (is_first || !is_same_address (&member->address, &item->address) ||
+	    (member->state == MEMBER_DEAD && !rejoin_is_partition (membership)))
+		rumor_add_introduction (membership, member);
+	else if (state != (enum member_state) member->state)
 		rumor_add_member (membership, member);
 	else if (member->incarnation == 0)
 		rumor_add_greeting (membership, member);
@@ -335,6 +373,22 @@
 	return is_news;
 }
 
+/* A claim about a member that is not known here says nothing: its address comes with its own pings. */
+static void
+merge_claim (struct membership *membership, const struct member_claim *claim, uint32_t heard_from,
+             int64_t now_us)
+{
+	const struct member_record *member = member_table_find (membership, claim->member);
+	struct membership_item item;
+
+	if (!member)
+		return;
+	member_to_item (member, &item);
+	item.version = claim->version;
+	item.state = (enum member_state) (claim->version & 3);
+	merge (membership, &item, heard_from, now_us);
+}
+
 static void
 handle_ack (struct membership *membership, const struct gossip_message *message,
             struct member_record *member, int64_t now_us)
@@ -345,6 +399,7 @@
 
 		if (probe->sequence != message->sequence)
 			continue;
+		membership->answers = membership->answers << 1 | 1;
 		if (probe->id == member->id && !probe->is_indirect)
 		{
 			uint32_t rtt_us = (uint32_t) (now_us - probe->sent_us);
@@ -364,6 +419,20 @@
 	}
 }
 
+/* Others differ about who is alive: the members themselves settle it. */
+static void
+handle_view (struct membership *membership, const struct gossip_message *message, int64_t now_us)
+{
+	struct member_record *members[VIEW_PROBES];
+	size_t count = view_compare (membership, message, members, VIEW_PROBES, now_us);
+
+	for (size_t i = 0; i < count; i++)
+		if (members[i]->state == MEMBER_DEAD)
+			queue (membership, GOSSIP_PING, members[i]->id, 0, ++membership->sequence);
+		else
+			probe_member (membership, members[i], now_us);
+}
+
 static void
 handle_ping_request (struct membership *membership, const struct gossip_message *message)
 {
@@ -379,12 +448,21 @@
 membership_handle_message (struct membership *membership, const struct gossip_message *message,
                            int64_t now_us)
 {
-	struct member_record *member;
+	struct member_record *member = member_table_find (membership, message->from);
+	bool is_meeting = member && member->state == MEMBER_DEAD;
 
 	if (message->from == self_record (membership)->id)
 		return;
+	handle_config_revision (membership, message->config_revision,
+	                        now_us - message->config_age_ms * 1000LL);
+	membership->is_told_dead = false;
 	for (uint32_t i = 0; i < message->item_count && i < MEMBERSHIP_MAX_ITEMS; i++)
 		merge (membership, &message->items[i], message->from, now_us);
+	for (uint32_t i = 0; i < message->claim_count && i < MEMBERSHIP_MAX_CLAIMS; i++)
+		merge_claim (membership, &message->claims[i], message->from, now_us);
+	if (message->type != GOSSIP_VIEW)
+		rejoin_merge (membership, message, now_us);
+	is_meeting = (is_meeting || membership->is_told_dead) && rejoin_can_vouch (membership, now_us);
 	member = member_table_find (membership, message->from);
 	if (!member)
 		return; /* Its address comes with its own item, in one of its next datagrams. */
@@ -395,12 +473,23 @@
 	member_handle_event (membership, member, MEMBER_ANSWERED, now_us);
 	if (member->state == MEMBER_LEAVING)
 		member->down_since_us = 0;
-	if (message->type == GOSSIP_PING)
-		queue (membership, GOSSIP_ACK, member->id, self_record (membership)->id, message->sequence);
+	if (message->type == GOSSIP_VIEW)
+		handle_view (membership, message, now_us);
+	else if (message->type == GOSSIP_PING)
+		queue_fill (membership, is_meeting ? FILL_REJOIN : FILL_ALL, GOSSIP_ACK, member->id,
+		            self_record (membership)->id, message->sequence);
 	else if (message->type == GOSSIP_PING_REQUEST)
 		handle_ping_request (membership, message);
 	else
 		handle_ack (membership, message, member, now_us);
+	if (message->type == GOSSIP_ACK && message->sequence != 0 && is_meeting)
+		queue_fill (membership, FILL_REJOIN, GOSSIP_ACK, member->id, 0, 0);
+	if (message->type == GOSSIP_PING && !is_meeting &&
+	    message->view_hash != view_hash (membership) && now_us >= membership->view_at_us)
+	{
+		membership->view_at_us = now_us + VIEW_INTERVAL_US;
+		queue_fill (membership, FILL_VIEW, GOSSIP_VIEW, member->id, 0, 0);
+	}
 }
 
 /* A random member that is not this VM; dead ones only, or none of them. NULL when none is found. */
@@ -426,13 +515,8 @@
 static int64_t
 period_us (const struct membership *membership)
 {
-	const struct membership_settings *settings = membership->settings;
-	int64_t members = membership->member_count;
-
-	if (members > settings->period_max_members)
-		members = settings->period_max_members;
-	return settings->period_min_us + (settings->period_max_us - settings->period_min_us) * members /
-	                                     settings->period_max_members;
+	return membership_scale (membership, membership->settings->period_min_us,
+	                         membership->settings->period_max_us);
 }
 
 static void
@@ -474,6 +558,7 @@
 	struct member_record *member = member_table_find (membership, probe->id);
 
 	probe->sequence = 0;
+	membership->answers <<= 1;
 	if (!member || member->state == MEMBER_DEAD)
 		return;
 	if (member_handle_event (membership, member, MEMBER_SILENT, now_us))
@@ -540,25 +625,33 @@
 static bool
 has_news (const struct membership *membership)
 {
-	return membership->config_sends_left > 0 || rumor_count_news (membership) > 0;
+	return membership->config_sends_left > 0 || membership->rejoin_sends_left > 0 ||
+	       rumor_count_news (membership) > 0;
 }
 
 static void
 step_rumors (struct membership *membership, int64_t now_us)
 {
 	bool is_urgent = membership->config_sends_left > 0 || rumor_is_urgent (membership);
-	bool is_slow = rumor_count_news (membership) > RUMOR_SLOW_ITEMS;
-	bool is_full = !is_slow || now_us >= membership->full_rumor_at_us;
+	int64_t bytes = rumor_is_urgent (membership) ? DATAGRAM_MIN_BYTES : DATAGRAM_BARE_BYTES;
 	struct member_record *member;
 
 	if (!has_news (membership) || now_us < membership->rumor_at_us)
 		return;
-	membership->rumor_at_us = now_us + (is_slow && !is_urgent ? RUMOR_SLOW_US : RUMOR_FAST_US);
-	if (is_full)
-		membership->full_rumor_at_us = now_us + RUMOR_SLOW_US;
+	if (!is_urgent)
+		bytes += (int64_t) rumor_news_bytes (membership);
+	if (bytes > DATAGRAM_MAX_BYTES || membership->rejoin_sends_left > 0)
+		bytes = DATAGRAM_MAX_BYTES;
+	if (budget_available (membership, now_us) < bytes)
+	{
+		membership->rumor_at_us = budget_time_us (membership, bytes);
+		return;
+	}
+	membership->rumor_at_us = now_us + RUMOR_INTERVAL_US;
 	member = pick_member (membership, false);
 	if (member)
-		queue_fill (membership, is_full ? FILL_RUMORS : FILL_URGENT, GOSSIP_ACK, member->id, 0, 0);
+		queue_fill (membership, membership->rejoin_sends_left > 0 ? FILL_REJOIN : FILL_RUMORS,
+		            GOSSIP_ACK, member->id, 0, 0);
 }
 
 /* After a pause of this process, missing answers and old suspicions say nothing about others. */
@@ -569,6 +662,7 @@
 		return;
 	membership->due_us = now_us;
 	memset (membership->probes, 0, sizeof membership->probes);
+	membership->answers = 0;
 	for (uint32_t i = 1; i < membership->member_count; i++)
 		if (membership->members[i].suspected_at_us)
 			membership->members[i].suspected_at_us = now_us;
@@ -598,6 +692,14 @@
 	}
 }
 
+static uint32_t
+config_age_ms (const struct membership *membership, int64_t now_us)
+{
+	int64_t age_ms = (now_us - membership->config_since_us) / 1000;
+
+	return age_ms < UINT32_MAX ? (uint32_t) age_ms : UINT32_MAX;
+}
+
 bool
 membership_next (struct membership *membership, struct membership_effect *effect, int64_t now_us)
 {
@@ -618,9 +720,13 @@
 		effect->message.target = out->target;
 		effect->message.sequence = out->sequence;
 		effect->message.config_revision = self_record (membership)->config_revision;
-		membership_fill_items (membership, &effect->message, member, out->fill, now_us);
+		effect->message.config_age_ms = config_age_ms (membership, now_us);
+		effect->message.view_hash = view_hash (membership);
+		membership_fill (membership, &effect->message, member, out->fill, now_us);
 		if (membership->config_sends_left > 0)
 			membership->config_sends_left--;
+		if (out->fill == FILL_REJOIN && membership->rejoin_sends_left > 0)
+			membership->rejoin_sends_left--;
 		return true;
 	}
 	membership->due_us = membership_next_time_us (membership);
@@ -649,97 +755,3 @@
 	}
 	return next_us;
 }
-
-uint64_t
-membership_generation (const struct membership *membership)
-{
-	return membership->generation;
-}
-
-size_t
-membership_count (const struct membership *membership)
-{
-	return membership->member_count;
-}
-
-bool
-membership_get (const struct membership *membership, size_t at, struct member *member)
-{
-	const struct member_record *record;
-
-	if (at >= membership->member_count)
-		return false;
-	record = &membership->members[at];
-	*member = (struct member){
-		.id = record->id,
-		.state = (enum member_state) record->state,
-		.address = record->address,
-		.config_revision = record->config_revision,
-		.rtt_us = record->rtt_us,
-	};
-	return true;
-}
-
-bool
-membership_find (const struct membership *membership, uint32_t id, struct member *member)
-{
-	const struct member_record *record = member_table_find (membership, id);
-
-	return record && membership_get (membership, (size_t) (record - membership->members), member);
-}
-
-size_t
-membership_item_count (const struct membership *membership)
-{
-	return membership->item_count;
-}
-
-bool
-membership_get_item (const struct membership *membership, size_t at, struct membership_item *item)
-{
-	if (at >= membership->item_count)
-		return false;
-	item_to_item (&membership->items[at], item);
-	return true;
-}
-
-bool
-membership_find_item (const struct membership *membership, enum item_type type, const char *key,
-                      struct membership_item *item)
-{
-	const struct member_record *member;
-	const struct item_record *record;
-
-	if (type == ITEM_MEMBER)
-	{
-		member = member_table_find (membership, (uint32_t) strtoul (key, NULL, 10));
-		if (member)
-			member_to_item (member, item);
-		return member != NULL;
-	}
-	record = item_table_find (membership, type, key);
-	if (record)
-		item_to_item (record, item);
-	return record != NULL;
-}
-
-uint32_t
-membership_find_newer (const struct membership *membership, uint64_t revision, uint64_t seed)
-{
-	uint32_t zone = self_record (membership)->address.zone;
-	uint32_t other = 0;
-
-	for (uint32_t i = 0; i < membership->member_count; i++)
-	{
-		const struct member_record *member =
-			&membership->members[(i + seed) % membership->member_count];
-
-		if (member->state == MEMBER_DEAD || member->config_revision <= revision)
-			continue;
-		if (member->address.zone == zone)
-			return member->id;
-		if (other == 0)
-			other = member->id;
-	}
-	return other;
-}
--- /dev/null
+++ b/decision/membership_rejoin.c
@@ -0,0 +1,210 @@
+#include "decision/membership_table.h"
+
+#include "decision/retry.h"
+
+#include <stddef.h>
+#include <xxhash.h>
+
+enum
+{
+	BLOCK_BYTES = 12, /* XDR size of fs_member_block. */
+	REJOIN_US = 10000000,
+	/* Claims that a member is down, from those who have not yet heard the blocks, are ignored for this
+	 * long; a member that dies meanwhile is found dead later by as much. */
+	STALE_US = 10000000,
+	/* Others may take longer to notice the end of the partition. */
+	AFTERMATH_US = 30000000,
+	REARM_US = 5000000,
+	/* News from shortly before a member went silent may not have reached it either. */
+	REARM_MARGIN_US = 10000000,
+	/* A VM that was alone, or in a small part, does not know who died meanwhile. In a part of a quarter
+	 * of the fleet 1 probe in 4 is answered until the others are known as dead. */
+	VOUCH_PROBES = 16,
+	VOUCH_ANSWERS = 2,
+	/* Fewer members refute what is said about them one by one. */
+	MANY_DOWN = 8,
+	MAX_DIFFERENCES = 64,
+	/* News settle most differences by themselves; asking earlier, hundreds would ask the same member. */
+	DIFFERENCE_MIN_US = 3000000,
+	DIFFERENCE_MAX_US = 12000000,
+	/* About 1 member in 3,000 gets none of so many; contact with a dead member repairs that. */
+	REJOIN_SENDS = 8,
+};
+
+bool
+rejoin_is_partition (const struct membership *membership)
+{
+	return membership->dead_count + membership->suspected_count >= MANY_DOWN;
+}
+
+bool
+rejoin_can_vouch (const struct membership *membership, int64_t now_us)
+{
+	uint32_t answers = membership->answers & ((1u << VOUCH_PROBES) - 1);
+	bool has_rejoined =
+		membership->rejoin_at_us && now_us - membership->rejoin_at_us < AFTERMATH_US;
+
+	return (has_rejoined || rejoin_is_partition (membership)) &&
+	       __builtin_popcount (answers) >= VOUCH_ANSWERS;
+}
+
+static struct member_block *
+find_block (struct gossip_message *message, uint32_t first, uint32_t max_blocks)
+{
+	struct member_block *block;
+
+	for (uint32_t i = 0; i < message->block_count; i++)
+		if (message->blocks[i].first == first)
+			return &message->blocks[i];
+	if (message->block_count >= max_blocks)
+		return NULL;
+	block = &message->blocks[message->block_count++];
+	*block = (struct member_block){ first, 0 };
+	return block;
+}
+
+size_t
+rejoin_fill (struct membership *membership, struct gossip_message *message, size_t bytes,
+             bool is_view)
+{
+	uint32_t max_blocks = (uint32_t) (bytes / BLOCK_BYTES);
+	uint32_t start = membership->block_cursor % membership->member_count;
+
+	if (max_blocks > MEMBERSHIP_MAX_BLOCKS)
+		max_blocks = MEMBERSHIP_MAX_BLOCKS;
+	for (uint32_t i = 0; i < membership->member_count; i++)
+	{
+		uint32_t at = (start + i) % membership->member_count;
+		const struct member_record *member = &membership->members[at];
+		struct member_block *block;
+
+		if (member->state != MEMBER_ALIVE && (!is_view || member->state != MEMBER_SUSPECT))
+			continue;
+		block =
+			find_block (message, member->id - member->id % MEMBERSHIP_BLOCK_MEMBERS, max_blocks);
+		if (!block)
+		{
+			membership->block_cursor = at;
+			break;
+		}
+		block->alive |= 1ull << member->id % MEMBERSHIP_BLOCK_MEMBERS;
+	}
+	return message->block_count * (size_t) BLOCK_BYTES;
+}
+
+static bool
+is_vouched (const struct member_record *member, int64_t now_us)
+{
+	return member->vouched_at_us != 0 && now_us - member->vouched_at_us < STALE_US;
+}
+
+bool
+rejoin_is_stale (const struct member_record *member, int64_t now_us)
+{
+	return member->state == MEMBER_ALIVE && is_vouched (member, now_us);
+}
+
+void
+rejoin_start (struct membership *membership, int64_t since_us, int64_t now_us)
+{
+	if (now_us - membership->rearmed_at_us < REARM_US)
+		return;
+	/* What this side said about the other one is wrong now. */
+	rumor_drop_down (membership);
+	membership->rearmed_at_us = now_us;
+	rumor_add_changed (membership, since_us - REARM_MARGIN_US);
+}
+
+static bool
+blocks_have (const struct gossip_message *message, uint32_t id)
+{
+	for (uint32_t i = 0; i < message->block_count && i < MEMBERSHIP_MAX_BLOCKS; i++)
+		if (message->blocks[i].first == id - id % MEMBERSHIP_BLOCK_MEMBERS)
+			return message->blocks[i].alive >> id % MEMBERSHIP_BLOCK_MEMBERS & 1;
+	return false;
+}
+
+void
+rejoin_merge (struct membership *membership, const struct gossip_message *message, int64_t now_us)
+{
+	bool is_after = now_us - membership->rejoin_at_us < REJOIN_US && membership->rejoin_at_us != 0;
+	int64_t since_us = now_us;
+	uint32_t revived = 0;
+
+	if (message->block_count == 0 || (!is_after && !rejoin_is_partition (membership)))
+		return;
+	for (uint32_t i = 1; i < membership->member_count; i++)
+	{
+		struct member_record *member = &membership->members[i];
+		bool is_down = member->state == MEMBER_DEAD || member->state == MEMBER_SUSPECT;
+
+		/* Once in this time: if it is silent again after that, it is down. */
+		if (!blocks_have (message, member->id) || (is_down && is_vouched (member, now_us)))
+			continue;
+		member->vouched_at_us = now_us;
+		if (!is_down)
+			continue;
+		if (member->down_since_us < since_us)
+			since_us = member->down_since_us;
+		/* All who revive it give it the same version, so that it needs no rumor. */
+		member->incarnation++;
+		member_handle_event (membership, member, MEMBER_TOLD_ALIVE, now_us);
+		member->down_since_us = 0;
+		revived++;
+	}
+	if (revived == 0)
+		return;
+	/* The incarnation under which the other side revives this VM. */
+	if (!is_after)
+		membership->members[0].incarnation++;
+	membership->rejoin_at_us = now_us;
+	rejoin_start (membership, since_us, now_us);
+	membership->rejoin_sends_left = REJOIN_SENDS;
+}
+
+static bool
+is_alive (const struct member_record *member)
+{
+	return member->state == MEMBER_ALIVE || member->state == MEMBER_SUSPECT;
+}
+
+uint32_t
+view_hash (struct membership *membership)
+{
+	uint32_t hash = 0;
+
+	if (membership->view_generation == membership->generation + 1)
+		return membership->view_hash;
+	for (uint32_t i = 0; i < membership->member_count; i++)
+		if (is_alive (&membership->members[i]))
+			hash ^= XXH32 (&membership->members[i].id, sizeof membership->members[i].id, 0);
+	membership->view_hash = hash;
+	membership->view_generation = membership->generation + 1;
+	return hash;
+}
+
+size_t
+view_compare (struct membership *membership, const struct gossip_message *message,
+              struct member_record **members, size_t limit, int64_t now_us)
+{
+	uint32_t start = (uint32_t) (random_next (&membership->seed) % membership->member_count);
+	uint32_t differences = 0;
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < membership->member_count; i++)
+	{
+		uint32_t at = (start + i) % membership->member_count;
+		struct member_record *member = &membership->members[at];
+
+		/* A leaving member is in no block. */
+		if (at == 0 || member->state == MEMBER_LEAVING ||
+		    is_alive (member) == blocks_have (message, member->id))
+			continue;
+		differences++;
+		if (member->differs_at_us == 0 || now_us - member->differs_at_us > DIFFERENCE_MAX_US)
+			member->differs_at_us = now_us;
+		else if (now_us - member->differs_at_us >= DIFFERENCE_MIN_US && count < limit)
+			members[count++] = member;
+	}
+	return differences <= MAX_DIFFERENCES ? count : 0;
+}
--- a/decision/membership_table.c
+++ b/decision/membership_table.c
@@ -9,7 +9,11 @@
 enum
 {
 	ITEMS_BYTES = 400,
-	ITEM_FIXED_BYTES = 60, /* XDR size of fs_item without the characters of its key. */
+	MEMBER_BYTES = 40,     /* XDR size of fs_item for a member. */
+	ITEM_FIXED_BYTES = 24, /* XDR size of fs_item for others, without the characters of its key. */
+	CLAIM_BYTES = 12,      /* XDR size of fs_member_claim. */
+	/* An empty fs_gossip, with the headers of RPC, UDP and IPv4. */
+	HEADER_BYTES = 40 + 48 + 28,
 	/* Above this number each rumor that is not urgent is sent less often: a lost zone makes
 	 * hundreds. About 1 member in 400 misses a rumor that is sent 6 times, and hears it when it
 	 * pings the member that it takes for dead. */
@@ -17,6 +21,11 @@
 	MANY_RUMORS_SENDS = 6,
 	RECENT_US = 60000000, /* Recent news also ride on pings, for members that were cut off. */
 	RECENT_PER_MESSAGE = 3,
+	URGENT_BYTES = 100,
+	CONFIG_BYTES = 36,  /* Three claims. */
+	RECENT_BYTES = 100, /* Taken whatever the budget says, since nothing else repairs lost items. */
+	/* About 1 member in 20 misses a greeting, and hears the member's own pings later. */
+	GREETING_SENDS = 3,
 };
 
 static uint32_t
@@ -330,7 +339,11 @@
 	uint16_t *sends_left = reference_sends (membership, reference);
 
 	if (*sends_left == 0)
+	{
 		membership->rumors[membership->rumor_count++] = reference;
+		if (reference.is_member)
+			membership->members[reference.at].is_introduced = false;
+	}
 	*sends_left = (uint16_t) rumor_limit (membership);
 	if (*sends_left > MANY_RUMORS_SENDS && !reference_is_urgent (membership, reference) &&
 	    rumor_count_news (membership) > MANY_RUMORS)
@@ -342,6 +355,14 @@
 {
 	rumor_add (membership,
 	           (struct record_reference){ (uint32_t) (member - membership->members), true });
+	member->is_greeting = false;
+}
+
+void
+rumor_add_introduction (struct membership *membership, struct member_record *member)
+{
+	rumor_add_member (membership, member);
+	member->is_introduced = true;
 }
 
 void
@@ -351,6 +372,8 @@
 
 	rumor_add_member (membership, member);
 	member->is_greeting = is_greeting;
+	if (is_greeting && member->sends_left > GREETING_SENDS)
+		member->sends_left = GREETING_SENDS;
 }
 
 void
@@ -414,29 +437,54 @@
 	item->value = record->value;
 }
 
-/* Adds a record when it is not in the datagram and fits. */
+/* Adds an item unless the datagram has it. @return false when it does not fit. */
+static bool
+message_add_item (struct gossip_message *message, size_t *bytes, const struct membership_item *item)
+{
+	size_t item_bytes = item->type == ITEM_MEMBER
+	                        ? MEMBER_BYTES
+	                        : ITEM_FIXED_BYTES + ((strlen (item->key) + 3) & ~(size_t) 3);
+
+	for (uint32_t i = 0; i < message->item_count; i++)
+		if (message->items[i].type == item->type && strcmp (message->items[i].key, item->key) == 0)
+			return true;
+	if (message->item_count == MEMBERSHIP_MAX_ITEMS || item_bytes > *bytes)
+		return false;
+	message->items[message->item_count++] = *item;
+	*bytes -= item_bytes;
+	return true;
+}
+
+static bool
+message_add_claim (struct gossip_message *message, size_t *bytes,
+                   const struct member_record *member)
+{
+	for (uint32_t i = 0; i < message->claim_count; i++)
+		if (message->claims[i].member == member->id)
+			return true;
+	if (message->claim_count == MEMBERSHIP_MAX_CLAIMS || *bytes < CLAIM_BYTES)
+		return false;
+	message->claims[message->claim_count++] =
+		(struct member_claim){ member->id, member_version (member) };
+	*bytes -= CLAIM_BYTES;
+	return true;
+}
+
+/* Adds a record unless the datagram has it, and reduces @p bytes. @return false when it does not fit. */
 static bool
 message_add (const struct membership *membership, struct gossip_message *message, size_t *bytes,
              struct record_reference reference)
 {
-	struct membership_item *item = &message->items[message->item_count];
-	size_t item_bytes;
+	const struct member_record *member = &membership->members[reference.at];
+	struct membership_item item;
 
-	if (message->item_count == MEMBERSHIP_MAX_ITEMS)
-		return false;
+	if (reference.is_member && !member->is_introduced)
+		return message_add_claim (message, bytes, member);
 	if (reference.is_member)
-		member_to_item (&membership->members[reference.at], item);
+		member_to_item (member, &item);
 	else
-		item_to_item (&membership->items[reference.at], item);
-	item_bytes = ITEM_FIXED_BYTES + ((strlen (item->key) + 3) & ~(size_t) 3);
-	if (*bytes + item_bytes > ITEMS_BYTES)
-		return false;
-	for (uint32_t i = 0; i < message->item_count; i++)
-		if (message->items[i].type == item->type && strcmp (message->items[i].key, item->key) == 0)
-			return false;
-	message->item_count++;
-	*bytes += item_bytes;
-	return true;
+		item_to_item (&membership->items[reference.at], &item);
+	return message_add_item (message, bytes, &item);
 }
 
 /* Order in which rumors are sent: leaving first, then groups, members, greetings; the fewest sends so
@@ -462,12 +510,30 @@
 	return false;
 }
 
+size_t
+rumor_news_bytes (const struct membership *membership)
+{
+	size_t bytes = 0;
+
+	for (uint32_t i = 0; i < membership->rumor_count; i++)
+	{
+		struct record_reference reference = membership->rumors[i];
+
+		if (reference_is_greeting (membership, reference))
+			continue;
+		bytes += reference.is_member && !membership->members[reference.at].is_introduced
+		             ? CLAIM_BYTES
+		             : MEMBER_BYTES;
+	}
+	return bytes;
+}
+
 static void
 fill_rumors (struct membership *membership, struct gossip_message *message, size_t *bytes,
              enum gossip_fill fill)
 {
 	uint64_t last = UINT64_MAX;
-	uint32_t sent[MEMBERSHIP_MAX_ITEMS];
+	uint32_t sent[MEMBERSHIP_MAX_ITEMS + MEMBERSHIP_MAX_CLAIMS];
 	uint32_t sent_count = 0;
 
 	for (;;)
@@ -480,9 +546,6 @@
 
 			if (fill < FILL_ALL && reference_is_greeting (membership, membership->rumors[i]))
 				continue;
-			if (fill < FILL_RUMORS && membership->rumors[i].is_member &&
-			    !reference_is_urgent (membership, membership->rumors[i]))
-				continue;
 			if (order < last && order > best)
 				best = order;
 		}
@@ -516,25 +579,60 @@
 	}
 }
 
-void
-membership_fill_items (struct membership *membership, struct gossip_message *message,
-                       const struct member_record *receiver, enum gossip_fill fill, int64_t now_us)
+/* What the receiver needs whatever the budget says. @return its size. */
+static size_t
+fill_essentials (const struct membership *membership, struct gossip_message *message,
+                 const struct member_record *receiver, enum gossip_fill fill)
 {
-	size_t bytes = 0;
+	size_t bytes = ITEMS_BYTES;
+	struct membership_item self;
 
-	message->item_count = 0;
-	if (fill == FILL_NONE)
-		return;
 	/* A member that is taken for suspect or dead has to hear it, to refute it. */
 	if (receiver->state == MEMBER_SUSPECT || receiver->state == MEMBER_DEAD)
-		message_add (
-			membership, message, &bytes,
-			(struct record_reference){ (uint32_t) (receiver - membership->members), true });
+		message_add_claim (message, &bytes, receiver);
 	/* The receiver of a ping may have started with an incomplete list of members: without the
 	 * address it could not answer, and would be taken for suspect. */
+	member_to_item (&membership->members[0], &self);
 	if (message->type == GOSSIP_PING)
-		message_add (membership, message, &bytes, (struct record_reference){ 0, true });
-	fill_rumors (membership, message, &bytes, fill);
+		message_add_item (message, &bytes, &self);
+	/* Nobody knows better that this VM is alive. */
+	else if (fill == FILL_REJOIN)
+		message_add_claim (message, &bytes, &membership->members[0]);
+	return ITEMS_BYTES - bytes;
+}
+
+void
+membership_fill (struct membership *membership, struct gossip_message *message,
+                 const struct member_record *receiver, enum gossip_fill fill, int64_t now_us)
+{
+	int64_t available = budget_available (membership, now_us) - HEADER_BYTES;
+	int64_t limit = ITEMS_BYTES;
+	size_t recent_bytes = RECENT_BYTES;
+	size_t used = 0;
+	size_t free_bytes;
+
+	message->item_count = message->claim_count = message->block_count = 0;
+	if (fill != FILL_NONE && fill != FILL_VIEW)
+		used = fill_essentials (membership, message, receiver, fill);
 	if (fill == FILL_ALL)
-		fill_recent (membership, message, &bytes, now_us);
+	{
+		fill_recent (membership, message, &recent_bytes, now_us);
+		used += RECENT_BYTES - recent_bytes;
+	}
+	if (fill == FILL_REJOIN || fill == FILL_VIEW)
+		used += rejoin_fill (membership, message, ITEMS_BYTES - used, fill == FILL_VIEW);
+	/* A configuration revision and leaving servers spread by many small datagrams. */
+	if (rumor_is_urgent (membership))
+		limit = URGENT_BYTES;
+	else if (membership->config_sends_left > 0)
+		limit = CONFIG_BYTES;
+	available = available > limit ? limit : available;
+	free_bytes = available > (int64_t) used ? (size_t) available - used : 0;
+	used += free_bytes;
+	/* Greetings must not use up what the next datagram with news needs. */
+	if (fill == FILL_ALL && available < ITEMS_BYTES / 2)
+		fill = FILL_RUMORS;
+	if (fill != FILL_NONE && fill != FILL_VIEW)
+		fill_rumors (membership, message, &free_bytes, fill);
+	budget_take (membership, HEADER_BYTES + (int64_t) (used - free_bytes));
 }
--- a/flamingospring/control_documents.c
+++ b/flamingospring/control_documents.c
@@ -292,7 +292,7 @@
 			control->configuration, MAX (highest, configuration_revision (control->configuration)),
 			now_us);
 		membership_set_config_revision (control->membership,
-		                                configuration_revision (control->configuration));
+		                                configuration_revision (control->configuration), now_us);
 	}
 	control_documents_pump (control);
 	control_gossip_pump (control);
@@ -324,7 +324,7 @@
 		}
 		configuration_handle_complete (control->configuration, pulled->revision, now_us);
 		membership_set_config_revision (control->membership,
-		                                configuration_revision (control->configuration));
+		                                configuration_revision (control->configuration), now_us);
 		control_gossip_pump (control);
 	}
 	control_documents_pump (control);
--- a/flamingospring/control_gossip.c
+++ b/flamingospring/control_gossip.c
@@ -16,7 +16,10 @@
 {
 	SEED_RETRY_US = 500000,     /* Between pulls while no other member is known. */
 	SEED_REFRESH_US = 30000000, /* Between full pulls later on; repairs what gossip lost. */
-	UDP_OVERHEAD_BYTES = 28,    /* IPv4 and UDP headers, counted as control bytes. */
+	/* In larger fleets a full pull of 174 KB (750 members, 1,800 groups) would take 5.8 KB/s, so that a
+	 * seed is asked only while it is not a live member here. */
+	SEED_REFRESH_MEMBERS = 50,
+	UDP_OVERHEAD_BYTES = 28, /* IPv4 and UDP headers, counted as control bytes. */
 };
 
 void
@@ -24,32 +27,33 @@
 {
 	memset (out, 0, sizeof *out);
 	out->type = item->type;
-	out->key = (char *) item->key;
-	out->item_version = item->version;
-	out->value = item->value;
-	out->member = item->member;
-	out->state = item->state;
-	out->address.ip = item->address.ip;
-	out->address.traffic_port = item->address.traffic_port;
-	out->address.control_port = item->address.control_port;
-	out->address.zone = item->address.zone;
-	out->config_revision = item->config_revision;
+	if (item->type == ITEM_MEMBER)
+	{
+		struct fs_item_member *member = &out->fs_item_u.member;
+
+		member->member = item->member;
+		member->item_version = item->version;
+		member->address.ip = item->address.ip;
+		member->address.traffic_port = item->address.traffic_port;
+		member->address.control_port = item->address.control_port;
+		member->address.zone = item->address.zone;
+		member->config_revision = item->config_revision;
+		return;
+	}
+	out->fs_item_u.value.key = (char *) item->key;
+	out->fs_item_u.value.item_version = item->version;
+	out->fs_item_u.value.value = item->value;
 }
 
-bool
-control_item_decode (const struct fs_item *in, struct membership_item *item)
+static bool
+member_decode (const struct fs_item_member *in, struct membership_item *item)
 {
-	memset (item, 0, sizeof *item);
-	if (in->type < ITEM_MEMBER || in->type > ITEM_GROUP || in->state < MEMBER_ALIVE ||
-	    in->state > MEMBER_DEAD || strlen (in->key) >= sizeof item->key ||
-	    in->address.traffic_port > UINT16_MAX || in->address.control_port > UINT16_MAX)
+	if (in->address.traffic_port > UINT16_MAX || in->address.control_port > UINT16_MAX)
 		return false;
-	item->type = (enum item_type) in->type;
-	g_strlcpy (item->key, in->key, sizeof item->key);
+	g_snprintf (item->key, sizeof item->key, "%u", in->member);
 	item->version = in->item_version;
-	item->value = in->value;
 	item->member = in->member;
-	item->state = (enum member_state) in->state;
+	item->state = (enum member_state) (in->item_version & 3);
 	item->address.ip = in->address.ip;
 	item->address.traffic_port = (uint16_t) in->address.traffic_port;
 	item->address.control_port = (uint16_t) in->address.control_port;
@@ -58,22 +62,54 @@
 	return true;
 }
 
+bool
+control_item_decode (const struct fs_item *in, struct membership_item *item)
+{
+	const struct fs_item_value *value = &in->fs_item_u.value;
+
+	memset (item, 0, sizeof *item);
+	if (in->type < ITEM_MEMBER || in->type > ITEM_GROUP)
+		return false;
+	item->type = (enum item_type) in->type;
+	if (item->type == ITEM_MEMBER)
+		return member_decode (&in->fs_item_u.member, item);
+	if (strlen (value->key) >= sizeof item->key)
+		return false;
+	g_strlcpy (item->key, value->key, sizeof item->key);
+	item->version = value->item_version;
+	item->value = value->value;
+	return true;
+}
+
 /** Encodes a message with as many of its items as fit into one datagram. */
 static int
 message_encode (const struct gossip_message *message, char *buffer, size_t capacity)
 {
 	struct fs_item items[MEMBERSHIP_MAX_ITEMS];
+	struct fs_member_claim claims[MEMBERSHIP_MAX_CLAIMS];
+	struct fs_member_block blocks[MEMBERSHIP_MAX_BLOCKS];
 	struct fs_gossip gossip = {
 		.type = message->type,
 		.from = message->from,
 		.target = message->target,
 		.sequence = message->sequence,
 		.config_revision = message->config_revision,
+		.config_age_ms = message->config_age_ms,
+		.view_hash = message->view_hash,
 		.items.items_val = items,
+		.claims.claims_len = message->claim_count,
+		.claims.claims_val = claims,
+		.blocks.blocks_len = message->block_count,
+		.blocks.blocks_val = blocks,
 	};
 
 	for (uint32_t i = 0; i < message->item_count; i++)
 		control_item_encode (&message->items[i], &items[i]);
+	for (uint32_t i = 0; i < message->claim_count; i++)
+		claims[i] =
+			(struct fs_member_claim){ message->claims[i].member, message->claims[i].version };
+	for (uint32_t i = 0; i < message->block_count; i++)
+		blocks[i] = (struct fs_member_block){ message->blocks[i].first, message->blocks[i].alive };
 	for (uint32_t count = message->item_count;; count--)
 	{
 		int length;
@@ -133,18 +169,28 @@
 message_decode (const struct fs_gossip *gossip, struct gossip_message *message)
 {
 	memset (message, 0, sizeof *message);
-	if (gossip->type < GOSSIP_PING || gossip->type > GOSSIP_PING_REQUEST)
+	if (gossip->type < GOSSIP_PING || gossip->type > GOSSIP_VIEW)
 		return false;
 	message->type = (enum gossip_type) gossip->type;
 	message->from = gossip->from;
 	message->target = gossip->target;
 	message->sequence = gossip->sequence;
 	message->config_revision = gossip->config_revision;
+	message->config_age_ms = gossip->config_age_ms;
+	message->view_hash = gossip->view_hash;
 	for (u_int i = 0; i < gossip->items.items_len; i++)
 	{
 		if (control_item_decode (&gossip->items.items_val[i], &message->items[message->item_count]))
 			message->item_count++;
 	}
+	for (u_int i = 0; i < gossip->claims.claims_len; i++)
+		message->claims[message->claim_count++] =
+			(struct member_claim){ gossip->claims.claims_val[i].member,
+			                       gossip->claims.claims_val[i].member_version };
+	for (u_int i = 0; i < gossip->blocks.blocks_len; i++)
+		message->blocks[message->block_count++] =
+			(struct member_block){ gossip->blocks.blocks_val[i].first,
+			                       gossip->blocks.blocks_val[i].alive };
 	return true;
 }
 
@@ -178,6 +224,13 @@
 	{
 		membership_handle_message (control->membership, &message, clock_now_us ());
 		items_announce (control, message.items, message.item_count);
+		if (message.config_revision > control->heard_revision)
+		{
+			control->heard_revision = message.config_revision;
+			control_observers_postpone (control);
+		}
+		configuration_set_fleet (control->configuration, membership_count (control->membership),
+		                         membership_config_since_us (control->membership));
 		configuration_handle_peer (control->configuration, message.from, message.config_revision,
 		                           clock_now_us ());
 	}
@@ -256,6 +309,20 @@
 	control_call_start (control, &request);
 }
 
+static bool
+seed_is_member (const struct control *control, const struct settings_address *seed)
+{
+	struct member member;
+
+	for (size_t i = 0; membership_get (control->membership, i, &member); i++)
+	{
+		if (member.address.ip == seed->ip && member.address.control_port == seed->port &&
+		    member.state != MEMBER_DEAD)
+			return true;
+	}
+	return false;
+}
+
 /** Pulls the state of a seed while alone, and of seeds in turn later, so that parts of a fleet that
  * have declared each other dead find together again. */
 static void
@@ -270,7 +337,10 @@
 		const struct settings_address *seed =
 			&settings->seeds[control->next_seed++ % settings->seed_count];
 
-		if (seed->ip != settings->ip || seed->port != settings->control_port)
+		bool is_spared = membership_count (control->membership) > SEED_REFRESH_MEMBERS &&
+		                 seed_is_member (control, seed);
+
+		if ((seed->ip != settings->ip || seed->port != settings->control_port) && !is_spared)
 			state_pull (control, seed->ip, seed->port);
 	}
 	loop_set_timer (&control->loop, timer, now_us + (is_alone ? SEED_RETRY_US : SEED_REFRESH_US));
--- a/flamingospring/control_observer.c
+++ b/flamingospring/control_observer.c
@@ -16,6 +16,8 @@
 	PLANNED_RETRY_US = 5000000,
 	/* Writes to a primary that hands over are refused for this long at most. */
 	HANDOVER_US = 4200000,
+	/* While a change of configuration spreads, its pulls take what the polls of replicas leave. */
+	POSTPONE_US = 4000000,
 };
 
 static const char guarantee_replaced_primary[] = "P2";
@@ -678,6 +680,13 @@
 	return true;
 }
 
+void
+control_observers_postpone (struct control *control)
+{
+	for (struct control_observer *o = control->observers; o; o = o->next)
+		failover_postpone_replicas (&o->failover, POSTPONE_US, clock_now_us ());
+}
+
 int
 control_observers_promote (struct control *control, const char *database, uint32_t server)
 {
--- a/include/decision/configuration.h
+++ b/include/decision/configuration.h
@@ -27,6 +27,10 @@
 	int64_t pull_retry_max_us;
 	int64_t watch_retry_min_us;
 	int64_t watch_retry_max_us;
+	/* The first pulls of a change are spread over this time after its first reading from the platform in
+	 * the largest fleets, and over a part of it in smaller ones, to spread their bytes. */
+	int64_t pull_spread_us;
+	size_t pull_spread_members;
 };
 
 extern const struct configuration_settings configuration_default_settings;
@@ -75,6 +79,10 @@
 /** The platform compacted the watched revision away: load in full. */
 void configuration_handle_compacted (struct configuration *configuration, int64_t now_us);
 
+/** Tells the size of the fleet, and when the newest revision was first read from the platform. */
+void configuration_set_fleet (struct configuration *configuration, size_t members,
+                              int64_t news_since_us);
+
 /** A peer is known to have @p revision; 0 for @p peer: none has newer. */
 void configuration_handle_peer (struct configuration *configuration, uint32_t peer,
                                 uint64_t revision, int64_t now_us);
--- a/include/decision/failover.h
+++ b/include/decision/failover.h
@@ -92,6 +92,9 @@
 
 void failover_finish (struct failover *failover);
 
+/** Puts off the quiet polls of replicas, while other control traffic needs their bytes. */
+void failover_postpone_replicas (struct failover *failover, int64_t by_us, int64_t now_us);
+
 /** Sets the interval of quiet polls for a VM that observes @p groups groups, so that the bytes of all
  * polls stay within its budget. */
 void failover_set_load (struct failover *failover, size_t groups);
--- a/include/decision/membership.h
+++ b/include/decision/membership.h
@@ -13,8 +13,11 @@
 
 enum
 {
-	MEMBERSHIP_MAX_ITEMS = 16, /**< Items in one datagram. */
-	MEMBERSHIP_KEY_BYTES = 48, /**< Including the final 0. */
+	MEMBERSHIP_MAX_ITEMS = 16,  /**< Items in one datagram. */
+	MEMBERSHIP_KEY_BYTES = 48,  /**< Including the final 0. */
+	MEMBERSHIP_MAX_CLAIMS = 32, /**< In one datagram, as the next one. */
+	MEMBERSHIP_MAX_BLOCKS = 32,
+	MEMBERSHIP_BLOCK_MEMBERS = 64,
 };
 
 enum member_state
@@ -53,11 +56,27 @@
 	uint64_t config_revision;
 };
 
+/** A member whose address the receiver knows. */
+struct member_claim
+{
+	uint32_t member;
+	uint64_t version; /**< Incarnation, then state. */
+};
+
+/** Members @c first to @c first + 63 that the sender takes for alive, one bit each. Sent when two sides
+ * of a partition meet: they are alive although the other side may have declared them dead. */
+struct member_block
+{
+	uint32_t first;
+	uint64_t alive;
+};
+
 enum gossip_type
 {
 	GOSSIP_PING,
 	GOSSIP_ACK,
 	GOSSIP_PING_REQUEST, /**< Asks the receiver to ping @c target. */
+	GOSSIP_VIEW,         /**< Its blocks are to be compared, since the receiver's view differs. */
 };
 
 struct gossip_message
@@ -67,8 +86,14 @@
 	uint32_t target;
 	uint64_t sequence;
 	uint64_t config_revision; /**< Highest configuration revision of the sender. */
+	uint32_t config_age_ms;   /**< Since the revision was first read from the platform. */
+	uint32_t view_hash;       /**< Of the members that the sender takes for alive. */
 	uint32_t item_count;
 	struct membership_item items[MEMBERSHIP_MAX_ITEMS];
+	uint32_t claim_count;
+	struct member_claim claims[MEMBERSHIP_MAX_CLAIMS];
+	uint32_t block_count;
+	struct member_block blocks[MEMBERSHIP_MAX_BLOCKS];
 };
 
 struct membership_settings
@@ -80,6 +105,12 @@
 	int64_t suspect_us; /**< From suspected to dead. */
 	uint32_t indirect_pings;
 	uint32_t spread_factor; /**< Sends of an item: spread_factor * log2 (members). */
+	/* Bytes that one VM sends, with UDP and IP headers: pings and answers always go, news wait. */
+	int64_t bytes_per_s_max; /**< In the smallest fleets. */
+	int64_t bytes_per_s_min; /**< Reached at period_max_members. */
+	/* In the largest fleets while a change of configuration spreads, which its pulls need. */
+	int64_t bytes_per_s_change;
+	int64_t change_us; /**< How long it spreads. */
 };
 
 extern const struct membership_settings membership_default_settings;
@@ -119,7 +150,11 @@
 bool membership_load (struct membership *membership, const struct membership_item *item,
                       int64_t now_us);
 
-void membership_set_config_revision (struct membership *membership, uint64_t revision);
+void membership_set_config_revision (struct membership *membership, uint64_t revision,
+                                     int64_t now_us);
+
+/** When the highest configuration revision heard of here was first read from the platform. */
+int64_t membership_config_since_us (const struct membership *membership);
 
 void membership_handle_message (struct membership *membership, const struct gossip_message *message,
                                 int64_t now_us);
--- a/include/decision/membership_table.h
+++ b/include/decision/membership_table.h
@@ -32,10 +32,13 @@
 	uint16_t sends_left; /**< Above 0: is a rumor. */
 	uint8_t state;       /**< enum member_state. */
 	bool is_greeting;    /**< As a rumor: rides on pings only, behind all others. */
+	bool is_introduced;  /**< As a rumor: with its address, which may be new to others. */
 	uint64_t incarnation;
 	uint64_t config_revision;
 	int64_t suspected_at_us; /**< 0: not suspected. */
 	int64_t down_since_us;   /**< Suspected or dead since; 0: neither. */
+	int64_t differs_at_us;   /**< A view of another VM differs since; 0: none does. */
+	int64_t vouched_at_us;   /**< The other side of a partition has seen it alive; 0: never. */
 };
 
 struct item_record
@@ -69,9 +72,10 @@
 enum gossip_fill
 {
 	FILL_NONE,
-	FILL_URGENT, /**< Rumors of items, and of leaving members. */
 	FILL_RUMORS,
-	FILL_ALL, /**< Also greetings and recent items. */
+	FILL_ALL,    /**< Also greetings and recent items. */
+	FILL_REJOIN, /**< Also the members that are alive. */
+	FILL_VIEW,   /**< Only the members that are alive. */
 };
 
 /** A datagram to be built by membership_next(). */
@@ -126,7 +130,20 @@
 	uint32_t recent[MEMBERSHIP_MAX_RECENT]; /**< Items that were news last; index + 1. */
 	uint32_t recent_next;
 	uint32_t recent_cursor;
+	uint64_t config_heard; /**< Highest configuration revision that was heard of. */
+	int64_t config_since_us;
 	uint32_t config_sends_left; /**< Datagrams that still carry a new configuration revision. */
+	uint32_t rejoin_sends_left; /**< Datagrams that still carry the members that are alive. */
+	int64_t rejoin_at_us;       /**< When the last partition ended here; 0: never. */
+	uint32_t block_cursor;      /**< Where the next blocks start when one datagram is too small. */
+	uint32_t answers;           /**< Of the last probes, one bit each; 1: answered. */
+	bool is_told_dead;          /**< The present message takes this VM for dead. */
+	int64_t view_at_us;         /**< When the next view may be sent. */
+	uint32_t view_hash;         /**< See view_hash(); holds for the next member. */
+	uint64_t view_generation;   /**< Generation + 1; 0: none. */
+
+	int64_t budget; /**< Bytes that may be sent now, in millionths; may be below 0. */
+	int64_t budget_at_us;
 
 	struct probe probes[MEMBERSHIP_MAX_PROBES];
 	struct relay relays[MEMBERSHIP_MAX_RELAYS];
@@ -138,8 +155,7 @@
 	int64_t due_us; /**< When the next call was due at the end of the last one. */
 	int64_t period_at_us;
 	int64_t rumor_at_us;
-	int64_t full_rumor_at_us; /**< When a datagram may take all rumors again. */
-	int64_t expiry_at_us;     /**< Not after the next expiry of a suspicion. */
+	int64_t expiry_at_us; /**< Not after the next expiry of a suspicion. */
 	int64_t rearmed_at_us;
 	int64_t claim_probe_at_us;
 	int64_t forget_at_us;
@@ -172,6 +188,8 @@
 
 /** Starts sending a record. */
 void rumor_add_member (struct membership *membership, struct member_record *member);
+/** As rumor_add_member(), for a member that is new to others, or its address. */
+void rumor_add_introduction (struct membership *membership, struct member_record *member);
 /** As rumor_add_member(), for the first word of a member that all know from settings or the VM list. */
 void rumor_add_greeting (struct membership *membership, struct member_record *member);
 void rumor_add_item (struct membership *membership, struct item_record *item);
@@ -188,10 +206,51 @@
 /** Sends of a new rumor. */
 uint32_t rumor_limit (const struct membership *membership);
 
-/** Fills the items of a datagram to @p receiver. */
-void membership_fill_items (struct membership *membership, struct gossip_message *message,
-                            const struct member_record *receiver, enum gossip_fill fill,
-                            int64_t now_us);
+/** Size of the items that all rumors but greetings would take. */
+size_t rumor_news_bytes (const struct membership *membership);
+
+/** Fills the items of a datagram to @p receiver, and takes its size from the budget. */
+void membership_fill (struct membership *membership, struct gossip_message *message,
+                      const struct member_record *receiver, enum gossip_fill fill, int64_t now_us);
+
+/* membership_budget.c */
+
+void budget_init (struct membership *membership, int64_t now_us);
+/** Bytes that may be sent at @p now_us. */
+int64_t budget_available (struct membership *membership, int64_t now_us);
+void budget_take (struct membership *membership, int64_t bytes);
+/** A change of configuration is heard of or adopted here: leaves bytes for its news, whatever went
+ * before, but nothing that was saved up, since pulls of documents follow. */
+void budget_handle_change (struct membership *membership);
+/** When @p bytes will be available, if nothing is sent until then. */
+int64_t budget_time_us (const struct membership *membership, int64_t bytes);
+/** Value between those of the smallest fleets and of the largest. */
+int64_t membership_scale (const struct membership *membership, int64_t small, int64_t large);
+
+/* membership_rejoin.c */
+
+/** Hash of the members that are alive, leaving ones left out. */
+uint32_t view_hash (struct membership *membership);
+/** Members about which views have differed from this VM's for some seconds, @p limit at most. @return
+ * their number; 0 when they are too many: after a partition, blocks settle them. */
+size_t view_compare (struct membership *membership, const struct gossip_message *message,
+                     struct member_record **members, size_t limit, int64_t now_us);
+
+/** Whether so many members are down that a partition is likelier than their deaths. */
+bool rejoin_is_partition (const struct membership *membership);
+/** Whether there is or was a partition and this VM is in contact with enough others to know who is alive on its side. */
+bool rejoin_can_vouch (const struct membership *membership, int64_t now_us);
+/** Adds blocks of the members that are alive, in a view also suspect ones, up to @p bytes.
+ * @return their size. */
+size_t rejoin_fill (struct membership *membership, struct gossip_message *message, size_t bytes,
+                    bool is_view);
+/** Revives the members that the sender's side of a partition has seen alive. */
+void rejoin_merge (struct membership *membership, const struct gossip_message *message,
+                   int64_t now_us);
+/** Whether a claim that @p member is down is from before the end of the partition. */
+bool rejoin_is_stale (const struct member_record *member, int64_t now_us);
+/** The end of a partition: sends again what changed since @p since_us. */
+void rejoin_start (struct membership *membership, int64_t since_us, int64_t now_us);
 
 void member_to_item (const struct member_record *member, struct membership_item *item);
 void item_to_item (const struct item_record *record, struct membership_item *item);
--- a/include/flamingospring/control_private.h
+++ b/include/flamingospring/control_private.h
@@ -71,6 +71,7 @@
 	size_t document_count;
 	size_t document_capacity;
 	uint64_t pull_revision;
+	uint64_t heard_revision; /**< Highest that gossip told of. */
 	bool is_watcher;
 	bool platform_ok;
 	struct platform platform;
@@ -201,6 +202,9 @@
 bool control_observers_opinion (struct control *control, const char *database,
                                 struct failover_opinion *opinion);
 
+/** Puts off what observers can put off, since a change of configuration spreads. */
+void control_observers_postpone (struct control *control);
+
 /** Asks for a planned change of primary. @return 0, -EINVAL, -EBUSY, or -ENOENT when this VM is no
  * observer of the group. */
 int control_observers_promote (struct control *control, const char *database, uint32_t server);
--- a/include/protocols/peer.h
+++ b/include/protocols/peer.h
@@ -21,6 +21,8 @@
 #define FS_MAX_COLUMNS 256
 #define FS_MAX_CELLS 65536
 #define FS_MAX_ITEMS 16
+#define FS_MAX_CLAIMS 32
+#define FS_MAX_BLOCKS 32
 #define FS_MAX_STATE 16384
 #define FS_MAX_DOCUMENTS 4096
 
@@ -98,28 +100,62 @@
 };
 typedef struct fs_address fs_address;
 
-struct fs_item {
-	int type;
-	char *key;
-	u_quad_t item_version;
-	u_quad_t value;
+struct fs_item_member {
 	u_int member;
-	int state;
+	u_quad_t item_version;
 	fs_address address;
 	u_quad_t config_revision;
 };
+typedef struct fs_item_member fs_item_member;
+
+struct fs_item_value {
+	char *key;
+	u_quad_t item_version;
+	u_quad_t value;
+};
+typedef struct fs_item_value fs_item_value;
+
+struct fs_item {
+	int type;
+	union {
+		fs_item_member member;
+		fs_item_value value;
+	} fs_item_u;
+};
 typedef struct fs_item fs_item;
 
+struct fs_member_claim {
+	u_int member;
+	u_quad_t member_version;
+};
+typedef struct fs_member_claim fs_member_claim;
+
+struct fs_member_block {
+	u_int first;
+	u_quad_t alive;
+};
+typedef struct fs_member_block fs_member_block;
+
 struct fs_gossip {
 	int type;
 	u_int from;
 	u_int target;
 	u_quad_t sequence;
 	u_quad_t config_revision;
+	u_int config_age_ms;
+	u_int view_hash;
 	struct {
 		u_int items_len;
 		fs_item *items_val;
 	} items;
+	struct {
+		u_int claims_len;
+		fs_member_claim *claims_val;
+	} claims;
+	struct {
+		u_int blocks_len;
+		fs_member_block *blocks_val;
+	} blocks;
 };
 typedef struct fs_gossip fs_gossip;
 
@@ -230,7 +266,11 @@
 extern  bool_t xdr_fs_execute_args (XDR *, fs_execute_args*);
 extern  bool_t xdr_fs_execute_result (XDR *, fs_execute_result*);
 extern  bool_t xdr_fs_address (XDR *, fs_address*);
+extern  bool_t xdr_fs_item_member (XDR *, fs_item_member*);
+extern  bool_t xdr_fs_item_value (XDR *, fs_item_value*);
 extern  bool_t xdr_fs_item (XDR *, fs_item*);
+extern  bool_t xdr_fs_member_claim (XDR *, fs_member_claim*);
+extern  bool_t xdr_fs_member_block (XDR *, fs_member_block*);
 extern  bool_t xdr_fs_gossip (XDR *, fs_gossip*);
 extern  bool_t xdr_fs_state_result (XDR *, fs_state_result*);
 extern  bool_t xdr_fs_document (XDR *, fs_document*);
@@ -247,7 +287,11 @@
 extern bool_t xdr_fs_execute_args ();
 extern bool_t xdr_fs_execute_result ();
 extern bool_t xdr_fs_address ();
+extern bool_t xdr_fs_item_member ();
+extern bool_t xdr_fs_item_value ();
 extern bool_t xdr_fs_item ();
+extern bool_t xdr_fs_member_claim ();
+extern bool_t xdr_fs_member_block ();
 extern bool_t xdr_fs_gossip ();
 extern bool_t xdr_fs_state_result ();
 extern bool_t xdr_fs_document ();
--- a/protocols/peer.x
+++ b/protocols/peer.x
@@ -7,6 +7,8 @@
 const FS_MAX_COLUMNS = 256;
 const FS_MAX_CELLS = 65536;
 const FS_MAX_ITEMS = 16;
+const FS_MAX_CLAIMS = 32;
+const FS_MAX_BLOCKS = 32;
 const FS_MAX_STATE = 16384;
 const FS_MAX_DOCUMENTS = 4096;
 
@@ -71,15 +73,37 @@
 	unsigned int zone;
 };
 
-struct fs_item {
-	int type;
+struct fs_item_member {
+	unsigned int member;
+	unsigned hyper item_version; /* Incarnation and state. */
+	fs_address address;
+	unsigned hyper config_revision;
+};
+
+struct fs_item_value {
 	string key<FS_MAX_NAME>;
 	unsigned hyper item_version;
 	unsigned hyper value;
+};
+
+/* type: enum item_type of decision/membership.h. */
+union fs_item switch (int type) {
+case 0:
+	fs_item_member member;
+default:
+	fs_item_value value;
+};
+
+/* A member whose address the receiver knows: incarnation and state. */
+struct fs_member_claim {
 	unsigned int member;
-	int state;
-	fs_address address;
-	unsigned hyper config_revision;
+	unsigned hyper member_version;
+};
+
+/* Which of the members first to first + 63 the sender takes for alive. */
+struct fs_member_block {
+	unsigned int first;
+	unsigned hyper alive;
 };
 
 struct fs_gossip {
@@ -88,7 +112,11 @@
 	unsigned int target;
 	unsigned hyper sequence;
 	unsigned hyper config_revision;
+	unsigned int config_age_ms; /* Since the revision was first read from the platform. */
+	unsigned int view_hash;     /* Of the members that the sender takes for alive. */
 	fs_item items<FS_MAX_ITEMS>;
+	fs_member_claim claims<FS_MAX_CLAIMS>;
+	fs_member_block blocks<FS_MAX_BLOCKS>;
 };
 
 struct fs_state_result {
--- a/protocols/peer_xdr.c
+++ b/protocols/peer_xdr.c
@@ -289,25 +289,75 @@
 }
 
 bool_t
-xdr_fs_item (XDR *xdrs, fs_item *objp)
+xdr_fs_item_member (XDR *xdrs, fs_item_member *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_int (xdrs, &objp->type))
+	 if (!xdr_u_int (xdrs, &objp->member))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->item_version))
+		 return FALSE;
+	 if (!xdr_fs_address (xdrs, &objp->address))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fs_item_value (XDR *xdrs, fs_item_value *objp)
+{
+	register int32_t *buf;
+
 	 if (!xdr_string (xdrs, &objp->key, FS_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->item_version))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->value))
 		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fs_item (XDR *xdrs, fs_item *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->type))
+		 return FALSE;
+	switch (objp->type) {
+	case 0:
+		 if (!xdr_fs_item_member (xdrs, &objp->fs_item_u.member))
+			 return FALSE;
+		break;
+	default:
+		 if (!xdr_fs_item_value (xdrs, &objp->fs_item_u.value))
+			 return FALSE;
+		break;
+	}
+	return TRUE;
+}
+
+bool_t
+xdr_fs_member_claim (XDR *xdrs, fs_member_claim *objp)
+{
+	register int32_t *buf;
+
 	 if (!xdr_u_int (xdrs, &objp->member))
 		 return FALSE;
-	 if (!xdr_int (xdrs, &objp->state))
+	 if (!xdr_u_quad_t (xdrs, &objp->member_version))
 		 return FALSE;
-	 if (!xdr_fs_address (xdrs, &objp->address))
+	return TRUE;
+}
+
+bool_t
+xdr_fs_member_block (XDR *xdrs, fs_member_block *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->first))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
+	 if (!xdr_u_quad_t (xdrs, &objp->alive))
 		 return FALSE;
 	return TRUE;
 }
@@ -337,9 +387,19 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->config_age_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->view_hash))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, FS_MAX_ITEMS,
 			sizeof (fs_item), (xdrproc_t) xdr_fs_item))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, FS_MAX_CLAIMS,
+			sizeof (fs_member_claim), (xdrproc_t) xdr_fs_member_claim))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->blocks.blocks_val, (u_int *) &objp->blocks.blocks_len, FS_MAX_BLOCKS,
+			sizeof (fs_member_block), (xdrproc_t) xdr_fs_member_block))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
@@ -360,9 +420,19 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
 			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->config_age_ms))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->view_hash))
+			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, FS_MAX_ITEMS,
 			sizeof (fs_item), (xdrproc_t) xdr_fs_item))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, FS_MAX_CLAIMS,
+			sizeof (fs_member_claim), (xdrproc_t) xdr_fs_member_claim))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->blocks.blocks_val, (u_int *) &objp->blocks.blocks_len, FS_MAX_BLOCKS,
+			sizeof (fs_member_block), (xdrproc_t) xdr_fs_member_block))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -376,9 +446,19 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->config_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->view_hash))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, FS_MAX_ITEMS,
 		sizeof (fs_item), (xdrproc_t) xdr_fs_item))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, FS_MAX_CLAIMS,
+		sizeof (fs_member_claim), (xdrproc_t) xdr_fs_member_claim))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->blocks.blocks_val, (u_int *) &objp->blocks.blocks_len, FS_MAX_BLOCKS,
+		sizeof (fs_member_block), (xdrproc_t) xdr_fs_member_block))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/measure/measure.c
+++ b/tests/measure/measure.c
@@ -10,7 +10,7 @@
 
 static const uint64_t seeds[] = { 1, 2 };
 static const char *const policy_names[POLICY_COUNT] = { "chosen", "primary_reads", "vm_pools",
-	                                                    "primary_ack" };
+	                                                    "primary_ack", "monotonic" };
 
 static uint32_t
 load_number (struct yaml_reader *reader, const yaml_node_t *node, const char *key)
@@ -121,8 +121,9 @@
 	for (int rank = 0; rank < RANK_COUNT; rank++)
 		print_rank (tally, rank);
 	printf ("\"acked_lost\": %lu, \"doubled\": %lu, \"ryw_violations\": %lu, "
-	        "\"not_run_but_ran\": %lu, \"mixed\": null}\n",
-	        tally->acked_lost, tally->doubled, tally->ryw_violations, tally->not_run_but_ran);
+	        "\"not_run_but_ran\": %lu, \"backward_reads\": %lu, \"mixed\": null}\n",
+	        tally->acked_lost, tally->doubled, tally->ryw_violations, tally->not_run_but_ran,
+	        tally->backward_reads);
 	fflush (stdout);
 }
 
--- a/tests/measure/simulation.c
+++ b/tests/measure/simulation.c
@@ -62,7 +62,14 @@
 		.required = state->token[database],
 		.required_at_us = state->token_at_us[database],
 		.must_see = state->value[database],
+		.written = state->token[database],
+		.seen = state->seen[database],
 	};
+	if (sim->plan->policy == POLICY_MONOTONIC && log_position_covers (call->seen, call->written))
+	{
+		call->required = call->seen;
+		call->required_at_us = state->seen_at_us[database];
+	}
 	g_ptr_array_add (sim->calls, call);
 	entry_begin (call);
 }
@@ -119,6 +126,7 @@
 	const struct virtual_server *server = &sim->fleet.groups[call->database].servers[call->server];
 	uint32_t latency_us = (uint32_t) (sim->world->now_us - call->created_us) +
 	                      2 * sim->plan->scenario->caller_delay_ms * US_PER_MS;
+	struct session *session = &sim->sessions[call->session];
 	bool is_counted = call->created_us >= US_PER_S + WARM_UP_US && call->created_us < sim->end_us;
 
 	call->is_done = true;
@@ -135,10 +143,19 @@
 		tally->replica_served += call->work->kind == WORK_READ && at_replica;
 	}
 	if (call->work->kind == WORK_WRITE)
+	{
 		follow_write (call, position);
-	else if (call->must_see != 0 && (position.index < call->required.index ||
-	                                 server->log[call->required.index - 1].value != call->must_see))
+		return;
+	}
+	if (call->must_see != 0 && (position.index < call->written.index ||
+	                            server->log[call->written.index - 1].value != call->must_see))
 		tally->ryw_violations++;
+	tally->backward_reads += is_counted && !log_position_covers (position, call->seen);
+	if (log_position_covers (position, session->seen[call->database]))
+	{
+		session->seen[call->database] = position;
+		session->seen_at_us[call->database] = sim->world->now_us;
+	}
 }
 
 /* Compares outcomes with the log of the last primary. */
--- a/tests/measure/simulation.h
+++ b/tests/measure/simulation.h
@@ -57,6 +57,7 @@
 	POLICY_PRIMARY_READS, /**< As chosen, with all reads at the primary. */
 	POLICY_VM_POOLS,    /**< Per-VM pools: first in, first out, no ranks, tokens or request ids. */
 	POLICY_PRIMARY_ACK, /**< As chosen, but a write is acknowledged when the primary has it. */
+	POLICY_MONOTONIC,   /**< As chosen, with the positions that reads have seen in the token. */
 	POLICY_COUNT,
 };
 
@@ -76,6 +77,7 @@
 	int64_t busy_us[RANK_COUNT]; /**< Slot time. */
 	GArray *latencies_us[RANK_COUNT];
 	uint64_t replica_possible, replica_served, acked_lost, doubled, ryw_violations, not_run_but_ran;
+	uint64_t backward_reads; /**< Reads of a server behind an earlier read of the session. */
 	int64_t duration_us;     /**< Of all seeds. */
 	int64_t failover_gap_us; /**< Longest over databases and seeds. */
 };
@@ -88,7 +90,9 @@
 	uint32_t id; /**< Its write's value is id + 1. */
 	uint32_t session, vm, database, tenant, run_us, attempt, excluded, server, owner;
 	int64_t created_us, deadline_us, required_at_us;
-	struct log_position required; /**< Last acknowledged write of the session, as the next one. */
+	struct log_position required; /**< Last acknowledged write of the session, as must_see. */
+	struct log_position written;  /**< As required, without what reads have seen. */
+	struct log_position seen;     /**< By reads of the session, when this one began. */
 	uint64_t must_see;
 	bool is_pending, is_received; /**< This attempt. */
 	bool may_have_run, ran, is_done;
@@ -108,6 +112,8 @@
 	struct log_position token[FLEET_MAX_GROUPS];
 	int64_t token_at_us[FLEET_MAX_GROUPS];
 	uint64_t value[FLEET_MAX_GROUPS];
+	struct log_position seen[FLEET_MAX_GROUPS]; /**< By reads. */
+	int64_t seen_at_us[FLEET_MAX_GROUPS];
 };
 
 /** What an entry VM knows of one server. */
--- a/tests/virtual/fleet.c
+++ b/tests/virtual/fleet.c
@@ -14,8 +14,15 @@
 	MAX_WRITES = 256,
 	MAX_ITEMS = 2048,
 	/* XDR and RPC headers of fs_gossip, UDP and IPv4 headers. */
-	DATAGRAM_BYTES = 40 + 32 + 28,
-	ITEM_BYTES = 60,
+	DATAGRAM_BYTES = 40 + 48 + 28,
+	MEMBER_BYTES = 40,
+	ITEM_BYTES = 24,
+	CLAIM_BYTES = 12,
+	BLOCK_BYTES = 12,
+	/* A call on a connection of its own: 3 TCP segments that open it, 2 with data, which carry the
+	 * acknowledgements, 3 that close it; the RPC headers, and the arguments of a pull of documents. */
+	PULL_BYTES = 8 * 52 + 16 + 44 + 8 + 36,
+	DOCUMENT_BYTES = 1300, /* tests/scenarios/riga.yaml as the platform stores it. */
 };
 
 int
@@ -57,6 +64,7 @@
 {
 	struct message message;
 	struct gossip_message gossip;
+	uint64_t bytes;
 };
 
 static void handle_message (void *context, const void *payload);
@@ -120,7 +128,8 @@
 		vm->revisions[i] = message->revisions[i];
 	}
 	configuration_handle_complete (vm->configuration, message->revision, fleet_now (vm->fleet));
-	membership_set_config_revision (vm->membership, configuration_revision (vm->configuration));
+	membership_set_config_revision (vm->membership, configuration_revision (vm->configuration),
+	                                fleet_now (vm->fleet));
 }
 
 static void
@@ -161,6 +170,22 @@
 	             (struct virtual_handler){ handle_pull_state, vm }, NULL, 0);
 }
 
+/* As flamingospring/control_gossip.c. */
+static void
+vm_handle_gossip (struct fleet_vm *vm, const struct gossip_message *gossip)
+{
+	int64_t now_us = fleet_now (vm->fleet);
+
+	membership_handle_message (vm->membership, gossip, now_us);
+	configuration_set_fleet (vm->configuration, membership_count (vm->membership),
+	                         membership_config_since_us (vm->membership));
+	configuration_handle_peer (vm->configuration, gossip->from, gossip->config_revision, now_us);
+	if (gossip->config_revision <= vm->heard_revision)
+		return;
+	vm->heard_revision = gossip->config_revision;
+	vm->heard_at_us = now_us;
+}
+
 static void
 vm_handle_message (struct fleet_vm *vm, const struct message *message)
 {
@@ -170,8 +195,8 @@
 	switch (message->type)
 	{
 	case MESSAGE_GOSSIP:
-		membership_handle_message (vm->membership, &((const struct gossip *) message)->gossip,
-		                           fleet_now (vm->fleet));
+		vm->received_bytes += ((const struct gossip *) message)->bytes;
+		vm_handle_gossip (vm, &((const struct gossip *) message)->gossip);
 		break;
 	case MESSAGE_STATE_PULL:
 		reply_message (message, MESSAGE_STATE, 0, vm->revisions);
@@ -192,6 +217,8 @@
 			                         fleet_now (vm->fleet));
 		break;
 	case MESSAGE_PULL:
+		vm->pull_bytes += PULL_BYTES + DOCUMENT_BYTES;
+		vm->fleet->vms[message->from].pull_bytes += PULL_BYTES + DOCUMENT_BYTES;
 		reply_message (message, MESSAGE_DOCUMENTS, configuration_revision (vm->configuration),
 		               vm->revisions);
 		break;
@@ -311,11 +338,15 @@
 			.gossip = effect.message,
 		};
 
-		vm->sent_datagrams++;
-		vm->sent_bytes += DATAGRAM_BYTES;
+		gossip.bytes = DATAGRAM_BYTES + effect.message.claim_count * CLAIM_BYTES +
+		               effect.message.block_count * BLOCK_BYTES;
 		for (uint32_t i = 0; i < effect.message.item_count; i++)
-			vm->sent_bytes +=
-				ITEM_BYTES + ((strlen (effect.message.items[i].key) + 3) & ~(size_t) 3);
+			gossip.bytes +=
+				effect.message.items[i].type == ITEM_MEMBER
+					? MEMBER_BYTES
+					: ITEM_BYTES + ((strlen (effect.message.items[i].key) + 3) & ~(size_t) 3);
+		vm->sent_datagrams++;
+		vm->sent_bytes += gossip.bytes;
 		virtual_send (&fleet->world, false, (int) vm->index, (int) effect.to - 1,
 		              (struct virtual_handler){ handle_message, NULL }, &gossip, sizeof gossip);
 	}
@@ -432,8 +463,6 @@
 	size_t count = 0;
 	struct member member;
 	struct ownership watchers;
-	uint64_t revision = configuration_revision (vm->configuration);
-	uint32_t peer;
 
 	if (vm->generation == membership_generation (vm->membership))
 		return;
@@ -445,14 +474,23 @@
 	configuration_set_watcher (vm->configuration,
 	                           watchers.owner == vm->index + 1 || watchers.standby == vm->index + 1,
 	                           fleet_now (fleet));
-	peer = membership_find_newer (vm->membership, revision, random_next (&vm->seed));
-	if (peer && membership_find (vm->membership, peer, &member))
-		configuration_handle_peer (vm->configuration, peer, member.config_revision,
-		                           fleet_now (fleet));
 	for (uint32_t g = 0; g < fleet->group_count; g++)
 		vm_set_group (vm, g, members, count);
 }
 
+/* As the timer of flamingospring/control_documents.c. */
+static void
+vm_find_newer (struct fleet_vm *vm)
+{
+	uint64_t revision = configuration_revision (vm->configuration);
+	uint32_t peer = membership_find_newer (vm->membership, revision, random_next (&vm->seed));
+	struct member member;
+
+	if (peer && membership_find (vm->membership, peer, &member))
+		configuration_handle_peer (vm->configuration, peer, member.config_revision,
+		                           fleet_now (vm->fleet));
+}
+
 static void
 handle_step (void *context, const void *payload)
 {
@@ -461,6 +499,8 @@
 	if (vm->step_at_us <= fleet_now (vm->fleet))
 	{
 		vm->step_at_us = INT64_MAX;
+		if (configuration_next_time_us (vm->configuration) <= fleet_now (vm->fleet))
+			vm_find_newer (vm);
 		fleet_vm_step (vm);
 	}
 }
@@ -505,6 +545,7 @@
 	vm->step_at_us = INT64_MAX;
 	vm->generation = 0;
 	vm->watch = vm->pull = 0;
+	vm->heard_revision = 0;
 	memset (vm->revisions, 0, sizeof vm->revisions);
 	membership_init (vm->membership, &membership_default_settings, fleet->vm_count, MAX_ITEMS,
 	                 index + 1, &address, (uint64_t) now_us, random_next (&vm->seed), now_us);
@@ -721,3 +762,20 @@
 	}
 	return count;
 }
+
+uint64_t
+fleet_count_wrong_views (const struct fleet *fleet)
+{
+	uint64_t count = 0;
+
+	for (uint32_t i = 0; i < fleet->vm_count; i++)
+		for (uint32_t other = 0; is_running (fleet, i) && other < fleet->vm_count; other++)
+		{
+			struct member member;
+			bool is_alive = membership_find (fleet->vms[i].membership, other + 1, &member) &&
+			                (member.state == MEMBER_ALIVE || member.state == MEMBER_SUSPECT);
+
+			count += is_alive != is_running (fleet, other);
+		}
+	return count;
+}
--- a/tests/virtual/fleet.h
+++ b/tests/virtual/fleet.h
@@ -46,8 +46,12 @@
 	uint64_t revisions[FLEET_SERVICES]; /**< Adopted. */
 	uint64_t watch; /**< Number of the present platform call; answers to others are dropped. */
 	uint64_t pull;
+	uint64_t heard_revision; /**< Highest that gossip told of. */
+	int64_t heard_at_us;
 	uint64_t sent_bytes; /**< Gossip with its UDP and IP headers. */
 	uint64_t sent_datagrams;
+	uint64_t received_bytes; /**< As sent_bytes. */
+	uint64_t pull_bytes; /**< Pulls of documents, as the asking and as the asked VM, both ways. */
 	struct fleet_group groups[FLEET_MAX_GROUPS];
 };
 
@@ -128,3 +132,5 @@
 /** Running VMs that do not take exactly the running VMs for alive. A suspect member counts as alive,
  * as for ownership: with 1% loss there is one now and then. */
 uint32_t fleet_count_unsettled (const struct fleet *fleet);
+/** Pairs of running VMs and others where the first is wrong about whether the other is running. */
+uint64_t fleet_count_wrong_views (const struct fleet *fleet);
