--- a/flamingospring/control_gossip.c
+++ b/flamingospring/control_gossip.c
@@ -340,7 +340,9 @@
 		bool is_spared = membership_count (control->membership) > SEED_REFRESH_MEMBERS &&
 		                 seed_is_member (control, seed);
 
-		if ((seed->ip != settings->ip || seed->port != settings->control_port) && !is_spared)
+		if (((seed->ip != settings->ip && seed->ip != settings->advertise_ip) ||
+		     seed->port != settings->control_port) &&
+		    !is_spared)
 			state_pull (control, seed->ip, seed->port);
 	}
 	loop_set_timer (&control->loop, timer, now_us + (is_alone ? SEED_RETRY_US : SEED_REFRESH_US));
@@ -368,7 +370,7 @@
 {
 	const struct settings *settings = control->settings;
 	struct member_address address = {
-		.ip = settings->ip,
+		.ip = settings->advertise_ip ? settings->advertise_ip : settings->ip,
 		.traffic_port = settings->traffic_port,
 		.control_port = settings->control_port,
 		.zone = control_zone_hash (settings->zone),
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -24,6 +24,7 @@
 	X (OVERDUE_CONNECTIONS, "overdue_connections")                                                 \
 	X (UPSTREAM_CONNECTIONS, "upstream_connections")                                               \
 	X (UPSTREAM_CONNECT_ERRORS, "upstream_connect_errors")                                         \
+	X (UPSTREAM_REFUSED, "upstream_refused")                                                       \
 	X (STATUS_QUESTIONS, "status_questions")                                                       \
 	X (ADMISSION_REFUSED, "admission_refused")                                                     \
 	X (READS_BEHIND, "reads_behind")                                                               \
@@ -31,6 +32,7 @@
 	X (ONCE_LOOKUPS, "once_lookups")                                                               \
 	X (TRANSACTIONS, "transactions")                                                               \
 	X (TRANSACTIONS_ABANDONED, "transactions_abandoned")                                           \
+	X (COMMITS_SETTLED, "commits_settled")                                                         \
 	X (ACKNOWLEDGE_TIMEOUTS, "acknowledge_timeouts")                                               \
 	X (ACKNOWLEDGE_REPLACED, "acknowledge_replaced")                                               \
 	X (FAILOVERS, "failovers")                                                                     \
--- a/tests/unit/owner_world.h
+++ b/tests/unit/owner_world.h
@@ -46,6 +46,10 @@
 	bool is_full;       /* At its connection limit. */
 	bool is_mute;       /* Does not answer questions for the status. */
 	bool takes_entries; /* Replicates at once. */
+	unsigned open;      /* Connections, with monitors and those being opened. */
+	unsigned highest;   /* Most at a time. */
+	unsigned refused;
+	unsigned fences;
 };
 
 struct world
@@ -59,11 +63,13 @@
 	struct fake_rule rules[WORLD_MAX_RULES];
 	unsigned rule_count;
 	GHashTable *answers;  /* Committed request ids. */
+	GHashTable *open_ids; /* Of open transactions, to their connections. */
 	GString *log;         /* Statements of work connections, "connection:statement;". */
 	unsigned applied;     /* Committed runs of the statement "WRITE". */
 	unsigned connections; /* Open now, without monitors. */
 	unsigned highest;     /* Most at a time. */
 	unsigned running;     /* Statements outstanding. */
+	unsigned round_trips; /* To the servers, without status questions. */
 	unsigned most_running;
 	unsigned next_number;
 	int64_t delay_us; /* Of a statement's answer. */
@@ -71,6 +77,8 @@
 	unsigned fault_percent; /* Statements that get a random fault. */
 	unsigned not_primary_observed;
 	unsigned silent_observed;
+	unsigned observer_answers;
+	struct observer_answer observer_answer; /* The last one. */
 };
 
 /* One request and its result. */
