--- a/flamingospring/owner_once.c
+++ b/flamingospring/owner_once.c
@@ -15,25 +15,37 @@
 static const char store_statement[] = "UPDATE flamingospring_request SET answer = $2 WHERE id = $1";
 static const char lookup_statement[] = "SELECT answer FROM flamingospring_request WHERE id = $1";
 
+/* Steps that go out together, in one round trip. The statement does not run when the id is taken, since
+ * the server skips what follows an error; its answer has to be known before it can be stored. */
+static enum owner_once_step
+last_step (const struct owner_task *task, enum owner_once_step step)
+{
+	if (step == ONCE_BEGIN)
+		return task->operation == FS_OPERATION_SETTLE ? ONCE_INSERT : ONCE_STATEMENT;
+	return step == ONCE_STORE ? ONCE_COMMIT : step;
+}
+
 static void
 run_step (struct owner_task *task, enum owner_once_step step)
 {
 	const char *id_and_answer[] = { task->request_id, task->stored ? task->stored : "" };
+	const struct upstream_statement statements[] = {
+		[ONCE_BEGIN] = { "BEGIN", NULL, 0 },
+		[ONCE_INSERT] = { owner_once_insert, id_and_answer, 2 },
+		[ONCE_STATEMENT] = { task->statement, task->params, task->param_count },
+		[ONCE_STORE] = { store_statement, id_and_answer, 2 },
+		[ONCE_COMMIT] = { "COMMIT", NULL, 0 },
+	};
 
-	task->step = step;
+	task->first_step = step;
+	task->step = last_step (task, step);
 	switch (step)
 	{
 	case ONCE_BEGIN:
-		owner_task_execute (task, "BEGIN", NULL, 0);
-		return;
 	case ONCE_INSERT:
-		owner_task_execute (task, owner_once_insert, id_and_answer, 2);
-		return;
 	case ONCE_STATEMENT:
-		owner_task_execute (task, task->statement, task->params, task->param_count);
-		return;
 	case ONCE_STORE:
-		owner_task_execute (task, store_statement, id_and_answer, 2);
+		owner_task_execute_batch (task, &statements[step], task->step - step + 1);
 		return;
 	case ONCE_COMMIT:
 		owner_task_execute (task, "COMMIT", NULL, 0);
@@ -192,19 +204,14 @@
 {
 	switch (task->step)
 	{
-	case ONCE_BEGIN:
-		task->expected_term = answer->has_status ? answer->status.position.term : 0;
-		run_step (task, ONCE_INSERT);
-		return;
 	case ONCE_INSERT:
-		run_step (task, task->operation == FS_OPERATION_SETTLE ? ONCE_COMMIT : ONCE_STATEMENT);
+		task->expected_term = answer->has_status ? answer->status.position.term : 0;
+		run_step (task, ONCE_COMMIT);
 		return;
 	case ONCE_STATEMENT:
+		task->expected_term = answer->has_status ? answer->status.position.term : 0;
 		take_rows (task, answer);
 		return;
-	case ONCE_STORE:
-		run_step (task, ONCE_COMMIT);
-		return;
 	case ONCE_COMMIT:
 		take_commit (task, answer);
 		return;
@@ -217,15 +224,21 @@
 	case ONCE_LOOKUP:
 		take_lookup (task, answer);
 		return;
+	default:
+		INVARIANT (false, "P6");
+		return;
 	}
 }
 
 void
 owner_once_handle_answer (struct owner_task *task, const struct upstream_answer *answer)
 {
-	bool is_id_taken = answer->result == UPSTREAM_DUPLICATE &&
-	                   (task->step == ONCE_INSERT || task->step == ONCE_COMMIT);
+	bool is_id_taken;
 
+	if (answer->result != UPSTREAM_LOST)
+		task->step = task->first_step + answer->statement;
+	is_id_taken = answer->result == UPSTREAM_DUPLICATE &&
+	              (task->step == ONCE_INSERT || task->step == ONCE_COMMIT);
 	if (answer->result == UPSTREAM_LOST)
 		owner_once_handle_lost (task, false);
 	else if (answer->result == UPSTREAM_OK)
--- a/flamingospring/owner_pool.c
+++ b/flamingospring/owner_pool.c
@@ -491,16 +491,27 @@
 }
 
 int
-owner_pool_commit (struct pool_user *user, const char *statement, const char *const *params,
-                   size_t param_count, int64_t limit_us)
+owner_pool_execute_batch (struct pool_user *user, const struct upstream_statement *statements,
+                          size_t count, int64_t limit_us)
 {
 	struct upstream *upstream = user->connection ? &user->connection->upstream : NULL;
 
 	if (!upstream)
 		return -ENOTCONN;
 	return connection_sent (user->connection,
-	                        upstream->ops->commit (upstream, statement, params, param_count),
-	                        limit_us);
+	                        upstream->ops->execute_batch (upstream, statements, count), limit_us);
+}
+
+int
+owner_pool_commit (struct pool_user *user, const char *statement, const char *const *params,
+                   size_t param_count, int64_t limit_us)
+{
+	const struct upstream_statement statements[] = {
+		{ statement, params, param_count },
+		{ "COMMIT", NULL, 0 },
+	};
+
+	return owner_pool_execute_batch (user, statements, 2, limit_us);
 }
 
 void
--- a/flamingospring/owner_request.c
+++ b/flamingospring/owner_request.c
@@ -287,15 +287,12 @@
 	}
 }
 
-void
-owner_task_execute (struct owner_task *task, const char *statement, const char *const *params,
-                    size_t param_count)
+static void
+handle_sent (struct owner_task *task, int result)
 {
 	struct owner *owner = task->owner;
 
-	INVARIANT (!task->transaction, "P3");
-	task->state = TASK_RUNNING;
-	if (owner_pool_execute (&task->user, statement, params, param_count, task->run_limit_us) == 0)
+	if (result == 0)
 		return;
 	/* Not sent: another connection may do. */
 	task->state = TASK_STARTING;
@@ -306,6 +303,26 @@
 		owner_task_retry (task);
 }
 
+void
+owner_task_execute (struct owner_task *task, const char *statement, const char *const *params,
+                    size_t param_count)
+{
+	INVARIANT (!task->transaction, "P3");
+	task->state = TASK_RUNNING;
+	handle_sent (
+		task, owner_pool_execute (&task->user, statement, params, param_count, task->run_limit_us));
+}
+
+void
+owner_task_execute_batch (struct owner_task *task, const struct upstream_statement *statements,
+                          size_t count)
+{
+	INVARIANT (!task->transaction, "P3");
+	task->state = TASK_RUNNING;
+	handle_sent (task,
+	             owner_pool_execute_batch (&task->user, statements, count, task->run_limit_us));
+}
+
 static void
 task_run (struct owner_task *task)
 {
--- a/flamingospring/owner_transaction.c
+++ b/flamingospring/owner_transaction.c
@@ -271,7 +271,7 @@
 	struct log_position position = { 0 };
 	bool was_aborted = transaction->is_aborted;
 	bool is_lost = answer->result == UPSTREAM_LOST;
-	bool is_id_taken = answer->result == UPSTREAM_DUPLICATE && answer->is_before_commit;
+	bool is_id_taken = answer->result == UPSTREAM_DUPLICATE && answer->statement == 0;
 
 	if (answer->has_status)
 		position = answer->status.position;
--- a/flamingospring/upstream_pg.c
+++ b/flamingospring/upstream_pg.c
@@ -21,8 +21,9 @@
 	PGconn *conn;
 	PGresult *result; /* Of the outstanding statement. */
 	bool is_commit;
-	bool is_pipeline;                /* A statement and COMMIT are outstanding. */
-	bool is_before_commit;           /* The statement before COMMIT failed. */
+	bool is_pipeline; /* A batch is outstanding. */
+	size_t batch_count;
+	size_t batch_ended; /* Statements of the batch that have ended; none after a failure counts. */
 	struct loop_timer failure_timer; /* Reports a failed send outside of execute(). */
 	const char **names;
 	const char **cells;
@@ -211,7 +212,7 @@
 	sqlstate = PQresultErrorField (result, PG_DIAG_SQLSTATE);
 	snprintf (answer.sqlstate, sizeof answer.sqlstate, "%s", sqlstate ? sqlstate : "00000");
 	answer.result = pg_result_of (pg, answer.sqlstate);
-	answer.is_before_commit = pg->is_before_commit;
+	answer.statement = pg->batch_ended;
 	answer.message = PQresultErrorField (result, PG_DIAG_MESSAGE_PRIMARY);
 	if (!answer.message)
 		answer.message = "";
@@ -245,7 +246,13 @@
 pg_take_pipeline_result (struct pg_connection *pg, PGresult *result)
 {
 	if (!result)
+	{
+		bool has_failed = PQresultStatus (pg->result) == PGRES_FATAL_ERROR;
+
+		if (!has_failed && pg->batch_ended + 1 < pg->batch_count)
+			pg->batch_ended++;
 		return PQstatus (pg->conn) == CONNECTION_BAD;
+	}
 	if (PQresultStatus (result) == PGRES_PIPELINE_SYNC)
 	{
 		PQclear (result);
@@ -258,8 +265,6 @@
 		}
 		return true;
 	}
-	if (!pg->result && PQresultStatus (result) == PGRES_FATAL_ERROR)
-		pg->is_before_commit = true;
 	pg_take_result (pg, result);
 	return false;
 }
@@ -405,13 +410,15 @@
 }
 
 static bool
-pg_send_with_commit (PGconn *conn, const char *statement, const char *const *params,
-                     size_t param_count)
+pg_send_batch (PGconn *conn, const struct upstream_statement *statements, size_t count)
 {
-	/* The server skips COMMIT when the statement before it fails. */
-	return PQenterPipelineMode (conn) == 1 &&
-	       pg_send_query (conn, statement, params, param_count) &&
-	       pg_send_query (conn, "COMMIT", NULL, 0) && PQpipelineSync (conn) == 1;
+	bool is_sent = PQenterPipelineMode (conn) == 1;
+
+	for (size_t i = 0; i < count && is_sent; i++)
+		is_sent = pg_send_query (conn, statements[i].text, statements[i].params,
+		                         statements[i].param_count);
+	/* The server skips what stands between a failed statement and the synchronisation. */
+	return is_sent && PQpipelineSync (conn) == 1;
 }
 
 static int
@@ -426,7 +433,8 @@
 	upstream->is_busy = true;
 	upstream->is_control = false;
 	pg->is_pipeline = false;
-	pg->is_before_commit = false;
+	pg->batch_count = 1;
+	pg->batch_ended = 0;
 	return 0;
 }
 
@@ -459,18 +467,18 @@
 }
 
 static int
-pg_commit (struct upstream *upstream, const char *statement, const char *const *params,
-           size_t param_count)
+pg_execute_batch (struct upstream *upstream, const struct upstream_statement *statements,
+                  size_t count)
 {
 	struct pg_connection *pg = upstream->connection;
 	int result = pg_start (upstream);
 
 	if (result < 0)
 		return result;
-	pg->is_commit = true;
+	pg->is_commit = strcmp (statements[count - 1].text, "COMMIT") == 0;
 	pg->is_pipeline = true;
-	return pg_finish_send (upstream,
-	                       pg_send_with_commit (pg->conn, statement, params, param_count));
+	pg->batch_count = count;
+	return pg_finish_send (upstream, pg_send_batch (pg->conn, statements, count));
 }
 
 static int
@@ -509,7 +517,7 @@
 static const struct upstream_ops pg_ops = {
 	.connect = pg_connect,
 	.execute = pg_execute,
-	.commit = pg_commit,
+	.execute_batch = pg_execute_batch,
 	.ask_status = pg_ask_status,
 	.fence = pg_fence,
 	.promote = pg_promote,
--- a/include/flamingospring/owner_pool.h
+++ b/include/flamingospring/owner_pool.h
@@ -97,6 +97,10 @@
 int owner_pool_execute (struct pool_user *user, const char *statement, const char *const *params,
                         size_t param_count, int64_t limit_us);
 
+/** Sends statements in one round trip, as ops->execute_batch(). @return as owner_pool_execute(). */
+int owner_pool_execute_batch (struct pool_user *user, const struct upstream_statement *statements,
+                              size_t count, int64_t limit_us);
+
 /** As owner_pool_execute(), with COMMIT behind the statement: see upstream_ops.commit. */
 int owner_pool_commit (struct pool_user *user, const char *statement, const char *const *params,
                        size_t param_count, int64_t limit_us);
--- a/include/flamingospring/owner_private.h
+++ b/include/flamingospring/owner_private.h
@@ -65,8 +65,9 @@
 	bool is_replay;
 	bool is_conflict; /**< An at-most-once call is tried again after its rollback. */
 	bool is_acknowledged;
-	bool is_counted; /**< In owner->writes. */
-	enum owner_once_step step;
+	bool is_counted;                 /**< In owner->writes. */
+	enum owner_once_step step;       /**< Of the answer, or the last one that was sent. */
+	enum owner_once_step first_step; /**< Of the batch that was sent. */
 	uint32_t attempts;
 	enum rank rank;
 	uint32_t tenant;
@@ -199,6 +200,9 @@
 /** Sends a statement on the task's connection. */
 void owner_task_execute (struct owner_task *task, const char *statement, const char *const *params,
                          size_t param_count);
+/** Sends statements in one round trip; the run limit holds for all of them. */
+void owner_task_execute_batch (struct owner_task *task, const struct upstream_statement *statements,
+                               size_t count);
 /** Takes the connection again after a back-off. */
 void owner_task_retry (struct owner_task *task);
 /** Outcome of a task whose statement failed without an effect. */
--- a/include/flamingospring/upstream.h
+++ b/include/flamingospring/upstream.h
@@ -24,6 +24,14 @@
 	UPSTREAM_LOST,            /**< The connection broke; a sent statement may have run. */
 };
 
+/** A statement with text parameters (NULL for NULL). */
+struct upstream_statement
+{
+	const char *text;
+	const char *const *params;
+	size_t param_count;
+};
+
 /** Answer to one statement. Pointers are valid during the callback only. */
 struct upstream_answer
 {
@@ -36,7 +44,7 @@
 	const char *const *cells;    /**< Row by row; NULL for NULL. */
 	struct server_status status; /**< Term and position that came with the answer. */
 	bool has_status;
-	bool is_before_commit; /**< Of commit(): the statement before COMMIT failed. */
+	size_t statement; /**< Of a batch: index of the statement that this answers. */
 };
 
 /** Callbacks to the user of a connection, in its loop's thread. */
@@ -57,11 +65,11 @@
 	 * @return 0, -EBUSY, -ENOTCONN: it was not sent. */
 	int (*execute) (struct upstream *upstream, const char *statement, const char *const *params,
 	                size_t param_count);
-	/** Sends a statement of the open transaction and COMMIT behind it, in one round trip. The answer is
-	 * that of COMMIT; an error of the statement leaves the transaction aborted.
+	/** Sends statements of one transaction in one round trip. The server skips those behind one that
+	 * fails. There is one answer: of the statement that failed, or of the last one.
 	 * @return as execute(). */
-	int (*commit) (struct upstream *upstream, const char *statement, const char *const *params,
-	               size_t param_count);
+	int (*execute_batch) (struct upstream *upstream, const struct upstream_statement *statements,
+	                      size_t count);
 	int (*ask_status) (struct upstream *upstream);
 	int (*fence) (struct upstream *upstream, uint64_t term, uint32_t claimant);
 	int (*promote) (struct upstream *upstream, uint64_t term, uint32_t claimant);
--- a/tests/integration/upstream_pg.c
+++ b/tests/integration/upstream_pg.c
@@ -24,7 +24,7 @@
 	enum upstream_result result;
 	struct server_status status;
 	bool has_status;
-	bool is_before_commit;
+	size_t statement; /* Of a batch. */
 	char sqlstate[6];
 	char cell[64];
 	bool is_null;
@@ -52,7 +52,7 @@
 	client->result = answer->result;
 	client->status = answer->status;
 	client->has_status = answer->has_status;
-	client->is_before_commit = answer->is_before_commit;
+	client->statement = answer->statement;
 	client->rows = answer->row_count;
 	g_strlcpy (client->sqlstate, answer->sqlstate, sizeof client->sqlstate);
 	client->cell[0] = 0;
@@ -241,7 +241,10 @@
 {
 	const char *params[] = { first, second };
 
-	g_assert_cmpint (client->upstream.ops->commit (&client->upstream, statement, params, 2), ==, 0);
+	const struct upstream_statement statements[] = { { statement, params, 2 },
+		                                             { "COMMIT", NULL, 0 } };
+
+	g_assert_cmpint (client->upstream.ops->execute_batch (&client->upstream, statements, 2), ==, 0);
 	wait_event (client);
 	return client->result;
 }
@@ -268,7 +271,7 @@
 	ask (&client, "BEGIN", NULL, NULL);
 	g_assert_cmpint (ask (&client, insert, "c", "1"), ==, UPSTREAM_OK);
 	g_assert_cmpint (commit (&client, insert, "b", "2"), ==, UPSTREAM_DUPLICATE);
-	g_assert_true (client.is_before_commit);
+	g_assert_cmpuint (client.statement, ==, 0);
 	g_assert_cmpint (ask (&client, "ROLLBACK", NULL, NULL), ==, UPSTREAM_OK);
 	g_assert_cmpint (ask (&client, find, "c", NULL), ==, UPSTREAM_OK);
 	g_assert_cmpuint (client.rows, ==, 0);
@@ -284,6 +287,44 @@
 	database_group_stop (&group);
 }
 
+/* Guards against a statement that runs although the insert of its id failed, and against answers of a
+ * batch that go to the wrong statement. */
+static void
+test_batch (void)
+{
+	static const char insert_id[] =
+		"INSERT INTO flamingospring_request (id, answer) VALUES ($1, $2)";
+	const char *id[] = { "id", "" };
+	const char *add[] = { "sum", "1" };
+	const struct upstream_statement statements[] = {
+		{ "BEGIN", NULL, 0 },
+		{ insert_id, id, 2 },
+		{ "UPDATE ledger SET value = value + $2 WHERE key = $1 RETURNING value", add, 2 },
+	};
+	struct client client;
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&client, 0), ==, 0);
+	for (unsigned i = 0; i < 2; i++)
+	{
+		bool is_taken = i == 1;
+
+		g_assert_cmpint (client.upstream.ops->execute_batch (&client.upstream, statements, 3), ==,
+		                 0);
+		wait_event (&client);
+		g_assert_cmpint (client.result, ==, is_taken ? UPSTREAM_DUPLICATE : UPSTREAM_OK);
+		g_assert_cmpuint (client.statement, ==, is_taken ? 1 : 2);
+		if (!is_taken)
+			g_assert_cmpstr (client.cell, ==, "1");
+		g_assert_cmpint (ask (&client, is_taken ? "ROLLBACK" : "COMMIT", NULL, NULL), ==,
+		                 UPSTREAM_OK);
+	}
+	g_assert_cmpint (ask (&client, find, "sum", NULL), ==, UPSTREAM_OK);
+	g_assert_cmpstr (client.cell, ==, "1");
+	upstream_pg_finish (&client.upstream);
+	database_group_stop (&group);
+}
+
 /* Guards against a stand-in that is kinder than PostgreSQL: the insert of an id that an open
  * transaction has waits for its end, and succeeds or conflicts by how it ended. */
 static void
@@ -360,6 +401,7 @@
 	g_test_add_func ("/upstream_pg/lost", test_lost);
 	g_test_add_func ("/upstream_pg/lost_commit", test_lost_commit);
 	g_test_add_func ("/upstream_pg/commit", test_commit);
+	g_test_add_func ("/upstream_pg/batch", test_batch);
 	g_test_add_func ("/upstream_pg/duplicate_waits", test_duplicate_waits);
 	g_test_add_func ("/upstream_pg/connection_limit", test_connection_limit);
 	g_test_add_func ("/upstream_pg/large", test_large);
--- a/tests/slopes/processes.py
+++ b/tests/slopes/processes.py
@@ -114,6 +114,8 @@
              for i in range(len(databases))]
     calls += [(name, i, "kind: write, idempotent: true, params: 2", "INSERT INTO ledger (key, value) VALUES ($1, $2)")
               for name, i in (("add", 0), ("add_last", last))]
+    calls.append(("once", 0, "kind: write, params: 2",
+                  "UPDATE ledger SET value = value + $2 WHERE key = $1 RETURNING value"))
     calls.append(("report", 0, "kind: read, consistency: primary, params: 1, run_limit_ms: 60000", "SELECT report($1)"))
     lines.append("calls:")
     lines += [f'  - {{name: {name}, database: database{i}, rank: urgent, {rest}, statement: "{statement}"}}'
@@ -147,8 +149,8 @@
 
 
 def send(caller, call, *params):
-    """Sends a request in one segment."""
-    body = json.dumps({"params": params})
+    """Sends a request in one segment; the key of an at-most-once call is its request id, too."""
+    body = json.dumps({"params": params} | ({"request_id": params[0]} if call == "once" else {}))
     head = f"POST /v1/services/letters/calls/{call} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
     caller.sendall((head + body).encode())
 
@@ -177,7 +179,7 @@
     """Sends a request with each of the numbers over keep-alive connections, one in flight on each."""
     selector = selectors.DefaultSelector()
     callers = connect(number, 7000, LOAD_CONNECTIONS)
-    params = iter([(f"{call}{i}", "1")[:1 + (call == "add")] for i in numbers])
+    params = iter([(f"{call}{i}", "1")[:1 + (call != "find0")] for i in numbers])
     for caller in callers:
         selector.register(caller, selectors.EVENT_READ)
         send(caller, call, *next(params))
@@ -225,11 +227,24 @@
         wait_serving(2, 0, 1)
         measure_requests(pids, 1, "find0", ("read_entry", "read_owner"))
         measure_requests(pids, 1, "add", ("write_entry", "write_owner"))
+        measure_requests(pids, 1, "once", ("once_entry", "once_owner"))
+        measure_once()
         measure_requests(pids[1:], 2, "find0", ("read_both",))
         measure_acknowledgement(pids[1])
         measure_connections(pids)
 
 
+def measure_once():
+    """Time of an at-most-once call, one at a time, with replicas that lag by 5 ms."""
+    calls, times = 200, []
+    [caller] = connect(2, 7000, 1)
+    for i in range(calls):
+        start = time.monotonic()
+        call_once(caller, "once", f"single{i}", "1")
+        times.append(time.monotonic() - start)
+    print_slope("once_median", "ms", calls, sorted(times)[calls // 2] * 1000)
+
+
 def measure_acknowledgement(pid):
     """Cost of the owner while one write waits the whole time, with replicas that lag by 200 ms."""
     writes = 15
--- a/tests/unit/owner.c
+++ b/tests/unit/owner.c
@@ -19,10 +19,13 @@
 	asked_run (&world, &asked, "set", 0, "");
 	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
 	g_assert_cmpuint (asked.written.index, ==, 11);
+	g_string_truncate (world.log, 0);
 	asked_run (&world, &asked, "add", 0, "first");
 	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
 	g_assert_cmpstr (asked.cell, ==, "wrote x #2");
 	g_assert_false (asked.is_replay);
+	/* Two round trips: the answer is known only after the first. */
+	g_assert_cmpstr (strchr (world.log->str, ':'), ==, ":BEGIN+INSERT+WRITE;1:UPDATE+COMMIT;");
 	asked_run (&world, &asked, "add", 0, "first");
 	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
 	g_assert_cmpstr (asked.cell, ==, "wrote x #2");
--- a/tests/unit/owner_world.c
+++ b/tests/unit/owner_world.c
@@ -45,9 +45,9 @@
 	char *answer;
 	char *blocked_id; /* Its insert waits for the open transaction that has the same id. */
 	char *blocked_answer;
-	bool is_commit; /* COMMIT follows the statement. */
+	GPtrArray *batch; /* Statements with their parameters, as vectors. */
+	size_t next;      /* Of the batch. */
 	enum fake_action action;
-	enum fake_action commit_action;
 	struct upstream_answer pending;
 	const char *column;
 	char cell_text[64];
@@ -310,11 +310,12 @@
 		                clock_now_us () + world_of_fakes->delay_us);
 }
 
+static void run_next (struct fake_connection *fake);
+
 /* The statement has run, or waits for a row. */
 static void
 after_statement (struct fake_connection *fake)
 {
-	static const char *const no_params[] = { NULL };
 	bool has_failed = fake->pending.result != UPSTREAM_OK || fake->action != 0;
 
 	if (fake->blocked_id)
@@ -322,14 +323,28 @@
 		loop_set_timer (fake->upstream->loop, &fake->timer, clock_now_us () + US_PER_MS);
 		return;
 	}
-	if (!fake->is_commit || has_failed)
+	if (fake->next < fake->batch->len && !has_failed)
 	{
-		fake->pending.is_before_commit = fake->is_commit;
-		answer_later (fake, fake->action);
+		run_next (fake);
 		return;
 	}
-	fake->pending.result = run_action (fake, fake->commit_action, "COMMIT", no_params);
-	answer_later (fake, fake->commit_action);
+	fake->pending.statement = fake->next - 1;
+	answer_later (fake, fake->action);
+}
+
+static void
+run_next (struct fake_connection *fake)
+{
+	char **vector = fake->batch->pdata[fake->next++];
+	const char *const *params = (const char *const *) &vector[1];
+
+	g_string_append_printf (world_of_fakes->log, "%s%.*s", fake->next > 1 ? "+" : "",
+	                        (int) strcspn (vector[0], " "), vector[0]);
+	memset (&fake->pending, 0, sizeof fake->pending);
+	fake->pending.message = "scripted";
+	fake->action = find_action (vector[0]);
+	fake->pending.result = run_action (fake, fake->action, vector[0], params);
+	after_statement (fake);
 }
 
 static void
@@ -344,9 +359,20 @@
 	g_free (answer);
 }
 
+static void
+batch_add (struct fake_connection *fake, const struct upstream_statement *statement)
+{
+	char **vector = g_new0 (char *, statement->param_count + 2);
+
+	vector[0] = g_strdup (statement->text);
+	for (size_t i = 0; i < statement->param_count; i++)
+		vector[i + 1] = g_strdup (statement->params[i]);
+	g_ptr_array_add (fake->batch, vector);
+}
+
 static int
-start_statement (struct upstream *upstream, const char *statement, const char *const *params,
-                 bool is_commit)
+fake_execute_batch (struct upstream *upstream, const struct upstream_statement *statements,
+                    size_t count)
 {
 	struct fake_connection *fake = upstream->connection;
 	struct world *world = world_of_fakes;
@@ -362,15 +388,13 @@
 	if (++world->running > world->most_running)
 		world->most_running = world->running;
 	world->round_trips++;
-	g_string_append_printf (world->log, "%u:%.*s%s;", fake->number, (int) strcspn (statement, " "),
-	                        statement, is_commit ? "+COMMIT" : "");
-	memset (&fake->pending, 0, sizeof fake->pending);
-	fake->pending.message = "scripted";
-	fake->is_commit = is_commit;
-	fake->action = find_action (statement);
-	fake->commit_action = is_commit ? find_action ("COMMIT") : 0;
-	fake->pending.result = run_action (fake, fake->action, statement, params);
-	after_statement (fake);
+	g_ptr_array_set_size (fake->batch, 0);
+	for (size_t i = 0; i < count; i++)
+		batch_add (fake, &statements[i]);
+	fake->next = 0;
+	g_string_append_printf (world->log, "%u:", fake->number);
+	run_next (fake);
+	g_string_append_c (world->log, ';');
 	return 0;
 }
 
@@ -378,14 +402,9 @@
 fake_execute (struct upstream *upstream, const char *statement, const char *const *params,
               size_t param_count)
 {
-	return start_statement (upstream, statement, params, false);
-}
+	struct upstream_statement one = { statement, params, param_count };
 
-static int
-fake_commit (struct upstream *upstream, const char *statement, const char *const *params,
-             size_t param_count)
-{
-	return start_statement (upstream, statement, params, true);
+	return fake_execute_batch (upstream, &one, 1);
 }
 
 static int
@@ -423,7 +442,7 @@
 static const struct upstream_ops fake_ops = {
 	.connect = fake_connect,
 	.execute = fake_execute,
-	.commit = fake_commit,
+	.execute_batch = fake_execute_batch,
 	.ask_status = fake_ask_status,
 	.fence = fake_fence,
 	.close = fake_close,
@@ -442,6 +461,7 @@
 	upstream->loop = loop;
 	upstream->connection = fake;
 	fake->upstream = upstream;
+	fake->batch = g_ptr_array_new_with_free_func ((GDestroyNotify) g_strfreev);
 	fake->timer.handle_timer = handle_fake_timer;
 	fake->timer.data = upstream;
 }
@@ -449,8 +469,11 @@
 static void
 fake_finish (struct upstream *upstream)
 {
+	struct fake_connection *fake = upstream->connection;
+
 	fake_close (upstream);
-	g_free (upstream->connection);
+	g_ptr_array_unref (fake->batch);
+	g_free (fake);
 }
 
 static const struct owner_upstream_factory fakes = {
