--- a/tests/unit/configuration.c
+++ b/tests/unit/configuration.c
@@ -137,6 +137,32 @@
 	g_free (configuration);
 }
 
+/* Guards against pulls of a whole fleet in one second, and against one that is put off for a peer without
+ * news or beyond the limit of 4 s. */
+static void
+test_spread (void)
+{
+	const int64_t since_us = 10000000;
+	int64_t last_us = 0;
+
+	for (int i = 0; i < 100; i++)
+	{
+		struct configuration *configuration =
+			configuration_init (g_malloc (configuration_size (SERVICES)),
+		                        &configuration_default_settings, SERVICES, (uint64_t) i, 0);
+		int64_t now_us = since_us + 500000;
+
+		configuration_set_fleet (configuration, 750, since_us);
+		configuration_handle_peer (configuration, 4, 9, now_us);
+		configuration_handle_peer (configuration, 5, 0, now_us);
+		g_assert_cmpint (next_effect (configuration, &now_us).type, ==, CONFIGURATION_PULL);
+		last_us = MAX (last_us, now_us);
+		g_free (configuration);
+	}
+	g_assert_cmpint (last_us, >, since_us + 1500000);
+	g_assert_cmpint (last_us, <, since_us + 3000000);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -144,5 +170,6 @@
 	g_test_add_func ("/configuration/offers", test_offers);
 	g_test_add_func ("/configuration/watcher", test_watcher);
 	g_test_add_func ("/configuration/pull", test_pull);
+	g_test_add_func ("/configuration/spread", test_spread);
 	return g_test_run ();
 }
--- a/tests/unit/failover.c
+++ b/tests/unit/failover.c
@@ -363,11 +363,52 @@
 	fleet_finish (&fleet);
 }
 
+/* Counts quiet polls of replicas in @p time_us, while a change spreads every second. */
+static int
+count_replica_polls (bool is_changing, int64_t time_us)
+{
+	struct server_status status = { true, 1, { 1, 1 } };
+	g_autofree void *memory = g_malloc (failover_size (FLEET_SERVERS));
+	struct failover failover;
+	int polls = 0;
+
+	failover_init (&failover, memory, &failover_default_settings, 1, FLEET_SERVERS, 1, 1000000);
+	failover_set_load (&failover, 7);
+	for (int64_t now_us = 1000000; now_us < 1000000 + time_us; now_us += 10000)
+	{
+		struct failover_effect effect;
+
+		if (is_changing && now_us % 1000000 == 0)
+			failover_postpone_replicas (&failover, 4000000, now_us);
+		while ((effect = failover_next (&failover, now_us)).type == FAILOVER_POLL)
+		{
+			polls += effect.server != 0;
+			status.is_primary = effect.server == 0;
+			failover_handle_status (&failover, effect.server, &status, now_us, now_us);
+		}
+	}
+	failover_finish (&failover);
+	return polls;
+}
+
+/* Guards against replicas that are never polled while changes follow each other. */
+static void
+test_postpone (void)
+{
+	int usual = count_replica_polls (false, 120000000);
+	int postponed = count_replica_polls (true, 120000000);
+
+	g_test_message ("%d polls, %d when put off", usual, postponed);
+	g_assert_cmpint (postponed, <, usual);
+	g_assert_cmpint (postponed, >, usual / 2);
+}
+
 int
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/failover/faults", test_faults);
 	g_test_add_func ("/failover/request", test_request);
+	g_test_add_func ("/failover/postpone", test_postpone);
 	return g_test_run ();
 }
