--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -90,7 +90,9 @@
 {
 	const struct fs_position *position = NULL;
 
-	if (outcome == OUTCOME_DONE)
+	if (outcome == OUTCOME_DONE && !plan->is_write && plan->consistency == READ_MONOTONIC)
+		position = &result->server_position;
+	else if (outcome == OUTCOME_DONE)
 		position = &result->written;
 	else if (result->outcome == OUTCOME_FAILED && result->reason == REASON_STATEMENT &&
 	         plan->is_write && result->server_is_primary)
@@ -100,7 +102,7 @@
 	return (struct log_position){ position->term, position->index };
 }
 
-/** Raises the token after a write that was acknowledged or failed. */
+/** Raises the token after a write that was acknowledged or failed, and after a monotonic read. */
 static void
 update_token (struct entry_request *request, enum outcome outcome,
               const struct fs_execute_result *result)
--- a/flamingospring/entry_check.c
+++ b/flamingospring/entry_check.c
@@ -40,7 +40,7 @@
 }
 
 /** A write whose position does not fit into the token would break read-your-writes, so it must not
- * run. */
+ * run; a monotonic read likewise. */
 static int
 check_token_room (struct entry_plan *plan, struct entry_problem *problem)
 {
@@ -199,5 +199,7 @@
 	plan->database_hash = session_database_hash (plan->database);
 	if (call->timeout_ms > 0)
 		plan->timeout_ms = call->timeout_ms < TIMEOUT_MAX_MS ? call->timeout_ms : TIMEOUT_MAX_MS;
-	return plan->is_write ? check_token_room (plan, problem) : 0;
+	if (!plan->is_write && plan->consistency != READ_MONOTONIC)
+		return 0;
+	return check_token_room (plan, problem);
 }
--- a/include/decision/routing.h
+++ b/include/decision/routing.h
@@ -18,9 +18,10 @@
 /** What a read asks of its answer. */
 enum read_consistency
 {
-	READ_SESSION, /**< The session's own writes; any server that covers the token. */
-	READ_BOUNDED, /**< As READ_SESSION, and no older than a stated age. */
-	READ_PRIMARY, /**< The primary only. */
+	READ_SESSION,   /**< The session's own writes; any server that covers the token. */
+	READ_BOUNDED,   /**< As READ_SESSION, and no older than a stated age. */
+	READ_PRIMARY,   /**< The primary only. */
+	READ_MONOTONIC, /**< As READ_SESSION; the token then covers what was read. */
 };
 
 /** What a VM knows of one server of a group. Fields of unknown value are 0. */
--- a/schema/schema.c
+++ b/schema/schema.c
@@ -23,7 +23,8 @@
 };
 
 static const char *const rank_names[] = { "urgent", "normal", "low", NULL };
-static const char *const consistency_names[] = { "session", "bounded", "primary", NULL };
+static const char *const consistency_names[] = { "session", "bounded", "primary", "monotonic",
+	                                             NULL };
 static const char *const kind_names[] = { "read", "write", NULL };
 
 static const struct schema_rank rank_defaults[RANK_COUNT] = {
--- a/tests/support/fixture.c
+++ b/tests/support/fixture.c
@@ -21,6 +21,8 @@
 	"      - {address: \"127.0.1.3:5432\", zone: c}\n"
 	"calls:\n"
 	"  - {name: find, database: letters, kind: read, params: 1, statement: \"SELECT $1\"}\n"
+	"  - {name: find_monotonic, database: letters, kind: read, consistency: monotonic, params: 0,\n"
+	"     statement: SELECT 1}\n"
 	"  - {name: find_primary, database: letters, kind: read, consistency: primary, params: 0,\n"
 	"     statement: \"SELECT 1\"}\n"
 	"  - {name: find_low, database: letters, kind: read, rank: low, params: 0, statement: \"SELECT 1\"}\n"
--- a/tests/unit/entry.c
+++ b/tests/unit/entry.c
@@ -549,6 +549,40 @@
 	world_free (world);
 }
 
+/* A monotonic read raises the token to what its server held. Guards against a session that reads
+ * backwards when its next read goes to a replica that is further behind. */
+static void
+test_session_monotonic (void)
+{
+	struct world *world = world_new ();
+	struct caller caller = { 0 };
+	struct entry_call *call;
+	struct execution *execution;
+
+	world_start (world, call_new ("find_monotonic", NULL), &caller);
+	answer (world_next (world), result_at (5, 42));
+	g_assert_nonnull (caller.token);
+	call = call_new ("find", NULL);
+	call->token = g_strdup (caller.token);
+	caller_finish (&caller);
+	world_start (world, call, &caller);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->args->required.term, ==, 5);
+	g_assert_cmpuint (execution->args->required.index, ==, 42);
+	answer (execution, result_at (5, 43));
+	/* A session read gives no position of its own: the token stays as it was. */
+	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
+	call = call_new ("find_monotonic", NULL);
+	call->token = g_strdup (caller.token);
+	caller_finish (&caller);
+	world_start (world, call, &caller);
+	execution = world_next (world);
+	g_assert_cmpuint (execution->args->required.index, ==, 42);
+	answer (execution, result_at (5, 42));
+	caller_finish (&caller);
+	world_free (world);
+}
+
 /* An insert whose answer was lost is sent again and fails on its own row. Guards against a next read
  * that does not see the row, since a replica has not got it yet. */
 static void
@@ -976,6 +1010,7 @@
 	g_test_add_func ("/entry/queue_by_rank", test_queue_by_rank);
 	g_test_add_func ("/entry/late", test_late);
 	g_test_add_func ("/entry/session", test_session);
+	g_test_add_func ("/entry/session_monotonic", test_session_monotonic);
 	g_test_add_func ("/entry/session_after_failure", test_session_after_failure);
 	g_test_add_func ("/entry/transaction", test_transaction);
 	g_test_add_func ("/entry/settle", test_settle);
