--- a/tests/integration/connection_limit.c
+++ b/tests/integration/connection_limit.c
@@ -22,20 +22,6 @@
 	LONGEST_GAP_US = 300 * US_PER_MS,
 };
 
-static const char document_format[] =
-	"service: letters\n"
-	"session_keys:\n"
-	"  - {id: 1, secret: 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f}\n"
-	"databases:\n"
-	"  - name: ledger\n    slots: 8\n    connections: 16\n"
-	"    servers: [{address: \"127.0.0.1:%u\", zone: a}, {address: \"127.0.0.1:%u\", zone: b},"
-	" {address: \"127.0.0.1:%u\", zone: c}]\n"
-	"calls:\n"
-	"  - {name: find, database: ledger, kind: read, params: 1,"
-	" statement: \"SELECT value FROM ledger WHERE key = $1\"}\n"
-	"  - {name: add, database: ledger, kind: write, params: 2,"
-	" statement: \"UPDATE ledger SET value = value + $2 WHERE key = $1 RETURNING value\"}\n";
-
 struct vm
 {
 	struct snapshot_source source;
@@ -84,30 +70,15 @@
 static void
 publish (struct fixture *fixture, unsigned vm, unsigned owning_set)
 {
-	struct snapshot *snapshot = snapshot_new (1, 0, 1);
-	struct snapshot_service *service = calloc (1, sizeof *service);
+	struct snapshot *snapshot = database_group_snapshot (&fixture->group, 8);
 	struct snapshot_group *group = &snapshot->groups[0];
-	char *text = g_strdup_printf (document_format, fixture->group.ports[0], fixture->group.ports[1],
-	                              fixture->group.ports[2]);
-	struct findings findings;
-
-	findings_init (&findings);
-	g_assert_cmpint (
-		schema_service_init (&service->schema, "test.yaml", text, strlen (text), &findings), ==, 0);
-	findings_finish (&findings);
-	service->references = 1;
-	snapshot->services[0] = service;
-	group->service = &service->schema;
-	group->database = &service->schema.databases[0];
-	group->has_primary = true;
-	group->term = 1;
+
 	for (unsigned i = 0; i < GROUP_SERVERS; i++)
 		group->servers[i].owners.owner = 1 + owning_set * GROUP_SERVERS + i;
 	fixture->vms[vm].is_owner = vm / GROUP_SERVERS == owning_set;
 	snapshot_publish (&fixture->vms[vm].reader, snapshot);
 	if (fixture->vms[vm].set.loop)
 		owner_set_handle_snapshot (&fixture->vms[vm].set);
-	g_free (text);
 }
 
 static void
--- a/tests/integration/database_group.c
+++ b/tests/integration/database_group.c
@@ -9,6 +9,22 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+static const char document_format[] =
+	"service: letters\n"
+	"session_keys:\n"
+	"  - {id: 1, secret: 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f}\n"
+	"databases:\n"
+	"  - name: ledger\n    slots: %u\n    connections: 16\n"
+	"    servers: [{address: \"127.0.0.1:%u\", zone: a}, {address: \"127.0.0.1:%u\", zone: b},"
+	" {address: \"127.0.0.1:%u\", zone: c}]\n"
+	"calls:\n"
+	"  - {name: find, database: ledger, kind: read, params: 1,"
+	" statement: \"SELECT value FROM ledger WHERE key = $1\"}\n"
+	"  - {name: recent, database: ledger, kind: read, consistency: bounded, max_age_ms: 300,"
+	" params: 1, statement: \"SELECT value FROM ledger WHERE key = $1\"}\n"
+	"  - {name: add, database: ledger, kind: write, params: 2,"
+	" statement: \"UPDATE ledger SET value = value + $2 WHERE key = $1 RETURNING value\"}\n";
+
 enum
 {
 	START_TRIES = 500, /* Of 10 ms. */
@@ -105,3 +121,26 @@
 	g_free (group->directory);
 	g_free (group->peers);
 }
+
+struct snapshot *
+database_group_snapshot (const struct database_group *group, unsigned slots)
+{
+	struct snapshot *snapshot = snapshot_new (1, 0, 1);
+	struct snapshot_service *service = calloc (1, sizeof *service);
+	char *text =
+		g_strdup_printf (document_format, slots, group->ports[0], group->ports[1], group->ports[2]);
+	struct findings findings;
+
+	findings_init (&findings);
+	g_assert_cmpint (
+		schema_service_init (&service->schema, "test.yaml", text, strlen (text), &findings), ==, 0);
+	findings_finish (&findings);
+	service->references = 1;
+	snapshot->services[0] = service;
+	snapshot->groups[0].service = &service->schema;
+	snapshot->groups[0].database = &service->schema.databases[0];
+	snapshot->groups[0].has_primary = true;
+	snapshot->groups[0].term = 1;
+	g_free (text);
+	return snapshot;
+}
--- a/tests/integration/database_group.h
+++ b/tests/integration/database_group.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include "flamingospring/snapshot.h"
+
 #include <glib.h>
 #include <stdint.h>
 
@@ -25,3 +27,7 @@
                            const char *connections);
 void database_group_kill (struct database_group *group, unsigned index);
 void database_group_stop (struct database_group *group);
+
+/** A snapshot of the service letters with this group as its database ledger: calls find, recent and
+ * add; server 0 is the primary of term 1, and no server has an owner. */
+struct snapshot *database_group_snapshot (const struct database_group *group, unsigned slots);
--- a/tests/integration/owner_pg.c
+++ b/tests/integration/owner_pg.c
@@ -18,22 +18,6 @@
 	COMMIT_TRIES = 20,
 };
 
-static const char document_format[] =
-	"service: letters\n"
-	"session_keys:\n"
-	"  - {id: 1, secret: 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f}\n"
-	"databases:\n"
-	"  - name: ledger\n    slots: 2\n    connections: 16\n"
-	"    servers: [{address: \"127.0.0.1:%u\", zone: a}, {address: \"127.0.0.1:%u\", zone: b},"
-	" {address: \"127.0.0.1:%u\", zone: c}]\n"
-	"calls:\n"
-	"  - {name: find, database: ledger, kind: read, params: 1,"
-	" statement: \"SELECT value FROM ledger WHERE key = $1\"}\n"
-	"  - {name: recent, database: ledger, kind: read, consistency: bounded, max_age_ms: 300,"
-	" params: 1, statement: \"SELECT value FROM ledger WHERE key = $1\"}\n"
-	"  - {name: add, database: ledger, kind: write, params: 2,"
-	" statement: \"UPDATE ledger SET value = value + $2 WHERE key = $1 RETURNING value\"}\n";
-
 struct fixture
 {
 	struct database_group group;
@@ -66,22 +50,9 @@
 static void
 publish (struct fixture *fixture, uint32_t primary, uint64_t term)
 {
-	struct snapshot *snapshot = snapshot_new (1, 0, 1);
-	struct snapshot_service *service = calloc (1, sizeof *service);
+	struct snapshot *snapshot = database_group_snapshot (&fixture->group, 2);
 	struct snapshot_group *group = &snapshot->groups[0];
-	char *text = g_strdup_printf (document_format, fixture->group.ports[0], fixture->group.ports[1],
-	                              fixture->group.ports[2]);
-	struct findings findings;
-
-	findings_init (&findings);
-	g_assert_cmpint (
-		schema_service_init (&service->schema, "test.yaml", text, strlen (text), &findings), ==, 0);
-	findings_finish (&findings);
-	service->references = 1;
-	snapshot->services[0] = service;
-	group->service = &service->schema;
-	group->database = &service->schema.databases[0];
-	group->has_primary = true;
+
 	group->term = term;
 	group->primary = primary;
 	for (unsigned i = 0; i < GROUP_SERVERS; i++)
@@ -89,7 +60,6 @@
 	snapshot_publish (&fixture->reader, snapshot);
 	if (fixture->set.loop)
 		owner_set_handle_snapshot (&fixture->set);
-	g_free (text);
 }
 
 static void
