--- /dev/null
+++ b/tests/unit/entry_world.h
@@ -0,0 +1,49 @@
+/**
+ * @file
+ * One VM's entry with a scripted transport: an execution is held until the test answers it.
+ */
+#pragma once
+
+#include "fixture.h"
+#include "flamingospring/entry.h"
+
+#include <glib.h>
+
+/** Executions without an answer. */
+extern uint32_t held_count;
+/** A VM that the transport reports as down; 0: none. */
+extern uint32_t down_vm;
+extern uint32_t cancelled;
+
+/** One VM's entry and what its last caller got. */
+struct world
+{
+	struct loop loop;
+	struct snapshot_source source;
+	struct snapshot_reader reader;
+	struct fixture fixture;
+	struct entry_set entries;
+};
+
+struct caller
+{
+	unsigned answers;
+	enum outcome outcome;
+	enum reason reason;
+	char message[64];
+	char *token;
+	char *transaction;
+};
+
+struct execution *take_held (uint32_t at);
+void caller_finish (struct caller *caller);
+struct world *world_new (void);
+void world_free (struct world *world);
+struct entry_call *call_new (const char *name, const char *request_id);
+uint32_t world_start (struct world *world, struct entry_call *call, struct caller *caller);
+struct execution *world_next (struct world *world);
+void world_wait_answer (struct world *world, struct caller *caller);
+struct fs_execute_result result_at (uint64_t term, uint64_t index);
+void answer (struct execution *execution, struct fs_execute_result result);
+void answer_refused (struct execution *execution, enum reason reason);
+void lose (struct execution *execution, enum execution_status status);
