--- a/flamingospring/http.c
+++ b/flamingospring/http.c
@@ -158,7 +158,9 @@
 static void
 request_set_health (struct http_request *request)
 {
-	bool is_serving = !request->server->refuses_connections;
+	/* Not from the first moment of a planned stop on: a balancer then sends new callers elsewhere while
+	 * this VM still takes them. */
+	bool is_serving = !request->server->closes_connections;
 	struct entry_answer answer = {
 		.outcome = is_serving ? OUTCOME_DONE : OUTCOME_REFUSED,
 		.reason = is_serving ? REASON_NONE : REASON_LEAVING,
--- a/tests/unit/traffic.c
+++ b/tests/unit/traffic.c
@@ -500,6 +500,23 @@
 	g_assert_cmpuint (ck_pr_load_32 (value), ==, wanted);
 }
 
+/* @return the status of GET /v1/health on a new connection. */
+static int
+health (unsigned vm)
+{
+	struct http_client client;
+	struct http_reply reply;
+	int status;
+
+	client_open (&client, vm);
+	http_client_request (&client, "GET", "/v1/health", NULL, "");
+	reply = http_client_read (&client);
+	status = reply.status;
+	http_reply_finish (&reply);
+	http_client_close (&client);
+	return status;
+}
+
 /* The planned stop ends connections after their answers and interrupts no request (P8). */
 static void
 test_planned_stop (void)
@@ -526,7 +543,13 @@
 	http_client_request (&client, "POST", "/v1/services/post/calls/set", NULL,
 	                     "{\"params\": [\"k\", \"v\"]}");
 	wait_for (&fake_in_flight, 1);
+	/* While it announces the stop, the VM takes new connections and tells the balancer to send none. */
 	vms[0]->fixture.is_leaving = true;
+	vm_publish (vms[0]);
+	while (health (0) != 503 && clock_now_us () < limit_us)
+		g_usleep (1000);
+	g_assert_cmpint (health (0), ==, 503);
+	g_assert_cmpint (health (1), ==, 200);
 	vms[0]->fixture.refuses_connections = true;
 	vm_publish (vms[0]);
 	/* The threads close their listeners one after another: a refusal by the first does not mean that
