--- a/flamingospring/owner_pool.c
+++ b/flamingospring/owner_pool.c
@@ -26,6 +26,7 @@
 	POOL_CIRCUIT_OPEN_US = 200 * US_PER_MS, /* Short beside the 1 s of a typical failover. */
 };
 
+/* States and events of charts/upstream.scxml. */
 enum pool_state
 {
 	POOL_CLOSED,
@@ -34,6 +35,21 @@
 	POOL_HELD,
 };
 
+enum pool_event
+{
+	POOL_OPEN,
+	POOL_CONNECTED,
+	POOL_TAKE,
+	POOL_GIVE_BACK,
+	POOL_CLOSE,
+};
+
+static const char *const state_names[] = { "closed", "connecting", "idle", "held" };
+static const char *const event_names[] = { "open", "connected", "take", "give_back", "close" };
+
+_Static_assert(sizeof state_names / sizeof state_names[0] == POOL_STATES, "a name for each state");
+_Static_assert(sizeof event_names / sizeof event_names[0] == POOL_EVENTS, "a name for each event");
+
 struct pool_connection
 {
 	struct upstream upstream;
@@ -50,6 +66,46 @@
 	.finish = upstream_pg_finish,
 };
 
+static void
+handle_action (void *context, const char *name)
+{
+}
+
+static bool
+handle_condition (void *context, const char *name)
+{
+	return false;
+}
+
+/* The chart only decides the next state. */
+static const struct chart_ops chart_ops = { handle_action, handle_condition };
+
+/* An event that the chart has no transition for would give a connection to two users, or use one again
+ * that was closed. */
+static void
+connection_step (struct pool_connection *connection, enum pool_event event)
+{
+	const struct owner_pool *pool = connection->pool;
+	struct chart_instance instance = { pool->chart, pool->chart_states[connection->state] };
+	bool is_taken =
+		chart_instance_handle (&instance, pool->chart_events[event], &chart_ops, connection);
+
+	INVARIANT (is_taken, "P4");
+	for (int state = POOL_CLOSED; state <= POOL_HELD; state++)
+		if (instance.state == pool->chart_states[state])
+			connection->state = (enum pool_state) state;
+}
+
+static void
+pool_init_chart (struct owner_pool *pool)
+{
+	pool->chart = chart_embedded ("upstream");
+	for (int state = POOL_CLOSED; state <= POOL_HELD; state++)
+		pool->chart_states[state] = chart_find_state (pool->chart, state_names[state]);
+	for (int event = POOL_OPEN; event <= POOL_CLOSE; event++)
+		pool->chart_events[event] = chart_find_event (pool->chart, event_names[event]);
+}
+
 uint32_t
 owner_pool_open (const struct owner_pool *pool)
 {
@@ -137,7 +193,8 @@
 	loop_cancel_timer (connection->pool->loop, &connection->timer);
 	if (connection->state != POOL_CLOSED && connection->state != POOL_CONNECTING)
 		counter_add (COUNTER_UPSTREAM_CONNECTIONS, -1);
-	connection->state = POOL_CLOSED;
+	if (connection->state != POOL_CLOSED)
+		connection_step (connection, POOL_CLOSE);
 	connection->user = NULL;
 	if (user)
 		user->connection = NULL;
@@ -198,7 +255,7 @@
 		pool_count_failure (pool, result, now_us);
 		return;
 	}
-	connection->state = POOL_CONNECTING;
+	connection_step (connection, POOL_OPEN);
 	loop_set_timer (pool->loop, &connection->timer, now_us + POOL_CONNECT_US);
 }
 
@@ -280,14 +337,15 @@
 	struct pool_user *user = pool->first_waiter;
 
 	connection->user = NULL;
-	connection->state = POOL_IDLE;
+	connection_step (connection,
+	                 connection->state == POOL_CONNECTING ? POOL_CONNECTED : POOL_GIVE_BACK);
 	connection->idle_at_us = clock_now_us ();
 	if (!user && pool->is_leaving)
 		connection_close (connection);
 	if (!user)
 		return;
 	waiter_remove (pool, user);
-	connection->state = POOL_HELD;
+	connection_step (connection, POOL_TAKE);
 	connection->user = user;
 	user->connection = connection;
 	user->ops->handle_connection (user, 0);
@@ -409,6 +467,7 @@
 	pool->timer.handle_timer = handle_pool_timer;
 	pool->timer.data = pool;
 	circuit_init (&pool->circuit, POOL_CIRCUIT_FAILURES, POOL_CIRCUIT_OPEN_US);
+	pool_init_chart (pool);
 	for (uint32_t i = 0; i < limit; i++)
 	{
 		struct pool_connection *connection = &pool->connections[i];
@@ -451,7 +510,7 @@
 
 	if (connection)
 	{
-		connection->state = POOL_HELD;
+		connection_step (connection, POOL_TAKE);
 		connection->user = user;
 		user->connection = connection;
 		return 0;
--- a/include/flamingospring/owner_pool.h
+++ b/include/flamingospring/owner_pool.h
@@ -5,6 +5,7 @@
  */
 #pragma once
 
+#include "charts/embedded.h"
 #include "common/loop.h"
 #include "decision/retry.h"
 #include "flamingospring/upstream.h"
@@ -54,6 +55,12 @@
 	void (*handle_doubt) (void *data);
 };
 
+enum
+{
+	POOL_STATES = 4, /**< Of a connection, in charts/upstream.scxml. */
+	POOL_EVENTS = 5,
+};
+
 struct owner_pool
 {
 	const struct owner_pool_ops *ops;
@@ -68,6 +75,9 @@
 	struct pool_user *first_waiter;
 	struct pool_user *last_waiter;
 	struct circuit circuit;
+	const struct chart *chart;     /**< Of a connection. */
+	int chart_states[POOL_STATES]; /**< Numbers in the chart. */
+	int chart_events[POOL_EVENTS];
 	struct loop_timer timer;
 	uint32_t failures;  /**< In a row. */
 	uint32_t refusals;  /**< In a row, because of the server's connection limit. */
