--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -88,15 +88,16 @@
 position_seen (const struct entry_plan *plan, enum outcome outcome,
                const struct fs_execute_result *result)
 {
+	bool has_read =
+		outcome == OUTCOME_DONE && !plan->is_write && plan->consistency == READ_MONOTONIC;
+	bool has_failed = result->outcome == OUTCOME_FAILED && result->reason == REASON_STATEMENT &&
+	                  plan->is_write && result->server_is_primary;
 	const struct fs_position *position = NULL;
 
-	if (outcome == OUTCOME_DONE && !plan->is_write && plan->consistency == READ_MONOTONIC)
+	if (has_read || has_failed)
 		position = &result->server_position;
 	else if (outcome == OUTCOME_DONE)
 		position = &result->written;
-	else if (result->outcome == OUTCOME_FAILED && result->reason == REASON_STATEMENT &&
-	         plan->is_write && result->server_is_primary)
-		position = &result->server_position;
 	if (!position)
 		return (struct log_position){ 0 };
 	return (struct log_position){ position->term, position->index };
