--- a/decision/membership_rejoin.c
+++ b/decision/membership_rejoin.c
@@ -7,7 +7,7 @@
 
 enum
 {
-	BLOCK_BYTES = 12, /* XDR size of fs_member_block. */
+	BLOCK_BYTES = 12, /* XDR size of struct fs_member_block. */
 	REJOIN_US = 10000000,
 	/* Claims that a member is down, from those who have not yet heard the blocks, are ignored for this
 	 * long; a member that dies meanwhile is found dead later by as much. */
--- a/decision/membership_table.c
+++ b/decision/membership_table.c
@@ -9,10 +9,11 @@
 enum
 {
 	ITEMS_BYTES = 400,
-	MEMBER_BYTES = 40,     /* XDR size of fs_item for a member. */
-	ITEM_FIXED_BYTES = 24, /* XDR size of fs_item for others, without the characters of its key. */
-	CLAIM_BYTES = 12,      /* XDR size of fs_member_claim. */
-	/* An empty fs_gossip, with the headers of RPC, UDP and IPv4. */
+	MEMBER_BYTES = 40, /* XDR size of struct fs_item for a member. */
+	ITEM_FIXED_BYTES =
+		24, /* XDR size of struct fs_item for others, without the characters of its key. */
+	CLAIM_BYTES = 12, /* XDR size of struct fs_member_claim. */
+	/* An empty struct fs_gossip, with the headers of RPC, UDP and IPv4. */
 	HEADER_BYTES = 40 + 48 + 28,
 	/* Above this number each rumor that is not urgent is sent less often: a lost zone makes
 	 * hundreds. About 1 member in 400 misses a rumor that is sent 6 times, and hears it when it
--- a/flamingospring/entry.c
+++ b/flamingospring/entry.c
@@ -256,7 +256,7 @@
 	args->params.params_val = request->values;
 	args->request_id = text_or_empty (call->request_id);
 	args->tenant = text_or_empty (call->tenant);
-	args->required = (fs_position){ required.term, required.index };
+	args->required = (struct fs_position){ required.term, required.index };
 	args->traceparent = request->traceparent;
 	request->execution.args = args;
 	request->execution.handle_done = entry_handle_execution_done;
--- a/include/decision/membership.h
+++ b/include/decision/membership.h
@@ -3,7 +3,7 @@
  * Members of the fleet: failure detection and dissemination of small versioned items.
  *
  * Time, randomness and datagrams are arguments; datagrams to send are effects. The wire format
- * of a datagram is fs_gossip in protocols/peer.x; this module works on its decoded form.
+ * of a datagram is struct fs_gossip in protocols/peer.x; this module works on its decoded form.
  */
 #pragma once
 
--- a/include/protocols/operator.h
+++ b/include/protocols/operator.h
@@ -24,7 +24,6 @@
 	int code;
 	fs_operator_text message;
 };
-typedef struct fs_operator_result fs_operator_result;
 
 struct fs_apply_args {
 	char *service;
@@ -33,14 +32,12 @@
 	char *author;
 	fs_operator_text text;
 };
-typedef struct fs_apply_args fs_apply_args;
 
 struct fs_apply_result {
 	int code;
 	fs_operator_text message;
 	u_quad_t revision;
 };
-typedef struct fs_apply_result fs_apply_result;
 
 struct fs_get_result {
 	int code;
@@ -49,24 +46,20 @@
 	char *author;
 	fs_operator_text text;
 };
-typedef struct fs_get_result fs_get_result;
 
 struct fs_name_args {
 	char *name;
 };
-typedef struct fs_name_args fs_name_args;
 
 struct fs_promote_args {
 	char *database;
 	u_int server;
 };
-typedef struct fs_promote_args fs_promote_args;
 
 struct fs_drain_args {
 	char *target;
 	bool_t leaving;
 };
-typedef struct fs_drain_args fs_drain_args;
 
 struct fs_member_row {
 	u_int id;
@@ -76,7 +69,6 @@
 	u_quad_t config_revision;
 	u_int rtt_us;
 };
-typedef struct fs_member_row fs_member_row;
 
 struct fs_server_row {
 	char *database;
@@ -88,7 +80,6 @@
 	u_int owner;
 	u_int standby;
 };
-typedef struct fs_server_row fs_server_row;
 
 struct fs_status_result {
 	u_int self;
@@ -98,28 +89,25 @@
 	char *phase;
 	struct {
 		u_int members_len;
-		fs_member_row *members_val;
+		struct fs_member_row *members_val;
 	} members;
 	struct {
 		u_int servers_len;
-		fs_server_row *servers_val;
+		struct fs_server_row *servers_val;
 	} servers;
 };
-typedef struct fs_status_result fs_status_result;
 
 struct fs_counter_row {
 	char *name;
 	u_quad_t value;
 };
-typedef struct fs_counter_row fs_counter_row;
 
 struct fs_counters_result {
 	struct {
 		u_int rows_len;
-		fs_counter_row *rows_val;
+		struct fs_counter_row *rows_val;
 	} rows;
 };
-typedef struct fs_counters_result fs_counters_result;
 
 #define FS_OPERATOR_PROGRAM 0x2f5a0002
 #define FS_OPERATOR_VERSION 1
@@ -129,23 +117,23 @@
 extern  enum clnt_stat fs_operator_null_1(void *, CLIENT *);
 extern  bool_t fs_operator_null_1_svc(void *, struct svc_req *);
 #define FS_OPERATOR_APPLY 1
-extern  enum clnt_stat fs_operator_apply_1(fs_apply_args , fs_apply_result *, CLIENT *);
-extern  bool_t fs_operator_apply_1_svc(fs_apply_args , fs_apply_result *, struct svc_req *);
+extern  enum clnt_stat fs_operator_apply_1(struct fs_apply_args , struct fs_apply_result *, CLIENT *);
+extern  bool_t fs_operator_apply_1_svc(struct fs_apply_args , struct fs_apply_result *, struct svc_req *);
 #define FS_OPERATOR_GET 2
-extern  enum clnt_stat fs_operator_get_1(fs_name_args , fs_get_result *, CLIENT *);
-extern  bool_t fs_operator_get_1_svc(fs_name_args , fs_get_result *, struct svc_req *);
+extern  enum clnt_stat fs_operator_get_1(struct fs_name_args , struct fs_get_result *, CLIENT *);
+extern  bool_t fs_operator_get_1_svc(struct fs_name_args , struct fs_get_result *, struct svc_req *);
 #define FS_OPERATOR_STATUS 3
-extern  enum clnt_stat fs_operator_status_1(fs_status_result *, CLIENT *);
-extern  bool_t fs_operator_status_1_svc(fs_status_result *, struct svc_req *);
+extern  enum clnt_stat fs_operator_status_1(struct fs_status_result *, CLIENT *);
+extern  bool_t fs_operator_status_1_svc(struct fs_status_result *, struct svc_req *);
 #define FS_OPERATOR_DRAIN 4
-extern  enum clnt_stat fs_operator_drain_1(fs_drain_args , fs_operator_result *, CLIENT *);
-extern  bool_t fs_operator_drain_1_svc(fs_drain_args , fs_operator_result *, struct svc_req *);
+extern  enum clnt_stat fs_operator_drain_1(struct fs_drain_args , struct fs_operator_result *, CLIENT *);
+extern  bool_t fs_operator_drain_1_svc(struct fs_drain_args , struct fs_operator_result *, struct svc_req *);
 #define FS_OPERATOR_PROMOTE 5
-extern  enum clnt_stat fs_operator_promote_1(fs_promote_args , fs_operator_result *, CLIENT *);
-extern  bool_t fs_operator_promote_1_svc(fs_promote_args , fs_operator_result *, struct svc_req *);
+extern  enum clnt_stat fs_operator_promote_1(struct fs_promote_args , struct fs_operator_result *, CLIENT *);
+extern  bool_t fs_operator_promote_1_svc(struct fs_promote_args , struct fs_operator_result *, struct svc_req *);
 #define FS_OPERATOR_COUNTERS 6
-extern  enum clnt_stat fs_operator_counters_1(fs_counters_result *, CLIENT *);
-extern  bool_t fs_operator_counters_1_svc(fs_counters_result *, struct svc_req *);
+extern  enum clnt_stat fs_operator_counters_1(struct fs_counters_result *, CLIENT *);
+extern  bool_t fs_operator_counters_1_svc(struct fs_counters_result *, struct svc_req *);
 #define FS_OPERATOR_TRACE 7
 extern  enum clnt_stat fs_operator_trace_1(fs_operator_text *, CLIENT *);
 extern  bool_t fs_operator_trace_1_svc(fs_operator_text *, struct svc_req *);
@@ -183,18 +171,18 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_fs_operator_text (XDR *, fs_operator_text*);
-extern  bool_t xdr_fs_operator_result (XDR *, fs_operator_result*);
-extern  bool_t xdr_fs_apply_args (XDR *, fs_apply_args*);
-extern  bool_t xdr_fs_apply_result (XDR *, fs_apply_result*);
-extern  bool_t xdr_fs_get_result (XDR *, fs_get_result*);
-extern  bool_t xdr_fs_name_args (XDR *, fs_name_args*);
-extern  bool_t xdr_fs_promote_args (XDR *, fs_promote_args*);
-extern  bool_t xdr_fs_drain_args (XDR *, fs_drain_args*);
-extern  bool_t xdr_fs_member_row (XDR *, fs_member_row*);
-extern  bool_t xdr_fs_server_row (XDR *, fs_server_row*);
-extern  bool_t xdr_fs_status_result (XDR *, fs_status_result*);
-extern  bool_t xdr_fs_counter_row (XDR *, fs_counter_row*);
-extern  bool_t xdr_fs_counters_result (XDR *, fs_counters_result*);
+extern  bool_t xdr_fs_operator_result (XDR *, struct fs_operator_result*);
+extern  bool_t xdr_fs_apply_args (XDR *, struct fs_apply_args*);
+extern  bool_t xdr_fs_apply_result (XDR *, struct fs_apply_result*);
+extern  bool_t xdr_fs_get_result (XDR *, struct fs_get_result*);
+extern  bool_t xdr_fs_name_args (XDR *, struct fs_name_args*);
+extern  bool_t xdr_fs_promote_args (XDR *, struct fs_promote_args*);
+extern  bool_t xdr_fs_drain_args (XDR *, struct fs_drain_args*);
+extern  bool_t xdr_fs_member_row (XDR *, struct fs_member_row*);
+extern  bool_t xdr_fs_server_row (XDR *, struct fs_server_row*);
+extern  bool_t xdr_fs_status_result (XDR *, struct fs_status_result*);
+extern  bool_t xdr_fs_counter_row (XDR *, struct fs_counter_row*);
+extern  bool_t xdr_fs_counters_result (XDR *, struct fs_counters_result*);
 
 #else /* K&R C */
 extern bool_t xdr_fs_operator_text ();
--- a/include/protocols/peer.h
+++ b/include/protocols/peer.h
@@ -30,7 +30,6 @@
 	u_quad_t term;
 	u_quad_t index;
 };
-typedef struct fs_position fs_position;
 
 typedef char *fs_text;
 
@@ -60,12 +59,11 @@
 	} params;
 	char *request_id;
 	char *tenant;
-	fs_position required;
+	struct fs_position required;
 	u_int budget_ms;
 	u_int wait_ms;
 	char *traceparent;
 };
-typedef struct fs_execute_args fs_execute_args;
 
 struct fs_execute_result {
 	int outcome;
@@ -80,18 +78,17 @@
 		u_int cells_len;
 		fs_value *cells_val;
 	} cells;
-	fs_position written;
+	struct fs_position written;
 	u_quad_t transaction;
 	bool_t replayed;
 	bool_t server_is_primary;
-	fs_position server_position;
+	struct fs_position server_position;
 	u_int server_age_ms;
 	u_int server_lag_ms;
 	u_int server_queue_us;
 	u_quad_t primary_term;
 	int primary;
 };
-typedef struct fs_execute_result fs_execute_result;
 
 struct fs_address {
 	u_int ip;
@@ -99,43 +96,37 @@
 	u_int control_port;
 	u_int zone;
 };
-typedef struct fs_address fs_address;
 
 struct fs_item_member {
 	u_int member;
 	u_quad_t item_version;
-	fs_address address;
+	struct fs_address address;
 	u_quad_t config_revision;
 };
-typedef struct fs_item_member fs_item_member;
 
 struct fs_item_value {
 	char *key;
 	u_quad_t item_version;
 	u_quad_t value;
 };
-typedef struct fs_item_value fs_item_value;
 
 struct fs_item {
 	int type;
 	union {
-		fs_item_member member;
-		fs_item_value value;
+		struct fs_item_member member;
+		struct fs_item_value value;
 	} fs_item_u;
 };
-typedef struct fs_item fs_item;
 
 struct fs_member_claim {
 	u_int member;
 	u_quad_t member_version;
 };
-typedef struct fs_member_claim fs_member_claim;
 
 struct fs_member_block {
 	u_int first;
 	u_quad_t alive;
 };
-typedef struct fs_member_block fs_member_block;
 
 struct fs_gossip {
 	int type;
@@ -147,26 +138,24 @@
 	u_int view_hash;
 	struct {
 		u_int items_len;
-		fs_item *items_val;
+		struct fs_item *items_val;
 	} items;
 	struct {
 		u_int claims_len;
-		fs_member_claim *claims_val;
+		struct fs_member_claim *claims_val;
 	} claims;
 	struct {
 		u_int blocks_len;
-		fs_member_block *blocks_val;
+		struct fs_member_block *blocks_val;
 	} blocks;
 };
-typedef struct fs_gossip fs_gossip;
 
 struct fs_state_result {
 	struct {
 		u_int items_len;
-		fs_item *items_val;
+		struct fs_item *items_val;
 	} items;
 };
-typedef struct fs_state_result fs_state_result;
 
 struct fs_document {
 	char *service;
@@ -174,21 +163,18 @@
 	bool_t is_deleted;
 	fs_text text;
 };
-typedef struct fs_document fs_document;
 
 struct fs_config_result {
 	u_quad_t revision;
 	struct {
 		u_int documents_len;
-		fs_document *documents_val;
+		struct fs_document *documents_val;
 	} documents;
 };
-typedef struct fs_config_result fs_config_result;
 
 struct fs_opinion_args {
 	char *database;
 };
-typedef struct fs_opinion_args fs_opinion_args;
 
 struct fs_opinion_result {
 	bool_t is_observer;
@@ -196,14 +182,12 @@
 	u_int primary;
 	bool_t suspects;
 };
-typedef struct fs_opinion_result fs_opinion_result;
 
 struct fs_announce_args {
 	char *database;
 	u_quad_t term;
 	u_int primary;
 };
-typedef struct fs_announce_args fs_announce_args;
 
 #define FS_PEER_PROGRAM 0x2f5a0001
 #define FS_PEER_VERSION 1
@@ -213,23 +197,23 @@
 extern  enum clnt_stat fs_peer_null_1(void *, CLIENT *);
 extern  bool_t fs_peer_null_1_svc(void *, struct svc_req *);
 #define FS_PEER_EXECUTE 1
-extern  enum clnt_stat fs_peer_execute_1(fs_execute_args , fs_execute_result *, CLIENT *);
-extern  bool_t fs_peer_execute_1_svc(fs_execute_args , fs_execute_result *, struct svc_req *);
+extern  enum clnt_stat fs_peer_execute_1(struct fs_execute_args , struct fs_execute_result *, CLIENT *);
+extern  bool_t fs_peer_execute_1_svc(struct fs_execute_args , struct fs_execute_result *, struct svc_req *);
 #define FS_PEER_GOSSIP 2
-extern  enum clnt_stat fs_peer_gossip_1(fs_gossip , void *, CLIENT *);
-extern  bool_t fs_peer_gossip_1_svc(fs_gossip , void *, struct svc_req *);
+extern  enum clnt_stat fs_peer_gossip_1(struct fs_gossip , void *, CLIENT *);
+extern  bool_t fs_peer_gossip_1_svc(struct fs_gossip , void *, struct svc_req *);
 #define FS_PEER_STATE_PULL 3
-extern  enum clnt_stat fs_peer_state_pull_1(fs_state_result *, CLIENT *);
-extern  bool_t fs_peer_state_pull_1_svc(fs_state_result *, struct svc_req *);
+extern  enum clnt_stat fs_peer_state_pull_1(struct fs_state_result *, CLIENT *);
+extern  bool_t fs_peer_state_pull_1_svc(struct fs_state_result *, struct svc_req *);
 #define FS_PEER_CONFIG_PULL 4
-extern  enum clnt_stat fs_peer_config_pull_1(u_quad_t , fs_config_result *, CLIENT *);
-extern  bool_t fs_peer_config_pull_1_svc(u_quad_t , fs_config_result *, struct svc_req *);
+extern  enum clnt_stat fs_peer_config_pull_1(u_quad_t , struct fs_config_result *, CLIENT *);
+extern  bool_t fs_peer_config_pull_1_svc(u_quad_t , struct fs_config_result *, struct svc_req *);
 #define FS_PEER_OPINION 5
-extern  enum clnt_stat fs_peer_opinion_1(fs_opinion_args , fs_opinion_result *, CLIENT *);
-extern  bool_t fs_peer_opinion_1_svc(fs_opinion_args , fs_opinion_result *, struct svc_req *);
+extern  enum clnt_stat fs_peer_opinion_1(struct fs_opinion_args , struct fs_opinion_result *, CLIENT *);
+extern  bool_t fs_peer_opinion_1_svc(struct fs_opinion_args , struct fs_opinion_result *, struct svc_req *);
 #define FS_PEER_ANNOUNCE 6
-extern  enum clnt_stat fs_peer_announce_1(fs_announce_args , void *, CLIENT *);
-extern  bool_t fs_peer_announce_1_svc(fs_announce_args , void *, struct svc_req *);
+extern  enum clnt_stat fs_peer_announce_1(struct fs_announce_args , void *, CLIENT *);
+extern  bool_t fs_peer_announce_1_svc(struct fs_announce_args , void *, struct svc_req *);
 extern int fs_peer_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -260,25 +244,25 @@
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
-extern  bool_t xdr_fs_position (XDR *, fs_position*);
+extern  bool_t xdr_fs_position (XDR *, struct fs_position*);
 extern  bool_t xdr_fs_text (XDR *, fs_text*);
 extern  bool_t xdr_fs_value (XDR *, fs_value*);
 extern  bool_t xdr_fs_operation (XDR *, fs_operation*);
-extern  bool_t xdr_fs_execute_args (XDR *, fs_execute_args*);
-extern  bool_t xdr_fs_execute_result (XDR *, fs_execute_result*);
-extern  bool_t xdr_fs_address (XDR *, fs_address*);
-extern  bool_t xdr_fs_item_member (XDR *, fs_item_member*);
-extern  bool_t xdr_fs_item_value (XDR *, fs_item_value*);
-extern  bool_t xdr_fs_item (XDR *, fs_item*);
-extern  bool_t xdr_fs_member_claim (XDR *, fs_member_claim*);
-extern  bool_t xdr_fs_member_block (XDR *, fs_member_block*);
-extern  bool_t xdr_fs_gossip (XDR *, fs_gossip*);
-extern  bool_t xdr_fs_state_result (XDR *, fs_state_result*);
-extern  bool_t xdr_fs_document (XDR *, fs_document*);
-extern  bool_t xdr_fs_config_result (XDR *, fs_config_result*);
-extern  bool_t xdr_fs_opinion_args (XDR *, fs_opinion_args*);
-extern  bool_t xdr_fs_opinion_result (XDR *, fs_opinion_result*);
-extern  bool_t xdr_fs_announce_args (XDR *, fs_announce_args*);
+extern  bool_t xdr_fs_execute_args (XDR *, struct fs_execute_args*);
+extern  bool_t xdr_fs_execute_result (XDR *, struct fs_execute_result*);
+extern  bool_t xdr_fs_address (XDR *, struct fs_address*);
+extern  bool_t xdr_fs_item_member (XDR *, struct fs_item_member*);
+extern  bool_t xdr_fs_item_value (XDR *, struct fs_item_value*);
+extern  bool_t xdr_fs_item (XDR *, struct fs_item*);
+extern  bool_t xdr_fs_member_claim (XDR *, struct fs_member_claim*);
+extern  bool_t xdr_fs_member_block (XDR *, struct fs_member_block*);
+extern  bool_t xdr_fs_gossip (XDR *, struct fs_gossip*);
+extern  bool_t xdr_fs_state_result (XDR *, struct fs_state_result*);
+extern  bool_t xdr_fs_document (XDR *, struct fs_document*);
+extern  bool_t xdr_fs_config_result (XDR *, struct fs_config_result*);
+extern  bool_t xdr_fs_opinion_args (XDR *, struct fs_opinion_args*);
+extern  bool_t xdr_fs_opinion_result (XDR *, struct fs_opinion_result*);
+extern  bool_t xdr_fs_announce_args (XDR *, struct fs_announce_args*);
 
 #else /* K&R C */
 extern bool_t xdr_fs_position ();
--- a/include/protocols/service.h
+++ b/include/protocols/service.h
@@ -25,7 +25,6 @@
 	char *tenant;
 	u_int timeout_ms;
 };
-typedef struct fs_service_context fs_service_context;
 
 struct fs_service_answer {
 	int outcome;
@@ -42,15 +41,14 @@
 		fs_service_value *cells_val;
 	} cells;
 };
-typedef struct fs_service_answer fs_service_answer;
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_fs_service_text (XDR *, fs_service_text*);
 extern  bool_t xdr_fs_service_value (XDR *, fs_service_value*);
-extern  bool_t xdr_fs_service_context (XDR *, fs_service_context*);
-extern  bool_t xdr_fs_service_answer (XDR *, fs_service_answer*);
+extern  bool_t xdr_fs_service_context (XDR *, struct fs_service_context*);
+extern  bool_t xdr_fs_service_answer (XDR *, struct fs_service_answer*);
 
 #else /* K&R C */
 extern bool_t xdr_fs_service_text ();
--- a/protocols/operator_client.c
+++ b/protocols/operator_client.c
@@ -19,7 +19,7 @@
 }
 
 enum clnt_stat 
-fs_operator_apply_1(fs_apply_args arg1, fs_apply_result *clnt_res,  CLIENT *clnt)
+fs_operator_apply_1(struct fs_apply_args arg1, struct fs_apply_result *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_OPERATOR_APPLY,
 		(xdrproc_t) xdr_fs_apply_args, (caddr_t) &arg1,
@@ -28,7 +28,7 @@
 }
 
 enum clnt_stat 
-fs_operator_get_1(fs_name_args arg1, fs_get_result *clnt_res,  CLIENT *clnt)
+fs_operator_get_1(struct fs_name_args arg1, struct fs_get_result *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_OPERATOR_GET,
 		(xdrproc_t) xdr_fs_name_args, (caddr_t) &arg1,
@@ -37,7 +37,7 @@
 }
 
 enum clnt_stat 
-fs_operator_status_1(fs_status_result *clnt_res, CLIENT *clnt)
+fs_operator_status_1(struct fs_status_result *clnt_res, CLIENT *clnt)
 {
 	 return (clnt_call (clnt, FS_OPERATOR_STATUS, (xdrproc_t) xdr_void, (caddr_t) NULL,
 		(xdrproc_t) xdr_fs_status_result, (caddr_t) clnt_res,
@@ -46,7 +46,7 @@
 }
 
 enum clnt_stat 
-fs_operator_drain_1(fs_drain_args arg1, fs_operator_result *clnt_res,  CLIENT *clnt)
+fs_operator_drain_1(struct fs_drain_args arg1, struct fs_operator_result *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_OPERATOR_DRAIN,
 		(xdrproc_t) xdr_fs_drain_args, (caddr_t) &arg1,
@@ -55,7 +55,7 @@
 }
 
 enum clnt_stat 
-fs_operator_promote_1(fs_promote_args arg1, fs_operator_result *clnt_res,  CLIENT *clnt)
+fs_operator_promote_1(struct fs_promote_args arg1, struct fs_operator_result *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_OPERATOR_PROMOTE,
 		(xdrproc_t) xdr_fs_promote_args, (caddr_t) &arg1,
@@ -64,7 +64,7 @@
 }
 
 enum clnt_stat 
-fs_operator_counters_1(fs_counters_result *clnt_res, CLIENT *clnt)
+fs_operator_counters_1(struct fs_counters_result *clnt_res, CLIENT *clnt)
 {
 	 return (clnt_call (clnt, FS_OPERATOR_COUNTERS, (xdrproc_t) xdr_void, (caddr_t) NULL,
 		(xdrproc_t) xdr_fs_counters_result, (caddr_t) clnt_res,
--- a/protocols/operator_xdr.c
+++ b/protocols/operator_xdr.c
@@ -16,7 +16,7 @@
 }
 
 bool_t
-xdr_fs_operator_result (XDR *xdrs, fs_operator_result *objp)
+xdr_fs_operator_result (XDR *xdrs, struct fs_operator_result *objp)
 {
 	register int32_t *buf;
 
@@ -28,7 +28,7 @@
 }
 
 bool_t
-xdr_fs_apply_args (XDR *xdrs, fs_apply_args *objp)
+xdr_fs_apply_args (XDR *xdrs, struct fs_apply_args *objp)
 {
 	register int32_t *buf;
 
@@ -46,7 +46,7 @@
 }
 
 bool_t
-xdr_fs_apply_result (XDR *xdrs, fs_apply_result *objp)
+xdr_fs_apply_result (XDR *xdrs, struct fs_apply_result *objp)
 {
 	register int32_t *buf;
 
@@ -60,7 +60,7 @@
 }
 
 bool_t
-xdr_fs_get_result (XDR *xdrs, fs_get_result *objp)
+xdr_fs_get_result (XDR *xdrs, struct fs_get_result *objp)
 {
 	register int32_t *buf;
 
@@ -78,7 +78,7 @@
 }
 
 bool_t
-xdr_fs_name_args (XDR *xdrs, fs_name_args *objp)
+xdr_fs_name_args (XDR *xdrs, struct fs_name_args *objp)
 {
 	register int32_t *buf;
 
@@ -88,7 +88,7 @@
 }
 
 bool_t
-xdr_fs_promote_args (XDR *xdrs, fs_promote_args *objp)
+xdr_fs_promote_args (XDR *xdrs, struct fs_promote_args *objp)
 {
 	register int32_t *buf;
 
@@ -100,7 +100,7 @@
 }
 
 bool_t
-xdr_fs_drain_args (XDR *xdrs, fs_drain_args *objp)
+xdr_fs_drain_args (XDR *xdrs, struct fs_drain_args *objp)
 {
 	register int32_t *buf;
 
@@ -112,7 +112,7 @@
 }
 
 bool_t
-xdr_fs_member_row (XDR *xdrs, fs_member_row *objp)
+xdr_fs_member_row (XDR *xdrs, struct fs_member_row *objp)
 {
 	register int32_t *buf;
 
@@ -132,7 +132,7 @@
 }
 
 bool_t
-xdr_fs_server_row (XDR *xdrs, fs_server_row *objp)
+xdr_fs_server_row (XDR *xdrs, struct fs_server_row *objp)
 {
 	register int32_t *buf;
 
@@ -156,7 +156,7 @@
 }
 
 bool_t
-xdr_fs_status_result (XDR *xdrs, fs_status_result *objp)
+xdr_fs_status_result (XDR *xdrs, struct fs_status_result *objp)
 {
 	register int32_t *buf;
 
@@ -171,16 +171,16 @@
 	 if (!xdr_string (xdrs, &objp->phase, FS_OPERATOR_MAX_NAME))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, FS_OPERATOR_MAX_ROWS,
-		sizeof (fs_member_row), (xdrproc_t) xdr_fs_member_row))
+		sizeof (struct fs_member_row), (xdrproc_t) xdr_fs_member_row))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, FS_OPERATOR_MAX_ROWS,
-		sizeof (fs_server_row), (xdrproc_t) xdr_fs_server_row))
+		sizeof (struct fs_server_row), (xdrproc_t) xdr_fs_server_row))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_fs_counter_row (XDR *xdrs, fs_counter_row *objp)
+xdr_fs_counter_row (XDR *xdrs, struct fs_counter_row *objp)
 {
 	register int32_t *buf;
 
@@ -192,12 +192,12 @@
 }
 
 bool_t
-xdr_fs_counters_result (XDR *xdrs, fs_counters_result *objp)
+xdr_fs_counters_result (XDR *xdrs, struct fs_counters_result *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, FS_OPERATOR_MAX_ROWS,
-		sizeof (fs_counter_row), (xdrproc_t) xdr_fs_counter_row))
+		sizeof (struct fs_counter_row), (xdrproc_t) xdr_fs_counter_row))
 		 return FALSE;
 	return TRUE;
 }
--- a/protocols/peer_client.c
+++ b/protocols/peer_client.c
@@ -19,7 +19,7 @@
 }
 
 enum clnt_stat 
-fs_peer_execute_1(fs_execute_args arg1, fs_execute_result *clnt_res,  CLIENT *clnt)
+fs_peer_execute_1(struct fs_execute_args arg1, struct fs_execute_result *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_PEER_EXECUTE,
 		(xdrproc_t) xdr_fs_execute_args, (caddr_t) &arg1,
@@ -28,7 +28,7 @@
 }
 
 enum clnt_stat 
-fs_peer_gossip_1(fs_gossip arg1, void *clnt_res,  CLIENT *clnt)
+fs_peer_gossip_1(struct fs_gossip arg1, void *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_PEER_GOSSIP,
 		(xdrproc_t) xdr_fs_gossip, (caddr_t) &arg1,
@@ -37,7 +37,7 @@
 }
 
 enum clnt_stat 
-fs_peer_state_pull_1(fs_state_result *clnt_res, CLIENT *clnt)
+fs_peer_state_pull_1(struct fs_state_result *clnt_res, CLIENT *clnt)
 {
 	 return (clnt_call (clnt, FS_PEER_STATE_PULL, (xdrproc_t) xdr_void, (caddr_t) NULL,
 		(xdrproc_t) xdr_fs_state_result, (caddr_t) clnt_res,
@@ -46,7 +46,7 @@
 }
 
 enum clnt_stat 
-fs_peer_config_pull_1(u_quad_t arg1, fs_config_result *clnt_res,  CLIENT *clnt)
+fs_peer_config_pull_1(u_quad_t arg1, struct fs_config_result *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_PEER_CONFIG_PULL,
 		(xdrproc_t) xdr_u_quad_t, (caddr_t) &arg1,
@@ -55,7 +55,7 @@
 }
 
 enum clnt_stat 
-fs_peer_opinion_1(fs_opinion_args arg1, fs_opinion_result *clnt_res,  CLIENT *clnt)
+fs_peer_opinion_1(struct fs_opinion_args arg1, struct fs_opinion_result *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_PEER_OPINION,
 		(xdrproc_t) xdr_fs_opinion_args, (caddr_t) &arg1,
@@ -64,7 +64,7 @@
 }
 
 enum clnt_stat 
-fs_peer_announce_1(fs_announce_args arg1, void *clnt_res,  CLIENT *clnt)
+fs_peer_announce_1(struct fs_announce_args arg1, void *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_PEER_ANNOUNCE,
 		(xdrproc_t) xdr_fs_announce_args, (caddr_t) &arg1,
--- a/protocols/peer_xdr.c
+++ b/protocols/peer_xdr.c
@@ -6,7 +6,7 @@
 
 
 bool_t
-xdr_fs_position (XDR *xdrs, fs_position *objp)
+xdr_fs_position (XDR *xdrs, struct fs_position *objp)
 {
 	register int32_t *buf;
 
@@ -48,7 +48,7 @@
 }
 
 bool_t
-xdr_fs_execute_args (XDR *xdrs, fs_execute_args *objp)
+xdr_fs_execute_args (XDR *xdrs, struct fs_execute_args *objp)
 {
 	register int32_t *buf;
 
@@ -85,7 +85,7 @@
 }
 
 bool_t
-xdr_fs_execute_result (XDR *xdrs, fs_execute_result *objp)
+xdr_fs_execute_result (XDR *xdrs, struct fs_execute_result *objp)
 {
 	register int32_t *buf;
 
@@ -234,7 +234,7 @@
 }
 
 bool_t
-xdr_fs_address (XDR *xdrs, fs_address *objp)
+xdr_fs_address (XDR *xdrs, struct fs_address *objp)
 {
 	register int32_t *buf;
 
@@ -289,7 +289,7 @@
 }
 
 bool_t
-xdr_fs_item_member (XDR *xdrs, fs_item_member *objp)
+xdr_fs_item_member (XDR *xdrs, struct fs_item_member *objp)
 {
 	register int32_t *buf;
 
@@ -305,7 +305,7 @@
 }
 
 bool_t
-xdr_fs_item_value (XDR *xdrs, fs_item_value *objp)
+xdr_fs_item_value (XDR *xdrs, struct fs_item_value *objp)
 {
 	register int32_t *buf;
 
@@ -319,7 +319,7 @@
 }
 
 bool_t
-xdr_fs_item (XDR *xdrs, fs_item *objp)
+xdr_fs_item (XDR *xdrs, struct fs_item *objp)
 {
 	register int32_t *buf;
 
@@ -339,7 +339,7 @@
 }
 
 bool_t
-xdr_fs_member_claim (XDR *xdrs, fs_member_claim *objp)
+xdr_fs_member_claim (XDR *xdrs, struct fs_member_claim *objp)
 {
 	register int32_t *buf;
 
@@ -351,7 +351,7 @@
 }
 
 bool_t
-xdr_fs_member_block (XDR *xdrs, fs_member_block *objp)
+xdr_fs_member_block (XDR *xdrs, struct fs_member_block *objp)
 {
 	register int32_t *buf;
 
@@ -363,7 +363,7 @@
 }
 
 bool_t
-xdr_fs_gossip (XDR *xdrs, fs_gossip *objp)
+xdr_fs_gossip (XDR *xdrs, struct fs_gossip *objp)
 {
 	register int32_t *buf;
 
@@ -392,13 +392,13 @@
 		 if (!xdr_u_int (xdrs, &objp->view_hash))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, FS_MAX_ITEMS,
-			sizeof (fs_item), (xdrproc_t) xdr_fs_item))
+			sizeof (struct fs_item), (xdrproc_t) xdr_fs_item))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, FS_MAX_CLAIMS,
-			sizeof (fs_member_claim), (xdrproc_t) xdr_fs_member_claim))
+			sizeof (struct fs_member_claim), (xdrproc_t) xdr_fs_member_claim))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->blocks.blocks_val, (u_int *) &objp->blocks.blocks_len, FS_MAX_BLOCKS,
-			sizeof (fs_member_block), (xdrproc_t) xdr_fs_member_block))
+			sizeof (struct fs_member_block), (xdrproc_t) xdr_fs_member_block))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -425,13 +425,13 @@
 		 if (!xdr_u_int (xdrs, &objp->view_hash))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, FS_MAX_ITEMS,
-			sizeof (fs_item), (xdrproc_t) xdr_fs_item))
+			sizeof (struct fs_item), (xdrproc_t) xdr_fs_item))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, FS_MAX_CLAIMS,
-			sizeof (fs_member_claim), (xdrproc_t) xdr_fs_member_claim))
+			sizeof (struct fs_member_claim), (xdrproc_t) xdr_fs_member_claim))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->blocks.blocks_val, (u_int *) &objp->blocks.blocks_len, FS_MAX_BLOCKS,
-			sizeof (fs_member_block), (xdrproc_t) xdr_fs_member_block))
+			sizeof (struct fs_member_block), (xdrproc_t) xdr_fs_member_block))
 			 return FALSE;
 	 return TRUE;
 	}
@@ -451,30 +451,30 @@
 	 if (!xdr_u_int (xdrs, &objp->view_hash))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, FS_MAX_ITEMS,
-		sizeof (fs_item), (xdrproc_t) xdr_fs_item))
+		sizeof (struct fs_item), (xdrproc_t) xdr_fs_item))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, FS_MAX_CLAIMS,
-		sizeof (fs_member_claim), (xdrproc_t) xdr_fs_member_claim))
+		sizeof (struct fs_member_claim), (xdrproc_t) xdr_fs_member_claim))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->blocks.blocks_val, (u_int *) &objp->blocks.blocks_len, FS_MAX_BLOCKS,
-		sizeof (fs_member_block), (xdrproc_t) xdr_fs_member_block))
+		sizeof (struct fs_member_block), (xdrproc_t) xdr_fs_member_block))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_fs_state_result (XDR *xdrs, fs_state_result *objp)
+xdr_fs_state_result (XDR *xdrs, struct fs_state_result *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, FS_MAX_STATE,
-		sizeof (fs_item), (xdrproc_t) xdr_fs_item))
+		sizeof (struct fs_item), (xdrproc_t) xdr_fs_item))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_fs_document (XDR *xdrs, fs_document *objp)
+xdr_fs_document (XDR *xdrs, struct fs_document *objp)
 {
 	register int32_t *buf;
 
@@ -490,20 +490,20 @@
 }
 
 bool_t
-xdr_fs_config_result (XDR *xdrs, fs_config_result *objp)
+xdr_fs_config_result (XDR *xdrs, struct fs_config_result *objp)
 {
 	register int32_t *buf;
 
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->documents.documents_val, (u_int *) &objp->documents.documents_len, FS_MAX_DOCUMENTS,
-		sizeof (fs_document), (xdrproc_t) xdr_fs_document))
+		sizeof (struct fs_document), (xdrproc_t) xdr_fs_document))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_fs_opinion_args (XDR *xdrs, fs_opinion_args *objp)
+xdr_fs_opinion_args (XDR *xdrs, struct fs_opinion_args *objp)
 {
 	register int32_t *buf;
 
@@ -513,7 +513,7 @@
 }
 
 bool_t
-xdr_fs_opinion_result (XDR *xdrs, fs_opinion_result *objp)
+xdr_fs_opinion_result (XDR *xdrs, struct fs_opinion_result *objp)
 {
 	register int32_t *buf;
 
@@ -529,7 +529,7 @@
 }
 
 bool_t
-xdr_fs_announce_args (XDR *xdrs, fs_announce_args *objp)
+xdr_fs_announce_args (XDR *xdrs, struct fs_announce_args *objp)
 {
 	register int32_t *buf;
 
--- a/protocols/service_xdr.c
+++ b/protocols/service_xdr.c
@@ -26,7 +26,7 @@
 }
 
 bool_t
-xdr_fs_service_context (XDR *xdrs, fs_service_context *objp)
+xdr_fs_service_context (XDR *xdrs, struct fs_service_context *objp)
 {
 	register int32_t *buf;
 
@@ -42,7 +42,7 @@
 }
 
 bool_t
-xdr_fs_service_answer (XDR *xdrs, fs_service_answer *objp)
+xdr_fs_service_answer (XDR *xdrs, struct fs_service_answer *objp)
 {
 	register int32_t *buf;
 
--- a/tests/integration/owner_pg.c
+++ b/tests/integration/owner_pg.c
@@ -122,7 +122,7 @@
 	asked->args.database = (char *) "ledger";
 	asked->args.server = server;
 	asked->args.request_id = (char *) id;
-	asked->args.required = (fs_position){ required.term, required.index };
+	asked->args.required = (struct fs_position){ required.term, required.index };
 	asked->args.tenant = (char *) "";
 	asked->args.params.params_len = strcmp (call, "add") == 0 ? 2 : 1;
 	asked->args.params.params_val = asked->values;
--- a/tests/unit/entry.c
+++ b/tests/unit/entry.c
@@ -62,7 +62,7 @@
 	execution = world_next (world);
 	g_assert_cmpuint (execution->args->server, ==, 2);
 	g_assert_cmpstr (execution->args->request_id, ==, "id-1");
-	done.written = (fs_position){ 6, 9 };
+	done.written = (struct fs_position){ 6, 9 };
 	answer (execution, done);
 	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
 	g_assert_nonnull (caller.token);
@@ -189,7 +189,7 @@
 	struct fs_execute_result failed =
 		execution_result (OUTCOME_FAILED, REASON_STATEMENT, "duplicate key");
 
-	failed.server_position = (fs_position){ 5, 70 };
+	failed.server_position = (struct fs_position){ 5, 70 };
 	failed.server_is_primary = true;
 	world_start (world, call_new ("add", "id-4"), &caller);
 	lose (world_next (world), EXECUTION_LOST);
@@ -316,7 +316,7 @@
 	char *token;
 
 	world_start (world, call, &caller);
-	done.written = (fs_position){ 5, 70 };
+	done.written = (struct fs_position){ 5, 70 };
 	answer (world_next (world), done);
 	token = g_strdup (caller.token);
 	g_assert_nonnull (token);
--- a/tests/unit/entry_transaction.c
+++ b/tests/unit/entry_transaction.c
@@ -45,7 +45,7 @@
 	call->operation = FS_OPERATION_COMMIT;
 	call->transaction = g_strdup (handle);
 	world_start (world, call, &caller);
-	committed.written = (fs_position){ 5, 2 };
+	committed.written = (struct fs_position){ 5, 2 };
 	answer (world_next (world), committed);
 	g_assert_cmpint (caller.outcome, ==, OUTCOME_DONE);
 	g_assert_nonnull (caller.token);
--- a/tests/unit/entry_world.c
+++ b/tests/unit/entry_world.c
@@ -168,7 +168,7 @@
 {
 	struct fs_execute_result result = execution_result (OUTCOME_DONE, REASON_NONE, "");
 
-	result.server_position = (fs_position){ term, index };
+	result.server_position = (struct fs_position){ term, index };
 	result.server_age_ms = UINT32_MAX;
 	return result;
 }
--- a/tests/unit/owner.c
+++ b/tests/unit/owner.c
@@ -297,7 +297,7 @@
 	world_start (&world);
 	world.servers[1].takes_entries = false;
 	asked_prepare (&asked, "find", 1, "");
-	asked.args.required = (fs_position){ 1, 12 };
+	asked.args.required = (struct fs_position){ 1, 12 };
 	asked_submit (&world, &asked);
 	world_run (&world, 20 * US_PER_MS);
 	if (!asked.done)
@@ -309,7 +309,7 @@
 	g_assert_cmpint (asked.outcome, ==, OUTCOME_DONE);
 	g_assert_cmpuint (asked.position.index, ==, 12);
 	asked_prepare (&asked, "find", 1, "");
-	asked.args.required = (fs_position){ 1, 13 };
+	asked.args.required = (struct fs_position){ 1, 13 };
 	asked.request.deadline_us = clock_now_us () + 50 * US_PER_MS;
 	asked_submit (&world, &asked);
 	asked_wait (&world, &asked);
--- a/tests/unit/traffic.c
+++ b/tests/unit/traffic.c
@@ -96,12 +96,12 @@
 	result.cells.cells_len = 1;
 	result.cells.cells_val = &cell;
 	result.server_is_primary = args->server == 0;
-	result.server_position = (fs_position){ 5, 1u << 30 };
+	result.server_position = (struct fs_position){ 5, 1u << 30 };
 	result.server_age_ms = OWNER_AGE_UNKNOWN;
 	result.transaction = args->operation == FS_OPERATION_BEGIN ? 77 : args->transaction;
 	if (args->operation == FS_OPERATION_COMMIT ||
 	    (args->operation == FS_OPERATION_CALL && !is_read))
-		result.written = (fs_position){ 5, ck_pr_faa_64 (&last_index, 1) };
+		result.written = (struct fs_position){ 5, ck_pr_faa_64 (&last_index, 1) };
 	free (task);
 	ck_pr_dec_32 (&fake_in_flight);
 	request->handle_done (request, &result);
--- a/tests/virtual/fleet.c
+++ b/tests/virtual/fleet.c
@@ -13,7 +13,7 @@
 	CALL_TIMEOUT_US = 1000000,
 	MAX_WRITES = 256,
 	MAX_ITEMS = 2048,
-	/* XDR and RPC headers of fs_gossip, UDP and IPv4 headers. */
+	/* XDR and RPC headers of struct fs_gossip, UDP and IPv4 headers. */
 	DATAGRAM_BYTES = 40 + 48 + 28,
 	MEMBER_BYTES = 40,
 	ITEM_BYTES = 24,
