--- a/common/clock.c
+++ b/common/clock.c
@@ -7,7 +7,8 @@
 {
 	struct timespec now;
 
-	clock_gettime (CLOCK_MONOTONIC, &now);
+	/* Goes on while the VM is suspended, so that bounds on the age of knowledge hold afterwards. */
+	clock_gettime (CLOCK_BOOTTIME, &now);
 	return (int64_t) now.tv_sec * US_PER_S + now.tv_nsec / 1000;
 }
 
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -46,6 +46,7 @@
 	puts ("Usage: flamingospring COMMAND [OPTION...]\n\nCommands:");
 	for (size_t i = 0; i < sizeof commands / sizeof commands[0]; i++)
 		printf ("  %-10s %s\n", commands[i].name, commands[i].help);
+	printf ("  %-10s %s\n", "gateway", "run the gateway for database sessions on this VM");
 	printf ("  %-10s %s\n", "proxy", "run the proxy on this VM");
 	puts ("\nflamingospring COMMAND --help describes a command.");
 }
--- /dev/null
+++ b/decision/succession.c
@@ -0,0 +1,390 @@
+#include "decision/succession.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+	US_PER_MS = 1000,
+	/** Authority of a VM over a primary (LEAD_AUTHORITY_MS) and some scheduling delay. */
+	AUTHORITY_US = (2500 + 60) * US_PER_MS,
+	/** A claimant may call the platform for this long after it sent its order. */
+	CLAIM_WINDOW_US = 4500 * US_PER_MS,
+	/** Another VM orders a change over an unfinished one after this time, which is longer than the window
+	 * and a call on its way (1 s). */
+	TAKEOVER_US = 6000 * US_PER_MS,
+	/** Steps between VMs, so that usually only the first one acts. */
+	RANK_DELAY_US = 150 * US_PER_MS,
+	ASK_INTERVAL_US = 50 * US_PER_MS,
+	SWAP_TIMEOUT_US = 1500 * US_PER_MS,
+	/** Silent servers are left out of the choice after this time. */
+	CHOICE_US = 250 * US_PER_MS,
+	/** A successor may take this long to receive the rest of the old primary's log. */
+	CATCH_UP_US = 1200 * US_PER_MS,
+	CONFIRM_TIMEOUT_US = 5000 * US_PER_MS,
+	PROMOTE_RETRY_US = 100 * US_PER_MS,
+};
+
+static void
+set_phase (struct succession *succession, enum succession_phase phase, int64_t now_us)
+{
+	succession->phase = phase;
+	succession->phase_us = now_us;
+	succession->asked_us = 0;
+}
+
+void
+succession_init (struct succession *succession, const char *vm)
+{
+	memset (succession, 0, sizeof *succession);
+	snprintf (succession->vm, sizeof succession->vm, "%s", vm);
+}
+
+static void
+begin_gathering (struct succession *succession, uint64_t revision, int64_t now_us)
+{
+	succession->claim_revision = revision;
+	succession->claimed_us = now_us;
+	succession->has_demoted = false;
+	succession->target[0] = '\0';
+	set_phase (succession, SUCCESSION_GATHERING, now_us);
+}
+
+void
+succession_set_record (struct succession *succession, const struct succession_record *record,
+                       int64_t now_us)
+{
+	bool is_own = record->is_changing && strcmp (record->claimant, succession->vm) == 0;
+
+	if (record->revision <= succession->record.revision)
+		return;
+	succession->record = *record;
+	succession->record_us = now_us;
+	if (succession->phase == SUCCESSION_CLAIMING && is_own)
+		begin_gathering (succession, record->revision, now_us);
+	else if (succession->phase != SUCCESSION_STEADY &&
+	         record->revision != succession->claim_revision)
+		set_phase (succession, SUCCESSION_STEADY, now_us);
+}
+
+static const struct succession_server *
+find_server (const struct succession_input *input, const char *id)
+{
+	for (size_t i = 0; i < input->server_count; i++)
+		if (strcmp (input->servers[i].id, id) == 0)
+			return &input->servers[i];
+	return NULL;
+}
+
+/** The first record names the server that sees itself as the primary. */
+static enum succession_action
+step_without_record (struct succession *succession, const struct succession_input *input,
+                     int64_t now_us)
+{
+	const struct succession_server *primary = NULL;
+
+	for (size_t i = 0; i < input->server_count; i++)
+	{
+		const struct succession_server *server = &input->servers[i];
+
+		if (!server->is_listed || !server->reports_primary)
+			continue;
+		if (primary)
+			return SUCCESSION_NOTHING;
+		primary = server;
+	}
+	if (!primary)
+		return SUCCESSION_NOTHING;
+	if (succession->cause_us == 0)
+		succession->cause_us = now_us;
+	if (now_us - succession->cause_us < (int64_t) input->rank * RANK_DELAY_US)
+		return SUCCESSION_NOTHING;
+	snprintf (succession->target, sizeof succession->target, "%s", primary->id);
+	set_phase (succession, SUCCESSION_CREATING, now_us);
+	return SUCCESSION_CREATE;
+}
+
+static enum succession_action
+claim (struct succession *succession, bool is_planned, int64_t now_us)
+{
+	succession->is_planned = is_planned;
+	succession->claim_sent_us = now_us;
+	succession->cause_us = 0;
+	set_phase (succession, SUCCESSION_CLAIMING, now_us);
+	return SUCCESSION_CLAIM;
+}
+
+static enum succession_action
+step_steady (struct succession *succession, const struct succession_input *input, int64_t now_us)
+{
+	int64_t delay_us = (int64_t) input->rank * RANK_DELAY_US;
+
+	if (succession->record.revision == 0)
+		return step_without_record (succession, input, now_us);
+	if (succession->record.is_changing)
+	{
+		/* An own order that took effect after it was given up. */
+		if (strcmp (succession->record.claimant, succession->vm) == 0)
+			return claim (succession, succession->record.is_planned, now_us);
+		if (now_us - succession->record_us < TAKEOVER_US + delay_us)
+			return SUCCESSION_NOTHING;
+		return claim (succession, succession->record.is_planned, now_us);
+	}
+	if (input->cause == SUCCESSION_NO_CAUSE)
+	{
+		succession->cause_us = 0;
+		succession->refused[0] = '\0';
+		return SUCCESSION_NOTHING;
+	}
+	if (succession->cause_us == 0)
+		succession->cause_us = now_us;
+	if (now_us - succession->cause_us < delay_us)
+		return SUCCESSION_NOTHING;
+	return claim (succession, input->cause == SUCCESSION_LEAVING, now_us);
+}
+
+static bool
+is_time_to_ask (struct succession *succession, int64_t now_us)
+{
+	if (succession->asked_us > 0 && now_us - succession->asked_us < ASK_INTERVAL_US)
+		return false;
+	succession->asked_us = now_us;
+	return true;
+}
+
+static enum succession_action
+step_gathering (struct succession *succession, const struct succession_input *input, int64_t now_us)
+{
+	if (input->has_all_answers || now_us - succession->claimed_us >= AUTHORITY_US)
+	{
+		set_phase (succession, SUCCESSION_CHOOSING, now_us);
+		return SUCCESSION_NOTHING;
+	}
+	return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_MEMBERS : SUCCESSION_NOTHING;
+}
+
+/** The status came after all VMs had stopped using the old primary. */
+static bool
+has_final_status (const struct succession *succession, const struct succession_server *server)
+{
+	return server->has_status && server->status_us > succession->phase_us;
+}
+
+static bool
+is_candidate (const struct succession *succession, const struct succession_server *server)
+{
+	return server->is_listed && !server->is_draining && has_final_status (succession, server) &&
+	       strcmp (server->id, succession->refused) != 0;
+}
+
+/** A server that leads a later term already, or the furthest log. */
+static bool
+is_better (const struct succession_server *server, const struct succession_server *best,
+           uint64_t old_term)
+{
+	bool leads = server->is_primary && server->term > old_term;
+	bool best_leads = best && best->is_primary && best->term > old_term;
+
+	if (!best || leads != best_leads)
+		return !best || leads;
+	return log_position_compare (server->received, best->received) > 0;
+}
+
+struct choice
+{
+	const struct succession_server *best;
+	size_t known;   /**< Replicas with a final status. */
+	size_t missing; /**< Replicas that may answer still. */
+	uint64_t max_term;
+};
+
+static struct choice
+choose (const struct succession *succession, const struct succession_input *input, bool is_late)
+{
+	struct choice choice = { 0 };
+
+	for (size_t i = 0; i < input->server_count; i++)
+	{
+		const struct succession_server *server = &input->servers[i];
+		bool is_old = strcmp (server->id, succession->record.primary) == 0;
+
+		if (server->has_status && server->term > choice.max_term)
+			choice.max_term = server->term;
+		if (is_old && !(has_final_status (succession, server) && !server->is_draining))
+			continue;
+		if (has_final_status (succession, server))
+			choice.known += !is_old;
+		else if (server->is_listed && !server->is_unreachable)
+			choice.missing++;
+		/* The old primary may lead again when nothing else is there. */
+		if (is_old && (succession->is_planned || !is_late || choice.best))
+			continue;
+		if (is_candidate (succession, server) &&
+		    is_better (server, choice.best, succession->old_term))
+			choice.best = server;
+	}
+	return choice;
+}
+
+/** Replicas whose positions must be known so that no acknowledged commit is missing. */
+static size_t
+required_replicas (const struct succession_input *input)
+{
+	size_t replicas = input->server_count > 0 ? input->server_count - 1 : 0;
+
+	if (input->sync_replicas == 0)
+		return 1;
+	return replicas >= input->sync_replicas ? replicas - input->sync_replicas + 1 : 1;
+}
+
+static bool
+has_caught_up (const struct succession *succession, const struct succession_input *input,
+               const struct succession_server *best, int64_t now_us)
+{
+	const struct succession_server *old = find_server (input, succession->record.primary);
+
+	if (!old || old->is_unreachable || now_us - succession->phase_us > CATCH_UP_US)
+		return true;
+	if (!has_final_status (succession, old) || old->is_primary)
+		return false;
+	return log_position_covers (best->received, old->received);
+}
+
+static enum succession_action
+step_choosing (struct succession *succession, const struct succession_input *input, int64_t now_us)
+{
+	const struct succession_server *old = find_server (input, succession->record.primary);
+	bool is_late = now_us - succession->phase_us > CHOICE_US;
+	struct choice choice = choose (succession, input, is_late);
+
+	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
+		return claim (succession, succession->is_planned, now_us);
+	if (!succession->has_demoted && old && !old->is_unreachable && choice.max_term > 0)
+	{
+		succession->old_term = choice.max_term;
+		succession->demote_term = choice.max_term + 1;
+		succession->has_demoted = true;
+		return SUCCESSION_DEMOTE;
+	}
+	if (!choice.best || (choice.missing > 0 && !is_late) ||
+	    choice.known < required_replicas (input) ||
+	    !has_caught_up (succession, input, choice.best, now_us))
+		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
+	snprintf (succession->target, sizeof succession->target, "%s", choice.best->id);
+	if (succession->old_term == 0)
+		succession->old_term = choice.max_term;
+	set_phase (succession, SUCCESSION_PROMOTING, now_us);
+	succession->asked_us = now_us;
+	return SUCCESSION_PROMOTE;
+}
+
+static enum succession_action
+step_promoting (struct succession *succession, int64_t now_us)
+{
+	/* asked_us is 0 after a failed call. */
+	if (succession->asked_us > 0 || now_us - succession->phase_us < PROMOTE_RETRY_US)
+		return SUCCESSION_NOTHING;
+	if (!succession_may_promote (succession, now_us))
+		return claim (succession, succession->is_planned, now_us);
+	succession->asked_us = now_us;
+	return SUCCESSION_PROMOTE;
+}
+
+static enum succession_action
+step_confirming (struct succession *succession, const struct succession_input *input,
+                 int64_t now_us)
+{
+	const struct succession_server *target = find_server (input, succession->target);
+
+	if (target && target->has_status && target->status_us > succession->phase_us &&
+	    target->is_primary)
+	{
+		set_phase (succession, SUCCESSION_RECORDING, now_us);
+		succession->asked_us = now_us;
+		return SUCCESSION_RECORD;
+	}
+	if (now_us - succession->phase_us > CONFIRM_TIMEOUT_US)
+	{
+		memcpy (succession->refused, succession->target, sizeof succession->refused);
+		return claim (succession, false, now_us);
+	}
+	return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
+}
+
+enum succession_action
+succession_step (struct succession *succession, const struct succession_input *input,
+                 int64_t now_us)
+{
+	switch (succession->phase)
+	{
+	case SUCCESSION_STEADY:
+		return step_steady (succession, input, now_us);
+	case SUCCESSION_CREATING:
+	case SUCCESSION_CLAIMING:
+		if (now_us - succession->phase_us > SWAP_TIMEOUT_US)
+			set_phase (succession, SUCCESSION_STEADY, now_us);
+		return SUCCESSION_NOTHING;
+	case SUCCESSION_GATHERING:
+		return step_gathering (succession, input, now_us);
+	case SUCCESSION_CHOOSING:
+		return step_choosing (succession, input, now_us);
+	case SUCCESSION_PROMOTING:
+		return step_promoting (succession, now_us);
+	case SUCCESSION_CONFIRMING:
+		return step_confirming (succession, input, now_us);
+	case SUCCESSION_RECORDING:
+		if (now_us - succession->asked_us < SWAP_TIMEOUT_US)
+			return SUCCESSION_NOTHING;
+		succession->asked_us = now_us;
+		return SUCCESSION_RECORD;
+	}
+	return SUCCESSION_NOTHING;
+}
+
+void
+succession_handle_swap (struct succession *succession, uint64_t revision, int64_t now_us)
+{
+	switch (succession->phase)
+	{
+	case SUCCESSION_CREATING:
+		set_phase (succession, SUCCESSION_STEADY, now_us);
+		break;
+	case SUCCESSION_CLAIMING:
+		/* After a lost answer the record tells whether the order is in the store. */
+		if (revision > 0)
+			begin_gathering (succession, revision, now_us);
+		break;
+	case SUCCESSION_RECORDING:
+		if (revision > 0)
+			set_phase (succession, SUCCESSION_STEADY, now_us);
+		break;
+	default:
+		break;
+	}
+}
+
+void
+succession_handle_promote (struct succession *succession, int error, int64_t now_us)
+{
+	if (succession->phase != SUCCESSION_PROMOTING)
+		return;
+	if (error == 0)
+		set_phase (succession, SUCCESSION_CONFIRMING, now_us);
+	else if (error == -ENOENT)
+	{
+		memcpy (succession->refused, succession->target, sizeof succession->refused);
+		set_phase (succession, SUCCESSION_CHOOSING, now_us);
+	}
+	else
+	{
+		succession->phase_us = now_us;
+		succession->asked_us = 0;
+	}
+}
+
+bool
+succession_may_promote (const struct succession *succession, int64_t now_us)
+{
+	return now_us - succession->claim_sent_us < CLAIM_WINDOW_US;
+}
--- a/flamingospring/main.c
+++ b/flamingospring/main.c
@@ -1,5 +1,6 @@
 #include "ctl/commands.h"
 #include "flamingospring/proxy.h"
+#include "gateway/gateway.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -16,6 +17,8 @@
 		return EXIT_CODE_OK;
 	if (strcmp (argv[1], "--help") == 0)
 		argv[1] = "help";
+	if (strcmp (argv[1], "gateway") == 0)
+		return gateway_run (argc - 1, argv + 1);
 	if (strcmp (argv[1], "proxy") != 0)
 		return commands_run (argc - 1, argv + 1);
 	if (commands_print_version (argc - 1, argv + 1))
--- /dev/null
+++ b/gateway/connection.c
@@ -0,0 +1,464 @@
+#include "gateway/traffic_private.h"
+
+#include "common/log.h"
+#include "platform/wire.h"
+
+#include <errno.h>
+
+static struct connection *
+connection_of (struct line_stream *stream)
+{
+	return (struct connection *) stream;
+}
+
+void
+connection_set_state (struct connection *connection, enum connection_state state)
+{
+	struct server *server = connection->server;
+	bool was_opening = connection->state == CONNECTION_OPENING;
+	bool was_running = connection->state == CONNECTION_RUNNING;
+	bool was_probing = connection->state == CONNECTION_PROBING;
+
+	server->opening_count += (state == CONNECTION_OPENING) - was_opening;
+	server->running_count += (state == CONNECTION_RUNNING) - was_running;
+	server->probing_count += (state == CONNECTION_PROBING) - was_probing;
+	connection->state = state;
+}
+
+static void
+handle_connected (struct line_stream *stream)
+{
+	struct connection *connection = connection_of (stream);
+	struct server *server = connection->server;
+
+	wire_encode_start (stream->out, server->service->name, server->service->traffic->settings.vm,
+	                   server->id);
+}
+
+/** Takes the READY that ends the answer to the greeting. */
+static void
+handle_greeting (struct connection *connection, int64_t now_us)
+{
+	struct server *server = connection->server;
+
+	server_handle_alive (server, now_us);
+	connection_release (connection, now_us);
+}
+
+/** The server refused the connection. */
+static void
+handle_refused (struct connection *connection, enum answer_code code, int64_t now_us)
+{
+	/* Another VM closes a connection within seconds; a wrong server stays wrong until its entry changes. */
+	enum
+	{
+		GROWTH_PAUSE_US = 300 * US_PER_MS,
+		WRONG_SERVER_PAUSE_US = 1000 * US_PER_MS,
+	};
+	struct server *server = connection->server;
+
+	log_event (LOG_LEVEL_WARN, "connection_refused", "server=%s code=%s open=%u", server->id,
+	           answer_code_name (code), server->connection_count);
+	if (code == ANSWER_TOO_MANY_CONNECTIONS)
+	{
+		server_handle_alive (server, now_us);
+		server->next_growth_us = now_us + GROWTH_PAUSE_US;
+	}
+	else
+		server->next_connect_us = now_us + WRONG_SERVER_PAUSE_US;
+	connection_close (connection);
+}
+
+static void
+answer_reset (struct connection *connection)
+{
+	g_string_truncate (connection->answer, 0);
+	connection->code = ANSWER_DONE;
+	connection->is_complete = false;
+}
+
+static void
+note_position (struct connection *connection, const struct server_message *ready, int64_t now_us)
+{
+	struct server *server = connection->server;
+	struct service *service = server->service;
+
+	if (!ready->has_position)
+		return;
+	server->applied = ready->position;
+	server->applied_us = now_us;
+	if (connection->sent_as_lead && service->primary == server && !service->is_changing)
+		position_history_add (&service->history, connection->sent_us, ready->position);
+}
+
+static void
+handle_setup_answer (struct connection *connection, const struct server_message *ready,
+                     int64_t now_us)
+{
+	struct session *session = connection->session;
+
+	if (connection->code != ANSWER_DONE && connection->setup_code == ANSWER_DONE)
+	{
+		connection->setup_code = connection->code;
+		connection->setup_is_in_doubt =
+			!connection->setup_has_begin || connection->setup_pending > 1;
+	}
+	connection->is_in_transaction = ready->state != TRANSACTION_NONE;
+	answer_reset (connection);
+	if (--connection->setup_pending > 0)
+		return;
+	if (connection->setup_code == ANSWER_DONE && session)
+	{
+		session_run (session, connection, now_us);
+		return;
+	}
+	if (connection->setup_code != ANSWER_DONE)
+		log_event (LOG_LEVEL_INFO, "setup_refused", "server=%s code=%s", connection->server->id,
+		           answer_code_name (connection->setup_code));
+	connection->session = NULL;
+	if (session)
+	{
+		session->connection = NULL;
+		session_handle_setup_failed (session, connection->server, connection->setup_code, now_us);
+	}
+	/* A refused BEGIN leaves the connection as it was. */
+	if (connection->setup_is_in_doubt)
+		connection_close (connection);
+	else if (connection->is_in_transaction)
+		connection_roll_back (connection);
+	else
+		connection_release (connection, now_us);
+}
+
+static void
+handle_statement_answer (struct connection *connection, const struct server_message *ready,
+                         int64_t now_us)
+{
+	struct session *session = connection->session;
+	struct server *server = connection->server;
+	int64_t elapsed_us = now_us - connection->sent_us;
+
+	server->latency_us += (elapsed_us - server->latency_us) / 8;
+	connection->is_in_transaction = ready->state != TRANSACTION_NONE;
+	connection_set_state (connection, CONNECTION_IDLE);
+	if (session)
+	{
+		session_handle_answer (session, connection, ready, now_us);
+		return;
+	}
+	if (connection->is_in_transaction)
+		connection_roll_back (connection);
+	else
+		connection_release (connection, now_us);
+}
+
+static void
+handle_probe_answer (struct connection *connection, int64_t now_us)
+{
+	struct server *server = connection->server;
+
+	if (connection->has_status)
+		gateway_traffic_send_report (server, &connection->status, now_us);
+	connection->has_status = false;
+	connection_release (connection, now_us);
+}
+
+static void
+handle_ready (struct connection *connection, const struct server_message *ready)
+{
+	int64_t now_us = clock_now_us ();
+
+	server_handle_alive (connection->server, now_us);
+	note_position (connection, ready, now_us);
+	switch (connection->state)
+	{
+	case CONNECTION_OPENING:
+		handle_greeting (connection, now_us);
+		break;
+	case CONNECTION_SETUP:
+		handle_setup_answer (connection, ready, now_us);
+		break;
+	case CONNECTION_RUNNING:
+		handle_statement_answer (connection, ready, now_us);
+		break;
+	case CONNECTION_ROLLING_BACK:
+		connection->is_in_transaction = ready->state != TRANSACTION_NONE;
+		if (connection->is_in_transaction)
+			connection_close (connection);
+		else
+			connection_release (connection, now_us);
+		break;
+	case CONNECTION_PROBING:
+		handle_probe_answer (connection, now_us);
+		break;
+	default:
+		connection_close (connection);
+		break;
+	}
+}
+
+static void
+connection_lost (struct connection *connection, const char *cause, int error)
+{
+	struct session *session = connection->session;
+	struct server *server = connection->server;
+	bool was_running = connection->state == CONNECTION_RUNNING;
+	bool was_opening = connection->state == CONNECTION_OPENING;
+	int64_t now_us = clock_now_us ();
+
+	if (connection->state != CONNECTION_IDLE || session)
+		log_event (LOG_LEVEL_WARN, "connection_lost", "server=%s cause=%s error=%d state=%d",
+		           server->id, cause, error, connection->state);
+	connection->session = NULL;
+	connection_close (connection);
+	if (was_opening)
+		server_handle_failed (server, now_us);
+	if (!session)
+		return;
+	session->connection = NULL;
+	session_handle_lost (session, was_running, now_us);
+}
+
+static void
+append_line (GString *answer, struct text line)
+{
+	g_string_append_len (answer, line.start, (gssize) line.length);
+	g_string_append (answer, "\r\n");
+}
+
+static void
+handle_line (struct line_stream *stream, struct text line)
+{
+	struct connection *connection = connection_of (stream);
+	struct server_message message = wire_decode_server (line);
+
+	switch (message.kind)
+	{
+	case SERVER_ROW:
+		if (connection->state == CONNECTION_PROBING)
+			connection->has_status = wire_decode_status (message.text, &connection->status) == 0;
+		else
+			append_line (connection->answer, line);
+		break;
+	case SERVER_COMPLETE:
+		connection->is_complete = true;
+		append_line (connection->answer, line);
+		break;
+	case SERVER_ERROR:
+		connection->code = message.code;
+		append_line (connection->answer, line);
+		if (connection->state == CONNECTION_OPENING)
+			handle_refused (connection, message.code, clock_now_us ());
+		break;
+	case SERVER_READY:
+		handle_ready (connection, &message);
+		break;
+	case SERVER_MALFORMED:
+		connection_lost (connection, "malformed", -EPROTO);
+		break;
+	}
+}
+
+static void
+handle_closed (struct line_stream *stream, int error)
+{
+	struct connection *connection = connection_of (stream);
+
+	if (connection->state != CONNECTION_CLOSED)
+		connection_lost (connection, "closed", error);
+}
+
+static const struct line_stream_ops connection_ops = {
+	.handle_connected = handle_connected,
+	.handle_line = handle_line,
+	.handle_closed = handle_closed,
+};
+
+struct connection *
+connection_open (struct server *server, int64_t now_us)
+{
+	struct gateway_traffic *traffic = server->service->traffic;
+	struct connection *connection = g_new0 (struct connection, 1);
+	int result;
+
+	connection->server = server;
+	connection->state = CONNECTION_CLOSED;
+	connection->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	connection->prepared = g_hash_table_new (NULL, NULL);
+	connection->answer = g_string_new (NULL);
+	connection->opened_us = now_us;
+	connection->sent_us = now_us;
+	result = line_stream_connect (&connection->stream, &traffic->loop, &connection_ops, server->ip,
+	                              server->port, traffic->settings.ip, WIRE_MAX_MESSAGE_BYTES);
+	if (result < 0)
+	{
+		log_event (LOG_LEVEL_WARN, "connect_failed", "server=%s error=%d", server->id, result);
+		connection_free (connection);
+		return NULL;
+	}
+	connection_set_state (connection, CONNECTION_OPENING);
+	connection->next = server->connections;
+	server->connections = connection;
+	server->connection_count++;
+	return connection;
+}
+
+void
+connection_close (struct connection *connection)
+{
+	struct server *server = connection->server;
+	struct gateway_traffic *traffic = server->service->traffic;
+	struct connection **link = &server->connections;
+
+	if (connection->state == CONNECTION_CLOSED)
+		return;
+	connection_set_state (connection, CONNECTION_CLOSED);
+	line_stream_finish (&connection->stream);
+	while (*link && *link != connection)
+		link = &(*link)->next;
+	if (*link)
+		*link = connection->next;
+	server->connection_count--;
+	traffic->dead_connections = g_slist_prepend (traffic->dead_connections, connection);
+	loop_set_timer (&traffic->loop, &traffic->reap, 0);
+}
+
+void
+connection_free (struct connection *connection)
+{
+	line_stream_finish (&connection->stream);
+	g_hash_table_destroy (connection->values);
+	g_hash_table_destroy (connection->prepared);
+	g_string_free (connection->answer, TRUE);
+	g_free (connection);
+}
+
+void
+connection_release (struct connection *connection, int64_t now_us)
+{
+	struct server *server = connection->server;
+
+	answer_reset (connection);
+	connection->session = NULL;
+	connection->idle_us = now_us;
+	connection_set_state (connection, CONNECTION_IDLE);
+	if (server->is_draining && server->service->primary != server)
+	{
+		connection_close (connection);
+		service_dispatch (server->service, now_us);
+		return;
+	}
+	if (server->status_wanted || server->demote_term > 0)
+		connection_ask_status (connection, now_us);
+	service_dispatch (server->service, now_us);
+}
+
+void
+connection_roll_back (struct connection *connection)
+{
+	answer_reset (connection);
+	connection->session = NULL;
+	connection->sent_us = clock_now_us ();
+	connection->sent_as_lead = false;
+	connection_set_state (connection, CONNECTION_ROLLING_BACK);
+	wire_encode_rollback (connection->stream.out);
+	line_stream_flush (&connection->stream);
+}
+
+void
+connection_ask_status (struct connection *connection, int64_t now_us)
+{
+	struct server *server = connection->server;
+
+	answer_reset (connection);
+	connection->has_status = false;
+	connection->sent_us = now_us;
+	connection->sent_as_lead =
+		server->service->primary == server && service_can_use_primary (server->service, now_us);
+	connection_set_state (connection, CONNECTION_PROBING);
+	if (server->demote_term > 0)
+		wire_encode_demote (connection->stream.out, server->demote_term);
+	else
+		wire_encode_status (connection->stream.out);
+	server->demote_term = 0;
+	server->status_wanted = false;
+	line_stream_flush (&connection->stream);
+}
+
+/** The server holds a value that the session does not have. */
+static bool
+has_foreign_value (const struct connection *connection, const struct session *session)
+{
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init (&iter, connection->values);
+	while (g_hash_table_iter_next (&iter, &name, NULL))
+		if (!g_hash_table_contains (session->values, name))
+			return true;
+	return false;
+}
+
+uint32_t
+connection_difference (const struct connection *connection, const struct session *session)
+{
+	/* A reset also drops the prepared names, so that later sessions pay as well. */
+	enum
+	{
+		RESET_WEIGHT = 8,
+	};
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+	uint32_t difference = has_foreign_value (connection, session) ? RESET_WEIGHT : 0;
+
+	g_hash_table_iter_init (&iter, session->values);
+	while (g_hash_table_iter_next (&iter, &name, &value))
+	{
+		const char *held = g_hash_table_lookup (connection->values, name);
+
+		if (!held || strcmp (held, value) != 0)
+			difference++;
+	}
+	if (session->request.shape &&
+	    !g_hash_table_contains (connection->prepared, session->request.shape))
+		difference++;
+	return difference;
+}
+
+uint32_t
+connection_prepare (struct connection *connection, const struct session *session)
+{
+	GString *out = connection->stream.out;
+	struct prepared_shape *shape = session->request.shape;
+	GHashTableIter iter;
+	gpointer name;
+	gpointer value;
+	uint32_t count = 0;
+
+	if (has_foreign_value (connection, session))
+	{
+		wire_encode_reset (out);
+		g_hash_table_remove_all (connection->values);
+		g_hash_table_remove_all (connection->prepared);
+		count++;
+	}
+	g_hash_table_iter_init (&iter, session->values);
+	while (g_hash_table_iter_next (&iter, &name, &value))
+	{
+		const char *held = g_hash_table_lookup (connection->values, name);
+
+		if (held && strcmp (held, value) == 0)
+			continue;
+		wire_encode_set (out, name, value);
+		g_hash_table_replace (connection->values, g_strdup (name), g_strdup (value));
+		count++;
+	}
+	if (shape && !g_hash_table_contains (connection->prepared, shape))
+	{
+		wire_encode_prepare (out, shape->name, shape->is_write, shape->shape);
+		g_hash_table_add (connection->prepared, shape);
+		count++;
+	}
+	return count;
+}
--- /dev/null
+++ b/gateway/controller_member.c
@@ -0,0 +1,285 @@
+#include "gateway/controller_private.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+enum
+{
+	/* VMs say hello this often; a VM that was not heard for MEMBER_DEAD_US counts as gone. */
+	MEMBER_HELLO_US = 1 * US_PER_S,
+	MEMBER_DEAD_US = 8 * US_PER_S,
+	/* Age of the own knowledge from which other VMs are asked for theirs, and how often. */
+	MEMBER_ASK_AGE_US = 900 * US_PER_MS,
+	MEMBER_ASK_US = 200 * US_PER_MS,
+	MEMBER_ANSWER_AGE_US = 1 * US_PER_S,
+};
+
+struct member *
+member_get (struct controller *controller, const char *vm, int64_t now_us)
+{
+	struct member *member = g_hash_table_lookup (controller->members, vm);
+
+	if (member)
+		return member;
+	member = g_new0 (struct member, 1);
+	member->vm = g_strdup (vm);
+	member->seen_us = now_us;
+	g_hash_table_insert (controller->members, member->vm, member);
+	return member;
+}
+
+void
+member_free (struct member *member)
+{
+	g_free (member->vm);
+	g_free (member);
+}
+
+bool
+member_is_alive (const struct controller *controller, const struct member *member, int64_t now_us)
+{
+	int64_t last_us = member->heard_us > member->seen_us ? member->heard_us : member->seen_us;
+
+	return member->is_listed && now_us - last_us < MEMBER_DEAD_US;
+}
+
+static void
+handle_removed (void *data, const struct platform_answer *answer)
+{
+	log_event (LOG_LEVEL_INFO, "member_removal", "error=%d succeeded=%d", answer->error,
+	           answer->succeeded);
+}
+
+/** The first living VM removes the records of dead ones, so that no change waits for them. */
+static void
+remove_dead (struct controller *controller, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct member *member = value;
+
+		if (member_is_alive (controller, member, now_us) &&
+		    strcmp (member->vm, controller->boot.vm) < 0)
+			return;
+	}
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct member *member = value;
+		char *key;
+
+		if (!member->is_listed || member_is_alive (controller, member, now_us))
+			continue;
+		log_event (LOG_LEVEL_INFO, "member_dead", "member=%s quiet_ms=%lld", member->vm,
+		           (long long) (now_us - member->heard_us) / US_PER_MS);
+		key = g_strdup_printf ("%s%s", controller_member_prefix, member->vm);
+		controller->platform.ops->swap (&controller->platform, key, member->revision, NULL, 0,
+		                                handle_removed, controller);
+		g_free (key);
+		member->seen_us = now_us; /* Tried again after the same time. */
+	}
+}
+
+static void
+send_hello (struct controller *controller, bool is_question, int64_t now_us)
+{
+	struct fs_hello_args args = {
+		.vm = controller->boot.vm,
+		.number = (uint64_t) now_us,
+		.is_question = is_question,
+		.revision = controller_lead_revision (controller),
+	};
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct member *member = value;
+
+		if (member->is_listed)
+			peers_send_hello (&controller->peers, member->address, &args);
+	}
+}
+
+void
+members_tick (struct controller *controller, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t count = 1;
+
+	if (now_us - controller->hello_us >= MEMBER_HELLO_US)
+	{
+		controller->hello_us = now_us;
+		send_hello (controller, false, now_us);
+		if (controller->store_ok_us > 0 && now_us - controller->store_ok_us > MEMBER_DEAD_US)
+			remove_dead (controller, now_us);
+	}
+	if (now_us - controller->known_us > MEMBER_ASK_AGE_US &&
+	    now_us - controller->question_us > MEMBER_ASK_US)
+	{
+		controller->question_us = now_us;
+		send_hello (controller, true, now_us);
+	}
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		count += member_is_alive (controller, value, now_us);
+	if (count != controller->vm_count)
+		controller->is_view_old = true;
+	controller->vm_count = count;
+}
+
+static struct member *
+note_heard (struct controller *controller, const char *vm)
+{
+	struct member *member = g_hash_table_lookup (controller->members, vm);
+
+	if (member)
+		member->heard_us = clock_now_us ();
+	return member;
+}
+
+static void
+handle_lead (void *data, const struct fs_lead_args *args, struct peer_address from)
+{
+	struct controller *controller = data;
+	struct duty *duty = duty_get (controller, args->service);
+	struct succession_record record = {
+		.revision = args->revision,
+		.is_changing = args->is_changing,
+		.is_planned = args->is_planned,
+	};
+
+	note_heard (controller, args->vm);
+	g_strlcpy (record.primary, args->primary, sizeof record.primary);
+	g_strlcpy (record.claimant, args->claimant, sizeof record.claimant);
+	if (strcmp (args->vm, args->claimant) == 0)
+		duty->claimant = from;
+	duty_set_record (duty, &record, clock_now_us ());
+	duty_answer_claimant (duty);
+}
+
+static void
+handle_quiesced (void *data, const struct fs_quiesced_args *args, struct peer_address from)
+{
+	struct controller *controller = data;
+	struct duty *duty = duty_get (controller, args->service);
+	uint64_t *revision = g_new (uint64_t, 1);
+
+	note_heard (controller, args->vm);
+	*revision = args->revision;
+	g_hash_table_replace (duty->quiesced, g_strdup (args->vm), revision);
+}
+
+static void
+handle_opinion_question (struct controller *controller, const struct fs_reachability_args *args,
+                         struct peer_address from)
+{
+	const struct known_server *server = g_hash_table_lookup (controller->servers, args->server);
+	struct fs_reachability_args answer = {
+		.vm = controller->boot.vm,
+		.server = args->server,
+		.is_unreachable = !server || server->is_unreachable,
+	};
+
+	peers_send_opinion (&controller->peers, from, &answer);
+}
+
+static void
+handle_opinion (void *data, const struct fs_reachability_args *args, struct peer_address from)
+{
+	struct controller *controller = data;
+	const struct known_server *server = g_hash_table_lookup (controller->servers, args->server);
+	struct opinion *opinion;
+	struct duty *duty;
+
+	note_heard (controller, args->vm);
+	if (args->is_question)
+	{
+		handle_opinion_question (controller, args, from);
+		return;
+	}
+	if (!server)
+		return;
+	duty = duty_get (controller, server->entry.service);
+	opinion = g_new (struct opinion, 1);
+	*opinion = (struct opinion){ args->is_unreachable, clock_now_us () };
+	g_hash_table_replace (duty->opinions, g_strdup (args->vm), opinion);
+}
+
+/** Tells a VM whose records are behind all of them. */
+static void
+send_leads (struct controller *controller, struct peer_address to)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, controller->duties);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct duty *duty = value;
+		struct succession_record *record = &duty->succession.record;
+		struct fs_lead_args args = {
+			.vm = controller->boot.vm,
+			.service = duty->service,
+			.primary = record->primary,
+			.claimant = record->claimant,
+			.revision = record->revision,
+			.is_changing = record->is_changing,
+			.is_planned = record->is_planned,
+		};
+
+		if (record->revision > 0)
+			peers_send_lead (&controller->peers, to, &args);
+	}
+}
+
+static void
+handle_hello (void *data, const struct fs_hello_args *args, struct peer_address from)
+{
+	struct controller *controller = data;
+	struct member *member = note_heard (controller, args->vm);
+	int64_t now_us = clock_now_us ();
+	int64_t asked_us = (int64_t) args->number;
+	uint64_t revision = controller_lead_revision (controller);
+
+	if (args->is_question)
+	{
+		struct fs_hello_args answer = {
+			.vm = controller->boot.vm,
+			.number = args->number,
+			.has_knowledge = controller->known_us > 0,
+			.is_registered = member && member->is_listed,
+			.revision = revision,
+			.age_us = (uint64_t) (now_us - controller->known_us),
+		};
+
+		if (args->revision < revision)
+			send_leads (controller, from);
+		peers_send_hello (&controller->peers, from, &answer);
+		return;
+	}
+	/* An answer says that the same records still held some time before the question was sent. */
+	if (!args->has_knowledge || !args->is_registered || args->revision != revision ||
+	    asked_us > now_us || now_us - asked_us > MEMBER_ANSWER_AGE_US)
+		return;
+	asked_us -= (int64_t) args->age_us;
+	if (asked_us <= controller->known_us)
+		return;
+	controller->known_us = asked_us;
+	if (!controller->is_view_old)
+		gateway_traffic_send_known (controller->traffic, asked_us);
+}
+
+const struct peers_ops controller_peers_ops = {
+	.handle_lead = handle_lead,
+	.handle_quiesced = handle_quiesced,
+	.handle_opinion = handle_opinion,
+	.handle_hello = handle_hello,
+};
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,179 @@
+#include "gateway/gateway.h"
+
+#include "common/findings.h"
+#include "common/log.h"
+#include "common/loop.h"
+#include "ctl/commands.h"
+#include "gateway/controller.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+enum
+{
+	/* Descriptors for the store, other VMs, servers and the program itself. */
+	GATEWAY_RESERVED_DESCRIPTORS = 700,
+	GATEWAY_MIN_SESSIONS = 64,
+};
+
+struct gateway
+{
+	struct loop loop;
+	struct loop_source signals;
+	struct controller *controller;
+};
+
+static void
+handle_signal (struct loop_source *source, uint32_t epoll_events)
+{
+	struct gateway *gateway = source->data;
+	struct signalfd_siginfo info;
+
+	while (read (source->fd, &info, sizeof info) == (ssize_t) sizeof info)
+	{
+		log_event (LOG_LEVEL_INFO, "signal", "number=%u", info.ssi_signo);
+		if (info.ssi_signo != SIGHUP)
+			controller_leave (gateway->controller);
+	}
+}
+
+static void
+handle_left (void *data)
+{
+	struct gateway *gateway = data;
+
+	loop_stop (&gateway->loop);
+}
+
+static int
+gateway_take_signals (struct gateway *gateway)
+{
+	sigset_t signals;
+
+	signal (SIGPIPE, SIG_IGN);
+	sigemptyset (&signals);
+	sigaddset (&signals, SIGTERM);
+	sigaddset (&signals, SIGINT);
+	sigaddset (&signals, SIGHUP);
+	pthread_sigmask (SIG_BLOCK, &signals, NULL);
+	gateway->signals.fd = signalfd (-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (gateway->signals.fd < 0)
+		return -errno;
+	gateway->signals.handle_ready = handle_signal;
+	gateway->signals.data = gateway;
+	return loop_set_source (&gateway->loop, &gateway->signals, EPOLLIN);
+}
+
+static uint32_t
+max_sessions (const struct boot_settings *boot)
+{
+	if (boot->max_descriptors < GATEWAY_RESERVED_DESCRIPTORS + GATEWAY_MIN_SESSIONS)
+		return GATEWAY_MIN_SESSIONS;
+	return boot->max_descriptors - GATEWAY_RESERVED_DESCRIPTORS;
+}
+
+static int
+gateway_serve (const struct boot_settings *boot)
+{
+	struct gateway gateway = { .signals.fd = -1 };
+	struct gateway_traffic_settings settings = {
+		.vm = boot->vm,
+		.zone = boot->zone,
+		.ip = boot->ip,
+		.caller_port = boot->caller_port,
+		.grace_ms = boot->grace_ms,
+		.max_sessions = max_sessions (boot),
+	};
+	struct gateway_traffic *traffic = NULL;
+	int result = loop_init (&gateway.loop);
+
+	if (result < 0)
+		return result;
+	result = gateway_take_signals (&gateway);
+	if (result < 0)
+		goto out;
+	result = -EIO;
+	traffic = gateway_traffic_new (&settings);
+	if (!traffic)
+		goto out;
+	gateway.controller = controller_start (boot, traffic, handle_left, &gateway);
+	if (!gateway.controller)
+		goto out;
+	log_event (LOG_LEVEL_INFO, "started", "zone=%s caller_port=%u store=%s", boot->zone,
+	           boot->caller_port, boot->store_address);
+	result = loop_run (&gateway.loop);
+out:
+	log_event (LOG_LEVEL_INFO, "stopped", "result=%d", result);
+	if (traffic)
+		gateway_traffic_free (traffic);
+	if (gateway.controller)
+		controller_free (gateway.controller);
+	if (gateway.signals.fd >= 0)
+		close (gateway.signals.fd);
+	loop_finish (&gateway.loop);
+	return result;
+}
+
+int
+gateway_run (int argc, char **argv)
+{
+	char *path = NULL;
+	char *level_name = NULL;
+	gboolean check = FALSE;
+	const GOptionEntry options[] = {
+		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+		  "Settings file of the platform (default: the path that the platform's environment names)",
+		  "FILE" },
+		{ "log-level", 'l', 0, G_OPTION_ARG_STRING, &level_name, "error, warn, info or debug",
+		  "LEVEL" },
+		{ "check", 'c', 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL },
+		{ NULL },
+	};
+	GOptionContext *context = g_option_context_new ("- database sessions on the platform");
+	enum log_level level = LOG_LEVEL_INFO;
+	struct boot_settings boot;
+	struct findings findings;
+	GError *error = NULL;
+	int code = EXIT_CODE_USAGE;
+	int result;
+
+	findings_init (&findings);
+	g_option_context_add_main_entries (context, options, NULL);
+	if (!g_option_context_parse (context, &argc, &argv, &error))
+	{
+		findings_add (&findings, "flag", 0, 0, "", "%s", error->message);
+		g_error_free (error);
+		goto out;
+	}
+	if (level_name && log_level_parse (level_name, &level) < 0)
+		findings_add (&findings, "flag", 0, 0, "log-level", "\"%s\" is not a level", level_name);
+	if (!path)
+		path = g_strdup (boot_settings_path ());
+	if (!path)
+		findings_add (&findings, "flag", 0, 0, "settings", "no settings file is named");
+	else
+		boot_settings_read (&boot, path, &findings);
+	if (findings.count > 0)
+		goto out;
+	code = EXIT_CODE_OK;
+	if (check)
+		goto out;
+	result = log_init (level, boot.vm);
+	if (result == 0)
+		result = gateway_serve (&boot);
+	log_finish ();
+	if (result < 0)
+		code = EXIT_CODE_FAILED;
+out:
+	findings_print (&findings, stderr);
+	findings_finish (&findings);
+	g_option_context_free (context);
+	g_free (path);
+	g_free (level_name);
+	return code;
+}
--- /dev/null
+++ b/gateway/service.c
@@ -0,0 +1,346 @@
+#include "gateway/traffic_private.h"
+
+#include "common/log.h"
+
+enum
+{
+	/* Running work may end for this long before a planned change of primary. */
+	SERVICE_QUIESCE_US = 800 * US_PER_MS,
+	/* Reads prefer the VM's zone: traffic between zones is slow and dear. */
+	SERVICE_FAR_COST_US = 12 * US_PER_MS,
+	/* Reads leave the primary to the work that needs it. */
+	SERVICE_PRIMARY_COST_US = 6 * US_PER_MS,
+	SERVICE_OVERLOADED_COST_US = 30 * US_PER_MS,
+	/* Part of its target latency that a read waits for a server of its zone. */
+	SERVICE_NEAR_WAIT_DIVISOR = 12,
+	/* An applied position that is older than this says little about the present one. */
+	SERVICE_POSITION_AGE_US = 40 * US_PER_MS,
+};
+
+struct service *
+service_get (struct gateway_traffic *traffic, const char *name)
+{
+	struct service *service = g_hash_table_lookup (traffic->services, name);
+
+	if (service)
+		return service;
+	service = g_new0 (struct service, 1);
+	service->name = g_strdup (name);
+	service->traffic = traffic;
+	service->servers = g_ptr_array_new ();
+	position_history_init (&service->history);
+	g_queue_init (&service->waiting);
+	g_hash_table_insert (traffic->services, service->name, service);
+	return service;
+}
+
+void
+service_free (struct service *service)
+{
+	g_ptr_array_free (service->servers, TRUE);
+	g_queue_clear (&service->waiting);
+	g_list_free (service->held);
+	g_free (service->name);
+	g_free (service);
+}
+
+bool
+service_can_use_primary (const struct service *service, int64_t now_us)
+{
+	return service->primary && !service->is_changing &&
+	       gateway_traffic_has_authority (service->traffic, now_us);
+}
+
+static int
+compare_waiting (const void *a, const void *b, void *data)
+{
+	const struct session *first = a;
+	const struct session *second = b;
+
+	(void) data;
+	if (first->priority != second->priority)
+		return first->priority < second->priority ? -1 : 1;
+	return first->request.arrived_us <= second->request.arrived_us ? -1 : 1;
+}
+
+void
+service_enqueue (struct service *service, struct session *session)
+{
+	session->request.is_queued = true;
+	g_queue_insert_sorted (&service->waiting, session, compare_waiting, NULL);
+}
+
+void
+service_remove (struct service *service, struct session *session)
+{
+	if (!session->request.is_queued)
+		return;
+	session->request.is_queued = false;
+	g_queue_remove (&service->waiting, session);
+}
+
+static bool
+server_has_capacity (const struct server *server)
+{
+	return server->running_count < server->slots;
+}
+
+/** May the server serve reads that need @p position (NULL: any log will do)? */
+static bool
+server_may_read (const struct server *server, const struct log_position *position, int64_t now_us)
+{
+	const struct service *service = server->service;
+
+	if (!server->is_listed || server->failed_us > 0)
+		return false;
+	if (service->primary == server)
+		return service_can_use_primary (service, now_us);
+	if (server->is_draining || !position)
+		return false;
+	if (log_position_covers (server->applied, *position))
+		return true;
+	return now_us >= server->behind_until_us &&
+	       now_us - server->applied_us > SERVICE_POSITION_AGE_US;
+}
+
+static int64_t
+server_cost_us (const struct server *server, int64_t now_us)
+{
+	int64_t cost_us = server->latency_us * (server->running_count + 1) / server->slots;
+
+	if (!server->is_near)
+		cost_us += SERVICE_FAR_COST_US;
+	if (server->service->primary == server)
+		cost_us += SERVICE_PRIMARY_COST_US;
+	if (now_us < server->overloaded_until_us)
+		cost_us += SERVICE_OVERLOADED_COST_US;
+	return cost_us;
+}
+
+/** Waits for a busy server of the zone rather than crossing zones at once. */
+static bool
+may_go_far (const struct service *service, const struct session *session,
+            const struct log_position *position, int64_t now_us)
+{
+	int64_t patience_us =
+		(int64_t) session->target_latency_ms * US_PER_MS / SERVICE_NEAR_WAIT_DIVISOR;
+
+	if (now_us - session->request.arrived_us >= patience_us)
+		return true;
+	for (guint i = 0; i < service->servers->len; i++)
+	{
+		const struct server *server = service->servers->pdata[i];
+
+		if (server->is_near && server_may_read (server, position, now_us))
+			return false;
+	}
+	return true;
+}
+
+/** Picks the server of a read. @return NULL when none can take it now. */
+static struct connection *
+choose_for_read (struct service *service, struct session *session, int64_t now_us)
+{
+	struct log_position position;
+	bool has_position = session_find_position (session, &position);
+	bool far = may_go_far (service, session, has_position ? &position : NULL, now_us);
+	struct connection *best = NULL;
+	struct server *growing = NULL;
+	int64_t best_us = INT64_MAX;
+	int64_t growing_us = INT64_MAX;
+
+	for (guint i = 0; i < service->servers->len; i++)
+	{
+		struct server *server = service->servers->pdata[i];
+		int64_t cost_us = server_cost_us (server, now_us);
+		struct connection *connection;
+
+		if (!server_may_read (server, has_position ? &position : NULL, now_us))
+			continue;
+		if (!server_has_capacity (server) || (!far && !server->is_near))
+			continue;
+		connection = server_find_idle (server, session);
+		if (connection && cost_us < best_us)
+		{
+			best = connection;
+			best_us = cost_us;
+		}
+		if (!connection && cost_us < growing_us && server_can_grow (server, now_us))
+		{
+			growing = server;
+			growing_us = cost_us;
+		}
+	}
+	if (!best && growing)
+		server_open (growing, now_us);
+	return best;
+}
+
+static struct connection *
+choose_primary (struct service *service, struct session *session, int64_t now_us)
+{
+	struct server *primary = service->primary;
+	struct connection *connection;
+
+	if (!service_can_use_primary (service, now_us) || primary->failed_us > 0 ||
+	    !server_has_capacity (primary))
+		return NULL;
+	connection = server_find_idle (primary, session);
+	if (!connection && server_can_grow (primary, now_us))
+		server_open (primary, now_us);
+	return connection;
+}
+
+static void
+dispatch_once (struct service *service, int64_t now_us)
+{
+	GList *next;
+
+	for (GList *link = service->waiting.head; link; link = next)
+	{
+		struct session *session = link->data;
+		struct connection *connection;
+
+		next = link->next;
+		if (now_us < session->request.retry_us)
+			continue;
+		connection = session_needs_primary (session) ? choose_primary (service, session, now_us)
+		                                             : choose_for_read (service, session, now_us);
+		if (!connection)
+			continue;
+		session->request.is_queued = false;
+		g_queue_delete_link (&service->waiting, link);
+		session_run (session, connection, now_us);
+	}
+}
+
+void
+service_dispatch (struct service *service, int64_t now_us)
+{
+	service->dispatch_again = true;
+	if (service->is_dispatching)
+		return;
+	service->is_dispatching = true;
+	while (service->dispatch_again)
+	{
+		service->dispatch_again = false;
+		dispatch_once (service, now_us);
+	}
+	service->is_dispatching = false;
+}
+
+/** Reports the change as soon as nothing runs at the old primary; ends running work when it is late. */
+static void
+service_quiesce (struct service *service, int64_t now_us)
+{
+	struct server *primary = service->primary;
+	bool is_late = !service->is_planned || now_us - service->changing_us > SERVICE_QUIESCE_US;
+
+	if (!service->is_changing || service->is_quiesced)
+		return;
+	if (primary && is_late)
+		server_close_all (primary);
+	for (struct connection *connection = primary ? primary->connections : NULL; connection;
+	     connection = connection->next)
+		if (connection->session && connection->state != CONNECTION_PROBING)
+			return;
+	service->is_quiesced = true;
+	log_event (LOG_LEVEL_INFO, "primary_quiesced", "service=%s revision=%llu after_ms=%lld",
+	           service->name, (unsigned long long) service->lead_revision,
+	           (long long) (now_us - service->changing_us) / US_PER_MS);
+	service->traffic->events->handle_quiesced (service->traffic->events_data, service->name,
+	                                           service->lead_revision);
+}
+
+static struct server *
+find_primary (const struct service *service, const char *id)
+{
+	for (guint i = 0; id && i < service->servers->len; i++)
+	{
+		struct server *server = service->servers->pdata[i];
+
+		if (g_strcmp0 (server->id, id) == 0)
+			return server;
+	}
+	return NULL;
+}
+
+static void
+release_held (struct service *service, bool is_confirmed)
+{
+	GList *held = service->held;
+
+	service->held = NULL;
+	for (GList *link = held; link; link = link->next)
+		session_release_held (link->data, is_confirmed);
+	g_list_free (held);
+}
+
+void
+service_apply_lead (struct service *service, const struct lead *lead, int64_t now_us)
+{
+	struct server *primary = find_primary (service, lead ? lead->primary : NULL);
+	bool is_changing = lead && lead->is_changing;
+	uint64_t revision = lead ? lead->revision : 0;
+
+	if (service->lead_revision == revision && service->primary == primary)
+		return;
+	log_event (LOG_LEVEL_INFO, "lead_adopted",
+	           "service=%s primary=%s revision=%llu changing=%d planned=%d", service->name,
+	           primary ? primary->id : "-", (unsigned long long) revision, is_changing,
+	           lead && lead->is_planned);
+	if (service->lead_revision != revision)
+		release_held (service, false);
+	/* Nothing goes on at a primary that was replaced without this VM having noticed the change. */
+	if (service->primary && service->primary != primary)
+		server_close_all (service->primary);
+	service->primary = primary;
+	service->is_planned = lead && lead->is_planned;
+	if (service->lead_revision != revision)
+	{
+		service->is_quiesced = false;
+		service->changing_us = now_us;
+	}
+	service->is_changing = is_changing;
+	service->lead_revision = revision;
+	service_quiesce (service, now_us);
+}
+
+void
+service_handle_known (struct service *service, int64_t now_us)
+{
+	GList *next;
+
+	/* A commit is confirmed once the lead is known to have held at a time shortly before its answer. */
+	for (GList *link = service->held; link; link = next)
+	{
+		struct session *session = link->data;
+
+		next = link->next;
+		if (session->request.answered_us - service->traffic->known_us >=
+		    LEAD_AUTHORITY_MS * US_PER_MS)
+			continue;
+		service->held = g_list_delete_link (service->held, link);
+		session_release_held (session, true);
+	}
+	service_dispatch (service, now_us);
+}
+
+void
+service_tick (struct service *service, int64_t now_us)
+{
+	/* Reads of replicas need samples of the primary's position that are younger than their bound. */
+	enum
+	{
+		SAMPLE_AGE_US = 400 * US_PER_MS,
+	};
+
+	service_quiesce (service, now_us);
+	if (service_can_use_primary (service, now_us) && service->primary->failed_us == 0 &&
+	    service->primary->probing_count == 0 &&
+	    now_us - position_history_last_us (&service->history) > SAMPLE_AGE_US)
+		service->primary->status_wanted = true;
+	for (guint i = 0; i < service->servers->len; i++)
+		server_tick (service->servers->pdata[i], now_us);
+	service_dispatch (service, now_us);
+}
--- /dev/null
+++ b/gateway/traffic.c
@@ -0,0 +1,401 @@
+#include "gateway/traffic_private.h"
+
+#include "common/log.h"
+#include "common/rpc.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+enum
+{
+	/* Limits, retries and waits are checked this often; bounds the delay that they add. */
+	TRAFFIC_TICK_US = 20 * US_PER_MS,
+	TRAFFIC_ACCEPT_BURST = 64,
+	TRAFFIC_MAX_SHAPES = 10000,
+};
+
+enum traffic_order
+{
+	ORDER_VIEW,
+	ORDER_KNOWN,
+	ORDER_QUESTION,
+	ORDER_LEAVE,
+};
+
+struct traffic_message
+{
+	struct mailbox_message message;
+	enum traffic_order order;
+	struct view *view;
+	int64_t known_us;
+	char *server;
+	uint64_t demote_term;
+};
+
+bool
+gateway_traffic_has_authority (const struct gateway_traffic *traffic, int64_t now_us)
+{
+	return traffic->view && traffic->view->is_registered &&
+	       now_us - traffic->known_us < LEAD_AUTHORITY_MS * US_PER_MS;
+}
+
+void
+gateway_traffic_send_report (struct server *server, const struct database_status *status,
+                             int64_t now_us)
+{
+	struct gateway_traffic *traffic = server->service->traffic;
+	struct server_report *report = g_new0 (struct server_report, 1);
+
+	report->server = g_strdup (server->id);
+	report->service = g_strdup (server->service->name);
+	report->is_unreachable = server->failed_us > 0;
+	report->has_status = status != NULL;
+	if (status)
+		report->status = *status;
+	report->at_us = now_us;
+	traffic->events->handle_report (traffic->events_data, report);
+}
+
+struct prepared_shape *
+gateway_traffic_find_shape (struct gateway_traffic *traffic, struct text shape, bool is_write)
+{
+	char *key = g_strdup_printf ("%c%.*s", is_write ? 'w' : 'r', (int) shape.length, shape.start);
+	struct prepared_shape *found = g_hash_table_lookup (traffic->shapes, key);
+
+	if (found)
+	{
+		g_free (key);
+		return found;
+	}
+	if (g_hash_table_size (traffic->shapes) == TRAFFIC_MAX_SHAPES)
+		log_event (LOG_LEVEL_WARN, "many_shapes", "count=%d", TRAFFIC_MAX_SHAPES);
+	found = g_new0 (struct prepared_shape, 1);
+	found->shape = g_strndup (shape.start, shape.length);
+	found->is_write = is_write;
+	snprintf (found->name, sizeof found->name, "p%u", g_hash_table_size (traffic->shapes));
+	g_hash_table_insert (traffic->shapes, key, found);
+	return found;
+}
+
+static void
+shape_free (void *data)
+{
+	struct prepared_shape *shape = data;
+
+	g_free (shape->shape);
+	g_free (shape);
+}
+
+static const struct lead *
+find_lead (const struct view *view, const char *service)
+{
+	for (guint i = 0; i < view->leads->len; i++)
+	{
+		const struct lead *lead = &g_array_index (view->leads, struct lead, i);
+
+		if (strcmp (lead->service, service) == 0)
+			return lead;
+	}
+	return NULL;
+}
+
+static void
+apply_servers (struct gateway_traffic *traffic)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, traffic->servers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		((struct server *) value)->is_listed = false;
+	for (guint i = 0; i < traffic->view->servers->len; i++)
+	{
+		const struct server_entry *entry =
+			&g_array_index (traffic->view->servers, struct server_entry, i);
+		struct server *server = g_hash_table_lookup (traffic->servers, entry->id);
+
+		if (!server)
+		{
+			server = server_new (service_get (traffic, entry->service), entry);
+			g_hash_table_insert (traffic->servers, server->id, server);
+		}
+		server_update (server, entry);
+	}
+}
+
+static void
+apply_view (struct gateway_traffic *traffic, struct view *view, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	view_free (traffic->view);
+	traffic->view = view;
+	if (view->known_us > traffic->known_us)
+		traffic->known_us = view->known_us;
+	apply_servers (traffic);
+	g_hash_table_iter_init (&iter, traffic->services);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct service *service = value;
+		const struct database_service *declared =
+			view->configuration ? g_hash_table_lookup (view->configuration->services, service->name)
+								: NULL;
+
+		if (declared)
+			service->max_connections = declared->max_connections;
+		service_apply_lead (service, find_lead (view, service->name), now_us);
+	}
+	g_hash_table_iter_init (&iter, traffic->services);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		service_handle_known (value, now_us);
+}
+
+static void
+apply_known (struct gateway_traffic *traffic, int64_t known_us, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (known_us <= traffic->known_us)
+		return;
+	traffic->known_us = known_us;
+	g_hash_table_iter_init (&iter, traffic->services);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		service_handle_known (value, now_us);
+}
+
+static void
+apply_question (struct gateway_traffic *traffic, const char *id, uint64_t demote_term)
+{
+	struct server *server = g_hash_table_lookup (traffic->servers, id);
+
+	if (!server)
+		return;
+	server->status_wanted = true;
+	if (demote_term > 0)
+		server->demote_term = demote_term;
+	server_tick (server, clock_now_us ());
+}
+
+static void
+handle_message (struct mailbox_message *mail, void *receiver)
+{
+	struct traffic_message *message = (struct traffic_message *) mail;
+	struct gateway_traffic *traffic = receiver;
+	int64_t now_us = clock_now_us ();
+
+	switch (message->order)
+	{
+	case ORDER_VIEW:
+		apply_view (traffic, message->view, now_us);
+		break;
+	case ORDER_KNOWN:
+		apply_known (traffic, message->known_us, now_us);
+		break;
+	case ORDER_QUESTION:
+		apply_question (traffic, message->server, message->demote_term);
+		break;
+	case ORDER_LEAVE:
+		traffic->is_leaving = true;
+		traffic->leaving_us = now_us;
+		break;
+	}
+	g_free (message->server);
+	g_free (message);
+}
+
+static struct traffic_message *
+message_new (enum traffic_order order)
+{
+	struct traffic_message *message = g_new0 (struct traffic_message, 1);
+
+	message->message.handle_message = handle_message;
+	message->order = order;
+	return message;
+}
+
+void
+gateway_traffic_send_view (struct gateway_traffic *traffic, struct view *view)
+{
+	struct traffic_message *message = message_new (ORDER_VIEW);
+
+	message->view = view;
+	mailbox_send (&traffic->mailbox, &message->message);
+}
+
+void
+gateway_traffic_send_known (struct gateway_traffic *traffic, int64_t known_us)
+{
+	struct traffic_message *message = message_new (ORDER_KNOWN);
+
+	message->known_us = known_us;
+	mailbox_send (&traffic->mailbox, &message->message);
+}
+
+void
+gateway_traffic_send_question (struct gateway_traffic *traffic, const char *server,
+                               uint64_t demote_term)
+{
+	struct traffic_message *message = message_new (ORDER_QUESTION);
+
+	message->server = g_strdup (server);
+	message->demote_term = demote_term;
+	mailbox_send (&traffic->mailbox, &message->message);
+}
+
+void
+gateway_traffic_send_leave (struct gateway_traffic *traffic)
+{
+	mailbox_send (&traffic->mailbox, &message_new (ORDER_LEAVE)->message);
+}
+
+static void
+handle_accept (struct loop_source *source, uint32_t epoll_events)
+{
+	struct gateway_traffic *traffic = source->data;
+
+	for (int i = 0; i < TRAFFIC_ACCEPT_BURST; i++)
+	{
+		int fd = rpc_accept (source->fd);
+
+		if (fd == -EAGAIN)
+			return;
+		if (fd < 0)
+		{
+			log_event (LOG_LEVEL_ERROR, "accept_failed", "error=%d", fd);
+			return;
+		}
+		if (traffic->sessions.length >= traffic->settings.max_sessions)
+		{
+			log_event (LOG_LEVEL_WARN, "session_refused", "open=%u", traffic->sessions.length);
+			close (fd);
+			continue;
+		}
+		session_accept (traffic, fd);
+	}
+}
+
+static void
+handle_tick (struct loop_timer *timer, int64_t now_us)
+{
+	struct gateway_traffic *traffic = timer->data;
+	GHashTableIter iter;
+	gpointer value;
+	GList *next;
+
+	loop_set_timer (&traffic->loop, timer, now_us + TRAFFIC_TICK_US);
+	for (GList *link = traffic->sessions.head; link; link = next)
+	{
+		next = link->next;
+		session_tick (link->data, now_us);
+	}
+	g_hash_table_iter_init (&iter, traffic->services);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		service_tick (value, now_us);
+	if (traffic->is_leaving && traffic->sessions.length == 0)
+		traffic->events->handle_left (traffic->events_data);
+}
+
+static void
+reap (struct gateway_traffic *traffic)
+{
+	g_slist_free_full (traffic->dead_sessions, (GDestroyNotify) session_free);
+	g_slist_free_full (traffic->dead_connections, (GDestroyNotify) connection_free);
+	traffic->dead_sessions = NULL;
+	traffic->dead_connections = NULL;
+}
+
+static void
+handle_reap (struct loop_timer *timer, int64_t now_us)
+{
+	reap (timer->data);
+}
+
+struct gateway_traffic *
+gateway_traffic_new (const struct gateway_traffic_settings *settings)
+{
+	struct gateway_traffic *traffic = g_new0 (struct gateway_traffic, 1);
+
+	traffic->settings = *settings;
+	traffic->services =
+		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) service_free);
+	traffic->servers =
+		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) server_free);
+	traffic->shapes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, shape_free);
+	g_queue_init (&traffic->sessions);
+	traffic->tick.handle_timer = handle_tick;
+	traffic->tick.data = traffic;
+	traffic->reap.handle_timer = handle_reap;
+	traffic->reap.data = traffic;
+	traffic->listener.fd = -1;
+	if (loop_init (&traffic->loop) < 0 ||
+	    mailbox_init (&traffic->mailbox, &traffic->loop, traffic) < 0)
+		goto fail;
+	traffic->listener.fd = rpc_listen (settings->ip, settings->caller_port);
+	if (traffic->listener.fd < 0)
+	{
+		log_event (LOG_LEVEL_ERROR, "listen_failed", "port=%u error=%d", settings->caller_port,
+		           traffic->listener.fd);
+		goto fail;
+	}
+	traffic->listener.handle_ready = handle_accept;
+	traffic->listener.data = traffic;
+	return traffic;
+
+fail:
+	gateway_traffic_free (traffic);
+	return NULL;
+}
+
+static void *
+traffic_main (void *data)
+{
+	struct gateway_traffic *traffic = data;
+	int result;
+
+	loop_set_source (&traffic->loop, &traffic->listener, EPOLLIN);
+	loop_set_timer (&traffic->loop, &traffic->tick, clock_now_us () + TRAFFIC_TICK_US);
+	result = loop_run (&traffic->loop);
+	if (result < 0)
+		log_event (LOG_LEVEL_ERROR, "traffic_failed", "error=%d", result);
+	return NULL;
+}
+
+int
+gateway_traffic_start (struct gateway_traffic *traffic, const struct gateway_traffic_events *events,
+                       void *data)
+{
+	int result;
+
+	traffic->events = events;
+	traffic->events_data = data;
+	result = pthread_create (&traffic->thread, NULL, traffic_main, traffic);
+	traffic->has_thread = result == 0;
+	return -result;
+}
+
+void
+gateway_traffic_free (struct gateway_traffic *traffic)
+{
+	if (traffic->has_thread)
+	{
+		loop_stop (&traffic->loop);
+		pthread_join (traffic->thread, NULL);
+	}
+	while (traffic->sessions.head)
+		session_close (traffic->sessions.head->data);
+	g_hash_table_destroy (traffic->servers);
+	reap (traffic);
+	g_hash_table_destroy (traffic->services);
+	g_hash_table_destroy (traffic->shapes);
+	view_free (traffic->view);
+	if (traffic->listener.fd >= 0)
+		close (traffic->listener.fd);
+	mailbox_finish (&traffic->mailbox);
+	loop_finish (&traffic->loop);
+	g_free (traffic);
+}
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -12,7 +12,7 @@
 	US_PER_S = 1000000,
 };
 
-/** Monotonic time in microseconds. */
+/** Monotonic time in microseconds; also counts the time that the VM is suspended. */
 int64_t clock_now_us (void);
 
 /** Wall-clock time in nanoseconds since 1970. */
--- a/include/flamingospring/platform.h
+++ b/include/flamingospring/platform.h
@@ -28,9 +28,11 @@
 	bool succeeded;    /**< Compare-and-swap. */
 	const struct platform_pair *pairs;
 	size_t count;
+	int64_t asked_us; /**< When the question was sent; the answer holds at that time or later. */
 };
 
-/** Called once for a call, many times for a watch (until an error). */
+/** Called once for a call, many times for a watch (until an error). A watch may report that nothing has
+ * changed: no pairs, and a later revision. */
 typedef void platform_handle_answer (void *data, const struct platform_answer *answer);
 
 struct platform_ops
@@ -46,6 +48,11 @@
 	int (*watch) (struct platform *platform, const char *prefix, uint64_t revision,
 	              platform_handle_answer *handle, void *data);
 	void (*unwatch) (struct platform *platform, const char *prefix);
+	/** Makes a server the primary of its service, in the name of @p holder with the fencing token
+	 * @p token. The answer's error is 0, -ENOENT (the server is not running), or another error after which
+	 * the call may still have been executed. NULL: the platform cannot. */
+	int (*promote) (struct platform *platform, const char *service, const char *server_id,
+	                const char *holder, uint64_t token, platform_handle_answer *handle, void *data);
 	void (*finish) (struct platform *platform);
 };
 
--- /dev/null
+++ b/include/gateway/controller.h
@@ -0,0 +1,24 @@
+/**
+ * @file
+ * The control thread of the gateway: configuration, directory, records of primaries, other VMs.
+ */
+#pragma once
+
+#include "gateway/traffic.h"
+#include "platform/boot_settings.h"
+
+struct controller;
+
+/** @p handle_left is called in the control thread when the planned stop is complete. */
+struct controller *controller_start (const struct boot_settings *boot,
+                                     struct gateway_traffic *traffic,
+                                     void (*handle_left) (void *data), void *data);
+
+/** Starts the planned stop; safe from any thread. */
+void controller_leave (struct controller *controller);
+
+/** Waits for the end of the thread. */
+void controller_free (struct controller *controller);
+
+/** Events of the traffic thread; their data is the controller. */
+extern const struct gateway_traffic_events controller_traffic_events;
--- /dev/null
+++ b/include/gateway/controller_private.h
@@ -0,0 +1,126 @@
+/**
+ * @file
+ * State of the control thread.
+ */
+#pragma once
+
+#include "common/clock.h"
+#include "common/mailbox.h"
+#include "decision/succession.h"
+#include "flamingospring/platform.h"
+#include "gateway/controller.h"
+#include "gateway/peers.h"
+#include "platform/readiness.h"
+
+#include <pthread.h>
+
+/** A server: its directory entry and what the traffic thread saw of it. */
+struct known_server
+{
+	struct server_entry entry;
+	bool is_listed;
+	int64_t unlisted_us;
+	bool is_unreachable;
+	bool has_status;
+	struct database_status status;
+	int64_t status_us;
+	int64_t not_primary_us; /**< Since when it says that it is no primary; 0: it does not. */
+};
+
+/** Another VM, by the records in the store. */
+struct member
+{
+	char *vm;
+	struct peer_address address;
+	uint64_t revision; /**< Of its record. */
+	bool is_listed;
+	int64_t seen_us;  /**< First time in the store. */
+	int64_t heard_us; /**< Last datagram. */
+};
+
+struct opinion
+{
+	bool is_unreachable;
+	int64_t at_us;
+};
+
+/** What this VM does for the primary of one service. */
+struct duty
+{
+	char *service;
+	struct controller *controller;
+	struct succession succession;
+	uint64_t swap_expected;     /**< Revision that the outstanding swap expects. */
+	uint64_t quiesced_revision; /**< Of this VM's traffic thread. */
+	struct peer_address claimant;
+	GHashTable *quiesced; /**< VM name to revision (pointer to uint64_t). */
+	GHashTable *opinions; /**< VM name to struct opinion. */
+	int64_t opinion_asked_us;
+	int64_t status_asked_us;
+};
+
+struct controller
+{
+	struct boot_settings boot;
+	struct gateway_traffic *traffic;
+	struct loop loop;
+	struct mailbox mailbox;
+	pthread_t thread;
+	struct platform platform;
+	struct peers peers;
+	struct readiness readiness;
+	struct loop_timer tick;
+	struct loop_timer poll_timer;
+	struct loop_timer operator_timer;
+	struct loop_timer directory_timer;
+	struct configuration *configuration;
+	GHashTable *servers; /**< struct known_server by id. */
+	GHashTable *duties;  /**< struct duty by service. */
+	GHashTable *members; /**< struct member by VM name, this one left out. */
+	bool has_directory;
+	bool is_polling;
+	bool is_registering;
+	bool is_registered;
+	uint64_t own_revision; /**< Of this VM's record. */
+	char *own_value;
+	int64_t known_us;
+	int64_t store_ok_us; /**< Since when the store answers; 0: it does not. */
+	int64_t hello_us;
+	int64_t question_us;
+	uint32_t vm_count;
+	bool is_view_old;
+	bool is_leaving;
+	bool has_left;
+	void (*handle_left) (void *data);
+	void *handle_left_data;
+};
+
+/* controller.c */
+void controller_poll (struct controller *controller, int64_t now_us);
+struct platform_answer;
+
+/* controller_duty.c */
+struct duty *duty_get (struct controller *controller, const char *service);
+void duty_free (struct duty *duty);
+void duty_tick (struct duty *duty, int64_t now_us);
+
+/** Adopts a record. @return whether it is news. */
+bool duty_set_record (struct duty *duty, const struct succession_record *record, int64_t now_us);
+void duty_tell_members (struct duty *duty);
+void duty_answer_claimant (struct duty *duty);
+char *duty_record_format (const struct succession_record *record);
+int duty_record_parse (const char *text, size_t length, struct succession_record *record);
+
+/** Highest revision of all records. */
+uint64_t controller_lead_revision (const struct controller *controller);
+
+/* controller_member.c */
+extern const struct peers_ops controller_peers_ops;
+struct member *member_get (struct controller *controller, const char *vm, int64_t now_us);
+void member_free (struct member *member);
+bool member_is_alive (const struct controller *controller, const struct member *member,
+                      int64_t now_us);
+void members_tick (struct controller *controller, int64_t now_us);
+
+extern const char controller_lead_prefix[];
+extern const char controller_member_prefix[];
--- /dev/null
+++ b/include/gateway/directory.h
@@ -0,0 +1,69 @@
+/**
+ * @file
+ * What operators and servers say: routes, services and server entries.
+ */
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum route_kind
+{
+	ROUTE_PRIMARY,           /**< Reads see every acknowledged commit. */
+	ROUTE_BOUNDED_STALENESS, /**< Reads see commits older than the route's bound. */
+	ROUTE_READ_YOUR_WRITES,  /**< As bounded staleness, and all commits of the session. */
+};
+
+struct route
+{
+	char *database; /**< Name that callers give. */
+	char *service;
+	enum route_kind kind;
+	uint32_t statement_timeout_ms;
+	uint32_t target_latency_ms; /**< Of a whole operation. */
+	uint32_t priority;          /**< 0: most urgent. */
+	uint32_t max_staleness_ms;
+};
+
+struct database_service
+{
+	char *name;
+	uint32_t max_connections; /**< Of one server, from all VMs together. */
+	uint32_t sync_replicas; /**< Replicas that have received a commit before it is acknowledged. */
+};
+
+/** One version of the operators' configuration; immutable, counted references. */
+struct configuration
+{
+	int references;
+	uint64_t version;
+	GHashTable *routes;   /**< struct route by database name. */
+	GHashTable *services; /**< struct database_service by name. */
+	uint32_t transaction_idle_ms;
+	uint32_t session_idle_ms;
+};
+
+struct configuration *configuration_new (void);
+struct configuration *configuration_hold (struct configuration *configuration);
+void configuration_release (struct configuration *configuration);
+void route_free (struct route *route);
+void database_service_free (struct database_service *service);
+
+/** A server's entry in the platform's directory. */
+struct server_entry
+{
+	char *id;
+	char *service;
+	char *zone;
+	uint32_t ip; /**< Host byte order. */
+	uint16_t port;
+	uint32_t slots;       /**< Statements that it runs at once. */
+	uint32_t cold_ms;     /**< It stays slow for this long. */
+	bool is_draining;     /**< It is about to stop. */
+	bool reports_primary; /**< How the server sees itself. */
+};
+
+void server_entry_clear (struct server_entry *entry);
+void server_entry_copy (struct server_entry *to, const struct server_entry *from);
--- /dev/null
+++ b/include/gateway/statement.h
@@ -0,0 +1,128 @@
+/**
+ * @file
+ * Statements and answers of a database session, independent of how they are spelled on the wire.
+ */
+#pragma once
+
+#include "decision/position.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/** A part of a message; points into the receive buffer. */
+struct text
+{
+	const char *start;
+	size_t length;
+};
+
+enum statement_kind
+{
+	STATEMENT_INVALID,
+	STATEMENT_BEGIN,
+	STATEMENT_BEGIN_READ, /**< Read-only transaction; may run on a replica. */
+	STATEMENT_COMMIT,
+	STATEMENT_ROLLBACK,
+	STATEMENT_READ,
+	STATEMENT_WRITE,
+	STATEMENT_SET,
+	STATEMENT_PREPARE,
+	STATEMENT_EXECUTE,
+	STATEMENT_DEALLOCATE,
+};
+
+struct statement
+{
+	enum statement_kind kind;
+	bool is_write;         /**< PREPARE: the prepared statement writes. */
+	struct text name;      /**< SET: name of the value; PREPARE, EXECUTE, DEALLOCATE: statement. */
+	struct text arguments; /**< SET: value; PREPARE: shape; EXECUTE: arguments as sent. */
+};
+
+/** Transaction state that follows each answer. */
+enum transaction_state
+{
+	TRANSACTION_NONE,
+	TRANSACTION_OPEN,
+	TRANSACTION_FAILED, /**< Only its end is accepted. */
+};
+
+enum answer_code
+{
+	ANSWER_DONE,
+	ANSWER_OVERLOADED,           /**< Did not run: no capacity. */
+	ANSWER_ROLLED_BACK,          /**< The transaction has no effect. */
+	ANSWER_BEHIND,               /**< Did not run: the log lacks the required position. */
+	ANSWER_NOT_PRIMARY,          /**< Did not run. */
+	ANSWER_WRONG_SERVER,         /**< Did not run: another service or server listens there. */
+	ANSWER_TOO_MANY_CONNECTIONS, /**< Did not run. */
+	ANSWER_UNKNOWN_STATEMENT,    /**< Did not run: the prepared name is not known. */
+	ANSWER_UNKNOWN_DATABASE,     /**< Did not run: no route has this name. */
+	ANSWER_MALFORMED,            /**< Did not run. */
+	ANSWER_FAILED,               /**< Ran and failed. */
+	ANSWER_TIMED_OUT,            /**< May have run. */
+	ANSWER_IN_DOUBT,             /**< May have run. */
+	ANSWER_OTHER,                /**< A code that is not known here; may have run. */
+};
+
+/** What a caller sends. */
+enum caller_message_kind
+{
+	CALLER_START,
+	CALLER_QUERY,
+	CALLER_BYE,
+	CALLER_MALFORMED,
+};
+
+struct caller_message
+{
+	enum caller_message_kind kind;
+	struct text database;       /**< CALLER_START. */
+	struct text caller;         /**< CALLER_START: who connects. */
+	struct text id;             /**< CALLER_QUERY. */
+	struct text text;           /**< CALLER_QUERY: the whole statement. */
+	struct statement statement; /**< CALLER_QUERY. */
+};
+
+/** What a server sends. */
+enum server_message_kind
+{
+	SERVER_READY, /**< Ends the answer to a statement. */
+	SERVER_ROW,
+	SERVER_COMPLETE,
+	SERVER_ERROR,
+	SERVER_MALFORMED,
+};
+
+struct server_message
+{
+	enum server_message_kind kind;
+	enum transaction_state state; /**< SERVER_READY. */
+	bool has_position;            /**< SERVER_READY. */
+	struct log_position position; /**< SERVER_READY: the server's log. */
+	enum answer_code code;        /**< SERVER_ERROR. */
+	struct text text;             /**< SERVER_ROW: the row; SERVER_ERROR: the message. */
+};
+
+/** A server's answer to a status question. */
+struct database_status
+{
+	bool is_primary;
+	uint64_t term;
+	struct log_position received;
+	uint64_t held_term;
+	uint32_t lag_ms;
+	uint32_t running;
+	uint32_t connections;
+};
+
+const char *answer_code_name (enum answer_code code);
+
+/** The answer promises that nothing of the request or its transaction is kept. */
+bool answer_code_did_not_run (enum answer_code code);
+
+static inline bool
+text_equals (struct text text, const char *other, size_t length)
+{
+	return text.length == length && __builtin_memcmp (text.start, other, length) == 0;
+}
--- /dev/null
+++ b/include/gateway/view.h
@@ -0,0 +1,54 @@
+/**
+ * @file
+ * What the control thread knows, as the traffic thread sees it, and their messages.
+ */
+#pragma once
+
+#include "common/mailbox.h"
+#include "gateway/directory.h"
+#include "gateway/statement.h"
+
+enum
+{
+	/**
+	 * How long a VM may use a primary after it last knew that no change of primary was ordered. Whoever
+	 * orders a change waits this long for VMs that do not answer. Covers several lost or slow polls of the
+	 * store; a longer time would delay a failover beside a dead VM.
+	 */
+	LEAD_AUTHORITY_MS = 2500,
+};
+
+/** The primary of a service, by the record in the store. */
+struct lead
+{
+	char *service;
+	char *primary;     /**< Server id. */
+	uint64_t revision; /**< Of the record; names the change. */
+	bool is_changing;  /**< A change was ordered: nobody may use the primary. */
+	bool is_planned;   /**< The old primary works: running work may end first. */
+};
+
+/** Immutable; the traffic thread frees it. */
+struct view
+{
+	struct configuration *configuration;
+	GArray *leads;   /**< Of struct lead. */
+	GArray *servers; /**< Of struct server_entry. */
+	uint32_t vm_count;
+	bool is_registered; /**< Whoever orders a change of primary asks this VM. */
+	int64_t known_us;   /**< The leads held at that time. */
+};
+
+struct view *view_new (void);
+void view_free (struct view *view);
+
+/** What the traffic thread saw of a server; sent when it changes and when it was asked for. */
+struct server_report
+{
+	char *server;
+	char *service;
+	bool is_unreachable;
+	bool has_status;
+	struct database_status status;
+	int64_t at_us;
+};
--- /dev/null
+++ b/include/platform/store.h
@@ -0,0 +1,18 @@
+/**
+ * @file
+ * The platform's metadata store and its call for promotions, behind struct platform_ops.
+ */
+#pragma once
+
+#include "flamingospring/platform.h"
+
+struct store_settings
+{
+	const char *store_address; /**< "IP:PORT". */
+	const char *cloud_address; /**< "IP:PORT" of the call for promotions. */
+	uint32_t source_ip;        /**< Host byte order. */
+};
+
+/** @return 0 or a negative error number. */
+int platform_store_init (struct platform *platform, struct loop *loop,
+                         const struct store_settings *settings);
--- /dev/null
+++ b/include/platform/wire.h
@@ -0,0 +1,48 @@
+/**
+ * @file
+ * Codec of the platform's database wire protocol, for callers and for servers.
+ *
+ * A message is one line: a word, then fields separated by blanks; the last field reaches to the end
+ * of the line (CR LF). Decoders take a line without its end; encoders append whole lines.
+ */
+#pragma once
+
+#include "gateway/statement.h"
+
+#include <glib.h>
+
+enum
+{
+	WIRE_MAX_MESSAGE_BYTES = 1024 * 1024, /**< Platform's protocol page. */
+};
+
+struct caller_message wire_decode_caller (struct text line);
+struct server_message wire_decode_server (struct text line);
+
+/** Decodes the row that answers a status question. @return 0 or -EBADMSG. */
+int wire_decode_status (struct text row, struct database_status *status);
+
+void wire_encode_ready (GString *out, enum transaction_state state);
+
+/** Completion of a statement that no server ran. */
+void wire_encode_complete (GString *out);
+void wire_encode_error (GString *out, enum answer_code code, const char *message);
+
+/** Greeting to a server: refused when another service or server listens there. */
+void wire_encode_start (GString *out, const char *service, const char *vm, const char *server_id);
+
+/** A caller's statement, with its id and text unchanged. @p after (may be NULL): the position that
+ * the log must contain. */
+void wire_encode_query (GString *out, struct text id, const struct log_position *after,
+                        struct text text);
+
+/** EXECUTE under another prepared name. */
+void wire_encode_execute (GString *out, struct text id, const struct log_position *after,
+                          const char *name, struct text arguments);
+void wire_encode_begin (GString *out, bool is_read_only, const struct log_position *after);
+void wire_encode_rollback (GString *out);
+void wire_encode_reset (GString *out);
+void wire_encode_set (GString *out, const char *name, const char *value);
+void wire_encode_prepare (GString *out, const char *name, bool is_write, const char *shape);
+void wire_encode_status (GString *out);
+void wire_encode_demote (GString *out, uint64_t term);
--- /dev/null
+++ b/protocols/gateway.x
@@ -0,0 +1,51 @@
+/* Datagrams between the gateways of a fleet: one-way calls. Every name has a prefix: rpcgen turns names
+ * into macros. */
+
+const FS_GATEWAY_MAX_NAME = 96;
+
+/* A service's record in the store, told ahead of the next poll. */
+struct fs_lead_args {
+	string vm<FS_GATEWAY_MAX_NAME>;
+	string service<FS_GATEWAY_MAX_NAME>;
+	string primary<FS_GATEWAY_MAX_NAME>;
+	string claimant<FS_GATEWAY_MAX_NAME>;
+	unsigned hyper revision;
+	bool is_changing;
+	bool is_planned;
+};
+
+/* Nothing runs at the old primary any more. */
+struct fs_quiesced_args {
+	string vm<FS_GATEWAY_MAX_NAME>;
+	string service<FS_GATEWAY_MAX_NAME>;
+	unsigned hyper revision;
+};
+
+/* Asks for, or tells, whether a server is reachable. */
+struct fs_reachability_args {
+	string vm<FS_GATEWAY_MAX_NAME>;
+	string server<FS_GATEWAY_MAX_NAME>;
+	bool is_question;
+	bool is_unreachable;
+};
+
+/* The sender lives. A question is answered with the same number; an answer tells how old the sender's
+ * knowledge of all services' records is, and the highest revision among them. */
+struct fs_hello_args {
+	string vm<FS_GATEWAY_MAX_NAME>;
+	unsigned hyper number;
+	bool is_question;
+	bool has_knowledge;
+	bool is_registered; /* The store's list of VMs names the one that asked. */
+	unsigned hyper revision;
+	unsigned hyper age_us;
+};
+
+program FS_GATEWAY_PROGRAM {
+	version FS_GATEWAY_VERSION {
+		void FS_LEAD(fs_lead_args) = 1;
+		void FS_QUIESCED(fs_quiesced_args) = 2;
+		void FS_REACHABILITY(fs_reachability_args) = 3;
+		void FS_HELLO(fs_hello_args) = 4;
+	} = 1;
+} = 0x2f5a0003;
