gateway: position after a promotion is never older than the bound; early refusals

A queued request that nothing can run is refused after a fifth of its target; greetings wait for the first configuration.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -178,13 +178,21 @@
 	       strcmp (server->id, succession->refused) != 0;
 }
 
-/** A server that leads a later term already, or the furthest log. */
+/** An earlier order was carried out, but not recorded: the server leads already. */
 static bool
-is_better (const struct succession_server *server, const struct succession_server *best,
-           uint64_t old_term)
+leads_already (const struct succession *succession, const struct succession_server *server)
 {
-	bool leads = server->is_primary && server->term > old_term;
-	bool best_leads = best && best->is_primary && best->term > old_term;
+	return server->is_primary && server->term > succession->record.term &&
+	       strcmp (server->id, succession->record.primary) != 0;
+}
+
+/** A server that leads already, or the furthest log. */
+static bool
+is_better (const struct succession *succession, const struct succession_server *server,
+           const struct succession_server *best)
+{
+	bool leads = leads_already (succession, server);
+	bool best_leads = best && leads_already (succession, best);
 
 	if (!best || leads != best_leads)
 		return !best || leads;
@@ -202,7 +210,7 @@
 static struct choice
 choose (const struct succession *succession, const struct succession_input *input, bool is_late)
 {
-	struct choice choice = { 0 };
+	struct choice choice = { .max_term = succession->record.term };
 
 	for (size_t i = 0; i < input->server_count; i++)
 	{
@@ -220,8 +228,7 @@
 		/* The old primary may lead again when nothing else is there. */
 		if (is_old && (succession->is_planned || !is_late || choice.best))
 			continue;
-		if (is_candidate (succession, server) &&
-		    is_better (server, choice.best, succession->old_term))
+		if (is_candidate (succession, server) && is_better (succession, server, choice.best))
 			choice.best = server;
 	}
 	return choice;
@@ -262,7 +269,6 @@
 		return claim (succession, succession->is_planned, now_us);
 	if (!succession->has_demoted && old && !old->is_unreachable && choice.max_term > 0)
 	{
-		succession->old_term = choice.max_term;
 		succession->demote_term = choice.max_term + 1;
 		succession->has_demoted = true;
 		return SUCCESSION_DEMOTE;
@@ -272,8 +278,8 @@
 	    !has_caught_up (succession, input, choice.best, now_us))
 		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
 	snprintf (succession->target, sizeof succession->target, "%s", choice.best->id);
-	if (succession->old_term == 0)
-		succession->old_term = choice.max_term;
+	succession->old_term =
+		leads_already (succession, choice.best) ? succession->record.term : choice.max_term;
 	set_phase (succession, SUCCESSION_PROMOTING, now_us);
 	succession->asked_us = now_us;
 	return SUCCESSION_PROMOTE;
@@ -298,8 +304,9 @@
 	const struct succession_server *target = find_server (input, succession->target);
 
 	if (target && target->has_status && target->status_us > succession->phase_us &&
-	    target->is_primary)
+	    target->is_primary && target->term > succession->old_term)
 	{
+		succession->new_term = target->term;
 		set_phase (succession, SUCCESSION_RECORDING, now_us);
 		succession->asked_us = now_us;
 		return SUCCESSION_RECORD;
--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -68,9 +68,10 @@
 char *
 duty_record_format (const struct succession_record *record)
 {
-	return g_strdup_printf ("primary=%s claimant=%s changing=%d planned=%d", record->primary,
-	                        record->claimant[0] ? record->claimant : "-", record->is_changing,
-	                        record->is_planned);
+	return g_strdup_printf ("primary=%s claimant=%s changing=%d planned=%d term=%llu",
+	                        record->primary, record->claimant[0] ? record->claimant : "-",
+	                        record->is_changing, record->is_planned,
+	                        (unsigned long long) record->term);
 }
 
 int
@@ -79,13 +80,15 @@
 	char *copy = g_strndup (text, length);
 	int changing = 0;
 	int planned = 0;
-	int count = sscanf (copy, "primary=%95s claimant=%95s changing=%d planned=%d", record->primary,
-	                    record->claimant, &changing, &planned);
+	unsigned long long term = 0;
+	int count = sscanf (copy, "primary=%95s claimant=%95s changing=%d planned=%d term=%llu",
+	                    record->primary, record->claimant, &changing, &planned, &term);
 
 	g_free (copy);
 	record->is_changing = changing != 0;
 	record->is_planned = planned != 0;
-	return count == 4 ? 0 : -EBADMSG;
+	record->term = term;
+	return count == 5 ? 0 : -EBADMSG;
 }
 
 bool
@@ -99,6 +102,7 @@
 	           record->is_changing, record->is_planned, record->claimant);
 	succession_set_record (&duty->succession, record, now_us);
 	g_hash_table_remove_all (duty->opinions);
+	duty->unreachable_us = 0;
 	duty->controller->is_view_old = true;
 	return true;
 }
@@ -139,6 +143,7 @@
 		.revision = record->revision,
 		.is_changing = record->is_changing,
 		.is_planned = record->is_planned,
+		.term = record->term,
 	};
 	GHashTableIter iter;
 	gpointer value;
@@ -298,11 +303,14 @@
 			return SUCCESSION_FAILED;
 	}
 	if (!primary->is_unreachable)
+	{
+		duty->unreachable_us = 0;
 		return SUCCESSION_NO_CAUSE;
+	}
+	if (duty->unreachable_us == 0)
+		duty->unreachable_us = now_us;
 	ask_opinions (duty, primary->entry.id, now_us);
-	since_us = succession->record_us > duty->status_asked_us ? succession->record_us
-	                                                         : duty->status_asked_us;
-	return is_agreed (duty, since_us, now_us) ? SUCCESSION_FAILED : SUCCESSION_NO_CAUSE;
+	return is_agreed (duty, duty->unreachable_us, now_us) ? SUCCESSION_FAILED : SUCCESSION_NO_CAUSE;
 }
 
 static uint64_t
@@ -376,6 +384,12 @@
 	if (duty->succession.phase == SUCCESSION_RECORDING && revision > 0)
 		counter_add (COUNTER_FAILOVERS, 1);
 	succession_handle_swap (&duty->succession, revision, now_us);
+	if (revision > 0)
+	{
+		duty->swap.revision = revision;
+		duty_set_record (duty, &duty->swap, now_us);
+		duty_tell_members (duty);
+	}
 	/* The list of VMs and the records are read again at once. */
 	controller_poll (controller, now_us);
 }
@@ -386,9 +400,12 @@
 	struct controller *controller = duty->controller;
 	char *key = g_strdup_printf ("%s%s", controller_lead_prefix, duty->service);
 	char *value = duty_record_format (record);
-	int result = controller->platform.ops->swap (&controller->platform, key,
-	                                             duty->succession.record.revision, value,
-	                                             strlen (value), handle_swap, duty);
+	int result;
+
+	duty->swap = *record;
+	result = controller->platform.ops->swap (&controller->platform, key,
+	                                         duty->succession.record.revision, value,
+	                                         strlen (value), handle_swap, duty);
 
 	log_event (LOG_LEVEL_INFO, "record_swap_sent", "service=%s %s expected=%llu result=%d",
 	           duty->service, value, (unsigned long long) duty->succession.record.revision, result);
@@ -445,6 +462,7 @@
 		memcpy (record.claimant, succession->vm, sizeof record.claimant);
 		record.is_changing = false;
 		record.is_planned = false;
+		record.term = succession->new_term;
 		swap_record (duty, &record);
 		break;
 	case SUCCESSION_CLAIM:
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -154,6 +154,7 @@
 		.revision = args->revision,
 		.is_changing = args->is_changing,
 		.is_planned = args->is_planned,
+		.term = args->term,
 	};
 
 	note_heard (controller, args->vm);
@@ -233,6 +234,7 @@
 			.revision = record->revision,
 			.is_changing = record->is_changing,
 			.is_planned = record->is_planned,
+			.term = record->term,
 		};
 
 		if (record->revision > 0)
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -195,13 +195,19 @@
 		session->state != TRANSACTION_NONE ? session->began_us : session->request.arrived_us;
 	int64_t since_us = arrived_us - (int64_t) session->max_staleness_ms * US_PER_MS;
 
+	bool has_commit = session->route_kind == ROUTE_READ_YOUR_WRITES && session->committed.term > 0;
+
+	/* A promotion may have rolled the commit back; what the new primary has said since is enough. */
+	if (has_commit && session->committed_revision != service->lead_revision)
+	{
+		if (service->changing_us > since_us)
+			since_us = service->changing_us;
+		has_commit = false;
+	}
 	if (!position_history_find (&service->history, since_us, position))
 		return false;
-	if (session->route_kind != ROUTE_READ_YOUR_WRITES || session->committed.term == 0)
+	if (!has_commit)
 		return true;
-	/* A promotion may have rolled the commit back; what the new primary has said since is enough. */
-	if (session->committed_revision != service->lead_revision)
-		return position_history_find (&service->history, service->changing_us, position);
 	if (log_position_compare (session->committed, *position) > 0)
 		*position = session->committed;
 	return true;
@@ -233,6 +239,7 @@
 	connection->sent_us = now_us;
 	connection->sent_as_lead = is_primary && service_can_use_primary (server->service, now_us);
 	request->is_sent = true;
+	request->sent_us = now_us;
 	request->attempts++;
 	connection_set_state (connection, CONNECTION_RUNNING);
 	if (request->shape)
@@ -263,6 +270,8 @@
 	struct log_position position;
 	const struct log_position *after = NULL;
 
+	if (session->connection != connection)
+		session->request.chosen_us = now_us;
 	connection->session = session;
 	session->connection = connection;
 	if (begins && connection->is_in_transaction)
@@ -348,6 +357,27 @@
 		session_fail (session, ANSWER_OVERLOADED, "refused by all servers, retry later");
 }
 
+/** Tells where the time of a slow request went. */
+static void
+log_slow (const struct session *session, const struct server *server, int64_t now_us)
+{
+	const struct request *request = &session->request;
+	int64_t total_us = now_us - request->arrived_us;
+
+	if (total_us < (int64_t) session->target_latency_ms * US_PER_MS / 2)
+		return;
+	log_event (LOG_LEVEL_INFO, "slow",
+	           "request=%s service=%s priority=%u server=%s near=%d primary=%d transaction=%d "
+	           "attempts=%u total_ms=%lld queued_ms=%lld setup_ms=%lld server_ms=%lld",
+	           request->id->str, session->service->name, session->priority, server->id,
+	           server->is_near, session->service->primary == server,
+	           session->state != TRANSACTION_NONE, request->attempts,
+	           (long long) total_us / US_PER_MS,
+	           (long long) (request->chosen_us - request->arrived_us) / US_PER_MS,
+	           (long long) (request->sent_us - request->chosen_us) / US_PER_MS,
+	           (long long) (now_us - request->sent_us) / US_PER_MS);
+}
+
 /** Passes a server's answer on. */
 static void
 session_forward (struct session *session, const char *answer, size_t length)
@@ -386,6 +416,7 @@
 	                        : request_is_write (request);
 	bool is_held;
 
+	log_slow (session, connection->server, now_us);
 	if (was_open && request_is_write (request))
 		session->has_written = true;
 	if (commits)
@@ -738,10 +769,15 @@
 	counter_add (COUNTER_REQUESTS, 1);
 }
 
+/** Answers the greeting; waits while no configuration is known, e.g. after a restart. */
 static void
-handle_start (struct session *session, const struct caller_message *message)
+session_greet (struct session *session)
 {
-	session->database = g_strndup (message->database.start, message->database.length);
+	const struct view *view = session->traffic->view;
+
+	session->is_starting = !view || !view->configuration;
+	if (session->is_starting)
+		return;
 	if (!session_take_route (session))
 	{
 		wire_encode_error (session->stream.out, ANSWER_UNKNOWN_DATABASE, "no route has this name");
@@ -754,6 +790,13 @@
 	line_stream_flush (&session->stream);
 }
 
+static void
+handle_start (struct session *session, const struct caller_message *message)
+{
+	session->database = g_strndup (message->database.start, message->database.length);
+	session_greet (session);
+}
+
 static void
 handle_line (struct line_stream *stream, struct text line)
 {
@@ -770,7 +813,7 @@
 		handle_query (session, now_us);
 		return;
 	}
-	if (message.kind == CALLER_START && !session->is_greeted)
+	if (message.kind == CALLER_START && !session->database)
 	{
 		handle_start (session, &message);
 		return;
@@ -881,6 +924,41 @@
 		session_close (session);
 }
 
+/** Nothing can run the request at present, as far as this VM knows. */
+static bool
+is_unavailable (const struct session *session, int64_t now_us)
+{
+	const struct service *service = session->service;
+	struct log_position position;
+	bool has_primary =
+		service_can_use_primary (service, now_us) && service->primary->failed_us == 0;
+
+	if (has_primary)
+		return false;
+	return session_needs_primary (session) || !session_find_position (session, &position);
+}
+
+/** Refuses a queued request that would be served too late; another VM may be better off. */
+static void
+session_tick_queued (struct session *session, int64_t now_us)
+{
+	/* Of the target latency. A refusal within a quarter of it costs the caller little; a request that is
+	 * late anyway only keeps others waiting. */
+	enum
+	{
+		UNAVAILABLE_PERCENT = 20,
+		OVERLOADED_PERCENT = 85,
+	};
+	struct request *request = &session->request;
+	int64_t waited_us = now_us - request->arrived_us;
+	int64_t target_us = (int64_t) session->target_latency_ms * US_PER_MS;
+
+	if (waited_us > target_us * UNAVAILABLE_PERCENT / 100 && is_unavailable (session, now_us))
+		session_fail (session, ANSWER_OVERLOADED, "no server can run it now, retry elsewhere");
+	else if (waited_us > target_us * OVERLOADED_PERCENT / 100)
+		session_fail (session, ANSWER_OVERLOADED, "all servers are busy, retry later");
+}
+
 void
 session_tick (struct session *session, int64_t now_us)
 {
@@ -898,11 +976,17 @@
 	else if (request->is_active && session->connection && !request->is_sent &&
 	         session->connection->state == CONNECTION_IDLE && now_us >= request->retry_us)
 		session_run (session, session->connection, now_us);
+	else if (request->is_active && request->is_queued)
+		session_tick_queued (session, now_us);
 	else if (!request->is_active && session->state == TRANSACTION_OPEN && !session->is_aborted &&
 	         view && view->configuration &&
 	         now_us - session->active_us >
 	             (int64_t) view->configuration->transaction_idle_ms * US_PER_MS)
 		session_abort_idle (session);
+	if (session->is_starting)
+		session_greet (session);
+	if (session->is_closed)
+		return;
 	if (!session->is_greeted && now_us - session->active_us > GREETING_TIMEOUT_US)
 		session_close (session);
 	else if (session->traffic->is_leaving && !session->is_closed)
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -81,6 +81,7 @@
 	char primary[SUCCESSION_NAME_BYTES];
 	char claimant[SUCCESSION_NAME_BYTES];
 	uint64_t revision; /**< 0: there is no record. */
+	uint64_t term;     /**< That the primary leads; 0: not known, it was never changed. */
 	bool is_changing;
 	bool is_planned;
 };
@@ -97,7 +98,8 @@
 	int64_t claimed_us; /**< When the order was known to be in the store. */
 	int64_t phase_us;
 	int64_t asked_us;
-	uint64_t old_term;
+	uint64_t old_term; /**< The successor leads a later one. */
+	uint64_t new_term; /**< Of the successor, for the record. */
 	uint64_t demote_term;
 	bool is_planned;
 	bool has_demoted;
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -50,13 +50,14 @@
 	char *service;
 	struct controller *controller;
 	struct succession succession;
-	uint64_t swap_expected;     /**< Revision that the outstanding swap expects. */
-	uint64_t quiesced_revision; /**< Of this VM's traffic thread. */
+	struct succession_record swap; /**< What the outstanding swap writes. */
+	uint64_t quiesced_revision;    /**< Of this VM's traffic thread. */
 	struct peer_address claimant;
 	GHashTable *quiesced; /**< VM name to revision (pointer to uint64_t). */
 	GHashTable *opinions; /**< VM name to struct opinion. */
 	int64_t opinion_asked_us;
 	int64_t status_asked_us;
+	int64_t unreachable_us; /**< Since when this VM does not reach the primary; 0: it does. */
 };
 
 struct controller
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -130,6 +130,8 @@
 	enum answer_code last_code; /**< Why the last attempt did not run. */
 	GString *answer;            /**< Held. */
 	bool is_commit;
+	int64_t chosen_us;   /**< When the present connection was chosen. */
+	int64_t sent_us;     /**< When the statement was sent last. */
 	int64_t answered_us; /**< Held. */
 };
 
@@ -139,6 +141,7 @@
 	struct gateway_traffic *traffic;
 	struct service *service; /**< Of the present transaction; may be NULL. */
 	bool is_greeted;
+	bool is_starting; /**< The greeting waits for a configuration. */
 	bool is_closed;
 	char *database;
 	GHashTable *values;   /**< Acknowledged values, name to value. */
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -22,6 +22,7 @@
 	char *primary;
 	char *claimant;
 	u_quad_t revision;
+	u_quad_t term;
 	bool_t is_changing;
 	bool_t is_planned;
 };
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -10,6 +10,7 @@
 	string primary<FS_GATEWAY_MAX_NAME>;
 	string claimant<FS_GATEWAY_MAX_NAME>;
 	unsigned hyper revision;
+	unsigned hyper term;
 	bool is_changing;
 	bool is_planned;
 };
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -20,6 +20,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_changing))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_planned))
