--- a/gateway/service.c
+++ b/gateway/service.c
@@ -282,6 +282,7 @@
 	struct server *primary = find_primary (service, lead ? lead->primary : NULL);
 	bool is_changing = lead && lead->is_changing;
 	uint64_t revision = lead ? lead->revision : 0;
+	struct server *old = service->primary;
 
 	if (service->lead_revision == revision && service->primary == primary)
 		return;
@@ -289,20 +290,20 @@
 	           "service=%s primary=%s revision=%llu changing=%d planned=%d", service->name,
 	           primary ? primary->id : "-", (unsigned long long) revision, is_changing,
 	           lead && lead->is_planned);
-	if (service->lead_revision != revision)
-		release_held (service, false);
-	/* Nothing goes on at a primary that was replaced without this VM having noticed the change. */
-	if (service->primary && service->primary != primary)
-		server_close_all (service->primary);
 	service->primary = primary;
 	service->is_planned = lead && lead->is_planned;
+	service->is_changing = is_changing;
 	if (service->lead_revision != revision)
 	{
 		service->is_quiesced = false;
 		service->changing_us = now_us;
+		service->lead_revision = revision;
+		release_held (service, false);
 	}
-	service->is_changing = is_changing;
-	service->lead_revision = revision;
+	/* Nothing goes on at a primary that was replaced without this VM having noticed the change. What is
+	 * offered again from here on sees the new lead. */
+	if (old && old != primary)
+		server_close_all (old);
 	service_quiesce (service, now_us);
 }
 
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -126,6 +126,20 @@
 	}
 }
 
+static void
+apply_known (struct gateway_traffic *traffic, int64_t known_us, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (known_us <= traffic->known_us)
+		return;
+	traffic->known_us = known_us;
+	g_hash_table_iter_init (&iter, traffic->services);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		service_handle_known (value, now_us);
+}
+
 static void
 apply_view (struct gateway_traffic *traffic, struct view *view, int64_t now_us)
 {
@@ -134,8 +148,6 @@
 
 	view_free (traffic->view);
 	traffic->view = view;
-	if (view->known_us > traffic->known_us)
-		traffic->known_us = view->known_us;
 	apply_servers (traffic);
 	g_hash_table_iter_init (&iter, traffic->services);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -149,23 +161,11 @@
 			service->max_connections = declared->max_connections;
 		service_apply_lead (service, find_lead (view, service->name), now_us);
 	}
+	/* Only now: before, a service could have used its former primary with the new authority. */
+	apply_known (traffic, view->known_us, now_us);
 	g_hash_table_iter_init (&iter, traffic->services);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
-		service_handle_known (value, now_us);
-}
-
-static void
-apply_known (struct gateway_traffic *traffic, int64_t known_us, int64_t now_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (known_us <= traffic->known_us)
-		return;
-	traffic->known_us = known_us;
-	g_hash_table_iter_init (&iter, traffic->services);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-		service_handle_known (value, now_us);
+		service_dispatch (value, now_us);
 }
 
 static void
