gateway: statements go over the owner of each server

Cause: 16 connections of a primary were shared out between 7 VMs; transactions hold them while their callers think, so that urgent statements waited 70 to 130 ms for one, and each statement from another zone paid a round trip for session values. Now one VM of the server's zone holds the connections and orders the work of all VMs; others forward to it in the servers' protocol, with the setup in the same round trip. Without the owner a VM goes to the server directly.

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -59,7 +59,9 @@
 
 	log_event (LOG_LEVEL_WARN, "connection_refused", "server=%s code=%s open=%u", server->id,
 	           answer_code_name (code), server->connection_count);
-	if (code == ANSWER_TOO_MANY_CONNECTIONS)
+	if (connection->is_relayed)
+		server_handle_relay_lost (server, now_us);
+	else if (code == ANSWER_TOO_MANY_CONNECTIONS)
 	{
 		server_handle_alive (server, now_us);
 		server->next_growth_us = now_us + GROWTH_PAUSE_US;
@@ -138,6 +140,13 @@
 	struct server *server = connection->server;
 	int64_t elapsed_us = now_us - connection->sent_us;
 
+	/* Over the owner, the setup goes ahead of the statement without waiting. */
+	if (connection->setup_pending > 0)
+	{
+		connection->setup_pending--;
+		answer_reset (connection);
+		return;
+	}
 	server->latency_us += (elapsed_us - server->latency_us) / 8;
 	connection->is_in_transaction = ready->state != TRANSACTION_NONE;
 	connection_set_state (connection, CONNECTION_IDLE);
@@ -169,6 +178,8 @@
 	int64_t now_us = clock_now_us ();
 
 	server_handle_alive (connection->server, now_us);
+	if (connection->is_relayed)
+		connection->server->relay_answered_us = now_us;
 	note_position (connection, ready, now_us);
 	switch (connection->state)
 	{
@@ -204,6 +215,7 @@
 	struct server *server = connection->server;
 	bool was_running = connection->state == CONNECTION_RUNNING;
 	bool was_opening = connection->state == CONNECTION_OPENING;
+	bool is_relayed = connection->is_relayed;
 	int64_t now_us = clock_now_us ();
 
 	if (connection->state != CONNECTION_IDLE || session)
@@ -211,7 +223,9 @@
 		           server->id, cause, error, connection->state);
 	connection->session = NULL;
 	connection_close (connection);
-	if (was_opening)
+	if (is_relayed && (was_opening || session))
+		server_handle_relay_lost (server, now_us);
+	else if (was_opening)
 		server_handle_failed (server, now_us);
 	if (!session)
 		return;
@@ -275,7 +289,7 @@
 };
 
 struct connection *
-connection_open (struct server *server, int64_t now_us)
+connection_open (struct server *server, bool is_direct, int64_t now_us)
 {
 	struct gateway_traffic *traffic = server->service->traffic;
 	struct connection *connection = g_new0 (struct connection, 1);
@@ -288,8 +302,12 @@
 	connection->answer = g_string_new (NULL);
 	connection->opened_us = now_us;
 	connection->sent_us = now_us;
-	result = line_stream_connect (&connection->stream, &traffic->loop, &connection_ops, server->ip,
-	                              server->port, traffic->settings.ip, WIRE_MAX_MESSAGE_BYTES);
+	connection->is_relayed = server_uses_relay (server, now_us) && !is_direct;
+	connection->relay_ip = server->owner_ip;
+	result = line_stream_connect (&connection->stream, &traffic->loop, &connection_ops,
+	                              connection->is_relayed ? server->owner_ip : server->ip,
+	                              connection->is_relayed ? server->owner_port : server->port,
+	                              traffic->settings.ip, WIRE_MAX_MESSAGE_BYTES);
 	if (result < 0)
 	{
 		log_event (LOG_LEVEL_WARN, "connect_failed", "server=%s error=%d", server->id, result);
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -66,19 +66,22 @@
 	char *value = g_strndup (pair->value, pair->value_length);
 	struct member *member;
 	char address[BOOT_ADDRESS_BYTES];
+	char zone[BOOT_NAME_BYTES];
 
 	if (strcmp (vm, controller->boot.vm) == 0)
 	{
 		controller->own_revision = pair->revision;
 		controller->is_registered = strcmp (value, controller->own_value) == 0;
 	}
-	else if (sscanf (value, "address=%63s", address) == 1)
+	else if (sscanf (value, "address=%63s zone=%79s", address, zone) == 2)
 	{
 		member = member_get (controller, vm, now_us);
 		if (boot_address_parse (address, &member->address.ip, &member->address.port) < 0)
 			log_event (LOG_LEVEL_ERROR, "member_malformed", "member=%s", vm);
 		if (member->revision != pair->revision)
 			member->seen_us = now_us;
+		g_free (member->zone);
+		member->zone = g_strdup (zone);
 		member->revision = pair->revision;
 		member->is_listed = true;
 	}
@@ -164,6 +167,20 @@
 		server_entry_copy (&entry, &server->entry);
 		g_array_append_val (view->servers, entry);
 	}
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct member *member = value;
+		struct view_member entry = {
+			.vm = g_strdup (member->vm),
+			.zone = g_strdup (member->zone),
+			.ip = member->address.ip,
+			.port = member->address.port,
+		};
+
+		if (member->is_serving)
+			g_array_append_val (view->members, entry);
+	}
 	gateway_traffic_send_view (controller->traffic, view);
 }
 
@@ -489,6 +506,7 @@
 	{
 		log_event (LOG_LEVEL_INFO, "leaving", "grace_ms=%u", controller->boot.grace_ms);
 		controller->is_leaving = true;
+		controller->hello_us = 0; /* The other VMs learn it with the next tick. */
 		gateway_traffic_send_leave (controller->traffic);
 	}
 	if (message->has_left && !controller->has_left)
@@ -635,9 +653,10 @@
 	controller->members =
 		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) member_free);
 	/* The start time tells this process from an earlier one of the same VM. */
-	controller->own_value = g_strdup_printf (
-		"address=%u.%u.%u.%u:%u start=%lld", boot->ip >> 24, boot->ip >> 16 & 255,
-		boot->ip >> 8 & 255, boot->ip & 255, boot->peer_port, (long long) clock_wall_ns ());
+	controller->own_value =
+		g_strdup_printf ("address=%u.%u.%u.%u:%u zone=%s start=%lld", boot->ip >> 24,
+	                     boot->ip >> 16 & 255, boot->ip >> 8 & 255, boot->ip & 255, boot->peer_port,
+	                     boot->zone, (long long) clock_wall_ns ());
 	timer_prepare (&controller->tick, controller, handle_tick);
 	timer_prepare (&controller->poll_timer, controller, handle_poll_timer);
 	timer_prepare (&controller->operator_timer, controller, handle_operator_timer);
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -33,6 +33,7 @@
 member_free (struct member *member)
 {
 	g_free (member->vm);
+	g_free (member->zone);
 	g_free (member);
 }
 
@@ -92,6 +93,7 @@
 		.vm = controller->boot.vm,
 		.number = (uint64_t) now_us,
 		.is_question = is_question,
+		.is_leaving = controller->is_leaving,
 		.revision = controller_lead_revision (controller),
 	};
 	GHashTableIter iter;
@@ -129,7 +131,17 @@
 	}
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
-		count += member_is_alive (controller, value, now_us);
+	{
+		struct member *member = value;
+		bool is_alive = member_is_alive (controller, member, now_us);
+
+		count += is_alive;
+		if (member->is_serving != (is_alive && !member->is_leaving))
+		{
+			member->is_serving = !member->is_serving;
+			controller->is_view_old = true;
+		}
+	}
 	if (count != controller->vm_count)
 		controller->is_view_old = true;
 	controller->vm_count = count;
@@ -251,11 +263,14 @@
 	int64_t asked_us = (int64_t) args->number;
 	uint64_t revision = controller_lead_revision (controller);
 
+	if (member)
+		member->is_leaving = args->is_leaving;
 	if (args->is_question)
 	{
 		struct fs_hello_args answer = {
 			.vm = controller->boot.vm,
 			.number = args->number,
+			.is_leaving = controller->is_leaving,
 			.has_knowledge = controller->known_us > 0,
 			.is_registered = member && member->is_listed,
 			.revision = revision,
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -86,6 +86,7 @@
 		.zone = boot->zone,
 		.ip = boot->ip,
 		.caller_port = boot->caller_port,
+		.relay_port = boot->peer_port,
 		.grace_ms = boot->grace_ms,
 		.max_sessions = max_sessions (boot),
 	};
--- /dev/null
+++ b/gateway/relay.c
@@ -0,0 +1,201 @@
+/**
+ * @file
+ * Statements that other VMs forward to the owner of a server.
+ *
+ * They speak the servers' protocol to the owner, as if it were the server with any number of
+ * connections. Values, prepared names and the beginning of a transaction stay here until a statement
+ * needs a real connection, so that the other VM can send all of them at once.
+ */
+#include "gateway/traffic_private.h"
+
+#include "common/log.h"
+#include "platform/wire.h"
+
+#include <string.h>
+
+enum
+{
+	/* The other VM gives up earlier; this only ends what it has forgotten. */
+	RELAY_DEADLINE_US = 5 * US_PER_S,
+};
+
+void
+relay_answer (struct session *session, enum transaction_state state)
+{
+	session->state = state;
+	wire_encode_ready (session->stream.out, state, &session->relay_server->applied);
+	session_answered (session);
+}
+
+static void
+relay_complete (struct session *session)
+{
+	wire_encode_complete (session->stream.out);
+	relay_answer (session, session->state);
+}
+
+void
+relay_refuse (struct session *session, enum answer_code code, const char *message)
+{
+	bool had_begun = session->state == TRANSACTION_OPEN && session->is_started;
+
+	if (session->service)
+		service_remove (session->service, session);
+	wire_encode_error (session->stream.out, code, message);
+	session_end_transaction (session);
+	relay_answer (session, had_begun ? TRANSACTION_FAILED : TRANSACTION_NONE);
+}
+
+/** "VM SERVER" in the greeting. */
+static struct server *
+find_server (const struct session *session, const struct caller_message *message)
+{
+	const char *blank = memchr (message->caller.start, ' ', message->caller.length);
+	struct server *server;
+	char *id;
+
+	if (!blank)
+		return NULL;
+	id = g_strndup (blank + 1,
+	                message->caller.length - (size_t) (blank + 1 - message->caller.start));
+	server = g_hash_table_lookup (session->traffic->servers, id);
+	g_free (id);
+	if (!server || !server->is_listed || server->failed_us > 0 ||
+	    !text_equals (message->database, server->service->name, strlen (server->service->name)))
+		return NULL;
+	return server;
+}
+
+void
+relay_handle_start (struct session *session, const struct caller_message *message)
+{
+	session->database = g_strndup (message->caller.start, message->caller.length);
+	session->relay_server = find_server (session, message);
+	if (!session->relay_server)
+	{
+		wire_encode_error (session->stream.out, ANSWER_WRONG_SERVER,
+		                   "the server is not known here");
+		line_stream_flush (&session->stream);
+		session_close (session);
+		return;
+	}
+	session->service = session->relay_server->service;
+	session->is_greeted = true;
+	wire_encode_ready (session->stream.out, TRANSACTION_NONE, &session->relay_server->applied);
+	line_stream_flush (&session->stream);
+}
+
+static void
+handle_begin (struct session *session, const struct caller_message *message)
+{
+	if (session->state != TRANSACTION_NONE)
+	{
+		relay_refuse (session, ANSWER_MALFORMED, "a transaction is open");
+		return;
+	}
+	session->state = TRANSACTION_OPEN;
+	session->is_read_only = session->request.statement.kind == STATEMENT_BEGIN_READ;
+	session->is_started = false;
+	session->is_aborted = false;
+	session->relay_after = message->has_after ? message->after : (struct log_position){ 0, 0 };
+	relay_complete (session);
+}
+
+static void
+handle_reset (struct session *session)
+{
+	g_hash_table_remove_all (session->values);
+	g_hash_table_remove_all (session->prepared);
+	relay_complete (session);
+}
+
+static void
+handle_statement (struct session *session, const struct caller_message *message, int64_t now_us)
+{
+	struct request *request = &session->request;
+
+	if (session->is_aborted || session->state == TRANSACTION_FAILED)
+	{
+		relay_refuse (session, ANSWER_ROLLED_BACK, "the transaction was rolled back");
+		return;
+	}
+	if (!session_find_shape (session))
+	{
+		relay_refuse (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
+		return;
+	}
+	session->priority = message->has_hint ? message->hint.priority : 0;
+	session->target_latency_ms = message->has_hint ? message->hint.target_latency_ms : UINT16_MAX;
+	if (message->has_hint)
+		request->arrived_us -= (int64_t) message->hint.waited_ms * US_PER_MS;
+	request->deadline_us = now_us + RELAY_DEADLINE_US;
+	session_run_statement (session, now_us);
+}
+
+void
+relay_handle_query (struct session *session, const struct caller_message *message, int64_t now_us)
+{
+	switch (session->request.statement.kind)
+	{
+	case STATEMENT_BEGIN:
+	case STATEMENT_BEGIN_READ:
+		handle_begin (session, message);
+		break;
+	case STATEMENT_ROLLBACK:
+		session_end_transaction (session);
+		relay_complete (session);
+		break;
+	case STATEMENT_SET:
+		session_set_value (session, &session->request.statement);
+		relay_complete (session);
+		break;
+	case STATEMENT_PREPARE:
+		session_set_prepared (session, &session->request.statement);
+		relay_complete (session);
+		break;
+	case STATEMENT_RESET:
+		handle_reset (session);
+		break;
+	case STATEMENT_DEALLOCATE:
+	case STATEMENT_INVALID:
+		relay_refuse (session, ANSWER_MALFORMED, "not a forwarded statement");
+		break;
+	default:
+		handle_statement (session, message, now_us);
+		break;
+	}
+}
+
+void
+relay_handle_answer (struct session *session, struct connection *connection,
+                     const struct server_message *ready, int64_t now_us)
+{
+	session->is_first = false;
+	g_string_append_len (session->stream.out, connection->answer->str,
+	                     (gssize) connection->answer->len);
+	session->state = ready->state;
+	if (ready->state == TRANSACTION_NONE)
+	{
+		session->is_started = false;
+		session->connection = NULL;
+		connection->session = NULL;
+	}
+	relay_answer (session, ready->state);
+	if (ready->state == TRANSACTION_NONE && connection->state == CONNECTION_IDLE)
+		connection_release (connection, now_us);
+}
+
+void
+relay_close_all (struct server *server)
+{
+	GList *next;
+
+	for (GList *link = server->service->traffic->sessions.head; link; link = next)
+	{
+		struct session *session = link->data;
+
+		next = link->next;
+		if (session->is_relay && session->relay_server == server)
+			session_close (session);
+	}
+}
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -79,12 +79,6 @@
 	g_queue_remove (&service->waiting, session);
 }
 
-static bool
-server_has_capacity (const struct server *server)
-{
-	return server->running_count < server->slots;
-}
-
 /** May the server serve reads that need @p position (NULL: any log will do)? */
 static bool
 server_may_read (const struct server *server, const struct log_position *position, int64_t now_us)
@@ -157,7 +151,7 @@
 
 		if (!server_may_read (server, has_position ? &position : NULL, now_us))
 			continue;
-		if (!server_has_capacity (server) || (!far && !server->is_near))
+		if (!server_has_capacity (server, now_us) || (!far && !server->is_near))
 			continue;
 		connection = server_find_idle (server, session);
 		if (connection && cost_us < best_us)
@@ -183,7 +177,7 @@
 	struct connection *connection;
 
 	if (!service_can_use_primary (service, now_us) || primary->failed_us > 0 ||
-	    !server_has_capacity (primary))
+	    !server_has_capacity (primary, now_us))
 		return NULL;
 	connection = server_find_idle (primary, session);
 	if (!connection && server_can_grow (primary, now_us))
@@ -191,6 +185,31 @@
 	return connection;
 }
 
+/** Forwarded statements have their server. */
+static struct connection *
+choose_for_relay (struct session *session, int64_t now_us)
+{
+	struct server *server = session->relay_server;
+	struct connection *connection;
+
+	if (server->running_count >= server->slots)
+		return NULL;
+	connection = server_find_idle (server, session);
+	if (!connection)
+		server_open_direct (server, now_us);
+	return connection;
+}
+
+static struct connection *
+choose (struct service *service, struct session *session, int64_t now_us)
+{
+	if (session->is_relay)
+		return choose_for_relay (session, now_us);
+	if (session_needs_primary (session))
+		return choose_primary (service, session, now_us);
+	return choose_for_read (service, session, now_us);
+}
+
 static void
 dispatch_once (struct service *service, int64_t now_us)
 {
@@ -204,8 +223,7 @@
 		next = link->next;
 		if (now_us < session->request.retry_us)
 			continue;
-		connection = session_needs_primary (session) ? choose_primary (service, session, now_us)
-		                                             : choose_for_read (service, session, now_us);
+		connection = choose (service, session, now_us);
 		if (!connection)
 			continue;
 		session->request.is_queued = false;
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -42,7 +42,7 @@
 	return request_is_write (&session->request);
 }
 
-static void
+void
 session_log (const struct session *session, const char *outcome, const char *cause)
 {
 	const struct request *request = &session->request;
@@ -59,7 +59,7 @@
 }
 
 /** Ends the present request; the answer is in the stream's buffer. */
-static void
+void
 session_answered (struct session *session)
 {
 	struct request *request = &session->request;
@@ -76,12 +76,12 @@
 session_complete (struct session *session)
 {
 	wire_encode_complete (session->stream.out);
-	wire_encode_ready (session->stream.out, session->state);
+	wire_encode_ready (session->stream.out, session->state, NULL);
 	session_answered (session);
 }
 
 /** Forgets the transaction, its server connection included. */
-static void
+void
 session_end_transaction (struct session *session)
 {
 	struct connection *connection = session->connection;
@@ -121,7 +121,7 @@
 		session->state = is_end ? TRANSACTION_NONE : TRANSACTION_FAILED;
 	}
 	wire_encode_error (session->stream.out, code, message);
-	wire_encode_ready (session->stream.out, session->state);
+	wire_encode_ready (session->stream.out, session->state, NULL);
 	session_answered (session);
 }
 
@@ -231,11 +231,18 @@
 	struct server *server = connection->server;
 	bool is_primary = server->service->primary == server;
 	struct log_position position;
-	const struct log_position *after = NULL;
+	struct forward_hint hint = {
+		.priority = session->priority,
+		.target_latency_ms = session->target_latency_ms,
+		.waited_ms = (uint32_t) ((now_us - request->arrived_us) / US_PER_MS),
+	};
+	struct wire_prefix prefix = { .hint = connection->is_relayed ? &hint : NULL };
 
-	if (session->state == TRANSACTION_NONE && !is_primary && !request_is_write (request) &&
-	    session_find_position (session, &position))
-		after = &position;
+	if (session->is_relay)
+		prefix.after = request->has_after ? &request->after : NULL;
+	else if (session->state == TRANSACTION_NONE && !is_primary && !request_is_write (request) &&
+	         session_find_position (session, &position))
+		prefix.after = &position;
 	connection->sent_us = now_us;
 	connection->sent_as_lead = is_primary && service_can_use_primary (server->service, now_us);
 	request->is_sent = true;
@@ -243,9 +250,9 @@
 	request->attempts++;
 	connection_set_state (connection, CONNECTION_RUNNING);
 	if (request->shape)
-		wire_encode_execute (out, id, after, request->shape->name, request->statement.arguments);
+		wire_encode_execute (out, id, prefix, request->shape->name, request->statement.arguments);
 	else
-		wire_encode_query (out, id, after, text);
+		wire_encode_query (out, id, prefix, text);
 	line_stream_flush (&connection->stream);
 }
 
@@ -256,6 +263,8 @@
 	struct server *server = connection->server;
 	struct log_position position;
 
+	if (session->is_relay)
+		return server->is_listed;
 	if (session->state != TRANSACTION_NONE && session->is_started)
 		return true;
 	if (server->service->primary == server)
@@ -291,15 +300,21 @@
 	connection->setup_code = ANSWER_DONE;
 	connection->setup_has_begin = begins;
 	connection->setup_is_in_doubt = false;
+	session->is_first = begins;
 	if (begins)
 	{
-		if (connection->server->service->primary != connection->server &&
-		    session_find_position (session, &position))
+		if (session->is_relay)
+			after = &session->relay_after;
+		else if (connection->server->service->primary != connection->server &&
+		         session_find_position (session, &position))
 			after = &position;
 		wire_encode_begin (connection->stream.out, session->is_read_only, after);
 		connection->setup_pending++;
 	}
-	if (connection->setup_pending == 0)
+	/* The owner begins the transaction together with the statement, and runs neither if it cannot. */
+	if (connection->is_relayed)
+		session->is_started |= begins;
+	if (connection->setup_pending == 0 || connection->is_relayed)
 	{
 		session_send (session, connection, now_us);
 		return;
@@ -349,7 +364,9 @@
 	bool in_transaction = session->state == TRANSACTION_OPEN && session->is_started;
 
 	session->request.attempts++;
-	if (in_transaction)
+	if (session->is_relay)
+		relay_refuse (session, code, "refused by the server");
+	else if (in_transaction)
 		session_fail (session, ANSWER_ROLLED_BACK, "session state could not be set up");
 	else if (session_retry (session, server, code, now_us))
 		service_enqueue (session->service, session);
@@ -383,7 +400,7 @@
 session_forward (struct session *session, const char *answer, size_t length)
 {
 	g_string_append_len (session->stream.out, answer, (gssize) length);
-	wire_encode_ready (session->stream.out, session->state);
+	wire_encode_ready (session->stream.out, session->state, NULL);
 	counter_add (COUNTER_REQUESTS_DONE, 1);
 	session_answered (session);
 }
@@ -417,6 +434,7 @@
 	bool is_held;
 
 	log_slow (session, connection->server, now_us);
+	session->is_first = false;
 	if (was_open && request_is_write (request))
 		session->has_written = true;
 	if (commits)
@@ -502,12 +520,27 @@
 		connection_release (connection, now_us);
 }
 
+/** The owner could not begin the transaction; nothing has run. */
+static void
+session_handle_begin_refused (struct session *session, struct connection *connection,
+                              int64_t now_us)
+{
+	session->is_started = false;
+	session->is_first = false;
+	session_handle_error (session, connection, now_us);
+}
+
 void
 session_handle_answer (struct session *session, struct connection *connection,
                        const struct server_message *ready, int64_t now_us)
 {
-	if (connection->code == ANSWER_DONE && connection->is_complete)
+	if (session->is_relay)
+		relay_handle_answer (session, connection, ready, now_us);
+	else if (connection->code == ANSWER_DONE && connection->is_complete)
 		session_handle_success (session, connection, ready, now_us);
+	else if (session->state == TRANSACTION_OPEN && session->is_first &&
+	         ready->state == TRANSACTION_NONE && answer_code_did_not_run (connection->code))
+		session_handle_begin_refused (session, connection, now_us);
 	else if (session->state == TRANSACTION_OPEN)
 		session_handle_transaction_error (session, connection, ready, now_us);
 	else
@@ -528,12 +561,18 @@
 
 	if (session->is_closed)
 		return;
+	if (session->is_relay)
+	{
+		/* The other VM knows what may have run. */
+		session_close (session);
+		return;
+	}
 	if (!request->is_active)
 	{
 		session->is_aborted = session->state == TRANSACTION_OPEN;
 		return;
 	}
-	if (session->state == TRANSACTION_OPEN && session->is_started)
+	if (session->state == TRANSACTION_OPEN && session->is_started && !session->is_first)
 	{
 		if (is_commit && was_sent && session->has_written)
 			session_fail (session, ANSWER_IN_DOUBT, "connection lost during the commit");
@@ -541,7 +580,9 @@
 			session_fail (session, ANSWER_ROLLED_BACK, "connection lost in the transaction");
 		return;
 	}
-	if (was_sent && request_is_write (request))
+	/* A first statement is rolled back together with its transaction. */
+	session->is_started = false;
+	if (was_sent && request_is_write (request) && session->state == TRANSACTION_NONE)
 	{
 		session_fail (session, ANSWER_IN_DOUBT, "connection lost after the write was sent");
 		return;
@@ -596,37 +637,45 @@
 	session_complete (session);
 }
 
+void
+session_set_value (struct session *session, const struct statement *statement)
+{
+	g_hash_table_replace (session->values,
+	                      g_strndup (statement->name.start, statement->name.length),
+	                      g_strndup (statement->arguments.start, statement->arguments.length));
+}
+
+void
+session_set_prepared (struct session *session, const struct statement *statement)
+{
+	struct prepared_shape *shape =
+		gateway_traffic_find_shape (session->traffic, statement->arguments, statement->is_write);
+
+	g_hash_table_replace (session->prepared,
+	                      g_strndup (statement->name.start, statement->name.length), shape);
+}
+
 static void
 handle_set (struct session *session)
 {
-	const struct statement *statement = &session->request.statement;
-
 	if (g_hash_table_size (session->values) >= SESSION_MAX_VALUES)
 	{
 		session_fail (session, ANSWER_OVERLOADED, "too many session values");
 		return;
 	}
-	g_hash_table_replace (session->values,
-	                      g_strndup (statement->name.start, statement->name.length),
-	                      g_strndup (statement->arguments.start, statement->arguments.length));
+	session_set_value (session, &session->request.statement);
 	session_complete (session);
 }
 
 static void
 handle_prepare (struct session *session)
 {
-	const struct statement *statement = &session->request.statement;
-	struct prepared_shape *shape;
-
 	if (g_hash_table_size (session->prepared) >= SESSION_MAX_PREPARED)
 	{
 		session_fail (session, ANSWER_OVERLOADED, "too many prepared statements");
 		return;
 	}
-	shape =
-		gateway_traffic_find_shape (session->traffic, statement->arguments, statement->is_write);
-	g_hash_table_replace (session->prepared,
-	                      g_strndup (statement->name.start, statement->name.length), shape);
+	session_set_prepared (session, &session->request.statement);
 	session_complete (session);
 }
 
@@ -644,23 +693,41 @@
 		session_fail (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
 }
 
+/** Finds the shape of an EXECUTE. @return false when the name is not known. */
+bool
+session_find_shape (struct session *session)
+{
+	struct request *request = &session->request;
+	char *name;
+
+	if (request->statement.kind != STATEMENT_EXECUTE)
+		return true;
+	name = g_strndup (request->statement.name.start, request->statement.name.length);
+	request->shape = g_hash_table_lookup (session->prepared, name);
+	g_free (name);
+	return request->shape != NULL;
+}
+
+/** Offers the statement to the pinned connection, or to the queue. */
+void
+session_run_statement (struct session *session, int64_t now_us)
+{
+	if (session->connection)
+		session_run (session, session->connection, now_us);
+	else
+		session_enqueue (session, now_us);
+}
+
 /** Statements that a server runs. */
 static void
 handle_statement (struct session *session, int64_t now_us)
 {
 	struct request *request = &session->request;
 
-	if (request->statement.kind == STATEMENT_EXECUTE)
+	if (!session_find_shape (session))
 	{
-		char *name = g_strndup (request->statement.name.start, request->statement.name.length);
-
-		request->shape = g_hash_table_lookup (session->prepared, name);
-		g_free (name);
-		if (!request->shape)
-		{
-			session_fail (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
-			return;
-		}
+		session_fail (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
+		return;
 	}
 	if (session->state == TRANSACTION_NONE && !session_take_route (session))
 	{
@@ -668,10 +735,7 @@
 		return;
 	}
 	request->deadline_us = now_us + (int64_t) session->statement_timeout_ms * US_PER_MS;
-	if (session->connection)
-		session_run (session, session->connection, now_us);
-	else
-		session_enqueue (session, now_us);
+	session_run_statement (session, now_us);
 }
 
 /** Only the end of a failed transaction is accepted. */
@@ -737,6 +801,8 @@
 	case STATEMENT_EXECUTE:
 		handle_statement (session, now_us);
 		break;
+	case STATEMENT_RESET:
+	case STATEMENT_CONTROL:
 	case STATEMENT_INVALID:
 		session_fail (session, ANSWER_MALFORMED, "not a statement");
 		break;
@@ -766,7 +832,10 @@
 	request->retry_us = now_us;
 	request->attempts = 0;
 	request->last_code = ANSWER_DONE;
-	counter_add (COUNTER_REQUESTS, 1);
+	request->has_after = message->has_after;
+	request->after = message->after;
+	if (!session->is_relay)
+		counter_add (COUNTER_REQUESTS, 1);
 }
 
 /** Answers the greeting; waits while no configuration is known, e.g. after a restart. */
@@ -786,7 +855,7 @@
 		return;
 	}
 	session->is_greeted = true;
-	wire_encode_ready (session->stream.out, TRANSACTION_NONE);
+	wire_encode_ready (session->stream.out, TRANSACTION_NONE, NULL);
 	line_stream_flush (&session->stream);
 }
 
@@ -801,7 +870,8 @@
 handle_line (struct line_stream *stream, struct text line)
 {
 	struct session *session = session_of (stream);
-	struct caller_message message = wire_decode_caller (line);
+	struct caller_message message =
+		session->is_relay ? wire_decode_forwarded (line) : wire_decode_caller (line);
 	int64_t now_us = clock_now_us ();
 
 	session->active_us = now_us;
@@ -810,12 +880,18 @@
 		/* One request at a time; later ones wait in the buffer. */
 		line_stream_set_paused (stream, true);
 		request_take (session, &message, now_us);
-		handle_query (session, now_us);
+		if (session->is_relay)
+			relay_handle_query (session, &message, now_us);
+		else
+			handle_query (session, now_us);
 		return;
 	}
 	if (message.kind == CALLER_START && !session->database)
 	{
-		handle_start (session, &message);
+		if (session->is_relay)
+			relay_handle_start (session, &message);
+		else
+			handle_start (session, &message);
 		return;
 	}
 	if (message.kind != CALLER_BYE)
@@ -839,7 +915,7 @@
 };
 
 void
-session_accept (struct gateway_traffic *traffic, int fd)
+session_accept (struct gateway_traffic *traffic, int fd, bool is_relay)
 {
 	struct session *session = g_new0 (struct session, 1);
 	int result = line_stream_init (&session->stream, &traffic->loop, &session_ops, fd,
@@ -852,6 +928,7 @@
 		return;
 	}
 	session->traffic = traffic;
+	session->is_relay = is_relay;
 	session->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 	session->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 	session->request.id = g_string_new (NULL);
@@ -950,10 +1027,17 @@
 		OVERLOADED_PERCENT = 85,
 	};
 	struct request *request = &session->request;
+	bool is_relay = session->is_relay;
 	int64_t waited_us = now_us - request->arrived_us;
 	int64_t target_us = (int64_t) session->target_latency_ms * US_PER_MS;
 
-	if (waited_us > target_us * UNAVAILABLE_PERCENT / 100 && is_unavailable (session, now_us))
+	if (is_relay && session->relay_server->failed_us > 0)
+		session_close (session);
+	else if (is_relay && waited_us > target_us * OVERLOADED_PERCENT / 100)
+		relay_refuse (session, ANSWER_OVERLOADED, "the server is busy");
+	else if (is_relay)
+		return;
+	else if (waited_us > target_us * UNAVAILABLE_PERCENT / 100 && is_unavailable (session, now_us))
 		session_fail (session, ANSWER_OVERLOADED, "no server can run it now, retry elsewhere");
 	else if (waited_us > target_us * OVERLOADED_PERCENT / 100)
 		session_fail (session, ANSWER_OVERLOADED, "all servers are busy, retry later");
@@ -983,6 +1067,8 @@
 	         now_us - session->active_us >
 	             (int64_t) view->configuration->transaction_idle_ms * US_PER_MS)
 		session_abort_idle (session);
+	if (session->is_closed)
+		return;
 	if (session->is_starting)
 		session_greet (session);
 	if (session->is_closed)
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -123,6 +123,7 @@
 			g_hash_table_insert (traffic->servers, server->id, server);
 		}
 		server_update (server, entry);
+		server_set_owner (server);
 	}
 }
 
@@ -269,13 +270,18 @@
 			log_event (LOG_LEVEL_ERROR, "accept_failed", "error=%d", fd);
 			return;
 		}
+		if (source == &traffic->relay_listener)
+		{
+			session_accept (traffic, fd, true);
+			continue;
+		}
 		if (traffic->sessions.length >= traffic->settings.max_sessions)
 		{
 			log_event (LOG_LEVEL_WARN, "session_refused", "open=%u", traffic->sessions.length);
 			close (fd);
 			continue;
 		}
-		session_accept (traffic, fd);
+		session_accept (traffic, fd, false);
 	}
 }
 
@@ -332,6 +338,7 @@
 	traffic->reap.handle_timer = handle_reap;
 	traffic->reap.data = traffic;
 	traffic->listener.fd = -1;
+	traffic->relay_listener.fd = -1;
 	if (loop_init (&traffic->loop) < 0 ||
 	    mailbox_init (&traffic->mailbox, &traffic->loop, traffic) < 0)
 		goto fail;
@@ -342,8 +349,17 @@
 		           traffic->listener.fd);
 		goto fail;
 	}
+	traffic->relay_listener.fd = rpc_listen (settings->ip, settings->relay_port);
+	if (traffic->relay_listener.fd < 0)
+	{
+		log_event (LOG_LEVEL_ERROR, "listen_failed", "port=%u error=%d", settings->relay_port,
+		           traffic->relay_listener.fd);
+		goto fail;
+	}
 	traffic->listener.handle_ready = handle_accept;
 	traffic->listener.data = traffic;
+	traffic->relay_listener.handle_ready = handle_accept;
+	traffic->relay_listener.data = traffic;
 	return traffic;
 
 fail:
@@ -358,6 +374,7 @@
 	int result;
 
 	loop_set_source (&traffic->loop, &traffic->listener, EPOLLIN);
+	loop_set_source (&traffic->loop, &traffic->relay_listener, EPOLLIN);
 	loop_set_timer (&traffic->loop, &traffic->tick, clock_now_us () + TRAFFIC_TICK_US);
 	result = loop_run (&traffic->loop);
 	if (result < 0)
@@ -395,6 +412,8 @@
 	view_free (traffic->view);
 	if (traffic->listener.fd >= 0)
 		close (traffic->listener.fd);
+	if (traffic->relay_listener.fd >= 0)
+		close (traffic->relay_listener.fd);
 	mailbox_finish (&traffic->mailbox);
 	loop_finish (&traffic->loop);
 	g_free (traffic);
--- a/gateway/view.c
+++ b/gateway/view.c
@@ -15,6 +15,15 @@
 	server_entry_clear (data);
 }
 
+static void
+member_clear (void *data)
+{
+	struct view_member *member = data;
+
+	g_free (member->vm);
+	g_free (member->zone);
+}
+
 struct view *
 view_new (void)
 {
@@ -24,6 +33,8 @@
 	g_array_set_clear_func (view->leads, lead_clear);
 	view->servers = g_array_new (FALSE, TRUE, sizeof (struct server_entry));
 	g_array_set_clear_func (view->servers, entry_clear);
+	view->members = g_array_new (FALSE, TRUE, sizeof (struct view_member));
+	g_array_set_clear_func (view->members, member_clear);
 	return view;
 }
 
@@ -35,5 +46,6 @@
 	configuration_release (view->configuration);
 	g_array_free (view->leads, TRUE);
 	g_array_free (view->servers, TRUE);
+	g_array_free (view->members, TRUE);
 	g_free (view);
 }
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -32,8 +32,11 @@
 {
 	char *vm;
 	struct peer_address address;
+	char *zone;
 	uint64_t revision; /**< Of its record. */
 	bool is_listed;
+	bool is_leaving;  /**< It has said so. */
+	bool is_serving;  /**< It takes forwarded statements. */
 	int64_t seen_us;  /**< First time in the store. */
 	int64_t heard_us; /**< Last datagram. */
 };
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -29,6 +29,8 @@
 	STATEMENT_PREPARE,
 	STATEMENT_EXECUTE,
 	STATEMENT_DEALLOCATE,
+	STATEMENT_RESET,   /**< Only between VMs: drops values and prepared names. */
+	STATEMENT_CONTROL, /**< Only between VMs: a question or an order to the server. */
 };
 
 struct statement
@@ -65,6 +67,14 @@
 	ANSWER_OTHER,                /**< A code that is not known here; may have run. */
 };
 
+/** What another VM needs to know to order a forwarded statement among its own. */
+struct forward_hint
+{
+	uint32_t priority;
+	uint32_t target_latency_ms;
+	uint32_t waited_ms; /**< Before it was forwarded. */
+};
+
 /** What a caller sends. */
 enum caller_message_kind
 {
@@ -77,10 +87,14 @@
 struct caller_message
 {
 	enum caller_message_kind kind;
-	struct text database;       /**< CALLER_START. */
-	struct text caller;         /**< CALLER_START: who connects. */
-	struct text id;             /**< CALLER_QUERY. */
-	struct text text;           /**< CALLER_QUERY: the whole statement. */
+	struct text database; /**< CALLER_START. */
+	struct text caller;   /**< CALLER_START: who connects. */
+	struct text id;       /**< CALLER_QUERY. */
+	struct text text;     /**< CALLER_QUERY: the statement, without the parts below. */
+	bool has_hint;        /**< CALLER_QUERY, only between VMs. */
+	struct forward_hint hint;
+	bool has_after; /**< CALLER_QUERY, only between VMs: required position. */
+	struct log_position after;
 	struct statement statement; /**< CALLER_QUERY. */
 };
 
--- a/include/gateway/traffic.h
+++ b/include/gateway/traffic.h
@@ -16,6 +16,7 @@
 	const char *zone;
 	uint32_t ip;
 	uint16_t caller_port;
+	uint16_t relay_port; /**< For statements that other VMs forward. */
 	uint32_t grace_ms;
 	uint32_t max_sessions;
 };
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -60,6 +60,8 @@
 	int64_t sent_us;   /**< The present statement. */
 	int64_t idle_us;   /**< Since when it is idle. */
 	bool sent_as_lead; /**< The server was the primary, with authority, when it was sent. */
+	bool is_relayed;   /**< Ends at the server's owner, which has the real connections. */
+	uint32_t relay_ip;
 	struct connection *next;
 };
 
@@ -92,6 +94,13 @@
 	bool reported_unreachable;
 	bool status_wanted;
 	uint64_t demote_term; /**< Order to send; 0: none. */
+	/* The owner is the VM that holds most of the server's connections and orders the work of all VMs. */
+	bool is_owner;     /**< This VM is. */
+	uint32_t owner_ip; /**< 0: this VM is, or there is none. */
+	uint16_t owner_port;
+	int64_t relay_bad_until_us;
+	int64_t relay_answered_us;
+	int64_t doubted_us; /**< Last time that a silent owner was asked. */
 };
 
 struct service
@@ -123,6 +132,8 @@
 	GString *text;
 	struct statement statement;   /**< Its texts point into @c text. */
 	struct prepared_shape *shape; /**< EXECUTE. */
+	bool has_after;               /**< Forwarded: required position. */
+	struct log_position after;
 	int64_t arrived_us;
 	int64_t deadline_us;
 	int64_t retry_us; /**< Not before. */
@@ -143,6 +154,10 @@
 	bool is_greeted;
 	bool is_starting; /**< The greeting waits for a configuration. */
 	bool is_closed;
+	bool is_relay; /**< Another VM forwards statements for one server. */
+	struct server *relay_server;
+	struct log_position relay_after; /**< Required by the transaction's beginning. */
+	bool is_first; /**< The present statement was sent along with the beginning. */
 	char *database;
 	GHashTable *values;   /**< Acknowledged values, name to value. */
 	GHashTable *prepared; /**< Name to struct prepared_shape. */
@@ -173,6 +188,7 @@
 	pthread_t thread;
 	bool has_thread;
 	struct loop_source listener;
+	struct loop_source relay_listener;
 	struct loop_timer tick;
 	struct loop_timer reap;
 	GQueue sessions;       /**< Of struct session. */
@@ -197,7 +213,7 @@
                                                    struct text shape, bool is_write);
 
 /* session.c */
-void session_accept (struct gateway_traffic *traffic, int fd);
+void session_accept (struct gateway_traffic *traffic, int fd, bool is_relay);
 void session_close (struct session *session);
 void session_free (struct session *session);
 
@@ -226,6 +242,25 @@
 /** Lowest position that a read of the session must see. @return false when it is not known. */
 bool session_find_position (const struct session *session, struct log_position *position);
 
+/* relay.c */
+void relay_handle_start (struct session *session, const struct caller_message *message);
+void relay_handle_query (struct session *session, const struct caller_message *message,
+                         int64_t now_us);
+void relay_answer (struct session *session, enum transaction_state state);
+void relay_refuse (struct session *session, enum answer_code code, const char *message);
+void relay_handle_answer (struct session *session, struct connection *connection,
+                          const struct server_message *ready, int64_t now_us);
+void relay_close_all (struct server *server);
+
+/* session.c, for relay.c */
+void session_answered (struct session *session);
+void session_end_transaction (struct session *session);
+bool session_find_shape (struct session *session);
+void session_run_statement (struct session *session, int64_t now_us);
+void session_set_value (struct session *session, const struct statement *statement);
+void session_set_prepared (struct session *session, const struct statement *statement);
+void session_log (const struct session *session, const char *outcome, const char *cause);
+
 /* service.c */
 struct service *service_get (struct gateway_traffic *traffic, const char *name);
 void service_free (struct service *service);
@@ -243,14 +278,22 @@
 void server_free (struct server *server);
 void server_tick (struct server *server, int64_t now_us);
 struct connection *server_find_idle (struct server *server, const struct session *session);
+bool server_uses_relay (const struct server *server, int64_t now_us);
+bool server_has_capacity (const struct server *server, int64_t now_us);
+void server_set_owner (struct server *server);
+/** The path over the owner does not work. */
+void server_handle_relay_lost (struct server *server, int64_t now_us);
 bool server_can_grow (const struct server *server, int64_t now_us);
+/** For statements of other VMs, if the limits allow one. */
+void server_open_direct (struct server *server, int64_t now_us);
 void server_open (struct server *server, int64_t now_us);
 void server_close_all (struct server *server);
 void server_handle_failed (struct server *server, int64_t now_us);
 void server_handle_alive (struct server *server, int64_t now_us);
 
 /* connection.c */
-struct connection *connection_open (struct server *server, int64_t now_us);
+/** Opens a connection to the server's owner, or to the server itself. */
+struct connection *connection_open (struct server *server, bool is_direct, int64_t now_us);
 void connection_set_state (struct connection *connection, enum connection_state state);
 /** Closes; its session, if any, is not told. */
 void connection_close (struct connection *connection);
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -28,12 +28,22 @@
 	bool is_planned;   /**< The old primary works: running work may end first. */
 };
 
+/** Another VM that takes forwarded statements. */
+struct view_member
+{
+	char *vm;
+	char *zone;
+	uint32_t ip; /**< Host byte order. */
+	uint16_t port;
+};
+
 /** Immutable; the traffic thread frees it. */
 struct view
 {
 	struct configuration *configuration;
 	GArray *leads;   /**< Of struct lead. */
 	GArray *servers; /**< Of struct server_entry. */
+	GArray *members; /**< Of struct view_member: living ones that are not leaving. */
 	uint32_t vm_count;
 	bool is_registered; /**< Whoever orders a change of primary asks this VM. */
 	int64_t known_us;   /**< The leads held at that time. */
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -17,12 +17,17 @@
 };
 
 struct caller_message wire_decode_caller (struct text line);
+
+/** As wire_decode_caller(), for lines from another VM, which may have more parts. */
+struct caller_message wire_decode_forwarded (struct text line);
 struct server_message wire_decode_server (struct text line);
 
 /** Decodes the row that answers a status question. @return 0 or -EBADMSG. */
 int wire_decode_status (struct text row, struct database_status *status);
 
-void wire_encode_ready (GString *out, enum transaction_state state);
+/** @p position may be NULL. */
+void wire_encode_ready (GString *out, enum transaction_state state,
+                        const struct log_position *position);
 
 /** Completion of a statement that no server ran. */
 void wire_encode_complete (GString *out);
@@ -31,14 +36,19 @@
 /** Greeting to a server: refused when another service or server listens there. */
 void wire_encode_start (GString *out, const char *service, const char *vm, const char *server_id);
 
-/** A caller's statement, with its id and text unchanged. @p after (may be NULL): the position that
- * the log must contain. */
-void wire_encode_query (GString *out, struct text id, const struct log_position *after,
-                        struct text text);
+/** Parts before a statement; each may be NULL. */
+struct wire_prefix
+{
+	const struct forward_hint *hint;  /**< Only between VMs. */
+	const struct log_position *after; /**< The log must contain this position. */
+};
+
+/** A caller's statement, with its id and text unchanged. */
+void wire_encode_query (GString *out, struct text id, struct wire_prefix prefix, struct text text);
 
 /** EXECUTE under another prepared name. */
-void wire_encode_execute (GString *out, struct text id, const struct log_position *after,
-                          const char *name, struct text arguments);
+void wire_encode_execute (GString *out, struct text id, struct wire_prefix prefix, const char *name,
+                          struct text arguments);
 void wire_encode_begin (GString *out, bool is_read_only, const struct log_position *after);
 void wire_encode_rollback (GString *out);
 void wire_encode_reset (GString *out);
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -44,6 +44,7 @@
 	char *vm;
 	u_quad_t number;
 	bool_t is_question;
+	bool_t is_leaving;
 	bool_t has_knowledge;
 	bool_t is_registered;
 	u_quad_t revision;
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -36,6 +36,7 @@
 	string vm<FS_GATEWAY_MAX_NAME>;
 	unsigned hyper number;
 	bool is_question;
+	bool is_leaving;
 	bool has_knowledge;
 	bool is_registered; /* The store's list of VMs names the one that asked. */
 	unsigned hyper revision;
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -70,10 +70,12 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->number))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->is_question))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_leaving))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->has_knowledge))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_registered))
@@ -81,6 +83,7 @@
 
 		} else {
 		IXDR_PUT_BOOL(buf, objp->is_question);
+		IXDR_PUT_BOOL(buf, objp->is_leaving);
 		IXDR_PUT_BOOL(buf, objp->has_knowledge);
 		IXDR_PUT_BOOL(buf, objp->is_registered);
 		}
@@ -94,10 +97,12 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->number))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->is_question))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_leaving))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->has_knowledge))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_registered))
@@ -105,6 +110,7 @@
 
 		} else {
 		objp->is_question = IXDR_GET_BOOL(buf);
+		objp->is_leaving = IXDR_GET_BOOL(buf);
 		objp->has_knowledge = IXDR_GET_BOOL(buf);
 		objp->is_registered = IXDR_GET_BOOL(buf);
 		}
@@ -121,6 +127,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_question))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_leaving))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_knowledge))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_registered))
