--- a/flamingospring/control_documents.c
+++ b/flamingospring/control_documents.c
@@ -369,7 +369,7 @@
 		                               handle_platform, control);
 		break;
 	case CONFIGURATION_WATCH:
-		result = platform->ops->watch (platform, documents_prefix, effect->revision + 1,
+		result = platform->ops->watch (platform, documents_prefix, effect->revision + 1, 0,
 		                               handle_platform, control);
 		break;
 	case CONFIGURATION_UNWATCH:
--- a/flamingospring/control_vms.c
+++ b/flamingospring/control_vms.c
@@ -163,7 +163,7 @@
 	}
 	take_entries (control, answer);
 	if (control->is_watching_vms &&
-	    control->platform.ops->watch (&control->platform, vms_prefix, control->vms_revision + 1,
+	    control->platform.ops->watch (&control->platform, vms_prefix, control->vms_revision + 1, 0,
 	                                  handle_watched, control) < 0)
 		retry_later (control);
 }
--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -1,5 +1,6 @@
 #include "gateway/traffic_private.h"
 
+#include "common/counters.h"
 #include "common/log.h"
 #include "platform/wire.h"
 
@@ -356,6 +357,12 @@
 {
 	struct server *server = connection->server;
 
+	INVARIANT (!connection->is_in_transaction, "P3");
+	if (connection->is_in_transaction)
+	{
+		connection_roll_back (connection);
+		return;
+	}
 	answer_reset (connection);
 	connection->session = NULL;
 	connection->idle_us = now_us;
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -13,6 +13,13 @@
 	CONTROL_TICK_US = 20 * US_PER_MS,
 	/* Some polls fit into LEAD_AUTHORITY_MS, so that a lost one does not end the use of primaries. */
 	CONTROL_POLL_US = 500 * US_PER_MS,
+	/* A missing entry is taken as gone: the time that the platform grants after the store's return, and some
+	 * delay; well below the time after which a leaving server must be out of use. */
+	CONTROL_MISSING_US = 3 * US_PER_S,
+	/* VMs that ask the poller of their zone. */
+	CONTROL_SLOW_POLL_US = 4 * US_PER_S,
+	/* Knowledge of this age is renewed by a poll of one's own. */
+	CONTROL_KNOWN_AGE_US = 1000 * US_PER_MS,
 	CONTROL_RETRY_US = 200 * US_PER_MS,
 };
 
@@ -184,6 +191,14 @@
 	gateway_traffic_send_view (controller->traffic, view);
 }
 
+static int64_t
+poll_interval_us (const struct controller *controller, int error)
+{
+	if (error < 0)
+		return CONTROL_RETRY_US;
+	return controller->is_poller ? CONTROL_POLL_US : CONTROL_SLOW_POLL_US;
+}
+
 static void
 handle_poll (void *data, const struct platform_answer *answer)
 {
@@ -196,7 +211,7 @@
 	controller->is_polling = false;
 	note_store (controller, answer->error, now_us);
 	loop_set_timer (&controller->loop, &controller->poll_timer,
-	                now_us + (answer->error < 0 ? CONTROL_RETRY_US : CONTROL_POLL_US));
+	                now_us + poll_interval_us (controller, answer->error));
 	if (answer->error < 0)
 		return;
 	controller->is_registered = false;
@@ -213,6 +228,7 @@
 		         0)
 			take_member (controller, pair, now_us);
 	}
+	controller->listed_us = answer->asked_us;
 	if (answer->asked_us > controller->known_us)
 		controller->known_us = answer->asked_us;
 	if (controller->is_registered != was_registered)
@@ -302,8 +318,9 @@
 
 	if (answer->error < 0)
 	{
+		/* A watch may hear nothing although something has changed. */
 		loop_set_timer (&controller->loop, &controller->operator_timer,
-		                clock_now_us () + CONTROL_RETRY_US);
+		                clock_now_us () + (answer->error == -ETIMEDOUT ? 0 : CONTROL_RETRY_US));
 		return;
 	}
 	for (size_t i = 0; i < answer->count; i++)
@@ -318,8 +335,9 @@
 
 	handle_operator_event (controller, answer);
 	if (answer->error == 0)
-		controller->platform.ops->watch (&controller->platform, documents_operator_prefix,
-		                                 answer->revision, handle_operator_event, controller);
+		controller->platform.ops->watch (
+			&controller->platform, documents_operator_prefix, answer->revision,
+			controller->boot.configuration_ms * 3 / 5, handle_operator_event, controller);
 }
 
 static void
@@ -338,16 +356,39 @@
 /* The directory of servers. */
 
 static void
-unlist_server (struct controller *controller, const char *id, int64_t now_us)
+note_missing (struct controller *controller, const char *id, int64_t now_us)
 {
 	struct known_server *server = g_hash_table_lookup (controller->servers, id);
 
-	if (!server || !server->is_listed)
+	if (!server || !server->is_listed || server->missing_us > 0)
 		return;
-	log_event (LOG_LEVEL_INFO, "server_gone", "server=%s service=%s", id, server->entry.service);
-	server->is_listed = false;
-	server->unlisted_us = now_us;
-	controller->is_view_old = true;
+	log_event (LOG_LEVEL_INFO, "server_missing", "server=%s service=%s", id, server->entry.service);
+	server->missing_us = now_us;
+}
+
+/** Entries lapse while the store is away; those of living servers are back about 2 s after its return. */
+static void
+unlist_gone (struct controller *controller, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (controller->store_ok_us == 0)
+		return;
+	g_hash_table_iter_init (&iter, controller->servers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct known_server *server = value;
+		int64_t since_us = MAX (server->missing_us, controller->store_ok_us);
+
+		if (!server->is_listed || server->missing_us == 0 || now_us - since_us < CONTROL_MISSING_US)
+			continue;
+		log_event (LOG_LEVEL_INFO, "server_gone", "server=%s service=%s missing_ms=%lld",
+		           server->entry.id, server->entry.service,
+		           (long long) (now_us - server->missing_us) / US_PER_MS);
+		server->is_listed = false;
+		controller->is_view_old = true;
+	}
 }
 
 static bool
@@ -367,7 +408,7 @@
 
 	if (pair->is_deleted)
 	{
-		unlist_server (controller, id, now_us);
+		note_missing (controller, id, now_us);
 		return;
 	}
 	if (documents_decode_server (pair, &entry) < 0)
@@ -390,6 +431,7 @@
 	server_entry_clear (&server->entry);
 	server->entry = entry;
 	server->is_listed = true;
+	server->missing_us = 0;
 }
 
 static void
@@ -422,7 +464,7 @@
 	g_hash_table_iter_init (&iter, controller->servers);
 	while (g_hash_table_iter_next (&iter, &id, NULL))
 		if (!g_hash_table_contains (present, id))
-			unlist_server (controller, id, clock_now_us ());
+			note_missing (controller, id, clock_now_us ());
 	g_hash_table_destroy (present);
 }
 
@@ -439,7 +481,7 @@
 	handle_directory_event (controller, answer);
 	if (answer->error == 0)
 		controller->platform.ops->watch (&controller->platform, documents_server_prefix,
-		                                 answer->revision, handle_directory_event, controller);
+		                                 answer->revision, 0, handle_directory_event, controller);
 }
 
 static void
@@ -583,6 +625,10 @@
 
 	loop_set_timer (&controller->loop, timer, now_us + CONTROL_TICK_US);
 	members_tick (controller, now_us);
+	unlist_gone (controller, now_us);
+	if (now_us - controller->known_us > CONTROL_KNOWN_AGE_US && controller->store_ok_us > 0 &&
+	    !controller->is_polling)
+		controller_poll (controller, now_us);
 	g_hash_table_iter_init (&iter, controller->duties);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 		duty_tick (value, now_us);
--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -189,7 +189,7 @@
 	gpointer value;
 
 	/* The list of VMs must be younger than the order. */
-	if (controller->known_us < duty->succession.claimed_us || duty->quiesced_revision != revision)
+	if (controller->listed_us < duty->succession.claimed_us || duty->quiesced_revision != revision)
 		return false;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -276,17 +276,18 @@
 	if (succession->record.revision == 0 || succession->record.is_changing ||
 	    !controller->has_directory || controller->is_leaving)
 		return SUCCESSION_NO_CAUSE;
-	if (!primary || !primary->is_listed)
+	if (!primary || primary->missing_us > 0)
 	{
-		int64_t missing_us = primary ? primary->unlisted_us : succession->record_us;
+		int64_t missing_us = primary ? primary->missing_us : succession->record_us;
 
 		if (controller->store_ok_us == 0)
 			return SUCCESSION_NO_CAUSE;
 		if (controller->store_ok_us > missing_us)
 			missing_us = controller->store_ok_us;
-		if (now_us - missing_us < DUTY_MISSING_US)
+		if (now_us - missing_us > DUTY_MISSING_US)
+			return !primary || primary->is_unreachable ? SUCCESSION_FAILED : SUCCESSION_LEAVING;
+		if (!primary)
 			return SUCCESSION_NO_CAUSE;
-		return !primary || primary->is_unreachable ? SUCCESSION_FAILED : SUCCESSION_LEAVING;
 	}
 	if (primary->entry.is_draining)
 		return SUCCESSION_LEAVING;
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -10,7 +10,9 @@
 	MEMBER_HELLO_US = 1 * US_PER_S,
 	MEMBER_DEAD_US = 8 * US_PER_S,
 	/* Age of the own knowledge from which other VMs are asked for theirs, and how often. */
-	MEMBER_ASK_AGE_US = 900 * US_PER_MS,
+	MEMBER_ASK_AGE_US = 1000 * US_PER_MS,
+	/* The other VMs of a zone ask its poller this often; this costs no call of the store. */
+	MEMBER_ASK_POLLER_US = 400 * US_PER_MS,
 	MEMBER_ASK_US = 200 * US_PER_MS,
 	MEMBER_ANSWER_AGE_US = 1 * US_PER_S,
 };
@@ -109,6 +111,47 @@
 	}
 }
 
+/** The first living VM of the zone reads the records often, the others ask it. NULL: this VM. */
+static struct member *
+find_poller (struct controller *controller, int64_t now_us)
+{
+	struct member *poller = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct member *member = value;
+
+		if (!member_is_alive (controller, member, now_us) || member->is_leaving ||
+		    g_strcmp0 (member->zone, controller->boot.zone) != 0)
+			continue;
+		if (strcmp (member->vm, poller ? poller->vm : controller->boot.vm) < 0)
+			poller = member;
+	}
+	return poller;
+}
+
+static void
+ask_poller (struct controller *controller, int64_t now_us)
+{
+	struct member *poller = find_poller (controller, now_us);
+	struct fs_hello_args args = {
+		.vm = controller->boot.vm,
+		.number = (uint64_t) now_us,
+		.is_question = true,
+		.is_leaving = controller->is_leaving,
+		.revision = controller_lead_revision (controller),
+	};
+
+	controller->is_poller = poller == NULL;
+	if (!poller || now_us - controller->poller_asked_us < MEMBER_ASK_POLLER_US)
+		return;
+	controller->poller_asked_us = now_us;
+	peers_send_hello (&controller->peers, poller->address, &args);
+}
+
 void
 members_tick (struct controller *controller, int64_t now_us)
 {
@@ -123,6 +166,7 @@
 		if (controller->store_ok_us > 0 && now_us - controller->store_ok_us > MEMBER_DEAD_US)
 			remove_dead (controller, now_us);
 	}
+	ask_poller (controller, now_us);
 	if (now_us - controller->known_us > MEMBER_ASK_AGE_US &&
 	    now_us - controller->question_us > MEMBER_ASK_US)
 	{
@@ -271,10 +315,11 @@
 			.vm = controller->boot.vm,
 			.number = args->number,
 			.is_leaving = controller->is_leaving,
-			.has_knowledge = controller->known_us > 0,
+			/* Not passed on from third VMs: the list of VMs must be as young as the records. */
+			.has_knowledge = controller->listed_us > 0,
 			.is_registered = member && member->is_listed,
 			.revision = revision,
-			.age_us = (uint64_t) (now_us - controller->known_us),
+			.age_us = (uint64_t) (now_us - controller->listed_us),
 		};
 
 		if (args->revision < revision)
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -19,11 +19,13 @@
 	RELAY_DEADLINE_US = 5 * US_PER_S,
 };
 
-void
-relay_answer (struct session *session, enum transaction_state state)
+/** Only the server's own answers carry a position: the other VM takes it as of the time of sending. */
+static void
+relay_answer (struct session *session, enum transaction_state state,
+              const struct log_position *position)
 {
 	session->state = state;
-	wire_encode_ready (session->stream.out, state, &session->relay_server->applied);
+	wire_encode_ready (session->stream.out, state, position);
 	session_answered (session);
 }
 
@@ -31,7 +33,7 @@
 relay_complete (struct session *session)
 {
 	wire_encode_complete (session->stream.out);
-	relay_answer (session, session->state);
+	relay_answer (session, session->state, NULL);
 }
 
 void
@@ -43,7 +45,7 @@
 		service_remove (session->service, session);
 	wire_encode_error (session->stream.out, code, message);
 	session_end_transaction (session);
-	relay_answer (session, had_begun ? TRANSACTION_FAILED : TRANSACTION_NONE);
+	relay_answer (session, had_begun ? TRANSACTION_FAILED : TRANSACTION_NONE, NULL);
 }
 
 /** "VM SERVER" in the greeting. */
@@ -81,7 +83,7 @@
 	}
 	session->service = session->relay_server->service;
 	session->is_greeted = true;
-	wire_encode_ready (session->stream.out, TRANSACTION_NONE, &session->relay_server->applied);
+	wire_encode_ready (session->stream.out, TRANSACTION_NONE, NULL);
 	line_stream_flush (&session->stream);
 }
 
@@ -180,7 +182,7 @@
 		session->connection = NULL;
 		connection->session = NULL;
 	}
-	relay_answer (session, ready->state);
+	relay_answer (session, ready->state, ready->has_position ? &ready->position : NULL);
 	if (ready->state == TRANSACTION_NONE && connection->state == CONNECTION_IDLE)
 		connection_release (connection, now_us);
 }
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -468,7 +468,8 @@
 		server_probe (server, false, now_us);
 	else if (server->failed_us > 0 && !is_waiting)
 		server_probe (server, true, now_us);
-	else if (is_primary && now_us - server->answered_us > SERVER_PROBE_US && !is_waiting)
+	else if (is_primary && !server_uses_relay (server, now_us) &&
+	         now_us - server->answered_us > SERVER_PROBE_US && !is_waiting)
 		server_probe (server, false, now_us);
 	else if (server->connection_count == 0 && server_can_grow (server, now_us))
 		server_open (server, now_us);
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -351,7 +351,7 @@
 	/* Reads of replicas need samples of the primary's position that are younger than their bound. */
 	enum
 	{
-		SAMPLE_AGE_US = 400 * US_PER_MS,
+		SAMPLE_AGE_US = 900 * US_PER_MS,
 	};
 
 	service_quiesce (service, now_us);
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -263,10 +263,10 @@
 	struct server *server = connection->server;
 	struct log_position position;
 
-	if (session->is_relay)
-		return server->is_listed;
 	if (session->state != TRANSACTION_NONE && session->is_started)
 		return true;
+	if (session->is_relay)
+		return server->is_listed;
 	if (server->service->primary == server)
 		return service_can_use_primary (server->service, now_us);
 	return !session_needs_primary (session) && session_find_position (session, &position);
--- a/include/flamingospring/platform.h
+++ b/include/flamingospring/platform.h
@@ -44,9 +44,11 @@
 	 * the answer holds the present pair. */
 	int (*swap) (struct platform *platform, const char *key, uint64_t expected, const char *value,
 	             size_t value_length, platform_handle_answer *handle, void *data);
-	/** Watches @p prefix from @p revision on. One watch at a time for each prefix. */
+	/** Watches @p prefix from @p revision on. One watch at a time for each prefix. A watch that hears
+	 * nothing, not even that nothing has changed, ends with -ETIMEDOUT after about @p max_quiet_ms; 0: the
+	 * implementation's choice. */
 	int (*watch) (struct platform *platform, const char *prefix, uint64_t revision,
-	              platform_handle_answer *handle, void *data);
+	              uint32_t max_quiet_ms, platform_handle_answer *handle, void *data);
 	void (*unwatch) (struct platform *platform, const char *prefix);
 	/** Makes a server the primary of its service, in the name of @p holder with the fencing token
 	 * @p token. The answer's error is 0, -ENOENT (the server is not running), or another error after which
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -19,7 +19,7 @@
 {
 	struct server_entry entry;
 	bool is_listed;
-	int64_t unlisted_us;
+	int64_t missing_us; /**< Since when its entry is missing; 0: it is there. */
 	bool is_unreachable;
 	bool has_status;
 	struct database_status status;
@@ -87,10 +87,13 @@
 	bool is_registered;
 	uint64_t own_revision; /**< Of this VM's record. */
 	char *own_value;
-	int64_t known_us;
+	int64_t known_us;  /**< The records of the primaries held at that time. */
+	int64_t listed_us; /**< As known_us, for the list of VMs as well: by this VM's own poll. */
 	int64_t store_ok_us; /**< Since when the store answers; 0: it does not. */
 	int64_t hello_us;
 	int64_t question_us;
+	int64_t poller_asked_us;
+	bool is_poller; /**< Reads the records often, for its zone. */
 	uint32_t vm_count;
 	bool is_view_old;
 	bool is_leaving;
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -246,7 +246,6 @@
 void relay_handle_start (struct session *session, const struct caller_message *message);
 void relay_handle_query (struct session *session, const struct caller_message *message,
                          int64_t now_us);
-void relay_answer (struct session *session, enum transaction_state state);
 void relay_refuse (struct session *session, enum answer_code code, const char *message);
 void relay_handle_answer (struct session *session, struct connection *connection,
                           const struct server_message *ready, int64_t now_us);
