--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -48,21 +48,23 @@
 }
 
 uint64_t
-controller_lead_revision (const struct controller *controller)
+controller_lead_digest (const struct controller *controller)
 {
-	uint64_t revision = 0;
+	uint64_t digest = 0;
 	GHashTableIter iter;
 	gpointer value;
 
+	/* A sum, so that the order does not matter. */
 	g_hash_table_iter_init (&iter, controller->duties);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		const struct duty *duty = value;
 
-		if (duty->succession.record.revision > revision)
-			revision = duty->succession.record.revision;
+		if (duty->succession.record.revision > 0)
+			digest +=
+				XXH64 (duty->service, strlen (duty->service), duty->succession.record.revision);
 	}
-	return revision;
+	return digest;
 }
 
 char *
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -96,7 +96,7 @@
 		.number = (uint64_t) now_us,
 		.is_question = is_question,
 		.is_leaving = controller->is_leaving,
-		.revision = controller_lead_revision (controller),
+		.digest = controller_lead_digest (controller),
 	};
 	GHashTableIter iter;
 	gpointer value;
@@ -142,7 +142,7 @@
 		.number = (uint64_t) now_us,
 		.is_question = true,
 		.is_leaving = controller->is_leaving,
-		.revision = controller_lead_revision (controller),
+		.digest = controller_lead_digest (controller),
 	};
 
 	controller->is_poller = poller == NULL;
@@ -270,7 +270,7 @@
 	g_hash_table_replace (duty->opinions, g_strdup (args->vm), opinion);
 }
 
-/** Tells a VM whose records are behind all of them. */
+/** Tells a VM with other records all of them; it keeps the latest of each. */
 static void
 send_leads (struct controller *controller, struct peer_address to)
 {
@@ -305,7 +305,7 @@
 	struct member *member = note_heard (controller, args->vm);
 	int64_t now_us = clock_now_us ();
 	int64_t asked_us = (int64_t) args->number;
-	uint64_t revision = controller_lead_revision (controller);
+	uint64_t digest = controller_lead_digest (controller);
 
 	if (member)
 		member->is_leaving = args->is_leaving;
@@ -318,17 +318,17 @@
 			/* Not passed on from third VMs: the list of VMs must be as young as the records. */
 			.has_knowledge = controller->listed_us > 0,
 			.is_registered = member && member->is_listed,
-			.revision = revision,
+			.digest = digest,
 			.age_us = (uint64_t) (now_us - controller->listed_us),
 		};
 
-		if (args->revision < revision)
+		if (args->digest != digest)
 			send_leads (controller, from);
 		peers_send_hello (&controller->peers, from, &answer);
 		return;
 	}
 	/* An answer says that the same records still held some time before the question was sent. */
-	if (!args->has_knowledge || !args->is_registered || args->revision != revision ||
+	if (!args->has_knowledge || !args->is_registered || args->digest != digest ||
 	    asked_us > now_us || now_us - asked_us > MEMBER_ANSWER_AGE_US)
 		return;
 	asked_us -= (int64_t) args->age_us;
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -118,8 +118,8 @@
 char *duty_record_format (const struct succession_record *record);
 int duty_record_parse (const char *text, size_t length, struct succession_record *record);
 
-/** Highest revision of all records. */
-uint64_t controller_lead_revision (const struct controller *controller);
+/** Of the revisions of all records: equal when two VMs have the same. */
+uint64_t controller_lead_digest (const struct controller *controller);
 
 /* controller_member.c */
 extern const struct peers_ops controller_peers_ops;
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -47,7 +47,7 @@
 	bool_t is_leaving;
 	bool_t has_knowledge;
 	bool_t is_registered;
-	u_quad_t revision;
+	u_quad_t digest;
 	u_quad_t age_us;
 };
 
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -39,7 +39,7 @@
 	bool is_leaving;
 	bool has_knowledge;
 	bool is_registered; /* The store's list of VMs names the one that asked. */
-	unsigned hyper revision;
+	unsigned hyper digest;
 	unsigned hyper age_us;
 };
 
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -87,7 +87,7 @@
 		IXDR_PUT_BOOL(buf, objp->has_knowledge);
 		IXDR_PUT_BOOL(buf, objp->is_registered);
 		}
-		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 			 return FALSE;
@@ -114,7 +114,7 @@
 		objp->has_knowledge = IXDR_GET_BOOL(buf);
 		objp->is_registered = IXDR_GET_BOOL(buf);
 		}
-		 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 			 return FALSE;
@@ -133,7 +133,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_registered))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 		 return FALSE;
