--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -267,6 +267,18 @@
 	return g_hash_table_lookup (duty->controller->servers, id);
 }
 
+/** The server's entry is missing for longer than a lapse takes. */
+static bool
+is_missing (const struct controller *controller, const struct known_server *server,
+            int64_t unknown_us, int64_t now_us)
+{
+	int64_t missing_us = server ? server->missing_us : unknown_us;
+
+	if (missing_us == 0 || controller->store_ok_us == 0)
+		return false;
+	return now_us - MAX (missing_us, controller->store_ok_us) > DUTY_MISSING_US;
+}
+
 static enum succession_cause
 find_cause (struct duty *duty, int64_t now_us)
 {
@@ -278,19 +290,10 @@
 	if (succession->record.revision == 0 || succession->record.is_changing ||
 	    !controller->has_directory || controller->is_leaving)
 		return SUCCESSION_NO_CAUSE;
-	if (!primary || primary->missing_us > 0)
-	{
-		int64_t missing_us = primary ? primary->missing_us : succession->record_us;
-
-		if (controller->store_ok_us == 0)
-			return SUCCESSION_NO_CAUSE;
-		if (controller->store_ok_us > missing_us)
-			missing_us = controller->store_ok_us;
-		if (now_us - missing_us > DUTY_MISSING_US)
-			return !primary || primary->is_unreachable ? SUCCESSION_FAILED : SUCCESSION_LEAVING;
-		if (!primary)
-			return SUCCESSION_NO_CAUSE;
-	}
+	if (is_missing (controller, primary, succession->record_us, now_us))
+		return !primary || primary->is_unreachable ? SUCCESSION_FAILED : SUCCESSION_LEAVING;
+	if (!primary)
+		return SUCCESSION_NO_CAUSE;
 	if (primary->entry.is_draining)
 		return SUCCESSION_LEAVING;
 	if (primary->not_primary_us > 0)
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -133,11 +133,11 @@
 		{ "log-level", 'l', 0, G_OPTION_ARG_STRING, &level_name, "error, warn, info or debug",
 		  "LEVEL" },
 		{ "check", 'c', 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL },
-		{ NULL },
+		{ .long_name = NULL },
 	};
 	GOptionContext *context = g_option_context_new ("- database sessions on the platform");
 	enum log_level level = LOG_LEVEL_INFO;
-	struct boot_settings boot;
+	struct boot_settings boot = { 0 };
 	struct findings findings;
 	GError *error = NULL;
 	int code = EXIT_CODE_USAGE;
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -61,11 +61,11 @@
 handle_ready (struct loop_source *source, uint32_t epoll_events)
 {
 	struct peers *peers = source->data;
-	char buffer[RPC_MAX_DATAGRAM_BYTES];
+	char buffer[RPC_MAX_DATAGRAM_BYTES] = { 0 };
 
 	for (int i = 0; i < PEERS_READ_BURST; i++)
 	{
-		struct sockaddr_in address;
+		struct sockaddr_in address = { 0 };
 		socklen_t address_length = sizeof address;
 		ssize_t length = recvfrom (source->fd, buffer, sizeof buffer, 0,
 		                           (struct sockaddr *) &address, &address_length);
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -454,8 +454,8 @@
 void
 server_tick (struct server *server, int64_t now_us)
 {
-	bool is_primary = server->service->primary == server;
 	bool is_waiting;
+	bool is_quiet;
 
 	server_close_stuck (server, now_us);
 	server_close_surplus (server, now_us);
@@ -464,13 +464,13 @@
 	server_check_silence (server, now_us);
 	is_waiting =
 		server_waiting_since (server, false) > 0 || server_waiting_since (server, true) > 0;
-	if (server->status_wanted || server->demote_term > 0)
+	/* The owner watches a quiet primary for all VMs. */
+	is_quiet = server->service->primary == server && !server_uses_relay (server, now_us) &&
+	           now_us - server->answered_us > SERVER_PROBE_US && !is_waiting;
+	if (server->status_wanted || server->demote_term > 0 || is_quiet)
 		server_probe (server, false, now_us);
 	else if (server->failed_us > 0 && !is_waiting)
 		server_probe (server, true, now_us);
-	else if (is_primary && !server_uses_relay (server, now_us) &&
-	         now_us - server->answered_us > SERVER_PROBE_US && !is_waiting)
-		server_probe (server, false, now_us);
 	else if (server->connection_count == 0 && server_can_grow (server, now_us))
 		server_open (server, now_us);
 }
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -995,9 +995,7 @@
 
 	if (session->request.is_active || leaving_us < LEAVE_ROTATION_US)
 		return;
-	if (session->state == TRANSACTION_NONE)
-		session_close (session);
-	else if (leaving_us > transaction_us)
+	if (session->state == TRANSACTION_NONE || leaving_us > transaction_us)
 		session_close (session);
 }
 
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -87,8 +87,8 @@
 	bool is_registered;
 	uint64_t own_revision; /**< Of this VM's record. */
 	char *own_value;
-	int64_t known_us;  /**< The records of the primaries held at that time. */
-	int64_t listed_us; /**< As known_us, for the list of VMs as well: by this VM's own poll. */
+	int64_t known_us;    /**< The records of the primaries held at that time. */
+	int64_t listed_us;   /**< As known_us, for the list of VMs as well: by this VM's own poll. */
 	int64_t store_ok_us; /**< Since when the store answers; 0: it does not. */
 	int64_t hello_us;
 	int64_t question_us;
--- /dev/null
+++ b/tests/unit/platform_documents.c
@@ -0,0 +1,161 @@
+#include "platform/documents.h"
+
+#include "platform/boot_settings.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+static int
+decode_server (const char *value, struct server_entry *entry)
+{
+	struct platform_pair pair = {
+		.key = "servers/i-1",
+		.value = value,
+		.value_length = strlen (value),
+	};
+
+	return documents_decode_server (&pair, entry);
+}
+
+static void
+test_server_entry (void)
+{
+	struct server_entry entry;
+
+	g_assert_cmpint (
+		decode_server ("{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"a\","
+	                   "\"version\":\"v1\",\"slots\":2,\"state\":\"draining\","
+	                   "\"coldRemainingMs\":0,\"dbRole\":\"replica\",\"sequence\":4}",
+	                   &entry),
+		==, 0);
+	g_assert_cmpstr (entry.id, ==, "i-1");
+	g_assert_true (entry.is_draining);
+	g_assert_false (entry.reports_primary);
+	g_assert_cmpuint (entry.slots, ==, 2);
+	g_assert_cmpuint (entry.port, ==, 8080);
+	server_entry_clear (&entry);
+}
+
+/* Other writers leave entries that name no server to use. */
+static void
+test_foreign_entries (void)
+{
+	static const char *const rows[] = {
+		"",
+		"\xff\xfe",
+		"[]",
+		"{}",
+		"{\"service\":1,\"address\":\"10.0.0.1:1\",\"zone\":\"a\",\"slots\":2,\"state\":\"ready\","
+		"\"dbRole\":\"replica\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1\",\"zone\":\"a\",\"slots\":2,\"state\":\"ready\","
+		"\"dbRole\":\"replica\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"a\",\"slots\":2,\"state\":\"odd\","
+		"\"dbRole\":\"replica\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"a\",\"slots\":\"2\","
+		"\"state\":\"ready\",\"dbRole\":\"replica\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"a\",\"slots\":2,"
+		"\"state\":\"ready\",\"dbRole\":\"leader\"}",
+	};
+	struct server_entry entry;
+
+	for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+		g_assert_cmpint (decode_server (rows[i], &entry), ==, -EBADMSG);
+}
+
+static void
+test_configuration (void)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"db\",\"routeType\":"
+		"\"bounded_staleness\",\"timeoutMs\":1200,\"targetLatencyMs\":600,\"priority\":2,"
+		"\"service\":\"s\",\"maxStalenessMs\":1500,\"unknown\":[]},{\"host\":\"x\",\"service\":\"s\","
+		"\"routeType\":\"call\"}],\"services\":[{\"name\":\"s\",\"maxConnections\":16,"
+		"\"syncReplicas\":1}],\"limits\":{\"txIdleMs\":3000}}";
+	struct configuration *configuration = documents_decode_configuration (text, strlen (text));
+	const struct database_service *service;
+	const struct route *route;
+
+	g_assert_nonnull (configuration);
+	g_assert_cmpuint (configuration->version, ==, 7);
+	route = g_hash_table_lookup (configuration->routes, "db");
+	g_assert_nonnull (route);
+	g_assert_cmpint (route->kind, ==, ROUTE_BOUNDED_STALENESS);
+	g_assert_cmpuint (route->max_staleness_ms, ==, 1500);
+	g_assert_null (g_hash_table_lookup (configuration->routes, "x"));
+	service = g_hash_table_lookup (configuration->services, "s");
+	g_assert_cmpuint (service->sync_replicas, ==, 1);
+	g_assert_cmpuint (configuration->transaction_idle_ms, ==, 3000);
+	configuration_release (configuration);
+	g_assert_null (documents_decode_configuration ("{\"version\":\"7\"}", 15));
+	g_assert_null (documents_decode_configuration ("", 0));
+}
+
+static int
+read_settings (const char *text, struct boot_settings *settings, struct findings *findings)
+{
+	char *path = NULL;
+	int fd = g_file_open_tmp ("settings-XXXXXX", &path, NULL);
+	int result;
+
+	g_assert_cmpint (fd, >=, 0);
+	g_close (fd, NULL);
+	g_assert_true (g_file_set_contents (path, text, -1, NULL));
+	result = boot_settings_read (settings, path, findings);
+	g_unlink (path);
+	g_free (path);
+	return result;
+}
+
+static const char settings_text[] =
+	"node: \"front-a-1\"\nip: \"10.1.0.8\"\nzone: \"a\"\n"
+	"listen:\n  front: \"10.1.0.8:8784\"\n  ready: \"10.1.0.8:8785\"\n"
+	"internalPorts:\n  - 7440\n  - 7455\nheartbeatMs: 1200\n"
+	"bounds:\n  graceS: 4.5\n  drainMs: 7000\n"
+	"platform:\n  address: \"10.200.1.7:8783\"\n"
+	"cloud:\n  address: \"10.200.0.160:8783\"\nnew: [1]\n";
+
+/* Bounds may be fractions, and fields may come that are not known. */
+static void
+test_settings (void)
+{
+	struct boot_settings settings;
+	struct findings findings;
+
+	findings_init (&findings);
+	g_assert_cmpint (read_settings (settings_text, &settings, &findings), ==, 0);
+	g_assert_cmpstr (settings.vm, ==, "front-a-1");
+	g_assert_cmpuint (settings.ip, ==, 0x0a010008);
+	g_assert_cmpuint (settings.peer_port, ==, 7440);
+	g_assert_cmpuint (settings.grace_ms, ==, 4500);
+	g_assert_cmpuint (settings.configuration_ms, ==, 3000);
+	findings_finish (&findings);
+}
+
+/* All problems are reported at once. */
+static void
+test_settings_findings (void)
+{
+	struct boot_settings settings;
+	struct findings findings;
+
+	findings_init (&findings);
+	g_assert_cmpint (
+		read_settings ("node: n\nip: nowhere\nheartbeatMs: soon\n", &settings, &findings), ==,
+		-EINVAL);
+	g_assert_cmpuint (findings.count, >=, 4);
+	findings_finish (&findings);
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/documents/server", test_server_entry);
+	g_test_add_func ("/documents/foreign", test_foreign_entries);
+	g_test_add_func ("/documents/configuration", test_configuration);
+	g_test_add_func ("/settings/read", test_settings);
+	g_test_add_func ("/settings/findings", test_settings_findings);
+	return g_test_run ();
+}
--- /dev/null
+++ b/tests/unit/platform_wire.c
@@ -0,0 +1,128 @@
+#include "platform/wire.h"
+
+#include <errno.h>
+#include <string.h>
+
+static struct text
+line (const char *text)
+{
+	return (struct text){ text, strlen (text) };
+}
+
+static void
+test_statements (void)
+{
+	static const struct
+	{
+		const char *text;
+		enum statement_kind kind;
+	} rows[] = {
+		{ "QUERY 1 BEGIN", STATEMENT_BEGIN },
+		{ "QUERY 1 BEGIN READ", STATEMENT_BEGIN_READ },
+		{ "QUERY 1 BEGIN WRITE", STATEMENT_INVALID },
+		{ "QUERY 1 COMMIT", STATEMENT_COMMIT },
+		{ "QUERY 1 ROLLBACK", STATEMENT_ROLLBACK },
+		{ "QUERY 1 READ 1a4", STATEMENT_READ },
+		{ "QUERY 1 READ", STATEMENT_INVALID },
+		{ "QUERY 1 WRITE 1a4 some data", STATEMENT_WRITE },
+		{ "QUERY 1 SET v0 15", STATEMENT_SET },
+		{ "QUERY 1 PREPARE s1 READ q2c", STATEMENT_PREPARE },
+		{ "QUERY 1 PREPARE s1 DROP q2c", STATEMENT_INVALID },
+		{ "QUERY 1 EXECUTE s1 1a4", STATEMENT_EXECUTE },
+		{ "QUERY 1 DEALLOC s1", STATEMENT_DEALLOCATE },
+		/* Only the system may send these. */
+		{ "QUERY 1 AFTER 1.2 READ 1a4", STATEMENT_INVALID },
+		{ "QUERY 1 RANK 0 120 3 READ 1a4", STATEMENT_INVALID },
+		{ "QUERY 1 STATUS", STATEMENT_INVALID },
+		{ "QUERY 1 DEMOTE 3", STATEMENT_INVALID },
+		{ "QUERY 1 RESET", STATEMENT_INVALID },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+	{
+		struct caller_message message = wire_decode_caller (line (rows[i].text));
+
+		g_assert_cmpint (message.kind, ==, CALLER_QUERY);
+		g_assert_cmpint (message.statement.kind, ==, rows[i].kind);
+	}
+}
+
+static void
+test_malformed_messages (void)
+{
+	static const char *const rows[] = {
+		"", "QUERY", "QUERY ", "START", "HELLO x", " QUERY 1 READ 2"
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+		g_assert_cmpint (wire_decode_caller (line (rows[i])).kind, ==, CALLER_MALFORMED);
+	g_assert_cmpint (wire_decode_server (line ("READY X 1.2")).kind, ==, SERVER_MALFORMED);
+	g_assert_cmpint (wire_decode_server (line ("READY I 1.")).kind, ==, SERVER_MALFORMED);
+	g_assert_cmpint (wire_decode_server (line ("READY I 1.99999999999999999999")).kind, ==,
+	                 SERVER_MALFORMED);
+	g_assert_cmpint (wire_decode_server (line ("")).kind, ==, SERVER_MALFORMED);
+}
+
+/* What a VM forwards arrives with all its parts, and goes on to the server without the hint. */
+static void
+test_forwarded_statement (void)
+{
+	GString *out = g_string_new (NULL);
+	struct forward_hint hint = { 2, 600, 31 };
+	struct log_position after = { 3, 1207 };
+	struct caller_message message;
+
+	wire_encode_query (out, line ("5c0e"), (struct wire_prefix){ &hint, &after },
+	                   line ("READ 1a4"));
+	g_assert_cmpstr (out->str, ==, "QUERY 5c0e RANK 2 600 31 AFTER 3.1207 READ 1a4\r\n");
+	message = wire_decode_forwarded ((struct text){ out->str, out->len - 2 });
+	g_assert_cmpint (message.statement.kind, ==, STATEMENT_READ);
+	g_assert_true (message.has_hint && message.hint.waited_ms == 31);
+	g_assert_true (message.has_after && message.after.index == 1207);
+	g_assert_true (text_equals (message.text, "READ 1a4", 8));
+	message = wire_decode_forwarded (line ("QUERY - STATUS"));
+	g_assert_cmpint (message.statement.kind, ==, STATEMENT_CONTROL);
+	g_string_free (out, TRUE);
+}
+
+static void
+test_answers (void)
+{
+	struct server_message ready = wire_decode_server (line ("READY T 3.1209"));
+	struct server_message error = wire_decode_server (line ("ERROR READONLY i-7f3a91c2"));
+	struct database_status status;
+
+	g_assert_cmpint (ready.state, ==, TRANSACTION_OPEN);
+	g_assert_cmpuint (ready.position.index, ==, 1209);
+	g_assert_cmpint (error.code, ==, ANSWER_NOT_PRIMARY);
+	g_assert_cmpint (wire_decode_server (line ("ERROR NEWCODE x")).code, ==, ANSWER_OTHER);
+	g_assert_cmpint (wire_decode_status (line ("replica 3 3.1209 0 12 2 17"), &status), ==, 0);
+	g_assert_false (status.is_primary);
+	g_assert_cmpuint (status.lag_ms, ==, 12);
+	g_assert_cmpuint (status.connections, ==, 17);
+	g_assert_cmpint (wire_decode_status (line ("replica 3 3.1209"), &status), ==, -EBADMSG);
+}
+
+/* A caller acts on these codes as promises; only the ones of the protocol page count as such. */
+static void
+test_promises (void)
+{
+	g_assert_true (answer_code_did_not_run (ANSWER_OVERLOADED));
+	g_assert_true (answer_code_did_not_run (ANSWER_ROLLED_BACK));
+	g_assert_false (answer_code_did_not_run (ANSWER_FAILED));
+	g_assert_false (answer_code_did_not_run (ANSWER_TIMED_OUT));
+	g_assert_false (answer_code_did_not_run (ANSWER_IN_DOUBT));
+	g_assert_false (answer_code_did_not_run (ANSWER_OTHER));
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/wire/statements", test_statements);
+	g_test_add_func ("/wire/malformed", test_malformed_messages);
+	g_test_add_func ("/wire/forwarded", test_forwarded_statement);
+	g_test_add_func ("/wire/answers", test_answers);
+	g_test_add_func ("/wire/promises", test_promises);
+	return g_test_run ();
+}
