gateway: authority of 1.5 s; without the store, VMs go on while all others deny orders

Before: 2.5 s, after which a store outage ended the use of primaries, and which a failover beside a cut zone waited for.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -8,12 +8,12 @@
 {
 	US_PER_MS = 1000,
 	/** Authority of a VM over a primary (LEAD_AUTHORITY_MS) and some scheduling delay. */
-	AUTHORITY_US = (2500 + 60) * US_PER_MS,
+	AUTHORITY_US = (1500 + 60) * US_PER_MS,
 	/** A claimant may call the platform for this long after it sent its order. */
-	CLAIM_WINDOW_US = 4500 * US_PER_MS,
+	CLAIM_WINDOW_US = 3500 * US_PER_MS,
 	/** Another VM orders a change over an unfinished one after this time, which is longer than the window
 	 * and a call on its way (1 s). */
-	TAKEOVER_US = 6000 * US_PER_MS,
+	TAKEOVER_US = 5000 * US_PER_MS,
 	/** Steps between VMs, so that usually only the first one acts. */
 	RANK_DELAY_US = 150 * US_PER_MS,
 	ASK_INTERVAL_US = 50 * US_PER_MS,
@@ -122,6 +122,8 @@
 
 	if (succession->record.revision == 0)
 		return step_without_record (succession, input, now_us);
+	if (!input->may_order)
+		return SUCCESSION_NOTHING;
 	if (succession->record.is_changing)
 	{
 		/* An own order that took effect after it was given up. */
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -101,6 +101,8 @@
 	struct controller *controller = data;
 
 	controller->is_registering = false;
+	if (controller->joined_us > 0)
+		controller->joined_us = clock_now_us ();
 	log_event (LOG_LEVEL_INFO, "registered", "error=%d succeeded=%d revision=%llu", answer->error,
 	           answer->succeeded, (unsigned long long) answer->revision);
 	controller_poll (controller, clock_now_us ());
@@ -114,6 +116,8 @@
 	if (controller->is_registered || controller->is_registering || controller->is_leaving)
 		return;
 	key = g_strdup_printf ("%s%s", controller_member_prefix, controller->boot.vm);
+	if (controller->own_revision == 0)
+		controller->joined_us = clock_now_us ();
 	controller->is_registering =
 		controller->platform.ops->swap (&controller->platform, key, controller->own_revision,
 	                                    controller->own_value, strlen (controller->own_value),
@@ -215,6 +219,7 @@
 	if (answer->error < 0)
 		return;
 	controller->is_registered = false;
+	controller->own_revision = 0;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 		((struct member *) value)->is_listed = false;
--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -510,6 +510,8 @@
 		.sync_replicas = declared ? declared->sync_replicas : 0,
 		.cause = find_cause (duty, now_us),
 		.rank = find_rank (duty, now_us),
+		.may_order = now_us - controller->joined_us >
+		             CONTROLLER_LIST_AGE_US + LEAD_AUTHORITY_MS * (int64_t) US_PER_MS,
 	};
 
 	input.has_all_answers =
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -298,6 +298,53 @@
 	}
 }
 
+/** No service's record is being changed by this VM. */
+static bool
+is_steady (const struct controller *controller)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, controller->duties);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		if (((const struct duty *) value)->succession.phase != SUCCESSION_STEADY)
+			return false;
+	return true;
+}
+
+static void
+note_known (struct controller *controller, int64_t known_us)
+{
+	if (known_us <= controller->known_us)
+		return;
+	controller->known_us = known_us;
+	if (!controller->is_view_old)
+		gateway_traffic_send_known (controller->traffic, known_us);
+}
+
+/** Time at which every VM that may order a change had ordered none; goes on without the store. A VM that
+ * has joined since the list was read does not order changes yet. 0: not known. */
+static int64_t
+find_denied_us (const struct controller *controller)
+{
+	int64_t denied_us = clock_now_us ();
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!controller->is_registered || !is_steady (controller) ||
+	    denied_us - controller->listed_us > CONTROLLER_LIST_AGE_US)
+		return 0;
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct member *member = value;
+
+		if (member->is_listed && member->steady_us < denied_us)
+			denied_us = member->steady_us;
+	}
+	return denied_us;
+}
+
 static void
 handle_hello (void *data, const struct fs_hello_args *args, struct peer_address from)
 {
@@ -315,6 +362,7 @@
 			.vm = controller->boot.vm,
 			.number = args->number,
 			.is_leaving = controller->is_leaving,
+			.is_steady = is_steady (controller),
 			/* Not passed on from third VMs: the list of VMs must be as young as the records. */
 			.has_knowledge = controller->listed_us > 0,
 			.is_registered = member && member->is_listed,
@@ -327,16 +375,14 @@
 		peers_send_hello (&controller->peers, from, &answer);
 		return;
 	}
-	/* An answer says that the same records still held some time before the question was sent. */
-	if (!args->has_knowledge || !args->is_registered || args->digest != digest ||
-	    asked_us > now_us || now_us - asked_us > MEMBER_ANSWER_AGE_US)
-		return;
-	asked_us -= (int64_t) args->age_us;
-	if (asked_us <= controller->known_us)
+	if (args->digest != digest || asked_us > now_us || now_us - asked_us > MEMBER_ANSWER_AGE_US)
 		return;
-	controller->known_us = asked_us;
-	if (!controller->is_view_old)
-		gateway_traffic_send_known (controller->traffic, asked_us);
+	if (member && args->is_steady && asked_us > member->steady_us)
+		member->steady_us = asked_us;
+	/* The same records still held some time before the question was sent. */
+	if (args->has_knowledge && args->is_registered)
+		note_known (controller, asked_us - (int64_t) args->age_us);
+	note_known (controller, find_denied_us (controller));
 }
 
 const struct peers_ops controller_peers_ops = {
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -14,6 +14,13 @@
 
 #include <pthread.h>
 
+enum
+{
+	/** A list of VMs of this age still tells who may order a change of primary: VMs that join wait longer
+	 * before they do. Covers the usual outages of the store. */
+	CONTROLLER_LIST_AGE_US = 8 * US_PER_S,
+};
+
 /** A server: its directory entry and what the traffic thread saw of it. */
 struct known_server
 {
@@ -35,10 +42,11 @@
 	char *zone;
 	uint64_t revision; /**< Of its record. */
 	bool is_listed;
-	bool is_leaving;  /**< It has said so. */
-	bool is_serving;  /**< It takes forwarded statements. */
-	int64_t seen_us;  /**< First time in the store. */
-	int64_t heard_us; /**< Last datagram. */
+	bool is_leaving;   /**< It has said so. */
+	bool is_serving;   /**< It takes forwarded statements. */
+	int64_t seen_us;   /**< First time in the store. */
+	int64_t heard_us;  /**< Last datagram. */
+	int64_t steady_us; /**< It had the same records and no order in flight then. */
 };
 
 struct opinion
@@ -86,6 +94,7 @@
 	bool is_registering;
 	bool is_registered;
 	uint64_t own_revision; /**< Of this VM's record. */
+	int64_t joined_us;     /**< When the record was created; 0: it was there before. */
 	char *own_value;
 	int64_t known_us;    /**< The records of the primaries held at that time. */
 	int64_t listed_us;   /**< As known_us, for the list of VMs as well: by this VM's own poll. */
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -15,7 +15,7 @@
 	 * orders a change waits this long for VMs that do not answer. Covers several lost or slow polls of the
 	 * store; a longer time would delay a failover beside a dead VM.
 	 */
-	LEAD_AUTHORITY_MS = 2500,
+	LEAD_AUTHORITY_MS = 1500,
 };
 
 /** The primary of a service, by the record in the store. */
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -46,6 +46,7 @@
 	bool_t is_question;
 	bool_t is_leaving;
 	bool_t has_knowledge;
+	bool_t is_steady;
 	bool_t is_registered;
 	u_quad_t digest;
 	u_quad_t age_us;
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -38,6 +38,7 @@
 	bool is_question;
 	bool is_leaving;
 	bool has_knowledge;
+	bool is_steady; /* The sender has no order in flight for any service. */
 	bool is_registered; /* The store's list of VMs names the one that asked. */
 	unsigned hyper digest;
 	unsigned hyper age_us;
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -70,7 +70,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->number))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->is_question))
 				 return FALSE;
@@ -78,6 +78,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->has_knowledge))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_steady))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_registered))
 				 return FALSE;
 
@@ -85,6 +87,7 @@
 		IXDR_PUT_BOOL(buf, objp->is_question);
 		IXDR_PUT_BOOL(buf, objp->is_leaving);
 		IXDR_PUT_BOOL(buf, objp->has_knowledge);
+		IXDR_PUT_BOOL(buf, objp->is_steady);
 		IXDR_PUT_BOOL(buf, objp->is_registered);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
@@ -97,7 +100,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->number))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->is_question))
 				 return FALSE;
@@ -105,6 +108,8 @@
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->has_knowledge))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_steady))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_registered))
 				 return FALSE;
 
@@ -112,6 +117,7 @@
 		objp->is_question = IXDR_GET_BOOL(buf);
 		objp->is_leaving = IXDR_GET_BOOL(buf);
 		objp->has_knowledge = IXDR_GET_BOOL(buf);
+		objp->is_steady = IXDR_GET_BOOL(buf);
 		objp->is_registered = IXDR_GET_BOOL(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
@@ -131,6 +137,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->has_knowledge))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_steady))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_registered))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
