gateway: a VM that is cut off leaves the rotation and ends its idle sessions

Cause: during a zone cut the VMs of the zone stayed ready and refused a third of all requests for 5 s. Forwarding VMs no longer fall back to direct connections when the owner has not read the directory yet.

--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -12,7 +12,7 @@
 {
 	CONTROL_TICK_US = 20 * US_PER_MS,
 	/* Some polls fit into LEAD_AUTHORITY_MS, so that a lost one does not end the use of primaries. */
-	CONTROL_POLL_US = 500 * US_PER_MS,
+	CONTROL_POLL_US = 400 * US_PER_MS,
 	/* A missing entry is taken as gone: the time that the platform grants after the store's return, and some
 	 * delay; well below the time after which a leaving server must be out of use. */
 	CONTROL_MISSING_US = 3 * US_PER_S,
@@ -151,6 +151,7 @@
 		view->configuration = configuration_hold (controller->configuration);
 	view->known_us = controller->known_us;
 	view->is_registered = controller->is_registered;
+	view->is_isolated = controller->is_isolated;
 	view->vm_count = controller->vm_count;
 	g_hash_table_iter_init (&iter, controller->duties);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -618,7 +619,7 @@
 	const struct controller *controller = data;
 
 	return controller->configuration && controller->has_directory && controller->known_us > 0 &&
-	       !controller->is_leaving;
+	       !controller->is_leaving && !controller->is_isolated;
 }
 
 static void
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -10,9 +10,11 @@
 	MEMBER_HELLO_US = 1 * US_PER_S,
 	MEMBER_DEAD_US = 8 * US_PER_S,
 	/* Age of the own knowledge from which other VMs are asked for theirs, and how often. */
-	MEMBER_ASK_AGE_US = 1000 * US_PER_MS,
+	MEMBER_ASK_AGE_US = 800 * US_PER_MS,
 	/* The other VMs of a zone ask its poller this often; this costs no call of the store. */
-	MEMBER_ASK_POLLER_US = 400 * US_PER_MS,
+	MEMBER_ASK_POLLER_US = 300 * US_PER_MS,
+	/* Questions to VMs of other zones without any answer for this long: this VM is cut off. */
+	MEMBER_ISOLATED_US = 250 * US_PER_MS,
 	MEMBER_ASK_US = 200 * US_PER_MS,
 	MEMBER_ANSWER_AGE_US = 1 * US_PER_S,
 };
@@ -152,6 +154,48 @@
 	peers_send_hello (&controller->peers, poller->address, &args);
 }
 
+/** Neither the store nor a VM of another zone answers. */
+static bool
+find_isolated (struct controller *controller, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	bool has_others = false;
+
+	if (now_us - controller->known_us <= MEMBER_ASK_AGE_US)
+	{
+		controller->doubt_us = 0;
+		return false;
+	}
+	if (controller->doubt_us == 0)
+		controller->doubt_us = now_us;
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct member *member = value;
+
+		if (!member->is_listed || g_strcmp0 (member->zone, controller->boot.zone) == 0)
+			continue;
+		has_others = true;
+		if (member->heard_us > controller->doubt_us)
+			return false;
+	}
+	return has_others && now_us - controller->doubt_us > MEMBER_ISOLATED_US;
+}
+
+static void
+note_isolated (struct controller *controller, int64_t now_us)
+{
+	bool is_isolated = find_isolated (controller, now_us);
+
+	if (is_isolated == controller->is_isolated)
+		return;
+	log_event (LOG_LEVEL_WARN, is_isolated ? "isolated" : "connected", "knowledge_age_ms=%lld",
+	           (long long) (now_us - controller->known_us) / US_PER_MS);
+	controller->is_isolated = is_isolated;
+	controller->is_view_old = true;
+}
+
 void
 members_tick (struct controller *controller, int64_t now_us)
 {
@@ -167,6 +211,7 @@
 			remove_dead (controller, now_us);
 	}
 	ask_poller (controller, now_us);
+	note_isolated (controller, now_us);
 	if (now_us - controller->known_us > MEMBER_ASK_AGE_US &&
 	    now_us - controller->question_us > MEMBER_ASK_US)
 	{
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -48,31 +48,31 @@
 	relay_answer (session, had_begun ? TRANSACTION_FAILED : TRANSACTION_NONE, NULL);
 }
 
-/** "VM SERVER" in the greeting. */
+/** The server named in the greeting, if it can be used. */
 static struct server *
-find_server (const struct session *session, const struct caller_message *message)
+find_server (const struct session *session)
 {
-	const char *blank = memchr (message->caller.start, ' ', message->caller.length);
-	struct server *server;
-	char *id;
-
-	if (!blank)
-		return NULL;
-	id = g_strndup (blank + 1,
-	                message->caller.length - (size_t) (blank + 1 - message->caller.start));
-	server = g_hash_table_lookup (session->traffic->servers, id);
-	g_free (id);
-	if (!server || !server->is_listed || server->failed_us > 0 ||
-	    !text_equals (message->database, server->service->name, strlen (server->service->name)))
-		return NULL;
-	return server;
+	const char *blank = strchr (session->database, ' ');
+	struct server *server =
+		blank ? g_hash_table_lookup (session->traffic->servers, blank + 1) : NULL;
+
+	return server && server->is_listed && server->failed_us == 0 ? server : NULL;
 }
 
 void
-relay_handle_start (struct session *session, const struct caller_message *message)
+relay_greet (struct session *session, int64_t now_us)
 {
-	session->database = g_strndup (message->caller.start, message->caller.length);
-	session->relay_server = find_server (session, message);
+	/* After a restart the other VMs' connections may be earlier than the list of servers. */
+	enum
+	{
+		UNKNOWN_SERVER_US = 400 * US_PER_MS,
+	};
+
+	session->relay_server = find_server (session);
+	session->is_starting =
+		!session->relay_server && now_us - session->active_us < UNKNOWN_SERVER_US;
+	if (session->is_starting)
+		return;
 	if (!session->relay_server)
 	{
 		wire_encode_error (session->stream.out, ANSWER_WRONG_SERVER,
@@ -87,6 +87,14 @@
 	line_stream_flush (&session->stream);
 }
 
+void
+relay_handle_start (struct session *session, const struct caller_message *message)
+{
+	/* "VM SERVER"; the service is checked by the server's id alone. */
+	session->database = g_strndup (message->caller.start, message->caller.length);
+	relay_greet (session, clock_now_us ());
+}
+
 static void
 handle_begin (struct session *session, const struct caller_message *message)
 {
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -980,15 +980,16 @@
 	connection_roll_back (connection);
 }
 
+enum
+{
+	/* The platform's balancer takes a VM out after two probes, one a second. */
+	LEAVE_ROTATION_US = 2200 * US_PER_MS,
+};
+
 /** Follows the planned stop of this process. */
 static void
 session_tick_leaving (struct session *session, int64_t now_us)
 {
-	/* The platform's balancer takes a VM out after two probes, one a second. */
-	enum
-	{
-		LEAVE_ROTATION_US = 2200 * US_PER_MS,
-	};
 	const struct gateway_traffic *traffic = session->traffic;
 	int64_t leaving_us = now_us - traffic->leaving_us;
 	int64_t transaction_us = (int64_t) traffic->settings.grace_ms * US_PER_MS / 2;
@@ -999,6 +1000,16 @@
 		session_close (session);
 }
 
+/** A VM that is cut off is out of rotation by now: its idle callers come back elsewhere. */
+static void
+session_tick_isolated (struct session *session, int64_t now_us)
+{
+	if (session->is_relay || session->request.is_active || session->state != TRANSACTION_NONE)
+		return;
+	if (now_us - session->traffic->isolated_us > LEAVE_ROTATION_US)
+		session_close (session);
+}
+
 /** Nothing can run the request at present, as far as this VM knows. */
 static bool
 is_unavailable (const struct session *session, int64_t now_us)
@@ -1067,7 +1078,9 @@
 		session_abort_idle (session);
 	if (session->is_closed)
 		return;
-	if (session->is_starting)
+	if (session->is_starting && session->is_relay)
+		relay_greet (session, now_us);
+	else if (session->is_starting)
 		session_greet (session);
 	if (session->is_closed)
 		return;
@@ -1075,4 +1088,6 @@
 		session_close (session);
 	else if (session->traffic->is_leaving && !session->is_closed)
 		session_tick_leaving (session, now_us);
+	else if (session->traffic->isolated_us > 0 && !session->is_closed)
+		session_tick_isolated (session, now_us);
 }
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -201,6 +201,7 @@
 	int64_t known_us; /**< The leads of the view held at that time. */
 	bool is_leaving;
 	int64_t leaving_us;
+	int64_t isolated_us; /**< Since when this VM is cut off; 0: it is not. */
 	const struct gateway_traffic_events *events;
 	void *events_data;
 };
@@ -243,6 +244,8 @@
 bool session_find_position (const struct session *session, struct log_position *position);
 
 /* relay.c */
+/** Answers the greeting when the server is known. */
+void relay_greet (struct session *session, int64_t now_us);
 void relay_handle_start (struct session *session, const struct caller_message *message);
 void relay_handle_query (struct session *session, const struct caller_message *message,
                          int64_t now_us);
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -45,6 +45,7 @@
 	GArray *servers; /**< Of struct server_entry. */
 	GArray *members; /**< Of struct view_member: living ones that are not leaving. */
 	uint32_t vm_count;
+	bool is_isolated;   /**< Callers are better off at other VMs. */
 	bool is_registered; /**< Whoever orders a change of primary asks this VM. */
 	int64_t known_us;   /**< The leads held at that time. */
 };
