gateway: lost owners are greeted beside the traffic; doubted servers are asked at once

Requests tried a lost owner every 1.5 s and waited 0.45 s each time; servers that their owner did not reach were noticed by other VMs a second later. A VM whose knowledge runs out leaves the rotation, whatever the cause.

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -40,9 +40,8 @@
 static void
 handle_greeting (struct connection *connection, int64_t now_us)
 {
-	struct server *server = connection->server;
-
-	server_handle_alive (server, now_us);
+	if (connection->is_relayed)
+		server_handle_relay_alive (connection->server);
 	connection_release (connection, now_us);
 }
 
@@ -60,7 +59,9 @@
 
 	log_event (LOG_LEVEL_WARN, "connection_refused", "server=%s code=%s open=%u", server->id,
 	           answer_code_name (code), server->connection_count);
-	if (connection->is_relayed)
+	if (connection->is_relayed && code == ANSWER_OVERLOADED)
+		server_handle_doubt (server, now_us);
+	else if (connection->is_relayed)
 		server_handle_relay_lost (server, now_us);
 	else if (code == ANSWER_TOO_MANY_CONNECTIONS)
 	{
@@ -178,7 +179,9 @@
 {
 	int64_t now_us = clock_now_us ();
 
-	server_handle_alive (connection->server, now_us);
+	/* The owner greets by itself. */
+	if (!connection->is_relayed || connection->state != CONNECTION_OPENING)
+		server_handle_alive (connection->server, now_us);
 	if (connection->is_relayed)
 		connection->server->relay_answered_us = now_us;
 	note_position (connection, ready, now_us);
@@ -225,7 +228,12 @@
 	connection->session = NULL;
 	connection_close (connection);
 	if (is_relayed && (was_opening || session))
+	{
 		server_handle_relay_lost (server, now_us);
+		/* The owner may have closed it because it does not reach the server: it says so in the greeting. */
+		if (!was_opening)
+			server->relay_retry_us = now_us;
+	}
 	else if (was_opening)
 		server_handle_failed (server, now_us);
 	if (!session)
@@ -290,7 +298,7 @@
 };
 
 struct connection *
-connection_open (struct server *server, bool is_direct, int64_t now_us)
+connection_open (struct server *server, bool is_relayed, int64_t now_us)
 {
 	struct gateway_traffic *traffic = server->service->traffic;
 	struct connection *connection = g_new0 (struct connection, 1);
@@ -303,7 +311,7 @@
 	connection->answer = g_string_new (NULL);
 	connection->opened_us = now_us;
 	connection->sent_us = now_us;
-	connection->is_relayed = server_uses_relay (server, now_us) && !is_direct;
+	connection->is_relayed = is_relayed;
 	connection->relay_ip = server->owner_ip;
 	result = line_stream_connect (&connection->stream, &traffic->loop, &connection_ops,
 	                              connection->is_relayed ? server->owner_ip : server->ip,
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -13,8 +13,9 @@
 	MEMBER_ASK_AGE_US = 800 * US_PER_MS,
 	/* The other VMs of a zone ask its poller this often; this costs no call of the store. */
 	MEMBER_ASK_POLLER_US = 300 * US_PER_MS,
-	/* Questions to VMs of other zones without any answer for this long: this VM is cut off. */
-	MEMBER_ISOLATED_US = 250 * US_PER_MS,
+	/* Age of the own knowledge from which this VM takes no callers: some questions to other VMs were not
+	 * answered, and LEAD_AUTHORITY_MS is near. */
+	MEMBER_ISOLATED_US = 1200 * US_PER_MS,
 	MEMBER_ASK_US = 200 * US_PER_MS,
 	MEMBER_ANSWER_AGE_US = 1 * US_PER_S,
 };
@@ -154,33 +155,13 @@
 	peers_send_hello (&controller->peers, poller->address, &args);
 }
 
-/** Neither the store nor a VM of another zone answers. */
+/** Knowledge is about to run out, so that callers are better off elsewhere. */
 static bool
-find_isolated (struct controller *controller, int64_t now_us)
+find_isolated (const struct controller *controller, int64_t now_us)
 {
-	GHashTableIter iter;
-	gpointer value;
-	bool has_others = false;
-
-	if (now_us - controller->known_us <= MEMBER_ASK_AGE_US)
-	{
-		controller->doubt_us = 0;
-		return false;
-	}
-	if (controller->doubt_us == 0)
-		controller->doubt_us = now_us;
-	g_hash_table_iter_init (&iter, controller->members);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-	{
-		const struct member *member = value;
+	int64_t age_us = now_us - controller->known_us;
 
-		if (!member->is_listed || g_strcmp0 (member->zone, controller->boot.zone) == 0)
-			continue;
-		has_others = true;
-		if (member->heard_us > controller->doubt_us)
-			return false;
-	}
-	return has_others && now_us - controller->doubt_us > MEMBER_ISOLATED_US;
+	return age_us > (controller->is_isolated ? MEMBER_ASK_AGE_US : MEMBER_ISOLATED_US);
 }
 
 static void
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -48,7 +48,7 @@
 	relay_answer (session, had_begun ? TRANSACTION_FAILED : TRANSACTION_NONE, NULL);
 }
 
-/** The server named in the greeting, if it can be used. */
+/** The server named in the greeting. */
 static struct server *
 find_server (const struct session *session)
 {
@@ -56,7 +56,15 @@
 	struct server *server =
 		blank ? g_hash_table_lookup (session->traffic->servers, blank + 1) : NULL;
 
-	return server && server->is_listed && server->failed_us == 0 ? server : NULL;
+	return server && server->is_listed ? server : NULL;
+}
+
+static void
+refuse_greeting (struct session *session, enum answer_code code, const char *message)
+{
+	wire_encode_error (session->stream.out, code, message);
+	line_stream_flush (&session->stream);
+	session_close (session);
 }
 
 void
@@ -75,10 +83,12 @@
 		return;
 	if (!session->relay_server)
 	{
-		wire_encode_error (session->stream.out, ANSWER_WRONG_SERVER,
-		                   "the server is not known here");
-		line_stream_flush (&session->stream);
-		session_close (session);
+		refuse_greeting (session, ANSWER_WRONG_SERVER, "the server is not known here");
+		return;
+	}
+	if (session->relay_server->failed_us > 0)
+	{
+		refuse_greeting (session, ANSWER_OVERLOADED, "the server does not answer");
 		return;
 	}
 	session->service = session->relay_server->service;
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -21,7 +21,9 @@
 	SERVER_RESERVED_CONNECTIONS = 2,
 	SERVER_RELAY_CONNECTIONS = 128,
 	SERVER_RELAY_OPENING = 4,
-	SERVER_RELAY_PAUSE_US = 1500 * US_PER_MS,
+	SERVER_RELAY_PAUSE_US = 1 * US_PER_S,
+	/* A server that its owner does not reach is given less time to answer. */
+	SERVER_DOUBTED_SILENT_US = 200 * US_PER_MS,
 	/* An owner that is silent for this long is bypassed for a question to the server itself. */
 	SERVER_RELAY_DOUBT_US = 200 * US_PER_MS,
 	SERVER_RELAY_IDLE_CLOSE_US = 20 * US_PER_S,
@@ -125,6 +127,7 @@
 server_handle_alive (struct server *server, int64_t now_us)
 {
 	server->answered_us = now_us;
+	server->is_doubted = false;
 	if (server->failed_us == 0)
 		return;
 	log_event (LOG_LEVEL_INFO, "server_reachable", "server=%s service=%s after_ms=%lld", server->id,
@@ -136,7 +139,7 @@
 bool
 server_uses_relay (const struct server *server, int64_t now_us)
 {
-	return server->owner_ip != 0 && now_us >= server->relay_bad_until_us;
+	return server->owner_ip != 0 && !server->is_relay_bad;
 }
 
 bool
@@ -246,18 +249,58 @@
 	       count_connections (server, true) < SERVER_RELAY_CONNECTIONS;
 }
 
+/** Asks for the status on an idle connection, or opens one for it. */
+static void
+server_probe (struct server *server, bool is_direct, int64_t now_us)
+{
+	bool uses_relay = !is_direct && server_uses_relay (server, now_us);
+
+	for (struct connection *connection = server->connections; connection;
+	     connection = connection->next)
+	{
+		if (connection->state != CONNECTION_IDLE || connection->session ||
+		    connection->is_relayed != uses_relay)
+			continue;
+		connection_ask_status (connection, now_us);
+		return;
+	}
+	if (count_opening (server, uses_relay) > 0)
+		return;
+	if (uses_relay || (now_us >= server->next_connect_us && now_us >= server->next_growth_us))
+	{
+		if (!connection_open (server, uses_relay, now_us) && !uses_relay)
+			server_handle_failed (server, now_us);
+	}
+}
+
+void
+server_handle_relay_alive (struct server *server)
+{
+	server->is_relay_bad = false;
+}
+
+void
+server_handle_doubt (struct server *server, int64_t now_us)
+{
+	server_handle_relay_lost (server, now_us);
+	if (server->is_doubted || server->failed_us > 0)
+		return;
+	server->is_doubted = true;
+	server_probe (server, true, now_us);
+}
+
 void
 server_open_direct (struct server *server, int64_t now_us)
 {
 	if (server->is_listed && can_grow_directly (server, now_us) &&
-	    !connection_open (server, true, now_us))
+	    !connection_open (server, false, now_us))
 		server_handle_failed (server, now_us);
 }
 
 void
 server_open (struct server *server, int64_t now_us)
 {
-	if (!connection_open (server, false, now_us))
+	if (!connection_open (server, server_uses_relay (server, now_us), now_us))
 		server_handle_failed (server, now_us);
 }
 
@@ -284,7 +327,8 @@
 	bool was_used = server_uses_relay (server, now_us);
 	struct connection *next;
 
-	server->relay_bad_until_us = now_us + SERVER_RELAY_PAUSE_US;
+	server->is_relay_bad = true;
+	server->relay_retry_us = now_us + SERVER_RELAY_PAUSE_US;
 	if (!was_used)
 		return;
 	log_event (LOG_LEVEL_WARN, "owner_unreachable", "server=%s owner=%u.%u.%u.%u", server->id,
@@ -365,10 +409,11 @@
 {
 	const struct gateway_traffic *traffic = server->service->traffic;
 	GArray *members = g_array_new (FALSE, TRUE, sizeof (struct ownership_member));
-	struct ownership_member own = { 1, hash_name (traffic->settings.zone) };
+	struct ownership_member own = { hash_name (traffic->settings.vm),
+		                            hash_name (traffic->settings.zone) };
+	uint32_t previous_ip;
 	uint32_t owner;
 
-	own.id = hash_name (traffic->settings.vm);
 	if (!traffic->is_leaving)
 		g_array_append_val (members, own);
 	for (guint i = 0; i < traffic->view->members->len; i++)
@@ -383,6 +428,7 @@
 	                             hash_name (server->id), hash_name (server->zone))
 	            .owner;
 	server->is_owner = owner == own.id;
+	previous_ip = server->owner_ip;
 	server->owner_ip = 0;
 	for (guint i = 0; i < traffic->view->members->len; i++)
 	{
@@ -394,43 +440,21 @@
 		server->owner_ip = member->ip;
 		server->owner_port = member->port;
 	}
+	if (server->owner_ip != previous_ip)
+		server->is_relay_bad = false;
 	g_array_free (members, TRUE);
 }
 
-/** Asks for the status on an idle connection, or opens one for it. */
-static void
-server_probe (struct server *server, bool is_direct, int64_t now_us)
-{
-	bool uses_relay = !is_direct && server_uses_relay (server, now_us);
-
-	for (struct connection *connection = server->connections; connection;
-	     connection = connection->next)
-	{
-		if (connection->state != CONNECTION_IDLE || connection->session ||
-		    connection->is_relayed != uses_relay)
-			continue;
-		connection_ask_status (connection, now_us);
-		return;
-	}
-	if (count_opening (server, uses_relay) > 0)
-		return;
-	if (uses_relay || (now_us >= server->next_connect_us && now_us >= server->next_growth_us))
-	{
-		if (!connection_open (server, is_direct, now_us) && !uses_relay)
-			server_handle_failed (server, now_us);
-	}
-}
-
 /** Finds out about silent owners and servers. */
 static void
 server_check_silence (struct server *server, int64_t now_us)
 {
 	int64_t direct_us = server_waiting_since (server, false);
 	int64_t relayed_us = server_waiting_since (server, true);
+	int64_t silent_us = server->is_doubted ? SERVER_DOUBTED_SILENT_US : SERVER_SILENT_US;
 	int64_t quiet_us;
 
-	if (direct_us > 0 && now_us - direct_us > SERVER_SILENT_US &&
-	    now_us - server->answered_us > SERVER_SILENT_US)
+	if (direct_us > 0 && now_us - direct_us > silent_us && now_us - server->answered_us > silent_us)
 		server_handle_failed (server, now_us);
 	if (relayed_us == 0)
 		return;
@@ -444,13 +468,24 @@
 		/* The owner greets a new connection at once, however long its queue is; the server itself is
 		 * asked meanwhile. */
 		server->doubted_us = now_us;
-		if (!connection_open (server, false, now_us))
+		if (!connection_open (server, true, now_us))
 			server_handle_relay_lost (server, now_us);
 		if (direct_us == 0)
 			server_probe (server, true, now_us);
 	}
 }
 
+/** Greets a lost owner from time to time, beside the traffic. */
+static void
+server_retry_relay (struct server *server, int64_t now_us)
+{
+	if (server->owner_ip == 0 || !server->is_relay_bad || now_us < server->relay_retry_us)
+		return;
+	server->relay_retry_us = now_us + SERVER_RELAY_PAUSE_US;
+	if (!connection_open (server, true, now_us))
+		log_event (LOG_LEVEL_WARN, "owner_connect_failed", "server=%s", server->id);
+}
+
 void
 server_tick (struct server *server, int64_t now_us)
 {
@@ -462,6 +497,7 @@
 	if (!server->is_listed)
 		return;
 	server_check_silence (server, now_us);
+	server_retry_relay (server, now_us);
 	is_waiting =
 		server_waiting_since (server, false) > 0 || server_waiting_since (server, true) > 0;
 	/* The owner watches a quiet primary for all VMs. */
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -934,7 +934,8 @@
 	session->request.id = g_string_new (NULL);
 	session->request.text = g_string_new (NULL);
 	session->request.answer = g_string_new (NULL);
-	session->active_us = clock_now_us ();
+	session->accepted_us = clock_now_us ();
+	session->active_us = session->accepted_us;
 	session->link.data = session;
 	g_queue_push_tail_link (&traffic->sessions, &session->link);
 }
@@ -1000,13 +1001,16 @@
 		session_close (session);
 }
 
-/** A VM that is cut off is out of rotation by now: its idle callers come back elsewhere. */
+/** A VM that is cut off is out of rotation by now: its idle callers come back elsewhere. Those that came
+ * meanwhile found no better VM. */
 static void
 session_tick_isolated (struct session *session, int64_t now_us)
 {
+	int64_t out_us = session->traffic->isolated_us + LEAVE_ROTATION_US;
+
 	if (session->is_relay || session->request.is_active || session->state != TRANSACTION_NONE)
 		return;
-	if (now_us - session->traffic->isolated_us > LEAVE_ROTATION_US)
+	if (now_us > out_us && session->accepted_us < out_us)
 		session_close (session);
 }
 
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -102,8 +102,7 @@
 	int64_t hello_us;
 	int64_t question_us;
 	int64_t poller_asked_us;
-	int64_t doubt_us; /**< Since when other VMs are asked for knowledge; 0: they are not. */
-	bool is_isolated; /**< Cut off from the store and from other zones. */
+	bool is_isolated; /**< Neither the store nor other VMs tell about the records. */
 	bool is_poller;   /**< Reads the records often, for its zone. */
 	uint32_t vm_count;
 	bool is_view_old;
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -98,7 +98,9 @@
 	bool is_owner;     /**< This VM is. */
 	uint32_t owner_ip; /**< 0: this VM is, or there is none. */
 	uint16_t owner_port;
-	int64_t relay_bad_until_us;
+	bool is_relay_bad; /**< Until the owner greets a connection again. */
+	int64_t relay_retry_us;
+	bool is_doubted; /**< The owner does not reach the server. */
 	int64_t relay_answered_us;
 	int64_t doubted_us; /**< Last time that a silent owner was asked. */
 };
@@ -167,6 +169,7 @@
 	bool has_written;
 	bool is_aborted; /**< Rolled back while the caller was idle; told with the next answer. */
 	int64_t began_us;
+	int64_t accepted_us;
 	int64_t active_us; /**< Last message or answer. */
 	enum route_kind route_kind;
 	uint32_t statement_timeout_ms;
@@ -283,6 +286,10 @@
 bool server_uses_relay (const struct server *server, int64_t now_us);
 bool server_has_capacity (const struct server *server, int64_t now_us);
 void server_set_owner (struct server *server);
+/** The owner answers again. */
+void server_handle_relay_alive (struct server *server);
+/** The owner does not reach the server. */
+void server_handle_doubt (struct server *server, int64_t now_us);
 /** The path over the owner does not work. */
 void server_handle_relay_lost (struct server *server, int64_t now_us);
 bool server_can_grow (const struct server *server, int64_t now_us);
@@ -294,8 +301,8 @@
 void server_handle_alive (struct server *server, int64_t now_us);
 
 /* connection.c */
-/** Opens a connection to the server's owner, or to the server itself. */
-struct connection *connection_open (struct server *server, bool is_direct, int64_t now_us);
+/** Opens a connection to the server's owner (@p is_relayed), or to the server itself. */
+struct connection *connection_open (struct server *server, bool is_relayed, int64_t now_us);
 void connection_set_state (struct connection *connection, enum connection_state state);
 /** Closes; its session, if any, is not told. */
 void connection_close (struct connection *connection);
