--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -249,6 +249,21 @@
 	g_string_append (answer, "\r\n");
 }
 
+/** The owner's sample counts from a time before the question: the age is taken at the answer. */
+static void
+note_sample (struct connection *connection, struct text row)
+{
+	struct service *service = connection->server->service;
+	struct log_position position;
+	uint64_t age_us;
+
+	if (wire_decode_sample (row, &age_us, &position) < 0)
+		log_event (LOG_LEVEL_ERROR, "sample_malformed", "server=%s", connection->server->id);
+	else if (connection->sent_as_lead && service->primary == connection->server &&
+	         !service->is_changing)
+		position_history_add (&service->history, connection->sent_us - (int64_t) age_us, position);
+}
+
 static void
 handle_line (struct line_stream *stream, struct text line)
 {
@@ -258,7 +273,9 @@
 	switch (message.kind)
 	{
 	case SERVER_ROW:
-		if (connection->state == CONNECTION_PROBING)
+		if (connection->state == CONNECTION_PROBING && connection->is_sample)
+			note_sample (connection, message.text);
+		else if (connection->state == CONNECTION_PROBING)
 			connection->has_status = wire_decode_status (message.text, &connection->status) == 0;
 		else
 			append_line (connection->answer, line);
@@ -398,17 +415,35 @@
 	line_stream_flush (&connection->stream);
 }
 
-void
-connection_ask_status (struct connection *connection, int64_t now_us)
+static void
+begin_probe (struct connection *connection, int64_t now_us)
 {
-	struct server *server = connection->server;
+	struct service *service = connection->server->service;
 
 	answer_reset (connection);
 	connection->has_status = false;
 	connection->sent_us = now_us;
 	connection->sent_as_lead =
-		server->service->primary == server && service_can_use_primary (server->service, now_us);
+		service->primary == connection->server && service_can_use_primary (service, now_us);
 	connection_set_state (connection, CONNECTION_PROBING);
+}
+
+void
+connection_ask_sample (struct connection *connection, int64_t now_us)
+{
+	begin_probe (connection, now_us);
+	connection->is_sample = true;
+	wire_encode_sample_question (connection->stream.out);
+	line_stream_flush (&connection->stream);
+}
+
+void
+connection_ask_status (struct connection *connection, int64_t now_us)
+{
+	struct server *server = connection->server;
+
+	begin_probe (connection, now_us);
+	connection->is_sample = false;
 	if (server->demote_term > 0)
 		wire_encode_demote (connection->stream.out, server->demote_term);
 	else
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -17,7 +17,9 @@
 	 * delay; well below the time after which a leaving server must be out of use. */
 	CONTROL_MISSING_US = 3 * US_PER_S,
 	/* VMs that ask the poller of their zone. */
-	CONTROL_SLOW_POLL_US = 4 * US_PER_S,
+	CONTROL_SLOW_POLL_US = 20 * US_PER_S,
+	CONTROL_DIRECTORY_QUIET_MS =
+		4000, /* Well below the time in which a leaving server is out of use. */
 	/* Knowledge of this age is renewed by a poll of one's own. */
 	CONTROL_KNOWN_AGE_US = 1000 * US_PER_MS,
 	CONTROL_RETRY_US = 200 * US_PER_MS,
@@ -37,9 +39,6 @@
 	bool has_left;
 };
 
-static void read_operator (struct controller *controller);
-static void read_directory (struct controller *controller);
-
 static void
 known_server_free (void *data)
 {
@@ -339,24 +338,27 @@
 {
 	struct controller *controller = data;
 
+	controller->is_reading_operator = false;
 	handle_operator_event (controller, answer);
-	if (answer->error == 0)
+	if (answer->error == 0 && !controller->is_following)
 		controller->platform.ops->watch (
 			&controller->platform, documents_operator_prefix, answer->revision,
 			controller->boot.configuration_ms * 3 / 5, handle_operator_event, controller);
 }
 
-static void
-read_operator (struct controller *controller)
+void
+controller_read_operator (struct controller *controller)
 {
-	controller->platform.ops->range (&controller->platform, documents_operator_prefix, 0,
-	                                 handle_operator_range, controller);
+	if (!controller->is_reading_operator)
+		controller->is_reading_operator =
+			controller->platform.ops->range (&controller->platform, documents_operator_prefix, 0,
+		                                     handle_operator_range, controller) == 0;
 }
 
 static void
 handle_operator_timer (struct loop_timer *timer, int64_t now_us)
 {
-	read_operator (timer->data);
+	controller_read_operator (timer->data);
 }
 
 /* The directory of servers. */
@@ -452,7 +454,13 @@
 		return;
 	}
 	for (size_t i = 0; i < answer->count; i++)
-		take_server (controller, &answer->pairs[i], clock_now_us ());
+	{
+		const struct platform_pair *pair = &answer->pairs[i];
+
+		take_server (controller, pair, clock_now_us ());
+		if (pair->revision > controller->directory_revision)
+			controller->directory_revision = pair->revision;
+	}
 	flush_view (controller);
 }
 
@@ -479,28 +487,51 @@
 {
 	struct controller *controller = data;
 
+	controller->is_reading_directory = false;
 	if (answer->error == 0)
 	{
 		unlist_missing (controller, answer);
 		controller->has_directory = true;
+		controller->directory_revision = answer->revision;
 	}
 	handle_directory_event (controller, answer);
-	if (answer->error == 0)
+	if (answer->error == 0 && !controller->is_following)
 		controller->platform.ops->watch (&controller->platform, documents_server_prefix,
-		                                 answer->revision, 0, handle_directory_event, controller);
+		                                 answer->revision, CONTROL_DIRECTORY_QUIET_MS,
+		                                 handle_directory_event, controller);
 }
 
-static void
-read_directory (struct controller *controller)
+void
+controller_read_directory (struct controller *controller)
+{
+	if (!controller->is_reading_directory)
+		controller->is_reading_directory =
+			controller->platform.ops->range (&controller->platform, documents_server_prefix, 0,
+		                                     handle_directory_range, controller) == 0;
+}
+
+void
+controller_set_following (struct controller *controller, bool is_following)
 {
-	controller->platform.ops->range (&controller->platform, documents_server_prefix, 0,
-	                                 handle_directory_range, controller);
+	if (controller->is_following == is_following)
+		return;
+	controller->is_following = is_following;
+	log_event (LOG_LEVEL_INFO, is_following ? "following" : "watching", "knowledge_age_ms=%lld",
+	           (long long) (clock_now_us () - controller->known_us) / US_PER_MS);
+	if (is_following)
+	{
+		controller->platform.ops->unwatch (&controller->platform, documents_operator_prefix);
+		controller->platform.ops->unwatch (&controller->platform, documents_server_prefix);
+		return;
+	}
+	controller_read_operator (controller);
+	controller_read_directory (controller);
 }
 
 static void
 handle_directory_timer (struct loop_timer *timer, int64_t now_us)
 {
-	read_directory (timer->data);
+	controller_read_directory (timer->data);
 }
 
 /* The traffic thread. */
@@ -647,8 +678,8 @@
 	struct controller *controller = data;
 	int result;
 
-	read_operator (controller);
-	read_directory (controller);
+	controller_read_operator (controller);
+	controller_read_directory (controller);
 	controller_poll (controller, clock_now_us ());
 	loop_set_timer (&controller->loop, &controller->tick, clock_now_us () + CONTROL_TICK_US);
 	result = loop_run (&controller->loop);
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum
 {
@@ -13,6 +14,12 @@
 	MEMBER_ASK_AGE_US = 800 * US_PER_MS,
 	/* The other VMs of a zone ask its poller this often; this costs no call of the store. */
 	MEMBER_ASK_POLLER_US = 300 * US_PER_MS,
+	/* Followers read the servers' entries at most this often: many servers change together. */
+	MEMBER_DIRECTORY_US = 1 * US_PER_S,
+	/* The list of VMs is read again at most this often: many VMs start together. */
+	MEMBER_RELIST_US = 2 * US_PER_S,
+	/* A poller that has not answered well for this long is not relied on. */
+	MEMBER_FOLLOWED_US = 1 * US_PER_S,
 	/* Age of the own knowledge from which this VM takes no callers: some questions to other VMs were not
 	 * answered, and LEAD_AUTHORITY_MS is near. */
 	MEMBER_ISOLATED_US = 1200 * US_PER_MS,
@@ -96,7 +103,7 @@
 {
 	struct fs_hello_args args = {
 		.vm = controller->boot.vm,
-		.number = (uint64_t) now_us,
+		.number = is_question ? (uint64_t) now_us : 0,
 		.is_question = is_question,
 		.is_leaving = controller->is_leaving,
 		.digest = controller_lead_digest (controller),
@@ -149,6 +156,9 @@
 	};
 
 	controller->is_poller = poller == NULL;
+	controller->poller = poller;
+	controller_set_following (controller,
+	                          poller && now_us - controller->followed_us < MEMBER_FOLLOWED_US);
 	if (!poller || now_us - controller->poller_asked_us < MEMBER_ASK_POLLER_US)
 		return;
 	controller->poller_asked_us = now_us;
@@ -338,6 +348,55 @@
 	return true;
 }
 
+/** Of the VMs in the store, this one included; equal on VMs with the same list. */
+static uint64_t
+find_members_digest (const struct controller *controller)
+{
+	uint64_t digest = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (controller->is_registered)
+		digest =
+			XXH64 (controller->boot.vm, strlen (controller->boot.vm), controller->own_revision);
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct member *member = value;
+
+		if (member->is_listed)
+			digest += XXH64 (member->vm, strlen (member->vm), member->revision);
+	}
+	return digest;
+}
+
+/** The poller of the zone has answered: reads what it knows better. */
+static void
+follow (struct controller *controller, const struct fs_hello_args *args, int64_t asked_us,
+        int64_t now_us)
+{
+	int64_t known_us = asked_us - (int64_t) args->age_us;
+
+	if (!args->has_knowledge || now_us - known_us > MEMBER_ASK_AGE_US)
+		return;
+	controller->followed_us = now_us;
+	if (args->members_digest != find_members_digest (controller))
+	{
+		if (now_us - controller->listed_us > MEMBER_RELIST_US)
+			controller_poll (controller, now_us);
+	}
+	else if (known_us > controller->listed_us)
+		controller->listed_us = known_us;
+	if (!controller->configuration || args->configuration > controller->configuration->version)
+		controller_read_operator (controller);
+	if (args->directory_revision > controller->directory_revision &&
+	    now_us - controller->directory_read_us > MEMBER_DIRECTORY_US)
+	{
+		controller->directory_read_us = now_us;
+		controller_read_directory (controller);
+	}
+}
+
 static void
 note_known (struct controller *controller, int64_t known_us)
 {
@@ -393,6 +452,9 @@
 			.has_knowledge = controller->listed_us > 0,
 			.is_registered = member && member->is_listed,
 			.digest = digest,
+			.members_digest = find_members_digest (controller),
+			.configuration = controller->configuration ? controller->configuration->version : 0,
+			.directory_revision = controller->directory_revision,
 			.age_us = (uint64_t) (now_us - controller->listed_us),
 		};
 
@@ -401,6 +463,8 @@
 		peers_send_hello (&controller->peers, from, &answer);
 		return;
 	}
+	if (member && member == controller->poller && args->number > 0)
+		follow (controller, args, asked_us, now_us);
 	if (args->digest != digest || asked_us > now_us || now_us - asked_us > MEMBER_ANSWER_AGE_US)
 		return;
 	if (member && args->is_steady && asked_us > member->steady_us)
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -129,6 +129,21 @@
 	relay_complete (session);
 }
 
+/** Tells the last sample of the primary, which all VMs' commits went through or were sampled after. */
+static void
+handle_sample (struct session *session, int64_t now_us)
+{
+	struct service *service = session->service;
+	int64_t sampled_us = position_history_last_us (&service->history);
+	struct log_position position;
+
+	service->used_us = now_us;
+	if (service->primary == session->relay_server && service_can_use_primary (service, now_us) &&
+	    position_history_find (&service->history, sampled_us, &position))
+		wire_encode_sample (session->stream.out, (uint64_t) (now_us - sampled_us), position);
+	relay_complete (session);
+}
+
 static void
 handle_statement (struct session *session, const struct caller_message *message, int64_t now_us)
 {
@@ -176,6 +191,9 @@
 	case STATEMENT_RESET:
 		handle_reset (session);
 		break;
+	case STATEMENT_SAMPLE:
+		handle_sample (session, now_us);
+		break;
 	case STATEMENT_DEALLOCATE:
 	case STATEMENT_INVALID:
 		relay_refuse (session, ANSWER_MALFORMED, "not a forwarded statement");
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -273,6 +273,24 @@
 	}
 }
 
+void
+server_ask_sample (struct server *server, int64_t now_us)
+{
+	if (!server_uses_relay (server, now_us))
+	{
+		server->status_wanted = true;
+		return;
+	}
+	for (struct connection *connection = server->connections; connection;
+	     connection = connection->next)
+	{
+		if (connection->state != CONNECTION_IDLE || connection->session || !connection->is_relayed)
+			continue;
+		connection_ask_sample (connection, now_us);
+		return;
+	}
+}
+
 void
 server_handle_relay_alive (struct server *server)
 {
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -348,17 +348,20 @@
 void
 service_tick (struct service *service, int64_t now_us)
 {
-	/* Reads of replicas need samples of the primary's position that are younger than their bound. */
+	/* Reads of replicas need samples of the primary's position that are younger than their bound; services
+	 * that nobody uses are left alone. */
 	enum
 	{
-		SAMPLE_AGE_US = 900 * US_PER_MS,
+		SAMPLE_AGE_US = 700 * US_PER_MS,
+		USED_US = 2 * US_PER_S,
 	};
+	bool is_old = now_us - position_history_last_us (&service->history) > SAMPLE_AGE_US;
 
 	service_quiesce (service, now_us);
-	if (service_can_use_primary (service, now_us) && service->primary->failed_us == 0 &&
-	    service->primary->probing_count == 0 &&
-	    now_us - position_history_last_us (&service->history) > SAMPLE_AGE_US)
-		service->primary->status_wanted = true;
+	if (is_old && now_us - service->used_us < USED_US &&
+	    service_can_use_primary (service, now_us) && service->primary->failed_us == 0 &&
+	    service->primary->probing_count == 0)
+		server_ask_sample (service->primary, now_us);
 	for (guint i = 0; i < service->servers->len; i++)
 		server_tick (service->servers->pdata[i], now_us);
 	service_dispatch (service, now_us);
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -216,6 +216,7 @@
 static void
 session_enqueue (struct session *session, int64_t now_us)
 {
+	session->service->used_us = now_us;
 	service_enqueue (session->service, session);
 	service_dispatch (session->service, now_us);
 }
@@ -802,6 +803,7 @@
 		handle_statement (session, now_us);
 		break;
 	case STATEMENT_RESET:
+	case STATEMENT_SAMPLE:
 	case STATEMENT_CONTROL:
 	case STATEMENT_INVALID:
 		session_fail (session, ANSWER_MALFORMED, "not a statement");
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -102,8 +102,15 @@
 	int64_t hello_us;
 	int64_t question_us;
 	int64_t poller_asked_us;
-	bool is_isolated; /**< Neither the store nor other VMs tell about the records. */
-	bool is_poller;   /**< Reads the records often, for its zone. */
+	bool is_isolated;          /**< Neither the store nor other VMs tell about the records. */
+	int64_t followed_us;       /**< Last good answer of the zone's poller. */
+	bool is_following;         /**< The poller tells of changes: no watches of one's own. */
+	int64_t directory_read_us; /**< Last time because of the poller. */
+	bool is_reading_operator;
+	bool is_reading_directory;
+	uint64_t directory_revision; /**< Of the store, up to which the list of servers is known. */
+	const struct member *poller; /**< Of the zone; NULL: this VM. */
+	bool is_poller;              /**< Reads the records often, for its zone. */
 	uint32_t vm_count;
 	bool is_view_old;
 	bool is_leaving;
@@ -114,7 +121,13 @@
 
 /* controller.c */
 void controller_poll (struct controller *controller, int64_t now_us);
-struct platform_answer;
+
+/** Reads the configuration or the servers' entries again, unless that is under way. */
+void controller_read_operator (struct controller *controller);
+void controller_read_directory (struct controller *controller);
+
+/** Follows the poller of the zone, or watches the store again. */
+void controller_set_following (struct controller *controller, bool is_following);
 
 /* controller_duty.c */
 struct duty *duty_get (struct controller *controller, const char *service);
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -30,6 +30,7 @@
 	STATEMENT_EXECUTE,
 	STATEMENT_DEALLOCATE,
 	STATEMENT_RESET,   /**< Only between VMs: drops values and prepared names. */
+	STATEMENT_SAMPLE,  /**< Only between VMs: the owner's last sample of the primary's position. */
 	STATEMENT_CONTROL, /**< Only between VMs: a question or an order to the server. */
 };
 
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -53,7 +53,7 @@
 	bool setup_has_begin;        /**< The last of these begins a transaction. */
 	bool setup_is_in_doubt;      /**< Another step than the beginning was refused. */
 	struct session *session;     /**< Pinned, or whose statement runs; NULL when it has left. */
-	bool is_order;               /**< Probing: the question was an order of the control thread. */
+	bool is_sample;              /**< Probing: the question was for the owner\'s sample. */
 	struct database_status status;
 	bool has_status;
 	int64_t opened_us;
@@ -118,6 +118,7 @@
 	bool is_quiesced;    /**< Reported that nothing runs at the old primary any more. */
 	int64_t changing_us; /**< Since when. */
 	struct position_history history;
+	int64_t used_us; /**< Last time that callers of this or another VM needed it. */
 	bool is_dispatching;
 	bool dispatch_again; /**< Something changed inside service_dispatch(). */
 	GQueue waiting;      /**< Of struct session, in order of priority and arrival. */
@@ -296,6 +297,8 @@
 /** For statements of other VMs, if the limits allow one. */
 void server_open_direct (struct server *server, int64_t now_us);
 void server_open (struct server *server, int64_t now_us);
+/** Gets a sample of the primary's position, from its owner if there is one. */
+void server_ask_sample (struct server *server, int64_t now_us);
 void server_close_all (struct server *server);
 void server_handle_failed (struct server *server, int64_t now_us);
 void server_handle_alive (struct server *server, int64_t now_us);
@@ -310,6 +313,8 @@
 void connection_release (struct connection *connection, int64_t now_us);
 void connection_roll_back (struct connection *connection);
 void connection_ask_status (struct connection *connection, int64_t now_us);
+/** Asks the owner of a primary for its last sample. */
+void connection_ask_sample (struct connection *connection, int64_t now_us);
 uint32_t connection_difference (const struct connection *connection, const struct session *session);
 /** Sends what is missing on the connection. @return number of answers to wait for. */
 uint32_t connection_prepare (struct connection *connection, const struct session *session);
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -55,4 +55,9 @@
 void wire_encode_set (GString *out, const char *name, const char *value);
 void wire_encode_prepare (GString *out, const char *name, bool is_write, const char *shape);
 void wire_encode_status (GString *out);
+
+/** Between VMs: asks the owner of a primary for its last sample; the row that answers. */
+void wire_encode_sample_question (GString *out);
+void wire_encode_sample (GString *out, uint64_t age_us, struct log_position position);
+int wire_decode_sample (struct text row, uint64_t *age_us, struct log_position *position);
 void wire_encode_demote (GString *out, uint64_t term);
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -49,6 +49,9 @@
 	bool_t is_steady;
 	bool_t is_registered;
 	u_quad_t digest;
+	u_quad_t members_digest;
+	u_quad_t configuration;
+	u_quad_t directory_revision;
 	u_quad_t age_us;
 };
 
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -41,6 +41,9 @@
 	bool is_steady; /* The sender has no order in flight for any service. */
 	bool is_registered; /* The store's list of VMs names the one that asked. */
 	unsigned hyper digest;
+	unsigned hyper members_digest;
+	unsigned hyper configuration;
+	unsigned hyper directory_revision;
 	unsigned hyper age_us;
 };
 
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -92,6 +92,12 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->configuration))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 			 return FALSE;
 		return TRUE;
@@ -122,6 +128,12 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->digest))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->configuration))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 			 return FALSE;
 	 return TRUE;
@@ -143,6 +155,12 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->digest))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->configuration))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 		 return FALSE;
 	return TRUE;
