gateway: structured logs on standard output, metrics

Lines about requests have budgets a second (failures 100, slow ones 20, served ones 10); a full pipe drops lines and says how many. Counters, beliefs with their ages and latency histograms by priority and hop are served on port 9464. One responder serves readiness and metrics.

--- a/common/log.c
+++ b/common/log.c
@@ -2,15 +2,20 @@
 
 #include "common/clock.h"
 
+#include <ck_pr.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <log4c.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 enum
 {
 	LOG_BURST = 5, /* Lines of one event in a second, for each thread. */
+	/* On standard output: changes of what the process believes come in groups, one for each server. */
+	LOG_OUTPUT_BURST = 40,
 	LOG_EVENT_SLOTS = 64,
 	LOG_LINE_BYTES = 2048,
 };
@@ -33,9 +38,19 @@
 
 static const char *const log_level_names[] = { "error", "warn", "info", "debug" };
 
+/** Lines a second and thread. Together they cost less than 5% of a VM's processor share. */
+static const unsigned log_request_budget[LOG_REQUEST_CLASSES] = {
+	[LOG_REQUEST_FAILED] = 100,
+	[LOG_REQUEST_SLOW] = 20,
+	[LOG_REQUEST_DONE] = 10,
+};
+
 static log4c_category_t *log_category;
+static unsigned log_burst = LOG_BURST;
+static unsigned log_dropped; /* Lines that the reader of standard output did not take. */
 static char log_vm_name[64] = "-";
 static __thread struct log_limit log_limits[LOG_EVENT_SLOTS];
+static __thread struct log_limit log_request_limits[LOG_REQUEST_CLASSES];
 
 static const char *
 log_format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
@@ -57,13 +72,40 @@
 	return fputs (event->evt_rendered_msg, stderr);
 }
 
+/** A full pipe drops whole lines. A line is shorter than what a pipe takes at once (PIPE_BUF). */
+static int
+log_append_output (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	size_t length = strlen (event->evt_rendered_msg);
+	unsigned dropped = ck_pr_load_uint (&log_dropped);
+	char notice[64];
+
+	(void) appender;
+	if (dropped > 0)
+	{
+		int size = snprintf (notice, sizeof notice, "event=log_dropped lines=%u\n", dropped);
+
+		if (write (STDOUT_FILENO, notice, (size_t) size) == size)
+			ck_pr_sub_uint (&log_dropped, dropped);
+	}
+	if (write (STDOUT_FILENO, event->evt_rendered_msg, length) == (ssize_t) length)
+		return 0;
+	ck_pr_inc_uint (&log_dropped);
+	return -EAGAIN;
+}
+
+static const log4c_appender_type_t log_output_type = {
+	.name = "flamingospring_stdout",
+	.append = log_append_output,
+};
+
 static const log4c_appender_type_t log_appender_type = {
 	.name = "flamingospring_stderr",
 	.append = log_append_line,
 };
 
-int
-log_init (enum log_level level, const char *vm_name)
+static int
+log_open (enum log_level level, const char *vm_name, const log4c_appender_type_t *type)
 {
 	log4c_layout_t *layout;
 	log4c_appender_t *appender;
@@ -71,11 +113,11 @@
 	if (log4c_init () != 0)
 		return -EIO;
 	log4c_layout_type_set (&log_layout_type);
-	log4c_appender_type_set (&log_appender_type);
+	log4c_appender_type_set (type);
 	layout = log4c_layout_get ("flamingospring");
 	log4c_layout_set_type (layout, &log_layout_type);
 	appender = log4c_appender_get ("flamingospring");
-	log4c_appender_set_type (appender, &log_appender_type);
+	log4c_appender_set_type (appender, type);
 	log4c_appender_set_layout (appender, layout);
 	log_category = log4c_category_get ("flamingospring");
 	log4c_category_set_appender (log_category, appender);
@@ -85,6 +127,24 @@
 	return 0;
 }
 
+int
+log_init (enum log_level level, const char *vm_name)
+{
+	log_burst = LOG_BURST;
+	return log_open (level, vm_name, &log_appender_type);
+}
+
+int
+log_init_output (enum log_level level, const char *vm_name)
+{
+	int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+	if (flags < 0 || fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK) < 0)
+		return -EIO;
+	log_burst = LOG_OUTPUT_BURST;
+	return log_open (level, vm_name, &log_output_type);
+}
+
 void
 log_finish (void)
 {
@@ -104,7 +164,7 @@
 
 /** Counts a line. @return false when it is over the limit. */
 static bool
-log_take (struct log_limit *limit, const char *event, unsigned *suppressed)
+log_take (struct log_limit *limit, const char *event, unsigned burst, unsigned *suppressed)
 {
 	int64_t now_us = clock_now_us ();
 
@@ -116,7 +176,7 @@
 		*suppressed = limit->suppressed;
 		*limit = (struct log_limit){ .event = event, .window_us = now_us };
 	}
-	if (limit->lines >= LOG_BURST)
+	if (limit->lines >= burst)
 	{
 		limit->suppressed++;
 		return false;
@@ -125,25 +185,17 @@
 	return true;
 }
 
-void
-log_event (enum log_level level, const char *event, const char *format, ...)
+static void
+log_write (enum log_level level, const char *event, unsigned suppressed, const char *format,
+           va_list args)
 {
 	char text[LOG_LINE_BYTES];
 	char tail[32] = "";
-	uint64_t wall_ns;
-	unsigned suppressed;
-	va_list args;
+	uint64_t wall_ns = clock_wall_ns ();
 
-	if (!log_category || !log4c_category_is_priority_enabled (log_category, log_priorities[level]))
-		return;
-	if (!log_take (log_find_limit (event), event, &suppressed))
-		return;
 	if (suppressed)
 		snprintf (tail, sizeof tail, " suppressed=%u", suppressed);
-	va_start (args, format);
 	vsnprintf (text, sizeof text, format, args);
-	va_end (args);
-	wall_ns = clock_wall_ns ();
 	log4c_category_log (log_category, log_priorities[level],
 	                    "time=%llu.%06llu level=%s vm=%s event=%s %s%s\n",
 	                    (unsigned long long) (wall_ns / 1000000000u),
@@ -151,6 +203,52 @@
 	                    log_vm_name, event, text, tail);
 }
 
+static bool
+log_is_enabled (enum log_level level)
+{
+	return log_category && log4c_category_is_priority_enabled (log_category, log_priorities[level]);
+}
+
+void
+log_event (enum log_level level, const char *event, const char *format, ...)
+{
+	unsigned suppressed;
+	va_list args;
+
+	if (!log_is_enabled (level) ||
+	    !log_take (log_find_limit (event), event, log_burst, &suppressed))
+		return;
+	va_start (args, format);
+	log_write (level, event, suppressed, format, args);
+	va_end (args);
+}
+
+bool
+log_request_takes (enum log_request_class log_class)
+{
+	struct log_limit *limit = &log_request_limits[log_class];
+	unsigned left_out = 0;
+	bool takes = log_is_enabled (LOG_LEVEL_INFO) &&
+	             log_take (limit, "request", log_request_budget[log_class], &left_out);
+
+	if (left_out > 0)
+		log_event (LOG_LEVEL_INFO, "requests_left_out", "class=%d lines=%u", log_class, left_out);
+	return takes;
+}
+
+void
+log_request (enum log_request_class log_class, const char *event, const char *format, ...)
+{
+	va_list args;
+
+	if (!log_is_enabled (LOG_LEVEL_INFO))
+		return;
+	va_start (args, format);
+	log_write (log_class == LOG_REQUEST_FAILED ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, event, 0, format,
+	           args);
+	va_end (args);
+}
+
 int
 log_level_parse (const char *text, enum log_level *level)
 {
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -644,13 +644,15 @@
 
 /* The thread. */
 
-static bool
-is_ready (void *data)
+static unsigned
+answer_readiness (void *data, GString *body)
 {
 	const struct controller *controller = data;
+	bool is_ready = controller->configuration && controller->has_directory &&
+	                controller->known_us > 0 && !controller->is_leaving && !controller->is_isolated;
 
-	return controller->configuration && controller->has_directory && controller->known_us > 0 &&
-	       !controller->is_leaving && !controller->is_isolated;
+	(void) body;
+	return is_ready ? 200 : 503;
 }
 
 static void
@@ -712,19 +714,25 @@
 		result = peers_init (&controller->peers, &controller->loop, own, &controller_peers_ops,
 		                     controller);
 	if (result == 0)
-		result = readiness_init (&controller->readiness, &controller->loop, boot->ip,
-		                         boot->readiness_port, is_ready, controller);
+		result = http_responder_init (&controller->readiness, &controller->loop, boot->ip,
+		                              boot->readiness_port, documents_readiness_path,
+		                              answer_readiness, controller);
+	if (result == 0 && controller->metrics_port > 0)
+		result = http_responder_init (&controller->metrics, &controller->loop, boot->ip,
+		                              controller->metrics_port, "/metrics",
+		                              controller_answer_metrics, controller);
 	return result;
 }
 
 struct controller *
-controller_start (const struct boot_settings *boot, struct gateway_traffic *traffic,
-                  void (*handle_left) (void *data), void *data)
+controller_start (const struct boot_settings *boot, uint16_t metrics_port,
+                  struct gateway_traffic *traffic, void (*handle_left) (void *data), void *data)
 {
 	struct controller *controller = g_new0 (struct controller, 1);
 	int result;
 
 	controller->boot = *boot;
+	controller->metrics_port = metrics_port;
 	controller->traffic = traffic;
 	controller->handle_left = handle_left;
 	controller->handle_left_data = data;
@@ -769,7 +777,8 @@
 {
 	loop_stop (&controller->loop);
 	pthread_join (controller->thread, NULL);
-	readiness_finish (&controller->readiness);
+	http_responder_finish (&controller->readiness);
+	http_responder_finish (&controller->metrics);
 	peers_finish (&controller->peers);
 	controller->platform.ops->finish (&controller->platform);
 	mailbox_finish (&controller->mailbox);
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -171,7 +171,8 @@
 {
 	int64_t age_us = now_us - controller->known_us;
 
-	return age_us > (controller->is_isolated ? MEMBER_ASK_AGE_US : MEMBER_ISOLATED_US);
+	return controller->known_us > 0 &&
+	       age_us > (controller->is_isolated ? MEMBER_ASK_AGE_US : MEMBER_ISOLATED_US);
 }
 
 static void
--- /dev/null
+++ b/gateway/controller_metrics.c
@@ -0,0 +1,121 @@
+#include "gateway/controller_private.h"
+
+#include "common/counters.h"
+#include "gateway/traffic_metrics.h"
+
+static void
+append_gauge (GString *body, const char *name, const char *help, double value)
+{
+	g_string_append_printf (body, "# HELP flamingospring_%s %s\n# TYPE flamingospring_%s gauge\n",
+	                        name, help, name);
+	g_string_append_printf (body, "flamingospring_%s %.6g\n", name, value);
+}
+
+static double
+age_s (int64_t time_us, int64_t now_us)
+{
+	return time_us > 0 ? (double) (now_us - time_us) / US_PER_S : -1;
+}
+
+static void
+append_beliefs (GString *body, const struct controller *controller, int64_t now_us)
+{
+	append_gauge (body, "knowledge_age_seconds", "age of what is known of the primaries",
+	              age_s (controller->known_us, now_us));
+	append_gauge (body, "members_age_seconds", "age of the list of VMs",
+	              age_s (controller->listed_us, now_us));
+	append_gauge (body, "members", "living VMs, this one included", controller->vm_count);
+	append_gauge (body, "configuration_version", "version in force",
+	              controller->configuration ? (double) controller->configuration->version : 0);
+	append_gauge (body, "store_reached", "1 while the store answers", controller->store_ok_us > 0);
+	append_gauge (body, "isolated", "1 while callers are sent elsewhere", controller->is_isolated);
+	append_gauge (body, "following", "1 while the zone's poller tells of changes",
+	              controller->is_following);
+}
+
+static void
+append_duties (GString *body, const struct controller *controller)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_string_append (body, "# HELP flamingospring_lead_revision revision of a service's record\n"
+	                       "# TYPE flamingospring_lead_revision gauge\n");
+	g_hash_table_iter_init (&iter, controller->duties);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct duty *duty = value;
+		const struct succession_record *record = &duty->succession.record;
+
+		g_string_append_printf (
+			body,
+			"flamingospring_lead_revision{service=\"%s\",primary=\"%s\",changing=\"%d\"} %llu\n",
+			duty->service, record->primary, record->is_changing,
+			(unsigned long long) record->revision);
+	}
+}
+
+static void
+append_histogram (GString *body, const char *labels, const struct histogram *histogram)
+{
+	struct histogram copy;
+	uint64_t count = 0;
+
+	histogram_read (histogram, &copy);
+	for (size_t i = 0; i < HISTOGRAM_BOUNDS; i++)
+	{
+		count += copy.buckets[i];
+		g_string_append_printf (body, "flamingospring_latency_seconds_bucket{%s,le=\"%g\"} %llu\n",
+		                        labels, (double) histogram_bounds_us[i] / US_PER_S,
+		                        (unsigned long long) count);
+	}
+	count += copy.buckets[HISTOGRAM_BOUNDS];
+	g_string_append_printf (body, "flamingospring_latency_seconds_bucket{%s,le=\"+Inf\"} %llu\n",
+	                        labels, (unsigned long long) count);
+	g_string_append_printf (body, "flamingospring_latency_seconds_sum{%s} %g\n", labels,
+	                        (double) copy.sum_us / US_PER_S);
+	g_string_append_printf (body, "flamingospring_latency_seconds_count{%s} %llu\n", labels,
+	                        (unsigned long long) count);
+}
+
+static void
+append_latencies (GString *body)
+{
+	static const char *const hops[TRAFFIC_HOPS] = {
+		[TRAFFIC_HOP_TOTAL] = "total", [TRAFFIC_HOP_QUEUE] = "queue",
+		[TRAFFIC_HOP_SETUP] = "setup", [TRAFFIC_HOP_SERVER] = "server",
+		[TRAFFIC_HOP_OWNER] = "owner",
+	};
+
+	g_string_append (body, "# HELP flamingospring_latency_seconds statements by priority and hop\n"
+	                       "# TYPE flamingospring_latency_seconds histogram\n");
+	for (size_t priority = 0; priority < TRAFFIC_PRIORITIES; priority++)
+	{
+		for (size_t hop = 0; hop < TRAFFIC_HOPS; hop++)
+		{
+			char *labels = g_strdup_printf ("priority=\"%zu\",hop=\"%s\"", priority, hops[hop]);
+
+			append_histogram (body, labels, &traffic_latencies[priority][hop]);
+			g_free (labels);
+		}
+	}
+}
+
+unsigned
+controller_answer_metrics (void *data, GString *body)
+{
+	const struct controller *controller = data;
+
+	append_beliefs (body, controller, clock_now_us ());
+	append_duties (body, controller);
+	for (int i = 0; i < COUNTER_COUNT; i++)
+	{
+		const char *name = counter_name ((enum counter) i);
+
+		g_string_append_printf (body, "# TYPE flamingospring_%s_total counter\n", name);
+		g_string_append_printf (body, "flamingospring_%s_total %llu\n", name,
+		                        (unsigned long long) counter_get ((enum counter) i));
+	}
+	append_latencies (body);
+	return 200;
+}
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -19,6 +19,7 @@
 	/* Descriptors for the store, other VMs, servers and the program itself. */
 	GATEWAY_RESERVED_DESCRIPTORS = 700,
 	GATEWAY_MIN_SESSIONS = 64,
+	GATEWAY_METRICS_PORT = 9464, /* The usual port of exporters of this text format. */
 };
 
 struct gateway
@@ -78,7 +79,7 @@
 }
 
 static int
-gateway_serve (const struct boot_settings *boot)
+gateway_serve (const struct boot_settings *boot, uint16_t metrics_port)
 {
 	struct gateway gateway = { .signals.fd = -1 };
 	struct gateway_traffic_settings settings = {
@@ -102,7 +103,7 @@
 	traffic = gateway_traffic_new (&settings);
 	if (!traffic)
 		goto out;
-	gateway.controller = controller_start (boot, traffic, handle_left, &gateway);
+	gateway.controller = controller_start (boot, metrics_port, traffic, handle_left, &gateway);
 	if (!gateway.controller)
 		goto out;
 	log_event (LOG_LEVEL_INFO, "started", "zone=%s caller_port=%u store=%s", boot->zone,
@@ -125,6 +126,7 @@
 {
 	char *path = NULL;
 	char *level_name = NULL;
+	gint metrics_port = GATEWAY_METRICS_PORT;
 	gboolean check = FALSE;
 	const GOptionEntry options[] = {
 		{ "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
@@ -132,6 +134,8 @@
 		  "FILE" },
 		{ "log-level", 'l', 0, G_OPTION_ARG_STRING, &level_name, "error, warn, info or debug",
 		  "LEVEL" },
+		{ "metrics-port", 'm', 0, G_OPTION_ARG_INT, &metrics_port,
+		  "Port of the metrics, 0 for none (default 9464)", "PORT" },
 		{ "check", 'c', 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL },
 		{ .long_name = NULL },
 	};
@@ -153,6 +157,8 @@
 	}
 	if (level_name && log_level_parse (level_name, &level) < 0)
 		findings_add (&findings, "flag", 0, 0, "log-level", "\"%s\" is not a level", level_name);
+	if (metrics_port < 0 || metrics_port > UINT16_MAX)
+		findings_add (&findings, "flag", 0, 0, "metrics-port", "%d is not a port", metrics_port);
 	if (!path)
 		path = g_strdup (boot_settings_path ());
 	if (!path)
@@ -164,9 +170,9 @@
 	code = EXIT_CODE_OK;
 	if (check)
 		goto out;
-	result = log_init (level, boot.vm);
+	result = log_init_output (level, boot.vm);
 	if (result == 0)
-		result = gateway_serve (&boot);
+		result = gateway_serve (&boot, (uint16_t) metrics_port);
 	log_finish ();
 	if (result < 0)
 		code = EXIT_CODE_FAILED;
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -9,6 +9,7 @@
 #include "gateway/traffic_private.h"
 
 #include "common/log.h"
+#include "gateway/traffic_metrics.h"
 #include "platform/wire.h"
 
 #include <string.h>
@@ -43,6 +44,12 @@
 
 	if (session->service)
 		service_remove (session->service, session);
+	if (log_request_takes (LOG_REQUEST_FAILED))
+		log_request (LOG_REQUEST_FAILED, "forward_refused",
+		             "request=%s caller=\"%s\" priority=%u outcome=%s cause=\"%s\" waited_ms=%lld",
+		             session->request.id->str, session->database, session->priority,
+		             answer_code_name (code), message,
+		             (long long) (clock_now_us () - session->request.arrived_us) / US_PER_MS);
 	wire_encode_error (session->stream.out, code, message);
 	session_end_transaction (session);
 	relay_answer (session, had_begun ? TRANSACTION_FAILED : TRANSACTION_NONE, NULL);
@@ -204,10 +211,33 @@
 	}
 }
 
+static void
+note_served (const struct session *session, const struct connection *connection, int64_t now_us)
+{
+	const struct request *request = &session->request;
+	int64_t total_us = now_us - request->arrived_us;
+
+	histogram_add (
+		&traffic_latencies[MIN (session->priority, TRAFFIC_PRIORITIES - 1)][TRAFFIC_HOP_OWNER],
+		total_us);
+	if (total_us < (int64_t) session->target_latency_ms * US_PER_MS / 2 ||
+	    !log_request_takes (LOG_REQUEST_SLOW))
+		return;
+	log_request (
+		LOG_REQUEST_SLOW, "forwarded",
+		"request=%s caller=\"%s\" server=%s priority=%u code=%s total_us=%lld queue_us=%lld "
+		"server_us=%lld running=%u",
+		request->id->str, session->database, session->relay_server->id, session->priority,
+		answer_code_name (connection->code), (long long) total_us,
+		(long long) (request->chosen_us - request->arrived_us),
+		(long long) (now_us - request->sent_us), session->relay_server->running_count);
+}
+
 void
 relay_handle_answer (struct session *session, struct connection *connection,
                      const struct server_message *ready, int64_t now_us)
 {
+	note_served (session, connection, now_us);
 	session->is_first = false;
 	g_string_append_len (session->stream.out, connection->answer->str,
 	                     (gssize) connection->answer->len);
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 #include "common/log.h"
+#include "gateway/traffic_metrics.h"
 #include "platform/wire.h"
 
 #include <string.h>
@@ -42,20 +43,32 @@
 	return request_is_write (&session->request);
 }
 
-void
-session_log (const struct session *session, const char *outcome, const char *cause)
+/** Tells why a request was not served. */
+static void
+log_failed (const struct session *session, enum answer_code code, const char *cause)
 {
 	const struct request *request = &session->request;
+	const struct service *service = session->service;
 	int64_t now_us = clock_now_us ();
 
-	log_event (
-		LOG_LEVEL_INFO, outcome,
-		"request=%s database=%s service=%s priority=%u cause=\"%s\" attempts=%u waited_ms=%lld "
-		"knowledge_age_ms=%lld",
+	if (!log_request_takes (LOG_REQUEST_FAILED))
+		return;
+	log_request (
+		LOG_REQUEST_FAILED, "failed",
+		"request=%s database=%s service=%s priority=%u outcome=%s cause=\"%s\" last=%s "
+		"server=%s attempts=%u waited_ms=%lld lead=%llu changing=%d knowledge_age_ms=%lld "
+		"sample_age_ms=%lld configuration=%llu",
 		request->id->str, session->database ? session->database : "-",
-		session->service ? session->service->name : "-", session->priority, cause,
-		request->attempts, (long long) (now_us - request->arrived_us) / US_PER_MS,
-		(long long) (now_us - session->traffic->known_us) / US_PER_MS);
+		service ? service->name : "-", session->priority, answer_code_name (code), cause,
+		answer_code_name (request->last_code), request->server, request->attempts,
+		(long long) (now_us - request->arrived_us) / US_PER_MS,
+		service ? (unsigned long long) service->lead_revision : 0, service && service->is_changing,
+		(long long) (now_us - session->traffic->known_us) / US_PER_MS,
+		service ? (long long) (now_us - position_history_last_us (&service->history)) / US_PER_MS
+				: -1,
+		session->traffic->view && session->traffic->view->configuration
+			? (unsigned long long) session->traffic->view->configuration->version
+			: 0);
 }
 
 /** Ends the present request; the answer is in the stream's buffer. */
@@ -111,7 +124,7 @@
 		service_remove (session->service, session);
 	counter_add (
 		answer_code_did_not_run (code) ? COUNTER_REQUESTS_REFUSED : COUNTER_REQUESTS_FAILED, 1);
-	session_log (session, answer_code_name (code), message);
+	log_failed (session, code, message);
 	if (session->state == TRANSACTION_OPEN)
 	{
 		bool is_end = request->statement.kind == STATEMENT_COMMIT ||
@@ -247,6 +260,7 @@
 	connection->sent_us = now_us;
 	connection->sent_as_lead = is_primary && service_can_use_primary (server->service, now_us);
 	request->is_sent = true;
+	g_strlcpy (request->server, server->id, sizeof request->server);
 	request->sent_us = now_us;
 	request->attempts++;
 	connection_set_state (connection, CONNECTION_RUNNING);
@@ -375,25 +389,37 @@
 		session_fail (session, ANSWER_OVERLOADED, "refused by all servers, retry later");
 }
 
-/** Tells where the time of a slow request went. */
+/** Counts and logs where the time of a request went. */
 static void
-log_slow (const struct session *session, const struct server *server, int64_t now_us)
+note_served (const struct session *session, const struct connection *connection, int64_t now_us)
 {
 	const struct request *request = &session->request;
+	const struct server *server = connection->server;
+	struct histogram *latencies =
+		traffic_latencies[MIN (session->priority, TRAFFIC_PRIORITIES - 1)];
 	int64_t total_us = now_us - request->arrived_us;
-
-	if (total_us < (int64_t) session->target_latency_ms * US_PER_MS / 2)
+	int64_t chosen_us = MAX (request->chosen_us, request->arrived_us);
+	bool is_slow = total_us >= (int64_t) session->target_latency_ms * US_PER_MS / 2;
+	enum log_request_class log_class = is_slow ? LOG_REQUEST_SLOW : LOG_REQUEST_DONE;
+
+	histogram_add (&latencies[TRAFFIC_HOP_TOTAL], total_us);
+	histogram_add (&latencies[TRAFFIC_HOP_QUEUE], chosen_us - request->arrived_us);
+	histogram_add (&latencies[TRAFFIC_HOP_SETUP], request->sent_us - chosen_us);
+	histogram_add (&latencies[TRAFFIC_HOP_SERVER], now_us - request->sent_us);
+	if (!log_request_takes (log_class))
 		return;
-	log_event (LOG_LEVEL_INFO, "slow",
-	           "request=%s service=%s priority=%u server=%s near=%d primary=%d transaction=%d "
-	           "attempts=%u total_ms=%lld queued_ms=%lld setup_ms=%lld server_ms=%lld",
-	           request->id->str, session->service->name, session->priority, server->id,
-	           server->is_near, session->service->primary == server,
-	           session->state != TRANSACTION_NONE, request->attempts,
-	           (long long) total_us / US_PER_MS,
-	           (long long) (request->chosen_us - request->arrived_us) / US_PER_MS,
-	           (long long) (request->sent_us - request->chosen_us) / US_PER_MS,
-	           (long long) (now_us - request->sent_us) / US_PER_MS);
+	log_request (
+		log_class, is_slow ? "slow" : "done",
+		"request=%s database=%s service=%s priority=%u server=%s path=%s primary=%d near=%d "
+		"transaction=%d attempts=%u total_us=%lld queue_us=%lld setup_us=%lld server_us=%lld "
+		"lead=%llu knowledge_age_ms=%lld",
+		request->id->str, session->database, session->service->name, session->priority, server->id,
+		connection->is_relayed ? "owner" : "direct", session->service->primary == server,
+		server->is_near, session->state != TRANSACTION_NONE, request->attempts,
+		(long long) total_us, (long long) (chosen_us - request->arrived_us),
+		(long long) (request->sent_us - chosen_us), (long long) (now_us - request->sent_us),
+		(unsigned long long) session->service->lead_revision,
+		(long long) (now_us - session->traffic->known_us) / US_PER_MS);
 }
 
 /** Passes a server's answer on. */
@@ -434,7 +460,7 @@
 	                        : request_is_write (request);
 	bool is_held;
 
-	log_slow (session, connection->server, now_us);
+	note_served (session, connection, now_us);
 	session->is_first = false;
 	if (was_open && request_is_write (request))
 		session->has_written = true;
@@ -827,6 +853,7 @@
 	request->statement.name.start += moved;
 	request->statement.arguments.start += moved;
 	request->is_active = true;
+	g_strlcpy (request->server, "-", sizeof request->server);
 	request->is_sent = false;
 	request->shape = NULL;
 	request->arrived_us = now_us;
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "common/rpc.h"
+#include "gateway/traffic_metrics.h"
 
 #include <errno.h>
 #include <pthread.h>
@@ -35,6 +36,8 @@
 	uint64_t demote_term;
 };
 
+struct histogram traffic_latencies[TRAFFIC_PRIORITIES][TRAFFIC_HOPS];
+
 bool
 gateway_traffic_has_authority (const struct gateway_traffic *traffic, int64_t now_us)
 {
--- /dev/null
+++ b/include/common/http_responder.h
@@ -0,0 +1,30 @@
+/**
+ * @file
+ * Answers GET requests on one path, in the loop of the thread: readiness and metrics.
+ */
+#pragma once
+
+#include "common/loop.h"
+
+#include <glib.h>
+#include <stdint.h>
+
+struct MHD_Daemon;
+
+struct http_responder
+{
+	struct loop *loop;
+	struct MHD_Daemon *daemon;
+	struct loop_source source;
+	struct loop_timer timer;
+	const char *path;
+	/** Appends the body. @return the HTTP status. */
+	unsigned (*answer) (void *data, GString *body);
+	void *data;
+};
+
+/** @return 0 or a negative error number. */
+int http_responder_init (struct http_responder *responder, struct loop *loop, uint32_t ip,
+                         uint16_t port, const char *path,
+                         unsigned (*answer) (void *data, GString *body), void *data);
+void http_responder_finish (struct http_responder *responder);
--- a/include/gateway/controller.h
+++ b/include/gateway/controller.h
@@ -9,8 +9,8 @@
 
 struct controller;
 
-/** @p handle_left is called in the control thread when the planned stop is complete. */
-struct controller *controller_start (const struct boot_settings *boot,
+/** Serves metrics on @p metrics_port, unless it is 0. @p handle_left is called in the control thread when the planned stop is complete. */
+struct controller *controller_start (const struct boot_settings *boot, uint16_t metrics_port,
                                      struct gateway_traffic *traffic,
                                      void (*handle_left) (void *data), void *data);
 
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -5,12 +5,12 @@
 #pragma once
 
 #include "common/clock.h"
+#include "common/http_responder.h"
 #include "common/mailbox.h"
 #include "decision/succession.h"
 #include "flamingospring/platform.h"
 #include "gateway/controller.h"
 #include "gateway/peers.h"
-#include "platform/readiness.h"
 
 #include <pthread.h>
 
@@ -74,13 +74,15 @@
 struct controller
 {
 	struct boot_settings boot;
+	uint16_t metrics_port; /**< 0: none. */
 	struct gateway_traffic *traffic;
 	struct loop loop;
 	struct mailbox mailbox;
 	pthread_t thread;
 	struct platform platform;
 	struct peers peers;
-	struct readiness readiness;
+	struct http_responder readiness;
+	struct http_responder metrics;
 	struct loop_timer tick;
 	struct loop_timer poll_timer;
 	struct loop_timer operator_timer;
@@ -129,6 +131,9 @@
 /** Follows the poller of the zone, or watches the store again. */
 void controller_set_following (struct controller *controller, bool is_following);
 
+/* controller_metrics.c */
+unsigned controller_answer_metrics (void *data, GString *body);
+
 /* controller_duty.c */
 struct duty *duty_get (struct controller *controller, const char *service);
 void duty_free (struct duty *duty);
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -143,10 +143,10 @@
 	uint32_t attempts;
 	enum answer_code last_code; /**< Why the last attempt did not run. */
 	GString *answer;            /**< Held. */
-	bool is_commit;
-	int64_t chosen_us;   /**< When the present connection was chosen. */
-	int64_t sent_us;     /**< When the statement was sent last. */
-	int64_t answered_us; /**< Held. */
+	char server[48];            /**< The last one that it was sent to; for the log. */
+	int64_t chosen_us;          /**< When the present connection was chosen. */
+	int64_t sent_us;            /**< When the statement was sent last. */
+	int64_t answered_us;        /**< Held. */
 };
 
 struct session
@@ -265,7 +265,6 @@
 void session_run_statement (struct session *session, int64_t now_us);
 void session_set_value (struct session *session, const struct statement *statement);
 void session_set_prepared (struct session *session, const struct statement *statement);
-void session_log (const struct session *session, const char *outcome, const char *cause);
 
 /* service.c */
 struct service *service_get (struct gateway_traffic *traffic, const char *name);
--- a/include/platform/documents.h
+++ b/include/platform/documents.h
@@ -11,6 +11,9 @@
 extern const char documents_operator_prefix[];
 extern const char documents_configuration_key[];
 
+/** Path on which the platform asks whether this VM takes callers. */
+extern const char documents_readiness_path[];
+
 /** Prefix of the servers' entries; the rest of the key is the server's id. */
 extern const char documents_server_prefix[];
 
