--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -22,6 +22,7 @@
 	{ "counters", cmd_counters, "print the counters of a VM" },
 	{ "diff", cmd_diff, "compare a file with the document in force" },
 	{ "drain", cmd_drain, "give a server no new work, or stop a VM as planned" },
+	{ "explain", cmd_explain, "print what the logs of several VMs say of a request" },
 	{ "get", cmd_get, "print a service document, or list the services" },
 	{ "help", cmd_help, "list the commands" },
 	{ "promote", cmd_promote, "change the primary of a database group" },
--- /dev/null
+++ b/ctl/commands/explain.c
@@ -0,0 +1,193 @@
+#include "ctl/cmd.h"
+#include "ctl/commands.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	/* Changes of belief this long before a request are shown with it. */
+	EXPLAIN_CONTEXT_S = 5,
+};
+
+/** One line of a log. */
+struct line
+{
+	double time_s;
+	char *text;
+	bool is_of_request;
+};
+
+static void
+line_clear (void *data)
+{
+	struct line *line = data;
+
+	g_free (line->text);
+}
+
+static int
+compare_lines (const void *a, const void *b)
+{
+	const struct line *first = a;
+	const struct line *second = b;
+
+	if (first->time_s == second->time_s)
+		return 0;
+	return first->time_s < second->time_s ? -1 : 1;
+}
+
+/** Value of @p key in a line of key=value pairs; g_free() it. @return NULL when absent. */
+static char *
+find_value (const char *text, const char *key)
+{
+	size_t length = strlen (key);
+
+	for (const char *at = strstr (text, key); at; at = strstr (at + 1, key))
+	{
+		if ((at == text || at[-1] == ' ') && at[length] == '=')
+			return g_strndup (at + length + 1, strcspn (at + length + 1, " \n"));
+	}
+	return NULL;
+}
+
+static bool
+has_value (const char *text, const char *key, const char *value)
+{
+	char *found = find_value (text, key);
+	bool is_equal = g_strcmp0 (found, value) == 0;
+
+	g_free (found);
+	return is_equal;
+}
+
+/** Reads the log lines of one file; lines of other kinds are left out. @return 0 or -EIO. */
+static int
+read_log (const char *path, const char *id, GArray *lines)
+{
+	GError *error = NULL;
+	char *text = NULL;
+	char **rows;
+
+	if (!g_file_get_contents (path, &text, NULL, &error))
+	{
+		fprintf (stderr, "flamingospring explain: %s\n", error->message);
+		g_error_free (error);
+		return -EIO;
+	}
+	rows = g_strsplit (text, "\n", -1);
+	for (size_t i = 0; rows[i]; i++)
+	{
+		char *start = strstr (rows[i], "time=");
+		struct line line = { 0 };
+
+		if (!start || !strstr (start, " event="))
+			continue;
+		line.time_s = g_ascii_strtod (start + strlen ("time="), NULL);
+		line.text = g_strdup (start);
+		line.is_of_request = has_value (start, "request", id);
+		g_array_append_val (lines, line);
+	}
+	g_strfreev (rows);
+	g_free (text);
+	return 0;
+}
+
+/** Something that the processes believed of the request's service, or of the store and the VMs. */
+static bool
+is_context (const char *text, const char *service)
+{
+	static const char *const events[] = {
+		"connected",      "configuration_adopted",
+		"isolated",       "leaving",
+		"member_dead",    "owner_unreachable",
+		"started",        "store_lost",
+		"store_regained", "watching",
+	};
+
+	if (strstr (text, " request="))
+		return false;
+	if (service && has_value (text, "service", service))
+		return true;
+	for (size_t i = 0; i < G_N_ELEMENTS (events); i++)
+		if (has_value (text, "event", events[i]))
+			return true;
+	return false;
+}
+
+static int
+explain (const char *id, const GArray *lines)
+{
+	double first_s = 0;
+	double last_s = 0;
+	char *service = NULL;
+
+	for (guint i = 0; i < lines->len; i++)
+	{
+		const struct line *line = &g_array_index (lines, struct line, i);
+
+		if (!line->is_of_request)
+			continue;
+		if (first_s == 0)
+			first_s = line->time_s;
+		last_s = line->time_s;
+		if (!service)
+			service = find_value (line->text, "service");
+	}
+	if (first_s == 0)
+	{
+		printf ("%s: no line; served requests are logged only in part\n", id);
+		return EXIT_CODE_FAILED;
+	}
+	for (guint i = 0; i < lines->len; i++)
+	{
+		const struct line *line = &g_array_index (lines, struct line, i);
+
+		if (line->is_of_request)
+			printf ("%+9.3f > %s\n", line->time_s - first_s, line->text);
+		else if (line->time_s >= first_s - EXPLAIN_CONTEXT_S && line->time_s <= last_s &&
+		         is_context (line->text, service))
+			printf ("%+9.3f   %s\n", line->time_s - first_s, line->text);
+	}
+	g_free (service);
+	return EXIT_CODE_OK;
+}
+
+int
+cmd_explain (int argc, char **argv)
+{
+	GOptionContext *context = g_option_context_new (
+		"ID FILE... - print what the logs of several VMs say of a request, and what "
+		"the VMs believed in the seconds before");
+	char **arguments = g_strdupv (argv);
+	GArray *lines = g_array_new (FALSE, TRUE, sizeof (struct line));
+	GError *error = NULL;
+	int code = EXIT_CODE_USAGE;
+
+	(void) argc;
+	g_array_set_clear_func (lines, line_clear);
+	if (!g_option_context_parse_strv (context, &arguments, &error))
+	{
+		fprintf (stderr, "flamingospring explain: %s\n", error->message);
+		g_error_free (error);
+		goto out;
+	}
+	if (g_strv_length (arguments) < 3)
+	{
+		fprintf (stderr, "flamingospring explain: an id and log files are needed\n");
+		goto out;
+	}
+	for (size_t i = 2; arguments[i]; i++)
+		if (read_log (arguments[i], arguments[1], lines) < 0)
+			goto out;
+	g_array_sort (lines, compare_lines);
+	code = explain (arguments[1], lines);
+out:
+	g_array_free (lines, TRUE);
+	g_strfreev (arguments);
+	g_option_context_free (context);
+	return code;
+}
--- a/flamingospring/main.c
+++ b/flamingospring/main.c
@@ -17,11 +17,11 @@
 		return EXIT_CODE_OK;
 	if (strcmp (argv[1], "--help") == 0)
 		argv[1] = "help";
-	if (strcmp (argv[1], "gateway") == 0)
-		return gateway_run (argc - 1, argv + 1);
-	if (strcmp (argv[1], "proxy") != 0)
+	if (strcmp (argv[1], "gateway") != 0 && strcmp (argv[1], "proxy") != 0)
 		return commands_run (argc - 1, argv + 1);
 	if (commands_print_version (argc - 1, argv + 1))
 		return EXIT_CODE_OK;
+	if (strcmp (argv[1], "gateway") == 0)
+		return gateway_run (argc - 1, argv + 1);
 	return proxy_run (argc - 1, argv + 1);
 }
--- a/include/ctl/cmd.h
+++ b/include/ctl/cmd.h
@@ -8,6 +8,7 @@
 int cmd_counters (int argc, char **argv);
 int cmd_diff (int argc, char **argv);
 int cmd_drain (int argc, char **argv);
+int cmd_explain (int argc, char **argv);
 int cmd_get (int argc, char **argv);
 int cmd_promote (int argc, char **argv);
 int cmd_schema (int argc, char **argv);
--- a/tests/integration/command_line.c
+++ b/tests/integration/command_line.c
@@ -156,9 +156,9 @@
 	output_finish (&output);
 }
 
-static const char *const commands[] = { "apply",  "counters", "diff",    "drain",
-	                                    "get",    "help",     "promote", "proxy",
-	                                    "schema", "status",   "trace",   "undrain" };
+static const char *const commands[] = { "apply",   "counters", "diff",  "drain",   "explain",
+	                                    "gateway", "get",      "help",  "promote", "proxy",
+	                                    "schema",  "status",   "trace", "undrain" };
 
 static void
 test_help_and_version (void)
@@ -207,6 +207,11 @@
 	{ "apply", EXIT_USAGE, "one FILE is needed" },
 	{ "apply /no/such/file", EXIT_USAGE, "/no/such/file" },
 	{ "diff", EXIT_USAGE, "one FILE is needed" },
+	{ "explain id", EXIT_USAGE, "an id and log files are needed" },
+	{ "explain id /no/such/file", EXIT_USAGE, "/no/such/file" },
+	{ "gateway --settings /no/such/file", EXIT_USAGE, "/no/such/file" },
+	{ "gateway --metrics-port 70000 --log-level loud", EXIT_USAGE,
+	  "metrics-port: 70000 is not a port" },
 	{ "schema check", EXIT_USAGE, "check FILE or generate FILE is needed" },
 	{ "promote a", EXIT_USAGE, "DATABASE and INDEX are needed" },
 	{ "promote a x", EXIT_USAGE, "DATABASE and INDEX are needed" },
--- a/tests/integration/connection_limit.c
+++ b/tests/integration/connection_limit.c
@@ -258,7 +258,7 @@
 }
 
 /* All three owners of the group change at once, and the old ones believe for 50 ms that they still are
- * owners: the worst case of docs/operations.md. */
+ * owners: the worst case of docs/OPERATIONS.md. */
 static void
 test_moves (struct fixture *fixture, gconstpointer data)
 {
