--- /dev/null
+++ b/tests/support/fake_database.c
@@ -0,0 +1,317 @@
+#include "fake_database.h"
+
+#include "common/rpc.h"
+
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+	FAKE_MAX_CONNECTIONS = 64,
+	FAKE_POLL_MS = 10,
+};
+
+struct fake_connection
+{
+	int fd;
+	int number;
+	GString *in;
+	GHashTable *values;
+	GHashTable *prepared; /* Name to "READ shape" or "WRITE shape". */
+	bool is_open;         /* In a transaction. */
+	bool has_written;
+};
+
+static void
+statement_free (void *data)
+{
+	struct fake_statement *statement = data;
+
+	g_free (statement->id);
+	g_free (statement->text);
+	g_free (statement->value);
+	g_free (statement->shape);
+	g_free (statement);
+}
+
+static void
+answer (struct fake_database *database, struct fake_connection *connection, const char *lines)
+{
+	char *text =
+		g_strdup_printf ("%sREADY %c %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT "\r\n", lines,
+	                     connection->is_open ? 'T' : 'I', database->term, database->index);
+	ssize_t sent = send (connection->fd, text, strlen (text), MSG_NOSIGNAL);
+
+	(void) sent;
+	g_free (text);
+}
+
+static void
+note (struct fake_database *database, const struct fake_connection *connection, const char *id,
+      const char *text, const char *shape)
+{
+	struct fake_statement *statement = g_new0 (struct fake_statement, 1);
+	const char *value = g_hash_table_lookup (connection->values, "v0");
+
+	statement->id = g_strdup (id);
+	statement->text = g_strdup (text);
+	statement->value = g_strdup (value ? value : "-");
+	statement->shape = g_strdup (shape ? shape : "-");
+	statement->connection = connection->number;
+	statement->is_in_transaction = connection->is_open;
+	g_ptr_array_add (database->statements, statement);
+}
+
+/** Takes "AFTER T.N " off. @return false when the log lacks the position. */
+static bool
+take_after (const struct fake_database *database, const char **text)
+{
+	unsigned long long term;
+	unsigned long long index;
+	int length = 0;
+
+	if (sscanf (*text, "AFTER %llu.%llu %n", &term, &index, &length) < 2)
+		return true;
+	*text += length;
+	return database->term > term || (database->term == term && database->index >= index);
+}
+
+static void
+run_statement (struct fake_database *database, struct fake_connection *connection, const char *id,
+               const char *text)
+{
+	char **words = g_strsplit (text, " ", 3);
+	const char *shape = NULL;
+	bool is_commit = strcmp (words[0], "COMMIT") == 0;
+	bool is_write = strcmp (words[0], "WRITE") == 0;
+
+	if (strcmp (words[0], "EXECUTE") == 0)
+	{
+		shape = g_hash_table_lookup (connection->prepared, words[1]);
+		if (!shape)
+		{
+			answer (database, connection, "ERROR NOSTMT no such name\r\n");
+			goto out;
+		}
+		is_write = g_str_has_prefix (shape, "WRITE");
+	}
+	if (is_write && !database->is_primary)
+	{
+		database->refused++;
+		answer (database, connection, "ERROR READONLY replica\r\n");
+		goto out;
+	}
+	note (database, connection, id, text, shape);
+	if ((is_write || is_commit) && database->delay_ms > 0)
+	{
+		int delay_ms = database->delay_ms;
+
+		g_mutex_unlock (&database->mutex);
+		g_usleep ((gulong) delay_ms * 1000);
+		g_mutex_lock (&database->mutex);
+	}
+	if (is_write && !connection->is_open)
+		database->index++;
+	connection->has_written |= is_write && connection->is_open;
+	if (is_commit)
+	{
+		database->index += connection->has_written;
+		connection->is_open = false;
+		connection->has_written = false;
+	}
+	answer (database, connection,
+	        is_write || is_commit ? "COMPLETE mac\r\n" : "ROW row\r\nCOMPLETE mac\r\n");
+out:
+	g_strfreev (words);
+}
+
+static void
+run_own (struct fake_database *database, struct fake_connection *connection, const char *text)
+{
+	char **words = g_strsplit (text, " ", 3);
+	const char *lines = "COMPLETE -\r\n";
+	char *status = NULL;
+
+	if (strcmp (words[0], "SET") == 0)
+		g_hash_table_replace (connection->values, g_strdup (words[1]), g_strdup (words[2]));
+	else if (strcmp (words[0], "PREPARE") == 0)
+		g_hash_table_replace (connection->prepared, g_strdup (words[1]), g_strdup (words[2]));
+	else if (strcmp (words[0], "RESET") == 0)
+	{
+		g_hash_table_remove_all (connection->values);
+		g_hash_table_remove_all (connection->prepared);
+	}
+	else if (strcmp (words[0], "BEGIN") == 0 && !words[1] && !database->is_primary)
+	{
+		database->refused++;
+		lines = "ERROR READONLY replica\r\n";
+	}
+	else if (strcmp (words[0], "BEGIN") == 0)
+		connection->is_open = true;
+	else if (strcmp (words[0], "ROLLBACK") == 0)
+	{
+		database->rollbacks++;
+		connection->is_open = false;
+		connection->has_written = false;
+	}
+	else
+		lines = status = g_strdup_printf ("ROW %s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
+		                                  ".%" G_GUINT64_FORMAT " 0 0 0 1\r\nCOMPLETE -\r\n",
+		                                  database->is_primary ? "primary" : "replica",
+		                                  database->term, database->term, database->index);
+	answer (database, connection, lines);
+	g_free (status);
+	g_strfreev (words);
+}
+
+static void
+handle_line (struct fake_database *database, struct fake_connection *connection, const char *line)
+{
+	char **words = g_strsplit (line, " ", 3);
+	const char *text = words[0] && words[1] ? words[2] : NULL;
+
+	if (g_str_has_prefix (line, "START "))
+		answer (database, connection, "");
+	else if (text && !take_after (database, &text))
+	{
+		database->refused++;
+		answer (database, connection, "ERROR LAGGING behind\r\n");
+	}
+	else if (text && strcmp (words[1], "-") == 0)
+		run_own (database, connection, text);
+	else if (text)
+		run_statement (database, connection, words[1], text);
+	g_strfreev (words);
+}
+
+static void
+connection_clear (struct fake_connection *connection)
+{
+	close (connection->fd);
+	g_string_free (connection->in, TRUE);
+	g_hash_table_destroy (connection->values);
+	g_hash_table_destroy (connection->prepared);
+	connection->fd = -1;
+}
+
+static void
+connection_read (struct fake_database *database, struct fake_connection *connection)
+{
+	char buffer[4096];
+	ssize_t count = recv (connection->fd, buffer, sizeof buffer, 0);
+	char *end;
+
+	if (count <= 0)
+	{
+		connection_clear (connection);
+		return;
+	}
+	g_string_append_len (connection->in, buffer, count);
+	while ((end = strstr (connection->in->str, "\r\n")))
+	{
+		char *line = g_strndup (connection->in->str, (gsize) (end - connection->in->str));
+
+		g_string_erase (connection->in, 0, end + 2 - connection->in->str);
+		g_mutex_lock (&database->mutex);
+		handle_line (database, connection, line);
+		g_mutex_unlock (&database->mutex);
+		g_free (line);
+	}
+}
+
+static void *
+fake_main (void *data)
+{
+	struct fake_database *database = data;
+	struct fake_connection connections[FAKE_MAX_CONNECTIONS];
+	struct pollfd polls[FAKE_MAX_CONNECTIONS + 1];
+	int number = 0;
+
+	for (int i = 0; i < FAKE_MAX_CONNECTIONS; i++)
+		connections[i].fd = -1;
+	while (!g_atomic_int_get (&database->is_stopped))
+	{
+		polls[FAKE_MAX_CONNECTIONS] = (struct pollfd){ database->listener, POLLIN, 0 };
+		for (int i = 0; i < FAKE_MAX_CONNECTIONS; i++)
+			polls[i] = (struct pollfd){ connections[i].fd, POLLIN, 0 };
+		poll (polls, FAKE_MAX_CONNECTIONS + 1, FAKE_POLL_MS);
+		for (int i = 0; i < FAKE_MAX_CONNECTIONS; i++)
+			if (connections[i].fd >= 0 && polls[i].revents)
+				connection_read (database, &connections[i]);
+		for (int i = 0; i < FAKE_MAX_CONNECTIONS && polls[FAKE_MAX_CONNECTIONS].revents; i++)
+		{
+			if (connections[i].fd >= 0)
+				continue;
+			connections[i] = (struct fake_connection){
+				.fd = accept (database->listener, NULL, NULL),
+				.number = ++number,
+				.in = g_string_new (NULL),
+				.values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+				.prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+			};
+			break;
+		}
+	}
+	for (int i = 0; i < FAKE_MAX_CONNECTIONS; i++)
+		if (connections[i].fd >= 0)
+			connection_clear (&connections[i]);
+	return NULL;
+}
+
+void
+fake_database_start (struct fake_database *database, const char *id, bool is_primary)
+{
+	struct sockaddr_in address;
+	socklen_t length = sizeof address;
+
+	memset (database, 0, sizeof *database);
+	g_mutex_init (&database->mutex);
+	database->id = id;
+	database->is_primary = is_primary;
+	database->term = 1;
+	database->index = 100;
+	database->statements = g_ptr_array_new_with_free_func (statement_free);
+	database->listener = rpc_listen (INADDR_LOOPBACK, 0);
+	g_assert_cmpint (database->listener, >=, 0);
+	g_assert_cmpint (getsockname (database->listener, (struct sockaddr *) &address, &length), ==,
+	                 0);
+	database->port = ntohs (address.sin_port);
+	database->thread = g_thread_new (id, fake_main, database);
+}
+
+void
+fake_database_stop (struct fake_database *database)
+{
+	g_atomic_int_set (&database->is_stopped, true);
+	g_thread_join (database->thread);
+	close (database->listener);
+	g_ptr_array_free (database->statements, TRUE);
+	g_mutex_clear (&database->mutex);
+}
+
+const struct fake_statement *
+fake_database_find (struct fake_database *database, const char *id)
+{
+	for (int wait = 0; wait < 200; wait++)
+	{
+		const struct fake_statement *found = NULL;
+
+		g_mutex_lock (&database->mutex);
+		for (guint i = 0; i < database->statements->len && !found; i++)
+		{
+			const struct fake_statement *statement = database->statements->pdata[i];
+
+			if (strcmp (statement->id, id) == 0)
+				found = statement;
+		}
+		g_mutex_unlock (&database->mutex);
+		if (found)
+			return found;
+		g_usleep (10000);
+	}
+	return NULL;
+}
--- /dev/null
+++ b/tests/support/fake_database.h
@@ -0,0 +1,44 @@
+/**
+ * @file
+ * A database server of the platform's wire protocol, in a thread of the test.
+ */
+#pragma once
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** A read, write or commit that ran. */
+struct fake_statement
+{
+	char *id;
+	char *text;
+	char *value; /**< Session value "v0", or "-". */
+	char *shape; /**< Of the prepared statement, or "-". */
+	int connection;
+	bool is_in_transaction;
+};
+
+struct fake_database
+{
+	const char *id;
+	uint16_t port;
+	GThread *thread;
+	GMutex mutex; /**< Guards all below. */
+	bool is_primary;
+	uint64_t term;
+	uint64_t index;
+	int delay_ms; /**< Of writes and commits. */
+	int rollbacks;
+	int refused; /**< Statements that were answered LAGGING or READONLY. */
+	GPtrArray *statements;
+	int is_stopped;
+	int listener;
+};
+
+/** Listens on 127.0.0.1. */
+void fake_database_start (struct fake_database *database, const char *id, bool is_primary);
+void fake_database_stop (struct fake_database *database);
+
+/** Waits up to 2 s for a statement with @p id. @return a copy of its value and place, or NULL. */
+const struct fake_statement *fake_database_find (struct fake_database *database, const char *id);
