--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -423,15 +423,26 @@
 test_new_lead_before_new_knowledge (void)
 {
 	struct world world;
-	int warm;
+	int running;
+	int idle;
 	int fd;
 
 	world_start (&world, 1, ROUTE_PRIMARY);
-	send_views (&world, clock_now_us () - (LEAD_AUTHORITY_MS - 300) * US_PER_MS);
-	warm = open_session (&world, 0);
-	ASSERT_SERVED (ask (warm, "QUERY warm READ 1"));
+	world.target_latency_ms = 5000;
+	send_views (&world, clock_now_us () - (LEAD_AUTHORITY_MS - 600) * US_PER_MS);
+	running = open_session (&world, 0);
+	idle = open_session (&world, 0);
+	/* A transaction holds one connection, so that there are two. */
+	ask (idle, "QUERY b BEGIN READ");
+	ASSERT_SERVED (ask (idle, "QUERY i READ 1"));
+	ASSERT_SERVED (ask (running, "QUERY j READ 1"));
+	ask (idle, "QUERY e ROLLBACK");
+	g_usleep (50000);
+	world.databases[0].read_delay_ms = 800;
+	say (running, "QUERY slow READ 1");
+	g_assert_nonnull (fake_database_find (&world.databases[0], "slow"));
 	fd = open_session (&world, 0);
-	g_usleep (400000);
+	g_usleep (600000);
 	say (fd, "QUERY r READ 1");
 	g_usleep (50000);
 	world.revision++;
@@ -439,9 +450,12 @@
 	world.databases[1].is_primary = true;
 	send_views (&world, clock_now_us ());
 	ASSERT_SERVED (hear (fd));
-	g_assert_nonnull (fake_database_find (&world.databases[1], "r"));
-	g_assert_cmpuint (world.databases[0].statements->len, ==, 1);
-	close (warm);
+	ASSERT_SERVED (hear (running));
+	g_usleep (1000000);
+	/* Only what ran there before the new view. */
+	g_assert_cmpuint (world.databases[0].statements->len, ==, 3);
+	close (running);
+	close (idle);
 	close (fd);
 	world_stop (&world);
 }
@@ -534,6 +548,9 @@
 
 	world_start (&world, 1, ROUTE_PRIMARY);
 	send_views (&world, clock_now_us ());
+	fd = open_session (&world, 0);
+	ASSERT_SERVED (ask (fd, "QUERY r READ 1"));
+	close (fd);
 	fd = connect_port (world.relay_ports[0]);
 	g_assert_cmpstr (ask (fd, "START s vm9 db0"), ==, "READY I -\r\n");
 	g_assert_cmpstr (ask (fd, "QUERY - SET v0 x"), ==, "COMPLETE -\r\nREADY I -\r\n");
--- a/tests/support/fake_database.c
+++ b/tests/support/fake_database.c
@@ -88,6 +88,7 @@
 	const char *shape = NULL;
 	bool is_commit = strcmp (words[0], "COMMIT") == 0;
 	bool is_write = strcmp (words[0], "WRITE") == 0;
+	int delay_ms;
 
 	if (strcmp (words[0], "EXECUTE") == 0)
 	{
@@ -106,10 +107,9 @@
 		goto out;
 	}
 	note (database, connection, id, text, shape);
-	if ((is_write || is_commit) && database->delay_ms > 0)
+	delay_ms = is_write || is_commit ? database->delay_ms : database->read_delay_ms;
+	if (delay_ms > 0)
 	{
-		int delay_ms = database->delay_ms;
-
 		g_mutex_unlock (&database->mutex);
 		g_usleep ((gulong) delay_ms * 1000);
 		g_mutex_lock (&database->mutex);
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -29,6 +29,7 @@
 	uint64_t term;
 	uint64_t index;
 	int delay_ms; /**< Of writes and commits. */
+	int read_delay_ms;
 	int rollbacks;
 	int refused; /**< Statements that were answered LAGGING or READONLY. */
 	GPtrArray *statements;
