--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -743,6 +743,8 @@
 		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) duty_free);
 	controller->members =
 		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) member_free);
+	controller->zones =
+		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) zone_report_free);
 	/* The start time tells this process from an earlier one of the same VM. */
 	controller->own_value =
 		g_strdup_printf ("address=%u.%u.%u.%u:%u zone=%s start=%lld", boot->ip >> 24,
@@ -785,6 +787,7 @@
 	loop_finish (&controller->loop);
 	g_hash_table_destroy (controller->duties);
 	g_hash_table_destroy (controller->members);
+	g_hash_table_destroy (controller->zones);
 	g_hash_table_destroy (controller->servers);
 	configuration_release (controller->configuration);
 	g_free (controller->own_value);
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -24,6 +24,9 @@
 	 * answered, and LEAD_AUTHORITY_MS is near. */
 	MEMBER_ISOLATED_US = 1200 * US_PER_MS,
 	MEMBER_ASK_US = 200 * US_PER_MS,
+	/* In larger fleets, where the questions grow with the square; still twice within LEAD_AUTHORITY_MS. */
+	MEMBER_MANY = 20,
+	MEMBER_ASK_MANY_US = 400 * US_PER_MS,
 	MEMBER_ANSWER_AGE_US = 1 * US_PER_S,
 };
 
@@ -49,12 +52,97 @@
 	g_free (member);
 }
 
+void
+zone_report_free (struct zone_report *report)
+{
+	g_hash_table_destroy (report->absent);
+	g_free (report);
+}
+
+static bool
+is_in_own_zone (const struct controller *controller, const struct member *member)
+{
+	return g_strcmp0 (member->zone, controller->boot.zone) == 0;
+}
+
+/** What the poller of the VM's zone says, while it is heard. */
+static const struct zone_report *
+find_report (const struct controller *controller, const struct member *member, int64_t now_us)
+{
+	const struct zone_report *report = member->zone && !is_in_own_zone (controller, member)
+	                                       ? g_hash_table_lookup (controller->zones, member->zone)
+	                                       : NULL;
+
+	return report && now_us - report->heard_us < MEMBER_DEAD_US ? report : NULL;
+}
+
 bool
 member_is_alive (const struct controller *controller, const struct member *member, int64_t now_us)
 {
 	int64_t last_us = member->heard_us > member->seen_us ? member->heard_us : member->seen_us;
+	const struct zone_report *report = find_report (controller, member, now_us);
+
+	if (!member->is_listed)
+		return false;
+	if (report)
+		return !g_hash_table_contains (report->absent, member->vm);
+	return now_us - last_us < MEMBER_DEAD_US;
+}
+
+/** As poller, tells the other zones which VMs of this one are gone or leaving. */
+static void
+send_zone_report (struct controller *controller, int64_t now_us)
+{
+	char *absent[FS_GATEWAY_MAX_ABSENT];
+	struct fs_zone_args args = {
+		.vm = controller->boot.vm,
+		.zone = controller->boot.zone,
+		.absent.absent_val = absent,
+	};
+	GHashTableIter iter;
+	gpointer value;
 
-	return member->is_listed && now_us - last_us < MEMBER_DEAD_US;
+	g_hash_table_iter_init (&iter, controller->members);
+	while (args.absent.absent_len < FS_GATEWAY_MAX_ABSENT &&
+	       g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct member *member = value;
+
+		if (member->is_listed && is_in_own_zone (controller, member) &&
+		    (member->is_leaving || !member_is_alive (controller, member, now_us)))
+			absent[args.absent.absent_len++] = member->vm;
+	}
+	if (controller->is_leaving && args.absent.absent_len < FS_GATEWAY_MAX_ABSENT)
+		absent[args.absent.absent_len++] = controller->boot.vm;
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct member *member = value;
+
+		if (member->is_listed && !is_in_own_zone (controller, member))
+			peers_send_zone (&controller->peers, member->address, &args);
+	}
+}
+
+static void
+handle_zone (void *data, const struct fs_zone_args *args)
+{
+	struct controller *controller = data;
+	struct zone_report *report = g_hash_table_lookup (controller->zones, args->zone);
+	struct member *member = g_hash_table_lookup (controller->members, args->vm);
+
+	if (!report)
+	{
+		report = g_new0 (struct zone_report, 1);
+		report->absent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+		g_hash_table_insert (controller->zones, g_strdup (args->zone), report);
+	}
+	report->heard_us = clock_now_us ();
+	if (member)
+		member->heard_us = report->heard_us;
+	g_hash_table_remove_all (report->absent);
+	for (u_int i = 0; i < args->absent.absent_len; i++)
+		g_hash_table_add (report->absent, g_strdup (args->absent.absent_val[i]));
 }
 
 static void
@@ -86,7 +174,9 @@
 		struct member *member = value;
 		char *key;
 
-		if (!member->is_listed || member_is_alive (controller, member, now_us))
+		/* A VM that asks this one may use a primary, whatever its zone's poller says. */
+		if (!member->is_listed || member_is_alive (controller, member, now_us) ||
+		    now_us - MAX (member->heard_us, member->seen_us) < MEMBER_DEAD_US)
 			continue;
 		log_event (LOG_LEVEL_INFO, "member_dead", "member=%s quiet_ms=%lld", member->vm,
 		           (long long) (now_us - member->heard_us) / US_PER_MS);
@@ -116,7 +206,8 @@
 	{
 		const struct member *member = value;
 
-		if (member->is_listed)
+		/* Bytes between zones are dear: other zones hear of this VM from the poller. */
+		if (member->is_listed && (is_question || is_in_own_zone (controller, member)))
 			peers_send_hello (&controller->peers, member->address, &args);
 	}
 }
@@ -199,13 +290,16 @@
 	{
 		controller->hello_us = now_us;
 		send_hello (controller, false, now_us);
+		if (controller->is_poller)
+			send_zone_report (controller, now_us);
 		if (controller->store_ok_us > 0 && now_us - controller->store_ok_us > MEMBER_DEAD_US)
 			remove_dead (controller, now_us);
 	}
 	ask_poller (controller, now_us);
 	note_isolated (controller, now_us);
-	if (now_us - controller->known_us > MEMBER_ASK_AGE_US &&
-	    now_us - controller->question_us > MEMBER_ASK_US)
+	if (!controller->is_following && now_us - controller->known_us > MEMBER_ASK_AGE_US &&
+	    now_us - controller->question_us >
+	        (controller->vm_count > MEMBER_MANY ? MEMBER_ASK_MANY_US : MEMBER_ASK_US))
 	{
 		controller->question_us = now_us;
 		send_hello (controller, true, now_us);
@@ -376,9 +470,10 @@
 follow (struct controller *controller, const struct fs_hello_args *args, int64_t asked_us,
         int64_t now_us)
 {
-	int64_t known_us = asked_us - (int64_t) args->age_us;
+	int64_t listed_us = asked_us - (int64_t) args->list_age_us;
 
-	if (!args->has_knowledge || now_us - known_us > MEMBER_ASK_AGE_US)
+	/* A poller that does not reach the store does not hear of configurations and servers either. */
+	if (!args->has_knowledge || now_us - listed_us > MEMBER_ISOLATED_US)
 		return;
 	controller->followed_us = now_us;
 	if (args->members_digest != find_members_digest (controller))
@@ -386,8 +481,8 @@
 		if (now_us - controller->listed_us > MEMBER_RELIST_US)
 			controller_poll (controller, now_us);
 	}
-	else if (known_us > controller->listed_us)
-		controller->listed_us = known_us;
+	else if (listed_us > controller->listed_us)
+		controller->listed_us = listed_us;
 	if (!controller->configuration || args->configuration > controller->configuration->version)
 		controller_read_operator (controller);
 	if (args->directory_revision > controller->directory_revision &&
@@ -444,19 +539,23 @@
 		member->is_leaving = args->is_leaving;
 	if (args->is_question)
 	{
+		/* The asker must be on a list as young as the records; a poller renews both together, or has heard
+		 * from all VMs. */
+		int64_t told_us = controller->is_poller ? controller->known_us
+		                                        : MIN (controller->known_us, controller->listed_us);
 		struct fs_hello_args answer = {
 			.vm = controller->boot.vm,
 			.number = args->number,
 			.is_leaving = controller->is_leaving,
 			.is_steady = is_steady (controller),
-			/* Not passed on from third VMs: the list of VMs must be as young as the records. */
 			.has_knowledge = controller->listed_us > 0,
 			.is_registered = member && member->is_listed,
 			.digest = digest,
 			.members_digest = find_members_digest (controller),
 			.configuration = controller->configuration ? controller->configuration->version : 0,
 			.directory_revision = controller->directory_revision,
-			.age_us = (uint64_t) (now_us - controller->listed_us),
+			.age_us = (uint64_t) (now_us - told_us),
+			.list_age_us = (uint64_t) (now_us - controller->listed_us),
 		};
 
 		if (args->digest != digest)
@@ -481,4 +580,5 @@
 	.handle_quiesced = handle_quiesced,
 	.handle_opinion = handle_opinion,
 	.handle_hello = handle_hello,
+	.handle_zone = handle_zone,
 };
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -25,6 +25,7 @@
 	struct fs_quiesced_args quiesced = { 0 };
 	struct fs_reachability_args opinion = { 0 };
 	struct fs_hello_args hello = { 0 };
+	struct fs_zone_args zone = { 0 };
 
 	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_HELLO,
 	                         (xdrproc_t) xdr_fs_hello_args, &hello) == 0)
@@ -54,6 +55,13 @@
 		xdr_free ((xdrproc_t) xdr_fs_quiesced_args, &quiesced);
 		return 0;
 	}
+	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_ZONE,
+	                         (xdrproc_t) xdr_fs_zone_args, &zone) == 0)
+	{
+		peers->ops->handle_zone (peers->data, &zone);
+		xdr_free ((xdrproc_t) xdr_fs_zone_args, &zone);
+		return 0;
+	}
 	return -EBADMSG;
 }
 
@@ -168,3 +176,9 @@
 {
 	peers_send (peers, to, FS_HELLO, (xdrproc_t) xdr_fs_hello_args, args);
 }
+
+void
+peers_send_zone (struct peers *peers, struct peer_address to, const struct fs_zone_args *args)
+{
+	peers_send (peers, to, FS_ZONE, (xdrproc_t) xdr_fs_zone_args, args);
+}
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -49,6 +49,13 @@
 	int64_t steady_us; /**< It had the same records and no order in flight then. */
 };
 
+/** What the poller of another zone last said of its VMs. */
+struct zone_report
+{
+	int64_t heard_us;
+	GHashTable *absent; /**< Set of VM names that are gone or leaving. */
+};
+
 struct opinion
 {
 	bool is_unreachable;
@@ -91,6 +98,7 @@
 	GHashTable *servers; /**< struct known_server by id. */
 	GHashTable *duties;  /**< struct duty by service. */
 	GHashTable *members; /**< struct member by VM name, this one left out. */
+	GHashTable *zones;   /**< struct zone_report by zone. */
 	bool has_directory;
 	bool is_polling;
 	bool is_registering;
@@ -102,6 +110,7 @@
 	int64_t listed_us;   /**< As known_us, for the list of VMs as well: by this VM's own poll. */
 	int64_t store_ok_us; /**< Since when the store answers; 0: it does not. */
 	int64_t hello_us;
+	uint64_t absent_digest; /**< Of the VMs that the last report named. */
 	int64_t question_us;
 	int64_t poller_asked_us;
 	bool is_isolated;          /**< Neither the store nor other VMs tell about the records. */
@@ -153,6 +162,7 @@
 extern const struct peers_ops controller_peers_ops;
 struct member *member_get (struct controller *controller, const char *vm, int64_t now_us);
 void member_free (struct member *member);
+void zone_report_free (struct zone_report *report);
 bool member_is_alive (const struct controller *controller, const struct member *member,
                       int64_t now_us);
 void members_tick (struct controller *controller, int64_t now_us);
--- a/include/gateway/peers.h
+++ b/include/gateway/peers.h
@@ -23,6 +23,7 @@
 	void (*handle_opinion) (void *data, const struct fs_reachability_args *args,
 	                        struct peer_address from);
 	void (*handle_hello) (void *data, const struct fs_hello_args *args, struct peer_address from);
+	void (*handle_zone) (void *data, const struct fs_zone_args *args);
 };
 
 struct peers
@@ -45,3 +46,4 @@
                          const struct fs_reachability_args *args);
 void peers_send_hello (struct peers *peers, struct peer_address to,
                        const struct fs_hello_args *args);
+void peers_send_zone (struct peers *peers, struct peer_address to, const struct fs_zone_args *args);
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -15,6 +15,9 @@
 #endif
 
 #define FS_GATEWAY_MAX_NAME 96
+#define FS_GATEWAY_MAX_ABSENT 40
+
+typedef char *fs_gateway_name;
 
 struct fs_lead_args {
 	char *vm;
@@ -53,6 +56,16 @@
 	u_quad_t configuration;
 	u_quad_t directory_revision;
 	u_quad_t age_us;
+	u_quad_t list_age_us;
+};
+
+struct fs_zone_args {
+	char *vm;
+	char *zone;
+	struct {
+		u_int absent_len;
+		fs_gateway_name *absent_val;
+	} absent;
 };
 
 #define FS_GATEWAY_PROGRAM 0x2f5a0003
@@ -71,6 +84,9 @@
 #define FS_HELLO 4
 extern  enum clnt_stat fs_hello_1(struct fs_hello_args , void *, CLIENT *);
 extern  bool_t fs_hello_1_svc(struct fs_hello_args , void *, struct svc_req *);
+#define FS_ZONE 5
+extern  enum clnt_stat fs_zone_1(struct fs_zone_args , void *, CLIENT *);
+extern  bool_t fs_zone_1_svc(struct fs_zone_args , void *, struct svc_req *);
 extern int fs_gateway_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -86,22 +102,29 @@
 #define FS_HELLO 4
 extern  enum clnt_stat fs_hello_1();
 extern  bool_t fs_hello_1_svc();
+#define FS_ZONE 5
+extern  enum clnt_stat fs_zone_1();
+extern  bool_t fs_zone_1_svc();
 extern int fs_gateway_program_1_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
+extern  bool_t xdr_fs_gateway_name (XDR *, fs_gateway_name*);
 extern  bool_t xdr_fs_lead_args (XDR *, struct fs_lead_args*);
 extern  bool_t xdr_fs_quiesced_args (XDR *, struct fs_quiesced_args*);
 extern  bool_t xdr_fs_reachability_args (XDR *, struct fs_reachability_args*);
 extern  bool_t xdr_fs_hello_args (XDR *, struct fs_hello_args*);
+extern  bool_t xdr_fs_zone_args (XDR *, struct fs_zone_args*);
 
 #else /* K&R C */
+extern bool_t xdr_fs_gateway_name ();
 extern bool_t xdr_fs_lead_args ();
 extern bool_t xdr_fs_quiesced_args ();
 extern bool_t xdr_fs_reachability_args ();
 extern bool_t xdr_fs_hello_args ();
+extern bool_t xdr_fs_zone_args ();
 
 #endif /* K&R C */
 
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -2,6 +2,9 @@
  * into macros. */
 
 const FS_GATEWAY_MAX_NAME = 96;
+const FS_GATEWAY_MAX_ABSENT = 40;
+
+typedef string fs_gateway_name<FS_GATEWAY_MAX_NAME>;
 
 /* A service's record in the store, told ahead of the next poll. */
 struct fs_lead_args {
@@ -45,6 +48,14 @@
 	unsigned hyper configuration;
 	unsigned hyper directory_revision;
 	unsigned hyper age_us;
+	unsigned hyper list_age_us;
+};
+
+/* The poller of a zone tells the VMs of other zones which VMs of its own are gone or leaving. */
+struct fs_zone_args {
+	string vm<FS_GATEWAY_MAX_NAME>;
+	string zone<FS_GATEWAY_MAX_NAME>;
+	fs_gateway_name absent<FS_GATEWAY_MAX_ABSENT>;
 };
 
 program FS_GATEWAY_PROGRAM {
@@ -53,5 +64,6 @@
 		void FS_QUIESCED(fs_quiesced_args) = 2;
 		void FS_REACHABILITY(fs_reachability_args) = 3;
 		void FS_HELLO(fs_hello_args) = 4;
+		void FS_ZONE(fs_zone_args) = 5;
 	} = 1;
 } = 0x2f5a0003;
--- a/protocols/gateway_client.c
+++ b/protocols/gateway_client.c
@@ -44,3 +44,12 @@
 		(xdrproc_t) xdr_void, (caddr_t) clnt_res,
 		TIMEOUT));
 }
+
+enum clnt_stat 
+fs_zone_1(struct fs_zone_args arg1, void *clnt_res,  CLIENT *clnt)
+{
+	return (clnt_call(clnt, FS_ZONE,
+		(xdrproc_t) xdr_fs_zone_args, (caddr_t) &arg1,
+		(xdrproc_t) xdr_void, (caddr_t) clnt_res,
+		TIMEOUT));
+}
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -5,6 +5,16 @@
  */
 
 
+bool_t
+xdr_fs_gateway_name (XDR *xdrs, fs_gateway_name *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, FS_GATEWAY_MAX_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fs_lead_args (XDR *xdrs, struct fs_lead_args *objp)
 {
@@ -100,6 +110,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->list_age_us))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->vm, FS_GATEWAY_MAX_NAME))
@@ -136,6 +148,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->list_age_us))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -163,5 +177,22 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->list_age_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fs_zone_args (XDR *xdrs, struct fs_zone_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->vm, FS_GATEWAY_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->zone, FS_GATEWAY_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->absent.absent_val, (u_int *) &objp->absent.absent_len, FS_GATEWAY_MAX_ABSENT,
+		sizeof (fs_gateway_name), (xdrproc_t) xdr_fs_gateway_name))
+		 return FALSE;
 	return TRUE;
 }
