--- a/ctl/commands/explain.c
+++ b/ctl/commands/explain.c
@@ -89,7 +89,7 @@
 		line.time_s = g_ascii_strtod (start + strlen ("time="), NULL);
 		line.text = g_strdup (start);
 		line.is_of_request = has_value (start, "request", id);
-		g_array_append_val (lines, line);
+		g_array_append_vals (lines, &line, 1);
 	}
 	g_strfreev (rows);
 	g_free (text);
--- /dev/null
+++ b/gateway/controller_store.c
@@ -0,0 +1,522 @@
+#include "gateway/controller_private.h"
+
+#include "common/counters.h"
+#include "common/log.h"
+#include "platform/documents.h"
+
+#include <errno.h>
+#include <string.h>
+
+enum
+{
+	/* Some polls fit into LEAD_AUTHORITY_MS, so that a lost one does not end the use of primaries. */
+	CONTROL_POLL_US = 400 * US_PER_MS,
+	/* A missing entry is taken as gone: the time that the platform grants after the store's return, and some
+	 * delay; well below the time after which a leaving server must be out of use. */
+	CONTROL_MISSING_US = 3 * US_PER_S,
+	/* VMs that ask the poller of their zone. */
+	CONTROL_SLOW_POLL_US = 20 * US_PER_S,
+	CONTROL_DIRECTORY_QUIET_MS =
+		4000, /* Well below the time in which a leaving server is out of use. */
+	/* Knowledge of this age is renewed by a poll of one's own. */
+	CONTROL_KNOWN_AGE_US = 1000 * US_PER_MS,
+	CONTROL_RETRY_US = 200 * US_PER_MS,
+};
+
+static const char store_prefix[] = "flamingospring/";
+const char controller_lead_prefix[] = "flamingospring/lead/";
+const char controller_member_prefix[] = "flamingospring/vm/";
+
+/* Records of the fleet: primaries and VMs. */
+
+static void
+take_lead (struct controller *controller, const struct platform_pair *pair, int64_t now_us)
+{
+	struct succession_record record = { .revision = pair->revision };
+	const char *service = pair->key + strlen (controller_lead_prefix);
+
+	if (duty_record_parse (pair->value, pair->value_length, &record) < 0)
+	{
+		log_event (LOG_LEVEL_ERROR, "record_malformed", "key=%s revision=%llu", pair->key,
+		           (unsigned long long) pair->revision);
+		return;
+	}
+	duty_set_record (duty_get (controller, service), &record, now_us);
+}
+
+static void
+take_member (struct controller *controller, const struct platform_pair *pair, int64_t now_us)
+{
+	const char *vm = pair->key + strlen (controller_member_prefix);
+	char *value = g_strndup (pair->value, pair->value_length);
+	struct member *member;
+	char address[BOOT_ADDRESS_BYTES];
+	char zone[BOOT_NAME_BYTES];
+
+	if (strcmp (vm, controller->boot.vm) == 0)
+	{
+		controller->own_revision = pair->revision;
+		controller->is_registered = strcmp (value, controller->own_value) == 0;
+	}
+	else if (sscanf (value, "address=%63s zone=%79s", address, zone) == 2)
+	{
+		member = member_get (controller, vm, now_us);
+		if (boot_address_parse (address, &member->address.ip, &member->address.port) < 0)
+			log_event (LOG_LEVEL_ERROR, "member_malformed", "member=%s", vm);
+		if (member->revision != pair->revision)
+			member->seen_us = now_us;
+		g_free (member->zone);
+		member->zone = g_strdup (zone);
+		member->revision = pair->revision;
+		member->is_listed = true;
+	}
+	g_free (value);
+}
+
+static void
+handle_registered (void *data, const struct platform_answer *answer)
+{
+	struct controller *controller = data;
+
+	controller->is_registering = false;
+	if (controller->joined_us > 0)
+		controller->joined_us = clock_now_us ();
+	log_event (LOG_LEVEL_INFO, "registered", "error=%d succeeded=%d revision=%llu", answer->error,
+	           answer->succeeded, (unsigned long long) answer->revision);
+	controller_poll (controller, clock_now_us ());
+}
+
+static void
+register_vm (struct controller *controller)
+{
+	char *key;
+
+	if (controller->is_registered || controller->is_registering || controller->is_leaving)
+		return;
+	key = g_strdup_printf ("%s%s", controller_member_prefix, controller->boot.vm);
+	if (controller->own_revision == 0)
+		controller->joined_us = clock_now_us ();
+	controller->is_registering =
+		controller->platform.ops->swap (&controller->platform, key, controller->own_revision,
+	                                    controller->own_value, strlen (controller->own_value),
+	                                    handle_registered, controller) == 0;
+	g_free (key);
+}
+
+static void
+note_store (struct controller *controller, int error, int64_t now_us)
+{
+	if (error < 0 && controller->store_ok_us > 0)
+		log_event (LOG_LEVEL_WARN, "store_lost", "error=%d", error);
+	if (error == 0 && controller->store_ok_us == 0)
+		log_event (LOG_LEVEL_INFO, "store_regained", "knowledge_age_ms=%lld",
+		           (long long) (now_us - controller->known_us) / US_PER_MS);
+	if (error < 0)
+		controller->store_ok_us = 0;
+	else if (controller->store_ok_us == 0)
+		controller->store_ok_us = now_us;
+}
+
+static void
+send_view (struct controller *controller)
+{
+	struct view *view = view_new ();
+	GHashTableIter iter;
+	gpointer value;
+
+	controller->is_view_old = false;
+	if (controller->configuration)
+		view->configuration = configuration_hold (controller->configuration);
+	view->known_us = controller->known_us;
+	view->is_registered = controller->is_registered;
+	view->is_isolated = controller->is_isolated;
+	view->vm_count = controller->vm_count;
+	g_hash_table_iter_init (&iter, controller->duties);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct duty *duty = value;
+		const struct succession_record *record = &duty->succession.record;
+		struct lead lead = {
+			.service = g_strdup (duty->service),
+			.primary = g_strdup (record->primary),
+			.revision = record->revision,
+			.is_changing = record->is_changing,
+			.is_planned = record->is_planned,
+		};
+
+		g_array_append_val (view->leads, lead);
+	}
+	g_hash_table_iter_init (&iter, controller->servers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct known_server *server = value;
+		struct server_entry entry;
+
+		if (!server->is_listed)
+			continue;
+		server_entry_copy (&entry, &server->entry);
+		g_array_append_val (view->servers, entry);
+	}
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct member *member = value;
+		struct view_member entry = {
+			.vm = g_strdup (member->vm),
+			.zone = g_strdup (member->zone),
+			.ip = member->address.ip,
+			.port = member->address.port,
+		};
+
+		if (member->is_serving)
+			g_array_append_val (view->members, entry);
+	}
+	gateway_traffic_send_view (controller->traffic, view);
+}
+
+static int64_t
+poll_interval_us (const struct controller *controller, int error)
+{
+	if (error < 0)
+		return CONTROL_RETRY_US;
+	return controller->is_poller ? CONTROL_POLL_US : CONTROL_SLOW_POLL_US;
+}
+
+static void
+handle_poll (void *data, const struct platform_answer *answer)
+{
+	struct controller *controller = data;
+	int64_t now_us = clock_now_us ();
+	bool was_registered = controller->is_registered;
+	GHashTableIter iter;
+	gpointer value;
+
+	controller->is_polling = false;
+	note_store (controller, answer->error, now_us);
+	loop_set_timer (&controller->loop, &controller->poll_timer,
+	                now_us + poll_interval_us (controller, answer->error));
+	if (answer->error < 0)
+		return;
+	controller->is_registered = false;
+	controller->own_revision = 0;
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		((struct member *) value)->is_listed = false;
+	for (size_t i = 0; i < answer->count; i++)
+	{
+		const struct platform_pair *pair = &answer->pairs[i];
+
+		if (strncmp (pair->key, controller_lead_prefix, strlen (controller_lead_prefix)) == 0)
+			take_lead (controller, pair, now_us);
+		else if (strncmp (pair->key, controller_member_prefix, strlen (controller_member_prefix)) ==
+		         0)
+			take_member (controller, pair, now_us);
+	}
+	controller->listed_us = answer->asked_us;
+	if (answer->asked_us > controller->known_us)
+		controller->known_us = answer->asked_us;
+	if (controller->is_registered != was_registered)
+		controller->is_view_old = true;
+	register_vm (controller);
+	if (controller->is_view_old)
+		send_view (controller);
+	else
+		gateway_traffic_send_known (controller->traffic, controller->known_us);
+}
+
+void
+controller_poll (struct controller *controller, int64_t now_us)
+{
+	int result;
+
+	if (controller->is_polling)
+	{
+		/* The outstanding answer may be older than what is to be read. */
+		loop_set_timer (&controller->loop, &controller->poll_timer, now_us + US_PER_MS);
+		return;
+	}
+	result = controller->platform.ops->range (&controller->platform, store_prefix, 0, handle_poll,
+	                                          controller);
+	controller->is_polling = result == 0;
+	loop_set_timer (&controller->loop, &controller->poll_timer, now_us + CONTROL_POLL_US);
+}
+
+void
+controller_handle_poll_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct controller *controller = timer->data;
+
+	if (controller->is_polling)
+		loop_set_timer (&controller->loop, timer, now_us + 2 * US_PER_MS);
+	else
+		controller_poll (controller, now_us);
+}
+
+/* The operators' configuration. */
+
+static void
+take_configuration (struct controller *controller, const struct platform_pair *pair)
+{
+	struct configuration *configuration;
+	GHashTableIter iter;
+	gpointer name;
+
+	if (strcmp (pair->key, documents_configuration_key) != 0 || pair->is_deleted)
+		return;
+	configuration = documents_decode_configuration (pair->value, pair->value_length);
+	if (!configuration)
+	{
+		log_event (LOG_LEVEL_ERROR, "configuration_malformed", "revision=%llu bytes=%zu",
+		           (unsigned long long) pair->revision, pair->value_length);
+		counter_add (COUNTER_CONFIG_REJECTED, 1);
+		return;
+	}
+	if (controller->configuration && configuration->version <= controller->configuration->version)
+	{
+		configuration_release (configuration);
+		return;
+	}
+	log_event (LOG_LEVEL_INFO, "configuration_adopted", "version=%llu revision=%llu routes=%u",
+	           (unsigned long long) configuration->version, (unsigned long long) pair->revision,
+	           g_hash_table_size (configuration->routes));
+	counter_add (COUNTER_CONFIG_ADOPTED, 1);
+	configuration_release (controller->configuration);
+	controller->configuration = configuration;
+	controller->is_view_old = true;
+	g_hash_table_iter_init (&iter, configuration->services);
+	while (g_hash_table_iter_next (&iter, &name, NULL))
+		duty_get (controller, name);
+}
+
+void
+controller_flush_view (struct controller *controller)
+{
+	if (controller->is_view_old)
+		send_view (controller);
+}
+
+static void
+handle_operator_event (void *data, const struct platform_answer *answer)
+{
+	struct controller *controller = data;
+
+	if (answer->error < 0)
+	{
+		/* A watch may hear nothing although something has changed. */
+		loop_set_timer (&controller->loop, &controller->operator_timer,
+		                clock_now_us () + (answer->error == -ETIMEDOUT ? 0 : CONTROL_RETRY_US));
+		return;
+	}
+	for (size_t i = 0; i < answer->count; i++)
+		take_configuration (controller, &answer->pairs[i]);
+	controller_flush_view (controller);
+}
+
+static void
+handle_operator_range (void *data, const struct platform_answer *answer)
+{
+	struct controller *controller = data;
+
+	controller->is_reading_operator = false;
+	handle_operator_event (controller, answer);
+	if (answer->error == 0 && !controller->is_following)
+		controller->platform.ops->watch (
+			&controller->platform, documents_operator_prefix, answer->revision,
+			controller->boot.configuration_ms * 3 / 5, handle_operator_event, controller);
+}
+
+void
+controller_read_operator (struct controller *controller)
+{
+	if (!controller->is_reading_operator)
+		controller->is_reading_operator =
+			controller->platform.ops->range (&controller->platform, documents_operator_prefix, 0,
+		                                     handle_operator_range, controller) == 0;
+}
+
+void
+controller_handle_operator_timer (struct loop_timer *timer, int64_t now_us)
+{
+	controller_read_operator (timer->data);
+}
+
+/* The directory of servers. */
+
+static void
+note_missing (struct controller *controller, const char *id, int64_t now_us)
+{
+	struct known_server *server = g_hash_table_lookup (controller->servers, id);
+
+	if (!server || !server->is_listed || server->missing_us > 0)
+		return;
+	log_event (LOG_LEVEL_INFO, "server_missing", "server=%s service=%s", id, server->entry.service);
+	server->missing_us = now_us;
+}
+
+/** Entries lapse while the store is away; those of living servers are back about 2 s after its return. */
+void
+controller_unlist_gone (struct controller *controller, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (controller->store_ok_us == 0)
+		return;
+	g_hash_table_iter_init (&iter, controller->servers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct known_server *server = value;
+		int64_t since_us = MAX (server->missing_us, controller->store_ok_us);
+
+		if (!server->is_listed || server->missing_us == 0 || now_us - since_us < CONTROL_MISSING_US)
+			continue;
+		log_event (LOG_LEVEL_INFO, "server_gone", "server=%s service=%s missing_ms=%lld",
+		           server->entry.id, server->entry.service,
+		           (long long) (now_us - server->missing_us) / US_PER_MS);
+		server->is_listed = false;
+		controller->is_view_old = true;
+	}
+}
+
+static bool
+entry_differs (const struct server_entry *a, const struct server_entry *b)
+{
+	return a->ip != b->ip || a->port != b->port || a->is_draining != b->is_draining ||
+	       a->reports_primary != b->reports_primary || a->slots != b->slots ||
+	       strcmp (a->service, b->service) != 0 || strcmp (a->zone, b->zone) != 0;
+}
+
+static void
+take_server (struct controller *controller, const struct platform_pair *pair, int64_t now_us)
+{
+	struct known_server *server;
+	struct server_entry entry;
+	const char *id = pair->key + strlen (documents_server_prefix);
+
+	if (pair->is_deleted)
+	{
+		note_missing (controller, id, now_us);
+		return;
+	}
+	if (documents_decode_server (pair, &entry) < 0)
+	{
+		log_event (LOG_LEVEL_INFO, "server_entry_ignored", "key=%s", pair->key);
+		return;
+	}
+	server = g_hash_table_lookup (controller->servers, entry.id);
+	if (!server)
+	{
+		server = g_new0 (struct known_server, 1);
+		g_hash_table_insert (controller->servers, g_strdup (entry.id), server);
+	}
+	if (!server->is_listed || entry_differs (&server->entry, &entry))
+	{
+		log_event (LOG_LEVEL_INFO, "server_listed", "server=%s service=%s draining=%d primary=%d",
+		           entry.id, entry.service, entry.is_draining, entry.reports_primary);
+		controller->is_view_old = true;
+	}
+	server_entry_clear (&server->entry);
+	server->entry = entry;
+	server->is_listed = true;
+	server->missing_us = 0;
+}
+
+static void
+handle_directory_event (void *data, const struct platform_answer *answer)
+{
+	struct controller *controller = data;
+
+	if (answer->error < 0)
+	{
+		loop_set_timer (&controller->loop, &controller->directory_timer,
+		                clock_now_us () + CONTROL_RETRY_US);
+		return;
+	}
+	for (size_t i = 0; i < answer->count; i++)
+	{
+		const struct platform_pair *pair = &answer->pairs[i];
+
+		take_server (controller, pair, clock_now_us ());
+		if (pair->revision > controller->directory_revision)
+			controller->directory_revision = pair->revision;
+	}
+	controller_flush_view (controller);
+}
+
+/** Entries that are not in a complete list are gone. */
+static void
+unlist_missing (struct controller *controller, const struct platform_answer *answer)
+{
+	GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer id;
+
+	for (size_t i = 0; i < answer->count; i++)
+		g_hash_table_add (present,
+		                  (char *) answer->pairs[i].key + strlen (documents_server_prefix));
+	g_hash_table_iter_init (&iter, controller->servers);
+	while (g_hash_table_iter_next (&iter, &id, NULL))
+		if (!g_hash_table_contains (present, id))
+			note_missing (controller, id, clock_now_us ());
+	g_hash_table_destroy (present);
+}
+
+static void
+handle_directory_range (void *data, const struct platform_answer *answer)
+{
+	struct controller *controller = data;
+
+	controller->is_reading_directory = false;
+	if (answer->error == 0)
+	{
+		unlist_missing (controller, answer);
+		controller->has_directory = true;
+		controller->directory_revision = answer->revision;
+	}
+	handle_directory_event (controller, answer);
+	if (answer->error == 0 && !controller->is_following)
+		controller->platform.ops->watch (&controller->platform, documents_server_prefix,
+		                                 answer->revision, CONTROL_DIRECTORY_QUIET_MS,
+		                                 handle_directory_event, controller);
+}
+
+void
+controller_read_directory (struct controller *controller)
+{
+	if (!controller->is_reading_directory)
+		controller->is_reading_directory =
+			controller->platform.ops->range (&controller->platform, documents_server_prefix, 0,
+		                                     handle_directory_range, controller) == 0;
+}
+
+void
+controller_set_following (struct controller *controller, bool is_following)
+{
+	if (controller->is_following == is_following)
+		return;
+	controller->is_following = is_following;
+	log_event (LOG_LEVEL_INFO, is_following ? "following" : "watching", "knowledge_age_ms=%lld",
+	           (long long) (clock_now_us () - controller->known_us) / US_PER_MS);
+	if (is_following)
+	{
+		controller->platform.ops->unwatch (&controller->platform, documents_operator_prefix);
+		controller->platform.ops->unwatch (&controller->platform, documents_server_prefix);
+		return;
+	}
+	controller_read_operator (controller);
+	controller_read_directory (controller);
+}
+
+void
+controller_handle_directory_timer (struct loop_timer *timer, int64_t now_us)
+{
+	controller_read_directory (timer->data);
+}
+
+void
+controller_renew_knowledge (struct controller *controller, int64_t now_us)
+{
+	if (now_us - controller->known_us > CONTROL_KNOWN_AGE_US && controller->store_ok_us > 0 &&
+	    !controller->is_polling)
+		controller_poll (controller, now_us);
+}
--- /dev/null
+++ b/gateway/session_attempt.c
@@ -0,0 +1,417 @@
+#include "gateway/traffic_private.h"
+
+#include "common/counters.h"
+#include "common/log.h"
+#include "gateway/traffic_metrics.h"
+#include "platform/wire.h"
+
+enum
+{
+	SESSION_MAX_ATTEMPTS = 6,
+	/* Pause before a request that a server refused is offered again. */
+	SESSION_RETRY_US = 10 * US_PER_MS,
+	SESSION_OVERLOADED_US = 20 * US_PER_MS,
+	/* A read that a replica refused for its position is offered to other servers meanwhile. */
+	SESSION_BEHIND_US = 100 * US_PER_MS,
+};
+
+/** Sends the statement on its prepared connection. */
+static void
+session_send (struct session *session, struct connection *connection, int64_t now_us)
+{
+	struct request *request = &session->request;
+	GString *out = connection->stream.out;
+	struct text id = { request->id->str, request->id->len };
+	struct text text = { request->text->str, request->text->len };
+	struct server *server = connection->server;
+	bool is_primary = server->service->primary == server;
+	struct log_position position;
+	struct forward_hint hint = {
+		.priority = session->priority,
+		.target_latency_ms = session->target_latency_ms,
+		.waited_ms = (uint32_t) ((now_us - request->arrived_us) / US_PER_MS),
+	};
+	struct wire_prefix prefix = { .hint = connection->is_relayed ? &hint : NULL };
+
+	if (session->is_relay)
+		prefix.after = request->has_after ? &request->after : NULL;
+	else if (session->state == TRANSACTION_NONE && !is_primary && !request_is_write (request) &&
+	         session_find_position (session, &position))
+		prefix.after = &position;
+	connection->sent_us = now_us;
+	connection->sent_as_lead = is_primary && service_can_use_primary (server->service, now_us);
+	request->is_sent = true;
+	g_strlcpy (request->server, server->id, sizeof request->server);
+	request->sent_us = now_us;
+	request->attempts++;
+	connection_set_state (connection, CONNECTION_RUNNING);
+	if (request->shape)
+		wire_encode_execute (out, id, prefix, request->shape->name, request->statement.arguments);
+	else
+		wire_encode_query (out, id, prefix, text);
+	line_stream_flush (&connection->stream);
+}
+
+/** What was decided about the server still holds at the time of sending. */
+static bool
+session_may_send (struct session *session, struct connection *connection, int64_t now_us)
+{
+	struct server *server = connection->server;
+	struct log_position position;
+
+	if (session->state != TRANSACTION_NONE && session->is_started)
+		return true;
+	if (session->is_relay)
+		return server->is_listed;
+	if (server->service->primary == server)
+		return service_can_use_primary (server->service, now_us);
+	return !session_needs_primary (session) && session_find_position (session, &position);
+}
+
+void
+session_run (struct session *session, struct connection *connection, int64_t now_us)
+{
+	bool begins = session->state == TRANSACTION_OPEN && !session->is_started;
+	struct log_position position;
+	const struct log_position *after = NULL;
+
+	if (session->connection != connection)
+		session->request.chosen_us = now_us;
+	connection->session = session;
+	session->connection = connection;
+	if (begins && connection->is_in_transaction)
+	{
+		session->is_started = true;
+		begins = false;
+	}
+	if (!session_may_send (session, connection, now_us))
+	{
+		connection->session = NULL;
+		session->connection = NULL;
+		service_enqueue (session->service, session);
+		connection_release (connection, now_us);
+		return;
+	}
+	connection->setup_pending = connection_prepare (connection, session);
+	connection->setup_code = ANSWER_DONE;
+	connection->setup_has_begin = begins;
+	connection->setup_is_in_doubt = false;
+	session->is_first = begins;
+	if (begins)
+	{
+		if (session->is_relay)
+			after = &session->relay_after;
+		else if (connection->server->service->primary != connection->server &&
+		         session_find_position (session, &position))
+			after = &position;
+		wire_encode_begin (connection->stream.out, session->is_read_only, after);
+		connection->setup_pending++;
+	}
+	/* The owner begins the transaction together with the statement, and runs neither if it cannot. */
+	if (connection->is_relayed)
+		session->is_started |= begins;
+	if (connection->setup_pending == 0 || connection->is_relayed)
+	{
+		session_send (session, connection, now_us);
+		return;
+	}
+	connection->sent_us = now_us;
+	connection->sent_as_lead = false;
+	connection_set_state (connection, CONNECTION_SETUP);
+	line_stream_flush (&connection->stream);
+}
+
+/** Offers a request again that did not run. @return false when it was offered often enough. */
+static bool
+session_retry (struct session *session, struct server *server, enum answer_code code,
+               int64_t now_us)
+{
+	struct request *request = &session->request;
+
+	request->last_code = code;
+	request->is_sent = false;
+	request->retry_us = now_us;
+	if (request->attempts > SESSION_MAX_ATTEMPTS)
+		return false;
+	switch (code)
+	{
+	case ANSWER_BEHIND:
+		server->behind_until_us = now_us + SESSION_BEHIND_US;
+		break;
+	case ANSWER_OVERLOADED:
+		server->overloaded_until_us = now_us + SESSION_OVERLOADED_US;
+		request->retry_us = now_us + SESSION_RETRY_US;
+		break;
+	case ANSWER_NOT_PRIMARY:
+		gateway_traffic_send_report (server, NULL, now_us);
+		request->retry_us = now_us + SESSION_OVERLOADED_US;
+		break;
+	default:
+		break;
+	}
+	counter_add (COUNTER_RETRIES, 1);
+	return true;
+}
+
+void
+session_handle_setup_failed (struct session *session, struct server *server, enum answer_code code,
+                             int64_t now_us)
+{
+	bool in_transaction = session->state == TRANSACTION_OPEN && session->is_started;
+
+	session->request.attempts++;
+	if (session->is_relay)
+		relay_refuse (session, code, "refused by the server");
+	else if (in_transaction)
+		session_fail (session, ANSWER_ROLLED_BACK, "session state could not be set up");
+	else if (session_retry (session, server, code, now_us))
+		service_enqueue (session->service, session);
+	else
+		session_fail (session, ANSWER_OVERLOADED, "refused by all servers, retry later");
+}
+
+/** Counts and logs where the time of a request went. */
+static void
+note_served (const struct session *session, const struct connection *connection, int64_t now_us)
+{
+	const struct request *request = &session->request;
+	const struct server *server = connection->server;
+	struct histogram *latencies =
+		traffic_latencies[MIN (session->priority, TRAFFIC_PRIORITIES - 1)];
+	int64_t total_us = now_us - request->arrived_us;
+	int64_t chosen_us = MAX (request->chosen_us, request->arrived_us);
+	bool is_slow = total_us >= (int64_t) session->target_latency_ms * US_PER_MS / 2;
+	enum log_request_class log_class = is_slow ? LOG_REQUEST_SLOW : LOG_REQUEST_DONE;
+
+	histogram_add (&latencies[TRAFFIC_HOP_TOTAL], total_us);
+	histogram_add (&latencies[TRAFFIC_HOP_QUEUE], chosen_us - request->arrived_us);
+	histogram_add (&latencies[TRAFFIC_HOP_SETUP], request->sent_us - chosen_us);
+	histogram_add (&latencies[TRAFFIC_HOP_SERVER], now_us - request->sent_us);
+	if (!log_request_takes (log_class))
+		return;
+	log_request (
+		log_class, is_slow ? "slow" : "done",
+		"request=%s database=%s service=%s priority=%u server=%s path=%s primary=%d near=%d "
+		"transaction=%d attempts=%u total_us=%lld queue_us=%lld setup_us=%lld server_us=%lld "
+		"lead=%llu knowledge_age_ms=%lld",
+		request->id->str, session->database, session->service->name, session->priority, server->id,
+		connection->is_relayed ? "owner" : "direct", session->service->primary == server,
+		server->is_near, session->state != TRANSACTION_NONE, request->attempts,
+		(long long) total_us, (long long) (chosen_us - request->arrived_us),
+		(long long) (request->sent_us - chosen_us), (long long) (now_us - request->sent_us),
+		(unsigned long long) session->service->lead_revision,
+		(long long) (now_us - session->traffic->known_us) / US_PER_MS);
+}
+
+/** Passes a server's answer on. */
+static void
+session_forward (struct session *session, const char *answer, size_t length)
+{
+	g_string_append_len (session->stream.out, answer, (gssize) length);
+	wire_encode_ready (session->stream.out, session->state, NULL);
+	counter_add (COUNTER_REQUESTS_DONE, 1);
+	session_answered (session);
+}
+
+/** A commit is acknowledged only while no change of primary can have been ordered before its answer. */
+static bool
+session_hold (struct session *session, struct connection *connection, int64_t now_us)
+{
+	struct request *request = &session->request;
+
+	if (now_us - session->traffic->known_us < LEAD_AUTHORITY_MS * US_PER_MS &&
+	    connection->server->service->primary == connection->server)
+		return false;
+	request->is_held = true;
+	request->answered_us = now_us;
+	g_string_assign (request->answer, "");
+	g_string_append_len (request->answer, connection->answer->str,
+	                     (gssize) connection->answer->len);
+	session->service->held = g_list_prepend (session->service->held, session);
+	return true;
+}
+
+static void
+session_handle_success (struct session *session, struct connection *connection,
+                        const struct server_message *ready, int64_t now_us)
+{
+	struct request *request = &session->request;
+	bool was_open = session->state == TRANSACTION_OPEN;
+	bool commits = was_open ? request->statement.kind == STATEMENT_COMMIT && session->has_written
+	                        : request_is_write (request);
+	bool is_held;
+
+	note_served (session, connection, now_us);
+	session->is_first = false;
+	if (was_open && request_is_write (request))
+		session->has_written = true;
+	if (commits)
+	{
+		session->committed = ready->position;
+		session->committed_revision = session->service->lead_revision;
+		counter_add (COUNTER_WRITES, 1);
+	}
+	is_held = commits && session_hold (session, connection, now_us);
+	if (was_open && ready->state != TRANSACTION_NONE)
+	{
+		session->state = ready->state;
+		session_forward (session, connection->answer->str, connection->answer->len);
+		return;
+	}
+	session->state = TRANSACTION_NONE;
+	session->is_started = false;
+	session->has_written = false;
+	session->connection = NULL;
+	connection->session = NULL;
+	if (!is_held)
+		session_forward (session, connection->answer->str, connection->answer->len);
+	if (connection->state == CONNECTION_IDLE && connection->is_in_transaction)
+		connection_roll_back (connection);
+	else if (connection->state == CONNECTION_IDLE)
+		connection_release (connection, now_us);
+}
+
+/** An error inside of a started transaction. */
+static void
+session_handle_transaction_error (struct session *session, struct connection *connection,
+                                  const struct server_message *ready, int64_t now_us)
+{
+	struct request *request = &session->request;
+	enum answer_code code = connection->code;
+	bool is_commit = request->statement.kind == STATEMENT_COMMIT;
+
+	/* A refused statement leaves the transaction as it was. */
+	if (code == ANSWER_OVERLOADED && ready->state == TRANSACTION_OPEN &&
+	    request->attempts <= SESSION_MAX_ATTEMPTS)
+	{
+		request->retry_us = now_us + SESSION_RETRY_US;
+		request->is_sent = false;
+		return;
+	}
+	if (is_commit && !answer_code_did_not_run (code))
+	{
+		session_fail (session, session->has_written ? ANSWER_IN_DOUBT : ANSWER_ROLLED_BACK,
+		              "the server's answer to the commit was an error");
+		return;
+	}
+	session_fail (session,
+	              code == ANSWER_FAILED || code == ANSWER_TIMED_OUT ? code : ANSWER_ROLLED_BACK,
+	              "the server refused a statement of the transaction");
+}
+
+static void
+session_handle_error (struct session *session, struct connection *connection, int64_t now_us)
+{
+	struct request *request = &session->request;
+	struct server *server = connection->server;
+	enum answer_code code = connection->code;
+	bool is_lost_name = code == ANSWER_UNKNOWN_STATEMENT;
+	bool did_not_run = answer_code_did_not_run (code);
+
+	session->connection = NULL;
+	connection->session = NULL;
+	if ((did_not_run || !request_is_write (request)) &&
+	    session_retry (session, server, code, now_us))
+		service_enqueue (session->service, session);
+	else if (did_not_run)
+		session_fail (session, code, "refused by the server, retry later");
+	else
+		session_fail (session,
+		              request_is_write (request) && code == ANSWER_OTHER ? ANSWER_IN_DOUBT : code,
+		              "the server reported an error");
+	/* A connection that lost prepared names has lost its session values as well. */
+	if (is_lost_name)
+		connection_close (connection);
+	else if (connection->is_in_transaction)
+		connection_roll_back (connection);
+	else
+		connection_release (connection, now_us);
+}
+
+/** The owner could not begin the transaction; nothing has run. */
+static void
+session_handle_begin_refused (struct session *session, struct connection *connection,
+                              int64_t now_us)
+{
+	session->is_started = false;
+	session->is_first = false;
+	session_handle_error (session, connection, now_us);
+}
+
+void
+session_handle_answer (struct session *session, struct connection *connection,
+                       const struct server_message *ready, int64_t now_us)
+{
+	if (session->is_relay)
+		relay_handle_answer (session, connection, ready, now_us);
+	else if (connection->code == ANSWER_DONE && connection->is_complete)
+		session_handle_success (session, connection, ready, now_us);
+	else if (session->state == TRANSACTION_OPEN && session->is_first &&
+	         ready->state == TRANSACTION_NONE && answer_code_did_not_run (connection->code))
+		session_handle_begin_refused (session, connection, now_us);
+	else if (session->state == TRANSACTION_OPEN)
+		session_handle_transaction_error (session, connection, ready, now_us);
+	else
+		session_handle_error (session, connection, now_us);
+	if (connection->state != CONNECTION_CLOSED)
+	{
+		g_string_truncate (connection->answer, 0);
+		connection->code = ANSWER_DONE;
+		connection->is_complete = false;
+	}
+}
+
+void
+session_handle_lost (struct session *session, bool was_sent, int64_t now_us)
+{
+	struct request *request = &session->request;
+	bool is_commit = request->statement.kind == STATEMENT_COMMIT;
+
+	if (session->is_closed)
+		return;
+	if (session->is_relay)
+	{
+		/* The other VM knows what may have run. */
+		session_close (session);
+		return;
+	}
+	if (!request->is_active)
+	{
+		session->is_aborted = session->state == TRANSACTION_OPEN;
+		return;
+	}
+	if (session->state == TRANSACTION_OPEN && session->is_started && !session->is_first)
+	{
+		if (is_commit && was_sent && session->has_written)
+			session_fail (session, ANSWER_IN_DOUBT, "connection lost during the commit");
+		else
+			session_fail (session, ANSWER_ROLLED_BACK, "connection lost in the transaction");
+		return;
+	}
+	/* A first statement is rolled back together with its transaction. */
+	session->is_started = false;
+	if (was_sent && request_is_write (request) && session->state == TRANSACTION_NONE)
+	{
+		session_fail (session, ANSWER_IN_DOUBT, "connection lost after the write was sent");
+		return;
+	}
+	if (++request->attempts > SESSION_MAX_ATTEMPTS)
+	{
+		session_fail (session, ANSWER_OVERLOADED, "connections lost, retry later");
+		return;
+	}
+	request->is_sent = false;
+	request->retry_us = now_us;
+	session_enqueue (session, now_us);
+}
+
+void
+session_release_held (struct session *session, bool is_confirmed)
+{
+	struct request *request = &session->request;
+
+	if (is_confirmed)
+		session_forward (session, request->answer->str, request->answer->len);
+	else
+		session_fail (session, ANSWER_IN_DOUBT, "the primary was replaced before the answer");
+}
--- /dev/null
+++ b/gateway/session_query.c
@@ -0,0 +1,213 @@
+#include "gateway/traffic_private.h"
+
+#include "platform/wire.h"
+
+#include <string.h>
+
+enum
+{
+	SESSION_MAX_VALUES = 64,
+	SESSION_MAX_PREPARED = 256,
+};
+
+static void
+handle_begin (struct session *session)
+{
+	if (session->state != TRANSACTION_NONE)
+	{
+		session_fail (session, ANSWER_MALFORMED, "a transaction is open");
+		return;
+	}
+	if (!session_take_route (session))
+	{
+		session_fail (session, ANSWER_UNKNOWN_DATABASE, "no route has this name");
+		return;
+	}
+	session->state = TRANSACTION_OPEN;
+	session->is_read_only = session->request.statement.kind == STATEMENT_BEGIN_READ;
+	session->is_started = false;
+	session->has_written = false;
+	session->is_aborted = false;
+	session->began_us = session->request.arrived_us;
+	session_complete (session);
+}
+
+static void
+handle_rollback (struct session *session)
+{
+	session_end_transaction (session);
+	session_complete (session);
+}
+
+void
+session_set_value (struct session *session, const struct statement *statement)
+{
+	g_hash_table_replace (session->values,
+	                      g_strndup (statement->name.start, statement->name.length),
+	                      g_strndup (statement->arguments.start, statement->arguments.length));
+}
+
+void
+session_set_prepared (struct session *session, const struct statement *statement)
+{
+	struct prepared_shape *shape =
+		gateway_traffic_find_shape (session->traffic, statement->arguments, statement->is_write);
+
+	g_hash_table_replace (session->prepared,
+	                      g_strndup (statement->name.start, statement->name.length), shape);
+}
+
+static void
+handle_set (struct session *session)
+{
+	if (g_hash_table_size (session->values) >= SESSION_MAX_VALUES)
+	{
+		session_fail (session, ANSWER_OVERLOADED, "too many session values");
+		return;
+	}
+	session_set_value (session, &session->request.statement);
+	session_complete (session);
+}
+
+static void
+handle_prepare (struct session *session)
+{
+	if (g_hash_table_size (session->prepared) >= SESSION_MAX_PREPARED)
+	{
+		session_fail (session, ANSWER_OVERLOADED, "too many prepared statements");
+		return;
+	}
+	session_set_prepared (session, &session->request.statement);
+	session_complete (session);
+}
+
+static void
+handle_deallocate (struct session *session)
+{
+	const struct statement *statement = &session->request.statement;
+	char *name = g_strndup (statement->name.start, statement->name.length);
+	bool was_known = g_hash_table_remove (session->prepared, name);
+
+	g_free (name);
+	if (was_known)
+		session_complete (session);
+	else
+		session_fail (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
+}
+
+/** Finds the shape of an EXECUTE. @return false when the name is not known. */
+bool
+session_find_shape (struct session *session)
+{
+	struct request *request = &session->request;
+	char *name;
+
+	if (request->statement.kind != STATEMENT_EXECUTE)
+		return true;
+	name = g_strndup (request->statement.name.start, request->statement.name.length);
+	request->shape = g_hash_table_lookup (session->prepared, name);
+	g_free (name);
+	return request->shape != NULL;
+}
+
+/** Offers the statement to the pinned connection, or to the queue. */
+void
+session_run_statement (struct session *session, int64_t now_us)
+{
+	if (session->connection)
+		session_run (session, session->connection, now_us);
+	else
+		session_enqueue (session, now_us);
+}
+
+/** Statements that a server runs. */
+static void
+handle_statement (struct session *session, int64_t now_us)
+{
+	struct request *request = &session->request;
+
+	if (!session_find_shape (session))
+	{
+		session_fail (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
+		return;
+	}
+	if (session->state == TRANSACTION_NONE && !session_take_route (session))
+	{
+		session_fail (session, ANSWER_UNKNOWN_DATABASE, "no route has this name");
+		return;
+	}
+	request->deadline_us = now_us + (int64_t) session->statement_timeout_ms * US_PER_MS;
+	session_run_statement (session, now_us);
+}
+
+/** Only the end of a failed transaction is accepted. */
+static void
+handle_failed_transaction (struct session *session)
+{
+	switch (session->request.statement.kind)
+	{
+	case STATEMENT_ROLLBACK:
+		handle_rollback (session);
+		break;
+	case STATEMENT_COMMIT:
+		session_end_transaction (session);
+		session_fail (session, ANSWER_ROLLED_BACK, "the transaction had failed");
+		break;
+	default:
+		session_fail (session, ANSWER_MALFORMED, "the transaction has failed");
+		break;
+	}
+}
+
+void
+session_handle_query (struct session *session, int64_t now_us)
+{
+	if (session->state == TRANSACTION_FAILED)
+	{
+		handle_failed_transaction (session);
+		return;
+	}
+	if (session->is_aborted && session->request.statement.kind != STATEMENT_ROLLBACK)
+	{
+		session_fail (session, ANSWER_ROLLED_BACK, "the transaction was rolled back");
+		return;
+	}
+	switch (session->request.statement.kind)
+	{
+	case STATEMENT_BEGIN:
+	case STATEMENT_BEGIN_READ:
+		handle_begin (session);
+		break;
+	case STATEMENT_ROLLBACK:
+		handle_rollback (session);
+		break;
+	case STATEMENT_SET:
+		handle_set (session);
+		break;
+	case STATEMENT_PREPARE:
+		handle_prepare (session);
+		break;
+	case STATEMENT_DEALLOCATE:
+		handle_deallocate (session);
+		break;
+	case STATEMENT_COMMIT:
+		if (session->state != TRANSACTION_OPEN)
+		{
+			session_fail (session, ANSWER_MALFORMED, "no transaction is open");
+			return;
+		}
+		handle_statement (session, now_us);
+		break;
+	case STATEMENT_READ:
+	case STATEMENT_WRITE:
+	case STATEMENT_EXECUTE:
+		handle_statement (session, now_us);
+		break;
+	case STATEMENT_RESET:
+	case STATEMENT_SAMPLE:
+	case STATEMENT_CONTROL:
+	case STATEMENT_INVALID:
+		session_fail (session, ANSWER_MALFORMED, "not a statement");
+		break;
+	}
+}
--- /dev/null
+++ b/gateway/session_tick.c
@@ -0,0 +1,159 @@
+#include "gateway/traffic_private.h"
+
+#include "common/log.h"
+
+/** The time of the present request is over. */
+static void
+session_time_out (struct session *session)
+{
+	struct request *request = &session->request;
+	struct connection *connection = session->connection;
+	bool is_running = connection && connection->state == CONNECTION_RUNNING;
+	bool in_transaction = session->state == TRANSACTION_OPEN;
+	bool is_commit = request->statement.kind == STATEMENT_COMMIT && session->has_written;
+	enum answer_code code = ANSWER_OVERLOADED;
+
+	if (is_running && in_transaction)
+		code = is_commit ? ANSWER_IN_DOUBT : ANSWER_ROLLED_BACK;
+	else if (is_running)
+		code = request_is_write (request) ? ANSWER_IN_DOUBT : ANSWER_TIMED_OUT;
+	else if (request->last_code == ANSWER_BEHIND)
+		code = ANSWER_BEHIND;
+	/* What the server does with the statement is not known: its connection is not used again. */
+	if (connection)
+	{
+		connection->session = NULL;
+		session->connection = NULL;
+		connection_close (connection);
+	}
+	session_fail (session, code, "the time limit of the statement is over");
+}
+
+static void
+session_abort_idle (struct session *session)
+{
+	struct connection *connection = session->connection;
+
+	log_event (LOG_LEVEL_INFO, "transaction_abandoned", "database=%s", session->database);
+	session->connection = NULL;
+	session->is_aborted = true;
+	if (!connection)
+		return;
+	connection->session = NULL;
+	connection_roll_back (connection);
+}
+
+enum
+{
+	/* The platform's balancer takes a VM out after two probes, one a second. */
+	LEAVE_ROTATION_US = 2200 * US_PER_MS,
+};
+
+/** Follows the planned stop of this process. */
+static void
+session_tick_leaving (struct session *session, int64_t now_us)
+{
+	const struct gateway_traffic *traffic = session->traffic;
+	int64_t leaving_us = now_us - traffic->leaving_us;
+	int64_t transaction_us = (int64_t) traffic->settings.grace_ms * US_PER_MS / 2;
+
+	if (session->request.is_active || leaving_us < LEAVE_ROTATION_US)
+		return;
+	if (session->state == TRANSACTION_NONE || leaving_us > transaction_us)
+		session_close (session);
+}
+
+/** A VM that is cut off is out of rotation by now: its idle callers come back elsewhere. Those that came
+ * meanwhile found no better VM. */
+static void
+session_tick_isolated (struct session *session, int64_t now_us)
+{
+	int64_t out_us = session->traffic->isolated_us + LEAVE_ROTATION_US;
+
+	if (session->is_relay || session->request.is_active || session->state != TRANSACTION_NONE)
+		return;
+	if (now_us > out_us && session->accepted_us < out_us)
+		session_close (session);
+}
+
+/** Nothing can run the request at present, as far as this VM knows. */
+static bool
+is_unavailable (const struct session *session, int64_t now_us)
+{
+	const struct service *service = session->service;
+	struct log_position position;
+	bool has_primary =
+		service_can_use_primary (service, now_us) && service->primary->failed_us == 0;
+
+	if (has_primary)
+		return false;
+	return session_needs_primary (session) || !session_find_position (session, &position);
+}
+
+/** Refuses a queued request that would be served too late; another VM may be better off. */
+static void
+session_tick_queued (struct session *session, int64_t now_us)
+{
+	/* Of the target latency. A refusal within a quarter of it costs the caller little; a request that is
+	 * late anyway only keeps others waiting. */
+	enum
+	{
+		UNAVAILABLE_PERCENT = 20,
+		OVERLOADED_PERCENT = 85,
+	};
+	struct request *request = &session->request;
+	bool is_relay = session->is_relay;
+	int64_t waited_us = now_us - request->arrived_us;
+	int64_t target_us = (int64_t) session->target_latency_ms * US_PER_MS;
+
+	if (is_relay && session->relay_server->failed_us > 0)
+		session_close (session);
+	else if (is_relay && waited_us > target_us * OVERLOADED_PERCENT / 100)
+		relay_refuse (session, ANSWER_OVERLOADED, "the server is busy");
+	else if (is_relay)
+		return;
+	else if (waited_us > target_us * UNAVAILABLE_PERCENT / 100 && is_unavailable (session, now_us))
+		session_fail (session, ANSWER_OVERLOADED, "no server can run it now, retry elsewhere");
+	else if (waited_us > target_us * OVERLOADED_PERCENT / 100)
+		session_fail (session, ANSWER_OVERLOADED, "all servers are busy, retry later");
+}
+
+void
+session_tick (struct session *session, int64_t now_us)
+{
+	/* Time for an answer to reach the caller within its limit. */
+	enum
+	{
+		ANSWER_MARGIN_US = 20 * US_PER_MS,
+		GREETING_TIMEOUT_US = 5 * US_PER_S,
+	};
+	struct request *request = &session->request;
+	const struct view *view = session->traffic->view;
+
+	if (request->is_active && now_us > request->deadline_us - ANSWER_MARGIN_US && !request->is_held)
+		session_time_out (session);
+	else if (request->is_active && session->connection && !request->is_sent &&
+	         session->connection->state == CONNECTION_IDLE && now_us >= request->retry_us)
+		session_run (session, session->connection, now_us);
+	else if (request->is_active && request->is_queued)
+		session_tick_queued (session, now_us);
+	else if (!request->is_active && session->state == TRANSACTION_OPEN && !session->is_aborted &&
+	         view && view->configuration &&
+	         now_us - session->active_us >
+	             (int64_t) view->configuration->transaction_idle_ms * US_PER_MS)
+		session_abort_idle (session);
+	if (session->is_closed)
+		return;
+	if (session->is_starting && session->is_relay)
+		relay_greet (session, now_us);
+	else if (session->is_starting)
+		session_greet (session);
+	if (session->is_closed)
+		return;
+	if (!session->is_greeted && now_us - session->active_us > GREETING_TIMEOUT_US)
+		session_close (session);
+	else if (session->traffic->is_leaving && !session->is_closed)
+		session_tick_leaving (session, now_us);
+	else if (session->traffic->isolated_us > 0 && !session->is_closed)
+		session_tick_isolated (session, now_us);
+}
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -130,7 +130,7 @@
 	void *handle_left_data;
 };
 
-/* controller.c */
+/* controller_store.c */
 void controller_poll (struct controller *controller, int64_t now_us);
 
 /** Reads the configuration or the servers' entries again, unless that is under way. */
@@ -140,6 +140,16 @@
 /** Follows the poller of the zone, or watches the store again. */
 void controller_set_following (struct controller *controller, bool is_following);
 
+/** Polls when what is known gets old. */
+void controller_renew_knowledge (struct controller *controller, int64_t now_us);
+/** Sends the view to the traffic thread if it has changed. */
+void controller_flush_view (struct controller *controller);
+/** Entries that have been missing for long are gone. */
+void controller_unlist_gone (struct controller *controller, int64_t now_us);
+void controller_handle_poll_timer (struct loop_timer *timer, int64_t now_us);
+void controller_handle_operator_timer (struct loop_timer *timer, int64_t now_us);
+void controller_handle_directory_timer (struct loop_timer *timer, int64_t now_us);
+
 /* controller_metrics.c */
 unsigned controller_answer_metrics (void *data, GString *body);
 
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -258,7 +258,16 @@
                           const struct server_message *ready, int64_t now_us);
 void relay_close_all (struct server *server);
 
-/* session.c, for relay.c */
+/* session.c, for its other parts and relay.c */
+bool request_is_write (const struct request *request);
+void session_complete (struct session *session);
+/** Takes the route in force; it holds for the whole transaction. @return false when there is none. */
+bool session_take_route (struct session *session);
+void session_enqueue (struct session *session, int64_t now_us);
+/** Answers the greeting; waits while no configuration is known. */
+void session_greet (struct session *session);
+/** session_query.c: decides about the statement in the request. */
+void session_handle_query (struct session *session, int64_t now_us);
 void session_answered (struct session *session);
 void session_end_transaction (struct session *session);
 bool session_find_shape (struct session *session);
--- a/tests/support/fake_database.c
+++ b/tests/support/fake_database.c
@@ -227,8 +227,8 @@
 fake_main (void *data)
 {
 	struct fake_database *database = data;
-	struct fake_connection connections[FAKE_MAX_CONNECTIONS];
-	struct pollfd polls[FAKE_MAX_CONNECTIONS + 1];
+	struct fake_connection connections[FAKE_MAX_CONNECTIONS] = { 0 };
+	struct pollfd polls[FAKE_MAX_CONNECTIONS + 1] = { 0 };
 	int number = 0;
 
 	for (int i = 0; i < FAKE_MAX_CONNECTIONS; i++)
@@ -265,7 +265,7 @@
 void
 fake_database_start (struct fake_database *database, const char *id, bool is_primary)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = { 0 };
 	socklen_t length = sizeof address;
 
 	memset (database, 0, sizeof *database);
