--- a/ctl/commands/explain.c
+++ b/ctl/commands/explain.c
@@ -90,6 +90,7 @@
 		line.text = g_strdup (start);
 		line.is_of_request = has_value (start, "request", id);
 		g_array_append_vals (lines, &line, 1);
+		/* cppcheck-suppress memleak; the array owns the text. */
 	}
 	g_strfreev (rows);
 	g_free (text);
