--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -132,13 +132,13 @@
 		peers_send_quiesced (&controller->peers, to, &args);
 }
 
-void
-duty_tell_members (struct duty *duty)
+struct fs_lead_args
+duty_lead_args (struct duty *duty)
 {
-	struct controller *controller = duty->controller;
 	struct succession_record *record = &duty->succession.record;
-	struct fs_lead_args args = {
-		.vm = controller->boot.vm,
+
+	return (struct fs_lead_args){
+		.vm = duty->controller->boot.vm,
 		.service = duty->service,
 		.primary = record->primary,
 		.claimant = record->claimant,
@@ -147,6 +147,14 @@
 		.is_planned = record->is_planned,
 		.term = record->term,
 	};
+}
+
+void
+duty_tell_members (struct duty *duty)
+{
+	struct controller *controller = duty->controller;
+	const struct succession_record *record = &duty->succession.record;
+	struct fs_lead_args args = duty_lead_args (duty);
 	GHashTableIter iter;
 	gpointer value;
 
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -412,19 +412,9 @@
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		struct duty *duty = value;
-		struct succession_record *record = &duty->succession.record;
-		struct fs_lead_args args = {
-			.vm = controller->boot.vm,
-			.service = duty->service,
-			.primary = record->primary,
-			.claimant = record->claimant,
-			.revision = record->revision,
-			.is_changing = record->is_changing,
-			.is_planned = record->is_planned,
-			.term = record->term,
-		};
+		struct fs_lead_args args = duty_lead_args (duty);
 
-		if (record->revision > 0)
+		if (args.revision > 0)
 			peers_send_lead (&controller->peers, to, &args);
 	}
 }
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -5,6 +5,7 @@
 #include "gateway/traffic_metrics.h"
 #include "platform/wire.h"
 
+#include <stdio.h>
 #include <string.h>
 
 static struct session *
@@ -126,6 +127,17 @@
 	session_answered (session);
 }
 
+void
+session_refuse (struct session *session, enum answer_code code, const char *cause,
+                int64_t retry_after_us)
+{
+	char message[128];
+
+	snprintf (message, sizeof message, "%s, retry after %lld ms", cause,
+	          (long long) retry_after_us / US_PER_MS);
+	session_fail (session, code, message);
+}
+
 void
 session_close (struct session *session)
 {
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -11,6 +11,8 @@
 	/* Pause before a request that a server refused is offered again. */
 	SESSION_RETRY_US = 10 * US_PER_MS,
 	SESSION_OVERLOADED_US = 20 * US_PER_MS,
+	/* After several attempts at different servers; about the time in which a queue empties. */
+	SESSION_REFUSED_US = 200 * US_PER_MS,
 	/* A read that a replica refused for its position is offered to other servers meanwhile. */
 	SESSION_BEHIND_US = 100 * US_PER_MS,
 };
@@ -167,7 +169,7 @@
 	else if (session_retry (session, server, code, now_us))
 		service_enqueue (session->service, session);
 	else
-		session_fail (session, ANSWER_OVERLOADED, "refused by all servers, retry later");
+		session_refuse (session, ANSWER_OVERLOADED, "refused by all servers", SESSION_REFUSED_US);
 }
 
 /** Counts and logs where the time of a request went. */
@@ -314,7 +316,7 @@
 	    session_retry (session, server, code, now_us))
 		service_enqueue (session->service, session);
 	else if (did_not_run)
-		session_fail (session, code, "refused by the server, retry later");
+		session_refuse (session, code, "refused by the server", SESSION_REFUSED_US);
 	else
 		session_fail (session,
 		              request_is_write (request) && code == ANSWER_OTHER ? ANSWER_IN_DOUBT : code,
@@ -397,7 +399,7 @@
 	}
 	if (++request->attempts > SESSION_MAX_ATTEMPTS)
 	{
-		session_fail (session, ANSWER_OVERLOADED, "connections lost, retry later");
+		session_refuse (session, ANSWER_OVERLOADED, "connections lost", SESSION_REFUSED_US);
 		return;
 	}
 	request->is_sent = false;
--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -90,6 +90,25 @@
 	return session_needs_primary (session) || !session_find_position (session, &position);
 }
 
+/** When a request that nothing can run now may be served: after the rest of a change of primary, or when
+ * its loss has been noticed and agreed on. */
+static int64_t
+find_retry_us (const struct session *session, int64_t now_us)
+{
+	/* Usual times on the platform: the agreement and a promotion; the shortest time worth a retry. */
+	enum
+	{
+		CHANGE_US = 2000 * US_PER_MS,
+		MIN_RETRY_US = 100 * US_PER_MS,
+	};
+	const struct service *service = session->service;
+	int64_t since_us = service->is_changing ? service->changing_us : now_us;
+
+	if (!service->is_changing && service->primary && service->primary->failed_us > 0)
+		since_us = service->primary->failed_us;
+	return MAX (CHANGE_US - (now_us - since_us), MIN_RETRY_US);
+}
+
 /** Refuses a queued request that would be served too late; another VM may be better off. */
 static void
 session_tick_queued (struct session *session, int64_t now_us)
@@ -113,9 +132,10 @@
 	else if (is_relay)
 		return;
 	else if (waited_us > target_us * UNAVAILABLE_PERCENT / 100 && is_unavailable (session, now_us))
-		session_fail (session, ANSWER_OVERLOADED, "no server can run it now, retry elsewhere");
+		session_refuse (session, ANSWER_OVERLOADED, "no server can run it now",
+		                find_retry_us (session, now_us));
 	else if (waited_us > target_us * OVERLOADED_PERCENT / 100)
-		session_fail (session, ANSWER_OVERLOADED, "all servers are busy, retry later");
+		session_refuse (session, ANSWER_OVERLOADED, "all servers are busy", waited_us);
 }
 
 void
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -161,6 +161,8 @@
 /** Adopts a record. @return whether it is news. */
 bool duty_set_record (struct duty *duty, const struct succession_record *record, int64_t now_us);
 void duty_tell_members (struct duty *duty);
+/** The duty's record as a datagram; its texts belong to the duty. */
+struct fs_lead_args duty_lead_args (struct duty *duty);
 void duty_answer_claimant (struct duty *duty);
 char *duty_record_format (const struct succession_record *record);
 int duty_record_parse (const char *text, size_t length, struct succession_record *record);
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -53,7 +53,7 @@
 	bool setup_has_begin;        /**< The last of these begins a transaction. */
 	bool setup_is_in_doubt;      /**< Another step than the beginning was refused. */
 	struct session *session;     /**< Pinned, or whose statement runs; NULL when it has left. */
-	bool is_sample;              /**< Probing: the question was for the owner\'s sample. */
+	bool is_sample;              /**< Probing: the question was for the owner's sample. */
 	struct database_status status;
 	bool has_status;
 	int64_t opened_us;
@@ -239,6 +239,10 @@
 /** Ends the present request with an error. */
 void session_fail (struct session *session, enum answer_code code, const char *message);
 
+/** As session_fail(), for a request that has not run; tells the caller when to come back. */
+void session_refuse (struct session *session, enum answer_code code, const char *cause,
+                     int64_t retry_after_us);
+
 /** A commit waited for newer knowledge of the lead: @p is_confirmed, no change was ordered before it. */
 void session_release_held (struct session *session, bool is_confirmed);
 void session_tick (struct session *session, int64_t now_us);
