succession: a successor is recorded once it has applied what it had received

Cause: a promoted replica that lagged has received commits that its reads do not see yet. The position in READY tells what is applied. Test: /succession/applies_first.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -306,8 +306,10 @@
 	const struct succession_server *target = find_server (input, succession->target);
 
 	if (target && target->has_status && target->status_us > succession->phase_us &&
-	    target->is_primary && target->term > succession->old_term)
+	    target->is_primary && target->term > succession->old_term &&
+	    target->applied.index >= target->received.index)
 	{
+		/* A replica that lagged reads behind what it has received until it has applied it. */
 		succession->new_term = target->term;
 		set_phase (succession, SUCCESSION_RECORDING, now_us);
 		succession->asked_us = now_us;
--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -168,6 +168,7 @@
 {
 	struct server *server = connection->server;
 
+	connection->status.applied = server->applied;
 	if (connection->has_status)
 		gateway_traffic_send_report (server, &connection->status, now_us);
 	connection->has_status = false;
--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -380,6 +380,7 @@
 			.is_primary = known->status.is_primary,
 			.term = known->status.term,
 			.received = known->status.received,
+			.applied = known->status.applied,
 		};
 	}
 	return count;
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -64,6 +64,7 @@
 	bool is_primary;   /**< By its status. */
 	uint64_t term;
 	struct log_position received;
+	struct log_position applied; /**< What its reads see. */
 };
 
 struct succession_input
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -125,6 +125,8 @@
 	bool is_primary;
 	uint64_t term;
 	struct log_position received;
+	struct log_position
+		applied; /**< What reads see; a new primary may still be behind what it received. */
 	uint64_t held_term;
 	uint32_t lag_ms;
 	uint32_t running;
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -48,6 +48,7 @@
 			.reports_primary = i == 0,
 			.term = 1,
 			.received = { 1, 100 - i },
+			.applied = { 1, 100 - i },
 		};
 	world->input.servers = world->servers;
 	world->input.server_count = G_N_ELEMENTS (ids);
@@ -155,6 +156,7 @@
 
 	world_init (&world);
 	world.servers[2].received.index = 100;
+	world.servers[2].applied.index = 100;
 	world_fail_primary (&world);
 	world_run (&world, 1000 * MS);
 	g_assert_cmpuint (world.promotions, ==, 1);
@@ -316,10 +318,29 @@
 	g_assert_true (world.is_demoted);
 	g_assert_cmpuint (world.promotions, ==, 0);
 	world.servers[1].received.index = 100;
+	world.servers[1].applied.index = 100;
 	world_run (&world, 400 * MS);
 	g_assert_cmpstr (world.promoted, ==, "b");
 }
 
+/* A promoted replica that lagged has received commits that its reads do not see yet (STALE on hunted days of Riga and of the
+ * grown Grindwell site). */
+static void
+test_successor_applies_its_log_first (void)
+{
+	struct world world;
+
+	world_init (&world);
+	world.servers[1].applied.index = 50;
+	world_fail_primary (&world);
+	world_run (&world, 1000 * MS);
+	g_assert_cmpstr (world.promoted, ==, "b");
+	g_assert_true (world.stored.is_changing);
+	world.servers[1].applied.index = 99;
+	world_run (&world, 200 * MS);
+	g_assert_false (world.stored.is_changing);
+}
+
 static void
 test_refused_server_is_passed_over (void)
 {
@@ -346,6 +367,7 @@
 	g_test_add_func ("/succession/executed", test_executed_promotion_is_recorded);
 	g_test_add_func ("/succession/synchronous", test_synchronous_replicas);
 	g_test_add_func ("/succession/planned", test_planned_change_catches_up);
+	g_test_add_func ("/succession/applies_first", test_successor_applies_its_log_first);
 	g_test_add_func ("/succession/refused", test_refused_server_is_passed_over);
 	return g_test_run ();
 }
