gateway: reads at the primary are limited by its slots, no first record before the first read

Cause: after a loss of power every VM forwarded all waiting reads to the primary, since no position was known yet, and a VM whose first read of the records was lost wrote the first record of each service in every step (25 calls in 0.5 s) and served nothing for 0.5 s.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -84,6 +84,9 @@
 {
 	const struct succession_server *primary = NULL;
 
+	/* Before the first read it is not known whether there is a record. */
+	if (!input->knows_records)
+		return SUCCESSION_NOTHING;
 	for (size_t i = 0; i < input->server_count; i++)
 	{
 		const struct succession_server *server = &input->servers[i];
--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -519,6 +519,7 @@
 		.sync_replicas = declared ? declared->sync_replicas : 0,
 		.cause = find_cause (duty, now_us),
 		.rank = find_rank (duty, now_us),
+		.knows_records = controller->listed_us > 0,
 		.may_order = now_us - controller->joined_us >
 		             CONTROLLER_LIST_AGE_US + LEAD_AUTHORITY_MS * (int64_t) US_PER_MS,
 	};
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -153,6 +153,10 @@
 			continue;
 		if (!server_has_capacity (server, now_us) || (!far && !server->is_near))
 			continue;
+		/* After a restart no position is known, and the replicas have not applied the first one yet:
+		 * all waiting reads would queue at the primary's owner, before the work that needs it. */
+		if (service->primary == server && server->running_count >= server->slots)
+			continue;
 		connection = server_find_idle (server, session);
 		if (connection && cost_us < best_us)
 		{
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -74,6 +74,7 @@
 	uint32_t sync_replicas;
 	enum succession_cause cause;
 	uint32_t rank;        /**< Order of this VM among those that may act. */
+	bool knows_records;   /**< The records were read since the start of this VM. */
 	bool may_order;       /**< All VMs can know of this one by now. */
 	bool has_all_answers; /**< Every other VM has stopped using the old primary. */
 };
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -497,6 +497,41 @@
 	world_stop (&world);
 }
 
+/* After a restart no position is known yet: all waiting reads were forwarded to the primary at once, where urgent work
+ * queued behind them for 200 ms and more (trouble-1 of Grindwell, after a loss of power). */
+static void
+test_reads_after_a_restart (void)
+{
+	enum
+	{
+		READS = 12,
+		SLOTS = 2,
+	};
+	struct world world;
+	int fds[READS];
+
+	world_start (&world, 2, ROUTE_BOUNDED_STALENESS);
+	world.databases[0].read_delay_ms = 100;
+	send_views (&world, clock_now_us ());
+	for (int i = 0; i < READS; i++)
+		fds[i] = open_session (&world, 1);
+	for (int i = 0; i < READS; i++)
+	{
+		char *read = g_strdup_printf ("QUERY r%d READ 1", i);
+
+		say (fds[i], read);
+		g_free (read);
+	}
+	for (int i = 0; i < READS; i++)
+	{
+		ASSERT_SERVED (hear (fds[i]));
+		close (fds[i]);
+	}
+	/* Those before the first answer, and as many that were sent with it. */
+	g_assert_cmpuint (world.databases[0].statements->len, <=, 2 * SLOTS);
+	world_stop (&world);
+}
+
 /* A read sees its session's write: the replica that lacks it refuses, and the primary serves. */
 static void
 test_read_your_writes (void)
@@ -643,6 +678,7 @@
 	g_test_add_func ("/gateway/held_in_doubt", test_held_commit_in_doubt);
 	g_test_add_func ("/gateway/new_lead", test_new_lead_before_new_knowledge);
 	g_test_add_func ("/gateway/ordered_change", test_ordered_change_quiesces);
+	g_test_add_func ("/gateway/reads_after_restart", test_reads_after_a_restart);
 	g_test_add_func ("/gateway/read_your_writes", test_read_your_writes);
 	g_test_add_func ("/gateway/position_after_change", test_position_after_a_change);
 	g_test_add_func ("/gateway/owner_positions", test_owner_answers_without_position);
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -53,6 +53,7 @@
 	world->input.servers = world->servers;
 	world->input.server_count = G_N_ELEMENTS (ids);
 	world->input.may_order = true;
+	world->input.knows_records = true;
 	world->stored = (struct succession_record){ .primary = "a", .revision = 10 };
 	succession_set_record (&world->succession, &world->stored, world->now_us);
 }
@@ -353,6 +354,26 @@
 	g_assert_cmpstr (world.promoted, ==, "c");
 }
 
+/* A VM whose first read was lost tried to write the first record of each service in every step, 25 calls of the store
+ * in 0.5 s (trouble-1 of Grindwell, after a loss of power). */
+static void
+test_no_record_before_the_first_read (void)
+{
+	struct world world;
+
+	world_init (&world);
+	succession_init (&world.succession, "vm1");
+	world.input.knows_records = false;
+	for (int i = 0; i < 100; i++)
+		g_assert_cmpint (
+			succession_step (&world.succession, &world.input, world.now_us + i * STEP_US), ==,
+			SUCCESSION_NOTHING);
+	world.input.knows_records = true;
+	g_assert_cmpint (
+		succession_step (&world.succession, &world.input, world.now_us + 100 * STEP_US), ==,
+		SUCCESSION_CREATE);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -368,6 +389,7 @@
 	g_test_add_func ("/succession/synchronous", test_synchronous_replicas);
 	g_test_add_func ("/succession/planned", test_planned_change_catches_up);
 	g_test_add_func ("/succession/applies_first", test_successor_applies_its_log_first);
+	g_test_add_func ("/succession/unread_records", test_no_record_before_the_first_read);
 	g_test_add_func ("/succession/refused", test_refused_server_is_passed_over);
 	return g_test_run ();
 }
