--- a/gateway/server.c
+++ b/gateway/server.c
@@ -17,8 +17,9 @@
 	SERVER_IDLE_CLOSE_US = 5 * US_PER_S,
 	SERVER_PROBE_TIMEOUT_US = 1 * US_PER_S,
 	SERVER_INITIAL_LATENCY_US = 10 * US_PER_MS,
-	/* Connections of a server that its owner leaves to VMs that do not reach the owner. */
-	SERVER_RESERVED_CONNECTIONS = 2,
+	/* Part of a server's connections that its owner may hold. A server counts those of a VM that lost power for 3 s more:
+	 * until then the next owner needs as many. The rest is for VMs that do not reach the owner. */
+	SERVER_OWNER_DIVISOR = 2,
 	SERVER_RELAY_CONNECTIONS = 128,
 	SERVER_RELAY_OPENING = 4,
 	SERVER_RELAY_PAUSE_US = 1 * US_PER_S,
@@ -227,7 +228,7 @@
 
 	if (!server->is_owner)
 		return server_share (server);
-	return limit > 2 * SERVER_RESERVED_CONNECTIONS ? limit - SERVER_RESERVED_CONNECTIONS : limit;
+	return limit >= SERVER_OWNER_DIVISOR ? limit / SERVER_OWNER_DIVISOR : limit;
 }
 
 static bool
