reachability: opinions need recent contact; silent owners are doubted earlier

Cause: in a cut of a zone the change of primary was ordered 0.93 s after the cut: owners counted as lost after 0.45 s, and VMs without traffic to the primary said that they reach it until they had noticed by themselves. Change: an owner is doubted after 0.15 s and lost after 0.35 s; a VM that has not heard a server for 0.45 s gives no opinion before it has asked it. The rule is in decision/reachability.c.

--- /dev/null
+++ b/decision/reachability.c
@@ -0,0 +1,30 @@
+#include "decision/reachability.h"
+
+enum
+{
+	US_PER_MS = 1000,
+	/* A server that has answered within this time counts as reachable; above the longest usual statement, 110 ms, behind
+	 * a queue of three more. */
+	REACHABILITY_CONTACT_US = 450 * US_PER_MS,
+	/* VMs without an opinion do not count after this time, in which they can ask the server themselves. */
+	REACHABILITY_WAIT_US = 400 * US_PER_MS,
+};
+
+enum reachability_opinion
+reachability_form_opinion (bool is_unreachable, int64_t contact_us, int64_t now_us)
+{
+	if (is_unreachable)
+		return REACHABILITY_LOST;
+	if (contact_us > 0 && now_us - contact_us < REACHABILITY_CONTACT_US)
+		return REACHABILITY_REACHABLE;
+	return REACHABILITY_UNKNOWN;
+}
+
+bool
+reachability_is_agreed (const struct reachability_votes *votes, int64_t since_us, int64_t now_us)
+{
+	if (votes->lost <= votes->reachable)
+		return false;
+	return votes->lost > votes->reachable + votes->silent ||
+	       now_us - since_us > REACHABILITY_WAIT_US;
+}
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -42,6 +42,10 @@
 	if (!server)
 		return;
 	server->is_unreachable = report->is_unreachable;
+	if (report->contact_us > server->contact_us)
+		server->contact_us = report->contact_us;
+	if (report->is_contact)
+		return;
 	if (!report->has_status)
 	{
 		/* A server that was refused as a primary is asked what it is. */
--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 #include "common/log.h"
+#include "decision/reachability.h"
 
 #include <errno.h>
 #include <string.h>
@@ -13,8 +14,6 @@
 	DUTY_MISSING_US = 2500 * US_PER_MS,
 	DUTY_OPINION_INTERVAL_US = 100 * US_PER_MS,
 	DUTY_OPINION_AGE_US = 600 * US_PER_MS,
-	/* VMs that have not answered after this time do not count. */
-	DUTY_OPINION_WAIT_US = 400 * US_PER_MS,
 	/* A server that just became the primary may still answer as a replica. */
 	DUTY_NOT_PRIMARY_US = 700 * US_PER_MS,
 	DUTY_STATUS_INTERVAL_US = 200 * US_PER_MS,
@@ -243,9 +242,7 @@
 is_agreed (struct duty *duty, int64_t since_us, int64_t now_us)
 {
 	struct controller *controller = duty->controller;
-	uint32_t unreachable = 1;
-	uint32_t reachable = 0;
-	uint32_t silent = 0;
+	struct reachability_votes votes = { .lost = 1 };
 	GHashTableIter iter;
 	gpointer value;
 
@@ -258,15 +255,13 @@
 		if (!member->is_listed)
 			continue;
 		if (!opinion || now_us - opinion->at_us > DUTY_OPINION_AGE_US)
-			silent++;
+			votes.silent++;
 		else if (opinion->is_unreachable)
-			unreachable++;
+			votes.lost++;
 		else
-			reachable++;
+			votes.reachable++;
 	}
-	if (unreachable <= reachable)
-		return false;
-	return unreachable > reachable + silent || now_us - since_us > DUTY_OPINION_WAIT_US;
+	return reachability_is_agreed (&votes, since_us, now_us);
 }
 
 static struct known_server *
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -1,6 +1,7 @@
 #include "gateway/controller_private.h"
 
 #include "common/log.h"
+#include "decision/reachability.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -370,12 +371,21 @@
                          struct peer_address from)
 {
 	const struct known_server *server = g_hash_table_lookup (controller->servers, args->server);
+	enum reachability_opinion opinion =
+		server ? reachability_form_opinion (server->is_unreachable, server->contact_us,
+	                                        clock_now_us ())
+			   : REACHABILITY_LOST;
 	struct fs_reachability_args answer = {
 		.vm = controller->boot.vm,
 		.server = args->server,
-		.is_unreachable = !server || server->is_unreachable,
+		.is_unreachable = opinion == REACHABILITY_LOST,
 	};
 
+	/* The question comes again; by then the traffic thread has told of its last contact. */
+	if (server && opinion != REACHABILITY_LOST)
+		gateway_traffic_send_check (controller->traffic, args->server);
+	if (opinion == REACHABILITY_UNKNOWN)
+		return;
 	peers_send_opinion (&controller->peers, from, &answer);
 }
 
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -25,8 +25,11 @@
 	SERVER_RELAY_PAUSE_US = 1 * US_PER_S,
 	/* A server that its owner does not reach is given less time to answer. */
 	SERVER_DOUBTED_SILENT_US = 200 * US_PER_MS,
-	/* An owner that is silent for this long is bypassed for a question to the server itself. */
-	SERVER_RELAY_DOUBT_US = 200 * US_PER_MS,
+	/* An owner that is silent for this long is bypassed for a question to the server itself. A VM of a quarter core may
+	 * stand still for 100 ms. */
+	SERVER_RELAY_DOUBT_US = 150 * US_PER_MS,
+	/* An owner that does not even greet a new connection is lost. */
+	SERVER_RELAY_SILENT_US = 350 * US_PER_MS,
 	SERVER_RELAY_IDLE_CLOSE_US = 20 * US_PER_S,
 	SERVER_DIRECT_IDLE_CLOSE_US = 1 * US_PER_S,
 };
@@ -250,6 +253,23 @@
 	       count_connections (server, true) < SERVER_RELAY_CONNECTIONS;
 }
 
+/** Earliest time from which an outstanding question waits; 0: nothing is outstanding. */
+static int64_t
+server_waiting_since (const struct server *server, bool is_relayed)
+{
+	int64_t since_us = 0;
+
+	for (const struct connection *connection = server->connections; connection;
+	     connection = connection->next)
+	{
+		if (connection->state == CONNECTION_IDLE || connection->is_relayed != is_relayed)
+			continue;
+		if (since_us == 0 || connection->sent_us < since_us)
+			since_us = connection->sent_us;
+	}
+	return since_us;
+}
+
 /** Asks for the status on an idle connection, or opens one for it. */
 static void
 server_probe (struct server *server, bool is_direct, int64_t now_us)
@@ -274,6 +294,18 @@
 	}
 }
 
+void
+server_check (struct server *server, int64_t now_us)
+{
+	bool is_waiting =
+		server_waiting_since (server, false) > 0 || server_waiting_since (server, true) > 0;
+
+	gateway_traffic_send_contact (server, now_us);
+	if (server->is_listed && server->failed_us == 0 && !is_waiting &&
+	    now_us - server->answered_us > SERVER_PROBE_US)
+		server_probe (server, false, now_us);
+}
+
 void
 server_ask_sample (struct server *server, int64_t now_us)
 {
@@ -323,23 +355,6 @@
 		server_handle_failed (server, now_us);
 }
 
-/** Earliest time from which an outstanding question waits; 0: nothing is outstanding. */
-static int64_t
-server_waiting_since (const struct server *server, bool is_relayed)
-{
-	int64_t since_us = 0;
-
-	for (const struct connection *connection = server->connections; connection;
-	     connection = connection->next)
-	{
-		if (connection->state == CONNECTION_IDLE || connection->is_relayed != is_relayed)
-			continue;
-		if (since_us == 0 || connection->sent_us < since_us)
-			since_us = connection->sent_us;
-	}
-	return since_us;
-}
-
 void
 server_handle_relay_lost (struct server *server, int64_t now_us)
 {
@@ -480,7 +495,7 @@
 	if (server->relay_answered_us > relayed_us)
 		relayed_us = server->relay_answered_us;
 	quiet_us = now_us - relayed_us;
-	if (quiet_us > SERVER_SILENT_US)
+	if (quiet_us > SERVER_RELAY_SILENT_US)
 		server_handle_relay_lost (server, now_us);
 	else if (quiet_us > SERVER_RELAY_DOUBT_US && now_us - server->doubted_us > SERVER_PROBE_US)
 	{
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -23,6 +23,7 @@
 	ORDER_VIEW,
 	ORDER_KNOWN,
 	ORDER_QUESTION,
+	ORDER_CHECK,
 	ORDER_LEAVE,
 };
 
@@ -45,20 +46,39 @@
 	       now_us - traffic->known_us < LEAD_AUTHORITY_MS * US_PER_MS;
 }
 
-void
-gateway_traffic_send_report (struct server *server, const struct database_status *status,
-                             int64_t now_us)
+static struct server_report *
+report_new (const struct server *server, int64_t now_us)
 {
-	struct gateway_traffic *traffic = server->service->traffic;
 	struct server_report *report = g_new0 (struct server_report, 1);
 
 	report->server = g_strdup (server->id);
 	report->service = g_strdup (server->service->name);
 	report->is_unreachable = server->failed_us > 0;
+	report->contact_us = server->answered_us;
+	report->at_us = now_us;
+	return report;
+}
+
+void
+gateway_traffic_send_report (struct server *server, const struct database_status *status,
+                             int64_t now_us)
+{
+	struct gateway_traffic *traffic = server->service->traffic;
+	struct server_report *report = report_new (server, now_us);
+
 	report->has_status = status != NULL;
 	if (status)
 		report->status = *status;
-	report->at_us = now_us;
+	traffic->events->handle_report (traffic->events_data, report);
+}
+
+void
+gateway_traffic_send_contact (struct server *server, int64_t now_us)
+{
+	struct gateway_traffic *traffic = server->service->traffic;
+	struct server_report *report = report_new (server, now_us);
+
+	report->is_contact = true;
 	traffic->events->handle_report (traffic->events_data, report);
 }
 
@@ -189,6 +209,15 @@
 	server_tick (server, clock_now_us ());
 }
 
+static void
+apply_check (struct gateway_traffic *traffic, const char *id, int64_t now_us)
+{
+	struct server *server = g_hash_table_lookup (traffic->servers, id);
+
+	if (server)
+		server_check (server, now_us);
+}
+
 static void
 handle_message (struct mailbox_message *mail, void *receiver)
 {
@@ -207,6 +236,9 @@
 	case ORDER_QUESTION:
 		apply_question (traffic, message->server, message->demote_term);
 		break;
+	case ORDER_CHECK:
+		apply_check (traffic, message->server, now_us);
+		break;
 	case ORDER_LEAVE:
 		traffic->is_leaving = true;
 		traffic->leaving_us = now_us;
@@ -255,6 +287,15 @@
 	mailbox_send (&traffic->mailbox, &message->message);
 }
 
+void
+gateway_traffic_send_check (struct gateway_traffic *traffic, const char *server)
+{
+	struct traffic_message *message = message_new (ORDER_CHECK);
+
+	message->server = g_strdup (server);
+	mailbox_send (&traffic->mailbox, &message->message);
+}
+
 void
 gateway_traffic_send_leave (struct gateway_traffic *traffic)
 {
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -28,6 +28,7 @@
 	bool is_listed;
 	int64_t missing_us; /**< Since when its entry is missing; 0: it is there. */
 	bool is_unreachable;
+	int64_t contact_us; /**< Last answer that the traffic thread told of. */
 	bool has_status;
 	struct database_status status;
 	int64_t status_us;
--- a/include/gateway/traffic.h
+++ b/include/gateway/traffic.h
@@ -50,5 +50,8 @@
 void gateway_traffic_send_question (struct gateway_traffic *traffic, const char *server,
                                     uint64_t demote_term);
 
+/** Asks for a report of the last contact with a server; one that was not heard lately is asked for its status. */
+void gateway_traffic_send_check (struct gateway_traffic *traffic, const char *server);
+
 /** Starts the planned stop. */
 void gateway_traffic_send_leave (struct gateway_traffic *traffic);
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -211,6 +211,8 @@
 bool gateway_traffic_has_authority (const struct gateway_traffic *traffic, int64_t now_us);
 void gateway_traffic_send_report (struct server *server, const struct database_status *status,
                                   int64_t now_us);
+/** Tells only when the server answered last. */
+void gateway_traffic_send_contact (struct server *server, int64_t now_us);
 struct prepared_shape *gateway_traffic_find_shape (struct gateway_traffic *traffic,
                                                    struct text shape, bool is_write);
 
@@ -306,6 +308,8 @@
 /** For statements of other VMs, if the limits allow one. */
 void server_open_direct (struct server *server, int64_t now_us);
 void server_open (struct server *server, int64_t now_us);
+/** Reports the last contact; asks the server for its status when that is some time ago. */
+void server_check (struct server *server, int64_t now_us);
 /** Gets a sample of the primary's position, from its owner if there is one. */
 void server_ask_sample (struct server *server, int64_t now_us);
 void server_close_all (struct server *server);
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -59,7 +59,9 @@
 	char *server;
 	char *service;
 	bool is_unreachable;
+	bool is_contact; /**< Only tells that the server has answered, or does not. */
 	bool has_status;
 	struct database_status status;
+	int64_t contact_us; /**< Last answer of the server. */
 	int64_t at_us;
 };
