gateway: authority over a primary of 1 s, polls each 0.3 s

Cause: whoever orders a change waits for the authority of VMs that are cut off; 1.56 s of the 2.7 s without a primary in a cut of a zone. Ruled out: a shorter wait with the old polls, since a follower's knowledge could be 1.2 s old beside a slow store: polls were counted from their answers, they are counted from their questions now. The figure has one copy, SUCCESSION_AUTHORITY_MS.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -7,8 +7,8 @@
 enum
 {
 	US_PER_MS = 1000,
-	/** Authority of a VM over a primary (LEAD_AUTHORITY_MS) and some scheduling delay. */
-	AUTHORITY_US = (1500 + 60) * US_PER_MS,
+	/** Authority of a VM over a primary and some scheduling delay. */
+	AUTHORITY_US = (SUCCESSION_AUTHORITY_MS + 60) * US_PER_MS,
 	/** A claimant may call the platform for this long after it sent its order. */
 	CLAIM_WINDOW_US = 3500 * US_PER_MS,
 	/** Another VM orders a change over an unfinished one after this time, which is longer than the window
--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -516,7 +516,7 @@
 		.rank = find_rank (duty, now_us),
 		.knows_records = controller->listed_us > 0,
 		.may_order = now_us - controller->joined_us >
-		             CONTROLLER_LIST_AGE_US + LEAD_AUTHORITY_MS * (int64_t) US_PER_MS,
+		             CONTROLLER_LIST_AGE_US + SUCCESSION_AUTHORITY_MS * (int64_t) US_PER_MS,
 	};
 
 	input.has_all_answers =
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -12,7 +12,7 @@
 	MEMBER_HELLO_US = 1 * US_PER_S,
 	MEMBER_DEAD_US = 8 * US_PER_S,
 	/* Age of the own knowledge from which other VMs are asked for theirs, and how often. */
-	MEMBER_ASK_AGE_US = 800 * US_PER_MS,
+	MEMBER_ASK_AGE_US = 650 * US_PER_MS,
 	/* The other VMs of a zone ask its poller this often; this costs no call of the store. */
 	MEMBER_ASK_POLLER_US = 300 * US_PER_MS,
 	/* Followers read the servers' entries at most this often: many servers change together. */
@@ -20,14 +20,14 @@
 	/* The list of VMs is read again at most this often: many VMs start together. */
 	MEMBER_RELIST_US = 2 * US_PER_S,
 	/* A poller that has not answered well for this long is not relied on. */
-	MEMBER_FOLLOWED_US = 1 * US_PER_S,
+	MEMBER_FOLLOWED_US = 700 * US_PER_MS,
 	/* Age of the own knowledge from which this VM takes no callers: some questions to other VMs were not
-	 * answered, and LEAD_AUTHORITY_MS is near. */
-	MEMBER_ISOLATED_US = 1200 * US_PER_MS,
+	 * answered, and SUCCESSION_AUTHORITY_MS is near. */
+	MEMBER_ISOLATED_US = 900 * US_PER_MS,
 	MEMBER_ASK_US = 200 * US_PER_MS,
-	/* In larger fleets, where the questions grow with the square; still twice within LEAD_AUTHORITY_MS. */
+	/* In larger fleets, where the questions grow with the square. */
 	MEMBER_MANY = 20,
-	MEMBER_ASK_MANY_US = 400 * US_PER_MS,
+	MEMBER_ASK_MANY_US = 300 * US_PER_MS,
 	MEMBER_ANSWER_AGE_US = 1 * US_PER_S,
 };
 
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -9,8 +9,8 @@
 
 enum
 {
-	/* Some polls fit into LEAD_AUTHORITY_MS, so that a lost one does not end the use of primaries. */
-	CONTROL_POLL_US = 400 * US_PER_MS,
+	/* Some polls fit into SUCCESSION_AUTHORITY_MS, so that a lost one does not end the use of primaries. */
+	CONTROL_POLL_US = 300 * US_PER_MS,
 	/* A missing entry is taken as gone: the time that the platform grants after the store's return, and some
 	 * delay; well below the time after which a leaving server must be out of use. */
 	CONTROL_MISSING_US = 3 * US_PER_S,
@@ -19,7 +19,7 @@
 	CONTROL_DIRECTORY_QUIET_MS =
 		4000, /* Well below the time in which a leaving server is out of use. */
 	/* Knowledge of this age is renewed by a poll of one's own. */
-	CONTROL_KNOWN_AGE_US = 1000 * US_PER_MS,
+	CONTROL_KNOWN_AGE_US = 800 * US_PER_MS,
 	CONTROL_RETRY_US = 200 * US_PER_MS,
 };
 
@@ -174,12 +174,14 @@
 	gateway_traffic_send_view (controller->traffic, view);
 }
 
+/** Counted from the question, so that a slow store is asked as often. */
 static int64_t
-poll_interval_us (const struct controller *controller, int error)
+next_poll_us (const struct controller *controller, const struct platform_answer *answer,
+              int64_t now_us)
 {
-	if (error < 0)
-		return CONTROL_RETRY_US;
-	return controller->is_poller ? CONTROL_POLL_US : CONTROL_SLOW_POLL_US;
+	if (answer->error < 0)
+		return now_us + CONTROL_RETRY_US;
+	return answer->asked_us + (controller->is_poller ? CONTROL_POLL_US : CONTROL_SLOW_POLL_US);
 }
 
 static void
@@ -194,7 +196,7 @@
 	controller->is_polling = false;
 	note_store (controller, answer->error, now_us);
 	loop_set_timer (&controller->loop, &controller->poll_timer,
-	                now_us + poll_interval_us (controller, answer->error));
+	                next_poll_us (controller, answer, now_us));
 	if (answer->error < 0)
 		return;
 	controller->is_registered = false;
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -23,8 +23,9 @@
 	SERVER_RELAY_CONNECTIONS = 128,
 	SERVER_RELAY_OPENING = 4,
 	SERVER_RELAY_PAUSE_US = 1 * US_PER_S,
-	/* A server that its owner does not reach is given less time to answer. */
+	/* A server that its owner does not reach is given less time to answer, and one whose owner is silent as well. */
 	SERVER_DOUBTED_SILENT_US = 200 * US_PER_MS,
+	SERVER_ORPHANED_SILENT_US = 300 * US_PER_MS,
 	/* An owner that is silent for this long is bypassed for a question to the server itself. A VM of a quarter core may
 	 * stand still for 100 ms. */
 	SERVER_RELAY_DOUBT_US = 150 * US_PER_MS,
@@ -485,7 +486,9 @@
 {
 	int64_t direct_us = server_waiting_since (server, false);
 	int64_t relayed_us = server_waiting_since (server, true);
-	int64_t silent_us = server->is_doubted ? SERVER_DOUBTED_SILENT_US : SERVER_SILENT_US;
+	int64_t silent_us = server->is_doubted     ? SERVER_DOUBTED_SILENT_US
+	                    : server->is_relay_bad ? SERVER_ORPHANED_SILENT_US
+	                                           : SERVER_SILENT_US;
 	int64_t quiet_us;
 
 	if (direct_us > 0 && now_us - direct_us > silent_us && now_us - server->answered_us > silent_us)
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -1,6 +1,7 @@
 #include "gateway/traffic_private.h"
 
 #include "common/log.h"
+#include "decision/succession.h"
 
 enum
 {
@@ -341,7 +342,7 @@
 
 		next = link->next;
 		if (session->request.answered_us - service->traffic->known_us >=
-		    LEAD_AUTHORITY_MS * US_PER_MS)
+		    SUCCESSION_AUTHORITY_MS * US_PER_MS)
 			continue;
 		service->held = g_list_delete_link (service->held, link);
 		session_release_held (session, true);
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 #include "common/log.h"
+#include "decision/succession.h"
 #include "gateway/traffic_metrics.h"
 #include "platform/wire.h"
 
@@ -221,7 +222,7 @@
 {
 	struct request *request = &session->request;
 
-	if (now_us - session->traffic->known_us < LEAD_AUTHORITY_MS * US_PER_MS &&
+	if (now_us - session->traffic->known_us < SUCCESSION_AUTHORITY_MS * US_PER_MS &&
 	    connection->server->service->primary == connection->server)
 		return false;
 	request->is_held = true;
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "common/rpc.h"
+#include "decision/succession.h"
 #include "gateway/traffic_metrics.h"
 
 #include <errno.h>
@@ -43,7 +44,7 @@
 gateway_traffic_has_authority (const struct gateway_traffic *traffic, int64_t now_us)
 {
 	return traffic->view && traffic->view->is_registered &&
-	       now_us - traffic->known_us < LEAD_AUTHORITY_MS * US_PER_MS;
+	       now_us - traffic->known_us < SUCCESSION_AUTHORITY_MS * US_PER_MS;
 }
 
 static struct server_report *
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -18,6 +18,12 @@
 enum
 {
 	SUCCESSION_NAME_BYTES = 96,
+	/**
+	 * How long a VM may use a primary after it last knew that no change of primary was ordered. Whoever orders a
+	 * change waits this long for VMs that do not answer, so it is part of each failover beside a lost VM. Covers a poll
+	 * of the store, its answer after 0.25 s, and the question of a VM that follows the poller.
+	 */
+	SUCCESSION_AUTHORITY_MS = 1000,
 };
 
 enum succession_phase
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -8,16 +8,6 @@
 #include "gateway/directory.h"
 #include "gateway/statement.h"
 
-enum
-{
-	/**
-	 * How long a VM may use a primary after it last knew that no change of primary was ordered. Whoever
-	 * orders a change waits this long for VMs that do not answer. Covers several lost or slow polls of the
-	 * store; a longer time would delay a failover beside a dead VM.
-	 */
-	LEAD_AUTHORITY_MS = 1500,
-};
-
 /** The primary of a service, by the record in the store. */
 struct lead
 {
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -5,6 +5,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "decision/succession.h"
 #include "gateway/traffic_private.h"
 
 #include <arpa/inet.h>
@@ -374,7 +375,7 @@
 
 	world_start (&world, 1, ROUTE_PRIMARY);
 	world.target_latency_ms = 200;
-	send_views (&world, clock_now_us () - LEAD_AUTHORITY_MS * US_PER_MS);
+	send_views (&world, clock_now_us () - SUCCESSION_AUTHORITY_MS * US_PER_MS);
 	fd = open_session (&world, 0);
 	ASSERT_CODE (ask (fd, "QUERY w WRITE 1 data"), "BUSY");
 	g_assert_cmpuint (world.databases[0].statements->len, ==, 0);
@@ -392,7 +393,7 @@
 
 	world_start (&world, 1, ROUTE_PRIMARY);
 	world.databases[0].delay_ms = 500;
-	known_us = clock_now_us () - (LEAD_AUTHORITY_MS - 300) * US_PER_MS;
+	known_us = clock_now_us () - (SUCCESSION_AUTHORITY_MS - 300) * US_PER_MS;
 	send_views (&world, known_us);
 	fd = open_session (&world, 0);
 	say (fd, "QUERY w WRITE 1 data");
@@ -440,7 +441,7 @@
 	world_start (&world, 1, ROUTE_PRIMARY);
 	world.target_latency_ms = 5000;
 	expiry_us = clock_now_us () + US_PER_S;
-	send_views (&world, expiry_us - LEAD_AUTHORITY_MS * US_PER_MS);
+	send_views (&world, expiry_us - SUCCESSION_AUTHORITY_MS * US_PER_MS);
 	running = open_session (&world, 0);
 	idle = open_session (&world, 0);
 	/* A transaction holds one connection, so that there are two. */
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -177,7 +177,7 @@
 	world_init (&world);
 	world.is_answered = false;
 	world_fail_primary (&world);
-	world_run (&world, 1500 * MS);
+	world_run (&world, SUCCESSION_AUTHORITY_MS * MS);
 	g_assert_cmpuint (world.promotions, ==, 0);
 	world_run (&world, 500 * MS);
 	g_assert_cmpuint (world.promotions, ==, 1);
