server: standby owners; the first view has the other VMs

Cause: the first view after a start was sent before anyone had looked which VMs are alive, so each VM took itself for the only one and the owner of all servers. Ruled out first: a lost owner that comes back late, and VMs that go to the servers themselves; both changes were kept, as they measure no worse. Change: members are looked at before the view is sent; a VM goes to a server itself only 0.4 s after it has found no owner; while the process of an owner is down, its standby takes the statements. The traffic thread delivered what was left in its mailbox after its tables were freed (seen in the new test); mended.

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -39,7 +39,7 @@
 handle_greeting (struct connection *connection, int64_t now_us)
 {
 	if (connection->is_relayed)
-		server_handle_relay_alive (connection->server);
+		server_handle_relay_alive (connection->server, connection->relay_ip);
 	connection_release (connection, now_us);
 }
 
@@ -55,12 +55,15 @@
 	};
 	struct server *server = connection->server;
 
-	log_event (LOG_LEVEL_WARN, "connection_refused", "server=%s code=%s open=%u", server->id,
-	           answer_code_name (code), server->connection_count);
+	log_event (LOG_LEVEL_WARN, "connection_refused",
+	           "server=%s code=%s open=%u relayed=%d owner=%d standby=%d owner_lost_ms=%lld",
+	           server->id, answer_code_name (code), server->connection_count,
+	           connection->is_relayed, server->owners[0].is_self, server->owners[1].is_self,
+	           server->is_relay_bad ? (long long) (now_us - server->relay_bad_us) / US_PER_MS : 0);
 	if (connection->is_relayed && code == ANSWER_OVERLOADED)
-		server_handle_doubt (server, now_us);
+		server_handle_doubt (server, connection->relay_ip, now_us);
 	else if (connection->is_relayed)
-		server_handle_relay_lost (server, now_us);
+		server_handle_relay_lost (server, connection->relay_ip, false, now_us);
 	else if (code == ANSWER_TOO_MANY_CONNECTIONS)
 	{
 		server_handle_alive (server, now_us);
@@ -224,6 +227,7 @@
 	bool was_running = connection->state == CONNECTION_RUNNING;
 	bool was_opening = connection->state == CONNECTION_OPENING;
 	bool is_relayed = connection->is_relayed;
+	uint32_t relay_ip = connection->relay_ip;
 	int64_t now_us = clock_now_us ();
 
 	if (connection->state != CONNECTION_IDLE || session)
@@ -233,7 +237,7 @@
 	connection_close (connection);
 	if (is_relayed && (was_opening || session))
 	{
-		server_handle_relay_lost (server, now_us);
+		server_handle_relay_lost (server, relay_ip, error != -ETIMEDOUT, now_us);
 		/* The owner may have closed it because it does not reach the server: it says so in the greeting. */
 		if (!was_opening)
 			server->relay_retry_us = now_us;
@@ -319,7 +323,7 @@
 };
 
 struct connection *
-connection_open (struct server *server, bool is_relayed, int64_t now_us)
+connection_open (struct server *server, const struct server_owner *owner, int64_t now_us)
 {
 	struct gateway_traffic *traffic = server->service->traffic;
 	struct connection *connection = g_new0 (struct connection, 1);
@@ -331,12 +335,11 @@
 	connection->prepared = g_hash_table_new (NULL, NULL);
 	connection->answer = g_string_new (NULL);
 	connection->sent_us = now_us;
-	connection->is_relayed = is_relayed;
-	connection->relay_ip = server->owner_ip;
-	result = line_stream_connect (&connection->stream, &traffic->loop, &connection_ops,
-	                              connection->is_relayed ? server->owner_ip : server->ip,
-	                              connection->is_relayed ? server->owner_port : server->port,
-	                              traffic->settings.ip, WIRE_MAX_MESSAGE_BYTES);
+	connection->is_relayed = owner != NULL;
+	connection->relay_ip = owner ? owner->ip : 0;
+	result = line_stream_connect (
+		&connection->stream, &traffic->loop, &connection_ops, owner ? owner->ip : server->ip,
+		owner ? owner->port : server->port, traffic->settings.ip, WIRE_MAX_MESSAGE_BYTES);
 	if (result < 0)
 	{
 		log_event (LOG_LEVEL_WARN, "connect_failed", "server=%s error=%d", server->id, result);
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -303,12 +303,33 @@
 }
 
 void
-members_tick (struct controller *controller, int64_t now_us)
+members_count_serving (struct controller *controller, int64_t now_us)
 {
 	GHashTableIter iter;
 	gpointer value;
 	uint32_t count = 1;
 
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct member *member = value;
+		bool is_alive = member_is_alive (controller, member, now_us);
+
+		count += is_alive;
+		if (member->is_serving != (is_alive && !member->is_leaving))
+		{
+			member->is_serving = !member->is_serving;
+			controller->is_view_old = true;
+		}
+	}
+	if (count != controller->vm_count)
+		controller->is_view_old = true;
+	controller->vm_count = count;
+}
+
+void
+members_tick (struct controller *controller, int64_t now_us)
+{
 	if (now_us - controller->hello_us >= MEMBER_HELLO_US)
 	{
 		controller->hello_us = now_us;
@@ -328,22 +349,7 @@
 		controller->question_us = now_us;
 		send_hello (controller, true, now_us);
 	}
-	g_hash_table_iter_init (&iter, controller->members);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-	{
-		struct member *member = value;
-		bool is_alive = member_is_alive (controller, member, now_us);
-
-		count += is_alive;
-		if (member->is_serving != (is_alive && !member->is_leaving))
-		{
-			member->is_serving = !member->is_serving;
-			controller->is_view_old = true;
-		}
-	}
-	if (count != controller->vm_count)
-		controller->is_view_old = true;
-	controller->vm_count = count;
+	members_count_serving (controller, now_us);
 }
 
 static struct member *
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -131,6 +131,7 @@
 	view->is_registered = controller->is_registered;
 	view->is_isolated = controller->is_isolated;
 	view->vm_count = controller->vm_count;
+	view->knows_members = controller->listed_us > 0;
 	g_hash_table_iter_init (&iter, controller->duties);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
@@ -214,6 +215,8 @@
 		         0)
 			take_member (controller, pair, now_us);
 	}
+	/* The first view already has the owners: a VM that takes itself for the only one opens connections for all servers. */
+	members_count_serving (controller, now_us);
 	controller->listed_us = answer->asked_us;
 	if (answer->asked_us > controller->known_us)
 		controller->known_us = answer->asked_us;
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -1,16 +1,11 @@
 #include "gateway/traffic_private.h"
 
 #include "common/log.h"
-#include "decision/ownership.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 enum
 {
-	/* Longest time without any answer while something is outstanding. Above the longest statement of the
-	 * platform's workloads, 110 ms, behind a queue of three more. */
-	SERVER_SILENT_US = 450 * US_PER_MS,
 	SERVER_RECONNECT_US = 250 * US_PER_MS,
 	SERVER_PROBE_US = 300 * US_PER_MS, /* Quiet primaries are asked this often. */
 	/* An idle connection above the VM's share is closed, so that other VMs can have it. */
@@ -18,30 +13,19 @@
 	SERVER_PROBE_TIMEOUT_US = 1 * US_PER_S,
 	SERVER_INITIAL_LATENCY_US = 10 * US_PER_MS,
 	/* Part of a server's connections that its owner may hold. A server counts those of a VM that lost power for 3 s more:
-	 * until then the next owner needs as many. The rest is for VMs that do not reach the owner. */
+	 * until then the next owner needs as many. */
 	SERVER_OWNER_DIVISOR = 2,
+	/* Part that the standby may hold while the owner is lost; the rest is for VMs that reach neither. */
+	SERVER_STANDBY_DIVISOR = 4,
+	/* VMs that reach neither owner nor standby wait for this long before they use connections of their own: after a
+	 * restart of all VMs the owners are back by then. */
+	SERVER_BYPASS_US = 400 * US_PER_MS,
 	SERVER_RELAY_CONNECTIONS = 128,
 	SERVER_RELAY_OPENING = 4,
-	SERVER_RELAY_PAUSE_US = 1 * US_PER_S,
-	/* A server that its owner does not reach is given less time to answer, and one whose owner is silent as well. */
-	SERVER_DOUBTED_SILENT_US = 200 * US_PER_MS,
-	SERVER_ORPHANED_SILENT_US = 300 * US_PER_MS,
-	/* An owner that is silent for this long is bypassed for a question to the server itself. A VM of a quarter core may
-	 * stand still for 100 ms. */
-	SERVER_RELAY_DOUBT_US = 150 * US_PER_MS,
-	/* An owner that does not even greet a new connection is lost. */
-	SERVER_RELAY_SILENT_US = 350 * US_PER_MS,
 	SERVER_RELAY_IDLE_CLOSE_US = 20 * US_PER_S,
 	SERVER_DIRECT_IDLE_CLOSE_US = 1 * US_PER_S,
 };
 
-/** Identity of a VM, zone or server in the choice of owners; never 0. */
-static uint32_t
-hash_name (const char *name)
-{
-	return (uint32_t) XXH64 (name, strlen (name), 0) | 1;
-}
-
 struct server *
 server_new (struct service *service, const struct server_entry *entry)
 {
@@ -73,8 +57,8 @@
 	server->is_listed = true;
 }
 
-static void
-connection_end (struct connection *connection)
+void
+server_end_connection (struct connection *connection)
 {
 	struct session *session = connection->session;
 	bool was_running = connection->state == CONNECTION_RUNNING;
@@ -91,7 +75,7 @@
 server_close_all (struct server *server)
 {
 	while (server->connections)
-		connection_end (server->connections);
+		server_end_connection (server->connections);
 }
 
 void
@@ -141,16 +125,10 @@
 	server_report_change (server, now_us);
 }
 
-bool
-server_uses_relay (const struct server *server, int64_t now_us)
-{
-	return server->owner_ip != 0 && !server->is_relay_bad;
-}
-
 bool
 server_has_capacity (const struct server *server, int64_t now_us)
 {
-	return server_uses_relay (server, now_us) || server->running_count < server->slots;
+	return server_uses_relay (server) || server->running_count < server->slots;
 }
 
 /** Sessions of other VMs use real connections only; own ones use the present path. */
@@ -162,7 +140,7 @@
 
 	if (connection->state != CONNECTION_IDLE || connection->session)
 		return false;
-	if (connection->is_relayed && connection->relay_ip != server->owner_ip)
+	if (connection->is_relayed && !server_is_current_owner (server, connection->relay_ip))
 		return false;
 	return connection->is_relayed == (uses_relay && !session->is_relay);
 }
@@ -170,7 +148,7 @@
 struct connection *
 server_find_idle (struct server *server, const struct session *session)
 {
-	bool uses_relay = server_uses_relay (server, clock_now_us ());
+	bool uses_relay = server_uses_relay (server);
 	struct connection *best = NULL;
 	uint32_t best_difference = UINT32_MAX;
 
@@ -230,16 +208,28 @@
 {
 	uint32_t limit = server->service->max_connections;
 
-	if (!server->is_owner)
-		return server_share (server);
-	return limit >= SERVER_OWNER_DIVISOR ? limit / SERVER_OWNER_DIVISOR : limit;
+	if (server->owners[0].is_self)
+		return limit >= SERVER_OWNER_DIVISOR ? limit / SERVER_OWNER_DIVISOR : limit;
+	if (server->owners[1].is_self && limit >= SERVER_STANDBY_DIVISOR)
+		return limit / SERVER_STANDBY_DIVISOR;
+	return server_share (server);
+}
+
+/** The VM holds the server's connections, or has found nobody for some time who does. */
+static bool
+may_bypass (const struct server *server, int64_t now_us)
+{
+	if (!server->service->traffic->view->knows_members)
+		return false;
+	return server->owners[0].is_self || server->owners[1].is_self ||
+	       now_us - server->relay_bad_us >= SERVER_BYPASS_US;
 }
 
 static bool
 can_grow_directly (const struct server *server, int64_t now_us)
 {
-	return now_us >= server->next_connect_us && now_us >= server->next_growth_us &&
-	       count_opening (server, false) < server->slots &&
+	return may_bypass (server, now_us) && now_us >= server->next_connect_us &&
+	       now_us >= server->next_growth_us && count_opening (server, false) < server->slots &&
 	       count_connections (server, false) < server_direct_limit (server);
 }
 
@@ -248,14 +238,13 @@
 {
 	if (!server->is_listed || (server->is_draining && server->service->primary != server))
 		return false;
-	if (!server_uses_relay (server, now_us))
+	if (!server_uses_relay (server))
 		return can_grow_directly (server, now_us);
 	return count_opening (server, true) < SERVER_RELAY_OPENING &&
 	       count_connections (server, true) < SERVER_RELAY_CONNECTIONS;
 }
 
-/** Earliest time from which an outstanding question waits; 0: nothing is outstanding. */
-static int64_t
+int64_t
 server_waiting_since (const struct server *server, bool is_relayed)
 {
 	int64_t since_us = 0;
@@ -265,17 +254,25 @@
 	{
 		if (connection->state == CONNECTION_IDLE || connection->is_relayed != is_relayed)
 			continue;
+		if (is_relayed && !server_is_current_owner (server, connection->relay_ip))
+			continue;
 		if (since_us == 0 || connection->sent_us < since_us)
 			since_us = connection->sent_us;
 	}
 	return since_us;
 }
 
-/** Asks for the status on an idle connection, or opens one for it. */
-static void
+/** Where new connections go: the current owner, or NULL for the server itself. */
+static const struct server_owner *
+server_path (const struct server *server, bool is_relayed)
+{
+	return is_relayed ? &server->owners[server->owner_at] : NULL;
+}
+
+void
 server_probe (struct server *server, bool is_direct, int64_t now_us)
 {
-	bool uses_relay = !is_direct && server_uses_relay (server, now_us);
+	bool uses_relay = !is_direct && server_uses_relay (server);
 
 	for (struct connection *connection = server->connections; connection;
 	     connection = connection->next)
@@ -288,9 +285,11 @@
 	}
 	if (count_opening (server, uses_relay) > 0)
 		return;
+	if (!uses_relay && !is_direct && !may_bypass (server, now_us))
+		return;
 	if (uses_relay || (now_us >= server->next_connect_us && now_us >= server->next_growth_us))
 	{
-		if (!connection_open (server, uses_relay, now_us) && !uses_relay)
+		if (!connection_open (server, server_path (server, uses_relay), now_us) && !uses_relay)
 			server_handle_failed (server, now_us);
 	}
 }
@@ -310,7 +309,7 @@
 void
 server_ask_sample (struct server *server, int64_t now_us)
 {
-	if (!server_uses_relay (server, now_us))
+	if (!server_uses_relay (server))
 	{
 		server->status_wanted = true;
 		return;
@@ -325,60 +324,21 @@
 	}
 }
 
-void
-server_handle_relay_alive (struct server *server)
-{
-	server->is_relay_bad = false;
-}
-
-void
-server_handle_doubt (struct server *server, int64_t now_us)
-{
-	server_handle_relay_lost (server, now_us);
-	if (server->is_doubted || server->failed_us > 0)
-		return;
-	server->is_doubted = true;
-	server_probe (server, true, now_us);
-}
-
 void
 server_open_direct (struct server *server, int64_t now_us)
 {
 	if (server->is_listed && can_grow_directly (server, now_us) &&
-	    !connection_open (server, false, now_us))
+	    !connection_open (server, NULL, now_us))
 		server_handle_failed (server, now_us);
 }
 
 void
 server_open (struct server *server, int64_t now_us)
 {
-	if (!connection_open (server, server_uses_relay (server, now_us), now_us))
+	if (!connection_open (server, server_path (server, server_uses_relay (server)), now_us))
 		server_handle_failed (server, now_us);
 }
 
-void
-server_handle_relay_lost (struct server *server, int64_t now_us)
-{
-	bool was_used = server_uses_relay (server, now_us);
-	struct connection *next;
-
-	server->is_relay_bad = true;
-	server->relay_retry_us = now_us + SERVER_RELAY_PAUSE_US;
-	if (!was_used)
-		return;
-	log_event (LOG_LEVEL_WARN, "owner_unreachable", "server=%s owner=%u.%u.%u.%u", server->id,
-	           server->owner_ip >> 24, server->owner_ip >> 16 & 255, server->owner_ip >> 8 & 255,
-	           server->owner_ip & 255);
-	for (struct connection *connection = server->connections; connection; connection = next)
-	{
-		next = connection->next;
-		if (!connection->is_relayed || connection->state == CONNECTION_CLOSED)
-			continue;
-		connection_end (connection);
-		next = server->connections;
-	}
-}
-
 /** Ends connections that wait too long for something that cannot take long. */
 static void
 server_close_stuck (struct server *server, int64_t now_us)
@@ -398,7 +358,7 @@
 		log_event (LOG_LEVEL_WARN, "connection_stuck", "server=%s state=%d", server->id,
 		           connection->state);
 		if (connection->is_relayed)
-			server_handle_relay_lost (server, now_us);
+			server_handle_relay_lost (server, connection->relay_ip, false, now_us);
 		else if (connection->state == CONNECTION_OPENING)
 			server_handle_failed (server, now_us);
 		connection_close (connection);
@@ -415,12 +375,12 @@
 	if (!server->is_listed || (server->is_draining && server->service->primary != server))
 		return true;
 	if (connection->is_relayed)
-		return connection->relay_ip != server->owner_ip ||
+		return !server_is_current_owner (server, connection->relay_ip) ||
 		       (idle_us > SERVER_RELAY_IDLE_CLOSE_US && count_connections (server, true) > 1);
-	if (server_uses_relay (server, now_us))
+	if (server_uses_relay (server))
 		return idle_us > SERVER_DIRECT_IDLE_CLOSE_US;
 	return idle_us > SERVER_IDLE_CLOSE_US &&
-	       count_connections (server, false) > (server->is_owner ? server->slots + 1 : 1);
+	       count_connections (server, false) > (server->owners[0].is_self ? server->slots + 1 : 1);
 }
 
 static void
@@ -437,92 +397,6 @@
 	}
 }
 
-/** The VM in the server's zone that holds its connections; the same on all VMs that agree on the
- * members. */
-void
-server_set_owner (struct server *server)
-{
-	const struct gateway_traffic *traffic = server->service->traffic;
-	GArray *members = g_array_new (FALSE, TRUE, sizeof (struct ownership_member));
-	struct ownership_member own = { hash_name (traffic->settings.vm),
-		                            hash_name (traffic->settings.zone) };
-	uint32_t previous_ip;
-	uint32_t owner;
-
-	if (!traffic->is_leaving)
-		g_array_append_val (members, own);
-	for (guint i = 0; i < traffic->view->members->len; i++)
-	{
-		const struct view_member *member =
-			&g_array_index (traffic->view->members, struct view_member, i);
-		struct ownership_member candidate = { hash_name (member->vm), hash_name (member->zone) };
-
-		g_array_append_val (members, candidate);
-	}
-	owner = ownership_of_server ((struct ownership_member *) members->data, members->len,
-	                             hash_name (server->id), hash_name (server->zone))
-	            .owner;
-	server->is_owner = owner == own.id;
-	previous_ip = server->owner_ip;
-	server->owner_ip = 0;
-	for (guint i = 0; i < traffic->view->members->len; i++)
-	{
-		const struct view_member *member =
-			&g_array_index (traffic->view->members, struct view_member, i);
-
-		if (hash_name (member->vm) != owner)
-			continue;
-		server->owner_ip = member->ip;
-		server->owner_port = member->port;
-	}
-	if (server->owner_ip != previous_ip)
-		server->is_relay_bad = false;
-	g_array_free (members, TRUE);
-}
-
-/** Finds out about silent owners and servers. */
-static void
-server_check_silence (struct server *server, int64_t now_us)
-{
-	int64_t direct_us = server_waiting_since (server, false);
-	int64_t relayed_us = server_waiting_since (server, true);
-	int64_t silent_us = server->is_doubted     ? SERVER_DOUBTED_SILENT_US
-	                    : server->is_relay_bad ? SERVER_ORPHANED_SILENT_US
-	                                           : SERVER_SILENT_US;
-	int64_t quiet_us;
-
-	if (direct_us > 0 && now_us - direct_us > silent_us && now_us - server->answered_us > silent_us)
-		server_handle_failed (server, now_us);
-	if (relayed_us == 0)
-		return;
-	if (server->relay_answered_us > relayed_us)
-		relayed_us = server->relay_answered_us;
-	quiet_us = now_us - relayed_us;
-	if (quiet_us > SERVER_RELAY_SILENT_US)
-		server_handle_relay_lost (server, now_us);
-	else if (quiet_us > SERVER_RELAY_DOUBT_US && now_us - server->doubted_us > SERVER_PROBE_US)
-	{
-		/* The owner greets a new connection at once, however long its queue is; the server itself is
-		 * asked meanwhile. */
-		server->doubted_us = now_us;
-		if (!connection_open (server, true, now_us))
-			server_handle_relay_lost (server, now_us);
-		if (direct_us == 0)
-			server_probe (server, true, now_us);
-	}
-}
-
-/** Greets a lost owner from time to time, beside the traffic. */
-static void
-server_retry_relay (struct server *server, int64_t now_us)
-{
-	if (server->owner_ip == 0 || !server->is_relay_bad || now_us < server->relay_retry_us)
-		return;
-	server->relay_retry_us = now_us + SERVER_RELAY_PAUSE_US;
-	if (!connection_open (server, true, now_us))
-		log_event (LOG_LEVEL_WARN, "owner_connect_failed", "server=%s", server->id);
-}
-
 void
 server_tick (struct server *server, int64_t now_us)
 {
@@ -538,7 +412,7 @@
 	is_waiting =
 		server_waiting_since (server, false) > 0 || server_waiting_since (server, true) > 0;
 	/* The owner watches a quiet primary for all VMs. */
-	is_quiet = server->service->primary == server && !server_uses_relay (server, now_us) &&
+	is_quiet = server->service->primary == server && !server_uses_relay (server) &&
 	           now_us - server->answered_us > SERVER_PROBE_US && !is_waiting;
 	if (server->status_wanted || server->demote_term > 0 || is_quiet)
 		server_probe (server, false, now_us);
--- /dev/null
+++ b/gateway/server_owner.c
@@ -0,0 +1,238 @@
+/**
+ * @file
+ * The VMs that hold a server's connections for the fleet: its owner, and its standby while the owner is lost.
+ */
+#include "gateway/traffic_private.h"
+
+#include "common/log.h"
+#include "decision/ownership.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+enum
+{
+	/* Longest time without any answer while something is outstanding. Above the longest statement of the
+	 * platform's workloads, 110 ms, behind a queue of three more. */
+	SERVER_SILENT_US = 450 * US_PER_MS,
+	/* A server that its owner does not reach is given less time to answer, and one whose owner is silent as well. */
+	SERVER_DOUBTED_SILENT_US = 200 * US_PER_MS,
+	SERVER_ORPHANED_SILENT_US = 300 * US_PER_MS,
+	/* An owner that is silent for this long is bypassed for a question to the server itself. A VM of a quarter core may
+	 * stand still for 100 ms. */
+	OWNER_DOUBT_US = 150 * US_PER_MS,
+	/* An owner that does not even greet a new connection is lost. */
+	OWNER_SILENT_US = 350 * US_PER_MS,
+	OWNER_RETRY_US = 1 * US_PER_S,
+	/* Its VM works, and the process is about to start again. */
+	OWNER_RESTART_US = 150 * US_PER_MS,
+	/* Pause between direct questions to a server whose owner is silent. */
+	OWNER_DOUBT_PAUSE_US = 300 * US_PER_MS,
+};
+
+/** Identity of a VM, zone or server in the choice of owners; never 0. */
+static uint32_t
+hash_name (const char *name)
+{
+	return (uint32_t) XXH64 (name, strlen (name), 0) | 1;
+}
+
+bool
+server_uses_relay (const struct server *server)
+{
+	return server->owners[server->owner_at].ip != 0 && !server->is_relay_bad;
+}
+
+bool
+server_is_current_owner (const struct server *server, uint32_t ip)
+{
+	return server->owners[server->owner_at].ip == ip;
+}
+
+static struct server_owner
+find_target (const struct gateway_traffic *traffic, uint32_t id)
+{
+	struct server_owner target = { .is_self = id == hash_name (traffic->settings.vm) };
+
+	for (guint i = 0; i < traffic->view->members->len; i++)
+	{
+		const struct view_member *member =
+			&g_array_index (traffic->view->members, struct view_member, i);
+
+		if (hash_name (member->vm) != id)
+			continue;
+		target.ip = member->ip;
+		target.port = member->port;
+	}
+	return target;
+}
+
+/** The same on all VMs that agree on the members. */
+void
+server_set_owner (struct server *server)
+{
+	const struct gateway_traffic *traffic = server->service->traffic;
+	GArray *members = g_array_new (FALSE, TRUE, sizeof (struct ownership_member));
+	struct ownership_member own = { hash_name (traffic->settings.vm),
+		                            hash_name (traffic->settings.zone) };
+	struct server_owner previous = server->owners[0];
+	struct ownership chosen;
+
+	if (!traffic->is_leaving)
+		g_array_append_val (members, own);
+	for (guint i = 0; i < traffic->view->members->len; i++)
+	{
+		const struct view_member *member =
+			&g_array_index (traffic->view->members, struct view_member, i);
+		struct ownership_member candidate = { hash_name (member->vm), hash_name (member->zone) };
+
+		g_array_append_val (members, candidate);
+	}
+	chosen = ownership_of_server ((struct ownership_member *) members->data, members->len,
+	                              hash_name (server->id), hash_name (server->zone));
+	server->owners[0] = find_target (traffic, chosen.owner);
+	server->owners[1] = find_target (traffic, chosen.standby);
+	g_array_free (members, TRUE);
+	if (previous.ip == server->owners[0].ip && previous.is_self == server->owners[0].is_self)
+		return;
+	server->owner_at = 0;
+	server->is_relay_bad = false;
+}
+
+void
+server_handle_relay_alive (struct server *server, uint32_t ip)
+{
+	for (uint32_t i = 0; i < SERVER_OWNERS; i++)
+	{
+		if (server->owners[i].ip != ip || i > server->owner_at)
+			continue;
+		if (i != server->owner_at || server->is_relay_bad)
+			log_event (LOG_LEVEL_INFO, "owner_reachable", "server=%s standby=%u", server->id, i);
+		server->owner_at = i;
+		server->is_relay_bad = false;
+		return;
+	}
+}
+
+static void
+log_lost (const struct server *server, const char *next)
+{
+	uint32_t ip = server->owners[server->owner_at].ip;
+
+	log_event (LOG_LEVEL_WARN, "owner_unreachable", "server=%s owner=%u.%u.%u.%u next=%s",
+	           server->id, ip >> 24, ip >> 16 & 255, ip >> 8 & 255, ip & 255, next);
+}
+
+static void
+end_relayed (struct server *server, uint32_t ip)
+{
+	struct connection *next;
+
+	for (struct connection *connection = server->connections; connection; connection = next)
+	{
+		next = connection->next;
+		if (!connection->is_relayed || connection->relay_ip != ip ||
+		    connection->state == CONNECTION_CLOSED)
+			continue;
+		server_end_connection (connection);
+		next = server->connections;
+	}
+}
+
+static void
+use_standby (struct server *server, int64_t now_us)
+{
+	server->owner_at = 1;
+	server->is_relay_bad = false;
+	server->relay_answered_us = now_us;
+}
+
+void
+server_handle_relay_lost (struct server *server, uint32_t ip, bool is_closed, int64_t now_us)
+{
+	bool was_used = server_uses_relay (server) && server_is_current_owner (server, ip);
+
+	if (ip == server->owners[0].ip)
+		server->relay_retry_us = now_us + (is_closed ? OWNER_RESTART_US : OWNER_RETRY_US);
+	if (!was_used)
+		return;
+	if (is_closed && server->owner_at == 0 && server->owners[1].ip != 0)
+	{
+		log_lost (server, "standby");
+		use_standby (server, now_us);
+	}
+	else
+	{
+		log_lost (server, "direct");
+		server->is_relay_bad = true;
+		server->relay_bad_us = now_us;
+	}
+	end_relayed (server, ip);
+}
+
+void
+server_handle_doubt (struct server *server, uint32_t ip, int64_t now_us)
+{
+	bool was_used = server_uses_relay (server) && server_is_current_owner (server, ip);
+
+	server->relay_retry_us = now_us + OWNER_RETRY_US;
+	if (was_used)
+	{
+		log_lost (server, "direct");
+		server->is_relay_bad = true;
+		server->relay_bad_us = now_us;
+		end_relayed (server, ip);
+	}
+	if (server->is_doubted || server->failed_us > 0)
+		return;
+	server->is_doubted = true;
+	server_probe (server, true, now_us);
+}
+
+void
+server_check_silence (struct server *server, int64_t now_us)
+{
+	int64_t direct_us = server_waiting_since (server, false);
+	int64_t relayed_us = server_waiting_since (server, true);
+	bool is_orphaned = server->is_relay_bad || server->owner_at > 0;
+	int64_t silent_us = server->is_doubted ? SERVER_DOUBTED_SILENT_US
+	                    : is_orphaned      ? SERVER_ORPHANED_SILENT_US
+	                                       : SERVER_SILENT_US;
+	uint32_t ip = server->owners[server->owner_at].ip;
+	int64_t quiet_us;
+
+	if (direct_us > 0 && now_us - direct_us > silent_us && now_us - server->answered_us > silent_us)
+		server_handle_failed (server, now_us);
+	if (relayed_us == 0)
+		return;
+	quiet_us = now_us - MAX (relayed_us, server->relay_answered_us);
+	if (quiet_us > OWNER_SILENT_US)
+		server_handle_relay_lost (server, ip, false, now_us);
+	else if (quiet_us > OWNER_DOUBT_US && now_us - server->doubted_us > OWNER_DOUBT_PAUSE_US)
+	{
+		/* The owner greets a new connection at once, however long its queue is; the server itself is
+		 * asked meanwhile. */
+		server->doubted_us = now_us;
+		if (!connection_open (server, &server->owners[server->owner_at], now_us))
+			server_handle_relay_lost (server, ip, false, now_us);
+		if (direct_us == 0)
+			server_probe (server, true, now_us);
+	}
+}
+
+void
+server_retry_relay (struct server *server, int64_t now_us)
+{
+	const struct server_owner *owner = &server->owners[0];
+
+	/* The standby is no help against a cut between the zones: the server has to answer first. */
+	if (server->is_relay_bad && server->owner_at == 0 && server->owners[1].ip != 0 &&
+	    server->answered_us > server->relay_bad_us)
+		use_standby (server, now_us);
+	if (owner->ip == 0 || (server->owner_at == 0 && !server->is_relay_bad) ||
+	    now_us < server->relay_retry_us)
+		return;
+	server->relay_retry_us = now_us + OWNER_RETRY_US;
+	if (!connection_open (server, owner, now_us))
+		log_event (LOG_LEVEL_WARN, "owner_connect_failed", "server=%s", server->id);
+}
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -452,6 +452,8 @@
 		loop_stop (&traffic->loop);
 		pthread_join (traffic->thread, NULL);
 	}
+	/* Hands out what is left in it, which needs the tables. */
+	mailbox_finish (&traffic->mailbox);
 	while (traffic->sessions.head)
 		session_close (traffic->sessions.head->data);
 	g_hash_table_destroy (traffic->servers);
@@ -463,7 +465,6 @@
 		close (traffic->listener.fd);
 	if (traffic->relay_listener.fd >= 0)
 		close (traffic->relay_listener.fd);
-	mailbox_finish (&traffic->mailbox);
 	loop_finish (&traffic->loop);
 	g_free (traffic);
 }
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -182,6 +182,8 @@
 bool member_is_alive (const struct controller *controller, const struct member *member,
                       int64_t now_us);
 void members_tick (struct controller *controller, int64_t now_us);
+/** Finds out which VMs take forwarded statements. */
+void members_count_serving (struct controller *controller, int64_t now_us);
 
 extern const char controller_lead_prefix[];
 extern const char controller_member_prefix[];
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -64,6 +64,19 @@
 	struct connection *next;
 };
 
+enum
+{
+	SERVER_OWNERS = 2, /**< Owner and standby. */
+};
+
+/** A VM that may hold a server's connections for others. */
+struct server_owner
+{
+	uint32_t ip; /**< 0: this VM is, or there is none. */
+	uint16_t port;
+	bool is_self;
+};
+
 struct server
 {
 	char *id;
@@ -95,10 +108,10 @@
 	bool status_wanted;
 	uint64_t demote_term; /**< Order to send; 0: none. */
 	/* The owner is the VM that holds most of the server's connections and orders the work of all VMs. */
-	bool is_owner;     /**< This VM is. */
-	uint32_t owner_ip; /**< 0: this VM is, or there is none. */
-	uint16_t owner_port;
-	bool is_relay_bad; /**< Until the owner greets a connection again. */
+	struct server_owner owners[SERVER_OWNERS];
+	uint32_t owner_at;    /**< The one in use. */
+	bool is_relay_bad;    /**< Neither answers, or the owner does not reach the server. */
+	int64_t relay_bad_us; /**< Since when. */
 	int64_t relay_retry_us;
 	bool is_doubted; /**< The owner does not reach the server. */
 	int64_t relay_answered_us;
@@ -298,15 +311,7 @@
 void server_free (struct server *server);
 void server_tick (struct server *server, int64_t now_us);
 struct connection *server_find_idle (struct server *server, const struct session *session);
-bool server_uses_relay (const struct server *server, int64_t now_us);
 bool server_has_capacity (const struct server *server, int64_t now_us);
-void server_set_owner (struct server *server);
-/** The owner answers again. */
-void server_handle_relay_alive (struct server *server);
-/** The owner does not reach the server. */
-void server_handle_doubt (struct server *server, int64_t now_us);
-/** The path over the owner does not work. */
-void server_handle_relay_lost (struct server *server, int64_t now_us);
 bool server_can_grow (const struct server *server, int64_t now_us);
 /** For statements of other VMs, if the limits allow one. */
 void server_open_direct (struct server *server, int64_t now_us);
@@ -319,9 +324,34 @@
 void server_handle_failed (struct server *server, int64_t now_us);
 void server_handle_alive (struct server *server, int64_t now_us);
 
+/** Closes and tells the session, if any. */
+void server_end_connection (struct connection *connection);
+/** Earliest time from which a question waits, to the current owner or to the server itself; 0: nothing is outstanding. */
+int64_t server_waiting_since (const struct server *server, bool is_relayed);
+/** Asks for the status on an idle connection, or opens one for it. */
+void server_probe (struct server *server, bool is_direct, int64_t now_us);
+
+/* server_owner.c */
+/** Chooses owner and standby among the members of the view. */
+void server_set_owner (struct server *server);
+/** Statements of this VM go over another one. */
+bool server_uses_relay (const struct server *server);
+bool server_is_current_owner (const struct server *server, uint32_t ip);
+/** The VM at @p ip has greeted a connection. */
+void server_handle_relay_alive (struct server *server, uint32_t ip);
+/** The VM at @p ip does not reach the server. */
+void server_handle_doubt (struct server *server, uint32_t ip, int64_t now_us);
+/** The path over the VM at @p ip does not work. @param is_closed it has closed it or refuses it: its process ends or is down. */
+void server_handle_relay_lost (struct server *server, uint32_t ip, bool is_closed, int64_t now_us);
+/** Finds out about silent owners and servers. */
+void server_check_silence (struct server *server, int64_t now_us);
+/** Greets a lost owner from time to time, beside the traffic. */
+void server_retry_relay (struct server *server, int64_t now_us);
+
 /* connection.c */
-/** Opens a connection to the server's owner (@p is_relayed), or to the server itself. */
-struct connection *connection_open (struct server *server, bool is_relayed, int64_t now_us);
+/** Opens a connection to an owner, or to the server itself (@p owner NULL). */
+struct connection *connection_open (struct server *server, const struct server_owner *owner,
+                                    int64_t now_us);
 void connection_set_state (struct connection *connection, enum connection_state state);
 /** Closes; its session, if any, is not told. */
 void connection_close (struct connection *connection);
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -31,9 +31,10 @@
 struct view
 {
 	struct configuration *configuration;
-	GArray *leads;   /**< Of struct lead. */
-	GArray *servers; /**< Of struct server_entry. */
-	GArray *members; /**< Of struct view_member: living ones that are not leaving. */
+	GArray *leads;      /**< Of struct lead. */
+	GArray *servers;    /**< Of struct server_entry. */
+	GArray *members;    /**< Of struct view_member: living ones that are not leaving. */
+	bool knows_members; /**< The list of VMs was read; before, nobody knows who owns a server. */
 	uint32_t vm_count;
 	bool is_isolated;   /**< Callers are better off at other VMs. */
 	bool is_registered; /**< Whoever orders a change of primary asks this VM. */
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -139,6 +139,7 @@
 		else
 			g_free (member.vm), g_free (member.zone);
 	}
+	view->knows_members = true;
 	view->vm_count = (uint32_t) world->vm_count;
 	view->is_registered = true;
 	view->known_us = known_us;
--- /dev/null
+++ b/tests/unit/gateway_members.c
@@ -0,0 +1,194 @@
+/* Guards what a VM makes of the list of VMs: who serves, and whom it asks about the records of the primaries. The control
+ * thread's state is set up by hand; the platform is a stand-in that keeps the last read. */
+#include "common/log.h"
+#include "free_port.h"
+#include "gateway/controller_private.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <string.h>
+
+struct fake_platform
+{
+	platform_handle_answer *handle;
+	void *data;
+	int reads;
+	int swaps;
+};
+
+static struct fake_platform fake;
+
+static int
+fake_range (struct platform *platform, const char *prefix, uint64_t min_revision,
+            platform_handle_answer *handle, void *data)
+{
+	(void) platform;
+	(void) prefix;
+	(void) min_revision;
+	fake.handle = handle;
+	fake.data = data;
+	fake.reads++;
+	return 0;
+}
+
+static int
+fake_swap (struct platform *platform, const char *key, uint64_t expected, const char *value,
+           size_t value_length, platform_handle_answer *handle, void *data)
+{
+	(void) platform;
+	(void) key;
+	(void) expected;
+	(void) value;
+	(void) value_length;
+	(void) handle;
+	(void) data;
+	fake.swaps++;
+	return 0;
+}
+
+static int
+fake_watch (struct platform *platform, const char *prefix, uint64_t revision, uint32_t max_quiet_ms,
+            platform_handle_answer *handle, void *data)
+{
+	(void) platform;
+	(void) prefix;
+	(void) revision;
+	(void) max_quiet_ms;
+	(void) handle;
+	(void) data;
+	return 0;
+}
+
+static void
+fake_unwatch (struct platform *platform, const char *prefix)
+{
+	(void) platform;
+	(void) prefix;
+}
+
+static const struct platform_ops fake_ops = {
+	.range = fake_range,
+	.swap = fake_swap,
+	.watch = fake_watch,
+	.unwatch = fake_unwatch,
+};
+
+static void
+init (struct controller *controller)
+{
+	struct gateway_traffic_settings settings = {
+		.vm = "vm5",
+		.zone = "a",
+		.ip = INADDR_LOOPBACK,
+		.caller_port = free_port (),
+		.relay_port = free_port (),
+	};
+	struct peer_address own = { INADDR_LOOPBACK, free_port () };
+
+	memset (controller, 0, sizeof *controller);
+	memset (&fake, 0, sizeof fake);
+	strcpy (controller->boot.vm, "vm5");
+	strcpy (controller->boot.zone, "a");
+	controller->platform.ops = &fake_ops;
+	controller->own_value = g_strdup ("own");
+	controller->vm_count = 1;
+	controller->servers = g_hash_table_new (g_str_hash, g_str_equal);
+	controller->duties =
+		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) duty_free);
+	controller->members =
+		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) member_free);
+	controller->zones = g_hash_table_new (g_str_hash, g_str_equal);
+	g_assert_cmpint (loop_init (&controller->loop), ==, 0);
+	g_assert_cmpint (
+		peers_init (&controller->peers, &controller->loop, own, &controller_peers_ops, controller),
+		==, 0);
+	/* Its thread is not started: views wait in the mailbox. */
+	controller->traffic = gateway_traffic_new (&settings);
+	g_assert_nonnull (controller->traffic);
+}
+
+static void
+finish (struct controller *controller)
+{
+	gateway_traffic_free (controller->traffic);
+	peers_finish (&controller->peers);
+	g_hash_table_destroy (controller->duties);
+	g_hash_table_destroy (controller->members);
+	g_hash_table_destroy (controller->zones);
+	g_hash_table_destroy (controller->servers);
+	loop_finish (&controller->loop);
+	g_free (controller->own_value);
+}
+
+/** The store lists vm1, vm2 of this zone and vm3 of another one. */
+static void
+answer_poll (int64_t asked_us)
+{
+	static const struct platform_pair pairs[] = {
+		{ "flamingospring/vm/vm1", "address=127.0.0.1:9 zone=a start=1", 34, 1, false },
+		{ "flamingospring/vm/vm2", "address=127.0.0.1:9 zone=a start=1", 34, 2, false },
+		{ "flamingospring/vm/vm3", "address=127.0.0.1:9 zone=b start=1", 34, 3, false },
+		{ "flamingospring/vm/vm5", "own", 3, 4, false },
+	};
+	struct platform_answer answer = {
+		.revision = 10,
+		.pairs = pairs,
+		.count = G_N_ELEMENTS (pairs),
+		.asked_us = asked_us,
+	};
+
+	g_assert_nonnull (fake.handle);
+	fake.handle (fake.data, &answer);
+}
+
+/* The first view after a start had no other VM in it: 87 VMs that started together each took itself for the owner of all
+ * servers, and their connections kept the owners out for 2 s (trouble-2 of the grown Riga site). */
+static void
+test_first_list_has_owners (void)
+{
+	struct controller controller;
+	GHashTableIter iter;
+	gpointer value;
+
+	init (&controller);
+	controller_poll (&controller, clock_now_us ());
+	answer_poll (clock_now_us ());
+	g_assert_cmpuint (g_hash_table_size (controller.members), ==, 3);
+	g_hash_table_iter_init (&iter, controller.members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		g_assert_true (((const struct member *) value)->is_serving);
+	g_assert_cmpuint (controller.vm_count, ==, 4);
+	finish (&controller);
+}
+
+/* A VM whose poller is silent asks the next one of its zone, and at last the store itself. Before, all VMs of the zone
+ * asked all others of the fleet. */
+static void
+test_silent_poller_is_avoided (void)
+{
+	struct controller controller;
+	int64_t now_us = clock_now_us ();
+	const char *expected[] = { "vm1", "vm2", NULL };
+
+	init (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	for (size_t i = 0; i < G_N_ELEMENTS (expected); i++)
+	{
+		members_tick (&controller, now_us);
+		g_assert_cmpstr (controller.poller ? controller.poller->vm : NULL, ==, expected[i]);
+		g_assert_cmpint (controller.is_poller, ==, expected[i] == NULL);
+		now_us += 1 * US_PER_S;
+	}
+	finish (&controller);
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	log_init (LOG_LEVEL_ERROR, "test");
+	g_test_add_func ("/gateway_members/first_list", test_first_list_has_owners);
+	g_test_add_func ("/gateway_members/silent_poller", test_silent_poller_is_avoided);
+	return g_test_run ();
+}
