quorum: two thirds of the VMs are enough to use a primary without the store

Cause: beside a store that is down, a VM used a primary only while all VMs on its list had ordered no change. Change: more than two thirds are enough; a change of primary goes on 1.06 s after the silent VMs are too few to be two thirds of any list in use, at once when all have stopped, and 9.06 s after the order whoever is silent. A VM that has not read the store since its start denies nothing: it may have forgotten an order.

--- /dev/null
+++ b/decision/quorum.c
@@ -0,0 +1,43 @@
+#include "decision/quorum.h"
+
+#include <stdlib.h>
+
+enum succession_answers
+quorum_count_answers (const struct quorum_member *members, size_t count)
+{
+	size_t settled = 0;
+	size_t silent_settled = 0;
+	size_t silent_new = 0;
+
+	for (size_t i = 0; i < count; i++)
+	{
+		settled += members[i].is_settled;
+		silent_settled += !members[i].has_stopped && members[i].is_settled;
+		silent_new += !members[i].has_stopped && !members[i].is_settled;
+	}
+	if (silent_settled + silent_new == 0)
+		return SUCCESSION_ALL_STOPPED;
+	/* A list in use names all settled VMs and any of the new ones: at worst just the silent ones. */
+	return 3 * (silent_settled + silent_new) <= 2 * (settled + silent_new) ? SUCCESSION_MOST_STOPPED
+	                                                                       : SUCCESSION_FEW_STOPPED;
+}
+
+static int
+compare_later_first (const void *a, const void *b)
+{
+	const int64_t *first = a;
+	const int64_t *second = b;
+
+	return (*first < *second) - (*first > *second);
+}
+
+int64_t
+quorum_denied_us (int64_t *denied_us, size_t answered, size_t members)
+{
+	size_t quorum = 2 * members / 3 + 1;
+
+	if (answered < quorum)
+		return 0;
+	qsort (denied_us, answered, sizeof *denied_us, compare_later_first);
+	return denied_us[quorum - 1];
+}
--- a/decision/succession.c
+++ b/decision/succession.c
@@ -9,6 +9,8 @@
 	US_PER_MS = 1000,
 	/** Authority of a VM over a primary and some scheduling delay. */
 	AUTHORITY_US = (SUCCESSION_AUTHORITY_MS + 60) * US_PER_MS,
+	/** After this time no list from before the order is in use, whoever is silent. */
+	LIST_US = AUTHORITY_US + SUCCESSION_LIST_AGE_MS * US_PER_MS,
 	/** A claimant may call the platform for this long after it sent its order. */
 	CLAIM_WINDOW_US = 3500 * US_PER_MS,
 	/** Another VM orders a change over an unfinished one after this time, which is longer than the window
@@ -46,6 +48,7 @@
 {
 	succession->claim_revision = revision;
 	succession->claimed_us = now_us;
+	succession->most_us = 0;
 	succession->has_demoted = false;
 	succession->target[0] = '\0';
 	set_phase (succession, SUCCESSION_GATHERING, now_us);
@@ -59,6 +62,10 @@
 
 	if (record->revision <= succession->record.revision)
 		return;
+	if (!record->is_changing)
+		succession->changing_us = 0;
+	else if (succession->changing_us == 0)
+		succession->changing_us = now_us;
 	succession->record = *record;
 	succession->record_us = now_us;
 	if (succession->phase == SUCCESSION_CLAIMING && is_own)
@@ -161,11 +168,22 @@
 static enum succession_action
 step_gathering (struct succession *succession, const struct succession_input *input, int64_t now_us)
 {
-	if (input->has_all_answers || now_us - succession->claimed_us >= AUTHORITY_US)
+	bool has_waited;
+
+	if (input->answers == SUCCESSION_FEW_STOPPED)
+		succession->most_us = 0;
+	else if (succession->most_us == 0)
+		succession->most_us = now_us;
+	/* A VM that is silent may have heard from the last one of the majority just before that one stopped. */
+	has_waited = succession->most_us > 0 && now_us - succession->most_us >= AUTHORITY_US;
+	if (input->answers == SUCCESSION_ALL_STOPPED || has_waited ||
+	    (succession->changing_us > 0 && now_us - succession->changing_us >= LIST_US))
 	{
 		set_phase (succession, SUCCESSION_CHOOSING, now_us);
 		return SUCCESSION_NOTHING;
 	}
+	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
+		return claim (succession, succession->is_planned, now_us);
 	return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_MEMBERS : SUCCESSION_NOTHING;
 }
 
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -245,11 +245,7 @@
 		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) member_free);
 	controller->zones =
 		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) zone_report_free);
-	/* The start time tells this process from an earlier one of the same VM. */
-	controller->own_value =
-		g_strdup_printf ("address=%u.%u.%u.%u:%u zone=%s start=%lld", boot->ip >> 24,
-	                     boot->ip >> 16 & 255, boot->ip >> 8 & 255, boot->ip & 255, boot->peer_port,
-	                     boot->zone, (long long) clock_wall_ns ());
+	snprintf (controller->start, sizeof controller->start, "%lld", (long long) clock_wall_ns ());
 	timer_prepare (&controller->tick, controller, handle_tick);
 	timer_prepare (&controller->poll_timer, controller, controller_handle_poll_timer);
 	timer_prepare (&controller->operator_timer, controller, controller_handle_operator_timer);
@@ -290,6 +286,5 @@
 	g_hash_table_destroy (controller->zones);
 	g_hash_table_destroy (controller->servers);
 	configuration_release (controller->configuration);
-	g_free (controller->own_value);
 	g_free (controller);
 }
--- a/gateway/controller_duty.c
+++ b/gateway/controller_duty.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 #include "common/log.h"
+#include "decision/quorum.h"
 #include "decision/reachability.h"
 
 #include <errno.h>
@@ -125,6 +126,7 @@
 		.vm = controller->boot.vm,
 		.service = duty->service,
 		.revision = record->revision,
+		.is_settled = controller->is_settled,
 	};
 
 	if (!record->is_changing || duty->quiesced_revision != record->revision)
@@ -165,10 +167,10 @@
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		const struct member *member = value;
-		const uint64_t *quiesced = g_hash_table_lookup (duty->quiesced, member->vm);
+		const struct quiesced *quiesced = g_hash_table_lookup (duty->quiesced, member->vm);
 
-		if (!member->is_listed ||
-		    (record->is_changing && quiesced && *quiesced == record->revision))
+		if ((!member->is_listed && !member->is_removed) ||
+		    (record->is_changing && quiesced && quiesced->revision == record->revision))
 			continue;
 		peers_send_lead (&controller->peers, member->address, &args);
 	}
@@ -192,28 +194,39 @@
 	}
 }
 
-/** All other VMs that may use the old primary have stopped; this one as well. */
-static bool
-has_all_answers (const struct duty *duty)
+/** Who of the VMs that may use the old primary has stopped. */
+static enum succession_answers
+count_answers (const struct duty *duty)
 {
 	const struct controller *controller = duty->controller;
 	uint64_t revision = duty->succession.claim_revision;
+	struct quorum_member own = { true, controller->is_settled };
+	GArray *members;
+	enum succession_answers answers;
 	GHashTableIter iter;
 	gpointer value;
 
 	/* The list of VMs must be younger than the order. */
 	if (controller->listed_us < duty->succession.claimed_us || duty->quiesced_revision != revision)
-		return false;
+		return SUCCESSION_FEW_STOPPED;
+	members = g_array_new (FALSE, FALSE, sizeof (struct quorum_member));
+	g_array_append_val (members, own);
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		const struct member *member = value;
-		const uint64_t *quiesced = g_hash_table_lookup (duty->quiesced, member->vm);
+		const struct quiesced *quiesced = g_hash_table_lookup (duty->quiesced, member->vm);
+		struct quorum_member answer = {
+			.has_stopped = quiesced && quiesced->revision == revision,
+			.is_settled = member->is_settled || (quiesced && quiesced->is_settled),
+		};
 
-		if (member->is_listed && (!quiesced || *quiesced != revision))
-			return false;
+		if (member->is_listed || member->is_removed)
+			g_array_append_val (members, answer);
 	}
-	return true;
+	answers = quorum_count_answers ((const struct quorum_member *) members->data, members->len);
+	g_array_free (members, TRUE);
+	return answers;
 }
 
 static void
@@ -524,11 +537,10 @@
 		.cause = find_cause (duty, now_us),
 		.rank = find_rank (duty, now_us),
 		.knows_records = controller->listed_us > 0,
-		.may_order = now_us - controller->joined_us >
-		             CONTROLLER_LIST_AGE_US + SUCCESSION_AUTHORITY_MS * (int64_t) US_PER_MS,
+		.may_order = controller->is_settled,
 	};
 
-	input.has_all_answers =
-		duty->succession.phase == SUCCESSION_GATHERING && has_all_answers (duty);
+	if (duty->succession.phase == SUCCESSION_GATHERING)
+		input.answers = count_answers (duty);
 	act (duty, succession_step (&duty->succession, &input, now_us));
 }
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -1,6 +1,7 @@
 #include "gateway/controller_private.h"
 
 #include "common/log.h"
+#include "decision/quorum.h"
 #include "decision/reachability.h"
 
 #include <string.h>
@@ -155,7 +156,28 @@
 	           answer->succeeded);
 }
 
-/** The first living VM removes the records of dead ones, so that no change waits for them. */
+/** Marks the record of a dead VM as removed; later deletes it. */
+static void
+remove_member (struct controller *controller, struct member *member, int64_t now_us)
+{
+	char *key = g_strdup_printf ("%s%s", controller_member_prefix, member->vm);
+	char *value = member->is_removed ? NULL
+	                                 : member_record_format (&member->address, member->zone,
+	                                                         "removed", member->is_settled, true);
+
+	log_event (LOG_LEVEL_INFO, "member_dead", "member=%s quiet_ms=%lld marked=%d", member->vm,
+	           (long long) (now_us - member->heard_us) / US_PER_MS, member->is_removed);
+	controller->platform.ops->swap (&controller->platform, key, member->revision, value,
+	                                value ? strlen (value) : 0, handle_removed, controller);
+	member->seen_us = now_us; /* Tried again after the same time. */
+	if (member->is_removed)
+		member->removed_us = now_us;
+	g_free (value);
+	g_free (key);
+}
+
+/** The first living VM removes the records of dead ones, so that no change waits for them. A removed VM still counts for
+ * some time: it may use a list that names it. */
 static void
 remove_dead (struct controller *controller, int64_t now_us)
 {
@@ -175,19 +197,12 @@
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		struct member *member = value;
-		char *key;
-
 		/* A VM that asks this one may use a primary, whatever its zone's poller says. */
-		if (!member->is_listed || member_is_alive (controller, member, now_us) ||
-		    now_us - MAX (member->heard_us, member->seen_us) < MEMBER_DEAD_US)
-			continue;
-		log_event (LOG_LEVEL_INFO, "member_dead", "member=%s quiet_ms=%lld", member->vm,
-		           (long long) (now_us - member->heard_us) / US_PER_MS);
-		key = g_strdup_printf ("%s%s", controller_member_prefix, member->vm);
-		controller->platform.ops->swap (&controller->platform, key, member->revision, NULL, 0,
-		                                handle_removed, controller);
-		g_free (key);
-		member->seen_us = now_us; /* Tried again after the same time. */
+		bool is_dead = member->is_listed && !member_is_alive (controller, member, now_us) &&
+		               now_us - MAX (member->heard_us, member->seen_us) >= MEMBER_DEAD_US;
+
+		if (is_dead || (member->is_removed && now_us - member->removed_us >= QUORUM_REMOVED_US))
+			remove_member (controller, member, now_us);
 	}
 }
 
@@ -340,6 +355,7 @@
 			remove_dead (controller, now_us);
 	}
 	ask_poller (controller, now_us);
+	controller_settle (controller, now_us);
 	note_isolated (controller, now_us);
 	/* Only pollers ask all VMs: 87 VMs that all did sent 7 MB/s beside a slow store. */
 	if (controller->is_poller && now_us - controller->known_us > MEMBER_ASK_AGE_US &&
@@ -388,11 +404,11 @@
 {
 	struct controller *controller = data;
 	struct duty *duty = duty_get (controller, args->service);
-	uint64_t *revision = g_new (uint64_t, 1);
+	struct quiesced *quiesced = g_new (struct quiesced, 1);
 
 	note_heard (controller, args->vm);
-	*revision = args->revision;
-	g_hash_table_replace (duty->quiesced, g_strdup (args->vm), revision);
+	*quiesced = (struct quiesced){ args->revision, args->is_settled };
+	g_hash_table_replace (duty->quiesced, g_strdup (args->vm), quiesced);
 }
 
 static void
@@ -488,7 +504,7 @@
 	{
 		const struct member *member = value;
 
-		if (member->is_listed)
+		if (member->is_listed || member->is_removed)
 			digest += XXH64 (member->vm, strlen (member->vm), member->revision);
 	}
 	return digest;
@@ -532,26 +548,33 @@
 		gateway_traffic_send_known (controller->traffic, known_us);
 }
 
-/** Time at which every VM that may order a change had ordered none; goes on without the store. A VM that
- * has joined since the list was read does not order changes yet. 0: not known. */
+/** Time at which enough VMs had ordered no change; goes on without the store. 0: not known. */
 static int64_t
 find_denied_us (const struct controller *controller)
 {
-	int64_t denied_us = clock_now_us ();
+	int64_t now_us = clock_now_us ();
+	GArray *denied = g_array_new (FALSE, FALSE, sizeof now_us);
+	size_t members = 1;
+	int64_t denied_us = 0;
 	GHashTableIter iter;
 	gpointer value;
 
 	if (!controller->is_registered || !is_steady (controller) ||
-	    denied_us - controller->listed_us > CONTROLLER_LIST_AGE_US)
-		return 0;
+	    now_us - controller->listed_us > QUORUM_LIST_AGE_US)
+		goto out;
+	g_array_append_val (denied, now_us);
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		const struct member *member = value;
 
-		if (member->is_listed && member->steady_us < denied_us)
-			denied_us = member->steady_us;
+		members += member->is_listed || member->is_removed;
+		if (member->is_listed && member->steady_us > 0)
+			g_array_append_val (denied, member->steady_us);
 	}
+	denied_us = quorum_denied_us ((int64_t *) denied->data, denied->len, members);
+out:
+	g_array_free (denied, TRUE);
 	return denied_us;
 }
 
@@ -576,7 +599,8 @@
 			.vm = controller->boot.vm,
 			.number = args->number,
 			.is_leaving = controller->is_leaving,
-			.is_steady = is_steady (controller),
+			/* After a restart a VM may have forgotten an order that it had answered, until it reads the records. */
+			.is_steady = controller->listed_us > 0 && is_steady (controller),
 			.has_knowledge = controller->listed_us > 0,
 			.is_registered = member && member->is_listed,
 			.digest = digest,
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 #include "common/log.h"
+#include "decision/quorum.h"
 #include "platform/documents.h"
 
 #include <errno.h>
@@ -44,6 +45,30 @@
 	duty_set_record (duty_get (controller, service), &record, now_us);
 }
 
+char *
+member_record_format (const struct peer_address *address, const char *zone, const char *start,
+                      bool is_settled, bool is_removed)
+{
+	return g_strdup_printf ("address=%u.%u.%u.%u:%u zone=%s start=%s settled=%d removed=%d",
+	                        address->ip >> 24, address->ip >> 16 & 255, address->ip >> 8 & 255,
+	                        address->ip & 255, address->port, zone, start, is_settled, is_removed);
+}
+
+/** The record may be of an earlier process of this VM. */
+static void
+take_own_record (struct controller *controller, const struct platform_pair *pair, const char *value)
+{
+	char start[BOOT_NAME_BYTES] = "";
+	int is_settled = 0;
+
+	controller->own_revision = pair->revision;
+	if (sscanf (value, "address=%*s zone=%*s start=%79s settled=%d", start, &is_settled) != 2)
+		log_event (LOG_LEVEL_ERROR, "member_malformed", "member=%s", controller->boot.vm);
+	controller->is_registered = strcmp (start, controller->start) == 0;
+	controller->is_settled |= is_settled != 0;
+	controller->record_is_settled = is_settled != 0;
+}
+
 static void
 take_member (struct controller *controller, const struct platform_pair *pair, int64_t now_us)
 {
@@ -52,13 +77,13 @@
 	struct member *member;
 	char address[BOOT_ADDRESS_BYTES];
 	char zone[BOOT_NAME_BYTES];
+	int is_settled = 0;
+	int is_removed = 0;
 
 	if (strcmp (vm, controller->boot.vm) == 0)
-	{
-		controller->own_revision = pair->revision;
-		controller->is_registered = strcmp (value, controller->own_value) == 0;
-	}
-	else if (sscanf (value, "address=%63s zone=%79s", address, zone) == 2)
+		take_own_record (controller, pair, value);
+	else if (sscanf (value, "address=%63s zone=%79s start=%*s settled=%d removed=%d", address, zone,
+	                 &is_settled, &is_removed) == 4)
 	{
 		member = member_get (controller, vm, now_us);
 		if (boot_address_parse (address, &member->address.ip, &member->address.port) < 0)
@@ -68,8 +93,17 @@
 		g_free (member->zone);
 		member->zone = g_strdup (zone);
 		member->revision = pair->revision;
-		member->is_listed = true;
+		member->is_listed = is_removed == 0;
+		member->is_removed = is_removed != 0;
+		member->is_settled = is_settled != 0;
+		if (!member->is_removed)
+			member->removed_us = 0;
+		else if (member->removed_us == 0)
+			member->removed_us = now_us;
 	}
+	else
+		log_event (LOG_LEVEL_ERROR, "member_malformed", "member=%s revision=%llu", vm,
+		           (unsigned long long) pair->revision);
 	g_free (value);
 }
 
@@ -79,8 +113,8 @@
 	struct controller *controller = data;
 
 	controller->is_registering = false;
-	if (controller->joined_us > 0)
-		controller->joined_us = clock_now_us ();
+	if (answer->succeeded && controller->settling_us == 0)
+		controller->settling_us = clock_now_us ();
 	log_event (LOG_LEVEL_INFO, "registered", "error=%d succeeded=%d revision=%llu", answer->error,
 	           answer->succeeded, (unsigned long long) answer->revision);
 	controller_poll (controller, clock_now_us ());
@@ -89,20 +123,33 @@
 static void
 register_vm (struct controller *controller)
 {
+	const struct peer_address address = { controller->boot.ip, controller->boot.peer_port };
 	char *key;
+	char *value;
 
-	if (controller->is_registered || controller->is_registering || controller->is_leaving)
+	if ((controller->is_registered && controller->record_is_settled == controller->is_settled) ||
+	    controller->is_registering || controller->is_leaving)
 		return;
 	key = g_strdup_printf ("%s%s", controller_member_prefix, controller->boot.vm);
-	if (controller->own_revision == 0)
-		controller->joined_us = clock_now_us ();
+	value = member_record_format (&address, controller->boot.zone, controller->start,
+	                              controller->is_settled, false);
 	controller->is_registering =
-		controller->platform.ops->swap (&controller->platform, key, controller->own_revision,
-	                                    controller->own_value, strlen (controller->own_value),
-	                                    handle_registered, controller) == 0;
+		controller->platform.ops->swap (&controller->platform, key, controller->own_revision, value,
+	                                    strlen (value), handle_registered, controller) == 0;
+	g_free (value);
 	g_free (key);
 }
 
+void
+controller_settle (struct controller *controller, int64_t now_us)
+{
+	if (!controller->is_registered || controller->is_settled || controller->settling_us == 0 ||
+	    now_us - controller->settling_us < QUORUM_SETTLE_US)
+		return;
+	controller->is_settled = true;
+	register_vm (controller);
+}
+
 static void
 note_store (struct controller *controller, int error, int64_t now_us)
 {
@@ -204,7 +251,10 @@
 	controller->own_revision = 0;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
 		((struct member *) value)->is_listed = false;
+		((struct member *) value)->is_removed = false;
+	}
 	for (size_t i = 0; i < answer->count; i++)
 	{
 		const struct platform_pair *pair = &answer->pairs[i];
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -24,6 +24,8 @@
 	 * of the store, its answer after 0.25 s, and the question of a VM that follows the poller.
 	 */
 	SUCCESSION_AUTHORITY_MS = 1000,
+	/** How old the list of VMs may be that is used without the store; covers the usual outages. */
+	SUCCESSION_LIST_AGE_MS = 8000,
 };
 
 enum succession_phase
@@ -57,6 +59,14 @@
 	SUCCESSION_LEAVING, /**< The primary is about to stop, or its entry is gone; it may work still. */
 };
 
+/** Of the VMs that may use the old primary. */
+enum succession_answers
+{
+	SUCCESSION_FEW_STOPPED,  /**< VMs without word of the change may use it for long. */
+	SUCCESSION_MOST_STOPPED, /**< The others cannot learn any more that no change was ordered. */
+	SUCCESSION_ALL_STOPPED,
+};
+
 /** A server of the service. */
 struct succession_server
 {
@@ -79,10 +89,10 @@
 	size_t server_count;
 	uint32_t sync_replicas;
 	enum succession_cause cause;
-	uint32_t rank;        /**< Order of this VM among those that may act. */
-	bool knows_records;   /**< The records were read since the start of this VM. */
-	bool may_order;       /**< All VMs can know of this one by now. */
-	bool has_all_answers; /**< Every other VM has stopped using the old primary. */
+	uint32_t rank;      /**< Order of this VM among those that may act. */
+	bool knows_records; /**< The records were read since the start of this VM. */
+	bool may_order;     /**< All VMs can know of this one by now. */
+	enum succession_answers answers;
 };
 
 struct succession_record
@@ -104,7 +114,9 @@
 	int64_t cause_us;  /**< Since when there is a cause; 0: there is none. */
 	uint64_t claim_revision;
 	int64_t claim_sent_us;
-	int64_t claimed_us; /**< When the order was known to be in the store. */
+	int64_t claimed_us;  /**< When the order was known to be in the store. */
+	int64_t most_us;     /**< Since when most VMs have stopped; 0: they have not. */
+	int64_t changing_us; /**< Since when this VM knows of an unfinished change; 0: there is none. */
 	int64_t phase_us;
 	int64_t asked_us;
 	uint64_t old_term; /**< The successor leads a later one. */
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -14,13 +14,6 @@
 
 #include <pthread.h>
 
-enum
-{
-	/** A list of VMs of this age still tells who may order a change of primary: VMs that join wait longer
-	 * before they do. Covers the usual outages of the store. */
-	CONTROLLER_LIST_AGE_US = 8 * US_PER_S,
-};
-
 /** A server: its directory entry and what the traffic thread saw of it. */
 struct known_server
 {
@@ -43,11 +36,14 @@
 	char *zone;
 	uint64_t revision; /**< Of its record. */
 	bool is_listed;
-	bool is_leaving;   /**< It has said so. */
-	bool is_serving;   /**< It takes forwarded statements. */
-	int64_t seen_us;   /**< First time in the store. */
-	int64_t heard_us;  /**< Last datagram. */
-	int64_t steady_us; /**< It had the same records and no order in flight then. */
+	bool is_removed;    /**< Its record says that it was taken off the list. */
+	bool is_settled;    /**< By its record. */
+	int64_t removed_us; /**< Since when this VM knows that; 0: it is not removed. */
+	bool is_leaving;    /**< It has said so. */
+	bool is_serving;    /**< It takes forwarded statements. */
+	int64_t seen_us;    /**< First time in the store. */
+	int64_t heard_us;   /**< Last datagram. */
+	int64_t steady_us;  /**< It had the same records and no order in flight then. */
 	int64_t
 		unanswered_us; /**< First question to it as the poller since it last told fresh knowledge; 0: none. */
 	int64_t avoided_until_us; /**< It is not taken as the poller. */
@@ -66,6 +62,13 @@
 	int64_t at_us;
 };
 
+/** A VM has stopped using an old primary. */
+struct quiesced
+{
+	uint64_t revision;
+	bool is_settled;
+};
+
 /** What this VM does for the primary of one service. */
 struct duty
 {
@@ -75,7 +78,7 @@
 	struct succession_record swap; /**< What the outstanding swap writes. */
 	uint64_t quiesced_revision;    /**< Of this VM's traffic thread. */
 	struct peer_address claimant;
-	GHashTable *quiesced; /**< VM name to revision (pointer to uint64_t). */
+	GHashTable *quiesced; /**< VM name to struct quiesced. */
 	GHashTable *opinions; /**< VM name to struct opinion. */
 	int64_t opinion_asked_us;
 	int64_t status_asked_us;
@@ -108,9 +111,11 @@
 	bool is_registering;
 	bool is_registered;
 	uint64_t own_revision; /**< Of this VM's record. */
-	int64_t joined_us;     /**< When the record was created; 0: it was there before. */
-	char *own_value;
-	int64_t known_us;    /**< The records of the primaries held at that time. */
+	bool is_settled;       /**< All lists of VMs in use name this VM: the record says so. */
+	int64_t settling_us;   /**< Since when the record is there without saying so; 0: it is not. */
+	bool record_is_settled;
+	char start[BOOT_NAME_BYTES]; /**< Tells this process from an earlier one of the same VM. */
+	int64_t known_us;            /**< The records of the primaries held at that time. */
 	int64_t listed_us;   /**< As known_us, for the list of VMs as well: by this VM's own poll. */
 	int64_t store_ok_us; /**< Since when the store answers; 0: it does not. */
 	int64_t hello_us;
@@ -135,8 +140,14 @@
 };
 
 /* controller_store.c */
+/** The record of a VM in the store. @param start names its process. */
+char *member_record_format (const struct peer_address *address, const char *zone, const char *start,
+                            bool is_settled, bool is_removed);
 void controller_poll (struct controller *controller, int64_t now_us);
 
+/** Writes into the record of this VM that all lists in use name it, once that is so. */
+void controller_settle (struct controller *controller, int64_t now_us);
+
 /** Reads the configuration or the servers' entries again, unless that is under way. */
 void controller_read_operator (struct controller *controller);
 void controller_read_directory (struct controller *controller);
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -34,6 +34,7 @@
 	char *vm;
 	char *service;
 	u_quad_t revision;
+	bool_t is_settled;
 };
 
 struct fs_reachability_args {
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -23,6 +23,7 @@
 	string vm<FS_GATEWAY_MAX_NAME>;
 	string service<FS_GATEWAY_MAX_NAME>;
 	unsigned hyper revision;
+	bool is_settled; /* All lists of VMs in use name the sender. */
 };
 
 /* Asks for, or tells, whether a server is reachable. */
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -50,6 +50,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_settled))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -90,7 +90,7 @@
 	strcpy (controller->boot.vm, "vm5");
 	strcpy (controller->boot.zone, "a");
 	controller->platform.ops = &fake_ops;
-	controller->own_value = g_strdup ("own");
+	strcpy (controller->start, "7");
 	controller->vm_count = 1;
 	controller->servers = g_hash_table_new (g_str_hash, g_str_equal);
 	controller->duties =
@@ -117,7 +117,6 @@
 	g_hash_table_destroy (controller->zones);
 	g_hash_table_destroy (controller->servers);
 	loop_finish (&controller->loop);
-	g_free (controller->own_value);
 }
 
 /** The store lists vm1, vm2 of this zone and vm3 of another one. */
@@ -125,10 +124,14 @@
 answer_poll (int64_t asked_us)
 {
 	static const struct platform_pair pairs[] = {
-		{ "flamingospring/vm/vm1", "address=127.0.0.1:9 zone=a start=1", 34, 1, false },
-		{ "flamingospring/vm/vm2", "address=127.0.0.1:9 zone=a start=1", 34, 2, false },
-		{ "flamingospring/vm/vm3", "address=127.0.0.1:9 zone=b start=1", 34, 3, false },
-		{ "flamingospring/vm/vm5", "own", 3, 4, false },
+		{ "flamingospring/vm/vm1", "address=127.0.0.1:9 zone=a start=1 settled=1 removed=0", 54, 1,
+		  false },
+		{ "flamingospring/vm/vm2", "address=127.0.0.1:9 zone=a start=1 settled=1 removed=0", 54, 2,
+		  false },
+		{ "flamingospring/vm/vm3", "address=127.0.0.1:9 zone=b start=1 settled=1 removed=0", 54, 3,
+		  false },
+		{ "flamingospring/vm/vm5", "address=127.0.0.1:9 zone=a start=7 settled=1 removed=0", 54, 4,
+		  false },
 	};
 	struct platform_answer answer = {
 		.revision = 10,
--- /dev/null
+++ b/tests/unit/quorum.c
@@ -0,0 +1,191 @@
+#include "decision/quorum.h"
+
+#include <glib.h>
+
+struct answers_case
+{
+	const char *name;
+	size_t settled;
+	size_t fresh;
+	size_t silent_settled;
+	size_t silent_fresh;
+	enum succession_answers answers;
+};
+
+static enum succession_answers
+count (size_t settled, size_t fresh, size_t silent_settled, size_t silent_fresh)
+{
+	struct quorum_member members[64];
+	size_t used = 0;
+
+	for (size_t i = 0; i < settled; i++)
+		members[used++] = (struct quorum_member){ i >= silent_settled, true };
+	for (size_t i = 0; i < fresh; i++)
+		members[used++] = (struct quorum_member){ i >= silent_fresh, false };
+	return quorum_count_answers (members, used);
+}
+
+/* Guards against a change that waits for long beside the usual losses, and against one that goes on too early. */
+static void
+test_answers (void)
+{
+	static const struct answers_case cases[] = {
+		{ "one VM", 1, 0, 0, 0, SUCCESSION_ALL_STOPPED },
+		{ "all answer", 7, 0, 0, 0, SUCCESSION_ALL_STOPPED },
+		{ "a zone is cut off", 7, 0, 3, 0, SUCCESSION_MOST_STOPPED },
+		{ "half is cut off and one was replaced", 7, 1, 4, 0, SUCCESSION_MOST_STOPPED },
+		{ "most are cut off", 7, 0, 5, 0, SUCCESSION_FEW_STOPPED },
+		{ "new VMs are silent", 7, 3, 2, 3, SUCCESSION_MOST_STOPPED },
+		{ "new VMs are silent, and a zone", 7, 3, 4, 3, SUCCESSION_FEW_STOPPED },
+		{ "nobody is settled yet", 0, 7, 0, 1, SUCCESSION_FEW_STOPPED },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+	{
+		g_test_message ("%s", cases[i].name);
+		g_assert_cmpint (count (cases[i].settled, cases[i].fresh, cases[i].silent_settled,
+		                        cases[i].silent_fresh),
+		                 ==, cases[i].answers);
+	}
+}
+
+/* One dead VM must not end the use of primaries while the store is down (trouble-3 of the grown Grindwell site, 4 s). */
+static void
+test_denied (void)
+{
+	int64_t times[] = { 50, 70, 60, 65, 40, 30 };
+	int64_t few[] = { 50, 60, 70, 80 };
+
+	g_assert_cmpint (quorum_denied_us (times, 6, 7), ==, 40);
+	g_assert_cmpint (quorum_denied_us (few, 4, 7), ==, 0);
+	g_assert_cmpint (quorum_denied_us (few, 1, 1), ==, 50);
+}
+
+/** What a list of VMs says of one. */
+enum standing
+{
+	ABSENT,
+	LISTED,
+	REMOVED,
+};
+
+enum
+{
+	VMS = 12,
+	HISTORY = 40,
+	STEP_US = 500 * 1000,
+	RUNS = 20000,
+};
+
+/** The list of VMs in the store over time: VMs join, are removed and at last deleted. */
+struct history
+{
+	enum standing standing[HISTORY][VMS];
+	int64_t joined_us[HISTORY][VMS];
+};
+
+static void
+draw_history (struct history *history, GRand *random)
+{
+	int64_t removed_us[VMS] = { 0 };
+	size_t first = (size_t) g_rand_int_range (random, 1, VMS);
+
+	for (size_t vm = 0; vm < VMS; vm++)
+	{
+		history->standing[0][vm] = vm < first ? LISTED : ABSENT;
+		history->joined_us[0][vm] = vm < first ? -60 * 1000 * 1000 : 0;
+	}
+	for (size_t step = 1; step < HISTORY; step++)
+	{
+		int64_t now_us = (int64_t) step * STEP_US;
+
+		for (size_t vm = 0; vm < VMS; vm++)
+		{
+			enum standing *now = &history->standing[step][vm];
+
+			*now = history->standing[step - 1][vm];
+			history->joined_us[step][vm] = history->joined_us[step - 1][vm];
+			if (*now == REMOVED && now_us - removed_us[vm] >= QUORUM_REMOVED_US)
+				*now = ABSENT;
+			else if (*now == LISTED && g_rand_int_range (random, 0, 30) == 0)
+			{
+				*now = REMOVED;
+				removed_us[vm] = now_us;
+			}
+			else if (*now == ABSENT && g_rand_int_range (random, 0, 10) == 0)
+			{
+				*now = LISTED;
+				history->joined_us[step][vm] = now_us;
+			}
+		}
+	}
+}
+
+/** Whether the silent VMs of the present list could use a primary by an earlier list, after the change went on. */
+static bool
+silent_are_enough (const struct history *history, size_t list, const bool *is_silent)
+{
+	int64_t denied_us[VMS] = { 0 };
+	size_t members = 0;
+	size_t silent = 0;
+
+	for (size_t vm = 0; vm < VMS; vm++)
+	{
+		if (history->standing[list][vm] == ABSENT)
+			continue;
+		members++;
+		silent += is_silent[vm] && history->standing[list][vm] == LISTED;
+	}
+	for (size_t i = 0; i < silent; i++)
+		denied_us[i] = 1;
+	return quorum_denied_us (denied_us, silent, members) > 0;
+}
+
+/* Guards the rule itself: for random lists of VMs over time, whenever a change may go on, the VMs that are silent towards
+ * its claimant are too few to go on with the old primary by any list that is still in use. */
+static void
+test_no_two_quorums (void)
+{
+	GRand *random = g_rand_new_with_seed (7);
+	struct history history;
+	size_t went_on = 0;
+
+	for (size_t run = 0; run < RUNS; run++)
+	{
+		struct quorum_member members[VMS];
+		bool is_silent[VMS];
+		size_t used = 0;
+		size_t now = HISTORY - 1;
+		int64_t oldest_us =
+			(int64_t) now * STEP_US - QUORUM_LIST_AGE_US - SUCCESSION_AUTHORITY_MS * 1000;
+
+		draw_history (&history, random);
+		for (size_t vm = 0; vm < VMS; vm++)
+		{
+			int64_t age_us = (int64_t) now * STEP_US - history.joined_us[now][vm];
+
+			is_silent[vm] = g_rand_int_range (random, 0, 2) == 0;
+			if (history.standing[now][vm] == ABSENT)
+				continue;
+			members[used++] = (struct quorum_member){ !is_silent[vm], age_us >= QUORUM_SETTLE_US };
+		}
+		if (quorum_count_answers (members, used) == SUCCESSION_FEW_STOPPED)
+			continue;
+		went_on++;
+		for (size_t list = 0; list < HISTORY; list++)
+			if ((int64_t) list * STEP_US >= oldest_us)
+				g_assert_false (silent_are_enough (&history, list, is_silent));
+	}
+	g_assert_cmpuint (went_on, >, RUNS / 20);
+	g_rand_free (random);
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/quorum/answers", test_answers);
+	g_test_add_func ("/quorum/denied", test_denied);
+	g_test_add_func ("/quorum/lists", test_no_two_quorums);
+	return g_test_run ();
+}
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -23,8 +23,9 @@
 	uint32_t promotions;
 	char promoted[SUCCESSION_NAME_BYTES];
 	uint64_t token;
-	bool is_lost;     /**< Swaps are executed, their answers lost. */
-	bool is_answered; /**< All VMs answer the claimant. */
+	bool is_lost;                    /**< Swaps are executed, their answers lost. */
+	bool is_answered;                /**< All VMs answer the claimant. */
+	enum succession_answers answers; /**< Otherwise. */
 	bool is_demoted;
 };
 
@@ -135,8 +136,7 @@
 
 	for (; world->now_us < end_us; world->now_us += STEP_US)
 	{
-		world->input.has_all_answers =
-			world->is_answered && world->succession.phase == SUCCESSION_GATHERING;
+		world->input.answers = world->is_answered ? SUCCESSION_ALL_STOPPED : world->answers;
 		world_act (world, succession_step (&world->succession, &world->input, world->now_us));
 		/* A poll of the records. */
 		succession_set_record (&world->succession, &world->stored, world->now_us);
@@ -176,6 +176,7 @@
 
 	world_init (&world);
 	world.is_answered = false;
+	world.answers = SUCCESSION_MOST_STOPPED;
 	world_fail_primary (&world);
 	world_run (&world, SUCCESSION_AUTHORITY_MS * MS);
 	g_assert_cmpuint (world.promotions, ==, 0);
