gateway: lost opening packets, repeated calls of the store

Beside a store that refuses calls, each of 76 VMs made its three reads again every 0.2 s; refused calls are priced.

--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -21,7 +21,10 @@
 		4000, /* Well below the time in which a leaving server is out of use. */
 	/* Knowledge of this age is renewed by a poll of one's own. */
 	CONTROL_KNOWN_AGE_US = 800 * US_PER_MS,
+	/* Calls that failed are made again after half of the time that the store has not answered, within these limits: refused
+	 * calls are priced, too. A VM that reads the records for its zone does not wait longer than between good polls. */
 	CONTROL_RETRY_US = 200 * US_PER_MS,
+	CONTROL_MAX_RETRY_US = 1000 * US_PER_MS,
 };
 
 static const char store_prefix[] = "flamingospring/";
@@ -158,12 +161,23 @@
 	if (error == 0 && controller->store_ok_us == 0)
 		log_event (LOG_LEVEL_INFO, "store_regained", "knowledge_age_ms=%lld",
 		           (long long) (now_us - controller->known_us) / US_PER_MS);
+	if (error < 0 && (controller->store_ok_us > 0 || controller->store_lost_us == 0))
+		controller->store_lost_us = now_us;
 	if (error < 0)
 		controller->store_ok_us = 0;
 	else if (controller->store_ok_us == 0)
 		controller->store_ok_us = now_us;
 }
 
+/** When to make a call again that has failed. */
+static int64_t
+retry_us (const struct controller *controller, int64_t now_us)
+{
+	int64_t lost_us = controller->store_ok_us > 0 ? 0 : now_us - controller->store_lost_us;
+
+	return now_us + CLAMP (lost_us / 2, CONTROL_RETRY_US, CONTROL_MAX_RETRY_US);
+}
+
 static void
 send_view (struct controller *controller)
 {
@@ -227,8 +241,10 @@
 next_poll_us (const struct controller *controller, const struct platform_answer *answer,
               int64_t now_us)
 {
+	if (answer->error < 0 && controller->is_poller)
+		return now_us + CONTROL_POLL_US;
 	if (answer->error < 0)
-		return now_us + CONTROL_RETRY_US;
+		return retry_us (controller, now_us);
 	return answer->asked_us + (controller->is_poller ? CONTROL_POLL_US : CONTROL_SLOW_POLL_US);
 }
 
@@ -359,7 +375,9 @@
 	{
 		/* A watch may hear nothing although something has changed. */
 		loop_set_timer (&controller->loop, &controller->operator_timer,
-		                clock_now_us () + (answer->error == -ETIMEDOUT ? 0 : CONTROL_RETRY_US));
+		                answer->error == -ETIMEDOUT && controller->store_ok_us > 0
+		                    ? clock_now_us ()
+		                    : retry_us (controller, clock_now_us ()));
 		return;
 	}
 	for (size_t i = 0; i < answer->count; i++)
@@ -484,7 +502,7 @@
 	if (answer->error < 0)
 	{
 		loop_set_timer (&controller->loop, &controller->directory_timer,
-		                clock_now_us () + CONTROL_RETRY_US);
+		                retry_us (controller, clock_now_us ()));
 		return;
 	}
 	for (size_t i = 0; i < answer->count; i++)
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -357,9 +357,11 @@
 			continue;
 		log_event (LOG_LEVEL_WARN, "connection_stuck", "server=%s state=%d", server->id,
 		           connection->state);
-		if (connection->is_relayed)
+		/* The opening packet alone may be lost, e.g. to a VM that has no power yet. */
+		if (connection->is_relayed && server->relay_answered_us <= connection->sent_us)
 			server_handle_relay_lost (server, connection->relay_ip, false, now_us);
-		else if (connection->state == CONNECTION_OPENING)
+		else if (!connection->is_relayed && connection->state == CONNECTION_OPENING &&
+		         server->answered_us <= connection->sent_us)
 			server_handle_failed (server, now_us);
 		connection_close (connection);
 		next = server->connections;
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -116,8 +116,9 @@
 	bool record_is_settled;
 	char start[BOOT_NAME_BYTES]; /**< Tells this process from an earlier one of the same VM. */
 	int64_t known_us;            /**< The records of the primaries held at that time. */
-	int64_t listed_us;   /**< As known_us, for the list of VMs as well: by this VM's own poll. */
-	int64_t store_ok_us; /**< Since when the store answers; 0: it does not. */
+	int64_t listed_us;     /**< As known_us, for the list of VMs as well: by this VM's own poll. */
+	int64_t store_ok_us;   /**< Since when the store answers; 0: it does not. */
+	int64_t store_lost_us; /**< Since when it does not. */
 	int64_t hello_us;
 	uint64_t absent_digest; /**< Of the VMs that the last report named. */
 	int64_t question_us;
