--- a/gateway/server.c
+++ b/gateway/server.c
@@ -17,8 +17,9 @@
 	SERVER_OWNER_DIVISOR = 2,
 	/* Part that the standby may hold while the owner is lost; the rest is for VMs that reach neither. */
 	SERVER_STANDBY_DIVISOR = 4,
-	/* VMs that reach neither owner nor standby wait for this long before they use connections of their own: after a
-	 * restart of all VMs the owners are back by then. */
+	/* With more VMs than this part of the connections, those that reach neither owner nor standby wait before they use
+	 * connections of their own: after a restart of all VMs the owners are back by then. */
+	SERVER_CROWDED_FACTOR = 2,
 	SERVER_BYPASS_US = 400 * US_PER_MS,
 	SERVER_RELAY_CONNECTIONS = 128,
 	SERVER_RELAY_OPENING = 4,
@@ -215,13 +216,20 @@
 	return server_share (server);
 }
 
+bool
+server_is_crowded (const struct server *server)
+{
+	return server->service->traffic->view->vm_count * SERVER_CROWDED_FACTOR >
+	       server->service->max_connections;
+}
+
 /** The VM holds the server's connections, or has found nobody for some time who does. */
 static bool
 may_bypass (const struct server *server, int64_t now_us)
 {
 	if (!server->service->traffic->view->knows_members)
 		return false;
-	return server->owners[0].is_self || server->owners[1].is_self ||
+	return server->owners[0].is_self || server->owners[1].is_self || !server_is_crowded (server) ||
 	       now_us - server->relay_bad_us >= SERVER_BYPASS_US;
 }
 
--- a/gateway/server_owner.c
+++ b/gateway/server_owner.c
@@ -215,8 +215,8 @@
 		server->doubted_us = now_us;
 		if (!connection_open (server, &server->owners[server->owner_at], now_us))
 			server_handle_relay_lost (server, ip, false, now_us);
-		/* An owner that has not greeted yet is starting, as this VM is: many more would ask the server as well. */
-		if (direct_us == 0 && server->relay_answered_us > 0)
+		/* An owner that has not greeted yet is starting, as this VM is. */
+		if (direct_us == 0 && (server->relay_answered_us > 0 || !server_is_crowded (server)))
 			server_probe (server, true, now_us);
 	}
 }
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -331,6 +331,9 @@
 /** Asks for the status on an idle connection, or opens one for it. */
 void server_probe (struct server *server, bool is_direct, int64_t now_us);
 
+/** There are so many VMs that the server cannot serve a connection of each. */
+bool server_is_crowded (const struct server *server);
+
 /* server_owner.c */
 /** Chooses owner and standby among the members of the view. */
 void server_set_owner (struct server *server);
