session: callers of a VM that is cut off leave when the balancer does

Cause: idle sessions of a VM that is cut off were ended 2.2 s after it was noticed, though the balancer sends new connections elsewhere after two answers that it is not ready, 1 to 2 s after.

--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -149,11 +149,24 @@
 static unsigned
 answer_readiness (void *data, GString *body)
 {
-	const struct controller *controller = data;
+	/* The platform's balancer takes a VM out after two answers that it is not ready. */
+	enum
+	{
+		OUT_OF_ROTATION = 2,
+	};
+	struct controller *controller = data;
 	bool is_ready = controller->configuration && controller->has_directory &&
 	                controller->known_us > 0 && !controller->is_leaving && !controller->is_isolated;
 
 	(void) body;
+	controller->unready_answers = is_ready ? 0 : controller->unready_answers + 1;
+	if (controller->unready_answers == OUT_OF_ROTATION)
+	{
+		controller->is_out_of_rotation = true;
+		controller->is_view_old = true;
+	}
+	else if (is_ready)
+		controller->is_out_of_rotation = false;
 	return is_ready ? 200 : 503;
 }
 
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -191,6 +191,7 @@
 	view->known_us = controller->known_us;
 	view->is_registered = controller->is_registered;
 	view->is_isolated = controller->is_isolated;
+	view->is_out_of_rotation = controller->is_out_of_rotation;
 	view->vm_count = controller->vm_count;
 	view->knows_members = controller->listed_us > 0;
 	g_hash_table_iter_init (&iter, controller->duties);
--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -68,7 +68,12 @@
 static void
 session_tick_isolated (struct session *session, int64_t now_us)
 {
-	int64_t out_us = session->traffic->isolated_us + LEAVE_ROTATION_US;
+	/* The other VMs of a zone that is cut off leave the rotation a little later. */
+	enum
+	{
+		OTHERS_LEAVE_US = 100 * US_PER_MS,
+	};
+	int64_t out_us = session->traffic->out_us + OTHERS_LEAVE_US;
 
 	if (session->is_relay || session->request.is_active || session->state != TRANSACTION_NONE)
 		return;
@@ -174,6 +179,6 @@
 		session_close (session);
 	else if (session->traffic->is_leaving && !session->is_closed)
 		session_tick_leaving (session, now_us);
-	else if (session->traffic->isolated_us > 0 && !session->is_closed)
+	else if (session->traffic->out_us > 0 && !session->is_closed)
 		session_tick_isolated (session, now_us);
 }
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -173,10 +173,10 @@
 
 	view_free (traffic->view);
 	traffic->view = view;
-	if (!view->is_isolated)
-		traffic->isolated_us = 0;
-	else if (traffic->isolated_us == 0)
-		traffic->isolated_us = now_us;
+	if (!view->is_isolated || !view->is_out_of_rotation)
+		traffic->out_us = 0;
+	else if (traffic->out_us == 0)
+		traffic->out_us = now_us;
 	apply_servers (traffic);
 	g_hash_table_iter_init (&iter, traffic->services);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -123,9 +123,11 @@
 	uint64_t absent_digest; /**< Of the VMs that the last report named. */
 	int64_t question_us;
 	int64_t poller_asked_us;
-	bool is_isolated;          /**< Neither the store nor other VMs tell about the records. */
-	int64_t followed_us;       /**< Last good answer of the zone's poller. */
-	bool is_following;         /**< The poller tells of changes: no watches of one's own. */
+	uint32_t unready_answers; /**< To the balancer, since it was last told that this VM is ready. */
+	bool is_out_of_rotation;  /**< No new callers come, if other VMs of the zone are ready. */
+	bool is_isolated;         /**< Neither the store nor other VMs tell about the records. */
+	int64_t followed_us;      /**< Last good answer of the zone's poller. */
+	bool is_following;        /**< The poller tells of changes: no watches of one's own. */
 	int64_t directory_read_us; /**< Last time because of the poller. */
 	bool is_reading_operator;
 	bool is_reading_directory;
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -218,7 +218,7 @@
 	int64_t known_us; /**< The leads of the view held at that time. */
 	bool is_leaving;
 	int64_t leaving_us;
-	int64_t isolated_us; /**< Since when this VM is cut off; 0: it is not. */
+	int64_t out_us; /**< Since when this VM is cut off and out of rotation; 0: it is not. */
 	const struct gateway_traffic_events *events;
 	void *events_data;
 };
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -36,9 +36,11 @@
 	GArray *members;    /**< Of struct view_member: living ones that are not leaving. */
 	bool knows_members; /**< The list of VMs was read; before, nobody knows who owns a server. */
 	uint32_t vm_count;
-	bool is_isolated;   /**< Callers are better off at other VMs. */
-	bool is_registered; /**< Whoever orders a change of primary asks this VM. */
-	int64_t known_us;   /**< The leads held at that time. */
+	bool is_isolated; /**< Callers are better off at other VMs. */
+	bool
+		is_out_of_rotation; /**< No new callers come, as long as another VM of the zone is ready. */
+	bool is_registered;     /**< Whoever orders a change of primary asks this VM. */
+	int64_t known_us;       /**< The leads held at that time. */
 };
 
 struct view *view_new (void);
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -39,6 +39,8 @@
 	int primary;
 	bool is_changing;
 	bool hides_servers;
+	bool is_isolated;
+	bool is_out_of_rotation;
 	int quiesced;
 };
 
@@ -142,6 +144,8 @@
 	view->knows_members = true;
 	view->vm_count = (uint32_t) world->vm_count;
 	view->is_registered = true;
+	view->is_isolated = world->is_isolated;
+	view->is_out_of_rotation = world->is_out_of_rotation;
 	view->known_us = known_us;
 	gateway_traffic_send_view (world->vms[vm], view);
 }
@@ -688,6 +692,36 @@
 	world_stop (&world);
 }
 
+/* Idle callers of a VM that is cut off stayed with it for 2.2 s, and for good when they had come late; they leave as soon as
+ * the balancer sends them elsewhere, and not before (days of cuts of zones). */
+static void
+test_cut_off_vm_lets_callers_go (void)
+{
+	struct world world;
+	char byte;
+	int fd;
+
+	world_start (&world, 1, ROUTE_PRIMARY);
+	send_views (&world, clock_now_us ());
+	fd = open_session (&world, 0);
+	world.is_isolated = true;
+	send_views (&world, clock_now_us ());
+	g_usleep (400000);
+	g_assert_cmpint (recv (fd, &byte, 1, MSG_DONTWAIT), ==, -1);
+	g_assert_cmpint (errno, ==, EAGAIN);
+	world.is_out_of_rotation = true;
+	send_views (&world, clock_now_us ());
+	g_usleep (400000);
+	g_assert_cmpint (recv (fd, &byte, 1, MSG_DONTWAIT), ==, 0);
+	close (fd);
+	/* Who comes now has found no better VM. */
+	fd = open_session (&world, 0);
+	g_usleep (400000);
+	g_assert_cmpint (recv (fd, &byte, 1, MSG_DONTWAIT), ==, -1);
+	close (fd);
+	world_stop (&world);
+}
+
 /* Callers must not use what only VMs may say, and a malformed line ends the session. */
 static void
 test_malformed (void)
@@ -730,6 +764,7 @@
 	g_test_add_func ("/gateway/position_after_change", test_position_after_a_change);
 	g_test_add_func ("/gateway/owner_positions", test_owner_answers_without_position);
 	g_test_add_func ("/gateway/lapsed_entry", test_lapsed_entry_in_forwarded_transaction);
+	g_test_add_func ("/gateway/cut_off", test_cut_off_vm_lets_callers_go);
 	g_test_add_func ("/gateway/malformed", test_malformed);
 	return g_test_run ();
 }
