--- a/gateway/service.c
+++ b/gateway/service.c
@@ -158,7 +158,7 @@
 			continue;
 		/* After a restart no position is known, and the replicas have not applied the first one yet:
 		 * all waiting reads would queue at the primary's owner, before the work that needs it. */
-		if (service->primary == server && server->running_count >= server->slots)
+		if (server->running_count >= server->slots && service->primary == server)
 			continue;
 		connection = server_find_idle (server, session);
 		if (connection && cost_us < best_us)
