--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -186,6 +186,100 @@
 	finish (&controller);
 }
 
+/** An order of this VM for service "s", to which all VMs have answered. */
+static struct duty *
+order_change (struct controller *controller, int64_t now_us)
+{
+	struct duty *duty = duty_get (controller, "s");
+	GHashTableIter iter;
+	gpointer value;
+
+	duty->succession.record.revision = 11;
+	duty->succession.record.is_changing = true;
+	duty->succession.phase = SUCCESSION_GATHERING;
+	duty->succession.claim_revision = 11;
+	duty->succession.claim_sent_us = now_us;
+	duty->succession.claimed_us = now_us;
+	duty->quiesced_revision = 11;
+	g_hash_table_iter_init (&iter, controller->members);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct quiesced *quiesced = g_new (struct quiesced, 1);
+
+		*quiesced = (struct quiesced){ .revision = 11, .is_settled = true };
+		g_hash_table_insert (duty->quiesced, g_strdup (((const struct member *) value)->vm),
+		                     quiesced);
+	}
+	return duty;
+}
+
+/* A change went on by a list of VMs that was older than its order: a VM that had joined since still used the old primary
+ * (scale-2 of Grindwell). */
+static void
+test_list_is_younger_than_the_order (void)
+{
+	struct controller controller;
+	int64_t now_us = clock_now_us ();
+	struct duty *duty;
+
+	init (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	duty = order_change (&controller, now_us + 1000);
+	duty_tick (duty, now_us + 2000);
+	g_assert_cmpint (duty->succession.phase, ==, SUCCESSION_GATHERING);
+	controller.listed_us = now_us + 1500;
+	duty_tick (duty, now_us + 2000);
+	g_assert_cmpint (duty->succession.phase, ==, SUCCESSION_CHOOSING);
+	finish (&controller);
+}
+
+/* A VM that was taken off the list may still use an older one: it has to answer as well, or is waited for. */
+static void
+test_removed_vm_is_asked (void)
+{
+	struct controller controller;
+	int64_t now_us = clock_now_us ();
+	struct duty *duty;
+
+	init (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	duty = order_change (&controller, now_us - 1000);
+	member_get (&controller, "vm3", now_us)->is_listed = false;
+	member_get (&controller, "vm3", now_us)->is_removed = true;
+	g_hash_table_remove (duty->quiesced, "vm3");
+	duty_tick (duty, now_us + 2000);
+	g_assert_cmpint (duty->succession.phase, ==, SUCCESSION_GATHERING);
+	member_get (&controller, "vm3", now_us)->is_removed = false;
+	duty_tick (duty, now_us + 3000);
+	g_assert_cmpint (duty->succession.phase, ==, SUCCESSION_CHOOSING);
+	finish (&controller);
+}
+
+/* Two VMs whose highest revision was the same took their records for the same, though one had missed a change of another
+ * service (trouble-1 of Grindwell, seed 766222498350). */
+static void
+test_digest_tells_records_apart (void)
+{
+	struct controller first;
+	struct controller second;
+	uint64_t digest;
+
+	init (&first);
+	init (&second);
+	duty_get (&first, "s")->succession.record.revision = 7;
+	duty_get (&first, "t")->succession.record.revision = 9;
+	duty_get (&second, "s")->succession.record.revision = 8;
+	duty_get (&second, "t")->succession.record.revision = 9;
+	digest = controller_lead_digest (&first);
+	g_assert_cmpuint (digest, !=, controller_lead_digest (&second));
+	duty_get (&second, "s")->succession.record.revision = 7;
+	g_assert_cmpuint (digest, ==, controller_lead_digest (&second));
+	finish (&first);
+	finish (&second);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -193,5 +287,8 @@
 	log_init (LOG_LEVEL_ERROR, "test");
 	g_test_add_func ("/gateway_members/first_list", test_first_list_has_owners);
 	g_test_add_func ("/gateway_members/silent_poller", test_silent_poller_is_avoided);
+	g_test_add_func ("/gateway_members/list_age", test_list_is_younger_than_the_order);
+	g_test_add_func ("/gateway_members/removed", test_removed_vm_is_asked);
+	g_test_add_func ("/gateway_members/digest", test_digest_tells_records_apart);
 	return g_test_run ();
 }
