--- a/gateway/session.c
+++ b/gateway/session.c
@@ -247,8 +247,11 @@
 	g_string_append_len (request->text, message->text.start, (gssize) message->text.length);
 	request->statement = message->statement;
 	moved = request->text->str - message->text.start;
-	request->statement.name.start += moved;
-	request->statement.arguments.start += moved;
+	/* Statements without name or arguments have none to move. */
+	if (request->statement.name.start)
+		request->statement.name.start += moved;
+	if (request->statement.arguments.start)
+		request->statement.arguments.start += moved;
 	request->is_active = true;
 	g_strlcpy (request->server, "-", sizeof request->server);
 	request->is_sent = false;
