--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -217,7 +217,7 @@
 controller_open (struct controller *controller)
 {
 	const struct boot_settings *boot = &controller->boot;
-	struct store_settings store = { boot->store_address, boot->cloud_address, boot->ip };
+	struct store_settings store = { boot->store_address, boot->cloud_address, boot->ip, 0 };
 	struct peer_address own = { boot->ip, boot->peer_port };
 	int result = loop_init (&controller->loop);
 
--- a/tests/unit/owner_connections.c
+++ b/tests/unit/owner_connections.c
@@ -90,6 +90,8 @@
 	world_init (&world);
 	caller_run (&world, &caller[0], "set", 0, "");
 	g_assert_cmpuint (world.connections, ==, 1);
+	/* The monitor connects meanwhile; only work connections are to be refused. */
+	world_run (&world, 5 * US_PER_MS);
 	world.servers[0].is_full = true;
 	start_us = clock_now_us ();
 	submit_all (&world, caller, G_N_ELEMENTS (caller), "set", 0);
