gateway: control work independent of services times VMs

Every 20 ms, each VM ranked itself among all 195 VMs and collected all servers for each of 20 services, though only a change of primary needs either; it also walked all VMs three times to find the poller and the live ones. Ruled out by reading: decoding of polls (6 pollers only), hellos (33 a second and VM). Change: succession_is_idle() tells when a step needs neither servers nor rank; the walk over all VMs runs every 200 ms and on news; the poller is looked for once, zone first.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -347,6 +347,13 @@
 	return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
 }
 
+bool
+succession_is_idle (const struct succession *succession, enum succession_cause cause)
+{
+	return succession->phase == SUCCESSION_STEADY && succession->record.revision > 0 &&
+	       !succession->record.is_changing && cause == SUCCESSION_NO_CAUSE;
+}
+
 enum succession_action
 succession_step (struct succession *succession, const struct succession_input *input,
                  int64_t now_us)
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -34,6 +34,9 @@
 	MEMBER_ASK_LARGE_FLEET_US = 300 * US_PER_MS,
 	/* An answer to a query that is older than this does not confirm the records. */
 	MEMBER_ANSWER_AGE_US = 1 * US_PER_S,
+	/* Interval of the walk over all VMs that finds dead ones, well below MEMBER_DEAD_US; news of a VM that leaves
+	 * cause one at once. */
+	MEMBER_SERVING_US = 200 * US_PER_MS,
 };
 
 struct member *
@@ -145,6 +148,7 @@
 		g_hash_table_insert (controller->zones, g_strdup (args->zone), report);
 	}
 	report->last_heard_us = clock_now_us ();
+	controller->is_serving_dirty = true;
 	if (member)
 		member->last_heard_us = report->last_heard_us;
 	g_hash_table_remove_all (report->absent);
@@ -251,11 +255,11 @@
 	{
 		struct member *member = value;
 
-		if (!member_is_alive (controller, member, now_us) || member->is_leaving ||
-		    now_us < member->avoided_until_us ||
-		    g_strcmp0 (member->zone, controller->boot.zone) != 0)
+		if (!is_in_own_zone (controller, member) || member->is_leaving ||
+		    now_us < member->avoided_until_us)
 			continue;
-		if (strcmp (member->vm, poller ? poller->vm : controller->boot.vm) < 0)
+		if (strcmp (member->vm, poller ? poller->vm : controller->boot.vm) < 0 &&
+		    member_is_alive (controller, member, now_us))
 			poller = member;
 	}
 	return poller;
@@ -263,10 +267,8 @@
 
 /** Avoids a poller that does not answer, or answers without recent records. */
 static void
-check_poller (struct controller *controller, int64_t now_us)
+check_poller (struct controller *controller, struct member *poller, int64_t now_us)
 {
-	struct member *poller = find_poller (controller, now_us);
-
 	if (!poller || poller->unanswered_since_us == 0 ||
 	    now_us - poller->unanswered_since_us < MEMBER_POLLER_TIMEOUT_US)
 		return;
@@ -288,8 +290,10 @@
 		.digest = controller_records_digest (controller),
 	};
 
-	check_poller (controller, now_us);
 	poller = find_poller (controller, now_us);
+	check_poller (controller, poller, now_us);
+	if (poller && now_us < poller->avoided_until_us)
+		poller = find_poller (controller, now_us);
 	controller->is_poller = poller == NULL;
 	controller->poller = poller;
 	controller_set_following (controller, poller && now_us - controller->poller_answered_us <
@@ -332,6 +336,8 @@
 	gpointer value;
 	uint32_t count = 1;
 
+	controller->is_serving_dirty = false;
+	controller->serving_checked_us = now_us;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
@@ -373,7 +379,9 @@
 		controller->members_asked_us = now_us;
 		send_hello (controller, true, now_us);
 	}
-	members_update_serving (controller, now_us);
+	if (controller->is_serving_dirty ||
+	    now_us - controller->serving_checked_us >= MEMBER_SERVING_US)
+		members_update_serving (controller, now_us);
 }
 
 static struct member *
@@ -536,7 +544,7 @@
 	}
 	else if (members_valid_us > controller->members_valid_us)
 		controller->members_valid_us = members_valid_us;
-	if (!controller->configuration || args->configuration > controller->configuration->version)
+	if (args->configuration > (controller->configuration ? controller->configuration->version : 0))
 		controller_read_configuration (controller);
 	if (args->directory_revision > controller->directory_revision &&
 	    now_us - controller->directory_read_us > MEMBER_DIRECTORY_US)
@@ -598,8 +606,11 @@
 	int64_t asked_us = (int64_t) args->number;
 	uint64_t digest = controller_records_digest (controller);
 
-	if (member)
+	if (member && member->is_leaving != args->is_leaving)
+	{
 		member->is_leaving = args->is_leaving;
+		controller->is_serving_dirty = true;
+	}
 	if (args->is_question)
 	{
 		/* The list of VMs that names the asker must be as recent as the records. A poller reads both together, or has
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -549,14 +549,18 @@
 			: NULL;
 	struct succession_input input = {
 		.servers = servers,
-		.server_count = collect_servers (primary_manager, servers),
 		.sync_replicas = declared ? declared->sync_replicas : 0,
 		.cause = find_change_cause (primary_manager, now_us),
-		.rank = find_rank (primary_manager, now_us),
 		.has_read_records = controller->members_valid_us > 0,
 		.may_claim = controller->is_settled,
 	};
 
+	/* Both walk whole tables, and this function runs every 20 ms for each service. */
+	if (!succession_is_idle (&primary_manager->succession, input.cause))
+	{
+		input.server_count = collect_servers (primary_manager, servers);
+		input.rank = find_rank (primary_manager, now_us);
+	}
 	if (primary_manager->succession.phase == SUCCESSION_GATHERING)
 		input.answers = count_answers (primary_manager);
 	perform_action (primary_manager,
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -136,6 +136,12 @@
 void succession_set_record (struct succession *succession, const struct succession_record *record,
                             int64_t now_us);
 
+/**
+ * Whether the next step depends on neither the servers nor the rank: a record exists, no change is in progress and
+ * there is no cause for one. A fleet of hundreds of VMs with dozens of services spends most of its steps there.
+ */
+bool succession_is_idle (const struct succession *succession, enum succession_cause cause);
+
 /** Returns the next action; call after each event and at least every 20 ms. */
 enum succession_action succession_step (struct succession *succession,
                                         const struct succession_input *input, int64_t now_us);
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -147,9 +147,11 @@
 	const struct member *poller; /**< Poller of the zone; NULL: this VM. */
 	bool is_poller;              /**< This VM polls the store for its zone. */
 	uint32_t vm_count;           /**< Live VMs, including this one. */
-	bool is_view_dirty;          /**< The traffic thread does not have the latest state yet. */
-	bool is_leaving;             /**< The graceful shutdown has begun. */
-	bool has_left;               /**< The graceful shutdown is complete. */
+	bool is_serving_dirty;      /**< A VM has announced a change since the VMs were last checked. */
+	int64_t serving_checked_us; /**< When all VMs were last checked. */
+	bool is_view_dirty;         /**< The traffic thread does not have the latest state yet. */
+	bool is_leaving;            /**< The graceful shutdown has begun. */
+	bool has_left;              /**< The graceful shutdown is complete. */
 	void (*handle_leave_complete) (void *data);
 	void *handle_leave_complete_data;
 };
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
+#include <time.h>
 
 struct fake_platform
 {
@@ -284,6 +285,67 @@
 	tear_down (&second);
 }
 
+/* Guards against control work that grows with the VMs times the services. On the large Riga site (195 VMs, 20
+ * services), each VM looked up all VMs for each service every 20 ms, and days were given up for processor time. */
+static void
+test_control_work (void)
+{
+	enum
+	{
+		VMS = 750,
+		SERVICES = 20,
+		TICK_US = 20 * US_PER_MS,
+		TICKS = 50,
+		/* The target is 1.7% of a core for control. */
+		LIMIT_US = TICK_US * 17 / 1000,
+	};
+	struct controller controller;
+	int64_t now_us = clock_now_us ();
+	struct timespec start;
+	struct timespec end;
+	double tick_us;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	for (int i = 0; i < VMS; i++)
+	{
+		g_autofree char *name = g_strdup_printf ("vm%d-x", 100 + i);
+		struct member *member = member_get (&controller, name, now_us);
+
+		member->zone = g_strdup (i % 6 == 0 ? "a" : "b");
+		member->is_listed = true;
+	}
+	for (int i = 0; i < SERVICES; i++)
+	{
+		g_autofree char *name = g_strdup_printf ("service%d", i);
+		struct succession_record record = { .primary = "p", .revision = 5 };
+
+		primary_manager_set_record (primary_manager_get (&controller, name), &record, now_us);
+	}
+	controller.poller_asked_us = now_us + US_PER_S;
+	controller.last_hello_us = now_us + US_PER_S;
+	clock_gettime (CLOCK_THREAD_CPUTIME_ID, &start);
+	for (int i = 0; i < TICKS; i++)
+	{
+		GHashTableIter iter;
+		gpointer value;
+
+		now_us += TICK_US;
+		members_tick (&controller, now_us);
+		g_hash_table_iter_init (&iter, controller.managers);
+		while (g_hash_table_iter_next (&iter, NULL, &value))
+			primary_manager_tick (value, now_us);
+	}
+	clock_gettime (CLOCK_THREAD_CPUTIME_ID, &end);
+	tick_us = ((double) (end.tv_sec - start.tv_sec) * US_PER_S +
+	           (double) (end.tv_nsec - start.tv_nsec) / 1000) /
+	          TICKS;
+	g_test_message ("%.0f us of processor time a tick, limit %d us", tick_us, LIMIT_US);
+	g_assert_cmpfloat (tick_us, <, LIMIT_US);
+	tear_down (&controller);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -293,6 +355,7 @@
 	g_test_add_func ("/gateway_members/silent_poller", test_silent_poller_is_replaced);
 	g_test_add_func ("/gateway_members/list_age", test_change_needs_newer_member_list);
 	g_test_add_func ("/gateway_members/removed", test_removed_vm_must_answer);
+	g_test_add_func ("/gateway_members/control_work", test_control_work);
 	g_test_add_func ("/gateway_members/digest", test_digest_distinguishes_records);
 	return g_test_run ();
 }
