decision: when a queued request is refused, with the loads that it answers

Cause: the two limits of waiting stood in the middle of gateway/session_tick.c, without a test that replays a load.

--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -1,6 +1,7 @@
 #include "gateway/traffic_private.h"
 
 #include "common/log.h"
+#include "decision/waiting.h"
 
 /** Ends a request that has exceeded its time limit. */
 static void
@@ -122,28 +123,23 @@
 static void
 session_tick_queued (struct session *session, int64_t now_us)
 {
-	/* Percentages of the target latency. A refusal within a quarter of it costs the caller little; a request that will
-	 * be late anyway only delays others. */
-	enum
-	{
-		UNAVAILABLE_PERCENT = 20,
-		OVERLOADED_PERCENT = 85,
-	};
 	struct request *request = &session->request;
 	bool is_relay = session->is_relay;
 	int64_t waited_us = now_us - request->arrived_us;
 	int64_t target_us = (int64_t) session->target_latency_ms * US_PER_MS;
+	bool is_late = waiting_judge_overload (waited_us, target_us) == WAITING_REFUSE;
 
 	if (is_relay && session->relay_server->failed_us > 0)
 		session_close (session);
-	else if (is_relay && waited_us > target_us * OVERLOADED_PERCENT / 100)
+	else if (is_relay && is_late)
 		relay_refuse (session, ANSWER_OVERLOADED, "the server is busy");
 	else if (is_relay)
 		return;
-	else if (waited_us > target_us * UNAVAILABLE_PERCENT / 100 && is_unavailable (session, now_us))
+	else if (waiting_judge_outage (waited_us, target_us) == WAITING_REFUSE &&
+	         is_unavailable (session, now_us))
 		session_refuse (session, ANSWER_OVERLOADED, "no server can run it now",
 		                estimate_retry_delay_us (session, now_us));
-	else if (waited_us > target_us * OVERLOADED_PERCENT / 100)
+	else if (is_late)
 		session_refuse (session, ANSWER_OVERLOADED, "all servers are busy", waited_us);
 }
 
