--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -292,7 +292,7 @@
 }
 
 /* Guards against a start of hundreds of VMs that calls the store for what the poller of the zone reports: on the large
- * Riga site, 195 VMs made 4,280 of the day's 5,786 calls before the traffic began, among them two watches each that
+ * Riga site, 195 VMs made 4,145 of the day's 5,822 calls before the traffic began, among them two watches each that
  * were ended at once, and a second reading of all records after each write of their own. */
 static void
 test_calls_at_start (void)
