--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -77,10 +77,11 @@
 };
 
 static void
-fixture_start (struct fixture *fixture, const char *const *answers, size_t count)
+fixture_start_with_limit (struct fixture *fixture, const char *const *answers, size_t count,
+                          uint32_t timeout_ms)
 {
 	struct store_settings settings = { fixture->address, fixture->address, INADDR_LOOPBACK,
-		                               STORE_PATIENCE_MS };
+		                               timeout_ms };
 	uint16_t port = free_port ();
 
 	memset (fixture, 0, sizeof *fixture);
@@ -88,7 +89,8 @@
 	g_assert_cmpint (fixture->store.listener, >=, 0);
 	/* The fake store needs a blocking accept(). */
 	g_assert_cmpint (fcntl (fixture->store.listener, F_SETFL, 0), ==, 0);
-	memcpy (fixture->store.answers, answers, count * sizeof *answers);
+	for (size_t i = 0; i < count; i++)
+		fixture->store.answers[i] = answers[i];
 	fixture->store.count = count;
 	fixture->store.thread = g_thread_new ("store", fake_store_main, &fixture->store);
 	snprintf (fixture->address, sizeof fixture->address, "127.0.0.1:%u", port);
@@ -96,6 +98,12 @@
 	g_assert_cmpint (platform_store_init (&fixture->platform, &fixture->loop, &settings), ==, 0);
 }
 
+static void
+fixture_start (struct fixture *fixture, const char *const *answers, size_t count)
+{
+	fixture_start_with_limit (fixture, answers, count, STORE_PATIENCE_MS);
+}
+
 static void
 fixture_stop (struct fixture *fixture)
 {
@@ -182,6 +190,28 @@
 	}
 }
 
+/* Guards against a call that waits for a silent store for longer than its limit, which the other cases raise. */
+static void
+test_silent_store (void)
+{
+	enum
+	{
+		USUAL_LIMIT_MS = 1200,
+		LONGEST_MS = 5000,
+	};
+	struct fixture fixture;
+	int64_t start_us;
+
+	fixture_start_with_limit (&fixture, NULL, 0, 0);
+	start_us = clock_now_us ();
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -ETIMEDOUT);
+	g_assert_cmpint (clock_now_us () - start_us, >=, (USUAL_LIMIT_MS - 10) * US_PER_MS);
+	g_assert_cmpint (clock_now_us () - start_us, <, LONGEST_MS * US_PER_MS);
+	fixture_stop (&fixture);
+}
+
 /* Guards against losing a second page, and against missing that the history of a watch is discarded. */
 static void
 test_paging_and_compaction (void)
@@ -239,6 +269,7 @@
 	g_test_add_func ("/store/empty_answer", test_empty_watch_answer);
 	g_test_add_func ("/store/answers", test_answers);
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
+	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/promotion", test_promotion);
 	return g_test_run ();
 }
