gateway: log what a VM knows when it claims a change of primary and chooses the successor

The lines so far told that a VM claimed a change and which server it promoted, but not why, so three hypotheses could not be told apart: a commit without authority in the zone that was cut off; a read sent with a position of the former primary; the former primary promoted again after the cut, with its own log. change_claimed names the opinions (lost, reachable, silent), since when this VM does not reach the primary, and since when it reaches the store; change_candidate names what is known of each server when one is promoted.

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -262,11 +262,11 @@
 	}
 }
 
-/** Whether most VMs that answer do not reach the server. */
-static bool
-is_loss_agreed (struct primary_manager *primary_manager, int64_t since_us, int64_t now_us)
+/** Counts the opinions of the listed VMs, including this one, which does not reach the primary. */
+static struct reachability_votes
+count_opinions (const struct primary_manager *primary_manager, int64_t now_us)
 {
-	struct controller *controller = primary_manager->controller;
+	const struct controller *controller = primary_manager->controller;
 	struct reachability_votes votes = { .lost = 1 };
 	GHashTableIter iter;
 	gpointer value;
@@ -286,7 +286,7 @@
 		else
 			votes.reachable++;
 	}
-	return reachability_is_agreed (&votes, since_us, now_us);
+	return votes;
 }
 
 static struct known_server *
@@ -344,6 +344,7 @@
 	struct controller *controller = primary_manager->controller;
 	struct succession *succession = &primary_manager->succession;
 	struct known_server *primary = find_server (primary_manager, succession->record.primary);
+	struct reachability_votes votes;
 	int64_t since_us;
 
 	if (succession->record.revision == 0 || succession->record.is_changing ||
@@ -380,7 +381,8 @@
 	        find_rank (primary_manager, now_us) * MANAGER_OPINION_RANK_US)
 		return SUCCESSION_NO_CAUSE;
 	request_opinions (primary_manager, primary->entry.id, now_us);
-	return is_loss_agreed (primary_manager, primary_manager->unreachable_us, now_us)
+	votes = count_opinions (primary_manager, now_us);
+	return reachability_is_agreed (&votes, primary_manager->unreachable_us, now_us)
 	           ? SUCCESSION_FAILED
 	           : SUCCESSION_NO_CAUSE;
 }
@@ -494,6 +496,50 @@
 		succession_handle_promote (succession, result, clock_now_us ());
 }
 
+/** Logs what this VM knows of the primary when it claims a change. */
+static void
+log_claim (const struct primary_manager *primary_manager, int64_t now_us)
+{
+	const struct succession *succession = &primary_manager->succession;
+	const struct known_server *primary = find_server (primary_manager, succession->record.primary);
+	struct reachability_votes votes = count_opinions (primary_manager, now_us);
+
+	log_event (LOG_LEVEL_INFO, "change_claimed",
+	           "service=%s primary=%s term=%llu planned=%d takeover=%d listed=%d unreachable=%d "
+	           "unreachable_ms=%lld not_primary=%d lost=%u reachable=%u silent=%u store_ok_ms=%lld",
+	           primary_manager->service, succession->record.primary,
+	           (unsigned long long) succession->record.term, succession->is_planned,
+	           succession->record.is_changing, primary && primary->is_listed,
+	           primary && primary->is_unreachable,
+	           primary_manager->unreachable_us > 0
+	               ? (long long) (now_us - primary_manager->unreachable_us) / US_PER_MS
+	               : 0,
+	           primary && primary->not_primary_us > 0, votes.lost, votes.reachable, votes.silent,
+	           (long long) (now_us - primary_manager->controller->store_ok_us) / US_PER_MS);
+}
+
+/** Logs what this VM knows of each server when it promotes one. */
+static void
+log_choice (const struct primary_manager *primary_manager, int64_t now_us)
+{
+	const struct succession *succession = &primary_manager->succession;
+	struct succession_server servers[MANAGER_MAX_SERVERS];
+	size_t count = collect_servers (primary_manager, servers);
+
+	for (size_t i = 0; i < count; i++)
+		log_event (
+			LOG_LEVEL_INFO, "change_candidate",
+			"service=%s server=%s chosen=%d record_term=%llu listed=%d draining=%d "
+			"unreachable=%d primary=%d term=%llu received=%llu.%llu status_age_ms=%lld",
+			primary_manager->service, servers[i].id,
+			strcmp (servers[i].id, succession->target) == 0,
+			(unsigned long long) succession->record.term, servers[i].is_listed,
+			servers[i].is_draining, servers[i].is_unreachable, servers[i].is_primary,
+			(unsigned long long) servers[i].term, (unsigned long long) servers[i].received.term,
+			(unsigned long long) servers[i].received.index,
+			servers[i].has_status ? (long long) (now_us - servers[i].status_us) / US_PER_MS : -1);
+}
+
 static void
 perform_action (struct primary_manager *primary_manager, enum succession_action action)
 {
@@ -517,6 +563,7 @@
 		memcpy (record.claimant, succession->vm, sizeof record.claimant);
 		record.is_changing = true;
 		record.is_planned = succession->is_planned;
+		log_claim (primary_manager, clock_now_us ());
 		swap_record (primary_manager, &record);
 		break;
 	case SUCCESSION_ASK_MEMBERS:
@@ -533,6 +580,7 @@
 		                  succession->phase == SUCCESSION_CONFIRMING ? succession->target : NULL);
 		break;
 	case SUCCESSION_PROMOTE:
+		log_choice (primary_manager, clock_now_us ());
 		promote (primary_manager);
 		break;
 	}
