gateway: the silence of other VMs counts only after they were asked

What callers saw: STALE.

Cause: a change of primary needs the agreement of the VMs; a VM without an opinion is left out after 0.4 s. That time was counted from the loss of the primary, not from the first question, and a VM asks only while it reaches the store. So a VM whose zone had been cut off for 5.7 s replaced the primary in the same tick in which it reached the store again, without having asked any VM. The primary was in use by the five VMs of the other zones.

The test fails on the code before: phase 2 (claiming) instead of 0 (steady).

Ruled out: a commit that the zone made after its authority had ended (the VMs there refused from 34.28 s on, 1.0 s after their last confirmation); a read with a position of the former primary (the server refuses it).

Fix: the time counts from the first question of a series. A series ends when the record changes, when the primary answers, or when no question was sent for 0.6 s.

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -111,6 +111,7 @@
 	succession_set_record (&primary_manager->succession, record, now_us);
 	g_hash_table_remove_all (primary_manager->opinions);
 	primary_manager->unreachable_us = 0;
+	primary_manager->opinion_asked_us = 0;
 	primary_manager->controller->is_view_dirty = true;
 	return true;
 }
@@ -250,6 +251,8 @@
 
 	if (now_us - primary_manager->opinion_asked_us < MANAGER_OPINION_INTERVAL_US)
 		return;
+	if (now_us - primary_manager->opinion_asked_us > MANAGER_OPINION_AGE_US)
+		primary_manager->first_asked_us = now_us;
 	primary_manager->opinion_asked_us = now_us;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -371,6 +374,7 @@
 	if (!primary->is_unreachable)
 	{
 		primary_manager->unreachable_us = 0;
+		primary_manager->opinion_asked_us = 0;
 		return SUCCESSION_NO_CAUSE;
 	}
 	if (primary_manager->unreachable_us == 0)
@@ -382,7 +386,7 @@
 		return SUCCESSION_NO_CAUSE;
 	request_opinions (primary_manager, primary->entry.id, now_us);
 	votes = count_opinions (primary_manager, now_us);
-	return reachability_is_agreed (&votes, primary_manager->unreachable_us, now_us)
+	return reachability_is_agreed (&votes, primary_manager->first_asked_us, now_us)
 	           ? SUCCESSION_FAILED
 	           : SUCCESSION_NO_CAUSE;
 }
--- a/include/decision/reachability.h
+++ b/include/decision/reachability.h
@@ -27,6 +27,9 @@
 	uint32_t silent; /**< No answer yet, or no opinion. */
 };
 
-/** @param since_us start of the vote. @return whether the fleet considers the server lost. */
-bool reachability_is_agreed (const struct reachability_votes *votes, int64_t since_us,
+/**
+ * @param asked_us when the other VMs were first asked. The silence of a VM counts only after it had time to answer.
+ * @return whether the fleet considers the server lost.
+ */
+bool reachability_is_agreed (const struct reachability_votes *votes, int64_t asked_us,
                              int64_t now_us);
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -267,6 +267,60 @@
 	tear_down (&controller);
 }
 
+/** Sets up service "s" whose primary "p" this VM does not reach. */
+static struct primary_manager *
+lose_primary (struct controller *controller, struct known_server *primary)
+{
+	struct primary_manager *primary_manager = primary_manager_get (controller, "s");
+
+	*primary = (struct known_server){
+		.entry = { .id = "p", .service = "s" },
+		.is_listed = true,
+		.is_unreachable = true,
+	};
+	g_hash_table_insert (controller->servers, primary->entry.id, primary);
+	strcpy (primary_manager->succession.record.primary, "p");
+	primary_manager->succession.record.revision = 11;
+	controller->has_directory = true;
+	controller->is_settled = true;
+	return primary_manager;
+}
+
+/* Guards against taking silence for agreement before the others were asked (STALE). On trouble-1 of Grindwell, seed
+ * 28832871869, a VM whose zone had been cut off replaced the new primary when it reached the store again. */
+static void
+test_silence_before_question (void)
+{
+	struct controller controller;
+	struct known_server primary;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	primary_manager = lose_primary (&controller, &primary);
+	/* Neither while the store is away nor while the primary answers are the others asked. */
+	for (int outage = 0; outage < 3; outage++)
+	{
+		controller.store_ok_us = outage == 2 ? now_us : 0;
+		primary.is_unreachable = outage < 2;
+		primary_manager_tick (primary_manager, now_us);
+		now_us += outage == 2 ? 40 * US_PER_MS : 1000 * US_PER_MS;
+		controller.store_ok_us = now_us;
+		primary.is_unreachable = true;
+		for (int64_t asked_us = now_us; now_us < asked_us + 390 * US_PER_MS;
+		     now_us += 20 * US_PER_MS)
+			primary_manager_tick (primary_manager, now_us);
+		g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	}
+	/* The others have been asked and stay silent. */
+	for (int i = 0; i < 50; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_CLAIMING);
+	tear_down (&controller);
+}
+
 /* Guards against comparing records by their highest revision only. In trouble-1 of Grindwell (seed
  * 766222498350), two VMs with the same highest revision treated their records as equal, although one had
  * missed a change of another service. */
@@ -406,6 +460,7 @@
 	g_test_add_func ("/gateway_members/first_list", test_first_list_includes_all_members);
 	g_test_add_func ("/gateway_members/silent_poller", test_silent_poller_is_replaced);
 	g_test_add_func ("/gateway_members/list_age", test_change_needs_newer_member_list);
+	g_test_add_func ("/gateway_members/silence_before_question", test_silence_before_question);
 	g_test_add_func ("/gateway_members/removed", test_removed_vm_must_answer);
 	g_test_add_func ("/gateway_members/calls_at_start", test_calls_at_start);
 	g_test_add_func ("/gateway_members/control_work", test_control_work);
