succession: a log of an earlier term is chosen only when no server holds the latest one

What callers saw: STALE, and acknowledged commits lost.

Cause: the choice compared log positions across primaries, and a listed server that the claimant did not reach counted as if it did not exist. With the other two servers unreachable from its VM, the former primary was the only candidate, and one known replica was enough.

The tests earlier_term and longer_log fail on the code before.

Fix: the latest term known (record or any status) decides before the length of the log. A server of an earlier term is chosen only when every listed server has answered and none is of the latest term, so that a lost primary that can come back is waited for until its entry lapses. The price: a service whose only reachable server is behind stays without a primary until then.

The fixture of the tests now gives the promoted server the next term; it always gave 2.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -212,7 +212,10 @@
 	       strcmp (server->id, succession->record.primary) != 0;
 }
 
-/** Prefers a server that already leads, then the longest log. */
+/**
+ * Prefers a server that already leads, then the latest term, then the longest log. Positions are comparable only between
+ * servers of the same term: the log of an earlier one may have a higher position and lack commits of the later primary.
+ */
 static bool
 is_better (const struct succession *succession, const struct succession_server *server,
            const struct succession_server *best)
@@ -222,6 +225,8 @@
 
 	if (!best || leads != best_leads)
 		return !best || leads;
+	if (server->term != best->term)
+		return server->term > best->term;
 	return log_position_compare (server->received, best->received) > 0;
 }
 
@@ -230,33 +235,59 @@
 	const struct succession_server *best;
 	size_t known;   /**< Replicas with a final status. */
 	size_t missing; /**< Replicas that may still answer. */
+	size_t unknown; /**< Listed servers without a final status. */
+	size_t holders; /**< Listed servers that have answered and are of the latest term. */
 	uint64_t max_term;
 };
 
+static uint64_t
+find_latest_term (const struct succession *succession, const struct succession_input *input)
+{
+	uint64_t term = succession->record.term;
+
+	for (size_t i = 0; i < input->server_count; i++)
+		if (input->servers[i].has_status && input->servers[i].term > term)
+			term = input->servers[i].term;
+	return term;
+}
+
+/** Counts a server that is not chosen as well: it may hold commits that the chosen one lacks. */
+static void
+count_server (const struct succession *succession, const struct succession_server *server,
+              struct choice *choice)
+{
+	bool is_old = strcmp (server->id, succession->record.primary) == 0;
+	bool is_final = has_final_status (succession, server);
+
+	choice->unknown += server->is_listed && !is_final;
+	choice->holders += server->is_listed && is_final && server->term >= choice->max_term;
+	choice->known += is_final && !is_old;
+	choice->missing += !is_old && server->is_listed && !is_final && !server->is_unreachable;
+}
+
 static struct choice
 choose (const struct succession *succession, const struct succession_input *input, bool is_late)
 {
-	struct choice choice = { .max_term = succession->record.term };
+	struct choice choice = { .max_term = find_latest_term (succession, input) };
+	const struct succession_server *best_behind = NULL;
 
 	for (size_t i = 0; i < input->server_count; i++)
 	{
 		const struct succession_server *server = &input->servers[i];
 		bool is_old = strcmp (server->id, succession->record.primary) == 0;
 
-		if (server->has_status && server->term > choice.max_term)
-			choice.max_term = server->term;
-		if (is_old && !(has_final_status (succession, server) && !server->is_draining))
-			continue;
-		if (has_final_status (succession, server))
-			choice.known += !is_old;
-		else if (server->is_listed && !server->is_unreachable)
-			choice.missing++;
+		count_server (succession, server, &choice);
 		/* The old primary may lead again when there is no other candidate. */
-		if (is_old && (succession->is_planned || !is_late || choice.best))
+		if (!is_candidate (succession, server) ||
+		    (is_old && (succession->is_planned || !is_late || choice.best)))
 			continue;
-		if (is_candidate (succession, server) && is_better (succession, server, choice.best))
+		if (server->term < choice.max_term)
+			best_behind = is_better (succession, server, best_behind) ? server : best_behind;
+		else if (is_better (succession, server, choice.best))
 			choice.best = server;
 	}
+	if (!choice.best && choice.unknown == 0 && choice.holders == 0)
+		choice.best = best_behind;
 	return choice;
 }
 
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -121,7 +121,7 @@
 			if (strcmp (fixture->servers[i].id, target) == 0)
 			{
 				fixture->servers[i].is_primary = true;
-				fixture->servers[i].term = 2;
+				fixture->servers[i].term = fixture->succession.old_term + 1;
 			}
 		break;
 	default:
@@ -205,6 +205,72 @@
 	g_assert_cmpstr (fixture.promoted, ==, "c");
 }
 
+/* Guards against promoting a server that missed the last change of primary, because the claimant does not reach the
+ * others: acknowledged commits are rolled back, and earlier reads lack the commits of its own log (STALE, trouble-1 of
+ * Grindwell, seed 28832871869). */
+static void
+test_server_of_an_earlier_term (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.stored = (struct succession_record){ .primary = "b", .revision = 11, .term = 2 };
+	fixture.revision = 11;
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture.servers[0].received = (struct log_position){ 1, 200 };
+	for (size_t i = 1; i < G_N_ELEMENTS (fixture.servers); i++)
+	{
+		fixture.servers[i].is_unreachable = true;
+		fixture.servers[i].status_us = 0;
+		fixture.servers[i].term = 2;
+		fixture.servers[i].received = (struct log_position){ 2, 100 };
+	}
+	fixture.input.cause = SUCCESSION_FAILED;
+	fixture_run (&fixture, 2000 * MS);
+	g_assert_cmpuint (fixture.promotions, ==, 0);
+	fixture.servers[2].is_unreachable = false;
+	fixture_run (&fixture, 2000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "c");
+}
+
+/* Guards against a service without a primary after all servers of the last term are gone. */
+static void
+test_last_server_of_an_earlier_term (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.stored = (struct succession_record){ .primary = "b", .revision = 11, .term = 2 };
+	fixture.revision = 11;
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	for (size_t i = 1; i < G_N_ELEMENTS (fixture.servers); i++)
+	{
+		fixture.servers[i].is_unreachable = true;
+		fixture.servers[i].is_listed = false;
+	}
+	fixture.input.cause = SUCCESSION_FAILED;
+	fixture_run (&fixture, 2000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "a");
+}
+
+/* Guards against comparing the log positions of two primaries. A server that leads by an unfinished promotion, or
+ * follows it, is preferred to a longer log of an earlier term. */
+static void
+test_longer_log_of_an_earlier_term (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.servers[1].received = (struct log_position){ 2, 300 };
+	fixture.servers[1].term = 2;
+	fixture.servers[2].received = (struct log_position){ 1, 90 };
+	fixture.servers[2].applied = (struct log_position){ 1, 90 };
+	fixture.servers[2].term = 3;
+	fixture_fail_primary (&fixture);
+	fixture_run (&fixture, 1000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "c");
+}
+
 /* Guards against a claim that is lost or repeated when it was stored but the answer did not arrive. */
 static void
 test_lost_answer_to_claim (void)
@@ -392,6 +458,9 @@
 	g_test_add_func ("/succession/furthest", test_most_advanced_replica);
 	g_test_add_func ("/succession/silent_vm", test_silent_vm_is_waited_for);
 	g_test_add_func ("/succession/former_primary", test_former_primary_is_not_a_successor);
+	g_test_add_func ("/succession/earlier_term", test_server_of_an_earlier_term);
+	g_test_add_func ("/succession/last_of_earlier_term", test_last_server_of_an_earlier_term);
+	g_test_add_func ("/succession/longer_log", test_longer_log_of_an_earlier_term);
 	g_test_add_func ("/succession/lost_answer", test_lost_answer_to_claim);
 	g_test_add_func ("/succession/suspended", test_suspended_claimant);
 	g_test_add_func ("/succession/new_vm", test_new_vm_waits);
