platform: read the store's era from every answer

After a restore from an older copy the store gives revisions out again; the header Store-Era rises by one, and nothing read it. Every answer now carries the era, and a watch or a list of several pages that meets two eras ends with -ESTALE, as for a discarded history, so that its caller reads again.

Evidence: with the comparison taken out, /store/restored fails (the watch goes on from the revision of before the restore and its caller gets no error). Nothing uses the era yet.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -177,6 +177,17 @@
 	return length;
 }
 
+const char *
+http_result_find_header (const struct http_result *result, const char *name)
+{
+	struct curl_header *header;
+
+	if (!result->easy ||
+	    curl_easy_header (result->easy, name, 0, CURLH_HEADER, -1, &header) != CURLHE_OK)
+		return NULL;
+	return header->value;
+}
+
 static int
 error_from_curl (CURLcode code)
 {
@@ -214,6 +225,7 @@
 		result.body = (const char *) call->received->data;
 		result.length = call->received->len;
 		result.request_sent_us = call->request_sent_us;
+		result.easy = call->easy;
 		if (!call->is_cancelled)
 			call->handle (call->data, &result);
 		call_free (call);
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -21,8 +21,12 @@
 	const char *body;
 	size_t length;
 	int64_t request_sent_us; /**< When the request was handed to libcurl. */
+	CURL *easy;              /**< For http_result_find_header(). */
 };
 
+/** Finds the last header @p name of the response. @return its value, valid during the callback, or NULL. */
+const char *http_result_find_header (const struct http_result *result, const char *name);
+
 /** Called once per call, which is freed afterwards. */
 typedef void http_handle_result (void *data, const struct http_result *result);
 
--- a/include/flamingospring/platform.h
+++ b/include/flamingospring/platform.h
@@ -25,8 +25,11 @@
 struct platform_answer
 {
 	/** 0, -ETIMEDOUT, -ECONNREFUSED, -ECONNRESET, -EAGAIN (overloaded), -EPROTO, or -ESTALE (the
-	 * revision is compacted). */
+	 * revision is compacted, or the store was restored from an older copy meanwhile). */
 	int error;
+	/** Rises each time the store is restored from an older copy, after which its revisions are given out
+	 * again. Valid when @c error is 0. */
+	uint64_t era;
 	uint64_t revision; /**< Revision of the whole store. */
 	bool succeeded;    /**< Result of a compare-and-swap. */
 	const struct platform_pair *pairs;
--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -30,6 +30,7 @@
 	int listener;
 	GThread *thread;
 	const char *answers[MAX_ANSWERS]; /* Status and body; NULL: the connection is closed instead. */
+	unsigned eras[MAX_ANSWERS];       /* 0: the answer names none. */
 	size_t count;
 	char requests[MAX_ANSWERS][REQUEST_BYTES];
 	int request_count;
@@ -50,13 +51,16 @@
 		if (store->answers[i])
 		{
 			const char *body = strchr (store->answers[i], ' ') + 1;
+			char *era = store->eras[i] > 0 ? g_strdup_printf ("Store-Era: %u\r\n", store->eras[i])
+			                               : g_strdup ("");
 			char *text = g_strdup_printf (
 				"HTTP/1.1 %.3s X\r\nContent-Type: application/json\r\nConnection: close\r\n"
-				"Content-Length: %zu\r\n\r\n%s",
-				store->answers[i], strlen (body), body);
+				"%sContent-Length: %zu\r\n\r\n%s",
+				store->answers[i], era, strlen (body), body);
 
 			g_assert_cmpint (send (fd, text, strlen (text), MSG_NOSIGNAL), >, 0);
 			g_free (text);
+			g_free (era);
 		}
 		close (fd);
 	}
@@ -73,12 +77,13 @@
 	int events;
 	int last_error;
 	bool succeeded;
+	uint64_t era;
 	uint64_t revision;
 };
 
 static void
-fixture_start_with_limit (struct fixture *fixture, const char *const *answers, size_t count,
-                          uint32_t timeout_ms)
+fixture_start_in_eras (struct fixture *fixture, const char *const *answers, size_t count,
+                       const unsigned *eras, uint32_t timeout_ms)
 {
 	struct store_settings settings = { fixture->address, fixture->address, INADDR_LOOPBACK,
 		                               timeout_ms };
@@ -90,7 +95,10 @@
 	/* The fake store needs a blocking accept(). */
 	g_assert_cmpint (fcntl (fixture->store.listener, F_SETFL, 0), ==, 0);
 	for (size_t i = 0; i < count; i++)
+	{
 		fixture->store.answers[i] = answers[i];
+		fixture->store.eras[i] = eras ? eras[i] : 0;
+	}
 	fixture->store.count = count;
 	fixture->store.thread = g_thread_new ("store", fake_store_main, &fixture->store);
 	snprintf (fixture->address, sizeof fixture->address, "127.0.0.1:%u", port);
@@ -101,7 +109,7 @@
 static void
 fixture_start (struct fixture *fixture, const char *const *answers, size_t count)
 {
-	fixture_start_with_limit (fixture, answers, count, STORE_PATIENCE_MS);
+	fixture_start_in_eras (fixture, answers, count, NULL, STORE_PATIENCE_MS);
 }
 
 static void
@@ -122,6 +130,7 @@
 	fixture->events += (int) answer->count;
 	fixture->last_error = answer->error;
 	fixture->succeeded = answer->succeeded;
+	fixture->era = answer->era;
 	fixture->revision = answer->revision;
 }
 
@@ -202,7 +211,7 @@
 	struct fixture fixture;
 	int64_t start_us;
 
-	fixture_start_with_limit (&fixture, NULL, 0, 0);
+	fixture_start_in_eras (&fixture, NULL, 0, NULL, 0);
 	start_us = clock_now_us ();
 	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
 	fixture_run (&fixture, 1);
@@ -238,6 +247,40 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against revisions of before a restore that are used after it: in a watch that goes on, and in a list whose
+ * pages are of two copies of the store. */
+static void
+test_restored_store (void)
+{
+	static const char *const events[] = {
+		"200 {\"items\":[],\"hasMore\":false,\"at\":50}",
+		"200 {\"events\":[],\"at\":50}",
+		"200 {\"events\":[],\"at\":12}",
+	};
+	static const unsigned event_eras[] = { 7, 7, 8 };
+	static const char *const pages[] = {
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":5,\"created\":5,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":[],\"hasMore\":false,\"at\":4}",
+	};
+	static const unsigned page_eras[] = { 7, 8 };
+	struct fixture fixture;
+
+	fixture_start_in_eras (&fixture, events, G_N_ELEMENTS (events), event_eras, STORE_PATIENCE_MS);
+	fixture.platform.ops->range (&fixture.platform, "op/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpuint (fixture.era, ==, 7);
+	fixture.platform.ops->watch (&fixture.platform, "op/", 50, 2000, handle_answer, &fixture);
+	fixture_run (&fixture, 3);
+	g_assert_cmpint (fixture.last_error, ==, -ESTALE);
+	fixture_stop (&fixture);
+	fixture_start_in_eras (&fixture, pages, G_N_ELEMENTS (pages), page_eras, STORE_PATIENCE_MS);
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -ESTALE);
+	fixture_stop (&fixture);
+}
+
 /* Guards against confusing a server that is not running with a call whose answer is lost. */
 static void
 test_promotion (void)
@@ -270,6 +313,7 @@
 	g_test_add_func ("/store/answers", test_answers);
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
 	g_test_add_func ("/store/silent", test_silent_store);
+	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
 	return g_test_run ();
 }
