rpc: a datagram of another version is refused

A datagram was decoded by program and procedure only, so one of an older program with other fields would have been misread instead of refused. The version is compared now, in both fronts. No version changes with this commit.

--- a/common/rpc.c
+++ b/common/rpc.c
@@ -565,8 +565,8 @@
 }
 
 int
-rpc_datagram_decode (const char *buffer, size_t length, uint32_t program, uint32_t procedure,
-                     xdrproc_t decode, void *args)
+rpc_datagram_decode (const char *buffer, size_t length, uint32_t program, uint32_t version,
+                     uint32_t procedure, xdrproc_t decode, void *args)
 {
 	char credentials[MAX_AUTH_BYTES];
 	char verifier[MAX_AUTH_BYTES];
@@ -576,7 +576,8 @@
 	xdrmem_create (&xdrs, (char *) buffer, (u_int) length, XDR_DECODE);
 	if (!decode_call (&xdrs, &message, credentials, verifier))
 		return -EBADMSG;
-	if (message.rm_call.cb_prog != program || message.rm_call.cb_proc != procedure)
+	if (message.rm_call.cb_prog != program || message.rm_call.cb_vers != version ||
+	    message.rm_call.cb_proc != procedure)
 		return -EBADMSG;
 	if (!decode (&xdrs, args))
 	{
--- a/flamingospring/control_gossip.c
+++ b/flamingospring/control_gossip.c
@@ -214,7 +214,7 @@
 
 	counter_add (COUNTER_GOSSIP_RECEIVED, 1);
 	counter_add (COUNTER_GOSSIP_RECEIVED_BYTES, (int64_t) length + UDP_OVERHEAD_BYTES);
-	if (rpc_datagram_decode (buffer, length, FS_PEER_PROGRAM, FS_PEER_GOSSIP,
+	if (rpc_datagram_decode (buffer, length, FS_PEER_PROGRAM, FS_PEER_VERSION, FS_PEER_GOSSIP,
 	                         (xdrproc_t) xdr_fs_gossip, &gossip) < 0)
 	{
 		counter_add (COUNTER_RPC_MALFORMED, 1);
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -27,35 +27,35 @@
 	struct fs_hello_args hello = { 0 };
 	struct fs_zone_args zone = { 0 };
 
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_HELLO,
+	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION, FS_HELLO,
 	                         (xdrproc_t) xdr_fs_hello_args, &hello) == 0)
 	{
 		peers->ops->handle_hello (peers->data, &hello, from);
 		xdr_free ((xdrproc_t) xdr_fs_hello_args, &hello);
 		return 0;
 	}
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_REACHABILITY,
-	                         (xdrproc_t) xdr_fs_reachability_args, &opinion) == 0)
+	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION,
+	                         FS_REACHABILITY, (xdrproc_t) xdr_fs_reachability_args, &opinion) == 0)
 	{
 		peers->ops->handle_opinion (peers->data, &opinion, from);
 		xdr_free ((xdrproc_t) xdr_fs_reachability_args, &opinion);
 		return 0;
 	}
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_LEAD,
+	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION, FS_LEAD,
 	                         (xdrproc_t) xdr_fs_lead_args, &record) == 0)
 	{
 		peers->ops->handle_primary_record (peers->data, &record, from);
 		xdr_free ((xdrproc_t) xdr_fs_lead_args, &record);
 		return 0;
 	}
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_QUIESCED,
+	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION, FS_QUIESCED,
 	                         (xdrproc_t) xdr_fs_quiesced_args, &quiesced) == 0)
 	{
 		peers->ops->handle_quiesced (peers->data, &quiesced, from);
 		xdr_free ((xdrproc_t) xdr_fs_quiesced_args, &quiesced);
 		return 0;
 	}
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_ZONE,
+	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION, FS_ZONE,
 	                         (xdrproc_t) xdr_fs_zone_args, &zone) == 0)
 	{
 		peers->ops->handle_zone (peers->data, &zone);
--- a/include/common/rpc.h
+++ b/include/common/rpc.h
@@ -86,7 +86,7 @@
 int rpc_datagram_encode (char *buffer, size_t capacity, uint32_t xid, uint32_t program,
                          uint32_t version, uint32_t procedure, xdrproc_t encode, const void *args);
 
-/** Decodes a one-way call of the given program and procedure. @return 0 or -EBADMSG; free the arguments
+/** Decodes a one-way call of the given program, version and procedure. @return 0 or -EBADMSG; free the arguments
  * with xdr_free(). */
-int rpc_datagram_decode (const char *buffer, size_t length, uint32_t program, uint32_t procedure,
-                         xdrproc_t decode, void *args);
+int rpc_datagram_decode (const char *buffer, size_t length, uint32_t program, uint32_t version,
+                         uint32_t procedure, xdrproc_t decode, void *args);
