--- a/decision/succession.c
+++ b/decision/succession.c
@@ -20,12 +20,15 @@
 	RANK_DELAY_US = 150 * US_PER_MS,
 	ASK_INTERVAL_US = 50 * US_PER_MS,
 	SWAP_TIMEOUT_US = 1500 * US_PER_MS,
+	RECORD_RETRY_US = 50 * US_PER_MS, /**< Delay of a repeated swap that was refused. */
 	/** Servers that have not answered are left out of the choice after this time. */
 	CHOICE_TIMEOUT_US = 250 * US_PER_MS,
 	/** The new primary may take this long to receive the rest of the old one's log. */
 	CATCH_UP_US = 1200 * US_PER_MS,
 	CONFIRM_TIMEOUT_US = 5000 * US_PER_MS,
 	PROMOTE_RETRY_US = 100 * US_PER_MS,
+	/** A record's number holds the era in its upper half and a count in its lower one. */
+	CHANGE_ERA_SHIFT = 32,
 };
 
 static void
@@ -36,6 +39,28 @@
 	succession->asked_us = 0;
 }
 
+uint32_t
+succession_change_era (uint64_t change)
+{
+	return (uint32_t) (change >> CHANGE_ERA_SHIFT);
+}
+
+uint32_t
+succession_change_count (uint64_t change)
+{
+	return (uint32_t) change;
+}
+
+uint64_t
+succession_next_change (uint64_t change, uint64_t era)
+{
+	uint64_t next = change + 1;
+
+	if (era > succession_change_era (change))
+		next = era << CHANGE_ERA_SHIFT | succession_change_count (next);
+	return next;
+}
+
 void
 succession_init (struct succession *succession, const char *vm)
 {
@@ -44,9 +69,9 @@
 }
 
 static void
-begin_gathering (struct succession *succession, uint64_t revision, int64_t now_us)
+begin_gathering (struct succession *succession, uint64_t change, int64_t now_us)
 {
-	succession->claim_revision = revision;
+	succession->claim_change = change;
 	succession->claimed_us = now_us;
 	succession->most_stopped_us = 0;
 	succession->has_demoted = false;
@@ -60,7 +85,7 @@
 {
 	bool is_own = record->is_changing && strcmp (record->claimant, succession->vm) == 0;
 
-	if (record->revision <= succession->record.revision)
+	if (record->change <= succession->record.change)
 		return;
 	if (!record->is_changing)
 		succession->changing_us = 0;
@@ -69,9 +94,8 @@
 	succession->record = *record;
 	succession->record_us = now_us;
 	if (succession->phase == SUCCESSION_CLAIMING && is_own)
-		begin_gathering (succession, record->revision, now_us);
-	else if (succession->phase != SUCCESSION_STEADY &&
-	         record->revision != succession->claim_revision)
+		begin_gathering (succession, record->change, now_us);
+	else if (succession->phase != SUCCESSION_STEADY && record->change != succession->claim_change)
 		set_phase (succession, SUCCESSION_STEADY, now_us);
 }
 
@@ -130,7 +154,7 @@
 {
 	int64_t delay_us = (int64_t) input->rank * RANK_DELAY_US;
 
-	if (succession->record.revision == 0)
+	if (succession->record.change == 0)
 		return step_without_record (succession, input, now_us);
 	if (!input->may_claim)
 		return SUCCESSION_NOTHING;
@@ -175,9 +199,10 @@
 	else if (succession->most_stopped_us == 0)
 		succession->most_stopped_us = now_us;
 	/* A silent VM may have got its last confirmation from a VM just before that one stopped, so its
-	 * authority has to expire. */
-	has_waited =
-		succession->most_stopped_us > 0 && now_us - succession->most_stopped_us >= AUTHORITY_US;
+	 * authority has to expire. It may also be the claimant of a change that a restored store has forgotten. */
+	has_waited = succession->most_stopped_us > 0 &&
+	             now_us - succession->most_stopped_us >= AUTHORITY_US &&
+	             now_us >= input->former_claims_end_us;
 	if (input->answers == SUCCESSION_ALL_STOPPED || has_waited ||
 	    (succession->changing_us > 0 && now_us - succession->changing_us >= LIST_EXPIRY_US))
 	{
@@ -343,12 +368,12 @@
 }
 
 static enum succession_action
-step_promoting (struct succession *succession, int64_t now_us)
+step_promoting (struct succession *succession, const struct succession_input *input, int64_t now_us)
 {
 	/* asked_us is 0 after a failed call. */
 	if (succession->asked_us > 0 || now_us - succession->phase_us < PROMOTE_RETRY_US)
 		return SUCCESSION_NOTHING;
-	if (!succession_may_promote (succession, now_us))
+	if (!succession_may_promote (succession, input->era, now_us))
 		return begin_claim (succession, succession->is_planned, now_us);
 	succession->asked_us = now_us;
 	return SUCCESSION_PROMOTE;
@@ -378,10 +403,17 @@
 	return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
 }
 
+/** Tells whether the store may have forgotten the claim, so that VMs that read it do not stop using the primary. */
+static bool
+is_claim_forgotten (const struct succession *succession, uint64_t era)
+{
+	return succession_change_era (succession->claim_change) < era;
+}
+
 bool
 succession_is_idle (const struct succession *succession, enum succession_cause cause)
 {
-	return succession->phase == SUCCESSION_STEADY && succession->record.revision > 0 &&
+	return succession->phase == SUCCESSION_STEADY && succession->record.change > 0 &&
 	       !succession->record.is_changing && cause == SUCCESSION_NO_CAUSE;
 }
 
@@ -389,6 +421,11 @@
 succession_step (struct succession *succession, const struct succession_input *input,
                  int64_t now_us)
 {
+	bool is_before_promotion =
+		succession->phase == SUCCESSION_GATHERING || succession->phase == SUCCESSION_CHOOSING;
+
+	if (is_before_promotion && is_claim_forgotten (succession, input->era))
+		return begin_claim (succession, succession->is_planned, now_us);
 	switch (succession->phase)
 	{
 	case SUCCESSION_STEADY:
@@ -403,7 +440,7 @@
 	case SUCCESSION_CHOOSING:
 		return step_choosing (succession, input, now_us);
 	case SUCCESSION_PROMOTING:
-		return step_promoting (succession, now_us);
+		return step_promoting (succession, input, now_us);
 	case SUCCESSION_CONFIRMING:
 		return step_confirming (succession, input, now_us);
 	case SUCCESSION_RECORDING:
@@ -416,7 +453,8 @@
 }
 
 void
-succession_handle_swap (struct succession *succession, uint64_t revision, int64_t now_us)
+succession_handle_swap (struct succession *succession, enum succession_swap result, uint64_t change,
+                        int64_t now_us)
 {
 	switch (succession->phase)
 	{
@@ -425,12 +463,16 @@
 		break;
 	case SUCCESSION_CLAIMING:
 		/* After a lost answer, the record shows whether the claim was stored. */
-		if (revision > 0)
-			begin_gathering (succession, revision, now_us);
+		if (result == SUCCESSION_SWAPPED)
+			begin_gathering (succession, change, now_us);
+		else if (result == SUCCESSION_SWAP_REFUSED)
+			set_phase (succession, SUCCESSION_STEADY, now_us);
 		break;
 	case SUCCESSION_RECORDING:
-		if (revision > 0)
+		if (result == SUCCESSION_SWAPPED)
 			set_phase (succession, SUCCESSION_STEADY, now_us);
+		else if (result == SUCCESSION_SWAP_REFUSED)
+			succession->asked_us = now_us - SWAP_TIMEOUT_US + RECORD_RETRY_US;
 		break;
 	default:
 		break;
@@ -457,7 +499,8 @@
 }
 
 bool
-succession_may_promote (const struct succession *succession, int64_t now_us)
+succession_may_promote (const struct succession *succession, uint64_t era, int64_t now_us)
 {
-	return now_us - succession->claim_sent_us < CLAIM_WINDOW_US;
+	return now_us - succession->claim_sent_us < CLAIM_WINDOW_US &&
+	       !is_claim_forgotten (succession, era);
 }
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -18,7 +18,7 @@
 	struct mailbox_message message;
 	struct server_report *report;
 	char *service;
-	uint64_t revision;
+	uint64_t change;
 	bool is_leave;
 	bool has_left;
 };
@@ -80,7 +80,7 @@
 		struct primary_manager *primary_manager =
 			primary_manager_get (controller, message->service);
 
-		primary_manager->quiesced_revision = message->revision;
+		primary_manager->quiesced_change = message->change;
 		primary_manager_notify_claimant (primary_manager);
 		g_free (message->service);
 	}
@@ -119,13 +119,13 @@
 }
 
 static void
-send_quiesced (void *data, const char *service, uint64_t revision)
+send_quiesced (void *data, const char *service, uint64_t change)
 {
 	struct controller *controller = data;
 	struct controller_message *message = message_new ();
 
 	message->service = g_strdup (service);
-	message->revision = revision;
+	message->change = change;
 	mailbox_send (&controller->mailbox, &message->message);
 }
 
@@ -185,7 +185,10 @@
 	controller_refresh_records (controller, now_us);
 	g_hash_table_iter_init (&iter, controller->managers);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		primary_manager_restore (value, now_us);
 		primary_manager_tick (value, now_us);
+	}
 	controller_flush_view (controller);
 }
 
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -62,6 +62,12 @@
 	g_free (member);
 }
 
+bool
+member_counts (const struct member *member, int64_t now_us)
+{
+	return member->is_listed || member->is_removed;
+}
+
 void
 zone_report_free (struct zone_report *report)
 {
@@ -175,7 +181,7 @@
 
 	log_event (LOG_LEVEL_INFO, "member_dead", "member=%s quiet_ms=%lld marked=%d", member->vm,
 	           (long long) (now_us - member->last_heard_us) / US_PER_MS, member->is_removed);
-	controller->platform.ops->swap (&controller->platform, key, member->revision, value,
+	controller->platform.ops->swap (&controller->platform, key, member->at.revision, value,
 	                                value ? strlen (value) : 0, handle_removed, controller);
 	member->seen_us = now_us; /* Tried again after MEMBER_DEAD_US. */
 	if (member->is_removed)
@@ -194,6 +200,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	/* The revisions of the records are of an earlier era. */
+	if (controller->members_era != controller->store_era)
+		return;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
@@ -225,6 +234,7 @@
 		.is_question = is_question,
 		.is_leaving = controller->is_leaving,
 		.digest = controller_records_digest (controller),
+		.era = controller->store_era,
 	};
 	GHashTableIter iter;
 	gpointer value;
@@ -289,6 +299,7 @@
 		.is_question = true,
 		.is_leaving = controller->is_leaving,
 		.digest = controller_records_digest (controller),
+		.era = controller->store_era,
 	};
 
 	poller = find_poller (controller, now_us);
@@ -373,7 +384,9 @@
 	controller_settle (controller, now_us);
 	update_isolated (controller, now_us);
 	/* Only pollers query all VMs: when each of 87 VMs did so while the store was slow, they sent 7 MB/s. */
-	if (controller->is_poller && now_us - controller->records_valid_us > MEMBER_ASK_AGE_US &&
+	if (controller->is_poller &&
+	    (now_us - controller->records_valid_us > MEMBER_ASK_AGE_US ||
+	     controller->unconfirmed > 0) &&
 	    now_us - controller->members_asked_us > (controller->vm_count > CONTROL_LARGE_FLEET
 	                                                 ? MEMBER_ASK_LARGE_FLEET_US
 	                                                 : MEMBER_ASK_US))
@@ -402,7 +415,7 @@
 	struct controller *controller = data;
 	struct primary_manager *primary_manager = primary_manager_get (controller, args->service);
 	struct succession_record record = {
-		.revision = args->revision,
+		.change = args->change,
 		.is_changing = args->is_changing,
 		.is_planned = args->is_planned,
 		.term = args->term,
@@ -413,6 +426,10 @@
 	g_strlcpy (record.claimant, args->claimant, sizeof record.claimant);
 	if (strcmp (args->vm, args->claimant) == 0)
 		primary_manager->claimant = from;
+	if (args->store_revision > 0 && args->store_era == controller->store_era)
+		primary_manager_set_stored (
+			primary_manager, &record, args->store_era,
+			(struct store_position){ args->store_era, args->store_revision }, clock_now_us ());
 	primary_manager_set_record (primary_manager, &record, clock_now_us ());
 	primary_manager_notify_claimant (primary_manager);
 }
@@ -425,7 +442,7 @@
 	struct quiesced *quiesced = g_new (struct quiesced, 1);
 
 	update_last_heard (controller, args->vm);
-	*quiesced = (struct quiesced){ args->revision, args->is_settled };
+	*quiesced = (struct quiesced){ args->change, args->is_settled };
 	g_hash_table_replace (primary_manager->quiesced, g_strdup (args->vm), quiesced);
 }
 
@@ -487,7 +504,7 @@
 		struct primary_manager *primary_manager = value;
 		struct fs_lead_args args = primary_manager_record_args (primary_manager);
 
-		if (args.revision > 0)
+		if (args.change > 0)
 			peers_send_primary_record (&controller->peers, to, &args);
 	}
 }
@@ -510,12 +527,12 @@
 static uint64_t
 find_members_digest (const struct controller *controller)
 {
-	uint64_t digest = 0;
+	uint64_t digest = controller->members_era;
 	GHashTableIter iter;
 	gpointer value;
 
 	if (controller->is_registered)
-		digest =
+		digest +=
 			XXH64 (controller->boot.vm, strlen (controller->boot.vm), controller->own_revision);
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -523,7 +540,7 @@
 		const struct member *member = value;
 
 		if (member->is_listed || member->is_removed)
-			digest += XXH64 (member->vm, strlen (member->vm), member->revision);
+			digest += XXH64 (member->vm, strlen (member->vm), member->at.revision);
 	}
 	return digest;
 }
@@ -591,7 +608,7 @@
 	{
 		const struct member *member = value;
 
-		members += member->is_listed || member->is_removed;
+		members += member_counts (member, now_us);
 		if (member->is_listed && member->steady_us > 0)
 			g_array_append_val (confirmed, member->steady_us);
 	}
@@ -610,6 +627,8 @@
 	int64_t asked_us = (int64_t) args->number;
 	uint64_t digest = controller_records_digest (controller);
 
+	if (controller->knows_era && args->era > controller->store_era)
+		controller_set_era (controller, args->era, now_us);
 	if (member && member->is_leaving != args->is_leaving)
 	{
 		member->is_leaving = args->is_leaving;
@@ -633,6 +652,7 @@
 			.digest = digest,
 			.members_digest = find_members_digest (controller),
 			.configuration = controller->configuration ? controller->configuration->version : 0,
+			.era = controller->store_era,
 			.directory_revision = controller->directory_revision,
 			.age_us = (uint64_t) (now_us - reported_us),
 			.list_age_us = (uint64_t) (now_us - controller->members_valid_us),
@@ -654,7 +674,8 @@
 	/* The same records were current at the answered age before the query was sent. */
 	if (args->has_knowledge && args->is_registered)
 		update_records_valid (controller, asked_us - (int64_t) args->age_us);
-	update_records_valid (controller, find_quorum_us (controller));
+	controller->quorum_us = MAX (controller->quorum_us, find_quorum_us (controller));
+	update_records_valid (controller, controller->quorum_us);
 }
 
 const struct peers_ops controller_peers_ops = {
--- a/gateway/controller_metrics.c
+++ b/gateway/controller_metrics.c
@@ -28,6 +28,10 @@
 	append_gauge (body, "configuration_version", "version in force",
 	              controller->configuration ? (double) controller->configuration->version : 0);
 	append_gauge (body, "store_reached", "1 while the store answers", controller->store_ok_us > 0);
+	append_gauge (body, "store_era", "era of the store; rises with each restore from an older copy",
+	              (double) controller->store_era);
+	append_gauge (body, "records_unconfirmed", "records that the store does not hold as of its era",
+	              controller->unconfirmed);
 	append_gauge (body, "isolated", "1 while callers are sent elsewhere", controller->is_isolated);
 	append_gauge (body, "following", "1 while the zone's poller tells of changes",
 	              controller->is_following);
@@ -39,8 +43,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	g_string_append (body, "# HELP flamingospring_lead_revision revision of a service's record\n"
-	                       "# TYPE flamingospring_lead_revision gauge\n");
+	g_string_append (body, "# HELP flamingospring_lead_change number of a service's record\n"
+	                       "# TYPE flamingospring_lead_change gauge\n");
 	g_hash_table_iter_init (&iter, controller->managers);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
@@ -49,9 +53,9 @@
 
 		g_string_append_printf (
 			body,
-			"flamingospring_lead_revision{service=\"%s\",primary=\"%s\",changing=\"%d\"} %llu\n",
+			"flamingospring_lead_change{service=\"%s\",primary=\"%s\",changing=\"%d\"} %llu\n",
 			primary_manager->service, record->primary, record->is_changing,
-			(unsigned long long) record->revision);
+			(unsigned long long) record->change);
 	}
 }
 
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -24,6 +24,11 @@
 	MANAGER_NOT_PRIMARY_US = 700 * US_PER_MS,
 	MANAGER_STATUS_INTERVAL_US = 200 * US_PER_MS,
 	MANAGER_MAX_SERVERS = 32,
+	/* The VMs that may write a record again do so one after another, so that usually one write is enough. */
+	MANAGER_RESTORE_STEPS = 16,
+	MANAGER_RESTORE_STEP_US = 40 * US_PER_MS,
+	/* Number of a service's first record. It is of no era, so that any known record is later. */
+	FIRST_CHANGE = 1,
 };
 
 struct primary_manager *
@@ -65,49 +70,58 @@
 	{
 		const struct primary_manager *primary_manager = value;
 
-		if (primary_manager->succession.record.revision > 0)
+		if (primary_manager->succession.record.change > 0)
 			digest += XXH64 (primary_manager->service, strlen (primary_manager->service),
-			                 primary_manager->succession.record.revision);
+			                 primary_manager->succession.record.change);
 	}
 	return digest;
 }
 
 char *
-primary_record_format (const struct succession_record *record)
+primary_record_format (const struct succession_record *record, uint64_t era)
 {
-	return g_strdup_printf ("primary=%s claimant=%s changing=%d planned=%d term=%llu",
-	                        record->primary, record->claimant[0] ? record->claimant : "-",
-	                        record->is_changing, record->is_planned,
-	                        (unsigned long long) record->term);
+	return g_strdup_printf (
+		"primary=%s claimant=%s changing=%d planned=%d term=%llu change=%llu era=%llu",
+		record->primary, record->claimant[0] ? record->claimant : "-", record->is_changing,
+		record->is_planned, (unsigned long long) record->term, (unsigned long long) record->change,
+		(unsigned long long) era);
 }
 
 int
-primary_record_parse (const char *text, size_t length, struct succession_record *record)
+primary_record_parse (const char *text, size_t length, struct succession_record *record,
+                      uint64_t *era)
 {
 	char *copy = g_strndup (text, length);
 	int changing = 0;
 	int planned = 0;
 	unsigned long long term = 0;
-	int count = sscanf (copy, "primary=%95s claimant=%95s changing=%d planned=%d term=%llu",
-	                    record->primary, record->claimant, &changing, &planned, &term);
+	unsigned long long change = 0;
+	unsigned long long written_era = 0;
+	int count = sscanf (
+		copy, "primary=%95s claimant=%95s changing=%d planned=%d term=%llu change=%llu era=%llu",
+		record->primary, record->claimant, &changing, &planned, &term, &change, &written_era);
 
 	g_free (copy);
 	record->is_changing = changing != 0;
 	record->is_planned = planned != 0;
 	record->term = term;
-	return count == 5 ? 0 : -EBADMSG;
+	/* Earlier versions of the program wrote no number. */
+	record->change = change > 0 ? change : FIRST_CHANGE;
+	*era = written_era;
+	return count == 7 || count == 5 ? 0 : -EBADMSG;
 }
 
 bool
 primary_manager_set_record (struct primary_manager *primary_manager,
                             const struct succession_record *record, int64_t now_us)
 {
-	if (record->revision <= primary_manager->succession.record.revision)
+	if (record->change <= primary_manager->succession.record.change)
 		return false;
 	log_event (LOG_LEVEL_INFO, "record_adopted",
-	           "service=%s primary=%s revision=%llu changing=%d planned=%d claimant=%s",
-	           primary_manager->service, record->primary, (unsigned long long) record->revision,
-	           record->is_changing, record->is_planned, record->claimant);
+	           "service=%s primary=%s change=%u.%u changing=%d planned=%d claimant=%s",
+	           primary_manager->service, record->primary, succession_change_era (record->change),
+	           succession_change_count (record->change), record->is_changing, record->is_planned,
+	           record->claimant);
 	succession_set_record (&primary_manager->succession, record, now_us);
 	g_hash_table_remove_all (primary_manager->opinions);
 	primary_manager->unreachable_us = 0;
@@ -116,6 +130,24 @@
 	return true;
 }
 
+void
+primary_manager_set_stored (struct primary_manager *primary_manager,
+                            const struct succession_record *record, uint64_t record_era,
+                            struct store_position at, int64_t now_us)
+{
+	struct restore_stored *stored = &primary_manager->stored;
+
+	if (store_position_compare (at, stored->at) < 0)
+		return;
+	*stored = (struct restore_stored){
+		.at = { at.era, record ? at.revision : 0 },
+		.change = record ? record->change : 0,
+		.era = record_era,
+	};
+	if (record)
+		primary_manager_set_record (primary_manager, record, now_us);
+}
+
 static const struct peer_address no_address = { 0, 0 };
 
 void
@@ -128,11 +160,13 @@
 	struct fs_quiesced_args args = {
 		.vm = controller->boot.vm,
 		.service = primary_manager->service,
-		.revision = record->revision,
+		.change = record->change,
 		.is_settled = controller->is_settled,
 	};
 
-	if (!record->is_changing || primary_manager->quiesced_revision != record->revision)
+	/* A call that this VM sent for its own change, before it learned of this one, must not be overtaken. */
+	if (!record->is_changing || primary_manager->quiesced_change != record->change ||
+	    primary_manager->is_promoting)
 		return;
 	if (to.ip == 0)
 		to = primary_manager->claimant;
@@ -144,16 +178,21 @@
 primary_manager_record_args (struct primary_manager *primary_manager)
 {
 	struct succession_record *record = &primary_manager->succession.record;
+	const struct restore_stored *stored = &primary_manager->stored;
+	bool is_stored = restore_judge (record->change, stored,
+	                                primary_manager->controller->store_era) == RESTORE_CONFIRMED;
 
 	return (struct fs_lead_args){
 		.vm = primary_manager->controller->boot.vm,
 		.service = primary_manager->service,
 		.primary = record->primary,
 		.claimant = record->claimant,
-		.revision = record->revision,
+		.change = record->change,
 		.is_changing = record->is_changing,
 		.is_planned = record->is_planned,
 		.term = record->term,
+		.store_era = is_stored ? stored->at.era : 0,
+		.store_revision = is_stored ? stored->at.revision : 0,
 	};
 }
 
@@ -163,6 +202,7 @@
 	struct controller *controller = primary_manager->controller;
 	const struct succession_record *record = &primary_manager->succession.record;
 	struct fs_lead_args args = primary_manager_record_args (primary_manager);
+	int64_t now_us = clock_now_us ();
 	GHashTableIter iter;
 	gpointer value;
 
@@ -173,8 +213,8 @@
 		const struct quiesced *quiesced =
 			g_hash_table_lookup (primary_manager->quiesced, member->vm);
 
-		if ((!member->is_listed && !member->is_removed) ||
-		    (record->is_changing && quiesced && quiesced->revision == record->revision))
+		if (!member_counts (member, now_us) ||
+		    (record->is_changing && quiesced && quiesced->change == record->change))
 			continue;
 		peers_send_primary_record (&controller->peers, member->address, &args);
 	}
@@ -202,10 +242,10 @@
 
 /** Finds out how many of the VMs that may use the old primary have confirmed that they stopped. */
 static enum succession_answers
-count_answers (const struct primary_manager *primary_manager)
+count_answers (const struct primary_manager *primary_manager, int64_t now_us)
 {
 	const struct controller *controller = primary_manager->controller;
-	uint64_t revision = primary_manager->succession.claim_revision;
+	uint64_t claim = primary_manager->succession.claim_change;
 	struct quorum_member own = { true, controller->is_settled };
 	GArray *members;
 	enum succession_answers answers;
@@ -214,7 +254,7 @@
 
 	/* The list of VMs must have been read after the change was claimed. */
 	if (controller->members_valid_us < primary_manager->succession.claimed_us ||
-	    primary_manager->quiesced_revision != revision)
+	    primary_manager->quiesced_change != claim)
 		return SUCCESSION_FEW_STOPPED;
 	members = g_array_new (FALSE, FALSE, sizeof (struct quorum_member));
 	g_array_append_val (members, own);
@@ -225,11 +265,11 @@
 		const struct quiesced *quiesced =
 			g_hash_table_lookup (primary_manager->quiesced, member->vm);
 		struct quorum_member answer = {
-			.has_stopped = quiesced && quiesced->revision == revision,
+			.has_stopped = quiesced && quiesced->change == claim,
 			.is_settled = member->is_settled || (quiesced && quiesced->is_settled),
 		};
 
-		if (member->is_listed || member->is_removed)
+		if (member_counts (member, now_us))
 			g_array_append_val (members, answer);
 	}
 	answers = quorum_evaluate_answers ((const struct quorum_member *) members->data, members->len);
@@ -350,7 +390,7 @@
 	struct reachability_votes votes;
 	int64_t since_us;
 
-	if (succession->record.revision == 0 || succession->record.is_changing ||
+	if (succession->record.change == 0 || succession->record.is_changing ||
 	    !controller->has_directory || controller->is_leaving)
 		return SUCCESSION_NO_CAUSE;
 	if (is_missing (controller, primary, succession->record_us, now_us))
@@ -422,48 +462,128 @@
 	return count;
 }
 
+/** Takes over the record from the answer to a refused swap. */
+static void
+apply_refused_swap (struct primary_manager *primary_manager, const struct platform_answer *answer,
+                    int64_t now_us)
+{
+	struct store_position at = { answer->era, answer->count > 0 ? answer->pairs[0].revision : 0 };
+	struct succession_record record = { 0 };
+	uint64_t era;
+
+	if (answer->count > 0 &&
+	    primary_record_parse (answer->pairs[0].value, answer->pairs[0].value_length, &record,
+	                          &era) == 0)
+		primary_manager_set_stored (primary_manager, &record, era, at, now_us);
+}
+
+/** Whether the swap was sent and answered in the present era. Otherwise the store may have forgotten it. */
+static bool
+is_of_present_era (const struct primary_manager *primary_manager,
+                   const struct platform_answer *answer)
+{
+	uint64_t era = primary_manager->controller->store_era;
+
+	return answer->era == era && primary_manager->swap_era == era;
+}
+
+static enum succession_swap
+find_swap_result (const struct primary_manager *primary_manager,
+                  const struct platform_answer *answer)
+{
+	if (answer->error < 0)
+		return SUCCESSION_SWAP_UNKNOWN;
+	return answer->succeeded && is_of_present_era (primary_manager, answer)
+	           ? SUCCESSION_SWAPPED
+	           : SUCCESSION_SWAP_REFUSED;
+}
+
 static void
 handle_swap (void *data, const struct platform_answer *answer)
 {
 	struct primary_manager *primary_manager = data;
 	struct controller *controller = primary_manager->controller;
+	struct succession *succession = &primary_manager->succession;
 	int64_t now_us = clock_now_us ();
-	uint64_t revision = answer->error == 0 && answer->succeeded ? answer->revision : 0;
-
-	log_event (LOG_LEVEL_INFO, "record_swap", "service=%s phase=%d revision=%llu error=%d",
-	           primary_manager->service, primary_manager->succession.phase,
-	           (unsigned long long) revision, answer->error);
-	if (primary_manager->succession.phase == SUCCESSION_RECORDING && revision > 0)
+	bool is_rewriting = primary_manager->is_rewriting;
+	enum succession_swap result;
+
+	if (answer->error == 0)
+		controller_set_era (controller, answer->era, now_us);
+	result = find_swap_result (primary_manager, answer);
+	log_event (LOG_LEVEL_INFO, "record_swap",
+	           "service=%s phase=%d rewriting=%d succeeded=%d era=%llu revision=%llu error=%d",
+	           primary_manager->service, succession->phase, is_rewriting, answer->succeeded,
+	           (unsigned long long) answer->era, (unsigned long long) answer->revision,
+	           answer->error);
+	primary_manager->is_rewriting = false;
+	if (result == SUCCESSION_SWAP_REFUSED && is_of_present_era (primary_manager, answer))
+		apply_refused_swap (primary_manager, answer, now_us);
+	if (is_rewriting && result == SUCCESSION_SWAPPED)
+		counter_add (COUNTER_RECORDS_REWRITTEN, 1);
+	else if (succession->phase == SUCCESSION_RECORDING && result == SUCCESSION_SWAPPED)
 		counter_add (COUNTER_FAILOVERS, 1);
-	succession_handle_swap (&primary_manager->succession, revision, now_us);
-	if (revision > 0)
+	if (!is_rewriting)
+		succession_handle_swap (succession, result, primary_manager->swap.change, now_us);
+	if (result == SUCCESSION_SWAPPED)
 	{
-		primary_manager->swap.revision = revision;
-		primary_manager_set_record (primary_manager, &primary_manager->swap, now_us);
-		primary_manager_send_record (primary_manager);
+		struct store_position at = { answer->era, answer->revision };
+
+		primary_manager_set_stored (primary_manager, &primary_manager->swap, answer->era, at,
+		                            now_us);
+		if (!is_rewriting)
+			primary_manager_send_record (primary_manager);
 	}
 	/* Reads the list of VMs and the records again at once. */
 	controller_poll (controller, now_us);
 }
 
-static void
+static int
 swap_record (struct primary_manager *primary_manager, const struct succession_record *record)
 {
 	struct controller *controller = primary_manager->controller;
 	char *key = g_strdup_printf ("%s%s", controller_record_prefix, primary_manager->service);
-	char *value = primary_record_format (record);
+	char *value = primary_record_format (record, controller->store_era);
+	uint64_t expected = primary_manager->stored.at.revision;
 	int result;
 
 	primary_manager->swap = *record;
-	result = controller->platform.ops->swap (&controller->platform, key,
-	                                         primary_manager->succession.record.revision, value,
+	primary_manager->swap_era = controller->store_era;
+	result = controller->platform.ops->swap (&controller->platform, key, expected, value,
 	                                         strlen (value), handle_swap, primary_manager);
 
 	log_event (LOG_LEVEL_INFO, "record_swap_sent", "service=%s %s expected=%llu result=%d",
-	           primary_manager->service, value,
-	           (unsigned long long) primary_manager->succession.record.revision, result);
+	           primary_manager->service, value, (unsigned long long) expected, result);
 	g_free (value);
 	g_free (key);
+	return result;
+}
+
+void
+primary_manager_restore (struct primary_manager *primary_manager, int64_t now_us)
+{
+	struct controller *controller = primary_manager->controller;
+	const struct succession *succession = &primary_manager->succession;
+	int64_t delay_us = (int64_t) (rank_key (primary_manager->service, controller->boot.vm) %
+	                              MANAGER_RESTORE_STEPS) *
+	                   MANAGER_RESTORE_STEP_US;
+
+	if (controller->unconfirmed == 0 || succession->record.change == 0 ||
+	    succession->phase != SUCCESSION_STEADY || primary_manager->is_rewriting ||
+	    primary_manager->stored.at.era != controller->store_era)
+		return;
+	if (restore_judge (succession->record.change, &primary_manager->stored,
+	                   controller->store_era) == RESTORE_CONFIRMED ||
+	    !restore_may_write (controller->restored_us, controller->quorum_us, now_us - delay_us))
+		return;
+	primary_manager->is_rewriting = swap_record (primary_manager, &succession->record) == 0;
+}
+
+static uint64_t
+next_change (const struct primary_manager *primary_manager)
+{
+	return succession_next_change (primary_manager->succession.record.change,
+	                               primary_manager->controller->store_era);
 }
 
 static void
@@ -471,9 +591,10 @@
 {
 	struct primary_manager *primary_manager = data;
 
+	primary_manager->is_promoting = false;
 	log_event (LOG_LEVEL_INFO, "promote_answered", "service=%s server=%s token=%llu error=%d",
 	           primary_manager->service, primary_manager->succession.target,
-	           (unsigned long long) primary_manager->succession.claim_revision, answer->error);
+	           (unsigned long long) primary_manager->succession.claim_change, answer->error);
 	succession_handle_promote (&primary_manager->succession, answer->error, clock_now_us ());
 }
 
@@ -485,19 +606,23 @@
 	int result;
 
 	/* The process may have been suspended since the decision. */
-	if (!succession_may_promote (succession, clock_now_us ()))
+	if (!succession_may_promote (succession, controller->store_era, clock_now_us ()))
 	{
 		succession_handle_promote (succession, -ETIMEDOUT, clock_now_us ());
 		return;
 	}
+	primary_manager->is_promoting = true;
 	log_event (LOG_LEVEL_INFO, "promote_sent", "service=%s server=%s token=%llu",
 	           primary_manager->service, succession->target,
-	           (unsigned long long) succession->claim_revision);
+	           (unsigned long long) succession->claim_change);
 	result = controller->platform.ops->promote (
 		&controller->platform, primary_manager->service, succession->target, controller->boot.vm,
-		succession->claim_revision, handle_promoted, primary_manager);
+		succession->claim_change, handle_promoted, primary_manager);
 	if (result < 0)
+	{
+		primary_manager->is_promoting = false;
 		succession_handle_promote (succession, result, clock_now_us ());
+	}
 }
 
 /** Logs what this VM knows of the primary when it claims a change. */
@@ -561,12 +686,14 @@
 		record.is_changing = false;
 		record.is_planned = false;
 		record.term = succession->new_term;
+		record.change = action == SUCCESSION_CREATE ? FIRST_CHANGE : next_change (primary_manager);
 		swap_record (primary_manager, &record);
 		break;
 	case SUCCESSION_CLAIM:
 		memcpy (record.claimant, succession->vm, sizeof record.claimant);
 		record.is_changing = true;
 		record.is_planned = succession->is_planned;
+		record.change = next_change (primary_manager);
 		log_claim (primary_manager, clock_now_us ());
 		swap_record (primary_manager, &record);
 		break;
@@ -595,6 +722,8 @@
 {
 	struct controller *controller = primary_manager->controller;
 	struct succession_server servers[MANAGER_MAX_SERVERS];
+	/* A swap expects a revision of the present era. */
+	bool is_stored_known = primary_manager->stored.at.era == controller->store_era;
 	const struct database_service *declared =
 		controller->configuration
 			? g_hash_table_lookup (controller->configuration->services, primary_manager->service)
@@ -603,8 +732,10 @@
 		.servers = servers,
 		.sync_replicas = declared ? declared->sync_replicas : 0,
 		.cause = find_change_cause (primary_manager, now_us),
-		.has_read_records = controller->members_valid_us > 0,
-		.may_claim = controller->is_settled,
+		.has_read_records = controller->members_valid_us > 0 && is_stored_known,
+		.may_claim = controller->is_settled && is_stored_known,
+		.era = controller->store_era,
+		.former_claims_end_us = restore_claims_end_us (controller->restored_us),
 	};
 
 	/* Both walk whole tables, and this function runs every 20 ms for each service. */
@@ -614,7 +745,7 @@
 		input.rank = find_rank (primary_manager, now_us);
 	}
 	if (primary_manager->succession.phase == SUCCESSION_GATHERING)
-		input.answers = count_answers (primary_manager);
+		input.answers = count_answers (primary_manager, now_us);
 	perform_action (primary_manager,
 	                succession_step (&primary_manager->succession, &input, now_us));
 }
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -35,20 +35,106 @@
 
 /* Records of primaries and VMs. */
 
+bool
+controller_set_era (struct controller *controller, uint64_t era, int64_t now_us)
+{
+	uint64_t former_era = controller->store_era;
+
+	if (era <= former_era && controller->knows_era)
+		return era == former_era;
+	controller->store_era = era;
+	if (!controller->knows_era)
+	{
+		controller->knows_era = true;
+		return true;
+	}
+	controller->restored_us = now_us;
+	log_event (LOG_LEVEL_WARN, "store_restored", "era=%llu former_era=%llu knowledge_age_ms=%lld",
+	           (unsigned long long) era, (unsigned long long) former_era,
+	           (long long) (now_us - controller->records_valid_us) / US_PER_MS);
+	counter_add (COUNTER_STORE_RESTORES, 1);
+	controller_poll (controller, now_us);
+	controller_read_configuration (controller);
+	controller_read_directory (controller);
+	return true;
+}
+
 static void
-apply_primary_record (struct controller *controller, const struct platform_pair *pair,
+apply_primary_record (struct controller *controller, const struct platform_pair *pair, uint64_t era,
                       int64_t now_us)
 {
-	struct succession_record record = { .revision = pair->revision };
+	struct succession_record record = { 0 };
+	struct store_position at = { era, pair->revision };
+	uint64_t record_era;
 	const char *service = pair->key + strlen (controller_record_prefix);
 
-	if (primary_record_parse (pair->value, pair->value_length, &record) < 0)
+	if (primary_record_parse (pair->value, pair->value_length, &record, &record_era) < 0)
 	{
 		log_event (LOG_LEVEL_ERROR, "record_malformed", "key=%s revision=%llu", pair->key,
 		           (unsigned long long) pair->revision);
 		return;
 	}
-	primary_manager_set_record (primary_manager_get (controller, service), &record, now_us);
+	primary_manager_set_stored (primary_manager_get (controller, service), &record, record_era, at,
+	                            now_us);
+}
+
+/** Takes over that the store holds no record of the services that the answer does not name. */
+static void
+apply_absent_records (struct controller *controller, const struct platform_answer *answer,
+                      int64_t now_us)
+{
+	struct store_position at = { answer->era, answer->revision };
+	GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
+	GHashTableIter iter;
+	gpointer service;
+	gpointer value;
+
+	for (size_t i = 0; i < answer->count; i++)
+		if (g_str_has_prefix (answer->pairs[i].key, controller_record_prefix))
+			g_hash_table_add (present,
+			                  (char *) answer->pairs[i].key + strlen (controller_record_prefix));
+	g_hash_table_iter_init (&iter, controller->managers);
+	while (g_hash_table_iter_next (&iter, &service, &value))
+		if (!g_hash_table_contains (present, service))
+			primary_manager_set_stored (value, NULL, 0, at, now_us);
+	g_hash_table_destroy (present);
+}
+
+/** Counts the known records that the store does not hold as of its present era. */
+static uint32_t
+count_unconfirmed (const struct controller *controller)
+{
+	uint32_t count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, controller->managers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct primary_manager *primary_manager = value;
+
+		count += primary_manager->succession.record.change > 0 &&
+		         restore_judge (primary_manager->succession.record.change, &primary_manager->stored,
+		                        controller->store_era) != RESTORE_CONFIRMED;
+	}
+	return count;
+}
+
+/** Updates whether the records in the store can be relied on. */
+static void
+update_unconfirmed (struct controller *controller, int64_t now_us)
+{
+	uint32_t count = count_unconfirmed (controller);
+
+	if ((count == 0) != (controller->unconfirmed == 0))
+		log_event (LOG_LEVEL_INFO, count > 0 ? "records_unconfirmed" : "records_confirmed",
+		           "era=%llu records=%u restored_ms=%lld",
+		           (unsigned long long) controller->store_era, count,
+		           (long long) (now_us - controller->restored_us) / US_PER_MS);
+	/* This VM started after the restore. */
+	if (count > 0 && controller->restored_us == 0)
+		controller->restored_us = now_us;
+	controller->unconfirmed = count;
 }
 
 char *
@@ -77,9 +163,10 @@
 }
 
 static void
-apply_member_record (struct controller *controller, const struct platform_pair *pair,
+apply_member_record (struct controller *controller, const struct platform_pair *pair, uint64_t era,
                      int64_t now_us)
 {
+	struct store_position at = { era, pair->revision };
 	const char *vm = pair->key + strlen (controller_member_prefix);
 	char *value = g_strndup (pair->value, pair->value_length);
 	struct member *member;
@@ -96,11 +183,11 @@
 		member = member_get (controller, vm, now_us);
 		if (boot_address_parse (address, &member->address.ip, &member->address.port) < 0)
 			log_event (LOG_LEVEL_ERROR, "member_malformed", "member=%s", vm);
-		if (member->revision != pair->revision)
+		if (store_position_compare (member->at, at) != 0)
 			member->seen_us = now_us;
 		g_free (member->zone);
 		member->zone = g_strdup (zone);
-		member->revision = pair->revision;
+		member->at = at;
 		member->is_listed = is_removed == 0;
 		member->is_removed = is_removed != 0;
 		member->is_settled = is_settled != 0;
@@ -125,7 +212,9 @@
 	           answer->succeeded, (unsigned long long) answer->revision);
 	if (answer->succeeded && controller->registered_us == 0)
 		controller->registered_us = clock_now_us ();
-	if (answer->succeeded)
+	if (answer->error == 0)
+		controller_set_era (controller, answer->era, clock_now_us ());
+	if (answer->succeeded && answer->era == controller->members_era)
 	{
 		controller->own_revision = answer->revision;
 		controller->is_registered = true;
@@ -145,7 +234,8 @@
 	char *value;
 
 	if ((controller->is_registered && controller->record_is_settled == controller->is_settled) ||
-	    controller->is_registering || controller->is_leaving)
+	    controller->is_registering || controller->is_leaving ||
+	    controller->members_era != controller->store_era)
 		return;
 	key = g_strdup_printf ("%s%s", controller_member_prefix, controller->boot.vm);
 	value = member_record_format (&address, controller->boot.zone, controller->start,
@@ -216,7 +306,7 @@
 		struct primary_record primary_record = {
 			.service = g_strdup (primary_manager->service),
 			.primary = g_strdup (record->primary),
-			.revision = record->revision,
+			.change = record->change,
 			.is_changing = record->is_changing,
 			.is_planned = record->is_planned,
 		};
@@ -277,10 +367,12 @@
 	update_store_state (controller, answer->error, now_us);
 	loop_set_timer (&controller->loop, &controller->poll_timer,
 	                next_poll_us (controller, answer, now_us));
-	if (answer->error < 0)
+	/* An answer of an earlier era says nothing about the store's present state. */
+	if (answer->error < 0 || !controller_set_era (controller, answer->era, now_us))
 		return;
 	controller->is_registered = false;
 	controller->own_revision = 0;
+	controller->members_era = answer->era;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
@@ -292,11 +384,13 @@
 		const struct platform_pair *pair = &answer->pairs[i];
 
 		if (strncmp (pair->key, controller_record_prefix, strlen (controller_record_prefix)) == 0)
-			apply_primary_record (controller, pair, now_us);
+			apply_primary_record (controller, pair, answer->era, now_us);
 		else if (strncmp (pair->key, controller_member_prefix, strlen (controller_member_prefix)) ==
 		         0)
-			apply_member_record (controller, pair, now_us);
+			apply_member_record (controller, pair, answer->era, now_us);
 	}
+	apply_absent_records (controller, answer, now_us);
+	update_unconfirmed (controller, now_us);
 	/* The first view must name the other VMs: a VM that seems to be the only one opens connections to all servers. */
 	members_update_serving (controller, now_us);
 	controller->members_valid_us = answer->request_sent_us;
@@ -394,7 +488,7 @@
 {
 	struct controller *controller = data;
 
-	if (answer->error < 0)
+	if (answer->error < 0 || !controller_set_era (controller, answer->era, clock_now_us ()))
 	{
 		/* A watch may time out although something has changed, so the configuration is read again. */
 		loop_set_timer (&controller->loop, &controller->configuration_timer,
@@ -415,7 +509,7 @@
 
 	controller->is_reading_configuration = false;
 	handle_configuration_event (controller, answer);
-	if (answer->error < 0 || controller->is_following)
+	if (answer->error < 0 || answer->era != controller->store_era || controller->is_following)
 		return;
 	if (is_starting (controller))
 		loop_set_timer (&controller->loop, &controller->watch_timer,
@@ -527,7 +621,7 @@
 {
 	struct controller *controller = data;
 
-	if (answer->error < 0)
+	if (answer->error < 0 || !controller_set_era (controller, answer->era, clock_now_us ()))
 	{
 		loop_set_timer (&controller->loop, &controller->directory_timer,
 		                next_retry_us (controller, clock_now_us ()));
@@ -568,14 +662,14 @@
 	struct controller *controller = data;
 
 	controller->is_reading_directory = false;
-	if (answer->error == 0)
+	if (answer->error == 0 && controller_set_era (controller, answer->era, clock_now_us ()))
 	{
 		mark_absent_servers (controller, answer);
 		controller->has_directory = true;
 		controller->directory_revision = answer->revision;
 	}
 	handle_directory_event (controller, answer);
-	if (answer->error < 0 || controller->is_following)
+	if (answer->error < 0 || answer->era != controller->store_era || controller->is_following)
 		return;
 	if (is_starting (controller))
 		loop_set_timer (&controller->loop, &controller->watch_timer,
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -274,11 +274,12 @@
 		if (connection->session && connection->state != CONNECTION_PROBING)
 			return;
 	service->is_quiesced = true;
-	log_event (LOG_LEVEL_INFO, "primary_quiesced", "service=%s revision=%llu after_ms=%lld",
-	           service->name, (unsigned long long) service->record_revision,
+	log_event (LOG_LEVEL_INFO, "primary_quiesced", "service=%s change=%u.%u after_ms=%lld",
+	           service->name, succession_change_era (service->record_change),
+	           succession_change_count (service->record_change),
 	           (long long) (now_us - service->record_adopted_us) / US_PER_MS);
 	service->traffic->events->handle_quiesced (service->traffic->events_data, service->name,
-	                                           service->record_revision);
+	                                           service->record_change);
 }
 
 static struct server *
@@ -312,23 +313,24 @@
 	struct server *primary =
 		find_primary (service, primary_record ? primary_record->primary : NULL);
 	bool is_changing = primary_record && primary_record->is_changing;
-	uint64_t revision = primary_record ? primary_record->revision : 0;
+	uint64_t change = primary_record ? primary_record->change : 0;
 	struct server *old = service->primary;
 
-	if (service->record_revision == revision && service->primary == primary)
+	if (service->record_change == change && service->primary == primary)
 		return;
 	log_event (LOG_LEVEL_INFO, "lead_adopted",
-	           "service=%s primary=%s revision=%llu changing=%d planned=%d", service->name,
-	           primary ? primary->id : "-", (unsigned long long) revision, is_changing,
+	           "service=%s primary=%s change=%u.%u changing=%d planned=%d", service->name,
+	           primary ? primary->id : "-", succession_change_era (change),
+	           succession_change_count (change), is_changing,
 	           primary_record && primary_record->is_planned);
 	service->primary = primary;
 	service->is_planned = primary_record && primary_record->is_planned;
 	service->is_changing = is_changing;
-	if (service->record_revision != revision)
+	if (service->record_change != change)
 	{
 		service->is_quiesced = false;
 		service->record_adopted_us = now_us;
-		service->record_revision = revision;
+		service->record_change = change;
 		release_commits (service, false);
 	}
 	/* Stops using a primary that was replaced while this VM missed the change. Requests that are retried from here on
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -2,6 +2,7 @@
 
 #include "common/counters.h"
 #include "common/log.h"
+#include "decision/succession.h"
 #include "gateway/traffic_metrics.h"
 #include "platform/wire.h"
 
@@ -42,23 +43,24 @@
 
 	if (!log_request_allowed (LOG_REQUEST_FAILED))
 		return;
-	log_request (LOG_REQUEST_FAILED, "failed",
-	             "request=%s database=%s service=%s priority=%u outcome=%s cause=\"%s\" last=%s "
-	             "server=%s attempts=%u waited_ms=%lld lead=%llu changing=%d knowledge_age_ms=%lld "
-	             "sample_age_ms=%lld configuration=%llu",
-	             request->id->str, session->database ? session->database : "-",
-	             service ? service->name : "-", session->priority, answer_code_name (code), cause,
-	             answer_code_name (request->last_code), request->server, request->attempts,
-	             (long long) (now_us - request->arrived_us) / US_PER_MS,
-	             service ? (unsigned long long) service->record_revision : 0,
-	             service && service->is_changing,
-	             (long long) (now_us - session->traffic->records_valid_us) / US_PER_MS,
-	             service ? (long long) (now_us - position_history_last_us (&service->history)) /
-	                           US_PER_MS
-	                     : -1,
-	             session->traffic->view && session->traffic->view->configuration
-	                 ? (unsigned long long) session->traffic->view->configuration->version
-	                 : 0);
+	log_request (
+		LOG_REQUEST_FAILED, "failed",
+		"request=%s database=%s service=%s priority=%u outcome=%s cause=\"%s\" last=%s "
+		"server=%s attempts=%u waited_ms=%lld lead=%u.%u changing=%d knowledge_age_ms=%lld "
+		"sample_age_ms=%lld configuration=%llu",
+		request->id->str, session->database ? session->database : "-",
+		service ? service->name : "-", session->priority, answer_code_name (code), cause,
+		answer_code_name (request->last_code), request->server, request->attempts,
+		(long long) (now_us - request->arrived_us) / US_PER_MS,
+		service ? succession_change_era (service->record_change) : 0,
+		service ? succession_change_count (service->record_change) : 0,
+		service && service->is_changing,
+		(long long) (now_us - session->traffic->records_valid_us) / US_PER_MS,
+		service ? (long long) (now_us - position_history_last_us (&service->history)) / US_PER_MS
+				: -1,
+		session->traffic->view && session->traffic->view->configuration
+			? (unsigned long long) session->traffic->view->configuration->version
+			: 0);
 }
 
 /** Ends the current request, whose answer is in the stream's buffer. */
@@ -211,7 +213,7 @@
 	bool has_commit = session->route_kind == ROUTE_READ_YOUR_WRITES && session->committed.term > 0;
 
 	/* A promotion may have rolled the commit back, so a position that the new primary has reported since is enough. */
-	if (has_commit && session->committed_revision != service->record_revision)
+	if (has_commit && session->committed_change != service->record_change)
 	{
 		if (service->record_adopted_us > since_us)
 			since_us = service->record_adopted_us;
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -204,13 +204,14 @@
 		log_class, is_slow ? "slow" : "done",
 		"request=%s database=%s service=%s priority=%u server=%s path=%s primary=%d near=%d "
 		"transaction=%d attempts=%u total_us=%lld queue_us=%lld setup_us=%lld server_us=%lld "
-		"lead=%llu knowledge_age_ms=%lld",
+		"lead=%u.%u knowledge_age_ms=%lld",
 		request->id->str, session->database, session->service->name, session->priority, server->id,
 		connection->is_relayed ? "owner" : "direct", session->service->primary == server,
 		server->is_same_zone, session->state != TRANSACTION_NONE, request->attempts,
 		(long long) total_us, (long long) (chosen_us - request->arrived_us),
 		(long long) (request->sent_us - chosen_us), (long long) (now_us - request->sent_us),
-		(unsigned long long) session->service->record_revision,
+		succession_change_era (session->service->record_change),
+		succession_change_count (session->service->record_change),
 		(long long) (now_us - session->traffic->records_valid_us) / US_PER_MS);
 }
 
@@ -263,7 +264,7 @@
 	if (commits)
 	{
 		session->committed = ready->position;
-		session->committed_revision = session->service->record_revision;
+		session->committed_change = session->service->record_change;
 		counter_add (COUNTER_WRITES, 1);
 	}
 	is_commit_held = commits && session_hold_commit (session, connection, now_us);
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -47,6 +47,8 @@
 	X (PLATFORM_ERRORS, "platform_errors")                                                         \
 	X (CONFIG_ADOPTED, "config_adopted")                                                           \
 	X (CONFIG_REJECTED, "config_rejected")                                                         \
+	X (STORE_RESTORES, "store_restores")                                                           \
+	X (RECORDS_REWRITTEN, "records_rewritten")                                                     \
 	X (RPC_MALFORMED, "rpc_malformed")                                                             \
 	X (INVARIANT_VIOLATIONS, "invariant_violations")
 
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -2,8 +2,8 @@
  * @file
  * Change of the primary of one service, as carried out by one VM.
  *
- * A VM claims a change with a compare-and-swap of the service's record, whose new revision
- * identifies the change and is the fencing token. It waits until every other VM has confirmed that
+ * A VM claims a change with a compare-and-swap of the service's record. The record's number identifies the claim and is
+ * the fencing token. It is kept in the record, since the store's revisions are given out again after a restore. It waits until every other VM has confirmed that
  * nothing runs at the old primary any more, or until the authority of those that do not answer has
  * expired. Then it promotes the replica with the longest log, and records the new primary. Does no
  * I/O.
@@ -50,8 +50,8 @@
 	SUCCESSION_ASK_MEMBERS, /**< Tell the other VMs of the claim, and poll the servers. */
 	SUCCESSION_DEMOTE,      /**< Demote the old primary with term @c demote_term. */
 	SUCCESSION_ASK_SERVERS, /**< Poll the status of the servers. */
-	SUCCESSION_PROMOTE, /**< Have the platform promote @c target with token @c claim_revision. */
-	SUCCESSION_RECORD,  /**< Swap the record: primary @c target. */
+	SUCCESSION_PROMOTE,     /**< Have the platform promote @c target with token @c claim_change. */
+	SUCCESSION_RECORD,      /**< Swap the record: primary @c target. */
 };
 
 enum succession_cause
@@ -95,14 +95,18 @@
 	bool has_read_records; /**< The records were read since this VM started. */
 	bool may_claim;        /**< This VM is settled, so that all others know of it. */
 	enum succession_answers answers;
+	uint64_t era; /**< Present era of the store. */
+	/** Until then, claims that the store has forgotten may still act; 0: there are none. */
+	int64_t former_claims_end_us;
 };
 
 struct succession_record
 {
 	char primary[SUCCESSION_NAME_BYTES];
 	char claimant[SUCCESSION_NAME_BYTES];
-	uint64_t revision; /**< 0: there is no record. */
-	uint64_t term;     /**< Term of the primary; 0: unknown, since it was never changed. */
+	uint64_t
+		change; /**< Identifies the state of the record; later ones are greater. 0: there is no record. */
+	uint64_t term; /**< Term of the primary; 0: unknown, since it was never changed. */
 	bool is_changing;
 	bool is_planned;
 };
@@ -112,9 +116,9 @@
 	char vm[SUCCESSION_NAME_BYTES];
 	enum succession_phase phase;
 	struct succession_record record;
-	int64_t record_us; /**< When this revision was first seen. */
+	int64_t record_us; /**< When this state of the record was first seen. */
 	int64_t cause_us;  /**< Since when there is a cause; 0: none. */
-	uint64_t claim_revision;
+	uint64_t claim_change;
 	int64_t claim_sent_us;
 	int64_t claimed_us;      /**< When the claim was known to be stored. */
 	int64_t most_stopped_us; /**< Since when most VMs have stopped; 0: they have not. */
@@ -146,14 +150,28 @@
 enum succession_action succession_step (struct succession *succession,
                                         const struct succession_input *input, int64_t now_us);
 
-/** Handles the end of the swap of SUCCESSION_CREATE, CLAIM or RECORD. @p revision: new revision of
- * the record; 0: the swap failed or its answer was lost. */
-void succession_handle_swap (struct succession *succession, uint64_t revision, int64_t now_us);
+enum succession_swap
+{
+	SUCCESSION_SWAPPED,
+	SUCCESSION_SWAP_REFUSED, /**< The store held another state of the record. */
+	SUCCESSION_SWAP_UNKNOWN, /**< The answer was lost. */
+};
+
+/** Handles the end of the swap of SUCCESSION_CREATE, CLAIM or RECORD. @p change: number of the record that it wrote. */
+void succession_handle_swap (struct succession *succession, enum succession_swap result,
+                             uint64_t change, int64_t now_us);
+
+/** Number of the record that follows @p change when it is written in @p era. Later eras have greater numbers. */
+uint64_t succession_next_change (uint64_t change, uint64_t era);
+
+/** Parts of a record's number, for logs: the era in which the change was begun, and a count. */
+uint32_t succession_change_era (uint64_t change);
+uint32_t succession_change_count (uint64_t change);
 
 /** Handles the end of the platform call of SUCCESSION_PROMOTE. @p error: 0, -ENOENT: the server is
  * not running, others: the call may have been executed. */
 void succession_handle_promote (struct succession *succession, int error, int64_t now_us);
 
 /** Tells whether the platform call may still be sent; check directly before sending it. While it
- * may, no other VM can have claimed a later change. */
-bool succession_may_promote (const struct succession *succession, int64_t now_us);
+ * may, no other VM can have claimed a later change. @param era present era of the store. */
+bool succession_may_promote (const struct succession *succession, uint64_t era, int64_t now_us);
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "common/http_responder.h"
 #include "common/mailbox.h"
+#include "decision/restore.h"
 #include "decision/succession.h"
 #include "flamingospring/platform.h"
 #include "gateway/controller.h"
@@ -35,14 +36,14 @@
 	char *vm;
 	struct peer_address address;
 	char *zone;
-	uint64_t revision;  /**< Revision of its record. */
-	bool is_listed;     /**< Its record exists and is not marked as removed. */
-	bool is_removed;    /**< Its record is marked as removed. */
-	bool is_settled;    /**< Its record says that every list of VMs in use names it. */
-	int64_t removed_us; /**< When this VM learned of the removal; 0: it is not removed. */
-	bool is_leaving;    /**< It has announced its graceful shutdown. */
-	bool is_serving;    /**< It accepts forwarded statements. */
-	/** When this revision of its record was first read, or its removal last tried. */
+	struct store_position at; /**< Last change of its record in the store. */
+	bool is_listed;           /**< Its record exists and is not marked as removed. */
+	bool is_removed;          /**< Its record is marked as removed. */
+	bool is_settled;          /**< Its record says that every list of VMs in use names it. */
+	int64_t removed_us;       /**< When this VM learned of the removal; 0: it is not removed. */
+	bool is_leaving;          /**< It has announced its graceful shutdown. */
+	bool is_serving;          /**< It accepts forwarded statements. */
+	/** When this state of its record was first read, or its removal last tried. */
 	int64_t seen_us;
 	int64_t last_heard_us; /**< Time of the last datagram from it. */
 	/** Last time at which its records equalled this VM's and it had no change of primary in progress. */
@@ -69,7 +70,7 @@
 /** A VM's confirmation that it has stopped using the old primary. */
 struct quiesced
 {
-	uint64_t revision; /**< Revision of the record that it confirms. */
+	uint64_t change; /**< Number of the record that it confirms. */
 	bool is_settled;
 };
 
@@ -79,8 +80,12 @@
 	char *service;
 	struct controller *controller;
 	struct succession succession;
+	struct restore_stored stored;  /**< What the store holds. */
 	struct succession_record swap; /**< Record that the outstanding compare-and-swap writes. */
-	uint64_t quiesced_revision;   /**< Last revision that this VM's traffic thread has confirmed. */
+	uint64_t swap_era;             /**< Era of the store in which it was sent. */
+	bool is_rewriting; /**< The outstanding compare-and-swap writes the known record again. */
+	bool is_promoting; /**< A call that promotes a server is outstanding. */
+	uint64_t quiesced_change;     /**< Last record that this VM's traffic thread has confirmed. */
 	struct peer_address claimant; /**< Address from which the claimant last sent the record. */
 	GHashTable *quiesced;         /**< VM name to struct quiesced. */
 	GHashTable *opinions;         /**< VM name to struct opinion. */
@@ -125,7 +130,7 @@
 	bool is_polling;
 	bool is_registering;
 	bool is_registered;
-	uint64_t own_revision; /**< Revision of this VM's record. */
+	uint64_t own_revision; /**< Revision of this VM's record, in the era of the list of VMs. */
 	bool is_settled;       /**< Every list of VMs in use names this VM. */
 	/** When this process first wrote this VM's record; 0: not yet. */
 	int64_t registered_us;
@@ -136,6 +141,14 @@
 	int64_t records_valid_us;
 	/** Latest time at which the list of VMs and the records are known to have been current. */
 	int64_t members_valid_us;
+	bool knows_era;       /**< The store has answered since this VM started. */
+	uint64_t store_era;   /**< Latest era of the store that this VM has learned of. */
+	uint64_t members_era; /**< Era in which the list of VMs and the records were read. */
+	/** When this VM learned that the store had been restored; 0: it has known no other era. */
+	int64_t restored_us;
+	uint32_t unconfirmed; /**< Known records that the store does not hold as of its present era. */
+	int64_t
+		quorum_us; /**< Latest time at which most VMs had the same records and no change in progress. */
 	int64_t store_ok_us;   /**< Since when the store has been answering; 0: it does not answer. */
 	int64_t store_lost_us; /**< When the store last stopped answering. */
 	int64_t last_hello_us;
@@ -205,10 +218,27 @@
 void primary_manager_free (struct primary_manager *primary_manager);
 void primary_manager_tick (struct primary_manager *primary_manager, int64_t now_us);
 
+/**
+ * Learns from a store's answer, or from another VM, in which era the store is. After a restore, everything is read again.
+ * @return whether an answer of this era is of the present one; earlier ones are ignored.
+ */
+bool controller_set_era (struct controller *controller, uint64_t era, int64_t now_us);
+
 /** Adopts a record that is newer than the present one. @return whether it is newer. */
 bool primary_manager_set_record (struct primary_manager *primary_manager,
                                  const struct succession_record *record, int64_t now_us);
 
+/**
+ * Takes over what the store holds. A stored record that is later than the known one is adopted.
+ * @param record NULL: the key does not exist. @param at last change of the key, or of the whole store without it.
+ */
+void primary_manager_set_stored (struct primary_manager *primary_manager,
+                                 const struct succession_record *record, uint64_t record_era,
+                                 struct store_position at, int64_t now_us);
+
+/** Writes the known record again if a restored store lacks it. */
+void primary_manager_restore (struct primary_manager *primary_manager, int64_t now_us);
+
 /** Sends the record to all VMs that have not confirmed it. */
 void primary_manager_send_record (struct primary_manager *primary_manager);
 
@@ -217,16 +247,21 @@
 
 /** Confirms to the VM that changes the primary that this VM does not use the old one any more. */
 void primary_manager_notify_claimant (struct primary_manager *primary_manager);
-char *primary_record_format (const struct succession_record *record);
-int primary_record_parse (const char *text, size_t length, struct succession_record *record);
+/** @param era era of the store in which the record is written. */
+char *primary_record_format (const struct succession_record *record, uint64_t era);
+int primary_record_parse (const char *text, size_t length, struct succession_record *record,
+                          uint64_t *era);
 
-/** Digest of the revisions of all records; equal on VMs that have the same records. */
+/** Digest of the numbers of all records; equal on VMs that have the same records. */
 uint64_t controller_records_digest (const struct controller *controller);
 
 /* controller_member.c */
 extern const struct peers_ops controller_peers_ops;
 struct member *member_get (struct controller *controller, const char *vm, int64_t now_us);
 void member_free (struct member *member);
+
+/** Whether the VM may use primaries, so that a change of primary and an agreement have to count it. */
+bool member_counts (const struct member *member, int64_t now_us);
 void zone_report_free (struct zone_report *report);
 bool member_is_alive (const struct controller *controller, const struct member *member,
                       int64_t now_us);
--- a/include/gateway/traffic.h
+++ b/include/gateway/traffic.h
@@ -27,7 +27,7 @@
 	/** Takes ownership of @p report. */
 	void (*handle_report) (void *data, struct server_report *report);
 	/** Called when nothing runs at the old primary of @p service any more. */
-	void (*handle_quiesced) (void *data, const char *service, uint64_t revision);
+	void (*handle_quiesced) (void *data, const char *service, uint64_t change);
 	/** Called when all sessions have ended after gateway_traffic_send_leave(). */
 	void (*handle_leave_complete) (void *data);
 };
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -129,10 +129,10 @@
 	char *name;
 	struct gateway_traffic *traffic;
 	uint32_t max_connections;
-	GPtrArray *servers;       /**< Array of struct server. */
-	struct server *primary;   /**< NULL: not known, or not listed. */
-	uint64_t record_revision; /**< Revision of the primary record in use. */
-	bool is_changing;         /**< A change of primary has begun: the primary must not be used. */
+	GPtrArray *servers;     /**< Array of struct server. */
+	struct server *primary; /**< NULL: not known, or not listed. */
+	uint64_t record_change; /**< Number of the primary record in use. */
+	bool is_changing;       /**< A change of primary has begun: the primary must not be used. */
 	bool is_planned;  /**< The old primary still works, so running statements may complete first. */
 	bool is_quiesced; /**< This VM has reported that nothing runs at the old primary any more. */
 	int64_t record_adopted_us; /**< When the present record was adopted. */
@@ -203,7 +203,7 @@
 	struct connection *
 		connection; /**< Connection that the transaction is pinned to, or that runs the statement. */
 	struct log_position committed; /**< Position of this session's last commit. */
-	uint64_t committed_revision;   /**< Revision of the primary record at the last commit. */
+	uint64_t committed_change;     /**< Number of the primary record at the last commit. */
 	struct request request;
 	GList link; /**< Node in traffic->sessions. */
 };
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -12,10 +12,10 @@
 struct primary_record
 {
 	char *service;
-	char *primary;     /**< Id of the server. */
-	uint64_t revision; /**< Revision of the record, which identifies a change of primary. */
-	bool is_changing;  /**< A change has begun: no VM may use the primary. */
-	bool is_planned; /**< The old primary still works, so running statements may complete first. */
+	char *primary;    /**< Id of the server. */
+	uint64_t change;  /**< Number of the record, which identifies a change of primary. */
+	bool is_changing; /**< A change has begun: no VM may use the primary. */
+	bool is_planned;  /**< The old primary still works, so running statements may complete first. */
 };
 
 /** Another VM that accepts forwarded statements. */
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -24,16 +24,18 @@
 	char *service;
 	char *primary;
 	char *claimant;
-	u_quad_t revision;
+	u_quad_t change;
 	u_quad_t term;
 	bool_t is_changing;
 	bool_t is_planned;
+	u_quad_t store_era;
+	u_quad_t store_revision;
 };
 
 struct fs_quiesced_args {
 	char *vm;
 	char *service;
-	u_quad_t revision;
+	u_quad_t change;
 	bool_t is_settled;
 };
 
@@ -55,6 +57,7 @@
 	u_quad_t digest;
 	u_quad_t members_digest;
 	u_quad_t configuration;
+	u_quad_t era;
 	u_quad_t directory_revision;
 	u_quad_t age_us;
 	u_quad_t list_age_us;
@@ -70,43 +73,43 @@
 };
 
 #define FS_GATEWAY_PROGRAM 0x2f5a0003
-#define FS_GATEWAY_VERSION 1
+#define FS_GATEWAY_VERSION 2
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define FS_LEAD 1
-extern  enum clnt_stat fs_lead_1(struct fs_lead_args , void *, CLIENT *);
-extern  bool_t fs_lead_1_svc(struct fs_lead_args , void *, struct svc_req *);
+extern  enum clnt_stat fs_lead_2(struct fs_lead_args , void *, CLIENT *);
+extern  bool_t fs_lead_2_svc(struct fs_lead_args , void *, struct svc_req *);
 #define FS_QUIESCED 2
-extern  enum clnt_stat fs_quiesced_1(struct fs_quiesced_args , void *, CLIENT *);
-extern  bool_t fs_quiesced_1_svc(struct fs_quiesced_args , void *, struct svc_req *);
+extern  enum clnt_stat fs_quiesced_2(struct fs_quiesced_args , void *, CLIENT *);
+extern  bool_t fs_quiesced_2_svc(struct fs_quiesced_args , void *, struct svc_req *);
 #define FS_REACHABILITY 3
-extern  enum clnt_stat fs_reachability_1(struct fs_reachability_args , void *, CLIENT *);
-extern  bool_t fs_reachability_1_svc(struct fs_reachability_args , void *, struct svc_req *);
+extern  enum clnt_stat fs_reachability_2(struct fs_reachability_args , void *, CLIENT *);
+extern  bool_t fs_reachability_2_svc(struct fs_reachability_args , void *, struct svc_req *);
 #define FS_HELLO 4
-extern  enum clnt_stat fs_hello_1(struct fs_hello_args , void *, CLIENT *);
-extern  bool_t fs_hello_1_svc(struct fs_hello_args , void *, struct svc_req *);
+extern  enum clnt_stat fs_hello_2(struct fs_hello_args , void *, CLIENT *);
+extern  bool_t fs_hello_2_svc(struct fs_hello_args , void *, struct svc_req *);
 #define FS_ZONE 5
-extern  enum clnt_stat fs_zone_1(struct fs_zone_args , void *, CLIENT *);
-extern  bool_t fs_zone_1_svc(struct fs_zone_args , void *, struct svc_req *);
-extern int fs_gateway_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  enum clnt_stat fs_zone_2(struct fs_zone_args , void *, CLIENT *);
+extern  bool_t fs_zone_2_svc(struct fs_zone_args , void *, struct svc_req *);
+extern int fs_gateway_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define FS_LEAD 1
-extern  enum clnt_stat fs_lead_1();
-extern  bool_t fs_lead_1_svc();
+extern  enum clnt_stat fs_lead_2();
+extern  bool_t fs_lead_2_svc();
 #define FS_QUIESCED 2
-extern  enum clnt_stat fs_quiesced_1();
-extern  bool_t fs_quiesced_1_svc();
+extern  enum clnt_stat fs_quiesced_2();
+extern  bool_t fs_quiesced_2_svc();
 #define FS_REACHABILITY 3
-extern  enum clnt_stat fs_reachability_1();
-extern  bool_t fs_reachability_1_svc();
+extern  enum clnt_stat fs_reachability_2();
+extern  bool_t fs_reachability_2_svc();
 #define FS_HELLO 4
-extern  enum clnt_stat fs_hello_1();
-extern  bool_t fs_hello_1_svc();
+extern  enum clnt_stat fs_hello_2();
+extern  bool_t fs_hello_2_svc();
 #define FS_ZONE 5
-extern  enum clnt_stat fs_zone_1();
-extern  bool_t fs_zone_1_svc();
-extern int fs_gateway_program_1_freeresult ();
+extern  enum clnt_stat fs_zone_2();
+extern  bool_t fs_zone_2_svc();
+extern int fs_gateway_program_2_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -12,17 +12,19 @@
 	string service<FS_GATEWAY_MAX_NAME>;
 	string primary<FS_GATEWAY_MAX_NAME>;
 	string claimant<FS_GATEWAY_MAX_NAME>;
-	unsigned hyper revision;
+	unsigned hyper change; /* Number of the record's state; later ones are greater. */
 	unsigned hyper term;
 	bool is_changing;
 	bool is_planned;
+	unsigned hyper store_era; /* Era in which the store holds this record; 0: not known to hold it. */
+	unsigned hyper store_revision;
 };
 
 /* Reports that nothing runs at the old primary any more. */
 struct fs_quiesced_args {
 	string vm<FS_GATEWAY_MAX_NAME>;
 	string service<FS_GATEWAY_MAX_NAME>;
-	unsigned hyper revision;
+	unsigned hyper change; /* Of the record that it confirms. */
 	bool is_settled; /* Every VM list in use contains the sender. */
 };
 
@@ -35,7 +37,7 @@
 };
 
 /* Heartbeat. A request is answered with the same number; the response carries the age of the sender's copies
- * of all services' records and the highest revision among them. */
+ * of all services' records and a digest of them. */
 struct fs_hello_args {
 	string vm<FS_GATEWAY_MAX_NAME>;
 	unsigned hyper number;
@@ -47,6 +49,7 @@
 	unsigned hyper digest;
 	unsigned hyper members_digest;
 	unsigned hyper configuration;
+	unsigned hyper era; /* Latest era of the store that the sender knows of. */
 	unsigned hyper directory_revision;
 	unsigned hyper age_us;
 	unsigned hyper list_age_us;
@@ -66,5 +69,5 @@
 		void FS_REACHABILITY(fs_reachability_args) = 3;
 		void FS_HELLO(fs_hello_args) = 4;
 		void FS_ZONE(fs_zone_args) = 5;
-	} = 1;
+	} = 2;
 } = 0x2f5a0003;
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -28,7 +28,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->claimant, FS_GATEWAY_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
@@ -36,6 +36,10 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_planned))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_revision))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -48,7 +52,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->service, FS_GATEWAY_MAX_NAME))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+	 if (!xdr_u_quad_t (xdrs, &objp->change))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_settled))
 		 return FALSE;
@@ -108,6 +112,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->configuration))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->era))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
@@ -146,6 +152,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->configuration))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->era))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
@@ -175,6 +183,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->configuration))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->era))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -35,7 +35,7 @@
 	enum route_kind kind;
 	uint32_t max_connections;
 	uint32_t target_latency_ms;
-	uint64_t revision;
+	uint64_t change;
 	int primary;
 	bool is_changing;
 	bool omits_servers;
@@ -54,12 +54,12 @@
 }
 
 static void
-handle_quiesced (void *data, const char *service, uint64_t revision)
+handle_quiesced (void *data, const char *service, uint64_t change)
 {
 	struct fixture *fixture = data;
 
 	(void) service;
-	(void) revision;
+	(void) change;
 	g_atomic_int_inc (&fixture->quiesced);
 }
 
@@ -108,7 +108,7 @@
 	struct primary_record primary_record = {
 		.service = g_strdup ("s"),
 		.primary = g_strdup (fixture->databases[fixture->primary].id),
-		.revision = fixture->revision,
+		.change = fixture->change,
 		.is_changing = fixture->is_changing,
 	};
 
@@ -175,7 +175,7 @@
 	fixture->kind = kind;
 	fixture->max_connections = 8;
 	fixture->target_latency_ms = 1000;
-	fixture->revision = 10;
+	fixture->change = 10;
 	fixture->zones[0] = "a";
 	fixture->zones[1] = "b";
 	for (int i = 0; i < vm_count; i++)
@@ -419,7 +419,7 @@
 	g_usleep (700000);
 	if (is_replaced)
 	{
-		fixture.revision++;
+		fixture.change++;
 		fixture.is_changing = true;
 		send_views (&fixture, clock_now_us ());
 		ASSERT_CODE (read_answer (fd), "INDOUBT");
@@ -477,7 +477,7 @@
 	wait_until (expiry_us + 20 * US_PER_MS);
 	send_line (fd, "QUERY r READ 1");
 	g_usleep (30000);
-	fixture.revision++;
+	fixture.change++;
 	fixture.primary = 1;
 	fixture.databases[1].is_primary = true;
 	send_views (&fixture, clock_now_us ());
@@ -504,7 +504,7 @@
 	fd = open_session (&fixture, 0);
 	execute_line (fd, "QUERY b BEGIN");
 	ASSERT_SERVED (execute_line (fd, "QUERY w WRITE 1 data"));
-	fixture.revision++;
+	fixture.change++;
 	fixture.is_changing = true;
 	send_views (&fixture, clock_now_us ());
 	for (int wait = 0; wait < 100 && g_atomic_int_get (&fixture.quiesced) == 0; wait++)
@@ -629,13 +629,13 @@
 static void
 test_position_after_a_change (void)
 {
-	struct service service = { .record_revision = 2, .record_adopted_us = 10 * US_PER_S };
+	struct service service = { .record_change = 2, .record_adopted_us = 10 * US_PER_S };
 	struct session session = {
 		.service = &service,
 		.route_kind = ROUTE_READ_YOUR_WRITES,
 		.max_staleness_ms = 2500,
 		.committed = { 1, 90 },
-		.committed_revision = 1,
+		.committed_change = 1,
 		.request.arrived_us = 40 * US_PER_S,
 	};
 	struct log_position position;
@@ -645,7 +645,7 @@
 	position_history_add (&service.history, 39 * US_PER_S, (struct log_position){ 2, 200 });
 	g_assert_true (session_find_required_position (&session, &position));
 	g_assert_cmpuint (position.index, ==, 200);
-	session.committed_revision = 2;
+	session.committed_change = 2;
 	session.committed = (struct log_position){ 2, 210 };
 	g_assert_true (session_find_required_position (&session, &position));
 	g_assert_cmpuint (position.index, ==, 210);
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -14,8 +14,14 @@
 {
 	platform_handle_answer *handle;
 	void *data;
+	platform_handle_answer *handle_poll; /* Of the last read of the records and the list of VMs. */
+	void *poll_data;
 	int reads;
+	int directory_reads;
 	int swaps;
+	uint64_t swap_expected;
+	char swap_key[64];
+	char swap_value[256];
 	int watches;
 	platform_handle_answer *handle_swap;
 	void *swap_data;
@@ -28,8 +34,14 @@
             platform_handle_answer *handle, void *data)
 {
 	(void) platform;
-	(void) prefix;
 	(void) min_revision;
+	if (strcmp (prefix, "servers/") == 0)
+		fake.directory_reads++;
+	else if (strcmp (prefix, "flamingospring/") == 0)
+	{
+		fake.handle_poll = handle;
+		fake.poll_data = data;
+	}
 	fake.handle = handle;
 	fake.data = data;
 	fake.reads++;
@@ -41,10 +53,10 @@
            size_t value_length, platform_handle_answer *handle, void *data)
 {
 	(void) platform;
-	(void) key;
-	(void) expected;
-	(void) value;
 	(void) value_length;
+	g_strlcpy (fake.swap_key, key, sizeof fake.swap_key);
+	g_strlcpy (fake.swap_value, value ? value : "", sizeof fake.swap_value);
+	fake.swap_expected = expected;
 	fake.handle_swap = handle;
 	fake.swap_data = data;
 	fake.swaps++;
@@ -127,11 +139,14 @@
 	loop_finish (&controller->loop);
 }
 
-/** Answers the last read with vm1 and vm2 of this zone, vm3 of another zone, and this VM. */
+/**
+ * Answers the last read with vm1 and vm2 of this zone, vm3 of another zone, and this VM.
+ * @param record record of service "s"; NULL: there is none. @param revision of that record.
+ */
 static void
-answer_poll (int64_t request_sent_us)
+answer_poll_in_era (uint64_t era, const char *record, uint64_t revision, int64_t request_sent_us)
 {
-	static const struct platform_pair pairs[] = {
+	const struct platform_pair pairs[] = {
 		{ "flamingospring/vm/vm1", "address=127.0.0.1:9 zone=a start=1 settled=1 removed=0", 54, 1,
 		  false },
 		{ "flamingospring/vm/vm2", "address=127.0.0.1:9 zone=a start=1 settled=1 removed=0", 54, 2,
@@ -140,16 +155,24 @@
 		  false },
 		{ "flamingospring/vm/vm5", "address=127.0.0.1:9 zone=a start=7 settled=1 removed=0", 54, 4,
 		  false },
+		{ "flamingospring/lead/s", record, record ? strlen (record) : 0, revision, false },
 	};
 	struct platform_answer answer = {
-		.revision = 10,
+		.era = era,
+		.revision = 10 + revision,
 		.pairs = pairs,
-		.count = G_N_ELEMENTS (pairs),
+		.count = G_N_ELEMENTS (pairs) - (record ? 0 : 1),
 		.request_sent_us = request_sent_us,
 	};
 
-	g_assert_nonnull (fake.handle);
-	fake.handle (fake.data, &answer);
+	g_assert_nonnull (fake.handle_poll);
+	fake.handle_poll (fake.poll_data, &answer);
+}
+
+static void
+answer_poll (int64_t request_sent_us)
+{
+	answer_poll_in_era (0, NULL, 0, request_sent_us);
 }
 
 /* Guards against a first view after the start without the other VMs. In trouble-2 of the grown Riga site,
@@ -203,19 +226,19 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	primary_manager->succession.record.revision = 11;
+	primary_manager->succession.record.change = 11;
 	primary_manager->succession.record.is_changing = true;
 	primary_manager->succession.phase = SUCCESSION_GATHERING;
-	primary_manager->succession.claim_revision = 11;
+	primary_manager->succession.claim_change = 11;
 	primary_manager->succession.claim_sent_us = now_us;
 	primary_manager->succession.claimed_us = now_us;
-	primary_manager->quiesced_revision = 11;
+	primary_manager->quiesced_change = 11;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		struct quiesced *quiesced = g_new (struct quiesced, 1);
 
-		*quiesced = (struct quiesced){ .revision = 11, .is_settled = true };
+		*quiesced = (struct quiesced){ .change = 11, .is_settled = true };
 		g_hash_table_insert (primary_manager->quiesced,
 		                     g_strdup (((const struct member *) value)->vm), quiesced);
 	}
@@ -280,7 +303,7 @@
 	};
 	g_hash_table_insert (controller->servers, primary->entry.id, primary);
 	strcpy (primary_manager->succession.record.primary, "p");
-	primary_manager->succession.record.revision = 11;
+	primary_manager->succession.record.change = 11;
 	controller->has_directory = true;
 	controller->is_settled = true;
 	return primary_manager;
@@ -321,6 +344,64 @@
 	tear_down (&controller);
 }
 
+static const char former_record[] =
+	"primary=a claimant=vm1 changing=0 planned=0 term=0 change=1 era=1";
+static const char new_record[] =
+	"primary=p claimant=vm1 changing=0 planned=0 term=2 change=4294967299 era=1";
+
+/** Reads new_record, and after the restore of the store former_record. */
+static struct primary_manager *
+restore_store (struct controller *controller, int64_t now_us)
+{
+	controller_poll (controller, now_us);
+	answer_poll_in_era (1, new_record, 34, now_us);
+	controller_poll (controller, now_us + 1);
+	answer_poll_in_era (2, former_record, 13, now_us + 1);
+	return primary_manager_get (controller, "s");
+}
+
+/* Guards against a primary that is never replaced after the store was restored (DRAIN): claims expected the revision of
+ * before, and the record was never written again. */
+static void
+test_claim_after_restore (void)
+{
+	struct controller controller;
+	struct known_server primary;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	primary_manager = restore_store (&controller, now_us);
+	lose_primary (&controller, &primary);
+	primary.is_unreachable = false;
+	primary.entry.is_draining = true;
+	for (int i = 0; i < 50 && primary_manager->succession.phase == SUCCESSION_STEADY; i++)
+		primary_manager_tick (primary_manager, now_us += 20 * US_PER_MS);
+	g_assert_cmpstr (fake.swap_key, ==, "flamingospring/lead/s");
+	g_assert_cmpuint (fake.swap_expected, ==, 13);
+	tear_down (&controller);
+}
+
+/* Guards against a change of primary that only VMs remember after the store was restored. */
+static void
+test_record_is_written_again (void)
+{
+	struct controller controller;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+	int swaps;
+
+	set_up (&controller);
+	primary_manager = restore_store (&controller, now_us);
+	swaps = fake.swaps;
+	primary_manager_restore (primary_manager, now_us + 20 * US_PER_S);
+	g_assert_cmpint (fake.swaps, ==, swaps + 1);
+	g_assert_cmpuint (fake.swap_expected, ==, 13);
+	g_assert_cmpstr (fake.swap_value, ==,
+	                 "primary=p claimant=vm1 changing=0 planned=0 term=2 change=4294967299 era=2");
+	tear_down (&controller);
+}
+
 /* Guards against comparing records by their highest revision only. In trouble-1 of Grindwell (seed
  * 766222498350), two VMs with the same highest revision treated their records as equal, although one had
  * missed a change of another service. */
@@ -333,13 +414,13 @@
 
 	set_up (&first);
 	set_up (&second);
-	primary_manager_get (&first, "s")->succession.record.revision = 7;
-	primary_manager_get (&first, "t")->succession.record.revision = 9;
-	primary_manager_get (&second, "s")->succession.record.revision = 8;
-	primary_manager_get (&second, "t")->succession.record.revision = 9;
+	primary_manager_get (&first, "s")->succession.record.change = 7;
+	primary_manager_get (&first, "t")->succession.record.change = 9;
+	primary_manager_get (&second, "s")->succession.record.change = 8;
+	primary_manager_get (&second, "t")->succession.record.change = 9;
 	digest = controller_records_digest (&first);
 	g_assert_cmpuint (digest, !=, controller_records_digest (&second));
-	primary_manager_get (&second, "s")->succession.record.revision = 7;
+	primary_manager_get (&second, "s")->succession.record.change = 7;
 	g_assert_cmpuint (digest, ==, controller_records_digest (&second));
 	tear_down (&first);
 	tear_down (&second);
@@ -425,7 +506,7 @@
 	for (int i = 0; i < SERVICES; i++)
 	{
 		g_autofree char *name = g_strdup_printf ("service%d", i);
-		struct succession_record record = { .primary = "p", .revision = 5 };
+		struct succession_record record = { .primary = "p", .change = 5 };
 
 		primary_manager_set_record (primary_manager_get (&controller, name), &record, now_us);
 	}
@@ -464,6 +545,8 @@
 	g_test_add_func ("/gateway_members/removed", test_removed_vm_must_answer);
 	g_test_add_func ("/gateway_members/calls_at_start", test_calls_at_start);
 	g_test_add_func ("/gateway_members/control_work", test_control_work);
+	g_test_add_func ("/gateway_members/claim_after_restore", test_claim_after_restore);
+	g_test_add_func ("/gateway_members/written_again", test_record_is_written_again);
 	g_test_add_func ("/gateway_members/digest", test_digest_distinguishes_records);
 	return g_test_run ();
 }
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -18,7 +18,7 @@
 	struct succession_server servers[3];
 	struct succession_input input;
 	int64_t now_us;
-	uint64_t revision;
+	uint64_t change;
 	struct succession_record stored;
 	uint32_t promotions;
 	char promoted[SUCCESSION_NAME_BYTES];
@@ -37,7 +37,7 @@
 	memset (fixture, 0, sizeof *fixture);
 	succession_init (&fixture->succession, "vm1");
 	fixture->now_us = 1000 * MS;
-	fixture->revision = 10;
+	fixture->change = 10;
 	fixture->all_answer = true;
 	for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
 		fixture->servers[i] = (struct succession_server){
@@ -55,19 +55,19 @@
 	fixture->input.server_count = G_N_ELEMENTS (ids);
 	fixture->input.may_claim = true;
 	fixture->input.has_read_records = true;
-	fixture->stored = (struct succession_record){ .primary = "a", .revision = 10 };
+	fixture->stored = (struct succession_record){ .primary = "a", .change = 10 };
 	succession_set_record (&fixture->succession, &fixture->stored, fixture->now_us);
 }
 
 static void
 fixture_swap (struct fixture *fixture, bool is_changing, const char *primary)
 {
-	if (fixture->stored.revision != fixture->succession.record.revision)
+	if (fixture->stored.change != fixture->succession.record.change)
 	{
-		succession_handle_swap (&fixture->succession, 0, fixture->now_us);
+		succession_handle_swap (&fixture->succession, SUCCESSION_SWAP_UNKNOWN, 0, fixture->now_us);
 		return;
 	}
-	fixture->stored.revision = ++fixture->revision;
+	fixture->stored.change = ++fixture->change;
 	fixture->stored.is_changing = is_changing;
 	fixture->stored.is_planned = is_changing && fixture->succession.is_planned;
 	fixture->stored.term = is_changing ? fixture->stored.term : fixture->succession.new_term;
@@ -76,7 +76,9 @@
 		fixture->input.cause = SUCCESSION_NO_CAUSE;
 	g_strlcpy (fixture->stored.claimant, "vm1", sizeof fixture->stored.claimant);
 	succession_handle_swap (&fixture->succession,
-	                        fixture->loses_swap_answers ? 0 : fixture->revision, fixture->now_us);
+	                        fixture->loses_swap_answers ? SUCCESSION_SWAP_UNKNOWN
+	                                                    : SUCCESSION_SWAPPED,
+	                        fixture->change, fixture->now_us);
 	if (!fixture->loses_swap_answers)
 		succession_set_record (&fixture->succession, &fixture->stored, fixture->now_us);
 }
@@ -114,7 +116,7 @@
 		break;
 	case SUCCESSION_PROMOTE:
 		fixture->promotions++;
-		fixture->token = fixture->succession.claim_revision;
+		fixture->token = fixture->succession.claim_change;
 		g_strlcpy (fixture->promoted, target, sizeof fixture->promoted);
 		succession_handle_promote (&fixture->succession, 0, fixture->now_us);
 		for (size_t i = 0; i < G_N_ELEMENTS (fixture->servers); i++)
@@ -194,8 +196,8 @@
 	struct fixture fixture;
 
 	fixture_init (&fixture);
-	fixture.stored = (struct succession_record){ .primary = "b", .revision = 11, .term = 2 };
-	fixture.revision = 11;
+	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
+	fixture.change = 11;
 	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
 	fixture.servers[1].is_unreachable = true;
 	fixture.servers[2].term = 2;
@@ -214,8 +216,8 @@
 	struct fixture fixture;
 
 	fixture_init (&fixture);
-	fixture.stored = (struct succession_record){ .primary = "b", .revision = 11, .term = 2 };
-	fixture.revision = 11;
+	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
+	fixture.change = 11;
 	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
 	fixture.servers[0].received = (struct log_position){ 1, 200 };
 	for (size_t i = 1; i < G_N_ELEMENTS (fixture.servers); i++)
@@ -240,8 +242,8 @@
 	struct fixture fixture;
 
 	fixture_init (&fixture);
-	fixture.stored = (struct succession_record){ .primary = "b", .revision = 11, .term = 2 };
-	fixture.revision = 11;
+	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
+	fixture.change = 11;
 	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
 	for (size_t i = 1; i < G_N_ELEMENTS (fixture.servers); i++)
 	{
@@ -299,7 +301,7 @@
 	fixture_run (&fixture, 40 * MS);
 	g_assert_cmpint (fixture.succession.phase, !=, SUCCESSION_STEADY);
 	fixture.now_us += 5000 * MS;
-	g_assert_false (succession_may_promote (&fixture.succession, fixture.now_us));
+	g_assert_false (succession_may_promote (&fixture.succession, 0, fixture.now_us));
 	fixture_run (&fixture, 1000 * MS);
 	g_assert_cmpuint (fixture.promotions, ==, 1);
 	g_assert_cmpuint (fixture.token, >, 11);
@@ -328,7 +330,7 @@
 	struct fixture fixture;
 
 	fixture_init (&fixture);
-	fixture.stored.revision = ++fixture.revision;
+	fixture.stored.change = ++fixture.change;
 	fixture.stored.is_changing = true;
 	g_strlcpy (fixture.stored.claimant, "vm2", sizeof fixture.stored.claimant);
 	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
@@ -348,7 +350,7 @@
 	struct fixture fixture;
 
 	fixture_init (&fixture);
-	fixture.stored.revision = ++fixture.revision;
+	fixture.stored.change = ++fixture.change;
 	fixture.stored.is_changing = true;
 	g_strlcpy (fixture.stored.claimant, "vm2", sizeof fixture.stored.claimant);
 	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
