gateway: a restored store confirms no record before the VMs have agreed

What callers saw: ONE.

Cause: a VM that reads the store takes its records as confirmed, since the store names every claim. A restored store has forgotten the last ones. The VM ignored the older record, but its own, which it had held since before the cut, counted as confirmed by that read.

--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -382,6 +382,33 @@
 	tear_down (&controller);
 }
 
+/* Guards against the use of a primary that was replaced, because the restored store seems to confirm the record that a
+ * VM holds (ONE). */
+static void
+test_restored_store_confirms_nothing (void)
+{
+	struct controller controller;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	primary_manager = restore_store (&controller, now_us);
+	g_assert_cmpint (controller.records_valid_us, ==, now_us);
+	/* Nothing that was known goes back. */
+	g_assert_cmpstr (primary_manager->succession.record.primary, ==, "p");
+	g_assert_cmpuint (controller.unconfirmed, ==, 1);
+	/* The record is the known one, but was written before the restore. */
+	controller_poll (&controller, now_us + 2);
+	answer_poll_in_era (2, new_record, 14, now_us + 2);
+	g_assert_cmpint (controller.records_valid_us, ==, now_us);
+	controller_poll (&controller, now_us + 3);
+	answer_poll_in_era (
+		2, "primary=p claimant=vm1 changing=0 planned=0 term=2 change=4294967299 era=2", 15,
+		now_us + 3);
+	g_assert_cmpint (controller.records_valid_us, ==, now_us + 3);
+	tear_down (&controller);
+}
+
 /* Guards against a change of primary that only VMs remember after the store was restored. */
 static void
 test_record_is_written_again (void)
@@ -546,6 +573,8 @@
 	g_test_add_func ("/gateway_members/calls_at_start", test_calls_at_start);
 	g_test_add_func ("/gateway_members/control_work", test_control_work);
 	g_test_add_func ("/gateway_members/claim_after_restore", test_claim_after_restore);
+	g_test_add_func ("/gateway_members/restored_confirms_nothing",
+	                 test_restored_store_confirms_nothing);
 	g_test_add_func ("/gateway_members/written_again", test_record_is_written_again);
 	g_test_add_func ("/gateway_members/digest", test_digest_distinguishes_records);
 	return g_test_run ();
