gateway: a VM whose record a restored store has lost still counts

A change of primary waits for the VMs on the list, and an agreement needs two thirds of them. After a restore the list lacks VMs that joined since the copy; such a VM may have confirmed records to others a moment ago and still use the old primary. It counts for another 10 s, as a VM that was taken off the list does.

The test lost_vm fails without it.

--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -65,7 +65,7 @@
 bool
 member_counts (const struct member *member, int64_t now_us)
 {
-	return member->is_listed || member->is_removed;
+	return member->is_listed || member->is_removed || now_us < member->retained_until_us;
 }
 
 void
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -360,6 +360,7 @@
 	struct controller *controller = data;
 	int64_t now_us = clock_now_us ();
 	bool was_registered = controller->is_registered;
+	bool is_restored;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -372,12 +373,18 @@
 		return;
 	controller->is_registered = false;
 	controller->own_revision = 0;
+	is_restored = controller->members_valid_us > 0 && controller->members_era != answer->era;
 	controller->members_era = answer->era;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
-		((struct member *) value)->is_listed = false;
-		((struct member *) value)->is_removed = false;
+		struct member *member = value;
+
+		/* A VM whose record is lost may have confirmed records to others. */
+		if (is_restored && (member->is_listed || member->is_removed))
+			member->retained_until_us = now_us + QUORUM_REMOVED_US;
+		member->is_listed = false;
+		member->is_removed = false;
 	}
 	for (size_t i = 0; i < answer->count; i++)
 	{
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -41,8 +41,10 @@
 	bool is_removed;          /**< Its record is marked as removed. */
 	bool is_settled;          /**< Its record says that every list of VMs in use names it. */
 	int64_t removed_us;       /**< When this VM learned of the removal; 0: it is not removed. */
-	bool is_leaving;          /**< It has announced its graceful shutdown. */
-	bool is_serving;          /**< It accepts forwarded statements. */
+	/** Until then it counts although a restored store has lost its record: it may still use primaries. */
+	int64_t retained_until_us;
+	bool is_leaving; /**< It has announced its graceful shutdown. */
+	bool is_serving; /**< It accepts forwarded statements. */
 	/** When this state of its record was first read, or its removal last tried. */
 	int64_t seen_us;
 	int64_t last_heard_us; /**< Time of the last datagram from it. */
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -429,6 +429,25 @@
 	tear_down (&controller);
 }
 
+/* Guards against a change of primary that does not wait for a VM whose record the restored store has lost. */
+static void
+test_lost_vm_counts (void)
+{
+	struct controller controller;
+	int64_t now_us = clock_now_us ();
+
+	set_up (&controller);
+	restore_store (&controller, now_us);
+	member_get (&controller, "vm4", now_us)->is_listed = true;
+	controller_poll (&controller, now_us);
+	answer_poll_in_era (3, former_record, 14, now_us);
+	g_assert_false (member_get (&controller, "vm4", now_us)->is_listed);
+	g_assert_true (member_counts (member_get (&controller, "vm4", now_us), now_us + 9 * US_PER_S));
+	g_assert_false (
+		member_counts (member_get (&controller, "vm4", now_us), now_us + 11 * US_PER_S));
+	tear_down (&controller);
+}
+
 /* Guards against comparing records by their highest revision only. In trouble-1 of Grindwell (seed
  * 766222498350), two VMs with the same highest revision treated their records as equal, although one had
  * missed a change of another service. */
@@ -576,6 +595,7 @@
 	g_test_add_func ("/gateway_members/restored_confirms_nothing",
 	                 test_restored_store_confirms_nothing);
 	g_test_add_func ("/gateway_members/written_again", test_record_is_written_again);
+	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/digest", test_digest_distinguishes_records);
 	return g_test_run ();
 }
