gateway: an older entry of a server does not replace a newer one

Entries of the same start of a server are ordered by their sequence. Starts are not ordered, since clocks may be set back.

The test older_entry fails without it.

--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -606,6 +606,16 @@
 		return;
 	}
 	server = g_hash_table_lookup (controller->servers, entry.id);
+	if (server && server_entry_is_older (&entry, &server->entry))
+	{
+		/* From the store's older copy, until the server writes again. A server that left stays out of use. */
+		log_event (LOG_LEVEL_INFO, "server_entry_older",
+		           "server=%s sequence=%llu known=%llu listed=%d", entry.id,
+		           (unsigned long long) entry.sequence, (unsigned long long) server->entry.sequence,
+		           server->is_listed);
+		server_entry_clear (&entry);
+		return;
+	}
 	if (!server)
 	{
 		server = g_new0 (struct known_server, 1);
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -45,6 +45,14 @@
 	g_free (configuration);
 }
 
+bool
+server_entry_is_older (const struct server_entry *entry, const struct server_entry *known)
+{
+	/* Start times are not compared, since the clocks of servers may be set back. */
+	return entry->born_ms == known->born_ms && entry->born_ms > 0 && entry->sequence > 0 &&
+	       entry->sequence < known->sequence;
+}
+
 void
 server_entry_clear (struct server_entry *entry)
 {
--- a/include/gateway/directory.h
+++ b/include/gateway/directory.h
@@ -60,9 +60,14 @@
 	uint16_t port;
 	uint32_t slots;       /**< Statements that it runs concurrently. */
 	uint32_t cold_ms;     /**< Remaining cold time, during which it is slow. */
+	uint64_t born_ms;     /**< Wall clock time of its start; 0: not known. */
+	uint64_t sequence;    /**< Rises with each write of this process; 0: not known. */
 	bool is_draining;     /**< It is about to shut down. */
 	bool reports_primary; /**< The server reports that it is the primary. */
 };
 
+/** Whether a server wrote @p entry before it wrote @p known, which has the same id. */
+bool server_entry_is_older (const struct server_entry *entry, const struct server_entry *known);
+
 void server_entry_clear (struct server_entry *entry);
 void server_entry_copy (struct server_entry *to, const struct server_entry *from);
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -448,6 +448,46 @@
 	tear_down (&controller);
 }
 
+/** Answers a read of the directory with one entry of server "i-1". */
+static void
+answer_directory (struct controller *controller, uint64_t era, uint64_t sequence, const char *state)
+{
+	char *value = g_strdup_printf (
+		"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"slots\":2,"
+		"\"state\":\"%s\",\"dbRole\":\"replica\",\"born\":5000,\"sequence\":%d}",
+		state, (int) sequence);
+	struct platform_pair pair = { "servers/i-1", value, strlen (value), sequence, false };
+	struct platform_answer answer = { .era = era, .revision = 30, .pairs = &pair, .count = 1 };
+
+	controller_read_directory (controller);
+	fake.handle (fake.data, &answer);
+	g_free (value);
+}
+
+/* Guards against a server that was leaving, or had left, and is in use again because the restored store holds its older
+ * entry (DRAIN). */
+static void
+test_older_server_entry (void)
+{
+	struct controller controller;
+	struct known_server *server;
+
+	set_up (&controller);
+	answer_directory (&controller, 1, 9, "draining");
+	server = g_hash_table_lookup (controller.servers, "i-1");
+	g_assert_nonnull (server);
+	answer_directory (&controller, 2, 6, "ready");
+	g_assert_true (server->entry.is_draining);
+	server->is_listed = false;
+	answer_directory (&controller, 2, 6, "ready");
+	g_assert_false (server->is_listed);
+	/* The server has written again. */
+	answer_directory (&controller, 2, 10, "ready");
+	g_assert_true (server->is_listed);
+	g_assert_false (server->entry.is_draining);
+	tear_down (&controller);
+}
+
 /* Guards against comparing records by their highest revision only. In trouble-1 of Grindwell (seed
  * 766222498350), two VMs with the same highest revision treated their records as equal, although one had
  * missed a change of another service. */
@@ -596,6 +636,7 @@
 	                 test_restored_store_confirms_nothing);
 	g_test_add_func ("/gateway_members/written_again", test_record_is_written_again);
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
+	g_test_add_func ("/gateway_members/older_entry", test_older_server_entry);
 	g_test_add_func ("/gateway_members/digest", test_digest_distinguishes_records);
 	return g_test_run ();
 }
