gateway: followers read the directory by era and revision

Cause: a follower reads the directory when its poller's revision is higher than its own. After a restore that is shorter than the time after which a follower gives up its poller (0.7 s) it never was.

Fix: the position is era and revision, compared as a pair. The test directory_after_restore fails without it.

--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -551,6 +551,7 @@
                      int64_t asked_us, int64_t now_us)
 {
 	int64_t members_valid_us = asked_us - (int64_t) args->list_age_us;
+	struct store_position directory_at = { args->directory_era, args->directory_revision };
 
 	/* A poller that does not reach the store does not learn of changes to the configuration and servers either. */
 	if (!args->has_knowledge || now_us - members_valid_us > MEMBER_ISOLATED_US)
@@ -565,7 +566,7 @@
 		controller->members_valid_us = members_valid_us;
 	if (args->configuration > (controller->configuration ? controller->configuration->version : 0))
 		controller_read_configuration (controller);
-	if (args->directory_revision > controller->directory_revision &&
+	if (store_position_compare (directory_at, controller->directory_at) > 0 &&
 	    now_us - controller->directory_read_us > (controller->vm_count > CONTROL_LARGE_FLEET
 	                                                  ? MEMBER_DIRECTORY_LARGE_FLEET_US
 	                                                  : MEMBER_DIRECTORY_US))
@@ -653,7 +654,8 @@
 			.members_digest = find_members_digest (controller),
 			.configuration = controller->configuration ? controller->configuration->version : 0,
 			.era = controller->store_era,
-			.directory_revision = controller->directory_revision,
+			.directory_era = controller->directory_at.era,
+			.directory_revision = controller->directory_at.revision,
 			.age_us = (uint64_t) (now_us - reported_us),
 			.list_age_us = (uint64_t) (now_us - controller->members_valid_us),
 		};
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -647,10 +647,11 @@
 	for (size_t i = 0; i < answer->count; i++)
 	{
 		const struct platform_pair *pair = &answer->pairs[i];
+		struct store_position at = { answer->era, pair->revision };
 
 		apply_server_entry (controller, pair, clock_now_us ());
-		if (pair->revision > controller->directory_revision)
-			controller->directory_revision = pair->revision;
+		if (store_position_compare (at, controller->directory_at) > 0)
+			controller->directory_at = at;
 	}
 	controller_flush_view (controller);
 }
@@ -683,7 +684,7 @@
 	{
 		mark_absent_servers (controller, answer);
 		controller->has_directory = true;
-		controller->directory_revision = answer->revision;
+		controller->directory_at = (struct store_position){ answer->era, answer->revision };
 	}
 	handle_directory_event (controller, answer);
 	if (answer->error < 0 || answer->era != controller->store_era || controller->is_following)
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -167,11 +167,10 @@
 	int64_t directory_read_us;
 	bool is_reading_configuration;
 	bool is_reading_directory;
-	/** Revision of the store up to which the list of servers is known. */
-	uint64_t directory_revision;
-	const struct member *poller; /**< Poller of the zone; NULL: this VM. */
-	bool is_poller;              /**< This VM polls the store for its zone. */
-	uint32_t vm_count;           /**< Live VMs, including this one. */
+	struct store_position directory_at; /**< Up to which the list of servers is known. */
+	const struct member *poller;        /**< Poller of the zone; NULL: this VM. */
+	bool is_poller;                     /**< This VM polls the store for its zone. */
+	uint32_t vm_count;                  /**< Live VMs, including this one. */
 	bool is_serving_dirty;      /**< A VM has announced a change since the VMs were last checked. */
 	int64_t serving_checked_us; /**< When all VMs were last checked. */
 	bool is_view_dirty;         /**< The traffic thread does not have the latest state yet. */
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -58,6 +58,7 @@
 	u_quad_t members_digest;
 	u_quad_t configuration;
 	u_quad_t era;
+	u_quad_t directory_era;
 	u_quad_t directory_revision;
 	u_quad_t age_us;
 	u_quad_t list_age_us;
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -50,6 +50,7 @@
 	unsigned hyper members_digest;
 	unsigned hyper configuration;
 	unsigned hyper era; /* Latest era of the store that the sender knows of. */
+	unsigned hyper directory_era;
 	unsigned hyper directory_revision;
 	unsigned hyper age_us;
 	unsigned hyper list_age_us;
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -114,6 +114,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->era))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->directory_era))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
@@ -154,6 +156,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->era))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->directory_era))
+			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->age_us))
@@ -185,6 +189,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->era))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->directory_era))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->directory_revision))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->age_us))
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -448,6 +448,42 @@
 	tear_down (&controller);
 }
 
+/* Guards against followers that do not read the directory after a restore, since its revisions are lower. */
+static void
+test_directory_after_restore (void)
+{
+	struct controller controller;
+	struct fs_hello_args answer = {
+		.vm = "vm1",
+		.number = 1,
+		.has_knowledge = true,
+		.era = 2,
+		.directory_era = 2,
+		.directory_revision = 20,
+	};
+	int64_t now_us = clock_now_us ();
+	int reads;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll_in_era (1, new_record, 34, now_us);
+	controller.directory_at = (struct store_position){ 1, 40 };
+	members_tick (&controller, now_us);
+	g_assert_cmpstr (controller.poller->vm, ==, "vm1");
+	reads = fake.directory_reads;
+	answer.number = (uint64_t) clock_now_us ();
+	controller_peers_ops.handle_hello (&controller, &answer, (struct peer_address){ 0 });
+	g_assert_cmpint (fake.directory_reads, ==, reads + 1);
+	/* That read fails; then a server leaves. */
+	controller.is_reading_directory = false;
+	controller.directory_read_us = 0;
+	answer.directory_revision = 21;
+	answer.number = (uint64_t) clock_now_us ();
+	controller_peers_ops.handle_hello (&controller, &answer, (struct peer_address){ 0 });
+	g_assert_cmpint (fake.directory_reads, ==, reads + 2);
+	tear_down (&controller);
+}
+
 /** Answers a read of the directory with one entry of server "i-1". */
 static void
 answer_directory (struct controller *controller, uint64_t era, uint64_t sequence, const char *state)
@@ -636,6 +672,7 @@
 	                 test_restored_store_confirms_nothing);
 	g_test_add_func ("/gateway_members/written_again", test_record_is_written_again);
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
+	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/older_entry", test_older_server_entry);
 	g_test_add_func ("/gateway_members/digest", test_digest_distinguishes_records);
 	return g_test_run ();
