gateway: a status from before a record is adopted does not replace its primary

Cause: a primary whose last status said replica was replaced 0.7 s after its record was adopted, whether or not it had answered since. A VM that did not reach the promoted server, or whose requests for its status were answered BUSY, judged it by what it had said before its promotion, and asked no other VM.

Evidence: the test /gateway_members/status_before_record fails on the code before: phase 2 (claiming) instead of 0 (steady).

Fix: the last status must have arrived 0.7 s after the record was adopted, or after the first such status. The status is requested every 0.2 s meanwhile, so a primary that steps down without a record is replaced up to that much later, plus the time of one answer.

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -20,7 +20,7 @@
 	MANAGER_OPINION_FRESH_US = 300 * US_PER_MS,
 	/* VMs that do not reach a primary start to ask the others one after another, by rank. */
 	MANAGER_OPINION_RANK_US = 50 * US_PER_MS,
-	/* A server that has just become the primary may still answer as a replica. */
+	/* A server that has just become the primary may still answer as a replica, so only a later answer counts. */
 	MANAGER_NOT_PRIMARY_US = 700 * US_PER_MS,
 	MANAGER_STATUS_INTERVAL_US = 200 * US_PER_MS,
 	MANAGER_MAX_SERVERS = 32,
@@ -368,7 +368,7 @@
 		}
 		since_us = primary->not_primary_us > succession->record_us ? primary->not_primary_us
 		                                                           : succession->record_us;
-		if (now_us - since_us > MANAGER_NOT_PRIMARY_US)
+		if (primary->status_us - since_us > MANAGER_NOT_PRIMARY_US)
 			return SUCCESSION_FAILED;
 	}
 	if (!primary->is_unreachable)
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -321,6 +321,36 @@
 	tear_down (&controller);
 }
 
+/* Guards against replacing a primary because of a status that it sent as a replica, before it was promoted. */
+static void
+test_status_before_record (void)
+{
+	struct controller controller;
+	struct known_server primary;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	primary_manager = lose_primary (&controller, &primary);
+	controller.store_ok_us = now_us;
+	primary.is_unreachable = false;
+	primary.has_status = true;
+	primary.status_us = now_us - 5 * US_PER_S;
+	primary.not_primary_us = now_us - 10 * US_PER_S;
+	primary_manager->succession.record_us = now_us;
+	for (int i = 0; i < 100; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	/* It answers now, still as a replica. */
+	primary.status_us = now_us;
+	for (int i = 0; i < 50; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_CLAIMING);
+	tear_down (&controller);
+}
+
 /* Guards against comparing records by their highest revision only. In trouble-1 of Grindwell (seed
  * 766222498350), two VMs with the same highest revision treated their records as equal, although one had
  * missed a change of another service. */
@@ -461,6 +491,7 @@
 	g_test_add_func ("/gateway_members/silent_poller", test_silent_poller_is_replaced);
 	g_test_add_func ("/gateway_members/list_age", test_change_needs_newer_member_list);
 	g_test_add_func ("/gateway_members/silence_before_question", test_silence_before_question);
+	g_test_add_func ("/gateway_members/status_before_record", test_status_before_record);
 	g_test_add_func ("/gateway_members/removed", test_removed_vm_must_answer);
 	g_test_add_func ("/gateway_members/calls_at_start", test_calls_at_start);
 	g_test_add_func ("/gateway_members/control_work", test_control_work);
