gateway: an opinion counts only if it is about the present primary

Cause: an answer to the question whether a VM reaches a server was counted for the primary of the server's service, whichever server it was about. Answers about the former primary that arrive after the change counted for the new one: in the test, three of them replace it before a question about it is answered.

Evidence: the test /gateway_members/other_opinion fails on the code before: phase 2 (claiming) instead of 0 (steady).

Fix: answers about another server than the record's primary are ignored.

--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -469,6 +469,8 @@
 	if (!server)
 		return;
 	primary_manager = primary_manager_get (controller, server->entry.service);
+	if (strcmp (args->server, primary_manager->succession.record.primary) != 0)
+		return;
 	opinion = g_new (struct opinion, 1);
 	*opinion = (struct opinion){ args->is_unreachable, clock_now_us () };
 	g_hash_table_replace (primary_manager->opinions, g_strdup (args->vm), opinion);
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -321,6 +321,19 @@
 	tear_down (&controller);
 }
 
+/** Sends the answer of a VM to the question whether it reaches @p server. */
+static void
+answer_opinion (struct controller *controller, char *vm, char *server, bool is_unreachable)
+{
+	struct fs_reachability_args args = {
+		.vm = vm,
+		.server = server,
+		.is_unreachable = is_unreachable,
+	};
+
+	controller_peers_ops.handle_opinion (controller, &args, (struct peer_address){ 0, 0 });
+}
+
 /* Guards against replacing a primary because of a status that it sent as a replica, before it was promoted. */
 static void
 test_status_before_record (void)
@@ -351,6 +364,38 @@
 	tear_down (&controller);
 }
 
+/* Guards against counting answers about another server, such as late ones about the former primary, for the present
+ * one. */
+static void
+test_opinion_of_another_server (void)
+{
+	static char *const vms[] = { "vm1", "vm2", "vm3" };
+	struct controller controller;
+	struct known_server primary;
+	struct known_server former = { .entry = { .id = "q", .service = "s" }, .is_listed = true };
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	primary_manager = lose_primary (&controller, &primary);
+	g_hash_table_insert (controller.servers, former.entry.id, &former);
+	controller.store_ok_us = now_us;
+	for (size_t i = 0; i < G_N_ELEMENTS (vms); i++)
+		answer_opinion (&controller, vms[i], "q", true);
+	/* Below the time after which silence counts. */
+	for (int i = 0; i < 19; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	for (size_t i = 0; i < G_N_ELEMENTS (vms); i++)
+		answer_opinion (&controller, vms[i], "p", true);
+	for (int i = 0; i < 50; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_CLAIMING);
+	tear_down (&controller);
+}
+
 /* Guards against comparing records by their highest revision only. In trouble-1 of Grindwell (seed
  * 766222498350), two VMs with the same highest revision treated their records as equal, although one had
  * missed a change of another service. */
@@ -492,6 +537,7 @@
 	g_test_add_func ("/gateway_members/list_age", test_change_needs_newer_member_list);
 	g_test_add_func ("/gateway_members/silence_before_question", test_silence_before_question);
 	g_test_add_func ("/gateway_members/status_before_record", test_status_before_record);
+	g_test_add_func ("/gateway_members/other_opinion", test_opinion_of_another_server);
 	g_test_add_func ("/gateway_members/removed", test_removed_vm_must_answer);
 	g_test_add_func ("/gateway_members/calls_at_start", test_calls_at_start);
 	g_test_add_func ("/gateway_members/control_work", test_control_work);
