gateway: opinions from before the first question are not counted

Cause: opinions stayed valid for 0.6 s although the primary had answered meanwhile. A primary that was lost for a moment, answered and was lost again was replaced by the opinions from the first moment.

Evidence: the test /gateway_members/opinion_before_question fails on the code before: phase 2 (claiming) instead of 0 (steady).

Fix: a new series of questions begins without opinions. An answer from an earlier series that is still on its way counts all the same, since answers do not name their question.

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -252,7 +252,10 @@
 	if (now_us - primary_manager->opinion_asked_us < MANAGER_OPINION_INTERVAL_US)
 		return;
 	if (now_us - primary_manager->opinion_asked_us > MANAGER_OPINION_AGE_US)
+	{
 		primary_manager->first_asked_us = now_us;
+		g_hash_table_remove_all (primary_manager->opinions);
+	}
 	primary_manager->opinion_asked_us = now_us;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -396,6 +396,32 @@
 	tear_down (&controller);
 }
 
+/* Guards against replacing a primary that was lost for a moment and answered since, because of answers from before. */
+static void
+test_opinion_before_question (void)
+{
+	static char *const vms[] = { "vm1", "vm2", "vm3" };
+	struct controller controller;
+	struct known_server primary;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	primary_manager = lose_primary (&controller, &primary);
+	controller.store_ok_us = now_us;
+	for (size_t i = 0; i < G_N_ELEMENTS (vms); i++)
+		answer_opinion (&controller, vms[i], "p", true);
+	primary.is_unreachable = false;
+	primary_manager_tick (primary_manager, now_us);
+	primary.is_unreachable = true;
+	for (int i = 0; i < 19; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	tear_down (&controller);
+}
+
 /* Guards against comparing records by their highest revision only. In trouble-1 of Grindwell (seed
  * 766222498350), two VMs with the same highest revision treated their records as equal, although one had
  * missed a change of another service. */
@@ -538,6 +564,7 @@
 	g_test_add_func ("/gateway_members/silence_before_question", test_silence_before_question);
 	g_test_add_func ("/gateway_members/status_before_record", test_status_before_record);
 	g_test_add_func ("/gateway_members/other_opinion", test_opinion_of_another_server);
+	g_test_add_func ("/gateway_members/opinion_before_question", test_opinion_before_question);
 	g_test_add_func ("/gateway_members/removed", test_removed_vm_must_answer);
 	g_test_add_func ("/gateway_members/calls_at_start", test_calls_at_start);
 	g_test_add_func ("/gateway_members/control_work", test_control_work);
