gateway: the record of a change does not confirm a commit at the primary that is being replaced

Cause: in a planned change, statements at the old primary may complete for 0.8 s after a VM learned of the change. Their commits were acknowledged if any record was known to be current less than a second ago, and by then that was the record of the change itself. The claimant waits 1.06 s for VMs that do not answer. A VM that learned of the change 0.9 s after its last confirmation could thus acknowledge commits until 1.7 s after it. The old primary usually refuses them by then, as it is demoted first, but not if the claimant does not reach it.

Evidence: the test /gateway/planned_commit fails on the code before: a success instead of INDOUBT.

Fix: while a change is in progress, the time counts from the last confirmation before it, and the record of the change confirms no commit that is held. A commit that takes longer than that is in doubt.

--- a/gateway/service.c
+++ b/gateway/service.c
@@ -321,6 +321,8 @@
 	           "service=%s primary=%s revision=%llu changing=%d planned=%d", service->name,
 	           primary ? primary->id : "-", (unsigned long long) revision, is_changing,
 	           primary_record && primary_record->is_planned);
+	if (is_changing && !service->is_changing)
+		service->valid_before_change_us = service->traffic->records_valid_us;
 	service->primary = primary;
 	service->is_planned = primary_record && primary_record->is_planned;
 	service->is_changing = is_changing;
@@ -350,8 +352,9 @@
 		struct session *session = link->data;
 
 		next = link->next;
-		if (session->request.answered_us - service->traffic->records_valid_us >=
-		    SUCCESSION_AUTHORITY_MS * US_PER_MS)
+		if (service->is_changing ||
+		    session->request.answered_us - service->traffic->records_valid_us >=
+		        SUCCESSION_AUTHORITY_MS * US_PER_MS)
 			continue;
 		service->held_commits = g_list_delete_link (service->held_commits, link);
 		session_release_commit (session, true);
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -233,9 +233,12 @@
 session_hold_commit (struct session *session, struct connection *connection, int64_t now_us)
 {
 	struct request *request = &session->request;
+	const struct service *service = connection->server->service;
+	int64_t valid_us =
+		service->is_changing ? service->valid_before_change_us : session->traffic->records_valid_us;
 
-	if (now_us - session->traffic->records_valid_us < SUCCESSION_AUTHORITY_MS * US_PER_MS &&
-	    connection->server->service->primary == connection->server)
+	if (now_us - valid_us < SUCCESSION_AUTHORITY_MS * US_PER_MS &&
+	    service->primary == connection->server)
 		return false;
 	request->is_commit_held = true;
 	request->answered_us = now_us;
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -136,6 +136,8 @@
 	bool is_planned;  /**< The old primary still works, so running statements may complete first. */
 	bool is_quiesced; /**< This VM has reported that nothing runs at the old primary any more. */
 	int64_t record_adopted_us; /**< When the present record was adopted. */
+	/** When the records were last known to be current before the present change of primary was learned of. */
+	int64_t valid_before_change_us;
 	struct position_history history;
 	int64_t last_used_us; /**< Last time that a caller of this or another VM used it. */
 	bool is_dispatching;
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -38,6 +38,7 @@
 	uint64_t revision;
 	int primary;
 	bool is_changing;
+	bool is_planned;
 	bool omits_servers;
 	bool is_isolated;
 	bool is_out_of_rotation;
@@ -110,6 +111,7 @@
 		.primary = g_strdup (fixture->databases[fixture->primary].id),
 		.revision = fixture->revision,
 		.is_changing = fixture->is_changing,
+		.is_planned = fixture->is_planned,
 	};
 
 	view->configuration = configuration_create (fixture);
@@ -445,6 +447,36 @@
 	check_held_commit (true);
 }
 
+/* Guards against acknowledging a commit on the strength of the record of the change: a VM that learns late of a planned
+ * change still runs statements when the claimant no longer waits for it. */
+static void
+test_commit_in_planned_change (void)
+{
+	struct fixture fixture;
+	int fd;
+
+	fixture_start (&fixture, 1, ROUTE_PRIMARY);
+	fixture.databases[0].delay_ms = 500;
+	send_views (&fixture, clock_now_us () - (SUCCESSION_AUTHORITY_MS - 300) * US_PER_MS);
+	fd = open_session (&fixture, 0);
+	send_line (fd, "QUERY w WRITE 1 data");
+	g_assert_nonnull (fake_database_find (&fixture.databases[0], "w"));
+	fixture.revision++;
+	fixture.is_changing = true;
+	fixture.is_planned = true;
+	send_views (&fixture, clock_now_us ());
+	g_usleep (600000);
+	gateway_traffic_send_records_valid (fixture.vms[0], clock_now_us ());
+	g_usleep (20000);
+	fixture.revision++;
+	fixture.is_changing = false;
+	fixture.primary = 1;
+	send_views (&fixture, clock_now_us ());
+	ASSERT_CODE (read_answer (fd), "INDOUBT");
+	close (fd);
+	fixture_stop (&fixture);
+}
+
 /* Guards against using the authority that comes with a new primary record for the former primary: after a zone was
  * cut off, waiting requests were executed there (STALE in run hunt-6f51-27 of Grindwell). */
 static void
@@ -772,6 +804,7 @@
 	g_test_add_func ("/gateway/no_authority", test_no_authority);
 	g_test_add_func ("/gateway/held_confirmed", test_held_commit_confirmed);
 	g_test_add_func ("/gateway/held_in_doubt", test_held_commit_in_doubt);
+	g_test_add_func ("/gateway/planned_commit", test_commit_in_planned_change);
 	g_test_add_func ("/gateway/new_lead", test_authority_renewed_with_new_record);
 	g_test_add_func ("/gateway/ordered_change", test_planned_change_quiesces);
 	g_test_add_func ("/gateway/reads_after_restart", test_reads_after_a_restart);
