succession: a claimant that reaches only servers of an earlier term lets other VMs take over

Cause: a claimant without a successor claimed again after 3.5 s, for ever. The other VMs take over 5 s after the last claim, so they never did. Since that includes a claimant that reaches a server of an earlier term and waits for the others.

Evidence: the test /succession/no_candidate fails on the code before: the second VM stays in phase 0 (steady) for 8 s instead of claiming.

Fix: a claimant whose only successors are behind, while other servers may still answer, ends its claim. The others may take over 5 s after it; if none does, this VM claims again 1 s later. The price: a server that begins to answer between the end of the claim and the next one waits for up to 2.5 s, plus the delay of the VM's rank. A claimant that reaches no server at all claims again at once, as before.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -16,6 +16,8 @@
 	/** Another VM takes over an unfinished change after this time, which is longer than the window
 	 * plus a call in flight (1 s). */
 	TAKEOVER_US = 5000 * US_PER_MS,
+	/** A claimant that found no successor claims again this long after the others may take over. */
+	YIELD_US = 1000 * US_PER_MS,
 	/** Delay between successive VMs, so that usually only the first one acts. */
 	RANK_DELAY_US = 150 * US_PER_MS,
 	ASK_INTERVAL_US = 50 * US_PER_MS,
@@ -136,10 +138,12 @@
 		return SUCCESSION_NOTHING;
 	if (succession->record.is_changing)
 	{
+		bool is_yielded = succession->yielded_revision == succession->record.revision;
+
 		/* This VM's own claim, which was stored after this VM had given it up. */
-		if (strcmp (succession->record.claimant, succession->vm) == 0)
+		if (strcmp (succession->record.claimant, succession->vm) == 0 && !is_yielded)
 			return begin_claim (succession, succession->record.is_planned, now_us);
-		if (now_us - succession->record_us < TAKEOVER_US + delay_us)
+		if (now_us - succession->record_us < TAKEOVER_US + delay_us + (is_yielded ? YIELD_US : 0))
 			return SUCCESSION_NOTHING;
 		return begin_claim (succession, succession->record.is_planned, now_us);
 	}
@@ -237,6 +241,8 @@
 	size_t missing; /**< Replicas that may still answer. */
 	size_t unknown; /**< Listed servers without a final status. */
 	size_t holders; /**< Listed servers that have answered and are of the latest term. */
+	bool
+		is_behind; /**< Only servers of an earlier term can be chosen, and others may still answer. */
 	uint64_t max_term;
 };
 
@@ -288,6 +294,7 @@
 	}
 	if (!choice.best && choice.unknown == 0 && choice.holders == 0)
 		choice.best = best_behind;
+	choice.is_behind = !choice.best && best_behind && choice.unknown > 0;
 	return choice;
 }
 
@@ -315,6 +322,20 @@
 	return log_position_covers (best->received, old->received);
 }
 
+/** Ends a claim during which no successor was found. Another VM may reach a server of the latest term. */
+static enum succession_action
+end_claim (struct succession *succession, const struct choice *choice, int64_t now_us)
+{
+	/* After a suspension this VM has not asked the servers until now. */
+	bool has_asked = now_us - succession->asked_us < 2 * ASK_INTERVAL_US;
+
+	if (!choice->is_behind || !has_asked)
+		return begin_claim (succession, succession->is_planned, now_us);
+	succession->yielded_revision = succession->claim_revision;
+	set_phase (succession, SUCCESSION_STEADY, now_us);
+	return SUCCESSION_NOTHING;
+}
+
 static enum succession_action
 step_choosing (struct succession *succession, const struct succession_input *input, int64_t now_us)
 {
@@ -323,7 +344,7 @@
 	struct choice choice = choose (succession, input, is_late);
 
 	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
-		return begin_claim (succession, succession->is_planned, now_us);
+		return end_claim (succession, &choice, now_us);
 	if (!succession->has_demoted && old && !old->is_unreachable && choice.max_term > 0)
 	{
 		succession->demote_term = choice.max_term + 1;
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -121,8 +121,9 @@
 	int64_t changing_us;     /**< Since when this VM knows of an unfinished change; 0: none. */
 	int64_t phase_us;        /**< Start of the phase, or of the delay after a failed promotion. */
 	int64_t asked_us;        /**< When the phase's last request was sent; 0: none, or it failed. */
-	uint64_t old_term;       /**< The new primary must lead a later term. */
-	uint64_t new_term;       /**< Term of the new primary, for the record. */
+	uint64_t yielded_revision; /**< Own claim that other VMs may take over first; 0: none. */
+	uint64_t old_term;         /**< The new primary must lead a later term. */
+	uint64_t new_term;         /**< Term of the new primary, for the record. */
 	uint64_t demote_term;
 	bool is_planned;
 	bool has_demoted;
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -233,6 +233,42 @@
 	g_assert_cmpstr (fixture.promoted, ==, "c");
 }
 
+/* Guards against a claimant that keeps a change to itself although another VM could carry it out: it reaches only a
+ * server of an earlier term, and waits for the others. */
+static void
+test_claimant_without_candidate (void)
+{
+	struct fixture fixture;
+	struct succession other;
+	struct succession_input input = { .rank = 1, .may_claim = true, .has_read_records = true };
+	int64_t end_us;
+
+	fixture_init (&fixture);
+	fixture.stored = (struct succession_record){ .primary = "b", .revision = 11, .term = 2 };
+	fixture.revision = 11;
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	for (size_t i = 1; i < G_N_ELEMENTS (fixture.servers); i++)
+	{
+		fixture.servers[i].is_unreachable = true;
+		fixture.servers[i].status_us = 0;
+	}
+	fixture.input.cause = SUCCESSION_FAILED;
+	succession_init (&other, "vm2");
+	end_us = fixture.now_us + 8000 * MS;
+	while (fixture.now_us < end_us && other.phase != SUCCESSION_CLAIMING)
+	{
+		fixture_run (&fixture, STEP_US);
+		succession_set_record (&other, &fixture.stored, fixture.now_us);
+		succession_step (&other, &input, fixture.now_us);
+	}
+	g_assert_cmpint (other.phase, ==, SUCCESSION_CLAIMING);
+	/* The other VM's claim is not stored, so this one tries again. */
+	fixture.servers[2].is_unreachable = false;
+	fixture.servers[2].term = 2;
+	fixture_run (&fixture, 3000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "c");
+}
+
 /* Guards against a service without a primary after all servers of the last term are gone. */
 static void
 test_last_server_of_an_earlier_term (void)
@@ -459,6 +495,7 @@
 	g_test_add_func ("/succession/silent_vm", test_silent_vm_is_waited_for);
 	g_test_add_func ("/succession/former_primary", test_former_primary_is_not_a_successor);
 	g_test_add_func ("/succession/earlier_term", test_server_of_an_earlier_term);
+	g_test_add_func ("/succession/no_candidate", test_claimant_without_candidate);
 	g_test_add_func ("/succession/last_of_earlier_term", test_last_server_of_an_earlier_term);
 	g_test_add_func ("/succession/longer_log", test_longer_log_of_an_earlier_term);
 	g_test_add_func ("/succession/lost_answer", test_lost_answer_to_claim);
