gateway: an entry that was missing before a record is adopted does not replace its primary at once

Cause: the 2.5 s for which an entry must be missing counted from before the record was adopted. The VMs that follow a poller read the directory every second, so they replaced a primary whose entry had been missing during the cut and was back.

The test /gateway_members/missing_before_record fails on the code before: phase 2 (claiming) instead of 0 (steady).

Fix: the time counts from the adoption of the record at the earliest. A primary whose entry was removed just before is replaced up to 2.5 s later if it still answers; one that does not answer is replaced by the agreement of the VMs, as before.

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -303,17 +303,20 @@
 
 /**
  * Whether the server's entry has been missing for longer than an outage of the store explains.
- * @param unknown_us since when the entry counts as missing if @p server is NULL.
+ * @param record_us when the record that names the server was adopted. Servers that are promoted are listed, so an entry
+ * that was missing before is expected to be back soon.
  */
 static bool
 is_missing (const struct controller *controller, const struct known_server *server,
-            int64_t unknown_us, int64_t now_us)
+            int64_t record_us, int64_t now_us)
 {
-	int64_t missing_us = server ? server->missing_us : unknown_us;
+	int64_t since_us = MAX (record_us, controller->store_ok_us);
 
-	if (missing_us == 0 || controller->store_ok_us == 0)
+	if ((server && server->missing_us == 0) || controller->store_ok_us == 0)
 		return false;
-	return now_us - MAX (missing_us, controller->store_ok_us) > MANAGER_MISSING_US;
+	if (server)
+		since_us = MAX (since_us, server->missing_us);
+	return now_us - since_us > MANAGER_MISSING_US;
 }
 
 static uint64_t
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -321,6 +321,35 @@
 	tear_down (&controller);
 }
 
+/* Guards against replacing a primary at once because its entry was missing before it was promoted. In two plays of
+ * trouble-1 of Grindwell, seed 28832871869, VMs did so that had not read yet that the entry was back. */
+static void
+test_entry_missing_before_record (void)
+{
+	struct controller controller;
+	struct known_server primary;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	primary_manager = lose_primary (&controller, &primary);
+	controller.store_ok_us = now_us - 60 * US_PER_S;
+	primary.is_unreachable = false;
+	primary.is_listed = false;
+	primary.missing_us = now_us - 3 * US_PER_S;
+	primary_manager->succession.record_us = now_us;
+	for (int i = 0; i < 120; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	/* Still missing 2.5 s after the record was adopted, plus the delay by rank. */
+	for (int i = 0; i < 35; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_CLAIMING);
+	tear_down (&controller);
+}
+
 /** Sends the answer of a VM to the question whether it reaches @p server. */
 static void
 answer_opinion (struct controller *controller, char *vm, char *server, bool is_unreachable)
@@ -563,6 +592,7 @@
 	g_test_add_func ("/gateway_members/list_age", test_change_needs_newer_member_list);
 	g_test_add_func ("/gateway_members/silence_before_question", test_silence_before_question);
 	g_test_add_func ("/gateway_members/status_before_record", test_status_before_record);
+	g_test_add_func ("/gateway_members/missing_before_record", test_entry_missing_before_record);
 	g_test_add_func ("/gateway_members/other_opinion", test_opinion_of_another_server);
 	g_test_add_func ("/gateway_members/opinion_before_question", test_opinion_before_question);
 	g_test_add_func ("/gateway_members/removed", test_removed_vm_must_answer);
