gateway: the silence of other VMs does not count while this VM is isolated

What callers saw: not seen to reach the store; VMs behind a cut tried to replace primaries that the others used. A claim that is executed late, as the platform may do, or in the moment in which a cut ends would carry out a needless change.

Cause: silence counted as agreement 0.4 s after the first question, also for a VM whose questions did not arrive.

The test /gateway_members/silence_while_isolated fails on the code before: phase 2 (claiming) instead of 0 (steady).

Fix: while a VM is isolated, which it is when no VM and no store has confirmed its records for 0.9 s, the time for which silence must last begins anew. Opinions of other VMs count as before.

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -391,6 +391,9 @@
 	        find_rank (primary_manager, now_us) * MANAGER_OPINION_RANK_US)
 		return SUCCESSION_NO_CAUSE;
 	request_opinions (primary_manager, primary->entry.id, now_us);
+	/* The questions of an isolated VM may not arrive. */
+	if (controller->is_isolated)
+		primary_manager->first_asked_us = now_us;
 	votes = count_opinions (primary_manager, now_us);
 	return reachability_is_agreed (&votes, primary_manager->first_asked_us, now_us)
 	           ? SUCCESSION_FAILED
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -84,7 +84,8 @@
 	struct peer_address claimant; /**< Address from which the claimant last sent the record. */
 	GHashTable *quiesced;         /**< VM name to struct quiesced. */
 	GHashTable *opinions;         /**< VM name to struct opinion. */
-	int64_t first_asked_us; /**< First of the questions that are being repeated to the other VMs. */
+	/** First of the questions that are being repeated to the other VMs; while this VM is isolated, now. */
+	int64_t first_asked_us;
 	int64_t opinion_asked_us; /**< Last of them; 0: the next question is the first. */
 	int64_t status_asked_us;
 	/** When this VM first failed to reach the primary; 0: it reaches it. */
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -363,6 +363,37 @@
 	controller_peers_ops.handle_opinion (controller, &args, (struct peer_address){ 0, 0 });
 }
 
+/* Guards against counting the silence of VMs that this one cannot reach, before it notices that it does not reach the
+ * store either: in all plays of trouble-1 of Grindwell, seed 28832871869, VMs behind the cut claimed changes. */
+static void
+test_silence_while_isolated (void)
+{
+	struct controller controller;
+	struct known_server primary;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	primary_manager = lose_primary (&controller, &primary);
+	controller.store_ok_us = now_us;
+	for (int i = 0; i < 50; i++, now_us += 20 * US_PER_MS)
+	{
+		controller.is_isolated = i > 10;
+		primary_manager_tick (primary_manager, now_us);
+	}
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	controller.is_isolated = false;
+	for (int i = 0; i < 19; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	for (int i = 0; i < 50; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_CLAIMING);
+	tear_down (&controller);
+}
+
 /* Guards against replacing a primary because of a status that it sent as a replica, before it was promoted. */
 static void
 test_status_before_record (void)
@@ -591,6 +622,7 @@
 	g_test_add_func ("/gateway_members/silent_poller", test_silent_poller_is_replaced);
 	g_test_add_func ("/gateway_members/list_age", test_change_needs_newer_member_list);
 	g_test_add_func ("/gateway_members/silence_before_question", test_silence_before_question);
+	g_test_add_func ("/gateway_members/silence_while_isolated", test_silence_while_isolated);
 	g_test_add_func ("/gateway_members/status_before_record", test_status_before_record);
 	g_test_add_func ("/gateway_members/missing_before_record", test_entry_missing_before_record);
 	g_test_add_func ("/gateway_members/other_opinion", test_opinion_of_another_server);
