succession: the old primary is demoted only once a successor is known

The service had no primary until the old one was gone, and the commits of its term were lost with it.

Cause: a reachable old primary was demoted at the start of the choice, whether or not there was a successor. Since a server of an earlier term is not one as long as the old primary is listed, and it cannot receive the log of a server that no longer leads.

Evidence: the test /succession/demotion fails on the code before: is_demoted is true while the only other server is behind.

Fix: it is demoted when a successor is known. The choice then waits, as before, until the successor has received its log. The price: a planned change takes one answer of a server longer, since the demotion no longer starts together with the first questions.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -345,7 +345,9 @@
 
 	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
 		return end_claim (succession, &choice, now_us);
-	if (!succession->has_demoted && old && !old->is_unreachable && choice.max_term > 0)
+	/* Not before there is a successor, which may have to receive the log of the last term first. */
+	if (choice.best && !succession->has_demoted && old && !old->is_unreachable &&
+	    choice.max_term > 0)
 	{
 		succession->demote_term = choice.max_term + 1;
 		succession->has_demoted = true;
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -269,6 +269,32 @@
 	g_assert_cmpstr (fixture.promoted, ==, "c");
 }
 
+/* Guards against demoting a primary that is stopping before a successor is known: a replica that missed the last change
+ * can no longer catch up, and the service has no primary until the old one is gone. */
+static void
+test_no_demotion_without_candidate (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.stored = (struct succession_record){ .primary = "b", .revision = 11, .term = 2 };
+	fixture.revision = 11;
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture.servers[0].is_primary = false;
+	fixture.servers[1].is_primary = true;
+	fixture.servers[1].is_draining = true;
+	fixture.servers[1].term = 2;
+	fixture.servers[2].is_listed = false;
+	fixture.input.cause = SUCCESSION_LEAVING;
+	fixture_run (&fixture, 1000 * MS);
+	g_assert_false (fixture.is_demoted);
+	fixture.servers[0].term = 2;
+	fixture_run (&fixture, 100 * MS);
+	g_assert_true (fixture.is_demoted);
+	fixture_run (&fixture, 1500 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "a");
+}
+
 /* Guards against a service without a primary after all servers of the last term are gone. */
 static void
 test_last_server_of_an_earlier_term (void)
@@ -496,6 +522,7 @@
 	g_test_add_func ("/succession/former_primary", test_former_primary_is_not_a_successor);
 	g_test_add_func ("/succession/earlier_term", test_server_of_an_earlier_term);
 	g_test_add_func ("/succession/no_candidate", test_claimant_without_candidate);
+	g_test_add_func ("/succession/demotion", test_no_demotion_without_candidate);
 	g_test_add_func ("/succession/last_of_earlier_term", test_last_server_of_an_earlier_term);
 	g_test_add_func ("/succession/longer_log", test_longer_log_of_an_earlier_term);
 	g_test_add_func ("/succession/lost_answer", test_lost_answer_to_claim);
