gateway: a VM that does not know a server has no opinion about it

Cause: a VM that was asked whether it reaches a server that it does not know answered that it had lost it. After its start a VM knows no server until it has read the directory, and a VM that follows a poller reads of a new server 1 s later, 2 s in a large fleet. Such answers agree to the replacement of a primary that works.

Evidence: the test /gateway_members/unknown_server fails on the code before: an answer of 64 bytes instead of none.

Fix: it does not answer, and is left out after 0.4 s as other silent VMs are.

--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -437,7 +437,7 @@
 	enum reachability_opinion opinion =
 		server ? reachability_form_opinion (server->is_unreachable, server->contact_us,
 	                                        clock_now_us ())
-			   : REACHABILITY_LOST;
+			   : REACHABILITY_UNKNOWN;
 	struct fs_reachability_args answer = {
 		.vm = controller->boot.vm,
 		.server = args->server,
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -7,8 +7,11 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
+#include <unistd.h>
 
 struct fake_platform
 {
@@ -363,6 +366,41 @@
 	controller_peers_ops.handle_opinion (controller, &args, (struct peer_address){ 0, 0 });
 }
 
+/* Guards against reporting a primary as lost because this VM does not know the server yet, after its own start or the
+ * server's. */
+static void
+test_unknown_server_is_not_lost (void)
+{
+	struct controller controller;
+	struct known_server primary = {
+		.entry = { .id = "p", .service = "s" },
+		.is_listed = true,
+		.is_unreachable = true,
+	};
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t length = sizeof address;
+	struct timeval limit = { .tv_usec = 100000 };
+	struct fs_reachability_args question = { .vm = "vm1", .server = "p", .is_question = true };
+	struct peer_address asker = { INADDR_LOOPBACK, 0 };
+	char answer[512];
+	int fd = socket (AF_INET, SOCK_DGRAM, 0);
+
+	set_up (&controller);
+	address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+	g_assert_cmpint (bind (fd, (struct sockaddr *) &address, sizeof address), ==, 0);
+	getsockname (fd, (struct sockaddr *) &address, &length);
+	setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+	asker.port = ntohs (address.sin_port);
+	controller_peers_ops.handle_opinion (&controller, &question, asker);
+	g_assert_cmpint (recv (fd, answer, sizeof answer, 0), ==, -1);
+	/* It answers when it knows the server and does not reach it. */
+	g_hash_table_insert (controller.servers, primary.entry.id, &primary);
+	controller_peers_ops.handle_opinion (&controller, &question, asker);
+	g_assert_cmpint (recv (fd, answer, sizeof answer, 0), >, 0);
+	close (fd);
+	tear_down (&controller);
+}
+
 /* Guards against counting the silence of VMs that this one cannot reach, before it notices that it does not reach the
  * store either: in all plays of trouble-1 of Grindwell, seed 28832871869, VMs behind the cut claimed changes. */
 static void
@@ -622,6 +660,7 @@
 	g_test_add_func ("/gateway_members/silent_poller", test_silent_poller_is_replaced);
 	g_test_add_func ("/gateway_members/list_age", test_change_needs_newer_member_list);
 	g_test_add_func ("/gateway_members/silence_before_question", test_silence_before_question);
+	g_test_add_func ("/gateway_members/unknown_server", test_unknown_server_is_not_lost);
 	g_test_add_func ("/gateway_members/silence_while_isolated", test_silence_while_isolated);
 	g_test_add_func ("/gateway_members/status_before_record", test_status_before_record);
 	g_test_add_func ("/gateway_members/missing_before_record", test_entry_missing_before_record);
