--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -235,6 +235,68 @@
 	g_assert_cmpstr (fixture.promoted, ==, "c");
 }
 
+/* Guards against a claimant that keeps a change to itself although another VM could carry it out: it reaches only a
+ * server of an earlier term, and waits for the others. */
+static void
+test_claimant_without_candidate (void)
+{
+	struct fixture fixture;
+	struct succession other;
+	struct succession_input input = { .rank = 1, .may_claim = true, .has_read_records = true };
+	int64_t end_us;
+
+	fixture_init (&fixture);
+	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
+	fixture.change = 11;
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	for (size_t i = 1; i < G_N_ELEMENTS (fixture.servers); i++)
+	{
+		fixture.servers[i].is_unreachable = true;
+		fixture.servers[i].status_us = 0;
+	}
+	fixture.input.cause = SUCCESSION_FAILED;
+	succession_init (&other, "vm2");
+	end_us = fixture.now_us + 8000 * MS;
+	while (fixture.now_us < end_us && other.phase != SUCCESSION_CLAIMING)
+	{
+		fixture_run (&fixture, STEP_US);
+		succession_set_record (&other, &fixture.stored, fixture.now_us);
+		succession_step (&other, &input, fixture.now_us);
+	}
+	g_assert_cmpint (other.phase, ==, SUCCESSION_CLAIMING);
+	/* The other VM's claim is not stored, so this one tries again. */
+	fixture.servers[2].is_unreachable = false;
+	fixture.servers[2].term = 2;
+	fixture_run (&fixture, 3000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "c");
+}
+
+/* Guards against demoting a primary that is stopping before a successor is known: a replica that missed the last change
+ * can no longer catch up, and the service has no primary until the old one is gone. */
+static void
+test_no_demotion_without_candidate (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
+	fixture.change = 11;
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture.servers[0].is_primary = false;
+	fixture.servers[1].is_primary = true;
+	fixture.servers[1].is_draining = true;
+	fixture.servers[1].term = 2;
+	fixture.servers[2].is_listed = false;
+	fixture.input.cause = SUCCESSION_LEAVING;
+	fixture_run (&fixture, 1000 * MS);
+	g_assert_false (fixture.is_demoted);
+	fixture.servers[0].term = 2;
+	fixture_run (&fixture, 100 * MS);
+	g_assert_true (fixture.is_demoted);
+	fixture_run (&fixture, 1500 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "a");
+}
+
 /* Guards against a service without a primary after all servers of the last term are gone. */
 static void
 test_last_server_of_an_earlier_term (void)
@@ -461,6 +523,8 @@
 	g_test_add_func ("/succession/silent_vm", test_silent_vm_is_waited_for);
 	g_test_add_func ("/succession/former_primary", test_former_primary_is_not_a_successor);
 	g_test_add_func ("/succession/earlier_term", test_server_of_an_earlier_term);
+	g_test_add_func ("/succession/no_candidate", test_claimant_without_candidate);
+	g_test_add_func ("/succession/demotion", test_no_demotion_without_candidate);
 	g_test_add_func ("/succession/last_of_earlier_term", test_last_server_of_an_earlier_term);
 	g_test_add_func ("/succession/longer_log", test_longer_log_of_an_earlier_term);
 	g_test_add_func ("/succession/lost_answer", test_lost_answer_to_claim);
