tests: a fleet in virtual time, made of the gateway's control code

Many controllers run in one thread, with the sources of gateway/controller*.c and of decision/. The clock, the loop, the datagrams, the traffic thread and the store are replaced when the test is linked.

--- /dev/null
+++ b/tests/virtual/gateway_fleet_random.h
@@ -0,0 +1,20 @@
+/**
+ * @file
+ * Plays plans of faults with a fleet of struct gateway_fleet, and makes random ones.
+ */
+#pragma once
+
+#include "gateway_fleet.h"
+
+struct fleet_case
+{
+	uint64_t seed;
+	int vm_count;
+	int service_count;
+	const struct fleet_fault *faults;
+	size_t fault_count;
+	int64_t until_ms; /**< The last fault has ended 12 s before. */
+};
+
+/** Plays a case; violations fail the test. @return their number. */
+uint32_t gateway_fleet_play (const struct fleet_case *played);
