common: a text with more than one JSON value is refused before json-glib parses it

Seen: tools/fuzz, target platform, LeakSanitizer: 4356 bytes in 123 allocations below json_parser_load_from_data, from parse_object of platform_etcd_json.c. It shows only with G_SLICE=always-malloc, which tools/check sets before the fuzz targets; without it the blocks of GLib's slice allocator hide the leak.

Cause: json-glib 1.6.6 parses the values of a text one after the other until its end, keeps the first as its root, and loses each object or array that follows. It reports no error. Shown with 37 texts, one process each: `0{"a":..}`, `{} {}`, `{..}{..}`, `[1][2]`, `"s" {}`, `null {}`, `true{}` and `var x = {..}; {}` leak; no text that json-glib rejects with an error leaks. All nine callers of json_parser_load_from_data in the programs had this, also the body of a service's caller: json_check looked at tokens only, so `{"tenant":"t"} {"tenant":"u"}` was accepted, ran as the first value, and cost memory for as long as the process lived.

Change: json_check moves to common/json_text with json_load and json_load_object, which check before they parse; all callers in the programs use them. The check refuses the second value outside of all objects and arrays. This is complete: the scan refuses what json-glib accepts beyond JSON (comments, assignments), and json-glib stops at the first error, so where json-glib has completed its first value, the scan is at depth 0 too. The limits for callers stay (depth 8, 17 digits); documents have depth 64, so a deep one no longer overflows the stack in json-glib's recursion, and no limit of digits. Documents with comments, \u0000 or control characters in strings are now refused.

--- a/flamingospring/json_check.c
+++ b/common/json_text.c
@@ -1,15 +1,19 @@
-#include "flamingospring/json_check.h"
+#include "common/json_text.h"
 
-#include <glib.h>
 #include <stdbool.h>
 #include <string.h>
 
+const struct json_limits json_caller_limits = { .depth = 8, .digits = 17 };
+const struct json_limits json_document_limits = { .depth = 64 };
+
 /** Scanner state. @c problem is set at the first error. */
 struct json_scan
 {
 	const char *at;
 	const char *end;
+	const struct json_limits *limits;
 	unsigned depth;
+	bool has_value; /* A value was found. */
 	const char *problem;
 };
 
@@ -73,7 +77,7 @@
 		if (scan_digits (scan) == 0)
 			scan_fail (scan, "malformed number in the body");
 	}
-	if (digits > JSON_CHECK_MAX_DIGITS)
+	if (scan->limits->digits > 0 && digits > scan->limits->digits)
 		scan_fail (scan, "number with too many digits: send it as a string");
 }
 
@@ -134,17 +138,41 @@
 	return true;
 }
 
+/** Fails at the second value outside of all objects and arrays, which json-glib would parse and leak. */
+static bool
+scan_begin_value (struct json_scan *scan)
+{
+	if (scan->depth == 0 && scan->has_value)
+	{
+		scan_fail (scan, "more than one value in the body");
+		return false;
+	}
+	scan->has_value = true;
+	return true;
+}
+
+static void
+scan_scalar (struct json_scan *scan)
+{
+	if (*scan->at == '"')
+		scan_string (scan);
+	else if (*scan->at == '-' || g_ascii_isdigit (*scan->at))
+		scan_number (scan);
+	else if (!scan_literal (scan, "true") && !scan_literal (scan, "false") &&
+	         !scan_literal (scan, "null"))
+		scan_fail (scan, "the body is not JSON");
+}
+
 static void
 scan_token (struct json_scan *scan)
 {
 	switch (*scan->at)
 	{
-	case '"':
-		scan_string (scan);
-		break;
 	case '{':
 	case '[':
-		if (++scan->depth > JSON_CHECK_MAX_DEPTH)
+		if (!scan_begin_value (scan))
+			break;
+		if (++scan->depth > scan->limits->depth)
 			scan_fail (scan, "the body is nested too deeply");
 		else
 			scan->at++;
@@ -165,18 +193,15 @@
 		scan->at++;
 		break;
 	default:
-		if (*scan->at == '-' || g_ascii_isdigit (*scan->at))
-			scan_number (scan);
-		else if (!scan_literal (scan, "true") && !scan_literal (scan, "false") &&
-		         !scan_literal (scan, "null"))
-			scan_fail (scan, "the body is not JSON");
+		if (scan_begin_value (scan))
+			scan_scalar (scan);
 	}
 }
 
 const char *
-json_check (const char *text, size_t length)
+json_check (const char *text, size_t length, const struct json_limits *limits)
 {
-	struct json_scan scan = { .at = text, .end = text + length };
+	struct json_scan scan = { .at = text, .end = text + length, .limits = limits };
 
 	/* A zero byte is rejected here as well. */
 	if (!g_utf8_validate (text, (gssize) length, NULL))
@@ -187,3 +212,28 @@
 		return "the body ends too early";
 	return scan.problem;
 }
+
+const char *
+json_load (JsonParser *parser, const char *text, size_t length, const struct json_limits *limits,
+           JsonNode **root)
+{
+	const char *problem = json_check (text, length, limits);
+
+	*root = NULL;
+	if (problem)
+		return problem;
+	if (!json_parser_load_from_data (parser, text, (gssize) length, NULL))
+		return "the body is not JSON";
+	*root = json_parser_get_root (parser);
+	return NULL;
+}
+
+JsonObject *
+json_load_object (JsonParser *parser, const char *text, size_t length)
+{
+	JsonNode *root;
+
+	if (json_load (parser, text, length, &json_document_limits, &root))
+		return NULL;
+	return root && JSON_NODE_HOLDS_OBJECT (root) ? json_node_get_object (root) : NULL;
+}
--- a/emulator/load_session.c
+++ b/emulator/load_session.c
@@ -1,6 +1,7 @@
 #include "emulator/load.h"
 
 #include "common/clock.h"
+#include "common/json_text.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -354,7 +355,6 @@
              CURLcode result)
 {
 	static const char *const names[] = { "done", "refused", "failed", "unknown" };
-	JsonNode *root;
 	JsonObject *object;
 	long sent_bytes = 0;
 
@@ -366,12 +366,11 @@
 	curl_easy_getinfo (session->curl, CURLINFO_REQUEST_SIZE, &sent_bytes);
 	if (result == CURLE_COULDNT_CONNECT && sent_bytes == 0)
 		reply->class = CLASS_REFUSED;
-	if (result != CURLE_OK || !json_parser_load_from_data (parser, session->answer->str, -1, NULL))
+	if (result != CURLE_OK)
 		return;
-	root = json_parser_get_root (parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT (root))
+	object = json_load_object (parser, session->answer->str, session->answer->len);
+	if (!object)
 		return;
-	object = json_node_get_object (root);
 	for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
 	{
 		if (strcmp (names[i], member_text (object, "outcome")) == 0)
--- a/emulator/platform.c
+++ b/emulator/platform.c
@@ -1,6 +1,7 @@
 /* The platform's key-value service: the etcd v3 JSON API over HTTP, with call counters and fault injection.
  * The control address serves GET /counters and POST /fault, also during an outage. */
 #include "common/clock.h"
+#include "common/json_text.h"
 #include "emulator/commands.h"
 #include "emulator/stream.h"
 
@@ -559,21 +560,20 @@
 	struct MHD_Response *response = NULL;
 	enum MHD_Result result = MHD_NO;
 	unsigned status = MHD_HTTP_OK;
-	JsonNode *root;
+	JsonObject *object;
 
 	if (request->body->len == 0)
 		g_string_assign (request->body, "{}");
-	json_parser_load_from_data (parser, request->body->str, -1, NULL);
-	root = json_parser_get_root (parser);
-	if (!route || !root || !JSON_NODE_HOLDS_OBJECT (root))
+	object = json_load_object (parser, request->body->str, request->body->len);
+	if (!route || !object)
 	{
 		status = MHD_HTTP_BAD_REQUEST;
 		g_string_assign (out, "{\"error\":\"bad request\",\"code\":3,\"message\":\"bad request\"}");
 	}
 	else if (route->handle)
-		route->handle (json_node_get_object (root), out);
+		route->handle (object, out);
 	else
-		response = watch_start (request->connection, json_node_get_object (root));
+		response = watch_start (request->connection, object);
 	if (!response)
 		response = MHD_create_response_from_buffer (out->len, out->str, MHD_RESPMEM_MUST_COPY);
 	/* lose_answers: the call took effect, and MHD_NO closes the connection without an answer. */
--- a/flamingospring/control_documents.c
+++ b/flamingospring/control_documents.c
@@ -1,5 +1,6 @@
 #include "common/clock.h"
 #include "common/counters.h"
+#include "common/json_text.h"
 #include "common/log.h"
 #include "decision/ownership.h"
 #include "flamingospring/control_private.h"
@@ -52,17 +53,12 @@
                         bool *is_deleted)
 {
 	JsonParser *parser = json_parser_new ();
-	JsonObject *object;
-	JsonNode *root;
+	JsonObject *object = json_load_object (parser, value, strlen (value));
 	int result = -EPROTO;
 
 	*operation_id = *author = *text = NULL;
-	if (!json_parser_load_from_data (parser, value, -1, NULL))
-		goto out;
-	root = json_parser_get_root (parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT (root))
+	if (!object)
 		goto out;
-	object = json_node_get_object (root);
 	*operation_id = copy_member (object, "operation_id");
 	*author = copy_member (object, "author");
 	*text = copy_member (object, "text");
--- a/flamingospring/control_vms.c
+++ b/flamingospring/control_vms.c
@@ -1,4 +1,5 @@
 #include "common/clock.h"
+#include "common/json_text.h"
 #include "common/log.h"
 #include "flamingospring/control_private.h"
 
@@ -58,18 +59,15 @@
 entry_parse (const char *value, struct vm_list_entry *entry)
 {
 	JsonParser *parser = json_parser_new ();
+	JsonObject *object = json_load_object (parser, value, strlen (value));
 	const char *address;
 	const char *state;
-	JsonNode *root;
 	bool is_valid = false;
 
-	if (!json_parser_load_from_data (parser, value, -1, NULL))
+	if (!object)
 		goto out;
-	root = json_parser_get_root (parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT (root))
-		goto out;
-	address = get_text (json_node_get_object (root), "address");
-	state = get_text (json_node_get_object (root), "state");
+	address = get_text (object, "address");
+	state = get_text (object, "state");
 	if (!address || !state || !address_parse (address, entry))
 		goto out;
 	entry->is_leaving = strcmp (state, "leaving") == 0;
--- a/flamingospring/http_message.c
+++ b/flamingospring/http_message.c
@@ -1,6 +1,6 @@
 #include "flamingospring/http_message.h"
 
-#include "flamingospring/json_check.h"
+#include "common/json_text.h"
 
 #include <errno.h>
 #include <json-glib/json-glib.h>
@@ -220,18 +220,15 @@
 http_body_parse (const char *body, size_t length, struct entry_call *call, const char **problem)
 {
 	JsonParser *parser;
+	JsonNode *root;
 
 	*problem = NULL;
 	if (length == 0)
 		return 0;
-	*problem = json_check (body, length);
-	if (*problem)
-		return -EINVAL;
 	parser = json_parser_new_immutable ();
-	if (!json_parser_load_from_data (parser, body, (gssize) length, NULL))
-		*problem = "the body is not JSON";
-	else
-		*problem = parse_object (json_parser_get_root (parser), call);
+	*problem = json_load (parser, body, length, &json_caller_limits, &root);
+	if (!*problem)
+		*problem = parse_object (root, call);
 	g_object_unref (parser);
 	return *problem ? -EINVAL : 0;
 }
--- a/flamingospring/owner_rows.c
+++ b/flamingospring/owner_rows.c
@@ -1,5 +1,6 @@
 #include "flamingospring/owner_rows.h"
 
+#include "common/json_text.h"
 #include "protocols/peer.h"
 
 #include <errno.h>
@@ -165,16 +166,13 @@
 	struct owner_rows borrowed = { 0 };
 	const char **columns = NULL;
 	const char **cells = NULL;
-	JsonNode *root;
+	JsonObject *object = json_load_object (parser, json, strlen (json));
 	int result = -EBADMSG;
 
-	if (!json_parser_load_from_data (parser, json, -1, NULL))
-		goto out;
-	root = json_parser_get_root (parser);
-	if (!root || !JSON_NODE_HOLDS_OBJECT (root))
+	if (!object)
 		goto out;
-	columns = read_texts (json_node_get_object (root), "columns", &borrowed.column_count);
-	cells = read_texts (json_node_get_object (root), "cells", &borrowed.cell_count);
+	columns = read_texts (object, "columns", &borrowed.column_count);
+	cells = read_texts (object, "cells", &borrowed.cell_count);
 	if (!columns || !cells)
 		goto out;
 	borrowed.columns = columns;
--- a/flamingospring/platform_etcd_json.c
+++ b/flamingospring/platform_etcd_json.c
@@ -1,5 +1,7 @@
 #include "flamingospring/platform_etcd_json.h"
 
+#include "common/json_text.h"
+
 #include <errno.h>
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -240,17 +242,6 @@
 		add_pair (decoded, array_object (pairs, i), false);
 }
 
-static JsonObject *
-parse_object (JsonParser *parser, const char *text, size_t length)
-{
-	JsonNode *root;
-
-	if (!json_parser_load_from_data (parser, text, (gssize) length, NULL))
-		return NULL;
-	root = json_parser_get_root (parser);
-	return root && JSON_NODE_HOLDS_OBJECT (root) ? json_node_get_object (root) : NULL;
-}
-
 static void
 answer_complete (struct etcd_answer *decoded, JsonObject *object)
 {
@@ -263,7 +254,7 @@
 etcd_range_decode (struct etcd_answer *decoded, const char *text, size_t length)
 {
 	JsonParser *parser = json_parser_new ();
-	JsonObject *object = parse_object (parser, text, length);
+	JsonObject *object = json_load_object (parser, text, length);
 	int result = 0;
 
 	if (!find_object (object, "header"))
@@ -283,7 +274,7 @@
 etcd_swap_decode (struct etcd_answer *decoded, const char *text, size_t length)
 {
 	JsonParser *parser = json_parser_new ();
-	JsonObject *object = parse_object (parser, text, length);
+	JsonObject *object = json_load_object (parser, text, length);
 	JsonArray *responses;
 	int result = 0;
 
@@ -307,7 +298,7 @@
 etcd_watch_decode (struct etcd_answer *decoded, const char *text, size_t length)
 {
 	JsonParser *parser = json_parser_new ();
-	JsonObject *object = find_object (parse_object (parser, text, length), "result");
+	JsonObject *object = find_object (json_load_object (parser, text, length), "result");
 	JsonArray *events;
 	int result = 0;
 
--- a/tests/fuzz/http.c
+++ b/tests/fuzz/http.c
@@ -1,7 +1,7 @@
 /* Guards against a caller's path, body or traceparent that makes the entry VM read out of bounds, and
  * against an answer that is not valid JSON. */
+#include "common/json_text.h"
 #include "flamingospring/http_message.h"
-#include "flamingospring/json_check.h"
 #include "fuzz.h"
 
 #include <glib.h>
@@ -26,7 +26,7 @@
 	result.cells.cells_val = cells;
 	answer.message = call->request_id;
 	text = http_answer_format (&answer, &length);
-	if (json_check (text, length))
+	if (json_check (text, length, &json_caller_limits))
 		abort ();
 	g_free (text);
 	g_free (cells);
--- a/tests/unit/http_message.c
+++ b/tests/unit/http_message.c
@@ -59,6 +59,9 @@
 	{ "{\"a\": [[[[[[[[[1]]]]]]]]]}", "nested too deeply" },
 	{ "/* comment */ {}", "not JSON" },
 	{ "var a = {}", "not JSON" },
+	{ "{\"tenant\": \"t\"} {\"tenant\": \"u\"}", "more than one value" },
+	{ "0{}", "more than one value" },
+	{ "{}\"a\"[1]", "more than one value" },
 };
 
 static void
--- a/tests/unit/owner_rows.c
+++ b/tests/unit/owner_rows.c
@@ -47,7 +47,8 @@
 		                                 "[]",
 		                                 "{\"columns\":1,\"cells\":[]}",
 		                                 "{\"columns\":[],\"cells\":[1]}",
-		                                 "{\"columns\":[]}" };
+		                                 "{\"columns\":[]}",
+		                                 "{\"columns\":[],\"cells\":[]}{\"columns\":[]}" };
 	struct owner_rows rows = { 0 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -57,6 +57,8 @@
 		"\"state\":\"ready\",\"dbRole\":\"replica\"}",
 		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"a\",\"slots\":2,"
 		"\"state\":\"ready\",\"dbRole\":\"leader\"}",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"a\",\"slots\":2,"
+		"\"state\":\"ready\",\"dbRole\":\"replica\"}{\"service\":\"s\"}",
 	};
 	struct server_entry entry;
 
--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -174,6 +174,7 @@
 		{ "503 {}", -EAGAIN, false },
 		{ "200 {\"revision\":\"x\"}", -EPROTO, false },
 		{ "200 [", -EPROTO, false },
+		{ "200 {\"revision\":412}{\"revision\":413}", -EPROTO, false },
 		{ NULL, -ECONNRESET, false },
 	};
 
