--- a/tests/virtual/gateway_fleet.c
+++ b/tests/virtual/gateway_fleet.c
@@ -132,9 +132,10 @@
 	g_autofree char *key =
 		g_strdup_printf ("%s%s", controller_record_prefix, fleet->services[service].name);
 	const char *value = fleet_store_get (fleet->store, key);
+	uint64_t era;
 
 	*record = (struct succession_record){ 0 };
-	return value && primary_record_parse (value, strlen (value), record) == 0;
+	return value && primary_record_parse (value, strlen (value), record, &era) == 0;
 }
 
 static void
--- a/tests/virtual/gateway_fleet_calls.c
+++ b/tests/virtual/gateway_fleet_calls.c
@@ -173,7 +173,7 @@
 
 	call->answer.error = error;
 	call->answer.revision = store_revision (store);
-	/* call->answer.era = store->era; */
+	call->answer.era = store->era;
 	call_schedule (call, call->vm, CALL_WAY_US, 0, handle_answer);
 }
 
--- a/tests/virtual/gateway_fleet_host.c
+++ b/tests/virtual/gateway_fleet_host.c
@@ -282,8 +282,9 @@
 	};
 
 	g_assert_cmpint (rpc_datagram_decode (datagram->bytes, (size_t) datagram->length,
-	                                      FS_GATEWAY_PROGRAM, datagram->procedure,
-	                                      decoders[datagram->procedure], &args),
+	                                      FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION,
+	                                      datagram->procedure, decoders[datagram->procedure],
+	                                      &args),
 	                 ==, 0);
 	host_vm = datagram->to;
 	switch (datagram->procedure)
--- a/tests/virtual/gateway_fleet_traffic.c
+++ b/tests/virtual/gateway_fleet_traffic.c
@@ -85,7 +85,7 @@
 		return;
 	state->is_quiesced = true;
 	traffic->events->handle_quiesced (traffic->events_data, gateway_fleet->services[service].name,
-	                                  state->revision);
+	                                  state->change);
 }
 
 static void
@@ -95,18 +95,18 @@
 	const struct traffic_server *known =
 		record ? g_hash_table_lookup (traffic->servers, record->primary) : NULL;
 	const char *primary = known ? known->id : NULL;
-	uint64_t revision = record ? record->revision : 0;
+	uint64_t change = record ? record->change : 0;
 	bool is_other = g_strcmp0 (state->primary, primary) != 0;
 
-	if (state->revision == revision && !is_other)
+	if (state->change == change && !is_other)
 		return;
 	state->is_changing = record && record->is_changing;
 	state->is_planned = record && record->is_planned;
-	if (state->revision != revision)
+	if (state->change != change)
 	{
 		state->is_quiesced = false;
 		state->adopted_us = clock_now_us ();
-		state->revision = revision;
+		state->change = change;
 		g_array_set_size (state->held, 0);
 	}
 	if (is_other)
--- a/tests/virtual/gateway_fleet_traffic.h
+++ b/tests/virtual/gateway_fleet_traffic.h
@@ -34,7 +34,7 @@
 struct traffic_service
 {
 	char *primary; /**< NULL: none, or its entry is unknown. */
-	uint64_t revision;
+	uint64_t change;
 	bool is_changing;
 	bool is_planned;
 	bool is_quiesced;
