--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -328,13 +328,18 @@
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		const struct member *member = value;
-		struct view_member entry = { .ip = member->address.ip, .port = member->address.port };
 
-		if (!member->is_serving)
-			continue;
-		entry.vm = g_strdup (member->vm);
-		entry.zone = g_strdup (member->zone);
-		g_array_append_val (view->members, entry);
+		if (member->is_serving)
+		{
+			struct view_member entry = {
+				.vm = g_strdup (member->vm),
+				.zone = g_strdup (member->zone),
+				.ip = member->address.ip,
+				.port = member->address.port,
+			};
+
+			g_array_append_val (view->members, entry);
+		}
 	}
 	gateway_traffic_send_view (controller->traffic, view);
 }
