--- a/tests/fuzz/rpc.c
+++ b/tests/fuzz/rpc.c
@@ -102,8 +102,8 @@
 	struct fs_gossip gossip;
 
 	memset (&gossip, 0, sizeof gossip);
-	if (rpc_datagram_decode ((const char *) data, size, FS_PEER_PROGRAM, FS_PEER_VERSION, FS_PEER_GOSSIP,
-	                         (xdrproc_t) xdr_fs_gossip, &gossip) == 0)
+	if (rpc_datagram_decode ((const char *) data, size, FS_PEER_PROGRAM, FS_PEER_VERSION,
+	                         FS_PEER_GOSSIP, (xdrproc_t) xdr_fs_gossip, &gossip) == 0)
 		xdr_free ((xdrproc_t) xdr_fs_gossip, (char *) &gossip);
 	run_stream (data, size);
 	return 0;
