tests: emulator_platform waits for what the emulator does, not for times

Four times decide: - The lease of 1 s expires before the compaction, as the steps between take 0.9 s of waiting. Its expiry increments the revision, so the watch's compact_revision is 5 instead of 4: line 143, step 18. - The watch has 200 ms for its first events: line 143, step 5. - A call has 300 ms, also the one that the emulator delays by 200 ms: line 142, steps 12 to 20. - 50 ms after a fault, it must have taken effect.

Now: a call that is answered has 20 s; the watch must stay open for 200 ms after the expected text came, instead of 200 ms in total; the lease lasts 600 s; the steps whose effect comes in a later tick (the refused connection, the watch after the restart of the listening socket, the count of watches) are repeated until it is there or 20 s have passed. New: the slow answer must take 200 ms, which was not checked.

--- a/tests/integration/emulator_platform.c
+++ b/tests/integration/emulator_platform.c
@@ -12,8 +12,9 @@
 
 enum
 {
-	TIMEOUT_MS = 300, /* Timeout of a call; longer than the slow answer in the table. */
-	WATCH_MS = 200,
+	ANSWER_MS = 20000, /* Limit of a call; the emulator may get no processor time for a while. */
+	SILENT_MS = 300,   /* Time for which a call must stay unanswered. */
+	WATCH_MS = 200,    /* Time for which a watch must stay open after the expected text. */
 	START_TRIES = 200,
 };
 
@@ -28,17 +29,42 @@
 	prctl (PR_SET_PDEATHSIG, SIGKILL);
 }
 
+struct call
+{
+	GString *answer;
+	const char *watched; /* Text that a watch sends; NULL: not a watch. */
+	int64_t watched_us;  /* Time at which it came. */
+};
+
 static size_t
 handle_body (char *bytes, size_t size, size_t count, void *data)
 {
-	g_string_append_len (data, bytes, (gssize) (size * count));
+	struct call *call = data;
+
+	g_string_append_len (call->answer, bytes, (gssize) (size * count));
+	if (call->watched && !call->watched_us && strstr (call->answer->str, call->watched))
+		call->watched_us = clock_now_us ();
 	return size * count;
 }
 
-/** Sends a POST with @p body and stores the response in @p answer. @return curl's result. */
+/** Ends a watch that has stayed open for long enough after the expected text. */
+static int
+handle_progress (void *data, curl_off_t to_receive, curl_off_t received, curl_off_t to_send,
+                 curl_off_t sent)
+{
+	const struct call *call = data;
+
+	return call->watched_us && clock_now_us () - call->watched_us >= WATCH_MS * US_PER_MS;
+}
+
+/** Sends a POST with @p body and stores the response in @p answer. A watch that stays open after it has
+ * sent @p watched, which is NULL for other calls, ends with CURLE_ABORTED_BY_CALLBACK.
+ * @return curl's result. */
 static CURLcode
-post (const char *base, const char *path, const char *body, long timeout_ms, GString *answer)
+post (const char *base, const char *path, const char *body, const char *watched, long timeout_ms,
+      GString *answer)
 {
+	struct call call = { .answer = answer, .watched = watched };
 	char *url = g_strconcat (base, path, NULL);
 	CURL *curl = curl_easy_init ();
 	CURLcode result;
@@ -48,7 +74,10 @@
 	curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
 	curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, timeout_ms);
 	curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, handle_body);
-	curl_easy_setopt (curl, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt (curl, CURLOPT_WRITEDATA, &call);
+	curl_easy_setopt (curl, CURLOPT_XFERINFOFUNCTION, handle_progress);
+	curl_easy_setopt (curl, CURLOPT_XFERINFODATA, &call);
+	curl_easy_setopt (curl, CURLOPT_NOPROGRESS, 0L);
 	result = curl_easy_perform (curl);
 	curl_easy_cleanup (curl);
 	g_free (url);
@@ -75,7 +104,7 @@
 	control_url = g_strconcat ("http://", control, NULL);
 	for (int i = 0; i < START_TRIES; i++)
 	{
-		if (post (control_url, "/counters", "", TIMEOUT_MS, answer) == CURLE_OK)
+		if (post (control_url, "/counters", "", NULL, ANSWER_MS, answer) == CURLE_OK)
 			break;
 		g_usleep (10 * US_PER_MS);
 	}
@@ -90,6 +119,9 @@
 	"\"}],\"success\":[{\"requestPut\":{\"key\":\"YWI=\",\"value\":\"" value                       \
 	"\"}}],\"failure\":[{\"request_range\":{\"key\":\"YWI=\"}}]}"
 
+#define SLOW_MS 200
+#define SLOW    "{\"slow_ms\":" G_STRINGIFY (SLOW_MS) "}"
+
 static const char range_all[] = "{\"key\":\"YQ==\",\"range_end\":\"eg==\"}";
 static const char watch_all[] =
 	"{\"create_request\":{\"key\":\"YQ==\",\"range_end\":\"eg==\",\"start_revision\":\"2\"}}";
@@ -102,30 +134,47 @@
 	const char *body;
 	CURLcode result;
 	const char *expected; /* Part of the response. */
+	bool is_awaited;      /* Repeated: what it expects happens in a later tick of the emulator. */
 } steps[] = {
-	{ "/v3/kv/txn", SWAP ("0", "MQ=="), CURLE_OK, "\"succeeded\":true" },
-	{ "/v3/kv/txn", SWAP ("0", "Mg=="), CURLE_OK, "\"response_range\"" },
-	{ "/v3/kv/txn", SWAP ("2", "Mg=="), CURLE_OK, "\"revision\":\"3\"" },
-	{ "/v3/kv/range", range_all, CURLE_OK, "\"mod_revision\":\"3\"" },
-	{ "/v3/kv/range", "{\"key\":\"eno=\"}", CURLE_OK, "\"raft_term\":\"1\"}}" },
-	{ "/v3/watch", watch_all, CURLE_OPERATION_TIMEDOUT, "\"mod_revision\":\"2\"" },
-	{ "/fault", "{\"lose_answers\":1}", CURLE_OK, "{}" },
-	{ "/v3/kv/put", "{\"key\":\"YWM=\",\"value\":\"Mw==\"}", CURLE_GOT_NOTHING, "" },
-	{ "/v3/kv/range", "{\"key\":\"YWM=\"}", CURLE_OK, "\"value\":\"Mw==\"" },
-	{ "/v3/lease/grant", "{\"TTL\":\"1\"}", CURLE_OK, "\"ID\":\"1000\"" },
-	{ "/v3/lease/keepalive", "{\"ID\":\"1000\"}", CURLE_OK, "\"TTL\":\"1\"" },
-	{ "/fault", "{\"slow_ms\":200}", CURLE_OK, "{}" },
-	{ "/v3/kv/range", range_all, CURLE_OK, "\"count\":\"2\"" },
-	{ "/fault", "{\"slow_ms\":0,\"outage\":\"hang\"}", CURLE_OK, "{}" },
-	{ "/v3/kv/range", range_all, CURLE_OPERATION_TIMEDOUT, "" },
-	{ "/fault", "{\"outage\":\"refuse\"}", CURLE_OK, "{}" },
-	{ "/v3/kv/range", range_all, CURLE_COULDNT_CONNECT, "" },
-	{ "/fault", "{\"outage\":\"none\",\"compaction\":true}", CURLE_OK, "{}" },
-	{ "/v3/watch", watch_all, CURLE_OK, "\"compact_revision\":\"4\"" },
-	{ "/counters", "", CURLE_OK, "\"/v3/kv/txn\":3" },
-	{ "/counters", "", CURLE_OK, "\"waiting_watches\":0" },
+	{ "/v3/kv/txn", SWAP ("0", "MQ=="), CURLE_OK, "\"succeeded\":true", false },
+	{ "/v3/kv/txn", SWAP ("0", "Mg=="), CURLE_OK, "\"response_range\"", false },
+	{ "/v3/kv/txn", SWAP ("2", "Mg=="), CURLE_OK, "\"revision\":\"3\"", false },
+	{ "/v3/kv/range", range_all, CURLE_OK, "\"mod_revision\":\"3\"", false },
+	{ "/v3/kv/range", "{\"key\":\"eno=\"}", CURLE_OK, "\"raft_term\":\"1\"}}", false },
+	{ "/v3/watch", watch_all, CURLE_ABORTED_BY_CALLBACK, "\"mod_revision\":\"2\"", false },
+	{ "/fault", "{\"lose_answers\":1}", CURLE_OK, "{}", false },
+	{ "/v3/kv/put", "{\"key\":\"YWM=\",\"value\":\"Mw==\"}", CURLE_GOT_NOTHING, "", false },
+	{ "/v3/kv/range", "{\"key\":\"YWM=\"}", CURLE_OK, "\"value\":\"Mw==\"", false },
+	{ "/v3/lease/grant", "{\"TTL\":\"600\"}", CURLE_OK, "\"ID\":\"1000\"", false },
+	{ "/v3/lease/keepalive", "{\"ID\":\"1000\"}", CURLE_OK, "\"TTL\":\"600\"", false },
+	{ "/fault", SLOW, CURLE_OK, "{}", false },
+	{ "/v3/kv/range", range_all, CURLE_OK, "\"count\":\"2\"", false },
+	{ "/fault", "{\"slow_ms\":0,\"outage\":\"hang\"}", CURLE_OK, "{}", false },
+	{ "/v3/kv/range", range_all, CURLE_OPERATION_TIMEDOUT, "", false },
+	{ "/fault", "{\"outage\":\"refuse\"}", CURLE_OK, "{}", false },
+	{ "/v3/kv/range", range_all, CURLE_COULDNT_CONNECT, "", true },
+	{ "/fault", "{\"outage\":\"none\",\"compaction\":true}", CURLE_OK, "{}", false },
+	{ "/v3/watch", watch_all, CURLE_OK, "\"compact_revision\":\"4\"", true },
+	{ "/counters", "", CURLE_OK, "\"/v3/kv/txn\":3", false },
+	{ "/counters", "", CURLE_OK, "\"waiting_watches\":0", true },
 };
 
+/** Runs a step. @return true when its result is as expected. */
+static bool
+step_run (size_t at, GString *answer)
+{
+	bool is_service = g_str_has_prefix (steps[at].path, "/v3/");
+	bool is_watch = steps[at].result == CURLE_ABORTED_BY_CALLBACK;
+	bool is_silent = steps[at].result == CURLE_OPERATION_TIMEDOUT;
+	CURLcode result =
+		post (is_service ? service_url : control_url, steps[at].path, steps[at].body,
+	          is_watch ? steps[at].expected : NULL, is_silent ? SILENT_MS : ANSWER_MS, answer);
+
+	g_test_message ("step %zu: %s %s: %s", at, steps[at].path, curl_easy_strerror (result),
+	                answer->str);
+	return result == steps[at].result && strstr (answer->str, steps[at].expected);
+}
+
 static void
 test_steps (void)
 {
@@ -133,16 +182,18 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
 	{
-		bool is_service = g_str_has_prefix (steps[i].path, "/v3/");
-		bool is_watch = strcmp (steps[i].path, "/v3/watch") == 0;
-		CURLcode result = post (is_service ? service_url : control_url, steps[i].path,
-		                        steps[i].body, is_watch ? WATCH_MS : TIMEOUT_MS, answer);
-
-		g_test_message ("step %zu: %s %s", i, steps[i].path, answer->str);
-		g_assert_cmpint (result, ==, steps[i].result);
-		g_assert_nonnull (strstr (answer->str, steps[i].expected));
-		/* The emulator applies an outage to its listening socket, and notices a closed watch, in its next tick. */
-		g_usleep (50 * US_PER_MS);
+		int64_t start_us = clock_now_us ();
+		bool is_slow = i > 0 && strcmp (steps[i - 1].body, SLOW) == 0;
+		bool is_expected = step_run (i, answer);
+
+		while (!is_expected && steps[i].is_awaited &&
+		       clock_now_us () - start_us < ANSWER_MS * US_PER_MS)
+		{
+			g_usleep (5 * US_PER_MS);
+			is_expected = step_run (i, answer);
+		}
+		g_assert_true (is_expected);
+		g_assert_true (!is_slow || clock_now_us () - start_us >= SLOW_MS * US_PER_MS);
 	}
 	g_string_free (answer, TRUE);
 }
