gateway: the silence of other VMs counts only while this VM reaches the store

After a cut of 1 to 2.3 s a VM of the zone that was cut off replaced an undisturbed primary.

A VM that is cut off asks, is not answered, and sends its claim before it knows that it is isolated or that the store is lost; the claim is executed when the cut ends. While the store was lost, the time of the first question went on.

Fix: silence counts from the first answer of the store to a request that was sent after the first question, and questions start anew after a loss of the store. A VM that follows a poller reads the store itself for that. The tests silence_without_store (claims within 2 s without an answer of the store) and short_cut fail without it.

--- a/decision/reachability.c
+++ b/decision/reachability.c
@@ -22,10 +22,11 @@
 }
 
 bool
-reachability_is_agreed (const struct reachability_votes *votes, int64_t asked_us, int64_t now_us)
+reachability_is_agreed (const struct reachability_votes *votes, int64_t silent_since_us,
+                        int64_t now_us)
 {
 	if (votes->lost <= votes->reachable)
 		return false;
 	return votes->lost > votes->reachable + votes->silent ||
-	       now_us - asked_us > REACHABILITY_WAIT_US;
+	       now_us - silent_since_us > REACHABILITY_WAIT_US;
 }
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -22,6 +22,8 @@
 	MANAGER_OPINION_RANK_US = 50 * US_PER_MS,
 	/* A server that has just become the primary may still answer as a replica, so only a later answer counts. */
 	MANAGER_NOT_PRIMARY_US = 700 * US_PER_MS,
+	/* A VM whose questions are not answered reads the store after this time. */
+	MANAGER_READ_US = 150 * US_PER_MS,
 	MANAGER_STATUS_INTERVAL_US = 200 * US_PER_MS,
 	MANAGER_MAX_SERVERS = 32,
 	/* The VMs that may write a record again do so one after another, so that usually one write is enough. */
@@ -294,6 +296,7 @@
 	if (now_us - primary_manager->opinion_asked_us > MANAGER_OPINION_AGE_US)
 	{
 		primary_manager->first_asked_us = now_us;
+		primary_manager->silent_since_us = now_us;
 		g_hash_table_remove_all (primary_manager->opinions);
 	}
 	primary_manager->opinion_asked_us = now_us;
@@ -308,6 +311,25 @@
 	}
 }
 
+/**
+ * Updates since when the silence of other VMs counts: since the store has answered a request that this VM sent after its
+ * first question. Until then, the questions may not have left a zone that is cut off.
+ */
+static int64_t
+update_silent_since (struct primary_manager *primary_manager, int64_t now_us)
+{
+	struct controller *controller = primary_manager->controller;
+	bool has_read = controller->polled_sent_us > primary_manager->first_asked_us;
+
+	if (!has_read || controller->is_isolated)
+		primary_manager->silent_since_us = now_us;
+	/* VMs that follow a poller rarely read the store. Most losses are agreed on before this. */
+	if (!has_read && !controller->is_polling &&
+	    now_us - primary_manager->first_asked_us > MANAGER_READ_US)
+		controller_poll (controller, now_us);
+	return primary_manager->silent_since_us;
+}
+
 /** Counts the opinions of the listed VMs, including this one, which does not reach the primary. */
 static struct reachability_votes
 count_opinions (const struct primary_manager *primary_manager, int64_t now_us)
@@ -425,17 +447,19 @@
 	}
 	if (primary_manager->unreachable_us == 0)
 		primary_manager->unreachable_us = now_us;
-	/* A change needs the store, and it is enough that the VMs of the lowest ranks collect opinions. */
-	if (controller->store_ok_us == 0 ||
-	    now_us - primary_manager->unreachable_us <
-	        find_rank (primary_manager, now_us) * MANAGER_OPINION_RANK_US)
+	/* A change needs the store. Without it, the questions may not arrive either. */
+	if (controller->store_ok_us == 0)
+	{
+		primary_manager->opinion_asked_us = 0;
+		return SUCCESSION_NO_CAUSE;
+	}
+	/* It is enough that the VMs of the lowest ranks collect opinions. */
+	if (now_us - primary_manager->unreachable_us <
+	    find_rank (primary_manager, now_us) * MANAGER_OPINION_RANK_US)
 		return SUCCESSION_NO_CAUSE;
 	request_opinions (primary_manager, primary->entry.id, now_us);
-	/* The questions of an isolated VM may not arrive. */
-	if (controller->is_isolated)
-		primary_manager->first_asked_us = now_us;
 	votes = count_opinions (primary_manager, now_us);
-	return reachability_is_agreed (&votes, primary_manager->first_asked_us, now_us)
+	return reachability_is_agreed (&votes, update_silent_since (primary_manager, now_us), now_us)
 	           ? SUCCESSION_FAILED
 	           : SUCCESSION_NO_CAUSE;
 }
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -404,6 +404,7 @@
 	/* The first view must name the other VMs: a VM that seems to be the only one opens connections to all servers. */
 	members_update_serving (controller, now_us);
 	controller->members_valid_us = answer->request_sent_us;
+	controller->polled_sent_us = answer->request_sent_us;
 	if (answer->request_sent_us > controller->records_valid_us && controller->unconfirmed == 0)
 		controller->records_valid_us = answer->request_sent_us;
 	if (controller->is_registered != was_registered)
--- a/include/decision/reachability.h
+++ b/include/decision/reachability.h
@@ -28,8 +28,8 @@
 };
 
 /**
- * @param asked_us when the other VMs were first asked. The silence of a VM counts only after it had time to answer.
+ * @param silent_since_us since when the other VMs have been asked and could have answered.
  * @return whether the fleet considers the server lost.
  */
-bool reachability_is_agreed (const struct reachability_votes *votes, int64_t asked_us,
+bool reachability_is_agreed (const struct reachability_votes *votes, int64_t silent_since_us,
                              int64_t now_us);
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -91,8 +91,8 @@
 	struct peer_address claimant; /**< Address from which the claimant last sent the record. */
 	GHashTable *quiesced;         /**< VM name to struct quiesced. */
 	GHashTable *opinions;         /**< VM name to struct opinion. */
-	/** First of the questions that are being repeated to the other VMs; while this VM is isolated, now. */
-	int64_t first_asked_us;
+	int64_t first_asked_us; /**< First of the questions that are being repeated to the other VMs. */
+	int64_t silent_since_us;  /**< Since when it counts that they are not answered. */
 	int64_t opinion_asked_us; /**< Last of them; 0: the next question is the first. */
 	int64_t status_asked_us;
 	/** When this VM first failed to reach the primary; 0: it reaches it. */
@@ -144,9 +144,10 @@
 	int64_t records_valid_us;
 	/** Latest time at which the list of VMs and the records are known to have been current. */
 	int64_t members_valid_us;
-	bool knows_era;       /**< The store has answered since this VM started. */
-	uint64_t store_era;   /**< Latest era of the store that this VM has learned of. */
-	uint64_t members_era; /**< Era in which the list of VMs and the records were read. */
+	int64_t polled_sent_us; /**< When this VM sent the last read of them that was answered. */
+	bool knows_era;         /**< The store has answered since this VM started. */
+	uint64_t store_era;     /**< Latest era of the store that this VM has learned of. */
+	uint64_t members_era;   /**< Era in which the list of VMs and the records were read. */
 	/** When this VM learned that the store had been restored; 0: it has known no other era. */
 	int64_t restored_us;
 	uint32_t unconfirmed; /**< Known records that the store does not hold as of its present era. */
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -334,7 +334,10 @@
 		primary.is_unreachable = true;
 		for (int64_t asked_us = now_us; now_us < asked_us + 390 * US_PER_MS;
 		     now_us += 20 * US_PER_MS)
+		{
 			primary_manager_tick (primary_manager, now_us);
+			controller.polled_sent_us = now_us;
+		}
 		g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
 	}
 	/* The others have been asked and stay silent. */
@@ -620,6 +623,7 @@
 	{
 		controller.is_isolated = i > 10;
 		primary_manager_tick (primary_manager, now_us);
+		controller.polled_sent_us = now_us;
 	}
 	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
 	controller.is_isolated = false;
@@ -632,6 +636,38 @@
 	tear_down (&controller);
 }
 
+/* Guards against taking silence for agreement in a zone that is cut off: neither the questions nor the requests to the
+ * store leave it, and its claim may be executed when the cut ends (STALE; short_cut of the fleet in virtual time). */
+static void
+test_silence_without_store (void)
+{
+	struct controller controller;
+	struct known_server primary;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+	int reads;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	primary_manager = lose_primary (&controller, &primary);
+	controller.store_ok_us = now_us;
+	reads = fake.reads;
+	for (int i = 0; i < 100; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	/* It reads the store to find out. */
+	g_assert_cmpint (fake.reads, ==, reads + 1);
+	answer_poll (now_us);
+	for (int i = 0; i < 19; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	for (int i = 0; i < 50; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_CLAIMING);
+	tear_down (&controller);
+}
+
 /* Guards against replacing a primary because of a status that it sent as a replica, before it was promoted. */
 static void
 test_status_before_record (void)
@@ -872,6 +908,7 @@
 	g_test_add_func ("/gateway_members/older_entry", test_older_server_entry);
 	g_test_add_func ("/gateway_members/unknown_server", test_unknown_server_is_not_lost);
 	g_test_add_func ("/gateway_members/silence_while_isolated", test_silence_while_isolated);
+	g_test_add_func ("/gateway_members/silence_without_store", test_silence_without_store);
 	g_test_add_func ("/gateway_members/status_before_record", test_status_before_record);
 	g_test_add_func ("/gateway_members/missing_before_record", test_entry_missing_before_record);
 	g_test_add_func ("/gateway_members/other_opinion", test_opinion_of_another_server);
