succession: a successor has time to catch up from when it is known

A replica that had been cut off was promoted as soon as it answered.

Cause: the 1.2 s in which a successor may receive the rest of the old primary's log counted from the start of the choice, also while no successor answered.

Fix: they count from when a successor is known in the present claim. The test late_successor fails without it.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -77,6 +77,7 @@
 	succession->claimed_us = now_us;
 	succession->most_stopped_us = 0;
 	succession->has_demoted = false;
+	succession->successor_us = 0;
 	succession->target[0] = '\0';
 	set_phase (succession, SUCCESSION_GATHERING, now_us);
 }
@@ -340,7 +341,7 @@
 {
 	const struct succession_server *old = find_server (input, succession->record.primary);
 
-	if (!old || old->is_unreachable || now_us - succession->phase_us > CATCH_UP_US)
+	if (!old || old->is_unreachable || now_us - succession->successor_us > CATCH_UP_US)
 		return true;
 	if (!has_final_status (succession, old) || old->is_primary)
 		return false;
@@ -368,6 +369,10 @@
 	bool is_late = now_us - succession->phase_us > CHOICE_TIMEOUT_US;
 	struct choice choice = choose (succession, input, is_late);
 
+	if (!choice.best)
+		succession->successor_us = 0;
+	else if (succession->successor_us == 0)
+		succession->successor_us = now_us;
 	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
 		return end_claim (succession, &choice, now_us);
 	/* Not before there is a successor, which may have to receive the log of the last term first. */
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -463,6 +463,32 @@
 	g_assert_cmpstr (fixture.promoted, ==, "b");
 }
 
+/* Guards against a planned change to a replica that was cut off and is only beginning to receive the old primary's log:
+ * 65 and 151 acknowledged commits were rolled back in the fleet in virtual time. */
+static void
+test_late_successor_catches_up (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.servers[0].is_draining = true;
+	for (size_t i = 1; i < G_N_ELEMENTS (fixture.servers); i++)
+	{
+		fixture.servers[i].is_unreachable = true;
+		fixture.servers[i].status_us = 0;
+	}
+	fixture.input.cause = SUCCESSION_LEAVING;
+	fixture_run (&fixture, 2000 * MS);
+	fixture.servers[1].is_unreachable = false;
+	fixture.servers[1].received.index = 50;
+	fixture_run (&fixture, 600 * MS);
+	g_assert_cmpuint (fixture.promotions, ==, 0);
+	fixture.servers[1].received.index = 100;
+	fixture.servers[1].applied.index = 100;
+	fixture_run (&fixture, 400 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "b");
+}
+
 /* Guards against stale reads at a new primary that lagged as a replica: it has received commits that its
  * reads do not see until it has applied them (STALE, found by a search over days of Riga and of the
  * grown Grindwell site). */
@@ -534,6 +560,7 @@
 	g_test_add_func ("/succession/executed", test_executed_promotion_is_recorded);
 	g_test_add_func ("/succession/synchronous", test_synchronous_replicas);
 	g_test_add_func ("/succession/planned", test_planned_change_catches_up);
+	g_test_add_func ("/succession/late_successor", test_late_successor_catches_up);
 	g_test_add_func ("/succession/applies_first", test_successor_applies_its_log_first);
 	g_test_add_func ("/succession/unread_records", test_no_record_before_the_first_read);
 	g_test_add_func ("/succession/refused", test_failed_target_is_skipped);
