gateway: a change of primary sees all listed servers

After some dozens of replacements a listed server, even the primary, could be left out. Listed servers come first now.

The test many_gone, with 400 servers that are gone, fails on the code before (no record is created).

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -467,18 +467,26 @@
 static size_t
 collect_servers (const struct primary_manager *primary_manager, struct succession_server *servers)
 {
+	size_t listed = 0;
 	size_t count = 0;
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init (&iter, primary_manager->controller->servers);
-	while (count < MANAGER_MAX_SERVERS && g_hash_table_iter_next (&iter, NULL, &value))
+	while (listed < MANAGER_MAX_SERVERS && g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		const struct known_server *known = value;
+		size_t slot;
 
-		if (strcmp (known->entry.service, primary_manager->service) != 0)
+		if (strcmp (known->entry.service, primary_manager->service) != 0 ||
+		    (!known->is_listed && count == MANAGER_MAX_SERVERS))
 			continue;
-		servers[count++] = (struct succession_server){
+		/* Servers that are gone stay known, and must not take the place of one that is listed. */
+		slot = known->is_listed ? listed++ : count;
+		if (slot < count)
+			servers[MIN (count, MANAGER_MAX_SERVERS - 1)] = servers[slot];
+		count = MIN (count + 1, MANAGER_MAX_SERVERS);
+		servers[slot] = (struct succession_server){
 			.id = known->entry.id,
 			.is_listed = known->is_listed,
 			.is_draining = known->entry.is_draining,
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -756,6 +756,42 @@
 	tear_down (&controller);
 }
 
+/* Guards against a change of primary that does not see a server of the service, since the servers that were replaced over
+ * time stay known. */
+static void
+test_many_servers_are_gone (void)
+{
+	enum
+	{
+		GONE = 400,
+	};
+	struct controller controller;
+	struct known_server servers[GONE + 1] = { 0 };
+	char ids[GONE + 1][16];
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	primary_manager = primary_manager_get (&controller, "s");
+	controller.is_settled = true;
+	controller.has_directory = true;
+	for (int i = 0; i <= GONE; i++)
+	{
+		snprintf (ids[i], sizeof ids[i], "i-%d", i);
+		servers[i].entry = (struct server_entry){ .id = ids[i], .service = "s" };
+		g_hash_table_insert (controller.servers, ids[i], &servers[i]);
+	}
+	servers[GONE].is_listed = true;
+	servers[GONE].entry.reports_primary = true;
+	for (int i = 0; i < 60; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (fake.swaps, ==, 1);
+	g_assert_nonnull (strstr (fake.swap_value, "primary=i-400 "));
+	tear_down (&controller);
+}
+
 /* Guards against comparing records by their highest revision only. In trouble-1 of Grindwell (seed
  * 766222498350), two VMs with the same highest revision treated their records as equal, although one had
  * missed a change of another service. */
@@ -913,6 +949,7 @@
 	g_test_add_func ("/gateway_members/missing_before_record", test_entry_missing_before_record);
 	g_test_add_func ("/gateway_members/other_opinion", test_opinion_of_another_server);
 	g_test_add_func ("/gateway_members/opinion_before_question", test_opinion_before_question);
+	g_test_add_func ("/gateway_members/many_gone", test_many_servers_are_gone);
 	g_test_add_func ("/gateway_members/digest", test_digest_distinguishes_records);
 	return g_test_run ();
 }
