--- a/tests/unit/gateway_fleet_restored.c
+++ b/tests/unit/gateway_fleet_restored.c
@@ -72,6 +72,63 @@
 	}
 }
 
+/* Guards against a fleet that has only the older copy to go by: a primary is replaced, the store forgets it, and all VMs
+ * start again before the store is back. The copy names a server that does not lead any more. */
+static void
+test_restored_forgotten (void)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++)
+	{
+		GArray *faults = g_array_new (FALSE, FALSE, sizeof (struct fleet_fault));
+		const struct fleet_fault known[] = {
+			{ 3000, seed % 2 ? FLEET_RELEASE : FLEET_CRASH_SERVER, 0, 0 },
+			{ 5500, FLEET_START_SERVER, 0, 0 },
+			{ 6000, FLEET_STORE_AWAY, 0, FLEET_STORE_SILENT },
+			{ 8000, FLEET_STORE_BACK, 0, 5500 },
+			{ 16000, FLEET_RELEASE, 0, 0 },
+		};
+
+		g_array_append_vals (faults, known, G_N_ELEMENTS (known));
+		for (int vm = 0; vm < 7; vm++)
+		{
+			struct fleet_fault kill = { 6100 + 37 * vm, FLEET_KILL_VM, vm, 0 };
+			struct fleet_fault start = { 7400 + 150 * vm, FLEET_START_VM, vm, 0 };
+
+			g_array_append_val (faults, kill);
+			g_array_append_val (faults, start);
+		}
+		gateway_fleet_play (&(struct fleet_case){
+			seed, 7, 2, (const struct fleet_fault *) faults->data, faults->len, 28000 });
+		g_array_free (faults, TRUE);
+	}
+}
+
+/* Guards against eras that follow each other faster than the fleet hears of them: the store comes back from older copies
+ * twice within a second while a zone is cut off, and a primary is lost between. */
+static void
+test_restored_twice (void)
+{
+	for (uint64_t seed = 0; seed < 40; seed++)
+	{
+		int64_t at_ms = 6000 + (int64_t) seed * 50;
+		const struct fleet_fault faults[] = {
+			{ 3000, FLEET_CONFIGURE, 0, 0 },
+			{ 4000, FLEET_RELEASE, 1, 0 },
+			{ 5000, FLEET_CUT_ZONE, 2, 0 },
+			{ 7000, FLEET_CRASH_SERVER, 0, seed % 2 },
+			{ at_ms, FLEET_STORE_AWAY, 0, FLEET_STORE_REFUSES },
+			{ at_ms + 100, FLEET_STORE_BACK, 0, 5000 },
+			{ at_ms + 600, FLEET_STORE_AWAY, 0, FLEET_STORE_REFUSES },
+			{ at_ms + 700, FLEET_STORE_BACK, 0, 300 },
+			{ 9500, FLEET_HEAL_ZONE, 2, 0 },
+			{ 11000, FLEET_START_SERVER, 0, 0 },
+		};
+
+		gateway_fleet_play (
+			&(struct fleet_case){ seed, 7, 3, faults, G_N_ELEMENTS (faults), 23000 });
+	}
+}
+
 static void
 test_restored_random (void)
 {
@@ -112,6 +169,8 @@
 	g_test_add_func ("/gateway_fleet/restored_release", test_restored_release);
 	g_test_add_func ("/gateway_fleet/restored_cut", test_restored_cut);
 	g_test_add_func ("/gateway_fleet/restored_steps", test_restored_steps);
+	g_test_add_func ("/gateway_fleet/restored_forgotten", test_restored_forgotten);
+	g_test_add_func ("/gateway_fleet/restored_twice", test_restored_twice);
 	g_test_add_func ("/gateway_fleet/restored_random", test_restored_random);
 	g_test_add_func ("/gateway_fleet/restored_random_30", test_restored_random_30);
 	g_test_add_func ("/gateway_fleet/restored_random_300", test_restored_random_300);
