gateway: a VM that does not reach a leaving primary leaves its replacement to the others

A primary leaves within 0.6 s after a zone was healed.

Cause: the class of (what a VM does not reach counts as if it did not exist). A planned change began on any VM, also on one that did not reach the primary yet: it neither demoted it nor waited for its log, and promoted the replica of its own zone.

Fix: a planned change is claimed by VMs that reach the primary. If none does, the agreement on a lost primary decides, as for one that is not leaving.

The test leaving_not_reached fails on the code before (claiming instead of steady).

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -425,7 +425,8 @@
 		return !primary || primary->is_unreachable ? SUCCESSION_FAILED : SUCCESSION_LEAVING;
 	if (!primary)
 		return SUCCESSION_NO_CAUSE;
-	if (primary->entry.is_draining)
+	/* The other VMs may reach it, and its log has to be received before another server leads. */
+	if (primary->entry.is_draining && !primary->is_unreachable)
 		return SUCCESSION_LEAVING;
 	if (primary->not_primary_us > 0)
 	{
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -761,6 +761,33 @@
 	tear_down (&controller);
 }
 
+/* Guards against a planned change by a VM that does not reach the primary while others do: it can neither demote it nor
+ * wait until its log is received (release_after_cut of the fleet in virtual time: 305 commits rolled back). */
+static void
+test_leaving_primary_is_not_reached (void)
+{
+	struct controller controller;
+	struct known_server primary;
+	int64_t now_us = clock_now_us ();
+	struct primary_manager *primary_manager;
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	primary_manager = lose_primary (&controller, &primary);
+	controller.store_ok_us = now_us;
+	primary.entry.is_draining = true;
+	for (int i = 0; i < 18; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_STEADY);
+	primary.is_unreachable = false;
+	for (int i = 0; i < 35; i++, now_us += 20 * US_PER_MS)
+		primary_manager_tick (primary_manager, now_us);
+	g_assert_cmpint (primary_manager->succession.phase, ==, SUCCESSION_CLAIMING);
+	g_assert_true (primary_manager->succession.is_planned);
+	tear_down (&controller);
+}
+
 /* Guards against a change of primary that does not see a server of the service, since the servers that were replaced over
  * time stay known. */
 static void
@@ -954,6 +981,7 @@
 	g_test_add_func ("/gateway_members/missing_before_record", test_entry_missing_before_record);
 	g_test_add_func ("/gateway_members/other_opinion", test_opinion_of_another_server);
 	g_test_add_func ("/gateway_members/opinion_before_question", test_opinion_before_question);
+	g_test_add_func ("/gateway_members/leaving_not_reached", test_leaving_primary_is_not_reached);
 	g_test_add_func ("/gateway_members/many_gone", test_many_servers_are_gone);
 	g_test_add_func ("/gateway_members/digest", test_digest_distinguishes_records);
 	return g_test_run ();
