gateway: a record that a restored store lacks is written again once a second at most

Cause: a try that failed was repeated in the next tick, every 20 ms, by each VM for each service.

Fix: a pause of 1 s after each try. The test written_again fails on the code before (100 tries in 2 s).

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -29,6 +29,8 @@
 	/* The VMs that may write a record again do so one after another, so that usually one write is enough. */
 	MANAGER_RESTORE_STEPS = 16,
 	MANAGER_RESTORE_STEP_US = 40 * US_PER_MS,
+	/* The store may refuse calls for seconds after its return. */
+	MANAGER_RESTORE_RETRY_US = 1 * US_PER_S,
 	/* Number of a service's first record. It is of no era, so that any known record is later. */
 	FIRST_CHANGE = 1,
 };
@@ -619,6 +621,9 @@
 	                   controller->store_era) == RESTORE_CONFIRMED ||
 	    !restore_may_write (controller->restored_us, controller->quorum_us, now_us - delay_us))
 		return;
+	if (now_us - primary_manager->rewritten_us < MANAGER_RESTORE_RETRY_US)
+		return;
+	primary_manager->rewritten_us = now_us;
 	primary_manager->is_rewriting = swap_record (primary_manager, &succession->record) == 0;
 }
 
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -85,8 +85,9 @@
 	struct restore_stored stored;  /**< What the store holds. */
 	struct succession_record swap; /**< Record that the outstanding compare-and-swap writes. */
 	uint64_t swap_era;             /**< Era of the store in which it was sent. */
-	bool is_rewriting; /**< The outstanding compare-and-swap writes the known record again. */
-	bool is_promoting; /**< A call that promotes a server is outstanding. */
+	bool is_rewriting;    /**< The outstanding compare-and-swap writes the known record again. */
+	int64_t rewritten_us; /**< When it was last tried. */
+	bool is_promoting;    /**< A call that promotes a server is outstanding. */
 	uint64_t quiesced_change;     /**< Last record that this VM's traffic thread has confirmed. */
 	struct peer_address claimant; /**< Address from which the claimant last sent the record. */
 	GHashTable *quiesced;         /**< VM name to struct quiesced. */
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -6,6 +6,7 @@
 #include "gateway/controller_private.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
 #include <time.h>
@@ -434,6 +435,14 @@
 	g_assert_cmpuint (fake.swap_expected, ==, 13);
 	g_assert_cmpstr (fake.swap_value, ==,
 	                 "primary=p claimant=vm1 changing=0 planned=0 term=2 change=4294967299 era=2");
+	/* A store that refuses calls is not called in each tick. */
+	for (int i = 1; i <= 100; i++)
+	{
+		fake.handle_swap (fake.swap_data, &(struct platform_answer){ .error = -EAGAIN });
+		primary_manager_restore (primary_manager,
+		                         now_us + 20 * US_PER_S + i * 20 * (int64_t) US_PER_MS);
+	}
+	g_assert_cmpint (fake.swaps, <=, swaps + 3);
 	tear_down (&controller);
 }
 
