tests: a commit in a planned change, with a second instead of 0.3 s to send it

The write now has the whole second, the change is learned of 0.6 s after the last confirmation, and the answer comes 1.1 s after it: still after the authority and before the connection is closed.

--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -464,25 +464,42 @@
 	check_held_commit (true);
 }
 
+static void
+sleep_until (int64_t time_us)
+{
+	int64_t now_us = clock_now_us ();
+
+	if (now_us < time_us)
+		g_usleep ((gulong) (time_us - now_us));
+}
+
 /* Guards against acknowledging a commit on the strength of the record of the change: a VM that learns late of a planned
  * change still runs statements when the claimant no longer waits for it. */
 static void
 test_commit_in_planned_change (void)
 {
+	enum
+	{
+		CHANGE_MS = 600,
+		ANSWER_MS = SUCCESSION_AUTHORITY_MS + 100,
+	};
 	struct fixture fixture;
+	int64_t start_us;
 	int fd;
 
 	fixture_start (&fixture, 1, ROUTE_PRIMARY);
-	fixture.databases[0].delay_ms = 500;
-	send_views (&fixture, clock_now_us () - (SUCCESSION_AUTHORITY_MS - 300) * US_PER_MS);
+	fixture.databases[0].delay_ms = ANSWER_MS;
+	start_us = clock_now_us ();
+	send_views (&fixture, start_us);
 	fd = open_session (&fixture, 0);
 	send_line (fd, "QUERY w WRITE 1 data");
 	g_assert_nonnull (fake_database_find (&fixture.databases[0], "w"));
+	sleep_until (start_us + CHANGE_MS * US_PER_MS);
 	fixture.change++;
 	fixture.is_changing = true;
 	fixture.is_planned = true;
 	send_views (&fixture, clock_now_us ());
-	g_usleep (600000);
+	sleep_until (start_us + (ANSWER_MS + 100) * US_PER_MS);
 	gateway_traffic_send_records_valid (fixture.vms[0], clock_now_us ());
 	g_usleep (20000);
 	fixture.change++;
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -517,6 +517,15 @@
 	g_free (value);
 }
 
+static void
+free_server (void *data)
+{
+	struct known_server *server = data;
+
+	server_entry_clear (&server->entry);
+	g_free (server);
+}
+
 /* Guards against a server that was leaving, or had left, and is in use again because the restored store holds its older
  * entry (DRAIN). */
 static void
@@ -526,6 +535,8 @@
 	struct known_server *server;
 
 	set_up (&controller);
+	g_hash_table_destroy (controller.servers);
+	controller.servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_server);
 	answer_directory (&controller, 1, 9, "draining");
 	server = g_hash_table_lookup (controller.servers, "i-1");
 	g_assert_nonnull (server);
