succession: a claim that a restored store has forgotten waits for old lists again

Callers may see two primaries of a service: a claim of a change whose VMs don't answer goes on 9.06 s after the VM first knew of a change, since no list of VMs from before the claim is in use by then. The time was kept when the store forgot the claim and it was claimed again in the next era, so the new claim went on at once. VMs that didn't know of the first claim may have read the store meanwhile, after its records were written again 5 s after the restore, and use the old primary for up to 1 s.

The time is now counted from the first record of an unfinished change in the era of the record. Claims of the same era still add up, as the store has shown them since.

The test /succession/forgotten_claim (a claim without answers, a new era after 6 s) failed before: promoted within 9 s of the restore, (1 == 0) at line 563.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -87,12 +87,15 @@
                        int64_t now_us)
 {
 	bool is_own = record->is_changing && strcmp (record->claimant, succession->vm) == 0;
+	/* The store may have forgotten the claims of an earlier era, and VMs may have used the primary since. */
+	bool is_of_later_era =
+		succession_change_era (record->change) > succession_change_era (succession->record.change);
 
 	if (record->change <= succession->record.change)
 		return;
 	if (!record->is_changing)
 		succession->changing_us = 0;
-	else if (succession->changing_us == 0)
+	else if (succession->changing_us == 0 || is_of_later_era)
 		succession->changing_us = now_us;
 	succession->record = *record;
 	succession->record_us = now_us;
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -122,7 +122,8 @@
 	int64_t claim_sent_us;
 	int64_t claimed_us;      /**< When the claim was known to be stored. */
 	int64_t most_stopped_us; /**< Since when most VMs have stopped; 0: they have not. */
-	int64_t changing_us;     /**< Since when this VM knows of an unfinished change; 0: none. */
+	/** Since when this VM knows of an unfinished change in the era of its record; 0: none. */
+	int64_t changing_us;
 	int64_t successor_us;    /**< Since when a successor is known in this claim; 0: none is. */
 	int64_t phase_us;        /**< Start of the phase, or of the delay after a failed promotion. */
 	int64_t asked_us;        /**< When the phase's last request was sent; 0: none, or it failed. */
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -541,6 +541,30 @@
 		SUCCESSION_CREATE);
 }
 
+/* Guards against a claim that counts from before the store forgot it: other VMs that read the store meanwhile used the old
+ * primary again, with lists of VMs that are younger than the first claim. */
+static void
+test_forgotten_claim_waits_again (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.all_answer = false;
+	fixture.answers = SUCCESSION_FEW_STOPPED;
+	fixture.input.era = 1;
+	fixture.change = succession_next_change (fixture.stored.change, 1);
+	fixture_fail_primary (&fixture);
+	fixture_run (&fixture, 6000 * MS);
+	g_assert_true (fixture.succession.record.is_changing);
+	fixture.input.era = 2;
+	fixture.change = succession_next_change (fixture.stored.change, 2);
+	fixture_run (&fixture, (SUCCESSION_LIST_AGE_MS + SUCCESSION_AUTHORITY_MS) * MS);
+	g_assert_cmpuint (succession_change_era (fixture.succession.claim_change), ==, 2);
+	g_assert_cmpuint (fixture.promotions, ==, 0);
+	fixture_run (&fixture, 4000 * MS);
+	g_assert_cmpuint (fixture.promotions, ==, 1);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -564,5 +588,6 @@
 	g_test_add_func ("/succession/applies_first", test_successor_applies_its_log_first);
 	g_test_add_func ("/succession/unread_records", test_no_record_before_the_first_read);
 	g_test_add_func ("/succession/refused", test_failed_target_is_skipped);
+	g_test_add_func ("/succession/forgotten_claim", test_forgotten_claim_waits_again);
 	return g_test_run ();
 }
