gateway: a record of the present era is swapped only against a revision of it

A VM that carries out a change of primary and hears of a new era from another VM claimed or recorded at once, and expected the revision that it had read before the restore. The store may have given it out again for another VM's record: the swap then replaces a claim or a successor that its writer does not know, in a record marked as of the present era, which no other VM doubts. The same swap in the usual case is refused.

Cause: only steps from the steady phase looked at the era of the revision; renewed claims and the record of the successor didn't. They count as refused now, so the claim is made, or the successor recorded, after the next read.

The fleet in virtual time checks the expected revision's era in each swap.

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -571,15 +571,20 @@
 	controller_poll (controller, now_us);
 }
 
+/** @return 0, -ESTALE when the present era's record has not been read yet, or a negative error of the platform. */
 static int
 swap_record (struct primary_manager *primary_manager, const struct succession_record *record)
 {
 	struct controller *controller = primary_manager->controller;
-	char *key = g_strdup_printf ("%s%s", controller_record_prefix, primary_manager->service);
-	char *value = primary_record_format (record, controller->store_era);
 	uint64_t expected = primary_manager->stored.at.revision;
+	char *key;
+	char *value;
 	int result;
 
+	if (primary_manager->stored.at.era != controller->store_era)
+		return -ESTALE;
+	key = g_strdup_printf ("%s%s", controller_record_prefix, primary_manager->service);
+	value = primary_record_format (record, controller->store_era);
 	primary_manager->swap = *record;
 	primary_manager->swap_era = controller->store_era;
 	result = controller->platform.ops->swap (&controller->platform, key, expected, value,
@@ -702,6 +707,15 @@
 			servers[i].has_status ? (long long) (now_us - servers[i].status_us) / US_PER_MS : -1);
 }
 
+/** Writes a step of a change of primary. */
+static void
+write_step (struct primary_manager *primary_manager, const struct succession_record *record)
+{
+	if (swap_record (primary_manager, record) == -ESTALE)
+		succession_handle_swap (&primary_manager->succession, SUCCESSION_SWAP_REFUSED,
+		                        record->change, clock_now_us ());
+}
+
 static void
 perform_action (struct primary_manager *primary_manager, enum succession_action action)
 {
@@ -720,7 +734,7 @@
 		record.is_planned = false;
 		record.term = succession->new_term;
 		record.change = action == SUCCESSION_CREATE ? FIRST_CHANGE : next_change (primary_manager);
-		swap_record (primary_manager, &record);
+		write_step (primary_manager, &record);
 		break;
 	case SUCCESSION_CLAIM:
 		memcpy (record.claimant, succession->vm, sizeof record.claimant);
@@ -728,7 +742,7 @@
 		record.is_planned = succession->is_planned;
 		record.change = next_change (primary_manager);
 		log_claim (primary_manager, clock_now_us ());
-		swap_record (primary_manager, &record);
+		write_step (primary_manager, &record);
 		break;
 	case SUCCESSION_ASK_MEMBERS:
 		primary_manager_send_record (primary_manager);
@@ -755,7 +769,6 @@
 {
 	struct controller *controller = primary_manager->controller;
 	struct succession_server servers[MANAGER_MAX_SERVERS];
-	/* A swap expects a revision of the present era. */
 	bool is_stored_known = primary_manager->stored.at.era == controller->store_era;
 	const struct database_service *declared =
 		controller->configuration
--- a/tests/virtual/gateway_fleet.h
+++ b/tests/virtual/gateway_fleet.h
@@ -178,6 +178,9 @@
 void fleet_check_promotion (struct gateway_fleet *fleet, const struct fleet_server *server);
 void fleet_check_token (struct gateway_fleet *fleet, int service, const char *holder,
                         const char *target, uint64_t token);
+/** Checks that a record that a VM writes as one of the present era expects a revision of it. */
+void fleet_check_swap (struct gateway_fleet *fleet, const struct fleet_vm *vm, const char *service,
+                       const char *value, size_t value_length);
 void fleet_acknowledge (struct gateway_fleet *fleet, int vm, int service,
                         const struct fleet_commit *commit);
 
--- a/tests/virtual/gateway_fleet_calls.c
+++ b/tests/virtual/gateway_fleet_calls.c
@@ -362,6 +362,9 @@
 {
 	struct call *call = call_new (platform, CALL_SWAP, key, expected, handle, data);
 
+	if (value && g_str_has_prefix (key, controller_record_prefix))
+		fleet_check_swap (gateway_fleet, platform->client, key + strlen (controller_record_prefix),
+		                  value, value_length);
 	call->value = value ? g_strndup (value, value_length) : NULL;
 	call->timeout_us = CALL_TIMEOUT_US;
 	call_send (call);
--- a/tests/virtual/gateway_fleet_checks.c
+++ b/tests/virtual/gateway_fleet_checks.c
@@ -140,6 +140,24 @@
 	g_strlcpy (state->target, target, sizeof state->target);
 }
 
+void
+fleet_check_swap (struct gateway_fleet *fleet, const struct fleet_vm *vm, const char *service,
+                  const char *value, size_t value_length)
+{
+	const struct primary_manager *manager = g_hash_table_lookup (vm->controller->managers, service);
+	struct succession_record record;
+	uint64_t era;
+
+	if (primary_record_parse (value, value_length, &record, &era) < 0)
+		fleet_violation (fleet, "swap: %s writes a malformed record of %s", vm->name, service);
+	else if (era != manager->stored.at.era)
+		fleet_violation (fleet,
+		                 "swap: %s writes a record of %s of era %llu and expects a revision of era "
+		                 "%llu, which may have been given out again",
+		                 vm->name, service, (unsigned long long) era,
+		                 (unsigned long long) manager->stored.at.era);
+}
+
 /* Steps. */
 
 static void
