gateway: a record that can't be read counts as lost

The primary of a service can't be replaced any more, and is drained too late, while its record in the store is malformed. Such a record was logged and skipped: swaps went on to expect the revision before it and got 412, whose record was skipped as well; after a restore, the service would also have stayed unconfirmed, and with it the records of all services.

It counts as lost now, as a record that a restored store lacks: the VMs that know the former one write it again after they have agreed. A VM that knows none doesn't create the first record in its place.

The test /gateway_fleet/malformed_record (one service, 7 VMs, the record is replaced by "primary=" and the primary released after 15 s) failed before: the record was still malformed after 14 s (line 88); without that check, the released primary was in use after 7.0 s and nothing took writes at 30 s. With the fix it passes, and all cases of gateway_fleet_restored, gateway_fleet, gateway_members and succession.

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -104,13 +104,19 @@
 		record->primary, record->claimant, &changing, &planned, &term, &change, &written_era);
 
 	g_free (copy);
+	*era = 0;
+	if (count != 7 && count != 5)
+	{
+		*record = (struct succession_record){ 0 };
+		return -EBADMSG;
+	}
 	record->is_changing = changing != 0;
 	record->is_planned = planned != 0;
 	record->term = term;
 	/* Earlier versions of the program wrote no number. */
 	record->change = change > 0 ? change : FIRST_CHANGE;
 	*era = written_era;
-	return count == 7 || count == 5 ? 0 : -EBADMSG;
+	return 0;
 }
 
 bool
@@ -504,10 +510,11 @@
 	struct succession_record record = { 0 };
 	uint64_t era;
 
-	if (answer->count > 0 &&
-	    primary_record_parse (answer->pairs[0].value, answer->pairs[0].value_length, &record,
-	                          &era) == 0)
-		primary_manager_set_stored (primary_manager, &record, era, at, now_us);
+	if (answer->count == 0)
+		return;
+	(void) primary_record_parse (answer->pairs[0].value, answer->pairs[0].value_length, &record,
+	                             &era);
+	primary_manager_set_stored (primary_manager, &record, era, at, now_us);
 }
 
 /** Whether the swap was sent and answered in the present era. Otherwise the store may have forgotten it. */
@@ -571,12 +578,16 @@
 	controller_poll (controller, now_us);
 }
 
-/** @return 0, -ESTALE when the present era's record has not been read yet, or a negative error of the platform. */
+/**
+ * @param is_new the key must not exist, even with a value that is malformed.
+ * @return 0, -ESTALE when the present era's record has not been read yet, or a negative error of the platform.
+ */
 static int
-swap_record (struct primary_manager *primary_manager, const struct succession_record *record)
+swap_record (struct primary_manager *primary_manager, const struct succession_record *record,
+             bool is_new)
 {
 	struct controller *controller = primary_manager->controller;
-	uint64_t expected = primary_manager->stored.at.revision;
+	uint64_t expected = is_new ? 0 : primary_manager->stored.at.revision;
 	char *key;
 	char *value;
 	int result;
@@ -614,7 +625,7 @@
 	                   controller->store_era) == RESTORE_CONFIRMED ||
 	    !restore_may_write (controller->restored_us, controller->quorum_us, now_us - delay_us))
 		return;
-	primary_manager->is_rewriting = swap_record (primary_manager, &succession->record) == 0;
+	primary_manager->is_rewriting = swap_record (primary_manager, &succession->record, false) == 0;
 }
 
 static uint64_t
@@ -711,9 +722,12 @@
 static void
 write_step (struct primary_manager *primary_manager, const struct succession_record *record)
 {
-	if (swap_record (primary_manager, record) == -ESTALE)
-		succession_handle_swap (&primary_manager->succession, SUCCESSION_SWAP_REFUSED,
-		                        record->change, clock_now_us ());
+	struct succession *succession = &primary_manager->succession;
+	bool is_new = succession->phase == SUCCESSION_CREATING;
+
+	if (swap_record (primary_manager, record, is_new) == -ESTALE)
+		succession_handle_swap (succession, SUCCESSION_SWAP_REFUSED, record->change,
+		                        clock_now_us ());
 }
 
 static void
--- a/tests/unit/gateway_fleet_restored.c
+++ b/tests/unit/gateway_fleet_restored.c
@@ -72,6 +72,26 @@
 	}
 }
 
+/* Guards against a service whose primary can't be replaced any more, since its record in the store can't be read. */
+static void
+test_malformed_record (void)
+{
+	static const struct fleet_fault faults[] = { { 15000, FLEET_RELEASE, 0, 0 } };
+	struct gateway_fleet fleet;
+	struct succession_record record;
+
+	gateway_fleet_init (&fleet, 1, 7, 1);
+	gateway_fleet_plan (&fleet, faults, G_N_ELEMENTS (faults));
+	fleet_store_put (fleet.store, "flamingospring/lead/s0", "primary=", 0);
+	gateway_fleet_run (&fleet, 14000);
+	gateway_fleet_check_recovered (&fleet);
+	g_assert_true (gateway_fleet_record (&fleet, 0, &record));
+	gateway_fleet_run (&fleet, 30000);
+	gateway_fleet_check_recovered (&fleet);
+	g_assert_cmpstr (fleet.violations->str, ==, "");
+	gateway_fleet_finish (&fleet);
+}
+
 static void
 test_restored_random (void)
 {
@@ -112,6 +132,7 @@
 	g_test_add_func ("/gateway_fleet/restored_release", test_restored_release);
 	g_test_add_func ("/gateway_fleet/restored_cut", test_restored_cut);
 	g_test_add_func ("/gateway_fleet/restored_steps", test_restored_steps);
+	g_test_add_func ("/gateway_fleet/malformed_record", test_malformed_record);
 	g_test_add_func ("/gateway_fleet/restored_random", test_restored_random);
 	g_test_add_func ("/gateway_fleet/restored_random_30", test_restored_random_30);
 	g_test_add_func ("/gateway_fleet/restored_random_300", test_restored_random_300);
