gateway: records of earlier versions are ordered by their revision

While VMs of an earlier version of the program run beside new ones, a VM of this version ignores the claims and successors that they write: such records hold no number and all counted as the first one. It goes on with the former primary, and would write the former record over the later one when it writes records again, 5 to 11 s after it started. Without an era in the store's answers, its next fencing token would be 2.

A record without a number takes its revision as one, of no era, as the first record. Once a VM of this version has claimed a change, records without a number are earlier than its own, as before.

The test /gateway_fleet/record_without_number (7 VMs, an earlier version claims the change) failed before: no VM adopted the claim (line 106). With the fix it passes, and all cases of gateway_fleet_restored, gateway_fleet and gateway_members.

--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -90,8 +90,8 @@
 }
 
 int
-primary_record_parse (const char *text, size_t length, struct succession_record *record,
-                      uint64_t *era)
+primary_record_parse (const char *text, size_t length, uint64_t revision,
+                      struct succession_record *record, uint64_t *era)
 {
 	char *copy = g_strndup (text, length);
 	int changing = 0;
@@ -113,8 +113,8 @@
 	record->is_changing = changing != 0;
 	record->is_planned = planned != 0;
 	record->term = term;
-	/* Earlier versions of the program wrote no number. */
-	record->change = change > 0 ? change : FIRST_CHANGE;
+	/* Earlier versions of the program wrote no number. Their records are of no era, as the first one. */
+	record->change = change > 0 ? change : revision;
 	*era = written_era;
 	return 0;
 }
@@ -512,8 +512,8 @@
 
 	if (answer->count == 0)
 		return;
-	(void) primary_record_parse (answer->pairs[0].value, answer->pairs[0].value_length, &record,
-	                             &era);
+	(void) primary_record_parse (answer->pairs[0].value, answer->pairs[0].value_length, at.revision,
+	                             &record, &era);
 	primary_manager_set_stored (primary_manager, &record, era, at, now_us);
 }
 
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -69,7 +69,8 @@
 	const char *service = pair->key + strlen (controller_record_prefix);
 
 	/* Such a record counts as lost, and is written again. */
-	if (primary_record_parse (pair->value, pair->value_length, &record, &record_era) < 0)
+	if (primary_record_parse (pair->value, pair->value_length, pair->revision, &record,
+	                          &record_era) < 0)
 		log_event (LOG_LEVEL_ERROR, "record_malformed", "key=%s revision=%llu", pair->key,
 		           (unsigned long long) pair->revision);
 	primary_manager_set_stored (primary_manager_get (controller, service), &record, record_era, at,
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -252,8 +252,10 @@
 void primary_manager_notify_claimant (struct primary_manager *primary_manager);
 /** @param era era of the store in which the record is written. */
 char *primary_record_format (const struct succession_record *record, uint64_t era);
-int primary_record_parse (const char *text, size_t length, struct succession_record *record,
-                          uint64_t *era);
+
+/** @param revision last change of the key: the number of a record that holds none. @return 0 or -EBADMSG. */
+int primary_record_parse (const char *text, size_t length, uint64_t revision,
+                          struct succession_record *record, uint64_t *era);
 
 /** Digest of the numbers of all records; equal on VMs that have the same records. */
 uint64_t controller_records_digest (const struct controller *controller);
--- a/tests/unit/gateway_fleet_restored.c
+++ b/tests/unit/gateway_fleet_restored.c
@@ -92,6 +92,25 @@
 	gateway_fleet_finish (&fleet);
 }
 
+/* Guards against ignoring a claim by a VM whose program is of an earlier version, which writes records without a number. */
+static void
+test_record_without_number (void)
+{
+	struct gateway_fleet fleet;
+
+	gateway_fleet_init (&fleet, 1, 7, 1);
+	fleet_store_put (fleet.store, "flamingospring/lead/s0",
+	                 "primary=i-0-a1 claimant=other changing=1 planned=1 term=0", 0);
+	gateway_fleet_run (&fleet, 2000);
+	for (int i = 0; i < fleet.vm_count; i++)
+		g_assert_true (
+			primary_manager_get (fleet.vms[i].controller, "s0")->succession.record.is_changing);
+	gateway_fleet_run (&fleet, 16000);
+	gateway_fleet_check_recovered (&fleet);
+	g_assert_cmpstr (fleet.violations->str, ==, "");
+	gateway_fleet_finish (&fleet);
+}
+
 static void
 test_restored_random (void)
 {
@@ -133,6 +152,7 @@
 	g_test_add_func ("/gateway_fleet/restored_cut", test_restored_cut);
 	g_test_add_func ("/gateway_fleet/restored_steps", test_restored_steps);
 	g_test_add_func ("/gateway_fleet/malformed_record", test_malformed_record);
+	g_test_add_func ("/gateway_fleet/record_without_number", test_record_without_number);
 	g_test_add_func ("/gateway_fleet/restored_random", test_restored_random);
 	g_test_add_func ("/gateway_fleet/restored_random_30", test_restored_random_30);
 	g_test_add_func ("/gateway_fleet/restored_random_300", test_restored_random_300);
--- a/tests/virtual/gateway_fleet.c
+++ b/tests/virtual/gateway_fleet.c
@@ -135,7 +135,7 @@
 	uint64_t era;
 
 	*record = (struct succession_record){ 0 };
-	return value && primary_record_parse (value, strlen (value), record, &era) == 0;
+	return value && primary_record_parse (value, strlen (value), 1, record, &era) == 0;
 }
 
 static void
--- a/tests/virtual/gateway_fleet_checks.c
+++ b/tests/virtual/gateway_fleet_checks.c
@@ -148,7 +148,7 @@
 	struct succession_record record;
 	uint64_t era;
 
-	if (primary_record_parse (value, value_length, &record, &era) < 0)
+	if (primary_record_parse (value, value_length, 1, &record, &era) < 0)
 		fleet_violation (fleet, "swap: %s writes a malformed record of %s", vm->name, service);
 	else if (era != manager->stored.at.era)
 		fleet_violation (fleet,
