gateway: a VM whose record was lost settles again before it claims changes

A VM that has registered counts as settled 9.5 s later, when every list of VMs in use names it, and may claim changes of primaries from then on. When a restored store had lost its record meanwhile, the time went on from the first registration, although VMs that start before it has registered again read a list without it. Fewer VMs than the claim assumes then make up two thirds of such a list, and may use the old primary.

The time is counted from the last registration now. VMs that were settled before stay so: the others count them for 10 s although the store lost their records.

The test /gateway_fleet/lost_registration (a VM registers at 24 s, the store comes back at 31.3 s from a copy of 23.3 s) failed before: the VM was settled at 40 s (line 133). With the fix it passes, with restored_steps and malformed_record.

--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -209,7 +209,8 @@
 	controller->is_registering = false;
 	log_event (LOG_LEVEL_INFO, "registered", "error=%d succeeded=%d revision=%llu", answer->error,
 	           answer->succeeded, (unsigned long long) answer->revision);
-	if (answer->succeeded && controller->registered_us == 0)
+	/* A record that was lost or removed is missing in lists of VMs that were read since. */
+	if (answer->succeeded && !controller->is_settled)
 		controller->registered_us = clock_now_us ();
 	if (answer->error == 0)
 		controller_set_era (controller, answer->era, clock_now_us ());
--- a/tests/unit/gateway_fleet_restored.c
+++ b/tests/unit/gateway_fleet_restored.c
@@ -111,6 +111,32 @@
 	gateway_fleet_finish (&fleet);
 }
 
+/* Guards against a VM that claims changes although lists of VMs in use don't name it, since the restored store had lost its
+ * record: VMs that start before it has registered again count without it. */
+static void
+test_lost_registration (void)
+{
+	static const struct fleet_fault faults[] = {
+		{ 0, FLEET_KILL_VM, 3, 0 },
+		{ 24000, FLEET_START_VM, 3, 0 },
+		{ 31000, FLEET_STORE_AWAY, 0, FLEET_STORE_SILENT },
+		{ 31300, FLEET_STORE_BACK, 0, 8000 },
+	};
+	struct gateway_fleet fleet;
+
+	gateway_fleet_init (&fleet, 1, 7, 1);
+	gateway_fleet_plan (&fleet, faults, G_N_ELEMENTS (faults));
+	gateway_fleet_run (&fleet, 31000);
+	g_assert_true (fleet.vms[3].controller->is_registered);
+	g_assert_false (fleet.vms[3].controller->is_settled);
+	gateway_fleet_run (&fleet, 40000);
+	g_assert_false (fleet.vms[3].controller->is_settled);
+	gateway_fleet_run (&fleet, 45000);
+	g_assert_true (fleet.vms[3].controller->is_settled);
+	g_assert_cmpstr (fleet.violations->str, ==, "");
+	gateway_fleet_finish (&fleet);
+}
+
 static void
 test_restored_random (void)
 {
@@ -153,6 +179,7 @@
 	g_test_add_func ("/gateway_fleet/restored_steps", test_restored_steps);
 	g_test_add_func ("/gateway_fleet/malformed_record", test_malformed_record);
 	g_test_add_func ("/gateway_fleet/record_without_number", test_record_without_number);
+	g_test_add_func ("/gateway_fleet/lost_registration", test_lost_registration);
 	g_test_add_func ("/gateway_fleet/restored_random", test_restored_random);
 	g_test_add_func ("/gateway_fleet/restored_random_30", test_restored_random_30);
 	g_test_add_func ("/gateway_fleet/restored_random_300", test_restored_random_300);
