--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -92,8 +92,8 @@
 }
 
 int
-primary_record_parse (const char *text, size_t length, struct succession_record *record,
-                      uint64_t *era)
+primary_record_parse (const char *text, size_t length, uint64_t revision,
+                      struct succession_record *record, uint64_t *era)
 {
 	char *copy = g_strndup (text, length);
 	int changing = 0;
@@ -106,13 +106,19 @@
 		record->primary, record->claimant, &changing, &planned, &term, &change, &written_era);
 
 	g_free (copy);
+	*era = 0;
+	if (count != 7 && count != 5)
+	{
+		*record = (struct succession_record){ 0 };
+		return -EBADMSG;
+	}
 	record->is_changing = changing != 0;
 	record->is_planned = planned != 0;
 	record->term = term;
-	/* Earlier versions of the program wrote no number. */
-	record->change = change > 0 ? change : FIRST_CHANGE;
+	/* Earlier versions of the program wrote no number. Their records are of no era, as the first one. */
+	record->change = change > 0 ? change : revision;
 	*era = written_era;
-	return count == 7 || count == 5 ? 0 : -EBADMSG;
+	return 0;
 }
 
 bool
@@ -515,10 +521,11 @@
 	struct succession_record record = { 0 };
 	uint64_t era;
 
-	if (answer->count > 0 &&
-	    primary_record_parse (answer->pairs[0].value, answer->pairs[0].value_length, &record,
-	                          &era) == 0)
-		primary_manager_set_stored (primary_manager, &record, era, at, now_us);
+	if (answer->count == 0)
+		return;
+	(void) primary_record_parse (answer->pairs[0].value, answer->pairs[0].value_length, at.revision,
+	                             &record, &era);
+	primary_manager_set_stored (primary_manager, &record, era, at, now_us);
 }
 
 /** Whether the swap was sent and answered in the present era. Otherwise the store may have forgotten it. */
@@ -582,15 +589,24 @@
 	controller_poll (controller, now_us);
 }
 
+/**
+ * @param is_new the key must not exist, even with a value that is malformed.
+ * @return 0, -ESTALE when the present era's record has not been read yet, or a negative error of the platform.
+ */
 static int
-swap_record (struct primary_manager *primary_manager, const struct succession_record *record)
+swap_record (struct primary_manager *primary_manager, const struct succession_record *record,
+             bool is_new)
 {
 	struct controller *controller = primary_manager->controller;
-	char *key = g_strdup_printf ("%s%s", controller_record_prefix, primary_manager->service);
-	char *value = primary_record_format (record, controller->store_era);
-	uint64_t expected = primary_manager->stored.at.revision;
+	uint64_t expected = is_new ? 0 : primary_manager->stored.at.revision;
+	char *key;
+	char *value;
 	int result;
 
+	if (primary_manager->stored.at.era != controller->store_era)
+		return -ESTALE;
+	key = g_strdup_printf ("%s%s", controller_record_prefix, primary_manager->service);
+	value = primary_record_format (record, controller->store_era);
 	primary_manager->swap = *record;
 	primary_manager->swap_era = controller->store_era;
 	result = controller->platform.ops->swap (&controller->platform, key, expected, value,
@@ -624,7 +640,7 @@
 	if (now_us - primary_manager->rewritten_us < MANAGER_RESTORE_RETRY_US)
 		return;
 	primary_manager->rewritten_us = now_us;
-	primary_manager->is_rewriting = swap_record (primary_manager, &succession->record) == 0;
+	primary_manager->is_rewriting = swap_record (primary_manager, &succession->record, false) == 0;
 }
 
 static uint64_t
@@ -717,6 +733,18 @@
 			servers[i].has_status ? (long long) (now_us - servers[i].status_us) / US_PER_MS : -1);
 }
 
+/** Writes a step of a change of primary. */
+static void
+write_step (struct primary_manager *primary_manager, const struct succession_record *record)
+{
+	struct succession *succession = &primary_manager->succession;
+	bool is_new = succession->phase == SUCCESSION_CREATING;
+
+	if (swap_record (primary_manager, record, is_new) == -ESTALE)
+		succession_handle_swap (succession, SUCCESSION_SWAP_REFUSED, record->change,
+		                        clock_now_us ());
+}
+
 static void
 perform_action (struct primary_manager *primary_manager, enum succession_action action)
 {
@@ -735,7 +763,7 @@
 		record.is_planned = false;
 		record.term = succession->new_term;
 		record.change = action == SUCCESSION_CREATE ? FIRST_CHANGE : next_change (primary_manager);
-		swap_record (primary_manager, &record);
+		write_step (primary_manager, &record);
 		break;
 	case SUCCESSION_CLAIM:
 		memcpy (record.claimant, succession->vm, sizeof record.claimant);
@@ -743,7 +771,7 @@
 		record.is_planned = succession->is_planned;
 		record.change = next_change (primary_manager);
 		log_claim (primary_manager, clock_now_us ());
-		swap_record (primary_manager, &record);
+		write_step (primary_manager, &record);
 		break;
 	case SUCCESSION_ASK_MEMBERS:
 		primary_manager_send_record (primary_manager);
@@ -770,7 +798,6 @@
 {
 	struct controller *controller = primary_manager->controller;
 	struct succession_server servers[MANAGER_MAX_SERVERS];
-	/* A swap expects a revision of the present era. */
 	bool is_stored_known = primary_manager->stored.at.era == controller->store_era;
 	const struct database_service *declared =
 		controller->configuration
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -68,12 +68,11 @@
 	uint64_t record_era;
 	const char *service = pair->key + strlen (controller_record_prefix);
 
-	if (primary_record_parse (pair->value, pair->value_length, &record, &record_era) < 0)
-	{
+	/* Such a record counts as lost, and is written again. */
+	if (primary_record_parse (pair->value, pair->value_length, pair->revision, &record,
+	                          &record_era) < 0)
 		log_event (LOG_LEVEL_ERROR, "record_malformed", "key=%s revision=%llu", pair->key,
 		           (unsigned long long) pair->revision);
-		return;
-	}
 	primary_manager_set_stored (primary_manager_get (controller, service), &record, record_era, at,
 	                            now_us);
 }
@@ -210,7 +209,8 @@
 	controller->is_registering = false;
 	log_event (LOG_LEVEL_INFO, "registered", "error=%d succeeded=%d revision=%llu", answer->error,
 	           answer->succeeded, (unsigned long long) answer->revision);
-	if (answer->succeeded && controller->registered_us == 0)
+	/* A record that was lost or removed is missing in lists of VMs that were read since. */
+	if (answer->succeeded && !controller->is_settled)
 		controller->registered_us = clock_now_us ();
 	if (answer->error == 0)
 		controller_set_era (controller, answer->era, clock_now_us ());
