gateway: a VM whose registration was not answered settles as well

A VM that registers while the store loses answers never claims a change of a primary until it restarts, and the others count it as new. Its record is found by the next read, but the time from which it settles was set by the answer to the swap only.

It is counted from the read that finds the record, too.

--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -407,6 +407,9 @@
 	controller->polled_sent_us = answer->request_sent_us;
 	if (answer->request_sent_us > controller->records_valid_us && controller->unconfirmed == 0)
 		controller->records_valid_us = answer->request_sent_us;
+	/* The answer to the swap that wrote this VM's record was lost. */
+	if (controller->is_registered && !was_registered && !controller->is_settled)
+		controller->registered_us = now_us;
 	if (controller->is_registered != was_registered)
 		controller->is_view_dirty = true;
 	register_vm (controller);
--- a/tests/unit/gateway_fleet_random.c
+++ b/tests/unit/gateway_fleet_random.c
@@ -21,6 +21,30 @@
 	}
 }
 
+/* Guards against a VM that never may claim a change of primary, since the answer to its registration was lost. */
+static void
+test_lost_answer_to_registration (void)
+{
+	static const struct fleet_fault faults[] = {
+		{ 0, FLEET_KILL_VM, 3, 0 },
+		{ 24000, FLEET_STORE_LOSSY, 0, 600 },
+		{ 24000, FLEET_START_VM, 3, 0 },
+		{ 27000, FLEET_STORE_LOSSY, 0, 0 },
+	};
+
+	for (uint64_t seed = 1; seed <= 10; seed++)
+	{
+		struct gateway_fleet fleet;
+
+		gateway_fleet_init (&fleet, seed, 7, 1);
+		gateway_fleet_plan (&fleet, faults, G_N_ELEMENTS (faults));
+		gateway_fleet_run (&fleet, 45000);
+		g_assert_true (fleet.vms[3].controller->is_registered);
+		g_assert_true (fleet.vms[3].controller->is_settled);
+		gateway_fleet_finish (&fleet);
+	}
+}
+
 static void
 test_random (void)
 {
@@ -47,6 +71,7 @@
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/gateway_fleet/short_cut", test_short_cut);
+	g_test_add_func ("/gateway_fleet/lost_answer", test_lost_answer_to_registration);
 	g_test_add_func ("/gateway_fleet/random", test_random);
 	g_test_add_func ("/gateway_fleet/random_30", test_random_30);
 	g_test_add_func ("/gateway_fleet/random_300", test_random_300);
