tests: a restore in a fleet of 300 VMs

The random case of 300 VMs plays one seed, whose store comes back with nothing lost, so that no test of this size had a restore.

--- a/tests/unit/gateway_fleet_restored.c
+++ b/tests/unit/gateway_fleet_restored.c
@@ -170,6 +170,19 @@
 	                                                   .is_restored = true });
 }
 
+/* Guards against faults of many VMs that learn of a restore together: seed 1 of the random case of this size has none. */
+static void
+test_restored_300 (void)
+{
+	static const struct fleet_fault faults[] = {
+		{ 1000, FLEET_RELEASE, 0, 0 },
+		{ 2500, FLEET_STORE_AWAY, 0, FLEET_STORE_SILENT },
+		{ 3000, FLEET_STORE_BACK, 0, 4000 },
+	};
+
+	gateway_fleet_play (&(struct fleet_case){ 1, 300, 2, faults, G_N_ELEMENTS (faults), 13000 });
+}
+
 int
 main (int argc, char **argv)
 {
@@ -183,5 +196,6 @@
 	g_test_add_func ("/gateway_fleet/restored_random", test_restored_random);
 	g_test_add_func ("/gateway_fleet/restored_random_30", test_restored_random_30);
 	g_test_add_func ("/gateway_fleet/restored_random_300", test_restored_random_300);
+	g_test_add_func ("/gateway_fleet/restored_300", test_restored_300);
 	return g_test_run ();
 }
