--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -168,6 +168,8 @@
 {
 	log_event (LOG_LEVEL_INFO, "member_removal", "error=%d succeeded=%d", answer->error,
 	           answer->succeeded);
+	if (answer->error == 0)
+		controller_set_era (data, answer->era, clock_now_us ());
 }
 
 /** Marks the record of a dead VM as removed, or deletes a record that is marked. */
