--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -12,21 +12,14 @@
 {
 	/* Several polls fit into SUCCESSION_AUTHORITY_MS, so that one lost poll does not end the use of primaries. */
 	CONTROL_POLL_US = 300 * US_PER_MS,
-	/* After this time a missing entry counts as removed. Covers the time that the platform grants after the store's
-	 * return, and some delay; well below the time after which a leaving server must be out of use. */
-	CONTROL_MISSING_US = 3 * US_PER_S,
 	/* Interval of VMs that follow the poller of their zone. */
 	CONTROL_FOLLOWER_POLL_US = 20 * US_PER_S,
-	/* Longest silence of the watch; well below the time after which a leaving server must be out of use. */
-	CONTROL_DIRECTORY_WATCH_MS = 4000,
 	/* Records that have not been confirmed for this long are read again by this VM itself. */
 	CONTROL_RECORDS_AGE_US = 800 * US_PER_MS,
 	/* Failed calls are repeated after half of the time for which the store has not answered, within these limits, since
 	 * refused calls are charged as well. The poller of a zone uses its usual interval instead. */
 	CONTROL_RETRY_US = 200 * US_PER_MS,
 	CONTROL_MAX_RETRY_US = 1000 * US_PER_MS,
-	/* By then a VM that has a poller in its zone follows it, and needs no watches. */
-	CONTROL_FIRST_WATCH_US = 500 * US_PER_MS,
 };
 
 static const char store_prefix[] = "flamingospring/";
@@ -273,9 +266,8 @@
 		controller->store_ok_us = now_us;
 }
 
-/** When to repeat a failed call. */
-static int64_t
-next_retry_us (const struct controller *controller, int64_t now_us)
+int64_t
+controller_next_retry_us (const struct controller *controller, int64_t now_us)
 {
 	int64_t lost_us = controller->store_ok_us > 0 ? 0 : now_us - controller->store_lost_us;
 
@@ -352,7 +344,7 @@
 	if (answer->error < 0 && controller->is_poller)
 		return now_us + CONTROL_POLL_US;
 	if (answer->error < 0)
-		return next_retry_us (controller, now_us);
+		return controller_next_retry_us (controller, now_us);
 	return answer->request_sent_us +
 	       (controller->is_poller ? CONTROL_POLL_US : CONTROL_FOLLOWER_POLL_US);
 }
@@ -447,9 +439,8 @@
 		controller_poll (controller, now_us);
 }
 
-/** Whether it is not known yet if this VM follows a poller. */
-static bool
-is_starting (const struct controller *controller)
+bool
+controller_is_starting (const struct controller *controller)
 {
 	return clock_now_us () - controller->started_us < CONTROL_FIRST_WATCH_US;
 }
@@ -508,7 +499,7 @@
 		loop_set_timer (&controller->loop, &controller->configuration_timer,
 		                answer->error == -ETIMEDOUT && controller->store_ok_us > 0
 		                    ? clock_now_us ()
-		                    : next_retry_us (controller, clock_now_us ()));
+		                    : controller_next_retry_us (controller, clock_now_us ()));
 		return;
 	}
 	for (size_t i = 0; i < answer->count; i++)
@@ -525,7 +516,7 @@
 	handle_configuration_event (controller, answer);
 	if (answer->error < 0 || answer->era != controller->store_era || controller->is_following)
 		return;
-	if (is_starting (controller))
+	if (controller_is_starting (controller))
 		loop_set_timer (&controller->loop, &controller->watch_timer,
 		                controller->started_us + CONTROL_FIRST_WATCH_US);
 	else
@@ -549,171 +540,6 @@
 	controller_read_configuration (timer->data);
 }
 
-/* Directory of servers. */
-
-static void
-mark_missing (struct controller *controller, const char *id, int64_t now_us)
-{
-	struct known_server *server = g_hash_table_lookup (controller->servers, id);
-
-	if (!server || !server->is_listed || server->missing_us > 0)
-		return;
-	log_event (LOG_LEVEL_INFO, "server_missing", "server=%s service=%s", id, server->entry.service);
-	server->missing_us = now_us;
-}
-
-/** Entries expire while the store is down; those of live servers are back about 2 s after its return. */
-void
-controller_unlist_expired (struct controller *controller, int64_t now_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (controller->store_ok_us == 0)
-		return;
-	g_hash_table_iter_init (&iter, controller->servers);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-	{
-		struct known_server *server = value;
-		int64_t since_us = MAX (server->missing_us, controller->store_ok_us);
-
-		if (!server->is_listed || server->missing_us == 0 || now_us - since_us < CONTROL_MISSING_US)
-			continue;
-		log_event (LOG_LEVEL_INFO, "server_gone", "server=%s service=%s missing_ms=%lld",
-		           server->entry.id, server->entry.service,
-		           (long long) (now_us - server->missing_us) / US_PER_MS);
-		server->is_listed = false;
-		controller->is_view_dirty = true;
-	}
-}
-
-static bool
-entry_differs (const struct server_entry *a, const struct server_entry *b)
-{
-	return a->ip != b->ip || a->port != b->port || a->is_draining != b->is_draining ||
-	       a->reports_primary != b->reports_primary || a->slots != b->slots ||
-	       strcmp (a->service, b->service) != 0 || strcmp (a->zone, b->zone) != 0;
-}
-
-static void
-apply_server_entry (struct controller *controller, const struct platform_pair *pair, int64_t now_us)
-{
-	struct known_server *server;
-	struct server_entry entry;
-	const char *id = pair->key + strlen (documents_server_prefix);
-
-	if (pair->is_deleted)
-	{
-		mark_missing (controller, id, now_us);
-		return;
-	}
-	if (documents_decode_server (pair, &entry) < 0)
-	{
-		log_event (LOG_LEVEL_INFO, "server_entry_ignored", "key=%s", pair->key);
-		return;
-	}
-	server = g_hash_table_lookup (controller->servers, entry.id);
-	if (server && server_entry_is_older (&entry, &server->entry))
-	{
-		/* From the store's older copy, until the server writes again. A server that left stays out of use. */
-		log_event (LOG_LEVEL_INFO, "server_entry_older",
-		           "server=%s sequence=%llu known=%llu listed=%d", entry.id,
-		           (unsigned long long) entry.sequence, (unsigned long long) server->entry.sequence,
-		           server->is_listed);
-		server_entry_clear (&entry);
-		return;
-	}
-	if (!server)
-	{
-		server = g_new0 (struct known_server, 1);
-		g_hash_table_insert (controller->servers, g_strdup (entry.id), server);
-	}
-	if (!server->is_listed || entry_differs (&server->entry, &entry))
-	{
-		log_event (LOG_LEVEL_INFO, "server_listed", "server=%s service=%s draining=%d primary=%d",
-		           entry.id, entry.service, entry.is_draining, entry.reports_primary);
-		controller->is_view_dirty = true;
-	}
-	server_entry_clear (&server->entry);
-	server->entry = entry;
-	server->is_listed = true;
-	server->missing_us = 0;
-}
-
-static void
-handle_directory_event (void *data, const struct platform_answer *answer)
-{
-	struct controller *controller = data;
-
-	if (answer->error < 0 || !controller_set_era (controller, answer->era, clock_now_us ()))
-	{
-		loop_set_timer (&controller->loop, &controller->directory_timer,
-		                next_retry_us (controller, clock_now_us ()));
-		return;
-	}
-	for (size_t i = 0; i < answer->count; i++)
-	{
-		const struct platform_pair *pair = &answer->pairs[i];
-		struct store_position at = { answer->era, pair->revision };
-
-		apply_server_entry (controller, pair, clock_now_us ());
-		if (store_position_compare (at, controller->directory_at) > 0)
-			controller->directory_at = at;
-	}
-	controller_flush_view (controller);
-}
-
-/** Marks servers that are not in a complete list of entries as missing. */
-static void
-mark_absent_servers (struct controller *controller, const struct platform_answer *answer)
-{
-	GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
-	GHashTableIter iter;
-	gpointer id;
-
-	for (size_t i = 0; i < answer->count; i++)
-		g_hash_table_add (present,
-		                  (char *) answer->pairs[i].key + strlen (documents_server_prefix));
-	g_hash_table_iter_init (&iter, controller->servers);
-	while (g_hash_table_iter_next (&iter, &id, NULL))
-		if (!g_hash_table_contains (present, id))
-			mark_missing (controller, id, clock_now_us ());
-	g_hash_table_destroy (present);
-}
-
-static void
-handle_directory_range (void *data, const struct platform_answer *answer)
-{
-	struct controller *controller = data;
-
-	controller->is_reading_directory = false;
-	if (answer->error == 0 && controller_set_era (controller, answer->era, clock_now_us ()))
-	{
-		mark_absent_servers (controller, answer);
-		controller->has_directory = true;
-		controller->directory_at = (struct store_position){ answer->era, answer->revision };
-	}
-	handle_directory_event (controller, answer);
-	if (answer->error < 0 || answer->era != controller->store_era || controller->is_following)
-		return;
-	if (is_starting (controller))
-		loop_set_timer (&controller->loop, &controller->watch_timer,
-		                controller->started_us + CONTROL_FIRST_WATCH_US);
-	else
-		controller->platform.ops->watch (&controller->platform, documents_server_prefix,
-		                                 answer->revision, CONTROL_DIRECTORY_WATCH_MS,
-		                                 handle_directory_event, controller);
-}
-
-void
-controller_read_directory (struct controller *controller)
-{
-	if (!controller->is_reading_directory)
-		controller->is_reading_directory =
-			controller->platform.ops->range (&controller->platform, documents_server_prefix, 0,
-		                                     handle_directory_range, controller) == 0;
-}
-
 void
 controller_set_following (struct controller *controller, bool is_following)
 {
@@ -732,12 +558,6 @@
 	controller_read_directory (controller);
 }
 
-void
-controller_handle_directory_timer (struct loop_timer *timer, int64_t now_us)
-{
-	controller_read_directory (timer->data);
-}
-
 void
 controller_handle_watch_timer (struct loop_timer *timer, int64_t now_us)
 {
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -104,6 +104,8 @@
 {
 	CONTROL_LARGE_FLEET =
 		20, /**< VMs above which calls and messages of each VM are spread or left to pollers. */
+	/** By then a VM that has a poller in its zone follows it, and needs no watches. */
+	CONTROL_FIRST_WATCH_US = 500 * US_PER_MS,
 };
 
 struct controller
@@ -194,9 +196,14 @@
 /** Marks this VM's record as settled once every list of VMs in use must name it. */
 void controller_settle (struct controller *controller, int64_t now_us);
 
-/** Read the configuration or the directory of servers again, unless a read is in progress. */
+/** When to repeat a failed call. */
+int64_t controller_next_retry_us (const struct controller *controller, int64_t now_us);
+
+/** Whether it is not known yet if this VM follows a poller. */
+bool controller_is_starting (const struct controller *controller);
+
+/** Reads the configuration again, unless a read is in progress. */
 void controller_read_configuration (struct controller *controller);
-void controller_read_directory (struct controller *controller);
 
 /** Switches between following the zone's poller and watching the store. */
 void controller_set_following (struct controller *controller, bool is_following);
@@ -207,13 +214,18 @@
 /** Sends the view to the traffic thread if it has changed. */
 void controller_flush_view (struct controller *controller);
 
-/** Takes servers off the list whose entry has been missing for CONTROL_MISSING_US. */
-void controller_unlist_expired (struct controller *controller, int64_t now_us);
 void controller_handle_poll_timer (struct loop_timer *timer, int64_t now_us);
 void controller_handle_configuration_timer (struct loop_timer *timer, int64_t now_us);
-void controller_handle_directory_timer (struct loop_timer *timer, int64_t now_us);
 void controller_handle_watch_timer (struct loop_timer *timer, int64_t now_us);
 
+/* controller_directory.c */
+/** Reads the directory of servers again, unless a read is in progress. */
+void controller_read_directory (struct controller *controller);
+
+/** Takes servers off the list whose entry has been missing for CONTROL_MISSING_US. */
+void controller_unlist_expired (struct controller *controller, int64_t now_us);
+void controller_handle_directory_timer (struct loop_timer *timer, int64_t now_us);
+
 /* controller_metrics.c */
 unsigned controller_answer_metrics (void *data, GString *body);
 
