gateway: more than half of the VMs may write records again after a restore

Cause: records were written again once more than two thirds of the VMs agreed, as for the use of primaries without the store. With three equal zones, or 5 of 8 VMs, that many are not left when a zone is cut off; then only after 11 s.

Fix: more than half are enough, since two such groups cannot exist, and the store orders their writes. The claims of the former era still end before, after 5 s.

--- a/decision/quorum.c
+++ b/decision/quorum.c
@@ -32,13 +32,24 @@
 	return (*first < *second) - (*first > *second);
 }
 
-int64_t
-quorum_confirmed_us (int64_t *confirmed_us, size_t answered, size_t members)
+/** Finds the latest time that @p quorum VMs have confirmed. @return 0 when too few have answered. */
+static int64_t
+find_confirmed_us (int64_t *confirmed_us, size_t answered, size_t quorum)
 {
-	size_t quorum = 2 * members / 3 + 1;
-
 	if (answered < quorum)
 		return 0;
 	qsort (confirmed_us, answered, sizeof *confirmed_us, compare_later_first);
 	return confirmed_us[quorum - 1];
 }
+
+int64_t
+quorum_confirmed_us (int64_t *confirmed_us, size_t answered, size_t members)
+{
+	return find_confirmed_us (confirmed_us, answered, 2 * members / 3 + 1);
+}
+
+int64_t
+quorum_majority_us (int64_t *confirmed_us, size_t answered, size_t members)
+{
+	return find_confirmed_us (confirmed_us, answered, members / 2 + 1);
+}
--- a/decision/restore.c
+++ b/decision/restore.c
@@ -9,11 +9,11 @@
 }
 
 bool
-restore_may_write (int64_t restored_us, int64_t quorum_us, int64_t now_us)
+restore_may_write (int64_t restored_us, int64_t majority_us, int64_t now_us)
 {
 	if (now_us < restore_claims_end_us (restored_us))
 		return false;
-	return quorum_us > restored_us || now_us - restored_us >= RESTORE_ALONE_US;
+	return majority_us > restored_us || now_us - restored_us >= RESTORE_ALONE_US;
 }
 
 int64_t
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -591,22 +591,23 @@
 }
 
 /**
- * Finds the latest time at which a quorum of VMs had no change of primary in progress. Works without the store.
- * @return 0 when it is unknown.
+ * Updates since when a quorum and a majority of VMs are known to have had the same records and no change of primary in
+ * progress. Works without the store.
  */
-static int64_t
-find_quorum_us (const struct controller *controller)
+static void
+update_quorum (struct controller *controller)
 {
 	int64_t now_us = clock_now_us ();
-	GArray *confirmed = g_array_new (FALSE, FALSE, sizeof now_us);
+	GArray *confirmed;
 	size_t members = 1;
-	int64_t quorum_us = 0;
+	int64_t *times_us;
 	GHashTableIter iter;
 	gpointer value;
 
 	if (!controller->is_registered || !is_steady (controller) ||
 	    now_us - controller->members_valid_us > QUORUM_LIST_AGE_US)
-		goto out;
+		return;
+	confirmed = g_array_new (FALSE, FALSE, sizeof now_us);
 	g_array_append_val (confirmed, now_us);
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -617,10 +618,12 @@
 		if (member->is_listed && member->steady_us > 0)
 			g_array_append_val (confirmed, member->steady_us);
 	}
-	quorum_us = quorum_confirmed_us ((int64_t *) confirmed->data, confirmed->len, members);
-out:
+	times_us = (int64_t *) confirmed->data;
+	controller->quorum_us =
+		MAX (controller->quorum_us, quorum_confirmed_us (times_us, confirmed->len, members));
+	controller->majority_us =
+		MAX (controller->majority_us, quorum_majority_us (times_us, confirmed->len, members));
 	g_array_free (confirmed, TRUE);
-	return quorum_us;
 }
 
 static void
@@ -680,7 +683,7 @@
 	/* The same records were current at the answered age before the query was sent. */
 	if (args->has_knowledge && args->is_registered)
 		update_records_valid (controller, asked_us - (int64_t) args->age_us);
-	controller->quorum_us = MAX (controller->quorum_us, find_quorum_us (controller));
+	update_quorum (controller);
 	update_records_valid (controller, controller->quorum_us);
 }
 
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -635,7 +635,7 @@
 		return;
 	if (restore_judge (succession->record.change, &primary_manager->stored,
 	                   controller->store_era) == RESTORE_CONFIRMED ||
-	    !restore_may_write (controller->restored_us, controller->quorum_us, now_us - delay_us))
+	    !restore_may_write (controller->restored_us, controller->majority_us, now_us - delay_us))
 		return;
 	if (now_us - primary_manager->rewritten_us < MANAGER_RESTORE_RETRY_US)
 		return;
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -118,14 +118,14 @@
 {
 	uint32_t count = count_unconfirmed (controller);
 
+	/* This VM started after the restore. */
+	if (count > 0 && controller->restored_us == 0)
+		controller->restored_us = now_us;
 	if ((count == 0) != (controller->unconfirmed == 0))
 		log_event (LOG_LEVEL_INFO, count > 0 ? "records_unconfirmed" : "records_confirmed",
 		           "era=%llu records=%u restored_ms=%lld",
 		           (unsigned long long) controller->store_era, count,
 		           (long long) (now_us - controller->restored_us) / US_PER_MS);
-	/* This VM started after the restore. */
-	if (count > 0 && controller->restored_us == 0)
-		controller->restored_us = now_us;
 	controller->unconfirmed = count;
 }
 
--- a/include/decision/quorum.h
+++ b/include/decision/quorum.h
@@ -46,3 +46,7 @@
  * @return the time, or 0 when too few have answered.
  */
 int64_t quorum_confirmed_us (int64_t *confirmed_us, size_t answered, size_t members);
+
+/** As quorum_confirmed_us(), for more than half of the VMs. Two groups of VMs that are cut off from each other cannot
+ * both have it. */
+int64_t quorum_majority_us (int64_t *confirmed_us, size_t answered, size_t members);
--- a/include/decision/restore.h
+++ b/include/decision/restore.h
@@ -48,9 +48,9 @@
 /**
  * Tells whether a VM may write the record that it knows as the one of the present era.
  * @param restored_us when this VM learned of the era; 0: it has known no other.
- * @param quorum_us latest time at which most VMs knew the same records; 0: unknown.
+ * @param majority_us latest time at which more than half of the VMs knew the same records; 0: unknown.
  */
-bool restore_may_write (int64_t restored_us, int64_t quorum_us, int64_t now_us);
+bool restore_may_write (int64_t restored_us, int64_t majority_us, int64_t now_us);
 
 /** Time until which claims that the store has forgotten may still act; 0: there are none. */
 int64_t restore_claims_end_us (int64_t restored_us);
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -154,8 +154,10 @@
 	/** When this VM learned that the store had been restored; 0: it has known no other era. */
 	int64_t restored_us;
 	uint32_t unconfirmed; /**< Known records that the store does not hold as of its present era. */
-	int64_t
-		quorum_us; /**< Latest time at which most VMs had the same records and no change in progress. */
+	/** Latest times at which more than two thirds, and more than half, of the VMs had the same records and no change of
+	 * primary in progress. */
+	int64_t quorum_us;
+	int64_t majority_us;
 	int64_t store_ok_us;   /**< Since when the store has been answering; 0: it does not answer. */
 	int64_t store_lost_us; /**< When the store last stopped answering. */
 	int64_t last_hello_us;
--- a/tests/unit/quorum.c
+++ b/tests/unit/quorum.c
@@ -61,6 +61,8 @@
 	g_assert_cmpint (quorum_confirmed_us (times, 6, 7), ==, 40);
 	g_assert_cmpint (quorum_confirmed_us (few, 4, 7), ==, 0);
 	g_assert_cmpint (quorum_confirmed_us (few, 1, 1), ==, 50);
+	g_assert_cmpint (quorum_majority_us (few, 4, 7), ==, 50);
+	g_assert_cmpint (quorum_majority_us (few, 4, 8), ==, 0);
 }
 
 /** Entry of a VM in a list of VMs. */
