gateway: the era of the store is believed from the store only

Cause: an era in a datagram was taken over. A wrong one, from a misdirected or damaged datagram, made a VM ignore the store until its restart.

Fix: a VM that hears of a later era reads the store, once a second at most, and believes its answer. A claimant that is cut off from the store may hear of an era and not know it; its claim ends before the records of the era are believed, 3.5 s and a call of 1 s after it was sent against 5 s. The test directory_after_restore fails on the code before (era 2 instead of 1).

--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -38,6 +38,8 @@
 	/* Interval of the walk over all VMs that finds dead ones, well below MEMBER_DEAD_US; news of a VM that leaves
 	 * cause one at once. */
 	MEMBER_SERVING_US = 200 * US_PER_MS,
+	/* Interval at which the store is read since another VM names a later era. */
+	MEMBER_ERA_US = 1 * US_PER_S,
 };
 
 struct member *
@@ -635,8 +637,13 @@
 	int64_t asked_us = (int64_t) args->number;
 	uint64_t digest = controller_records_digest (controller);
 
-	if (controller->knows_era && args->era > controller->store_era)
-		controller_set_era (controller, args->era, now_us);
+	/* Only the store's answer is believed: a VM that believed a wrong era would ignore the store. */
+	if (controller->knows_era && args->era > controller->store_era &&
+	    now_us - controller->era_heard_us > MEMBER_ERA_US)
+	{
+		controller->era_heard_us = now_us;
+		controller_poll (controller, now_us);
+	}
 	if (member && member->is_leaving != args->is_leaving)
 	{
 		member->is_leaving = args->is_leaving;
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -150,7 +150,9 @@
 	int64_t polled_sent_us; /**< When this VM sent the last read of them that was answered. */
 	bool knows_era;         /**< The store has answered since this VM started. */
 	uint64_t store_era;     /**< Latest era of the store that this VM has learned of. */
-	uint64_t members_era;   /**< Era in which the list of VMs and the records were read. */
+	int64_t
+		era_heard_us; /**< When this VM last read the store since another one named a later era. */
+	uint64_t members_era; /**< Era in which the list of VMs and the records were read. */
 	/** When this VM learned that the store had been restored; 0: it has known no other era. */
 	int64_t restored_us;
 	uint32_t unconfirmed; /**< Known records that the store does not hold as of its present era. */
@@ -237,7 +239,7 @@
 void primary_manager_tick (struct primary_manager *primary_manager, int64_t now_us);
 
 /**
- * Learns from a store's answer, or from another VM, in which era the store is. After a restore, everything is read again.
+ * Learns from a store's answer in which era the store is. After a restore, everything is read again.
  * @return whether an answer of this era is of the present one; earlier ones are ignored.
  */
 bool controller_set_era (struct controller *controller, uint64_t era, int64_t now_us);
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -493,7 +493,12 @@
 	g_assert_cmpstr (controller.poller->vm, ==, "vm1");
 	reads = fake.directory_reads;
 	answer.number = (uint64_t) clock_now_us ();
+	controller.directory_read_us = now_us;
 	controller_peers_ops.handle_hello (&controller, &answer, (struct peer_address){ 0 });
+	/* What another VM says of the store's era is not believed, but checked. */
+	g_assert_cmpuint (controller.store_era, ==, 1);
+	answer_poll_in_era (2, former_record, 13, now_us);
+	g_assert_cmpuint (controller.store_era, ==, 2);
 	g_assert_cmpint (fake.directory_reads, ==, reads + 1);
 	/* That read fails; then a server leaves. */
 	controller.is_reading_directory = false;
