--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A server is cut off from the store for 5 s, and goes on serving the machines. See claim.txt."""
 import asyncio
 import os
+import signal
 import sys
 import time
 
@@ -48,6 +49,11 @@
         if not answered[machine] and used_s > 0.8 * spent_s:
             broken.append(f"Fault: {machine.name} doesn't hand back the processor: {used_s:.1f} s used in {spent_s:.1f} s, "
                           f"no START answered, /readiness answers {200 if machine.is_ready else 503}")
+            machine.process.send_signal(signal.SIGTERM)
+    if broken:
+        await asyncio.sleep(standins.GRACE_S + 0.5)
+        for machine in world.machines:
+            world.record("check", f"{machine.name} {'still runs' if machine.process.returncode is None else 'has ended'}")
     return broken
 
 
