--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 import standins
 
-LOST_S = 5.5  # Each time; one COMMIT in this time is not answered, of about 100 requests that the primary runs.
+LOST_S = 5.5  # Each time; one COMMIT in this time is not answered, of about 260 statements that the primary runs.
 TIMEOUT_MS = 6000
 
 
