tests: two losses in a row bring rolled back commits back

The model learns of replicas that receive nothing (FLEET_DEAFEN) and of commits that come back: a promotion had rolled them back, its primary was in use, and a later promotion chooses a log that holds them.

--- /dev/null
+++ b/tests/unit/gateway_fleet_losses.c
@@ -0,0 +1,29 @@
+/* Guards against commits that come back after a promotion has rolled them back: all reads in between lacked them (STALE).
+ * Several primaries of a service are lost one after another in a fleet in virtual time.
+ *
+ * GATEWAY_FLEET_LOG=1 writes what the VMs log. */
+#include "gateway_fleet_random.h"
+
+/* The day of review/1: the zone of the primary is cut off, no replica follows its successor, and that one crashes before
+ * the former primary can reach it. */
+static void
+test_cut_and_crash (void)
+{
+	static const struct fleet_fault faults[] = {
+		{ 0, FLEET_CUT_ZONE, 0, 0 },        { 1000, FLEET_DEAFEN, 0, 0 },
+		{ 4000, FLEET_CRASH_SERVER, 0, 1 }, { 5000, FLEET_HEAL_ZONE, 0, 0 },
+		{ 6300, FLEET_RESUME, 0, 0 },       { 14300, FLEET_START_SERVER, 0, 0 },
+	};
+
+	for (uint64_t seed = 1; seed <= 20; seed++)
+		gateway_fleet_play (
+			&(struct fleet_case){ seed, 7, 3, faults, G_N_ELEMENTS (faults), 26300 });
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/gateway_fleet/cut_and_crash", test_cut_and_crash);
+	return g_test_run ();
+}
--- a/tests/virtual/gateway_fleet.c
+++ b/tests/virtual/gateway_fleet.c
@@ -160,6 +160,18 @@
 		fleet_server_start (fleet, &fleet->servers[service * FLEET_SERVERS + i]);
 }
 
+static void
+set_deaf (struct gateway_fleet *fleet, int service, bool is_deaf)
+{
+	for (int i = 0; i < FLEET_SERVERS; i++)
+	{
+		struct fleet_server *server = &fleet->servers[service * FLEET_SERVERS + i];
+
+		server->is_deaf = is_deaf && !server->is_primary;
+		server->disturbed_us = fleet->world.now_us;
+	}
+}
+
 static void
 perform_on_store (struct gateway_fleet *fleet, const struct fleet_fault *fault)
 {
@@ -217,7 +229,7 @@
 		[FLEET_START_SERVER] = -1, [FLEET_FREEZE_VM] = 1,  [FLEET_THAW_VM] = -1,
 		[FLEET_KILL_VM] = 1,       [FLEET_START_VM] = -1,  [FLEET_STORE_AWAY] = 1,
 		[FLEET_STORE_BACK] = -1,   [FLEET_REFUSE_VM] = 1,  [FLEET_ADMIT_VM] = -1,
-		[FLEET_CONFIGURE] = 0,
+		[FLEET_DEAFEN] = 1,        [FLEET_RESUME] = -1,    [FLEET_CONFIGURE] = 0,
 	};
 
 	if (fault->action == FLEET_RELEASE || fault->action == FLEET_CONFIGURE)
@@ -251,6 +263,10 @@
 	case FLEET_START_SERVER:
 		start_servers (fleet, fault->subject);
 		break;
+	case FLEET_DEAFEN:
+	case FLEET_RESUME:
+		set_deaf (fleet, fault->subject, fault->action == FLEET_DEAFEN);
+		break;
 	case FLEET_RELEASE:
 		fleet_server_release (fleet, &fleet->servers[fleet->services[fault->subject].leader]);
 		break;
--- a/tests/virtual/gateway_fleet.h
+++ b/tests/virtual/gateway_fleet.h
@@ -36,6 +36,7 @@
 	bool is_running;
 	bool is_dark; /**< While it does not run, connections to it are not refused but time out. */
 	bool is_primary;
+	bool is_deaf; /**< It receives no entries. */
 	bool is_draining;
 	int64_t draining_us; /**< When the store accepted that it leaves; 0: not yet. */
 	uint64_t term;
@@ -57,6 +58,7 @@
 	uint64_t index;
 	int64_t committed_us;
 	bool is_lost;
+	uint64_t lost_term; /**< Term of the first primary that lacked it; 0: none did. */
 };
 
 struct fleet_service
@@ -103,6 +105,8 @@
 	FLEET_HEAL_ZONE,
 	FLEET_CRASH_SERVER, /**< Subject: the primary of this service; value 1: it does not refuse connections. */
 	FLEET_START_SERVER, /**< Subject: the servers of this service that have crashed. */
+	FLEET_DEAFEN,       /**< Subject: the replicas of this service receive nothing. */
+	FLEET_RESUME,       /**< Subject: the servers of this service receive again. */
 	FLEET_RELEASE,      /**< Subject: the primary of this service leaves. */
 	FLEET_FREEZE_VM,
 	FLEET_THAW_VM,
--- a/tests/virtual/gateway_fleet_checks.c
+++ b/tests/virtual/gateway_fleet_checks.c
@@ -64,6 +64,7 @@
 			(double) (commit->committed_us - led_us (state, commit->term + 1)) / US_PER_MS,
 			(unsigned long long) commit->term + 1);
 	added.is_lost = !holds (&fleet->servers[state->leader], commit);
+	added.lost_term = added.is_lost ? state->term : 0;
 	state->lost += added.is_lost;
 	g_array_append_val (state->commits, added);
 }
@@ -88,12 +89,38 @@
 	return false;
 }
 
+/** Reads at a primary whose record was written have lacked the commits that its promotion rolled back. */
+static void
+check_returned (struct gateway_fleet *fleet, const struct fleet_server *server)
+{
+	const struct fleet_service *service = &fleet->services[server->service];
+	struct succession_record record;
+	uint64_t returned = 0;
+
+	if (!gateway_fleet_record (fleet, server->service, &record))
+		return;
+	for (guint i = 0; i < service->commits->len; i++)
+	{
+		const struct fleet_commit *commit =
+			&g_array_index (service->commits, struct fleet_commit, i);
+
+		returned += commit->is_lost && commit->lost_term <= record.term && holds (server, commit);
+	}
+	if (returned > 0)
+		fleet_violation (fleet,
+		                 "returned commits: %s of %s, of term %llu, is promoted: it holds %llu "
+		                 "acknowledged commits that an earlier promotion has rolled back",
+		                 server->id, service->name, (unsigned long long) server->term,
+		                 (unsigned long long) returned);
+}
+
 void
 fleet_check_promotion (struct gateway_fleet *fleet, const struct fleet_server *server)
 {
 	struct fleet_service *service = &fleet->services[server->service];
 	uint64_t lost = 0;
 
+	check_returned (fleet, server);
 	for (guint i = 0; i < service->commits->len; i++)
 	{
 		struct fleet_commit *commit = &g_array_index (service->commits, struct fleet_commit, i);
@@ -101,6 +128,7 @@
 		if (commit->is_lost || holds (server, commit))
 			continue;
 		commit->is_lost = true;
+		commit->lost_term = service->term + 1;
 		lost++;
 	}
 	service->lost += lost;
--- a/tests/virtual/gateway_fleet_servers.c
+++ b/tests/virtual/gateway_fleet_servers.c
@@ -178,7 +178,7 @@
 		return;
 	if (server->is_primary)
 		set_primary (server, false);
-	if (fleet->world.now_us >= MAX (server->resume_us, leader->resume_us))
+	if (!server->is_deaf && fleet->world.now_us >= MAX (server->resume_us, leader->resume_us))
 		follow (server, leader);
 }
 
