gateway: a log that a promotion has given up is not promoted again

Cause: a zone with a primary is cut off. VMs there still hold their authority and commit for up to a second. Another server is promoted without these commits, and crashes before the former primary could follow it. choose() compared terms as reported by the servers and then lengths of logs, so the former primary with its longer log was promoted again: commits that had been given up, and that all reads in between had lacked, came back. Its role, its term and its position do not show this; only the position at which the next term began does, and nobody kept it. Change: the record of a service keeps the starts of the last 16 terms (decision/term_history.c), in the store and in datagrams (now version 3). A server whose log has entries beyond the start of a later term, or of a term that the present log does not contain, is no candidate, whatever its role and term.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -28,6 +28,9 @@
 	/** The new primary may take this long to receive the rest of the old one's log. */
 	CATCH_UP_US = 1200 * US_PER_MS,
 	CONFIRM_TIMEOUT_US = 5000 * US_PER_MS,
+	/** A log with entries that were given up is used when no other has been found for this time. Crashed servers and
+	 * zones that were cut off were back in the directory after 15 s at most. */
+	DIVERGED_WAIT_US = 30 * 1000 * US_PER_MS,
 	PROMOTE_RETRY_US = 100 * US_PER_MS,
 	/** A record's number holds the era in its upper half and a count in its lower one. */
 	CHANGE_ERA_SHIFT = 32,
@@ -263,15 +266,23 @@
 	return log_position_compare (server->received, best->received) > 0;
 }
 
+/** Whether the server's log has entries that an earlier promotion has given up. */
+static bool
+has_diverged (const struct succession *succession, const struct succession_server *server)
+{
+	return !leads_already (succession, server) &&
+	       !term_history_contains (&succession->record.terms, server->received);
+}
+
 struct choice
 {
 	const struct succession_server *best;
 	size_t known;   /**< Replicas with a final status. */
 	size_t missing; /**< Replicas that may still answer. */
 	size_t unknown; /**< Listed servers without a final status. */
-	size_t holders; /**< Listed servers that have answered and are of the latest term. */
-	bool
-		is_behind; /**< Only servers of an earlier term can be chosen, and others may still answer. */
+	size_t holders; /**< Listed servers that have answered and have the log of the latest term. */
+	/** Only servers that lack the log of the latest term can be chosen, and others may still answer or return. */
+	bool is_behind;
 	uint64_t max_term;
 };
 
@@ -295,16 +306,21 @@
 	bool is_final = has_final_status (succession, server);
 
 	choice->unknown += server->is_listed && !is_final;
-	choice->holders += server->is_listed && is_final && server->term >= choice->max_term;
+	choice->holders += server->is_listed && is_final && server->term >= choice->max_term &&
+	                   !has_diverged (succession, server);
 	choice->known += is_final && !is_old;
 	choice->missing += !is_old && server->is_listed && !is_final && !server->is_unreachable;
 }
 
 static struct choice
-choose (const struct succession *succession, const struct succession_input *input, bool is_late)
+choose (const struct succession *succession, const struct succession_input *input, int64_t now_us)
 {
+	bool is_late = now_us - succession->phase_us > CHOICE_TIMEOUT_US;
+	bool may_diverge =
+		succession->changing_us > 0 && now_us - succession->changing_us > DIVERGED_WAIT_US;
 	struct choice choice = { .max_term = find_latest_term (succession, input) };
 	const struct succession_server *best_behind = NULL;
+	const struct succession_server *best_diverged = NULL;
 
 	for (size_t i = 0; i < input->server_count; i++)
 	{
@@ -316,14 +332,17 @@
 		if (!is_candidate (succession, server) ||
 		    (is_old && (succession->is_planned || !is_late || choice.best)))
 			continue;
-		if (server->term < choice.max_term)
+		if (has_diverged (succession, server))
+			best_diverged = is_better (succession, server, best_diverged) ? server : best_diverged;
+		else if (server->term < choice.max_term)
 			best_behind = is_better (succession, server, best_behind) ? server : best_behind;
 		else if (is_better (succession, server, choice.best))
 			choice.best = server;
 	}
 	if (!choice.best && choice.unknown == 0 && choice.holders == 0)
-		choice.best = best_behind;
-	choice.is_behind = !choice.best && best_behind && choice.unknown > 0;
+		choice.best = best_behind || !may_diverge ? best_behind : best_diverged;
+	choice.is_behind =
+		!choice.best && ((best_behind && choice.unknown > 0) || (best_diverged && !best_behind));
 	return choice;
 }
 
@@ -370,7 +389,7 @@
 {
 	const struct succession_server *old = find_server (input, succession->record.primary);
 	bool is_late = now_us - succession->phase_us > CHOICE_TIMEOUT_US;
-	struct choice choice = choose (succession, input, is_late);
+	struct choice choice = choose (succession, input, now_us);
 
 	if (!choice.best)
 		succession->successor_us = 0;
@@ -422,6 +441,8 @@
 	    target->applied.index >= target->received.index)
 	{
 		succession->new_term = target->term;
+		/* Nothing is written before the record names the primary. */
+		succession->new_term_start = target->received;
 		set_phase (succession, SUCCESSION_RECORDING, now_us);
 		succession->asked_us = now_us;
 		return SUCCESSION_RECORD;
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -413,6 +413,8 @@
 	return member;
 }
 
+_Static_assert(FS_GATEWAY_MAX_TERMS <= TERM_HISTORY_STARTS, "a datagram's terms fit a record");
+
 static void
 handle_primary_record (void *data, const struct fs_lead_args *args, struct peer_address from)
 {
@@ -428,6 +430,9 @@
 	update_last_heard (controller, args->vm);
 	g_strlcpy (record.primary, args->primary, sizeof record.primary);
 	g_strlcpy (record.claimant, args->claimant, sizeof record.claimant);
+	for (u_int i = 0; i < args->terms.terms_len; i++)
+		record.terms.starts[record.terms.count++] =
+			(struct term_start){ args->terms.terms_val[i].term, args->terms.terms_val[i].index };
 	if (strcmp (args->vm, args->claimant) == 0)
 		primary_manager->claimant = from;
 	if (args->store_revision > 0 && args->store_era == controller->store_era)
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -84,18 +84,45 @@
 char *
 primary_record_format (const struct succession_record *record, uint64_t era)
 {
-	return g_strdup_printf (
-		"primary=%s claimant=%s changing=%d planned=%d term=%llu change=%llu era=%llu",
-		record->primary, record->claimant[0] ? record->claimant : "-", record->is_changing,
-		record->is_planned, (unsigned long long) record->term, (unsigned long long) record->change,
-		(unsigned long long) era);
+	GString *text = g_string_new (NULL);
+
+	g_string_printf (text,
+	                 "primary=%s claimant=%s changing=%d planned=%d term=%llu change=%llu era=%llu",
+	                 record->primary, record->claimant[0] ? record->claimant : "-",
+	                 record->is_changing, record->is_planned, (unsigned long long) record->term,
+	                 (unsigned long long) record->change, (unsigned long long) era);
+	for (size_t i = 0; i < record->terms.count; i++)
+		g_string_append_printf (text, "%s%llu:%llu", i > 0 ? "," : " terms=",
+		                        (unsigned long long) record->terms.starts[i].term,
+		                        (unsigned long long) record->terms.starts[i].index);
+	return g_string_free (text, FALSE);
+}
+
+/** Reads starts of terms as far as they are well-formed. */
+static void
+parse_terms (const char *text, struct term_history *terms)
+{
+	unsigned long long term;
+	unsigned long long index;
+	int used = 0;
+
+	while (terms->count < TERM_HISTORY_STARTS &&
+	       sscanf (text, "%llu:%llu%n", &term, &index, &used) == 2)
+	{
+		terms->starts[terms->count++] = (struct term_start){ term, index };
+		text += used;
+		if (*text != ',')
+			break;
+		text++;
+	}
 }
 
 int
 primary_record_parse (const char *text, size_t length, uint64_t revision,
                       struct succession_record *record, uint64_t *era)
 {
-	char *copy = g_strndup (text, length);
+	g_autofree char *copy = g_strndup (text, length);
+	const char *terms = strstr (copy, " terms=");
 	int changing = 0;
 	int planned = 0;
 	unsigned long long term = 0;
@@ -105,7 +132,6 @@
 		copy, "primary=%95s claimant=%95s changing=%d planned=%d term=%llu change=%llu era=%llu",
 		record->primary, record->claimant, &changing, &planned, &term, &change, &written_era);
 
-	g_free (copy);
 	*era = 0;
 	if (count != 7 && count != 5)
 	{
@@ -117,6 +143,9 @@
 	record->term = term;
 	/* Earlier versions of the program wrote no number. Their records are of no era, as the first one. */
 	record->change = change > 0 ? change : revision;
+	record->terms = (struct term_history){ 0 };
+	if (terms)
+		parse_terms (terms + strlen (" terms="), &record->terms);
 	*era = written_era;
 	return 0;
 }
@@ -128,10 +157,14 @@
 	if (record->change <= primary_manager->succession.record.change)
 		return false;
 	log_event (LOG_LEVEL_INFO, "record_adopted",
-	           "service=%s primary=%s change=%u.%u changing=%d planned=%d claimant=%s",
+	           "service=%s primary=%s change=%u.%u changing=%d planned=%d claimant=%s term=%llu "
+	           "term_start=%llu",
 	           primary_manager->service, record->primary, succession_change_era (record->change),
 	           succession_change_count (record->change), record->is_changing, record->is_planned,
-	           record->claimant);
+	           record->claimant, (unsigned long long) record->term,
+	           record->terms.count > 0
+	               ? (unsigned long long) record->terms.starts[record->terms.count - 1].index
+	               : 0ULL);
 	succession_set_record (&primary_manager->succession, record, now_us);
 	g_hash_table_remove_all (primary_manager->opinions);
 	primary_manager->unreachable_us = 0;
@@ -192,6 +225,9 @@
 	bool is_stored = restore_judge (record->change, stored,
 	                                primary_manager->controller->store_era) == RESTORE_CONFIRMED;
 
+	for (size_t i = 0; i < record->terms.count; i++)
+		primary_manager->sent_terms[i] =
+			(struct fs_term_start){ record->terms.starts[i].term, record->terms.starts[i].index };
 	return (struct fs_lead_args){
 		.vm = primary_manager->controller->boot.vm,
 		.service = primary_manager->service,
@@ -201,6 +237,7 @@
 		.is_changing = record->is_changing,
 		.is_planned = record->is_planned,
 		.term = record->term,
+		.terms = { (u_int) record->terms.count, primary_manager->sent_terms },
 		.store_era = is_stored ? stored->at.era : 0,
 		.store_revision = is_stored ? stored->at.revision : 0,
 	};
@@ -723,13 +760,15 @@
 		log_event (
 			LOG_LEVEL_INFO, "change_candidate",
 			"service=%s server=%s chosen=%d record_term=%llu listed=%d draining=%d "
-			"unreachable=%d primary=%d term=%llu received=%llu.%llu status_age_ms=%lld",
+			"unreachable=%d primary=%d term=%llu received=%llu.%llu diverged=%d "
+			"status_age_ms=%lld",
 			primary_manager->service, servers[i].id,
 			strcmp (servers[i].id, succession->target) == 0,
 			(unsigned long long) succession->record.term, servers[i].is_listed,
 			servers[i].is_draining, servers[i].is_unreachable, servers[i].is_primary,
 			(unsigned long long) servers[i].term, (unsigned long long) servers[i].received.term,
 			(unsigned long long) servers[i].received.index,
+			!term_history_contains (&succession->record.terms, servers[i].received),
 			servers[i].has_status ? (long long) (now_us - servers[i].status_us) / US_PER_MS : -1);
 }
 
@@ -762,6 +801,8 @@
 		record.is_changing = false;
 		record.is_planned = false;
 		record.term = succession->new_term;
+		if (action == SUCCESSION_RECORD)
+			term_history_begin (&record.terms, record.term, succession->new_term_start);
 		record.change = action == SUCCESSION_CREATE ? FIRST_CHANGE : next_change (primary_manager);
 		write_step (primary_manager, &record);
 		break;
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -5,12 +5,13 @@
  * A VM claims a change with a compare-and-swap of the service's record. The record's number identifies the claim and is
  * the fencing token. It is kept in the record, since the store's revisions are given out again after a restore. It waits until every other VM has confirmed that
  * nothing runs at the old primary any more, or until the authority of those that do not answer has
- * expired. Then it promotes the replica with the longest log, and records the new primary. Does no
- * I/O.
+ * expired. Then it promotes the replica with the longest log, and records the new primary. The log of a server that
+ * missed an earlier change may be longer and hold commits that were given up then; the record tells where each term
+ * began. Does no I/O.
  */
 #pragma once
 
-#include "decision/position.h"
+#include "decision/term_history.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -107,6 +108,7 @@
 	uint64_t
 		change; /**< Identifies the state of the record; later ones are greater. 0: there is no record. */
 	uint64_t term; /**< Term of the primary; 0: unknown, since it was never changed. */
+	struct term_history terms;
 	bool is_changing;
 	bool is_planned;
 };
@@ -130,6 +132,7 @@
 	uint64_t yielded_change; /**< Own claim that other VMs may take over first; 0: none. */
 	uint64_t old_term;       /**< The new primary must lead a later term. */
 	uint64_t new_term;       /**< Term of the new primary, for the record. */
+	struct log_position new_term_start; /**< End of its log when it began to lead. */
 	uint64_t demote_term;
 	bool is_planned;
 	bool has_demoted;
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -84,7 +84,8 @@
 	struct succession succession;
 	struct restore_stored stored;  /**< What the store holds. */
 	struct succession_record swap; /**< Record that the outstanding compare-and-swap writes. */
-	uint64_t swap_era;             /**< Era of the store in which it was sent. */
+	struct fs_term_start sent_terms[TERM_HISTORY_STARTS]; /**< Terms of the last datagram. */
+	uint64_t swap_era;    /**< Era of the store in which it was sent. */
 	bool is_rewriting;    /**< The outstanding compare-and-swap writes the known record again. */
 	int64_t rewritten_us; /**< When it was last tried. */
 	bool is_promoting;    /**< A call that promotes a server is outstanding. */
@@ -262,7 +263,7 @@
 /** Sends the record to all VMs that have not confirmed it. */
 void primary_manager_send_record (struct primary_manager *primary_manager);
 
-/** Returns the record as the arguments of a datagram, whose strings belong to @p primary_manager. */
+/** Returns the record as the arguments of a datagram, whose strings and terms belong to @p primary_manager. */
 struct fs_lead_args primary_manager_record_args (struct primary_manager *primary_manager);
 
 /** Confirms to the VM that changes the primary that this VM does not use the old one any more. */
--- a/include/protocols/gateway.h
+++ b/include/protocols/gateway.h
@@ -16,9 +16,15 @@
 
 #define FS_GATEWAY_MAX_NAME 96
 #define FS_GATEWAY_MAX_ABSENT 40
+#define FS_GATEWAY_MAX_TERMS 16
 
 typedef char *fs_gateway_name;
 
+struct fs_term_start {
+	u_quad_t term;
+	u_quad_t index;
+};
+
 struct fs_lead_args {
 	char *vm;
 	char *service;
@@ -26,6 +32,10 @@
 	char *claimant;
 	u_quad_t change;
 	u_quad_t term;
+	struct {
+		u_int terms_len;
+		struct fs_term_start *terms_val;
+	} terms;
 	bool_t is_changing;
 	bool_t is_planned;
 	u_quad_t store_era;
@@ -74,49 +84,50 @@
 };
 
 #define FS_GATEWAY_PROGRAM 0x2f5a0003
-#define FS_GATEWAY_VERSION 2
+#define FS_GATEWAY_VERSION 3
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define FS_LEAD 1
-extern  enum clnt_stat fs_lead_2(struct fs_lead_args , void *, CLIENT *);
-extern  bool_t fs_lead_2_svc(struct fs_lead_args , void *, struct svc_req *);
+extern  enum clnt_stat fs_lead_3(struct fs_lead_args , void *, CLIENT *);
+extern  bool_t fs_lead_3_svc(struct fs_lead_args , void *, struct svc_req *);
 #define FS_QUIESCED 2
-extern  enum clnt_stat fs_quiesced_2(struct fs_quiesced_args , void *, CLIENT *);
-extern  bool_t fs_quiesced_2_svc(struct fs_quiesced_args , void *, struct svc_req *);
+extern  enum clnt_stat fs_quiesced_3(struct fs_quiesced_args , void *, CLIENT *);
+extern  bool_t fs_quiesced_3_svc(struct fs_quiesced_args , void *, struct svc_req *);
 #define FS_REACHABILITY 3
-extern  enum clnt_stat fs_reachability_2(struct fs_reachability_args , void *, CLIENT *);
-extern  bool_t fs_reachability_2_svc(struct fs_reachability_args , void *, struct svc_req *);
+extern  enum clnt_stat fs_reachability_3(struct fs_reachability_args , void *, CLIENT *);
+extern  bool_t fs_reachability_3_svc(struct fs_reachability_args , void *, struct svc_req *);
 #define FS_HELLO 4
-extern  enum clnt_stat fs_hello_2(struct fs_hello_args , void *, CLIENT *);
-extern  bool_t fs_hello_2_svc(struct fs_hello_args , void *, struct svc_req *);
+extern  enum clnt_stat fs_hello_3(struct fs_hello_args , void *, CLIENT *);
+extern  bool_t fs_hello_3_svc(struct fs_hello_args , void *, struct svc_req *);
 #define FS_ZONE 5
-extern  enum clnt_stat fs_zone_2(struct fs_zone_args , void *, CLIENT *);
-extern  bool_t fs_zone_2_svc(struct fs_zone_args , void *, struct svc_req *);
-extern int fs_gateway_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  enum clnt_stat fs_zone_3(struct fs_zone_args , void *, CLIENT *);
+extern  bool_t fs_zone_3_svc(struct fs_zone_args , void *, struct svc_req *);
+extern int fs_gateway_program_3_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define FS_LEAD 1
-extern  enum clnt_stat fs_lead_2();
-extern  bool_t fs_lead_2_svc();
+extern  enum clnt_stat fs_lead_3();
+extern  bool_t fs_lead_3_svc();
 #define FS_QUIESCED 2
-extern  enum clnt_stat fs_quiesced_2();
-extern  bool_t fs_quiesced_2_svc();
+extern  enum clnt_stat fs_quiesced_3();
+extern  bool_t fs_quiesced_3_svc();
 #define FS_REACHABILITY 3
-extern  enum clnt_stat fs_reachability_2();
-extern  bool_t fs_reachability_2_svc();
+extern  enum clnt_stat fs_reachability_3();
+extern  bool_t fs_reachability_3_svc();
 #define FS_HELLO 4
-extern  enum clnt_stat fs_hello_2();
-extern  bool_t fs_hello_2_svc();
+extern  enum clnt_stat fs_hello_3();
+extern  bool_t fs_hello_3_svc();
 #define FS_ZONE 5
-extern  enum clnt_stat fs_zone_2();
-extern  bool_t fs_zone_2_svc();
-extern int fs_gateway_program_2_freeresult ();
+extern  enum clnt_stat fs_zone_3();
+extern  bool_t fs_zone_3_svc();
+extern int fs_gateway_program_3_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_fs_gateway_name (XDR *, fs_gateway_name*);
+extern  bool_t xdr_fs_term_start (XDR *, struct fs_term_start*);
 extern  bool_t xdr_fs_lead_args (XDR *, struct fs_lead_args*);
 extern  bool_t xdr_fs_quiesced_args (XDR *, struct fs_quiesced_args*);
 extern  bool_t xdr_fs_reachability_args (XDR *, struct fs_reachability_args*);
@@ -125,6 +136,7 @@
 
 #else /* K&R C */
 extern bool_t xdr_fs_gateway_name ();
+extern bool_t xdr_fs_term_start ();
 extern bool_t xdr_fs_lead_args ();
 extern bool_t xdr_fs_quiesced_args ();
 extern bool_t xdr_fs_reachability_args ();
--- a/protocols/gateway.x
+++ b/protocols/gateway.x
@@ -3,9 +3,16 @@
 
 const FS_GATEWAY_MAX_NAME = 96;
 const FS_GATEWAY_MAX_ABSENT = 40;
+const FS_GATEWAY_MAX_TERMS = 16;
 
 typedef string fs_gateway_name<FS_GATEWAY_MAX_NAME>;
 
+/* Where the entries of a term begin in a service's log. */
+struct fs_term_start {
+	unsigned hyper term;
+	unsigned hyper index; /* Last entry of earlier terms. */
+};
+
 /* A service's record in the store, sent so that the receiver learns it before its next poll. */
 struct fs_lead_args {
 	string vm<FS_GATEWAY_MAX_NAME>;
@@ -14,6 +21,7 @@
 	string claimant<FS_GATEWAY_MAX_NAME>;
 	unsigned hyper change; /* Number of the record's state; later ones are greater. */
 	unsigned hyper term;
+	fs_term_start terms<FS_GATEWAY_MAX_TERMS>;
 	bool is_changing;
 	bool is_planned;
 	unsigned hyper store_era; /* Era in which the store holds this record; 0: not known to hold it. */
@@ -70,5 +78,5 @@
 		void FS_REACHABILITY(fs_reachability_args) = 3;
 		void FS_HELLO(fs_hello_args) = 4;
 		void FS_ZONE(fs_zone_args) = 5;
-	} = 2;
+	} = 3;
 } = 0x2f5a0003;
--- a/protocols/gateway_client.c
+++ b/protocols/gateway_client.c
@@ -10,7 +10,7 @@
 static struct timeval TIMEOUT = { 25, 0 };
 
 enum clnt_stat 
-fs_lead_2(struct fs_lead_args arg1, void *clnt_res,  CLIENT *clnt)
+fs_lead_3(struct fs_lead_args arg1, void *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_LEAD,
 		(xdrproc_t) xdr_fs_lead_args, (caddr_t) &arg1,
@@ -19,7 +19,7 @@
 }
 
 enum clnt_stat 
-fs_quiesced_2(struct fs_quiesced_args arg1, void *clnt_res,  CLIENT *clnt)
+fs_quiesced_3(struct fs_quiesced_args arg1, void *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_QUIESCED,
 		(xdrproc_t) xdr_fs_quiesced_args, (caddr_t) &arg1,
@@ -28,7 +28,7 @@
 }
 
 enum clnt_stat 
-fs_reachability_2(struct fs_reachability_args arg1, void *clnt_res,  CLIENT *clnt)
+fs_reachability_3(struct fs_reachability_args arg1, void *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_REACHABILITY,
 		(xdrproc_t) xdr_fs_reachability_args, (caddr_t) &arg1,
@@ -37,7 +37,7 @@
 }
 
 enum clnt_stat 
-fs_hello_2(struct fs_hello_args arg1, void *clnt_res,  CLIENT *clnt)
+fs_hello_3(struct fs_hello_args arg1, void *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_HELLO,
 		(xdrproc_t) xdr_fs_hello_args, (caddr_t) &arg1,
@@ -46,7 +46,7 @@
 }
 
 enum clnt_stat 
-fs_zone_2(struct fs_zone_args arg1, void *clnt_res,  CLIENT *clnt)
+fs_zone_3(struct fs_zone_args arg1, void *clnt_res,  CLIENT *clnt)
 {
 	return (clnt_call(clnt, FS_ZONE,
 		(xdrproc_t) xdr_fs_zone_args, (caddr_t) &arg1,
--- a/protocols/gateway_xdr.c
+++ b/protocols/gateway_xdr.c
@@ -15,6 +15,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fs_term_start (XDR *xdrs, struct fs_term_start *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->term))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->index))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fs_lead_args (XDR *xdrs, struct fs_lead_args *objp)
 {
@@ -32,6 +44,9 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->terms.terms_val, (u_int *) &objp->terms.terms_len, FS_GATEWAY_MAX_TERMS,
+		sizeof (struct fs_term_start), (xdrproc_t) xdr_fs_term_start))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_changing))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_planned))
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -413,6 +413,39 @@
 	tear_down (&controller);
 }
 
+/* Guards against a VM that learns of a record without the starts of its terms, and takes a log that was given up for a part
+ * of the present one. */
+static void
+test_terms_of_a_record (void)
+{
+	static const char text[] = "primary=p claimant=vm1 changing=0 planned=0 term=3 change=7 era=0 "
+							   "terms=1:400,2:400,3:18446744073709551615";
+	static const char bad[] = "primary=p claimant=vm1 changing=0 planned=0 term=3 change=7 era=0 "
+							  "terms=1:400,2:x,,3";
+	struct controller controller;
+	struct primary_manager *primary_manager;
+	struct succession_record record;
+	struct fs_lead_args args;
+	g_autofree char *formatted = NULL;
+	uint64_t era;
+
+	set_up (&controller);
+	g_assert_cmpint (primary_record_parse (bad, strlen (bad), 1, &record, &era), ==, 0);
+	g_assert_cmpuint (record.terms.count, ==, 1);
+	g_assert_cmpint (primary_record_parse (text, strlen (text), 1, &record, &era), ==, 0);
+	formatted = primary_record_format (&record, era);
+	g_assert_cmpstr (formatted, ==, text);
+	primary_manager = primary_manager_get (&controller, "ledger");
+	primary_manager_set_record (primary_manager, &record, clock_now_us ());
+	args = primary_manager_record_args (primary_manager);
+	args.service = (char *) "other";
+	controller_peers_ops.handle_primary_record (&controller, &args, (struct peer_address){ 0, 0 });
+	primary_manager = primary_manager_get (&controller, "other");
+	g_assert_cmpmem (&primary_manager->succession.record.terms, sizeof record.terms, &record.terms,
+	                 sizeof record.terms);
+	tear_down (&controller);
+}
+
 /* Guards against a change of primary that only VMs remember after the store was restored. */
 static void
 test_record_is_written_again (void)
@@ -999,6 +1032,7 @@
 	g_test_add_func ("/gateway_members/claim_after_restore", test_claim_after_restore);
 	g_test_add_func ("/gateway_members/restored_confirms_nothing",
 	                 test_restored_store_confirms_nothing);
+	g_test_add_func ("/gateway_members/terms", test_terms_of_a_record);
 	g_test_add_func ("/gateway_members/written_again", test_record_is_written_again);
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -317,6 +317,68 @@
 	g_assert_cmpstr (fixture.promoted, ==, "a");
 }
 
+/* Guards against commits that come back after a promotion has rolled them back (STALE, review/1). The primary of the latest
+ * term is gone; the former one holds more commits than its successor had received. */
+static void
+test_log_that_was_given_up (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
+	term_history_begin (&fixture.stored.terms, 2, (struct log_position){ 1, 100 });
+	fixture.change = 11;
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture.servers[0].received = (struct log_position){ 1, 108 };
+	fixture.servers[1].is_unreachable = true;
+	fixture.servers[1].is_listed = false;
+	fixture.input.cause = SUCCESSION_FAILED;
+	fixture_run (&fixture, 2000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "c");
+}
+
+/* Guards against a server whose log was given up and that is a replica now: neither its role nor its term tells. */
+static void
+test_replica_with_a_log_that_was_given_up (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
+	term_history_begin (&fixture.stored.terms, 2, (struct log_position){ 1, 100 });
+	fixture.change = 11;
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture.servers[0].is_primary = false;
+	fixture.servers[0].term = 2;
+	fixture.servers[0].received = (struct log_position){ 1, 108 };
+	fixture.servers[1].is_unreachable = true;
+	fixture.servers[1].is_listed = false;
+	fixture.input.cause = SUCCESSION_FAILED;
+	fixture_run (&fixture, 2000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "c");
+}
+
+/* Guards against an outage without end when all servers with the present log are gone, and against giving up on them too
+ * early: a server that has crashed is back within 15 s. */
+static void
+test_only_logs_that_were_given_up (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
+	term_history_begin (&fixture.stored.terms, 2, (struct log_position){ 1, 90 });
+	fixture.change = 11;
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture.servers[1].is_unreachable = true;
+	fixture.servers[1].is_listed = false;
+	fixture.input.cause = SUCCESSION_FAILED;
+	fixture_run (&fixture, 15000 * MS);
+	g_assert_cmpuint (fixture.promotions, ==, 0);
+	fixture_run (&fixture, 25000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "a");
+}
+
 /* Guards against comparing the log positions of two primaries. A server that leads by an unfinished promotion, or
  * follows it, is preferred to a longer log of an earlier term. */
 static void
@@ -576,6 +638,9 @@
 	g_test_add_func ("/succession/no_candidate", test_claimant_without_candidate);
 	g_test_add_func ("/succession/demotion", test_no_demotion_without_candidate);
 	g_test_add_func ("/succession/last_of_earlier_term", test_last_server_of_an_earlier_term);
+	g_test_add_func ("/succession/given_up", test_log_that_was_given_up);
+	g_test_add_func ("/succession/given_up_replica", test_replica_with_a_log_that_was_given_up);
+	g_test_add_func ("/succession/only_given_up", test_only_logs_that_were_given_up);
 	g_test_add_func ("/succession/longer_log", test_longer_log_of_an_earlier_term);
 	g_test_add_func ("/succession/lost_answer", test_lost_answer_to_claim);
 	g_test_add_func ("/succession/suspended", test_suspended_claimant);
