gateway: a former primary is demoted by the VMs that reach it

What callers saw: after two losses in a row a service had no primary until the later one returned, up to 30 s, although a replica with the log of before was there. Cause: a former primary that was cut off resigns a second after it reaches its successor. If that one is lost, it goes on leading its own term, and a replica that reaches it receives commits that had been given up, so that no server is left whose log may be promoted. Change: the poller of each zone looks every 0.5 s for servers whose entry says primary and that the record does not name, and demotes them with the recorded term. The platform's servers ignore this in the recorded or a later term, so a VM with an old record can do no harm. The log line is former_primary_demoted.

--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -189,6 +189,7 @@
 		primary_manager_restore (value, now_us);
 		primary_manager_tick (value, now_us);
 	}
+	controller_demote_former (controller, now_us);
 	controller_flush_view (controller);
 }
 
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -26,6 +26,8 @@
 	MANAGER_READ_US = 150 * US_PER_MS,
 	MANAGER_STATUS_INTERVAL_US = 200 * US_PER_MS,
 	MANAGER_MAX_SERVERS = 32,
+	/* A server sends its directory entry about once a second, so its role is no newer than that. */
+	MANAGER_FORMER_INTERVAL_US = 500 * US_PER_MS,
 	/* The VMs that may write a record again do so one after another, so that usually one write is enough. */
 	MANAGER_RESTORE_STEPS = 16,
 	MANAGER_RESTORE_STEP_US = 40 * US_PER_MS,
@@ -834,6 +836,35 @@
 	}
 }
 
+void
+controller_demote_former (struct controller *controller, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!controller->is_poller ||
+	    now_us - controller->former_demoted_us < MANAGER_FORMER_INTERVAL_US)
+		return;
+	controller->former_demoted_us = now_us;
+	g_hash_table_iter_init (&iter, controller->servers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct known_server *server = value;
+		const struct primary_manager *primary_manager =
+			g_hash_table_lookup (controller->managers, server->entry.service);
+		const struct succession_record *record =
+			primary_manager ? &primary_manager->succession.record : NULL;
+
+		if (!server->is_listed || !server->entry.reports_primary || server->is_unreachable ||
+		    !record || record->term == 0 || strcmp (record->primary, server->entry.id) == 0)
+			continue;
+		log_event (LOG_LEVEL_INFO, "former_primary_demoted", "service=%s server=%s term=%llu",
+		           primary_manager->service, server->entry.id, (unsigned long long) record->term);
+		/* A server of this term or a later one ignores it. */
+		gateway_traffic_request_status (controller->traffic, server->entry.id, record->term);
+	}
+}
+
 void
 primary_manager_tick (struct primary_manager *primary_manager, int64_t now_us)
 {
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -183,6 +183,7 @@
 	uint32_t vm_count;                  /**< Live VMs, including this one. */
 	bool is_serving_dirty;      /**< A VM has announced a change since the VMs were last checked. */
 	int64_t serving_checked_us; /**< When all VMs were last checked. */
+	int64_t former_demoted_us;  /**< When former primaries were last looked for. */
 	bool is_view_dirty;         /**< The traffic thread does not have the latest state yet. */
 	bool is_leaving;            /**< The graceful shutdown has begun. */
 	bool has_left;              /**< The graceful shutdown is complete. */
@@ -257,6 +258,12 @@
                                  const struct succession_record *record, uint64_t record_era,
                                  struct store_position at, int64_t now_us);
 
+/**
+ * Demotes servers that report themselves as the primary of a term before the recorded one. While they cannot reach the
+ * present primary they would go on leading, and replicas could receive commits from them that were given up.
+ */
+void controller_demote_former (struct controller *controller, int64_t now_us);
+
 /** Writes the known record again if a restored store lacks it. */
 void primary_manager_restore (struct primary_manager *primary_manager, int64_t now_us);
 
--- a/tests/unit/gateway_fleet_losses.c
+++ b/tests/unit/gateway_fleet_losses.c
@@ -20,10 +20,38 @@
 			&(struct fleet_case){ seed, 7, 3, faults, G_N_ELEMENTS (faults), 26300 });
 }
 
+/* Guards against a former primary that goes on leading while its successor is lost: replicas follow it, and no server is left
+ * whose log may be promoted. */
+static void
+test_former_primary_is_demoted (void)
+{
+	static const struct fleet_fault faults[] = {
+		{ 0, FLEET_CUT_ZONE, 0, 0 },        { 1000, FLEET_DEAFEN, 0, 0 },
+		{ 4000, FLEET_CRASH_SERVER, 0, 1 }, { 5000, FLEET_HEAL_ZONE, 0, 0 },
+		{ 8000, FLEET_RESUME, 0, 0 },       { 60000, FLEET_START_SERVER, 0, 0 },
+	};
+
+	for (uint64_t seed = 1; seed <= 10; seed++)
+	{
+		struct gateway_fleet fleet;
+		struct succession_record record;
+
+		gateway_fleet_init (&fleet, seed, 7, 1);
+		gateway_fleet_plan (&fleet, faults, G_N_ELEMENTS (faults));
+		gateway_fleet_run (&fleet, 14000);
+		g_assert_true (gateway_fleet_record (&fleet, 0, &record));
+		g_assert_false (record.is_changing);
+		g_assert_cmpuint (record.term, ==, 3);
+		g_assert_cmpstr (fleet.violations->str, ==, "");
+		gateway_fleet_finish (&fleet);
+	}
+}
+
 int
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/gateway_fleet/cut_and_crash", test_cut_and_crash);
+	g_test_add_func ("/gateway_fleet/former_primary_is_demoted", test_former_primary_is_demoted);
 	return g_test_run ();
 }
