--- a/tests/unit/gateway_fleet_losses.c
+++ b/tests/unit/gateway_fleet_losses.c
@@ -1,7 +1,7 @@
 /* Guards against commits that come back after a promotion has rolled them back: all reads in between lacked them (STALE).
  * Several primaries of a service are lost one after another in a fleet in virtual time.
  *
- * GATEWAY_FLEET_LOG=1 writes what the VMs log. */
+ * GATEWAY_FLEET_SEEDS=FIRST:COUNT replaces the seeds of the random case; GATEWAY_FLEET_LOG=1 writes what the VMs log. */
 #include "gateway_fleet_random.h"
 
 /* The day of review/1: the zone of the primary is cut off, no replica follows its successor, and that one crashes before
@@ -47,11 +47,23 @@
 	}
 }
 
+static void
+test_random_losses (void)
+{
+	gateway_fleet_play_random (&(struct fleet_series){ .first = 1,
+	                                                   .count = 40,
+	                                                   .vm_count = 7,
+	                                                   .service_count = 3,
+	                                                   .faults_ms = 8000,
+	                                                   .losses = 3 });
+}
+
 int
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/gateway_fleet/cut_and_crash", test_cut_and_crash);
 	g_test_add_func ("/gateway_fleet/former_primary_is_demoted", test_former_primary_is_demoted);
+	g_test_add_func ("/gateway_fleet/random_losses", test_random_losses);
 	return g_test_run ();
 }
--- a/tests/virtual/gateway_fleet_random.h
+++ b/tests/virtual/gateway_fleet_random.h
@@ -25,6 +25,7 @@
 	int service_count;
 	int faults_ms;    /**< All faults begin within this time. */
 	bool is_restored; /**< The store may come back from an older copy. */
+	int losses; /**< Longest series of losses of primaries that follow one another within seconds. */
 };
 
 /** Plays a case; violations fail the test. @return their number. */
