gateway: a planned change of primary waits until a replica has caught up

Cause: the change is claimed as soon as the primary reports that it leaves, and the old primary is demoted at the first sight of a successor. From then on nothing may reach the replicas, and after 1.2 s the successor is promoted as it is, although the primary works for drainMs more. Change: the claim waits until a replica has received what the primary had at the last question, at the latest until 3.5 s before the primary has to be out of use (bounds.drainMs, read from the settings now). The old primary is demoted only when the successor has its log, or need not be waited for any longer.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -21,12 +21,18 @@
 	/** Delay between successive VMs, so that usually only the first one acts. */
 	RANK_DELAY_US = 150 * US_PER_MS,
 	ASK_INTERVAL_US = 50 * US_PER_MS,
+	/** Interval of the questions while a planned change waits. A replica that lags by less has caught up. */
+	WAIT_INTERVAL_US = 200 * US_PER_MS,
+	/** VMs that ask meanwhile. The others claim the change only after its wait has ended. */
+	WAIT_RANKS = 3,
 	SWAP_TIMEOUT_US = 1500 * US_PER_MS,
 	RECORD_RETRY_US = 50 * US_PER_MS, /**< Delay of a repeated swap that was refused. */
 	/** Servers that have not answered are left out of the choice after this time. */
 	CHOICE_TIMEOUT_US = 250 * US_PER_MS,
-	/** The new primary may take this long to receive the rest of the old one's log. */
+	/** The new primary may take this long to receive the rest of the old one's log, or until the wait of a planned change ends. */
 	CATCH_UP_US = 1200 * US_PER_MS,
+	/** The old primary may take this long to step down. */
+	DEMOTE_TIMEOUT_US = 250 * US_PER_MS,
 	CONFIRM_TIMEOUT_US = 5000 * US_PER_MS,
 	/** A log with entries that were given up is used when no other has been found for this time. Crashed servers and
 	 * zones that were cut off were back in the directory after 15 s at most. */
@@ -154,10 +160,49 @@
 	succession->is_planned = is_planned;
 	succession->claim_sent_us = now_us;
 	succession->cause_us = 0;
+	succession->has_leaving_position = false;
 	set_phase (succession, SUCCESSION_CLAIMING, now_us);
 	return SUCCESSION_CLAIM;
 }
 
+/** Tells whether a replica has received what the leaving primary had when the servers were last asked. */
+static bool
+has_successor_caught_up (const struct succession *succession, const struct succession_input *input)
+{
+	for (size_t i = 0; succession->has_leaving_position && i < input->server_count; i++)
+	{
+		const struct succession_server *server = &input->servers[i];
+
+		if (server->is_listed && !server->is_draining && !server->is_unreachable &&
+		    server->has_status && server->status_us > succession->asked_us &&
+		    strcmp (server->id, succession->record.primary) != 0 &&
+		    term_history_contains (&succession->record.terms, server->received) &&
+		    log_position_covers (server->received, succession->leaving_position))
+			return true;
+	}
+	return false;
+}
+
+/**
+ * Lets a leaving primary go on until a replica has caught up. Once it is demoted, the commits that no replica has received
+ * are given up.
+ */
+static enum succession_action
+step_waiting (struct succession *succession, const struct succession_input *input, int64_t now_us)
+{
+	const struct succession_server *primary = find_server (input, succession->record.primary);
+
+	if (input->rank >= WAIT_RANKS ||
+	    (succession->asked_us > 0 && now_us - succession->asked_us < WAIT_INTERVAL_US))
+		return SUCCESSION_NOTHING;
+	succession->has_leaving_position =
+		primary && primary->has_status && primary->status_us > succession->cause_us;
+	if (succession->has_leaving_position)
+		succession->leaving_position = primary->received;
+	succession->asked_us = now_us;
+	return SUCCESSION_ASK_SERVERS;
+}
+
 static enum succession_action
 step_steady (struct succession *succession, const struct succession_input *input, int64_t now_us)
 {
@@ -181,6 +226,7 @@
 	if (input->cause == SUCCESSION_NO_CAUSE)
 	{
 		succession->cause_us = 0;
+		succession->has_leaving_position = false;
 		succession->failed_target[0] = '\0';
 		return SUCCESSION_NOTHING;
 	}
@@ -188,6 +234,9 @@
 		succession->cause_us = now_us;
 	if (now_us - succession->cause_us < delay_us)
 		return SUCCESSION_NOTHING;
+	if (input->cause == SUCCESSION_LEAVING && now_us < input->planned_wait_end_us &&
+	    !has_successor_caught_up (succession, input))
+		return step_waiting (succession, input, now_us);
 	return begin_claim (succession, input->cause == SUCCESSION_LEAVING, now_us);
 }
 
@@ -365,17 +414,32 @@
 	return replicas >= input->sync_replicas ? replicas - input->sync_replicas + 1 : 1;
 }
 
+/**
+ * Tells whether the successor has received all that the old primary holds, or need not be waited for any longer. The old
+ * primary is not demoted before: whether a demoted one sends its log to replicas is up to the platform.
+ */
 static bool
 has_caught_up (const struct succession *succession, const struct succession_input *input,
                const struct succession_server *best, int64_t now_us)
 {
 	const struct succession_server *old = find_server (input, succession->record.primary);
+	int64_t end_us = succession->successor_us + CATCH_UP_US;
 
-	if (!old || old->is_unreachable || now_us - succession->successor_us > CATCH_UP_US)
+	if (succession->is_planned && input->planned_wait_end_us > end_us)
+		end_us = input->planned_wait_end_us;
+	if (!old || old->is_unreachable || now_us > end_us)
 		return true;
-	if (!has_final_status (succession, old) || old->is_primary)
-		return false;
-	return log_position_covers (best->received, old->received);
+	return has_final_status (succession, old) &&
+	       log_position_covers (best->received, old->received);
+}
+
+/** Tells whether the old primary may still lead although it was told to step down a moment ago. */
+static bool
+is_stepping_down (const struct succession *succession, const struct succession_server *old,
+                  int64_t now_us)
+{
+	return old && !old->is_unreachable && old->is_primary &&
+	       now_us - succession->demoted_us < DEMOTE_TIMEOUT_US;
 }
 
 /** Ends a claim during which no successor was found. Another VM may reach a server of the latest term. */
@@ -405,17 +469,18 @@
 		succession->successor_us = now_us;
 	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
 		return end_claim (succession, &choice, now_us);
-	/* Not before there is a successor, which may have to receive the log of the last term first. */
-	if (choice.best && !succession->has_demoted && old && !old->is_unreachable &&
-	    choice.max_term > 0)
+	if (!choice.best || (choice.missing > 0 && !is_late) ||
+	    choice.known < required_replicas (input) ||
+	    !has_caught_up (succession, input, choice.best, now_us))
+		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
+	if (!succession->has_demoted && old && !old->is_unreachable && choice.max_term > 0)
 	{
 		succession->demote_term = choice.max_term + 1;
 		succession->has_demoted = true;
+		succession->demoted_us = now_us;
 		return SUCCESSION_DEMOTE;
 	}
-	if (!choice.best || (choice.missing > 0 && !is_late) ||
-	    choice.known < required_replicas (input) ||
-	    !has_caught_up (succession, input, choice.best, now_us))
+	if (is_stepping_down (succession, old, now_us))
 		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
 	snprintf (succession->target, sizeof succession->target, "%s", choice.best->id);
 	succession->old_term =
--- a/gateway/controller_directory.c
+++ b/gateway/controller_directory.c
@@ -103,6 +103,10 @@
 	}
 	server_entry_clear (&server->entry);
 	server->entry = entry;
+	if (!entry.is_draining)
+		server->draining_us = 0;
+	else if (server->draining_us == 0)
+		server->draining_us = now_us;
 	server->is_listed = true;
 	server->missing_us = 0;
 }
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -518,6 +518,20 @@
 	           : SUCCESSION_NO_CAUSE;
 }
 
+/** Until when a planned change may wait for a successor: the leaving primary must be out of use in time. */
+static int64_t
+find_wait_end (const struct primary_manager *primary_manager)
+{
+	const struct controller *controller = primary_manager->controller;
+	const struct known_server *primary =
+		find_server (primary_manager, primary_manager->succession.record.primary);
+	int64_t wait_ms = (int64_t) controller->boot.drain_ms - SUCCESSION_PLANNED_MS;
+
+	if (!primary || primary->draining_us == 0 || primary->missing_us > 0)
+		return 0;
+	return primary->draining_us + wait_ms * US_PER_MS;
+}
+
 static size_t
 collect_servers (const struct primary_manager *primary_manager, struct succession_server *servers)
 {
@@ -887,6 +901,7 @@
 		.servers = servers,
 		.sync_replicas = declared ? declared->sync_replicas : 0,
 		.cause = find_change_cause (primary_manager, now_us),
+		.planned_wait_end_us = find_wait_end (primary_manager),
 		.has_read_records = controller->members_valid_us > 0 && is_stored_known,
 		.may_claim = controller->is_settled && is_stored_known,
 		.era = controller->store_era,
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -27,6 +27,11 @@
 	 * request of a VM that follows the poller.
 	 */
 	SUCCESSION_AUTHORITY_MS = 1000,
+	/**
+	 * Time that a planned change takes at most while the old primary still works: running statements complete, the
+	 * authority of silent VMs expires, the log is received, and the new primary leads.
+	 */
+	SUCCESSION_PLANNED_MS = 3500,
 	/** Maximum age of a list of VMs that is used without the store; covers the usual outages. */
 	SUCCESSION_LIST_AGE_MS = 8000,
 };
@@ -37,7 +42,7 @@
 	SUCCESSION_CREATING,  /**< The first record is being written. */
 	SUCCESSION_CLAIMING,  /**< The claim is being written. */
 	SUCCESSION_GATHERING, /**< Waiting until the other VMs have stopped using the old primary. */
-	SUCCESSION_CHOOSING,  /**< Comparing log positions; the old primary is demoted if reachable. */
+	SUCCESSION_CHOOSING, /**< Comparing log positions; then the old primary is demoted if reachable. */
 	SUCCESSION_PROMOTING,
 	SUCCESSION_CONFIRMING, /**< Waiting until the new primary leads. */
 	SUCCESSION_RECORDING,
@@ -92,6 +97,8 @@
 	size_t server_count;
 	uint32_t sync_replicas;
 	enum succession_cause cause;
+	/** Until then a planned change may wait for a successor that has caught up; 0: it may not. */
+	int64_t planned_wait_end_us;
 	uint32_t rank;         /**< Place of this VM among those that may act; 0 acts first. */
 	bool has_read_records; /**< The records were read since this VM started. */
 	bool may_claim;        /**< This VM is settled, so that all others know of it. */
@@ -122,6 +129,9 @@
 	struct succession_record record;
 	int64_t record_us; /**< When this state of the record was first seen. */
 	int64_t cause_us;  /**< Since when there is a cause; 0: none. */
+	/** While a planned change waits: position that the primary had before the servers were last asked. */
+	struct log_position leaving_position;
+	bool has_leaving_position;
 	uint64_t claim_change;
 	int64_t claim_sent_us;
 	int64_t claimed_us;      /**< When the claim was known to be stored. */
@@ -136,6 +146,7 @@
 	uint64_t new_term;       /**< Term of the new primary, for the record. */
 	struct log_position new_term_start; /**< End of its log when it began to lead. */
 	uint64_t demote_term;
+	int64_t demoted_us; /**< When the old primary was told to step down in this claim. */
 	bool is_planned;
 	bool has_demoted;
 	char target[SUCCESSION_NAME_BYTES];
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -19,8 +19,9 @@
 struct known_server
 {
 	struct server_entry entry;
-	bool is_listed;     /**< Cleared when its entry has been missing for CONTROL_MISSING_US. */
-	int64_t missing_us; /**< When its entry was first found missing; 0: it is present. */
+	bool is_listed;      /**< Cleared when its entry has been missing for CONTROL_MISSING_US. */
+	int64_t draining_us; /**< When its entry first said that it leaves; 0: it does not. */
+	int64_t missing_us;  /**< When its entry was first found missing; 0: it is present. */
 	bool is_unreachable;
 	int64_t contact_us; /**< Time of its last answer to the traffic thread. */
 	bool has_status;
--- a/include/platform/boot_settings.h
+++ b/include/platform/boot_settings.h
@@ -26,6 +26,7 @@
 	char store_address[BOOT_ADDRESS_BYTES];
 	char cloud_address[BOOT_ADDRESS_BYTES];
 	uint32_t configuration_ms; /**< Time limit for applying a new configuration. */
+	uint32_t drain_ms;         /**< Time after which a leaving server must be out of use. */
 	uint32_t grace_ms;         /**< Time from SIGTERM to SIGKILL. */
 	uint32_t max_descriptors;
 };
--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -131,6 +131,7 @@
 	g_assert_cmpuint (settings.ip, ==, 0x0a010008);
 	g_assert_cmpuint (settings.peer_port, ==, 7440);
 	g_assert_cmpuint (settings.grace_ms, ==, 4500);
+	g_assert_cmpuint (settings.drain_ms, ==, 7000);
 	g_assert_cmpuint (settings.configuration_ms, ==, 3000);
 	findings_finish (&findings);
 }
--- a/tests/virtual/gateway_fleet.c
+++ b/tests/virtual/gateway_fleet.c
@@ -56,6 +56,7 @@
 		.ip = FLEET_ADDRESS | (uint32_t) vm->index,
 		.peer_port = FLEET_PEER_PORT,
 		.configuration_ms = 3000,
+		.drain_ms = FLEET_DRAIN_US / US_PER_MS,
 		.grace_ms = 6000,
 	};
 
