--- a/gateway/controller_directory.c
+++ b/gateway/controller_directory.c
@@ -107,27 +107,36 @@
 	server->missing_us = 0;
 }
 
-static void
-handle_directory_event (void *data, const struct platform_answer *answer)
+/** Applies the entries of a list or of a watch. @return whether the answer is one of the store's present era. */
+static bool
+apply_directory_answer (struct controller *controller, const struct platform_answer *answer)
 {
-	struct controller *controller = data;
-
 	if (answer->error < 0 || !controller_set_era (controller, answer->era, clock_now_us ()))
 	{
 		loop_set_timer (&controller->loop, &controller->directory_timer,
 		                controller_next_retry_us (controller, clock_now_us ()));
-		return;
+		return false;
 	}
+	for (size_t i = 0; i < answer->count; i++)
+		apply_server_entry (controller, &answer->pairs[i], clock_now_us ());
+	controller_flush_view (controller);
+	return true;
+}
+
+static void
+handle_directory_event (void *data, const struct platform_answer *answer)
+{
+	struct controller *controller = data;
+
+	if (!apply_directory_answer (controller, answer))
+		return;
 	for (size_t i = 0; i < answer->count; i++)
 	{
-		const struct platform_pair *pair = &answer->pairs[i];
-		struct store_position at = { answer->era, pair->revision };
+		struct store_position at = { answer->era, answer->pairs[i].revision };
 
-		apply_server_entry (controller, pair, clock_now_us ());
 		if (store_position_compare (at, controller->directory_at) > 0)
 			controller->directory_at = at;
 	}
-	controller_flush_view (controller);
 }
 
 /** Marks servers that are not in a complete list of entries as missing. */
@@ -158,10 +167,10 @@
 	{
 		mark_absent_servers (controller, answer);
 		controller->has_directory = true;
+		/* Entries of later pages may be newer, but do not show that the earlier pages are. */
 		controller->directory_at = (struct store_position){ answer->era, answer->revision };
 	}
-	handle_directory_event (controller, answer);
-	if (answer->error < 0 || answer->era != controller->store_era || controller->is_following)
+	if (!apply_directory_answer (controller, answer) || controller->is_following)
 		return;
 	if (controller_is_starting (controller))
 		loop_set_timer (&controller->loop, &controller->watch_timer,
--- a/include/flamingospring/platform.h
+++ b/include/flamingospring/platform.h
@@ -30,11 +30,14 @@
 	/** Rises each time the store is restored from an older copy, after which its revisions are given out
 	 * again. Valid when @c error is 0. */
 	uint64_t era;
-	uint64_t revision; /**< Revision of the whole store. */
-	bool succeeded;    /**< Result of a compare-and-swap. */
+	/** Revision of the whole store. The pairs of a range include all changes up to it, and possibly later ones, which a
+	 * watch from this revision reports again. */
+	uint64_t revision;
+	bool succeeded; /**< Result of a compare-and-swap. */
 	const struct platform_pair *pairs;
 	size_t count;
-	int64_t request_sent_us; /**< When the request was sent. The answer is no older than this. */
+	/** When the request was sent, or the first one of several. The answer is no older than this. */
+	int64_t request_sent_us;
 };
 
 /** Called once for a call, and repeatedly for a watch until an error. A watch may report that
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -24,6 +24,8 @@
 	char swap_key[64];
 	char swap_value[256];
 	int watches;
+	platform_handle_answer *handle_watch; /* Of the last watch. */
+	void *watch_data;
 	platform_handle_answer *handle_swap;
 	void *swap_data;
 };
@@ -72,8 +74,8 @@
 	(void) prefix;
 	(void) revision;
 	(void) idle_timeout_ms;
-	(void) handle;
-	(void) data;
+	fake.handle_watch = handle;
+	fake.watch_data = data;
 	fake.watches++;
 	return 0;
 }
@@ -594,6 +596,26 @@
 	tear_down (&controller);
 }
 
+/* Guards against a follower that does not read the directory again although it lacks a change: an entry of a later page
+ * may be newer than a change of an earlier page that the list does not hold (DRAIN, review/4). */
+static void
+test_entry_is_later_than_list (void)
+{
+	struct platform_pair pair = { "servers/i-9", "", 0, 12, false };
+	struct platform_answer list = { .era = 1, .revision = 9, .pairs = &pair, .count = 1 };
+	struct platform_answer event = { .era = 1, .revision = 20, .pairs = &pair, .count = 1 };
+	struct controller controller;
+
+	set_up (&controller);
+	controller_read_directory (&controller);
+	fake.handle (fake.data, &list);
+	g_assert_cmpuint (controller.directory_at.revision, ==, 9);
+	g_assert_nonnull (fake.handle_watch);
+	fake.handle_watch (fake.watch_data, &event);
+	g_assert_cmpuint (controller.directory_at.revision, ==, 12);
+	tear_down (&controller);
+}
+
 /* Guards against replacing a primary at once because its entry was missing before it was promoted. In two plays of
  * trouble-1 of Grindwell, seed 28832871869, VMs did so that had not read yet that the entry was back. */
 static void
@@ -1037,6 +1059,7 @@
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/older_entry", test_older_server_entry);
+	g_test_add_func ("/gateway_members/entry_later_than_list", test_entry_is_later_than_list);
 	g_test_add_func ("/gateway_members/unknown_server", test_unknown_server_is_not_lost);
 	g_test_add_func ("/gateway_members/silence_while_isolated", test_silence_while_isolated);
 	g_test_add_func ("/gateway_members/silence_without_store", test_silence_without_store);
--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -248,6 +248,28 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against a change between two pages that is in neither the list nor the watch that starts from it (DRAIN,
+ * review/4). */
+static void
+test_change_between_pages (void)
+{
+	static const char *const pages[] = {
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":5,\"created\":5,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":[{\"key\":\"a/2\",\"value\":\"eQ==\",\"revision\":11,\"created\":6,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":12}",
+		"200 {\"items\":[],\"hasMore\":false,\"at\":15}",
+	};
+	struct fixture fixture;
+
+	fixture_start (&fixture, pages, G_N_ELEMENTS (pages));
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.events, ==, 2);
+	g_assert_cmpuint (fixture.revision, ==, 9);
+	fixture_stop (&fixture);
+}
+
 /* Guards against revisions of before a restore that are used after it: in a watch that goes on, and in a list whose
  * pages are of two copies of the store. */
 static void
@@ -313,6 +335,7 @@
 	g_test_add_func ("/store/empty_answer", test_empty_watch_answer);
 	g_test_add_func ("/store/answers", test_answers);
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
+	g_test_add_func ("/store/change_between_pages", test_change_between_pages);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
