--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -79,6 +79,7 @@
 	bool succeeded;
 	uint64_t era;
 	uint64_t revision;
+	int64_t request_sent_us;
 };
 
 static void
@@ -132,6 +133,7 @@
 	fixture->succeeded = answer->succeeded;
 	fixture->era = answer->era;
 	fixture->revision = answer->revision;
+	fixture->request_sent_us = answer->request_sent_us;
 }
 
 static void
@@ -270,6 +272,39 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against pages that are lost, or read twice, since their last items are not later than the revision from which
+ * on changes are reported; and against such pages being left out of what the list's time and era are taken from. */
+static void
+test_unreported_items (void)
+{
+	static const char *const pages[] = {
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":4,\"created\":4,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":[{\"key\":\"a/2\",\"value\":\"eA==\",\"revision\":8,\"created\":4,\"lease\":0},"
+		"{\"key\":\"a/3\",\"value\":\"eA==\",\"revision\":5,\"created\":5,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":[],\"hasMore\":false,\"at\":9}",
+	};
+	static const unsigned eras[] = { 7, 8, 8 };
+	struct fixture fixture;
+	int64_t sent_us;
+
+	fixture_start (&fixture, pages, G_N_ELEMENTS (pages));
+	fixture.platform.ops->range (&fixture.platform, "a/", 5, handle_answer, &fixture);
+	sent_us = clock_now_us ();
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.request_sent_us, <=, sent_us);
+	g_assert_cmpint (fixture.events, ==, 1);
+	g_assert_nonnull (strstr (fixture.store.requests[1], "after=a%2F1"));
+	g_assert_nonnull (strstr (fixture.store.requests[2], "after=a%2F3"));
+	fixture_stop (&fixture);
+	fixture_start_in_eras (&fixture, pages, 2, eras, STORE_PATIENCE_MS);
+	fixture.platform.ops->range (&fixture.platform, "a/", 5, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -ESTALE);
+	fixture_stop (&fixture);
+}
+
 /* Guards against revisions of before a restore that are used after it: in a watch that goes on, and in a list whose
  * pages are of two copies of the store. */
 static void
@@ -336,6 +371,7 @@
 	g_test_add_func ("/store/answers", test_answers);
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
 	g_test_add_func ("/store/change_between_pages", test_change_between_pages);
+	g_test_add_func ("/store/unreported_items", test_unreported_items);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
