--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -305,6 +305,32 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against a list that counts as complete, or that is read without an end, when a page says that there are more
+ * items but names no later key. */
+static void
+test_page_without_progress (void)
+{
+	static const char *const empty[] = { "200 {\"items\":[],\"hasMore\":true,\"at\":9}" };
+	static const char *const same[] = {
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":4,\"created\":4,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":4,\"created\":4,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+	};
+	struct fixture fixture;
+
+	fixture_start (&fixture, empty, G_N_ELEMENTS (empty));
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+	fixture_stop (&fixture);
+	fixture_start (&fixture, same, G_N_ELEMENTS (same));
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+	fixture_stop (&fixture);
+}
+
 /* Guards against revisions of before a restore that are used after it: in a watch that goes on, and in a list whose
  * pages are of two copies of the store. */
 static void
@@ -372,6 +398,7 @@
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
 	g_test_add_func ("/store/change_between_pages", test_change_between_pages);
 	g_test_add_func ("/store/unreported_items", test_unreported_items);
+	g_test_add_func ("/store/page_without_progress", test_page_without_progress);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
