--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -6,6 +6,8 @@
 #include "common/rpc.h"
 #include "free_port.h"
 
+#include <curl/curl.h>
+#include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
@@ -15,6 +17,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+static bool is_out_of_memory;
+
+/** Replaces the library's function, to let requests fail that need a new handle. */
+CURL *
+curl_easy_init (void)
+{
+	CURL *(*next) (void) = NULL;
+
+	*(void **) &next = dlsym (RTLD_NEXT, "curl_easy_init");
+	return is_out_of_memory ? NULL : next ();
+}
+
 enum
 {
 	MAX_ANSWERS = 4,
@@ -331,6 +345,42 @@
 	fixture_stop (&fixture);
 }
 
+/** Lets each request fail that follows an answer. */
+static void
+run_out_of_memory (struct fixture *fixture, int answers)
+{
+	int64_t end_us = clock_now_us () + 2 * US_PER_S;
+
+	is_out_of_memory = true;
+	while (fixture->answers < answers && clock_now_us () < end_us)
+		loop_step (&fixture->loop, 10 * US_PER_MS);
+	is_out_of_memory = false;
+	g_assert_cmpint (fixture->answers, ==, answers);
+	g_assert_cmpint (fixture->last_error, ==, -ENOMEM);
+}
+
+/* Guards against a call that is never answered, so that nothing is read again, because the request for its next page, or
+ * the next one of a watch, could not be sent. */
+static void
+test_next_request_not_sent (void)
+{
+	static const char *const pages[] = {
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":5,\"created\":5,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+	};
+	static const char *const events[] = { "200 {\"events\":[],\"at\":9}" };
+	struct fixture fixture;
+
+	fixture_start (&fixture, pages, G_N_ELEMENTS (pages));
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	run_out_of_memory (&fixture, 1);
+	fixture_stop (&fixture);
+	fixture_start (&fixture, events, G_N_ELEMENTS (events));
+	fixture.platform.ops->watch (&fixture.platform, "a/", 9, 2000, handle_answer, &fixture);
+	run_out_of_memory (&fixture, 2);
+	fixture_stop (&fixture);
+}
+
 /* Guards against revisions of before a restore that are used after it: in a watch that goes on, and in a list whose
  * pages are of two copies of the store. */
 static void
@@ -399,6 +449,7 @@
 	g_test_add_func ("/store/change_between_pages", test_change_between_pages);
 	g_test_add_func ("/store/unreported_items", test_unreported_items);
 	g_test_add_func ("/store/page_without_progress", test_page_without_progress);
+	g_test_add_func ("/store/next_request_not_sent", test_next_request_not_sent);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
