gateway: a read or watch that can't be sent is tried again

When the directory or the configuration could not be read, or not be watched after it was read, because the request could not be sent, nothing tried again. A VM that watches for its zone then learned of no further change until the store was lost or restored, and its followers with it.

Such a call is now repeated after the time that holds for failed ones.

Test on the code before, with calls that return -ENOMEM: gateway_members.c:639:test_call_not_sent: assertion failed (fake.reads == 4): (2 == 4)

--- a/gateway/controller_directory.c
+++ b/gateway/controller_directory.c
@@ -107,14 +107,20 @@
 	server->missing_us = 0;
 }
 
+static void
+retry_directory (struct controller *controller)
+{
+	loop_set_timer (&controller->loop, &controller->directory_timer,
+	                controller_next_retry_us (controller, clock_now_us ()));
+}
+
 /** Applies the entries of a list or of a watch. @return whether the answer is one of the store's present era. */
 static bool
 apply_directory_answer (struct controller *controller, const struct platform_answer *answer)
 {
 	if (answer->error < 0 || !controller_set_era (controller, answer->era, clock_now_us ()))
 	{
-		loop_set_timer (&controller->loop, &controller->directory_timer,
-		                controller_next_retry_us (controller, clock_now_us ()));
+		retry_directory (controller);
 		return false;
 	}
 	for (size_t i = 0; i < answer->count; i++)
@@ -175,19 +181,22 @@
 	if (controller_is_starting (controller))
 		loop_set_timer (&controller->loop, &controller->watch_timer,
 		                controller->started_us + CONTROL_FIRST_WATCH_US);
-	else
-		controller->platform.ops->watch (&controller->platform, documents_server_prefix,
-		                                 answer->revision, CONTROL_DIRECTORY_WATCH_MS,
-		                                 handle_directory_event, controller);
+	else if (controller->platform.ops->watch (&controller->platform, documents_server_prefix,
+	                                          answer->revision, CONTROL_DIRECTORY_WATCH_MS,
+	                                          handle_directory_event, controller) < 0)
+		retry_directory (controller);
 }
 
 void
 controller_read_directory (struct controller *controller)
 {
+	if (controller->is_reading_directory)
+		return;
+	controller->is_reading_directory =
+		controller->platform.ops->range (&controller->platform, documents_server_prefix, 0,
+	                                     handle_directory_range, controller) == 0;
 	if (!controller->is_reading_directory)
-		controller->is_reading_directory =
-			controller->platform.ops->range (&controller->platform, documents_server_prefix, 0,
-		                                     handle_directory_range, controller) == 0;
+		retry_directory (controller);
 }
 
 void
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -488,6 +488,13 @@
 		send_view (controller);
 }
 
+static void
+retry_configuration (struct controller *controller)
+{
+	loop_set_timer (&controller->loop, &controller->configuration_timer,
+	                controller_next_retry_us (controller, clock_now_us ()));
+}
+
 static void
 handle_configuration_event (void *data, const struct platform_answer *answer)
 {
@@ -519,19 +526,23 @@
 	if (controller_is_starting (controller))
 		loop_set_timer (&controller->loop, &controller->watch_timer,
 		                controller->started_us + CONTROL_FIRST_WATCH_US);
-	else
-		controller->platform.ops->watch (
-			&controller->platform, documents_operator_prefix, answer->revision,
-			controller->boot.configuration_ms * 3 / 5, handle_configuration_event, controller);
+	else if (controller->platform.ops->watch (&controller->platform, documents_operator_prefix,
+	                                          answer->revision,
+	                                          controller->boot.configuration_ms * 3 / 5,
+	                                          handle_configuration_event, controller) < 0)
+		retry_configuration (controller);
 }
 
 void
 controller_read_configuration (struct controller *controller)
 {
+	if (controller->is_reading_configuration)
+		return;
+	controller->is_reading_configuration =
+		controller->platform.ops->range (&controller->platform, documents_operator_prefix, 0,
+	                                     handle_configuration_range, controller) == 0;
 	if (!controller->is_reading_configuration)
-		controller->is_reading_configuration =
-			controller->platform.ops->range (&controller->platform, documents_operator_prefix, 0,
-		                                     handle_configuration_range, controller) == 0;
+		retry_configuration (controller);
 }
 
 void
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -24,6 +24,7 @@
 	char swap_key[64];
 	char swap_value[256];
 	int watches;
+	int result;                           /* Of calls that read or watch. */
 	platform_handle_answer *handle_watch; /* Of the last watch. */
 	void *watch_data;
 	platform_handle_answer *handle_swap;
@@ -48,7 +49,7 @@
 	fake.handle = handle;
 	fake.data = data;
 	fake.reads++;
-	return 0;
+	return fake.result;
 }
 
 static int
@@ -77,7 +78,7 @@
 	fake.handle_watch = handle;
 	fake.watch_data = data;
 	fake.watches++;
-	return 0;
+	return fake.result;
 }
 
 static void
@@ -616,6 +617,43 @@
 	tear_down (&controller);
 }
 
+/* Guards against a VM that learns of no further change because one read or watch could not be sent. */
+static void
+test_call_not_sent (void)
+{
+	struct platform_answer empty = { .revision = 10 };
+	struct controller controller;
+	int64_t end_us;
+
+	set_up (&controller);
+	controller.directory_timer.handle_timer = controller_handle_directory_timer;
+	controller.directory_timer.data = &controller;
+	controller.configuration_timer.handle_timer = controller_handle_configuration_timer;
+	controller.configuration_timer.data = &controller;
+	fake.result = -ENOMEM;
+	controller_read_directory (&controller);
+	controller_read_configuration (&controller);
+	g_assert_cmpint (fake.reads, ==, 2);
+	for (end_us = clock_now_us () + 2 * US_PER_S; fake.reads < 4 && clock_now_us () < end_us;)
+		loop_step (&controller.loop, 10 * US_PER_MS);
+	g_assert_cmpint (fake.reads, ==, 4);
+	/* The list can be read, but the watch that is to follow can't be sent. */
+	fake.result = 0;
+	controller_read_directory (&controller);
+	fake.result = -ENOMEM;
+	fake.handle (fake.data, &empty);
+	fake.result = 0;
+	controller_read_configuration (&controller);
+	fake.result = -ENOMEM;
+	fake.handle (fake.data, &empty);
+	g_assert_cmpint (fake.watches, ==, 2);
+	fake.reads = 0;
+	for (end_us = clock_now_us () + 2 * US_PER_S; fake.reads < 2 && clock_now_us () < end_us;)
+		loop_step (&controller.loop, 10 * US_PER_MS);
+	g_assert_cmpint (fake.reads, ==, 2);
+	tear_down (&controller);
+}
+
 /* Guards against replacing a primary at once because its entry was missing before it was promoted. In two plays of
  * trouble-1 of Grindwell, seed 28832871869, VMs did so that had not read yet that the entry was back. */
 static void
@@ -1060,6 +1098,7 @@
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/older_entry", test_older_server_entry);
 	g_test_add_func ("/gateway_members/entry_later_than_list", test_entry_is_later_than_list);
+	g_test_add_func ("/gateway_members/call_not_sent", test_call_not_sent);
 	g_test_add_func ("/gateway_members/unknown_server", test_unknown_server_is_not_lost);
 	g_test_add_func ("/gateway_members/silence_while_isolated", test_silence_while_isolated);
 	g_test_add_func ("/gateway_members/silence_without_store", test_silence_without_store);
