--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -6,6 +6,8 @@
 #include "common/rpc.h"
 #include "free_port.h"
 
+#include <curl/curl.h>
+#include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
@@ -15,6 +17,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+static bool is_out_of_memory;
+
+/** Replaces the library's function, to let requests fail that need a new handle. */
+CURL *
+curl_easy_init (void)
+{
+	CURL *(*next) (void) = NULL;
+
+	*(void **) &next = dlsym (RTLD_NEXT, "curl_easy_init");
+	return is_out_of_memory ? NULL : next ();
+}
+
 enum
 {
 	MAX_ANSWERS = 4,
@@ -79,6 +93,7 @@
 	bool succeeded;
 	uint64_t era;
 	uint64_t revision;
+	int64_t request_sent_us;
 };
 
 static void
@@ -132,6 +147,7 @@
 	fixture->succeeded = answer->succeeded;
 	fixture->era = answer->era;
 	fixture->revision = answer->revision;
+	fixture->request_sent_us = answer->request_sent_us;
 }
 
 static void
@@ -248,6 +264,123 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against a change between two pages that is in neither the list nor the watch that starts from it (DRAIN,
+ * review/4). */
+static void
+test_change_between_pages (void)
+{
+	static const char *const pages[] = {
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":5,\"created\":5,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":[{\"key\":\"a/2\",\"value\":\"eQ==\",\"revision\":11,\"created\":6,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":12}",
+		"200 {\"items\":[],\"hasMore\":false,\"at\":15}",
+	};
+	struct fixture fixture;
+
+	fixture_start (&fixture, pages, G_N_ELEMENTS (pages));
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.events, ==, 2);
+	g_assert_cmpuint (fixture.revision, ==, 9);
+	fixture_stop (&fixture);
+}
+
+/* Guards against pages that are lost, or read twice, since their last items are not later than the revision from which
+ * on changes are reported; and against such pages being left out of what the list's time and era are taken from. */
+static void
+test_unreported_items (void)
+{
+	static const char *const pages[] = {
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":4,\"created\":4,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":[{\"key\":\"a/2\",\"value\":\"eA==\",\"revision\":8,\"created\":4,\"lease\":0},"
+		"{\"key\":\"a/3\",\"value\":\"eA==\",\"revision\":5,\"created\":5,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":[],\"hasMore\":false,\"at\":9}",
+	};
+	static const unsigned eras[] = { 7, 8, 8 };
+	struct fixture fixture;
+	int64_t sent_us;
+
+	fixture_start (&fixture, pages, G_N_ELEMENTS (pages));
+	fixture.platform.ops->range (&fixture.platform, "a/", 5, handle_answer, &fixture);
+	sent_us = clock_now_us ();
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.request_sent_us, <=, sent_us);
+	g_assert_cmpint (fixture.events, ==, 1);
+	g_assert_nonnull (strstr (fixture.store.requests[1], "after=a%2F1"));
+	g_assert_nonnull (strstr (fixture.store.requests[2], "after=a%2F3"));
+	fixture_stop (&fixture);
+	fixture_start_in_eras (&fixture, pages, 2, eras, STORE_PATIENCE_MS);
+	fixture.platform.ops->range (&fixture.platform, "a/", 5, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -ESTALE);
+	fixture_stop (&fixture);
+}
+
+/* Guards against a list that counts as complete, or that is read without an end, when a page says that there are more
+ * items but names no later key. */
+static void
+test_page_without_progress (void)
+{
+	static const char *const empty[] = { "200 {\"items\":[],\"hasMore\":true,\"at\":9}" };
+	static const char *const same[] = {
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":4,\"created\":4,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":4,\"created\":4,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+	};
+	struct fixture fixture;
+
+	fixture_start (&fixture, empty, G_N_ELEMENTS (empty));
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+	fixture_stop (&fixture);
+	fixture_start (&fixture, same, G_N_ELEMENTS (same));
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+	fixture_stop (&fixture);
+}
+
+/** Lets each request fail that follows an answer. */
+static void
+run_out_of_memory (struct fixture *fixture, int answers)
+{
+	int64_t end_us = clock_now_us () + 2 * US_PER_S;
+
+	is_out_of_memory = true;
+	while (fixture->answers < answers && clock_now_us () < end_us)
+		loop_step (&fixture->loop, 10 * US_PER_MS);
+	is_out_of_memory = false;
+	g_assert_cmpint (fixture->answers, ==, answers);
+	g_assert_cmpint (fixture->last_error, ==, -ENOMEM);
+}
+
+/* Guards against a call that is never answered, so that nothing is read again, because the request for its next page, or
+ * the next one of a watch, could not be sent. */
+static void
+test_next_request_not_sent (void)
+{
+	static const char *const pages[] = {
+		"200 {\"items\":[{\"key\":\"a/1\",\"value\":\"eA==\",\"revision\":5,\"created\":5,\"lease\":0}],"
+		"\"hasMore\":true,\"at\":9}",
+	};
+	static const char *const events[] = { "200 {\"events\":[],\"at\":9}" };
+	struct fixture fixture;
+
+	fixture_start (&fixture, pages, G_N_ELEMENTS (pages));
+	fixture.platform.ops->range (&fixture.platform, "a/", 0, handle_answer, &fixture);
+	run_out_of_memory (&fixture, 1);
+	fixture_stop (&fixture);
+	fixture_start (&fixture, events, G_N_ELEMENTS (events));
+	fixture.platform.ops->watch (&fixture.platform, "a/", 9, 2000, handle_answer, &fixture);
+	run_out_of_memory (&fixture, 2);
+	fixture_stop (&fixture);
+}
+
 /* Guards against revisions of before a restore that are used after it: in a watch that goes on, and in a list whose
  * pages are of two copies of the store. */
 static void
@@ -313,6 +446,10 @@
 	g_test_add_func ("/store/empty_answer", test_empty_watch_answer);
 	g_test_add_func ("/store/answers", test_answers);
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
+	g_test_add_func ("/store/change_between_pages", test_change_between_pages);
+	g_test_add_func ("/store/unreported_items", test_unreported_items);
+	g_test_add_func ("/store/page_without_progress", test_page_without_progress);
+	g_test_add_func ("/store/next_request_not_sent", test_next_request_not_sent);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
