--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -75,6 +75,7 @@
 	char address[32];
 	int answers;
 	int events;
+	GString *keys; /* Of all pairs, with a blank after each. */
 	int last_error;
 	bool succeeded;
 	uint64_t era;
@@ -90,6 +91,7 @@
 	uint16_t port = free_port ();
 
 	memset (fixture, 0, sizeof *fixture);
+	fixture->keys = g_string_new (NULL);
 	fixture->store.listener = rpc_listen (INADDR_LOOPBACK, port);
 	g_assert_cmpint (fixture->store.listener, >=, 0);
 	/* The fake store needs a blocking accept(). */
@@ -119,6 +121,7 @@
 	fixture->platform.ops->finish (&fixture->platform);
 	loop_finish (&fixture->loop);
 	close (fixture->store.listener);
+	g_string_free (fixture->keys, TRUE);
 }
 
 static void
@@ -128,6 +131,12 @@
 
 	fixture->answers++;
 	fixture->events += (int) answer->count;
+	for (size_t i = 0; i < answer->count; i++)
+	{
+		/* The gateway reads the value of every pair that is not deleted. */
+		g_assert_true (answer->pairs[i].is_deleted || answer->pairs[i].value);
+		g_string_append_printf (fixture->keys, "%s ", answer->pairs[i].key);
+	}
 	fixture->last_error = answer->error;
 	fixture->succeeded = answer->succeeded;
 	fixture->era = answer->era;
@@ -305,6 +314,38 @@
 	fixture_stop (&fixture);
 }
 
+/** An item of a list or an event of a watch. */
+#define ITEM(key, rest) "{\"key\":\"" key "\"" rest "}"
+#define GOOD(key)       ITEM (key, ",\"value\":\"eA==\",\"revision\":5,\"created\":5,\"lease\":0")
+#define PAGE(item)                                                                                 \
+	"200 {\"items\":[" GOOD ("servers/a") "," item                                                 \
+										  "," GOOD ("servers/z") "],\"hasMore\":false,\"at\":9}"
+
+static void
+check_page (const char *page, const char *keys)
+{
+	struct fixture fixture;
+
+	fixture_start (&fixture, &page, 1);
+	fixture.platform.ops->range (&fixture.platform, "servers/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, 0);
+	g_assert_cmpstr (fixture.keys->str, ==, keys);
+	fixture_stop (&fixture);
+}
+
+/* Guards against a list that holds an item of another prefix or a deleted item: what follows the prefix was read beyond
+ * the key, and the value through a null pointer. */
+static void
+test_foreign_items (void)
+{
+	check_page (PAGE (GOOD ("x")), "servers/a servers/z ");
+	check_page (PAGE (GOOD ("")), "servers/a servers/z ");
+	check_page (PAGE (GOOD ("op/config")), "servers/a servers/z ");
+	check_page (PAGE (ITEM ("servers/m", ",\"revision\":5,\"deleted\":true")),
+	            "servers/a servers/z ");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -313,6 +354,7 @@
 	g_test_add_func ("/store/empty_answer", test_empty_watch_answer);
 	g_test_add_func ("/store/answers", test_answers);
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
+	g_test_add_func ("/store/foreign_items", test_foreign_items);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
