store: one odd item of the list of servers leaves the others in force

A list or a watch's answer with one item that is no object, or whose key, value or revision is missing or of another type, counted as failed as a whole. While such an item stayed in the list, no machine learned of a change of any server, and a machine that started was never ready. The users' page says that an odd entry names no server to use and that the others hold.

Now such an item of servers/ is left out if it has no key; otherwise its value is taken to be empty, which names no server. Keys under other prefixes are written by this program and the operator only, so there the answer still fails: a list of VMs without a VM would change the quorum. Revisions and positions are whole numbers from 0 to 2^63-1 (json-glib wraps larger ones).

--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -346,6 +346,37 @@
 	            "servers/a servers/z ");
 }
 
+/* Guards against one item of another form that makes the list of servers unreadable, so that the machine no longer
+ * follows it: the others hold. */
+static void
+test_odd_items (void)
+{
+	static const char *const left_out[] = {
+		PAGE ("null"),
+		PAGE ("7"),
+		PAGE ("[[[]]]"),
+		PAGE ("{}"),
+		PAGE ("{\"key\":7,\"value\":\"eA==\",\"revision\":5}"),
+	};
+	/* Their keys are listed, and their values are empty: such an entry names no server. */
+	static const char *const unreadable[] = {
+		PAGE (ITEM ("servers/m", ",\"revision\":5")),
+		PAGE (ITEM ("servers/m", ",\"revision\":5,\"value\":7")),
+		PAGE (ITEM ("servers/m", ",\"revision\":5,\"value\":{\"a\":[]}")),
+		PAGE (ITEM ("servers/m", ",\"revision\":5,\"value\":\"@@@\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":\"5\",\"value\":\"eA==\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":5.5,\"value\":\"eA==\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":-5,\"value\":\"eA==\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":1e999,\"value\":\"eA==\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":99999999999999999999,\"value\":\"eA==\"")),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (left_out); i++)
+		check_page (left_out[i], "servers/a servers/z ");
+	for (size_t i = 0; i < G_N_ELEMENTS (unreadable); i++)
+		check_page (unreadable[i], "servers/a servers/m servers/z ");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -355,6 +386,7 @@
 	g_test_add_func ("/store/answers", test_answers);
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
 	g_test_add_func ("/store/foreign_items", test_foreign_items);
+	g_test_add_func ("/store/odd_items", test_odd_items);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
