--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -377,6 +377,42 @@
 		check_page (unreadable[i], "servers/a servers/m servers/z ");
 }
 
+/* Guards against a part of the list that passes for all of it: the servers of the rest would count as removed. */
+static void
+test_incomplete_lists (void)
+{
+#define LIST(rest) "200 {\"items\":[" GOOD ("servers/a") "]," rest "}"
+	static const char *const pages[] = {
+		LIST ("\"hasMore\":\"true\",\"at\":9"),
+		LIST ("\"hasMore\":1,\"at\":9"),
+		LIST ("\"hasMore\":[],\"at\":9"),
+		LIST ("\"hasMore\":{\"a\":1},\"at\":9"),
+		LIST ("\"hasMore\":false,\"at\":-9"),
+		LIST ("\"hasMore\":false,\"at\":1e999"),
+		LIST ("\"hasMore\":false,\"at\":9.5"),
+		LIST ("\"hasMore\":false,\"at\":\"9\""),
+		LIST ("\"hasMore\":false"),
+		"200 {\"items\":[],\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":{},\"hasMore\":false,\"at\":9}",
+		"200 {\"items\":null,\"hasMore\":false,\"at\":9}",
+		"200 {\"hasMore\":false,\"at\":9}",
+		"200 []",
+		"200 null",
+	};
+#undef LIST
+
+	for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
+	{
+		struct fixture fixture;
+
+		fixture_start (&fixture, &pages[i], 1);
+		fixture.platform.ops->range (&fixture.platform, "servers/", 0, handle_answer, &fixture);
+		fixture_run (&fixture, 1);
+		g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+		fixture_stop (&fixture);
+	}
+}
+
 int
 main (int argc, char **argv)
 {
@@ -387,6 +423,7 @@
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
 	g_test_add_func ("/store/foreign_items", test_foreign_items);
 	g_test_add_func ("/store/odd_items", test_odd_items);
+	g_test_add_func ("/store/incomplete_lists", test_incomplete_lists);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
