store: an answer without progress is not requested again without a pause

A list whose pages go on with the same page, or events at a position that the watch already had, were requested again at once and for ever, and the pages were all kept. An event that is left out did not move the watch either.

Now such an answer fails with -EPROTO, and is repeated after the usual pause. A watch goes on after every event, also one that is left out.

--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -413,6 +413,36 @@
 	}
 }
 
+/* Guards against requesting the same part of the list, or the same events, again and again without a pause. */
+static void
+test_no_progress (void)
+{
+	static const char page[] = "200 {\"items\":[" GOOD ("servers/a") "],\"hasMore\":true,\"at\":9}";
+	static const char *const pages[] = { page, page };
+	static const char *const events[] = {
+		"200 {\"events\":[" GOOD ("servers/a") "],\"at\":9}",
+		"200 {\"events\":[" GOOD ("servers/a") "],\"at\":9}",
+	};
+	static const char *const left_out[] = { "200 {\"events\":[7],\"at\":9}", NULL };
+	struct fixture fixture;
+
+	fixture_start (&fixture, left_out, G_N_ELEMENTS (left_out));
+	fixture.platform.ops->watch (&fixture.platform, "servers/", 4, 2000, handle_answer, &fixture);
+	fixture_run (&fixture, 2);
+	g_assert_nonnull (strstr (fixture.store.requests[1], "after=9&"));
+	fixture_stop (&fixture);
+	fixture_start (&fixture, pages, G_N_ELEMENTS (pages));
+	fixture.platform.ops->range (&fixture.platform, "servers/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+	fixture_stop (&fixture);
+	fixture_start (&fixture, events, G_N_ELEMENTS (events));
+	fixture.platform.ops->watch (&fixture.platform, "servers/", 4, 2000, handle_answer, &fixture);
+	fixture_run (&fixture, 2);
+	g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+	fixture_stop (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -424,6 +454,7 @@
 	g_test_add_func ("/store/foreign_items", test_foreign_items);
 	g_test_add_func ("/store/odd_items", test_odd_items);
 	g_test_add_func ("/store/incomplete_lists", test_incomplete_lists);
+	g_test_add_func ("/store/no_progress", test_no_progress);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
