store: a key that cannot be read does not make the list of servers unreadable

One key under servers/ with a zero byte, half of a surrogate pair, or bytes that are not UTF-8 made the whole answer fail, since the body is checked and parsed as one text. While the key stayed, no machine followed the list.

Test /store/odd_keys on the code before:

platform_store.c:332:check_page: assertion failed (fixture.last_error == 0): (-71 == 0)

--- a/common/json_text.c
+++ b/common/json_text.c
@@ -213,6 +213,60 @@
 	return scan.problem;
 }
 
+/** Reads the code of an escape \\uXXXX. @return -1 when there is none at @p at. */
+static int
+escape_code (const char *at, const char *end)
+{
+	int code = 0;
+
+	if (end - at < 6 || at[0] != '\\' || at[1] != 'u')
+		return -1;
+	for (unsigned i = 2; i < 6; i++)
+	{
+		if (!g_ascii_isxdigit (at[i]))
+			return -1;
+		code = code << 4 | g_ascii_xdigit_value (at[i]);
+	}
+	return code;
+}
+
+static bool
+is_high_surrogate (int code)
+{
+	return code >= 0xd800 && code < 0xdc00;
+}
+
+static bool
+is_low_surrogate (int code)
+{
+	return code >= 0xdc00 && code < 0xe000;
+}
+
+char *
+json_repair (const char *text, size_t length)
+{
+	static const char replacement[] = "\\ufffd";
+	char *copy = g_utf8_make_valid (text, (gssize) length);
+	const char *end = copy + strlen (copy);
+
+	for (char *at = copy; (at = strchr (at, '\\')) && at + 1 < end;)
+	{
+		int code = escape_code (at, end);
+
+		if (is_high_surrogate (code) && is_low_surrogate (escape_code (at + 6, end)))
+			at += 12;
+		else if (code < 0)
+			at += 2;
+		else
+		{
+			if (code == 0 || is_high_surrogate (code) || is_low_surrogate (code))
+				memcpy (at, replacement, sizeof replacement - 1);
+			at += 6;
+		}
+	}
+	return copy;
+}
+
 const char *
 json_load (JsonParser *parser, const char *text, size_t length, const struct json_limits *limits,
            JsonNode **root)
--- a/include/common/json_text.h
+++ b/include/common/json_text.h
@@ -25,6 +25,10 @@
  * names the problem. */
 const char *json_check (const char *text, size_t length, const struct json_limits *limits);
 
+/** Copies a text and replaces what is not UTF-8, \\u0000 and halves of surrogate pairs by U+FFFD.
+ * @return a string to free with g_free(). */
+char *json_repair (const char *text, size_t length);
+
 /** Checks and parses a text. @p parser owns @p root, which is NULL when the text has no value.
  * @return NULL, or a static message that names the problem. */
 const char *json_load (JsonParser *parser, const char *text, size_t length,
--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -443,6 +443,22 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against a key of another writer that makes the list of servers unreadable. */
+static void
+test_odd_keys (void)
+{
+	static const char *const pages[] = {
+		PAGE (GOOD ("servers/\\u0000m")),       PAGE (GOOD ("servers/z\\u0000")),
+		PAGE (GOOD ("servers/\\ud800")),        PAGE (GOOD ("servers/\\ud800\\u0041")),
+		PAGE (GOOD ("servers/\\udc00\\ud800")), PAGE (GOOD ("servers/\\\\\\ud800")),
+		PAGE (GOOD ("servers/\xff\xfe")),       PAGE (GOOD ("servers/\xc0\x80")),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
+		check_page (pages[i], "servers/a servers/z ");
+	check_page (PAGE (GOOD ("servers/\\ud83d\\ude00")), "servers/a servers/\U0001f600 servers/z ");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -455,6 +471,7 @@
 	g_test_add_func ("/store/odd_items", test_odd_items);
 	g_test_add_func ("/store/incomplete_lists", test_incomplete_lists);
 	g_test_add_func ("/store/no_progress", test_no_progress);
+	g_test_add_func ("/store/odd_keys", test_odd_keys);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
