platform: a server's address has a port from 1 to 65535 and is a host's

Entries of other writers with port 0, with a port that only strtoul() takes for one ("+80", " 80", "-", which wraps around to 1), or with an address that no server can have (0.0.0.0/8, groups, 240.0.0.0/4) named a server. The fuzz target gateway already takes an entry with port 0 for a fault, but none of its inputs had one.

Ports of the settings are read by the same function.

Test /documents/odd_addresses on the code before:

# address: "10.0.0.1:0" platform_documents.c:124:check_members: assertion failed (decode_changed (...) == result): (0 == -74)

--- a/include/platform/boot_settings.h
+++ b/include/platform/boot_settings.h
@@ -38,5 +38,5 @@
 int boot_settings_read (struct boot_settings *settings, const char *path,
                         struct findings *findings);
 
-/** Parses "IP:PORT". @return 0 or -EINVAL. */
+/** Parses "IP:PORT", with a port from 1 to 65535. @return 0 or -EINVAL. */
 int boot_address_parse (const char *text, uint32_t *ip, uint16_t *port);
--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -66,6 +66,141 @@
 		g_assert_cmpint (decode_server (rows[i], &entry), ==, -EBADMSG);
 }
 
+/** Decodes the entry of a usable server at @p key with one member replaced or added. */
+static int
+decode_changed (const char *key, const char *name, const char *text, size_t length)
+{
+	static const char *const members[][2] = {
+		{ "service", "\"s\"" },     { "address", "\"10.0.0.1:8080\"" },
+		{ "zone", "\"a\"" },        { "slots", "2" },
+		{ "state", "\"ready\"" },   { "dbRole", "\"replica\"" },
+		{ "coldRemainingMs", "0" }, { "born", "5000" },
+		{ "sequence", "4" },
+	};
+	GString *value = g_string_new ("{\"version\":\"v1\"");
+	struct platform_pair pair = { .key = key };
+	struct server_entry entry;
+	bool is_added = true;
+	int result;
+
+	for (size_t i = 0; i < G_N_ELEMENTS (members); i++)
+	{
+		bool is_changed = strcmp (members[i][0], name) == 0;
+
+		g_string_append_printf (value, ",\"%s\":", members[i][0]);
+		if (is_changed)
+			g_string_append_len (value, text, (gssize) length);
+		else
+			g_string_append (value, members[i][1]);
+		is_added &= !is_changed;
+	}
+	if (is_added)
+	{
+		g_string_append_printf (value, ",\"%s\":", name);
+		g_string_append_len (value, text, (gssize) length);
+	}
+	g_string_append_c (value, '}');
+	pair.value = value->str;
+	pair.value_length = value->len;
+	result = documents_decode_server (&pair, &entry);
+	if (result == 0)
+		server_entry_clear (&entry);
+	g_string_free (value, TRUE);
+	return result;
+}
+
+struct odd_member
+{
+	const char *name;
+	const char *text;
+};
+
+static void
+check_members (const struct odd_member *rows, size_t count, int result)
+{
+	for (size_t i = 0; i < count; i++)
+	{
+		g_test_message ("%s: %s", rows[i].name, rows[i].text);
+		g_assert_cmpint (
+			decode_changed ("servers/i-1", rows[i].name, rows[i].text, strlen (rows[i].text)), ==,
+			result);
+	}
+}
+
+/* Guards against connecting to an address that is not that of a server: a port that does not exist, or an address that is
+ * no host's. */
+static void
+test_odd_addresses (void)
+{
+	static const struct odd_member rows[] = {
+		{ "address", "\"10.0.0.1:0\"" },
+		{ "address", "\"10.0.0.1:-1\"" },
+		{ "address", "\"10.0.0.1:-18446744073709551615\"" },
+		{ "address", "\"10.0.0.1:65536\"" },
+		{ "address", "\"10.0.0.1:4294967376\"" },
+		{ "address", "\"10.0.0.1:18446744073709551696\"" },
+		{ "address", "\"10.0.0.1:99999999999999999999999999\"" },
+		{ "address", "\"10.0.0.1:+80\"" },
+		{ "address", "\"10.0.0.1: 80\"" },
+		{ "address", "\"10.0.0.1:80 \"" },
+		{ "address", "\"10.0.0.1:0x50\"" },
+		{ "address", "\"10.0.0.1:8e1\"" },
+		{ "address", "\"10.0.0.1:80.5\"" },
+		{ "address", "\"10.0.0.1:\"" },
+		{ "address", "\"10.0.0.1\"" },
+		{ "address", "\":80\"" },
+		{ "address", "\"\"" },
+		{ "address", "\"10.0.0:80\"" },
+		{ "address", "\"10.0.0.256:80\"" },
+		{ "address", "\"host:80\"" },
+		{ "address", "\"[::1]:80\"" },
+		{ "address", "\"::1:80\"" },
+		{ "address", "\"10.0.0.1:80:80\"" },
+		{ "address", "\"10.0.0.1:80\\n\"" },
+		{ "address", "8080" },
+		{ "address", "[\"10.0.0.1:80\"]" },
+		{ "address", "null" },
+		{ "address", "\"0.0.0.0:80\"" },
+		{ "address", "\"0.1.2.3:80\"" },
+		{ "address", "\"224.0.0.1:80\"" },
+		{ "address", "\"240.0.0.1:80\"" },
+		{ "address", "\"255.255.255.255:80\"" },
+	};
+	static const struct odd_member good[] = {
+		{ "address", "\"10.0.0.1:1\"" },
+		{ "address", "\"127.0.0.1:80\"" },
+		{ "address", "\"223.255.255.255:65535\"" },
+	};
+
+	check_members (rows, G_N_ELEMENTS (rows), -EBADMSG);
+	check_members (good, G_N_ELEMENTS (good), 0);
+}
+
+/* Guards against recursing as deep as an entry is nested. */
+static void
+test_deep_entries (void)
+{
+	static const size_t depths[] = { 64, 60000, 500000 };
+	static const char *const names[] = { "slots", "address", "extra" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (depths); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS (names); j++)
+		{
+			char *text = g_malloc (2 * depths[i]);
+
+			memset (text, '[', depths[i]);
+			memset (text + depths[i], ']', depths[i]);
+			g_assert_cmpint (decode_changed ("servers/i-1", names[j], text, 2 * depths[i]), ==,
+			                 -EBADMSG);
+			g_assert_cmpint (decode_changed ("servers/i-1", names[j], text, depths[i]), ==,
+			                 -EBADMSG);
+			g_assert_null (documents_decode_configuration (text, 2 * depths[i]));
+			g_free (text);
+		}
+	g_assert_cmpint (decode_changed ("servers/i-1", "extra", "\"a\0b\"", 5), ==, -EBADMSG);
+	g_assert_cmpint (decode_changed ("servers/i-1", "extra", "\"\\u0000\"", 8), ==, -EBADMSG);
+}
+
 static void
 test_configuration (void)
 {
@@ -156,6 +291,8 @@
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/documents/server", test_server_entry);
 	g_test_add_func ("/documents/foreign", test_invalid_entries);
+	g_test_add_func ("/documents/odd_addresses", test_odd_addresses);
+	g_test_add_func ("/documents/deep_entries", test_deep_entries);
 	g_test_add_func ("/documents/configuration", test_configuration);
 	g_test_add_func ("/settings/read", test_settings);
 	g_test_add_func ("/settings/findings", test_settings_findings);
