--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -176,6 +176,29 @@
 	check_members (good, G_N_ELEMENTS (good), 0);
 }
 
+/* Guards against an id or a service that adds words or lines to what is sent to a server. */
+static void
+test_odd_names (void)
+{
+	static const char *const keys[] = {
+		"servers/",       "servers/i 1",  "servers/i-1\r\nQUERY x WRITE 1 2",
+		"servers/i-1\n",  "servers/\tx",  "servers/\x7f",
+		"servers/i-1\"}", "servers/i\\1",
+	};
+	static const struct odd_member rows[] = {
+		{ "service", "\"\"" },        { "service", "\"s t\"" }, { "service", "\"s\\r\\nBYE\"" },
+		{ "service", "\"\\u0001\"" }, { "service", "7" },       { "service", "null" },
+		{ "zone", "\"a\\nb\"" },      { "zone", "{}" },         { "zone", "null" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+	{
+		g_test_message ("%s", keys[i]);
+		g_assert_cmpint (decode_changed (keys[i], "zone", "\"a\"", 3), ==, -EBADMSG);
+	}
+	check_members (rows, G_N_ELEMENTS (rows), -EBADMSG);
+}
+
 /* Guards against recursing as deep as an entry is nested. */
 static void
 test_deep_entries (void)
@@ -292,6 +315,7 @@
 	g_test_add_func ("/documents/server", test_server_entry);
 	g_test_add_func ("/documents/foreign", test_invalid_entries);
 	g_test_add_func ("/documents/odd_addresses", test_odd_addresses);
+	g_test_add_func ("/documents/odd_names", test_odd_names);
 	g_test_add_func ("/documents/deep_entries", test_deep_entries);
 	g_test_add_func ("/documents/configuration", test_configuration);
 	g_test_add_func ("/settings/read", test_settings);
