platform: an entry with a number that is too large names no server

Cause: any positive 64-bit number was taken for born and sequence, and one of another type for a missing one. The users' page says that an entry with a field of another type names no server.

Test /gateway_members/large_sequence on the code before:

gateway_members.c:627:test_large_sequence: 'server->entry.is_draining' should be TRUE

and /documents/odd_numbers:

# born: -1 platform_documents.c:124:check_members: assertion failed (decode_changed (...) == result): (0 == -74)

--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -545,13 +545,14 @@
 
 /** Answers a read of the directory with one entry of server "i-1". */
 static void
-answer_directory (struct controller *controller, uint64_t era, uint64_t sequence, const char *state)
+answer_directory_text (struct controller *controller, uint64_t era, const char *sequence,
+                       const char *state)
 {
 	char *value = g_strdup_printf (
 		"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"a\",\"slots\":2,"
-		"\"state\":\"%s\",\"dbRole\":\"replica\",\"born\":5000,\"sequence\":%d}",
-		state, (int) sequence);
-	struct platform_pair pair = { "servers/i-1", value, strlen (value), sequence, false };
+		"\"state\":\"%s\",\"dbRole\":\"replica\",\"born\":5000,\"sequence\":%s}",
+		state, sequence);
+	struct platform_pair pair = { "servers/i-1", value, strlen (value), 20, false };
 	struct platform_answer answer = { .era = era, .revision = 30, .pairs = &pair, .count = 1 };
 
 	controller_read_directory (controller);
@@ -559,6 +560,15 @@
 	g_free (value);
 }
 
+static void
+answer_directory (struct controller *controller, uint64_t era, uint64_t sequence, const char *state)
+{
+	char text[24];
+
+	g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, sequence);
+	answer_directory_text (controller, era, text, state);
+}
+
 static void
 free_server (void *data)
 {
@@ -594,6 +604,31 @@
 	tear_down (&controller);
 }
 
+/* Guards against no longer following a server after another writer has left its entry with a number that is too large:
+ * every later entry of the server counted as older (DRAIN). */
+static void
+test_large_sequence (void)
+{
+	static const char *const numbers[] = { "9223372036854775807", "-9223372036854775809" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+	{
+		struct controller controller;
+		struct known_server *server;
+
+		set_up (&controller);
+		g_hash_table_destroy (controller.servers);
+		controller.servers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_server);
+		answer_directory (&controller, 1, 9, "ready");
+		answer_directory_text (&controller, 1, numbers[i], "ready");
+		answer_directory (&controller, 1, 10, "draining");
+		server = g_hash_table_lookup (controller.servers, "i-1");
+		g_assert_nonnull (server);
+		g_assert_true (server->entry.is_draining);
+		tear_down (&controller);
+	}
+}
+
 /* Guards against replacing a primary at once because its entry was missing before it was promoted. In two plays of
  * trouble-1 of Grindwell, seed 28832871869, VMs did so that had not read yet that the entry was back. */
 static void
@@ -1037,6 +1072,7 @@
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/older_entry", test_older_server_entry);
+	g_test_add_func ("/gateway_members/large_sequence", test_large_sequence);
 	g_test_add_func ("/gateway_members/unknown_server", test_unknown_server_is_not_lost);
 	g_test_add_func ("/gateway_members/silence_while_isolated", test_silence_while_isolated);
 	g_test_add_func ("/gateway_members/silence_without_store", test_silence_without_store);
--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -199,6 +199,50 @@
 	check_members (rows, G_N_ELEMENTS (rows), -EBADMSG);
 }
 
+/* Guards against numbers that are too large for their use, or that json-glib wraps around. */
+static void
+test_odd_numbers (void)
+{
+	static const char *const numbers[] = {
+		"-1",
+		"1e999",
+		"-1e999",
+		"1e19",
+		"9007199254740993",
+		"9223372036854775807",
+		"9223372036854775808",
+		"-9223372036854775809",
+		"18446744073709551616",
+		"18446744073709551618",
+		"99999999999999999999999999999999999999999999999999",
+		"\"2\"",
+		"true",
+		"[2]",
+		"{\"a\":2}",
+	};
+	static const char *const names[] = { "slots", "coldRemainingMs", "born", "sequence" };
+	static const struct odd_member good[] = {
+		{ "slots", "2.0" },
+		{ "slots", "4294967295" },
+		{ "coldRemainingMs", "0.5" },
+		{ "coldRemainingMs", "null" },
+		{ "sequence", "12.0" },
+		{ "sequence", "9007199254740991" },
+		{ "born", "null" },
+		{ "extra", "1e999" },
+		{ "extra", "[[[[[[[[]]]]]]]]" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS (numbers); j++)
+		{
+			struct odd_member row = { names[i], numbers[j] };
+
+			check_members (&row, 1, -EBADMSG);
+		}
+	check_members (good, G_N_ELEMENTS (good), 0);
+}
+
 /* Guards against recursing as deep as an entry is nested. */
 static void
 test_deep_entries (void)
@@ -316,6 +360,7 @@
 	g_test_add_func ("/documents/foreign", test_invalid_entries);
 	g_test_add_func ("/documents/odd_addresses", test_odd_addresses);
 	g_test_add_func ("/documents/odd_names", test_odd_names);
+	g_test_add_func ("/documents/odd_numbers", test_odd_numbers);
 	g_test_add_func ("/documents/deep_entries", test_deep_entries);
 	g_test_add_func ("/documents/configuration", test_configuration);
 	g_test_add_func ("/settings/read", test_settings);
