gateway: the largest number of slots does not close all idle connections

An owner keeps one idle connection more than the server has slots. With slots in the server's entry, the sum wrapped around to 0: the owner closed every connection that was idle for 5 s, and opened the next one at the following tick. Now the sum has 64 bits. No memory and no loop grows with slots.

Test /gateway_server/most_slots on the code before:

gateway_server.c:159:test_most_slots: 'connection->state == CONNECTION_IDLE' should be TRUE

It passes now in build and build-sanitize.

--- a/gateway/server.c
+++ b/gateway/server.c
@@ -398,7 +398,8 @@
 	if (server_uses_relay (server))
 		return idle_us > SERVER_DIRECT_IDLE_CLOSE_US;
 	return idle_us > SERVER_IDLE_CLOSE_US &&
-	       count_connections (server, false) > (server->owners[0].is_self ? server->slots + 1 : 1);
+	       count_connections (server, false) >
+	           (server->owners[0].is_self ? (uint64_t) server->slots + 1 : 1);
 }
 
 static void
--- a/tests/unit/gateway_server.c
+++ b/tests/unit/gateway_server.c
@@ -135,6 +135,31 @@
 	fixture_finish (&fixture);
 }
 
+/* Guards against an owner that closes its connections to a server again and again, because the entry names the largest
+ * number of slots. */
+static void
+test_most_slots (void)
+{
+	struct fixture fixture;
+	struct server_entry entry = {
+		.id = "db0", .zone = "a", .ip = INADDR_LOOPBACK, .slots = UINT32_MAX
+	};
+	struct connection *connection;
+	int64_t now_us = clock_now_us ();
+
+	fixture_init (&fixture);
+	entry.port = fixture.port;
+	server_update (fixture.server, &entry);
+	fixture.server->owners[0] = (struct server_owner){ .is_self = true };
+	connection = connection_open (fixture.server, NULL, now_us);
+	g_assert_nonnull (connection);
+	connection_set_state (connection, CONNECTION_IDLE);
+	connection->idle_us = now_us;
+	server_tick (fixture.server, now_us + 60 * US_PER_S);
+	g_assert_true (connection->state == CONNECTION_IDLE);
+	fixture_finish (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -144,5 +169,6 @@
 	g_test_add_func ("/gateway_server/silent_owner", test_silent_owner);
 	g_test_add_func ("/gateway_server/lost_opening", test_lost_connection_attempt);
 	g_test_add_func ("/gateway_server/unknown_members", test_unknown_members);
+	g_test_add_func ("/gateway_server/most_slots", test_most_slots);
 	return g_test_run ();
 }
