--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -296,6 +296,56 @@
 	g_assert_null (documents_decode_configuration ("", 0));
 }
 
+/* Guards against a version that is too large, after which no configuration is adopted any more, and against odd routes,
+ * services and limits that take the others with them. */
+static void
+test_odd_configurations (void)
+{
+	static const char *const versions[] = {
+		"-1",
+		"9223372036854775807",
+		"99999999999999999999",
+		"-9223372036854775809",
+		"1e999",
+		"true",
+		"null",
+		"[7]",
+		"{}",
+		"\"7\"",
+	};
+	static const char odd[] =
+		"{\"version\":7,\"routes\":[null,7,[],{},{\"host\":7,\"service\":\"s\",\"routeType\":\"primary\"},"
+		"{\"host\":\"late\",\"service\":\"s\",\"routeType\":\"primary\",\"timeoutMs\":1e999},"
+		"{\"host\":\"early\",\"service\":\"s\",\"routeType\":\"primary\",\"targetLatencyMs\":-1},"
+		"{\"host\":\"db\",\"service\":\"s\",\"routeType\":\"primary\"}],"
+		"\"services\":[[[[]]],{\"name\":\"t\",\"maxConnections\":99999999999999999999},{\"name\":\"s\"}],"
+		"\"limits\":{\"txIdleMs\":1e999}}";
+	static const char *const wrong_lists[] = {
+		"{\"version\":8,\"routes\":{\"a\":1}}",
+		"{\"version\":8,\"services\":\"s\"}",
+		"{\"version\":8,\"routes\":7,\"limits\":[[]]}",
+	};
+	struct configuration *configuration;
+
+	for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+	{
+		char *text = g_strdup_printf ("{\"version\":%s}", versions[i]);
+
+		g_test_message ("%s", text);
+		g_assert_null (documents_decode_configuration (text, strlen (text)));
+		g_free (text);
+	}
+	configuration = documents_decode_configuration (odd, strlen (odd));
+	g_assert_nonnull (configuration);
+	g_assert_cmpuint (g_hash_table_size (configuration->routes), ==, 1);
+	g_assert_nonnull (g_hash_table_lookup (configuration->routes, "db"));
+	g_assert_cmpuint (g_hash_table_size (configuration->services), ==, 1);
+	g_assert_cmpuint (configuration->transaction_idle_ms, ==, 3000);
+	configuration_release (configuration);
+	for (size_t i = 0; i < G_N_ELEMENTS (wrong_lists); i++)
+		g_assert_null (documents_decode_configuration (wrong_lists[i], strlen (wrong_lists[i])));
+}
+
 static int
 read_settings (const char *text, struct boot_settings *settings, struct findings *findings)
 {
@@ -363,6 +413,7 @@
 	g_test_add_func ("/documents/odd_numbers", test_odd_numbers);
 	g_test_add_func ("/documents/deep_entries", test_deep_entries);
 	g_test_add_func ("/documents/configuration", test_configuration);
+	g_test_add_func ("/documents/odd_configurations", test_odd_configurations);
 	g_test_add_func ("/settings/read", test_settings);
 	g_test_add_func ("/settings/findings", test_settings_findings);
 	return g_test_run ();
