--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -89,6 +89,7 @@
 	char address[32];
 	int answers;
 	int events;
+	GString *keys; /* Of all pairs, with a blank after each. */
 	int last_error;
 	bool succeeded;
 	uint64_t era;
@@ -105,6 +106,7 @@
 	uint16_t port = free_port ();
 
 	memset (fixture, 0, sizeof *fixture);
+	fixture->keys = g_string_new (NULL);
 	fixture->store.listener = rpc_listen (INADDR_LOOPBACK, port);
 	g_assert_cmpint (fixture->store.listener, >=, 0);
 	/* The fake store needs a blocking accept(). */
@@ -134,6 +136,7 @@
 	fixture->platform.ops->finish (&fixture->platform);
 	loop_finish (&fixture->loop);
 	close (fixture->store.listener);
+	g_string_free (fixture->keys, TRUE);
 }
 
 static void
@@ -143,6 +146,12 @@
 
 	fixture->answers++;
 	fixture->events += (int) answer->count;
+	for (size_t i = 0; i < answer->count; i++)
+	{
+		/* The gateway reads the value of every pair that is not deleted. */
+		g_assert_true (answer->pairs[i].is_deleted || answer->pairs[i].value);
+		g_string_append_printf (fixture->keys, "%s ", answer->pairs[i].key);
+	}
 	fixture->last_error = answer->error;
 	fixture->succeeded = answer->succeeded;
 	fixture->era = answer->era;
@@ -438,6 +447,151 @@
 	fixture_stop (&fixture);
 }
 
+/** An item of a list or an event of a watch. */
+#define ITEM(key, rest) "{\"key\":\"" key "\"" rest "}"
+#define GOOD(key)       ITEM (key, ",\"value\":\"eA==\",\"revision\":5,\"created\":5,\"lease\":0")
+#define PAGE(item)                                                                                 \
+	"200 {\"items\":[" GOOD ("servers/a") "," item                                                 \
+										  "," GOOD ("servers/z") "],\"hasMore\":false,\"at\":9}"
+
+static void
+check_page (const char *page, const char *keys)
+{
+	struct fixture fixture;
+
+	fixture_start (&fixture, &page, 1);
+	fixture.platform.ops->range (&fixture.platform, "servers/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, 0);
+	g_assert_cmpstr (fixture.keys->str, ==, keys);
+	fixture_stop (&fixture);
+}
+
+/* Guards against a list that holds an item of another prefix or a deleted item: what follows the prefix was read beyond
+ * the key, and the value through a null pointer. */
+static void
+test_foreign_items (void)
+{
+	check_page (PAGE (GOOD ("x")), "servers/a servers/z ");
+	check_page (PAGE (GOOD ("")), "servers/a servers/z ");
+	check_page (PAGE (GOOD ("op/config")), "servers/a servers/z ");
+	check_page (PAGE (ITEM ("servers/m", ",\"revision\":5,\"deleted\":true")),
+	            "servers/a servers/z ");
+}
+
+/* Guards against one item of another form that makes the list of servers unreadable, so that the machine no longer
+ * follows it: the others hold. */
+static void
+test_odd_items (void)
+{
+	static const char *const left_out[] = {
+		PAGE ("null"),
+		PAGE ("7"),
+		PAGE ("[[[]]]"),
+		PAGE ("{}"),
+		PAGE ("{\"key\":7,\"value\":\"eA==\",\"revision\":5}"),
+	};
+	/* Their keys are listed, and their values are empty: such an entry names no server. */
+	static const char *const unreadable[] = {
+		PAGE (ITEM ("servers/m", ",\"revision\":5")),
+		PAGE (ITEM ("servers/m", ",\"revision\":5,\"value\":7")),
+		PAGE (ITEM ("servers/m", ",\"revision\":5,\"value\":{\"a\":[]}")),
+		PAGE (ITEM ("servers/m", ",\"revision\":5,\"value\":\"@@@\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":\"5\",\"value\":\"eA==\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":5.5,\"value\":\"eA==\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":-5,\"value\":\"eA==\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":1e999,\"value\":\"eA==\"")),
+		PAGE (ITEM ("servers/m", ",\"revision\":99999999999999999999,\"value\":\"eA==\"")),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (left_out); i++)
+		check_page (left_out[i], "servers/a servers/z ");
+	for (size_t i = 0; i < G_N_ELEMENTS (unreadable); i++)
+		check_page (unreadable[i], "servers/a servers/m servers/z ");
+}
+
+/* Guards against a part of the list that passes for all of it: the servers of the rest would count as removed. */
+static void
+test_incomplete_lists (void)
+{
+#define LIST(rest) "200 {\"items\":[" GOOD ("servers/a") "]," rest "}"
+	static const char *const pages[] = {
+		LIST ("\"hasMore\":\"true\",\"at\":9"),
+		LIST ("\"hasMore\":1,\"at\":9"),
+		LIST ("\"hasMore\":[],\"at\":9"),
+		LIST ("\"hasMore\":{\"a\":1},\"at\":9"),
+		LIST ("\"hasMore\":false,\"at\":-9"),
+		LIST ("\"hasMore\":false,\"at\":1e999"),
+		LIST ("\"hasMore\":false,\"at\":9.5"),
+		LIST ("\"hasMore\":false,\"at\":\"9\""),
+		LIST ("\"hasMore\":false"),
+		"200 {\"items\":[],\"hasMore\":true,\"at\":9}",
+		"200 {\"items\":{},\"hasMore\":false,\"at\":9}",
+		"200 {\"items\":null,\"hasMore\":false,\"at\":9}",
+		"200 {\"hasMore\":false,\"at\":9}",
+		"200 []",
+		"200 null",
+	};
+#undef LIST
+
+	for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
+	{
+		struct fixture fixture;
+
+		fixture_start (&fixture, &pages[i], 1);
+		fixture.platform.ops->range (&fixture.platform, "servers/", 0, handle_answer, &fixture);
+		fixture_run (&fixture, 1);
+		g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+		fixture_stop (&fixture);
+	}
+}
+
+/* Guards against requesting the same part of the list, or the same events, again and again without a pause. */
+static void
+test_no_progress (void)
+{
+	static const char page[] = "200 {\"items\":[" GOOD ("servers/a") "],\"hasMore\":true,\"at\":9}";
+	static const char *const pages[] = { page, page };
+	static const char *const events[] = {
+		"200 {\"events\":[" GOOD ("servers/a") "],\"at\":9}",
+		"200 {\"events\":[" GOOD ("servers/a") "],\"at\":9}",
+	};
+	static const char *const left_out[] = { "200 {\"events\":[7],\"at\":9}", NULL };
+	struct fixture fixture;
+
+	fixture_start (&fixture, left_out, G_N_ELEMENTS (left_out));
+	fixture.platform.ops->watch (&fixture.platform, "servers/", 4, 2000, handle_answer, &fixture);
+	fixture_run (&fixture, 2);
+	g_assert_nonnull (strstr (fixture.store.requests[1], "after=9&"));
+	fixture_stop (&fixture);
+	fixture_start (&fixture, pages, G_N_ELEMENTS (pages));
+	fixture.platform.ops->range (&fixture.platform, "servers/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+	fixture_stop (&fixture);
+	fixture_start (&fixture, events, G_N_ELEMENTS (events));
+	fixture.platform.ops->watch (&fixture.platform, "servers/", 4, 2000, handle_answer, &fixture);
+	fixture_run (&fixture, 2);
+	g_assert_cmpint (fixture.last_error, ==, -EPROTO);
+	fixture_stop (&fixture);
+}
+
+/* Guards against a key of another writer that makes the list of servers unreadable. */
+static void
+test_odd_keys (void)
+{
+	static const char *const pages[] = {
+		PAGE (GOOD ("servers/\\u0000m")),       PAGE (GOOD ("servers/z\\u0000")),
+		PAGE (GOOD ("servers/\\ud800")),        PAGE (GOOD ("servers/\\ud800\\u0041")),
+		PAGE (GOOD ("servers/\\udc00\\ud800")), PAGE (GOOD ("servers/\\\\\\ud800")),
+		PAGE (GOOD ("servers/\xff\xfe")),       PAGE (GOOD ("servers/\xc0\x80")),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
+		check_page (pages[i], "servers/a servers/z ");
+	check_page (PAGE (GOOD ("servers/\\ud83d\\ude00")), "servers/a servers/\U0001f600 servers/z ");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -450,6 +604,11 @@
 	g_test_add_func ("/store/unreported_items", test_unreported_items);
 	g_test_add_func ("/store/page_without_progress", test_page_without_progress);
 	g_test_add_func ("/store/next_request_not_sent", test_next_request_not_sent);
+	g_test_add_func ("/store/foreign_items", test_foreign_items);
+	g_test_add_func ("/store/odd_items", test_odd_items);
+	g_test_add_func ("/store/incomplete_lists", test_incomplete_lists);
+	g_test_add_func ("/store/no_progress", test_no_progress);
+	g_test_add_func ("/store/odd_keys", test_odd_keys);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
