gateway: a replica that has left does not hold a change of primary up

Cause: required_replicas() counted every server that was ever known, also those that had left, whose status nobody can ask; and a replica that is about to shut down was not asked either, since its new connection was closed before the status request was sent. Change: once a server that had announced its end is gone, the primary is asked for its position. The server can hold no more than that, so it need not be known if the successor has received as much. One that is gone without notice counts as before: only it may hold an acknowledged commit. A leaving replica is asked before its connection is closed.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -403,12 +403,24 @@
 	return choice;
 }
 
-/** Number of replicas whose positions must be known so that no acknowledged commit is lost. */
+/**
+ * Number of replicas whose positions must be known so that no acknowledged commit is lost. One that has left cannot be
+ * asked; it need not be if @p best holds all that it can have received.
+ */
 static size_t
-required_replicas (const struct succession_input *input)
+required_replicas (const struct succession *succession, const struct succession_input *input,
+                   const struct succession_server *best)
 {
-	size_t replicas = input->server_count > 0 ? input->server_count - 1 : 0;
+	size_t replicas = 0;
 
+	for (size_t i = 0; i < input->server_count; i++)
+	{
+		const struct succession_server *server = &input->servers[i];
+		bool is_covered = server->has_left && !server->is_listed &&
+		                  log_position_covers (best->received, server->left_position);
+
+		replicas += strcmp (server->id, succession->record.primary) != 0 && !is_covered;
+	}
 	if (input->sync_replicas == 0)
 		return 1;
 	return replicas >= input->sync_replicas ? replicas - input->sync_replicas + 1 : 1;
@@ -470,7 +482,7 @@
 	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
 		return end_claim (succession, &choice, now_us);
 	if (!choice.best || (choice.missing > 0 && !is_late) ||
-	    choice.known < required_replicas (input) ||
+	    choice.known < required_replicas (succession, input, choice.best) ||
 	    !has_caught_up (succession, input, choice.best, now_us))
 		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
 	if (!succession->has_demoted && old && !old->is_unreachable && choice.max_term > 0)
--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -403,14 +403,10 @@
 	connection->session = NULL;
 	connection->idle_us = now_us;
 	connection_set_state (connection, CONNECTION_IDLE);
-	if (server->is_draining && server->service->primary != server)
-	{
-		connection_close (connection);
-		service_dispatch (server->service, now_us);
-		return;
-	}
 	if (server->status_requested || server->demote_term > 0)
 		connection_request_status (connection, now_us);
+	else if (server->is_draining && server->service->primary != server)
+		connection_close (connection);
 	service_dispatch (server->service, now_us);
 }
 
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -56,6 +56,7 @@
 	server->has_status = true;
 	server->status = report->status;
 	server->status_us = report->at_us;
+	primary_manager_apply_status (controller, server);
 	if (report->status.is_primary)
 		server->not_primary_us = 0;
 	else if (server->not_primary_us == 0)
--- a/gateway/controller_directory.c
+++ b/gateway/controller_directory.c
@@ -51,6 +51,8 @@
 		           (long long) (now_us - server->missing_us) / US_PER_MS);
 		server->is_listed = false;
 		controller->is_view_dirty = true;
+		if (server->entry.is_draining)
+			primary_manager_note_departure (controller, server, now_us);
 	}
 }
 
@@ -109,6 +111,8 @@
 		server->draining_us = now_us;
 	server->is_listed = true;
 	server->missing_us = 0;
+	server->left_us = 0;
+	server->has_left = false;
 }
 
 static void
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -566,6 +566,8 @@
 			.term = known->status.term,
 			.received = known->status.received,
 			.applied = known->status.applied,
+			.has_left = known->has_left,
+			.left_position = known->left_position,
 		};
 	}
 	return count;
@@ -858,6 +860,44 @@
 	}
 }
 
+void
+primary_manager_note_departure (struct controller *controller, struct known_server *server,
+                                int64_t now_us)
+{
+	const struct primary_manager *primary_manager =
+		g_hash_table_lookup (controller->managers, server->entry.service);
+
+	server->left_us = now_us;
+	if (primary_manager && primary_manager->succession.record.change > 0)
+		gateway_traffic_request_status (controller->traffic,
+		                                primary_manager->succession.record.primary, 0);
+}
+
+void
+primary_manager_apply_status (struct controller *controller, const struct known_server *primary)
+{
+	const struct primary_manager *primary_manager =
+		g_hash_table_lookup (controller->managers, primary->entry.service);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!primary_manager || !primary->status.is_primary ||
+	    primary_manager->succession.record.is_changing ||
+	    strcmp (primary_manager->succession.record.primary, primary->entry.id) != 0)
+		return;
+	g_hash_table_iter_init (&iter, controller->servers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		struct known_server *server = value;
+
+		if (server->left_us == 0 || server->has_left || primary->status_us <= server->left_us ||
+		    strcmp (server->entry.service, primary->entry.service) != 0)
+			continue;
+		server->has_left = true;
+		server->left_position = primary->status.received;
+	}
+}
+
 void
 controller_demote_former (struct controller *controller, int64_t now_us)
 {
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -89,6 +89,9 @@
 	uint64_t term;
 	struct log_position received;
 	struct log_position applied; /**< Position that its reads see. */
+	/** It has announced its end and is gone, and the primary was asked for its position afterwards. */
+	bool has_left;
+	struct log_position left_position; /**< What the primary held then: no less than this server. */
 };
 
 struct succession_input
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -19,7 +19,10 @@
 struct known_server
 {
 	struct server_entry entry;
-	bool is_listed;      /**< Cleared when its entry has been missing for CONTROL_MISSING_US. */
+	bool is_listed; /**< Cleared when its entry has been missing for CONTROL_MISSING_US. */
+	bool has_left;  /**< It has left as it had announced, and left_position is known. */
+	struct log_position left_position; /**< What its service's primary held afterwards. */
+	int64_t left_us;     /**< When it was found gone after it had announced that; 0: it is not. */
 	int64_t draining_us; /**< When its entry first said that it leaves; 0: it does not. */
 	int64_t missing_us;  /**< When its entry was first found missing; 0: it is present. */
 	bool is_unreachable;
@@ -265,6 +268,17 @@
  */
 void controller_demote_former (struct controller *controller, int64_t now_us);
 
+/**
+ * Asks the primary for its position after @p server has left: with synchronous replicas, a commit may be acknowledged
+ * because only that server had received it.
+ */
+void primary_manager_note_departure (struct controller *controller, struct known_server *server,
+                                     int64_t now_us);
+
+/** Takes over the status of a primary for the servers that have left before. */
+void primary_manager_apply_status (struct controller *controller,
+                                   const struct known_server *primary);
+
 /** Writes the known record again if a restored store lacks it. */
 void primary_manager_restore (struct primary_manager *primary_manager, int64_t now_us);
 
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -45,12 +45,17 @@
 	bool is_isolated;
 	bool is_out_of_rotation;
 	int quiesced;
+	bool is_replica_draining;
+	int replica_statuses; /**< Status reports of the replica. */
 };
 
 static void
 handle_report (void *data, struct server_report *report)
 {
-	(void) data;
+	struct fixture *fixture = data;
+
+	if (report->has_status && strcmp (report->server, "db1") == 0)
+		g_atomic_int_inc (&fixture->replica_statuses);
 	g_free (report->server);
 	g_free (report->service);
 	g_free (report);
@@ -127,6 +132,7 @@
 			.ip = INADDR_LOOPBACK,
 			.port = fixture->databases[i].port,
 			.slots = 2,
+			.is_draining = i == 1 && fixture->is_replica_draining,
 		};
 
 		g_array_append_val (view->servers, entry);
@@ -663,6 +669,25 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against a change of primary that waits for the position of a replica that is about to shut down: its connection was
+ * closed before it was asked. It counts as long as it runs. */
+static void
+test_status_of_draining_replica (void)
+{
+	struct fixture fixture;
+	int64_t end_us;
+
+	fixture_start (&fixture, 1, ROUTE_BOUNDED_STALENESS);
+	fixture.is_replica_draining = true;
+	send_long_lived_views (&fixture);
+	gateway_traffic_request_status (fixture.vms[0], "db1", 0);
+	end_us = clock_now_us () + 20 * US_PER_S;
+	while (g_atomic_int_get (&fixture.replica_statuses) == 0 && clock_now_us () < end_us)
+		g_usleep (10 * US_PER_MS);
+	g_assert_cmpint (g_atomic_int_get (&fixture.replica_statuses), >, 0);
+	fixture_stop (&fixture);
+}
+
 /* A read must see its session's write: a replica that lacks it refuses, and the primary serves the read. */
 static void
 test_read_your_writes (void)
@@ -842,6 +867,7 @@
 	g_test_add_func ("/gateway/new_lead", test_authority_renewed_with_new_record);
 	g_test_add_func ("/gateway/ordered_change", test_planned_change_quiesces);
 	g_test_add_func ("/gateway/reads_after_restart", test_reads_after_a_restart);
+	g_test_add_func ("/gateway/draining_replica", test_status_of_draining_replica);
 	g_test_add_func ("/gateway/replica_behind", test_replica_behind);
 	g_test_add_func ("/gateway/read_your_writes", test_read_your_writes);
 	g_test_add_func ("/gateway/position_after_change", test_position_after_a_change);
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -450,6 +450,37 @@
 	tear_down (&controller);
 }
 
+/* Guards against leaving out a synchronous replica whose commits the primary may not have sent to others: what it can have
+ * received is known only from an answer of the primary after it has left. */
+static void
+test_departure_of_a_replica (void)
+{
+	struct controller controller;
+	struct succession_record record = { .primary = "p", .change = 5 };
+	struct known_server primary = { .is_listed = true, .status = { .is_primary = true } };
+	struct known_server replica = { 0 };
+	int64_t now_us = clock_now_us ();
+
+	set_up (&controller);
+	primary.entry.id = "p";
+	replica.entry.id = "r";
+	primary.entry.service = replica.entry.service = "ledger";
+	g_hash_table_insert (controller.servers, "p", &primary);
+	g_hash_table_insert (controller.servers, "r", &replica);
+	primary_manager_set_record (primary_manager_get (&controller, "ledger"), &record, now_us);
+	primary.status.received = (struct log_position){ 1, 90 };
+	primary.status_us = now_us;
+	primary_manager_note_departure (&controller, &replica, now_us);
+	primary_manager_apply_status (&controller, &primary);
+	g_assert_false (replica.has_left);
+	primary.status.received = (struct log_position){ 1, 100 };
+	primary.status_us = now_us + 1;
+	primary_manager_apply_status (&controller, &primary);
+	g_assert_true (replica.has_left);
+	g_assert_cmpuint (replica.left_position.index, ==, 100);
+	tear_down (&controller);
+}
+
 /* Guards against a change of primary that only VMs remember after the store was restored. */
 static void
 test_record_is_written_again (void)
@@ -1128,6 +1159,7 @@
 	g_test_add_func ("/gateway_members/claim_after_restore", test_claim_after_restore);
 	g_test_add_func ("/gateway_members/restored_confirms_nothing",
 	                 test_restored_store_confirms_nothing);
+	g_test_add_func ("/gateway_members/departure", test_departure_of_a_replica);
 	g_test_add_func ("/gateway_members/terms", test_terms_of_a_record);
 	g_test_add_func ("/gateway_members/written_again", test_record_is_written_again);
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -15,7 +15,7 @@
 struct fixture
 {
 	struct succession succession;
-	struct succession_server servers[3];
+	struct succession_server servers[4]; /**< The last one counts when a test says so. */
 	struct succession_input input;
 	int64_t now_us;
 	uint64_t change;
@@ -35,6 +35,8 @@
 {
 	static const char *const ids[] = { "a", "b", "c" };
 
+	G_STATIC_ASSERT (G_N_ELEMENTS (ids) + 1 == G_N_ELEMENTS (fixture->servers));
+
 	memset (fixture, 0, sizeof *fixture);
 	succession_init (&fixture->succession, "vm1");
 	fixture->now_us = 1000 * MS;
@@ -53,6 +55,7 @@
 			.applied = { 1, 100 - i },
 		};
 	fixture->input.servers = fixture->servers;
+	fixture->servers[3].id = "d";
 	fixture->input.server_count = G_N_ELEMENTS (ids);
 	fixture->input.may_claim = true;
 	fixture->input.has_read_records = true;
@@ -534,6 +537,31 @@
 	g_assert_cmpuint (fixture.promotions, ==, 1);
 }
 
+/* Guards against an outage until the end of a service with one synchronous replica: a replica that had left was waited for.
+ * It may be left out only if the successor holds all that it can have received. */
+static void
+test_synchronous_replica_has_left (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.input.server_count = 4;
+	fixture.input.sync_replicas = 1;
+	fixture.servers[2].is_unreachable = true;
+	fixture.servers[2].is_listed = false;
+	fixture.servers[2].has_left = true;
+	fixture.servers[2].left_position = (struct log_position){ 1, 100 };
+	fixture.servers[3] = fixture.servers[1];
+	fixture.servers[3].id = "d";
+	fixture_fail_primary (&fixture);
+	fixture_run (&fixture, 3000 * MS);
+	g_assert_cmpuint (fixture.promotions, ==, 0);
+	fixture.servers[3].received.index = 100;
+	fixture.servers[3].applied.index = 100;
+	fixture_run (&fixture, 3000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "d");
+}
+
 /* Guards against a planned change that loses commits: the old primary has to step down, and its log has
  * to be received, before the promotion. */
 static void
@@ -715,6 +743,7 @@
 	g_test_add_func ("/succession/executed", test_executed_promotion_is_recorded);
 	g_test_add_func ("/succession/two_promotions", test_two_promotions_without_a_record);
 	g_test_add_func ("/succession/synchronous", test_synchronous_replicas);
+	g_test_add_func ("/succession/synchronous_left", test_synchronous_replica_has_left);
 	g_test_add_func ("/succession/planned", test_planned_change_catches_up);
 	g_test_add_func ("/succession/planned_waits", test_planned_change_waits_for_a_replica);
 	g_test_add_func ("/succession/planned_wait_ends", test_planned_change_does_not_wait_for_ever);
