gateway: a forwarded statement carries its time limit

Cause: the owner of a server ended forwarded requests after a fixed 5 s, and took the code from session->has_written, which is never set for a forwarded session. So a running COMMIT counted as the end of a transaction that had written nothing, and the forwarding VM passed the promise on.

Now RANK carries what is left of the time limit, and the owner has no limit of its own: without one (a message of an earlier format), a statement ends with the forwarding VM's connection. At the limit the owner says only what it knows: INDOUBT for a statement that was sent, BUSY for one that was not. The forwarding VM, which knows what the transaction has written, derives the caller's code from it. In a message of the earlier format, three numbers, the limit counts as not known; a limit that is not a number makes the message malformed, which is refused.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -14,12 +14,6 @@
 
 #include <string.h>
 
-enum
-{
-	/* The forwarding VM times out earlier; this only ends requests that it has abandoned. */
-	RELAY_DEADLINE_US = 5 * US_PER_S,
-};
-
 /**
  * Ends a request.
  * @param position position in the server's answer, which the other VM dates to its sending of the statement; NULL: none.
@@ -58,6 +52,24 @@
 	relay_answer (session, had_begun ? TRANSACTION_FAILED : TRANSACTION_NONE, NULL);
 }
 
+void
+relay_time_out (struct session *session)
+{
+	struct connection *connection = session->connection;
+	bool was_sent = connection && connection->state == CONNECTION_RUNNING;
+
+	/* The server may still run the statement, so its connection is not reused. */
+	if (connection)
+	{
+		connection->session = NULL;
+		session->connection = NULL;
+		connection_close (connection);
+	}
+	/* Only the forwarding VM knows what the statement's effect depends on. */
+	relay_refuse (session, was_sent ? ANSWER_IN_DOUBT : ANSWER_OVERLOADED,
+	              "the time limit of the statement is over");
+}
+
 /** Finds the server that the greeting names. */
 static struct server *
 find_server (const struct session *session)
@@ -173,7 +185,9 @@
 	session->target_latency_ms = message->has_hint ? message->hint.target_latency_ms : UINT16_MAX;
 	if (message->has_hint)
 		request->arrived_us -= (int64_t) message->hint.waited_ms * US_PER_MS;
-	request->deadline_us = now_us + RELAY_DEADLINE_US;
+	/* Without a limit, the statement ends with the forwarding VM's connection. */
+	if (message->has_hint && message->hint.limit_ms > 0)
+		request->deadline_us = now_us + (int64_t) message->hint.limit_ms * US_PER_MS;
 	session_run_statement (session, now_us);
 }
 
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -34,6 +34,7 @@
 		.priority = session->priority,
 		.target_latency_ms = session->target_latency_ms,
 		.waited_ms = (uint32_t) ((now_us - request->arrived_us) / US_PER_MS),
+		.limit_ms = (uint32_t) MAX ((request->deadline_us - now_us) / US_PER_MS, 1),
 	};
 	struct wire_prefix prefix = { .hint = connection->is_relayed ? &hint : NULL };
 
--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -155,8 +155,12 @@
 	struct request *request = &session->request;
 	const struct view *view = session->traffic->view;
 
-	if (request->is_active && now_us > request->deadline_us - ANSWER_MARGIN_US &&
-	    !request->is_commit_held)
+	bool is_over = request->is_active && !request->is_commit_held &&
+	               now_us > request->deadline_us - ANSWER_MARGIN_US;
+
+	if (is_over && session->is_relay)
+		relay_time_out (session);
+	else if (is_over)
 		session_time_out (session);
 	else if (request->is_active && session->connection && !request->is_sent &&
 	         session->connection->state == CONNECTION_IDLE && now_us >= request->retry_us)
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -75,6 +75,7 @@
 	uint32_t priority;
 	uint32_t target_latency_ms;
 	uint32_t waited_ms; /**< Time spent waiting before it was forwarded. */
+	uint32_t limit_ms;  /**< Time that is left of the statement's time limit; 0: not known. */
 };
 
 enum caller_message_kind
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -291,6 +291,8 @@
 void relay_handle_query (struct session *session, const struct caller_message *message,
                          int64_t now_us);
 void relay_refuse (struct session *session, enum answer_code code, const char *message);
+/** Answers a request whose time limit is over with what is known of its statement. */
+void relay_time_out (struct session *session);
 void relay_handle_answer (struct session *session, struct connection *connection,
                           const struct server_message *ready, int64_t now_us);
 void relay_close_all (struct server *server);
--- a/tests/support/fake_database.c
+++ b/tests/support/fake_database.c
@@ -11,7 +11,7 @@
 
 enum
 {
-	FAKE_MAX_CONNECTIONS = 64,
+	FAKE_MAX_CONNECTIONS = 256,
 	FAKE_POLL_MS = 10,
 };
 
@@ -24,6 +24,7 @@
 	GHashTable *prepared; /* Name to "READ shape" or "WRITE shape". */
 	bool is_open;         /* A transaction is open. */
 	bool has_written;
+	GPtrArray *writes; /* Ids of the open transaction's writes. */
 };
 
 static void
@@ -114,12 +115,20 @@
 		g_usleep ((gulong) delay_ms * 1000);
 		g_mutex_lock (&database->mutex);
 	}
+	if (is_write && connection->is_open)
+		g_ptr_array_add (connection->writes, g_strdup (id));
 	if (is_write && !connection->is_open)
+	{
 		database->index++;
+		g_ptr_array_add (database->committed, g_strdup (id));
+	}
 	connection->has_written |= is_write && connection->is_open;
 	if (is_commit)
 	{
 		database->index += connection->has_written;
+		for (guint i = 0; i < connection->writes->len; i++)
+			g_ptr_array_add (database->committed, g_strdup (connection->writes->pdata[i]));
+		g_ptr_array_set_size (connection->writes, 0);
 		connection->is_open = false;
 		connection->has_written = false;
 	}
@@ -158,6 +167,7 @@
 		database->rollbacks++;
 		connection->is_open = false;
 		connection->has_written = false;
+		g_ptr_array_set_size (connection->writes, 0);
 	}
 	else
 		lines = status = g_strdup_printf ("ROW %s %" G_GUINT64_FORMAT " %" G_GUINT64_FORMAT
@@ -196,6 +206,7 @@
 	g_string_free (connection->in, TRUE);
 	g_hash_table_destroy (connection->values);
 	g_hash_table_destroy (connection->prepared);
+	g_ptr_array_free (connection->writes, TRUE);
 	connection->fd = -1;
 }
 
@@ -253,6 +264,7 @@
 				.in = g_string_new (NULL),
 				.values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
 				.prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+				.writes = g_ptr_array_new_with_free_func (g_free),
 			};
 			break;
 		}
@@ -275,6 +287,7 @@
 	database->is_primary = is_primary;
 	database->term = 1;
 	database->index = 100;
+	database->committed = g_ptr_array_new_with_free_func (g_free);
 	database->statements = g_ptr_array_new_with_free_func (statement_free);
 	database->listener = rpc_listen (INADDR_LOOPBACK, 0);
 	g_assert_cmpint (database->listener, >=, 0);
@@ -291,6 +304,7 @@
 	g_thread_join (database->thread);
 	close (database->listener);
 	g_ptr_array_free (database->statements, TRUE);
+	g_ptr_array_free (database->committed, TRUE);
 	g_mutex_clear (&database->mutex);
 }
 
@@ -316,3 +330,15 @@
 	}
 	return NULL;
 }
+
+int
+fake_database_count_commits (struct fake_database *database, const char *id)
+{
+	int count = 0;
+
+	g_mutex_lock (&database->mutex);
+	for (guint i = 0; i < database->committed->len; i++)
+		count += strcmp (database->committed->pdata[i], id) == 0;
+	g_mutex_unlock (&database->mutex);
+	return count;
+}
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -33,6 +33,8 @@
 	int rollbacks;
 	int refused; /**< Statements that were answered LAGGING or READONLY. */
 	GPtrArray *statements;
+	GPtrArray
+		*committed; /**< Ids of the writes that took effect, in order; one id may be there twice. */
 	int is_stopped;
 	int listener;
 };
@@ -41,6 +43,9 @@
 void fake_database_start (struct fake_database *database, const char *id, bool is_primary);
 void fake_database_stop (struct fake_database *database);
 
+/** How often the write with @p id took effect. */
+int fake_database_count_commits (struct fake_database *database, const char *id);
+
 /** Waits up to 2 s for a statement with @p id. @return the statement, which is freed by
  * fake_database_stop(), or NULL. */
 const struct fake_statement *fake_database_find (struct fake_database *database, const char *id);
--- a/tests/unit/platform_wire.c
+++ b/tests/unit/platform_wire.c
@@ -69,7 +69,7 @@
 test_forwarded_statement (void)
 {
 	GString *out = g_string_new (NULL);
-	struct forward_hint hint = { 2, 600, 31 };
+	struct forward_hint hint = { .priority = 2, .target_latency_ms = 600, .waited_ms = 31 };
 	struct log_position after = { 3, 1207 };
 	struct caller_message message;
 
@@ -86,6 +86,41 @@
 	g_string_free (out, TRUE);
 }
 
+/* Guards against an owner that ends a forwarded statement by a limit of its own, and against a message of a VM without
+ * limits, or with one that is not a number, that is taken for another statement. */
+static void
+test_forwarded_time_limit (void)
+{
+	static const struct
+	{
+		const char *text;
+		enum statement_kind kind;
+		uint32_t limit_ms;
+	} rows[] = {
+		{ "QUERY 1 RANK 2 600 31 60000 READ 1a4", STATEMENT_READ, 60000 },
+		{ "QUERY 1 RANK 2 600 31 READ 1a4", STATEMENT_READ, 0 },
+		{ "QUERY 1 RANK 2 600 31 COMMIT", STATEMENT_COMMIT, 0 },
+		{ "QUERY 1 RANK 2 600 31 5 AFTER 1.2 READ 1a4", STATEMENT_READ, 5 },
+		{ "QUERY 1 RANK 2 600 31 -5 READ 1a4", STATEMENT_INVALID, 0 },
+		{ "QUERY 1 RANK 2 600 31 4294967296 READ 1a4", STATEMENT_INVALID, 0 },
+		{ "QUERY 1 RANK 2 600 31 5 6 READ 1a4", STATEMENT_INVALID, 5 },
+		{ "QUERY 1 RANK 2 600 31 ", STATEMENT_INVALID, 0 },
+	};
+	GString *out = g_string_new (NULL);
+	struct forward_hint hint = { .target_latency_ms = 600, .limit_ms = 5980 };
+
+	wire_encode_query (out, line ("5c0e"), (struct wire_prefix){ &hint, NULL }, line ("COMMIT"));
+	g_assert_cmpstr (out->str, ==, "QUERY 5c0e RANK 0 600 0 5980 COMMIT\r\n");
+	g_string_free (out, TRUE);
+	for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+	{
+		struct caller_message message = wire_decode_forwarded (line (rows[i].text));
+
+		g_assert_cmpint (message.statement.kind, ==, rows[i].kind);
+		g_assert_cmpuint (message.hint.limit_ms, ==, rows[i].limit_ms);
+	}
+}
+
 static void
 test_answers (void)
 {
@@ -124,6 +159,7 @@
 	g_test_add_func ("/wire/statements", test_statements);
 	g_test_add_func ("/wire/malformed", test_malformed_messages);
 	g_test_add_func ("/wire/forwarded", test_forwarded_statement);
+	g_test_add_func ("/wire/forwarded_time_limit", test_forwarded_time_limit);
 	g_test_add_func ("/wire/answers", test_answers);
 	g_test_add_func ("/wire/promises", test_did_not_run_codes);
 	return g_test_run ();
