tests: records of VMs and primaries that cannot be read

Odd records beside a good one, through the handler of the list: nothing ends, and the good one holds.

--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -629,6 +629,57 @@
 	}
 }
 
+/* Guards against ending at a record of a VM or a primary that cannot be read; the other records hold. */
+static void
+test_odd_records (void)
+{
+	static const char deep[] =
+		"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[";
+	static const char *const values[] = {
+		"",
+		"\xff\xfe",
+		deep,
+		"address=",
+		"address=127.0.0.1:9 zone=a start=1 settled=1",
+		"address=127.0.0.1:99999999999999999999 zone=a start=1 settled=1 removed=0",
+		"address=:::::::::::::::::::::::::::::::::::::::::::::::::::::::::::::::::::::: zone=a start=1 "
+		"settled=1 removed=0",
+		"address=127.0.0.1:9 zone=a start=1 settled=99999999999999999999 removed=-99999999999999999999",
+		"primary=i-1 claimant=- changing=99999999999999999999 planned=0 term=-1 change=0 era=1e999 "
+		"terms=1:1,2:99999999999999999999,,3",
+		"primary= claimant= changing= planned= term= change= era= terms=",
+		"primary=i-1 claimant=- changing=0 planned=0 term=1 terms=1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,"
+		"1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1,1:1",
+	};
+	static const char *const keys[] = {
+		"flamingospring/vm/odd", "flamingospring/vm/",     "flamingospring/lead/odd",
+		"flamingospring/lead/",  "flamingospring/other/x", "flamingospring/",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS (keys); j++)
+		{
+			const struct platform_pair pairs[] = {
+				{ keys[j], values[i], strlen (values[i]), 3, false },
+				{ "flamingospring/vm/vm2", "address=127.0.0.1:9 zone=a start=1 settled=1 removed=0",
+				  54, 2, false },
+			};
+			struct platform_answer answer = {
+				.revision = 10, .pairs = pairs, .count = 2, .request_sent_us = clock_now_us ()
+			};
+			struct controller controller;
+			const struct member *member;
+
+			set_up (&controller);
+			controller_poll (&controller, clock_now_us ());
+			fake.handle_poll (fake.poll_data, &answer);
+			member = g_hash_table_lookup (controller.members, "vm2");
+			g_assert_nonnull (member);
+			g_assert_true (member->is_listed);
+			tear_down (&controller);
+		}
+}
+
 /* Guards against replacing a primary at once because its entry was missing before it was promoted. In two plays of
  * trouble-1 of Grindwell, seed 28832871869, VMs did so that had not read yet that the entry was back. */
 static void
@@ -1072,6 +1123,7 @@
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/older_entry", test_older_server_entry);
+	g_test_add_func ("/gateway_members/odd_records", test_odd_records);
 	g_test_add_func ("/gateway_members/large_sequence", test_large_sequence);
 	g_test_add_func ("/gateway_members/unknown_server", test_unknown_server_is_not_lost);
 	g_test_add_func ("/gateway_members/silence_while_isolated", test_silence_while_isolated);
