--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -75,7 +75,8 @@
 	char address[32];
 	int answers;
 	int events;
-	GString *keys; /* Of all pairs, with a blank after each. */
+	size_t value_bytes; /* Of all pairs. */
+	GString *keys;      /* Of all pairs, with a blank after each. */
 	int last_error;
 	bool succeeded;
 	uint64_t era;
@@ -136,6 +137,7 @@
 		/* The gateway reads the value of every pair that is not deleted. */
 		g_assert_true (answer->pairs[i].is_deleted || answer->pairs[i].value);
 		g_string_append_printf (fixture->keys, "%s ", answer->pairs[i].key);
+		fixture->value_bytes += answer->pairs[i].value_length;
 	}
 	fixture->last_error = answer->error;
 	fixture->succeeded = answer->succeeded;
@@ -459,6 +461,48 @@
 	check_page (PAGE (GOOD ("servers/\\ud83d\\ude00")), "servers/a servers/\U0001f600 servers/z ");
 }
 
+/* Guards against memory that grows with the values of other writers' entries: a list of 300 of them with 700 KB each
+ * took 215 MB. */
+static void
+test_large_values (void)
+{
+	enum
+	{
+		VALUE_BYTES = 700 * 1024,
+		LARGEST_KEPT_BYTES = 8192,
+	};
+	char *bytes = g_malloc0 (VALUE_BYTES);
+	char *value = g_base64_encode ((const guchar *) bytes, VALUE_BYTES);
+	char *page =
+		g_strdup_printf ("200 {\"items\":[" GOOD (
+							 "servers/a") ",{\"key\":\"servers/m\",\"value\":\"%s\",\"revision\":5}"
+	                                      "],\"hasMore\":false,\"at\":9}",
+	                     value);
+	struct fixture fixture;
+
+	fixture_start (&fixture, (const char *const *) &page, 1);
+	fixture.platform.ops->range (&fixture.platform, "servers/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpint (fixture.last_error, ==, 0);
+	g_assert_cmpstr (fixture.keys->str, ==, "servers/a servers/m ");
+	g_assert_cmpuint (fixture.value_bytes, <=, LARGEST_KEPT_BYTES);
+	fixture_stop (&fixture);
+	/* The configuration may have any length that the store accepts. */
+	g_free (page);
+	page =
+		g_strdup_printf ("200 {\"items\":[{\"key\":\"op/config\",\"value\":\"%s\",\"revision\":5}],"
+	                     "\"hasMore\":false,\"at\":9}",
+	                     value);
+	fixture_start (&fixture, (const char *const *) &page, 1);
+	fixture.platform.ops->range (&fixture.platform, "op/", 0, handle_answer, &fixture);
+	fixture_run (&fixture, 1);
+	g_assert_cmpuint (fixture.value_bytes, ==, VALUE_BYTES);
+	fixture_stop (&fixture);
+	g_free (page);
+	g_free (value);
+	g_free (bytes);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -472,6 +516,7 @@
 	g_test_add_func ("/store/incomplete_lists", test_incomplete_lists);
 	g_test_add_func ("/store/no_progress", test_no_progress);
 	g_test_add_func ("/store/odd_keys", test_odd_keys);
+	g_test_add_func ("/store/large_values", test_large_values);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
 	g_test_add_func ("/store/promotion", test_promotion);
