gateway: one condition selects a connection and allows sending on it

Callers saw a VM that answered nothing any more and used a whole core, for ever: /readiness still answered 200, and SIGTERM did not end the process.

Cause: choose_for_relay() offered an idle connection for a forwarded statement whose server was not listed any more, and session_may_send() refused it. session_run() queued the request again and released the connection, which dispatched again: the same pair was chosen without end.

service_may_run() is now the only condition, asked for each choice and again before the statement is sent, so that a pair that was chosen is not refused in the same pass. After a setup it now also looks at what the choice looked at: whether the server is listed, answers and has the position. A transaction counts as started only at the server of its connection. A forwarded statement for a server that is not listed here is refused in the next tick, since waiting can't help it: before, it waited until it was late.

--- a/gateway/service.c
+++ b/gateway/service.c
@@ -100,6 +100,33 @@
 	return now_us - server->applied_us > SERVICE_POSITION_AGE_US;
 }
 
+/** As service_may_run(), with the position that a read of the session needs (NULL: unknown). */
+static bool
+may_run_at (const struct session *session, const struct server *server,
+            const struct log_position *position, int64_t now_us)
+{
+	const struct service *service = server->service;
+
+	/* A transaction stays on the connection that it began on. */
+	if (session->state != TRANSACTION_NONE && session->is_started)
+		return session->connection && session->connection->server == server;
+	if (session->is_relay)
+		return server == session->relay_server && server->is_listed;
+	if (session_needs_primary (session))
+		return server == service->primary && server->failed_us == 0 &&
+		       service_can_use_primary (service, now_us);
+	return server_may_read (server, position, now_us);
+}
+
+bool
+service_may_run (const struct session *session, const struct server *server, int64_t now_us)
+{
+	struct log_position position;
+	bool has_position = !session->is_relay && session_find_required_position (session, &position);
+
+	return may_run_at (session, server, has_position ? &position : NULL, now_us);
+}
+
 static int64_t
 server_cost_us (const struct server *server, int64_t now_us)
 {
@@ -128,7 +155,7 @@
 	{
 		const struct server *server = service->servers->pdata[i];
 
-		if (server->is_same_zone && server_may_read (server, position, now_us))
+		if (server->is_same_zone && may_run_at (session, server, position, now_us))
 			return false;
 	}
 	return true;
@@ -153,7 +180,7 @@
 		int64_t cost_us = server_cost_us (server, now_us);
 		struct connection *connection;
 
-		if (!server_may_read (server, has_position ? &position : NULL, now_us))
+		if (!may_run_at (session, server, has_position ? &position : NULL, now_us))
 			continue;
 		if (!server_has_capacity (server, now_us) || (!crosses_zones && !server->is_same_zone))
 			continue;
@@ -184,7 +211,7 @@
 	struct server *primary = service->primary;
 	struct connection *connection;
 
-	if (!service_can_use_primary (service, now_us) || primary->failed_us > 0 ||
+	if (!primary || !service_may_run (session, primary, now_us) ||
 	    !server_has_capacity (primary, now_us))
 		return NULL;
 	connection = server_find_idle (primary, session);
@@ -200,7 +227,7 @@
 	struct server *server = session->relay_server;
 	struct connection *connection;
 
-	if (server->running_count >= server->slots)
+	if (!service_may_run (session, server, now_us) || server->running_count >= server->slots)
 		return NULL;
 	connection = server_find_idle (server, session);
 	if (!connection)
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -60,22 +60,6 @@
 	line_stream_flush (&connection->stream);
 }
 
-/** Checks again, directly before sending, that the server may run the statement. */
-static bool
-session_may_send (struct session *session, struct connection *connection, int64_t now_us)
-{
-	struct server *server = connection->server;
-	struct log_position position;
-
-	if (session->state != TRANSACTION_NONE && session->is_started)
-		return true;
-	if (session->is_relay)
-		return server->is_listed;
-	if (server->service->primary == server)
-		return service_can_use_primary (server->service, now_us);
-	return !session_needs_primary (session) && session_find_required_position (session, &position);
-}
-
 void
 session_run (struct session *session, struct connection *connection, int64_t now_us)
 {
@@ -92,7 +76,8 @@
 		session->is_started = true;
 		begins = false;
 	}
-	if (!session_may_send (session, connection, now_us))
+	/* The server's entry or the authority may have lapsed while the connection was set up. */
+	if (!service_may_run (session, connection->server, now_us))
 	{
 		connection->session = NULL;
 		session->connection = NULL;
--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -131,6 +131,8 @@
 
 	if (is_relay && session->relay_server->failed_us > 0)
 		session_close (session);
+	else if (is_relay && !session->relay_server->is_listed)
+		relay_refuse (session, ANSWER_OVERLOADED, "the server is not known here");
 	else if (is_relay && is_late)
 		relay_refuse (session, ANSWER_OVERLOADED, "the server is busy");
 	else if (is_relay)
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -323,6 +323,11 @@
 void service_tick (struct service *service, int64_t now_us);
 void service_handle_records_valid (struct service *service, int64_t now_us);
 bool service_can_use_primary (const struct service *service, int64_t now_us);
+/**
+ * Whether the session's statement may be sent to the server now: the only condition, both for the choice of a server and
+ * before sending. How busy the server is does not matter here.
+ */
+bool service_may_run (const struct session *session, const struct server *server, int64_t now_us);
 
 /* server.c */
 struct server *server_new (struct service *service, const struct server_entry *entry);
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -773,6 +773,34 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against a traffic thread that never leaves the queue: a statement was forwarded for a server whose entry had just
+ * lapsed, while an idle connection to it was open (review of case 2, 5 of 5 runs). */
+static void
+test_forwarded_after_entry_lapsed (void)
+{
+	struct fixture fixture;
+	int forwarded;
+	int fd;
+
+	fixture_start (&fixture, 1, ROUTE_PRIMARY);
+	send_long_lived_views (&fixture);
+	fd = open_session (&fixture, 0);
+	ASSERT_SERVED (execute_line (fd, "QUERY r READ 1"));
+	forwarded = connect_port (fixture.relay_ports[0]);
+	execute_line (forwarded, "START s vm9 db0");
+	ASSERT_SERVED (execute_line (forwarded, "QUERY f1 RANK 0 500 0 READ 1"));
+	fixture.omits_servers = true;
+	send_long_lived_views (&fixture);
+	ASSERT_CODE (execute_line (forwarded, "QUERY f2 RANK 0 500 0 READ 1"), "BUSY");
+	close (open_session (&fixture, 0));
+	fixture.omits_servers = false;
+	send_long_lived_views (&fixture);
+	ASSERT_SERVED (execute_line (forwarded, "QUERY f3 RANK 0 500 0 READ 1"));
+	close (forwarded);
+	close (fd);
+	fixture_stop (&fixture);
+}
+
 /* Guards against idle sessions that stay at an isolated VM: they stayed for 2.2 s, and permanently when they were
  * opened late (runs with cut-off zones). The VM must close them as soon as the load balancer has taken it out of
  * rotation, and not before. */
@@ -847,6 +875,7 @@
 	g_test_add_func ("/gateway/position_after_change", test_position_after_a_change);
 	g_test_add_func ("/gateway/owner_positions", test_owner_answers_without_position);
 	g_test_add_func ("/gateway/lapsed_entry", test_server_entry_expires_in_forwarded_transaction);
+	g_test_add_func ("/gateway/forwarded_after_lapse", test_forwarded_after_entry_lapsed);
 	g_test_add_func ("/gateway/cut_off", test_isolated_vm_closes_idle_sessions);
 	g_test_add_func ("/gateway/malformed", test_malformed);
 	return g_test_run ();
