schema: a deeply nested document is refused before it is parsed

A document of a service with 50,000 levels of "[" (50 KB) kept the control thread of the own front busy for 7.7 s, with "{a: " for 18.0 s (plain build): libyaml's time grows with the square of the depth. The control thread reads the store, answers other VMs and detects lost ones; it does none of this meanwhile, and every VM that reads the document stops at the same time.

Now the events are counted first, up to 64 levels, and a deeper document is refused like any other that does not parse: the last valid one stays in force.

Test /schema/deep on the code before (6.6 s until the first assertion):

schema.c:179:test_deep: assertion failed (findings.items[0].message == "nested too deeply"): ("not valid YAML: did not find expected node content" == "nested too deeply")

It passes now in build and build-sanitize; the whole of test_schema takes 0.013 s in build. Settings files are read by the same function.

--- a/schema/yaml_reader.c
+++ b/schema/yaml_reader.c
@@ -6,6 +6,39 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+	YAML_MAX_DEPTH = 64, /* Mappings and sequences inside each other. */
+};
+
+/** Whether the text is nested too deeply, up to its first error. libyaml's time grows with the square of the depth. */
+static bool
+is_too_deep (const char *text, size_t length, struct findings *findings, const char *source)
+{
+	yaml_parser_t parser;
+	yaml_event_t event;
+	unsigned depth = 0;
+	bool is_over = false;
+
+	if (!yaml_parser_initialize (&parser))
+		return false;
+	yaml_parser_set_input_string (&parser, (const unsigned char *) text, length);
+	while (!is_over && depth <= YAML_MAX_DEPTH && yaml_parser_parse (&parser, &event))
+	{
+		if (event.type == YAML_SEQUENCE_START_EVENT || event.type == YAML_MAPPING_START_EVENT)
+			depth++;
+		else if (event.type == YAML_SEQUENCE_END_EVENT || event.type == YAML_MAPPING_END_EVENT)
+			depth--;
+		is_over = event.type == YAML_STREAM_END_EVENT;
+		if (depth > YAML_MAX_DEPTH)
+			findings_add (findings, source, (unsigned) event.start_mark.line + 1,
+			              (unsigned) event.start_mark.column + 1, "", "nested too deeply");
+		yaml_event_delete (&event);
+	}
+	yaml_parser_delete (&parser);
+	return depth > YAML_MAX_DEPTH;
+}
+
 int
 yaml_reader_init (struct yaml_reader *reader, const char *source, const char *text, size_t length,
                   struct findings *findings)
@@ -15,6 +48,8 @@
 	memset (reader, 0, sizeof *reader);
 	reader->source = source;
 	reader->findings = findings;
+	if (is_too_deep (text, length, findings, source))
+		return -EINVAL;
 	if (!yaml_parser_initialize (&parser))
 		return -ENOMEM;
 	yaml_parser_set_input_string (&parser, (const unsigned char *) text, length);
--- a/tests/unit/schema.c
+++ b/tests/unit/schema.c
@@ -157,6 +157,31 @@
 	}
 }
 
+/* Guards against a deeply nested document that keeps the control thread busy: 50,000 levels took 8 to 18 s. */
+static void
+test_deep (void)
+{
+	static const char *const levels[] = { "[", "{a: ", "&a [", "[a, " };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (levels); i++)
+	{
+		GString *text = g_string_new ("service: ");
+		struct schema_service service;
+		struct findings findings;
+
+		for (unsigned j = 0; j < 50000; j++)
+			g_string_append (text, levels[i]);
+		findings_init (&findings);
+		g_assert_cmpint (
+			schema_service_init (&service, "deep.yaml", text->str, text->len, &findings), ==,
+			-EINVAL);
+		g_assert_cmpuint (findings.count, ==, 1);
+		g_assert_cmpstr (findings.items[0].message, ==, "nested too deeply");
+		findings_finish (&findings);
+		g_string_free (text, TRUE);
+	}
+}
+
 int
 main (int argc, char **argv)
 {
@@ -164,6 +189,7 @@
 	g_test_add_func ("/schema/good", test_valid);
 	g_test_add_func ("/schema/bad", test_invalid);
 	g_test_add_func ("/schema/ten_mistakes", test_many_errors);
+	g_test_add_func ("/schema/deep", test_deep);
 	g_test_add_func ("/schema/random_input", test_random_input);
 	return g_test_run ();
 }
