platform: revisions of the own front's store do not wrap around

A mod_revision or header revision of "-5", -5, 1e999 or 10^20 counted as a very large number. The list of documents was then watched from there on, and no later document was adopted until the store's history was discarded. Only the store itself writes these members. Now a number that is not from 0 to 2^63 - 1 counts as missing.

Test /etcd/odd_items (odd items beside good ones in a list, a swap's answer and a watch's answer) on the code before:

# ..."mod_revision":"-5"... platform_etcd_json.c:43:check_good_pairs: assertion failed (answer->pairs[i].revision <= 5): ( <= 5)

It passes now in build and build-sanitize. Nothing ended at the other items on the code before either.

--- a/flamingospring/platform_etcd_json.c
+++ b/flamingospring/platform_etcd_json.c
@@ -179,18 +179,20 @@
 	return json_node_get_string (node);
 }
 
-/** Reads a number that was sent as a string, or, by lenient servers, as a number. */
+/** Reads a number that was sent as a string, or, by lenient servers, as a number. @return 0 when there is none up to
+ * G_MAXINT64, the largest revision. */
 static uint64_t
 find_number (JsonObject *object, const char *name)
 {
 	JsonNode *node = find_member (object, name);
 	const char *text = find_text (object, name);
+	guint64 number;
 
 	if (text)
-		return g_ascii_strtoull (text, NULL, 10);
-	if (node && JSON_NODE_HOLDS_VALUE (node))
-		return (uint64_t) json_node_get_int (node);
-	return 0;
+		return g_ascii_string_to_unsigned (text, 10, 0, G_MAXINT64, &number, NULL) ? number : 0;
+	if (!node || !JSON_NODE_HOLDS_VALUE (node) || json_node_get_value_type (node) != G_TYPE_INT64)
+		return 0;
+	return (uint64_t) MAX (json_node_get_int (node), 0);
 }
 
 static bool
