control: a document whose "deleted" is no flag is malformed

For "deleted" of [] or {} json-glib reported a failed assertion, which ends the program where G_DEBUG has fatal-criticals (as in the tests), and the document counted as not deleted. Now such a document is malformed, and the former one stays in force.

Test /etcd/odd_documents on the code before:

Json-FATAL-CRITICAL: json_object_get_boolean_member: assertion 'JSON_NODE_TYPE (node) == JSON_NODE_VALUE' failed

--- a/flamingospring/control_documents.c
+++ b/flamingospring/control_documents.c
@@ -48,6 +48,21 @@
 	return g_strdup (json_node_get_string (node));
 }
 
+/** Reads an optional flag. @return false when the member is of another type. */
+static bool
+read_flag (JsonObject *object, const char *name, bool *flag)
+{
+	JsonNode *node = json_object_get_member (object, name);
+
+	*flag = false;
+	if (!node || JSON_NODE_HOLDS_NULL (node))
+		return true;
+	if (!JSON_NODE_HOLDS_VALUE (node) || json_node_get_value_type (node) != G_TYPE_BOOLEAN)
+		return false;
+	*flag = json_node_get_boolean (node);
+	return true;
+}
+
 int
 control_document_parse (const char *value, char **operation_id, char **author, char **text,
                         bool *is_deleted)
@@ -62,9 +77,7 @@
 	*operation_id = copy_member (object, "operation_id");
 	*author = copy_member (object, "author");
 	*text = copy_member (object, "text");
-	*is_deleted = json_object_has_member (object, "deleted") &&
-	              json_object_get_boolean_member (object, "deleted");
-	if (*operation_id && *author && *text)
+	if (*operation_id && *author && *text && read_flag (object, "deleted", is_deleted))
 		result = 0;
 
 out:
--- a/tests/unit/platform_etcd_json.c
+++ b/tests/unit/platform_etcd_json.c
@@ -1,6 +1,7 @@
 /* Guards against answers of the platform's store, and documents of other writers in it, that end a proxy or make it stop
  * following the store. */
 #include "flamingospring/platform_etcd_json.h"
+#include "flamingospring/control_private.h"
 
 #include <errno.h>
 #include <glib.h>
@@ -84,10 +85,34 @@
 	}
 }
 
+/* Guards against a document with a "deleted" of another type: json-glib reported a failed assertion, which ends the program
+ * if G_DEBUG asks for it. */
+static void
+test_odd_documents (void)
+{
+	static const char *const deleted[] = { "[]", "{\"a\":1}", "\"true\"", "1e999", "7" };
+	char *operation_id;
+	char *author;
+	char *text;
+	bool is_deleted;
+
+	for (size_t i = 0; i < G_N_ELEMENTS (deleted); i++)
+	{
+		g_autofree char *value = g_strdup_printf (
+			"{\"operation_id\":\"o\",\"author\":\"a\",\"text\":\"t\",\"deleted\":%s}", deleted[i]);
+
+		g_test_message ("%s", value);
+		g_assert_cmpint (control_document_parse (value, &operation_id, &author, &text, &is_deleted),
+		                 ==, -EPROTO);
+		g_assert_null (text);
+	}
+}
+
 int
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/etcd/odd_items", test_odd_items);
+	g_test_add_func ("/etcd/odd_documents", test_odd_documents);
 	return g_test_run ();
 }
