decision: one rule for what a caller may be told about a statement

What is known of a statement at its server was spread over the state of the connection, a flag of the request and a parameter of the callbacks, and each place chose its code from another of them.

enum delivery is that knowledge as one value: not sent, sent and unanswered, refused, ran. delivery_judge() derives from it, and from when the statement takes effect, what may be told and whether it may be sent again.

What changes for callers, besides: - a statement in a transaction that was never sent within its time limit gets ABORTED and not BUSY; both are promises, and the transaction is rolled back - an answer without its COMPLETE line to a write outside a transaction gets INDOUBT and not FAILED; to a read, after all attempts, TIMEOUT

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -225,7 +225,6 @@
 {
 	struct session *session = connection->session;
 	struct server *server = connection->server;
-	bool was_running = connection->state == CONNECTION_RUNNING;
 	bool was_opening = connection->state == CONNECTION_OPENING;
 	bool is_relayed = connection->is_relayed;
 	uint32_t relay_ip = connection->relay_ip;
@@ -249,7 +248,7 @@
 	if (!session)
 		return;
 	session->connection = NULL;
-	session_handle_lost (session, was_running, now_us);
+	session_handle_lost (session, now_us);
 }
 
 static void
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -56,7 +56,6 @@
 relay_time_out (struct session *session)
 {
 	struct connection *connection = session->connection;
-	bool was_sent = connection && connection->state == CONNECTION_RUNNING;
 
 	/* The server may still run the statement, so its connection is not reused. */
 	if (connection)
@@ -65,8 +64,8 @@
 		session->connection = NULL;
 		connection_close (connection);
 	}
-	/* Only the forwarding VM knows what the statement's effect depends on. */
-	relay_refuse (session, was_sent ? ANSWER_IN_DOUBT : ANSWER_OVERLOADED,
+	/* Only the forwarding VM knows when the statement takes effect. */
+	relay_refuse (session, answer_code_of_delivery (session->request.delivery),
 	              "the time limit of the statement is over");
 }
 
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -63,14 +63,13 @@
 server_end_connection (struct connection *connection)
 {
 	struct session *session = connection->session;
-	bool was_running = connection->state == CONNECTION_RUNNING;
 
 	connection->session = NULL;
 	connection_close (connection);
 	if (!session)
 		return;
 	session->connection = NULL;
-	session_handle_lost (session, was_running, clock_now_us ());
+	session_handle_lost (session, clock_now_us ());
 }
 
 void
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -33,6 +33,17 @@
 	return request_is_write (&session->request);
 }
 
+enum statement_effect
+session_effect (const struct session *session)
+{
+	const struct request *request = &session->request;
+
+	if (session->state == TRANSACTION_NONE)
+		return request_is_write (request) ? EFFECT_AT_ONCE : EFFECT_NONE;
+	return request->statement.kind == STATEMENT_COMMIT && session->has_written ? EFFECT_COMMITS
+	                                                                           : EFFECT_AT_COMMIT;
+}
+
 /** Logs why a request was not served. */
 static void
 log_failed (const struct session *session, enum answer_code code, const char *cause)
@@ -111,7 +122,12 @@
 session_fail (struct session *session, enum answer_code code, const char *message)
 {
 	struct request *request = &session->request;
+	bool is_false_promise = answer_code_did_not_run (code) &&
+	                        !delivery_allows_promise (request->delivery, session_effect (session));
 
+	INVARIANT (!is_false_promise, "P5");
+	if (is_false_promise)
+		code = ANSWER_IN_DOUBT;
 	if (session->service)
 		service_remove (session->service, session);
 	counter_add (
@@ -256,7 +272,7 @@
 		request->statement.arguments.start += moved;
 	request->is_active = true;
 	g_strlcpy (request->server, "-", sizeof request->server);
-	request->is_sent = false;
+	request->delivery = DELIVERY_NOT_SENT;
 	request->shape = NULL;
 	request->arrived_us = now_us;
 	request->deadline_us = INT64_MAX;
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -49,7 +49,7 @@
 	}
 	connection->sent_us = now_us;
 	connection->sent_to_primary = is_primary && service_can_use_primary (server->service, now_us);
-	request->is_sent = true;
+	request->delivery = DELIVERY_UNANSWERED;
 	g_strlcpy (request->server, server->id, sizeof request->server);
 	request->sent_us = now_us;
 	request->attempts++;
@@ -138,7 +138,7 @@
 	struct request *request = &session->request;
 
 	request->last_code = code;
-	request->is_sent = false;
+	request->delivery = DELIVERY_NOT_SENT;
 	request->retry_us = now_us;
 	/* A read that replicas refuse for its position has no limit of attempts: it waits until it would be late. */
 	if (code != ANSWER_BEHIND && request->attempts > SESSION_MAX_ATTEMPTS)
@@ -305,18 +305,16 @@
 	    request->attempts <= SESSION_MAX_ATTEMPTS)
 	{
 		request->retry_us = now_us + SESSION_RETRY_US;
-		request->is_sent = false;
+		request->delivery = DELIVERY_NOT_SENT;
 		return;
 	}
-	if (is_commit && !answer_code_did_not_run (code))
-	{
-		session_fail (session, session->has_written ? ANSWER_IN_DOUBT : ANSWER_ROLLED_BACK,
-		              "the server's answer to the commit was an error");
-		return;
-	}
-	session_fail (session,
-	              code == ANSWER_FAILED || code == ANSWER_TIMED_OUT ? code : ANSWER_ROLLED_BACK,
-	              "the server refused a statement of the transaction");
+	if (delivery_judge (request->delivery, session_effect (session)) == OUTCOME_IN_DOUBT)
+		session_fail (session, ANSWER_IN_DOUBT, "the server's answer to the commit was an error");
+	else if (request->delivery == DELIVERY_RAN && !is_commit)
+		session_fail (session, code, "a statement of the transaction failed");
+	else
+		session_fail (session, ANSWER_ROLLED_BACK,
+		              "the server refused a statement of the transaction");
 }
 
 static void
@@ -325,19 +323,21 @@
 	struct request *request = &session->request;
 	struct server *server = connection->server;
 	enum answer_code code = connection->code;
+	enum delivery delivery = request->delivery;
+	enum delivery_outcome outcome = delivery_judge (delivery, session_effect (session));
 	bool is_lost_name = code == ANSWER_UNKNOWN_STATEMENT;
-	bool did_not_run = answer_code_did_not_run (code);
+	bool may_repeat = outcome == OUTCOME_NOT_KEPT || outcome == OUTCOME_ROLLED_BACK;
 
 	session->connection = NULL;
 	connection->session = NULL;
-	if ((did_not_run || !request_is_write (request)) &&
-	    session_retry (session, server, code, now_us))
+	if (may_repeat && session_retry (session, server, code, now_us))
 		service_enqueue (session->service, session);
-	else if (did_not_run)
+	else if (delivery == DELIVERY_REFUSED)
 		session_refuse (session, code, "refused by the server", SESSION_REFUSED_US);
+	else if (outcome == OUTCOME_IN_DOUBT)
+		session_fail (session, ANSWER_IN_DOUBT, "the server's answer is not complete");
 	else
-		session_fail (session,
-		              request_is_write (request) && code == ANSWER_OTHER ? ANSWER_IN_DOUBT : code,
+		session_fail (session, delivery == DELIVERY_UNANSWERED ? ANSWER_TIMED_OUT : code,
 		              "the server reported an error");
 	/* A connection that lost its prepared statements has lost its session values as well. */
 	if (is_lost_name)
@@ -362,6 +362,7 @@
 session_handle_answer (struct session *session, struct connection *connection,
                        const struct server_message *ready, int64_t now_us)
 {
+	session->request.delivery = answer_code_delivery (connection->code, connection->is_complete);
 	if (session->is_relay)
 		relay_handle_answer (session, connection, ready, now_us);
 	else if (connection->code == ANSWER_DONE && connection->is_complete)
@@ -382,10 +383,11 @@
 }
 
 void
-session_handle_lost (struct session *session, bool was_sent, int64_t now_us)
+session_handle_lost (struct session *session, int64_t now_us)
 {
 	struct request *request = &session->request;
-	bool is_commit = request->statement.kind == STATEMENT_COMMIT;
+	bool is_in_doubt =
+		delivery_judge (request->delivery, session_effect (session)) == OUTCOME_IN_DOUBT;
 
 	if (session->is_closed)
 		return;
@@ -402,7 +404,7 @@
 	}
 	if (session->state == TRANSACTION_OPEN && session->is_started && !session->is_first_statement)
 	{
-		if (is_commit && was_sent && session->has_written)
+		if (is_in_doubt)
 			session_fail (session, ANSWER_IN_DOUBT, "connection lost during the commit");
 		else
 			session_fail (session, ANSWER_ROLLED_BACK, "connection lost in the transaction");
@@ -410,7 +412,7 @@
 	}
 	/* A statement that was sent together with BEGIN is rolled back with its transaction, so it can be retried. */
 	session->is_started = false;
-	if (was_sent && request_is_write (request) && session->state == TRANSACTION_NONE)
+	if (is_in_doubt)
 	{
 		session_fail (session, ANSWER_IN_DOUBT, "connection lost after the write was sent");
 		return;
@@ -420,7 +422,7 @@
 		session_refuse (session, ANSWER_OVERLOADED, "connections lost", SESSION_REFUSED_US);
 		return;
 	}
-	request->is_sent = false;
+	request->delivery = DELIVERY_NOT_SENT;
 	request->retry_us = now_us;
 	session_enqueue (session, now_us);
 }
--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -9,15 +9,15 @@
 {
 	struct request *request = &session->request;
 	struct connection *connection = session->connection;
-	bool is_running = connection && connection->state == CONNECTION_RUNNING;
-	bool in_transaction = session->state == TRANSACTION_OPEN;
-	bool is_commit = request->statement.kind == STATEMENT_COMMIT && session->has_written;
+	enum delivery_outcome outcome = delivery_judge (request->delivery, session_effect (session));
 	enum answer_code code = ANSWER_OVERLOADED;
 
-	if (is_running && in_transaction)
-		code = is_commit ? ANSWER_IN_DOUBT : ANSWER_ROLLED_BACK;
-	else if (is_running)
-		code = request_is_write (request) ? ANSWER_IN_DOUBT : ANSWER_TIMED_OUT;
+	if (outcome == OUTCOME_IN_DOUBT)
+		code = ANSWER_IN_DOUBT;
+	else if (outcome == OUTCOME_ROLLED_BACK)
+		code = ANSWER_ROLLED_BACK;
+	else if (request->delivery == DELIVERY_UNANSWERED)
+		code = ANSWER_TIMED_OUT;
 	else if (request->last_code == ANSWER_BEHIND)
 		code = ANSWER_BEHIND;
 	/* The server may still run the statement, so its connection is not reused. */
@@ -162,7 +162,7 @@
 		relay_time_out (session);
 	else if (is_over)
 		session_time_out (session);
-	else if (request->is_active && session->connection && !request->is_sent &&
+	else if (request->is_active && session->connection && request->delivery == DELIVERY_NOT_SENT &&
 	         session->connection->state == CONNECTION_IDLE && now_us >= request->retry_us)
 		session_run (session, session->connection, now_us);
 	else if (request->is_active && request->is_queued)
--- a/gateway/statement.c
+++ b/gateway/statement.c
@@ -42,3 +42,20 @@
 		return false;
 	}
 }
+
+enum delivery
+answer_code_delivery (enum answer_code code, bool is_complete)
+{
+	if (answer_code_did_not_run (code))
+		return DELIVERY_REFUSED;
+	if (code == ANSWER_FAILED || code == ANSWER_TIMED_OUT)
+		return DELIVERY_RAN;
+	return code == ANSWER_DONE && is_complete ? DELIVERY_RAN : DELIVERY_UNANSWERED;
+}
+
+enum answer_code
+answer_code_of_delivery (enum delivery delivery)
+{
+	return delivery == DELIVERY_NOT_SENT || delivery == DELIVERY_REFUSED ? ANSWER_OVERLOADED
+	                                                                     : ANSWER_IN_DOUBT;
+}
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "decision/delivery.h"
 #include "decision/position.h"
 
 #include <stdbool.h>
@@ -140,6 +141,15 @@
 /** Whether the answer guarantees that the request and its transaction have no effect. */
 bool answer_code_did_not_run (enum answer_code code);
 
+/**
+ * What a server's or an owner's answer says about the delivery of its statement.
+ * @param is_complete the answer contains its COMPLETE line.
+ */
+enum delivery answer_code_delivery (enum answer_code code, bool is_complete);
+
+/** The code with which an owner tells the forwarding VM what it knows of a statement that has no answer of the server. */
+enum answer_code answer_code_of_delivery (enum delivery delivery);
+
 static inline bool
 text_equals (struct text text, const char *other, size_t length)
 {
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -151,7 +151,7 @@
 {
 	bool is_active;
 	bool is_queued;
-	bool is_sent; /**< The statement itself may have reached a server. */
+	enum delivery delivery; /**< Of the statement itself; its setup does not count. */
 	/** The server has answered the commit; the answer is held until the records are confirmed. */
 	bool is_commit_held;
 	GString *id;
@@ -266,8 +266,8 @@
 void session_handle_answer (struct session *session, struct connection *connection,
                             const struct server_message *ready, int64_t now_us);
 
-/** Called when the connection was lost. @param was_sent the statement had been sent. */
-void session_handle_lost (struct session *session, bool was_sent, int64_t now_us);
+/** Called when the connection was lost. */
+void session_handle_lost (struct session *session, int64_t now_us);
 
 /** Ends the current request with an error. */
 void session_fail (struct session *session, enum answer_code code, const char *message);
@@ -299,6 +299,8 @@
 
 /* session*.c, for each other and relay.c */
 bool request_is_write (const struct request *request);
+/** When the session's current statement takes effect. */
+enum statement_effect session_effect (const struct session *session);
 void session_complete (struct session *session);
 /** Applies the present route of the database, for the whole transaction. @return false when there is none. */
 bool session_resolve_route (struct session *session);
