tests: each step of a statement with its answer disturbed

gateway_promise/every_step plays 729 operations: writes, prepared writes and reads, and in transactions the session value, BEGIN, both writes and the commit, with the answer lost, stalled, late, too late, cut, or the connection reset before or after the server, between server and VM, server and owner, and owner and forwarding VM, with time limits of 100 to 60,000 ms. What each caller was told is compared with what the server committed: no promise for what is kept, nothing twice, nothing half kept, success only for what is kept, an answer within the limit and 3 s. Limits above 8 s are given up after that, unless GATEWAY_PROMISE_WAIT_MS says otherwise.

fault_link took "BEGIN" with the end of the line for its key, so that faults of BEGIN never happened; mended here.

--- a/tests/integration/gateway_promise.c
+++ b/tests/integration/gateway_promise.c
@@ -12,6 +12,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -196,15 +197,21 @@
 }
 
 static bool
-execute_line (int fd, const char *line, char *answer)
+send_line (int fd, const char *line)
 {
 	char *text = g_strdup_printf ("%s\r\n", line);
 	ssize_t sent = send (fd, text, strlen (text), MSG_NOSIGNAL);
 	bool was_sent = sent == (ssize_t) strlen (text);
 
 	g_free (text);
+	return was_sent;
+}
+
+static bool
+execute_line (int fd, const char *line, char *answer)
+{
 	answer[0] = '\0';
-	return was_sent && read_answer (fd, answer);
+	return send_line (fd, line) && read_answer (fd, answer);
 }
 
 static int
@@ -288,6 +295,308 @@
 	fixture_stop (&fixture);
 }
 
+static bool
+is_promise (const char *answer)
+{
+	static const char *const promises[] = {
+		"ERROR BUSY",     "ERROR ABORTED",   "ERROR LAGGING",
+		"ERROR READONLY", "ERROR MISDIRECT", "ERROR TOOMANY",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (promises); i++)
+		if (g_str_has_prefix (answer, promises[i]))
+			return true;
+	return false;
+}
+
+/** Where the answer of a statement is disturbed. */
+enum hop
+{
+	HOP_SERVER_DIRECT, /* Between the server and the VM of the caller. */
+	HOP_SERVER,        /* Between the server and its owner, which forwards the answer. */
+	HOP_OWNER,         /* Between the owner and the forwarding VM. */
+	HOPS,
+};
+
+/** Which statement of an operation is disturbed. */
+enum step
+{
+	STEP_WRITE,   /* A write outside a transaction. */
+	STEP_EXECUTE, /* A prepared one. */
+	STEP_READ,
+	STEP_SETUP, /* A session value that has to be set on the connection, in a transaction. */
+	STEP_BEGIN,
+	STEP_FIRST_WRITE,
+	STEP_SECOND_WRITE,
+	STEP_COMMIT,
+	STEP_EMPTY_COMMIT, /* The commit of a transaction that has only read. */
+	STEPS,
+};
+
+/** What happens to the answer. */
+static const struct disturbance
+{
+	const char *name;
+	enum link_fault fault;
+	int delay_percent; /* Of the time limit. */
+	bool closes;
+} disturbances[] = {
+	{ "lost", LINK_LOSE, 0, false },
+	{ "stalled", LINK_STALL, 0, false },
+	{ "late", LINK_DELAY, 40, false },
+	{ "too late", LINK_DELAY, 130, false },
+	{ "cut", LINK_CUT, 0, true },
+	{ "reset", LINK_RESET, 0, true },
+	{ "reset before the server", LINK_RESET_REQUEST, 0, true },
+};
+
+struct operation
+{
+	struct fixture *fixture;
+	GThread *thread;
+	uint32_t number;
+	uint32_t timeout_ms;
+	int wait_ms; /* Longest wait for an answer. */
+	enum hop hop;
+	enum step step;
+	const struct disturbance *disturbance;
+	char last[ANSWER_BYTES]; /* Answer that ended the operation; empty: none. */
+	bool is_done;            /* All statements were served. */
+	bool was_late;
+};
+
+/** Sends one statement. @return whether it was served. */
+static bool
+run_line (struct operation *operation, int fd, const char *id, const char *text)
+{
+	char *line = g_strdup_printf ("QUERY q%u%s %s", operation->number, id, text);
+	int64_t start_us = clock_now_us ();
+	bool has_answer = execute_line (fd, line, operation->last);
+	int64_t elapsed_ms = (clock_now_us () - start_us) / US_PER_MS;
+
+	g_free (line);
+	operation->was_late |= elapsed_ms > operation->timeout_ms + ANSWER_SLACK_MS;
+	if (!has_answer)
+		operation->last[0] = '\0';
+	return has_answer && !strstr (operation->last, "ERROR ");
+}
+
+static void
+run_transaction (struct operation *operation, int fd)
+{
+	bool is_empty = operation->step == STEP_EMPTY_COMMIT;
+
+	if (!run_line (operation, fd, "b", "BEGIN"))
+		return;
+	if (!is_empty && run_line (operation, fd, "w0", "WRITE 1 data"))
+		operation->is_done = run_line (operation, fd, "w1", "WRITE 2 data") &&
+		                     run_line (operation, fd, "c", "COMMIT");
+	else if (is_empty && run_line (operation, fd, "r", "READ 1"))
+		operation->is_done = run_line (operation, fd, "c", "COMMIT");
+}
+
+static void *
+run_operation (void *data)
+{
+	struct operation *operation = data;
+	int vm = operation->hop == HOP_SERVER_DIRECT ? OWNER : FORWARDER;
+	int fd = open_session (operation->fixture, vm, operation->timeout_ms, operation->wait_ms);
+
+	switch (operation->step)
+	{
+	case STEP_WRITE:
+		operation->is_done = run_line (operation, fd, "w0", "WRITE 1 data");
+		break;
+	case STEP_EXECUTE:
+		operation->is_done = run_line (operation, fd, "p", "PREPARE p WRITE shape") &&
+		                     run_line (operation, fd, "w0", "EXECUTE p 1 data");
+		break;
+	case STEP_READ:
+		operation->is_done = run_line (operation, fd, "r", "READ 1");
+		break;
+	default:
+		if (operation->step != STEP_SETUP || run_line (operation, fd, "s", "SET v0 x"))
+			run_transaction (operation, fd);
+		break;
+	}
+	close (fd);
+	return NULL;
+}
+
+/** The request whose answer is disturbed. */
+static char *
+fault_key (const struct operation *operation)
+{
+	static const char *const ids[] = {
+		[STEP_WRITE] = "w0",       [STEP_EXECUTE] = "w0",      [STEP_READ] = "r",
+		[STEP_FIRST_WRITE] = "w0", [STEP_SECOND_WRITE] = "w1", [STEP_COMMIT] = "c",
+		[STEP_EMPTY_COMMIT] = "c",
+	};
+
+	if (operation->step == STEP_SETUP)
+		return g_strdup ("-SET");
+	if (operation->step == STEP_BEGIN)
+		return g_strdup ("-BEGIN");
+	return g_strdup_printf ("q%u%s", operation->number, ids[operation->step]);
+}
+
+static void
+operation_start (struct operation *operation)
+{
+	struct fixture *fixture = operation->fixture;
+	const struct disturbance *disturbance = operation->disturbance;
+	int delay_ms = (int) MIN (operation->timeout_ms, 6000u) * disturbance->delay_percent / 100;
+	char *key = fault_key (operation);
+
+	fault_link_set (operation->hop == HOP_OWNER ? &fixture->owner_link : &fixture->server_link, key,
+	                disturbance->fault, delay_ms);
+	g_free (key);
+	operation->thread = g_thread_new ("caller", run_operation, operation);
+}
+
+/** Compares what the caller was told with what the server committed. */
+static void
+operation_check (const struct operation *operation)
+{
+	static const char *const hop_names[] = { "server", "server behind the owner", "owner" };
+	uint32_t kept = 0;
+	uint32_t twice = 0;
+	uint32_t writes = operation->step == STEP_READ || operation->step == STEP_EMPTY_COMMIT ? 0
+	                  : operation->step <= STEP_EXECUTE                                    ? 1
+	                                                    : MAX_WRITES;
+
+	for (uint32_t i = 0; i < writes; i++)
+	{
+		char *id = g_strdup_printf ("q%uw%u", operation->number, i);
+		int count = fake_database_count_commits (&operation->fixture->database, id);
+
+		kept += count > 0;
+		twice += count > 1;
+		g_free (id);
+	}
+	if ((is_promise (operation->last) && kept > 0) || twice > 0 || operation->was_late ||
+	    (operation->is_done && kept < writes) || (kept > 0 && kept < writes))
+		g_test_fail_printf ("step %d, answer of the %s %s, limit %u ms: %u of %u writes kept, %u "
+		                    "twice, %s, caller got %s",
+		                    operation->step, hop_names[operation->hop],
+		                    operation->disturbance->name, operation->timeout_ms, kept, writes,
+		                    twice, operation->was_late ? "late" : "in time", operation->last);
+}
+
+/** Counts the answers by kind, so that a test in which nothing is disturbed does not pass. */
+struct tally
+{
+	uint32_t promised;
+	uint32_t unpromised;
+	uint32_t done;
+};
+
+static void
+tally_add (struct tally *tally, const struct operation *operation)
+{
+	if (operation->is_done)
+		tally->done++;
+	else if (is_promise (operation->last))
+		tally->promised++;
+	else
+		tally->unpromised++;
+}
+
+/** Plays all steps and hops with the disturbances that keep the connections open, at the same time. */
+static void
+play_silent (struct fixture *fixture, uint32_t timeout_ms, int wait_ms, uint32_t *number,
+             struct tally *tally)
+{
+	GPtrArray *operations = g_ptr_array_new_with_free_func (g_free);
+
+	for (size_t i = 0; i < G_N_ELEMENTS (disturbances) * STEPS * HOPS; i++)
+	{
+		const struct disturbance *disturbance = &disturbances[i / (STEPS * HOPS)];
+		struct operation *operation;
+
+		if (disturbance->closes)
+			continue;
+		operation = g_new0 (struct operation, 1);
+		*operation = (struct operation){
+			.fixture = fixture,
+			.number = ++*number,
+			.timeout_ms = timeout_ms,
+			.wait_ms = MIN ((int) timeout_ms + ANSWER_SLACK_MS, wait_ms),
+			.hop = i % HOPS,
+			.step = i / HOPS % STEPS,
+			.disturbance = disturbance,
+		};
+		g_ptr_array_add (operations, operation);
+		operation_start (operation);
+	}
+	for (guint i = 0; i < operations->len; i++)
+		g_thread_join (((struct operation *) operations->pdata[i])->thread);
+	/* Rolled back or committed by then. */
+	g_usleep (200000);
+	for (guint i = 0; i < operations->len; i++)
+	{
+		operation_check (operations->pdata[i]);
+		tally_add (tally, operations->pdata[i]);
+	}
+	g_ptr_array_free (operations, TRUE);
+}
+
+/** Plays the disturbances that end a connection one after the other: the loss of one ends other requests as well. */
+static void
+play_closing (struct fixture *fixture, uint32_t timeout_ms, uint32_t *number, struct tally *tally)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS (disturbances) * STEPS * HOPS; i++)
+	{
+		struct operation operation = {
+			.fixture = fixture,
+			.timeout_ms = timeout_ms,
+			.wait_ms = (int) timeout_ms + ANSWER_SLACK_MS,
+			.hop = i % HOPS,
+			.step = i / HOPS % STEPS,
+			.disturbance = &disturbances[i / (STEPS * HOPS)],
+		};
+
+		if (!operation.disturbance->closes)
+			continue;
+		operation.number = ++*number;
+		operation_start (&operation);
+		g_thread_join (operation.thread);
+		g_usleep (20000);
+		operation_check (&operation);
+		tally_add (tally, &operation);
+	}
+}
+
+/* Guards against a promise for a statement that ran, wherever its answer gets lost, comes late, is cut off or its
+ * connection is reset, and against a statement that runs twice. GATEWAY_PROMISE_WAIT_MS, above 60,000, plays the
+ * longest time limit to its end. */
+static void
+test_every_step (void)
+{
+	enum
+	{
+		WAIT_MS = 8000,
+		/* Without a disturbance, every operation would be served. */
+		MIN_FAILED = 100,
+	};
+	const char *wait_text = g_getenv ("GATEWAY_PROMISE_WAIT_MS");
+	int wait_ms = wait_text ? atoi (wait_text) : WAIT_MS;
+	struct tally tally = { 0 };
+	struct fixture fixture;
+	uint32_t number = 0;
+
+	fixture_start (&fixture, 250, 300000);
+	for (size_t i = 0; i < G_N_ELEMENTS (timeouts_ms); i++)
+		play_silent (&fixture, timeouts_ms[i], wait_ms, &number, &tally);
+	play_closing (&fixture, 2000, &number, &tally);
+	g_test_message ("%u operations: %u served, %u with a promise, %u without; %d answers disturbed",
+	                number, tally.done, tally.promised, tally.unpromised,
+	                fault_link_hits (&fixture.server_link) + fault_link_hits (&fixture.owner_link));
+	g_assert_cmpuint (tally.promised, >, MIN_FAILED);
+	g_assert_cmpuint (tally.unpromised, >, MIN_FAILED);
+	fixture_stop (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -295,5 +604,6 @@
 	log_init (LOG_LEVEL_ERROR, "test");
 	g_test_add_func ("/gateway_promise/commit_above_five_seconds", test_commit_above_five_seconds);
 	g_test_add_func ("/gateway_promise/owner_time_limit", test_owner_time_limit);
+	g_test_add_func ("/gateway_promise/every_step", test_every_step);
 	return g_test_run ();
 }
--- a/tests/support/fault_link.c
+++ b/tests/support/fault_link.c
@@ -68,7 +68,8 @@
 
 	if (!words[0] || !words[1] || !words[2])
 		goto out;
-	key = strcmp (words[1], "-") == 0 ? g_strconcat ("-", words[2], NULL) : g_strdup (words[1]);
+	key = strcmp (words[1], "-") == 0 ? g_strconcat ("-", g_strchomp (words[2]), NULL)
+	                                  : g_strdup (words[1]);
 	g_mutex_lock (&link->mutex);
 	found = g_hash_table_lookup (link->faults, key);
 	if (found)
