gateway: a term whose record was lost stays a part of the present log

Cause: a store that comes back from an older copy may lose the record of a promotion. The next promotion was of a log that ends in a term which the record does not know, and term_history_begin() added only the new term: replicas with the same log counted as given up. Change: such a term is added with the end of the log as an upper bound of its start, as the first one is. Evidence: /term_history/term_without_a_record fails on (3.88 is not contained) and passes now, as do random and term_without_entries.

--- a/decision/term_history.c
+++ b/decision/term_history.c
@@ -15,6 +15,15 @@
 	return later == 0 || later == history->count || history->starts[later - 1].term == end.term;
 }
 
+static void
+append (struct term_history *history, struct term_start start)
+{
+	if (history->count == TERM_HISTORY_STARTS)
+		memmove (&history->starts[0], &history->starts[1],
+		         --history->count * sizeof history->starts[0]);
+	history->starts[history->count++] = start;
+}
+
 void
 term_history_begin (struct term_history *history, uint64_t term, struct log_position end)
 {
@@ -26,11 +35,9 @@
 	while (count < history->count && history->starts[count].term <= end.term &&
 	       history->starts[count].index < end.index)
 		count++;
-	/* Where the first term began is not known, but no later than here. */
-	if (count == 0)
-		history->starts[count++] = (struct term_start){ end.term, end.index };
-	if (count == TERM_HISTORY_STARTS)
-		memmove (&history->starts[0], &history->starts[1], --count * sizeof history->starts[0]);
-	history->starts[count] = (struct term_start){ term, end.index };
-	history->count = count + 1;
+	history->count = count;
+	/* Where the first term or one whose record was lost began is not known, but no later than here. */
+	if (count == 0 || history->starts[count - 1].term != end.term)
+		append (history, (struct term_start){ end.term, end.index });
+	append (history, (struct term_start){ term, end.index });
 }
--- a/tests/unit/term_history.c
+++ b/tests/unit/term_history.c
@@ -145,11 +145,29 @@
 	g_assert_true (term_history_contains (&history, (struct log_position){ 3, 1000 }));
 }
 
+/* Guards against logs that are taken for dead ones, since the promotion of the term that they end with is not known: its
+ * record was lost with a store that came back from an older copy. */
+static void
+test_term_without_a_record (void)
+{
+	struct term_history history = { 0 };
+
+	term_history_begin (&history, 2, (struct log_position){ 1, 50 });
+	/* The start of term 3 is not known. */
+	term_history_begin (&history, 4, (struct log_position){ 3, 88 });
+	g_assert_true (term_history_contains (&history, (struct log_position){ 3, 88 }));
+	g_assert_true (term_history_contains (&history, (struct log_position){ 3, 80 }));
+	g_assert_false (term_history_contains (&history, (struct log_position){ 3, 89 }));
+	g_assert_true (term_history_contains (&history, (struct log_position){ 1, 50 }));
+	g_assert_false (term_history_contains (&history, (struct log_position){ 1, 51 }));
+}
+
 int
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/term_history/random", test_random_promotions);
 	g_test_add_func ("/term_history/term_without_entries", test_term_without_entries);
+	g_test_add_func ("/term_history/term_without_a_record", test_term_without_a_record);
 	return g_test_run ();
 }
