gateway: a present primary is recorded after several claims

What callers would see: a service has no primary for good. Seen in the fleet in virtual time only. If it is the platform's present primary, the platform answers 200 and changes nothing. With other candidates, the VMs take the change over from each other every 5 s, before the 5 s of the confirmation have passed; without one, the claimant leaves the server out and claims again every 3.5 s, for good. Change: a server that still leads a term after the recorded one 2 s after the platform has accepted its promotion is recorded.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -33,6 +33,9 @@
 	CATCH_UP_US = 1200 * US_PER_MS,
 	/** The old primary may take this long to step down. */
 	DEMOTE_TIMEOUT_US = 250 * US_PER_MS,
+	/** A server that leads the same term as before for this long after the platform has accepted its promotion was the
+	 * present primary. Less than TAKEOVER_US, so that the next claimant does not begin anew. */
+	UNCHANGED_US = 2000 * US_PER_MS,
 	CONFIRM_TIMEOUT_US = 5000 * US_PER_MS,
 	/** A log with entries that were given up is used when no other has been found for this time. Crashed servers and
 	 * zones that were cut off were back in the directory after 15 s at most. */
@@ -519,10 +522,13 @@
                  int64_t now_us)
 {
 	const struct succession_server *target = find_server (input, succession->target);
+	/* The platform changes nothing if the target has been the present primary since an earlier claim. */
+	bool is_unchanged = target && target->status_us - succession->phase_us > UNCHANGED_US;
+	uint64_t old_term = is_unchanged ? succession->record.term : succession->old_term;
 
 	/* Reads of a replica that lagged do not see received entries until they are applied. */
 	if (target && target->has_status && target->status_us > succession->phase_us &&
-	    target->is_primary && target->term > succession->old_term &&
+	    target->is_primary && target->term > old_term &&
 	    target->applied.index >= target->received.index)
 	{
 		succession->new_term = target->term;
--- a/tests/unit/gateway_fleet_losses.c
+++ b/tests/unit/gateway_fleet_losses.c
@@ -47,6 +47,35 @@
 	}
 }
 
+/* Guards against a service that gets no primary for good: after several claims a server leads without a record, and the
+ * platform does not promote it anew. */
+static void
+test_present_primary_is_recorded (void)
+{
+	static const uint64_t token = 1ULL << 32 | 2;
+
+	for (uint64_t seed = 1; seed <= 10; seed++)
+	{
+		struct gateway_fleet fleet;
+		struct succession_record record;
+
+		gateway_fleet_init (&fleet, seed, 7, 1);
+		fleet_server_crash (&fleet, fleet_server_find (&fleet, "i-0-a1"), false);
+		fleet_server_crash (&fleet, fleet_server_find (&fleet, "i-0-c1"), false);
+		g_assert_cmpint (fleet_promote (&fleet, "s0", "i-0-b1", "front-x", token), ==, 0);
+		fleet_store_put (fleet.store, "flamingospring/lead/s0",
+		                 "primary=i-0-a1 claimant=front-x changing=1 planned=0 term=0 "
+		                 "change=4294967298 era=1 claims=2",
+		                 0);
+		gateway_fleet_run (&fleet, 60000);
+		g_assert_true (gateway_fleet_record (&fleet, 0, &record));
+		g_assert_false (record.is_changing);
+		g_assert_cmpuint (record.term, ==, 2);
+		g_assert_cmpstr (fleet.violations->str, ==, "");
+		gateway_fleet_finish (&fleet);
+	}
+}
+
 static void
 test_random_losses (void)
 {
@@ -64,6 +93,8 @@
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/gateway_fleet/cut_and_crash", test_cut_and_crash);
 	g_test_add_func ("/gateway_fleet/former_primary_is_demoted", test_former_primary_is_demoted);
+	g_test_add_func ("/gateway_fleet/present_primary_is_recorded",
+	                 test_present_primary_is_recorded);
 	g_test_add_func ("/gateway_fleet/random_losses", test_random_losses);
 	return g_test_run ();
 }
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -27,7 +27,8 @@
 	bool all_answer;                 /**< All VMs answer the claimant. */
 	enum succession_answers answers; /**< Used when not all VMs answer. */
 	bool is_demoted;
-	bool was_demoted; /**< Before the promotion. */
+	bool was_demoted;   /**< Before the promotion. */
+	const char *leader; /**< Present primary of the platform, whose promotion changes nothing. */
 };
 
 static void
@@ -126,7 +127,8 @@
 		g_strlcpy (fixture->promoted, target, sizeof fixture->promoted);
 		succession_handle_promote (&fixture->succession, 0, fixture->now_us);
 		for (size_t i = 0; i < G_N_ELEMENTS (fixture->servers); i++)
-			if (strcmp (fixture->servers[i].id, target) == 0)
+			if (strcmp (fixture->servers[i].id, target) == 0 &&
+			    g_strcmp0 (target, fixture->leader) != 0)
 			{
 				fixture->servers[i].is_primary = true;
 				fixture->servers[i].term =
@@ -721,6 +723,33 @@
 	g_assert_cmpuint (fixture.promotions, ==, 1);
 }
 
+/* Guards against a service without a primary for good: after several claims, the only server has been promoted without a
+ * record, and the platform does not promote it anew. */
+static void
+test_present_primary_after_several_claims (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.leader = "b";
+	fixture.stored.change = ++fixture.change;
+	fixture.stored.is_changing = true;
+	fixture.stored.claims = 2;
+	fixture.stored.term = 1;
+	g_strlcpy (fixture.stored.claimant, "vm2", sizeof fixture.stored.claimant);
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture.servers[0].is_unreachable = true;
+	fixture.servers[0].is_listed = false;
+	fixture.servers[1].is_primary = true;
+	fixture.servers[1].term = 2;
+	fixture.servers[2].is_unreachable = true;
+	fixture.servers[2].is_listed = false;
+	fixture_run (&fixture, 120000 * MS);
+	g_assert_false (fixture.stored.is_changing);
+	g_assert_cmpstr (fixture.stored.primary, ==, "b");
+	g_assert_cmpuint (fixture.stored.term, ==, 2);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -742,6 +771,7 @@
 	g_test_add_func ("/succession/takeover", test_unfinished_change_is_taken_over);
 	g_test_add_func ("/succession/executed", test_executed_promotion_is_recorded);
 	g_test_add_func ("/succession/two_promotions", test_two_promotions_without_a_record);
+	g_test_add_func ("/succession/present_primary", test_present_primary_after_several_claims);
 	g_test_add_func ("/succession/synchronous", test_synchronous_replicas);
 	g_test_add_func ("/succession/synchronous_left", test_synchronous_replica_has_left);
 	g_test_add_func ("/succession/planned", test_planned_change_catches_up);
