gateway: a connection whose caller has left is closed if its setup hangs

What callers saw: no read or write was served any more by the server's owner, nor through it: each was refused at its time limit (BUSY), until the process ended.

Cause: a caller left while SET, PREPARE or BEGIN was under way on a server connection, and the answer was lost. server_close_stuck() closed connections without a caller in all waiting states except this one. The connection stayed with an old request, so 0.45 s without another answer made the server count as unreachable; a server is not probed while a request is outstanding, so it stayed unreachable, and the owner refused all greetings of forwarding VMs.

Now every connection that waits for an answer without a session is closed after SERVER_PROBE_TIMEOUT_US. One with a session ends with the time limit of its request.

--- a/gateway/server.c
+++ b/gateway/server.c
@@ -360,10 +360,8 @@
 
 	for (struct connection *connection = server->connections; connection; connection = next)
 	{
-		bool is_internal = connection->state == CONNECTION_OPENING ||
-		                   connection->state == CONNECTION_ROLLING_BACK ||
-		                   connection->state == CONNECTION_PROBING ||
-		                   (connection->state == CONNECTION_RUNNING && !connection->session);
+		/* The time limit of a session's request ends the wait of a connection that has one. */
+		bool is_internal = connection->state != CONNECTION_IDLE && !connection->session;
 
 		next = connection->next;
 		if (!is_internal ||
--- a/tests/integration/gateway_promise.c
+++ b/tests/integration/gateway_promise.c
@@ -597,6 +597,68 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against a connection that stays for ever with a request whose caller has left: while the server answers nothing
+ * else, it then counts as unreachable and is not probed any more. */
+static void
+check_caller_leaves (int vm)
+{
+	static const char *const keys[] = { "-SET", "-PREPARE", "-BEGIN" };
+	struct fixture fixture;
+	char answer[ANSWER_BYTES] = "";
+	int64_t start_us;
+	char *prepare;
+	char *set;
+	int fd;
+
+	/* The gateway's own limits of silence. */
+	fixture_start (&fixture, 8, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+	{
+		fd = open_session (&fixture, vm, 60000, ANSWER_SLACK_MS);
+		/* New for each round, so that no connection has them already. */
+		set = g_strdup_printf ("QUERY s SET v0 x%zu", i);
+		prepare = g_strdup_printf ("QUERY p PREPARE p READ shape%zu", i);
+		execute_line (fd, set, answer);
+		execute_line (fd, prepare, answer);
+		g_free (set);
+		g_free (prepare);
+		execute_line (fd, "QUERY b BEGIN", answer);
+		fault_link_set (&fixture.server_link, keys[i], LINK_LOSE, 0);
+		send_line (fd, "QUERY e EXECUTE p 1");
+		for (int wait = 0; wait < 500 && fault_link_hits (&fixture.server_link) <= (int) i; wait++)
+			g_usleep (10000);
+		g_assert_cmpint (fault_link_hits (&fixture.server_link), ==, i + 1);
+		close (fd);
+		/* Nothing else is asked of the server, until the connections of the caller count as stuck. */
+		g_usleep (2500000);
+		start_us = clock_now_us ();
+		do
+		{
+			fd = open_session (&fixture, vm, 2000, ANSWER_SLACK_MS);
+			execute_line (fd, "QUERY r READ 1", answer);
+			close (fd);
+		} while (!strstr (answer, "COMPLETE mac") && clock_now_us () - start_us < 5 * US_PER_S);
+		if (strstr (answer, "COMPLETE mac"))
+			continue;
+		g_test_fail_printf ("no read is served after the answer to %s was lost: %s", keys[i],
+		                    answer);
+		break;
+	}
+	fixture_stop (&fixture);
+}
+
+static void
+test_caller_leaves (void)
+{
+	check_caller_leaves (OWNER);
+}
+
+static void
+test_caller_leaves_forwarder (void)
+{
+	check_caller_leaves (FORWARDER);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -605,5 +667,7 @@
 	g_test_add_func ("/gateway_promise/commit_above_five_seconds", test_commit_above_five_seconds);
 	g_test_add_func ("/gateway_promise/owner_time_limit", test_owner_time_limit);
 	g_test_add_func ("/gateway_promise/every_step", test_every_step);
+	g_test_add_func ("/gateway_promise/caller_leaves", test_caller_leaves);
+	g_test_add_func ("/gateway_promise/caller_leaves_forwarder", test_caller_leaves_forwarder);
 	return g_test_run ();
 }
