gateway: claims are spread when the wait of a planned change ends

What operators would see: at the end of the wait, when no replica has caught up, the VMs of up to 24 ranks write a claim in the same tick, for each service that leaves, against the store's 400 writes a second. Cause: the delay by rank counts from the beginning of the wait, and has passed by then. Evidence: /succession/planned_wait_spread fails without it (a VM of rank 4 claims at the end of the wait).

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/param.h>
 
 enum
 {
@@ -25,6 +26,8 @@
 	WAIT_INTERVAL_US = 200 * US_PER_MS,
 	/** VMs that ask meanwhile. The others claim the change only after its wait has ended. */
 	WAIT_RANKS = 3,
+	/** Well below the time that is left for the change. */
+	WAIT_SPREAD_US = 1000 * US_PER_MS,
 	SWAP_TIMEOUT_US = 1500 * US_PER_MS,
 	RECORD_RETRY_US = 50 * US_PER_MS, /**< Delay of a repeated swap that was refused. */
 	/** Servers that have not answered are left out of the choice after this time. */
@@ -237,7 +240,9 @@
 		succession->cause_us = now_us;
 	if (now_us - succession->cause_us < delay_us)
 		return SUCCESSION_NOTHING;
-	if (input->cause == SUCCESSION_LEAVING && now_us < input->planned_wait_end_us &&
+	/* The VMs also claim one after another when the wait ends. */
+	if (input->cause == SUCCESSION_LEAVING &&
+	    now_us < input->planned_wait_end_us + MIN (delay_us, WAIT_SPREAD_US) &&
 	    !has_successor_caught_up (succession, input))
 		return step_waiting (succession, input, now_us);
 	return begin_claim (succession, input->cause == SUCCESSION_LEAVING, now_us);
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -621,6 +621,24 @@
 	g_assert_cmpstr (fixture.promoted, ==, "b");
 }
 
+/* Guards against writes of all VMs at once for each service when the wait of a planned change ends. */
+static void
+test_claims_are_spread_after_the_wait (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.servers[0].is_draining = true;
+	fixture.input.cause = SUCCESSION_LEAVING;
+	fixture.input.planned_wait_end_us = fixture.now_us + 1500 * MS;
+	fixture.input.rank = 4;
+	fixture_run (&fixture, 2000 * MS);
+	g_assert_false (fixture.stored.is_changing);
+	g_assert_cmpuint (fixture.promotions, ==, 0);
+	fixture_run (&fixture, 1500 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "b");
+}
+
 /* Guards against a planned change to a replica that was cut off and is only beginning to receive the old primary's log:
  * 65 and 151 acknowledged commits were rolled back in the fleet in virtual time. */
 static void
@@ -777,6 +795,7 @@
 	g_test_add_func ("/succession/planned", test_planned_change_catches_up);
 	g_test_add_func ("/succession/planned_waits", test_planned_change_waits_for_a_replica);
 	g_test_add_func ("/succession/planned_wait_ends", test_planned_change_does_not_wait_for_ever);
+	g_test_add_func ("/succession/planned_wait_spread", test_claims_are_spread_after_the_wait);
 	g_test_add_func ("/succession/late_successor", test_late_successor_catches_up);
 	g_test_add_func ("/succession/applies_first", test_successor_applies_its_log_first);
 	g_test_add_func ("/succession/unread_records", test_no_record_before_the_first_read);
