--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -348,6 +348,40 @@
 	            "servers/a servers/z ");
 }
 
+/* Guards against taking the record of another service for the one that a swap was refused for. */
+static void
+test_refused_swap (void)
+{
+	static const struct
+	{
+		const char *answer;
+		const char *keys;
+		int error;
+	} rows[] = {
+		{ "412 {\"items\":[" GOOD ("kk") "," GOOD ("k") "]}", "k ", 0 },
+		{ "412 {\"items\":[" GOOD ("") "]}", "", 0 },
+		{ "412 {\"items\":[null]}", "", -EPROTO },
+		{ "412 {\"items\":[" ITEM ("k", ",\"revision\":-5,\"value\":\"eA==\"") "]}", "", -EPROTO },
+		{ "412 {\"items\":{}}", "", -EPROTO },
+		{ "412 {}", "", -EPROTO },
+		{ "200 {\"revision\":-5}", "", -EPROTO },
+		{ "200 {\"revision\":1e999}", "", -EPROTO },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+	{
+		struct fixture fixture;
+
+		fixture_start (&fixture, &rows[i].answer, 1);
+		fixture.platform.ops->swap (&fixture.platform, "k", 3, "v", 1, handle_answer, &fixture);
+		fixture_run (&fixture, 1);
+		g_assert_cmpint (fixture.last_error, ==, rows[i].error);
+		g_assert_cmpstr (fixture.keys->str, ==, rows[i].keys);
+		g_assert_false (fixture.succeeded);
+		fixture_stop (&fixture);
+	}
+}
+
 /* Guards against one item of another form that makes the list of servers unreadable, so that the machine no longer
  * follows it: the others hold. */
 static void
@@ -512,6 +546,7 @@
 	g_test_add_func ("/store/answers", test_answers);
 	g_test_add_func ("/store/pages", test_paging_and_compaction);
 	g_test_add_func ("/store/foreign_items", test_foreign_items);
+	g_test_add_func ("/store/refused_swap", test_refused_swap);
 	g_test_add_func ("/store/odd_items", test_odd_items);
 	g_test_add_func ("/store/incomplete_lists", test_incomplete_lists);
 	g_test_add_func ("/store/no_progress", test_no_progress);
