--- a/tests/virtual/gateway_fleet.c
+++ b/tests/virtual/gateway_fleet.c
@@ -322,7 +322,7 @@
 }
 
 void
-gateway_fleet_init (struct gateway_fleet *fleet, uint64_t seed, int vm_count, int service_count)
+gateway_fleet_prepare (struct gateway_fleet *fleet, uint64_t seed, int vm_count, int service_count)
 {
 	struct virtual_link link = { .delay_us = 300, .jitter_us = 900 };
 	int server_count = service_count * FLEET_SERVERS;
@@ -361,6 +361,12 @@
 		                  (struct virtual_handler){ handle_start, fleet }, &i, sizeof i);
 	}
 	handle_step (fleet, NULL);
+}
+
+void
+gateway_fleet_init (struct gateway_fleet *fleet, uint64_t seed, int vm_count, int service_count)
+{
+	gateway_fleet_prepare (fleet, seed, vm_count, service_count);
 	virtual_run (&fleet->world, fleet->settled_us);
 }
 
--- a/tests/virtual/gateway_fleet.h
+++ b/tests/virtual/gateway_fleet.h
@@ -159,6 +159,9 @@
 /** Starts all VMs and runs until they are settled. @param vm_count at least 3. */
 void gateway_fleet_init (struct gateway_fleet *fleet, uint64_t seed, int vm_count,
                          int service_count);
+/** Prepares a fleet whose VMs start as the world runs. */
+void gateway_fleet_prepare (struct gateway_fleet *fleet, uint64_t seed, int vm_count,
+                            int service_count);
 void gateway_fleet_finish (struct gateway_fleet *fleet);
 
 /** Schedules @p count faults. */
--- a/tests/virtual/gateway_fleet_calls.c
+++ b/tests/virtual/gateway_fleet_calls.c
@@ -1,6 +1,7 @@
 /* Calls of the store and of the promotion service, with the network between. */
 #include "gateway_fleet_store.h"
 
+#include "platform/documents.h"
 #include "platform/store.h"
 
 #include <errno.h>
@@ -17,6 +18,7 @@
 	CALL_CONNECT_RESEND_US = 1000 * US_PER_MS,
 	CALL_LATE_US = 4 * US_PER_S, /* Longest delay of a call that is executed late. */
 	CALL_PREFIXES = 2,           /* Watches of a VM. */
+	CALL_PAGE_ITEMS = 500,
 };
 
 enum call_type
@@ -40,6 +42,9 @@
 	char *holder;
 	platform_handle_answer *handle;
 	void *data;
+	char *last_key;       /* Last key of the page before; NULL: the first page. */
+	bool has_more;        /* Another page follows. */
+	int64_t list_sent_us; /* When the first page was requested. */
 	int64_t sent_us;
 	int64_t timeout_us;
 	int64_t wait_us;
@@ -130,7 +135,7 @@
 	answer.error = error;
 	answer.pairs = (const struct platform_pair *) call->pairs->data;
 	answer.count = error < 0 ? 0 : call->pairs->len;
-	answer.request_sent_us = call->sent_us;
+	answer.request_sent_us = call->type == CALL_RANGE ? call->list_sent_us : call->sent_us;
 	if (error < 0)
 		answer.revision = 0;
 	fleet->vms[call->vm].has_failed_call = error == -ETIMEDOUT || error == -ECONNRESET;
@@ -151,10 +156,12 @@
 
 	if (!is_current (fleet, event))
 		return;
-	if (fleet_reaches (fleet, event->call->vm, fleet->store_node))
-		call_complete (event->call, event->call->answer.error);
-	else
+	if (!fleet_reaches (fleet, event->call->vm, fleet->store_node))
 		call_schedule (event->call, event->call->vm, CALL_RESEND_US, 0, handle_answer);
+	else if (event->call->has_more && event->call->answer.error == 0)
+		call_send (event->call);
+	else
+		call_complete (event->call, event->call->answer.error);
 }
 
 static void
@@ -172,8 +179,12 @@
 	const struct fleet_store *store = gateway_fleet->store;
 
 	call->answer.error = error;
-	call->answer.revision = store_revision (store);
-	call->answer.era = store->era;
+	/* A list is as of its first page. */
+	if (!call->last_key)
+	{
+		call->answer.revision = store_revision (store);
+		call->answer.era = store->era;
+	}
 	call_schedule (call, call->vm, CALL_WAY_US, 0, handle_answer);
 }
 
@@ -241,15 +252,37 @@
 	g_array_append_val (call->pairs, pair);
 }
 
-static gboolean
-visit_item (void *key, void *value, void *data)
+/** Collects the next page of a list. @return 0, or -ESTALE when the store was restored since the first one. */
+static int
+collect_page (const struct fleet_store *store, struct call *call)
 {
-	struct call *call = data;
-	const struct store_item *item = value;
+	GTreeNode *node = call->last_key ? g_tree_upper_bound (store->items, call->last_key)
+	                                 : g_tree_lower_bound (store->items, call->key);
+	const char *last_key = NULL;
 
-	if (g_str_has_prefix (key, call->key) && item->revision > call->revision)
-		add_pair (call, key, item->value, item->revision);
-	return FALSE;
+	if (call->last_key && call->answer.era != store->era)
+		return -ESTALE;
+	call->has_more = false;
+	for (int count = 0; node && g_str_has_prefix (g_tree_node_key (node), call->key); count++)
+	{
+		const struct store_item *item = g_tree_node_value (node);
+
+		call->has_more = count == CALL_PAGE_ITEMS;
+		if (call->has_more)
+			break;
+		last_key = g_tree_node_key (node);
+		if (item->revision > call->revision)
+			add_pair (call, last_key, item->value, item->revision);
+		node = g_tree_node_next (node);
+	}
+	if (!call->last_key)
+	{
+		call->answer.revision = store_revision (store);
+		call->answer.era = store->era;
+	}
+	g_free (call->last_key);
+	call->last_key = g_strdup (last_key ? last_key : call->key);
+	return 0;
 }
 
 /** Collects the events of a watch. @return whether there are any. */
@@ -283,6 +316,25 @@
 	}
 }
 
+/** Counts a call. @return whether it is within the store's limit. */
+static bool
+rate_allows (struct store_rate *rate)
+{
+	int64_t second = clock_now_us () / US_PER_S;
+	bool is_allowed;
+
+	if (rate->second != second)
+		rate->allowed = rate->calls = 0;
+	rate->second = second;
+	rate->total++;
+	rate->calls++;
+	rate->peak = MAX (rate->peak, rate->calls);
+	is_allowed = rate->limit == 0 || rate->allowed < rate->limit;
+	rate->allowed += is_allowed;
+	rate->refused += !is_allowed;
+	return is_allowed;
+}
+
 static void
 execute_swap (struct fleet_store *store, struct call *call)
 {
@@ -313,6 +365,7 @@
 	struct fleet_store *store = fleet->store;
 	const struct call_event *event = payload;
 	struct call *call = event->call;
+	int error = 0;
 
 	if (call->serial != event->serial || (call->type == CALL_PROMOTE && !is_current (fleet, event)))
 		return;
@@ -324,10 +377,18 @@
 	}
 	if (store->state != FLEET_STORE_UP)
 		return;
+	if (!rate_allows (call->type == CALL_SWAP ? &store->writes : &store->reads))
+	{
+		call_answer (call, -EAGAIN);
+		return;
+	}
 	if (call->type == CALL_SWAP)
 		execute_swap (store, call);
 	else if (call->type == CALL_RANGE)
-		g_tree_foreach (store->items, visit_item, call);
+	{
+		error = collect_page (store, call);
+		store->directory_pages += g_str_has_prefix (call->key, documents_server_prefix);
+	}
 	else if (call->revision > store_revision (store))
 	{
 		call_answer (call, -ESTALE);
@@ -340,7 +401,7 @@
 		return;
 	}
 	if ((uint32_t) fleet_random (fleet, 1000) >= store->loss_per_mille)
-		call_answer (call, 0);
+		call_answer (call, error);
 }
 
 /* struct platform_ops. */
@@ -352,6 +413,7 @@
 	struct call *call = call_new (platform, CALL_RANGE, prefix, min_revision, handle, data);
 
 	call->timeout_us = CALL_TIMEOUT_US;
+	call->list_sent_us = clock_now_us ();
 	call_send (call);
 	return 0;
 }
@@ -474,6 +536,7 @@
 		next = call->next;
 		g_array_free (call->pairs, TRUE);
 		g_free (call->key);
+		g_free (call->last_key);
 		g_free (call->value);
 		g_free (call->holder);
 		g_free (call);
--- a/tests/virtual/gateway_fleet_store.h
+++ b/tests/virtual/gateway_fleet_store.h
@@ -24,6 +24,18 @@
 	struct store_item *old;
 };
 
+/** Calls of one kind. */
+struct store_rate
+{
+	uint32_t limit; /**< Calls a second, beyond which they are refused; 0: none. */
+	int64_t second; /**< The second to which the counts belong. */
+	uint32_t allowed;
+	uint32_t calls;
+	uint32_t peak; /**< Most calls in a second. */
+	uint64_t total;
+	uint64_t refused;
+};
+
 struct store_calls;
 
 struct fleet_store
@@ -34,6 +46,9 @@
 	GArray *changes; /**< Array of struct store_change; one for each revision after the first. */
 	uint64_t era;
 	uint32_t loss_per_mille;
+	struct store_rate reads; /**< Pages of lists, and requests of watches. */
+	struct store_rate writes;
+	uint64_t directory_pages; /**< Of the directory of servers; refused ones are not counted. */
 	struct store_calls *calls;
 };
 
