gateway: a server that loses one answer is probed while the request waits

What callers saw: on a server without other traffic, one lost answer made all other requests be refused at their time limit (BUSY), for as long as the caller of the lost one waited: its timeoutMs, of up to any length.

Cause: 0.45 s without an answer while a request is outstanding makes a server count as unreachable. A server was probed only while no request was outstanding, so neither was it probed before, nor afterwards.

Now a server that owes an answer and has given none for 0.3 s is probed, one probe at a time. It counts as unreachable only if that is not answered either, and is reachable again as soon as one is.

Since such a probe also keeps a server reachable in gateway_promise's caller_leaves, that test now also checks that the connection is closed.

--- a/gateway/server.c
+++ b/gateway/server.c
@@ -415,8 +415,10 @@
 void
 server_tick (struct server *server, int64_t now_us)
 {
+	int64_t direct_us;
 	bool is_waiting;
 	bool is_quiet;
+	bool is_silent;
 
 	server_close_stuck (server, now_us);
 	server_close_surplus (server, now_us);
@@ -424,14 +426,16 @@
 		return;
 	server_check_timeouts (server, now_us);
 	server_retry_relay (server, now_us);
-	is_waiting =
-		server_oldest_request_us (server, false) > 0 || server_oldest_request_us (server, true) > 0;
+	direct_us = server_oldest_request_us (server, false);
+	is_waiting = direct_us > 0 || server_oldest_request_us (server, true) > 0;
+	/* One answer may be lost and its request wait for long; a probe shows whether the server answers others. */
+	is_silent = direct_us > 0 && now_us - MAX (direct_us, server->answered_us) > SERVER_PROBE_US;
 	/* A primary without traffic is probed by its owner only, on behalf of all VMs. */
 	is_quiet = server->service->primary == server && !server_uses_relay (server) &&
 	           now_us - server->answered_us > SERVER_PROBE_US && !is_waiting;
 	if (server->status_requested || server->demote_term > 0 || is_quiet)
 		server_probe (server, false, now_us);
-	else if (server->failed_us > 0 && !is_waiting)
+	else if (server->probing_count == 0 && (is_silent || (server->failed_us > 0 && !is_waiting)))
 		server_probe (server, true, now_us);
 	else if (server->connection_count == 0 && server_can_open (server, now_us))
 		server_open (server, now_us);
--- a/tests/integration/gateway_promise.c
+++ b/tests/integration/gateway_promise.c
@@ -631,6 +631,8 @@
 		close (fd);
 		/* Nothing else is asked of the server, until the connections of the caller count as stuck. */
 		g_usleep (2500000);
+		if (fault_link_muted (&fixture.server_link) > 0)
+			g_test_fail_printf ("the connection on which the answer to %s was lost stays", keys[i]);
 		start_us = clock_now_us ();
 		do
 		{
@@ -659,6 +661,51 @@
 	check_caller_leaves (FORWARDER);
 }
 
+/* Guards against a lost answer that makes a server unreachable for as long as its caller waits: it is quiet otherwise,
+ * and was not probed while a request was outstanding. */
+static void
+check_lost_answer_on_quiet_server (int vm)
+{
+	struct fixture fixture;
+	char answer[ANSWER_BYTES] = "";
+	int64_t start_us;
+	int waiting;
+	int fd;
+
+	/* The gateway's own limits of silence. */
+	fixture_start (&fixture, 8, 0);
+	waiting = open_session (&fixture, vm, 60000, ANSWER_SLACK_MS);
+	fault_link_set (&fixture.server_link, "lost", LINK_LOSE, 0);
+	send_line (waiting, "QUERY lost READ 1");
+	for (int wait = 0; wait < 500 && fault_link_hits (&fixture.server_link) == 0; wait++)
+		g_usleep (10000);
+	g_assert_cmpint (fault_link_hits (&fixture.server_link), ==, 1);
+	g_usleep (1500000);
+	start_us = clock_now_us ();
+	do
+	{
+		fd = open_session (&fixture, vm, 2000, ANSWER_SLACK_MS);
+		execute_line (fd, "QUERY r READ 1", answer);
+		close (fd);
+	} while (!strstr (answer, "COMPLETE mac") && clock_now_us () - start_us < 5 * US_PER_S);
+	if (!strstr (answer, "COMPLETE mac"))
+		g_test_fail_printf ("no read is served while another one waits: %s", answer);
+	close (waiting);
+	fixture_stop (&fixture);
+}
+
+static void
+test_lost_answer_on_quiet_server (void)
+{
+	check_lost_answer_on_quiet_server (OWNER);
+}
+
+static void
+test_lost_answer_on_quiet_server_forwarder (void)
+{
+	check_lost_answer_on_quiet_server (FORWARDER);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -669,5 +716,8 @@
 	g_test_add_func ("/gateway_promise/every_step", test_every_step);
 	g_test_add_func ("/gateway_promise/caller_leaves", test_caller_leaves);
 	g_test_add_func ("/gateway_promise/caller_leaves_forwarder", test_caller_leaves_forwarder);
+	g_test_add_func ("/gateway_promise/quiet_server", test_lost_answer_on_quiet_server);
+	g_test_add_func ("/gateway_promise/quiet_server_forwarder",
+	                 test_lost_answer_on_quiet_server_forwarder);
 	return g_test_run ();
 }
--- a/tests/support/fault_link.c
+++ b/tests/support/fault_link.c
@@ -227,6 +227,18 @@
 		close (target);
 }
 
+static void
+count_muted (struct fault_link *link, const struct pair *pairs)
+{
+	int muted = 0;
+
+	for (int i = 0; i < LINK_MAX_PAIRS; i++)
+		muted += pairs[i].fds[0] >= 0 && pairs[i].is_mute;
+	g_mutex_lock (&link->mutex);
+	link->muted = muted;
+	g_mutex_unlock (&link->mutex);
+}
+
 static void *
 fault_link_main (void *data)
 {
@@ -248,6 +260,7 @@
 		for (int i = 0; i < LINK_MAX_PAIRS; i++)
 			if (pairs[i].fds[0] >= 0)
 				pair_flush (&pairs[i], clock_now_us ());
+		count_muted (link, pairs);
 		if (polls[2 * LINK_MAX_PAIRS].revents)
 			accept_pair (link, pairs);
 	}
@@ -306,3 +319,14 @@
 	g_mutex_unlock (&link->mutex);
 	return hits;
 }
+
+int
+fault_link_muted (struct fault_link *link)
+{
+	int muted;
+
+	g_mutex_lock (&link->mutex);
+	muted = link->muted;
+	g_mutex_unlock (&link->mutex);
+	return muted;
+}
--- a/tests/support/fault_link.h
+++ b/tests/support/fault_link.h
@@ -27,7 +27,8 @@
 	GThread *thread;
 	GMutex mutex; /**< Guards the fields below. */
 	GHashTable *faults;
-	int hits; /**< Faults that have happened. */
+	int hits;  /**< Faults that have happened. */
+	int muted; /**< Open connections on which an answer was dropped. */
 	int is_stopped;
 	int listener;
 };
@@ -42,3 +43,4 @@
  */
 void fault_link_set (struct fault_link *link, const char *key, enum link_fault fault, int delay_ms);
 int fault_link_hits (struct fault_link *link);
+int fault_link_muted (struct fault_link *link);
