gateway: a connect that fails at once is handled from the loop

Callers could see a VM crash or use freed memory after a server's entry moved to an address to which a connect fails at once, such as 240.0.0.1 (-101) or 255.255.255.255 (-22).

Cause: connection_open() reported such a failure to its caller, which called server_handle_failed() in the middle of a pass of the queue. relay_close_all() then closed the forwarded sessions that waited for the server, and with them the entry of the queue that dispatch_once() had kept as its next. A connect to an owner that failed at once was also counted as a failure of the server.

line_stream_connect() now reports every failure through handle_closed(), from the loop, so that there is one way on which a connect fails, and a pass of the queue closes no session.

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -325,12 +325,11 @@
 	.handle_closed = handle_closed,
 };
 
-struct connection *
+void
 connection_open (struct server *server, const struct server_owner *owner, int64_t now_us)
 {
 	struct gateway_traffic *traffic = server->service->traffic;
 	struct connection *connection = g_new0 (struct connection, 1);
-	int result;
 
 	connection->server = server;
 	connection->state = CONNECTION_CLOSED;
@@ -340,20 +339,16 @@
 	connection->sent_us = now_us;
 	connection->is_relayed = owner != NULL;
 	connection->relay_ip = owner ? owner->ip : 0;
-	result = line_stream_connect (
-		&connection->stream, &traffic->loop, &connection_ops, owner ? owner->ip : server->ip,
-		owner ? owner->port : server->port, traffic->settings.ip, WIRE_MAX_MESSAGE_BYTES);
-	if (result < 0)
-	{
-		log_event (LOG_LEVEL_WARN, "connect_failed", "server=%s error=%d", server->id, result);
-		connection_free (connection);
-		return NULL;
-	}
+	line_stream_connect (&connection->stream, &traffic->loop, &connection_ops,
+	                     owner ? owner->ip : server->ip, owner ? owner->port : server->port,
+	                     traffic->settings.ip, WIRE_MAX_MESSAGE_BYTES);
+	if (connection->stream.connect_error < 0)
+		log_event (LOG_LEVEL_WARN, "connect_failed", "server=%s relayed=%d error=%d", server->id,
+		           connection->is_relayed, connection->stream.connect_error);
 	connection_set_state (connection, CONNECTION_OPENING);
 	connection->next = server->connections;
 	server->connections = connection;
 	server->connection_count++;
-	return connection;
 }
 
 void
--- a/gateway/line_stream.c
+++ b/gateway/line_stream.c
@@ -28,14 +28,22 @@
 }
 
 static void
-stream_close (struct line_stream *stream, int error)
+stream_close_socket (struct line_stream *stream)
 {
-	if (stream->is_closed)
-		return;
+	loop_cancel_timer (stream->loop, &stream->failure);
 	loop_remove_source (stream->loop, &stream->source);
-	close (stream->source.fd);
+	if (stream->source.fd >= 0)
+		close (stream->source.fd);
 	stream->source.fd = -1;
 	stream->is_closed = true;
+}
+
+static void
+stream_close (struct line_stream *stream, int error)
+{
+	if (stream->is_closed)
+		return;
+	stream_close_socket (stream);
 	stream->ops->handle_closed (stream, error);
 }
 
@@ -95,6 +103,15 @@
 		stream_close (stream, -EMSGSIZE);
 }
 
+static void
+handle_connect_failure (struct loop_timer *timer, int64_t now_us)
+{
+	struct line_stream *stream = timer->data;
+
+	(void) now_us;
+	stream_close (stream, stream->connect_error);
+}
+
 static void
 handle_ready (struct loop_source *source, uint32_t epoll_events)
 {
@@ -124,12 +141,10 @@
 		stream_read (stream);
 }
 
-static int
+static void
 stream_prepare (struct line_stream *stream, struct loop *loop, const struct line_stream_ops *ops,
-                int fd, size_t max_line_bytes, uint32_t events)
+                int fd, size_t max_line_bytes)
 {
-	int result;
-
 	memset (stream, 0, sizeof *stream);
 	stream->ops = ops;
 	stream->loop = loop;
@@ -137,64 +152,63 @@
 	stream->source.fd = fd;
 	stream->source.data = stream;
 	stream->source.handle_ready = handle_ready;
-	stream_set_options (fd);
-	result = loop_set_source (loop, &stream->source, events);
-	if (result < 0)
-	{
-		close (fd);
-		stream->is_closed = true;
-		return result;
-	}
+	stream->failure.data = stream;
+	stream->failure.handle_timer = handle_connect_failure;
 	stream->in = g_string_new (NULL);
 	stream->out = g_string_new (NULL);
-	return 0;
 }
 
 int
 line_stream_init (struct line_stream *stream, struct loop *loop, const struct line_stream_ops *ops,
                   int fd, size_t max_line_bytes)
 {
-	return stream_prepare (stream, loop, ops, fd, max_line_bytes, EPOLLIN);
+	int result;
+
+	stream_prepare (stream, loop, ops, fd, max_line_bytes);
+	stream_set_options (fd);
+	result = loop_set_source (loop, &stream->source, EPOLLIN);
+	if (result < 0)
+		line_stream_finish (stream);
+	return result;
 }
 
-int
-line_stream_connect (struct line_stream *stream, struct loop *loop,
-                     const struct line_stream_ops *ops, uint32_t ip, uint16_t port,
-                     uint32_t source_ip, size_t max_line_bytes)
+/** Starts to connect. @return 0 or a negative error number. */
+static int
+stream_begin_connect (struct line_stream *stream, uint32_t ip, uint16_t port, uint32_t source_ip)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (source_ip) };
 	int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	int result;
 
-	stream->is_closed = true;
 	if (fd < 0)
 		return -errno;
+	stream->source.fd = fd;
 	if (source_ip && bind (fd, (struct sockaddr *) &address, sizeof address) < 0)
-		goto fail;
+		return -errno;
 	address.sin_addr.s_addr = htonl (ip);
 	address.sin_port = htons (port);
 	if (connect (fd, (struct sockaddr *) &address, sizeof address) < 0 && errno != EINPROGRESS)
-		goto fail;
-	result = stream_prepare (stream, loop, ops, fd, max_line_bytes, EPOLLIN | EPOLLOUT);
-	stream->is_connecting = result == 0;
-	return result;
+		return -errno;
+	stream_set_options (fd);
+	return loop_set_source (stream->loop, &stream->source, EPOLLIN | EPOLLOUT);
+}
 
-fail:
-	result = -errno;
-	close (fd);
-	return result;
+void
+line_stream_connect (struct line_stream *stream, struct loop *loop,
+                     const struct line_stream_ops *ops, uint32_t ip, uint16_t port,
+                     uint32_t source_ip, size_t max_line_bytes)
+{
+	stream_prepare (stream, loop, ops, -1, max_line_bytes);
+	stream->is_connecting = true;
+	stream->connect_error = stream_begin_connect (stream, ip, port, source_ip);
+	if (stream->connect_error < 0)
+		loop_set_timer (loop, &stream->failure, 0);
 }
 
 void
 line_stream_finish (struct line_stream *stream)
 {
 	if (!stream->is_closed)
-	{
-		loop_remove_source (stream->loop, &stream->source);
-		close (stream->source.fd);
-		stream->source.fd = -1;
-		stream->is_closed = true;
-	}
+		stream_close_socket (stream);
 	if (stream->in)
 		g_string_free (stream->in, TRUE);
 	if (stream->out)
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -299,11 +299,7 @@
 	if (!uses_relay && !is_direct && !may_connect_directly (server, now_us))
 		return;
 	if (uses_relay || (now_us >= server->next_connect_us && now_us >= server->next_growth_us))
-	{
-		if (!connection_open (server, connection_target (server, uses_relay), now_us) &&
-		    !uses_relay)
-			server_handle_failed (server, now_us);
-	}
+		connection_open (server, connection_target (server, uses_relay), now_us);
 }
 
 void
@@ -339,16 +335,14 @@
 void
 server_open_direct (struct server *server, int64_t now_us)
 {
-	if (server->is_listed && can_open_direct (server, now_us) &&
-	    !connection_open (server, NULL, now_us))
-		server_handle_failed (server, now_us);
+	if (server->is_listed && can_open_direct (server, now_us))
+		connection_open (server, NULL, now_us);
 }
 
 void
 server_open (struct server *server, int64_t now_us)
 {
-	if (!connection_open (server, connection_target (server, server_uses_relay (server)), now_us))
-		server_handle_failed (server, now_us);
+	connection_open (server, connection_target (server, server_uses_relay (server)), now_us);
 }
 
 /** Closes connections that wait too long for an answer that takes little time. */
--- a/include/gateway/line_stream.h
+++ b/include/gateway/line_stream.h
@@ -33,24 +33,26 @@
 	GString *out;
 	size_t in_start; /**< Offset of the first undelivered byte of @c in. */
 	size_t max_line_bytes;
+	struct loop_timer failure; /**< Reports a connect that failed at once. */
+	int connect_error;
 	bool is_connecting;
 	bool is_closed;
 	bool is_paused;   /**< Lines stay in the buffer. */
 	bool is_handling; /**< handle_line() is running. */
 };
 
-/** Takes ownership of an accepted socket. @return 0 or a negative error number. */
+/** Takes ownership of an accepted socket, which is closed on errors. @return 0 or a negative error number. */
 int line_stream_init (struct line_stream *stream, struct loop *loop,
                       const struct line_stream_ops *ops, int fd, size_t max_line_bytes);
 
 /**
- * Connects to an IPv4 address (host byte order).
+ * Connects to an IPv4 address (host byte order). Every failure is reported through handle_closed(), from the loop, also
+ * one that is known at once: the caller may be in the middle of a list that handle_closed() changes.
  * @param source_ip local address in host byte order; 0: any.
- * @return 0 or a negative error number.
  */
-int line_stream_connect (struct line_stream *stream, struct loop *loop,
-                         const struct line_stream_ops *ops, uint32_t ip, uint16_t port,
-                         uint32_t source_ip, size_t max_line_bytes);
+void line_stream_connect (struct line_stream *stream, struct loop *loop,
+                          const struct line_stream_ops *ops, uint32_t ip, uint16_t port,
+                          uint32_t source_ip, size_t max_line_bytes);
 
 /** Closes without callbacks and frees the buffers. */
 void line_stream_finish (struct line_stream *stream);
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -383,9 +383,11 @@
 void server_retry_relay (struct server *server, int64_t now_us);
 
 /* connection.c */
-/** Opens a connection to an owner, or to the server itself (@p owner NULL). */
-struct connection *connection_open (struct server *server, const struct server_owner *owner,
-                                    int64_t now_us);
+/**
+ * Opens a connection to an owner, or to the server itself (@p owner NULL). A failure is handled from the loop, never
+ * before this returns.
+ */
+void connection_open (struct server *server, const struct server_owner *owner, int64_t now_us);
 void connection_set_state (struct connection *connection, enum connection_state state);
 /** Closes the connection without notifying its session. */
 void connection_close (struct connection *connection);
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -42,6 +42,7 @@
 	bool is_changing;
 	bool is_planned;
 	bool omits_servers;
+	uint32_t server_ip;
 	bool is_isolated;
 	bool is_out_of_rotation;
 	int quiesced;
@@ -124,7 +125,7 @@
 			.id = g_strdup (fixture->databases[i].id),
 			.service = g_strdup ("s"),
 			.zone = g_strdup ("a"),
-			.ip = INADDR_LOOPBACK,
+			.ip = fixture->server_ip,
 			.port = fixture->databases[i].port,
 			.slots = 2,
 		};
@@ -177,6 +178,7 @@
 	fake_database_start (&fixture->databases[1], "db1", false);
 	fixture->vm_count = vm_count;
 	fixture->kind = kind;
+	fixture->server_ip = INADDR_LOOPBACK;
 	fixture->max_connections = 8;
 	fixture->target_latency_ms = 1000;
 	fixture->change = 10;
@@ -801,6 +803,58 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against the use of a freed queue entry: a server whose address changes to one that can't be connected to fails
+ * within the pass of the queue, which closes the other forwarded sessions that wait for it (seen in review). */
+static void
+check_connect_fails_at_once (uint32_t ip)
+{
+	enum
+	{
+		SESSIONS = 8,
+	};
+	struct fixture fixture;
+	int fds[SESSIONS];
+
+	fixture_start (&fixture, 1, ROUTE_PRIMARY);
+	fixture.databases[0].read_delay_ms = 300;
+	send_long_lived_views (&fixture);
+	close (open_session (&fixture, 0));
+	for (int i = 0; i < SESSIONS; i++)
+	{
+		char *read = g_strdup_printf ("QUERY f%d RANK 0 10000 0 READ 1", i);
+
+		fds[i] = connect_port (fixture.relay_ports[0]);
+		g_assert_cmpstr (execute_line (fds[i], "START s vm9 db0"), ==, "READY I -\r\n");
+		send_line (fds[i], read);
+		g_free (read);
+	}
+	g_assert_nonnull (fake_database_find (&fixture.databases[0], "f0"));
+	fixture.server_ip = ip;
+	send_long_lived_views (&fixture);
+	/* The forwarding VM retries at another server. */
+	for (int i = 0; i < SESSIONS; i++)
+	{
+		g_assert_null (strstr (read_answer (fds[i]), "ERROR"));
+		close (fds[i]);
+	}
+	fixture.server_ip = INADDR_LOOPBACK;
+	send_long_lived_views (&fixture);
+	close (open_session (&fixture, 0));
+	fixture_stop (&fixture);
+}
+
+static void
+test_connect_fails_at_once (void)
+{
+	enum
+	{
+		RESERVED_IP = 0xf0000001u, /* 240.0.0.1 */
+	};
+
+	check_connect_fails_at_once (RESERVED_IP);
+	check_connect_fails_at_once (INADDR_BROADCAST);
+}
+
 /* Guards against idle sessions that stay at an isolated VM: they stayed for 2.2 s, and permanently when they were
  * opened late (runs with cut-off zones). The VM must close them as soon as the load balancer has taken it out of
  * rotation, and not before. */
@@ -876,6 +930,7 @@
 	g_test_add_func ("/gateway/owner_positions", test_owner_answers_without_position);
 	g_test_add_func ("/gateway/lapsed_entry", test_server_entry_expires_in_forwarded_transaction);
 	g_test_add_func ("/gateway/forwarded_after_lapse", test_forwarded_after_entry_lapsed);
+	g_test_add_func ("/gateway/connect_fails_at_once", test_connect_fails_at_once);
 	g_test_add_func ("/gateway/cut_off", test_isolated_vm_closes_idle_sessions);
 	g_test_add_func ("/gateway/malformed", test_malformed);
 	return g_test_run ();
--- a/tests/unit/gateway_server.c
+++ b/tests/unit/gateway_server.c
@@ -111,7 +111,8 @@
 	int64_t now_us = clock_now_us ();
 
 	fixture_init (&fixture);
-	g_assert_nonnull (connection_open (fixture.server, &fixture.server->owners[0], now_us));
+	connection_open (fixture.server, &fixture.server->owners[0], now_us);
+	g_assert_cmpuint (fixture.server->connection_count, ==, 1);
 	fixture.server->relay_answered_us = now_us + 900 * US_PER_MS;
 	server_tick (fixture.server, now_us + 1050 * US_PER_MS);
 	g_assert_true (server_uses_relay (fixture.server));
