--- a/tests/unit/gateway_server.c
+++ b/tests/unit/gateway_server.c
@@ -152,7 +152,8 @@
 	entry.port = fixture.port;
 	server_update (fixture.server, &entry);
 	fixture.server->owners[0] = (struct server_owner){ .is_self = true };
-	connection = connection_open (fixture.server, NULL, now_us);
+	connection_open (fixture.server, NULL, now_us);
+	connection = fixture.server->connections;
 	g_assert_nonnull (connection);
 	connection_set_state (connection, CONNECTION_IDLE);
 	connection->idle_us = now_us;
