--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -162,6 +162,19 @@
 	fixture->input.cause = SUCCESSION_FAILED;
 }
 
+/** Server b led term 2 from @p start on, as recorded, and is gone; a missed that. */
+static void
+fixture_lose_successor (struct fixture *fixture, struct log_position start)
+{
+	fixture->stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
+	term_history_begin (&fixture->stored.terms, 2, start);
+	fixture->change = 11;
+	succession_set_record (&fixture->succession, &fixture->stored, fixture->now_us);
+	fixture->servers[1].is_unreachable = true;
+	fixture->servers[1].is_listed = false;
+	fixture->input.cause = SUCCESSION_FAILED;
+}
+
 static void
 test_most_advanced_replica (void)
 {
@@ -334,14 +347,8 @@
 	struct fixture fixture;
 
 	fixture_init (&fixture);
-	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
-	term_history_begin (&fixture.stored.terms, 2, (struct log_position){ 1, 100 });
-	fixture.change = 11;
-	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture_lose_successor (&fixture, (struct log_position){ 1, 100 });
 	fixture.servers[0].received = (struct log_position){ 1, 108 };
-	fixture.servers[1].is_unreachable = true;
-	fixture.servers[1].is_listed = false;
-	fixture.input.cause = SUCCESSION_FAILED;
 	fixture_run (&fixture, 2000 * MS);
 	g_assert_cmpstr (fixture.promoted, ==, "c");
 }
@@ -353,16 +360,10 @@
 	struct fixture fixture;
 
 	fixture_init (&fixture);
-	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
-	term_history_begin (&fixture.stored.terms, 2, (struct log_position){ 1, 100 });
-	fixture.change = 11;
-	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture_lose_successor (&fixture, (struct log_position){ 1, 100 });
 	fixture.servers[0].is_primary = false;
 	fixture.servers[0].term = 2;
 	fixture.servers[0].received = (struct log_position){ 1, 108 };
-	fixture.servers[1].is_unreachable = true;
-	fixture.servers[1].is_listed = false;
-	fixture.input.cause = SUCCESSION_FAILED;
 	fixture_run (&fixture, 2000 * MS);
 	g_assert_cmpstr (fixture.promoted, ==, "c");
 }
@@ -375,13 +376,7 @@
 	struct fixture fixture;
 
 	fixture_init (&fixture);
-	fixture.stored = (struct succession_record){ .primary = "b", .change = 11, .term = 2 };
-	term_history_begin (&fixture.stored.terms, 2, (struct log_position){ 1, 90 });
-	fixture.change = 11;
-	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
-	fixture.servers[1].is_unreachable = true;
-	fixture.servers[1].is_listed = false;
-	fixture.input.cause = SUCCESSION_FAILED;
+	fixture_lose_successor (&fixture, (struct log_position){ 1, 90 });
 	fixture_run (&fixture, 15000 * MS);
 	g_assert_cmpuint (fixture.promotions, ==, 0);
 	fixture_run (&fixture, 25000 * MS);
