json: half of a surrogate pair is refused before it is parsed

json-glib fails at an escape such as "\ud800" without its second half, and leaks the string that it was reading. Every text from outside is parsed after json_check(), which let it pass: documents and lists of the store, bodies of callers. A caller that sends it again and again makes the process grow until it ends.

Found by /store/odd_keys: its run in build-sanitize reports 13 tests OK and ends with exit status 1 (LeakSanitizer: g_string_sized_new called by json-glib; 9 of 9 runs).

Test /json_text/surrogates on the code before:

json_text.c:97:test_surrogates: 'json_check (halves[i], strlen (halves[i]), &json_document_limits)' should not be NULL

It passes now in build and build-sanitize, and /store/odd_keys ends with exit status 0 there.

--- a/common/json_text.c
+++ b/common/json_text.c
@@ -81,31 +81,54 @@
 		scan_fail (scan, "number with too many digits: send it as a string");
 }
 
-/** Scans an escape sequence from its backslash on. */
+/** Reads the code of an escape \\uXXXX. @return -1 when there is none at @p at. */
+static int
+escape_code (const char *at, const char *end)
+{
+	int code = 0;
+
+	if (end - at < 6 || at[0] != '\\' || at[1] != 'u')
+		return -1;
+	for (unsigned i = 2; i < 6; i++)
+	{
+		if (!g_ascii_isxdigit (at[i]))
+			return -1;
+		code = code << 4 | g_ascii_xdigit_value (at[i]);
+	}
+	return code;
+}
+
+static bool
+is_high_surrogate (int code)
+{
+	return code >= 0xd800 && code < 0xdc00;
+}
+
+static bool
+is_low_surrogate (int code)
+{
+	return code >= 0xdc00 && code < 0xe000;
+}
+
+/** Scans an escape sequence from its backslash on. json-glib leaks memory at half of a surrogate pair. */
 static void
 scan_escape (struct json_scan *scan)
 {
-	unsigned code = 0;
+	int code = escape_code (scan->at, scan->end);
+	bool is_pair =
+		is_high_surrogate (code) && is_low_surrogate (escape_code (scan->at + 6, scan->end));
 
-	scan->at++;
-	if (scan->at == scan->end || !strchr ("\"\\/bfnrtu", *scan->at))
-	{
+	if (scan->at + 1 == scan->end || !strchr ("\"\\/bfnrtu", scan->at[1]) ||
+	    (scan->at[1] == 'u' && code < 0))
 		scan_fail (scan, "malformed escape in the body");
-		return;
-	}
-	if (*scan->at++ != 'u')
-		return;
-	for (unsigned i = 0; i < 4; i++, scan->at++)
-	{
-		if (scan->at >= scan->end || !g_ascii_isxdigit (*scan->at))
-		{
-			scan_fail (scan, "malformed escape in the body");
-			return;
-		}
-		code = code << 4 | (unsigned) g_ascii_xdigit_value (*scan->at);
-	}
-	if (code == 0)
+	else if (code == 0)
 		scan_fail (scan, "\\u0000 in the body");
+	else if (!is_pair && (is_high_surrogate (code) || is_low_surrogate (code)))
+		scan_fail (scan, "half of a surrogate pair in the body");
+	else if (is_pair)
+		scan->at += 12;
+	else
+		scan->at += code < 0 ? 2 : 6;
 }
 
 static void
@@ -213,35 +236,6 @@
 	return scan.problem;
 }
 
-/** Reads the code of an escape \\uXXXX. @return -1 when there is none at @p at. */
-static int
-escape_code (const char *at, const char *end)
-{
-	int code = 0;
-
-	if (end - at < 6 || at[0] != '\\' || at[1] != 'u')
-		return -1;
-	for (unsigned i = 2; i < 6; i++)
-	{
-		if (!g_ascii_isxdigit (at[i]))
-			return -1;
-		code = code << 4 | g_ascii_xdigit_value (at[i]);
-	}
-	return code;
-}
-
-static bool
-is_high_surrogate (int code)
-{
-	return code >= 0xd800 && code < 0xdc00;
-}
-
-static bool
-is_low_surrogate (int code)
-{
-	return code >= 0xdc00 && code < 0xe000;
-}
-
 char *
 json_repair (const char *text, size_t length)
 {
--- a/tests/unit/json_text.c
+++ b/tests/unit/json_text.c
@@ -72,6 +72,36 @@
 	}
 }
 
+/* Guards against half of a surrogate pair, at which json-glib fails and leaks what it had read of the string. */
+static void
+test_surrogates (void)
+{
+	static const char *const halves[] = {
+		"{\"a\":\"\\ud800\"}",
+		"{\"a\":\"\\udbffx\"}",
+		"{\"a\":\"\\udc00\"}",
+		"{\"a\":\"\\ud800\\u0041\"}",
+		"{\"a\":\"\\ud800\\ud800\\udc00\"}",
+		"{\"\\udc00\\ud800\":1}",
+		"{\"a\":\"\\ud800\\n\"}",
+		"\"\\ud800",
+	};
+	static const char pair[] = "{\"a\":\"x\\ud83d\\ude00\\u0041\\\\ud800\"}";
+	JsonParser *parser = json_parser_new ();
+	JsonObject *object;
+
+	for (size_t i = 0; i < G_N_ELEMENTS (halves); i++)
+	{
+		g_test_message ("%s", halves[i]);
+		g_assert_null (json_load_object (parser, halves[i], strlen (halves[i])));
+		g_assert_nonnull (json_check (halves[i], strlen (halves[i]), &json_document_limits));
+	}
+	object = json_load_object (parser, pair, strlen (pair));
+	g_assert_nonnull (object);
+	g_assert_cmpstr (json_object_get_string_member (object, "a"), ==, "x\U0001f600A\\ud800");
+	g_object_unref (parser);
+}
+
 /* Guards against a deep document that makes json-glib's recursion overflow the stack. */
 static void
 test_deep_document (void)
@@ -90,6 +120,7 @@
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/json_text/two_values", test_two_values);
 	g_test_add_func ("/json_text/documents", test_documents);
+	g_test_add_func ("/json_text/surrogates", test_surrogates);
 	g_test_add_func ("/json_text/deep", test_deep_document);
 	return g_test_run ();
 }
