gateway: a commit that is not confirmed in time is answered in doubt

Callers got no answer at all, long after the time limit of their statement, to a commit that the server had answered while the VM's authority had lapsed: session_tick() left a held commit alone until the primary record was confirmed or replaced.

At its deadline it is now answered as in doubt, which is what is known of it then.

--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -14,6 +14,13 @@
 	bool is_commit = request->statement.kind == STATEMENT_COMMIT && session->has_written;
 	enum answer_code code = ANSWER_OVERLOADED;
 
+	if (request->is_commit_held)
+	{
+		session->service->held_commits = g_list_remove (session->service->held_commits, session);
+		session_fail (session, ANSWER_IN_DOUBT,
+		              "the commit was not confirmed within the time limit");
+		return;
+	}
 	if (is_running && in_transaction)
 		code = is_commit ? ANSWER_IN_DOUBT : ANSWER_ROLLED_BACK;
 	else if (is_running)
@@ -157,8 +164,7 @@
 	struct request *request = &session->request;
 	const struct view *view = session->traffic->view;
 
-	if (request->is_active && now_us > request->deadline_us - ANSWER_MARGIN_US &&
-	    !request->is_commit_held)
+	if (request->is_active && now_us > request->deadline_us - ANSWER_MARGIN_US)
 		session_time_out (session);
 	else if (request->is_active && session->connection && !request->is_sent &&
 	         session->connection->state == CONNECTION_IDLE && now_us >= request->retry_us)
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -421,25 +421,31 @@
 traffic_main (void *data)
 {
 	struct gateway_traffic *traffic = data;
-	int result;
+	int result = loop_run (&traffic->loop);
 
-	loop_set_source (&traffic->loop, &traffic->listener, EPOLLIN);
-	loop_set_source (&traffic->loop, &traffic->relay_listener, EPOLLIN);
-	loop_set_timer (&traffic->loop, &traffic->tick, clock_now_us () + TRAFFIC_TICK_US);
-	result = loop_run (&traffic->loop);
 	if (result < 0)
 		log_event (LOG_LEVEL_ERROR, "traffic_failed", "error=%d", result);
 	return NULL;
 }
 
+void
+gateway_traffic_prepare (struct gateway_traffic *traffic,
+                         const struct gateway_traffic_events *events, void *data)
+{
+	traffic->events = events;
+	traffic->events_data = data;
+	loop_set_source (&traffic->loop, &traffic->listener, EPOLLIN);
+	loop_set_source (&traffic->loop, &traffic->relay_listener, EPOLLIN);
+	loop_set_timer (&traffic->loop, &traffic->tick, clock_now_us () + TRAFFIC_TICK_US);
+}
+
 int
 gateway_traffic_start (struct gateway_traffic *traffic, const struct gateway_traffic_events *events,
                        void *data)
 {
 	int result;
 
-	traffic->events = events;
-	traffic->events_data = data;
+	gateway_traffic_prepare (traffic, events, data);
 	result = pthread_create (&traffic->thread, NULL, traffic_main, traffic);
 	traffic->has_thread = result == 0;
 	return -result;
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -239,6 +239,9 @@
 };
 
 /* traffic.c */
+/** Prepares the loop for a thread, or for a test that runs the loop itself. */
+void gateway_traffic_prepare (struct gateway_traffic *traffic,
+                              const struct gateway_traffic_events *events, void *data);
 /** Whether this VM may use primaries: its records were current less than SUCCESSION_AUTHORITY_MS ago, and a change of
  * primary waits that long for VMs that do not answer. */
 bool gateway_traffic_has_authority (const struct gateway_traffic *traffic, int64_t now_us);
