gateway: a pass of the queue runs once a turn of the loop

service_dispatch() ran passes until no one asked for another one, inside whatever callback had asked first. A pair that was offered and refused for ever, as with an entry that had lapsed, kept the thread in there, and a pass could run in the middle of a walk over sessions or connections.

service_dispatch() now only requests a pass, which a timer runs at the end of the loop's turn. Each pass offers each request at most once, and between two passes the loop reads its sockets, its messages and its timers. The queue is also passed once for all events of a turn instead of once for each, in the order of priority.

What this does to the worth of a site was not measured.

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -401,12 +401,12 @@
 	if (server->is_draining && server->service->primary != server)
 	{
 		connection_close (connection);
-		service_dispatch (server->service, now_us);
+		service_dispatch (server->service);
 		return;
 	}
 	if (server->status_requested || server->demote_term > 0)
 		connection_request_status (connection, now_us);
-	service_dispatch (server->service, now_us);
+	service_dispatch (server->service);
 }
 
 void
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -245,6 +245,7 @@
 	return choose_for_read (service, session, now_us);
 }
 
+/** Offers each request of the queue once. Connections are closed from the loop only, so no entry but the present one goes. */
 static void
 dispatch_once (struct service *service, int64_t now_us)
 {
@@ -268,18 +269,19 @@
 }
 
 void
-service_dispatch (struct service *service, int64_t now_us)
+service_dispatch (struct service *service)
 {
-	service->dispatch_again = true;
-	if (service->is_dispatching)
+	service->needs_dispatch = true;
+	loop_set_timer (&service->traffic->loop, &service->traffic->dispatch, 0);
+}
+
+void
+service_run_dispatch (struct service *service, int64_t now_us)
+{
+	if (!service->needs_dispatch)
 		return;
-	service->is_dispatching = true;
-	while (service->dispatch_again)
-	{
-		service->dispatch_again = false;
-		dispatch_once (service, now_us);
-	}
-	service->is_dispatching = false;
+	service->needs_dispatch = false;
+	dispatch_once (service, now_us);
 }
 
 /**
@@ -388,7 +390,7 @@
 		service->held_commits = g_list_delete_link (service->held_commits, link);
 		session_release_commit (session, true);
 	}
-	service_dispatch (service, now_us);
+	service_dispatch (service);
 }
 
 void
@@ -410,5 +412,5 @@
 		server_request_sample (service->primary, now_us);
 	for (guint i = 0; i < service->servers->len; i++)
 		server_tick (service->servers->pdata[i], now_us);
-	service_dispatch (service, now_us);
+	service_dispatch (service);
 }
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -233,7 +233,7 @@
 {
 	session->service->last_used_us = now_us;
 	service_enqueue (session->service, session);
-	service_dispatch (session->service, now_us);
+	service_dispatch (session->service);
 }
 
 /** Starts a request with a copy of the message, whose members point into the receive buffer. */
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -195,7 +195,7 @@
 	apply_records_valid (traffic, view->records_valid_us, now_us);
 	g_hash_table_iter_init (&iter, traffic->services);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
-		service_dispatch (value, now_us);
+		service_dispatch (value);
 }
 
 static void
@@ -356,6 +356,18 @@
 		traffic->events->handle_leave_complete (traffic->events_data);
 }
 
+static void
+handle_dispatch (struct loop_timer *timer, int64_t now_us)
+{
+	struct gateway_traffic *traffic = timer->data;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, traffic->services);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		service_run_dispatch (value, now_us);
+}
+
 static void
 reap (struct gateway_traffic *traffic)
 {
@@ -385,6 +397,8 @@
 	g_queue_init (&traffic->sessions);
 	traffic->tick.handle_timer = handle_tick;
 	traffic->tick.data = traffic;
+	traffic->dispatch.handle_timer = handle_dispatch;
+	traffic->dispatch.data = traffic;
 	traffic->reap.handle_timer = handle_reap;
 	traffic->reap.data = traffic;
 	traffic->listener.fd = -1;
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -140,9 +140,8 @@
 	int64_t valid_before_change_us;
 	struct position_history history;
 	int64_t last_used_us; /**< Last time that a caller of this or another VM used it. */
-	bool is_dispatching;
-	bool dispatch_again; /**< service_dispatch() was called again while it was running. */
-	GQueue waiting;      /**< Queue of struct session, by priority and time of arrival. */
+	bool needs_dispatch;  /**< The queue is passed at the end of the loop's turn. */
+	GQueue waiting;       /**< Queue of struct session, by priority and time of arrival. */
 	/** Sessions whose commit waits for a confirmation of the primary record. */
 	GList *held_commits;
 };
@@ -220,6 +219,7 @@
 	struct loop_source listener;
 	struct loop_source relay_listener;
 	struct loop_timer tick;
+	struct loop_timer dispatch; /**< Passes the queues that changed in this turn of the loop. */
 	struct loop_timer reap;
 	GQueue sessions;       /**< Queue of struct session. */
 	GSList *dead_sessions; /**< Closed sessions, freed later since their callbacks may still run. */
@@ -320,7 +320,11 @@
 void service_free (struct service *service);
 void service_enqueue (struct service *service, struct session *session);
 void service_remove (struct service *service, struct session *session);
-void service_dispatch (struct service *service, int64_t now_us);
+/** Requests a pass of the queue, which offers each request at most once. It runs at the end of the loop's turn, never
+ * inside a callback, so that a pass that leads to another one keeps nothing else from its turn. */
+void service_dispatch (struct service *service);
+/** Runs the pass that was requested, if any. */
+void service_run_dispatch (struct service *service, int64_t now_us);
 void service_apply_record (struct service *service, const struct primary_record *primary_record,
                            int64_t now_us);
 void service_tick (struct service *service, int64_t now_us);
