gateway: readiness says whether the thread that serves still turns

The traffic thread records when it last turned and its longest turn. Readiness answers 503 once it has not turned for 1 s (TRAFFIC_TURN_LIMIT_US), with traffic_stuck in the log; a turn above 250 ms is logged as traffic_slow, and the metrics traffic_turn_age_seconds and traffic_turn_longest_seconds name both.

The answer of /readiness itself is not tested with a hung thread.

--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -154,13 +154,22 @@
 	enum
 	{
 		UNREADY_ANSWERS_LIMIT = 2,
+		/* The traffic thread turns every 20 ms; longer than a stall of a VM with a quarter of a core, and as long as the
+		 * time between two probes. */
+		TRAFFIC_TURN_LIMIT_US = 1 * US_PER_S,
 	};
 	struct controller *controller = data;
+	struct gateway_traffic_turns turns = gateway_traffic_get_turns (controller->traffic);
+	bool serves = clock_now_us () - turns.turned_us < TRAFFIC_TURN_LIMIT_US;
 	bool is_ready = controller->configuration && controller->has_directory &&
 	                controller->records_valid_us > 0 && !controller->is_leaving &&
-	                !controller->is_isolated;
+	                !controller->is_isolated && serves;
 
 	(void) body;
+	if (!serves)
+		log_event (LOG_LEVEL_ERROR, "traffic_stuck", "turn_ms=%lld longest_ms=%lld",
+		           (long long) (clock_now_us () - turns.turned_us) / US_PER_MS,
+		           (long long) turns.longest_us / US_PER_MS);
 	controller->unready_answers = is_ready ? 0 : controller->unready_answers + 1;
 	if (controller->unready_answers == UNREADY_ANSWERS_LIMIT)
 	{
--- a/gateway/controller_metrics.c
+++ b/gateway/controller_metrics.c
@@ -20,6 +20,8 @@
 static void
 append_state (GString *body, const struct controller *controller, int64_t now_us)
 {
+	struct gateway_traffic_turns turns = gateway_traffic_get_turns (controller->traffic);
+
 	append_gauge (body, "knowledge_age_seconds", "age of what is known of the primaries",
 	              age_s (controller->records_valid_us, now_us));
 	append_gauge (body, "members_age_seconds", "age of the list of VMs",
@@ -33,6 +35,10 @@
 	append_gauge (body, "records_unconfirmed", "records that the store does not hold as of its era",
 	              controller->unconfirmed);
 	append_gauge (body, "isolated", "1 while callers are sent elsewhere", controller->is_isolated);
+	append_gauge (body, "traffic_turn_age_seconds", "since the last turn of the thread that serves",
+	              age_s (turns.turned_us, now_us));
+	append_gauge (body, "traffic_turn_longest_seconds", "longest turn of the thread that serves",
+	              (double) turns.longest_us / US_PER_S);
 	append_gauge (body, "following", "1 while the zone's poller tells of changes",
 	              controller->is_following);
 }
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -5,6 +5,7 @@
 #include "decision/succession.h"
 #include "gateway/traffic_metrics.h"
 
+#include <ck_pr.h>
 #include <errno.h>
 #include <pthread.h>
 #include <string.h>
@@ -15,6 +16,8 @@
 {
 	/* Interval of checks of time limits and retries, which bounds the delay that they add. */
 	TRAFFIC_TICK_US = 20 * US_PER_MS,
+	/* A turn that takes longer is logged. A VM with a quarter of a core may be stalled for 100 ms without a fault. */
+	TRAFFIC_LONG_TURN_US = 250 * US_PER_MS,
 	TRAFFIC_ACCEPT_BURST = 64,
 	TRAFFIC_MANY_SHAPES = 10000, /* Number at which a warning is logged. */
 };
@@ -335,6 +338,30 @@
 	}
 }
 
+struct gateway_traffic_turns
+gateway_traffic_get_turns (const struct gateway_traffic *traffic)
+{
+	return (struct gateway_traffic_turns){
+		.turned_us = (int64_t) ck_pr_load_64 ((const uint64_t *) &traffic->turns.turned_us),
+		.longest_us = (int64_t) ck_pr_load_64 ((const uint64_t *) &traffic->turns.longest_us),
+	};
+}
+
+static void
+record_turn (struct gateway_traffic *traffic, int64_t now_us)
+{
+	int64_t turned_us = traffic->turns.turned_us;
+	int64_t turn_us = turned_us > 0 ? now_us - turned_us : 0;
+
+	ck_pr_store_64 ((uint64_t *) &traffic->turns.turned_us, (uint64_t) now_us);
+	if (turn_us > traffic->turns.longest_us)
+		ck_pr_store_64 ((uint64_t *) &traffic->turns.longest_us, (uint64_t) turn_us);
+	if (turn_us > TRAFFIC_LONG_TURN_US)
+		log_event (LOG_LEVEL_WARN, "traffic_slow", "turn_ms=%lld longest_ms=%lld",
+		           (long long) turn_us / US_PER_MS,
+		           (long long) traffic->turns.longest_us / US_PER_MS);
+}
+
 static void
 handle_tick (struct loop_timer *timer, int64_t now_us)
 {
@@ -343,6 +370,7 @@
 	gpointer value;
 	GList *next;
 
+	record_turn (traffic, now_us);
 	loop_set_timer (&traffic->loop, timer, now_us + TRAFFIC_TICK_US);
 	for (GList *link = traffic->sessions.head; link; link = next)
 	{
--- a/include/gateway/traffic.h
+++ b/include/gateway/traffic.h
@@ -44,6 +44,14 @@
 
 /* The calls below are safe from any thread. */
 
+/** What is known of the turns of the thread's loop. */
+struct gateway_traffic_turns
+{
+	int64_t turned_us;  /**< When it last began a turn; 0: never. */
+	int64_t longest_us; /**< Longest time from turn to turn since the start. */
+};
+struct gateway_traffic_turns gateway_traffic_get_turns (const struct gateway_traffic *traffic);
+
 /** Replaces the view; takes ownership of @p view. */
 void gateway_traffic_send_view (struct gateway_traffic *traffic, struct view *view);
 
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -230,6 +230,7 @@
 	struct view *view;
 	/** Latest time at which the records of the view are known to have been current. */
 	int64_t records_valid_us;
+	struct gateway_traffic_turns turns; /**< Written by the traffic thread, read by others. */
 	bool is_leaving;
 	int64_t leaving_us;
 	/** Since when this VM has been isolated and out of rotation; 0: it is not. */
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -855,6 +855,39 @@
 	check_connect_fails_at_once (INADDR_BROADCAST);
 }
 
+static void
+handle_stall (struct mailbox_message *message, void *receiver)
+{
+	(void) receiver;
+	g_usleep (600000);
+	g_free (message);
+}
+
+/* Guards against a readiness that says nothing about the thread that serves: a hung VM went on getting callers. */
+static void
+test_turns (void)
+{
+	struct fixture fixture;
+	struct mailbox_message *message = g_new0 (struct mailbox_message, 1);
+	int64_t sent_us;
+
+	fixture_start (&fixture, 1, ROUTE_PRIMARY);
+	while (gateway_traffic_get_turns (fixture.vms[0]).turned_us == 0)
+		g_usleep (1000);
+	message->handle_message = handle_stall;
+	sent_us = clock_now_us ();
+	mailbox_send (&fixture.vms[0]->mailbox, message);
+	g_usleep (500000);
+	/* The turn in which the message is read may have begun before it was sent. */
+	g_assert_cmpint (gateway_traffic_get_turns (fixture.vms[0]).turned_us, <,
+	                 sent_us + 100 * US_PER_MS);
+	while (gateway_traffic_get_turns (fixture.vms[0]).turned_us < sent_us + 600 * US_PER_MS)
+		g_usleep (1000);
+	g_usleep (50000);
+	g_assert_cmpint (gateway_traffic_get_turns (fixture.vms[0]).longest_us, >=, 500 * US_PER_MS);
+	fixture_stop (&fixture);
+}
+
 /* Guards against idle sessions that stay at an isolated VM: they stayed for 2.2 s, and permanently when they were
  * opened late (runs with cut-off zones). The VM must close them as soon as the load balancer has taken it out of
  * rotation, and not before. */
@@ -931,6 +964,7 @@
 	g_test_add_func ("/gateway/lapsed_entry", test_server_entry_expires_in_forwarded_transaction);
 	g_test_add_func ("/gateway/forwarded_after_lapse", test_forwarded_after_entry_lapsed);
 	g_test_add_func ("/gateway/connect_fails_at_once", test_connect_fails_at_once);
+	g_test_add_func ("/gateway/turns", test_turns);
 	g_test_add_func ("/gateway/cut_off", test_isolated_vm_closes_idle_sessions);
 	g_test_add_func ("/gateway/malformed", test_malformed);
 	return g_test_run ();
--- a/tests/virtual/gateway_fleet_traffic.c
+++ b/tests/virtual/gateway_fleet_traffic.c
@@ -36,6 +36,13 @@
 	return traffic;
 }
 
+struct gateway_traffic_turns
+gateway_traffic_get_turns (const struct gateway_traffic *traffic)
+{
+	(void) traffic;
+	return (struct gateway_traffic_turns){ .turned_us = clock_now_us () };
+}
+
 void
 gateway_traffic_free (struct gateway_traffic *traffic)
 {
