--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -401,7 +401,7 @@
 		connection_request_status (connection, now_us);
 	else if (server->is_draining && server->service->primary != server)
 		connection_close (connection);
-	service_dispatch (server->service, now_us);
+	service_dispatch (server->service);
 }
 
 void
--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -12,6 +12,13 @@
 	enum delivery_outcome outcome = delivery_judge (request->delivery, session_effect (session));
 	enum answer_code code = ANSWER_OVERLOADED;
 
+	if (request->is_commit_held)
+	{
+		session->service->held_commits = g_list_remove (session->service->held_commits, session);
+		session_fail (session, ANSWER_IN_DOUBT,
+		              "the commit was not confirmed within the time limit");
+		return;
+	}
 	if (outcome == OUTCOME_IN_DOUBT)
 		code = ANSWER_IN_DOUBT;
 	else if (outcome == OUTCOME_ROLLED_BACK)
@@ -157,8 +164,7 @@
 	struct request *request = &session->request;
 	const struct view *view = session->traffic->view;
 
-	bool is_over = request->is_active && !request->is_commit_held &&
-	               now_us > request->deadline_us - ANSWER_MARGIN_US;
+	bool is_over = request->is_active && now_us > request->deadline_us - ANSWER_MARGIN_US;
 
 	if (is_over && session->is_relay)
 		relay_time_out (session);
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -5,6 +5,7 @@
 #include "decision/succession.h"
 #include "gateway/traffic_metrics.h"
 
+#include <ck_pr.h>
 #include <errno.h>
 #include <pthread.h>
 #include <string.h>
@@ -15,6 +16,8 @@
 {
 	/* Interval of checks of time limits and retries, which bounds the delay that they add. */
 	TRAFFIC_TICK_US = 20 * US_PER_MS,
+	/* A turn that takes longer is logged. A VM with a quarter of a core may be stalled for 100 ms without a fault. */
+	TRAFFIC_LONG_TURN_US = 250 * US_PER_MS,
 	TRAFFIC_ACCEPT_BURST = 64,
 	TRAFFIC_MANY_SHAPES = 10000, /* Number at which a warning is logged. */
 };
@@ -195,7 +198,7 @@
 	apply_records_valid (traffic, view->records_valid_us, now_us);
 	g_hash_table_iter_init (&iter, traffic->services);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
-		service_dispatch (value, now_us);
+		service_dispatch (value);
 }
 
 static void
@@ -335,6 +338,30 @@
 	}
 }
 
+struct gateway_traffic_turns
+gateway_traffic_get_turns (const struct gateway_traffic *traffic)
+{
+	return (struct gateway_traffic_turns){
+		.turned_us = (int64_t) ck_pr_load_64 ((const uint64_t *) &traffic->turns.turned_us),
+		.longest_us = (int64_t) ck_pr_load_64 ((const uint64_t *) &traffic->turns.longest_us),
+	};
+}
+
+static void
+record_turn (struct gateway_traffic *traffic, int64_t now_us)
+{
+	int64_t turned_us = traffic->turns.turned_us;
+	int64_t turn_us = turned_us > 0 ? now_us - turned_us : 0;
+
+	ck_pr_store_64 ((uint64_t *) &traffic->turns.turned_us, (uint64_t) now_us);
+	if (turn_us > traffic->turns.longest_us)
+		ck_pr_store_64 ((uint64_t *) &traffic->turns.longest_us, (uint64_t) turn_us);
+	if (turn_us > TRAFFIC_LONG_TURN_US)
+		log_event (LOG_LEVEL_WARN, "traffic_slow", "turn_ms=%lld longest_ms=%lld",
+		           (long long) turn_us / US_PER_MS,
+		           (long long) traffic->turns.longest_us / US_PER_MS);
+}
+
 static void
 handle_tick (struct loop_timer *timer, int64_t now_us)
 {
@@ -343,6 +370,7 @@
 	gpointer value;
 	GList *next;
 
+	record_turn (traffic, now_us);
 	loop_set_timer (&traffic->loop, timer, now_us + TRAFFIC_TICK_US);
 	for (GList *link = traffic->sessions.head; link; link = next)
 	{
@@ -356,6 +384,18 @@
 		traffic->events->handle_leave_complete (traffic->events_data);
 }
 
+static void
+handle_dispatch (struct loop_timer *timer, int64_t now_us)
+{
+	struct gateway_traffic *traffic = timer->data;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, traffic->services);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		service_run_dispatch (value, now_us);
+}
+
 static void
 reap (struct gateway_traffic *traffic)
 {
@@ -385,6 +425,8 @@
 	g_queue_init (&traffic->sessions);
 	traffic->tick.handle_timer = handle_tick;
 	traffic->tick.data = traffic;
+	traffic->dispatch.handle_timer = handle_dispatch;
+	traffic->dispatch.data = traffic;
 	traffic->reap.handle_timer = handle_reap;
 	traffic->reap.data = traffic;
 	traffic->listener.fd = -1;
@@ -421,25 +463,31 @@
 traffic_main (void *data)
 {
 	struct gateway_traffic *traffic = data;
-	int result;
+	int result = loop_run (&traffic->loop);
 
-	loop_set_source (&traffic->loop, &traffic->listener, EPOLLIN);
-	loop_set_source (&traffic->loop, &traffic->relay_listener, EPOLLIN);
-	loop_set_timer (&traffic->loop, &traffic->tick, clock_now_us () + TRAFFIC_TICK_US);
-	result = loop_run (&traffic->loop);
 	if (result < 0)
 		log_event (LOG_LEVEL_ERROR, "traffic_failed", "error=%d", result);
 	return NULL;
 }
 
+void
+gateway_traffic_prepare (struct gateway_traffic *traffic,
+                         const struct gateway_traffic_events *events, void *data)
+{
+	traffic->events = events;
+	traffic->events_data = data;
+	loop_set_source (&traffic->loop, &traffic->listener, EPOLLIN);
+	loop_set_source (&traffic->loop, &traffic->relay_listener, EPOLLIN);
+	loop_set_timer (&traffic->loop, &traffic->tick, clock_now_us () + TRAFFIC_TICK_US);
+}
+
 int
 gateway_traffic_start (struct gateway_traffic *traffic, const struct gateway_traffic_events *events,
                        void *data)
 {
 	int result;
 
-	traffic->events = events;
-	traffic->events_data = data;
+	gateway_traffic_prepare (traffic, events, data);
 	result = pthread_create (&traffic->thread, NULL, traffic_main, traffic);
 	traffic->has_thread = result == 0;
 	return -result;
