gateway: SIGTERM ends the process within its grace period

A VM whose serving thread hung did not end after SIGTERM, and one with sessions or statements that last longer than the grace period was left for SIGKILL: the process ended only once the traffic thread had reported that all sessions were gone.

At SIGTERM the main thread now sets a timer of the kernel to 0.25 s before the end of the grace period (GATEWAY_EXIT_MARGIN_MS). Its handler ends the process with code 1 and a line on standard error, in whichever thread it runs, and also while another thread holds the lock of the log or the clean-up waits for a thread.

New test /command_line/gateway_grace, with a session that lasts longer than a grace period of 1 s. Not run in build-sanitize, and not with a thread that spins.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "common/clock.h"
 #include "common/findings.h"
 #include "common/log.h"
 #include "common/loop.h"
@@ -12,6 +13,7 @@
 #include <stdio.h>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 enum
@@ -19,6 +21,9 @@
 	/* File descriptors for the store, other VMs, servers and the program itself. */
 	GATEWAY_RESERVED_DESCRIPTORS = 700,
 	GATEWAY_MIN_SESSIONS = 64,
+	/* The process ends by itself this long before the platform would kill it, since a busy VM may be stalled for 100 ms. */
+	GATEWAY_EXIT_MARGIN_MS = 250,
+	GATEWAY_MIN_GRACE_MS = 100,
 	GATEWAY_METRICS_PORT = 9464, /* Usual port of exporters of the Prometheus text format. */
 };
 
@@ -27,8 +32,37 @@
 	struct loop loop;
 	struct loop_source signals;
 	struct controller *controller;
+	uint32_t grace_ms;
 };
 
+/* Safe in a signal handler, also while another thread holds the lock of the log. */
+static void
+handle_overdue (int number)
+{
+	static const char message[] = "the time for the shutdown is over\n";
+	ssize_t written = write (STDERR_FILENO, message, sizeof message - 1);
+
+	(void) number;
+	(void) written;
+	_exit (EXIT_CODE_FAILED);
+}
+
+/** Ends the process before the grace period is over, whatever its threads do. Further calls change nothing. */
+static void
+limit_shutdown (struct gateway *gateway)
+{
+	int64_t limit_us =
+		(int64_t) MAX (gateway->grace_ms - (int64_t) GATEWAY_EXIT_MARGIN_MS, GATEWAY_MIN_GRACE_MS) *
+		US_PER_MS;
+	struct itimerval limit = { .it_value = { limit_us / US_PER_S, limit_us % US_PER_S } };
+
+	if (gateway->grace_ms == 0)
+		return;
+	gateway->grace_ms = 0;
+	signal (SIGALRM, handle_overdue);
+	setitimer (ITIMER_REAL, &limit, NULL);
+}
+
 static void
 handle_signal (struct loop_source *source, uint32_t epoll_events)
 {
@@ -37,6 +71,8 @@
 
 	while (read (source->fd, &info, sizeof info) == (ssize_t) sizeof info)
 	{
+		if (info.ssi_signo != SIGHUP)
+			limit_shutdown (gateway);
 		log_event (LOG_LEVEL_INFO, "signal", "number=%u", info.ssi_signo);
 		if (info.ssi_signo != SIGHUP)
 			controller_leave (gateway->controller);
@@ -81,7 +117,7 @@
 static int
 gateway_serve (const struct boot_settings *boot, uint16_t metrics_port)
 {
-	struct gateway gateway = { .signals.fd = -1 };
+	struct gateway gateway = { .signals.fd = -1, .grace_ms = boot->grace_ms };
 	struct gateway_traffic_settings settings = {
 		.vm = boot->vm,
 		.zone = boot->zone,
--- a/tests/integration/command_line.c
+++ b/tests/integration/command_line.c
@@ -383,6 +383,68 @@
 	proxy_stop (&proxy);
 }
 
+/* Guards against a gateway that outlives its grace period: it waited for its sessions to end, however long that took, so
+ * that SIGTERM did not end a VM whose serving thread hung. */
+static void
+test_gateway_grace (void)
+{
+	enum
+	{
+		GRACE_MS = 1000, /* Less than the time after which idle sessions are closed, 2200 ms. */
+		SLACK_MS =
+			500, /* The processes of a busy machine may not run for longer than the margin of the gateway. */
+		POLL_MS = 10,
+	};
+	uint16_t port = free_port ();
+	char *path = g_build_filename (g_get_tmp_dir (), "gateway-XXXXXX", NULL);
+	int file = g_mkstemp (path);
+	char *settings = g_strdup_printf (
+		"node: \"vm\"\nzone: \"a\"\nip: \"127.0.0.1\"\ninternalPorts: [%u, %u]\n"
+		"listen: {front: \"127.0.0.1:%u\", ready: \"127.0.0.1:%u\"}\nbounds: {graceS: 1}\n"
+		"platform: {address: \"127.0.0.1:1\"}\ncloud: {address: \"127.0.0.1:1\"}\n",
+		free_port (), free_port (), port, free_port ());
+	char *argv[] = { FLAMINGOSPRING, "gateway", "--metrics-port", "0", "--settings", path, NULL };
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons (port),
+		.sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+	};
+	GError *error = NULL;
+	int fd = socket (AF_INET, SOCK_STREAM, 0);
+	int64_t stopped_us;
+	int status = 0;
+	pid_t ended = 0;
+	GPid pid;
+
+	g_assert_cmpint (write (file, settings, strlen (settings)), ==, (int) strlen (settings));
+	close (file);
+	g_spawn_async (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDOUT_TO_DEV_NULL, NULL,
+	               NULL, &pid, &error);
+	g_assert_no_error (error);
+	for (int i = 0; i < CONNECT_TRIES; i++)
+	{
+		if (connect (fd, (struct sockaddr *) &address, sizeof address) == 0)
+			break;
+		g_usleep (POLL_MS * 1000);
+	}
+	g_assert_cmpint (send (fd, "START db who\r\n", 14, MSG_NOSIGNAL), ==, 14);
+	g_usleep (200000);
+	stopped_us = clock_now_us ();
+	kill (pid, SIGTERM);
+	while (ended == 0 && clock_now_us () - stopped_us < (GRACE_MS + SLACK_MS) * US_PER_MS)
+	{
+		g_usleep (POLL_MS * 1000);
+		ended = waitpid (pid, &status, WNOHANG);
+	}
+	if (ended == 0)
+		kill (pid, SIGKILL);
+	g_assert_cmpint (ended, ==, pid);
+	close (fd);
+	unlink (path);
+	g_free (settings);
+	g_free (path);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -394,5 +456,6 @@
 	g_test_add_func ("/command_line/page_names_settings", test_operations_page);
 	g_test_add_func ("/command_line/drain_limit", test_drain_limit);
 	g_test_add_func ("/command_line/apply_unknown", test_apply_unknown);
+	g_test_add_func ("/command_line/gateway_grace", test_gateway_grace);
 	return g_test_run ();
 }
