gateway: the first primary under another id is not taken for a promoted server

Cause: the first primary crashes and starts again under a new id, in term 1. Its successor is promoted, and its claimant is cut off before the promotion is recorded. The next claimant reaches the former one. The record names no term, since the primary was never changed, so that a primary of term 1 under another id than the recorded one counted as promoted by the earlier claim: it was recorded 60 ms after the call, while the successor led term 2. Change: without a recorded term, no server counts as promoted already. Evidence: /succession/first_primary_under_another_id records term 1 without the change, and term 2 with it.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -298,7 +298,8 @@
 
 /**
  * Tells whether the server already leads, because an earlier claim was carried out but not recorded. After two earlier
- * claims it is unknown whether the second one has promoted another server, which is not reached now.
+ * claims it is unknown whether the second one has promoted another server, which is not reached now. Until the first
+ * change, the recorded term is not known, and the first primary may have started again under another id.
  */
 static bool
 leads_already (const struct succession *succession, const struct succession_server *server)
@@ -308,8 +309,8 @@
 		MAX_CLAIMS = 2, /* The present one and the one that was carried out. */
 	};
 
-	return succession->record.claims <= MAX_CLAIMS && server->is_primary &&
-	       server->term > succession->record.term &&
+	return succession->record.claims <= MAX_CLAIMS && succession->record.term > 0 &&
+	       server->is_primary && server->term > succession->record.term &&
 	       strcmp (server->id, succession->record.primary) != 0;
 }
 
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -491,6 +491,31 @@
 	g_assert_false (fixture.stored.is_changing);
 }
 
+/* Guards against writes at a primary that was replaced (ONE 23 on a day of tools/days): the first primary has started again
+ * under another id and is taken for a server that was promoted, while the one that was is not reached. */
+static void
+test_first_primary_under_another_id (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.stored.change = ++fixture.change;
+	fixture.stored.is_changing = true;
+	fixture.stored.claims = 1;
+	g_strlcpy (fixture.stored.claimant, "vm2", sizeof fixture.stored.claimant);
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	fixture.servers[0].is_unreachable = true;
+	fixture.servers[0].is_listed = false;
+	fixture.servers[1].is_unreachable = true;
+	fixture.servers[2].is_primary = true;
+	fixture.servers[2].received = (struct log_position){ 1, 100 };
+	fixture.servers[2].applied = (struct log_position){ 1, 100 };
+	fixture_run (&fixture, 8000 * MS);
+	g_assert_cmpstr (fixture.stored.primary, ==, "c");
+	g_assert_false (fixture.stored.is_changing);
+	g_assert_cmpuint (fixture.stored.term, ==, 2);
+}
+
 /* Guards against writes at a primary that was replaced (ONE, seed 278 of random_losses): of two promotions that were not
  * recorded, the server of the first one is reached, and still leads until the third has taken effect. */
 static void
@@ -783,6 +808,8 @@
 	g_test_add_func ("/succession/new_vm", test_new_vm_waits);
 	g_test_add_func ("/succession/takeover", test_unfinished_change_is_taken_over);
 	g_test_add_func ("/succession/executed", test_executed_promotion_is_recorded);
+	g_test_add_func ("/succession/first_primary_under_another_id",
+	                 test_first_primary_under_another_id);
 	g_test_add_func ("/succession/two_promotions", test_two_promotions_without_a_record);
 	g_test_add_func ("/succession/present_primary", test_present_primary_after_several_claims);
 	g_test_add_func ("/succession/synchronous", test_synchronous_replicas);
