--- a/tests/unit/gateway_fleet_start.c
+++ b/tests/unit/gateway_fleet_start.c
@@ -47,6 +47,7 @@
 	int64_t *ready_us = g_new0 (int64_t, (gsize) vms);
 	int64_t start_us;
 	int ready = 0;
+	int64_t median_us;
 	const struct store_rate *reads;
 	const struct store_rate *writes;
 
@@ -69,12 +70,13 @@
 		if (ready_us[i] == 0)
 			ready_us[i] = LIMIT_US;
 	qsort (ready_us, (size_t) vms, sizeof *ready_us, compare_times);
+	median_us = ready_us[vms / 2];
 	reads = &fleet.store->reads;
 	writes = &fleet.store->writes;
 	g_test_message (
 		"%d VMs, %u reads/s: ready %d, median %.2f s, last %.2f s; directory pages %llu; reads %llu, refused "
 		"%llu, most in a second %u; writes %llu, refused %llu, most in a second %u",
-		vms, reads_per_s, ready, (double) ready_us[vms / 2] / US_PER_S,
+		vms, reads_per_s, ready, (double) median_us / US_PER_S,
 		(double) ready_us[vms - 1] / US_PER_S, (unsigned long long) fleet.store->directory_pages,
 		(unsigned long long) reads->total, (unsigned long long) reads->refused, reads->peak,
 		(unsigned long long) writes->total, (unsigned long long) writes->refused, writes->peak);
--- a/tests/unit/term_history.c
+++ b/tests/unit/term_history.c
@@ -110,7 +110,7 @@
 		model->term = 1;
 		for (int i = 0; i < STEPS; i++)
 		{
-			const struct log *leader = &model->logs[model->leader];
+			const struct log *leader;
 
 			step (model, random);
 			leader = &model->logs[model->leader];
