--- a/tests/virtual/gateway_fleet_random.c
+++ b/tests/virtual/gateway_fleet_random.c
@@ -156,7 +156,7 @@
 static void
 add_random (struct random_plan *plan, enum random_kind kind, int64_t at_ms)
 {
-	static const struct fleet_fault pairs[RANDOM_KINDS][2] = {
+	static const struct fleet_fault pairs[RANDOM_ALL_KINDS][2] = {
 		[RANDOM_CUT_ZONE] = { { .action = FLEET_CUT_ZONE }, { .action = FLEET_HEAL_ZONE } },
 		[RANDOM_CRASH] = { { .action = FLEET_CRASH_SERVER }, { .action = FLEET_START_SERVER } },
 		[RANDOM_FREEZE] = { { .action = FLEET_FREEZE_VM }, { .action = FLEET_THAW_VM } },
