gateway: a process whose thread hangs ends itself

A readiness of 503 keeps new callers away, but the platform ends no process for it.

The main thread, which only waits for signals, now checks every second whether the traffic and the control thread have turned. After 10 checks without a turn of one of them it ends the process with code 1 and a line on standard error; the platform starts it again, and its callers' connections are reset. Checks are counted and not time: while a whole process is suspended, the main thread does not run either.

New test /gateway_hang/ends_by_itself: a traffic thread that blocks, one that spins, a control thread that spins.

--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -5,6 +5,7 @@
 #include "platform/documents.h"
 #include "platform/store.h"
 
+#include <ck_pr.h>
 #include <errno.h>
 #include <string.h>
 
@@ -189,6 +190,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	ck_pr_store_64 ((uint64_t *) &controller->turned_us, (uint64_t) now_us);
 	loop_set_timer (&controller->loop, timer, now_us + CONTROL_TICK_US);
 	members_tick (controller, now_us);
 	controller_unlist_expired (controller, now_us);
@@ -294,6 +296,12 @@
 	return NULL;
 }
 
+int64_t
+controller_turned_us (const struct controller *controller)
+{
+	return (int64_t) ck_pr_load_64 ((const uint64_t *) &controller->turned_us);
+}
+
 void
 controller_leave (struct controller *controller)
 {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -5,12 +5,14 @@
 #include "common/log.h"
 #include "common/loop.h"
 #include "ctl/commands.h"
+#include "decision/watchdog.h"
 #include "gateway/controller.h"
 
 #include <errno.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
 #include <sys/time.h>
@@ -31,22 +33,46 @@
 {
 	struct loop loop;
 	struct loop_source signals;
+	struct loop_timer watch; /**< Checks that the threads turn. */
+	struct watchdog traffic_watchdog;
+	struct watchdog control_watchdog;
+	struct gateway_traffic *traffic;
 	struct controller *controller;
 	uint32_t grace_ms;
 };
 
-/* Safe in a signal handler, also while another thread holds the lock of the log. */
+/** Ends the process without its clean-up. Safe in a signal handler, also while another thread holds the lock of the log. */
 static void
-handle_overdue (int number)
+end_process (const char *cause)
 {
-	static const char message[] = "the time for the shutdown is over\n";
-	ssize_t written = write (STDERR_FILENO, message, sizeof message - 1);
+	ssize_t written = write (STDERR_FILENO, cause, strlen (cause));
 
-	(void) number;
 	(void) written;
 	_exit (EXIT_CODE_FAILED);
 }
 
+static void
+handle_overdue (int number)
+{
+	(void) number;
+	end_process ("the time for the shutdown is over\n");
+}
+
+/** Ends the process if a thread hangs, since the callers on its connections get no answer until then. */
+static void
+handle_watch (struct loop_timer *timer, int64_t now_us)
+{
+	struct gateway *gateway = timer->data;
+	int64_t traffic_us = gateway_traffic_get_turns (gateway->traffic).turned_us;
+	int64_t control_us = controller_turned_us (gateway->controller);
+
+	loop_set_timer (&gateway->loop, timer, now_us + WATCHDOG_INTERVAL_MS * US_PER_MS);
+	if (watchdog_check (&gateway->traffic_watchdog, traffic_us) == WATCHDOG_HANGS)
+		end_process ("the traffic thread hangs\n");
+	if (watchdog_check (&gateway->control_watchdog, control_us) == WATCHDOG_HANGS)
+		end_process ("the control thread hangs\n");
+}
+
 /** Ends the process before the grace period is over, whatever its threads do. Further calls change nothing. */
 static void
 limit_shutdown (struct gateway *gateway)
@@ -127,7 +153,6 @@
 		.grace_ms = boot->grace_ms,
 		.max_sessions = max_sessions (boot),
 	};
-	struct gateway_traffic *traffic = NULL;
 	int result = loop_init (&gateway.loop);
 
 	if (result < 0)
@@ -136,25 +161,29 @@
 	if (result < 0)
 		goto out;
 	result = -EIO;
-	traffic = gateway_traffic_new (&settings);
-	if (!traffic)
+	gateway.traffic = gateway_traffic_new (&settings);
+	if (!gateway.traffic)
 		goto out;
 	gateway.controller =
-		controller_start (boot, metrics_port, traffic, handle_leave_complete, &gateway);
+		controller_start (boot, metrics_port, gateway.traffic, handle_leave_complete, &gateway);
 	if (!gateway.controller)
 		goto out;
+	gateway.watch.handle_timer = handle_watch;
+	gateway.watch.data = &gateway;
+	loop_set_timer (&gateway.loop, &gateway.watch,
+	                clock_now_us () + WATCHDOG_INTERVAL_MS * US_PER_MS);
 	log_event (LOG_LEVEL_INFO, "started", "zone=%s caller_port=%u store=%s", boot->zone,
 	           boot->caller_port, boot->store_address);
 	result = loop_run (&gateway.loop);
 out:
 	log_event (LOG_LEVEL_INFO, "stopped", "result=%d", result);
 	/* Each thread sends messages to the other one until it ends. */
-	if (traffic)
-		gateway_traffic_stop (traffic);
+	if (gateway.traffic)
+		gateway_traffic_stop (gateway.traffic);
 	if (gateway.controller)
 		controller_free (gateway.controller);
-	if (traffic)
-		gateway_traffic_free (traffic);
+	if (gateway.traffic)
+		gateway_traffic_free (gateway.traffic);
 	if (gateway.signals.fd >= 0)
 		close (gateway.signals.fd);
 	loop_finish (&gateway.loop);
--- a/include/gateway/controller.h
+++ b/include/gateway/controller.h
@@ -23,6 +23,9 @@
 /** Starts the graceful shutdown; safe from any thread. */
 void controller_leave (struct controller *controller);
 
+/** When the control thread last began a turn; 0: never. Safe from any thread. */
+int64_t controller_turned_us (const struct controller *controller);
+
 /** Stops the control thread, waits for its end and frees the controller. It uses the traffic thread's state until then. */
 void controller_free (struct controller *controller);
 
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -120,6 +120,7 @@
 	struct gateway_traffic *traffic;
 	struct loop loop;
 	int64_t started_us; /**< When the control thread began. */
+	int64_t turned_us;  /**< When it last began a turn; read by other threads. */
 	struct mailbox mailbox;
 	pthread_t thread;
 	struct platform platform;
--- a/tests/integration/gateway_hang.c
+++ b/tests/integration/gateway_hang.c
@@ -5,6 +5,7 @@
 #include "live_store.h"
 
 #include "common/clock.h"
+#include "decision/watchdog.h"
 #include "gateway/controller_private.h"
 #include "gateway/gateway.h"
 #include "gateway/traffic_private.h"
@@ -358,6 +359,43 @@
 	g_assert_cmpint (WEXITSTATUS (status), ==, 0);
 }
 
+/* Guards against callers whose open connections are never answered: nothing ended a process whose thread hangs. */
+static void
+test_ends_by_itself (void)
+{
+	enum
+	{
+		/* One check may precede the hang, and another one the last turn. */
+		LIMIT_MS = (WATCHDOG_CHECKS + 2) * WATCHDOG_INTERVAL_MS,
+		SLACK_MS = 3000, /* The processes of a busy machine may not run for so long. */
+	};
+	static const enum hang hangs[] = { HANG_BLOCK, HANG_SPIN, HANG_CONTROL };
+	struct fixture fixtures[G_N_ELEMENTS (hangs)];
+	int64_t hung_us;
+
+	for (size_t i = 0; i < G_N_ELEMENTS (hangs); i++)
+		fixture_start (&fixtures[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS (hangs); i++)
+		hung_us = fixture_hang (&fixtures[i], hangs[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS (hangs); i++)
+	{
+		int status = 0;
+		pid_t ended = 0;
+
+		while (ended == 0 && clock_now_us () - hung_us < (LIMIT_MS + SLACK_MS) * US_PER_MS)
+		{
+			g_usleep (POLL_MS * 1000);
+			ended = waitpid (fixtures[i].pid, &status, WNOHANG);
+		}
+		g_test_message ("hang %c: ended after %d ms, status %#x", hangs[i],
+		                (int) ((clock_now_us () - hung_us) / US_PER_MS), (unsigned) status);
+		g_assert_cmpint (ended, ==, fixtures[i].pid);
+		g_assert_true (WIFEXITED (status));
+		g_assert_cmpint (WEXITSTATUS (status), !=, 0);
+		fixture_clean (&fixtures[i]);
+	}
+}
+
 int
 main (int argc, char **argv)
 {
@@ -370,5 +408,6 @@
 	g_test_add_func ("/gateway_hang/stop_spinning", test_stop_spinning);
 	g_test_add_func ("/gateway_hang/stop_control", test_stop_control);
 	g_test_add_func ("/gateway_hang/stop_order", test_stop_order);
+	g_test_add_func ("/gateway_hang/ends_by_itself", test_ends_by_itself);
 	return g_test_run ();
 }
