gateway: a VM whose serving thread hangs is announced as leaving

The heartbeats, answers and zone reports of a VM now say that it leaves once its traffic thread has not turned for 1 s, the bound of readiness, so that the others choose a new owner with an owner's share of connections. When the thread turns again, they say so.

--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -149,6 +149,20 @@
 
 /* The control thread. */
 
+bool
+controller_serves (const struct controller *controller, int64_t now_us)
+{
+	enum
+	{
+		/* The traffic thread turns every 20 ms; longer than a stall of a VM with a quarter of a core, and as long as the
+		 * time between two probes. */
+		TRAFFIC_TURN_LIMIT_US = 1 * US_PER_S,
+	};
+
+	return now_us - gateway_traffic_get_turns (controller->traffic).turned_us <
+	       TRAFFIC_TURN_LIMIT_US;
+}
+
 static unsigned
 answer_readiness (void *data, GString *body)
 {
@@ -156,13 +170,10 @@
 	enum
 	{
 		UNREADY_ANSWERS_LIMIT = 2,
-		/* The traffic thread turns every 20 ms; longer than a stall of a VM with a quarter of a core, and as long as the
-		 * time between two probes. */
-		TRAFFIC_TURN_LIMIT_US = 1 * US_PER_S,
 	};
 	struct controller *controller = data;
 	struct gateway_traffic_turns turns = gateway_traffic_get_turns (controller->traffic);
-	bool serves = clock_now_us () - turns.turned_us < TRAFFIC_TURN_LIMIT_US;
+	bool serves = controller_serves (controller, clock_now_us ());
 	bool is_ready = controller->configuration && controller->has_directory &&
 	                controller->records_valid_us > 0 && !controller->is_leaving &&
 	                !controller->is_isolated && serves;
--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -108,6 +108,13 @@
 	return now_us - last_us < MEMBER_DEAD_US;
 }
 
+/** Whether other VMs should forward nothing to this one. Its control thread answers also while its traffic thread hangs. */
+static bool
+is_absent (const struct controller *controller, int64_t now_us)
+{
+	return controller->is_leaving || !controller_serves (controller, now_us);
+}
+
 /** As poller, reports to the other zones which VMs of this one are dead or leaving. */
 static void
 send_zone_report (struct controller *controller, int64_t now_us)
@@ -131,7 +138,7 @@
 		    (member->is_leaving || !member_is_alive (controller, member, now_us)))
 			absent[args.absent.absent_len++] = member->vm;
 	}
-	if (controller->is_leaving && args.absent.absent_len < FS_GATEWAY_MAX_ABSENT)
+	if (is_absent (controller, now_us) && args.absent.absent_len < FS_GATEWAY_MAX_ABSENT)
 		absent[args.absent.absent_len++] = controller->boot.vm;
 	g_hash_table_iter_init (&iter, controller->members);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -236,7 +243,7 @@
 		.vm = controller->boot.vm,
 		.number = is_question ? (uint64_t) now_us : 0,
 		.is_question = is_question,
-		.is_leaving = controller->is_leaving,
+		.is_leaving = is_absent (controller, now_us),
 		.digest = controller_records_digest (controller),
 		.era = controller->store_era,
 	};
@@ -301,7 +308,7 @@
 		.vm = controller->boot.vm,
 		.number = (uint64_t) now_us,
 		.is_question = true,
-		.is_leaving = controller->is_leaving,
+		.is_leaving = is_absent (controller, now_us),
 		.digest = controller_records_digest (controller),
 		.era = controller->store_era,
 	};
@@ -665,7 +672,7 @@
 		struct fs_hello_args answer = {
 			.vm = controller->boot.vm,
 			.number = args->number,
-			.is_leaving = controller->is_leaving,
+			.is_leaving = is_absent (controller, now_us),
 			/* After a restart a VM may have forgotten a change that it had confirmed, until it reads the records. */
 			.is_steady = controller->members_valid_us > 0 && is_steady (controller),
 			.has_knowledge = controller->members_valid_us > 0,
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -301,6 +301,10 @@
 /** Digest of the numbers of all records; equal on VMs that have the same records. */
 uint64_t controller_records_digest (const struct controller *controller);
 
+/* controller.c */
+/** Whether the traffic thread turns, so that callers and other VMs may use this one. */
+bool controller_serves (const struct controller *controller, int64_t now_us);
+
 /* controller_member.c */
 extern const struct peers_ops controller_peers_ops;
 struct member *member_get (struct controller *controller, const char *vm, int64_t now_us);
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -578,6 +578,58 @@
 	tear_down (&controller);
 }
 
+static void
+record_hello (void *data, const struct fs_hello_args *args, struct peer_address from)
+{
+	(void) from;
+	*(struct fs_hello_args *) data = *args;
+}
+
+/** Asks the VM for its state, as another VM does. @return whether it says that it leaves. */
+static bool
+ask_is_leaving (struct controller *controller)
+{
+	static const struct peers_ops ops = { .handle_hello = record_hello };
+	struct fs_hello_args question = { .vm = "vm1", .number = 1, .is_question = true };
+	struct fs_hello_args answer = { 0 };
+	struct peer_address own = { INADDR_LOOPBACK, free_port () };
+	struct peers peers;
+
+	g_assert_cmpint (peers_init (&peers, &controller->loop, own, &ops, &answer), ==, 0);
+	controller_peers_ops.handle_hello (controller, &question, own);
+	while (answer.number == 0)
+		g_assert_cmpint (loop_step (&controller->loop, US_PER_S), ==, 0);
+	peers_finish (&peers);
+	return answer.is_leaving;
+}
+
+static void
+ignore_report (void *data, struct server_report *report)
+{
+	(void) data;
+	g_free (report->server);
+	g_free (report->service);
+	g_free (report);
+}
+
+/* Guards against statements that are forwarded to a VM whose traffic thread hangs: its control thread went on saying that it
+ * serves, so that it stayed the owner of its servers (review/2). */
+static void
+test_hung_traffic (void)
+{
+	static const struct gateway_traffic_events events = { .handle_report = ignore_report };
+	struct controller controller;
+
+	set_up (&controller);
+	/* The thread has not been started, so it does not turn. */
+	g_assert_true (ask_is_leaving (&controller));
+	g_assert_cmpint (gateway_traffic_start (controller.traffic, &events, NULL), ==, 0);
+	while (gateway_traffic_get_turns (controller.traffic).turned_us == 0)
+		g_usleep (1000);
+	g_assert_false (ask_is_leaving (&controller));
+	tear_down (&controller);
+}
+
 /** Answers a read of the directory with one entry of server "i-1". */
 static void
 answer_directory_text (struct controller *controller, uint64_t era, const char *sequence,
@@ -1215,6 +1267,7 @@
 	g_test_add_func ("/gateway_members/written_again", test_record_is_written_again);
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
+	g_test_add_func ("/gateway_members/hung_traffic", test_hung_traffic);
 	g_test_add_func ("/gateway_members/older_entry", test_older_server_entry);
 	g_test_add_func ("/gateway_members/entry_later_than_list", test_entry_is_later_than_list);
 	g_test_add_func ("/gateway_members/call_not_sent", test_call_not_sent);
