gateway: a lost answer does not hold a slot of its server

Callers were told that all servers are busy.

Cause: the owner counts a statement as running until its answer comes or its connection ends. A lost answer leaves the connection open, so the count stays at the number of slots, and nothing else is sent. Shown by the model below, which loses answers and does nothing else, and by reading running_count. The connections of the owner, half of the server's limit, are taken in the same way.

Now the server is asked what it runs when a statement has taken much longer than usual (STATUS, which names it). What it does not run holds no slot (decision/slots.c). The wait for an answer whose slot was released ends: a read is sent again 40 ms later, a transaction is rolled back, a write or commit is in doubt after 1 s (0.25 s if the connections are used up). At the owner the same holds for forwarded statements; it says INDOUBT, and the forwarding VM judges, as at the time limit. A setup without an answer is given up after 1 s if the server has answered others. A question takes a slot for about 1 ms, is sent only for overdue statements, and ever more rarely while the server confirms them, so that a slow server is not sent more than it runs.

Tests: slots, gateway_slots (virtual time; a primary and a replica with 2 slots and 16 connections).

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -16,12 +16,20 @@
 connection_set_state (struct connection *connection, enum connection_state state)
 {
 	struct server *server = connection->server;
-	bool was_running = connection->state == CONNECTION_RUNNING;
+	bool was_running = connection->state == CONNECTION_RUNNING && connection->lost_us == 0;
 	bool was_probing = connection->state == CONNECTION_PROBING;
 
 	server->running_count += (state == CONNECTION_RUNNING) - was_running;
 	server->probing_count += (state == CONNECTION_PROBING) - was_probing;
 	connection->state = state;
+	connection->lost_us = 0;
+}
+
+void
+connection_release_slot (struct connection *connection, int64_t now_us)
+{
+	connection->lost_us = now_us;
+	connection->server->running_count--;
 }
 
 static void
@@ -143,6 +151,7 @@
 	struct session *session = connection->session;
 	struct server *server = connection->server;
 	int64_t elapsed_us = now_us - connection->sent_us;
+	bool was_lost = connection->lost_us > 0;
 
 	/* Through an owner, the statement is sent without waiting for the answers to the setup. */
 	if (connection->setup_pending > 0)
@@ -152,6 +161,8 @@
 		return;
 	}
 	server->latency_us += (elapsed_us - server->latency_us) / 8;
+	if (!connection->is_relayed && !was_lost)
+		answer_time_add (&server->answer_time, elapsed_us);
 	if (server->probe_read == connection)
 	{
 		server->probe_read = NULL;
@@ -176,6 +187,8 @@
 	struct server *server = connection->server;
 
 	connection->status.applied = server->applied;
+	if (connection->has_status && connection->is_status && !connection->is_relayed)
+		server_apply_running (server, connection, now_us);
 	if (connection->has_status)
 		gateway_traffic_send_report (server, &connection->status, now_us);
 	connection->has_status = false;
@@ -434,6 +447,7 @@
 {
 	begin_probe (connection, now_us);
 	connection->is_sample = true;
+	connection->is_status = false;
 	wire_encode_sample_request (connection->stream.out);
 	line_stream_flush (&connection->stream);
 }
@@ -445,6 +459,7 @@
 
 	begin_probe (connection, now_us);
 	connection->is_sample = false;
+	connection->is_status = server->demote_term == 0;
 	if (server->demote_term > 0)
 		wire_encode_demote (connection->stream.out, server->demote_term);
 	else
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -53,7 +53,7 @@
 }
 
 void
-relay_time_out (struct session *session)
+relay_give_up (struct session *session, const char *cause)
 {
 	struct connection *connection = session->connection;
 
@@ -65,8 +65,7 @@
 		connection_close (connection);
 	}
 	/* Only the forwarding VM knows when the statement takes effect. */
-	relay_refuse (session, answer_code_of_delivery (session->request.delivery),
-	              "the time limit of the statement is over");
+	relay_refuse (session, answer_code_of_delivery (session->request.delivery), cause);
 }
 
 /** Finds the server that the greeting names. */
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -217,6 +217,18 @@
 	return connection_share (server);
 }
 
+bool
+server_lacks_connections (const struct server *server)
+{
+	if (count_connections (server, false) < direct_connection_limit (server))
+		return false;
+	for (const struct connection *connection = server->connections; connection;
+	     connection = connection->next)
+		if (!connection->is_relayed && connection->state == CONNECTION_IDLE && !connection->session)
+			return false;
+	return true;
+}
+
 bool
 server_is_oversubscribed (const struct server *server)
 {
@@ -420,6 +432,7 @@
 	if (!server->is_listed)
 		return;
 	server_check_timeouts (server, now_us);
+	server_check_slots (server, now_us);
 	server_retry_relay (server, now_us);
 	direct_us = server_oldest_request_us (server, false);
 	is_waiting = direct_us > 0 || server_oldest_request_us (server, true) > 0;
--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -167,7 +167,7 @@
 	bool is_over = request->is_active && now_us > request->deadline_us - ANSWER_MARGIN_US;
 
 	if (is_over && session->is_relay)
-		relay_time_out (session);
+		relay_give_up (session, "the time limit of the statement is over");
 	else if (is_over)
 		session_time_out (session);
 	else if (request->is_active && session->connection && request->delivery == DELIVERY_NOT_SENT &&
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -48,6 +48,9 @@
 	X (CONFIG_ADOPTED, "config_adopted")                                                           \
 	X (CONFIG_REJECTED, "config_rejected")                                                         \
 	X (STORE_RESTORES, "store_restores")                                                           \
+	X (SLOT_QUESTIONS, "slot_questions")                                                           \
+	X (SLOTS_RELEASED, "slots_released")                                                           \
+	X (ANSWERS_GIVEN_UP, "answers_given_up")                                                       \
 	X (RECORDS_REWRITTEN, "records_rewritten")                                                     \
 	X (RPC_MALFORMED, "rpc_malformed")                                                             \
 	X (INVARIANT_VIOLATIONS, "invariant_violations")
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -132,7 +132,8 @@
 	struct log_position applied;
 	uint64_t held_term;
 	uint32_t lag_ms;
-	uint32_t running;
+	uint32_t
+		running; /**< Statements that take a slot, for any VM, without the request for the status. */
 	uint32_t connections;
 };
 
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "common/mailbox.h"
 #include "decision/position_history.h"
+#include "decision/slots.h"
 #include "gateway/line_stream.h"
 #include "gateway/traffic.h"
 #include "gateway/view.h"
@@ -57,7 +58,10 @@
 	bool is_sample; /**< Probing: the query is for the owner's sample. */
 	struct database_status status;
 	bool has_status;
+	bool is_status;  /**< Probing: the query is for the status, which names what the server runs. */
 	int64_t sent_us; /**< When the current statement was sent. */
+	/** When the server said that it does not run the statement any more, whose answer is lost; 0: it may run. */
+	int64_t lost_us;
 	int64_t idle_us; /**< When it became idle. */
 	/** The server was the primary, with authority, when the statement was sent. */
 	bool sent_to_primary;
@@ -93,13 +97,15 @@
 	bool is_same_zone; /**< The server is in this VM's zone. */
 	struct connection *connections;
 	uint32_t connection_count;
-	uint32_t running_count;
+	uint32_t running_count; /**< Statements that hold a slot, as far as this VM knows. */
 	uint32_t probing_count;
-	struct log_position applied; /**< Last position that it reported. */
-	int64_t applied_us;          /**< When it last reported its position. */
-	int64_t answered_us;         /**< Time of its last answer of any kind. */
-	int64_t failed_us;           /**< When it became unreachable; 0: it is reachable. */
-	int64_t next_connect_us;     /**< Earliest new connection after a refused or failed one. */
+	struct answer_time answer_time; /**< Of statements that were sent to the server itself. */
+	struct slot_inquiry inquiry;    /**< Questions about overdue statements. */
+	struct log_position applied;    /**< Last position that it reported. */
+	int64_t applied_us;             /**< When it last reported its position. */
+	int64_t answered_us;            /**< Time of its last answer of any kind. */
+	int64_t failed_us;              /**< When it became unreachable; 0: it is reachable. */
+	int64_t next_connect_us;        /**< Earliest new connection after a refused or failed one. */
 	int64_t next_growth_us; /**< Earliest new connection after its connection limit was reached. */
 	/** End of the pause after it refused a read for its position. */
 	int64_t behind_until_us;
@@ -295,8 +301,8 @@
 void relay_handle_query (struct session *session, const struct caller_message *message,
                          int64_t now_us);
 void relay_refuse (struct session *session, enum answer_code code, const char *message);
-/** Answers a request whose time limit is over with what is known of its statement. */
-void relay_time_out (struct session *session);
+/** Answers a request with what is known of its statement, and closes the connection that runs it. */
+void relay_give_up (struct session *session, const char *cause);
 void relay_handle_answer (struct session *session, struct connection *connection,
                           const struct server_message *ready, int64_t now_us);
 void relay_close_all (struct server *server);
@@ -374,6 +380,15 @@
 /** Whether there are too many VMs for each to have connections of its own to the server. */
 bool server_is_oversubscribed (const struct server *server);
 
+/** Whether no further connection to the server itself may be opened, and none is idle. */
+bool server_lacks_connections (const struct server *server);
+
+/* server_slots.c */
+/** Applies what the server runs by its own word, which @p probe has received. */
+void server_apply_running (struct server *server, const struct connection *probe, int64_t now_us);
+/** Asks about overdue statements, and ends waits for answers that are lost. */
+void server_check_slots (struct server *server, int64_t now_us);
+
 /* server_owner.c */
 /** Chooses owner and standby among the members of the view. */
 void server_update_owner (struct server *server);
@@ -401,6 +416,8 @@
  */
 void connection_open (struct server *server, const struct server_owner *owner, int64_t now_us);
 void connection_set_state (struct connection *connection, enum connection_state state);
+/** Its statement does not run any more, but its answer has not come. */
+void connection_release_slot (struct connection *connection, int64_t now_us);
 /** Closes the connection without notifying its session. */
 void connection_close (struct connection *connection);
 void connection_free (struct connection *connection);
--- a/tests/unit/platform_wire.c
+++ b/tests/unit/platform_wire.c
@@ -136,6 +136,8 @@
 	g_assert_false (status.is_primary);
 	g_assert_cmpuint (status.lag_ms, ==, 12);
 	g_assert_cmpuint (status.connections, ==, 17);
+	/* Without the request for the status itself. */
+	g_assert_cmpuint (status.running, ==, 1);
 	g_assert_cmpint (wire_decode_status (line ("replica 3 3.1209"), &status), ==, -EBADMSG);
 }
 
