tests: a change of owner and the loss of an owner while answers are lost

The new owner does not know what the former one has outstanding at the server. /gateway_slots/owner_leaves and owner_killed lose two answers at the owner, which then leaves or is killed, and two more at its successor, with a time limit of 60 s.

--- a/tests/unit/gateway_slots.c
+++ b/tests/unit/gateway_slots.c
@@ -67,6 +67,7 @@
 	uint16_t relay_ports[MAX_VMS];
 	int vm_count;
 	int vm; /* That the callers use. */
+	bool has_left[MAX_VMS];
 	uint32_t timeout_ms;
 	enum route_kind kind;
 	enum mix mix;
@@ -335,7 +336,7 @@
 	{
 		struct view_member member = { .ip = INADDR_LOOPBACK, .port = world->relay_ports[i] };
 
-		if (i == vm)
+		if (i == vm || world->has_left[i])
 			continue;
 		member.vm = g_strdup (names[i]);
 		member.zone = g_strdup (i == OWNER ? "a" : "b");
@@ -416,7 +417,8 @@
 		g_ptr_array_free (world->callers[i].writes, TRUE);
 	}
 	for (int i = 0; i < world->vm_count; i++)
-		gateway_traffic_free (world->vms[i]);
+		if (world->vms[i])
+			gateway_traffic_free (world->vms[i]);
 	for (int i = 0; i < SERVERS; i++)
 		slot_server_finish (&world->servers[i]);
 	loop_finish (&world->loop);
@@ -441,7 +443,8 @@
 		for (int round = 0; round < ROUNDS; round++)
 		{
 			for (int i = 0; i < world->vm_count; i++)
-				g_assert_cmpint (loop_step (&world->vms[i]->loop, 0), ==, 0);
+				if (world->vms[i])
+					g_assert_cmpint (loop_step (&world->vms[i]->loop, 0), ==, 0);
 			g_assert_cmpint (loop_step (&world->loop, 0), ==, 0);
 		}
 	}
@@ -585,6 +588,56 @@
 	play_share (0.1);
 }
 
+/** Lets the forwarding VM become the owner while the answers to forwarded statements are lost. */
+static void
+play_new_owner (bool is_killed)
+{
+	enum
+	{
+		ANSWERS = 4,
+	};
+	struct world world;
+	uint32_t calm;
+	uint32_t served;
+
+	world_init (&world, 2, 60000, ROUTE_PRIMARY, MIX_READS_WRITES);
+	run_for (&world, WARM_UP_US);
+	calm = run_for (&world, PHASE_US);
+	world.servers[PRIMARY].loses = loses;
+	world.left = ANSWERS;
+	/* Two are lost, and not found yet. */
+	while (world.left > ANSWERS - SLOTS)
+		run_for (&world, STEP_US);
+	world.has_left[OWNER] = true;
+	if (is_killed)
+		gateway_traffic_free (g_steal_pointer (&world.vms[OWNER]));
+	send_view (&world, FORWARDER);
+	run_for (&world, SETTLE_US);
+	served = run_for (&world, PHASE_US);
+	g_test_message (
+		"the owner %s: lost %u; calm %u, in the 12 s from 1 s after it on %u; busy %u, too many "
+		"connections %u",
+		is_killed ? "is killed" : "leaves", world.lost, calm, served,
+		world.servers[PRIMARY].refused_busy, world.servers[PRIMARY].refused_connections);
+	g_assert_cmpuint (calm, >, MIN_CALM);
+	g_assert_cmpuint (world.lost, ==, ANSWERS);
+	g_assert_cmpuint (served * 100, >=, calm * SERVED_PERCENT);
+	check_promises (&world);
+	world_finish (&world);
+}
+
+static void
+test_owner_leaves (void)
+{
+	play_new_owner (false);
+}
+
+static void
+test_owner_killed (void)
+{
+	play_new_owner (true);
+}
+
 /* A server whose statements really take long keeps its slots, so that it is not sent more than it runs. */
 static void
 test_slow (void)
@@ -620,6 +673,8 @@
 	g_test_add_func ("/gateway_slots/primary", test_primary);
 	g_test_add_func ("/gateway_slots/transactions", test_transactions);
 	g_test_add_func ("/gateway_slots/replica", test_replica);
+	g_test_add_func ("/gateway_slots/owner_leaves", test_owner_leaves);
+	g_test_add_func ("/gateway_slots/owner_killed", test_owner_killed);
 	g_test_add_func ("/gateway_slots/share_1", test_share_1);
 	/* Findings of KNOWN-RED.txt: callers whose write has lost its answer wait for it. */
 	if (g_test_slow ())
