gateway: records from before a VM's registration do not allow the use of a primary

Cause: a VM counted as registered from the answer to its swap on, and used the records that it had read before, for up to 1 s after that reading. A claim that came after the reading and read the list of VMs before the registration does not wait for this VM. The same if the answer to the swap is lost and a list names the VM: of a list of several pages, the records come before the VMs.

Now records count from the time on at which the VM knew that it was listed; it reads them again at once, in a large fleet with its next question to the poller.

test_silence_without_store counts the reads of a later moment; it now answers the second read of the start first.

--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -210,6 +210,8 @@
 	if (answer->succeeded && answer->era == controller->members_era)
 	{
 		controller->own_revision = answer->revision;
+		if (!controller->is_registered)
+			controller->listed_us = clock_now_us ();
 		controller->is_registered = true;
 		controller->record_is_settled = controller->is_settled;
 		controller->is_view_dirty = true;
@@ -274,6 +276,17 @@
 	return now_us + CLAMP (lost_us / 2, CONTROL_RETRY_US, CONTROL_MAX_RETRY_US);
 }
 
+/**
+ * Whether this VM may use primaries: records that were current before its registration do not count. Whoever claimed a change
+ * meanwhile has read a list without this VM, and does not wait for it.
+ */
+static bool
+is_authorized (const struct controller *controller)
+{
+	return controller->is_registered && controller->listed_us > 0 &&
+	       controller->records_valid_us >= controller->listed_us;
+}
+
 static void
 send_view (struct controller *controller)
 {
@@ -285,7 +298,8 @@
 	if (controller->configuration)
 		view->configuration = configuration_hold (controller->configuration);
 	view->records_valid_us = controller->records_valid_us;
-	view->is_registered = controller->is_registered;
+	controller->view_is_registered = is_authorized (controller);
+	view->is_registered = controller->view_is_registered;
 	view->is_isolated = controller->is_isolated;
 	view->is_out_of_rotation = controller->is_out_of_rotation;
 	view->vm_count = controller->vm_count;
@@ -403,9 +417,15 @@
 	if (controller->is_registered && !was_registered && !controller->is_settled)
 		controller->registered_us = now_us;
 	if (controller->is_registered != was_registered)
+	{
+		controller->listed_us = controller->is_registered ? now_us : 0;
 		controller->is_view_dirty = true;
+	}
 	register_vm (controller);
-	if (controller->is_view_dirty)
+	/* These records may be older than the registration that the list shows. */
+	if (controller->is_registered && !was_registered)
+		controller_poll (controller, now_us);
+	if (controller->is_view_dirty || is_authorized (controller) != controller->view_is_registered)
 		send_view (controller);
 	else
 		gateway_traffic_send_records_valid (controller->traffic, controller->records_valid_us);
@@ -484,7 +504,7 @@
 void
 controller_flush_view (struct controller *controller)
 {
-	if (controller->is_view_dirty)
+	if (controller->is_view_dirty || is_authorized (controller) != controller->view_is_registered)
 		send_view (controller);
 }
 
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -142,8 +142,11 @@
 	bool is_polling;
 	bool is_registering;
 	bool is_registered;
-	uint64_t own_revision; /**< Revision of this VM's record, in the era of the list of VMs. */
-	bool is_settled;       /**< Every list of VMs in use names this VM. */
+	/** Since when this VM has known that the store's list of VMs names it; 0: it does not. */
+	int64_t listed_us;
+	bool view_is_registered; /**< What the last view said of it. */
+	uint64_t own_revision;   /**< Revision of this VM's record, in the era of the list of VMs. */
+	bool is_settled;         /**< Every list of VMs in use names this VM. */
 	/** When this process first wrote this VM's record; 0: not yet. */
 	int64_t registered_us;
 	bool record_is_settled; /**< This VM's record in the store is marked as settled. */
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "free_port.h"
 #include "gateway/controller_private.h"
+#include "gateway/traffic_private.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -200,6 +201,62 @@
 	tear_down (&controller);
 }
 
+/** Passes on what the control thread has sent. @return whether the traffic thread may use primaries. */
+static bool
+has_authority (struct controller *controller)
+{
+	controller_flush_view (controller);
+	g_assert_cmpint (loop_step (&controller->traffic->loop, 0), ==, 0);
+	return gateway_traffic_has_authority (controller->traffic, clock_now_us ());
+}
+
+/* Guards against a VM that joins during a change of primary and uses the old one: who claimed the change after the VM had read
+ * the records, and read the list before the VM was on it, does not wait for it. */
+static void
+test_records_older_than_registration (void)
+{
+	const struct platform_pair other = { "flamingospring/vm/vm1",
+		                                 "address=127.0.0.1:9 zone=a start=1 settled=1 removed=0",
+		                                 54, 1, false };
+	struct controller controller;
+	int64_t now_us = clock_now_us ();
+	struct platform_answer list = {
+		.revision = 1, .pairs = &other, .count = 1, .request_sent_us = now_us
+	};
+	const struct platform_answer registered = { .succeeded = true, .revision = 2 };
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	fake.handle_poll (fake.poll_data, &list);
+	g_assert_cmpstr (fake.swap_key, ==, "flamingospring/vm/vm5");
+	fake.handle_swap (fake.swap_data, &registered);
+	g_assert_true (controller.is_registered);
+	g_assert_false (has_authority (&controller));
+	/* The records are read again. */
+	g_assert_true (controller.is_polling);
+	answer_poll (clock_now_us ());
+	g_assert_true (has_authority (&controller));
+	tear_down (&controller);
+}
+
+/* The same if the answer to the registration is lost: a list that names the VM says nothing of when it was written. */
+static void
+test_registration_without_answer (void)
+{
+	struct controller controller;
+	int64_t now_us = clock_now_us ();
+
+	set_up (&controller);
+	controller_poll (&controller, now_us);
+	answer_poll (now_us);
+	g_assert_true (controller.is_registered);
+	g_assert_false (has_authority (&controller));
+	g_assert_true (controller.is_polling);
+	answer_poll (clock_now_us ());
+	g_assert_true (has_authority (&controller));
+	tear_down (&controller);
+}
+
 /* Guards against VMs that ask the whole fleet when their poller is silent: earlier, all VMs of the zone
  * then asked all other VMs. Each asks the next VM of its zone, and finally the store itself. */
 static void
@@ -947,6 +1004,8 @@
 	set_up (&controller);
 	controller_poll (&controller, now_us);
 	answer_poll (now_us);
+	/* The records are read again after the first list that names this VM. */
+	answer_poll (now_us);
 	primary_manager = lose_primary (&controller, &primary);
 	controller.store_ok_us = now_us;
 	reads = fake.reads;
@@ -1268,6 +1327,8 @@
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/hung_traffic", test_hung_traffic);
+	g_test_add_func ("/gateway_members/older_records", test_records_older_than_registration);
+	g_test_add_func ("/gateway_members/unanswered_registration", test_registration_without_answer);
 	g_test_add_func ("/gateway_members/older_entry", test_older_server_entry);
 	g_test_add_func ("/gateway_members/entry_later_than_list", test_entry_is_later_than_list);
 	g_test_add_func ("/gateway_members/call_not_sent", test_call_not_sent);
