decision: when the answer to a statement is given up

The limits of the waits stood in gateway/server_slots.c between reads and writes of sockets. They are decisions, which fault they answer is said in decision/slots.h, and /slots/give_up checks them without I/O.

--- a/decision/slots.c
+++ b/decision/slots.c
@@ -14,6 +14,14 @@
 	SLOTS_DEVIATION_DIVISOR = 4,
 	SLOTS_MIN_INTERVAL_US = 50 * US_PER_MS,
 	SLOTS_MAX_INTERVAL_US = 2000 * US_PER_MS,
+	/* The answer to a statement that has ended may be on its way behind that to the question. */
+	SLOTS_LATE_ANSWER_US = 40 * US_PER_MS,
+	/* Without the answer to a write or commit, its caller learns nothing, so these wait for a retransmission; for a short one
+	 * if the server's connections are used up. */
+	SLOTS_LATE_WRITE_US = 1000 * US_PER_MS,
+	SLOTS_SCARCE_WRITE_US = 250 * US_PER_MS,
+	/* Answers to SET, PREPARE and BEGIN take no longer than a probe's. */
+	SLOTS_SETUP_US = 1000 * US_PER_MS,
 };
 
 void
@@ -76,3 +84,18 @@
 		inquiry->interval_us = 0;
 	return lost;
 }
+
+bool
+slot_answer_is_given_up (int64_t lost_for_us, bool is_repeatable, bool is_scarce)
+{
+	if (is_repeatable)
+		return lost_for_us > SLOTS_LATE_ANSWER_US;
+	return lost_for_us > (is_scarce ? SLOTS_SCARCE_WRITE_US : SLOTS_LATE_WRITE_US);
+}
+
+bool
+slot_setup_is_given_up (int64_t waited_us, int64_t answered_after_us)
+{
+	/* A server that has answered nothing since is silent, or this VM has not run. */
+	return waited_us > SLOTS_SETUP_US && answered_after_us > SLOTS_SETUP_US / 2;
+}
--- a/gateway/server_slots.c
+++ b/gateway/server_slots.c
@@ -7,18 +7,6 @@
 #include "common/counters.h"
 #include "common/log.h"
 
-enum
-{
-	/* The answer to a statement that has ended may be on its way behind that to the question. */
-	SLOTS_LATE_ANSWER_US = 40 * US_PER_MS,
-	/* Without the answer to a write or commit, its caller learns nothing, so these wait for a retransmission; for a short one
-	 * if the server's connections are used up. */
-	SLOTS_LATE_WRITE_US = 1 * US_PER_S,
-	SLOTS_SCARCE_WRITE_US = 250 * US_PER_MS,
-	/* Answers to SET, PREPARE and BEGIN take no longer than a probe's. */
-	SLOTS_SETUP_US = 1 * US_PER_S,
-};
-
 static bool
 is_overdue (const struct connection *connection, int64_t now_us)
 {
@@ -120,19 +108,15 @@
 static bool
 is_given_up (const struct connection *connection, bool is_scarce, int64_t now_us)
 {
-	const struct server *server = connection->server;
 	const struct session *session = connection->session;
 
 	if (connection->is_relayed || !session)
 		return false;
 	if (connection->state == CONNECTION_SETUP)
-		return now_us - connection->sent_us > SLOTS_SETUP_US &&
-		       server->answered_us > connection->sent_us + SLOTS_SETUP_US / 2;
-	if (connection->lost_us == 0)
-		return false;
-	if (is_repeatable (session))
-		return now_us - connection->lost_us > SLOTS_LATE_ANSWER_US;
-	return now_us - connection->lost_us > (is_scarce ? SLOTS_SCARCE_WRITE_US : SLOTS_LATE_WRITE_US);
+		return slot_setup_is_given_up (now_us - connection->sent_us,
+		                               connection->server->answered_us - connection->sent_us);
+	return connection->lost_us > 0 && slot_answer_is_given_up (now_us - connection->lost_us,
+	                                                           is_repeatable (session), is_scarce);
 }
 
 static struct connection *
--- a/include/decision/slots.h
+++ b/include/decision/slots.h
@@ -53,3 +53,17 @@
  * to the question and arrive after it, and then a reported statement is an overdue one that is only slow.
  */
 uint32_t slot_inquiry_judge (struct slot_inquiry *inquiry, const struct slot_evidence *evidence);
+
+/**
+ * Whether the answer to a statement that does not run any more is given up.
+ * @param lost_for_us time since its slot was released.
+ * @param is_repeatable the statement or its transaction may be run again without the answer.
+ * @param is_scarce all connections that the VM may have to the server are in use.
+ */
+bool slot_answer_is_given_up (int64_t lost_for_us, bool is_repeatable, bool is_scarce);
+
+/**
+ * Whether the answers to a statement's setup, which takes no slot, are given up.
+ * @param answered_after_us time from the sending of the setup to the server's last answer of any kind.
+ */
+bool slot_setup_is_given_up (int64_t waited_us, int64_t answered_after_us);
--- a/tests/unit/slots.c
+++ b/tests/unit/slots.c
@@ -83,6 +83,21 @@
 	g_assert_true (slot_inquiry_is_due (&inquiry, now_us));
 }
 
+static void
+test_give_up (void)
+{
+	/* A read is sent again; a write waits for an answer that is only late. */
+	g_assert_true (slot_answer_is_given_up (100 * US_PER_MS, true, false));
+	g_assert_false (slot_answer_is_given_up (100 * US_PER_MS, false, false));
+	g_assert_false (slot_answer_is_given_up (600 * US_PER_MS, false, false));
+	g_assert_true (slot_answer_is_given_up (600 * US_PER_MS, false, true));
+	g_assert_true (slot_answer_is_given_up (1100 * US_PER_MS, false, false));
+	/* A silent server may still answer. */
+	g_assert_false (slot_setup_is_given_up (5000 * US_PER_MS, -100 * US_PER_MS));
+	g_assert_false (slot_setup_is_given_up (500 * US_PER_MS, 500 * US_PER_MS));
+	g_assert_true (slot_setup_is_given_up (1100 * US_PER_MS, 1000 * US_PER_MS));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -90,5 +105,6 @@
 	g_test_add_func ("/slots/overdue", test_overdue);
 	g_test_add_func ("/slots/judge", test_judge);
 	g_test_add_func ("/slots/interval", test_interval);
+	g_test_add_func ("/slots/give_up", test_give_up);
 	return g_test_run ();
 }
