gateway: an operator sees at which server answers are lost, and which request held a slot

The metric flamingospring_server_slots_released_total counts corrections by server; the traffic thread reports its count with the server's state. The lines slot_released and answer_given_up name the service, and 'flamingospring explain' prints those of the service beside a refused request, which named only state changes before.

Tests: /gateway_members/metrics_of_lost_answers (does not build before); /command_line/explain_lost_answer, on the code before: "request=held" is missing in: +0.000 > ... event=failed request=refused service=s cause="busy"

--- a/ctl/commands/explain.c
+++ b/ctl/commands/explain.c
@@ -97,6 +97,15 @@
 	return 0;
 }
 
+/** Whether a line says that the answer to another request of the service was lost, which held a slot until then. */
+static bool
+is_lost_answer (const char *text, const char *service)
+{
+	return service && has_value (text, "service", service) &&
+	       (has_value (text, "event", "slot_released") ||
+	        has_value (text, "event", "answer_given_up"));
+}
+
 /** Whether a line reports a state change of the request's service, or of the store and the VMs. */
 static bool
 is_context (const char *text, const char *service)
@@ -109,6 +118,8 @@
 		"store_regained", "watching",
 	};
 
+	if (is_lost_answer (text, service))
+		return true;
 	if (strstr (text, " request="))
 		return false;
 	if (service && has_value (text, "service", service))
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -45,6 +45,7 @@
 	server->is_unreachable = report->is_unreachable;
 	if (report->contact_us > server->contact_us)
 		server->contact_us = report->contact_us;
+	server->slots_released = report->slots_released;
 	if (report->is_contact)
 		return;
 	if (!report->has_status)
--- a/gateway/controller_metrics.c
+++ b/gateway/controller_metrics.c
@@ -65,6 +65,29 @@
 	}
 }
 
+static void
+append_servers (GString *body, const struct controller *controller)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_string_append (body, "# HELP flamingospring_server_slots_released_total slots of statements "
+	                       "whose answers were lost\n"
+	                       "# TYPE flamingospring_server_slots_released_total counter\n");
+	g_hash_table_iter_init (&iter, controller->servers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		const struct known_server *server = value;
+
+		if (server->is_listed)
+			g_string_append_printf (
+				body,
+				"flamingospring_server_slots_released_total{service=\"%s\",server=\"%s\"} %llu\n",
+				server->entry.service, server->entry.id,
+				(unsigned long long) server->slots_released);
+	}
+}
+
 static void
 append_histogram (GString *body, const char *labels, const struct histogram *histogram)
 {
@@ -118,6 +141,7 @@
 
 	append_state (body, controller, clock_now_us ());
 	append_records (body, controller);
+	append_servers (body, controller);
 	for (int i = 0; i < COUNTER_COUNT; i++)
 	{
 		const char *name = counter_name ((enum counter) i);
--- a/gateway/server_slots.c
+++ b/gateway/server_slots.c
@@ -39,13 +39,14 @@
 {
 	struct session *session = connection->session;
 
-	log_event (LOG_LEVEL_INFO, "answer_given_up",
-	           "server=%s request=%s state=%d waited_ms=%lld lost_ms=%lld connections=%u",
-	           connection->server->id, session ? session->request.id->str : "-", connection->state,
-	           (long long) (now_us - connection->sent_us) / US_PER_MS,
-	           connection->lost_us > 0 ? (long long) (now_us - connection->lost_us) / US_PER_MS
-	                                   : -1,
-	           connection->server->connection_count);
+	log_event (
+		LOG_LEVEL_INFO, "answer_given_up",
+		"server=%s service=%s request=%s state=%d waited_ms=%lld lost_ms=%lld connections=%u",
+		connection->server->id, connection->server->service->name,
+		session ? session->request.id->str : "-", connection->state,
+		(long long) (now_us - connection->sent_us) / US_PER_MS,
+		connection->lost_us > 0 ? (long long) (now_us - connection->lost_us) / US_PER_MS : -1,
+		connection->server->connection_count);
 	counter_add (COUNTER_ANSWERS_GIVEN_UP, 1);
 	if (session && session->is_relay)
 		relay_give_up (session, "the answer of the server is lost");
@@ -90,14 +91,17 @@
 	{
 		struct connection *connection = find_oldest (server, probe->sent_us);
 
-		log_event (LOG_LEVEL_INFO, "slot_released",
-		           "server=%s request=%s waited_ms=%lld overdue_ms=%lld reported=%u overdue=%u "
-		           "recent=%u slots=%u",
-		           server->id, connection->session ? connection->session->request.id->str : "-",
-		           (long long) (now_us - connection->sent_us) / US_PER_MS,
-		           (long long) answer_time_overdue_us (&server->answer_time) / US_PER_MS,
-		           evidence.reported, evidence.overdue, evidence.recent, server->slots);
+		log_event (
+			LOG_LEVEL_INFO, "slot_released",
+			"server=%s service=%s request=%s waited_ms=%lld overdue_ms=%lld reported=%u overdue=%u "
+			"recent=%u slots=%u",
+			server->id, server->service->name,
+			connection->session ? connection->session->request.id->str : "-",
+			(long long) (now_us - connection->sent_us) / US_PER_MS,
+			(long long) answer_time_overdue_us (&server->answer_time) / US_PER_MS,
+			evidence.reported, evidence.overdue, evidence.recent, server->slots);
 		connection_release_slot (connection, now_us);
+		server->slots_released++;
 		counter_add (COUNTER_SLOTS_RELEASED, 1);
 	}
 	if (lost > 0)
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -59,6 +59,7 @@
 	report->service = g_strdup (server->service->name);
 	report->is_unreachable = server->failed_us > 0;
 	report->contact_us = server->answered_us;
+	report->slots_released = server->slots_released;
 	report->at_us = now_us;
 	return report;
 }
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -26,7 +26,8 @@
 	int64_t draining_us; /**< When its entry first said that it leaves; 0: it does not. */
 	int64_t missing_us;  /**< When its entry was first found missing; 0: it is present. */
 	bool is_unreachable;
-	int64_t contact_us; /**< Time of its last answer to the traffic thread. */
+	int64_t contact_us;      /**< Time of its last answer to the traffic thread. */
+	uint64_t slots_released; /**< Slots of statements whose answers were lost. */
 	bool has_status;
 	struct database_status status;
 	int64_t status_us;
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -101,6 +101,7 @@
 	uint32_t probing_count;
 	struct answer_time answer_time; /**< Of statements that were sent to the server itself. */
 	struct slot_inquiry inquiry;    /**< Questions about overdue statements. */
+	uint64_t slots_released;        /**< Slots of statements whose answers were lost. */
 	struct log_position applied;    /**< Last position that it reported. */
 	int64_t applied_us;             /**< When it last reported its position. */
 	int64_t answered_us;            /**< Time of its last answer of any kind. */
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -58,6 +58,7 @@
 	bool is_contact; /**< Reports only the reachability, without a status. */
 	bool has_status;
 	struct database_status status;
-	int64_t contact_us; /**< Time of the server's last answer. */
+	int64_t contact_us;      /**< Time of the server's last answer. */
+	uint64_t slots_released; /**< Slots of statements whose answers were lost, since the start. */
 	int64_t at_us;
 };
--- a/tests/integration/command_line.c
+++ b/tests/integration/command_line.c
@@ -234,6 +234,33 @@
 	}
 }
 
+/* Guards against a refused request whose cause is not shown: another statement, whose answer was lost, held the slot. */
+static void
+test_explain_lost_answer (void)
+{
+	char *path = g_build_filename (g_get_tmp_dir (), "explain-XXXXXX", NULL);
+	int file = g_mkstemp (path);
+	static const char log[] =
+		"time=100.0 level=info vm=a event=slot_released server=i-1 service=s request=held waited_ms=90\n"
+		"time=100.1 level=info vm=a event=slot_released server=i-2 service=t request=foreign waited_ms=90\n"
+		"time=100.2 level=info vm=a event=done request=served service=s\n"
+		"time=100.3 level=warn vm=a event=failed request=refused service=s cause=\"busy\"\n";
+	char *arguments = g_strdup_printf ("explain refused %s", path);
+	struct output output;
+
+	g_assert_cmpint (write (file, log, strlen (log)), ==, (int) strlen (log));
+	close (file);
+	output = run (arguments, NULL);
+	g_assert_cmpint (output.code, ==, EXIT_OK);
+	assert_contains (output.out, "request=held");
+	g_assert_null (strstr (output.out, "request=foreign"));
+	g_assert_null (strstr (output.out, "request=served"));
+	output_finish (&output);
+	unlink (path);
+	g_free (arguments);
+	g_free (path);
+}
+
 /** The page must contain @p before and @p name, enclosed together in back quotes. */
 static void
 assert_documented (const char *page, const char *before, const char *name)
@@ -456,6 +483,7 @@
 	g_test_add_func ("/command_line/page_names_settings", test_operations_page);
 	g_test_add_func ("/command_line/drain_limit", test_drain_limit);
 	g_test_add_func ("/command_line/apply_unknown", test_apply_unknown);
+	g_test_add_func ("/command_line/explain_lost_answer", test_explain_lost_answer);
 	g_test_add_func ("/command_line/gateway_grace", test_gateway_grace);
 	return g_test_run ();
 }
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -669,6 +669,26 @@
 	g_free (report);
 }
 
+/* Guards against an operator who sees that answers are lost, but not at which server. */
+static void
+test_metrics_of_lost_answers (void)
+{
+	struct controller controller;
+	struct known_server server = { .entry = { .id = "i-1", .service = "s" },
+		                           .is_listed = true,
+		                           .slots_released = 3 };
+	GString *body = g_string_new (NULL);
+
+	set_up (&controller);
+	g_hash_table_insert (controller.servers, server.entry.id, &server);
+	g_assert_cmpuint (controller_answer_metrics (&controller, body), ==, 200);
+	g_assert_nonnull (
+		strstr (body->str,
+	            "\nflamingospring_server_slots_released_total{service=\"s\",server=\"i-1\"} 3\n"));
+	tear_down (&controller);
+	g_string_free (body, TRUE);
+}
+
 /* Guards against statements that are forwarded to a VM whose traffic thread hangs: its control thread went on saying that it
  * serves, so that it stayed the owner of its servers (review/2). */
 static void
@@ -1326,6 +1346,7 @@
 	g_test_add_func ("/gateway_members/written_again", test_record_is_written_again);
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
+	g_test_add_func ("/gateway_members/metrics_of_lost_answers", test_metrics_of_lost_answers);
 	g_test_add_func ("/gateway_members/hung_traffic", test_hung_traffic);
 	g_test_add_func ("/gateway_members/older_records", test_records_older_than_registration);
 	g_test_add_func ("/gateway_members/unanswered_registration", test_registration_without_answer);
