--- a/decision/slots.c
+++ b/decision/slots.c
@@ -4,7 +4,6 @@
 
 enum
 {
-
 	/* A VM with a quarter of a core may be stalled for that long. */
 	SLOTS_MIN_OVERDUE_US = 50 * US_PER_MS,
 	/* Deviations above the mean: with exponentially distributed times, 1 of 1,000 answers is overdue. */
