--- a/tests/integration/gateway_hang.c
+++ b/tests/integration/gateway_hang.c
@@ -113,10 +113,12 @@
 	g_atomic_int_set (&hangs_at_end, hang == HANG_AT_END);
 	if (hang == HANG_STALL)
 		g_usleep (STALL_MS * 1000);
-	while (hang == HANG_BLOCK)
-		pause ();
-	while (hang == HANG_SPIN || hang == HANG_CONTROL)
-		turns++;
+	if (hang == HANG_BLOCK)
+		for (;;)
+			pause ();
+	if (hang == HANG_SPIN || hang == HANG_CONTROL)
+		for (;;)
+			turns++;
 }
 
 static void *
--- a/tests/unit/gateway_slots.c
+++ b/tests/unit/gateway_slots.c
@@ -332,11 +332,11 @@
 
 		g_array_append_val (view->servers, entry);
 	}
-	for (int i = 0; i < world->vm_count; i++)
+	for (int i = 0; i < MAX_VMS; i++)
 	{
 		struct view_member member = { .ip = INADDR_LOOPBACK, .port = world->relay_ports[i] };
 
-		if (i == vm || world->has_left[i])
+		if (i == vm || i >= world->vm_count || world->has_left[i])
 			continue;
 		member.vm = g_strdup (names[i]);
 		member.zone = g_strdup (i == OWNER ? "a" : "b");
