gateway: a lost answer to a statement's setup is given up while a second try is of use

What callers saw: a statement whose SET, PREPARE or BEGIN was lost waited for 1 s and was then refused as late.

Cause: the limit of 1 s was that of probes. A setup takes no slot, and nothing of the statement has been sent, so nothing is lost by trying again. Now it is given up once a statement would be overdue, 50 ms mostly, if the server has answered others since.

--- a/decision/slots.c
+++ b/decision/slots.c
@@ -19,8 +19,6 @@
 	 * if the server's connections are used up. */
 	SLOTS_LATE_WRITE_US = 1000 * US_PER_MS,
 	SLOTS_SCARCE_WRITE_US = 250 * US_PER_MS,
-	/* Answers to SET, PREPARE and BEGIN take no longer than a probe's. */
-	SLOTS_SETUP_US = 1000 * US_PER_MS,
 };
 
 void
@@ -93,8 +91,8 @@
 }
 
 bool
-slot_setup_is_given_up (int64_t waited_us, int64_t answered_after_us)
+slot_setup_is_given_up (int64_t waited_us, int64_t answered_after_us, int64_t overdue_us)
 {
 	/* A server that has answered nothing since is silent, or this VM has not run. */
-	return waited_us > SLOTS_SETUP_US && answered_after_us > SLOTS_SETUP_US / 2;
+	return waited_us > overdue_us && answered_after_us > overdue_us / 2;
 }
--- a/gateway/server_slots.c
+++ b/gateway/server_slots.c
@@ -118,7 +118,8 @@
 		return false;
 	if (connection->state == CONNECTION_SETUP)
 		return slot_setup_is_given_up (now_us - connection->sent_us,
-		                               connection->server->answered_us - connection->sent_us);
+		                               connection->server->answered_us - connection->sent_us,
+		                               answer_time_overdue_us (&connection->server->answer_time));
 	return connection->lost_us > 0 && slot_answer_is_given_up (now_us - connection->lost_us,
 	                                                           is_repeatable (session), is_scarce);
 }
--- a/include/decision/slots.h
+++ b/include/decision/slots.h
@@ -63,7 +63,8 @@
 bool slot_answer_is_given_up (int64_t lost_for_us, bool is_repeatable, bool is_scarce);
 
 /**
- * Whether the answers to a statement's setup, which takes no slot, are given up.
+ * Whether the answers to a statement's setup, which takes no slot, are given up. The statement has not been sent.
  * @param answered_after_us time from the sending of the setup to the server's last answer of any kind.
+ * @param overdue_us time after which the answer to a statement is overdue.
  */
-bool slot_setup_is_given_up (int64_t waited_us, int64_t answered_after_us);
+bool slot_setup_is_given_up (int64_t waited_us, int64_t answered_after_us, int64_t overdue_us);
--- a/tests/support/slot_server.c
+++ b/tests/support/slot_server.c
@@ -177,6 +177,9 @@
 		link->is_open = false;
 		g_ptr_array_set_size (link->writes, 0);
 	}
+	if (g_str_has_prefix (text, "SET ") && link->server->loses_setup &&
+	    link->server->loses (link->server->data, text))
+		link->is_mute = true;
 	answer (link, "COMPLETE -\r\n");
 }
 
--- a/tests/support/slot_server.h
+++ b/tests/support/slot_server.h
@@ -27,8 +27,9 @@
 	GHashTable *commits; /**< Id of a write to how often it took effect. */
 	/** Duration of a statement in microseconds. */
 	int64_t (*work_us) (void *data, const char *text);
-	/** Whether the answer of a statement that has run is lost. */
+	/** Whether the answer of a statement that has run is lost; also of a session value, if loses_setup is set. */
 	bool (*loses) (void *data, const char *text);
+	bool loses_setup;
 	void *data;
 	/* Counts for the test. */
 	uint32_t refused_busy;
--- a/tests/unit/gateway_slots.c
+++ b/tests/unit/gateway_slots.c
@@ -43,6 +43,7 @@
 	MIX_READS_WRITES,
 	MIX_READS,
 	MIX_TRANSACTIONS, /* And reads. */
+	MIX_VALUES,       /* Session values, which have to be set on the connection, and reads. */
 };
 
 struct caller
@@ -54,6 +55,7 @@
 	int statement; /* Of the transaction; 0: none is open. */
 	uint32_t operations;
 	GPtrArray *writes; /* Ids of the writes of the operation. */
+	int64_t asked_us;
 	bool is_connected;
 	bool is_slow;
 };
@@ -77,6 +79,7 @@
 	double share;  /* Share of answers that are lost. */
 	uint32_t lost;
 	struct caller callers[CALLERS];
+	int64_t max_wait_us; /* Longest time until a caller was answered. */
 	uint32_t served;
 	uint32_t refused;
 	GPtrArray *promised; /* Ids of writes whose caller was promised that nothing is kept. */
@@ -100,7 +103,8 @@
 	struct world *world = data;
 	bool is_lost = world->left > 0 || g_rand_double (world->random) < world->share;
 
-	(void) text;
+	if (world->mix == MIX_VALUES && !g_str_has_prefix (text, "SET "))
+		return false;
 	world->left -= world->left > 0;
 	world->lost += is_lost;
 	return is_lost;
@@ -176,6 +180,9 @@
 	{
 		if (text[strlen ("READY ")] == 'I')
 			caller->statement = 0;
+		if (caller->asked_us > 0)
+			world->max_wait_us = MAX (world->max_wait_us, clock_now_us () - caller->asked_us);
+		caller->asked_us = 0;
 		caller_wait (caller);
 	}
 	g_free (text);
@@ -217,7 +224,6 @@
 	GString *out = caller->stream.out;
 	bool writes = g_rand_boolean (world->random);
 
-	(void) now_us;
 	if (!caller->is_connected)
 	{
 		line_stream_finish (&caller->stream);
@@ -227,6 +233,7 @@
 		return;
 	}
 	caller->operations++;
+	caller->asked_us = now_us;
 	if (caller->is_slow)
 		g_string_append (out, "QUERY r READ slow\r\n");
 	else if (caller->statement == 1 || caller->statement == 2)
@@ -247,6 +254,8 @@
 	}
 	else if (world->mix == MIX_READS_WRITES && writes)
 		append_write (caller);
+	else if (world->mix == MIX_VALUES && caller->operations % 2)
+		g_string_append_printf (out, "QUERY s SET v0 x%u\r\n", caller->operations);
 	else
 		g_string_append (out, "QUERY r READ 1\r\n");
 	line_stream_flush (&caller->stream);
@@ -558,6 +567,35 @@
 	play_answers (ROUTE_BOUNDED_STALENESS, MIX_READS, REPLICA);
 }
 
+/* The answer to a session value is lost, so that the statement is not sent: it is tried again while that is still of use. */
+static void
+test_setup (void)
+{
+	enum
+	{
+		ANSWERS = 8,
+		/* Below the target latency of common routes; a second try has to fit into it. */
+		MAX_WAIT_MS = 250,
+	};
+
+	for (int vm_count = 1; vm_count <= MAX_VMS; vm_count++)
+	{
+		struct world world;
+
+		world_init (&world, vm_count, 20000, ROUTE_PRIMARY, MIX_VALUES);
+		run_for (&world, WARM_UP_US);
+		world.servers[PRIMARY].loses = loses;
+		world.servers[PRIMARY].loses_setup = true;
+		world.left = ANSWERS;
+		run_for (&world, PHASE_US);
+		g_test_message ("%d VMs: lost %u, longest wait %d ms, refused %u", vm_count, world.lost,
+		                (int) (world.max_wait_us / US_PER_MS), world.refused);
+		g_assert_cmpuint (world.lost, ==, ANSWERS);
+		g_assert_cmpint (world.max_wait_us, <, MAX_WAIT_MS * US_PER_MS);
+		world_finish (&world);
+	}
+}
+
 /** Loses a share of all answers, for the whole time. */
 static void
 play_share (double share)
@@ -673,6 +711,7 @@
 	g_test_add_func ("/gateway_slots/primary", test_primary);
 	g_test_add_func ("/gateway_slots/transactions", test_transactions);
 	g_test_add_func ("/gateway_slots/replica", test_replica);
+	g_test_add_func ("/gateway_slots/setup", test_setup);
 	g_test_add_func ("/gateway_slots/owner_leaves", test_owner_leaves);
 	g_test_add_func ("/gateway_slots/owner_killed", test_owner_killed);
 	g_test_add_func ("/gateway_slots/share_1", test_share_1);
--- a/tests/unit/slots.c
+++ b/tests/unit/slots.c
@@ -93,9 +93,10 @@
 	g_assert_true (slot_answer_is_given_up (600 * US_PER_MS, false, true));
 	g_assert_true (slot_answer_is_given_up (1100 * US_PER_MS, false, false));
 	/* A silent server may still answer. */
-	g_assert_false (slot_setup_is_given_up (5000 * US_PER_MS, -100 * US_PER_MS));
-	g_assert_false (slot_setup_is_given_up (500 * US_PER_MS, 500 * US_PER_MS));
-	g_assert_true (slot_setup_is_given_up (1100 * US_PER_MS, 1000 * US_PER_MS));
+	g_assert_false (slot_setup_is_given_up (5000 * US_PER_MS, -100 * US_PER_MS, 50 * US_PER_MS));
+	g_assert_false (slot_setup_is_given_up (60 * US_PER_MS, 10 * US_PER_MS, 50 * US_PER_MS));
+	g_assert_false (slot_setup_is_given_up (40 * US_PER_MS, 40 * US_PER_MS, 50 * US_PER_MS));
+	g_assert_true (slot_setup_is_given_up (60 * US_PER_MS, 30 * US_PER_MS, 50 * US_PER_MS));
 }
 
 int
