--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -517,7 +517,7 @@
 	(void) data;
 }
 
-static const struct gateway_traffic_events no_events = {
+const struct gateway_traffic_events gateway_traffic_no_events = {
 	.handle_report = ignore_report,
 	.handle_quiesced = ignore_quiesced,
 	.handle_leave_complete = ignore_leave_complete,
@@ -532,7 +532,7 @@
 	pthread_join (traffic->thread, NULL);
 	traffic->has_thread = false;
 	/* The receiver of the events may be gone before the remaining connections are closed. */
-	traffic->events = &no_events;
+	traffic->events = &gateway_traffic_no_events;
 }
 
 void
--- a/include/gateway/traffic.h
+++ b/include/gateway/traffic.h
@@ -35,6 +35,9 @@
 	void (*handle_leave_complete) (void *data);
 };
 
+/** Ignores all events. */
+extern const struct gateway_traffic_events gateway_traffic_no_events;
+
 /** @return NULL when a listener cannot be opened. */
 struct gateway_traffic *gateway_traffic_new (const struct gateway_traffic_settings *settings);
 /** @return 0 or a negative error number. */
--- a/tests/integration/gateway_promise.c
+++ b/tests/integration/gateway_promise.c
@@ -43,35 +43,6 @@
 	uint32_t slots;
 };
 
-static void
-handle_report (void *data, struct server_report *report)
-{
-	(void) data;
-	g_free (report->server);
-	g_free (report->service);
-	g_free (report);
-}
-
-static void
-handle_quiesced (void *data, const char *service, uint64_t change)
-{
-	(void) data;
-	(void) service;
-	(void) change;
-}
-
-static void
-handle_leave_complete (void *data)
-{
-	(void) data;
-}
-
-static const struct gateway_traffic_events events = {
-	.handle_report = handle_report,
-	.handle_quiesced = handle_quiesced,
-	.handle_leave_complete = handle_leave_complete,
-};
-
 /** One route for each time limit; its database is named after the limit in milliseconds. */
 static struct configuration *
 configuration_create (void)
@@ -160,7 +131,8 @@
 		settings.relay_port = relay_ports[i] = free_port ();
 		fixture->vms[i] = gateway_traffic_new (&settings);
 		g_assert_nonnull (fixture->vms[i]);
-		g_assert_cmpint (gateway_traffic_start (fixture->vms[i], &events, fixture), ==, 0);
+		g_assert_cmpint (gateway_traffic_start (fixture->vms[i], &gateway_traffic_no_events, NULL),
+		                 ==, 0);
 	}
 	fault_link_start (&fixture->owner_link, relay_ports[OWNER]);
 	for (int i = 0; i < VM_COUNT; i++)
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -660,15 +660,6 @@
 	return answer.is_leaving;
 }
 
-static void
-ignore_report (void *data, struct server_report *report)
-{
-	(void) data;
-	g_free (report->server);
-	g_free (report->service);
-	g_free (report);
-}
-
 /* Guards against an operator who sees that answers are lost, but not at which server. */
 static void
 test_metrics_of_lost_answers (void)
@@ -694,13 +685,13 @@
 static void
 test_hung_traffic (void)
 {
-	static const struct gateway_traffic_events events = { .handle_report = ignore_report };
 	struct controller controller;
 
 	set_up (&controller);
 	/* The thread has not been started, so it does not turn. */
 	g_assert_true (ask_is_leaving (&controller));
-	g_assert_cmpint (gateway_traffic_start (controller.traffic, &events, NULL), ==, 0);
+	g_assert_cmpint (gateway_traffic_start (controller.traffic, &gateway_traffic_no_events, NULL),
+	                 ==, 0);
 	while (gateway_traffic_get_turns (controller.traffic).turned_us == 0)
 		g_usleep (1000);
 	g_assert_false (ask_is_leaving (&controller));
--- a/tests/unit/gateway_queue.c
+++ b/tests/unit/gateway_queue.c
@@ -334,35 +334,6 @@
 
 /* VMs. */
 
-static void
-handle_report (void *data, struct server_report *report)
-{
-	(void) data;
-	g_free (report->server);
-	g_free (report->service);
-	g_free (report);
-}
-
-static void
-handle_quiesced (void *data, const char *service, uint64_t change)
-{
-	(void) data;
-	(void) service;
-	(void) change;
-}
-
-static void
-handle_leave_complete (void *data)
-{
-	(void) data;
-}
-
-static const struct gateway_traffic_events events = {
-	.handle_report = handle_report,
-	.handle_quiesced = handle_quiesced,
-	.handle_leave_complete = handle_leave_complete,
-};
-
 static struct configuration *
 configuration_create (struct model *model)
 {
@@ -563,7 +534,7 @@
 		settings.relay_port = model->relay_ports[i] = free_port ();
 		model->vms[i] = gateway_traffic_new (&settings);
 		g_assert_nonnull (model->vms[i]);
-		gateway_traffic_prepare (model->vms[i], &events, model);
+		gateway_traffic_prepare (model->vms[i], &gateway_traffic_no_events, NULL);
 		send_view (model, i);
 	}
 	for (int i = 0; i < CALLERS; i++)
--- a/tests/unit/gateway_slots.c
+++ b/tests/unit/gateway_slots.c
@@ -263,35 +263,6 @@
 
 /* VMs. */
 
-static void
-handle_report (void *data, struct server_report *report)
-{
-	(void) data;
-	g_free (report->server);
-	g_free (report->service);
-	g_free (report);
-}
-
-static void
-handle_quiesced (void *data, const char *service, uint64_t change)
-{
-	(void) data;
-	(void) service;
-	(void) change;
-}
-
-static void
-handle_leave_complete (void *data)
-{
-	(void) data;
-}
-
-static const struct gateway_traffic_events events = {
-	.handle_report = handle_report,
-	.handle_quiesced = handle_quiesced,
-	.handle_leave_complete = handle_leave_complete,
-};
-
 static struct configuration *
 configuration_create (const struct world *world)
 {
@@ -373,7 +344,7 @@
 	settings.relay_port = world->relay_ports[vm] = free_port ();
 	world->vms[vm] = gateway_traffic_new (&settings);
 	g_assert_nonnull (world->vms[vm]);
-	gateway_traffic_prepare (world->vms[vm], &events, world);
+	gateway_traffic_prepare (world->vms[vm], &gateway_traffic_no_events, NULL);
 }
 
 static void
