--- a/tests/support/slot_server.c
+++ b/tests/support/slot_server.c
@@ -120,6 +120,7 @@
 	else
 		run_job (job);
 	server->running--;
+	g_ptr_array_remove_fast (server->jobs, job);
 	job_free (job);
 	start_jobs (server);
 }
@@ -138,6 +139,7 @@
 			continue;
 		}
 		server->running++;
+		g_ptr_array_add (server->jobs, job);
 		loop_set_timer (server->loop, &job->timer,
 		                clock_now_us () + (is_status ? SLOT_STATUS_US
 		                                             : server->work_us (server->data, job->text)));
@@ -266,6 +268,7 @@
 	server->links = g_ptr_array_new_with_free_func (link_free);
 	server->commits = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 	g_queue_init (&server->waiting);
+	server->jobs = g_ptr_array_new ();
 	server->port = free_port ();
 	server->listener.fd = rpc_listen (INADDR_LOOPBACK, server->port);
 	server->listener.handle_ready = handle_accept;
@@ -280,6 +283,9 @@
 
 	while ((job = g_queue_pop_head (&server->waiting)))
 		job_free (job);
+	for (guint i = 0; i < server->jobs->len; i++)
+		job_free (server->jobs->pdata[i]);
+	g_ptr_array_free (server->jobs, TRUE);
 	loop_remove_source (server->loop, &server->listener);
 	close (server->listener.fd);
 	g_ptr_array_free (server->links, TRUE);
--- a/tests/support/slot_server.h
+++ b/tests/support/slot_server.h
@@ -20,7 +20,8 @@
 	uint32_t slots;
 	uint32_t max_connections;
 	GPtrArray *links;
-	GQueue waiting; /**< Jobs that wait for a slot. */
+	GQueue waiting;  /**< Jobs that wait for a slot. */
+	GPtrArray *jobs; /**< Those that run. */
 	uint32_t running;
 	uint32_t connections;
 	uint64_t index;
