--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -38,7 +38,9 @@
 	struct connection *connection = stream_connection (stream);
 	struct server *server = connection->server;
 
-	wire_encode_start (stream->out, server->service->name, server->service->traffic->settings.vm,
+	wire_encode_start (stream->out, server->service->name,
+	                   connection->tenant ? connection->tenant->name
+	                                      : server->service->traffic->settings.vm,
 	                   server->id);
 }
 
@@ -338,12 +340,14 @@
 };
 
 void
-connection_open (struct server *server, const struct server_owner *owner, int64_t now_us)
+connection_open (struct server *server, const struct server_owner *owner,
+                 struct tenant_state *tenant, int64_t now_us)
 {
 	struct gateway_traffic *traffic = server->service->traffic;
 	struct connection *connection = g_new0 (struct connection, 1);
 
 	connection->server = server;
+	connection->tenant = owner ? NULL : tenant;
 	connection->state = CONNECTION_CLOSED;
 	connection->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 	connection->prepared = g_hash_table_new (NULL, NULL);
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -1,5 +1,7 @@
 #include "gateway/directory.h"
 
+#include <string.h>
+
 void
 route_free (struct route *route)
 {
@@ -28,6 +30,84 @@
 	return configuration;
 }
 
+struct key_digest
+key_digest_of (const char *key, size_t length)
+{
+	GChecksum *checksum = g_checksum_new (G_CHECKSUM_SHA256);
+	struct key_digest digest;
+	gsize size = sizeof digest.bytes;
+
+	g_checksum_update (checksum, (const guchar *) key, (gssize) length);
+	g_checksum_get_digest (checksum, digest.bytes, &size);
+	g_checksum_free (checksum);
+	return digest;
+}
+
+static guint
+hash_digest (const void *data)
+{
+	const struct key_digest *digest = data;
+	guint hash;
+
+	memcpy (&hash, digest->bytes, sizeof hash);
+	return hash;
+}
+
+/** Takes the same time wherever the digests differ. */
+static gboolean
+equal_digests (const void *a, const void *b)
+{
+	const struct key_digest *first = a;
+	const struct key_digest *second = b;
+	uint8_t difference = 0;
+
+	for (size_t i = 0; i < KEY_DIGEST_BYTES; i++)
+		difference |= first->bytes[i] ^ second->bytes[i];
+	return difference == 0;
+}
+
+static void
+tenant_free (void *data)
+{
+	struct tenant *tenant = data;
+
+	g_free (tenant->name);
+	g_free (tenant);
+}
+
+void
+configuration_enable_tenants (struct configuration *configuration)
+{
+	if (configuration->tenants)
+		return;
+	configuration->tenants = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, tenant_free);
+	configuration->keys = g_hash_table_new_full (hash_digest, equal_digests, g_free, NULL);
+}
+
+void
+configuration_add_tenant (struct configuration *configuration, struct tenant *tenant)
+{
+	g_hash_table_replace (configuration->tenants, tenant->name, tenant);
+}
+
+void
+configuration_add_key (struct configuration *configuration, struct tenant *tenant, const char *key,
+                       size_t length)
+{
+	struct key_digest *digest = g_new (struct key_digest, 1);
+
+	*digest = key_digest_of (key, length);
+	g_hash_table_replace (configuration->keys, digest, tenant);
+	tenant->key_count++;
+}
+
+const struct tenant *
+configuration_find_tenant (const struct configuration *configuration,
+                           const struct key_digest *digest)
+{
+	return configuration->keys ? g_hash_table_lookup (configuration->keys, digest) : NULL;
+}
+
 struct configuration *
 configuration_hold (struct configuration *configuration)
 {
@@ -42,6 +122,10 @@
 		return;
 	g_hash_table_destroy (configuration->routes);
 	g_hash_table_destroy (configuration->services);
+	if (configuration->keys)
+		g_hash_table_destroy (configuration->keys);
+	if (configuration->tenants)
+		g_hash_table_destroy (configuration->tenants);
 	g_free (configuration);
 }
 
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -164,6 +164,26 @@
 	relay_complete (session);
 }
 
+/**
+ * Applies the tenant of a forwarded statement; that of a transaction does not change.
+ * @return false when the configuration in force here does not have it, which may be older than that of the other VM.
+ */
+static bool
+find_tenant (struct session *session, const struct caller_message *message)
+{
+	char *name;
+
+	if (session->is_started)
+		return true;
+	session->tenant = NULL;
+	if (message->tenant.length == 0)
+		return true;
+	name = g_strndup (message->tenant.start, message->tenant.length);
+	session->tenant = tenant_table_find (session->traffic->tenants, name);
+	g_free (name);
+	return session->tenant != NULL;
+}
+
 static void
 handle_statement (struct session *session, const struct caller_message *message, int64_t now_us)
 {
@@ -179,6 +199,11 @@
 		relay_refuse (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
 		return;
 	}
+	if (!find_tenant (session, message))
+	{
+		relay_refuse (session, ANSWER_OVERLOADED, "the tenant is not known here");
+		return;
+	}
 	session->priority = message->has_hint ? message->hint.priority : 0;
 	session->target_latency_ms = message->has_hint ? message->hint.target_latency_ms : UINT16_MAX;
 	if (message->has_hint)
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -144,6 +144,8 @@
 		return false;
 	if (connection->is_relayed && !server_is_current_owner (server, connection->relay_ip))
 		return false;
+	if (!connection->is_relayed && connection->tenant != session->tenant)
+		return false;
 	return connection->is_relayed == (uses_relay && !session->is_relay);
 }
 
@@ -247,21 +249,37 @@
 	       now_us - server->relay_lost_us >= SERVER_DIRECT_DELAY_US;
 }
 
+/** Finds the longest idle connection to the server itself that belongs to another tenant, or NULL. */
+static struct connection *
+find_replaceable (const struct server *server, const struct tenant_state *tenant)
+{
+	struct connection *oldest = NULL;
+
+	for (struct connection *connection = server->connections; tenant && connection;
+	     connection = connection->next)
+		if (!connection->is_relayed && connection->state == CONNECTION_IDLE &&
+		    !connection->session && connection->tenant != tenant &&
+		    (!oldest || connection->idle_us < oldest->idle_us))
+			oldest = connection;
+	return oldest;
+}
+
 static bool
-can_open_direct (const struct server *server, int64_t now_us)
+can_open_direct (const struct server *server, const struct tenant_state *tenant, int64_t now_us)
 {
 	return may_connect_directly (server, now_us) && now_us >= server->next_connect_us &&
 	       now_us >= server->next_growth_us && count_opening (server, false) < server->slots &&
-	       count_connections (server, false) < direct_connection_limit (server);
+	       (count_connections (server, false) < direct_connection_limit (server) ||
+	        find_replaceable (server, tenant));
 }
 
 bool
-server_can_open (const struct server *server, int64_t now_us)
+server_can_open (const struct server *server, const struct tenant_state *tenant, int64_t now_us)
 {
 	if (!server->is_listed || (server->is_draining && server->service->primary != server))
 		return false;
 	if (!server_uses_relay (server))
-		return can_open_direct (server, now_us);
+		return can_open_direct (server, tenant, now_us);
 	return count_opening (server, true) < SERVER_MAX_RELAY_OPENING &&
 	       count_connections (server, true) < SERVER_MAX_RELAY_CONNECTIONS;
 }
@@ -310,7 +328,8 @@
 	if (!uses_relay && !is_direct && !may_connect_directly (server, now_us))
 		return;
 	if (uses_relay || (now_us >= server->next_connect_us && now_us >= server->next_growth_us))
-		connection_open (server, connection_target (server, uses_relay), now_us);
+		connection_open (server, connection_target (server, uses_relay), server->last_tenant,
+		                 now_us);
 }
 
 void
@@ -343,17 +362,31 @@
 	}
 }
 
+/** Opens a connection to the server itself, in place of one of another tenant if the limit is reached. */
+static void
+open_direct (struct server *server, struct tenant_state *tenant, int64_t now_us)
+{
+	struct connection *replaced = find_replaceable (server, tenant);
+
+	if (replaced && count_connections (server, false) >= direct_connection_limit (server))
+		connection_close (replaced);
+	connection_open (server, NULL, tenant, now_us);
+}
+
 void
-server_open_direct (struct server *server, int64_t now_us)
+server_open_direct (struct server *server, struct tenant_state *tenant, int64_t now_us)
 {
-	if (server->is_listed && can_open_direct (server, now_us))
-		connection_open (server, NULL, now_us);
+	if (server->is_listed && can_open_direct (server, tenant, now_us))
+		open_direct (server, tenant, now_us);
 }
 
 void
-server_open (struct server *server, int64_t now_us)
+server_open (struct server *server, struct tenant_state *tenant, int64_t now_us)
 {
-	connection_open (server, connection_target (server, server_uses_relay (server)), now_us);
+	if (server_uses_relay (server))
+		connection_open (server, connection_target (server, true), NULL, now_us);
+	else
+		open_direct (server, tenant, now_us);
 }
 
 /** Closes connections that wait too long for an answer that takes little time. */
@@ -445,6 +478,6 @@
 		server_probe (server, false, now_us);
 	else if (server->probing_count == 0 && (is_silent || (server->failed_us > 0 && !is_waiting)))
 		server_probe (server, true, now_us);
-	else if (server->connection_count == 0 && server_can_open (server, now_us))
-		server_open (server, now_us);
+	else if (server->connection_count == 0 && server_can_open (server, server->last_tenant, now_us))
+		server_open (server, server->last_tenant, now_us);
 }
--- a/gateway/server_owner.c
+++ b/gateway/server_owner.c
@@ -218,7 +218,7 @@
 		/* The owner answers the greeting on a new connection at once, however long its queue is; the server itself is
 		 * probed meanwhile. */
 		server->owner_probed_us = now_us;
-		connection_open (server, &server->owners[server->owner_index], now_us);
+		connection_open (server, &server->owners[server->owner_index], NULL, now_us);
 		/* An owner that has never answered is probably starting, as this VM is. */
 		if (direct_us == 0 && (server->relay_answered_us > 0 || !server_is_oversubscribed (server)))
 			server_probe (server, true, now_us);
@@ -238,5 +238,5 @@
 	    now_us < server->relay_retry_us)
 		return;
 	server->relay_retry_us = now_us + OWNER_RETRY_US;
-	connection_open (server, owner, now_us);
+	connection_open (server, owner, NULL, now_us);
 }
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -194,14 +194,15 @@
 			best = connection;
 			best_us = cost_us;
 		}
-		if (!connection && cost_us < to_open_us && server_can_open (server, now_us))
+		if (!connection && cost_us < to_open_us &&
+		    server_can_open (server, session->tenant, now_us))
 		{
 			to_open = server;
 			to_open_us = cost_us;
 		}
 	}
 	if (!best && to_open)
-		server_open (to_open, now_us);
+		server_open (to_open, session->tenant, now_us);
 	return best;
 }
 
@@ -215,8 +216,8 @@
 	    !server_has_capacity (primary, now_us))
 		return NULL;
 	connection = server_find_idle (primary, session);
-	if (!connection && server_can_open (primary, now_us))
-		server_open (primary, now_us);
+	if (!connection && server_can_open (primary, session->tenant, now_us))
+		server_open (primary, session->tenant, now_us);
 	return connection;
 }
 
@@ -231,7 +232,7 @@
 		return NULL;
 	connection = server_find_idle (server, session);
 	if (!connection)
-		server_open_direct (server, now_us);
+		server_open_direct (server, session->tenant, now_us);
 	return connection;
 }
 
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -56,13 +56,13 @@
 		return;
 	log_request (
 		LOG_REQUEST_FAILED, "failed",
-		"request=%s database=%s service=%s priority=%u outcome=%s cause=\"%s\" last=%s "
+		"request=%s database=%s tenant=%s service=%s priority=%u outcome=%s cause=\"%s\" last=%s "
 		"server=%s attempts=%u waited_ms=%lld lead=%u.%u changing=%d knowledge_age_ms=%lld "
 		"sample_age_ms=%lld configuration=%llu",
 		request->id->str, session->database ? session->database : "-",
-		service ? service->name : "-", session->priority, answer_code_name (code), cause,
-		answer_code_name (request->last_code), request->server, request->attempts,
-		(long long) (now_us - request->arrived_us) / US_PER_MS,
+		session->tenant ? session->tenant->name : "-", service ? service->name : "-",
+		session->priority, answer_code_name (code), cause, answer_code_name (request->last_code),
+		request->server, request->attempts, (long long) (now_us - request->arrived_us) / US_PER_MS,
 		service ? succession_change_era (service->record_change) : 0,
 		service ? succession_change_count (service->record_change) : 0,
 		service && service->is_changing,
@@ -198,7 +198,7 @@
 	g_free (session);
 }
 
-bool
+enum answer_code
 session_resolve_route (struct session *session)
 {
 	const struct view *view = session->traffic->view;
@@ -206,16 +206,21 @@
 		view && view->configuration
 			? g_hash_table_lookup (view->configuration->routes, session->database)
 			: NULL;
+	const struct tenant *tenant;
 
 	if (!route)
-		return false;
+		return ANSWER_UNKNOWN_DATABASE;
+	tenant = configuration_find_tenant (view->configuration, &session->key);
+	if (view->configuration->tenants && !route->is_public && !tenant)
+		return ANSWER_UNAUTHORIZED;
+	session->tenant = tenant ? tenant_table_find (session->traffic->tenants, tenant->name) : NULL;
 	session->service = service_get (session->traffic, route->service);
 	session->route_kind = route->kind;
 	session->statement_timeout_ms = route->statement_timeout_ms;
 	session->target_latency_ms = route->target_latency_ms;
 	session->priority = route->priority;
 	session->max_staleness_ms = route->max_staleness_ms;
-	return true;
+	return ANSWER_DONE;
 }
 
 bool
@@ -289,13 +294,17 @@
 session_greet (struct session *session)
 {
 	const struct view *view = session->traffic->view;
+	enum answer_code code;
 
 	session->is_starting = !view || !view->configuration;
 	if (session->is_starting)
 		return;
-	if (!session_resolve_route (session))
+	code = session_resolve_route (session);
+	if (code != ANSWER_DONE)
 	{
-		wire_encode_error (session->stream.out, ANSWER_UNKNOWN_DATABASE, "no route has this name");
+		wire_encode_error (session->stream.out, code,
+		                   code == ANSWER_UNAUTHORIZED ? "the key is not known"
+		                                               : "no route has this name");
 		line_stream_flush (&session->stream);
 		session_close (session);
 		return;
@@ -309,6 +318,7 @@
 handle_start (struct session *session, const struct caller_message *message)
 {
 	session->database = g_strndup (message->database.start, message->database.length);
+	session->key = key_digest_of (message->caller.start, message->caller.length);
 	session_greet (session);
 }
 
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -36,7 +36,10 @@
 		.waited_ms = (uint32_t) ((now_us - request->arrived_us) / US_PER_MS),
 		.limit_ms = (uint32_t) MAX ((request->deadline_us - now_us) / US_PER_MS, 1),
 	};
-	struct wire_prefix prefix = { .hint = connection->is_relayed ? &hint : NULL };
+	struct wire_prefix prefix = {
+		.tenant = connection->is_relayed && session->tenant ? session->tenant->name : NULL,
+		.hint = connection->is_relayed ? &hint : NULL,
+	};
 
 	if (session->is_relay)
 		prefix.after = request->has_after ? &request->after : NULL;
@@ -47,6 +50,7 @@
 		if (server->is_behind && !log_position_covers (server->applied, position))
 			server->probe_read = connection;
 	}
+	server->last_tenant = session->tenant;
 	connection->sent_us = now_us;
 	connection->sent_to_primary = is_primary && service_can_use_primary (server->service, now_us);
 	request->delivery = DELIVERY_UNANSWERED;
--- a/gateway/session_query.c
+++ b/gateway/session_query.c
@@ -10,6 +10,19 @@
 	SESSION_MAX_PREPARED = 256,
 };
 
+/** Applies route and tenant to a new operation. @return false when the caller was refused. */
+static bool
+begin_operation (struct session *session)
+{
+	enum answer_code code = session_resolve_route (session);
+
+	if (code == ANSWER_DONE)
+		return true;
+	session_fail (session, code,
+	              code == ANSWER_UNAUTHORIZED ? "the key is not known" : "no route has this name");
+	return false;
+}
+
 static void
 handle_begin (struct session *session)
 {
@@ -18,11 +31,8 @@
 		session_fail (session, ANSWER_MALFORMED, "a transaction is open");
 		return;
 	}
-	if (!session_resolve_route (session))
-	{
-		session_fail (session, ANSWER_UNKNOWN_DATABASE, "no route has this name");
+	if (!begin_operation (session))
 		return;
-	}
 	session->state = TRANSACTION_OPEN;
 	session->is_read_only = session->request.statement.kind == STATEMENT_BEGIN_READ;
 	session->is_started = false;
@@ -131,11 +141,8 @@
 		session_fail (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
 		return;
 	}
-	if (session->state == TRANSACTION_NONE && !session_resolve_route (session))
-	{
-		session_fail (session, ANSWER_UNKNOWN_DATABASE, "no route has this name");
+	if (session->state == TRANSACTION_NONE && !begin_operation (session))
 		return;
-	}
 	request->deadline_us = now_us + (int64_t) session->statement_timeout_ms * US_PER_MS;
 	session_run_statement (session, now_us);
 }
--- a/gateway/statement.c
+++ b/gateway/statement.c
@@ -10,6 +10,7 @@
 	[ANSWER_TOO_MANY_CONNECTIONS] = "too_many_connections",
 	[ANSWER_UNKNOWN_STATEMENT] = "unknown_statement",
 	[ANSWER_UNKNOWN_DATABASE] = "unknown_database",
+	[ANSWER_UNAUTHORIZED] = "unauthorized",
 	[ANSWER_MALFORMED] = "malformed",
 	[ANSWER_FAILED] = "failed",
 	[ANSWER_TIMED_OUT] = "timed_out",
@@ -36,6 +37,7 @@
 	case ANSWER_TOO_MANY_CONNECTIONS:
 	case ANSWER_UNKNOWN_STATEMENT:
 	case ANSWER_UNKNOWN_DATABASE:
+	case ANSWER_UNAUTHORIZED:
 	case ANSWER_MALFORMED:
 		return true;
 	default:
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -182,6 +182,7 @@
 		traffic->out_of_rotation_us = 0;
 	else if (traffic->out_of_rotation_us == 0)
 		traffic->out_of_rotation_us = now_us;
+	tenant_table_apply (traffic->tenants, view->configuration);
 	apply_servers (traffic);
 	g_hash_table_iter_init (&iter, traffic->services);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -422,6 +423,7 @@
 		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) service_free);
 	traffic->servers =
 		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) server_free);
+	traffic->tenants = tenant_table_new ();
 	traffic->shapes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, shape_free);
 	g_queue_init (&traffic->sessions);
 	traffic->tick.handle_timer = handle_tick;
@@ -546,6 +548,7 @@
 	g_hash_table_destroy (traffic->servers);
 	reap (traffic);
 	g_hash_table_destroy (traffic->services);
+	g_hash_table_destroy (traffic->tenants);
 	g_hash_table_destroy (traffic->shapes);
 	view_free (traffic->view);
 	if (traffic->listener.fd >= 0)
--- a/include/gateway/directory.h
+++ b/include/gateway/directory.h
@@ -25,6 +25,28 @@
 	uint32_t target_latency_ms; /**< Target for a whole operation. */
 	uint32_t priority;          /**< 0 is the most urgent. */
 	uint32_t max_staleness_ms;
+	bool is_public; /**< Callers need no key. */
+};
+
+/** A customer of the operators, whose callers connect with one of its keys. */
+struct tenant
+{
+	char *name;
+	uint32_t key_count;
+	bool has_cap;        /**< The two members below limit its operations in the whole fleet. */
+	uint32_t rate_per_s; /**< Operations per second. */
+	uint32_t burst;      /**< Operations above the rate. */
+};
+
+enum
+{
+	KEY_DIGEST_BYTES = 32, /**< SHA-256. */
+};
+
+/** Digest of a caller's key. Keys themselves are not kept. */
+struct key_digest
+{
+	uint8_t bytes[KEY_DIGEST_BYTES];
 };
 
 struct database_service
@@ -41,12 +63,25 @@
 	uint64_t version;
 	GHashTable *routes;   /**< struct route by database name. */
 	GHashTable *services; /**< struct database_service by name. */
+	GHashTable *tenants;  /**< struct tenant by name; NULL: the deployment has no tenants. */
+	GHashTable *keys;     /**< struct tenant by struct key_digest; NULL as @c tenants. */
 	uint32_t transaction_idle_ms;
 };
 
 struct configuration *configuration_new (void);
 struct configuration *configuration_hold (struct configuration *configuration);
 void configuration_release (struct configuration *configuration);
+/** Declares that the deployment has tenants, at first none. */
+void configuration_enable_tenants (struct configuration *configuration);
+/** Takes ownership of @p tenant and replaces one of the same name. */
+void configuration_add_tenant (struct configuration *configuration, struct tenant *tenant);
+/** Adds a key of a tenant that was added before. */
+void configuration_add_key (struct configuration *configuration, struct tenant *tenant,
+                            const char *key, size_t length);
+/** @return the tenant with the key, or NULL. */
+const struct tenant *configuration_find_tenant (const struct configuration *configuration,
+                                                const struct key_digest *digest);
+struct key_digest key_digest_of (const char *key, size_t length);
 void route_free (struct route *route);
 void database_service_free (struct database_service *service);
 
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -63,6 +63,7 @@
 	ANSWER_TOO_MANY_CONNECTIONS, /**< Did not run. */
 	ANSWER_UNKNOWN_STATEMENT,    /**< Did not run: no prepared statement has this name. */
 	ANSWER_UNKNOWN_DATABASE,     /**< Did not run: no route for this database. */
+	ANSWER_UNAUTHORIZED,         /**< Did not run: the key names no tenant. */
 	ANSWER_MALFORMED,            /**< Did not run. */
 	ANSWER_FAILED,               /**< Ran and failed. */
 	ANSWER_TIMED_OUT,            /**< May have run. */
@@ -92,9 +93,10 @@
 {
 	enum caller_message_kind kind;
 	struct text database;       /**< CALLER_START. */
-	struct text caller;         /**< CALLER_START: name of the client that connects. */
+	struct text caller;         /**< CALLER_START: key or name of the client that connects. */
 	struct text id;             /**< CALLER_QUERY. */
 	struct text text;           /**< CALLER_QUERY: the statement, without the members below. */
+	struct text tenant;         /**< CALLER_QUERY, only between VMs; empty: none. */
 	bool has_hint;              /**< CALLER_QUERY, only between VMs. */
 	struct forward_hint hint;   /**< CALLER_QUERY. */
 	bool has_after;             /**< CALLER_QUERY, only between VMs: @c after is given. */
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -9,6 +9,7 @@
 #include "decision/position_history.h"
 #include "decision/slots.h"
 #include "gateway/line_stream.h"
+#include "gateway/tenant.h"
 #include "gateway/traffic.h"
 #include "gateway/view.h"
 
@@ -42,6 +43,8 @@
 {
 	struct line_stream stream;
 	struct server *server;
+	/** Tenant that the server was told; NULL: none. A connection to an owner has none. */
+	struct tenant_state *tenant;
 	enum connection_state state;
 	GHashTable *values;     /**< Session values that are set on the server, name to value. */
 	GHashTable *prepared;   /**< Set of struct prepared_shape that are prepared on the server. */
@@ -119,6 +122,8 @@
 	bool reported_unreachable; /**< The control thread was told that it is unreachable. */
 	bool status_requested;
 	uint64_t demote_term; /**< Term of a demotion to send; 0: none. */
+	/** Tenant of the last statement, for connections that are opened without one. */
+	struct tenant_state *last_tenant;
 	/* The owner is the VM that holds most of the server's connections and runs the statements of all VMs on them. */
 	struct server_owner owners[SERVER_OWNERS];
 	uint32_t owner_index; /**< Index in owners of the VM in use. */
@@ -193,6 +198,9 @@
 	struct log_position relay_after;
 	bool is_first_statement; /**< The current statement was sent together with BEGIN. */
 	char *database;
+	struct key_digest key; /**< Digest of the caller's key. */
+	/** Tenant of the current operation; NULL: none, the deployment or the route has no tenants. */
+	struct tenant_state *tenant;
 	GHashTable *values;   /**< Acknowledged session values, name to value. */
 	GHashTable *prepared; /**< Name to struct prepared_shape. */
 	enum transaction_state state;
@@ -233,6 +241,7 @@
 	GSList *dead_connections;
 	GHashTable *services; /**< struct service by name. */
 	GHashTable *servers;  /**< struct server by id. */
+	GHashTable *tenants;  /**< struct tenant_state by name. */
 	GHashTable *shapes;   /**< struct prepared_shape by kind (read or write) and text. */
 	struct view *view;
 	/** Latest time at which the records of the view are known to have been current. */
@@ -313,8 +322,11 @@
 /** When the session's current statement takes effect. */
 enum statement_effect session_effect (const struct session *session);
 void session_complete (struct session *session);
-/** Applies the present route of the database, for the whole transaction. @return false when there is none. */
-bool session_resolve_route (struct session *session);
+/**
+ * Applies the present route of the database and the tenant of the caller's key, for a whole operation.
+ * @return ANSWER_DONE, ANSWER_UNKNOWN_DATABASE or ANSWER_UNAUTHORIZED.
+ */
+enum answer_code session_resolve_route (struct session *session);
 void session_enqueue (struct session *session, int64_t now_us);
 /** Answers the greeting, or waits while there is no configuration, e.g. after a restart. */
 void session_greet (struct session *session);
@@ -356,10 +368,11 @@
 struct connection *server_find_idle (struct server *server, const struct session *session);
 bool server_has_capacity (const struct server *server, int64_t now_us);
 /** Whether this VM may open another connection to the server or its current owner. */
-bool server_can_open (const struct server *server, int64_t now_us);
+bool server_can_open (const struct server *server, const struct tenant_state *tenant,
+                      int64_t now_us);
 /** Opens a connection to the server itself, for forwarded statements, if the limits allow it. */
-void server_open_direct (struct server *server, int64_t now_us);
-void server_open (struct server *server, int64_t now_us);
+void server_open_direct (struct server *server, struct tenant_state *tenant, int64_t now_us);
+void server_open (struct server *server, struct tenant_state *tenant, int64_t now_us);
 /** Reports the last contact, and probes the server unless it has answered recently. */
 void server_report_contact (struct server *server, int64_t now_us);
 /** Requests a sample of the primary's position, from its owner if there is one. */
@@ -414,8 +427,10 @@
 /**
  * Opens a connection to an owner, or to the server itself (@p owner NULL). A failure is handled from the loop, never
  * before this returns.
+ * @param tenant tenant that the server is told; NULL: none. Ignored for an owner.
  */
-void connection_open (struct server *server, const struct server_owner *owner, int64_t now_us);
+void connection_open (struct server *server, const struct server_owner *owner,
+                      struct tenant_state *tenant, int64_t now_us);
 void connection_set_state (struct connection *connection, enum connection_state state);
 /** Its statement does not run any more, but its answer has not come. */
 void connection_release_slot (struct connection *connection, int64_t now_us);
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -34,12 +34,17 @@
 void wire_encode_complete (GString *out);
 void wire_encode_error (GString *out, enum answer_code code, const char *message);
 
-/** Encodes the greeting to a server, which refuses it when its service or server id is another one. */
-void wire_encode_start (GString *out, const char *service, const char *vm, const char *server_id);
+/**
+ * Encodes the greeting to a server, which refuses it when its service or server id is another one.
+ * @param caller the tenant, or the name of this VM.
+ */
+void wire_encode_start (GString *out, const char *service, const char *caller,
+                        const char *server_id);
 
 /** Optional parts in front of a statement; NULL when absent. */
 struct wire_prefix
 {
+	const char *tenant;               /**< Sent between VMs only. */
 	const struct forward_hint *hint;  /**< Sent between VMs only. */
 	const struct log_position *after; /**< Position that the server's log must contain. */
 };
--- a/tests/unit/gateway_server.c
+++ b/tests/unit/gateway_server.c
@@ -92,8 +92,8 @@
 	server_handle_relay_lost (fixture.server, OWNER_IP, false, now_us);
 	g_assert_false (server_uses_relay (fixture.server));
 	/* Many VMs lose an owner at once; those without connections to the server delay theirs. */
-	g_assert_false (server_can_open (fixture.server, now_us + 100 * US_PER_MS));
-	g_assert_true (server_can_open (fixture.server, now_us + 500 * US_PER_MS));
+	g_assert_false (server_can_open (fixture.server, NULL, now_us + 100 * US_PER_MS));
+	g_assert_true (server_can_open (fixture.server, NULL, now_us + 500 * US_PER_MS));
 	fixture.server->answered_us = now_us + 200 * US_PER_MS;
 	server_retry_relay (fixture.server, now_us + 210 * US_PER_MS);
 	g_assert_true (server_is_current_owner (fixture.server, STANDBY_IP));
@@ -111,7 +111,7 @@
 	int64_t now_us = clock_now_us ();
 
 	fixture_init (&fixture);
-	connection_open (fixture.server, &fixture.server->owners[0], now_us);
+	connection_open (fixture.server, &fixture.server->owners[0], NULL, now_us);
 	g_assert_cmpuint (fixture.server->connection_count, ==, 1);
 	fixture.server->relay_answered_us = now_us + 900 * US_PER_MS;
 	server_tick (fixture.server, now_us + 1050 * US_PER_MS);
@@ -130,9 +130,9 @@
 	fixture_init (&fixture);
 	fixture.traffic->view->knows_members = false;
 	fixture.server->owners[0] = (struct server_owner){ .is_self = true };
-	g_assert_false (server_can_open (fixture.server, clock_now_us ()));
+	g_assert_false (server_can_open (fixture.server, NULL, clock_now_us ()));
 	fixture.traffic->view->knows_members = true;
-	g_assert_true (server_can_open (fixture.server, clock_now_us ()));
+	g_assert_true (server_can_open (fixture.server, NULL, clock_now_us ()));
 	fixture_finish (&fixture);
 }
 
@@ -152,7 +152,7 @@
 	entry.port = fixture.port;
 	server_update (fixture.server, &entry);
 	fixture.server->owners[0] = (struct server_owner){ .is_self = true };
-	connection_open (fixture.server, NULL, now_us);
+	connection_open (fixture.server, NULL, NULL, now_us);
 	connection = fixture.server->connections;
 	g_assert_nonnull (connection);
 	connection_set_state (connection, CONNECTION_IDLE);
--- a/tests/unit/platform_wire.c
+++ b/tests/unit/platform_wire.c
@@ -73,7 +73,7 @@
 	struct log_position after = { 3, 1207 };
 	struct caller_message message;
 
-	wire_encode_query (out, line ("5c0e"), (struct wire_prefix){ &hint, &after },
+	wire_encode_query (out, line ("5c0e"), (struct wire_prefix){ NULL, &hint, &after },
 	                   line ("READ 1a4"));
 	g_assert_cmpstr (out->str, ==, "QUERY 5c0e RANK 2 600 31 AFTER 3.1207 READ 1a4\r\n");
 	message = wire_decode_forwarded ((struct text){ out->str, out->len - 2 });
@@ -109,7 +109,8 @@
 	GString *out = g_string_new (NULL);
 	struct forward_hint hint = { .target_latency_ms = 600, .limit_ms = 5980 };
 
-	wire_encode_query (out, line ("5c0e"), (struct wire_prefix){ &hint, NULL }, line ("COMMIT"));
+	wire_encode_query (out, line ("5c0e"), (struct wire_prefix){ NULL, &hint, NULL },
+	                   line ("COMMIT"));
 	g_assert_cmpstr (out->str, ==, "QUERY 5c0e RANK 0 600 0 5980 COMMIT\r\n");
 	g_string_free (out, TRUE);
 	for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
