gateway: tests of tenants and their keys, and what a review of them found

Faults of the change that introduced keys, each but the last with a test: - A connection that no statement had asked for was greeted with the name of the VM when no tenant had been served yet, or with a tenant that the configuration no longer has. It now names a declared tenant. - A caller of a public route without a key waited while idle connections of tenants filled the limit; they are replaced. - A key listed twice counted twice, and a key of two tenants moved to the later one while the earlier still counted it.

An unknown key is logged as caller_unauthorized, with the database and the address of the caller, and counted in requests_unauthorized. The states of tenants count operations, refusals and opened connections.

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -50,6 +50,8 @@
 {
 	if (connection->is_relayed)
 		server_handle_relay_alive (connection->server, connection->relay_ip);
+	if (connection->tenant)
+		connection->tenant->connections_opened++;
 	connection_release (connection, now_us);
 }
 
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -94,10 +94,11 @@
 configuration_add_key (struct configuration *configuration, struct tenant *tenant, const char *key,
                        size_t length)
 {
-	struct key_digest *digest = g_new (struct key_digest, 1);
+	struct key_digest digest = key_digest_of (key, length);
 
-	*digest = key_digest_of (key, length);
-	g_hash_table_replace (configuration->keys, digest, tenant);
+	if (g_hash_table_contains (configuration->keys, &digest))
+		return;
+	g_hash_table_insert (configuration->keys, g_memdup2 (&digest, sizeof digest), tenant);
 	tenant->key_count++;
 }
 
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -255,7 +255,7 @@
 {
 	struct connection *oldest = NULL;
 
-	for (struct connection *connection = server->connections; tenant && connection;
+	for (struct connection *connection = server->connections; connection;
 	     connection = connection->next)
 		if (!connection->is_relayed && connection->state == CONNECTION_IDLE &&
 		    !connection->session && connection->tenant != tenant &&
@@ -309,6 +309,13 @@
 	return is_relayed ? &server->owners[server->owner_index] : NULL;
 }
 
+/** Tenant of a connection that no statement has asked for: servers are told declared tenants only. */
+static struct tenant_state *
+default_tenant (const struct server *server)
+{
+	return tenant_table_choose (server->service->traffic->tenants, server->last_tenant);
+}
+
 void
 server_probe (struct server *server, bool is_direct, int64_t now_us)
 {
@@ -328,7 +335,7 @@
 	if (!uses_relay && !is_direct && !may_connect_directly (server, now_us))
 		return;
 	if (uses_relay || (now_us >= server->next_connect_us && now_us >= server->next_growth_us))
-		connection_open (server, connection_target (server, uses_relay), server->last_tenant,
+		connection_open (server, connection_target (server, uses_relay), default_tenant (server),
 		                 now_us);
 }
 
@@ -478,6 +485,7 @@
 		server_probe (server, false, now_us);
 	else if (server->probing_count == 0 && (is_silent || (server->failed_us > 0 && !is_waiting)))
 		server_probe (server, true, now_us);
-	else if (server->connection_count == 0 && server_can_open (server, server->last_tenant, now_us))
-		server_open (server, server->last_tenant, now_us);
+	else if (server->connection_count == 0 &&
+	         server_can_open (server, default_tenant (server), now_us))
+		server_open (server, default_tenant (server), now_us);
 }
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -6,8 +6,11 @@
 #include "gateway/traffic_metrics.h"
 #include "platform/wire.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 static struct session *
 stream_session (struct line_stream *stream)
@@ -132,6 +135,8 @@
 		service_remove (session->service, session);
 	counter_add (
 		answer_code_did_not_run (code) ? COUNTER_REQUESTS_REFUSED : COUNTER_REQUESTS_FAILED, 1);
+	if (session->tenant && answer_code_did_not_run (code))
+		tenant_count_refused (session->tenant, code);
 	log_failed (session, code, message);
 	if (session->state == TRANSACTION_OPEN)
 	{
@@ -198,6 +203,20 @@
 	g_free (session);
 }
 
+/** Logs a key that the configuration does not have, without the key. The database is the name of a route. */
+static void
+log_unauthorized (const struct session *session)
+{
+	struct sockaddr_in address = { 0 };
+	socklen_t length = sizeof address;
+	char ip[INET_ADDRSTRLEN] = "-";
+
+	if (getpeername (session->stream.source.fd, (struct sockaddr *) &address, &length) == 0)
+		inet_ntop (AF_INET, &address.sin_addr, ip, sizeof ip);
+	log_event (LOG_LEVEL_WARN, "caller_unauthorized", "database=%s caller=%s:%u connected=%d",
+	           session->database, ip, ntohs (address.sin_port), session->is_greeted);
+}
+
 enum answer_code
 session_resolve_route (struct session *session)
 {
@@ -208,11 +227,16 @@
 			: NULL;
 	const struct tenant *tenant;
 
+	session->tenant = NULL;
 	if (!route)
 		return ANSWER_UNKNOWN_DATABASE;
 	tenant = configuration_find_tenant (view->configuration, &session->key);
 	if (view->configuration->tenants && !route->is_public && !tenant)
+	{
+		counter_add (COUNTER_REQUESTS_UNAUTHORIZED, 1);
+		log_unauthorized (session);
 		return ANSWER_UNAUTHORIZED;
+	}
 	session->tenant = tenant ? tenant_table_find (session->traffic->tenants, tenant->name) : NULL;
 	session->service = service_get (session->traffic, route->service);
 	session->route_kind = route->kind;
--- a/gateway/session_query.c
+++ b/gateway/session_query.c
@@ -17,7 +17,11 @@
 	enum answer_code code = session_resolve_route (session);
 
 	if (code == ANSWER_DONE)
+	{
+		if (session->tenant)
+			session->tenant->operations++;
 		return true;
+	}
 	session_fail (session, code,
 	              code == ANSWER_UNAUTHORIZED ? "the key is not known" : "no route has this name");
 	return false;
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -11,6 +11,7 @@
 	X (REQUESTS_DONE, "requests_done")                                                             \
 	X (REQUESTS_REFUSED, "requests_refused")                                                       \
 	X (REQUESTS_FAILED, "requests_failed")                                                         \
+	X (REQUESTS_UNAUTHORIZED, "requests_unauthorized")                                             \
 	X (REQUESTS_UNKNOWN, "requests_unknown")                                                       \
 	X (READS_REPLICA, "reads_replica")                                                             \
 	X (READS_PRIMARY, "reads_primary")                                                             \
--- a/include/gateway/directory.h
+++ b/include/gateway/directory.h
@@ -75,7 +75,7 @@
 void configuration_enable_tenants (struct configuration *configuration);
 /** Takes ownership of @p tenant and replaces one of the same name. */
 void configuration_add_tenant (struct configuration *configuration, struct tenant *tenant);
-/** Adds a key of a tenant that was added before. */
+/** Adds a key of a tenant that was added before. A key that an earlier tenant has stays with that one. */
 void configuration_add_key (struct configuration *configuration, struct tenant *tenant,
                             const char *key, size_t length);
 /** @return the tenant with the key, or NULL. */
--- a/tests/support/fake_database.c
+++ b/tests/support/fake_database.c
@@ -20,6 +20,7 @@
 	int fd;
 	int number;
 	GString *in;
+	char caller[64]; /* Second word of START. */
 	GHashTable *values;
 	GHashTable *prepared; /* Name to "READ shape" or "WRITE shape". */
 	bool is_open;         /* A transaction is open. */
@@ -36,6 +37,7 @@
 	g_free (statement->text);
 	g_free (statement->value);
 	g_free (statement->shape);
+	g_free (statement->caller);
 	g_free (statement);
 }
 
@@ -63,6 +65,7 @@
 	statement->value = g_strdup (value ? value : "-");
 	statement->shape = g_strdup (shape ? shape : "-");
 	statement->connection = connection->number;
+	statement->caller = g_strdup (connection->caller);
 	statement->is_in_transaction = connection->is_open;
 	g_ptr_array_add (database->statements, statement);
 }
@@ -186,7 +189,15 @@
 	const char *text = words[0] && words[1] ? words[2] : NULL;
 
 	if (g_str_has_prefix (line, "START "))
+	{
+		char **fields = g_strsplit (line, " ", 4);
+
+		g_strlcpy (connection->caller, fields[1] && fields[2] ? fields[2] : "",
+		           sizeof connection->caller);
+		g_ptr_array_add (database->greetings, g_strdup (line));
+		g_strfreev (fields);
 		send_answer (database, connection, "");
+	}
 	else if (text && !strip_required_position (database, &text))
 	{
 		database->refused++;
@@ -288,6 +299,7 @@
 	database->term = 1;
 	database->index = 100;
 	database->committed = g_ptr_array_new_with_free_func (g_free);
+	database->greetings = g_ptr_array_new_with_free_func (g_free);
 	database->statements = g_ptr_array_new_with_free_func (statement_free);
 	database->listener = rpc_listen (INADDR_LOOPBACK, 0);
 	g_assert_cmpint (database->listener, >=, 0);
@@ -305,6 +317,7 @@
 	close (database->listener);
 	g_ptr_array_free (database->statements, TRUE);
 	g_ptr_array_free (database->committed, TRUE);
+	g_ptr_array_free (database->greetings, TRUE);
 	g_mutex_clear (&database->mutex);
 }
 
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -16,6 +16,7 @@
 	char *value; /**< Session value "v0", or "-". */
 	char *shape; /**< Text of the prepared statement, or "-". */
 	int connection;
+	char *caller; /**< Name that the connection's START gave. */
 	bool is_in_transaction;
 };
 
@@ -31,7 +32,8 @@
 	int delay_ms; /**< Duration of a write or commit. */
 	int read_delay_ms;
 	int rollbacks;
-	int refused; /**< Statements that were answered LAGGING or READONLY. */
+	GPtrArray *greetings; /**< The START lines that it got. */
+	int refused;          /**< Statements that were answered LAGGING or READONLY. */
 	GPtrArray *statements;
 	GPtrArray
 		*committed; /**< Ids of the writes that took effect, in order; one id may be there twice. */
--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -346,6 +346,96 @@
 		g_assert_null (documents_decode_configuration (wrong_lists[i], strlen (wrong_lists[i])));
 }
 
+static const char *
+find_owner (const struct configuration *configuration, const char *key)
+{
+	struct key_digest digest = key_digest_of (key, strlen (key));
+	const struct tenant *tenant = configuration_find_tenant (configuration, &digest);
+
+	return tenant ? tenant->name : NULL;
+}
+
+/* Guards against a key that admits callers though no tenant has it as a text, against a name that would be several words
+ * of a greeting, and against an odd tenant that takes the others with it. */
+static void
+test_tenants (void)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":[{\"host\":\"open\",\"service\":\"s\",\"routeType\":\"primary\","
+		"\"publicAccess\":true},{\"host\":\"shut\",\"service\":\"s\",\"routeType\":\"primary\"},"
+		"{\"host\":\"odd\",\"service\":\"s\",\"routeType\":\"primary\",\"publicAccess\":\"yes\"}],"
+		"\"tenants\":[null,7,[],{},{\"apiKeys\":[\"nobody\"]},{\"name\":7,\"apiKeys\":[\"number\"]},"
+		"{\"name\":\"a b\",\"apiKeys\":[\"blank\"]},{\"name\":\"a\\nb\",\"apiKeys\":[\"line\"]},"
+		"{\"name\":\"\",\"apiKeys\":[\"empty\"]},{\"name\":\"a\\\"b\",\"apiKeys\":[\"quote\"]},"
+		"{\"name\":\"one\",\"apiKeys\":[\"k1\",\"k1\",\"k 2\",\"\",7,null,[\"k3\"],true],"
+		"\"ratePerS\":5,\"burst\":10,\"priority\":\"odd\",\"new\":{}},"
+		"{\"name\":\"one\",\"apiKeys\":[\"second\"],\"ratePerS\":900},"
+		"{\"name\":\"two\",\"apiKeys\":[\"k1\",\"k4\"],\"ratePerS\":\"5\"},"
+		"{\"name\":\"three\"},{\"name\":\"four\",\"apiKeys\":\"k5\",\"ratePerS\":-1},"
+		"{\"name\":\"five\",\"apiKeys\":{\"a\":\"k6\"},\"ratePerS\":7}]}";
+	static const char *const nobody[] = { "nobody", "number", "blank", "line",   "empty",
+		                                  "quote",  "",       "7",     "k3",     "k2",
+		                                  "k",      "k5",     "k6",    "second", "K1",
+		                                  "k1 ",    "true",   "null",  "K 2",    "k  2" };
+	struct configuration *configuration = documents_decode_configuration (text, strlen (text));
+	const struct tenant *one;
+	const struct tenant *five;
+
+	g_assert_nonnull (configuration);
+	g_assert_cmpuint (g_hash_table_size (configuration->tenants), ==, 5);
+	for (size_t i = 0; i < G_N_ELEMENTS (nobody); i++)
+		g_assert_cmpstr (find_owner (configuration, nobody[i]), ==, NULL);
+	g_assert_cmpstr (find_owner (configuration, "k1"), ==, "one");
+	g_assert_cmpstr (find_owner (configuration, "k 2"), ==, "one");
+	g_assert_cmpstr (find_owner (configuration, "k4"), ==, "two");
+	one = g_hash_table_lookup (configuration->tenants, "one");
+	g_assert_cmpuint (one->key_count, ==, 2);
+	g_assert_true (one->has_cap && one->rate_per_s == 5 && one->burst == 10);
+	five = g_hash_table_lookup (configuration->tenants, "five");
+	g_assert_true (five->has_cap && five->rate_per_s == 7 && five->burst == 0);
+	g_assert_false (
+		((struct tenant *) g_hash_table_lookup (configuration->tenants, "two"))->has_cap);
+	g_assert_cmpuint (g_hash_table_size (configuration->routes), ==, 2);
+	g_assert_true (
+		((struct route *) g_hash_table_lookup (configuration->routes, "open"))->is_public);
+	g_assert_false (
+		((struct route *) g_hash_table_lookup (configuration->routes, "shut"))->is_public);
+	configuration_release (configuration);
+}
+
+/* Guards against a deployment without tenants that refuses its callers, and against one whose tenants are all gone that
+ * admits everybody. */
+static void
+test_no_tenants (void)
+{
+	static const char *const without[] = { "{\"version\":1}", "{\"version\":1,\"tenants\":null}" };
+	static const char *const wrong[] = {
+		"{\"version\":1,\"tenants\":{\"name\":\"a\"}}",
+		"{\"version\":1,\"tenants\":\"a\"}",
+		"{\"version\":1,\"tenants\":false}",
+		"{\"version\":1,\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\\u0000x\"]}]}",
+	};
+	static const char empty[] = "{\"version\":1,\"tenants\":[]}";
+	struct configuration *configuration;
+
+	for (size_t i = 0; i < G_N_ELEMENTS (without); i++)
+	{
+		configuration = documents_decode_configuration (without[i], strlen (without[i]));
+		g_assert_nonnull (configuration);
+		g_assert_null (configuration->tenants);
+		g_assert_cmpstr (find_owner (configuration, "k"), ==, NULL);
+		configuration_release (configuration);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS (wrong); i++)
+		g_assert_null (documents_decode_configuration (wrong[i], strlen (wrong[i])));
+	configuration = documents_decode_configuration (empty, strlen (empty));
+	g_assert_nonnull (configuration);
+	g_assert_nonnull (configuration->tenants);
+	g_assert_cmpuint (g_hash_table_size (configuration->tenants), ==, 0);
+	g_assert_cmpstr (find_owner (configuration, ""), ==, NULL);
+	configuration_release (configuration);
+}
+
 static int
 read_settings (const char *text, struct boot_settings *settings, struct findings *findings)
 {
@@ -415,6 +505,8 @@
 	g_test_add_func ("/documents/deep_entries", test_deep_entries);
 	g_test_add_func ("/documents/configuration", test_configuration);
 	g_test_add_func ("/documents/odd_configurations", test_odd_configurations);
+	g_test_add_func ("/documents/tenants", test_tenants);
+	g_test_add_func ("/documents/no_tenants", test_no_tenants);
 	g_test_add_func ("/settings/read", test_settings);
 	g_test_add_func ("/settings/findings", test_settings_findings);
 	return g_test_run ();
--- a/tests/unit/platform_wire.c
+++ b/tests/unit/platform_wire.c
@@ -33,6 +33,7 @@
 		/* Only VMs may send these, to servers and to each other. */
 		{ "QUERY 1 AFTER 1.2 READ 1a4", STATEMENT_INVALID },
 		{ "QUERY 1 RANK 0 120 3 READ 1a4", STATEMENT_INVALID },
+		{ "QUERY 1 TENANT other READ 1a4", STATEMENT_INVALID },
 		{ "QUERY 1 STATUS", STATEMENT_INVALID },
 		{ "QUERY 1 DEMOTE 3", STATEMENT_INVALID },
 		{ "QUERY 1 RESET", STATEMENT_INVALID },
@@ -122,6 +123,48 @@
 	}
 }
 
+/* Guards against a forwarded statement that loses its tenant or its other prefixes, that takes the tenant for a part of
+ * the statement, or that runs without a tenant because the name is missing. */
+static void
+test_forwarded_tenant (void)
+{
+	static const struct
+	{
+		const char *text;
+		const char *tenant;
+		enum statement_kind kind;
+	} rows[] = {
+		{ "QUERY 1 TENANT t-1 RANK 2 600 31 9 AFTER 1.2 READ 1a4", "t-1", STATEMENT_READ },
+		{ "QUERY 1 TENANT t-1 READ 1a4", "t-1", STATEMENT_READ },
+		{ "QUERY 1 TENANT RANK RANK 2 600 31 COMMIT", "RANK", STATEMENT_COMMIT },
+		{ "QUERY 1 TENANT TENANT EXECUTE p x", "TENANT", STATEMENT_EXECUTE },
+		{ "QUERY 1 READ TENANT t-1", "", STATEMENT_READ },
+		{ "QUERY 1 RANK 2 600 31 9 TENANT t-1 READ 1a4", "", STATEMENT_INVALID },
+		{ "QUERY 1 TENANT  READ 1a4", "", STATEMENT_INVALID },
+		{ "QUERY 1 TENANT", "", STATEMENT_INVALID },
+		{ "QUERY 1 TENANT t-1", "t-1", STATEMENT_INVALID },
+		{ "QUERY 1 TENANT t-1 TENANT t-2 READ 1a4", "t-1", STATEMENT_INVALID },
+	};
+	struct forward_hint hint = { .priority = 2, .target_latency_ms = 600, .waited_ms = 31 };
+	struct log_position after = { 3, 1207 };
+	GString *out = g_string_new (NULL);
+
+	wire_encode_execute (out, line ("5c0e"), (struct wire_prefix){ "t-1", &hint, &after }, "p1",
+	                     line ("1a4"));
+	g_assert_cmpstr (out->str, ==,
+	                 "QUERY 5c0e TENANT t-1 RANK 2 600 31 AFTER 3.1207 EXECUTE p1 1a4\r\n");
+	g_string_free (out, TRUE);
+	for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+	{
+		struct caller_message message = wire_decode_forwarded (line (rows[i].text));
+
+		g_test_message ("%s", rows[i].text);
+		g_assert_cmpint (message.statement.kind, ==, rows[i].kind);
+		g_assert_true (text_equals (message.tenant, rows[i].tenant, strlen (rows[i].tenant)));
+		g_assert_cmpint (message.has_after, ==, i == 0);
+	}
+}
+
 static void
 test_answers (void)
 {
@@ -163,6 +206,7 @@
 	g_test_add_func ("/wire/malformed", test_malformed_messages);
 	g_test_add_func ("/wire/forwarded", test_forwarded_statement);
 	g_test_add_func ("/wire/forwarded_time_limit", test_forwarded_time_limit);
+	g_test_add_func ("/wire/forwarded_tenant", test_forwarded_tenant);
 	g_test_add_func ("/wire/answers", test_answers);
 	g_test_add_func ("/wire/promises", test_did_not_run_codes);
 	return g_test_run ();
