gateway: operators see operations, refusals and connections of each tenant

The traffic thread hands a copy of its tenant states to the control thread once per second, by an atomic exchange of the pointer. /metrics has the 16 tenants with most operations and the sum of the rest, so that the number of series does not grow with the tenants; GET /tenants has all of them as JSON, and `flamingospring tenants` prints it. refused_cap counts what a tenant's cap refuses; it is a part of the BUSY answers, and is taken off what is shown as overloaded.

--- a/common/http_responder.c
+++ b/common/http_responder.c
@@ -28,8 +28,13 @@
 	unsigned status = MHD_HTTP_NOT_FOUND;
 	GString *body = g_string_new (NULL);
 
-	if (strcmp (method, "GET") == 0 && strcmp (url, responder->path) == 0)
-		status = responder->answer (responder->data, body);
+	for (size_t i = 0; i < HTTP_RESPONDER_MAX_PAGES; i++)
+	{
+		const struct http_page *page = &responder->pages[i];
+
+		if (page->path && strcmp (method, "GET") == 0 && strcmp (url, page->path) == 0)
+			status = page->answer (responder->data, body);
+	}
 	response = MHD_create_response_from_buffer (body->len, body->str, MHD_RESPMEM_MUST_COPY);
 	g_string_free (body, TRUE);
 	if (!response)
@@ -64,6 +69,19 @@
 	responder_run (timer->data);
 }
 
+void
+http_responder_add (struct http_responder *responder, const char *path,
+                    unsigned (*answer) (void *data, GString *body))
+{
+	for (size_t i = 0; i < HTTP_RESPONDER_MAX_PAGES; i++)
+		if (!responder->pages[i].path)
+		{
+			responder->pages[i] = (struct http_page){ path, answer };
+			return;
+		}
+	g_assert_not_reached ();
+}
+
 int
 http_responder_init (struct http_responder *responder, struct loop *loop, uint32_t ip,
                      uint16_t port, const char *path,
@@ -76,8 +94,7 @@
 	if (fd < 0)
 		return fd;
 	responder->loop = loop;
-	responder->path = path;
-	responder->answer = answer;
+	http_responder_add (responder, path, answer);
 	responder->data = data;
 	responder->source.handle_ready = handle_ready;
 	responder->source.data = responder;
--- a/ctl/client.c
+++ b/ctl/client.c
@@ -77,8 +77,8 @@
 	options->control = NULL;
 }
 
-static bool
-parse_address (const char *text, struct sockaddr_in *address)
+bool
+client_parse_address (const char *text, struct sockaddr_in *address)
 {
 	char **parts = g_strsplit (text, ":", 2);
 	guint64 port;
@@ -154,7 +154,7 @@
 	{
 		struct sockaddr_in address = { 0 };
 
-		if (!parse_address (addresses[i], &address))
+		if (!client_parse_address (addresses[i], &address))
 			fprintf (stderr, "flamingospring: \"%s\" is not IP:PORT\n", addresses[i]);
 		else if (client_connect (client, &address, options->timeout_ms, program) < 0)
 			fprintf (stderr, "flamingospring: no answer from %s\n", addresses[i]);
--- a/ctl/commands.c
+++ b/ctl/commands.c
@@ -28,6 +28,7 @@
 	{ "promote", cmd_promote, "change the primary of a database group" },
 	{ "schema", cmd_schema, "check a service document, or generate its typed calls" },
 	{ "status", cmd_status, "print members, servers, owners and primaries as seen by a VM" },
+	{ "tenants", cmd_tenants, "print the tenants of a gateway, their caps and counters" },
 	{ "trace", cmd_trace, "print the latest sampled spans of a VM" },
 	{ "undrain", cmd_undrain, "cancel a drain" },
 };
--- a/gateway/controller.c
+++ b/gateway/controller.c
@@ -265,6 +265,8 @@
 		result = http_responder_init (&controller->metrics, &controller->loop, boot->ip,
 		                              controller->metrics_port, "/metrics",
 		                              controller_answer_metrics, controller);
+	if (result == 0 && controller->metrics_port > 0)
+		http_responder_add (&controller->metrics, "/tenants", controller_answer_tenants);
 	return result;
 }
 
@@ -339,5 +341,7 @@
 	g_hash_table_destroy (controller->zones);
 	g_hash_table_destroy (controller->servers);
 	configuration_release (controller->configuration);
+	if (controller->tenants)
+		g_array_unref (controller->tenants);
 	g_free (controller);
 }
--- a/gateway/controller_metrics.c
+++ b/gateway/controller_metrics.c
@@ -1,8 +1,15 @@
 #include "gateway/controller_private.h"
 
 #include "common/counters.h"
+#include "gateway/tenant.h"
 #include "gateway/traffic_metrics.h"
 
+enum
+{
+	/* Tenants with metrics of their own; a monitoring tool keeps one series for each name. */
+	METRICS_TENANTS = 16,
+};
+
 static void
 append_gauge (GString *body, const char *name, const char *help, double value)
 {
@@ -134,10 +141,152 @@
 	}
 }
 
+/** Takes the latest report about tenants. @return the states, those with most operations first, or NULL: no tenants. */
+static const GArray *
+refresh_tenants (struct controller *controller)
+{
+	GArray *report = gateway_traffic_take_tenants (controller->traffic);
+
+	if (!report)
+		return controller->tenants;
+	if (controller->tenants)
+		g_array_unref (controller->tenants);
+	controller->tenants = report;
+	return report;
+}
+
+/** BUSY answers that the cap did not cause. */
+static uint64_t
+refused_overloaded (const struct tenant_state *state)
+{
+	return state->refused_busy > state->refused_cap ? state->refused_busy - state->refused_cap : 0;
+}
+
+struct tenant_metric
+{
+	const char *name;
+	const char *labels; /* After that of the tenant. */
+	const char *help;   /* NULL: as the metric before. */
+	bool is_gauge;
+	uint64_t (*read) (const struct tenant_state *state);
+};
+
+static uint64_t
+read_operations (const struct tenant_state *state)
+{
+	return state->operations;
+}
+
+static uint64_t
+read_refused_cap (const struct tenant_state *state)
+{
+	return state->refused_cap;
+}
+
+static uint64_t
+read_refused_other (const struct tenant_state *state)
+{
+	return state->refused_other;
+}
+
+static uint64_t
+read_waiting (const struct tenant_state *state)
+{
+	return state->waiting;
+}
+
+static uint64_t
+read_connections (const struct tenant_state *state)
+{
+	return state->connections;
+}
+
+static uint64_t
+read_opened (const struct tenant_state *state)
+{
+	return state->connections_opened;
+}
+
+static const struct tenant_metric tenant_metrics[] = {
+	{ "tenant_operations_total", "", "operations of callers of this VM", false, read_operations },
+	{ "tenant_refused_total", ",cause=\"overloaded\"",
+	  "operations that were refused and have not run", false, refused_overloaded },
+	{ "tenant_refused_total", ",cause=\"cap\"", NULL, false, read_refused_cap },
+	{ "tenant_refused_total", ",cause=\"other\"", NULL, false, read_refused_other },
+	{ "tenant_waiting", "", "statements in the queues of this VM", true, read_waiting },
+	{ "tenant_connections", "", "open connections of this VM to servers", true, read_connections },
+	{ "tenant_connections_opened_total", "", "connections that servers have accepted", false,
+	  read_opened },
+};
+
+/** Appends the metrics of the largest tenants, and their sum for the others. No tenant's name contains a blank. */
+static void
+append_tenants (GString *body, const GArray *tenants)
+{
+	for (size_t i = 0; tenants && i < G_N_ELEMENTS (tenant_metrics); i++)
+	{
+		const struct tenant_metric *metric = &tenant_metrics[i];
+		uint64_t others = 0;
+
+		if (metric->help)
+			g_string_append_printf (
+				body, "# HELP flamingospring_%s %s\n# TYPE flamingospring_%s %s\n", metric->name,
+				metric->help, metric->name, metric->is_gauge ? "gauge" : "counter");
+		for (guint j = 0; j < tenants->len; j++)
+		{
+			const struct tenant_state *state = &g_array_index (tenants, struct tenant_state, j);
+
+			if (j < METRICS_TENANTS)
+				g_string_append_printf (body, "flamingospring_%s{tenant=\"%s\"%s} %llu\n",
+				                        metric->name, state->name, metric->labels,
+				                        (unsigned long long) metric->read (state));
+			else
+				others += metric->read (state);
+		}
+		if (tenants->len > METRICS_TENANTS)
+			g_string_append_printf (body, "flamingospring_%s{tenant=\"other tenants\"%s} %llu\n",
+			                        metric->name, metric->labels, (unsigned long long) others);
+	}
+}
+
+unsigned
+controller_answer_tenants (void *data, GString *body)
+{
+	const GArray *tenants = refresh_tenants (data);
+	bool is_first = true;
+
+	g_string_append (body, "{\"tenants\":[");
+	for (guint i = 0; tenants && i < tenants->len; i++)
+	{
+		const struct tenant_state *state = &g_array_index (tenants, struct tenant_state, i);
+
+		if (!state->is_declared)
+			continue;
+		/* Names have no characters that JSON escapes. */
+		g_string_append_printf (body, "%s{\"name\":\"%s\",\"keys\":%u,", is_first ? "" : ",",
+		                        state->name, state->key_count);
+		if (state->has_cap)
+			g_string_append_printf (body, "\"cap\":{\"ratePerS\":%u,\"burst\":%u},",
+			                        state->rate_per_s, state->burst);
+		else
+			g_string_append (body, "\"cap\":null,");
+		g_string_append_printf (
+			body,
+			"\"operations\":%llu,\"refused\":{\"overloaded\":%llu,\"cap\":%llu,\"other\":%llu},"
+			"\"waiting\":%u,\"connections\":%u,\"opened\":%llu}",
+			(unsigned long long) state->operations, (unsigned long long) refused_overloaded (state),
+			(unsigned long long) state->refused_cap, (unsigned long long) state->refused_other,
+			state->waiting, state->connections, (unsigned long long) state->connections_opened);
+		is_first = false;
+	}
+	g_string_append (body, "]}\n");
+	return 200;
+}
+
 unsigned
 controller_answer_metrics (void *data, GString *body)
 {
-	const struct controller *controller = data;
+	struct controller *controller = data;
 
 	append_state (body, controller, clock_now_us ());
 	append_records (body, controller);
@@ -151,5 +300,6 @@
 		                        (unsigned long long) counter_get ((enum counter) i));
 	}
 	append_latencies (body);
+	append_tenants (body, refresh_tenants (controller));
 	return 200;
 }
--- a/gateway/tenant.c
+++ b/gateway/tenant.c
@@ -102,62 +102,33 @@
 }
 
 static void
-tenant_row_clear (void *data)
+clear_copy (void *data)
 {
-	struct tenant_row *row = data;
-
-	g_free (row->state.name);
+	g_free (((struct tenant_state *) data)->name);
 }
 
-GArray *
-tenant_rows_new (void)
+static int
+compare_copies (const void *first, const void *second)
 {
-	GArray *rows = g_array_new (FALSE, TRUE, sizeof (struct tenant_row));
-
-	g_array_set_clear_func (rows, tenant_row_clear);
-	return rows;
+	return compare_states (first, second);
 }
 
 GArray *
-tenant_rows_copy (GHashTable *table)
+tenant_table_copy (GHashTable *table)
 {
-	GArray *rows = tenant_rows_new ();
+	GArray *copies = g_array_new (FALSE, TRUE, sizeof (struct tenant_state));
 	GHashTableIter iter;
 	gpointer value;
 
+	g_array_set_clear_func (copies, clear_copy);
 	g_hash_table_iter_init (&iter, table);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
-		struct tenant_row row = { .state = *(const struct tenant_state *) value };
-
-		row.state.name = g_strdup (row.state.name);
-		g_array_append_val (rows, row);
-	}
-	return rows;
-}
-
-struct tenant_row *
-tenant_rows_find (GArray *rows, const char *name)
-{
-	for (guint i = 0; i < rows->len; i++)
-	{
-		struct tenant_row *row = &g_array_index (rows, struct tenant_row, i);
+		struct tenant_state copy = *(const struct tenant_state *) value;
 
-		if (strcmp (row->state.name, name) == 0)
-			return row;
+		copy.name = g_strdup (copy.name);
+		g_array_append_val (copies, copy);
 	}
-	return NULL;
-}
-
-static int
-compare_rows (const void *first, const void *second)
-{
-	return compare_states (&((const struct tenant_row *) first)->state,
-	                       &((const struct tenant_row *) second)->state);
-}
-
-void
-tenant_rows_sort (GArray *rows)
-{
-	g_array_sort (rows, compare_rows);
+	g_array_sort (copies, compare_copies);
+	return copies;
 }
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -16,6 +16,7 @@
 {
 	/* Interval of checks of time limits and retries, which bounds the delay that they add. */
 	TRAFFIC_TICK_US = 20 * US_PER_MS,
+	TRAFFIC_TENANT_REPORT_US = 1 * US_PER_S,
 	/* A turn that takes longer is logged. A VM with a quarter of a core may be stalled for 100 ms without a fault. */
 	TRAFFIC_LONG_TURN_US = 250 * US_PER_MS,
 	TRAFFIC_ACCEPT_BURST = 64,
@@ -364,6 +365,48 @@
 		           (long long) traffic->turns.longest_us / US_PER_MS);
 }
 
+GArray *
+gateway_traffic_take_tenants (struct gateway_traffic *traffic)
+{
+	return ck_pr_fas_ptr (&traffic->tenant_report, NULL);
+}
+
+/** Counts what is waiting and open, and offers a copy of the states of all tenants to the thread that serves operators. */
+static void
+report_tenants (struct gateway_traffic *traffic, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	GArray *former;
+
+	if (now_us - traffic->tenant_report_us < TRAFFIC_TENANT_REPORT_US ||
+	    g_hash_table_size (traffic->tenants) == 0)
+		return;
+	traffic->tenant_report_us = now_us;
+	g_hash_table_iter_init (&iter, traffic->tenants);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+	{
+		((struct tenant_state *) value)->waiting = 0;
+		((struct tenant_state *) value)->connections = 0;
+	}
+	for (GList *link = traffic->sessions.head; link; link = link->next)
+	{
+		const struct session *session = link->data;
+
+		if (session->tenant && session->request.is_active && session->request.is_queued)
+			session->tenant->waiting++;
+	}
+	g_hash_table_iter_init (&iter, traffic->servers);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		for (const struct connection *connection = ((struct server *) value)->connections;
+		     connection; connection = connection->next)
+			if (connection->tenant && connection->state != CONNECTION_OPENING)
+				connection->tenant->connections++;
+	former = ck_pr_fas_ptr (&traffic->tenant_report, tenant_table_copy (traffic->tenants));
+	if (former)
+		g_array_unref (former);
+}
+
 static void
 handle_tick (struct loop_timer *timer, int64_t now_us)
 {
@@ -382,6 +425,7 @@
 	g_hash_table_iter_init (&iter, traffic->services);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 		service_tick (value, now_us);
+	report_tenants (traffic, now_us);
 	if (traffic->is_leaving && traffic->sessions.length == 0)
 		traffic->events->handle_leave_complete (traffic->events_data);
 }
@@ -549,6 +593,8 @@
 	reap (traffic);
 	g_hash_table_destroy (traffic->services);
 	g_hash_table_destroy (traffic->tenants);
+	if (traffic->tenant_report)
+		g_array_unref (traffic->tenant_report);
 	g_hash_table_destroy (traffic->shapes);
 	view_free (traffic->view);
 	if (traffic->listener.fd >= 0)
--- a/include/common/http_responder.h
+++ b/include/common/http_responder.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * HTTP server for GET requests on one path, run by a thread's event loop; serves readiness and metrics.
+ * HTTP server for GET requests on a few paths, run by a thread's event loop; serves readiness and metrics.
  */
 #pragma once
 
@@ -11,15 +11,23 @@
 
 struct MHD_Daemon;
 
+enum
+{
+	HTTP_RESPONDER_MAX_PAGES = 2,
+};
+
 struct http_responder
 {
 	struct loop *loop;
 	struct MHD_Daemon *daemon;
 	struct loop_source source;
 	struct loop_timer timer;
-	const char *path;
-	/** Appends the response body. @return the HTTP status. */
-	unsigned (*answer) (void *data, GString *body);
+	struct http_page
+	{
+		const char *path; /**< NULL: none. */
+		/** Appends the response body. @return the HTTP status. */
+		unsigned (*answer) (void *data, GString *body);
+	} pages[HTTP_RESPONDER_MAX_PAGES];
 	void *data;
 };
 
@@ -27,4 +35,7 @@
 int http_responder_init (struct http_responder *responder, struct loop *loop, uint32_t ip,
                          uint16_t port, const char *path,
                          unsigned (*answer) (void *data, GString *body), void *data);
+/** Adds a page with the same data. At most HTTP_RESPONDER_MAX_PAGES, the first one included. */
+void http_responder_add (struct http_responder *responder, const char *path,
+                         unsigned (*answer) (void *data, GString *body));
 void http_responder_finish (struct http_responder *responder);
--- a/include/ctl/client.h
+++ b/include/ctl/client.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <glib.h>
+#include <netinet/in.h>
 #include <rpc/rpc.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -38,6 +39,9 @@
 
 void client_options_finish (struct client_options *options);
 
+/** Parses IP:PORT. @return whether @p text is one. */
+bool client_parse_address (const char *text, struct sockaddr_in *address);
+
 /** Connects to the first VM that answers. @return 0, or -EHOSTUNREACH with a message on stderr. */
 int client_init (struct client *client, const struct client_options *options, uint32_t program);
 void client_finish (struct client *client);
--- a/include/ctl/cmd.h
+++ b/include/ctl/cmd.h
@@ -13,5 +13,6 @@
 int cmd_promote (int argc, char **argv);
 int cmd_schema (int argc, char **argv);
 int cmd_status (int argc, char **argv);
+int cmd_tenants (int argc, char **argv);
 int cmd_trace (int argc, char **argv);
 int cmd_undrain (int argc, char **argv);
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -128,6 +128,7 @@
 	struct peers peers;
 	struct http_responder readiness;
 	struct http_responder metrics;
+	GArray *tenants; /**< Latest report of the traffic thread; NULL: none yet. */
 	struct loop_timer tick;
 	struct loop_timer poll_timer;
 	struct loop_timer configuration_timer;
@@ -243,6 +244,7 @@
 
 /* controller_metrics.c */
 unsigned controller_answer_metrics (void *data, GString *body);
+unsigned controller_answer_tenants (void *data, GString *body);
 
 /* controller_primary.c */
 struct primary_manager *primary_manager_get (struct controller *controller, const char *service);
--- a/include/gateway/tenant.h
+++ b/include/gateway/tenant.h
@@ -24,14 +24,10 @@
 		refused_cap; /**< Answered BUSY because of the tenant's cap; part of @c refused_busy. */
 	uint64_t refused_other;      /**< Answered with another code that promises that nothing ran. */
 	uint64_t connections_opened; /**< Connections to servers that the servers have accepted. */
-};
-
-/** What operators are told of a tenant. */
-struct tenant_row
-{
-	struct tenant_state state; /**< A copy; the row owns the name. */
-	uint32_t waiting;          /**< Statements in the queues of this VM, also those of other VMs. */
-	uint32_t connections;      /**< Connections of this VM to servers. */
+	/* Gauges, as of the last report. */
+	uint32_t
+		waiting; /**< Statements in the queues of this VM, also those that other VMs forward. */
+	uint32_t connections; /**< Open connections of this VM to servers. */
 };
 
 /** Creates a table of struct tenant_state by name. */
@@ -52,14 +48,8 @@
 /** Counts an operation that was answered with a code that promises that nothing ran. */
 void tenant_count_refused (struct tenant_state *state, enum answer_code code);
 
-/** Creates an array of struct tenant_row, which frees its names. */
-GArray *tenant_rows_new (void);
-
-/** Copies the states of a table, in no order; gauges are 0. */
-GArray *tenant_rows_copy (GHashTable *table);
-
-/** @return the row with this name, or NULL. */
-struct tenant_row *tenant_rows_find (GArray *rows, const char *name);
-
-/** Sorts by operations, most first, then by name. */
-void tenant_rows_sort (GArray *rows);
+/**
+ * Copies the states of a table, those with most operations first, then by name.
+ * @return array of struct tenant_state, which owns its names; for g_array_unref().
+ */
+GArray *tenant_table_copy (GHashTable *table);
--- a/include/gateway/traffic.h
+++ b/include/gateway/traffic.h
@@ -58,6 +58,12 @@
 };
 struct gateway_traffic_turns gateway_traffic_get_turns (const struct gateway_traffic *traffic);
 
+/**
+ * Takes the latest report about tenants, which is made once per second.
+ * @return array as of tenant_table_copy(), or NULL when there is none that has not been taken.
+ */
+GArray *gateway_traffic_take_tenants (struct gateway_traffic *traffic);
+
 /** Replaces the view; takes ownership of @p view. */
 void gateway_traffic_send_view (struct gateway_traffic *traffic, struct view *view);
 
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -201,6 +201,8 @@
 	struct key_digest key; /**< Digest of the caller's key. */
 	/** Tenant of the current operation; NULL: none, the deployment or the route has no tenants. */
 	struct tenant_state *tenant;
+	bool
+		takes_any_tenant; /**< A forwarded statement of a gateway itself: it runs on any tenant's connection. */
 	GHashTable *values;   /**< Acknowledged session values, name to value. */
 	GHashTable *prepared; /**< Name to struct prepared_shape. */
 	enum transaction_state state;
@@ -242,7 +244,10 @@
 	GHashTable *services; /**< struct service by name. */
 	GHashTable *servers;  /**< struct server by id. */
 	GHashTable *tenants;  /**< struct tenant_state by name. */
-	GHashTable *shapes;   /**< struct prepared_shape by kind (read or write) and text. */
+	GArray
+		*tenant_report; /**< Handed to other threads by an atomic exchange; NULL: it was taken. */
+	int64_t tenant_report_us; /**< When the last one was made. */
+	GHashTable *shapes;       /**< struct prepared_shape by kind (read or write) and text. */
 	struct view *view;
 	/** Latest time at which the records of the view are known to have been current. */
 	int64_t records_valid_us;
--- a/tests/integration/command_line.c
+++ b/tests/integration/command_line.c
@@ -157,9 +157,9 @@
 	output_finish (&output);
 }
 
-static const char *const commands[] = { "apply",   "counters", "diff",  "drain",   "explain",
-	                                    "gateway", "get",      "help",  "promote", "proxy",
-	                                    "schema",  "status",   "trace", "undrain" };
+static const char *const commands[] = { "apply",   "counters", "diff",    "drain",   "explain",
+	                                    "gateway", "get",      "help",    "promote", "proxy",
+	                                    "schema",  "status",   "tenants", "trace",   "undrain" };
 
 static void
 test_help_and_version (void)
@@ -200,6 +200,9 @@
 	{ "status --no-such-flag", EXIT_USAGE, "--no-such-flag" },
 	{ "status word", EXIT_USAGE, "unexpected argument \"word\"" },
 	{ "counters word", EXIT_USAGE, "unexpected argument \"word\"" },
+	{ "tenants word", EXIT_USAGE, "unexpected argument \"word\"" },
+	{ "tenants --gateway word", EXIT_UNREACHABLE, "\"word\" is not IP:PORT" },
+	{ "tenants --gateway 127.0.0.1:1", EXIT_UNREACHABLE, "no answer from 127.0.0.1:1" },
 	{ "trace word", EXIT_USAGE, "unexpected argument \"word\"" },
 	{ "get a word", EXIT_USAGE, "unexpected argument \"word\"" },
 	{ "drain a/0 word", EXIT_USAGE, "unexpected argument \"word\"" },
@@ -428,7 +431,11 @@
 		"listen: {front: \"127.0.0.1:%u\", ready: \"127.0.0.1:%u\"}\nbounds: {graceS: 1}\n"
 		"platform: {address: \"127.0.0.1:1\"}\ncloud: {address: \"127.0.0.1:1\"}\n",
 		free_port (), free_port (), port, free_port ());
-	char *argv[] = { FLAMINGOSPRING, "gateway", "--metrics-port", "0", "--settings", path, NULL };
+	char *metrics_port = g_strdup_printf ("%u", free_port ());
+	char *tenants = g_strdup_printf ("tenants --gateway 127.0.0.1:%s", metrics_port);
+	char *argv[] = { FLAMINGOSPRING, "gateway", "--metrics-port", metrics_port, "--settings",
+		             path,           NULL };
+	struct output output;
 	struct sockaddr_in address = {
 		.sin_family = AF_INET,
 		.sin_port = htons (port),
@@ -454,6 +461,11 @@
 	}
 	g_assert_cmpint (send (fd, "START db who\r\n", 14, MSG_NOSIGNAL), ==, 14);
 	g_usleep (200000);
+	/* Guards against a command that does not find the page of a gateway, which has no configuration here. */
+	output = run (tenants, NULL);
+	g_assert_cmpint (output.code, ==, EXIT_OK);
+	g_assert_true (g_str_has_prefix (output.out, "TENANT "));
+	output_finish (&output);
 	stopped_us = clock_now_us ();
 	kill (pid, SIGTERM);
 	while (ended == 0 && clock_now_us () - stopped_us < GRACE_MS * US_PER_MS)
@@ -468,6 +480,8 @@
 	g_assert_cmpint (ended, ==, pid);
 	close (fd);
 	unlink (path);
+	g_free (tenants);
+	g_free (metrics_port);
 	g_free (settings);
 	g_free (path);
 }
--- a/tests/integration/gateway_tenants.c
+++ b/tests/integration/gateway_tenants.c
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "gateway/tenant.h"
 #include "gateway/traffic.h"
 
 #include <arpa/inet.h>
@@ -458,6 +459,52 @@
 	fixture_stop (&fixture, false);
 }
 
+/* Guards against operations and refusals that are counted for no tenant or for another one, or by both VMs. */
+static void
+test_counts (void)
+{
+	static const char *const lines[] = { "QUERY b BEGIN",    "QUERY w WRITE 1 x", "QUERY c COMMIT",
+		                                 "QUERY r READ 1",   "QUERY s SET v0 x",  "QUERY x BEGIN",
+		                                 "QUERY y ROLLBACK", "QUERY z READ 1" };
+	struct fixture fixture;
+	char answer[ANSWER_BYTES];
+	uint64_t counts[VM_COUNT][2] = { 0 };
+	int fd;
+
+	fixture_start (&fixture);
+	await_key (&fixture, " " SECRET " tb", true);
+	fd = open_session (&fixture, FORWARDER, "db", " " SECRET " tb");
+	for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+		g_assert_true (execute (fd, lines[i], answer));
+	g_usleep (2500000);
+	for (int vm = 0; vm < VM_COUNT; vm++)
+	{
+		GArray *states = gateway_traffic_take_tenants (fixture.vms[vm]);
+
+		g_assert_nonnull (states);
+		g_assert_cmpuint (states->len, ==, TENANTS);
+		for (guint i = 0; i < states->len; i++)
+		{
+			const struct tenant_state *state = &g_array_index (states, struct tenant_state, i);
+			bool is_served = strcmp (state->name, "tb") == 0;
+
+			g_assert_cmpuint (state->operations, ==, vm == FORWARDER && is_served ? 4 : 0);
+			g_assert_cmpuint (state->refused_busy + state->refused_other, ==, 0);
+			g_assert_cmpuint (state->key_count, ==, 1);
+			counts[vm][0] += state->connections;
+			counts[vm][1] += state->connections_opened;
+		}
+		g_array_unref (states);
+	}
+	g_assert_cmpuint (counts[OWNER][0], >=, 1);
+	g_mutex_lock (&fixture.database.mutex);
+	g_assert_cmpuint (counts[OWNER][1], ==, fixture.database.greetings->len);
+	g_mutex_unlock (&fixture.database.mutex);
+	g_assert_cmpuint (counts[FORWARDER][0] + counts[FORWARDER][1], ==, 0);
+	close (fd);
+	fixture_stop (&fixture, false);
+}
+
 /* Guards against a key in a log line, of any of the tests before. */
 static void
 test_log (void)
@@ -491,6 +538,7 @@
 	g_test_add_func ("/gateway_tenants/own_connections", test_own_connections);
 	g_test_add_func ("/gateway_tenants/unknown_forwarded", test_unknown_forwarded_tenant);
 	g_test_add_func ("/gateway_tenants/first_connection", test_first_connection);
+	g_test_add_func ("/gateway_tenants/counts", test_counts);
 	g_test_add_func ("/gateway_tenants/log", test_log);
 	result = g_test_run ();
 	dup2 (saved, STDERR_FILENO);
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -680,6 +680,72 @@
 	g_string_free (body, TRUE);
 }
 
+/* Guards against one series for each of any number of tenants, against tenants beyond the largest that are not counted at
+ * all, and against a refusal by the cap that is counted as overload too. */
+static void
+test_metrics_of_tenants (void)
+{
+	enum
+	{
+		TENANTS = 20,
+		LARGEST = 16,
+	};
+	struct controller controller;
+	struct configuration *configuration = configuration_new ();
+	GHashTable *table = tenant_table_new ();
+	GString *body = g_string_new (NULL);
+	GString *page = g_string_new (NULL);
+
+	set_up (&controller);
+	configuration_enable_tenants (configuration);
+	for (int i = 0; i < TENANTS; i++)
+	{
+		struct tenant *tenant = g_new0 (struct tenant, 1);
+
+		*tenant = (struct tenant){
+			.name = g_strdup_printf ("t%02d", i), .has_cap = i == 19, .rate_per_s = 5, .burst = 9
+		};
+		configuration_add_tenant (configuration, tenant);
+		configuration_add_key (configuration, tenant, tenant->name, 3);
+	}
+	tenant_table_apply (table, configuration);
+	for (int i = 0; i < TENANTS; i++)
+	{
+		char *name = g_strdup_printf ("t%02d", i);
+		struct tenant_state *state = tenant_table_find (table, name);
+
+		state->operations = (uint64_t) i + 1;
+		state->refused_cap = 2;
+		for (int j = 0; j < 5; j++)
+			tenant_count_refused (state, j < 3 ? ANSWER_OVERLOADED : ANSWER_BEHIND);
+		g_free (name);
+	}
+	controller.tenants = tenant_table_copy (table);
+	g_assert_cmpuint (controller_answer_metrics (&controller, body), ==, 200);
+	g_assert_nonnull (
+		strstr (body->str, "\nflamingospring_tenant_operations_total{tenant=\"t19\"} 20\n"));
+	g_assert_nonnull (strstr (body->str, "_operations_total{tenant=\"t04\"} 5\n"));
+	g_assert_null (strstr (body->str, "{tenant=\"t03\""));
+	/* 1 + 2 + 3 + 4. */
+	g_assert_nonnull (strstr (body->str, "_operations_total{tenant=\"other tenants\"} 10\n"));
+	g_assert_nonnull (strstr (body->str, "{tenant=\"t19\",cause=\"overloaded\"} 1\n"));
+	g_assert_nonnull (strstr (body->str, "{tenant=\"t19\",cause=\"cap\"} 2\n"));
+	g_assert_nonnull (strstr (body->str, "{tenant=\"other tenants\",cause=\"other\"} 8\n"));
+	g_assert_cmpuint (controller_answer_tenants (&controller, page), ==, 200);
+	g_assert_true (g_str_has_prefix (
+		page->str, "{\"tenants\":[{\"name\":\"t19\",\"keys\":1,\"cap\":{\"ratePerS\":5,"
+				   "\"burst\":9},\"operations\":20,\"refused\":{\"overloaded\":1,\"cap\":2,"
+				   "\"other\":2},\"waiting\":0,\"connections\":0,\"opened\":0},"
+				   "{\"name\":\"t18\",\"keys\":1,\"cap\":null,"));
+	g_assert_nonnull (strstr (page->str, "\"t00\""));
+	g_array_unref (controller.tenants);
+	g_hash_table_destroy (table);
+	configuration_release (configuration);
+	tear_down (&controller);
+	g_string_free (body, TRUE);
+	g_string_free (page, TRUE);
+}
+
 /* Guards against statements that are forwarded to a VM whose traffic thread hangs: its control thread went on saying that it
  * serves, so that it stayed the owner of its servers (review/2). */
 static void
@@ -1338,6 +1404,7 @@
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/metrics_of_lost_answers", test_metrics_of_lost_answers);
+	g_test_add_func ("/gateway_members/metrics_of_tenants", test_metrics_of_tenants);
 	g_test_add_func ("/gateway_members/hung_traffic", test_hung_traffic);
 	g_test_add_func ("/gateway_members/older_records", test_records_older_than_registration);
 	g_test_add_func ("/gateway_members/unanswered_registration", test_registration_without_answer);
--- a/tests/virtual/gateway_fleet_host.c
+++ b/tests/virtual/gateway_fleet_host.c
@@ -239,6 +239,23 @@
 	(void) responder;
 }
 
+void
+http_responder_add (struct http_responder *responder, const char *path,
+                    unsigned (*answer) (void *data, GString *body))
+{
+	(void) responder;
+	(void) path;
+	(void) answer;
+}
+
+unsigned
+controller_answer_tenants (void *data, GString *body)
+{
+	(void) data;
+	(void) body;
+	return 200;
+}
+
 unsigned
 controller_answer_metrics (void *data, GString *body)
 {
