gateway: a forwarded status or demotion uses a connection of any tenant

Such statements name no tenant, so the owner queued them for connections without one, opened some, and told the server the name of a VM as if it were a tenant. They now run on any idle connection, and a new one is opened for a declared tenant.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -176,7 +176,12 @@
 	if (session->is_started)
 		return true;
 	session->tenant = NULL;
-	if (message->tenant.length == 0)
+	/* Status and demotion. */
+	session->takes_any_tenant = session->request.statement.kind == STATEMENT_CONTROL;
+	if (session->takes_any_tenant)
+		session->tenant =
+			tenant_table_choose (session->traffic->tenants, session->relay_server->last_tenant);
+	if (session->takes_any_tenant || message->tenant.length == 0)
 		return true;
 	name = g_strndup (message->tenant.start, message->tenant.length);
 	session->tenant = tenant_table_find (session->traffic->tenants, name);
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -144,7 +144,8 @@
 		return false;
 	if (connection->is_relayed && !server_is_current_owner (server, connection->relay_ip))
 		return false;
-	if (!connection->is_relayed && connection->tenant != session->tenant)
+	if (!connection->is_relayed && !session->takes_any_tenant &&
+	    connection->tenant != session->tenant)
 		return false;
 	return connection->is_relayed == (uses_relay && !session->is_relay);
 }
--- a/tests/integration/gateway_tenants.c
+++ b/tests/integration/gateway_tenants.c
@@ -410,6 +410,28 @@
 	fixture_stop (&fixture, false);
 }
 
+/* Guards against a status or demotion that another VM forwards, for which the owner opens a connection and tells the server
+ * the name of a VM: such statements name no tenant, and may use any connection. */
+static void
+test_forwarded_status (void)
+{
+	struct fixture fixture;
+	char answer[ANSWER_BYTES];
+	int fd;
+
+	fixture_start (&fixture);
+	await_key (&fixture, " " SECRET " tb", true);
+	fd = connect_port (fixture.relay_ports[OWNER]);
+	g_assert_true (execute (fd, "START s vm9 db0", answer));
+	for (int i = 0; i < 3; i++)
+	{
+		g_assert_true (execute (fd, "QUERY - STATUS", answer));
+		g_assert_true (g_str_has_prefix (answer, "ROW primary "));
+	}
+	close (fd);
+	fixture_stop (&fixture, false);
+}
+
 /* Guards against an owner that runs a forwarded statement for a tenant that it does not know, whose name could be any
  * text of a VM with another configuration. */
 static void
@@ -536,6 +558,7 @@
 	g_test_add_func ("/gateway_tenants/revoked_key_forwarder", test_revoked_key_forwarder);
 	g_test_add_func ("/gateway_tenants/removed_tenant", test_removed_tenant);
 	g_test_add_func ("/gateway_tenants/own_connections", test_own_connections);
+	g_test_add_func ("/gateway_tenants/forwarded_status", test_forwarded_status);
 	g_test_add_func ("/gateway_tenants/unknown_forwarded", test_unknown_forwarded_tenant);
 	g_test_add_func ("/gateway_tenants/first_connection", test_first_connection);
 	g_test_add_func ("/gateway_tenants/counts", test_counts);
