gateway: no connection to a server without a configuration

A VM that had the directory before the configuration, e.g. after a restart beside a store that is away, opened connections to servers for probes and forwarded status requests, and told them its own name: it does not know yet that there are tenants, nor the limit of connections. It opens none now until it has a configuration. A status that was queued meanwhile gets a connection of a tenant that is declared when it is opened.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -178,9 +178,6 @@
 	session->tenant = NULL;
 	/* Status and demotion. */
 	session->takes_any_tenant = session->request.statement.kind == STATEMENT_CONTROL;
-	if (session->takes_any_tenant)
-		session->tenant =
-			tenant_table_choose (session->traffic->tenants, session->relay_server->last_tenant);
 	if (session->takes_any_tenant || message->tenant.length == 0)
 		return true;
 	name = g_strndup (message->tenant.start, message->tenant.length);
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -239,11 +239,18 @@
 	       server->service->max_connections;
 }
 
+/** Without a configuration, neither the limit of connections nor a tenant that the server may be told is known. */
+static bool
+has_configuration (const struct server *server)
+{
+	return server->service->traffic->view->configuration != NULL;
+}
+
 /** This VM is owner or standby, or has reached neither for some time. */
 static bool
 may_connect_directly (const struct server *server, int64_t now_us)
 {
-	if (!server->service->traffic->view->knows_members)
+	if (!server->service->traffic->view->knows_members || !has_configuration (server))
 		return false;
 	return server->owners[0].is_self || server->owners[1].is_self ||
 	       !server_is_oversubscribed (server) ||
@@ -310,9 +317,8 @@
 	return is_relayed ? &server->owners[server->owner_index] : NULL;
 }
 
-/** Tenant of a connection that no statement has asked for: servers are told declared tenants only. */
-static struct tenant_state *
-default_tenant (const struct server *server)
+struct tenant_state *
+server_default_tenant (const struct server *server)
 {
 	return tenant_table_choose (server->service->traffic->tenants, server->last_tenant);
 }
@@ -335,9 +341,10 @@
 		return;
 	if (!uses_relay && !is_direct && !may_connect_directly (server, now_us))
 		return;
-	if (uses_relay || (now_us >= server->next_connect_us && now_us >= server->next_growth_us))
-		connection_open (server, connection_target (server, uses_relay), default_tenant (server),
-		                 now_us);
+	if (uses_relay || (has_configuration (server) && now_us >= server->next_connect_us &&
+	                   now_us >= server->next_growth_us))
+		connection_open (server, connection_target (server, uses_relay),
+		                 server_default_tenant (server), now_us);
 }
 
 void
@@ -487,6 +494,6 @@
 	else if (server->probing_count == 0 && (is_silent || (server->failed_us > 0 && !is_waiting)))
 		server_probe (server, true, now_us);
 	else if (server->connection_count == 0 &&
-	         server_can_open (server, default_tenant (server), now_us))
-		server_open (server, default_tenant (server), now_us);
+	         server_can_open (server, server_default_tenant (server), now_us))
+		server_open (server, server_default_tenant (server), now_us);
 }
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -232,7 +232,9 @@
 		return NULL;
 	connection = server_find_idle (server, session);
 	if (!connection)
-		server_open_direct (server, session->tenant, now_us);
+		server_open_direct (
+			server, session->takes_any_tenant ? server_default_tenant (server) : session->tenant,
+			now_us);
 	return connection;
 }
 
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -50,7 +50,8 @@
 		if (server->is_behind && !log_position_covers (server->applied, position))
 			server->probe_read = connection;
 	}
-	server->last_tenant = session->tenant;
+	if (!session->takes_any_tenant)
+		server->last_tenant = session->tenant;
 	connection->sent_us = now_us;
 	connection->sent_to_primary = is_primary && service_can_use_primary (server->service, now_us);
 	request->delivery = DELIVERY_UNANSWERED;
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -375,6 +375,8 @@
 /** Whether this VM may open another connection to the server or its current owner. */
 bool server_can_open (const struct server *server, const struct tenant_state *tenant,
                       int64_t now_us);
+/** Tenant of a connection that no tenant's statement has asked for: servers are told declared tenants only. */
+struct tenant_state *server_default_tenant (const struct server *server);
 /** Opens a connection to the server itself, for forwarded statements, if the limits allow it. */
 void server_open_direct (struct server *server, struct tenant_state *tenant, int64_t now_us);
 void server_open (struct server *server, struct tenant_state *tenant, int64_t now_us);
--- a/tests/integration/gateway_tenants.c
+++ b/tests/integration/gateway_tenants.c
@@ -40,6 +40,7 @@
 	uint16_t caller_ports[VM_COUNT];
 	uint16_t relay_ports[VM_COUNT];
 	uint64_t version;
+	bool lacks_configuration; /**< Of the views that are sent. */
 };
 
 static void
@@ -113,7 +114,10 @@
 			}
 			g_free (key);
 		}
-		view->configuration = configuration;
+		if (fixture->lacks_configuration)
+			configuration_release (configuration);
+		else
+			view->configuration = configuration;
 		g_array_append_val (view->records, primary_record);
 		g_array_append_val (view->servers, entry);
 		g_array_append_val (view->members, member);
@@ -126,7 +130,7 @@
 }
 
 static void
-fixture_start (struct fixture *fixture)
+fixture_init (struct fixture *fixture)
 {
 	memset (fixture, 0, sizeof *fixture);
 	fake_database_start (&fixture->database, "db0", true);
@@ -148,6 +152,12 @@
 		g_assert_cmpint (gateway_traffic_start (fixture->vms[i], &gateway_traffic_no_events, NULL),
 		                 ==, 0);
 	}
+}
+
+static void
+fixture_start (struct fixture *fixture)
+{
+	fixture_init (fixture);
 	apply (fixture, NULL, false);
 }
 
@@ -527,6 +537,35 @@
 	fixture_stop (&fixture, false);
 }
 
+/* Guards against a VM that learns of the servers before it has the configuration, e.g. after a restart, and opens
+ * connections on which it gives its own name, since it does not know that there are tenants. */
+static void
+test_no_configuration (void)
+{
+	struct fixture fixture;
+	char answer[ANSWER_BYTES];
+	int fd;
+
+	fixture_init (&fixture);
+	fixture.lacks_configuration = true;
+	apply (&fixture, NULL, false);
+	fd = connect_port (fixture.relay_ports[OWNER]);
+	g_assert_true (execute (fd, "START s vm9 db0", answer));
+	g_assert_true (execute (fd, "QUERY n TENANT tb RANK 0 500 0 900 READ 1", answer));
+	g_assert_true (g_str_has_prefix (answer, "ERROR BUSY "));
+	g_assert_cmpint (send (fd, "QUERY - STATUS\r\n", 16, MSG_NOSIGNAL), ==, 16);
+	g_usleep (600000);
+	g_mutex_lock (&fixture.database.mutex);
+	g_assert_cmpuint (fixture.database.greetings->len, ==, 0);
+	g_mutex_unlock (&fixture.database.mutex);
+	fixture.lacks_configuration = false;
+	apply (&fixture, NULL, false);
+	g_assert_true (execute (fd, NULL, answer));
+	g_assert_true (g_str_has_prefix (answer, "ROW primary "));
+	close (fd);
+	fixture_stop (&fixture, false);
+}
+
 /* Guards against a key in a log line, of any of the tests before. */
 static void
 test_log (void)
@@ -561,6 +600,7 @@
 	g_test_add_func ("/gateway_tenants/forwarded_status", test_forwarded_status);
 	g_test_add_func ("/gateway_tenants/unknown_forwarded", test_unknown_forwarded_tenant);
 	g_test_add_func ("/gateway_tenants/first_connection", test_first_connection);
+	g_test_add_func ("/gateway_tenants/no_configuration", test_no_configuration);
 	g_test_add_func ("/gateway_tenants/counts", test_counts);
 	g_test_add_func ("/gateway_tenants/log", test_log);
 	result = g_test_run ();
