--- a/gateway/server.c
+++ b/gateway/server.c
@@ -144,7 +144,8 @@
 		return false;
 	if (connection->is_relayed && !server_is_current_owner (server, connection->relay_ip))
 		return false;
-	if (!connection->is_relayed && connection->tenant != session->tenant)
+	if (!connection->is_relayed && !session->takes_any_tenant &&
+	    connection->tenant != session->tenant)
 		return false;
 	return connection->is_relayed == (uses_relay && !session->is_relay);
 }
@@ -238,11 +239,18 @@
 	       server->service->max_connections;
 }
 
+/** Without a configuration, neither the limit of connections nor a tenant that the server may be told is known. */
+static bool
+has_configuration (const struct server *server)
+{
+	return server->service->traffic->view->configuration != NULL;
+}
+
 /** This VM is owner or standby, or has reached neither for some time. */
 static bool
 may_connect_directly (const struct server *server, int64_t now_us)
 {
-	if (!server->service->traffic->view->knows_members)
+	if (!server->service->traffic->view->knows_members || !has_configuration (server))
 		return false;
 	return server->owners[0].is_self || server->owners[1].is_self ||
 	       !server_is_oversubscribed (server) ||
@@ -255,7 +263,7 @@
 {
 	struct connection *oldest = NULL;
 
-	for (struct connection *connection = server->connections; tenant && connection;
+	for (struct connection *connection = server->connections; connection;
 	     connection = connection->next)
 		if (!connection->is_relayed && connection->state == CONNECTION_IDLE &&
 		    !connection->session && connection->tenant != tenant &&
@@ -309,6 +317,12 @@
 	return is_relayed ? &server->owners[server->owner_index] : NULL;
 }
 
+struct tenant_state *
+server_default_tenant (const struct server *server)
+{
+	return tenant_table_choose (server->service->traffic->tenants, server->last_tenant);
+}
+
 void
 server_probe (struct server *server, bool is_direct, int64_t now_us)
 {
@@ -327,9 +341,10 @@
 		return;
 	if (!uses_relay && !is_direct && !may_connect_directly (server, now_us))
 		return;
-	if (uses_relay || (now_us >= server->next_connect_us && now_us >= server->next_growth_us))
-		connection_open (server, connection_target (server, uses_relay), server->last_tenant,
-		                 now_us);
+	if (uses_relay || (has_configuration (server) && now_us >= server->next_connect_us &&
+	                   now_us >= server->next_growth_us))
+		connection_open (server, connection_target (server, uses_relay),
+		                 server_default_tenant (server), now_us);
 }
 
 void
@@ -478,6 +493,7 @@
 		server_probe (server, false, now_us);
 	else if (server->probing_count == 0 && (is_silent || (server->failed_us > 0 && !is_waiting)))
 		server_probe (server, true, now_us);
-	else if (server->connection_count == 0 && server_can_open (server, server->last_tenant, now_us))
-		server_open (server, server->last_tenant, now_us);
+	else if (server->connection_count == 0 &&
+	         server_can_open (server, server_default_tenant (server), now_us))
+		server_open (server, server_default_tenant (server), now_us);
 }
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -201,6 +201,8 @@
 	struct key_digest key; /**< Digest of the caller's key. */
 	/** Tenant of the current operation; NULL: none, the deployment or the route has no tenants. */
 	struct tenant_state *tenant;
+	bool
+		takes_any_tenant; /**< A forwarded statement of a gateway itself: it runs on any tenant's connection. */
 	GHashTable *values;   /**< Acknowledged session values, name to value. */
 	GHashTable *prepared; /**< Name to struct prepared_shape. */
 	enum transaction_state state;
@@ -242,7 +244,10 @@
 	GHashTable *services; /**< struct service by name. */
 	GHashTable *servers;  /**< struct server by id. */
 	GHashTable *tenants;  /**< struct tenant_state by name. */
-	GHashTable *shapes;   /**< struct prepared_shape by kind (read or write) and text. */
+	GArray
+		*tenant_report; /**< Handed to other threads by an atomic exchange; NULL: it was taken. */
+	int64_t tenant_report_us; /**< When the last one was made. */
+	GHashTable *shapes;       /**< struct prepared_shape by kind (read or write) and text. */
 	struct view *view;
 	/** Latest time at which the records of the view are known to have been current. */
 	int64_t records_valid_us;
@@ -370,6 +375,8 @@
 /** Whether this VM may open another connection to the server or its current owner. */
 bool server_can_open (const struct server *server, const struct tenant_state *tenant,
                       int64_t now_us);
+/** Tenant of a connection that no tenant's statement has asked for: servers are told declared tenants only. */
+struct tenant_state *server_default_tenant (const struct server *server);
 /** Opens a connection to the server itself, for forwarded statements, if the limits allow it. */
 void server_open_direct (struct server *server, struct tenant_state *tenant, int64_t now_us);
 void server_open (struct server *server, struct tenant_state *tenant, int64_t now_us);
