gateway: tenants share a server's connections by expected use

With more tenants than connections, the longest idle connection of another tenant was replaced for each statement that found none, also when connections for it were being opened, by up to all slots at once; and idle connections above the slots were closed after 5 s. A new connection takes 12 ms of a slot.

decision/tenant_pool decides from one row per tenant which connection is opened and which is closed: at most half the slots open, no more than the waiting statements that are not covered; the victim is the tenant whose last connection is expected to run the fewest statements (Erlang's loss formula over its demand), without waiting statements unless the asker has no connection and the victim more than its share; such a tenant also leaves idle connections to one that found no place. The idle connections of tenants stay open until their place is needed. TOOMANY lowers the limit in use for 3 s. Reads of a small tenant prefer the same replica; status requests wait for a busy connection rather than open one. Without tenants in the configuration nothing changes.

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -23,6 +23,7 @@
 	server->probing_count += (state == CONNECTION_PROBING) - was_probing;
 	connection->state = state;
 	connection->lost_us = 0;
+	server->pool.is_current = false;
 }
 
 void
@@ -30,6 +31,7 @@
 {
 	connection->lost_us = now_us;
 	connection->server->running_count--;
+	connection->server->pool.is_current = false;
 }
 
 static void
@@ -79,6 +81,7 @@
 	{
 		server_handle_alive (server, now_us);
 		server->next_growth_us = now_us + GROWTH_PAUSE_US;
+		server_pool_handle_refused (server, now_us);
 	}
 	else
 		server->next_connect_us = now_us + WRONG_SERVER_PAUSE_US;
@@ -365,6 +368,8 @@
 	connection->next = server->connections;
 	server->connections = connection;
 	server->connection_count++;
+	if (!connection->is_relayed)
+		counter_add (COUNTER_SERVER_CONNECTIONS_OPENED, 1);
 }
 
 void
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -37,6 +37,7 @@
 	server->id = g_strdup (entry->id);
 	server->latency_us = SERVER_INITIAL_LATENCY_US;
 	server->answered_us = clock_now_us ();
+	server_pool_init (server);
 	g_ptr_array_add (service->servers, server);
 	return server;
 }
@@ -83,6 +84,7 @@
 server_free (struct server *server)
 {
 	server_close_all (server);
+	server_pool_finish (server);
 	g_free (server->id);
 	g_free (server->zone);
 	g_free (server);
@@ -170,6 +172,8 @@
 			best_cost = cost;
 		}
 	}
+	if (best && !best->is_relayed && server_pool_yields (server, session->tenant, clock_now_us ()))
+		return NULL;
 	return best;
 }
 
@@ -206,9 +210,8 @@
 	return count;
 }
 
-/** Limit of connections from this VM to the server itself. */
 static uint32_t
-direct_connection_limit (const struct server *server)
+configured_limit (const struct server *server)
 {
 	uint32_t limit = server->service->max_connections;
 
@@ -219,10 +222,16 @@
 	return connection_share (server);
 }
 
+uint32_t
+server_direct_limit (const struct server *server, int64_t now_us)
+{
+	return tenant_pool_limit_at (&server->pool.limit, configured_limit (server), now_us);
+}
+
 bool
 server_lacks_connections (const struct server *server)
 {
-	if (count_connections (server, false) < direct_connection_limit (server))
+	if (count_connections (server, false) < server_direct_limit (server, clock_now_us ()))
 		return false;
 	for (const struct connection *connection = server->connections; connection;
 	     connection = connection->next)
@@ -249,32 +258,20 @@
 	       now_us - server->relay_lost_us >= SERVER_DIRECT_DELAY_US;
 }
 
-/** Finds the longest idle connection to the server itself that belongs to another tenant, or NULL. */
-static struct connection *
-find_replaceable (const struct server *server, const struct tenant_state *tenant)
-{
-	struct connection *oldest = NULL;
-
-	for (struct connection *connection = server->connections; tenant && connection;
-	     connection = connection->next)
-		if (!connection->is_relayed && connection->state == CONNECTION_IDLE &&
-		    !connection->session && connection->tenant != tenant &&
-		    (!oldest || connection->idle_us < oldest->idle_us))
-			oldest = connection;
-	return oldest;
-}
-
+/** Whether a connection to the server itself may be opened, in a deployment with tenants for a statement of @p tenant. */
 static bool
-can_open_direct (const struct server *server, const struct tenant_state *tenant, int64_t now_us)
+can_open_direct (struct server *server, struct tenant_state *tenant, int64_t now_us)
 {
-	return may_connect_directly (server, now_us) && now_us >= server->next_connect_us &&
-	       now_us >= server->next_growth_us && count_opening (server, false) < server->slots &&
-	       (count_connections (server, false) < direct_connection_limit (server) ||
-	        find_replaceable (server, tenant));
+	if (!may_connect_directly (server, now_us) || now_us < server->next_connect_us)
+		return false;
+	if (server_has_tenants (server))
+		return server_pool_can_open (server, tenant, now_us);
+	return now_us >= server->next_growth_us && count_opening (server, false) < server->slots &&
+	       count_connections (server, false) < server_direct_limit (server, now_us);
 }
 
 bool
-server_can_open (const struct server *server, const struct tenant_state *tenant, int64_t now_us)
+server_can_open (struct server *server, struct tenant_state *tenant, int64_t now_us)
 {
 	if (!server->is_listed || (server->is_draining && server->service->primary != server))
 		return false;
@@ -309,6 +306,15 @@
 	return is_relayed ? &server->owners[server->owner_index] : NULL;
 }
 
+/** Whether a busy connection of a tenant is likely to become idle before another one would be open. */
+static bool
+is_free_soon (const struct server *server, int64_t now_us)
+{
+	int64_t oldest_us = server_oldest_request_us (server, false);
+
+	return server_has_tenants (server) && oldest_us > 0 && now_us - oldest_us < SERVER_PROBE_US;
+}
+
 void
 server_probe (struct server *server, bool is_direct, int64_t now_us)
 {
@@ -323,7 +329,8 @@
 		connection_request_status (connection, now_us);
 		return;
 	}
-	if (count_opening (server, uses_relay) > 0)
+	if (count_opening (server, uses_relay) > 0 ||
+	    (!is_direct && !uses_relay && is_free_soon (server, now_us)))
 		return;
 	if (!uses_relay && !is_direct && !may_connect_directly (server, now_us))
 		return;
@@ -362,22 +369,15 @@
 	}
 }
 
-/** Opens a connection to the server itself, in place of one of another tenant if the limit is reached. */
-static void
-open_direct (struct server *server, struct tenant_state *tenant, int64_t now_us)
-{
-	struct connection *replaced = find_replaceable (server, tenant);
-
-	if (replaced && count_connections (server, false) >= direct_connection_limit (server))
-		connection_close (replaced);
-	connection_open (server, NULL, tenant, now_us);
-}
-
 void
 server_open_direct (struct server *server, struct tenant_state *tenant, int64_t now_us)
 {
-	if (server->is_listed && can_open_direct (server, tenant, now_us))
-		open_direct (server, tenant, now_us);
+	if (!server->is_listed || !can_open_direct (server, tenant, now_us))
+		return;
+	if (server_has_tenants (server))
+		server_pool_open (server, tenant, now_us);
+	else
+		connection_open (server, NULL, tenant, now_us);
 }
 
 void
@@ -386,7 +386,7 @@
 	if (server_uses_relay (server))
 		connection_open (server, connection_target (server, true), NULL, now_us);
 	else
-		open_direct (server, tenant, now_us);
+		server_open_direct (server, tenant, now_us);
 }
 
 /** Closes connections that wait too long for an answer that takes little time. */
@@ -433,6 +433,11 @@
 		       (idle_us > SERVER_RELAY_IDLE_CLOSE_US && count_connections (server, true) > 1);
 	if (server_uses_relay (server))
 		return idle_us > SERVER_DIRECT_IDLE_CLOSE_US;
+	/* An idle connection of a tenant is kept until its place is needed. */
+	if (server_has_tenants (server))
+		return count_connections (server, false) > server_direct_limit (server, now_us) ||
+		       (connection->tenant && !connection->tenant->is_declared &&
+		        idle_us > SERVER_IDLE_CLOSE_US);
 	return idle_us > SERVER_IDLE_CLOSE_US &&
 	       count_connections (server, false) >
 	           (server->owners[0].is_self ? (uint64_t) server->slots + 1 : 1);
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -14,6 +14,8 @@
 	SERVICE_OVERLOADED_COST_US = 30 * US_PER_MS,
 	/* A read waits for a server of its zone for its target latency divided by this. */
 	SERVICE_ZONE_WAIT_DIVISOR = 12,
+	/* Measured time until a new connection to a server may be used. */
+	SERVICE_CONNECT_COST_US = 12 * US_PER_MS,
 	/* A replica whose applied position is older than this may have caught up, so it is tried again. */
 	SERVICE_POSITION_AGE_US = 40 * US_PER_MS,
 };
@@ -161,6 +163,36 @@
 	return true;
 }
 
+/** Finds the replica that all VMs prefer for reads of the session's tenant, or NULL. */
+static const struct server *
+find_preferred (const struct service *service, const struct session *session,
+                const struct log_position *position, int64_t now_us)
+{
+	const struct server *preferred = NULL;
+	uint64_t best_rank = 0;
+
+	for (guint i = 0; session->tenant && i < service->servers->len; i++)
+	{
+		const struct server *server = service->servers->pdata[i];
+		uint64_t rank = tenant_pool_rank (session->tenant->name, server->id);
+
+		if (server == service->primary || (preferred && rank <= best_rank) ||
+		    !may_run_at (session, server, position, now_us))
+			continue;
+		preferred = server;
+		best_rank = rank;
+	}
+	return preferred;
+}
+
+/** Whether a connection to the server itself is being opened for the session's tenant. */
+static bool
+is_opening (struct server *server, const struct session *session, int64_t now_us)
+{
+	return server_has_tenants (server) && !server_uses_relay (server) &&
+	       server_pool_is_opening (server, session->tenant, now_us);
+}
+
 /** Chooses a connection for a read. @return NULL when no server can take it now. */
 static struct connection *
 choose_for_read (struct service *service, struct session *session, int64_t now_us)
@@ -169,6 +201,8 @@
 	bool has_position = session_find_required_position (session, &position);
 	bool crosses_zones =
 		may_cross_zones (service, session, has_position ? &position : NULL, now_us);
+	const struct server *preferred =
+		find_preferred (service, session, has_position ? &position : NULL, now_us);
 	struct connection *best = NULL;
 	struct server *to_open = NULL;
 	int64_t best_us = INT64_MAX;
@@ -189,13 +223,19 @@
 		if (server->running_count >= server->slots && service->primary == server)
 			continue;
 		connection = server_find_idle (server, session);
+		if (server == preferred)
+			cost_us -=
+				tenant_pool_preference_us (tenant_demand_at (&session->tenant->demand, now_us));
+		if (!connection && server_has_tenants (server) && !server_uses_relay (server))
+			cost_us += SERVICE_CONNECT_COST_US;
 		if (connection && cost_us < best_us)
 		{
 			best = connection;
 			best_us = cost_us;
 		}
 		if (!connection && cost_us < to_open_us &&
-		    server_can_open (server, session->tenant, now_us))
+		    (server_can_open (server, session->tenant, now_us) ||
+		     is_opening (server, session, now_us)))
 		{
 			to_open = server;
 			to_open_us = cost_us;
@@ -206,15 +246,30 @@
 	return best;
 }
 
+/**
+ * Opens a connection for a tenant that has none while all slots are in use. Only for the requests that the next free slots
+ * are for: later ones may be refused before their turn, and a new connection takes time of a slot.
+ */
+static void
+open_in_advance (struct server *server, const struct session *session, int64_t now_us)
+{
+	if (server_has_tenants (server) && server->service->offered_count < server->slots)
+		server_open_direct (server, session->tenant, now_us);
+}
+
 static struct connection *
 choose_primary (struct service *service, struct session *session, int64_t now_us)
 {
 	struct server *primary = service->primary;
 	struct connection *connection;
 
-	if (!primary || !service_may_run (session, primary, now_us) ||
-	    !server_has_capacity (primary, now_us))
+	if (!primary || !service_may_run (session, primary, now_us))
 		return NULL;
+	if (!server_has_capacity (primary, now_us))
+	{
+		open_in_advance (primary, session, now_us);
+		return NULL;
+	}
 	connection = server_find_idle (primary, session);
 	if (!connection && server_can_open (primary, session->tenant, now_us))
 		server_open (primary, session->tenant, now_us);
@@ -228,8 +283,13 @@
 	struct server *server = session->relay_server;
 	struct connection *connection;
 
-	if (!service_may_run (session, server, now_us) || server->running_count >= server->slots)
+	if (!service_may_run (session, server, now_us))
+		return NULL;
+	if (server->running_count >= server->slots)
+	{
+		open_in_advance (server, session, now_us);
 		return NULL;
+	}
 	connection = server_find_idle (server, session);
 	if (!connection)
 		server_open_direct (server, session->tenant, now_us);
@@ -252,7 +312,10 @@
 {
 	GList *next;
 
-	for (GList *link = service->waiting.head; link; link = next)
+	service->offered_count = 0;
+	for (guint i = 0; i < service->servers->len; i++)
+		((struct server *) service->servers->pdata[i])->pool.is_current = false;
+	for (GList *link = service->waiting.head; link; link = next, service->offered_count++)
 	{
 		struct session *session = link->data;
 		struct connection *connection;
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -51,6 +51,10 @@
 			server->probe_read = connection;
 	}
 	server->last_tenant = session->tenant;
+	if (!connection->is_relayed && server_has_tenants (server))
+		server_pool_add_use (server, session->tenant, now_us);
+	if (!session->is_relay && session->tenant)
+		tenant_demand_add (&session->tenant->demand, now_us);
 	connection->sent_us = now_us;
 	connection->sent_to_primary = is_primary && service_can_use_primary (server->service, now_us);
 	request->delivery = DELIVERY_UNANSWERED;
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -51,6 +51,8 @@
 	X (SLOT_QUESTIONS, "slot_questions")                                                           \
 	X (SLOTS_RELEASED, "slots_released")                                                           \
 	X (ANSWERS_GIVEN_UP, "answers_given_up")                                                       \
+	X (SERVER_CONNECTIONS_OPENED, "server_connections_opened")                                     \
+	X (SERVER_CONNECTIONS_REPLACED, "server_connections_replaced")                                 \
 	X (RECORDS_REWRITTEN, "records_rewritten")                                                     \
 	X (RPC_MALFORMED, "rpc_malformed")                                                             \
 	X (INVARIANT_VIOLATIONS, "invariant_violations")
--- a/include/gateway/tenant.h
+++ b/include/gateway/tenant.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "decision/tenant_pool.h"
 #include "gateway/directory.h"
 
 #include <glib.h>
@@ -15,6 +16,7 @@
 	bool has_cap;
 	uint32_t rate_per_s;
 	uint32_t burst;
+	struct tenant_demand demand; /**< Statements of callers of this VM. */
 };
 
 /** Creates a table of struct tenant_state by name. */
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -8,6 +8,7 @@
 #include "common/mailbox.h"
 #include "decision/position_history.h"
 #include "decision/slots.h"
+#include "decision/tenant_pool.h"
 #include "gateway/line_stream.h"
 #include "gateway/tenant.h"
 #include "gateway/traffic.h"
@@ -87,6 +88,19 @@
 	bool is_self;
 };
 
+/** Connections of tenants to the server itself. */
+struct server_pool
+{
+	GHashTable *index; /**< Number of a tenant's row, counted from 1, by struct tenant_state. */
+	GArray *rows;      /**< Array of struct tenant_pool_row. */
+	GArray *demands;   /**< Array of struct tenant_demand, as @c rows. */
+	bool is_current;   /**< The rows were counted after the last change. */
+	struct tenant_pool_limit limit;
+	int64_t next_replace_us; /**< Earliest replacement of a connection after a refused one. */
+	struct tenant_state *starved_tenant; /**< Last tenant that found no place. */
+	int64_t starved_us;                  /**< When it last asked for one; 0: none did. */
+};
+
 struct server
 {
 	char *id;
@@ -122,6 +136,7 @@
 	bool reported_unreachable; /**< The control thread was told that it is unreachable. */
 	bool status_requested;
 	uint64_t demote_term; /**< Term of a demotion to send; 0: none. */
+	struct server_pool pool;
 	/** Tenant of the last statement, for connections that are opened without one. */
 	struct tenant_state *last_tenant;
 	/* The owner is the VM that holds most of the server's connections and runs the statements of all VMs on them. */
@@ -151,9 +166,10 @@
 	/** When the records were last known to be current before the present change of primary was learned of. */
 	int64_t valid_before_change_us;
 	struct position_history history;
-	int64_t last_used_us; /**< Last time that a caller of this or another VM used it. */
-	bool needs_dispatch;  /**< The queue is passed at the end of the loop's turn. */
-	GQueue waiting;       /**< Queue of struct session, by priority and time of arrival. */
+	int64_t last_used_us;   /**< Last time that a caller of this or another VM used it. */
+	uint32_t offered_count; /**< Requests of the queue that were offered before the present one. */
+	bool needs_dispatch;    /**< The queue is passed at the end of the loop's turn. */
+	GQueue waiting;         /**< Queue of struct session, by priority and time of arrival. */
 	/** Sessions whose commit waits for a confirmation of the primary record. */
 	GList *held_commits;
 };
@@ -368,8 +384,7 @@
 struct connection *server_find_idle (struct server *server, const struct session *session);
 bool server_has_capacity (const struct server *server, int64_t now_us);
 /** Whether this VM may open another connection to the server or its current owner. */
-bool server_can_open (const struct server *server, const struct tenant_state *tenant,
-                      int64_t now_us);
+bool server_can_open (struct server *server, struct tenant_state *tenant, int64_t now_us);
 /** Opens a connection to the server itself, for forwarded statements, if the limits allow it. */
 void server_open_direct (struct server *server, struct tenant_state *tenant, int64_t now_us);
 void server_open (struct server *server, struct tenant_state *tenant, int64_t now_us);
@@ -403,6 +418,26 @@
 /** Asks about overdue statements, and ends waits for answers that are lost. */
 void server_check_slots (struct server *server, int64_t now_us);
 
+/** Limit of connections from this VM to the server itself. */
+uint32_t server_direct_limit (const struct server *server, int64_t now_us);
+
+/* server_pool.c */
+/** Whether connections to the server belong to tenants. */
+bool server_has_tenants (const struct server *server);
+void server_pool_init (struct server *server);
+void server_pool_finish (struct server *server);
+/** Whether a connection to the server itself would be opened for a waiting statement of the tenant. */
+bool server_pool_can_open (struct server *server, struct tenant_state *tenant, int64_t now_us);
+bool server_pool_is_opening (struct server *server, struct tenant_state *tenant, int64_t now_us);
+/** Opens a connection to the server itself for the tenant, possibly in place of an idle one, if it needs one. */
+void server_pool_open (struct server *server, struct tenant_state *tenant, int64_t now_us);
+/** Whether the tenant leaves an idle connection to another one that has none. */
+bool server_pool_yields (struct server *server, struct tenant_state *tenant, int64_t now_us);
+/** Called when a statement of the tenant is sent to the server itself. */
+void server_pool_add_use (struct server *server, struct tenant_state *tenant, int64_t now_us);
+/** Called when the server has refused a connection for their number. */
+void server_pool_handle_refused (struct server *server, int64_t now_us);
+
 /* server_owner.c */
 /** Chooses owner and standby among the members of the view. */
 void server_update_owner (struct server *server);
--- a/tests/support/slot_server.c
+++ b/tests/support/slot_server.c
@@ -26,6 +26,7 @@
 	bool is_open; /* A transaction is open. */
 	bool is_mute; /* An answer was lost, and so is what follows it. */
 	bool is_gone;
+	char *tenant;      /* As told by the greeting. */
 	GPtrArray *writes; /* Ids of the open transaction's writes. */
 };
 
@@ -152,6 +153,8 @@
 	struct slot_server *server = link->server;
 	struct slot_job *job;
 
+	if (server->handle_statement && strcmp (id, "-") != 0)
+		server->handle_statement (server->data, link->tenant, text);
 	if (server->waiting.length >= SLOT_MAX_WAITING)
 	{
 		server->refused_busy++;
@@ -193,8 +196,12 @@
 	char **words = g_strsplit (text, " ", 3);
 	const char *statement = words[0] && words[1] ? words[2] : NULL;
 
-	if (g_str_has_prefix (text, "START "))
+	if (g_str_has_prefix (text, "START ") && statement)
+	{
+		g_free (link->tenant);
+		link->tenant = g_strndup (statement, strcspn (statement, " "));
 		answer (link, "");
+	}
 	else if (statement && g_str_has_prefix (statement, "AFTER "))
 		queue_job (link, words[1], strchr (statement + strlen ("AFTER "), ' ') + 1);
 	else if (statement && (strcmp (words[1], "-") != 0 || strcmp (statement, "STATUS") == 0))
@@ -252,6 +259,7 @@
 
 	line_stream_finish (&link->stream);
 	g_ptr_array_free (link->writes, TRUE);
+	g_free (link->tenant);
 	g_free (link);
 }
 
--- a/tests/support/slot_server.h
+++ b/tests/support/slot_server.h
@@ -31,6 +31,8 @@
 	/** Whether the answer of a statement that has run is lost; also of a session value, if loses_setup is set. */
 	bool (*loses) (void *data, const char *text);
 	bool loses_setup;
+	/** Called with the name that the connection's greeting gave, for each statement of a session; may be NULL. */
+	void (*handle_statement) (void *data, const char *tenant, const char *text);
 	void *data;
 	/* Counts for the test. */
 	uint32_t refused_busy;
