tests: places of tenants at owner, standby and direct VMs, and status requests

The fixtures of gateway_server cover the wiring of decision/tenant_pool that gateway_pools does not reach: the standby, a VM that connects directly, an idle connection left to a tenant without any, and a status request while all connections are busy.

--- a/tests/unit/gateway_server.c
+++ b/tests/unit/gateway_server.c
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <glib.h>
+#include <string.h>
 #include <unistd.h>
 
 enum
@@ -162,6 +163,156 @@
 	fixture_finish (&fixture);
 }
 
+enum
+{
+	TENANTS = 3,
+};
+
+/** Gives the deployment tenants, and this VM as many idle connections of the first one as the limit allows. */
+static uint32_t
+fill_with_tenant (struct fixture *fixture, struct tenant_state tenants[TENANTS], int64_t now_us)
+{
+	struct server *server = fixture->server;
+	uint32_t limit = server_direct_limit (server, now_us);
+
+	fixture->traffic->view->configuration = configuration_new ();
+	configuration_enable_tenants (fixture->traffic->view->configuration);
+	for (int i = 0; i < TENANTS; i++)
+		tenants[i] = (struct tenant_state){ .name = (char *) "t", .is_declared = true };
+	for (uint32_t i = 0; i < limit; i++)
+	{
+		connection_open (server, NULL, &tenants[0], now_us);
+		connection_set_state (server->connections, CONNECTION_IDLE);
+		server->connections->idle_us = now_us - i * US_PER_MS;
+	}
+	return limit;
+}
+
+static uint32_t
+count_tenant (const struct server *server, const struct tenant_state *tenant)
+{
+	uint32_t count = 0;
+
+	for (const struct connection *connection = server->connections; connection;
+	     connection = connection->next)
+		count += connection->tenant == tenant;
+	return count;
+}
+
+static struct session
+forwarded_session (struct server *server, struct tenant_state *tenant)
+{
+	return (struct session){
+		.is_relay = true, .relay_server = server, .service = server->service, .tenant = tenant
+	};
+}
+
+/* Guards against tenants that wait while others' connections are idle, at a server's owner, at its standby and at a VM that
+ * connects directly; and against idle connections that are closed and opened all the time. */
+static void
+test_tenant_places (void)
+{
+	/* Of a limit of 16 among 20 VMs. */
+	static const uint32_t limits[] = { 8, 4, 1 };
+
+	for (size_t role = 0; role < G_N_ELEMENTS (limits); role++)
+	{
+		struct fixture fixture;
+		struct tenant_state tenants[TENANTS];
+		struct server *server;
+		struct session session;
+		int64_t now_us = clock_now_us ();
+
+		fixture_init (&fixture);
+		server = fixture.server;
+		server->is_relay_lost = true;
+		memset (server->owners, 0, sizeof server->owners);
+		if (role < SERVER_OWNERS)
+			server->owners[role].is_self = true;
+		g_assert_cmpuint (fill_with_tenant (&fixture, tenants, now_us), ==, limits[role]);
+		server_tick (server, now_us + 60 * US_PER_S);
+		g_assert_cmpuint (count_tenant (server, &tenants[0]), ==, limits[role]);
+		/* Without a waiting statement, nothing is replaced. */
+		g_assert_false (server_can_open (server, &tenants[1], now_us));
+		session = forwarded_session (server, &tenants[1]);
+		service_enqueue (server->service, &session);
+		server->pool.is_current = false;
+		g_assert_true (server_can_open (server, &tenants[1], now_us));
+		server_open_direct (server, &tenants[1], now_us);
+		server_open_direct (server, &tenants[1], now_us);
+		g_assert_cmpuint (server->connection_count, ==, limits[role]);
+		g_assert_cmpuint (count_tenant (server, &tenants[1]), ==, 1);
+		g_assert_null (server_find_idle (server, &session));
+		service_remove (server->service, &session);
+		fixture_finish (&fixture);
+	}
+}
+
+/* Guards against a tenant with a backlog that takes its connections again before a tenant without any gets a place. */
+static void
+test_tenant_yields (void)
+{
+	struct fixture fixture;
+	struct tenant_state tenants[TENANTS];
+	struct session ahead;
+	struct session starved;
+	int64_t now_us = clock_now_us ();
+
+	fixture_init (&fixture);
+	fixture.server->owners[0] = (struct server_owner){ .is_self = true };
+	fill_with_tenant (&fixture, tenants, now_us);
+	for (struct connection *connection = fixture.server->connections; connection;
+	     connection = connection->next)
+		connection->session = &ahead;
+	ahead = forwarded_session (fixture.server, &tenants[0]);
+	ahead.values = g_hash_table_new (g_str_hash, g_str_equal);
+	starved = forwarded_session (fixture.server, &tenants[1]);
+	service_enqueue (fixture.server->service, &ahead);
+	service_enqueue (fixture.server->service, &starved);
+	fixture.server->pool.is_current = false;
+	g_assert_false (server_can_open (fixture.server, &tenants[1], now_us));
+	/* A transaction of the first tenant ends. */
+	fixture.server->connections->session = NULL;
+	fixture.server->pool.is_current = false;
+	g_assert_null (server_find_idle (fixture.server, &ahead));
+	server_open_direct (fixture.server, &tenants[1], now_us);
+	g_assert_cmpuint (count_tenant (fixture.server, &tenants[1]), ==, 1);
+	for (struct connection *connection = fixture.server->connections; connection;
+	     connection = connection->next)
+		connection->session = NULL;
+	fixture.server->pool.is_current = false;
+	g_assert_nonnull (server_find_idle (fixture.server, &ahead));
+	service_remove (fixture.server->service, &ahead);
+	service_remove (fixture.server->service, &starved);
+	g_hash_table_destroy (ahead.values);
+	fixture_finish (&fixture);
+}
+
+/* Guards against connections that are opened only for a status request, while another is about to become idle. */
+static void
+test_tenant_probe (void)
+{
+	struct fixture fixture;
+	struct tenant_state tenants[TENANTS];
+	uint32_t count;
+	int64_t now_us = clock_now_us ();
+
+	fixture_init (&fixture);
+	fixture.server->owners[0] = (struct server_owner){ .is_self = true };
+	count = fill_with_tenant (&fixture, tenants, now_us);
+	for (struct connection *connection = fixture.server->connections; connection;
+	     connection = connection->next)
+	{
+		connection_set_state (connection, CONNECTION_RUNNING);
+		connection->sent_us = now_us;
+	}
+	server_probe (fixture.server, false, now_us + 100 * US_PER_MS);
+	g_assert_cmpuint (fixture.server->connection_count, ==, count);
+	server_probe (fixture.server, false, now_us + 500 * US_PER_MS);
+	g_assert_cmpuint (fixture.server->connection_count, ==, count + 1);
+	fixture_finish (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -172,5 +323,8 @@
 	g_test_add_func ("/gateway_server/lost_opening", test_lost_connection_attempt);
 	g_test_add_func ("/gateway_server/unknown_members", test_unknown_members);
 	g_test_add_func ("/gateway_server/most_slots", test_most_slots);
+	g_test_add_func ("/gateway_server/tenant_places", test_tenant_places);
+	g_test_add_func ("/gateway_server/tenant_yields", test_tenant_yields);
+	g_test_add_func ("/gateway_server/tenant_probe", test_tenant_probe);
 	return g_test_run ();
 }
