--- a/include/gateway/tenant.h
+++ b/include/gateway/tenant.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "decision/tenant_pool.h"
 #include "gateway/directory.h"
 #include "gateway/statement.h"
 
@@ -27,7 +28,8 @@
 	/* Gauges, as of the last report. */
 	uint32_t
 		waiting; /**< Statements in the queues of this VM, also those that other VMs forward. */
-	uint32_t connections; /**< Open connections of this VM to servers. */
+	uint32_t connections;        /**< Open connections of this VM to servers. */
+	struct tenant_demand demand; /**< Statements of callers of this VM. */
 };
 
 /** Creates a table of struct tenant_state by name. */
