gateway: usage caps limit the operations of a tenant over all VMs

Tokens come from an account VM, which is chosen by rendezvous hash; a VM spends only tokens that it holds. The share of a VM in the filling rate is lent to one account at a time, so that partitions do not raise the sum. Deployments without caps open no socket and send nothing.

--- a/gateway/controller_member.c
+++ b/gateway/controller_member.c
@@ -358,6 +358,7 @@
 	GHashTableIter iter;
 	gpointer value;
 	uint32_t count = 1;
+	uint32_t listed_count = 1;
 
 	controller->is_serving_dirty = false;
 	controller->serving_checked_us = now_us;
@@ -368,15 +369,17 @@
 		bool is_alive = member_is_alive (controller, member, now_us);
 
 		count += is_alive;
+		listed_count += member->is_listed || member->is_removed;
 		if (member->is_serving != (is_alive && !member->is_leaving))
 		{
 			member->is_serving = !member->is_serving;
 			controller->is_view_dirty = true;
 		}
 	}
-	if (count != controller->vm_count)
+	if (count != controller->vm_count || listed_count != controller->listed_count)
 		controller->is_view_dirty = true;
 	controller->vm_count = count;
+	controller->listed_count = listed_count;
 }
 
 void
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -303,6 +303,7 @@
 	view->is_isolated = controller->is_isolated;
 	view->is_out_of_rotation = controller->is_out_of_rotation;
 	view->vm_count = controller->vm_count;
+	view->listed_count = controller->listed_count;
 	view->knows_members = controller->members_valid_us > 0;
 	g_hash_table_iter_init (&iter, controller->managers);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -125,6 +125,7 @@
 	bool is_false_promise = answer_code_did_not_run (code) &&
 	                        !delivery_allows_promise (request->delivery, session_effect (session));
 
+	tenant_caps_give_back (session);
 	INVARIANT (!is_false_promise, "P5");
 	if (is_false_promise)
 		code = ANSWER_IN_DOUBT;
@@ -166,6 +167,7 @@
 	if (session->is_closed)
 		return;
 	session->is_closed = true;
+	tenant_caps_give_back (session);
 	if (session->service)
 	{
 		service_remove (session->service, session);
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -90,6 +90,8 @@
 		connection_release (connection, now_us);
 		return;
 	}
+	if (session->cap_state == CAP_HELD)
+		session->cap_state = CAP_USED;
 	connection->setup_pending = connection_prepare (connection, session);
 	connection->setup_code = ANSWER_DONE;
 	connection->setup_has_begin = begins;
--- a/gateway/session_query.c
+++ b/gateway/session_query.c
@@ -33,6 +33,7 @@
 	}
 	if (!begin_operation (session))
 		return;
+	session->cap_state = CAP_NONE;
 	session->state = TRANSACTION_OPEN;
 	session->is_read_only = session->request.statement.kind == STATEMENT_BEGIN_READ;
 	session->is_started = false;
@@ -141,10 +142,15 @@
 		session_fail (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
 		return;
 	}
-	if (session->state == TRANSACTION_NONE && !begin_operation (session))
-		return;
+	if (session->state == TRANSACTION_NONE)
+	{
+		if (!begin_operation (session))
+			return;
+		session->cap_state = CAP_NONE;
+	}
 	request->deadline_us = now_us + (int64_t) session->statement_timeout_ms * US_PER_MS;
-	session_run_statement (session, now_us);
+	if (session->is_started || tenant_caps_take (session, now_us))
+		session_run_statement (session, now_us);
 }
 
 /** Handles statements in a failed transaction, which only COMMIT and ROLLBACK may end. */
--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -170,6 +170,8 @@
 		relay_give_up (session, "the time limit of the statement is over");
 	else if (is_over)
 		session_time_out (session);
+	else if (session->cap_state == CAP_WAITING)
+		tenant_caps_tick (session, now_us);
 	else if (request->is_active && session->connection && request->delivery == DELIVERY_NOT_SENT &&
 	         session->connection->state == CONNECTION_IDLE && now_us >= request->retry_us)
 		session_run (session, session->connection, now_us);
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -183,6 +183,7 @@
 	else if (traffic->out_of_rotation_us == 0)
 		traffic->out_of_rotation_us = now_us;
 	tenant_table_apply (traffic->tenants, view->configuration);
+	cap_exchange_apply (&traffic->cap_exchange, traffic->tenants, view, traffic->is_leaving, now_us);
 	apply_servers (traffic);
 	g_hash_table_iter_init (&iter, traffic->services);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -249,6 +250,9 @@
 	case COMMAND_LEAVE:
 		traffic->is_leaving = true;
 		traffic->leaving_us = now_us;
+		if (traffic->view)
+			cap_exchange_apply (&traffic->cap_exchange, traffic->tenants, traffic->view, true,
+			                    now_us);
 		break;
 	}
 	g_free (message->server);
@@ -437,6 +441,8 @@
 	if (loop_init (&traffic->loop) < 0 ||
 	    mailbox_init (&traffic->mailbox, &traffic->loop, traffic) < 0)
 		goto fail;
+	cap_exchange_init (&traffic->cap_exchange, &traffic->loop, settings->vm, settings->zone,
+	                   settings->ip, settings->relay_port);
 	traffic->listener.fd = rpc_listen (settings->ip, settings->caller_port);
 	if (traffic->listener.fd < 0)
 	{
@@ -547,6 +553,7 @@
 		session_close (traffic->sessions.head->data);
 	g_hash_table_destroy (traffic->servers);
 	reap (traffic);
+	cap_exchange_finish (&traffic->cap_exchange);
 	g_hash_table_destroy (traffic->services);
 	g_hash_table_destroy (traffic->tenants);
 	g_hash_table_destroy (traffic->shapes);
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -52,6 +52,10 @@
 	X (SLOTS_RELEASED, "slots_released")                                                           \
 	X (ANSWERS_GIVEN_UP, "answers_given_up")                                                       \
 	X (RECORDS_REWRITTEN, "records_rewritten")                                                     \
+	X (CAP_REFUSED, "cap_refused")                                                                 \
+	X (CAP_REPORTS, "cap_reports")                                                                 \
+	X (CAP_SENT_BYTES, "cap_sent_bytes")                                                           \
+	X (CAP_MALFORMED, "cap_malformed")                                                             \
 	X (RPC_MALFORMED, "rpc_malformed")                                                             \
 	X (INVARIANT_VIOLATIONS, "invariant_violations")
 
--- a/include/gateway/tenant.h
+++ b/include/gateway/tenant.h
@@ -15,6 +15,9 @@
 	bool has_cap;
 	uint32_t rate_per_s;
 	uint32_t burst;
+	uint32_t cap_index;    /**< Index of its usage cap, from 1; 0: it has had none. */
+	uint32_t cap_refused;  /**< Operations refused by the cap since the last log line. */
+	int64_t cap_logged_us; /**< Time of that line. */
 };
 
 /** Creates a table of struct tenant_state by name. */
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -8,6 +8,7 @@
 #include "common/mailbox.h"
 #include "decision/position_history.h"
 #include "decision/slots.h"
+#include "gateway/cap_exchange.h"
 #include "gateway/line_stream.h"
 #include "gateway/tenant.h"
 #include "gateway/traffic.h"
@@ -183,6 +184,15 @@
 	int64_t answered_us;        /**< When the server answered a held commit. */
 };
 
+/** The token of a session's operation. */
+enum cap_state
+{
+	CAP_NONE,
+	CAP_WAITING,
+	CAP_HELD,
+	CAP_USED, /**< Something was sent to a server. */
+};
+
 struct session
 {
 	struct line_stream stream;
@@ -201,6 +211,8 @@
 	struct key_digest key; /**< Digest of the caller's key. */
 	/** Tenant of the current operation; NULL: none, the deployment or the route has no tenants. */
 	struct tenant_state *tenant;
+	enum cap_state cap_state;
+	int64_t cap_until_us; /**< End of the wait for a token. */
 	GHashTable *values;   /**< Acknowledged session values, name to value. */
 	GHashTable *prepared; /**< Name to struct prepared_shape. */
 	enum transaction_state state;
@@ -242,6 +254,7 @@
 	GHashTable *services; /**< struct service by name. */
 	GHashTable *servers;  /**< struct server by id. */
 	GHashTable *tenants;  /**< struct tenant_state by name. */
+	struct cap_exchange cap_exchange;
 	GHashTable *shapes;   /**< struct prepared_shape by kind (read or write) and text. */
 	struct view *view;
 	/** Latest time at which the records of the view are known to have been current. */
