--- a/decision/usage_account.c
+++ b/decision/usage_account.c
@@ -341,6 +341,7 @@
 	bucket->held += missing + spare;
 	bucket->level -= missing + spare;
 	entry.granted = holding->granted;
+	entry.is_short = bucket->level < find_capacity (limit, group->share) / 2;
 	if (holding->refused_us > 0)
 		entry.retry_ms = find_retry_ms (group, limit, index, bucket->level, now_us);
 	return entry;
--- a/decision/usage_cap.c
+++ b/decision/usage_cap.c
@@ -7,6 +7,9 @@
 enum
 {
 	USAGE_REPORT_US = 500000,
+	/* Interval for tenants of whose tokens the account has less than half. With 0.5 s, a bucket of one second's tokens
+	 * counts half of them as held at VMs after they were spent, and fills up to the other half only. */
+	USAGE_REPORT_SHORT_US = 100000,
 	/* Least time between two reports to an account, and the interval of polls. */
 	USAGE_URGENT_US = 20000,
 	/* A report without an answer is repeated, since single datagrams are lost. */
@@ -435,19 +438,23 @@
 	return choice->current.unanswered_us > 0 ? now_us - choice->current.unanswered_us : 0;
 }
 
-/** Whether an operation waits for a token that no report has asked for. */
+/** Whether an operation waits for a token that no report has asked for, or the account is short of tokens. */
 static bool
 needs_report (const struct usage_caps *caps, uint32_t group, int64_t now_us)
 {
 	int64_t sent_us = caps->choices[group].current.sent_us;
+	bool is_short_due = now_us - sent_us >= USAGE_REPORT_SHORT_US;
 
 	for (uint32_t i = 0; i < caps->token_count; i++)
 	{
 		const struct usage_tokens *tokens = &caps->tokens[i];
 
+		if (usage_group_of (caps->limits.items[i].id) != group)
+			continue;
+		if (is_short_due && tokens->is_short && tokens->is_changed)
+			return true;
 		if (tokens->waiting > 0 && now_us >= tokens->empty_until_us &&
-		    (tokens->reported == 0 || now_us - sent_us >= USAGE_REPEAT_WAITING_US) &&
-		    usage_group_of (caps->limits.items[i].id) == group)
+		    (tokens->reported == 0 || now_us - sent_us >= USAGE_REPEAT_WAITING_US))
 			return true;
 	}
 	return false;
@@ -559,6 +566,7 @@
 		if (tokens->reported != 0 && grant->number >= tokens->reported)
 		{
 			tokens->reported = 0;
+			tokens->is_short = grant->tenants[i].is_short;
 			tokens->empty_until_us =
 				now_us + (int64_t) grant->tenants[i].retry_ms * US_IN_MS;
 		}
--- a/gateway/cap_exchange.c
+++ b/gateway/cap_exchange.c
@@ -116,7 +116,8 @@
 	};
 	for (uint32_t i = 0; i < grant->count; i++)
 		entries[i] = (struct fs_cap_entry){ grant->tenants[i].tenant, grant->tenants[i].granted,
-			                                grant->tenants[i].retry_ms };
+			                                grant->tenants[i].retry_ms,
+			                                grant->tenants[i].is_short };
 	send_message (exchange, &message, ip, exchange->port);
 }
 
@@ -168,7 +169,8 @@
 		const struct fs_cap_entry *entry = &args->tenants.tenants_val[i];
 
 		grant.tenants[i] =
-			(struct usage_grant_entry){ entry->tenant, entry->granted, entry->retry_ms };
+			(struct usage_grant_entry){ entry->tenant, entry->granted, entry->retry_ms,
+			                            entry->is_short };
 	}
 	usage_caps_handle_grant (&exchange->caps, &grant, now_us);
 	return 0;
--- a/include/decision/usage_account.h
+++ b/include/decision/usage_account.h
@@ -61,6 +61,7 @@
 	uint64_t tenant;
 	uint32_t granted;  /**< Total in this start of the VM, compared with usage_request.received. */
 	uint32_t retry_ms; /**< Time until the next token; 0: nothing that waits was left out. */
+	bool is_short;     /**< Spent tokens are to be reported soon, since the bucket fills only as far as it knows of them. */
 };
 
 struct usage_grant
--- a/include/decision/usage_cap.h
+++ b/include/decision/usage_cap.h
@@ -38,6 +38,7 @@
 	int64_t interval_us;
 	int64_t used_us;     /**< Last operation; 0: none. */
 	int64_t empty_until_us; /**< The account has no token before; 0: not known. */
+	bool is_short;       /**< The account has asked to be told soon of spent tokens. */
 	bool is_changed;     /**< No report holds the present totals. */
 	uint32_t reported;   /**< Number of the last report that holds them; 0: answered. */
 };
--- a/include/protocols/cap.h
+++ b/include/protocols/cap.h
@@ -43,6 +43,7 @@
 	u_quad_t tenant;
 	u_int granted;
 	u_int retry_ms;
+	bool_t is_short;
 };
 
 struct fs_cap_grant {
--- a/protocols/cap.x
+++ b/protocols/cap.x
@@ -29,6 +29,7 @@
 	unsigned hyper tenant;
 	unsigned granted; /* Total in this start of the VM. */
 	unsigned retry_ms; /* Time until the next token; 0: all waiting operations have one. */
+	bool is_short; /* Spent tokens are to be reported soon. */
 };
 
 /* Number, group, epoch, VM and start are those of the report. */
--- a/protocols/cap_xdr.c
+++ b/protocols/cap_xdr.c
@@ -163,6 +163,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->retry_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_short))
+		 return FALSE;
 	return TRUE;
 }
 
