--- a/decision/usage_account.c
+++ b/decision/usage_account.c
@@ -332,7 +332,7 @@
 	else
 		holding->refused_us = 0;
 	/* Half of the tokens stays at the account, for VMs whose callers wait for one. */
-	spare = subtract (level - missing, (uint32_t) (find_capacity (limit, group->share) / 2));
+	spare = subtract (level - missing, (uint32_t) (find_capacity (limit, group->share) * 2 / 3));
 	spare = spare < subtract (request->wanted, holding->held + missing)
 	            ? spare
 	            : subtract (request->wanted, holding->held + missing);
--- a/gateway/cap_exchange.c
+++ b/gateway/cap_exchange.c
@@ -42,10 +42,9 @@
 }
 
 static void
-send_message (struct cap_exchange *exchange, const struct fs_cap_message *message, uint32_t ip,
-              uint16_t port)
+send_message (struct cap_exchange *exchange, const struct fs_cap_message *message,
+              const struct sockaddr_in *to)
 {
-	struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
 	char buffer[CAP_MAX_DATAGRAM_BYTES];
 	size_t length;
 	XDR xdr;
@@ -54,11 +53,9 @@
 	if (!xdr_fs_cap_message (&xdr, (struct fs_cap_message *) message))
 		return;
 	length = xdr_getpos (&xdr);
-	address.sin_addr.s_addr = htonl (ip);
 	counter_add (COUNTER_CAP_SENT_BYTES, (int64_t) length);
 	/* A datagram that is not sent is as one that is lost. */
-	if (sendto (exchange->source.fd, buffer, length, 0, (struct sockaddr *) &address,
-	            sizeof address) < 0)
+	if (sendto (exchange->source.fd, buffer, length, 0, (const struct sockaddr *) to, sizeof *to) < 0)
 		log_event (LOG_LEVEL_DEBUG, "cap_not_sent", "error=%d", errno);
 }
 
@@ -91,15 +88,20 @@
 		const struct cap_address *address =
 			&g_array_index (exchange->addresses, struct cap_address, i);
 
+		const struct sockaddr_in to = { .sin_family = AF_INET,
+			                            .sin_port = htons (address->port),
+			                            .sin_addr.s_addr = htonl (address->ip) };
+
 		if (address->vm != vm)
 			continue;
 		counter_add (COUNTER_CAP_REPORTS, 1);
-		send_message (exchange, &message, address->ip, address->port);
+		send_message (exchange, &message, &to);
 	}
 }
 
 static void
-send_grant (struct cap_exchange *exchange, const struct usage_grant *grant, uint32_t ip)
+send_grant (struct cap_exchange *exchange, const struct usage_grant *grant,
+            const struct sockaddr_in *to)
 {
 	struct fs_cap_entry entries[USAGE_MAX_ENTRIES];
 	struct fs_cap_message message = { .magic = FS_CAP_MAGIC, .body.kind = FS_CAP_GRANT };
@@ -118,12 +120,12 @@
 		entries[i] = (struct fs_cap_entry){ grant->tenants[i].tenant, grant->tenants[i].granted,
 			                                grant->tenants[i].retry_ms,
 			                                grant->tenants[i].is_short };
-	send_message (exchange, &message, ip, exchange->port);
+	send_message (exchange, &message, to);
 }
 
 static int
-handle_report (struct cap_exchange *exchange, const struct fs_cap_report *args, uint32_t from_ip,
-               int64_t now_us)
+handle_report (struct cap_exchange *exchange, const struct fs_cap_report *args,
+               const struct sockaddr_in *from, int64_t now_us)
 {
 	struct usage_report report = { .vm = args->vm,
 		                           .start = args->start,
@@ -146,7 +148,7 @@
 	}
 	if (exchange->has_caps &&
 	    usage_account_handle_report (&exchange->caps.account, &report, &grant, now_us))
-		send_grant (exchange, &grant, from_ip);
+		send_grant (exchange, &grant, from);
 	return 0;
 }
 
@@ -178,7 +180,7 @@
 
 int
 cap_exchange_receive (struct cap_exchange *exchange, const char *buffer, size_t length,
-                      uint32_t from_ip, int64_t now_us)
+                      const struct sockaddr_in *from, int64_t now_us)
 {
 	struct fs_cap_message message;
 	int result = -EBADMSG;
@@ -189,7 +191,7 @@
 	if (!xdr_fs_cap_message (&xdr, &message) || message.magic != FS_CAP_MAGIC)
 		goto out;
 	if (message.body.kind == FS_CAP_REPORT)
-		result = handle_report (exchange, &message.body.fs_cap_body_u.report, from_ip, now_us);
+		result = handle_report (exchange, &message.body.fs_cap_body_u.report, from, now_us);
 	else
 		result = handle_grant (exchange, &message.body.fs_cap_body_u.grant, now_us);
 out:
@@ -213,8 +215,7 @@
 
 		if (length < 0)
 			return;
-		if (cap_exchange_receive (exchange, buffer, (size_t) length,
-		                          ntohl (address.sin_addr.s_addr), clock_now_us ()) < 0)
+		if (cap_exchange_receive (exchange, buffer, (size_t) length, &address, clock_now_us ()) < 0)
 			counter_add (COUNTER_CAP_MALFORMED, 1);
 	}
 }
--- a/include/gateway/cap_exchange.h
+++ b/include/gateway/cap_exchange.h
@@ -10,6 +10,7 @@
 #include "gateway/view.h"
 
 #include <glib.h>
+#include <netinet/in.h>
 
 struct fs_cap_message;
 struct session;
@@ -45,7 +46,7 @@
 
 /** Decodes a datagram, also one of an unknown sender. @return 0, or -EBADMSG. */
 int cap_exchange_receive (struct cap_exchange *exchange, const char *buffer, size_t length,
-                          uint32_t from_ip, int64_t now_us);
+                          const struct sockaddr_in *from, int64_t now_us);
 
 /**
  * Takes a token for the operation that the session's request begins, or waits for one.
--- a/tests/fuzz/gateway.c
+++ b/tests/fuzz/gateway.c
@@ -1,5 +1,6 @@
 /* Guards against lines of callers, servers and other VMs, datagrams, and documents of the store that make a gateway read
  * out of bounds, leak, or end. Directory entries and configurations may come from any writer. */
+#include "gateway/cap_exchange.h"
 #include "protocols/gateway.h"
 #include "fuzz.h"
 #include "platform/documents.h"
@@ -17,6 +18,7 @@
 	FUZZED_CONFIGURATION,
 	FUZZED_SERVER_ENTRY,
 	FUZZED_DATAGRAM,
+	FUZZED_CAP,
 	FUZZED_COUNT,
 };
 
@@ -107,6 +109,25 @@
 	xdr_destroy (&xdr);
 }
 
+/** A datagram of an unknown sender; an account is not to keep what only one input said. */
+static void
+run_cap (const char *data, size_t size)
+{
+	const struct usage_limit limit = { 1, true, 10, 10 };
+	const struct usage_member own = { 1, 1 };
+	struct cap_exchange exchange;
+	struct sockaddr_in from = { 0 };
+	struct loop loop = { 0 };
+
+	cap_exchange_init (&exchange, &loop, "vm", "zone", 0, 0);
+	exchange.has_caps = true;
+	usage_caps_set_limit (&exchange.caps, &limit, 1);
+	usage_caps_set_members (&exchange.caps, &own, 1, 1);
+	cap_exchange_receive (&exchange, data, size, &from, 1);
+	usage_caps_poll (&exchange.caps, 2);
+	cap_exchange_finish (&exchange);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -145,6 +166,9 @@
 	case FUZZED_DATAGRAM:
 		run_datagram (line.start, line.length);
 		break;
+	case FUZZED_CAP:
+		run_cap (line.start, line.length);
+		break;
 	}
 	free (copy);
 	return 0;
--- /dev/null
+++ b/tests/unit/usage_cap.c
@@ -0,0 +1,712 @@
+/* Guards against usage caps that do not bind, in any window of 5 s over all VMs, and against refusals below the cap:
+ * fleets in virtual time, with lost, repeated and reordered datagrams, zones that are cut off, VMs that are killed, frozen
+ * and restarted, changes of caps, hot tenants, and tenants that move from zone to zone.
+ *
+ * CAP_SEEDS=FIRST:COUNT replaces the seeds, CAP_VMS=N the size of the fleets. */
+#include "decision/usage_cap.h"
+
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+	MS = 1000,
+	S = 1000 * MS,
+	STEP_US = 5 * MS,
+	POLL_US = 20 * MS,
+	MAX_VMS = 195,
+	TENANTS = 6,
+	WINDOW_US = 5 * S,
+	WAIT_US = 50 * MS, /* A quarter of the shortest target. */
+	CALLERS_US = 1 * S, /* From the start of the fleet. */
+	LENGTH_US = 30 * S,
+	LIST_US = 8 * S,   /* Until a killed VM is taken off the lists. */
+	UNKNOWN = 0xffffffff,
+};
+
+struct waiter
+{
+	uint32_t tenant;
+	int64_t until_us;
+};
+
+struct vm
+{
+	struct world *world;
+	struct usage_caps caps;
+	uint32_t id;
+	uint32_t zone;
+	bool is_up;
+	bool is_listed;
+	int64_t frozen_until_us;
+	int64_t listed_us; /* When its list is read. */
+	int64_t lost_us;   /* Time by which its clock is behind. */
+	int64_t polled_us;
+	GArray *waiters;
+};
+
+struct tenant
+{
+	uint64_t id;
+	uint32_t rate_per_s;
+	uint32_t burst;
+	double load;         /* Operations per second over all VMs. */
+	uint32_t zone;       /* Of its callers; UNKNOWN: all. */
+	GArray *sent_us;     /* Times of admitted operations. */
+	uint64_t admitted;
+	uint64_t refused;
+	double level; /* Of one bucket for all VMs, which admits what it has tokens for. */
+	uint64_t central_refused; /* By that bucket. */
+	uint64_t calm_asked;
+	uint64_t calm_refused; /* Refused below the cap while nothing is disturbed. */
+	uint64_t below_refused; /* Refused below the cap at any time. */
+	int64_t lowered_us; /* When the cap was lowered; 0: never. */
+};
+
+struct datagram
+{
+	int64_t due_us;
+	uint32_t to;
+	bool is_grant;
+	struct usage_report report;
+	struct usage_grant grant;
+};
+
+struct world
+{
+	GRand *random;
+	int64_t now_us;
+	uint32_t vm_count;
+	uint32_t zones;
+	double loss;
+	uint32_t cut_zone; /* UNKNOWN: none. */
+	struct vm vms[MAX_VMS];
+	struct tenant tenants[TENANTS];
+	GPtrArray *datagrams;
+	uint64_t sent;
+	int64_t disturbed_us; /* Last disturbance. */
+	uint64_t starts;
+};
+
+static bool
+happens (struct world *world, double share)
+{
+	return g_rand_double (world->random) < share;
+}
+
+static int64_t
+vm_now_us (const struct vm *vm)
+{
+	return vm->world->now_us - vm->lost_us;
+}
+
+static void
+send (struct vm *from, uint32_t to, const struct usage_report *report,
+      const struct usage_grant *grant)
+{
+	struct world *world = from->world;
+	const struct vm *receiver = &world->vms[to - 1];
+	bool is_near = from->zone == receiver->zone;
+	int copies = happens (world, world->loss) ? 0 : happens (world, world->loss) ? 2 : 1;
+
+	world->sent++;
+	if (!is_near && (from->zone == world->cut_zone || receiver->zone == world->cut_zone))
+		return;
+	for (int i = 0; i < copies; i++)
+	{
+		struct datagram *datagram = g_new0 (struct datagram, 1);
+
+		datagram->due_us = world->now_us + (is_near ? 500 : 4500);
+		if (happens (world, world->loss))
+			datagram->due_us += g_rand_int_range (world->random, 0, 300 * MS);
+		datagram->to = to;
+		datagram->is_grant = grant != NULL;
+		if (grant)
+			datagram->grant = *grant;
+		else
+			datagram->report = *report;
+		g_ptr_array_add (world->datagrams, datagram);
+	}
+}
+
+static void
+handle_send_report (void *data, uint32_t to, const struct usage_report *report)
+{
+	send (data, to, report, NULL);
+}
+
+static void
+admit (struct world *world, uint32_t tenant)
+{
+	g_array_append_val (world->tenants[tenant].sent_us, world->now_us);
+	world->tenants[tenant].admitted++;
+}
+
+static bool
+is_calm (const struct world *world, const struct tenant *tenant)
+{
+	return world->now_us - world->disturbed_us > 6 * S && world->loss == 0 &&
+	       tenant->load <= 0.8 * tenant->rate_per_s;
+}
+
+/** Whether one bucket for all VMs would have at least half of its tokens. */
+static bool
+is_below_cap (const struct tenant *tenant)
+{
+	return tenant->level >= MAX (tenant->burst / 2.0, 2);
+}
+
+static void
+refuse (struct world *world, uint32_t index)
+{
+	struct tenant *tenant = &world->tenants[index];
+
+	tenant->refused++;
+	tenant->below_refused += is_below_cap (tenant);
+	tenant->calm_refused += is_below_cap (tenant) && is_calm (world, tenant);
+}
+
+static void
+handle_tokens (void *data)
+{
+	struct vm *vm = data;
+
+	for (guint i = 0; i < vm->waiters->len;)
+	{
+		struct waiter *waiter = &g_array_index (vm->waiters, struct waiter, i);
+
+		if (usage_caps_retake (&vm->caps, waiter->tenant))
+			admit (vm->world, waiter->tenant);
+		else if (vm->caps.tokens[waiter->tenant].empty_until_us > waiter->until_us)
+		{
+			usage_caps_withdraw (&vm->caps, waiter->tenant);
+			refuse (vm->world, waiter->tenant);
+		}
+		else
+		{
+			i++;
+			continue;
+		}
+		g_array_remove_index (vm->waiters, i);
+	}
+}
+
+static const struct usage_caps_ops ops = {
+	.send_report = handle_send_report,
+	.handle_tokens = handle_tokens,
+};
+
+static void
+vm_set_limits (struct vm *vm)
+{
+	for (uint32_t i = 0; i < TENANTS; i++)
+	{
+		const struct tenant *tenant = &vm->world->tenants[i];
+		const struct usage_limit limit = { tenant->id, true, tenant->rate_per_s, tenant->burst };
+
+		g_assert_cmpint (usage_caps_set_limit (&vm->caps, &limit, vm_now_us (vm)), ==, i);
+	}
+}
+
+static void
+vm_set_members (struct vm *vm)
+{
+	struct world *world = vm->world;
+	struct usage_member members[MAX_VMS];
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < world->vm_count; i++)
+	{
+		if (world->vms[i].is_listed)
+			members[count++] = (struct usage_member){ world->vms[i].id, world->vms[i].zone };
+	}
+	usage_caps_set_members (&vm->caps, members, count, count);
+}
+
+static void
+vm_start (struct vm *vm, int64_t listed_us)
+{
+	struct usage_member own = { vm->id, vm->zone };
+
+	if (vm->is_up)
+		usage_caps_finish (&vm->caps);
+	g_array_set_size (vm->waiters, 0);
+	usage_caps_init (&vm->caps, own, ++vm->world->starts, &ops, vm);
+	vm->is_up = true;
+	vm->is_listed = true;
+	vm->listed_us = listed_us;
+	vm_set_limits (vm);
+}
+
+static void
+vm_kill (struct vm *vm)
+{
+	if (!vm->is_up)
+		return;
+	usage_caps_finish (&vm->caps);
+	vm->is_up = false;
+	vm->listed_us = vm->world->now_us;
+}
+
+static bool
+vm_runs (const struct vm *vm)
+{
+	return vm->is_up && vm->world->now_us >= vm->frozen_until_us;
+}
+
+static void
+call (struct world *world, uint32_t index)
+{
+	struct tenant *tenant = &world->tenants[index];
+	struct vm *vm;
+	int64_t retry_us;
+
+	do
+		vm = &world->vms[g_rand_int_range (world->random, 0, (gint32) world->vm_count)];
+	while (tenant->zone != UNKNOWN && vm->zone != tenant->zone);
+	if (!vm_runs (vm))
+		return;
+	tenant->calm_asked += is_calm (world, tenant);
+	if (tenant->level >= 1)
+		tenant->level -= 1;
+	else
+		tenant->central_refused++;
+	switch (usage_caps_take (&vm->caps, index, WAIT_US, vm_now_us (vm), &retry_us))
+	{
+	case USAGE_ADMITTED:
+		/* Some operations end before anything is sent. */
+		if (happens (world, 0.02))
+			usage_caps_give_back (&vm->caps, index);
+		else
+			admit (world, index);
+		break;
+	case USAGE_REFUSED:
+		refuse (world, index);
+		break;
+	case USAGE_WAIT:
+	{
+		struct waiter waiter = { index, vm_now_us (vm) + WAIT_US };
+
+		g_array_append_val (vm->waiters, waiter);
+		usage_caps_poll (&vm->caps, vm_now_us (vm));
+		break;
+	}
+	}
+}
+
+static void
+vm_step (struct vm *vm)
+{
+	struct world *world = vm->world;
+	bool is_urgent = false;
+
+	if (vm->listed_us > 0 && world->now_us >= vm->listed_us && vm->is_up)
+	{
+		vm->listed_us = 0;
+		vm_set_members (vm);
+	}
+	for (int i = 0; i < USAGE_GROUPS; i++)
+		is_urgent |= vm->caps.choices[i].is_urgent;
+	if (!is_urgent && world->now_us - vm->polled_us < POLL_US)
+		return;
+	vm->polled_us = world->now_us;
+	usage_caps_poll (&vm->caps, vm_now_us (vm));
+	for (guint i = 0; i < vm->waiters->len;)
+	{
+		struct waiter waiter = g_array_index (vm->waiters, struct waiter, i);
+
+		if (vm_now_us (vm) < waiter.until_us)
+		{
+			i++;
+			continue;
+		}
+		usage_caps_withdraw (&vm->caps, waiter.tenant);
+		refuse (world, waiter.tenant);
+		g_array_remove_index (vm->waiters, i);
+	}
+}
+
+static void
+deliver (struct world *world, struct datagram *datagram)
+{
+	struct vm *vm = &world->vms[datagram->to - 1];
+	struct usage_grant grant;
+
+	if (datagram->is_grant)
+		usage_caps_handle_grant (&vm->caps, &datagram->grant, vm_now_us (vm));
+	else if (usage_account_handle_report (&vm->caps.account, &datagram->report, &grant,
+	                                      vm_now_us (vm)))
+		send (vm, datagram->report.vm, NULL, &grant);
+}
+
+/** Datagrams to a frozen VM stay in its socket. */
+static void
+deliver_due (struct world *world)
+{
+	for (guint i = 0; i < world->datagrams->len;)
+	{
+		struct datagram *datagram = world->datagrams->pdata[i];
+		const struct vm *vm = &world->vms[datagram->to - 1];
+
+		if (datagram->due_us > world->now_us || (vm->is_up && !vm_runs (vm)))
+		{
+			i++;
+			continue;
+		}
+		g_ptr_array_steal_index_fast (world->datagrams, i);
+		if (vm->is_up)
+			deliver (world, datagram);
+		g_free (datagram);
+	}
+}
+
+static void
+change_caps (struct world *world, uint32_t index, double factor)
+{
+	struct tenant *tenant = &world->tenants[index];
+
+	tenant->rate_per_s = MAX (tenant->rate_per_s * factor, 2);
+	tenant->burst = MAX (tenant->burst * factor, 2);
+	if (factor < 1)
+		tenant->lowered_us = world->now_us;
+	for (uint32_t i = 0; i < world->vm_count; i++)
+	{
+		if (world->vms[i].is_up)
+			vm_set_limits (&world->vms[i]);
+	}
+}
+
+static void
+update_lists (struct world *world)
+{
+	for (uint32_t i = 0; i < world->vm_count; i++)
+	{
+		struct vm *vm = &world->vms[i];
+
+		if (vm->is_up || !vm->is_listed || world->now_us - vm->listed_us < LIST_US)
+			continue;
+		vm->is_listed = false;
+		for (uint32_t j = 0; j < world->vm_count; j++)
+		{
+			if (world->vms[j].is_up)
+				world->vms[j].listed_us =
+					world->now_us + g_rand_int_range (world->random, 1, 500 * MS);
+		}
+	}
+}
+
+/** The VM that most VMs use as the account of the group. */
+static struct vm *
+find_account (struct world *world, uint32_t group)
+{
+	for (uint32_t i = 0; i < world->vm_count; i++)
+	{
+		if (world->vms[i].is_up && world->vms[i].caps.choices[group].current.vm != 0)
+			return &world->vms[world->vms[i].caps.choices[group].current.vm - 1];
+	}
+	return &world->vms[0];
+}
+
+static void
+disturb (struct world *world)
+{
+	GRand *random = world->random;
+	struct vm *vm = happens (world, 0.5)
+	                    ? find_account (world, (uint32_t) g_rand_int_range (random, 0, USAGE_GROUPS))
+	                    : &world->vms[g_rand_int_range (random, 0, (gint32) world->vm_count)];
+	uint32_t tenant = (uint32_t) g_rand_int_range (random, 0, TENANTS);
+
+	world->disturbed_us = world->now_us;
+	switch (g_rand_int_range (random, 0, 8))
+	{
+	case 0:
+		vm_kill (vm);
+		break;
+	case 1:
+		if (vm->is_up)
+			vm_start (vm, world->now_us + g_rand_int_range (random, 1, 3 * S));
+		break;
+	case 2:
+		vm->frozen_until_us = world->now_us + g_rand_int_range (random, 1, 6 * S);
+		if (happens (world, 0.5))
+			vm->lost_us += vm->frozen_until_us - world->now_us;
+		break;
+	case 3:
+		world->cut_zone = world->cut_zone == UNKNOWN
+		                      ? (uint32_t) g_rand_int_range (random, 1, (gint32) world->zones + 1)
+		                      : UNKNOWN;
+		break;
+	case 4:
+		world->tenants[tenant].load = 8 * 0.625 * world->tenants[tenant].rate_per_s;
+		break;
+	case 5:
+		world->tenants[tenant].zone =
+			(uint32_t) g_rand_int_range (random, 1, (gint32) world->zones + 1);
+		break;
+	case 6:
+		change_caps (world, tenant, happens (world, 0.7) ? 0.2 : 2);
+		break;
+	case 7:
+		vm->caps.account.is_leaving = !vm->caps.account.is_leaving && vm->is_up;
+		break;
+	}
+}
+
+static void
+heal (struct world *world)
+{
+	world->cut_zone = UNKNOWN;
+	world->loss = 0;
+	world->disturbed_us = world->now_us;
+	for (uint32_t i = 0; i < world->vm_count; i++)
+	{
+		world->vms[i].frozen_until_us = 0;
+		world->vms[i].caps.account.is_leaving = false;
+		if (!world->vms[i].is_up)
+			vm_start (&world->vms[i], world->now_us + 200 * MS);
+		world->vms[i].listed_us = world->now_us + 300 * MS;
+	}
+	for (int i = 0; i < TENANTS; i++)
+	{
+		world->tenants[i].load = 0.78 * world->tenants[i].rate_per_s;
+		world->tenants[i].zone = UNKNOWN;
+	}
+}
+
+static double
+draw_interval (struct world *world)
+{
+	return -log (1 - g_rand_double (world->random));
+}
+
+static void
+step (struct world *world)
+{
+	world->now_us += STEP_US;
+	deliver_due (world);
+	for (uint32_t i = 0; i < world->vm_count; i++)
+	{
+		if (vm_runs (&world->vms[i]))
+			vm_step (&world->vms[i]);
+	}
+	update_lists (world);
+	for (uint32_t i = 0; i < TENANTS && world->now_us > CALLERS_US; i++)
+	{
+		struct tenant *tenant = &world->tenants[i];
+		double mean = tenant->load * STEP_US / S;
+
+		tenant->level =
+			MIN (tenant->level + (double) tenant->rate_per_s * STEP_US / S, tenant->burst);
+
+		/* A Poisson process of calls. */
+		for (double passed = draw_interval (world); passed < mean; passed += draw_interval (world))
+			call (world, i);
+	}
+}
+
+/** Most operations in a window, as a part of the limit of the rule. */
+static double
+check_windows (const struct tenant *tenant)
+{
+	double limit = ((double) tenant->rate_per_s * 5 + tenant->burst) * 1.1 + 20;
+	double worst = 0;
+	guint first = 0;
+
+	for (guint last = 0; last < tenant->sent_us->len; last++)
+	{
+		int64_t last_us = g_array_index (tenant->sent_us, int64_t, last);
+
+		while (last_us - g_array_index (tenant->sent_us, int64_t, first) >= WINDOW_US)
+			first++;
+		/* With a changed cap only windows after it are judged. */
+		if (g_array_index (tenant->sent_us, int64_t, first) >=
+		    (tenant->lowered_us > 0 ? tenant->lowered_us + 5 * S : 0))
+			worst = MAX (worst, (last - first + 1) / limit);
+	}
+	return worst;
+}
+
+struct result
+{
+	double worst; /* Windows, as a part of the limit. */
+	uint64_t asked;
+	uint64_t refused;
+	uint64_t central_refused;
+	uint64_t calm_asked;
+	uint64_t calm_refused;
+	uint64_t below_refused;
+	uint64_t sent;
+};
+
+static void
+world_init (struct world *world, uint64_t seed, uint32_t vm_count)
+{
+	memset (world, 0, sizeof *world);
+	world->random = g_rand_new_with_seed ((guint32) seed);
+	world->now_us = S / 10;
+	world->vm_count = vm_count;
+	world->zones = vm_count == 7 ? 3 : vm_count == 63 ? 4 : 6;
+	world->cut_zone = UNKNOWN;
+	world->disturbed_us = -6 * (int64_t) S + CALLERS_US + S;
+	world->datagrams = g_ptr_array_new_with_free_func (g_free);
+	for (uint32_t i = 0; i < TENANTS; i++)
+	{
+		static const uint32_t rates[TENANTS] = { 10, 14, 20, 60, 120, 300 };
+		struct tenant *tenant = &world->tenants[i];
+
+		tenant->id = ((uint64_t) i << 32) + 1000 + i;
+		tenant->rate_per_s = rates[i];
+		tenant->burst = rates[i] * (seed % 2 + 1);
+		tenant->load = (seed % 3 == 0 ? 0.78 : 0.625) * tenant->rate_per_s;
+		tenant->zone = UNKNOWN;
+		tenant->sent_us = g_array_new (FALSE, FALSE, sizeof (int64_t));
+	}
+	for (uint32_t i = 0; i < vm_count; i++)
+	{
+		struct vm *vm = &world->vms[i];
+
+		vm->world = world;
+		vm->id = i + 1;
+		vm->zone = i % world->zones + 1;
+		vm->is_listed = true;
+		vm->waiters = g_array_new (FALSE, FALSE, sizeof (struct waiter));
+	}
+	for (uint32_t i = 0; i < vm_count; i++)
+		vm_start (&world->vms[i],
+		          world->now_us + g_rand_int_range (world->random, 50 * MS, 500 * MS));
+}
+
+static struct result
+world_finish (struct world *world, uint64_t seed)
+{
+	struct result result = { .sent = world->sent };
+
+	for (uint32_t i = 0; i < TENANTS; i++)
+	{
+		struct tenant *tenant = &world->tenants[i];
+		double worst = check_windows (tenant);
+
+		if (worst > 1 || tenant->calm_refused > 0)
+			g_test_message ("seed %" G_GUINT64_FORMAT " tenant %u rate %u burst %u: admitted %" G_GUINT64_FORMAT
+			                " refused %" G_GUINT64_FORMAT " worst window %.2f, below the cap %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT,
+			                seed, i, tenant->rate_per_s, tenant->burst, tenant->admitted,
+			                tenant->refused, worst, tenant->calm_refused, tenant->calm_asked);
+		result.worst = MAX (result.worst, worst);
+		result.asked += tenant->admitted + tenant->refused;
+		result.refused += tenant->refused;
+		result.central_refused += tenant->central_refused;
+		result.calm_asked += tenant->calm_asked;
+		result.calm_refused += tenant->calm_refused;
+		result.below_refused += tenant->below_refused;
+		g_array_free (tenant->sent_us, TRUE);
+	}
+	for (uint32_t i = 0; i < world->vm_count; i++)
+	{
+		vm_kill (&world->vms[i]);
+		g_array_free (world->vms[i].waiters, TRUE);
+	}
+	g_ptr_array_free (world->datagrams, TRUE);
+	g_rand_free (world->random);
+	return result;
+}
+
+static struct result
+play (uint64_t seed, uint32_t vm_count, bool is_disturbed, int64_t length_us)
+{
+	struct world *world = g_new (struct world, 1);
+	int64_t heal_us = length_us * 2 / 3;
+	struct result result;
+
+	world_init (world, seed, vm_count);
+	world->loss = is_disturbed ? g_rand_double_range (world->random, 0, 0.1) : 0;
+	while (world->now_us < length_us)
+	{
+		step (world);
+		if (is_disturbed && world->now_us < heal_us && world->now_us > 2 * S &&
+		    happens (world, (double) STEP_US / S))
+			disturb (world);
+		if (is_disturbed && world->now_us - STEP_US < heal_us && world->now_us >= heal_us)
+			heal (world);
+	}
+	result = world_finish (world, seed);
+	g_free (world);
+	return result;
+}
+
+static void
+run_series (const char *name, uint64_t first, uint64_t count, uint32_t vm_count, bool is_disturbed,
+            int64_t length_us)
+{
+	struct result total = { 0 };
+	uint32_t over = 0;
+
+	for (uint64_t seed = first; seed < first + count; seed++)
+	{
+		struct result result = play (seed, vm_count, is_disturbed, length_us);
+
+		over += result.worst > 1;
+		total.worst = MAX (total.worst, result.worst);
+		total.asked += result.asked;
+		total.refused += result.refused;
+		total.central_refused += result.central_refused;
+		total.calm_asked += result.calm_asked;
+		total.calm_refused += result.calm_refused;
+		total.below_refused += result.below_refused;
+		total.sent += result.sent;
+	}
+	g_test_message ("%s, %u VMs, %" G_GUINT64_FORMAT " seeds: worst window %.3f of the limit, %u over; refused %" G_GUINT64_FORMAT " (by one bucket %" G_GUINT64_FORMAT "), below "
+	                "the cap %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT ", undisturbed %" G_GUINT64_FORMAT
+	                " of %" G_GUINT64_FORMAT "; datagrams per VM and second %.1f",
+	                name, vm_count, count, total.worst, over, total.refused, total.central_refused, total.below_refused, total.asked,
+	                total.calm_refused, total.calm_asked,
+	                (double) total.sent / (double) count / vm_count / ((double) length_us / S));
+	g_assert_cmpfloat (total.worst, <=, 1);
+	g_assert_cmpuint (total.calm_refused, ==, 0);
+}
+
+static void
+read_seeds (unsigned long long *first, unsigned long long *count)
+{
+	const char *text = getenv ("CAP_SEEDS");
+
+	if (text && sscanf (text, "%llu:%llu", first, count) != 2)
+		g_error ("CAP_SEEDS is not FIRST:COUNT: %s", text);
+}
+
+static void
+test_calm (gconstpointer data)
+{
+	unsigned long long first = 1;
+	unsigned long long count = 3;
+
+	read_seeds (&first, &count);
+	run_series ("calm", first, count, GPOINTER_TO_UINT (data), false, 12 * S);
+}
+
+static void
+test_disturbed (gconstpointer data)
+{
+	uint32_t vm_count = GPOINTER_TO_UINT (data);
+	unsigned long long first = 1;
+	unsigned long long count = vm_count == 7 ? 150 : vm_count == 63 ? 40 : 10;
+
+	read_seeds (&first, &count);
+	run_series ("disturbed", first, count, vm_count, true, LENGTH_US);
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_set_nonfatal_assertions ();
+	g_test_add_data_func ("/usage_cap/calm_7", GUINT_TO_POINTER (7), test_calm);
+	g_test_add_data_func ("/usage_cap/calm_63", GUINT_TO_POINTER (63), test_calm);
+	g_test_add_data_func ("/usage_cap/calm_195", GUINT_TO_POINTER (195), test_calm);
+	g_test_add_data_func ("/usage_cap/disturbed_7", GUINT_TO_POINTER (7), test_disturbed);
+	g_test_add_data_func ("/usage_cap/disturbed_63", GUINT_TO_POINTER (63), test_disturbed);
+	g_test_add_data_func ("/usage_cap/disturbed_195", GUINT_TO_POINTER (195), test_disturbed);
+	return g_test_run ();
+}
