--- a/decision/usage_account.c
+++ b/decision/usage_account.c
@@ -389,8 +389,8 @@
 
 		if (index < 0 || usage_group_of (report->tenants[i].tenant) != report->group)
 			continue;
-		grant->tenants[grant->count++] = handle_request (
-			account, group, peer, (uint32_t) index, &report->tenants[i], is_new_epoch, now_us);
+		grant->tenants[grant->count++] = handle_request (account, group, peer, (uint32_t) index,
+		                                                 &report->tenants[i], is_new_epoch, now_us);
 	}
 	return true;
 }
--- a/decision/usage_cap.c
+++ b/decision/usage_cap.c
@@ -200,8 +200,7 @@
                  int64_t *retry_us)
 {
 	struct usage_tokens *tokens = &caps->tokens[index];
-	struct usage_choice *choice =
-		&caps->choices[usage_group_of (caps->limits.items[index].id)];
+	struct usage_choice *choice = &caps->choices[usage_group_of (caps->limits.items[index].id)];
 	uint32_t target;
 
 	count_operation (tokens, now_us);
@@ -398,8 +397,8 @@
 replace_account (struct usage_caps *caps, uint32_t group, bool is_lost, int64_t now_us)
 {
 	struct usage_choice *choice = &caps->choices[group];
-	struct usage_candidate next = is_lost ? (struct usage_candidate){ .vm = caps->own.vm }
-	                                      : choice->current;
+	struct usage_candidate next =
+		is_lost ? (struct usage_candidate){ .vm = caps->own.vm } : choice->current;
 
 	for (uint32_t i = 0; i < choice->chain_count; i++)
 	{
@@ -567,8 +566,7 @@
 		{
 			tokens->reported = 0;
 			tokens->is_short = grant->tenants[i].is_short;
-			tokens->empty_until_us =
-				now_us + (int64_t) grant->tenants[i].retry_ms * US_IN_MS;
+			tokens->empty_until_us = now_us + (int64_t) grant->tenants[i].retry_ms * US_IN_MS;
 		}
 	}
 	if (grant->count > 0)
--- a/gateway/cap_exchange.c
+++ b/gateway/cap_exchange.c
@@ -55,7 +55,8 @@
 	length = xdr_getpos (&xdr);
 	counter_add (COUNTER_CAP_SENT_BYTES, (int64_t) length);
 	/* A datagram that is not sent is as one that is lost. */
-	if (sendto (exchange->source.fd, buffer, length, 0, (const struct sockaddr *) to, sizeof *to) < 0)
+	if (sendto (exchange->source.fd, buffer, length, 0, (const struct sockaddr *) to, sizeof *to) <
+	    0)
 		log_event (LOG_LEVEL_DEBUG, "cap_not_sent", "error=%d", errno);
 }
 
@@ -79,9 +80,9 @@
 	{
 		const struct usage_request *request = &report->tenants[i];
 
-		requests[i] = (struct fs_cap_request){ request->tenant,   request->received,
-			                                   request->spent,    request->returned,
-			                                   request->waiting,  request->wanted };
+		requests[i] =
+			(struct fs_cap_request){ request->tenant,   request->received, request->spent,
+			                         request->returned, request->waiting,  request->wanted };
 	}
 	for (guint i = 0; i < exchange->addresses->len; i++)
 	{
@@ -117,9 +118,9 @@
 		.tenants = { grant->count, entries },
 	};
 	for (uint32_t i = 0; i < grant->count; i++)
-		entries[i] = (struct fs_cap_entry){ grant->tenants[i].tenant, grant->tenants[i].granted,
-			                                grant->tenants[i].retry_ms,
-			                                grant->tenants[i].is_short };
+		entries[i] =
+			(struct fs_cap_entry){ grant->tenants[i].tenant, grant->tenants[i].granted,
+			                       grant->tenants[i].retry_ms, grant->tenants[i].is_short };
 	send_message (exchange, &message, to);
 }
 
@@ -170,9 +171,8 @@
 	{
 		const struct fs_cap_entry *entry = &args->tenants.tenants_val[i];
 
-		grant.tenants[i] =
-			(struct usage_grant_entry){ entry->tenant, entry->granted, entry->retry_ms,
-			                            entry->is_short };
+		grant.tenants[i] = (struct usage_grant_entry){ entry->tenant, entry->granted,
+			                                           entry->retry_ms, entry->is_short };
 	}
 	usage_caps_handle_grant (&exchange->caps, &grant, now_us);
 	return 0;
@@ -381,8 +381,7 @@
 		g_array_append_val (members, exchange->caps.own);
 	for (guint i = 0; i < view->members->len; i++)
 	{
-		const struct view_member *entry =
-			&g_array_index (view->members, struct view_member, i);
+		const struct view_member *entry = &g_array_index (view->members, struct view_member, i);
 		struct usage_member member = { hash_name (entry->vm), hash_name (entry->zone) };
 		struct cap_address address = { member.vm, entry->ip,
 			                           (uint16_t) (entry->port + CAP_PORT_OFFSET) };
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -183,7 +183,8 @@
 	else if (traffic->out_of_rotation_us == 0)
 		traffic->out_of_rotation_us = now_us;
 	tenant_table_apply (traffic->tenants, view->configuration);
-	cap_exchange_apply (&traffic->cap_exchange, traffic->tenants, view, traffic->is_leaving, now_us);
+	cap_exchange_apply (&traffic->cap_exchange, traffic->tenants, view, traffic->is_leaving,
+	                    now_us);
 	apply_servers (traffic);
 	g_hash_table_iter_init (&iter, traffic->services);
 	while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/include/decision/usage_account.h
+++ b/include/decision/usage_account.h
@@ -50,8 +50,9 @@
 	uint64_t start;  /**< Greater for each start of the VM's process. */
 	uint32_t number; /**< Grows within a start and group. */
 	uint32_t group;
-	uint32_t epoch;  /**< Grows whenever the VM changes its account of the group. */
-	bool is_lending; /**< The account may fill with the VM's share, and the VM accepts its grants. */
+	uint32_t epoch; /**< Grows whenever the VM changes its account of the group. */
+	bool
+		is_lending; /**< The account may fill with the VM's share, and the VM accepts its grants. */
 	uint32_t count;
 	struct usage_request tenants[USAGE_MAX_ENTRIES];
 };
@@ -61,7 +62,8 @@
 	uint64_t tenant;
 	uint32_t granted;  /**< Total in this start of the VM, compared with usage_request.received. */
 	uint32_t retry_ms; /**< Time until the next token; 0: nothing that waits was left out. */
-	bool is_short;     /**< Spent tokens are to be reported soon, since the bucket fills only as far as it knows of them. */
+	bool
+		is_short; /**< Spent tokens are to be reported soon, since the bucket fills only as far as it knows of them. */
 };
 
 struct usage_grant
@@ -111,9 +113,9 @@
 	struct usage_peer *peers;
 	uint32_t peer_count;
 	uint32_t peer_capacity;
-	double share;           /**< Part of all VMs that lend their share. */
-	double started_share;   /**< Part for which the tokens of a new account were given. */
-	double filled_s;        /**< Integral of the share over time. */
+	double share;         /**< Part of all VMs that lend their share. */
+	double started_share; /**< Part for which the tokens of a new account were given. */
+	double filled_s;      /**< Integral of the share over time. */
 	int64_t advanced_us;
 	int64_t lent_us; /**< When the share was last above 0. */
 };
--- a/include/decision/usage_cap.h
+++ b/include/decision/usage_cap.h
@@ -36,11 +36,11 @@
 	uint32_t counted;  /**< Operations in the present interval of demand. */
 	uint32_t previous; /**< Operations in the interval before. */
 	int64_t interval_us;
-	int64_t used_us;     /**< Last operation; 0: none. */
+	int64_t used_us;        /**< Last operation; 0: none. */
 	int64_t empty_until_us; /**< The account has no token before; 0: not known. */
-	bool is_short;       /**< The account has asked to be told soon of spent tokens. */
-	bool is_changed;     /**< No report holds the present totals. */
-	uint32_t reported;   /**< Number of the last report that holds them; 0: answered. */
+	bool is_short;          /**< The account has asked to be told soon of spent tokens. */
+	bool is_changed;        /**< No report holds the present totals. */
+	uint32_t reported;      /**< Number of the last report that holds them; 0: answered. */
 };
 
 /** An account VM of a group, as seen by this VM. */
--- a/include/gateway/cap_exchange.h
+++ b/include/gateway/cap_exchange.h
@@ -29,15 +29,15 @@
 	struct usage_caps caps;
 	uint32_t ip;
 	uint16_t port;
-	bool has_caps;      /**< A tenant has a cap; otherwise nothing is sent. */
-	GArray *addresses;  /**< Array of struct cap_address. */
-	GQueue waiting;     /**< Queue of struct session, by arrival. */
+	bool has_caps;       /**< A tenant has a cap; otherwise nothing is sent. */
+	GArray *addresses;   /**< Array of struct cap_address. */
+	GQueue waiting;      /**< Queue of struct session, by arrival. */
 	int64_t isolated_us; /**< Since when this VM is isolated; 0: it is not. */
 };
 
 /** The socket is opened when the first tenant has a cap. */
 void cap_exchange_init (struct cap_exchange *exchange, struct loop *loop, const char *vm,
-                       const char *zone, uint32_t ip, uint16_t relay_port);
+                        const char *zone, uint32_t ip, uint16_t relay_port);
 void cap_exchange_finish (struct cap_exchange *exchange);
 
 /** Takes over the caps and the list of VMs. */
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -191,7 +191,7 @@
 	bool is_poller;                     /**< This VM polls the store for its zone. */
 	uint32_t vm_count;                  /**< Live VMs, including this one. */
 	uint32_t listed_count; /**< VMs on the list with this one, also those that do not answer. */
-	bool is_serving_dirty;      /**< A VM has announced a change since the VMs were last checked. */
+	bool is_serving_dirty; /**< A VM has announced a change since the VMs were last checked. */
 	int64_t serving_checked_us; /**< When all VMs were last checked. */
 	int64_t former_demoted_us;  /**< When former primaries were last looked for. */
 	bool is_view_dirty;         /**< The traffic thread does not have the latest state yet. */
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -255,7 +255,7 @@
 	GHashTable *servers;  /**< struct server by id. */
 	GHashTable *tenants;  /**< struct tenant_state by name. */
 	struct cap_exchange cap_exchange;
-	GHashTable *shapes;   /**< struct prepared_shape by kind (read or write) and text. */
+	GHashTable *shapes; /**< struct prepared_shape by kind (read or write) and text. */
 	struct view *view;
 	/** Latest time at which the records of the view are known to have been current. */
 	int64_t records_valid_us;
--- a/include/gateway/view.h
+++ b/include/gateway/view.h
@@ -38,7 +38,7 @@
 	bool knows_members;
 	uint32_t vm_count;
 	uint32_t listed_count; /**< VMs on the list with this one, also those that do not answer. */
-	bool is_isolated; /**< The records are about to expire, so callers should use other VMs. */
+	bool is_isolated;      /**< The records are about to expire, so callers should use other VMs. */
 	/** The balancer sends no new callers, as long as another VM of the zone is ready. */
 	bool is_out_of_rotation;
 	/** This VM's record is in the store, so a change of primary waits for it. */
--- a/tests/fuzz/gateway.c
+++ b/tests/fuzz/gateway.c
@@ -1,8 +1,8 @@
 /* Guards against lines of callers, servers and other VMs, datagrams, and documents of the store that make a gateway read
  * out of bounds, leak, or end. Directory entries and configurations may come from any writer. */
-#include "gateway/cap_exchange.h"
 #include "protocols/gateway.h"
 #include "fuzz.h"
+#include "gateway/cap_exchange.h"
 #include "platform/documents.h"
 #include "platform/wire.h"
 
--- a/tests/unit/usage_cap.c
+++ b/tests/unit/usage_cap.c
@@ -20,10 +20,10 @@
 	MAX_VMS = 195,
 	TENANTS = 6,
 	WINDOW_US = 5 * S,
-	WAIT_US = 50 * MS, /* A quarter of the shortest target. */
+	WAIT_US = 50 * MS,  /* A quarter of the shortest target. */
 	CALLERS_US = 1 * S, /* From the start of the fleet. */
 	LENGTH_US = 30 * S,
-	LIST_US = 8 * S,   /* Until a killed VM is taken off the lists. */
+	LIST_US = 8 * S, /* Until a killed VM is taken off the lists. */
 	UNKNOWN = 0xffffffff,
 };
 
@@ -53,19 +53,19 @@
 	uint64_t id;
 	uint32_t rate_per_s;
 	uint32_t burst;
-	double load;         /* Operations per second over all VMs. */
-	double due;          /* Of even calls. */
-	uint32_t zone;       /* Of its callers; UNKNOWN: all. */
-	GArray *sent_us;     /* Times of admitted operations. */
+	double load;     /* Operations per second over all VMs. */
+	double due;      /* Of even calls. */
+	uint32_t zone;   /* Of its callers; UNKNOWN: all. */
+	GArray *sent_us; /* Times of admitted operations. */
 	uint64_t admitted;
 	uint64_t refused;
-	double level; /* Of one bucket for all VMs, which admits what it has tokens for. */
+	double level;             /* Of one bucket for all VMs, which admits what it has tokens for. */
 	uint64_t central_refused; /* By that bucket. */
 	uint64_t calm_asked;
-	uint64_t calm_refused; /* Refused below the cap while nothing is disturbed. */
+	uint64_t calm_refused;  /* Refused below the cap while nothing is disturbed. */
 	uint64_t below_refused; /* Refused below the cap at any time. */
-	double worst;       /* Window before the last change of the cap, as a part of the limit. */
-	int64_t lowered_us; /* When the cap was lowered; 0: never. */
+	double worst;           /* Window before the last change of the cap, as a part of the limit. */
+	int64_t lowered_us;     /* When the cap was lowered; 0: never. */
 };
 
 struct datagram
@@ -84,7 +84,7 @@
 	uint32_t vm_count;
 	uint32_t zones;
 	double loss;
-	bool is_even; /* Calls come at even intervals, else as a Poisson process. */
+	bool is_even;      /* Calls come at even intervals, else as a Poisson process. */
 	uint32_t cut_zone; /* UNKNOWN: none. */
 	struct vm vms[MAX_VMS];
 	struct tenant tenants[TENANTS];
@@ -443,9 +443,10 @@
 disturb (struct world *world)
 {
 	GRand *random = world->random;
-	struct vm *vm = happens (world, 0.5)
-	                    ? find_account (world, (uint32_t) g_rand_int_range (random, 0, USAGE_GROUPS))
-	                    : &world->vms[g_rand_int_range (random, 0, (gint32) world->vm_count)];
+	struct vm *vm =
+		happens (world, 0.5)
+			? find_account (world, (uint32_t) g_rand_int_range (random, 0, USAGE_GROUPS))
+			: &world->vms[g_rand_int_range (random, 0, (gint32) world->vm_count)];
 	uint32_t tenant = (uint32_t) g_rand_int_range (random, 0, TENANTS);
 
 	world->disturbed_us = world->now_us;
@@ -533,7 +534,8 @@
 		tenant->due += mean;
 		for (; world->is_even && tenant->due >= 1; tenant->due--)
 			call (world, i);
-		for (double passed = draw_interval (world); passed < mean && !world->is_even; passed += draw_interval (world))
+		for (double passed = draw_interval (world); passed < mean && !world->is_even;
+		     passed += draw_interval (world))
 			call (world, i);
 	}
 }
@@ -600,10 +602,12 @@
 		double worst = MAX (tenant->worst, check_windows (tenant));
 
 		if (worst > 1 || tenant->calm_refused > 0)
-			g_test_message ("seed %" G_GUINT64_FORMAT " tenant %u rate %u burst %u: admitted %" G_GUINT64_FORMAT
-			                " refused %" G_GUINT64_FORMAT " worst window %.2f, below the cap %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT,
-			                seed, i, tenant->rate_per_s, tenant->burst, tenant->admitted,
-			                tenant->refused, worst, tenant->calm_refused, tenant->calm_asked);
+			g_test_message (
+				"seed %" G_GUINT64_FORMAT " tenant %u rate %u burst %u: admitted %" G_GUINT64_FORMAT
+				" refused %" G_GUINT64_FORMAT " worst window %.2f, below the cap %" G_GUINT64_FORMAT
+				" of %" G_GUINT64_FORMAT,
+				seed, i, tenant->rate_per_s, tenant->burst, tenant->admitted, tenant->refused,
+				worst, tenant->calm_refused, tenant->calm_asked);
 		result.worst = MAX (result.worst, worst);
 		result.asked += tenant->admitted + tenant->refused;
 		result.refused += tenant->refused;
@@ -676,11 +680,14 @@
 		total.below_refused += result.below_refused;
 		total.sent += result.sent;
 	}
-	g_test_message ("%s, %u VMs, %" G_GUINT64_FORMAT " seeds: worst window %.3f of the limit, %u over; refused %" G_GUINT64_FORMAT " (by one bucket %" G_GUINT64_FORMAT "), below "
-	                "the cap %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT ", undisturbed %" G_GUINT64_FORMAT
-	                " of %" G_GUINT64_FORMAT "; datagrams per VM and second %.1f",
-	                name, vm_count, count, total.worst, over, total.refused, total.central_refused, total.below_refused, total.asked,
-	                total.calm_refused, total.calm_asked,
+	g_test_message ("%s, %u VMs, %" G_GUINT64_FORMAT
+	                " seeds: worst window %.3f of the limit, %u over; refused %" G_GUINT64_FORMAT
+	                " (by one bucket %" G_GUINT64_FORMAT "), below "
+	                "the cap %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+	                ", undisturbed %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+	                "; datagrams per VM and second %.1f",
+	                name, vm_count, count, total.worst, over, total.refused, total.central_refused,
+	                total.below_refused, total.asked, total.calm_refused, total.calm_asked,
 	                (double) total.sent / (double) count / vm_count / ((double) length_us / S));
 	g_assert_cmpfloat (total.worst, <=, 1);
 	/* Uneven calls may meet an account that lacks tokens which other VMs hold; at most 1 in 50,000. */
@@ -698,8 +705,13 @@
 	const struct usage_member own = { 1, 1 };
 	const struct usage_member other = { 2, 1 };
 	struct usage_limit limit = { 1, true, 100, 100 };
-	struct usage_report report = { .vm = 1, .start = 5, .number = 1, .epoch = 1, .is_lending = true,
-		                           .count = 1, .tenants = { { 1, 0, 0, 0, 4, 4 } } };
+	struct usage_report report = { .vm = 1,
+		                           .start = 5,
+		                           .number = 1,
+		                           .epoch = 1,
+		                           .is_lending = true,
+		                           .count = 1,
+		                           .tenants = { { 1, 0, 0, 0, 4, 4 } } };
 	struct usage_grant grant;
 	struct usage_grant late;
 	struct usage_caps vm;
@@ -750,8 +762,12 @@
 	g_assert_cmpint (usage_caps_take (&vm, 0, S, S, &retry_us), ==, USAGE_ADMITTED);
 	g_assert_cmpint (usage_caps_take (&vm, 0, S, S, &retry_us), ==, USAGE_WAIT);
 	/* Tokens that the VM returns are in the account again. */
-	report = (struct usage_report){ .vm = 1, .start = 5, .number = 100, .epoch = 1,
-		                            .is_lending = true, .count = 1,
+	report = (struct usage_report){ .vm = 1,
+		                            .start = 5,
+		                            .number = 100,
+		                            .epoch = 1,
+		                            .is_lending = true,
+		                            .count = 1,
 		                            .tenants = { { 1, 4, 0, 4, 0, 0 } } };
 	g_assert_true (usage_account_handle_report (&account.account, &report, &grant, S));
 	g_assert_cmpfloat (account.account.buckets[0].level, ==, 10);
