--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -55,6 +55,10 @@
 	X (SERVER_CONNECTIONS_OPENED, "server_connections_opened")                                     \
 	X (SERVER_CONNECTIONS_REPLACED, "server_connections_replaced")                                 \
 	X (RECORDS_REWRITTEN, "records_rewritten")                                                     \
+	X (CAP_REFUSED, "cap_refused")                                                                 \
+	X (CAP_REPORTS, "cap_reports")                                                                 \
+	X (CAP_SENT_BYTES, "cap_sent_bytes")                                                           \
+	X (CAP_MALFORMED, "cap_malformed")                                                             \
 	X (RPC_MALFORMED, "rpc_malformed")                                                             \
 	X (INVARIANT_VIOLATIONS, "invariant_violations")
 
--- a/include/gateway/tenant.h
+++ b/include/gateway/tenant.h
@@ -30,6 +30,9 @@
 		waiting; /**< Statements in the queues of this VM, also those that other VMs forward. */
 	uint32_t connections;        /**< Open connections of this VM to servers. */
 	struct tenant_demand demand; /**< Statements of callers of this VM. */
+	uint32_t cap_index;          /**< Index of its usage cap, from 1; 0: it has had none. */
+	uint32_t cap_unlogged;       /**< Operations refused by the cap since the last log line. */
+	int64_t cap_logged_us;       /**< Time of that line. */
 };
 
 /** Creates a table of struct tenant_state by name. */
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -9,6 +9,7 @@
 #include "decision/position_history.h"
 #include "decision/slots.h"
 #include "decision/tenant_pool.h"
+#include "gateway/cap_exchange.h"
 #include "gateway/line_stream.h"
 #include "gateway/tenant.h"
 #include "gateway/traffic.h"
@@ -199,6 +200,15 @@
 	int64_t answered_us;        /**< When the server answered a held commit. */
 };
 
+/** The token of a session's operation. */
+enum cap_state
+{
+	CAP_NONE,
+	CAP_WAITING,
+	CAP_HELD,
+	CAP_USED, /**< Something was sent to a server. */
+};
+
 struct session
 {
 	struct line_stream stream;
@@ -219,6 +229,8 @@
 	struct tenant_state *tenant;
 	bool
 		takes_any_tenant; /**< A forwarded statement of a gateway itself: it runs on any tenant's connection. */
+	enum cap_state cap_state;
+	int64_t cap_until_us; /**< End of the wait for a token. */
 	GHashTable *values;   /**< Acknowledged session values, name to value. */
 	GHashTable *prepared; /**< Name to struct prepared_shape. */
 	enum transaction_state state;
@@ -264,6 +276,7 @@
 		*tenant_report; /**< Handed to other threads by an atomic exchange; NULL: it was taken. */
 	int64_t tenant_report_us; /**< When the last one was made. */
 	GHashTable *shapes;       /**< struct prepared_shape by kind (read or write) and text. */
+	struct cap_exchange cap_exchange;
 	struct view *view;
 	/** Latest time at which the records of the view are known to have been current. */
 	int64_t records_valid_us;
