tests: the model of a server has a configuration

gateway_server set the limit of connections, which only a configuration brings, without one. Since a VM without a configuration opens no connection to a server, so /gateway_server/silent_owner failed. The fixture gets one, and /gateway_server/unknown_members also checks that nothing is opened without it.

--- a/tests/unit/gateway_server.c
+++ b/tests/unit/gateway_server.c
@@ -41,6 +41,7 @@
 	fixture->traffic = gateway_traffic_new (&settings);
 	g_assert_nonnull (fixture->traffic);
 	fixture->traffic->view = view_new ();
+	fixture->traffic->view->configuration = configuration_new ();
 	fixture->traffic->view->knows_members = true;
 	fixture->traffic->view->vm_count = 20;
 	entry.port = fixture->port;
@@ -120,8 +121,8 @@
 	fixture_finish (&fixture);
 }
 
-/* Guards against connections opened before the VM has read the list of VMs: until then it does not know
- * the owners of servers. */
+/* Guards against connections opened before the VM has read the list of VMs, until which it does not know the owners of
+ * servers, or the configuration, until which it does not know the limit of connections. */
 static void
 test_unknown_members (void)
 {
@@ -133,6 +134,9 @@
 	g_assert_false (server_can_open (fixture.server, NULL, clock_now_us ()));
 	fixture.traffic->view->knows_members = true;
 	g_assert_true (server_can_open (fixture.server, NULL, clock_now_us ()));
+	configuration_release (fixture.traffic->view->configuration);
+	fixture.traffic->view->configuration = NULL;
+	g_assert_false (server_can_open (fixture.server, NULL, clock_now_us ()));
 	fixture_finish (&fixture);
 }
 
