--- a/tests/unit/gateway_server.c
+++ b/tests/unit/gateway_server.c
@@ -44,7 +44,6 @@
 	fixture->traffic->view = view_new ();
 	fixture->traffic->view->configuration = configuration_new ();
 	fixture->traffic->view->knows_members = true;
-	fixture->traffic->view->configuration = configuration_new ();
 	fixture->traffic->view->vm_count = 20;
 	entry.port = fixture->port;
 	fixture->server = server_new (service_get (fixture->traffic, "s"), &entry);
