tests: crowds of clients that do not keep the limits

It checks that the process lives, its memory with the kernel's buffers, its descriptors, ordinary statements, and that memory and places come back; nothing that depends on speed.

--- /dev/null
+++ b/tests/integration/gateway_clients.py
@@ -0,0 +1,431 @@
+"""Crowds of clients that do not keep the limits, against a gateway process with low limits in its settings.
+
+The store and one database server are stand-ins in this process. Guards against a process that ends, hangs, exceeds its
+memory or its descriptors, or serves nobody else, because of what clients send or do not read. Nothing is checked that
+depends on the machine's speed.
+
+gateway_clients.py PROGRAM [--sanitized] [CASE ...]
+--sanitized: the program is built with a sanitizer, whose own memory makes bounds on memory meaningless.
+"""
+
+import asyncio
+import base64
+import json
+import os
+import resource
+import selectors
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from urllib.parse import parse_qs, urlsplit
+
+MEMORY_MB = 48  # The process needs 13 MB.
+RETURN_MB = 8  # What may stay in use after a crowd has gone: pools of connections, and unused parts of the heap.
+MAX_FDS = 900
+FREE_FDS = 100  # Left for servers, VMs and the store, whatever callers do.
+CROWD = 100
+STALL_MS = 1000  # Time limit of a session without progress.
+HOLD_S = 4  # How long a crowd stays after it has sent what is taken.
+QUIET_S = 1.5  # Nothing more is taken if nothing was for this long.
+LIMIT_S = 40  # For what has to happen at some time.
+MESSAGE = 900_000
+ROW = "x" * 8000  # Row of the answer to READ big.
+PROGRAM, IS_SANITIZED = None, False
+
+
+class StandIns(threading.Thread):
+    """The metadata store and one database server, the primary."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.items, self.revision, self.is_ready = {}, 1, threading.Event()
+        self.loop = asyncio.new_event_loop()
+
+    def run(self):
+        self.loop.run_until_complete(self.listen())
+        self.loop.run_forever()
+
+    async def listen(self):
+        self.servers = [await asyncio.start_server(f, "127.0.0.1", 0, limit=2 << 20) for f in (self.accept_call, self.accept_session)]
+        self.store_port, database_port = (s.sockets[0].getsockname()[1] for s in self.servers)
+        self.put("op/config", {"version": 1, "routes": [{"host": "db", "service": "s", "routeType": "primary", "timeoutMs": 5000, "targetLatencyMs": 3000}],
+                               "services": [{"name": "s", "maxConnections": 16}]})
+        self.put("servers/s-1", {"service": "s", "address": f"127.0.0.1:{database_port}", "zone": "a", "version": "v1", "slots": 4, "state": "ready",
+                                 "coldRemainingMs": 0, "dbRole": "primary", "sequence": 1, "born": 1})
+        self.is_ready.set()
+
+    def put(self, key, value):
+        self.put_encoded(key, base64.b64encode(json.dumps(value).encode()).decode())
+
+    def put_encoded(self, key, value):
+        self.revision += 1
+        created = self.items[key]["created"] if key in self.items else self.revision
+        self.items[key] = {"key": key, "value": value, "revision": self.revision, "created": created, "lease": 0}
+
+    async def answer(self, target, body):
+        url = urlsplit(target)
+        query = parse_qs(url.query)
+        if url.path == "/kv-range":
+            return 200, {"items": [v for k, v in self.items.items() if k.startswith(query["pathPrefix"][0])], "hasMore": False, "at": self.revision}
+        if url.path == "/kv-watch":
+            for _ in range(20):
+                found = [v for k, v in self.items.items() if k.startswith(query["pathPrefix"][0]) and v["revision"] > int(query["after"][0])]
+                if found:
+                    break
+                await asyncio.sleep(0.02)
+            return 200, {"events": found, "at": self.revision}
+        if url.path != "/kv-txn":
+            return 404, {}
+        call = json.loads(body)
+        if any((self.items[r["key"]]["revision"] if r["key"] in self.items else 0) != r["revision"] for r in call["expected"]):
+            return 412, {"items": [self.items[r["key"]] for r in call["expected"] if r["key"] in self.items]}
+        for row in call["writes"]:
+            self.put_encoded(row["key"], row["value"])
+        for key in call["remove"]:
+            self.items.pop(key, None)
+        return 200, {"revision": self.revision}
+
+    async def accept_call(self, reader, writer):
+        try:
+            while line := await reader.readline():
+                headers = {}
+                while (header := await reader.readline()) not in (b"\r\n", b""):
+                    name, value = header.decode().split(":", 1)
+                    headers[name.strip().lower()] = value.strip()
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                status, answer = await self.answer(line.decode().split(" ")[1], body)
+                text = json.dumps(answer).encode()
+                writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        writer.close()
+
+    async def accept_session(self, reader, writer):
+        try:
+            while line := (await reader.readline()).decode():
+                words = line.split()
+                answer = "" if words[0] == "START" else "COMPLETE -\r\n"
+                if words[2:3] in (["STATUS"], ["DEMOTE"]):
+                    answer = "ROW primary 1 1.0 0 0 0 1\r\n" + answer
+                elif words[2:3] == ["READ"]:
+                    answer = f"ROW {ROW if words[3] == 'big' else 'small'}\r\n" + answer
+                writer.write(f"{answer}READY I 1.0\r\n".encode())
+                await writer.drain()
+        except (ConnectionError, ValueError):
+            pass
+        writer.close()
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def connect(port, blocking_s=LIMIT_S):
+    client = socket.create_connection(("127.0.0.1", port), timeout=LIMIT_S)
+    client.settimeout(blocking_s)
+    return client
+
+
+class Gateway:
+    def __init__(self, stand_ins):
+        self.front, self.ready, self.relay, self.metrics = (free_port() for _ in range(4))
+        self.peak_kb = 0
+        self.settings = tempfile.NamedTemporaryFile("w", suffix=".yaml")
+        self.settings.write(f"""
+node: "vm"
+zone: "a"
+ip: "127.0.0.1"
+internalPorts: [{self.relay}, {free_port()}]
+listen: {{front: "127.0.0.1:{self.front}", ready: "127.0.0.1:{self.ready}"}}
+limits: {{maxFds: {MAX_FDS}, memoryMb: {MEMORY_MB}, clientStallMs: {STALL_MS}}}
+bounds: {{graceS: 2}}
+platform: {{address: "127.0.0.1:{stand_ins.store_port}"}}
+cloud: {{address: "127.0.0.1:{stand_ins.store_port}"}}
+""")
+        self.settings.flush()
+        self.log = tempfile.TemporaryFile()
+        self.process = subprocess.Popen(
+            [PROGRAM, "gateway", "--metrics-port", str(self.metrics), "--settings", self.settings.name], stdout=self.log, stderr=self.log,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS)))
+
+    def read_log(self):
+        self.log.seek(0)
+        return self.log.read().decode(errors="replace")
+
+    def status_kb(self, name):
+        with open(f"/proc/{self.process.pid}/status") as status:
+            return next(int(line.split()[1]) for line in status if line.startswith(name + ":"))
+
+    def queued_kb(self):
+        """Bytes in the kernel's buffers of this process's connections, sent and received."""
+        ports = {self.front, self.relay, self.ready, self.metrics}
+        with open("/proc/net/tcp") as table:
+            rows = [line.split() for line in table.readlines()[1:]]
+        return sum(int(part, 16) for row in rows if int(row[1].split(":")[1], 16) in ports and row[3] != "0A" for part in row[4].split(":")) // 1024
+
+    def sample(self):
+        if self.process.poll() is None:
+            self.peak_kb = max(self.peak_kb, self.status_kb("VmRSS") + self.queued_kb())
+
+    def count_fds(self):
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
+    def get(self, port, path):
+        """The status of a request; 0: there was no answer."""
+        try:
+            with connect(port, 5) as client:
+                client.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+                return int(client.recv(4096).split(b" ")[1])
+        except (OSError, IndexError):
+            return 0
+
+    def ask(self, text="READ small"):
+        """The answer to one statement of an ordinary caller; empty if the connection was closed."""
+        answer = b""
+        try:
+            with connect(self.front, 10) as client:
+                client.sendall(b"START db key\r\n")
+                while not answer.endswith(b"\n"):
+                    answer += client.recv(4096) or b"closed\n"
+                client.sendall(f"QUERY q {text}\r\n".encode())
+                answer = b""
+                while b"READY" not in answer:
+                    part = client.recv(4096)
+                    if not part:
+                        return ""
+                    answer += part
+        except OSError:
+            return ""
+        return answer.decode()
+
+    def close(self):
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.log.close()
+        self.settings.close()
+
+    def stop(self):
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            return self.process.wait(LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait()
+
+
+def wait_until(condition):
+    """Whether the condition holds at some time."""
+    end = time.monotonic() + LIMIT_S
+    while time.monotonic() < end:
+        if condition():
+            return True
+        time.sleep(0.05)
+    return False
+
+
+class Crowd:
+    """Connections that send and do not read."""
+
+    def __init__(self, gateway, port, greeting=b"", count=CROWD):
+        self.gateway, self.clients = gateway, []
+        for _ in range(count):
+            try:
+                client = connect(port)
+                client.sendall(greeting)
+                client.setblocking(False)
+                self.clients.append(client)
+            except OSError:
+                pass
+        time.sleep(0.5)
+
+    def send(self, data, piece):
+        """Sends the data in pieces, on all connections in turn, until the gateway takes no more."""
+        selector = selectors.DefaultSelector()
+        sent = dict.fromkeys(self.clients, 0)
+        for client in self.clients:
+            selector.register(client, selectors.EVENT_WRITE)
+        while selector.get_map() and (ready := selector.select(QUIET_S)):
+            for key, _ in ready:
+                client = key.fileobj
+                try:
+                    sent[client] += client.send(data[sent[client]:sent[client] + piece])
+                    is_over = sent[client] >= len(data)
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    is_over = True
+                if is_over:
+                    selector.unregister(client)
+            self.gateway.sample()
+        selector.close()
+
+    def hold(self, drip=b""):
+        end = time.monotonic() + HOLD_S
+        while time.monotonic() < end:
+            for client in self.clients if drip else []:
+                try:
+                    client.send(drip)
+                except OSError:
+                    pass
+            self.gateway.sample()
+            time.sleep(0.1)
+
+    def leave(self):
+        for client in self.clients:
+            client.close()
+
+
+class ClientsTest(unittest.TestCase):
+    def setUp(self):
+        self.stand_ins = StandIns()
+        self.stand_ins.start()
+        self.stand_ins.is_ready.wait()
+        self.gateway = Gateway(self.stand_ins)
+        self.addCleanup(self.gateway.close)
+        self.assertTrue(wait_until(lambda: self.gateway.get(self.gateway.ready, "/readiness") == 200), self.gateway.read_log()[-3000:])
+        self.assertTrue(wait_until(lambda: "ROW small" in self.gateway.ask()), self.gateway.read_log()[-3000:])
+        self.start_kb, self.start_fds = self.gateway.status_kb("VmRSS"), self.gateway.count_fds()
+
+    def check(self, crowd, has_left_places=False, is_served=True):
+        """What holds whatever the crowd does; has_left_places: its connections are closed though they stay."""
+        gateway = self.gateway
+        fds = gateway.count_fds() if gateway.process.poll() is None else -1
+        served = gateway.ask()
+        ready = gateway.get(gateway.ready, "/readiness")
+        freed = not has_left_places or wait_until(lambda: gateway.count_fds() <= self.start_fds + CROWD // 10)
+        gateway.sample()
+        crowd.leave()
+        peak_mb = max(gateway.peak_kb, gateway.status_kb("VmHWM")) / 1024 if gateway.process.poll() is None else -1
+        returned = wait_until(lambda: gateway.process.poll() is not None or gateway.status_kb("VmRSS") <= self.start_kb + RETURN_MB * 1024)
+        after_mb = gateway.status_kb("VmRSS") / 1024 if gateway.process.poll() is None else -1
+        print(f"{self.id().split('.')[-1]}: before {self.start_kb / 1024:.0f} MB, peak {peak_mb:.0f} MB, after {after_mb:.0f} MB, descriptors {fds}", file=sys.stderr)
+        self.assertIsNone(gateway.process.poll(), gateway.read_log()[-3000:])
+        self.assertTrue(wait_until(lambda: "ROW small" in gateway.ask()), "no ordinary statement is answered afterwards")
+        self.assertLessEqual(fds, MAX_FDS - FREE_FDS)
+        if is_served:
+            self.assertIn("ROW small", served, "no ordinary statement is answered beside the crowd")
+            self.assertEqual(ready, 200, "the process is not ready beside the crowd")
+        self.assertTrue(freed, "connections without progress keep their places")
+        if not IS_SANITIZED:
+            self.assertLessEqual(peak_mb, MEMORY_MB)
+            self.assertTrue(returned, "the memory is not given back")
+        self.assertEqual(gateway.stop(), 0, gateway.read_log()[-3000:])
+
+    def crowd(self, count=CROWD):
+        return Crowd(self.gateway, self.gateway.front, b"START db key\r\n", count)
+
+    def relay_crowd(self, count=CROWD):
+        return Crowd(self.gateway, self.gateway.relay, b"START s other s-1\r\n", count)
+
+    def test_single(self):
+        """A message of nearly 1 MiB is served in calm."""
+        text = "READ " + "y" * ((1 << 20) - 100)
+        self.assertIn("ROW small", self.gateway.ask(text))
+        self.check(Crowd(self.gateway, self.gateway.front, count=0))
+
+    def test_pieces(self):
+        crowd = self.crowd()
+        crowd.send(b"QUERY q READ " + b"y" * MESSAGE, 4096)
+        crowd.hold()
+        self.check(crowd, has_left_places=True)
+
+    def test_ahead(self):
+        crowd = self.crowd()
+        crowd.send((b"QUERY q READ " + b"y" * MESSAGE + b"\r\n") * 20, 1 << 20)
+        crowd.hold()
+        self.check(crowd)
+
+    def test_half(self):
+        crowd = self.crowd()
+        crowd.send(b"QUERY q READ " + b"y" * (MESSAGE // 2), 65536)
+        crowd.hold()
+        self.check(crowd, has_left_places=True)
+
+    def test_endless(self):
+        crowd = self.crowd()
+        crowd.send(b"QUERY q READ " + b"y" * (8 << 20), 65536)
+        crowd.hold()
+        self.check(crowd, has_left_places=True)
+
+    def test_unread(self):
+        crowd = self.crowd()
+        crowd.send(b"QUERY q READ big\r\n" * 4000, 65536)
+        crowd.hold()
+        self.check(crowd, has_left_places=True)
+
+    def test_prepared(self):
+        """Session values and prepared statements stay after their messages."""
+        crowd = self.crowd(CROWD // 4)
+        crowd.send(b"".join(b"QUERY q SET v%d %s\r\nQUERY q PREPARE p%d READ %d%s\r\n" % (i, b"y" * 90_000, i, i, b"z" * 90_000) for i in range(40)), 65536)
+        crowd.hold()
+        self.check(crowd)
+
+    def test_slow(self):
+        crowd = self.crowd()
+        crowd.hold(drip=b"Q")
+        self.check(crowd, has_left_places=True)
+
+    def test_relay_pieces(self):
+        crowd = self.relay_crowd()
+        crowd.send(b"QUERY q READ " + b"y" * MESSAGE, 4096)
+        crowd.hold()
+        self.check(crowd, has_left_places=True)
+
+    def test_relay_half(self):
+        crowd = self.relay_crowd()
+        crowd.send(b"QUERY q READ " + b"y" * (MESSAGE // 2), 65536)
+        crowd.hold()
+        self.check(crowd, has_left_places=True)
+
+    def test_relay_endless(self):
+        crowd = self.relay_crowd()
+        crowd.send(b"QUERY q READ " + b"y" * (8 << 20), 65536)
+        crowd.hold()
+        self.check(crowd, has_left_places=True)
+
+    def test_relay_sessions(self):
+        """More connections than the process may have descriptors, on the port for traffic between VMs."""
+        crowd = self.relay_crowd(MAX_FDS)
+        crowd.hold()
+        self.check(crowd)
+
+    def test_caller_sessions(self):
+        """The same from callers, who may be refused then."""
+        crowd = self.crowd(MAX_FDS)
+        crowd.hold()
+        self.check(crowd, is_served=False)
+
+    def check_http(self, port):
+        crowd = Crowd(self.gateway, port)
+        crowd.send(b"GET /readiness HTTP/1.1\r\nX: " + b"y" * MESSAGE, 4096)
+        crowd.leave()
+        crowd = Crowd(self.gateway, port)
+        crowd.send(b"GET /read", 9)
+        crowd.hold(drip=b"i")
+        self.check(crowd, has_left_places=True)
+
+    def test_readiness(self):
+        self.check_http(self.gateway.ready)
+
+    def test_metrics(self):
+        self.check_http(self.gateway.metrics)
+
+
+if __name__ == "__main__":
+    sys.dont_write_bytecode = True
+    PROGRAM = sys.argv.pop(1)
+    if "--sanitized" in sys.argv:
+        sys.argv.remove("--sanitized")
+        IS_SANITIZED = True
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 4096), hard))
+    unittest.main()
