--- a/common/rpc_listener.c
+++ b/common/rpc_listener.c
@@ -1,5 +1,6 @@
 #include "common/rpc_listener.h"
 
+#include "common/clock.h"
 #include "common/log.h"
 
 #include <errno.h>
@@ -8,6 +9,12 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+enum
+{
+	/* Accepting stops for so long when there are no descriptors or memory for another connection. */
+	LISTENER_PAUSE_US = 100 * US_PER_MS,
+};
+
 static bool
 handle_call (struct rpc_connection *rpc, uint32_t xid, uint32_t program, uint32_t procedure,
              XDR *args)
@@ -85,11 +92,26 @@
 		if (result < 0 && result != -EAGAIN)
 			log_event (LOG_LEVEL_WARN, "accept_failed", "listener=%s error=%d", listener->name,
 			           result);
+		/* The listener stays ready in that case, so that the loop would not wait. */
+		if (fd < 0 && fd != -EAGAIN && fd != -ECONNABORTED)
+		{
+			loop_remove_source (listener->loop, source);
+			loop_set_timer (listener->loop, &listener->resume, clock_now_us () + LISTENER_PAUSE_US);
+		}
 		if (fd < 0)
 			return;
 	}
 }
 
+static void
+handle_resume (struct loop_timer *timer, int64_t now_us)
+{
+	struct rpc_listener *listener = timer->data;
+
+	(void) now_us;
+	loop_set_source (listener->loop, &listener->source, EPOLLIN);
+}
+
 int
 rpc_listener_init (struct rpc_listener *listener, struct loop *loop,
                    const struct rpc_listener_ops *ops, void *data,
@@ -113,6 +135,8 @@
 	listener->source.fd = result;
 	listener->source.handle_ready = handle_ready;
 	listener->source.data = listener;
+	listener->resume.handle_timer = handle_resume;
+	listener->resume.data = listener;
 	return loop_set_source (loop, &listener->source, EPOLLIN);
 }
 
@@ -121,6 +145,7 @@
 {
 	if (listener->source.fd < 0)
 		return;
+	loop_cancel_timer (listener->loop, &listener->resume);
 	loop_remove_source (listener->loop, &listener->source);
 	close (listener->source.fd);
 	listener->source.fd = -1;
--- a/include/common/rpc_listener.h
+++ b/include/common/rpc_listener.h
@@ -33,6 +33,7 @@
 	const char *name; /**< Name in log events. */
 	struct loop *loop;
 	struct loop_source source;
+	struct loop_timer resume; /**< Accepts again after a failure. */
 	size_t connection_bytes;
 	struct handle_table connections; /**< Entries are pointers to struct rpc_accepted. */
 };
--- a/tests/fuzz/gateway.c
+++ b/tests/fuzz/gateway.c
@@ -2,11 +2,14 @@
  * out of bounds, leak, or end. Directory entries and configurations may come from any writer. */
 #include "protocols/gateway.h"
 #include "fuzz.h"
+#include "gateway/line_stream.h"
 #include "platform/documents.h"
 #include "platform/wire.h"
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum fuzzed
 {
@@ -17,6 +20,7 @@
 	FUZZED_CONFIGURATION,
 	FUZZED_SERVER_ENTRY,
 	FUZZED_DATAGRAM,
+	FUZZED_STREAM,
 	FUZZED_COUNT,
 };
 
@@ -107,6 +111,107 @@
 	xdr_destroy (&xdr);
 }
 
+enum
+{
+	STREAM_MAX_LINE_BYTES = 512,
+};
+
+/** A stream that gets the input in pieces, and the lines that it delivers, each with an end. */
+struct fuzzed_stream
+{
+	struct line_stream stream; /* First, for the callbacks. */
+	GString *lines;
+	bool is_closed;
+};
+
+static void
+handle_stream_line (struct line_stream *stream, struct text line)
+{
+	struct fuzzed_stream *fuzzed = (struct fuzzed_stream *) stream;
+
+	g_string_append_len (fuzzed->lines, line.start, (gssize) line.length);
+	g_string_append_c (fuzzed->lines, '\n');
+	/* The first byte decides what the owner of the stream does. */
+	line_stream_set_paused (stream, line.length > 0 && line.start[0] == 'p');
+	if (line.length > 0 && line.start[0] == 'o')
+		g_string_append_len (stream->out, line.start, (gssize) line.length);
+	line_stream_flush (stream);
+}
+
+static void
+handle_stream_closed (struct line_stream *stream, int error)
+{
+	(void) error;
+	((struct fuzzed_stream *) stream)->is_closed = true;
+}
+
+static const struct line_stream_ops stream_ops = {
+	.handle_line = handle_stream_line,
+	.handle_closed = handle_stream_closed,
+};
+
+/** Splits the input as the stream does that gets it in one piece. */
+static GString *
+split_lines (const char *data, size_t size)
+{
+	GString *lines = g_string_new (NULL);
+	const char *end;
+
+	for (; size > 0 && (end = memchr (data, '\n', size));
+	     size -= (size_t) (end + 1 - data), data = end + 1)
+	{
+		size_t length = (size_t) (end - data);
+
+		if (length > 0 && data[length - 1] == '\r')
+			length--;
+		g_string_append_len (lines, data, (gssize) length);
+		g_string_append_c (lines, '\n');
+	}
+	return lines;
+}
+
+/** The first byte is the size of the pieces. */
+static void
+run_stream (const char *data, size_t size)
+{
+	struct fuzzed_stream fuzzed = { .lines = g_string_new (NULL) };
+	struct buffer_budget budget;
+	struct loop loop;
+	size_t piece = size > 0 ? (unsigned char) data[0] + 1 : 1;
+	GString *expected = size > 0 ? split_lines (data + 1, size - 1) : g_string_new (NULL);
+	int fds[2];
+
+	buffer_budget_init (&budget, 64 * 1024 * 1024);
+	if (loop_init (&loop) < 0 ||
+	    socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds) < 0 ||
+	    line_stream_init (&fuzzed.stream, &loop, &stream_ops, fds[0], STREAM_MAX_LINE_BYTES) < 0)
+		abort ();
+	line_stream_set_budget (&fuzzed.stream, &budget);
+	fuzzed.stream.bounds_output = true;
+	for (size_t i = 1; i < size && !fuzzed.is_closed; i += piece)
+	{
+		if (send (fds[1], data + i, MIN (piece, size - i), MSG_NOSIGNAL) < 0)
+			break;
+		loop_step (&loop, 0);
+		line_stream_count_kernel_bytes (&fuzzed.stream);
+		if (i % 3 == 0 && !fuzzed.is_closed)
+			line_stream_set_paused (&fuzzed.stream, false);
+	}
+	for (size_t i = 0; i < size && !fuzzed.is_closed && fuzzed.stream.is_paused; i++)
+		line_stream_set_paused (&fuzzed.stream, false);
+	/* A line that is too long ends the delivery; all before it was delivered as it is. */
+	if (memcmp (expected->str, fuzzed.lines->str, MIN (expected->len, fuzzed.lines->len)) != 0 ||
+	    (!fuzzed.is_closed && expected->len != fuzzed.lines->len))
+		abort ();
+	line_stream_finish (&fuzzed.stream);
+	if (budget.used_bytes != 0)
+		abort ();
+	close (fds[1]);
+	loop_finish (&loop);
+	g_string_free (fuzzed.lines, TRUE);
+	g_string_free (expected, TRUE);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -145,6 +250,9 @@
 	case FUZZED_DATAGRAM:
 		run_datagram (line.start, line.length);
 		break;
+	case FUZZED_STREAM:
+		run_stream (line.start, line.length);
+		break;
 	}
 	free (copy);
 	return 0;
--- /dev/null
+++ b/tests/unit/line_stream.c
@@ -0,0 +1,212 @@
+/* Guards against a paused stream that reads on, one that does not notice that its peer has closed, output that grows while
+ * the peer does not read, a charge that is not given back, and lines that are torn or lost by these. */
+#include "gateway/line_stream.h"
+
+#include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+	LINE_BYTES = 1000,
+	LINES = 4000,
+	SMALL_INPUT_BYTES = 64 * 1024,
+	MAX_LINE_BYTES = 1024 * 1024,
+	TURNS = 20,
+};
+
+struct fixture
+{
+	struct line_stream stream; /* First, for the callbacks. */
+	struct loop loop;
+	struct buffer_budget budget;
+	int peer;
+	unsigned lines;
+	unsigned answer_bytes;
+	bool pauses;
+	bool is_closed;
+};
+
+static void
+handle_line (struct line_stream *stream, struct text line)
+{
+	struct fixture *fixture = (struct fixture *) stream;
+
+	g_assert_cmpuint (line.length, ==, LINE_BYTES);
+	g_assert_cmpint (line.start[0], ==, 'a' + (int) (fixture->lines % 26));
+	fixture->lines++;
+	if (fixture->pauses)
+		line_stream_set_paused (stream, true);
+	for (unsigned i = 0; i < fixture->answer_bytes; i++)
+		g_string_append_c (stream->out, 'x');
+	line_stream_flush (stream);
+}
+
+static void
+handle_closed (struct line_stream *stream, int error)
+{
+	((struct fixture *) stream)->is_closed = true;
+	line_stream_finish (stream);
+}
+
+static const struct line_stream_ops ops = {
+	.handle_line = handle_line,
+	.handle_closed = handle_closed,
+};
+
+static void
+fixture_init (struct fixture *fixture)
+{
+	int fds[2];
+
+	memset (fixture, 0, sizeof *fixture);
+	g_assert_cmpint (loop_init (&fixture->loop), ==, 0);
+	buffer_budget_init (&fixture->budget, 160 * 1024 * 1024);
+	g_assert_cmpint (socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds), ==,
+	                 0);
+	g_assert_cmpint (
+		line_stream_init (&fixture->stream, &fixture->loop, &ops, fds[0], MAX_LINE_BYTES), ==, 0);
+	line_stream_set_budget (&fixture->stream, &fixture->budget);
+	fixture->stream.bounds_output = true;
+	fixture->peer = fds[1];
+}
+
+static void
+fixture_finish (struct fixture *fixture)
+{
+	line_stream_finish (&fixture->stream);
+	g_assert_cmpuint (fixture->budget.used_bytes, ==, 0);
+	loop_finish (&fixture->loop);
+	close (fixture->peer);
+}
+
+static void
+run_turns (struct fixture *fixture)
+{
+	for (int i = 0; i < TURNS; i++)
+		loop_step (&fixture->loop, 0);
+}
+
+/** Sends lines, from the byte @p sent on, until the stream takes no more. @return the bytes sent in all. */
+static size_t
+send_lines (struct fixture *fixture, size_t sent, size_t limit)
+{
+	char line[LINE_BYTES + 1];
+	ssize_t count = 0;
+
+	while (sent < limit)
+	{
+		size_t begin = sent % sizeof line;
+
+		memset (line, 'a' + (int) (sent / sizeof line % 26), LINE_BYTES);
+		line[LINE_BYTES] = '\n';
+		count = send (fixture->peer, line + begin, MIN (sizeof line - begin, limit - sent),
+		              MSG_NOSIGNAL);
+		if (count > 0)
+		{
+			sent += (size_t) count;
+			continue;
+		}
+		run_turns (fixture);
+		count = send (fixture->peer, line + begin, 1, MSG_NOSIGNAL);
+		if (count <= 0)
+			return sent;
+		sent++;
+	}
+	return sent;
+}
+
+static void
+test_paused (void)
+{
+	struct fixture fixture;
+	size_t sent;
+
+	fixture_init (&fixture);
+	fixture.pauses = true;
+	sent = send_lines (&fixture, 0, (size_t) LINES * (LINE_BYTES + 1));
+	g_assert_cmpuint (sent, <, (size_t) LINES * (LINE_BYTES + 1));
+	g_assert_cmpuint (fixture.lines, ==, 1);
+	g_assert_cmpuint (fixture.stream.in->allocated_len, <=, SMALL_INPUT_BYTES);
+	for (unsigned i = 0; fixture.lines < LINES && i < 2 * LINES; i++)
+	{
+		line_stream_set_paused (&fixture.stream, false);
+		sent = send_lines (&fixture, sent, (size_t) LINES * (LINE_BYTES + 1));
+		loop_step (&fixture.loop, 0);
+	}
+	g_assert_cmpuint (fixture.lines, ==, LINES);
+	fixture_finish (&fixture);
+}
+
+static void
+test_paused_closed (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	fixture.pauses = true;
+	send_lines (&fixture, 0, (size_t) LINES * (LINE_BYTES + 1));
+	run_turns (&fixture);
+	g_assert_false (fixture.is_closed);
+	g_assert_cmpint (shutdown (fixture.peer, SHUT_WR), ==, 0);
+	run_turns (&fixture);
+	g_assert_true (fixture.is_closed);
+	fixture_finish (&fixture);
+}
+
+static void
+test_unread_output (void)
+{
+	struct fixture fixture;
+	char buffer[16384];
+	size_t sent;
+
+	fixture_init (&fixture);
+	fixture.answer_bytes = 5000;
+	sent = send_lines (&fixture, 0, (size_t) LINES * (LINE_BYTES + 1));
+	g_assert_cmpuint (fixture.lines, <, LINES);
+	g_assert_true (line_stream_owes (&fixture.stream));
+	g_assert_cmpuint (fixture.stream.out->len - fixture.stream.out_start, <=,
+	                  STREAM_MAX_OUTPUT_BYTES + fixture.answer_bytes);
+	for (unsigned i = 0; fixture.lines < LINES && i < 100 * LINES; i++)
+	{
+		while (recv (fixture.peer, buffer, sizeof buffer, 0) > 0)
+			continue;
+		loop_step (&fixture.loop, 0);
+		sent = send_lines (&fixture, sent, (size_t) LINES * (LINE_BYTES + 1));
+	}
+	g_assert_cmpuint (fixture.lines, ==, LINES);
+	fixture_finish (&fixture);
+}
+
+static void
+test_large_line (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture);
+	for (int i = 0; i <= MAX_LINE_BYTES / LINE_BYTES + 1 && !fixture.is_closed; i++)
+	{
+		char piece[LINE_BYTES];
+
+		memset (piece, 'y', sizeof piece);
+		if (send (fixture.peer, piece, sizeof piece, MSG_NOSIGNAL) < 0)
+			break;
+		run_turns (&fixture);
+	}
+	g_assert_true (fixture.is_closed);
+	g_assert_cmpuint (fixture.budget.peak_bytes, <=, 2 * MAX_LINE_BYTES + SMALL_INPUT_BYTES);
+	fixture_finish (&fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/line_stream/paused", test_paused);
+	g_test_add_func ("/line_stream/paused_closed", test_paused_closed);
+	g_test_add_func ("/line_stream/unread_output", test_unread_output);
+	g_test_add_func ("/line_stream/large_line", test_large_line);
+	return g_test_run ();
+}
--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -366,6 +366,7 @@
 	"node: \"front-a-1\"\nip: \"10.1.0.8\"\nzone: \"a\"\n"
 	"listen:\n  front: \"10.1.0.8:8784\"\n  ready: \"10.1.0.8:8785\"\n"
 	"internalPorts:\n  - 7440\n  - 7455\nheartbeatMs: 1200\n"
+	"limits:\n  maxFds: 5000\n  memoryMb: 160\n"
 	"bounds:\n  graceS: 4.5\n  drainMs: 7000\n"
 	"platform:\n  address: \"10.200.1.7:8783\"\n"
 	"cloud:\n  address: \"10.200.0.160:8783\"\nnew: [1]\n";
@@ -385,6 +386,9 @@
 	g_assert_cmpuint (settings.grace_ms, ==, 4500);
 	g_assert_cmpuint (settings.drain_ms, ==, 7000);
 	g_assert_cmpuint (settings.configuration_ms, ==, 3000);
+	g_assert_cmpuint (settings.max_descriptors, ==, 5000);
+	g_assert_cmpuint (settings.memory_mb, ==, 160);
+	g_assert_cmpuint (settings.client_stall_ms, ==, 10000);
 	findings_finish (&findings);
 }
 
