--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -59,6 +59,14 @@
 	X (CAP_REPORTS, "cap_reports")                                                                 \
 	X (CAP_SENT_BYTES, "cap_sent_bytes")                                                           \
 	X (CAP_MALFORMED, "cap_malformed")                                                             \
+	X (CLIENTS_REFUSED, "clients_refused")                                                         \
+	X (CLIENTS_CLOSED_MEMORY, "clients_closed_memory")                                             \
+	X (CLIENTS_CLOSED_MEMORY_VM, "clients_closed_memory_vm")                                       \
+	X (CLIENTS_CLOSED_SLOW, "clients_closed_slow")                                                 \
+	X (CLIENTS_CLOSED_OVERSIZED, "clients_closed_oversized")                                       \
+	X (CLIENTS_CLOSED_HTTP, "clients_closed_http")                                                 \
+	X (ANSWERS_OVERSIZED, "answers_oversized")                                                     \
+	X (ACCEPT_PAUSES, "accept_pauses")                                                             \
 	X (RPC_MALFORMED, "rpc_malformed")                                                             \
 	X (INVARIANT_VIOLATIONS, "invariant_violations")
 
--- a/include/common/http_responder.h
+++ b/include/common/http_responder.h
@@ -14,6 +14,14 @@
 enum
 {
 	HTTP_RESPONDER_MAX_PAGES = 2,
+	/** Clients are the platform and monitoring tools, with about one request per second. */
+	HTTP_RESPONDER_MAX_CONNECTIONS = 64,
+};
+
+struct http_responder_connection
+{
+	int fd;            /**< Below 0: the place is free. */
+	int64_t opened_us; /**< When it was accepted; has to complete its request soon. */
 };
 
 struct http_responder
@@ -29,6 +37,8 @@
 		unsigned (*answer) (void *data, GString *body);
 	} pages[HTTP_RESPONDER_MAX_PAGES];
 	void *data;
+	struct http_responder_connection connections[HTTP_RESPONDER_MAX_CONNECTIONS];
+	unsigned connection_count;
 };
 
 /** @return 0 or a negative error number. */
