--- a/tests/unit/usage_cap.c
+++ b/tests/unit/usage_cap.c
@@ -45,6 +45,8 @@
 	int64_t listed_us; /* When its list is read. */
 	int64_t lost_us;   /* Time by which its clock is behind. */
 	int64_t polled_us;
+	bool has_old_limits; /* It was frozen when the caps changed. */
+	bool is_clock_stopped;
 	GArray *waiters;
 };
 
@@ -403,8 +405,7 @@
 	}
 	for (uint32_t i = 0; i < world->vm_count; i++)
 	{
-		if (world->vms[i].is_up)
-			vm_set_limits (&world->vms[i]);
+		world->vms[i].has_old_limits = world->vms[i].is_up;
 	}
 }
 
@@ -460,8 +461,11 @@
 			vm_start (vm, world->now_us + g_rand_int_range (random, 1, 3 * S));
 		break;
 	case 2:
+		if (!vm_runs (vm))
+			break;
 		vm->frozen_until_us = world->now_us + g_rand_int_range (random, 1, 6 * S);
-		if (happens (world, 0.5))
+		vm->is_clock_stopped = happens (world, 0.5);
+		if (vm->is_clock_stopped)
 			vm->lost_us += vm->frozen_until_us - world->now_us;
 		break;
 	case 3:
@@ -493,6 +497,9 @@
 	world->disturbed_us = world->now_us;
 	for (uint32_t i = 0; i < world->vm_count; i++)
 	{
+		/* The clock must not step back. */
+		if (world->vms[i].is_clock_stopped && world->vms[i].frozen_until_us > world->now_us)
+			world->vms[i].lost_us -= world->vms[i].frozen_until_us - world->now_us;
 		world->vms[i].frozen_until_us = 0;
 		world->vms[i].caps.account.is_leaving = false;
 		if (!world->vms[i].is_up)
@@ -516,6 +523,13 @@
 step (struct world *world)
 {
 	world->now_us += STEP_US;
+	for (uint32_t i = 0; i < world->vm_count; i++)
+	{
+		if (!vm_runs (&world->vms[i]) || !world->vms[i].has_old_limits)
+			continue;
+		world->vms[i].has_old_limits = false;
+		vm_set_limits (&world->vms[i]);
+	}
 	deliver_due (world);
 	for (uint32_t i = 0; i < world->vm_count; i++)
 	{
