--- a/decision/usage_cap.c
+++ b/decision/usage_cap.c
@@ -397,9 +397,10 @@
 replace_account (struct usage_caps *caps, uint32_t group, bool is_lost, int64_t now_us)
 {
 	struct usage_choice *choice = &caps->choices[group];
-	struct usage_candidate next =
-		is_lost ? (struct usage_candidate){ .vm = caps->own.vm } : choice->current;
+	struct usage_candidate next = choice->current;
 
+	if (is_lost)
+		next = (struct usage_candidate){ .vm = caps->own.vm };
 	for (uint32_t i = 0; i < choice->chain_count; i++)
 	{
 		const struct usage_candidate *candidate = &choice->chain[i];
