--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -8,6 +8,7 @@
  */
 #include "gateway/traffic_private.h"
 
+#include "common/counters.h"
 #include "common/log.h"
 #include "gateway/traffic_metrics.h"
 #include "platform/wire.h"
@@ -22,8 +23,17 @@
 relay_answer (struct session *session, enum transaction_state state,
               const struct log_position *position)
 {
+	const struct server *server = session->relay_server;
+
 	session->state = state;
-	wire_encode_ready (session->stream.out, state, position);
+	if (server)
+	{
+		struct load_report load = server_measure_load (server, clock_now_us ());
+
+		wire_encode_ready_with_load (session->stream.out, state, position, &load);
+	}
+	else
+		wire_encode_ready (session->stream.out, state, position);
 	session_answered (session);
 }
 
@@ -43,10 +53,13 @@
 		service_remove (session->service, session);
 	if (log_request_allowed (LOG_REQUEST_FAILED))
 		log_request (LOG_REQUEST_FAILED, "forward_refused",
-		             "request=%s caller=\"%s\" priority=%u outcome=%s cause=\"%s\" waited_ms=%lld",
+		             "request=%s caller=\"%s\" priority=%u outcome=%s cause=\"%s\" waited_ms=%lld "
+		             "predicted_ms=%lld running=%u",
 		             session->request.id->str, session->database, session->priority,
 		             answer_code_name (code), message,
-		             (long long) (clock_now_us () - session->request.arrived_us) / US_PER_MS);
+		             (long long) (clock_now_us () - session->request.arrived_us) / US_PER_MS,
+		             (long long) session->request.predicted_us / US_PER_MS,
+		             session->relay_server ? session->relay_server->running_count : 0);
 	wire_encode_error (session->stream.out, code, message);
 	session_end_transaction (session);
 	relay_answer (session, had_begun ? TRANSACTION_FAILED : TRANSACTION_NONE, NULL);
@@ -212,6 +225,10 @@
 	if (message->has_hint && message->hint.limit_ms > 0)
 		request->deadline_us = now_us + (int64_t) message->hint.limit_ms * US_PER_MS;
 	session_run_statement (session, now_us);
+	if (!request->is_queued || !service_exceeds_limit (session, true, now_us))
+		return;
+	counter_add (COUNTER_REFUSED_LIMIT, 1);
+	relay_refuse (session, ANSWER_OVERLOADED, "the wait exceeds the time limit");
 }
 
 void
@@ -267,11 +284,12 @@
 	log_request (
 		LOG_REQUEST_SLOW, "forwarded",
 		"request=%s caller=\"%s\" server=%s priority=%u code=%s total_us=%lld queue_us=%lld "
-		"server_us=%lld running=%u",
+		"server_us=%lld running=%u predicted_us=%lld",
 		request->id->str, session->database, session->relay_server->id, session->priority,
 		answer_code_name (connection->code), (long long) total_us,
 		(long long) (request->chosen_us - request->arrived_us),
-		(long long) (now_us - request->sent_us), session->relay_server->running_count);
+		(long long) (now_us - request->sent_us), session->relay_server->running_count,
+		(long long) request->predicted_us);
 }
 
 void
@@ -304,7 +322,11 @@
 		struct session *session = link->data;
 
 		next = link->next;
-		if (session->is_relay && session->relay_server == server)
-			session_close (session);
+		if (!session->is_relay || session->relay_server != server)
+			continue;
+		/* A write that waits for a slot has not run, and would be in doubt without an answer. */
+		if (session->request.is_queued)
+			relay_refuse (session, ANSWER_OVERLOADED, "the server does not answer");
+		session_close (session);
 	}
 }
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -52,7 +52,11 @@
 	server->is_same_zone = strcmp (entry->zone, traffic->settings.zone) == 0;
 	server->slots = entry->slots > 0 ? entry->slots : 1;
 	if (has_moved)
+	{
 		server_close_all (server);
+		server->times = (struct service_time){ 0 };
+		server->load_us = 0;
+	}
 	server->ip = entry->ip;
 	server->port = entry->port;
 	server->is_draining = entry->is_draining;
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -14,6 +14,9 @@
 	SERVICE_OVERLOADED_COST_US = 30 * US_PER_MS,
 	/* A read waits for a server of its zone for its target latency divided by this. */
 	SERVICE_ZONE_WAIT_DIVISOR = 12,
+	/* A VM forwards at most this many reads for each slot to the primary's owner, which orders those of all VMs. With one
+	 * for each slot, late reads at the owner kept back new ones that could be in time. */
+	SERVICE_PRIMARY_READS_FACTOR = 4,
 	/* A replica whose applied position is older than this may have caught up, so it is tried again. */
 	SERVICE_POSITION_AGE_US = 40 * US_PER_MS,
 };
@@ -31,6 +34,7 @@
 	service->servers = g_ptr_array_new ();
 	position_history_init (&service->history);
 	g_queue_init (&service->waiting);
+	service->shares = g_hash_table_new_full (NULL, NULL, NULL, g_free);
 	g_hash_table_insert (traffic->services, service->name, service);
 	return service;
 }
@@ -40,6 +44,7 @@
 {
 	g_ptr_array_free (service->servers, TRUE);
 	g_queue_clear (&service->waiting);
+	g_hash_table_destroy (service->shares);
 	g_list_free (service->held_commits);
 	g_free (service->name);
 	g_free (service);
@@ -59,16 +64,29 @@
 	const struct session *second = b;
 
 	(void) data;
-	if (first->priority != second->priority)
-		return first->priority < second->priority ? -1 : 1;
-	return first->request.arrived_us <= second->request.arrived_us ? -1 : 1;
+	return work_order_compare (&first->request.order, &second->request.order);
+}
+
+/** Sorts the queue; the order changes as time passes and as work starts. */
+static void
+sort_waiting (struct service *service, int64_t now_us)
+{
+	if (service->waiting.length < 2)
+		return;
+	for (GList *link = service->waiting.head; link; link = link->next)
+	{
+		struct session *session = link->data;
+
+		session->request.order = service_work_order (session, now_us);
+	}
+	g_queue_sort (&service->waiting, compare_waiting, NULL);
 }
 
 void
 service_enqueue (struct service *service, struct session *session)
 {
 	session->request.is_queued = true;
-	g_queue_insert_sorted (&service->waiting, session, compare_waiting, NULL);
+	g_queue_push_tail (&service->waiting, session);
 }
 
 void
@@ -138,7 +156,7 @@
 		cost_us += SERVICE_PRIMARY_COST_US;
 	if (now_us < server->overloaded_until_us)
 		cost_us += SERVICE_OVERLOADED_COST_US;
-	return cost_us;
+	return cost_us + server_reported_wait_us (server, now_us);
 }
 
 /** Whether a read may use a server of another zone; at first it waits for a busy server of its own. */
@@ -185,8 +203,9 @@
 		if (!server_has_capacity (server, now_us) || (!crosses_zones && !server->is_same_zone))
 			continue;
 		/* After a restart no position is known, and the replicas have not applied the first one yet. Without this check
-		 * all waiting reads would queue at the primary's owner, ahead of the statements that need the primary. */
-		if (server->running_count >= server->slots && service->primary == server)
+		 * all waiting reads would queue at the primary's owner and stay there when the replicas can serve them. */
+		if (server->running_count >= server->slots * SERVICE_PRIMARY_READS_FACTOR &&
+		    service->primary == server)
 			continue;
 		connection = server_find_idle (server, session);
 		if (connection && cost_us < best_us)
@@ -252,6 +271,7 @@
 {
 	GList *next;
 
+	sort_waiting (service, now_us);
 	for (GList *link = service->waiting.head; link; link = next)
 	{
 		struct session *session = link->data;
@@ -265,6 +285,8 @@
 			continue;
 		session->request.is_queued = false;
 		g_queue_delete_link (&service->waiting, link);
+		if (!connection->is_relayed)
+			service_account_start (session, connection, now_us);
 		session_run (session, connection, now_us);
 	}
 }
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -58,7 +58,7 @@
 		LOG_REQUEST_FAILED, "failed",
 		"request=%s database=%s tenant=%s service=%s priority=%u outcome=%s cause=\"%s\" last=%s "
 		"server=%s attempts=%u waited_ms=%lld lead=%u.%u changing=%d knowledge_age_ms=%lld "
-		"sample_age_ms=%lld configuration=%llu",
+		"sample_age_ms=%lld configuration=%llu predicted_ms=%lld reported_ms=%lld",
 		request->id->str, session->database ? session->database : "-",
 		session->tenant ? session->tenant->name : "-", service ? service->name : "-",
 		session->priority, answer_code_name (code), cause, answer_code_name (request->last_code),
@@ -71,6 +71,10 @@
 				: -1,
 		session->traffic->view && session->traffic->view->configuration
 			? (unsigned long long) session->traffic->view->configuration->version
+			: 0,
+		(long long) request->predicted_us / US_PER_MS,
+		service && service->primary
+			? (long long) server_reported_wait_us (service->primary, now_us) / US_PER_MS
 			: 0);
 }
 
@@ -254,6 +258,7 @@
 {
 	session->service->last_used_us = now_us;
 	service_enqueue (session->service, session);
+	service_predict_wait (session, now_us);
 	service_dispatch (session->service);
 }
 
@@ -284,6 +289,9 @@
 	request->retry_us = now_us;
 	request->attempts = 0;
 	request->last_code = ANSWER_DONE;
+	request->may_move = message->has_hint && message->hint.may_move;
+	request->has_prediction = false;
+	request->predicted_us = 0;
 	request->has_after = message->has_after;
 	request->after = message->after;
 	if (!session->is_relay)
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -3,6 +3,7 @@
 #include "common/counters.h"
 #include "common/log.h"
 #include "decision/succession.h"
+#include "decision/waiting.h"
 #include "gateway/traffic_metrics.h"
 #include "platform/wire.h"
 
@@ -19,6 +20,27 @@
 	SESSION_BEHIND_US = 100 * US_PER_MS,
 };
 
+/** Counts a refusal after several attempts. @return when the caller should retry. */
+static int64_t
+refused_retry_us (void)
+{
+	counter_add (COUNTER_REFUSED_ATTEMPTS, 1);
+	return waiting_retry_delay_us (SESSION_REFUSED_US, g_random_int ());
+}
+
+/** Whether a server other than @p server can run the session's statement. */
+static bool
+can_move (const struct session *session, const struct server *server, int64_t now_us)
+{
+	const struct service *service = server->service;
+
+	for (guint i = 0; i < service->servers->len; i++)
+		if (service->servers->pdata[i] != server &&
+		    service_may_run (session, service->servers->pdata[i], now_us))
+			return true;
+	return false;
+}
+
 /** Sends the statement on a connection that has been set up. */
 static void
 session_send (struct session *session, struct connection *connection, int64_t now_us)
@@ -35,6 +57,8 @@
 		.target_latency_ms = session->target_latency_ms,
 		.waited_ms = (uint32_t) ((now_us - request->arrived_us) / US_PER_MS),
 		.limit_ms = (uint32_t) MAX ((request->deadline_us - now_us) / US_PER_MS, 1),
+		.may_move = connection->is_relayed && session->state == TRANSACTION_NONE &&
+		            can_move (session, server, now_us),
 	};
 	struct wire_prefix prefix = {
 		.tenant = connection->is_relayed && session->tenant ? session->tenant->name : NULL,
@@ -167,7 +191,7 @@
 	else if (session_retry (session, server, code, now_us))
 		service_enqueue (session->service, session);
 	else
-		session_refuse (session, ANSWER_OVERLOADED, "refused by all servers", SESSION_REFUSED_US);
+		session_refuse (session, ANSWER_OVERLOADED, "refused by all servers", refused_retry_us ());
 }
 
 /** Records and logs the parts of a request's latency. */
@@ -194,12 +218,14 @@
 		log_class, is_slow ? "slow" : "done",
 		"request=%s database=%s service=%s priority=%u server=%s path=%s primary=%d near=%d "
 		"transaction=%d attempts=%u total_us=%lld queue_us=%lld setup_us=%lld server_us=%lld "
-		"lead=%u.%u knowledge_age_ms=%lld",
+		"predicted_us=%lld reported_ms=%lld lead=%u.%u knowledge_age_ms=%lld",
 		request->id->str, session->database, session->service->name, session->priority, server->id,
 		connection->is_relayed ? "owner" : "direct", session->service->primary == server,
 		server->is_same_zone, session->state != TRANSACTION_NONE, request->attempts,
 		(long long) total_us, (long long) (chosen_us - request->arrived_us),
 		(long long) (request->sent_us - chosen_us), (long long) (now_us - request->sent_us),
+		(long long) request->predicted_us,
+		(long long) server_reported_wait_us (server, now_us) / US_PER_MS,
 		succession_change_era (session->service->record_change),
 		succession_change_count (session->service->record_change),
 		(long long) (now_us - session->traffic->records_valid_us) / US_PER_MS);
@@ -322,7 +348,7 @@
 	if (may_repeat && session_retry (session, server, code, now_us))
 		service_enqueue (session->service, session);
 	else if (delivery == DELIVERY_REFUSED)
-		session_refuse (session, code, "refused by the server", SESSION_REFUSED_US);
+		session_refuse (session, code, "refused by the server", refused_retry_us ());
 	else if (outcome == OUTCOME_IN_DOUBT)
 		session_fail (session, ANSWER_IN_DOUBT, "the server's answer is not complete");
 	else
@@ -408,7 +434,7 @@
 	}
 	if (++request->attempts > SESSION_MAX_ATTEMPTS)
 	{
-		session_refuse (session, ANSWER_OVERLOADED, "connections lost", SESSION_REFUSED_US);
+		session_refuse (session, ANSWER_OVERLOADED, "connections lost", refused_retry_us ());
 		return;
 	}
 	request->delivery = DELIVERY_NOT_SENT;
--- a/gateway/session_tick.c
+++ b/gateway/session_tick.c
@@ -1,5 +1,6 @@
 #include "gateway/traffic_private.h"
 
+#include "common/counters.h"
 #include "common/log.h"
 #include "decision/waiting.h"
 
@@ -126,7 +127,42 @@
 	return MAX (CHANGE_US - (now_us - since_us), MIN_RETRY_US);
 }
 
-/** Refuses a queued request that would be served too late; another VM may still serve it. */
+/** Counts a refusal while a server that may run the request has a free slot here. */
+static void
+count_refused (const struct session *session, enum counter cause, int64_t now_us)
+{
+	const struct service *service = session->service;
+
+	counter_add (cause, 1);
+	for (guint i = 0; i < service->servers->len; i++)
+	{
+		const struct server *server = service->servers->pdata[i];
+
+		if (server->failed_us > 0 || server->running_count >= server->slots ||
+		    !service_may_run (session, server, now_us))
+			continue;
+		counter_add (COUNTER_REFUSED_NEEDLESS, 1);
+		return;
+	}
+}
+
+/**
+ * Whether a queued request is refused. One that waits for a slot is refused only when it cannot be answered within its
+ * time limit, by the VM whose queue it is in. One that waits for anything else, e.g. for a connection to an owner, is
+ * refused once it would be late, since another VM may serve it.
+ */
+static bool
+is_hopeless (const struct session *session, int64_t now_us)
+{
+	const struct request *request = &session->request;
+	int64_t target_us = (int64_t) session->target_latency_ms * US_PER_MS;
+
+	if (service_waits_for_slot (session, now_us))
+		return service_exceeds_limit (session, false, now_us);
+	return waiting_judge_overload (now_us - request->arrived_us, target_us) == WAITING_REFUSE;
+}
+
+/** Refuses a queued request that would be served too late. */
 static void
 session_tick_queued (struct session *session, int64_t now_us)
 {
@@ -134,10 +170,18 @@
 	bool is_relay = session->is_relay;
 	int64_t waited_us = now_us - request->arrived_us;
 	int64_t target_us = (int64_t) session->target_latency_ms * US_PER_MS;
-	bool is_late = waiting_judge_overload (waited_us, target_us) == WAITING_REFUSE;
+	bool is_late = is_hopeless (session, now_us);
 
+	if (is_late)
+		count_refused (session,
+		               service_waits_for_slot (session, now_us) ? COUNTER_REFUSED_LIMIT
+		                                                        : COUNTER_REFUSED_WAIT,
+		               now_us);
 	if (is_relay && session->relay_server->failed_us > 0)
+	{
+		relay_refuse (session, ANSWER_OVERLOADED, "the server does not answer");
 		session_close (session);
+	}
 	else if (is_relay && !session->relay_server->is_listed)
 		relay_refuse (session, ANSWER_OVERLOADED, "the server is not known here");
 	else if (is_relay && is_late)
@@ -146,10 +190,14 @@
 		return;
 	else if (waiting_judge_outage (waited_us, target_us) == WAITING_REFUSE &&
 	         is_unavailable (session, now_us))
+	{
+		counter_add (COUNTER_REFUSED_OUTAGE, 1);
 		session_refuse (session, ANSWER_OVERLOADED, "no server can run it now",
 		                estimate_retry_delay_us (session, now_us));
+	}
 	else if (is_late)
-		session_refuse (session, ANSWER_OVERLOADED, "all servers are busy", waited_us);
+		session_refuse (session, ANSWER_OVERLOADED, "all servers are busy",
+		                service_retry_delay_us (session, now_us));
 }
 
 void
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -51,6 +51,13 @@
 	X (SLOT_QUESTIONS, "slot_questions")                                                           \
 	X (SLOTS_RELEASED, "slots_released")                                                           \
 	X (ANSWERS_GIVEN_UP, "answers_given_up")                                                       \
+	X (WAIT_PREDICTIONS, "wait_predictions")                                                       \
+	X (WAIT_PREDICTION_ERROR_US, "wait_prediction_error_us")                                       \
+	X (REFUSED_LIMIT, "refused_limit")                                                             \
+	X (REFUSED_WAIT, "refused_wait")                                                               \
+	X (REFUSED_OUTAGE, "refused_outage")                                                           \
+	X (REFUSED_ATTEMPTS, "refused_attempts")                                                       \
+	X (REFUSED_NEEDLESS, "refused_needless")                                                       \
 	X (RECORDS_REWRITTEN, "records_rewritten")                                                     \
 	X (RPC_MALFORMED, "rpc_malformed")                                                             \
 	X (INVARIANT_VIOLATIONS, "invariant_violations")
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -78,6 +78,14 @@
 	uint32_t target_latency_ms;
 	uint32_t waited_ms; /**< Time spent waiting before it was forwarded. */
 	uint32_t limit_ms;  /**< Time that is left of the statement's time limit; 0: not known. */
+	bool may_move;      /**< Another server can run it as well. */
+};
+
+/** What an owner reports of a server's load with its answers. */
+struct load_report
+{
+	uint32_t wait_ms; /**< Predicted wait for a slot of a statement that can be in time. */
+	uint32_t queued;  /**< Statements that wait for a slot. */
 };
 
 enum caller_message_kind
@@ -120,6 +128,8 @@
 	enum transaction_state state; /**< SERVER_READY. */
 	bool has_position;            /**< SERVER_READY. */
 	struct log_position position; /**< SERVER_READY: position of the server's log. */
+	bool has_load;                /**< SERVER_READY, only between VMs: @c load is given. */
+	struct load_report load;      /**< SERVER_READY. */
 	enum answer_code code;        /**< SERVER_ERROR. */
 	struct text text;             /**< SERVER_ROW: the row; SERVER_ERROR: the message. */
 };
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -7,7 +7,10 @@
 #include "common/clock.h"
 #include "common/mailbox.h"
 #include "decision/position_history.h"
+#include "decision/service_time.h"
 #include "decision/slots.h"
+#include "decision/wait_prediction.h"
+#include "decision/work_queue.h"
 #include "gateway/line_stream.h"
 #include "gateway/tenant.h"
 #include "gateway/traffic.h"
@@ -104,6 +107,10 @@
 	uint32_t probing_count;
 	struct answer_time answer_time; /**< Of statements that were sent to the server itself. */
 	struct slot_inquiry inquiry;    /**< Questions about overdue statements. */
+	struct service_time times;      /**< Of statements that were sent to the server itself. */
+	struct wait_error wait_error;   /**< Of the predicted waits of statements that run from here. */
+	struct load_report load;        /**< Last report of the owner. */
+	int64_t load_us;                /**< When the report came; 0: never. */
 	uint64_t slots_released;        /**< Slots of statements whose answers were lost. */
 	struct log_position applied;    /**< Last position that it reported. */
 	int64_t applied_us;             /**< When it last reported its position. */
@@ -153,7 +160,9 @@
 	struct position_history history;
 	int64_t last_used_us; /**< Last time that a caller of this or another VM used it. */
 	bool needs_dispatch;  /**< The queue is passed at the end of the loop's turn. */
-	GQueue waiting;       /**< Queue of struct session, by priority and time of arrival. */
+	GQueue waiting;       /**< Queue of struct session; in the order of the last pass, then of arrival. */
+	struct work_queue work;
+	GHashTable *shares; /**< struct work_share by struct tenant_state. */
 	/** Sessions whose commit waits for a confirmation of the primary record. */
 	GList *held_commits;
 };
@@ -174,6 +183,11 @@
 	int64_t arrived_us;
 	int64_t deadline_us;
 	int64_t retry_us; /**< Earliest next attempt. */
+	bool may_move;                /**< Forwarded: another server can run it as well. */
+	bool has_prediction;          /**< @c predicted_us is given. */
+	int64_t predicted_us;         /**< Wait for a slot that was predicted on arrival. */
+	int64_t queued_us;            /**< When it was queued for a slot of a server here. */
+	struct work_order order;      /**< Place in the last pass of the queue. */
 	uint32_t attempts;
 	enum answer_code last_code; /**< Why the last attempt did not run. */
 	GString *answer;            /**< The server's answer to a held commit. */
@@ -360,6 +374,27 @@
  */
 bool service_may_run (const struct session *session, const struct server *server, int64_t now_us);
 
+/* service_load.c */
+/** What the session's statement is to the order of the queue. */
+struct work_item service_work_item (const struct session *session);
+struct work_order service_work_order (const struct session *session, int64_t now_us);
+/** Whether a server that may run the session's statement is used directly from here and has no free slot. */
+bool service_waits_for_slot (const struct session *session, int64_t now_us);
+/** Predicts the wait of a session that has just been queued, if it waits for a server used directly from here. */
+void service_predict_wait (struct session *session, int64_t now_us);
+/** Accounts the start of a statement on a connection to the server itself. */
+void service_account_start (struct session *session, const struct connection *connection,
+                            int64_t now_us);
+/** Whether a queued statement cannot be answered within its time limit. @param is_arrival it has just been queued. */
+bool service_exceeds_limit (const struct session *session, bool is_arrival, int64_t now_us);
+/** Load of a server that is used directly from here. */
+struct load_report server_measure_load (const struct server *server, int64_t now_us);
+/** Predicted wait at a server by the last report of its owner; 0: none, or it is older than 1 s. */
+int64_t server_reported_wait_us (const struct server *server, int64_t now_us);
+/** When a caller whose request was refused should retry. */
+int64_t service_retry_delay_us (const struct session *session, int64_t now_us);
+enum service_time_kind session_time_kind (const struct session *session);
+
 /* server.c */
 struct server *server_new (struct service *service, const struct server_entry *entry);
 void server_update (struct server *server, const struct server_entry *entry);
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -30,6 +30,11 @@
 void wire_encode_ready (GString *out, enum transaction_state state,
                         const struct log_position *position);
 
+/** Like wire_encode_ready(), with the load of the server; sent between VMs only. */
+void wire_encode_ready_with_load (GString *out, enum transaction_state state,
+                                  const struct log_position *position,
+                                  const struct load_report *load);
+
 /** Encodes the completion of a statement that was not sent to a server. */
 void wire_encode_complete (GString *out);
 void wire_encode_error (GString *out, enum answer_code code, const char *message);
--- a/tests/unit/platform_wire.c
+++ b/tests/unit/platform_wire.c
@@ -81,6 +81,15 @@
 	g_assert_true (message.has_hint && message.hint.waited_ms == 31);
 	g_assert_true (message.has_after && message.after.index == 1207);
 	g_assert_true (text_equals (message.text, "READ 1a4", 8));
+	g_assert_false (message.hint.may_move);
+	hint.may_move = true;
+	g_string_truncate (out, 0);
+	wire_encode_query (out, line ("5c0e"), (struct wire_prefix){ NULL, &hint, &after },
+	                   line ("READ 1a4"));
+	g_assert_cmpstr (out->str, ==, "QUERY 5c0e RANK 2 600 31 MOVABLE AFTER 3.1207 READ 1a4\r\n");
+	message = wire_decode_forwarded ((struct text){ out->str, out->len - 2 });
+	g_assert_true (message.hint.may_move && message.has_after);
+	g_assert_true (text_equals (message.text, "READ 1a4", 8));
 	message = wire_decode_forwarded (line ("QUERY - STATUS"));
 	g_assert_cmpint (message.statement.kind, ==, STATEMENT_CONTROL);
 	g_string_free (out, TRUE);
@@ -142,6 +151,33 @@
 	g_assert_cmpint (wire_decode_status (line ("replica 3 3.1209"), &status), ==, -EBADMSG);
 }
 
+/* Guards against an owner's answer whose load report hides its position, and against one that is cut off. */
+static void
+test_load_report (void)
+{
+	static const char *const malformed[] = { "READY I 3.1209 LOAD", "READY I 3.1209 LOAD 12",
+		                                     "READY I 3.1209 LOAD 12 x", "READY I 3.1209 LOAD 12 3 4",
+		                                     "READY I 3.1209 HEAT 12 3" };
+	GString *out = g_string_new (NULL);
+	struct log_position position = { 3, 1209 };
+	struct load_report load = { .wait_ms = 12, .queued = 3 };
+	struct server_message ready;
+
+	wire_encode_ready_with_load (out, TRANSACTION_NONE, &position, &load);
+	g_assert_cmpstr (out->str, ==, "READY I 3.1209 LOAD 12 3\r\n");
+	ready = wire_decode_server ((struct text){ out->str, out->len - 2 });
+	g_assert_true (ready.has_load && ready.has_position);
+	g_assert_cmpuint (ready.load.wait_ms, ==, 12);
+	g_assert_cmpuint (ready.load.queued, ==, 3);
+	g_assert_cmpuint (ready.position.index, ==, 1209);
+	ready = wire_decode_server (line ("READY I - LOAD 0 0"));
+	g_assert_true (ready.kind == SERVER_READY && ready.has_load && !ready.has_position);
+	g_assert_false (wire_decode_server (line ("READY I 3.1209")).has_load);
+	for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
+		g_assert_cmpint (wire_decode_server (line (malformed[i])).kind, ==, SERVER_MALFORMED);
+	g_string_free (out, TRUE);
+}
+
 /* Guards against a code that wrongly promises that a statement did not run: callers rely on it. Only the
  * codes listed on the protocol page promise this. */
 static void
@@ -164,6 +200,7 @@
 	g_test_add_func ("/wire/forwarded", test_forwarded_statement);
 	g_test_add_func ("/wire/forwarded_time_limit", test_forwarded_time_limit);
 	g_test_add_func ("/wire/answers", test_answers);
+	g_test_add_func ("/wire/load_report", test_load_report);
 	g_test_add_func ("/wire/promises", test_did_not_run_codes);
 	return g_test_run ();
 }
