--- a/decision/work_queue.c
+++ b/decision/work_queue.c
@@ -29,7 +29,9 @@
                   const struct work_share *share, int64_t now_us)
 {
 	struct work_order order = {
-		.rank = item->is_started ? 0 : has_floor (queue, item) ? 1 : 2,
+		.rank = item->is_started          ? 0
+		        : has_floor (queue, item) ? 1
+		                                  : 2,
 		.priority = priority_of (item),
 		.is_late = now_us > item->due_us,
 		.may_move = item->may_move,
@@ -37,8 +39,7 @@
 	};
 
 	if (share)
-		order.share_us =
-			share->served_us > queue->served_us ? share->served_us : queue->served_us;
+		order.share_us = share->served_us > queue->served_us ? share->served_us : queue->served_us;
 	return order;
 }
 
--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -165,6 +165,8 @@
 	server->latency_us += (elapsed_us - server->latency_us) / 8;
 	if (!connection->is_relayed && !was_lost)
 		answer_time_add (&server->answer_time, elapsed_us);
+	if (!connection->is_relayed && !was_lost)
+		server->served_us = now_us;
 	if (!connection->is_relayed && !was_lost && connection->code == ANSWER_DONE && session)
 		service_time_add (&server->times, session_time_kind (session), elapsed_us);
 	if (server->probe_read == connection)
--- a/gateway/service_load.c
+++ b/gateway/service_load.c
@@ -28,6 +28,13 @@
 	return session->is_relay || !server_uses_relay (server);
 }
 
+/** Whether the server has not answered any statement for longer than usual. */
+static bool
+is_stalled (const struct server *server, int64_t now_us)
+{
+	return now_us - server->served_us > answer_time_overdue_us (&server->answer_time);
+}
+
 /** Finds the server for whose slot the session waits: the one that may run it, is used directly, and has least to do. */
 static struct server *
 find_queue_server (const struct session *session, int64_t now_us)
@@ -88,9 +95,14 @@
 	const struct work_share *share =
 		session->tenant ? g_hash_table_lookup (service->shares, session->tenant) : NULL;
 	const struct work_share none = { 0 };
-
-	return work_queue_order (&service->work, &item, share || !session->tenant ? share : &none,
-	                         now_us);
+	const struct server *server = estimate_server (session);
+	struct work_order order =
+		work_queue_order (&service->work, &item, share || !session->tenant ? share : &none, now_us);
+
+	/* While answers are lost, the order is that of arrival: repeated statements come first, and what was late stays. */
+	if (server && is_stalled (server, now_us))
+		order.is_late = false;
+	return order;
 }
 
 bool
@@ -98,7 +110,8 @@
 {
 	const struct server *server = find_queue_server (session, now_us);
 
-	return server && server->failed_us == 0 && server->running_count >= server->slots;
+	return server && server->failed_us == 0 && server->running_count >= server->slots &&
+	       !is_stalled (server, now_us);
 }
 
 /** Collects what a server runs, and what is queued for it before @p order; NULL: all that can be in time. */
@@ -117,10 +130,9 @@
 		if (connection->is_relayed || connection->state != CONNECTION_RUNNING ||
 		    connection->lost_us > 0)
 			continue;
-		expected_us =
-			connection->session
-				? expected_at (server, connection->session)
-				: service_time_expected_us (&server->times, SERVICE_TIME_READ);
+		expected_us = connection->session
+		                  ? expected_at (server, connection->session)
+		                  : service_time_expected_us (&server->times, SERVICE_TIME_READ);
 		wait_load_add_running (&load, expected_us, now_us - connection->sent_us);
 	}
 	for (GList *link = service->waiting.head; link; link = link->next)
@@ -128,8 +140,8 @@
 		const struct session *other = link->data;
 		struct work_order others;
 
-		if (other == self || (other->is_relay ? other->relay_server != server
-		                                      : service->primary != server))
+		if (other == self ||
+		    (other->is_relay ? other->relay_server != server : service->primary != server))
 			continue;
 		others = service_work_order (other, now_us);
 		if (order ? work_order_compare (&others, order) < 0 : !others.is_late)
--- a/include/decision/work_queue.h
+++ b/include/decision/work_queue.h
@@ -32,7 +32,8 @@
 struct work_queue
 {
 	int64_t floor_us[WORK_PRIORITIES]; /**< Work that is owed to a priority by more urgent ones. */
-	int64_t served_us; /**< Least share of a tenant that returns: it gets no credit for idle time. */
+	int64_t
+		served_us; /**< Least share of a tenant that returns: it gets no credit for idle time. */
 };
 
 /** Place of a statement in the queue at one time. */
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -108,15 +108,16 @@
 	struct answer_time answer_time; /**< Of statements that were sent to the server itself. */
 	struct slot_inquiry inquiry;    /**< Questions about overdue statements. */
 	struct service_time times;      /**< Of statements that were sent to the server itself. */
-	struct wait_error wait_error;   /**< Of the predicted waits of statements that run from here. */
-	struct load_report load;        /**< Last report of the owner. */
-	int64_t load_us;                /**< When the report came; 0: never. */
-	uint64_t slots_released;        /**< Slots of statements whose answers were lost. */
-	struct log_position applied;    /**< Last position that it reported. */
-	int64_t applied_us;             /**< When it last reported its position. */
-	int64_t answered_us;            /**< Time of its last answer of any kind. */
-	int64_t failed_us;              /**< When it became unreachable; 0: it is reachable. */
-	int64_t next_connect_us;        /**< Earliest new connection after a refused or failed one. */
+	int64_t served_us; /**< When it last answered a statement that was sent to the server itself. */
+	struct wait_error wait_error; /**< Of the predicted waits of statements that run from here. */
+	struct load_report load;      /**< Last report of the owner. */
+	int64_t load_us;              /**< When the report came; 0: never. */
+	uint64_t slots_released;      /**< Slots of statements whose answers were lost. */
+	struct log_position applied;  /**< Last position that it reported. */
+	int64_t applied_us;           /**< When it last reported its position. */
+	int64_t answered_us;          /**< Time of its last answer of any kind. */
+	int64_t failed_us;            /**< When it became unreachable; 0: it is reachable. */
+	int64_t next_connect_us;      /**< Earliest new connection after a refused or failed one. */
 	int64_t next_growth_us; /**< Earliest new connection after its connection limit was reached. */
 	/** End of the pause after it refused a read for its position. */
 	int64_t behind_until_us;
@@ -160,7 +161,7 @@
 	struct position_history history;
 	int64_t last_used_us; /**< Last time that a caller of this or another VM used it. */
 	bool needs_dispatch;  /**< The queue is passed at the end of the loop's turn. */
-	GQueue waiting;       /**< Queue of struct session; in the order of the last pass, then of arrival. */
+	GQueue waiting; /**< Queue of struct session; in the order of the last pass, then of arrival. */
 	struct work_queue work;
 	GHashTable *shares; /**< struct work_share by struct tenant_state. */
 	/** Sessions whose commit waits for a confirmation of the primary record. */
@@ -182,12 +183,12 @@
 	struct log_position after;    /**< Position that the server must have applied. */
 	int64_t arrived_us;
 	int64_t deadline_us;
-	int64_t retry_us; /**< Earliest next attempt. */
-	bool may_move;                /**< Forwarded: another server can run it as well. */
-	bool has_prediction;          /**< @c predicted_us is given. */
-	int64_t predicted_us;         /**< Wait for a slot that was predicted on arrival. */
-	int64_t queued_us;            /**< When it was queued for a slot of a server here. */
-	struct work_order order;      /**< Place in the last pass of the queue. */
+	int64_t retry_us;        /**< Earliest next attempt. */
+	bool may_move;           /**< Forwarded: another server can run it as well. */
+	bool has_prediction;     /**< @c predicted_us is given. */
+	int64_t predicted_us;    /**< Wait for a slot that was predicted on arrival. */
+	int64_t queued_us;       /**< When it was queued for a slot of a server here. */
+	struct work_order order; /**< Place in the last pass of the queue. */
 	uint32_t attempts;
 	enum answer_code last_code; /**< Why the last attempt did not run. */
 	GString *answer;            /**< The server's answer to a held commit. */
@@ -378,7 +379,10 @@
 /** What the session's statement is to the order of the queue. */
 struct work_item service_work_item (const struct session *session);
 struct work_order service_work_order (const struct session *session, int64_t now_us);
-/** Whether a server that may run the session's statement is used directly from here and has no free slot. */
+/**
+ * Whether a server that may run the session's statement is used directly from here, has no free slot, and goes on
+ * answering. One that has stopped has lost answers or fails, and nothing can be said about the wait.
+ */
 bool service_waits_for_slot (const struct session *session, int64_t now_us);
 /** Predicts the wait of a session that has just been queued, if it waits for a server used directly from here. */
 void service_predict_wait (struct session *session, int64_t now_us);
--- a/tests/unit/load_replay.c
+++ b/tests/unit/load_replay.c
@@ -113,7 +113,8 @@
 	int64_t reported_us;
 };
 
-struct watch /* A refused request: needless if a slot stands idle while it could still be in time. */
+struct
+	watch /* A refused request: needless if a slot stands idle while it could still be in time. */
 {
 	bool needs_primary;
 	int64_t until_us;
@@ -188,8 +189,8 @@
 		.priority = request->kind,
 		.is_started = request->is_started,
 		.may_move = request->may_move,
-		.expected_us = service_time_expected_us (&simulation->times[request->server],
-		                                         time_kind (request)),
+		.expected_us =
+			service_time_expected_us (&simulation->times[request->server], time_kind (request)),
 	};
 
 	item.due_us = waiting_due_us (request->arrived_us, kind->target_us, item.expected_us);
@@ -261,9 +262,9 @@
 	int64_t return_us = now_us + 2 * (int64_t) CALLER_US + retry_us;
 
 	result->refused++;
-	simulation->watches[simulation->watch_count++ % MAX_REQUESTS] = (struct watch){
-		request->needs_primary, request->asked_us + kind->target_us - kind->work_us
-	};
+	simulation->watches[simulation->watch_count++ % MAX_REQUESTS] =
+		(struct watch){ request->needs_primary,
+		                request->asked_us + kind->target_us - kind->work_us };
 	request->place = PLACE_NONE;
 	if (request->retries++ >= RETRIES || return_us - request->asked_us > kind->limit_us)
 		return;
@@ -525,8 +526,8 @@
 		bool is_idle = false;
 
 		for (unsigned server = 0; server < SERVERS; server++)
-			is_idle |= simulation->running[server] < SLOTS &&
-			           may_run (simulation, &like, server, now_us);
+			is_idle |=
+				simulation->running[server] < SLOTS && may_run (simulation, &like, server, now_us);
 		if (!is_idle && now_us < watch->until_us)
 			continue;
 		result->needless += is_idle && now_us < watch->until_us;
--- a/tests/unit/platform_wire.c
+++ b/tests/unit/platform_wire.c
@@ -156,7 +156,8 @@
 test_load_report (void)
 {
 	static const char *const malformed[] = { "READY I 3.1209 LOAD", "READY I 3.1209 LOAD 12",
-		                                     "READY I 3.1209 LOAD 12 x", "READY I 3.1209 LOAD 12 3 4",
+		                                     "READY I 3.1209 LOAD 12 x",
+		                                     "READY I 3.1209 LOAD 12 3 4",
 		                                     "READY I 3.1209 HEAT 12 3" };
 	GString *out = g_string_new (NULL);
 	struct log_position position = { 3, 1209 };
