gateway: bounded cost of the queue's order; docs of the queue under load

A sort at each pass and a measurement at each answer would take a small VM's processor with some hundred queued requests; both are limited.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -23,7 +23,7 @@
 relay_answer (struct session *session, enum transaction_state state,
               const struct log_position *position)
 {
-	const struct server *server = session->relay_server;
+	struct server *server = session->relay_server;
 
 	session->state = state;
 	if (server)
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -14,9 +14,13 @@
 	SERVICE_OVERLOADED_COST_US = 30 * US_PER_MS,
 	/* A read waits for a server of its zone for its target latency divided by this. */
 	SERVICE_ZONE_WAIT_DIVISOR = 12,
-	/* A VM forwards at most this many reads for each slot to the primary's owner, which orders those of all VMs. With one
-	 * for each slot, late reads at the owner kept back new ones that could be in time. */
+	/* While replicas lag, a VM forwards at most this many reads for each slot to the primary's owner. With one for each slot,
+	 * late reads at the owner keep back new ones that could be in time. */
 	SERVICE_PRIMARY_READS_FACTOR = 4,
+	/* Not so early after a restart or a change of primary: the replicas can serve the reads a little later. */
+	SERVICE_SETTLED_US = 1000 * US_PER_MS,
+	/* Least interval of two sorts, for each queued request, which bounds their share of a VM with 0.12 of a core. */
+	SERVICE_SORT_US = 50,
 	/* A replica whose applied position is older than this may have caught up, so it is tried again. */
 	SERVICE_POSITION_AGE_US = 40 * US_PER_MS,
 };
@@ -67,12 +71,14 @@
 	return work_order_compare (&first->request.order, &second->request.order);
 }
 
-/** Sorts the queue; the order changes as time passes and as work starts. */
+/** Sorts the queue again, since the order changes as time passes and as work starts. */
 static void
 sort_waiting (struct service *service, int64_t now_us)
 {
-	if (service->waiting.length < 2)
+	if (service->waiting.length < 2 ||
+	    now_us - service->sorted_us < (int64_t) service->waiting.length * SERVICE_SORT_US)
 		return;
+	service->sorted_us = now_us;
 	for (GList *link = service->waiting.head; link; link = link->next)
 	{
 		struct session *session = link->data;
@@ -86,7 +92,8 @@
 service_enqueue (struct service *service, struct session *session)
 {
 	session->request.is_queued = true;
-	g_queue_push_tail (&service->waiting, session);
+	session->request.order = service_work_order (session, clock_now_us ());
+	g_queue_insert_sorted (&service->waiting, session, compare_waiting, NULL);
 }
 
 void
@@ -204,8 +211,11 @@
 			continue;
 		/* After a restart no position is known, and the replicas have not applied the first one yet. Without this check
 		 * all waiting reads would queue at the primary's owner and stay there when the replicas can serve them. */
-		if (server->running_count >= server->slots * SERVICE_PRIMARY_READS_FACTOR &&
-		    service->primary == server)
+		if (service->primary == server &&
+		    server->running_count >=
+		        server->slots * (now_us - service->record_adopted_us > SERVICE_SETTLED_US
+		                             ? SERVICE_PRIMARY_READS_FACTOR
+		                             : 1))
 			continue;
 		connection = server_find_idle (server, session);
 		if (connection && cost_us < best_us)
--- a/gateway/service_load.c
+++ b/gateway/service_load.c
@@ -11,6 +11,8 @@
 {
 	/* Age at which the load report of an owner no longer counts, e.g. of one that was lost. */
 	LOAD_REPORT_AGE_US = 1 * US_PER_S,
+	/* A measurement passes the whole queue, and a VM has 0.12 of a core, so it is reused for this long. */
+	LOAD_MEASURE_US = 5 * US_PER_MS,
 };
 
 enum service_time_kind
@@ -138,13 +140,12 @@
 	for (GList *link = service->waiting.head; link; link = link->next)
 	{
 		const struct session *other = link->data;
-		struct work_order others;
 
 		if (other == self ||
 		    (other->is_relay ? other->relay_server != server : service->primary != server))
 			continue;
-		others = service_work_order (other, now_us);
-		if (order ? work_order_compare (&others, order) < 0 : !others.is_late)
+		if (order ? work_order_compare (&other->request.order, order) < 0
+		          : !other->request.order.is_late)
 			wait_load_add_queued (&load, expected_at (server, other));
 	}
 	return load;
@@ -155,7 +156,6 @@
 {
 	struct request *request = &session->request;
 	const struct server *server = find_queue_server (session, now_us);
-	struct work_order order;
 	struct wait_load load;
 
 	request->has_prediction = server != NULL;
@@ -163,8 +163,7 @@
 	request->queued_us = now_us;
 	if (!server || server->running_count < server->slots)
 		return;
-	order = service_work_order (session, now_us);
-	load = collect_load (server, session, &order, now_us);
+	load = collect_load (server, session, &session->request.order, now_us);
 	request->predicted_us = wait_predict_us (&load);
 }
 
@@ -217,13 +216,18 @@
 }
 
 struct load_report
-server_measure_load (const struct server *server, int64_t now_us)
+server_measure_load (struct server *server, int64_t now_us)
 {
 	struct wait_load load = { .slots = server->slots };
 
+	if (now_us - server->measured_us < LOAD_MEASURE_US)
+		return server->measured;
 	if (server->running_count >= server->slots)
 		load = collect_load (server, NULL, NULL, now_us);
-	return (struct load_report){ (uint32_t) (wait_predict_us (&load) / US_PER_MS), load.queued };
+	server->measured_us = now_us;
+	server->measured =
+		(struct load_report){ (uint32_t) (wait_predict_us (&load) / US_PER_MS), load.queued };
+	return server->measured;
 }
 
 int64_t
@@ -243,7 +247,7 @@
 
 	for (guint i = 0; i < service->servers->len; i++)
 	{
-		const struct server *server = service->servers->pdata[i];
+		struct server *server = service->servers->pdata[i];
 		int64_t wait_us;
 
 		if (!service_may_run (session, server, now_us))
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -110,14 +110,16 @@
 	struct service_time times;      /**< Of statements that were sent to the server itself. */
 	int64_t served_us; /**< When it last answered a statement that was sent to the server itself. */
 	struct wait_error wait_error; /**< Of the predicted waits of statements that run from here. */
-	struct load_report load;      /**< Last report of the owner. */
-	int64_t load_us;              /**< When the report came; 0: never. */
-	uint64_t slots_released;      /**< Slots of statements whose answers were lost. */
-	struct log_position applied;  /**< Last position that it reported. */
-	int64_t applied_us;           /**< When it last reported its position. */
-	int64_t answered_us;          /**< Time of its last answer of any kind. */
-	int64_t failed_us;            /**< When it became unreachable; 0: it is reachable. */
-	int64_t next_connect_us;      /**< Earliest new connection after a refused or failed one. */
+	struct load_report measured;  /**< Last measurement here, of a server that is used directly. */
+	int64_t measured_us;
+	struct load_report load;     /**< Last report of the owner. */
+	int64_t load_us;             /**< When the report came; 0: never. */
+	uint64_t slots_released;     /**< Slots of statements whose answers were lost. */
+	struct log_position applied; /**< Last position that it reported. */
+	int64_t applied_us;          /**< When it last reported its position. */
+	int64_t answered_us;         /**< Time of its last answer of any kind. */
+	int64_t failed_us;           /**< When it became unreachable; 0: it is reachable. */
+	int64_t next_connect_us;     /**< Earliest new connection after a refused or failed one. */
 	int64_t next_growth_us; /**< Earliest new connection after its connection limit was reached. */
 	/** End of the pause after it refused a read for its position. */
 	int64_t behind_until_us;
@@ -162,6 +164,7 @@
 	int64_t last_used_us; /**< Last time that a caller of this or another VM used it. */
 	bool needs_dispatch;  /**< The queue is passed at the end of the loop's turn. */
 	GQueue waiting; /**< Queue of struct session; in the order of the last pass, then of arrival. */
+	int64_t sorted_us; /**< When the queue was last sorted. */
 	struct work_queue work;
 	GHashTable *shares; /**< struct work_share by struct tenant_state. */
 	/** Sessions whose commit waits for a confirmation of the primary record. */
@@ -392,7 +395,7 @@
 /** Whether a queued statement cannot be answered within its time limit. @param is_arrival it has just been queued. */
 bool service_exceeds_limit (const struct session *session, bool is_arrival, int64_t now_us);
 /** Load of a server that is used directly from here. */
-struct load_report server_measure_load (const struct server *server, int64_t now_us);
+struct load_report server_measure_load (struct server *server, int64_t now_us);
 /** Predicted wait at a server by the last report of its owner; 0: none, or it is older than 1 s. */
 int64_t server_reported_wait_us (const struct server *server, int64_t now_us);
 /** When a caller whose request was refused should retry. */
