--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -759,11 +759,14 @@
 	close (fd);
 	fd = connect_port (fixture.relay_ports[0]);
 	g_assert_cmpstr (execute_line (fd, "START s vm9 db0"), ==, "READY I -\r\n");
-	g_assert_cmpstr (execute_line (fd, "QUERY - SET v0 x"), ==, "COMPLETE -\r\nREADY I -\r\n");
-	g_assert_cmpstr (execute_line (fd, "QUERY - BEGIN"), ==, "COMPLETE -\r\nREADY T -\r\n");
+	g_assert_cmpstr (execute_line (fd, "QUERY - SET v0 x"), ==,
+	                 "COMPLETE -\r\nREADY I - LOAD 0 0\r\n");
+	g_assert_cmpstr (execute_line (fd, "QUERY - BEGIN"), ==,
+	                 "COMPLETE -\r\nREADY T - LOAD 0 0\r\n");
 	g_assert_cmpstr (execute_line (fd, "QUERY w RANK 0 500 0 WRITE 1 data"), ==,
-	                 "COMPLETE mac\r\nREADY T 1.100\r\n");
-	g_assert_cmpstr (execute_line (fd, "QUERY c COMMIT"), ==, "COMPLETE mac\r\nREADY I 1.101\r\n");
+	                 "COMPLETE mac\r\nREADY T 1.100 LOAD 0 0\r\n");
+	g_assert_cmpstr (execute_line (fd, "QUERY c COMMIT"), ==,
+	                 "COMPLETE mac\r\nREADY I 1.101 LOAD 0 0\r\n");
 	close (fd);
 	fixture_stop (&fixture);
 }
--- a/tests/unit/load_replay.c
+++ b/tests/unit/load_replay.c
@@ -626,10 +626,61 @@
 	{ "hot-tenant", 1, { 1, 1, 1 }, 4 * US_PER_S, 11 * US_PER_S, false, 0, 8, 0.06, 0.08 },
 };
 
+/* Guards against predictions that stay wrong for long after a server has become slow, or is another one. */
+static void
+test_times_follow (void)
+{
+	enum
+	{
+		ANSWERS = 16,
+		USUAL_US = 15 * US_PER_MS,
+		SLOW_US = 120 * US_PER_MS,
+	};
+	struct service_time times = { 0 };
+	int64_t expected_us;
+
+	for (int i = 0; i < 100; i++)
+		service_time_add (&times, SERVICE_TIME_READ, USUAL_US);
+	for (int i = 0; i < ANSWERS; i++)
+		service_time_add (&times, SERVICE_TIME_READ, SLOW_US);
+	expected_us = service_time_expected_us (&times, SERVICE_TIME_READ);
+	g_assert_cmpint (expected_us, >, SLOW_US * 85 / 100);
+	g_assert_cmpint (expected_us, <=, SLOW_US);
+}
+
+/* Guards against a refusal while a slot is free, and against callers that all return at once. */
+static void
+test_refusals (void)
+{
+	struct waiting_outlook outlook = { .has_free_slot = true,
+		                               .wait_us = 500 * US_PER_MS,
+		                               .expected_us = 10 * US_PER_MS,
+		                               .limit_left_us = 200 * US_PER_MS };
+	uint64_t random = 1;
+	int64_t least_us = INT64_MAX;
+	int64_t most_us = 0;
+
+	g_assert_cmpint (waiting_judge_limit (&outlook), ==, WAITING_STAY);
+	outlook.has_free_slot = false;
+	g_assert_cmpint (waiting_judge_limit (&outlook), ==, WAITING_REFUSE);
+	for (int i = 0; i < 100; i++)
+	{
+		int64_t delay_us = waiting_retry_delay_us (400 * US_PER_MS, random_next (&random));
+
+		least_us = MIN (least_us, delay_us);
+		most_us = MAX (most_us, delay_us);
+	}
+	g_assert_cmpint (least_us, >=, 200 * US_PER_MS);
+	g_assert_cmpint (most_us - least_us, >, 300 * US_PER_MS);
+	g_assert_cmpint (most_us, <=, 600 * US_PER_MS);
+}
+
 int
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
+	g_test_add_func ("/load_replay/times_follow", test_times_follow);
+	g_test_add_func ("/load_replay/refusals", test_refusals);
 	for (size_t i = 0; i < G_N_ELEMENTS (patterns); i++)
 	{
 		g_autofree char *path = g_strdup_printf ("/load_replay/%s", patterns[i].name);
