--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -324,8 +324,8 @@
 		next = link->next;
 		if (!session->is_relay || session->relay_server != server)
 			continue;
-		/* A write that waits for a slot has not run, and would be in doubt without an answer. */
-		if (session->request.is_queued)
+		/* A write that waits for a slot has not run, and would be in doubt without an answer. Reads are sent again. */
+		if (session->request.is_queued && session_time_kind (session) != SERVICE_TIME_READ)
 			relay_refuse (session, ANSWER_OVERLOADED, "the server does not answer");
 		session_close (session);
 	}
