--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -54,6 +54,13 @@
 	X (ANSWERS_GIVEN_UP, "answers_given_up")                                                       \
 	X (SERVER_CONNECTIONS_OPENED, "server_connections_opened")                                     \
 	X (SERVER_CONNECTIONS_REPLACED, "server_connections_replaced")                                 \
+	X (WAIT_PREDICTIONS, "wait_predictions")                                                       \
+	X (WAIT_PREDICTION_ERROR_US, "wait_prediction_error_us")                                       \
+	X (REFUSED_LIMIT, "refused_limit")                                                             \
+	X (REFUSED_WAIT, "refused_wait")                                                               \
+	X (REFUSED_OUTAGE, "refused_outage")                                                           \
+	X (REFUSED_ATTEMPTS, "refused_attempts")                                                       \
+	X (REFUSED_NEEDLESS, "refused_needless")                                                       \
 	X (RECORDS_REWRITTEN, "records_rewritten")                                                     \
 	X (CAP_REFUSED, "cap_refused")                                                                 \
 	X (CAP_REPORTS, "cap_reports")                                                                 \
