usage caps: admit as many operations per window as the terms allow

The platform limits a tenant to rate x window + burst operations in any window, while an account filled at the rate only. A tenant with 50/50 that asked for 82 per second was refused 32 of them per second, 10 of which were below the limit.

An account now fills at rate + burst / window and holds at most 0.4 of the tolerance. The terms come from bounds.quotaWindowS, quotaOverage and quotaSlack; without quotaWindowS rate and burst stay as they are. Since capacities are smaller, tokens for operations that wait count as spent when they are granted, and VMs return idle tokens after 0.2 s while the account is short.

--- a/decision/usage_account.c
+++ b/decision/usage_account.c
@@ -21,6 +21,25 @@
 	US_IN_S = 1000000,
 };
 
+/* Part of the tolerance that an account may hold beyond the window's limit. The rest is for shares that are used twice and
+ * for tokens of new accounts. */
+static const double USAGE_CAPACITY_PART = 0.4;
+
+struct usage_limit
+usage_limit_convert (const struct usage_terms *terms, uint64_t id, uint32_t rate_per_s,
+                     uint32_t burst)
+{
+	struct usage_limit limit = { id, true, rate_per_s, burst };
+	double per_window = rate_per_s * terms->window_s + burst;
+
+	if (terms->window_s <= 0)
+		return limit;
+	limit.rate_per_s = per_window / terms->window_s;
+	limit.burst =
+		(uint32_t) (USAGE_CAPACITY_PART * (per_window * terms->overage + terms->slack) + 0.5);
+	return limit;
+}
+
 void
 usage_limits_finish (struct usage_limits *limits)
 {
@@ -337,8 +356,9 @@
 	            ? spare
 	            : subtract (request->wanted, holding->held + missing);
 	holding->granted += missing + spare;
-	holding->held += missing + spare;
-	bucket->held += missing + spare;
+	/* Tokens for operations that wait are spent as they arrive; the next report says how many were not. */
+	holding->held += spare;
+	bucket->held += spare;
 	bucket->level -= missing + spare;
 	entry.granted = holding->granted;
 	entry.is_short = bucket->level < find_capacity (limit, group->share) / 2;
--- a/decision/usage_cap.c
+++ b/decision/usage_cap.c
@@ -28,6 +28,8 @@
 	USAGE_INTERVAL_US = 500000,
 	/* A tenant without operations for so long needs no tokens here. */
 	USAGE_ACTIVE_US = 2000000,
+	/* The same while the account is short of tokens. */
+	USAGE_IDLE_SHORT_US = 200000,
 	/* Holdings below this target are not refilled at once; the next regular report does. */
 	USAGE_MIN_URGENT_TARGET = 4,
 	US_IN_MS = 1000,
@@ -190,8 +192,9 @@
 
 	if (tokens->used_us == 0 || now_us - tokens->used_us > USAGE_ACTIVE_US)
 		return 0;
-	if (now_us - tokens->used_us > USAGE_INTERVAL_US)
-		return 1;
+	/* A token that lies idle here is missing elsewhere while the account is short. */
+	if (now_us - tokens->used_us > (tokens->is_short ? USAGE_IDLE_SHORT_US : USAGE_INTERVAL_US))
+		return tokens->is_short ? 0 : 1;
 	return demand > 1 ? demand : 1;
 }
 
--- a/gateway/cap_exchange.c
+++ b/gateway/cap_exchange.c
@@ -433,11 +433,12 @@
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		struct tenant_state *tenant = value;
-		struct usage_limit limit = { XXH64 (tenant->name, strlen (tenant->name), 0),
-			                         tenant->has_cap && tenant->is_declared, tenant->rate_per_s,
-			                         tenant->burst };
+		struct usage_limit limit =
+			usage_limit_convert (&exchange->terms, XXH64 (tenant->name, strlen (tenant->name), 0),
+		                         tenant->rate_per_s, tenant->burst);
 		int32_t index;
 
+		limit.is_capped = tenant->has_cap && tenant->is_declared;
 		if (!limit.is_capped && tenant->cap_index == 0)
 			continue;
 		exchange->has_caps = true;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -154,6 +154,9 @@
 		.max_sessions = max_sessions (boot),
 		.max_descriptors = boot->max_descriptors,
 		.memory_bytes = (uint64_t) boot->memory_mb * 1024 * 1024,
+		.usage_terms = { .window_s = boot->quota_window_ms / 1000.0,
+		                 .overage = boot->quota_overage_permille / 1000.0,
+		                 .slack = boot->quota_slack },
 		.client_stall_ms = boot->memory_mb > 0 ? boot->client_stall_ms : 0,
 	};
 	int result = loop_init (&gateway.loop);
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -531,6 +531,7 @@
 		goto fail;
 	cap_exchange_init (&traffic->cap_exchange, &traffic->loop, settings->vm, settings->zone,
 	                   settings->ip, settings->relay_port);
+	traffic->cap_exchange.terms = settings->usage_terms;
 	traffic->listener.fd = rpc_listen (settings->ip, settings->caller_port);
 	if (traffic->listener.fd < 0)
 	{
--- a/include/decision/usage_account.h
+++ b/include/decision/usage_account.h
@@ -22,8 +22,17 @@
 {
 	uint64_t id;
 	bool is_capped;
-	uint32_t rate_per_s;
-	uint32_t burst;
+	double rate_per_s; /**< Tokens per second of the account. */
+	uint32_t burst;    /**< Most tokens that the account and the VMs hold. */
+};
+
+/** How the platform counts: a window of any start holds at most rate x window + burst operations, with a tolerance of
+ * overage times this number + slack. */
+struct usage_terms
+{
+	double window_s; /**< 0: rate and burst of a tenant are those of its account. */
+	double overage;
+	double slack;
 };
 
 struct usage_limits
@@ -131,6 +140,11 @@
 	uint32_t bucket_count;
 };
 
+/** Converts a tenant's cap into rate and burst of its account, so that each window may hold all operations that the terms
+ * allow, also of a tenant that always asks for more. */
+struct usage_limit usage_limit_convert (const struct usage_terms *terms, uint64_t id,
+                                        uint32_t rate_per_s, uint32_t burst);
+
 void usage_limits_finish (struct usage_limits *limits);
 /** @return the index of the tenant, or -1. */
 int32_t usage_limits_find (const struct usage_limits *limits, uint64_t id);
--- a/include/gateway/cap_exchange.h
+++ b/include/gateway/cap_exchange.h
@@ -27,6 +27,7 @@
 	struct loop_source source;
 	struct loop_timer timer;
 	struct usage_caps caps;
+	struct usage_terms terms;
 	uint32_t ip;
 	uint16_t port;
 	bool has_caps;       /**< A tenant has a cap; otherwise nothing is sent. */
--- a/include/gateway/traffic.h
+++ b/include/gateway/traffic.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "decision/usage_account.h"
 #include "gateway/view.h"
 
 #include <stdint.h>
@@ -19,8 +20,9 @@
 	uint16_t relay_port; /**< TCP port for statements that other VMs forward. */
 	uint32_t grace_ms;
 	uint32_t max_sessions;
-	uint32_t max_descriptors; /**< 0: not limited. */
-	uint64_t memory_bytes;    /**< Memory limit of the process; 0: not limited. */
+	uint32_t max_descriptors;       /**< 0: not limited. */
+	uint64_t memory_bytes;          /**< Memory limit of the process; 0: not limited. */
+	struct usage_terms usage_terms; /**< How usage caps are counted. */
 	uint32_t client_stall_ms; /**< Longest time of a client without progress; 0: not limited. */
 	/** Least silence, in milliseconds, after which an owner or a server counts as lost. 0: the gateway's own limits.
 	 * Tests raise it, since a thread of a busy machine may not run for longer than those. */
--- a/include/platform/boot_settings.h
+++ b/include/platform/boot_settings.h
@@ -25,9 +25,12 @@
 	uint16_t peer_port; /**< First of the internal ports, for traffic between VMs. */
 	char store_address[BOOT_ADDRESS_BYTES];
 	char cloud_address[BOOT_ADDRESS_BYTES];
-	uint32_t configuration_ms; /**< Time limit for applying a new configuration. */
-	uint32_t drain_ms;         /**< Time after which a leaving server must be out of use. */
-	uint32_t grace_ms;         /**< Time from SIGTERM to SIGKILL. */
+	uint32_t configuration_ms;       /**< Time limit for applying a new configuration. */
+	uint32_t drain_ms;               /**< Time after which a leaving server must be out of use. */
+	uint32_t quota_window_ms;        /**< Window of the tenants' usage caps; 0: not given. */
+	uint32_t quota_overage_permille; /**< Tolerated part of the operations of a window. */
+	uint32_t quota_slack;            /**< Tolerated operations per window, beside this part. */
+	uint32_t grace_ms;               /**< Time from SIGTERM to SIGKILL. */
 	uint32_t max_descriptors;
 	uint32_t memory_mb; /**< Memory of the VM; 0: not known. */
 	uint32_t
--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -458,6 +458,7 @@
 	"internalPorts:\n  - 7440\n  - 7455\nheartbeatMs: 1200\n"
 	"limits:\n  maxFds: 5000\n  memoryMb: 160\n"
 	"bounds:\n  graceS: 4.5\n  drainMs: 7000\n"
+	"  quotaWindowS: 2.5\n  quotaOverage: 0.2\n"
 	"platform:\n  address: \"10.200.1.7:8783\"\n"
 	"cloud:\n  address: \"10.200.0.160:8783\"\nnew: [1]\n";
 
@@ -479,6 +480,9 @@
 	g_assert_cmpuint (settings.max_descriptors, ==, 5000);
 	g_assert_cmpuint (settings.memory_mb, ==, 160);
 	g_assert_cmpuint (settings.client_stall_ms, ==, 10000);
+	g_assert_cmpuint (settings.quota_window_ms, ==, 2500);
+	g_assert_cmpuint (settings.quota_overage_permille, ==, 200);
+	g_assert_cmpuint (settings.quota_slack, ==, 20);
 	findings_finish (&findings);
 }
 
--- a/tests/unit/usage_cap.c
+++ b/tests/unit/usage_cap.c
@@ -96,6 +96,8 @@
 	uint64_t starts;
 };
 
+static const struct usage_terms terms = { .window_s = 5, .overage = 0.1, .slack = 20 };
+
 static bool
 happens (struct world *world, double share)
 {
@@ -210,7 +212,8 @@
 	for (uint32_t i = 0; i < TENANTS; i++)
 	{
 		const struct tenant *tenant = &vm->world->tenants[i];
-		const struct usage_limit limit = { tenant->id, true, tenant->rate_per_s, tenant->burst };
+		const struct usage_limit limit =
+			usage_limit_convert (&terms, tenant->id, tenant->rate_per_s, tenant->burst);
 
 		g_assert_cmpint (usage_caps_set_limit (&vm->caps, &limit, vm_now_us (vm)), ==, i);
 	}
@@ -368,6 +371,28 @@
 	}
 }
 
+/** Least operations in a window after the first two seconds of the callers, as a part of the limit without tolerance. */
+static double
+find_least_window (const struct tenant *tenant, int64_t end_us)
+{
+	double limit = (double) tenant->rate_per_s * 5 + tenant->burst;
+	double least = 1;
+	guint first = 0;
+	guint last = 0;
+
+	for (int64_t from_us = CALLERS_US + 2 * S; from_us + WINDOW_US <= end_us; from_us += 50 * MS)
+	{
+		while (first < tenant->sent_us->len &&
+		       g_array_index (tenant->sent_us, int64_t, first) < from_us)
+			first++;
+		while (last < tenant->sent_us->len &&
+		       g_array_index (tenant->sent_us, int64_t, last) < from_us + WINDOW_US)
+			last++;
+		least = MIN (least, (last - first) / limit);
+	}
+	return least;
+}
+
 /** Most operations in a window, as a part of the limit of the rule. */
 static double
 check_windows (const struct tenant *tenant)
@@ -557,6 +582,8 @@
 struct result
 {
 	double worst; /* Windows, as a part of the limit. */
+	double
+		least; /* Windows after the first two seconds, as a part of the limit without tolerance. */
 	uint64_t asked;
 	uint64_t refused;
 	uint64_t central_refused;
@@ -608,7 +635,7 @@
 static struct result
 world_finish (struct world *world, uint64_t seed)
 {
-	struct result result = { .sent = world->sent };
+	struct result result = { .sent = world->sent, .least = 1 };
 
 	for (uint32_t i = 0; i < TENANTS; i++)
 	{
@@ -623,6 +650,7 @@
 				seed, i, tenant->rate_per_s, tenant->burst, tenant->admitted, tenant->refused,
 				worst, tenant->calm_refused, tenant->calm_asked);
 		result.worst = MAX (result.worst, worst);
+		result.least = MIN (result.least, find_least_window (tenant, world->now_us));
 		result.asked += tenant->admitted + tenant->refused;
 		result.refused += tenant->refused;
 		result.central_refused += tenant->central_refused;
@@ -645,6 +673,7 @@
 {
 	COURSE_EVEN,
 	COURSE_CALM,
+	COURSE_BEYOND, /* Each tenant asks for 1.6 times its rate, at even intervals. */
 	COURSE_DISTURBED,
 };
 
@@ -657,7 +686,9 @@
 	struct result result;
 
 	world_init (world, seed, vm_count);
-	world->is_even = course == COURSE_EVEN;
+	world->is_even = course == COURSE_EVEN || course == COURSE_BEYOND;
+	for (int i = 0; i < TENANTS && course == COURSE_BEYOND; i++)
+		world->tenants[i].load = 1.6 * world->tenants[i].rate_per_s;
 	world->loss = is_disturbed ? g_rand_double_range (world->random, 0, 0.1) : 0;
 	while (world->now_us < length_us)
 	{
@@ -677,7 +708,7 @@
 run_series (const char *name, uint64_t first, uint64_t count, uint32_t vm_count, enum course course,
             int64_t length_us)
 {
-	struct result total = { 0 };
+	struct result total = { .least = 1 };
 	uint32_t over = 0;
 
 	for (uint64_t seed = first; seed < first + count; seed++)
@@ -686,6 +717,7 @@
 
 		over += result.worst > 1;
 		total.worst = MAX (total.worst, result.worst);
+		total.least = MIN (total.least, result.least);
 		total.asked += result.asked;
 		total.refused += result.refused;
 		total.central_refused += result.central_refused;
@@ -708,10 +740,39 @@
 	g_assert_cmpuint (total.calm_refused, <=, course == COURSE_EVEN ? 0 : total.calm_asked / 50000);
 	/* One disturbance per second, half of them at an account VM; 1 in 10 is refused if lost accounts are not replaced. */
 	g_assert_cmpuint (total.below_refused, <=, total.asked * 6 / 100);
-	if (course != COURSE_DISTURBED)
+	if (course == COURSE_BEYOND)
+	{
+		g_test_message ("least window %.3f of the limit without tolerance", total.least);
+		g_assert_cmpfloat (total.least, >=, 0.95);
+	}
+	else if (course != COURSE_DISTURBED)
 		g_assert_cmpuint (total.refused, <=, total.central_refused);
 }
 
+/** An account that does not fill with the burst refuses operations that the window allows. */
+static void
+test_terms (void)
+{
+	static const struct
+	{
+		uint32_t cap;
+		double rate_per_s;
+		uint32_t burst;
+	} cases[] = { { 50, 60, 20 }, { 5, 6, 9 }, { 365, 438, 96 } };
+	const struct usage_terms none = { 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+	{
+		struct usage_limit limit = usage_limit_convert (&terms, 1, cases[i].cap, cases[i].cap);
+
+		g_assert_cmpfloat (limit.rate_per_s, ==, cases[i].rate_per_s);
+		g_assert_cmpuint (limit.burst, ==, cases[i].burst);
+		limit = usage_limit_convert (&none, 1, cases[i].cap, cases[i].cap);
+		g_assert_cmpfloat (limit.rate_per_s, ==, cases[i].cap);
+		g_assert_cmpuint (limit.burst, ==, cases[i].cap);
+	}
+}
+
 /** Two accounts in turn, whose messages are repeated, late or lost. */
 static void
 test_totals (void)
@@ -811,6 +872,7 @@
 	read_seeds (&first, &count);
 	run_series ("even", first, count, GPOINTER_TO_UINT (data), COURSE_EVEN, 12 * S);
 	run_series ("calm", first, count, GPOINTER_TO_UINT (data), COURSE_CALM, 12 * S);
+	run_series ("beyond", first, count, GPOINTER_TO_UINT (data), COURSE_BEYOND, 12 * S);
 }
 
 static void
@@ -829,6 +891,7 @@
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_set_nonfatal_assertions ();
+	g_test_add_func ("/usage_cap/terms", test_terms);
 	g_test_add_func ("/usage_cap/totals", test_totals);
 	g_test_add_data_func ("/usage_cap/calm_7", GUINT_TO_POINTER (7), test_calm);
 	g_test_add_data_func ("/usage_cap/calm_63", GUINT_TO_POINTER (63), test_calm);
