--- a/decision/usage_cap.c
+++ b/decision/usage_cap.c
@@ -277,6 +277,12 @@
 	tokens->is_changed = true;
 }
 
+static uint16_t
+limit_word (uint32_t number)
+{
+	return number < UINT16_MAX ? (uint16_t) number : UINT16_MAX;
+}
+
 /** Adds the tenants from @p index on. @return the index of the first one that has no place. */
 static uint32_t
 fill_report (struct usage_caps *caps, struct usage_report *report, uint32_t index, int64_t now_us)
@@ -289,17 +295,17 @@
 		if (usage_group_of (limit->id) != report->group)
 			continue;
 		return_tokens (tokens, now_us);
-		if (!tokens->is_changed && tokens->reported == 0 && find_target (tokens, now_us) == 0)
+		if (!tokens->is_changed && tokens->reported == 0)
 			continue;
 		tokens->is_changed = false;
 		tokens->reported = report->number;
 		report->tenants[report->count++] = (struct usage_request){
 			.tenant = limit->id,
 			.received = tokens->received,
-			.spent = tokens->spent,
-			.returned = tokens->returned,
-			.waiting = tokens->waiting,
-			.wanted = tokens->waiting + find_target (tokens, now_us),
+			.held = limit_word (tokens_held (tokens)),
+			.returned = (uint16_t) tokens->returned,
+			.waiting = limit_word (tokens->waiting),
+			.wanted = limit_word (tokens->waiting + find_target (tokens, now_us)),
 		};
 	}
 	return index;
@@ -553,6 +559,17 @@
 		return;
 	choice->current.unanswered_us = 0;
 	choice->current.is_leaving = grant->is_leaving;
+	/* Tenants of the report without an entry have no news. */
+	for (uint32_t i = 0; i < caps->token_count; i++)
+	{
+		struct usage_tokens *tokens = &caps->tokens[i];
+
+		if (tokens->reported == 0 || grant->number != tokens->reported)
+			continue;
+		tokens->reported = 0;
+		tokens->is_short = false;
+		tokens->empty_until_us = 0;
+	}
 	for (uint32_t i = 0; i < grant->count && i < USAGE_MAX_ENTRIES; i++)
 	{
 		int32_t index = usage_limits_find (&caps->limits, grant->tenants[i].tenant);
@@ -564,11 +581,11 @@
 		if ((int32_t) (grant->tenants[i].granted - tokens->received) > 0)
 		{
 			tokens->received = grant->tenants[i].granted;
-			tokens->is_changed = true;
+			/* The account knows what it has granted. */
+			tokens->is_changed |= grant->number < tokens->reported;
 		}
-		if (tokens->reported != 0 && grant->number >= tokens->reported)
+		if (tokens->reported == 0)
 		{
-			tokens->reported = 0;
 			tokens->is_short = grant->tenants[i].is_short;
 			tokens->empty_until_us = now_us + (int64_t) grant->tenants[i].retry_ms * US_IN_MS;
 		}
