--- a/include/decision/usage_account.h
+++ b/include/decision/usage_account.h
@@ -11,10 +11,11 @@
 
 enum
 {
-	/** Tenants are divided by their id into groups; each group has its own account VM. */
+	/** Tenants are divided by their id into groups; each group has its own account VM. With one group, an account VM that
+	 * is lost costs twice the refusals, and no fewer bytes are sent. */
 	USAGE_GROUPS = 2,
 	/** Tenants in a message, which keeps a datagram below 1,200 bytes. */
-	USAGE_MAX_ENTRIES = 38,
+	USAGE_MAX_ENTRIES = 70,
 };
 
 /** The cap of a tenant. A table of them is shared by the account and the VM's own side. */
@@ -22,8 +23,17 @@
 {
 	uint64_t id;
 	bool is_capped;
-	uint32_t rate_per_s;
-	uint32_t burst;
+	double rate_per_s; /**< Tokens per second of the account. */
+	uint32_t burst;    /**< Most tokens that the account and the VMs hold. */
+};
+
+/** How the platform counts: a window of any start holds at most rate x window + burst operations, with a tolerance of
+ * overage times this number + slack. */
+struct usage_terms
+{
+	double window_s; /**< 0: rate and burst of a tenant are those of its account. */
+	double overage;
+	double slack;
 };
 
 struct usage_limits
@@ -33,15 +43,14 @@
 	uint32_t capacity;
 };
 
-/** Totals since the start of the reporting VM. It holds received - spent - returned. */
 struct usage_request
 {
 	uint64_t tenant;
-	uint32_t received;
-	uint32_t spent;
-	uint32_t returned;
-	uint32_t waiting; /**< Operations that wait for a token. */
-	uint32_t wanted;  /**< Tokens that the VM would like to hold. */
+	uint32_t received; /**< Total since the start of the reporting VM. */
+	uint16_t held;     /**< Tokens at the VM. */
+	uint16_t returned; /**< Total since the start of the reporting VM, modulo 65,536. */
+	uint16_t waiting;  /**< Operations that wait for a token. */
+	uint16_t wanted;   /**< Tokens that the VM would like to hold. */
 };
 
 struct usage_report
@@ -76,7 +85,7 @@
 	uint32_t epoch;
 	bool is_leaving;
 	uint32_t count;
-	struct usage_grant_entry tenants[USAGE_MAX_ENTRIES];
+	struct usage_grant_entry tenants[USAGE_MAX_ENTRIES]; /**< Only those with news for the VM. */
 };
 
 /** What an account knows of the tokens of a tenant at a VM. */
@@ -84,8 +93,8 @@
 {
 	bool is_known;
 	uint32_t granted;
-	uint32_t returned;
 	uint32_t held;
+	uint16_t returned;
 	int64_t refused_us; /**< When tokens were last refused; 0: never. */
 };
 
@@ -131,6 +140,11 @@
 	uint32_t bucket_count;
 };
 
+/** Converts a tenant's cap into rate and burst of its account, so that each window may hold all operations that the terms
+ * allow, also of a tenant that always asks for more. */
+struct usage_limit usage_limit_convert (const struct usage_terms *terms, uint64_t id,
+                                        uint32_t rate_per_s, uint32_t burst);
+
 void usage_limits_finish (struct usage_limits *limits);
 /** @return the index of the tenant, or -1. */
 int32_t usage_limits_find (const struct usage_limits *limits, uint64_t id);
