gateway: what waits for a slot is not judged as if it waited for something else

An owner refused what was late for its target while a slot was free for a moment: a freed slot is given away at the end of the loop's turn, and the tick came before. The tick gives free slots away first, only statements on connections to the server itself count, and waiting for a connection counts as waiting for a slot.

--- a/gateway/server.c
+++ b/gateway/server.c
@@ -132,6 +132,18 @@
 	server_report_change (server, now_us);
 }
 
+uint32_t
+server_direct_running (const struct server *server)
+{
+	uint32_t running = 0;
+
+	for (const struct connection *connection = server->connections; connection;
+	     connection = connection->next)
+		running += !connection->is_relayed && connection->state == CONNECTION_RUNNING &&
+		           connection->lost_us == 0;
+	return running;
+}
+
 bool
 server_has_capacity (const struct server *server, int64_t now_us)
 {
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -314,7 +314,8 @@
 
 	if (!service_may_run (session, server, now_us))
 		return NULL;
-	if (server->running_count >= server->slots)
+	/* This VM may forward its own statements for the server, and run those of VMs that do not reach the owner. */
+	if (server_direct_running (server) >= server->slots)
 	{
 		open_in_advance (server, session, now_us);
 		return NULL;
--- a/gateway/service_load.c
+++ b/gateway/service_load.c
@@ -107,13 +107,27 @@
 	return order;
 }
 
+/** Whether all slots are in use, or will be by statements whose connections are set up now. */
+static bool
+has_no_slot (const struct server *server)
+{
+	uint32_t used = 0;
+
+	for (const struct connection *connection = server->connections; connection;
+	     connection = connection->next)
+		used += !connection->is_relayed && connection->lost_us == 0 &&
+		        (connection->state == CONNECTION_SETUP || connection->state == CONNECTION_RUNNING);
+	return used >= server->slots;
+}
+
 bool
 service_waits_for_slot (const struct session *session, int64_t now_us)
 {
 	const struct server *server = find_queue_server (session, now_us);
 
-	return server && server->failed_us == 0 && server->running_count >= server->slots &&
-	       !is_stalled (server, now_us);
+	/* Open transactions may hold all connections between their statements. */
+	return server && server->failed_us == 0 && !is_stalled (server, now_us) &&
+	       (has_no_slot (server) || server_lacks_connections (server));
 }
 
 /** Collects what a server runs, and what is queued for it before @p order; NULL: all that can be in time. */
@@ -161,7 +175,7 @@
 	request->has_prediction = server != NULL;
 	request->predicted_us = 0;
 	request->queued_us = now_us;
-	if (!server || server->running_count < server->slots)
+	if (!server || server_direct_running (server) < server->slots)
 		return;
 	load = collect_load (server, session, &session->request.order, now_us);
 	request->predicted_us = wait_predict_us (&load);
@@ -205,7 +219,7 @@
 	const struct request *request = &session->request;
 	const struct server *server = find_queue_server (session, now_us);
 	struct waiting_outlook outlook = {
-		.has_free_slot = is_arrival && (!server || server->running_count < server->slots),
+		.has_free_slot = is_arrival && (!server || server_direct_running (server) < server->slots),
 		.wait_us = is_arrival && request->has_prediction ? request->predicted_us : 0,
 		.error_us = server ? server->wait_error.mean_us : 0,
 		.expected_us = expected_at (server, session),
@@ -222,7 +236,7 @@
 
 	if (now_us - server->measured_us < LOAD_MEASURE_US)
 		return server->measured;
-	if (server->running_count >= server->slots)
+	if (server_direct_running (server) >= server->slots)
 		load = collect_load (server, NULL, NULL, now_us);
 	server->measured_us = now_us;
 	server->measured =
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -452,6 +452,17 @@
 		g_array_unref (former);
 }
 
+static void
+run_dispatches (struct gateway_traffic *traffic, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init (&iter, traffic->services);
+	while (g_hash_table_iter_next (&iter, NULL, &value))
+		service_run_dispatch (value, now_us);
+}
+
 static void
 handle_tick (struct loop_timer *timer, int64_t now_us)
 {
@@ -463,6 +474,9 @@
 	record_turn (traffic, now_us);
 	client_limits_tick (traffic, now_us);
 	loop_set_timer (&traffic->loop, timer, now_us + TRAFFIC_TICK_US);
+	/* A slot that has become free in this turn is given away first; otherwise all that wait for it would be judged as if
+	 * they waited for something else. */
+	run_dispatches (traffic, now_us);
 	for (GList *link = traffic->sessions.head; link; link = next)
 	{
 		next = link->next;
@@ -479,13 +493,7 @@
 static void
 handle_dispatch (struct loop_timer *timer, int64_t now_us)
 {
-	struct gateway_traffic *traffic = timer->data;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init (&iter, traffic->services);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-		service_run_dispatch (value, now_us);
+	run_dispatches (timer->data, now_us);
 }
 
 static void
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -474,6 +474,8 @@
 void server_free (struct server *server);
 void server_tick (struct server *server, int64_t now_us);
 struct connection *server_find_idle (struct server *server, const struct session *session);
+/** Statements that this VM runs on connections to the server itself; those that it forwards do not count. */
+uint32_t server_direct_running (const struct server *server);
 bool server_has_capacity (const struct server *server, int64_t now_us);
 /** Whether this VM may open another connection to the server or its current owner. */
 bool server_can_open (struct server *server, struct tenant_state *tenant, int64_t now_us);
--- a/tests/unit/gateway_server.c
+++ b/tests/unit/gateway_server.c
@@ -316,6 +316,25 @@
 	fixture_finish (&fixture);
 }
 
+/* Guards against an owner or standby that refuses other VMs' statements although the server is idle: statements that it
+ * forwards itself, to a VM that it believes to be the owner, held the server's slots here. */
+static void
+test_forwarded_slots (void)
+{
+	struct fixture fixture;
+	int64_t now_us = clock_now_us ();
+
+	fixture_init (&fixture);
+	connection_open (fixture.server, &fixture.server->owners[0], NULL, now_us);
+	connection_set_state (fixture.server->connections, CONNECTION_RUNNING);
+	g_assert_cmpuint (fixture.server->running_count, ==, 1);
+	g_assert_cmpuint (server_direct_running (fixture.server), ==, 0);
+	connection_open (fixture.server, NULL, NULL, now_us);
+	connection_set_state (fixture.server->connections, CONNECTION_RUNNING);
+	g_assert_cmpuint (server_direct_running (fixture.server), ==, 1);
+	fixture_finish (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -329,5 +348,6 @@
 	g_test_add_func ("/gateway_server/tenant_places", test_tenant_places);
 	g_test_add_func ("/gateway_server/tenant_yields", test_tenant_yields);
 	g_test_add_func ("/gateway_server/tenant_probe", test_tenant_probe);
+	g_test_add_func ("/gateway_server/forwarded_slots", test_forwarded_slots);
 	return g_test_run ();
 }
