--- a/decision/usage_account.c
+++ b/decision/usage_account.c
@@ -84,7 +84,7 @@
 uint32_t
 usage_group_of (uint64_t tenant)
 {
-	return (uint32_t) (tenant >> 32) % USAGE_GROUPS;
+	return (uint32_t) (tenant >> 16) % USAGE_GROUPS;
 }
 
 void
@@ -331,14 +331,15 @@
 	holding->held = 0;
 	/* Before the level is settled, which counts them as held until now. */
 	if (holding->is_known)
-		bucket->level += subtract (request->returned, holding->returned);
+		bucket->level += (uint16_t) (request->returned - holding->returned);
 	if (holding->is_known && is_new_epoch)
 		bucket->level += subtract (holding->granted, request->received);
 	if (!holding->is_known || is_new_epoch || request->received > holding->granted)
 		holding->granted = request->received;
 	holding->is_known = true;
 	holding->returned = request->returned;
-	holding->held = subtract (subtract (holding->granted, request->spent), request->returned);
+	/* With the tokens that are on their way to the VM. */
+	holding->held = request->held + (holding->granted - request->received);
 	bucket->held += holding->held;
 	settle_bucket (account, index);
 	level = (uint32_t) bucket->level;
@@ -406,11 +407,14 @@
 	for (uint32_t i = 0; i < report->count && i < USAGE_MAX_ENTRIES; i++)
 	{
 		int32_t index = usage_limits_find (account->limits, report->tenants[i].tenant);
+		struct usage_grant_entry entry;
 
 		if (index < 0 || usage_group_of (report->tenants[i].tenant) != report->group)
 			continue;
-		grant->tenants[grant->count++] = handle_request (account, group, peer, (uint32_t) index,
-		                                                 &report->tenants[i], is_new_epoch, now_us);
+		entry = handle_request (account, group, peer, (uint32_t) index, &report->tenants[i],
+		                        is_new_epoch, now_us);
+		if (entry.granted != report->tenants[i].received || entry.retry_ms > 0 || entry.is_short)
+			grant->tenants[grant->count++] = entry;
 	}
 	return true;
 }
--- a/decision/usage_cap.c
+++ b/decision/usage_cap.c
@@ -7,8 +7,8 @@
 enum
 {
 	USAGE_REPORT_US = 500000,
-	/* Interval for tenants of whose tokens the account has less than half. With 0.5 s, a bucket of one second's tokens
-	 * counts half of them as held at VMs after they were spent, and fills up to the other half only. */
+	/* Interval for tenants of whose tokens the account has less than half, if it is in the VM's zone. With 0.5 s, it
+	 * counts tokens as held at VMs after they were spent, and fills up to the rest only. */
 	USAGE_REPORT_SHORT_US = 100000,
 	/* Least time between two reports to an account, and the interval of polls. */
 	USAGE_URGENT_US = 20000,
@@ -30,7 +30,7 @@
 	USAGE_ACTIVE_US = 2000000,
 	/* The same while the account is short of tokens. */
 	USAGE_IDLE_SHORT_US = 200000,
-	/* Holdings below this target are not refilled at once; the next regular report does. */
+	/* Holdings below this target, or by an account in another zone, are not refilled at once; the next report does. */
 	USAGE_MIN_URGENT_TARGET = 4,
 	US_IN_MS = 1000,
 };
@@ -81,7 +81,8 @@
 /** Appends the member with the highest score that the chain lacks. */
 static void
 append_candidate (struct usage_choice *choice, const struct usage_choice *previous, uint64_t key,
-                  const struct usage_member *members, size_t count, uint32_t zone)
+                  const struct usage_member *members, size_t count, uint32_t own_zone,
+                  bool is_near_only)
 {
 	struct usage_candidate best = { 0 };
 	uint64_t best_score = 0;
@@ -90,10 +91,11 @@
 	{
 		uint64_t score = score_member (key, members[i].vm);
 
-		if ((zone != 0 && members[i].zone != zone) || is_in_chain (choice, members[i].vm) ||
+		if ((is_near_only && members[i].zone != own_zone) || is_in_chain (choice, members[i].vm) ||
 		    (best.vm != 0 && score <= best_score))
 			continue;
 		best.vm = members[i].vm;
+		best.is_near = members[i].zone == own_zone;
 		best_score = score;
 	}
 	if (best.vm == 0)
@@ -117,9 +119,9 @@
 		struct usage_choice previous = *choice;
 
 		choice->chain_count = 0;
-		append_candidate (choice, &previous, i, members, count, 0);
-		append_candidate (choice, &previous, i, members, count, 0);
-		append_candidate (choice, &previous, i, members, count, caps->own.zone);
+		append_candidate (choice, &previous, i, members, count, caps->own.zone, false);
+		append_candidate (choice, &previous, i, members, count, caps->own.zone, false);
+		append_candidate (choice, &previous, i, members, count, caps->own.zone, true);
 	}
 }
 
@@ -212,8 +214,8 @@
 		tokens->spent++;
 		tokens->is_changed = true;
 		target = find_target (tokens, now_us);
-		if (target >= USAGE_MIN_URGENT_TARGET && tokens_held (tokens) < target / 2 &&
-		    now_us >= tokens->empty_until_us)
+		if (choice->current.is_near && target >= USAGE_MIN_URGENT_TARGET &&
+		    tokens_held (tokens) < target / 2 && now_us >= tokens->empty_until_us)
 			choice->is_urgent = true;
 		return USAGE_ADMITTED;
 	}
@@ -277,6 +279,12 @@
 	tokens->is_changed = true;
 }
 
+static uint16_t
+limit_word (uint32_t number)
+{
+	return number < UINT16_MAX ? (uint16_t) number : UINT16_MAX;
+}
+
 /** Adds the tenants from @p index on. @return the index of the first one that has no place. */
 static uint32_t
 fill_report (struct usage_caps *caps, struct usage_report *report, uint32_t index, int64_t now_us)
@@ -289,17 +297,17 @@
 		if (usage_group_of (limit->id) != report->group)
 			continue;
 		return_tokens (tokens, now_us);
-		if (!tokens->is_changed && tokens->reported == 0 && find_target (tokens, now_us) == 0)
+		if (!tokens->is_changed && tokens->reported == 0)
 			continue;
 		tokens->is_changed = false;
 		tokens->reported = report->number;
 		report->tenants[report->count++] = (struct usage_request){
 			.tenant = limit->id,
 			.received = tokens->received,
-			.spent = tokens->spent,
-			.returned = tokens->returned,
-			.waiting = tokens->waiting,
-			.wanted = tokens->waiting + find_target (tokens, now_us),
+			.held = limit_word (tokens_held (tokens)),
+			.returned = (uint16_t) tokens->returned,
+			.waiting = limit_word (tokens->waiting),
+			.wanted = limit_word (tokens->waiting + find_target (tokens, now_us)),
 		};
 	}
 	return index;
@@ -403,7 +411,7 @@
 	struct usage_candidate next = choice->current;
 
 	if (is_lost)
-		next = (struct usage_candidate){ .vm = caps->own.vm };
+		next = (struct usage_candidate){ .vm = caps->own.vm, .is_near = true };
 	for (uint32_t i = 0; i < choice->chain_count; i++)
 	{
 		const struct usage_candidate *candidate = &choice->chain[i];
@@ -446,7 +454,8 @@
 needs_report (const struct usage_caps *caps, uint32_t group, int64_t now_us)
 {
 	int64_t sent_us = caps->choices[group].current.sent_us;
-	bool is_short_due = now_us - sent_us >= USAGE_REPORT_SHORT_US;
+	bool is_short_due =
+		caps->choices[group].current.is_near && now_us - sent_us >= USAGE_REPORT_SHORT_US;
 
 	for (uint32_t i = 0; i < caps->token_count; i++)
 	{
@@ -558,21 +567,34 @@
 		int32_t index = usage_limits_find (&caps->limits, grant->tenants[i].tenant);
 		struct usage_tokens *tokens;
 
-		if (index < 0)
+		if (index < 0 || usage_group_of (grant->tenants[i].tenant) != grant->group)
 			continue;
 		tokens = &caps->tokens[index];
 		if ((int32_t) (grant->tenants[i].granted - tokens->received) > 0)
 		{
 			tokens->received = grant->tenants[i].granted;
-			tokens->is_changed = true;
+			/* Else the account knows what it has granted. */
+			tokens->is_changed |= grant->number < tokens->reported;
 		}
-		if (tokens->reported != 0 && grant->number >= tokens->reported)
+		if (tokens->reported != 0 && grant->number == tokens->reported)
 		{
 			tokens->reported = 0;
 			tokens->is_short = grant->tenants[i].is_short;
 			tokens->empty_until_us = now_us + (int64_t) grant->tenants[i].retry_ms * US_IN_MS;
 		}
 	}
+	/* Tenants of the report without an entry have no news. */
+	for (uint32_t i = 0; i < caps->token_count; i++)
+	{
+		struct usage_tokens *tokens = &caps->tokens[i];
+
+		if (tokens->reported == 0 || grant->number != tokens->reported ||
+		    usage_group_of (caps->limits.items[i].id) != grant->group)
+			continue;
+		tokens->reported = 0;
+		tokens->is_short = false;
+		tokens->empty_until_us = 0;
+	}
 	if (grant->count > 0)
 		caps->ops->handle_tokens (caps->data);
 }
--- a/gateway/cap_exchange.c
+++ b/gateway/cap_exchange.c
@@ -34,6 +34,28 @@
 	uint16_t port;
 };
 
+enum
+{
+	CAP_CHOICE_EPOCH_SHIFT = 4,
+	CAP_CHOICE_GROUP_SHIFT = 1,
+	CAP_CHOICE_GROUP_MASK = 7,
+	CAP_CHOICE_FLAG = 1,
+	CAP_WORD_BITS = 16,
+	CAP_WORD_MASK = 0xffff,
+};
+
+static uint32_t
+pack_choice (uint32_t epoch, uint32_t group, bool flag)
+{
+	return epoch << CAP_CHOICE_EPOCH_SHIFT | group << CAP_CHOICE_GROUP_SHIFT | flag;
+}
+
+static uint32_t
+pack_words (uint16_t high, uint16_t low)
+{
+	return (uint32_t) high << CAP_WORD_BITS | low;
+}
+
 /** Identifier of a VM or zone; never 0. */
 static uint32_t
 hash_name (const char *name)
@@ -65,24 +87,23 @@
 {
 	struct cap_exchange *exchange = data;
 	struct fs_cap_request requests[USAGE_MAX_ENTRIES];
-	struct fs_cap_message message = { .magic = FS_CAP_MAGIC, .body.kind = FS_CAP_REPORT };
-	struct fs_cap_report *args = &message.body.fs_cap_body_u.report;
+	struct fs_cap_message message = { .kind = FS_CAP_REPORT };
+	struct fs_cap_report *args = &message.fs_cap_message_u.report;
 
 	G_STATIC_ASSERT ((int) USAGE_MAX_ENTRIES == FS_CAP_MAX_TENANTS);
 	*args = (struct fs_cap_report){ .vm = report->vm,
 		                            .start = report->start,
 		                            .number = report->number,
-		                            .group = report->group,
-		                            .epoch = report->epoch,
-		                            .is_lending = report->is_lending,
+		                            .choice = pack_choice (report->epoch, report->group,
+		                                                   report->is_lending),
 		                            .tenants = { report->count, requests } };
 	for (uint32_t i = 0; i < report->count; i++)
 	{
 		const struct usage_request *request = &report->tenants[i];
 
-		requests[i] =
-			(struct fs_cap_request){ request->tenant,   request->received, request->spent,
-			                         request->returned, request->waiting,  request->wanted };
+		requests[i] = (struct fs_cap_request){ (uint32_t) request->tenant, request->received,
+			                                   pack_words (request->held, request->returned),
+			                                   pack_words (request->waiting, request->wanted) };
 	}
 	for (guint i = 0; i < exchange->addresses->len; i++)
 	{
@@ -105,22 +126,19 @@
             const struct sockaddr_in *to)
 {
 	struct fs_cap_entry entries[USAGE_MAX_ENTRIES];
-	struct fs_cap_message message = { .magic = FS_CAP_MAGIC, .body.kind = FS_CAP_GRANT };
+	struct fs_cap_message message = { .kind = FS_CAP_GRANT };
 
-	message.body.fs_cap_body_u.grant = (struct fs_cap_grant){
+	message.fs_cap_message_u.grant = (struct fs_cap_grant){
 		.account = grant->account,
-		.vm = grant->vm,
-		.start = grant->start,
+		.start = (uint32_t) grant->start,
 		.number = grant->number,
-		.group = grant->group,
-		.epoch = grant->epoch,
-		.is_leaving = grant->is_leaving,
+		.choice = pack_choice (grant->epoch, grant->group, grant->is_leaving),
 		.tenants = { grant->count, entries },
 	};
 	for (uint32_t i = 0; i < grant->count; i++)
 		entries[i] =
-			(struct fs_cap_entry){ grant->tenants[i].tenant, grant->tenants[i].granted,
-			                       grant->tenants[i].retry_ms, grant->tenants[i].is_short };
+			(struct fs_cap_entry){ (uint32_t) grant->tenants[i].tenant, grant->tenants[i].granted,
+			                       grant->tenants[i].retry_ms << 1 | grant->tenants[i].is_short };
 	send_message (exchange, &message, to);
 }
 
@@ -131,9 +149,10 @@
 	struct usage_report report = { .vm = args->vm,
 		                           .start = args->start,
 		                           .number = args->number,
-		                           .group = args->group,
-		                           .epoch = args->epoch,
-		                           .is_lending = args->is_lending,
+		                           .group = args->choice >> CAP_CHOICE_GROUP_SHIFT &
+		                                    CAP_CHOICE_GROUP_MASK,
+		                           .epoch = args->choice >> CAP_CHOICE_EPOCH_SHIFT,
+		                           .is_lending = args->choice & CAP_CHOICE_FLAG,
 		                           .count = args->tenants.tenants_len };
 	struct usage_grant grant;
 
@@ -144,8 +163,12 @@
 		const struct fs_cap_request *request = &args->tenants.tenants_val[i];
 
 		report.tenants[i] =
-			(struct usage_request){ request->tenant,   request->received, request->spent,
-			                        request->returned, request->waiting,  request->wanted };
+			(struct usage_request){ request->tenant,
+			                        request->received,
+			                        (uint16_t) (request->held_returned >> CAP_WORD_BITS),
+			                        (uint16_t) (request->held_returned & CAP_WORD_MASK),
+			                        (uint16_t) (request->waiting_wanted >> CAP_WORD_BITS),
+			                        (uint16_t) (request->waiting_wanted & CAP_WORD_MASK) };
 	}
 	if (exchange->has_caps &&
 	    usage_account_handle_report (&exchange->caps.account, &report, &grant, now_us))
@@ -157,22 +180,26 @@
 handle_grant (struct cap_exchange *exchange, const struct fs_cap_grant *args, int64_t now_us)
 {
 	struct usage_grant grant = { .account = args->account,
-		                         .vm = args->vm,
-		                         .start = args->start,
+		                         .vm = exchange->caps.own.vm,
+		                         .start = exchange->caps.start,
 		                         .number = args->number,
-		                         .group = args->group,
-		                         .epoch = args->epoch,
-		                         .is_leaving = args->is_leaving,
+		                         .group =
+		                             args->choice >> CAP_CHOICE_GROUP_SHIFT & CAP_CHOICE_GROUP_MASK,
+		                         .epoch = args->choice >> CAP_CHOICE_EPOCH_SHIFT,
+		                         .is_leaving = args->choice & CAP_CHOICE_FLAG,
 		                         .count = args->tenants.tenants_len };
 
 	if (grant.group >= USAGE_GROUPS)
 		return -EBADMSG;
+	/* An answer to a VM that had this address before, or to an earlier start. */
+	if (args->start != (uint32_t) exchange->caps.start)
+		return 0;
 	for (uint32_t i = 0; i < grant.count; i++)
 	{
 		const struct fs_cap_entry *entry = &args->tenants.tenants_val[i];
 
 		grant.tenants[i] = (struct usage_grant_entry){ entry->tenant, entry->granted,
-			                                           entry->retry_ms, entry->is_short };
+			                                           entry->retry >> 1, entry->retry & 1 };
 	}
 	usage_caps_handle_grant (&exchange->caps, &grant, now_us);
 	return 0;
@@ -188,12 +215,12 @@
 
 	memset (&message, 0, sizeof message);
 	xdrmem_create (&xdr, (char *) buffer, (u_int) length, XDR_DECODE);
-	if (!xdr_fs_cap_message (&xdr, &message) || message.magic != FS_CAP_MAGIC)
+	if (!xdr_fs_cap_message (&xdr, &message))
 		goto out;
-	if (message.body.kind == FS_CAP_REPORT)
-		result = handle_report (exchange, &message.body.fs_cap_body_u.report, from, now_us);
+	if (message.kind == FS_CAP_REPORT)
+		result = handle_report (exchange, &message.fs_cap_message_u.report, from, now_us);
 	else
-		result = handle_grant (exchange, &message.body.fs_cap_body_u.grant, now_us);
+		result = handle_grant (exchange, &message.fs_cap_message_u.grant, now_us);
 out:
 	xdr_free ((xdrproc_t) xdr_fs_cap_message, (char *) &message);
 	return result;
@@ -433,9 +460,9 @@
 	while (g_hash_table_iter_next (&iter, NULL, &value))
 	{
 		struct tenant_state *tenant = value;
-		struct usage_limit limit =
-			usage_limit_convert (&exchange->terms, XXH64 (tenant->name, strlen (tenant->name), 0),
-		                         tenant->rate_per_s, tenant->burst);
+		struct usage_limit limit = usage_limit_convert (
+			&exchange->terms, (uint32_t) XXH64 (tenant->name, strlen (tenant->name), 0),
+			tenant->rate_per_s, tenant->burst);
 		int32_t index;
 
 		limit.is_capped = tenant->has_cap && tenant->is_declared;
--- a/include/decision/usage_account.h
+++ b/include/decision/usage_account.h
@@ -11,10 +11,11 @@
 
 enum
 {
-	/** Tenants are divided by their id into groups; each group has its own account VM. */
+	/** Tenants are divided by their id into groups; each group has its own account VM. With one group, an account VM that
+	 * is lost costs twice the refusals, and no fewer bytes are sent. */
 	USAGE_GROUPS = 2,
 	/** Tenants in a message, which keeps a datagram below 1,200 bytes. */
-	USAGE_MAX_ENTRIES = 38,
+	USAGE_MAX_ENTRIES = 70,
 };
 
 /** The cap of a tenant. A table of them is shared by the account and the VM's own side. */
@@ -42,15 +43,14 @@
 	uint32_t capacity;
 };
 
-/** Totals since the start of the reporting VM. It holds received - spent - returned. */
 struct usage_request
 {
 	uint64_t tenant;
-	uint32_t received;
-	uint32_t spent;
-	uint32_t returned;
-	uint32_t waiting; /**< Operations that wait for a token. */
-	uint32_t wanted;  /**< Tokens that the VM would like to hold. */
+	uint32_t received; /**< Total since the start of the reporting VM. */
+	uint16_t held;     /**< Tokens at the VM. */
+	uint16_t returned; /**< Total since the start of the reporting VM, modulo 65,536. */
+	uint16_t waiting;  /**< Operations that wait for a token. */
+	uint16_t wanted;   /**< Tokens that the VM would like to hold. */
 };
 
 struct usage_report
@@ -85,7 +85,7 @@
 	uint32_t epoch;
 	bool is_leaving;
 	uint32_t count;
-	struct usage_grant_entry tenants[USAGE_MAX_ENTRIES];
+	struct usage_grant_entry tenants[USAGE_MAX_ENTRIES]; /**< Only those with news for the VM. */
 };
 
 /** What an account knows of the tokens of a tenant at a VM. */
@@ -93,8 +93,8 @@
 {
 	bool is_known;
 	uint32_t granted;
-	uint32_t returned;
 	uint32_t held;
+	uint16_t returned;
 	int64_t refused_us; /**< When tokens were last refused; 0: never. */
 };
 
--- a/include/decision/usage_cap.h
+++ b/include/decision/usage_cap.h
@@ -51,6 +51,7 @@
 	int64_t sent_us;
 	int64_t unanswered_us; /**< When the first report without an answer was sent; 0: none. */
 	bool is_leaving;
+	bool is_near; /**< Of this VM's zone; bytes to other zones are expensive. */
 };
 
 struct usage_choice
--- a/include/protocols/cap.h
+++ b/include/protocols/cap.h
@@ -14,25 +14,20 @@
 extern "C" {
 #endif
 
-#define FS_CAP_MAGIC 0x2f5a0401
-#define FS_CAP_MAX_TENANTS 38
+#define FS_CAP_MAX_TENANTS 70
 
 struct fs_cap_request {
-	u_quad_t tenant;
+	u_int tenant;
 	u_int received;
-	u_int spent;
-	u_int returned;
-	u_int waiting;
-	u_int wanted;
+	u_int held_returned;
+	u_int waiting_wanted;
 };
 
 struct fs_cap_report {
 	u_int vm;
 	u_quad_t start;
 	u_int number;
-	u_int group;
-	u_int epoch;
-	bool_t is_lending;
+	u_int choice;
 	struct {
 		u_int tenants_len;
 		struct fs_cap_request *tenants_val;
@@ -40,20 +35,16 @@
 };
 
 struct fs_cap_entry {
-	u_quad_t tenant;
+	u_int tenant;
 	u_int granted;
-	u_int retry_ms;
-	bool_t is_short;
+	u_int retry;
 };
 
 struct fs_cap_grant {
 	u_int account;
-	u_int vm;
-	u_quad_t start;
+	u_int start;
 	u_int number;
-	u_int group;
-	u_int epoch;
-	bool_t is_leaving;
+	u_int choice;
 	struct {
 		u_int tenants_len;
 		struct fs_cap_entry *tenants_val;
@@ -61,22 +52,17 @@
 };
 
 enum fs_cap_kind {
-	FS_CAP_REPORT = 1,
-	FS_CAP_GRANT = 2,
+	FS_CAP_REPORT = 0x2f5a0411,
+	FS_CAP_GRANT = 0x2f5a0412,
 };
 typedef enum fs_cap_kind fs_cap_kind;
 
-struct fs_cap_body {
+struct fs_cap_message {
 	fs_cap_kind kind;
 	union {
 		struct fs_cap_report report;
 		struct fs_cap_grant grant;
-	} fs_cap_body_u;
-};
-
-struct fs_cap_message {
-	u_int magic;
-	struct fs_cap_body body;
+	} fs_cap_message_u;
 };
 
 /* the xdr functions */
@@ -87,7 +73,6 @@
 extern  bool_t xdr_fs_cap_entry (XDR *, struct fs_cap_entry*);
 extern  bool_t xdr_fs_cap_grant (XDR *, struct fs_cap_grant*);
 extern  bool_t xdr_fs_cap_kind (XDR *, fs_cap_kind*);
-extern  bool_t xdr_fs_cap_body (XDR *, struct fs_cap_body*);
 extern  bool_t xdr_fs_cap_message (XDR *, struct fs_cap_message*);
 
 #else /* K&R C */
@@ -96,7 +81,6 @@
 extern bool_t xdr_fs_cap_entry ();
 extern bool_t xdr_fs_cap_grant ();
 extern bool_t xdr_fs_cap_kind ();
-extern bool_t xdr_fs_cap_body ();
 extern bool_t xdr_fs_cap_message ();
 
 #endif /* K&R C */
--- a/protocols/cap_xdr.c
+++ b/protocols/cap_xdr.c
@@ -12,64 +12,50 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->tenant))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->received))
+			 if (!xdr_u_int (xdrs, &objp->tenant))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->spent))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->returned))
+			 if (!xdr_u_int (xdrs, &objp->received))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->waiting))
+			 if (!xdr_u_int (xdrs, &objp->held_returned))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->wanted))
+			 if (!xdr_u_int (xdrs, &objp->waiting_wanted))
 				 return FALSE;
 		} else {
+			IXDR_PUT_U_LONG(buf, objp->tenant);
 			IXDR_PUT_U_LONG(buf, objp->received);
-			IXDR_PUT_U_LONG(buf, objp->spent);
-			IXDR_PUT_U_LONG(buf, objp->returned);
-			IXDR_PUT_U_LONG(buf, objp->waiting);
-			IXDR_PUT_U_LONG(buf, objp->wanted);
+			IXDR_PUT_U_LONG(buf, objp->held_returned);
+			IXDR_PUT_U_LONG(buf, objp->waiting_wanted);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_quad_t (xdrs, &objp->tenant))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->received))
+			 if (!xdr_u_int (xdrs, &objp->tenant))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->spent))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->returned))
+			 if (!xdr_u_int (xdrs, &objp->received))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->waiting))
+			 if (!xdr_u_int (xdrs, &objp->held_returned))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->wanted))
+			 if (!xdr_u_int (xdrs, &objp->waiting_wanted))
 				 return FALSE;
 		} else {
+			objp->tenant = IXDR_GET_U_LONG(buf);
 			objp->received = IXDR_GET_U_LONG(buf);
-			objp->spent = IXDR_GET_U_LONG(buf);
-			objp->returned = IXDR_GET_U_LONG(buf);
-			objp->waiting = IXDR_GET_U_LONG(buf);
-			objp->wanted = IXDR_GET_U_LONG(buf);
+			objp->held_returned = IXDR_GET_U_LONG(buf);
+			objp->waiting_wanted = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
 
-	 if (!xdr_u_quad_t (xdrs, &objp->tenant))
+	 if (!xdr_u_int (xdrs, &objp->tenant))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->received))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->spent))
+	 if (!xdr_u_int (xdrs, &objp->held_returned))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->returned))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->waiting))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->wanted))
+	 if (!xdr_u_int (xdrs, &objp->waiting_wanted))
 		 return FALSE;
 	return TRUE;
 }
@@ -79,72 +65,13 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_int (xdrs, &objp->vm))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->start))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->number))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->group))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->epoch))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_lending))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_U_LONG(buf, objp->number);
-		IXDR_PUT_U_LONG(buf, objp->group);
-		IXDR_PUT_U_LONG(buf, objp->epoch);
-		IXDR_PUT_BOOL(buf, objp->is_lending);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->tenants.tenants_val, (u_int *) &objp->tenants.tenants_len, FS_CAP_MAX_TENANTS,
-			sizeof (struct fs_cap_request), (xdrproc_t) xdr_fs_cap_request))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_int (xdrs, &objp->vm))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->start))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->number))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->group))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->epoch))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_lending))
-				 return FALSE;
-
-		} else {
-		objp->number = IXDR_GET_U_LONG(buf);
-		objp->group = IXDR_GET_U_LONG(buf);
-		objp->epoch = IXDR_GET_U_LONG(buf);
-		objp->is_lending = IXDR_GET_BOOL(buf);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->tenants.tenants_val, (u_int *) &objp->tenants.tenants_len, FS_CAP_MAX_TENANTS,
-			sizeof (struct fs_cap_request), (xdrproc_t) xdr_fs_cap_request))
-			 return FALSE;
-	 return TRUE;
-	}
-
 	 if (!xdr_u_int (xdrs, &objp->vm))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->start))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->number))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->group))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->is_lending))
+	 if (!xdr_u_int (xdrs, &objp->choice))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->tenants.tenants_val, (u_int *) &objp->tenants.tenants_len, FS_CAP_MAX_TENANTS,
 		sizeof (struct fs_cap_request), (xdrproc_t) xdr_fs_cap_request))
@@ -157,13 +84,11 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->tenant))
+	 if (!xdr_u_int (xdrs, &objp->tenant))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->granted))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->retry_ms))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->is_short))
+	 if (!xdr_u_int (xdrs, &objp->retry))
 		 return FALSE;
 	return TRUE;
 }
@@ -175,56 +100,44 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_u_int (xdrs, &objp->account))
-			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->vm))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->start))
-			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->number))
+			 if (!xdr_u_int (xdrs, &objp->account))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->group))
+			 if (!xdr_u_int (xdrs, &objp->start))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->epoch))
+			 if (!xdr_u_int (xdrs, &objp->number))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_leaving))
+			 if (!xdr_u_int (xdrs, &objp->choice))
 				 return FALSE;
 
 		} else {
+		IXDR_PUT_U_LONG(buf, objp->account);
+		IXDR_PUT_U_LONG(buf, objp->start);
 		IXDR_PUT_U_LONG(buf, objp->number);
-		IXDR_PUT_U_LONG(buf, objp->group);
-		IXDR_PUT_U_LONG(buf, objp->epoch);
-		IXDR_PUT_BOOL(buf, objp->is_leaving);
+		IXDR_PUT_U_LONG(buf, objp->choice);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->tenants.tenants_val, (u_int *) &objp->tenants.tenants_len, FS_CAP_MAX_TENANTS,
 			sizeof (struct fs_cap_entry), (xdrproc_t) xdr_fs_cap_entry))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_u_int (xdrs, &objp->account))
-			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->vm))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->start))
-			 return FALSE;
 		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->number))
+			 if (!xdr_u_int (xdrs, &objp->account))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->group))
+			 if (!xdr_u_int (xdrs, &objp->start))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->epoch))
+			 if (!xdr_u_int (xdrs, &objp->number))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_leaving))
+			 if (!xdr_u_int (xdrs, &objp->choice))
 				 return FALSE;
 
 		} else {
+		objp->account = IXDR_GET_U_LONG(buf);
+		objp->start = IXDR_GET_U_LONG(buf);
 		objp->number = IXDR_GET_U_LONG(buf);
-		objp->group = IXDR_GET_U_LONG(buf);
-		objp->epoch = IXDR_GET_U_LONG(buf);
-		objp->is_leaving = IXDR_GET_BOOL(buf);
+		objp->choice = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->tenants.tenants_val, (u_int *) &objp->tenants.tenants_len, FS_CAP_MAX_TENANTS,
 			sizeof (struct fs_cap_entry), (xdrproc_t) xdr_fs_cap_entry))
@@ -234,17 +147,11 @@
 
 	 if (!xdr_u_int (xdrs, &objp->account))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->vm))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->start))
+	 if (!xdr_u_int (xdrs, &objp->start))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->number))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->group))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->is_leaving))
+	 if (!xdr_u_int (xdrs, &objp->choice))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->tenants.tenants_val, (u_int *) &objp->tenants.tenants_len, FS_CAP_MAX_TENANTS,
 		sizeof (struct fs_cap_entry), (xdrproc_t) xdr_fs_cap_entry))
@@ -263,7 +170,7 @@
 }
 
 bool_t
-xdr_fs_cap_body (XDR *xdrs, struct fs_cap_body *objp)
+xdr_fs_cap_message (XDR *xdrs, struct fs_cap_message *objp)
 {
 	register int32_t *buf;
 
@@ -271,11 +178,11 @@
 		 return FALSE;
 	switch (objp->kind) {
 	case FS_CAP_REPORT:
-		 if (!xdr_fs_cap_report (xdrs, &objp->fs_cap_body_u.report))
+		 if (!xdr_fs_cap_report (xdrs, &objp->fs_cap_message_u.report))
 			 return FALSE;
 		break;
 	case FS_CAP_GRANT:
-		 if (!xdr_fs_cap_grant (xdrs, &objp->fs_cap_body_u.grant))
+		 if (!xdr_fs_cap_grant (xdrs, &objp->fs_cap_message_u.grant))
 			 return FALSE;
 		break;
 	default:
@@ -283,15 +190,3 @@
 	}
 	return TRUE;
 }
-
-bool_t
-xdr_fs_cap_message (XDR *xdrs, struct fs_cap_message *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->magic))
-		 return FALSE;
-	 if (!xdr_fs_cap_body (xdrs, &objp->body))
-		 return FALSE;
-	return TRUE;
-}
--- a/tests/unit/usage_cap.c
+++ b/tests/unit/usage_cap.c
@@ -19,6 +19,14 @@
 	POLL_US = 20 * MS,
 	MAX_VMS = 195,
 	TENANTS = 6,
+	MAX_TENANTS = 80,
+	HEADER_BYTES = 28, /* Of IP and UDP. */
+	/* As in protocols/cap.x. */
+	REPORT_BYTES = 28,
+	REQUEST_BYTES = 16,
+	GRANT_BYTES = 24,
+	ENTRY_BYTES = 12,
+	MAX_ZIPF_BYTES = 3000,
 	WINDOW_US = 5 * S,
 	WAIT_US = 50 * MS,  /* A quarter of the shortest target. */
 	CALLERS_US = 1 * S, /* From the start of the fleet. */
@@ -89,9 +97,12 @@
 	bool is_even;      /* Calls come at even intervals, else as a Poisson process. */
 	uint32_t cut_zone; /* UNKNOWN: none. */
 	struct vm vms[MAX_VMS];
-	struct tenant tenants[TENANTS];
+	uint32_t tenant_count;
+	struct tenant tenants[MAX_TENANTS];
 	GPtrArray *datagrams;
 	uint64_t sent;
+	uint64_t sent_bytes;
+	uint64_t far_bytes;   /* Of these, between zones. */
 	int64_t disturbed_us; /* Last disturbance. */
 	uint64_t starts;
 };
@@ -117,9 +128,14 @@
 	struct world *world = from->world;
 	const struct vm *receiver = &world->vms[to - 1];
 	bool is_near = from->zone == receiver->zone;
+	uint32_t bytes;
 	int copies = happens (world, world->loss) ? 0 : happens (world, world->loss) ? 2 : 1;
 
+	bytes = HEADER_BYTES + (report ? REPORT_BYTES + REQUEST_BYTES * report->count
+	                               : GRANT_BYTES + ENTRY_BYTES * grant->count);
 	world->sent++;
+	world->sent_bytes += bytes;
+	world->far_bytes += is_near ? 0 : bytes;
 	if (!is_near && (from->zone == world->cut_zone || receiver->zone == world->cut_zone))
 		return;
 	for (int i = 0; i < copies; i++)
@@ -209,7 +225,7 @@
 static void
 vm_set_limits (struct vm *vm)
 {
-	for (uint32_t i = 0; i < TENANTS; i++)
+	for (uint32_t i = 0; i < vm->world->tenant_count; i++)
 	{
 		const struct tenant *tenant = &vm->world->tenants[i];
 		const struct usage_limit limit =
@@ -473,7 +489,7 @@
 		happens (world, 0.5)
 			? find_account (world, (uint32_t) g_rand_int_range (random, 0, USAGE_GROUPS))
 			: &world->vms[g_rand_int_range (random, 0, (gint32) world->vm_count)];
-	uint32_t tenant = (uint32_t) g_rand_int_range (random, 0, TENANTS);
+	uint32_t tenant = (uint32_t) g_rand_int_range (random, 0, (gint32) world->tenant_count);
 
 	world->disturbed_us = world->now_us;
 	switch (g_rand_int_range (random, 0, 8))
@@ -531,7 +547,7 @@
 			vm_start (&world->vms[i], world->now_us + 200 * MS);
 		world->vms[i].listed_us = world->now_us + 300 * MS;
 	}
-	for (int i = 0; i < TENANTS; i++)
+	for (uint32_t i = 0; i < world->tenant_count; i++)
 	{
 		world->tenants[i].load = 0.78 * world->tenants[i].rate_per_s;
 		world->tenants[i].zone = UNKNOWN;
@@ -562,7 +578,7 @@
 			vm_step (&world->vms[i]);
 	}
 	update_lists (world);
-	for (uint32_t i = 0; i < TENANTS && world->now_us > CALLERS_US; i++)
+	for (uint32_t i = 0; i < world->tenant_count && world->now_us > CALLERS_US; i++)
 	{
 		struct tenant *tenant = &world->tenants[i];
 		double mean = tenant->load * STEP_US / S;
@@ -591,29 +607,32 @@
 	uint64_t calm_refused;
 	uint64_t below_refused;
 	uint64_t sent;
+	uint64_t sent_bytes;
+	uint64_t far_bytes;
 };
 
 static void
-world_init (struct world *world, uint64_t seed, uint32_t vm_count)
+world_init (struct world *world, uint64_t seed, uint32_t vm_count, bool is_zipf)
 {
 	memset (world, 0, sizeof *world);
 	world->random = g_rand_new_with_seed ((guint32) seed);
 	world->now_us = S / 10;
 	world->vm_count = vm_count;
+	world->tenant_count = is_zipf ? MAX_TENANTS : TENANTS;
 	world->zones = vm_count == 7 ? 3 : vm_count == 63 ? 4 : 6;
 	world->cut_zone = UNKNOWN;
 	/* The first second of the callers counts. */
 	world->disturbed_us = -6 * (int64_t) S;
 	world->datagrams = g_ptr_array_new_with_free_func (g_free);
-	for (uint32_t i = 0; i < TENANTS; i++)
+	for (uint32_t i = 0; i < world->tenant_count; i++)
 	{
 		static const uint32_t rates[TENANTS] = { 10, 14, 20, 60, 120, 300 };
 		struct tenant *tenant = &world->tenants[i];
 
-		tenant->id = ((uint64_t) i << 32) + 1000 + i;
-		tenant->rate_per_s = rates[i];
-		tenant->burst = rates[i] * (seed % 2 + 1);
-		tenant->load = (seed % 3 == 0 ? 0.78 : 0.625) * tenant->rate_per_s;
+		tenant->id = ((uint64_t) i << 16) + 1000 + i;
+		tenant->rate_per_s = is_zipf ? MAX ((uint32_t) (365 * pow (i + 1, -1.2)), 5) : rates[i];
+		tenant->burst = tenant->rate_per_s * (is_zipf ? 1 : seed % 2 + 1);
+		tenant->load = (seed % 3 == 0 && !is_zipf ? 0.78 : 0.625) * tenant->rate_per_s;
 		tenant->zone = UNKNOWN;
 		tenant->sent_us = g_array_new (FALSE, FALSE, sizeof (int64_t));
 	}
@@ -635,9 +654,12 @@
 static struct result
 world_finish (struct world *world, uint64_t seed)
 {
-	struct result result = { .sent = world->sent, .least = 1 };
+	struct result result = { .sent = world->sent,
+		                     .sent_bytes = world->sent_bytes,
+		                     .far_bytes = world->far_bytes,
+		                     .least = 1 };
 
-	for (uint32_t i = 0; i < TENANTS; i++)
+	for (uint32_t i = 0; i < world->tenant_count; i++)
 	{
 		struct tenant *tenant = &world->tenants[i];
 		double worst = MAX (tenant->worst, check_windows (tenant));
@@ -674,6 +696,7 @@
 	COURSE_EVEN,
 	COURSE_CALM,
 	COURSE_BEYOND, /* Each tenant asks for 1.6 times its rate, at even intervals. */
+	COURSE_ZIPF,   /* 80 tenants, some large and most small. */
 	COURSE_DISTURBED,
 };
 
@@ -685,9 +708,9 @@
 	int64_t heal_us = length_us * 2 / 3;
 	struct result result;
 
-	world_init (world, seed, vm_count);
+	world_init (world, seed, vm_count, course == COURSE_ZIPF);
 	world->is_even = course == COURSE_EVEN || course == COURSE_BEYOND;
-	for (int i = 0; i < TENANTS && course == COURSE_BEYOND; i++)
+	for (uint32_t i = 0; i < world->tenant_count && course == COURSE_BEYOND; i++)
 		world->tenants[i].load = 1.6 * world->tenants[i].rate_per_s;
 	world->loss = is_disturbed ? g_rand_double_range (world->random, 0, 0.1) : 0;
 	while (world->now_us < length_us)
@@ -709,6 +732,7 @@
             int64_t length_us)
 {
 	struct result total = { .least = 1 };
+	double vm_seconds = (double) count * vm_count * (double) length_us / S;
 	uint32_t over = 0;
 
 	for (uint64_t seed = first; seed < first + count; seed++)
@@ -725,21 +749,27 @@
 		total.calm_refused += result.calm_refused;
 		total.below_refused += result.below_refused;
 		total.sent += result.sent;
+		total.sent_bytes += result.sent_bytes;
+		total.far_bytes += result.far_bytes;
 	}
 	g_test_message ("%s, %u VMs, %" G_GUINT64_FORMAT
 	                " seeds: worst window %.3f of the limit, %u over; refused %" G_GUINT64_FORMAT
 	                " (by one bucket %" G_GUINT64_FORMAT "), below "
 	                "the cap %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
 	                ", undisturbed %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
-	                "; datagrams per VM and second %.1f",
+	                "; per VM and second %.1f datagrams, %.0f bytes, %.0f between zones",
 	                name, vm_count, count, total.worst, over, total.refused, total.central_refused,
 	                total.below_refused, total.asked, total.calm_refused, total.calm_asked,
-	                (double) total.sent / (double) count / vm_count / ((double) length_us / S));
+	                (double) total.sent / vm_seconds, (double) total.sent_bytes / vm_seconds,
+	                (double) total.far_bytes / vm_seconds);
 	g_assert_cmpfloat (total.worst, <=, 1);
 	/* Uneven calls may meet an account that lacks tokens which other VMs hold; at most 1 in 50,000. */
 	g_assert_cmpuint (total.calm_refused, <=, course == COURSE_EVEN ? 0 : total.calm_asked / 50000);
 	/* One disturbance per second, half of them at an account VM; 1 in 10 is refused if lost accounts are not replaced. */
 	g_assert_cmpuint (total.below_refused, <=, total.asked * 6 / 100);
+	/* Half of what messages with 28 and 20 bytes per tenant and reports of all active tenants take. */
+	if (course == COURSE_ZIPF)
+		g_assert_cmpfloat ((double) total.sent_bytes / vm_seconds, <, MAX_ZIPF_BYTES);
 	if (course == COURSE_BEYOND)
 	{
 		g_test_message ("least window %.3f of the limit without tolerance", total.least);
@@ -875,6 +905,17 @@
 	run_series ("beyond", first, count, GPOINTER_TO_UINT (data), COURSE_BEYOND, 12 * S);
 }
 
+/** Messages for many small tenants must not cost more than the callers' operations. */
+static void
+test_zipf (gconstpointer data)
+{
+	unsigned long long first = 1;
+	unsigned long long count = 3;
+
+	read_seeds (&first, &count);
+	run_series ("zipf", first, count, GPOINTER_TO_UINT (data), COURSE_ZIPF, 12 * S);
+}
+
 static void
 test_disturbed (gconstpointer data)
 {
@@ -896,6 +937,7 @@
 	g_test_add_data_func ("/usage_cap/calm_7", GUINT_TO_POINTER (7), test_calm);
 	g_test_add_data_func ("/usage_cap/calm_63", GUINT_TO_POINTER (63), test_calm);
 	g_test_add_data_func ("/usage_cap/calm_195", GUINT_TO_POINTER (195), test_calm);
+	g_test_add_data_func ("/usage_cap/zipf_63", GUINT_TO_POINTER (63), test_zipf);
 	g_test_add_data_func ("/usage_cap/disturbed_7", GUINT_TO_POINTER (7), test_disturbed);
 	g_test_add_data_func ("/usage_cap/disturbed_63", GUINT_TO_POINTER (63), test_disturbed);
 	g_test_add_data_func ("/usage_cap/disturbed_195", GUINT_TO_POINTER (195), test_disturbed);
