--- a/tests/unit/usage_cap.c
+++ b/tests/unit/usage_cap.c
@@ -131,8 +131,11 @@
 	uint32_t bytes;
 	int copies = happens (world, world->loss) ? 0 : happens (world, world->loss) ? 2 : 1;
 
-	bytes = HEADER_BYTES + (report ? REPORT_BYTES + REQUEST_BYTES * report->count
-	                               : GRANT_BYTES + ENTRY_BYTES * grant->count);
+	bytes = HEADER_BYTES;
+	if (report)
+		bytes += REPORT_BYTES + REQUEST_BYTES * report->count;
+	if (grant)
+		bytes += GRANT_BYTES + ENTRY_BYTES * grant->count;
 	world->sent++;
 	world->sent_bytes += bytes;
 	world->far_bytes += is_near ? 0 : bytes;
@@ -149,7 +152,7 @@
 		datagram->is_grant = grant != NULL;
 		if (grant)
 			datagram->grant = *grant;
-		else
+		if (report)
 			datagram->report = *report;
 		g_ptr_array_add (world->datagrams, datagram);
 	}
