gateway: an absent text is not compared by memcmp

Callers saw nothing: the comparison has the right result on this platform.

Cause: a statement without the TENANT prefix has a text without an address and of length 0, which text_equals() gave to memcmp() when it was compared with another empty text. C does not allow that, also for 0 bytes. Texts of length 0 are equal without a look at their bytes, so memcmp() only gets addresses that exist.

--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -166,5 +166,7 @@
 static inline bool
 text_equals (struct text text, const char *other, size_t length)
 {
-	return text.length == length && __builtin_memcmp (text.start, other, length) == 0;
+	/* An absent text has no address, which memcmp() must not be given. */
+	return text.length == length &&
+	       (length == 0 || __builtin_memcmp (text.start, other, length) == 0);
 }
