gateway: a status request that waits for a connection names a declared tenant

A database server was told the name of a VM in place of a tenant's, which the users' rules count as a request for the wrong tenant if a statement follows.

Cause: a forwarded status or demotion belongs to no tenant and may use a connection of any. When all slots were in use, open_in_advance() opened a connection for it with its empty tenant, so the greeting named the VM. choose_for_relay() already had the rule to take a declared tenant; the call that the pools added beside it did not. It takes the same tenant now, so that both ways to open a connection for a forwarded statement agree.

--- a/gateway/service.c
+++ b/gateway/service.c
@@ -283,7 +283,9 @@
 open_in_advance (struct server *server, const struct session *session, int64_t now_us)
 {
 	if (server_has_tenants (server) && server->service->offered_count < server->slots)
-		server_open_direct (server, session->tenant, now_us);
+		server_open_direct (
+			server, session->takes_any_tenant ? server_default_tenant (server) : session->tenant,
+			now_us);
 }
 
 static struct connection *
