tests: two plain chars are compared as unsigned

clang-tidy's bugprone-signed-char-misuse refuses a plain char in these two assertions on x86-64, where it is signed.

--- a/tests/integration/gateway_hang.c
+++ b/tests/integration/gateway_hang.c
@@ -246,7 +246,7 @@
 
 	g_assert_cmpint (write (fixture->commands, &byte, 1), ==, 1);
 	g_assert_cmpint (read (fixture->notices, &byte, 1), ==, 1);
-	g_assert_cmpint (byte, ==, 'h');
+	g_assert_cmpint ((unsigned char) byte, ==, 'h');
 	return clock_now_us ();
 }
 
--- a/tests/unit/line_stream.c
+++ b/tests/unit/line_stream.c
@@ -34,7 +34,7 @@
 	struct fixture *fixture = (struct fixture *) stream;
 
 	g_assert_cmpuint (line.length, ==, LINE_BYTES);
-	g_assert_cmpint (line.start[0], ==, 'a' + (int) (fixture->lines % 26));
+	g_assert_cmpint ((unsigned char) line.start[0], ==, 'a' + (int) (fixture->lines % 26));
 	fixture->lines++;
 	if (fixture->pauses)
 		line_stream_set_paused (stream, true);
