--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,9 +1,8 @@
-"""A session reads its own commit while configurations come in quick succession.
+"""The primary crashes while a replica that holds its last commits is being replaced.
 
-Two gateways and two services of three servers, all in calm; replicas apply what they receive 150 ms later. The session's
-database has a read_your_writes route. Each round: the session commits a write on service "one"; the operator gives the
-route to service "two", where the session commits another write; the operator gives it back to "one"; the session reads.
-The log on which the read runs has to hold the session's first commit of the round."""
+Two gateways and one service of three servers with syncReplicas 1. One replica reports that it is draining, as at the start of
+its planned replacement; it goes on receiving and counts toward syncReplicas. The other replica receives nothing for a
+while, and then the primary crashes."""
 
 import asyncio
 import os
@@ -12,82 +11,153 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
+import standins_2  # noqa: E402
 from standins_2 import *  # noqa: E402, F403
 
 ZONES = ["riga-a", "riga-b"]
-ROUNDS = 12
-LAG_MS = 150  # "replicas 150 ms behind", as on the sheet of the large Riga installation.
-STORM_GAP_S = 0.06  # Pause between two configurations, as in the days of the site files ("config_storm").
+RECEIVE_S = 0.005  # A commit's way to a replica.
+PROMOTE_S = 0.3
+DEAF_S = 6.5
+RELEASES = os.environ.get("RELEASE", "1") != "0"  # RELEASE=0: the crash alone, without the planned replacement.
 
 
-async def case(record, fleet):
-    def route(service):
-        return [{"host": "ledger", "service": service, "routeType": "read_your_writes", "timeoutMs": 1000, "targetLatencyMs": 250, "priority": 1,
-                 "maxStalenessMs": 2500}]
+class SyncServer(Server):
+    """A server with a log of its own, whose commits are acknowledged once one replica has received them."""
+
+    def __init__(self, service, index, zone):
+        super().__init__(service, index, zone)
+        self.received, self.is_deaf, self.is_down, self.state, self.sessions = 0, False, False, "ready", set()
+
+    def applied(self):
+        return self.received
+
+    async def accept(self, reader, writer):
+        if self.is_down:
+            writer.transport.abort()
+            return
+        self.sessions.add(writer)
+        try:
+            await super().accept(reader, writer)
+        finally:
+            self.sessions.discard(writer)
+
+    def report(self):
+        if self.is_down:
+            return
+        super().report()
+
+    async def query(self, session, line, writer):
+        before = len(self.service.log)
+        words = line.split(" ")
+        answer = []
+
+        class Held:
+            write = staticmethod(answer.append)
+
+        await super().query(session, line, Held)
+        if len(self.service.log) > before and self.is_primary:
+            number = self.received = len(self.service.log)
+            self.service.send(number)
+            while not any(s.received >= number for s in self.service.servers if not s.is_primary):
+                await asyncio.sleep(0.001)
+            if self.is_down:
+                raise ConnectionError
+            self.service.numbers[words[1]] = number
+        if "STATUS" in words or "DEMOTE" in words:
+            answer = [answer[0].replace(f"{self.service.term}.{len(self.service.log)} ".encode(), f"{self.service.term}.{self.received} ".encode())]
+        for part in answer:
+            writer.write(part)
+
+    def crash(self):
+        self.is_down = True
+        for writer in list(self.sessions):
+            writer.transport.abort()
+
 
-    zones = [ZONES[0], ZONES[0], ZONES[0]]
-    services = [{"name": name, "zones": zones, "work_ms": 3, "lag_ms": LAG_MS} for name in ("one", "two")]
-    store, running, gateways = await start_fleet(record, services, route("one"), ZONES)
+class SyncService(Service):
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.numbers, self.acknowledged, self.promoted, self.missing = {}, [], None, []
+
+    def send(self, number):
+        for server in self.servers:
+            if not server.is_primary and not server.is_deaf and not server.is_down:
+                asyncio.get_running_loop().call_later(RECEIVE_S, lambda s=server: setattr(s, "received", max(s.received, number)))
+
+    def promote(self, id_):
+        server = next((s for s in self.servers if s.id == id_ and not s.is_down), None)
+        if not server:
+            return 409, {}
+        if not server.is_primary and not self.promoted:
+            self.promoted = server
+            asyncio.get_running_loop().call_later(PROMOTE_S, self.lead, server)
+        return 200, {}
+
+    def lead(self, server):
+        self.missing = [id_ for id_ in self.acknowledged if self.numbers[id_] > server.received]
+        for other in self.servers:
+            other.is_primary = other is server
+            other.received = min(other.received, server.received)
+        del self.log[server.received:]
+        self.term += 1
+        for other in self.servers:
+            other.report()
+        self.record(f"{server.id} leads term {self.term} with {server.received} commits; acknowledged commits that it lacks: {len(self.missing)}")
+
+
+async def case(record, fleet):
+    standins_2.Server, standins_2.Service = SyncServer, SyncService
+    route = {"host": "ledger", "service": "stall", "routeType": "primary", "timeoutMs": 800, "targetLatencyMs": 120, "priority": 0}
+    service = {"name": "stall", "zones": [ZONES[0], ZONES[1], ZONES[0]]}
+    store, services, gateways = await start_fleet(record, [service], [route], ZONES, sync_replicas=1)
     fleet += gateways
-    one = running[0]
+    stall = services[0]
+    primary, draining, behind = stall.servers
     if not await wait_until(lambda: all_ready(fleet), 20):
         return NOT_RUN
-    await asyncio.sleep(3)
-    gateway, version, stale, done = fleet[0], 3, 0, 0
-    declared = [{"name": s.name, "maxConnections": s.max_connections, "syncReplicas": 0} for s in running]
-    reads = {}
-    for server in one.servers:
-        query = server.query
-
-        async def note(session, line, writer, server=server, query=query):
-            words = line.split(" ")
-            if "READ" in words:
-                reads[words[1]] = (server.id, server.applied())
-            await query(session, line, writer)
-        server.query = note
-
-    def configure(service):
-        nonlocal version
-        version += 3
-        store.configure(version, route(service), declared, {"txIdleMs": 3000})
-        return time.monotonic()
-
-    # Commits of others, so that the two logs differ in length; a position of "two" comes before one of "one".
-    other = await Requester(gateway, "ledger").start()
-    for number in range(40):
-        await other.ask(f"WRITE o{number:x} xkqpwnzd")
-    requester = await Requester(gateway, "ledger").start()
-    for round_ in range(ROUNDS):
-        for number in range(6):  # The usual traffic, which tells the gateway the positions of the primary.
-            await other.ask(f"READ {number:x}")
-            await asyncio.sleep(0.1)
-        await requester.ask(f"READ {round_:x}")
-        answer = await requester.ask(f"WRITE a{round_:x} xkqpwnzd")
-        commit, committed = len(one.log), answer[-2].startswith("COMPLETE")
-        record(f"round {round_}: write on one: {answer[-2]}, commit {commit} of its log")
-        if TROUBLE:
-            moved = configure("two")
-            before = len(running[1].log)
-            await asyncio.sleep(0.02)
-            answer = await requester.ask(f"WRITE b{round_:x} xkqpwnzd")
-            record(f"round {round_}: write after version {version}: {answer[-2]}, ran on two: {len(running[1].log) > before}")
-            await asyncio.sleep(max(moved + STORM_GAP_S - time.monotonic(), 0))
-            configure("one")
-            await asyncio.sleep(0.02)
-        id_ = Requester.new_id()
-        sent = time.monotonic()
-        answer = await requester.ask(f"READ a{round_:x}", id_)
-        where, log = reads.get(id_, ("another service", -1))
-        is_stale = committed and answer[-2].startswith("COMPLETE") and 0 <= log < commit
-        record(f"round {round_}: read sent {(sent - one.log[commit - 1][0]) * 1000:.0f} ms after the commit: {answer[-2]} by {where}, whose log "
-               f"had {log} commits{': STALE' if is_stale else ''}")
-        done += committed and answer[-2].startswith("COMPLETE")
-        stale += is_stale
-        await asyncio.sleep(2)
-    record(f"reads done: {done}; stale: {stale}")
-    if stale:
-        return BROKEN
-    return HELD if done else NOT_RUN
+    await asyncio.sleep(12)  # Traffic starts 10 s after the machines do.
+    done = 0
+
+    async def write_for(seconds):
+        nonlocal done
+        end = time.monotonic() + seconds
+        requester = None
+        while time.monotonic() < end:
+            try:
+                requester = requester or await Requester(fleet[0], "ledger").start()
+                id_ = Requester.new_id()
+                answer = await requester.ask(f"WRITE w{done:x} xkqpwnzd", id_)
+                if answer[-2].startswith("COMPLETE"):
+                    done += 1
+                    stall.acknowledged.append(id_)
+                record(f"requester: {id_}: {answer[-2]}")
+            except (Lost, OSError, asyncio.TimeoutError):
+                requester = None
+            await asyncio.sleep(0.05)
+
+    await write_for(1)
+    if TROUBLE and RELEASES:
+        draining.state = "draining"
+        draining.report()
+        record(f"operator: {draining.id} is to be replaced and reports draining")
+    await write_for(1)
+    if TROUBLE:
+        behind.is_deaf = True
+        asyncio.get_running_loop().call_later(DEAF_S, setattr, behind, "is_deaf", False)
+        record(f"{behind.id} receives nothing for {DEAF_S} s")
+    await write_for(1)
+    record(f"writes done: {done}; received: " + ", ".join(f"{s.id} {s.received}" for s in stall.servers))
+    if done < 20:
+        return NOT_RUN
+    if TROUBLE:
+        primary.crash()
+        record(f"{primary.id} crashes")
+        asyncio.get_running_loop().call_later(3.6, store.remove, f"servers/{primary.id}")
+    await write_for(12)
+    record(f"writes done: {done}; promoted: {stall.promoted and stall.promoted.id}")
+    if TROUBLE and not stall.promoted:
+        return HELD
+    return BROKEN if stall.promoted and stall.missing else HELD
 
 
 main(FOLDER, case)
