--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,6 @@
 """A planned stop while sessions run one statement after the other.
 
-Two gateways and one service of three servers, all in calm. 100 sessions of the first gateway each send the next read as
+Two gateways and one service of three servers, all in calm. 150 sessions of the first gateway each send the next read as
 soon as the last one is answered. Then the first gateway gets SIGTERM."""
 
 import asyncio
@@ -14,7 +14,7 @@
 from standins_2 import *  # noqa: E402, F403
 
 ZONES = ["riga-a", "riga-b"]
-SESSIONS = 100
+SESSIONS = 150
 GRACE_S = 6
 
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -322,6 +322,8 @@
         if self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+        self.log.close()
+        self.folder.cleanup()
 
 
 class Lost(Exception):
