--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,6 +18,7 @@
 RECEIVE_S = 0.005  # A commit's way to a replica.
 PROMOTE_S = 0.3
 DEAF_S = 6.5
+CRASH_S = 7
 RELEASES = os.environ.get("RELEASE", "1") != "0"  # RELEASE=0: the crash alone, without the planned replacement.
 
 
@@ -68,6 +69,10 @@
         for part in answer:
             writer.write(part)
 
+    def restart(self):
+        self.is_down = False
+        self.report()
+
     def crash(self):
         self.is_down = True
         for writer in list(self.sessions):
@@ -153,6 +158,7 @@
         primary.crash()
         record(f"{primary.id} crashes")
         asyncio.get_running_loop().call_later(3.6, store.remove, f"servers/{primary.id}")
+        asyncio.get_running_loop().call_later(CRASH_S, primary.restart)
     await write_for(12)
     record(f"writes done: {done}; promoted: {stall.promoted and stall.promoted.id}")
     if TROUBLE and not stall.promoted:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -19,7 +19,7 @@
 
 
 async def case(record, fleet):
-    route = {"host": "ledger", "service": "stall", "routeType": "primary", "timeoutMs": 3000, "targetLatencyMs": 600, "priority": 0}
+    route = {"host": "ledger", "service": "stall", "routeType": "primary", "timeoutMs": 1200, "targetLatencyMs": 600, "priority": 0}
     service = {"name": "stall", "zones": [ZONES[0], ZONES[1], ZONES[0]], "work_ms": 15}
     store, services, gateways = await start_fleet(record, [service], [route], ZONES)
     fleet += gateways
