gateway: a session keeps the position of its last commit for each log

Cause: the session kept one position, without the log that it belongs to. A commit at the second service overwrote that at the first one. The position was then compared with samples of the first service, whose log may be further, and the read was sent to a replica with the sample's position as its AFTER, which the replica covers. The number of the primary record at the commit was kept in the same way: records of two services may have the same number, so that the check for a change of primary passed as well.

Of a log that has lost its place, and of a commit whose answer had no position, the time of the answer is kept: a position that the primary is asked for after it covers the commit. So no commit is forgotten, whatever the number of moves.

Looked for elsewhere: start of a transaction, values and prepared names belong to the session or to one transaction, and a transaction stays at its service; tokens of the own front have a position for each database.

--- a/gateway/service.c
+++ b/gateway/service.c
@@ -37,6 +37,7 @@
 	service = g_new0 (struct service, 1);
 	service->name = g_strdup (name);
 	service->traffic = traffic;
+	service->number = g_hash_table_size (traffic->services) + 1;
 	service->servers = g_ptr_array_new ();
 	position_history_init (&service->history);
 	g_queue_init (&service->waiting);
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -277,22 +277,15 @@
 	int64_t arrived_us =
 		session->state != TRANSACTION_NONE ? session->began_us : session->request.arrived_us;
 	int64_t since_us = arrived_us - (int64_t) session->max_staleness_ms * US_PER_MS;
+	struct own_commits_bound own = { 0 };
 
-	bool has_commit = session->route_kind == ROUTE_READ_YOUR_WRITES && session->committed.term > 0;
-
-	/* A promotion may have rolled the commit back, so a position that the new primary has reported since is enough. */
-	if (has_commit && session->committed_change != service->record_change)
-	{
-		if (service->record_adopted_us > since_us)
-			since_us = service->record_adopted_us;
-		has_commit = false;
-	}
-	if (!position_history_find (&service->history, since_us, position))
+	if (session->route_kind == ROUTE_READ_YOUR_WRITES)
+		own = own_commits_find (&session->commits, service->number, service->record_change,
+		                        service->record_adopted_us);
+	if (!position_history_find (&service->history, MAX (since_us, own.since_us), position))
 		return false;
-	if (!has_commit)
-		return true;
-	if (log_position_compare (session->committed, *position) > 0)
-		*position = session->committed;
+	if (log_position_compare (own.position, *position) > 0)
+		*position = own.position;
 	return true;
 }
 
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -273,6 +273,20 @@
 	return true;
 }
 
+static void
+record_commit (struct session *session, const struct server_message *ready, int64_t now_us)
+{
+	struct own_commit commit = {
+		.log = session->service->number,
+		.change = session->service->record_change,
+		.answered_us = now_us,
+	};
+
+	if (ready->has_position)
+		commit.position = ready->position;
+	own_commits_add (&session->commits, &commit);
+}
+
 static void
 session_handle_success (struct session *session, struct connection *connection,
                         const struct server_message *ready, int64_t now_us)
@@ -289,8 +303,7 @@
 		session->has_written = true;
 	if (commits)
 	{
-		session->committed = ready->position;
-		session->committed_change = session->service->record_change;
+		record_commit (session, ready, now_us);
 		counter_add (COUNTER_WRITES, 1);
 	}
 	is_commit_held = commits && session_hold_commit (session, connection, now_us);
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "common/mailbox.h"
+#include "decision/own_commits.h"
 #include "decision/position_history.h"
 #include "decision/service_time.h"
 #include "decision/slots.h"
@@ -166,6 +167,7 @@
 struct service
 {
 	char *name;
+	uint32_t number; /**< Identifies its log among those of all services. */
 	struct gateway_traffic *traffic;
 	uint32_t max_connections;
 	GPtrArray *servers;     /**< Array of struct server. */
@@ -270,8 +272,7 @@
 	uint32_t max_staleness_ms;
 	struct connection *
 		connection; /**< Connection that the transaction is pinned to, or that runs the statement. */
-	struct log_position committed; /**< Position of this session's last commit. */
-	uint64_t committed_change;     /**< Number of the primary record at the last commit. */
+	struct own_commits commits;
 	struct request request;
 	GList link; /**< Node in traffic->sessions. */
 };
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -727,8 +727,7 @@
 		.service = &service,
 		.route_kind = ROUTE_READ_YOUR_WRITES,
 		.max_staleness_ms = 2500,
-		.committed = { 1, 90 },
-		.committed_change = 1,
+		.commits = { .commits = { { .change = 1, .position = { 1, 90 } } }, .count = 1 },
 		.request.arrived_us = 40 * US_PER_S,
 	};
 	struct log_position position;
@@ -738,8 +737,8 @@
 	position_history_add (&service.history, 39 * US_PER_S, (struct log_position){ 2, 200 });
 	g_assert_true (session_find_required_position (&session, &position));
 	g_assert_cmpuint (position.index, ==, 200);
-	session.committed_change = 2;
-	session.committed = (struct log_position){ 2, 210 };
+	session.commits.commits[0].change = 2;
+	session.commits.commits[0].position = (struct log_position){ 2, 210 };
 	g_assert_true (session_find_required_position (&session, &position));
 	g_assert_cmpuint (position.index, ==, 210);
 }
