--- a/decision/succession.c
+++ b/decision/succession.c
@@ -1,5 +1,7 @@
 #include "decision/succession.h"
 
+#include "decision/succession_choice.h"
+
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
@@ -30,8 +32,6 @@
 	WAIT_SPREAD_US = 1000 * US_PER_MS,
 	SWAP_TIMEOUT_US = 1500 * US_PER_MS,
 	RECORD_RETRY_US = 50 * US_PER_MS, /**< Delay of a repeated swap that was refused. */
-	/** Servers that have not answered are left out of the choice after this time. */
-	CHOICE_TIMEOUT_US = 250 * US_PER_MS,
 	/** The new primary may take this long to receive the rest of the old one's log, or until the wait of a planned change ends. */
 	CATCH_UP_US = 1200 * US_PER_MS,
 	/** The old primary may take this long to step down. */
@@ -40,9 +40,6 @@
 	 * present primary. Less than TAKEOVER_US, so that the next claimant does not begin anew. */
 	UNCHANGED_US = 2000 * US_PER_MS,
 	CONFIRM_TIMEOUT_US = 5000 * US_PER_MS,
-	/** A log with entries that were given up is used when no other has been found for this time. Crashed servers and
-	 * zones that were cut off were back in the directory after 15 s at most. */
-	DIVERGED_WAIT_US = 30 * 1000 * US_PER_MS,
 	PROMOTE_RETRY_US = 100 * US_PER_MS,
 	/** A record's number holds the era in its upper half and a count in its lower one. */
 	CHANGE_ERA_SHIFT = 32,
@@ -120,15 +117,6 @@
 		set_phase (succession, SUCCESSION_STEADY, now_us);
 }
 
-static const struct succession_server *
-find_server (const struct succession_input *input, const char *id)
-{
-	for (size_t i = 0; i < input->server_count; i++)
-		if (strcmp (input->servers[i].id, id) == 0)
-			return &input->servers[i];
-	return NULL;
-}
-
 /** Creates the first record, with the one server that reports itself as the primary. */
 static enum succession_action
 step_without_record (struct succession *succession, const struct succession_input *input,
@@ -196,7 +184,8 @@
 static enum succession_action
 step_waiting (struct succession *succession, const struct succession_input *input, int64_t now_us)
 {
-	const struct succession_server *primary = find_server (input, succession->record.primary);
+	const struct succession_server *primary =
+		succession_find_server (input, succession->record.primary);
 
 	if (input->rank >= WAIT_RANKS ||
 	    (succession->asked_us > 0 && now_us - succession->asked_us < WAIT_INTERVAL_US))
@@ -282,159 +271,6 @@
 	return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_MEMBERS : SUCCESSION_NOTHING;
 }
 
-/** Tells whether the status arrived after all VMs had stopped using the old primary. */
-static bool
-has_final_status (const struct succession *succession, const struct succession_server *server)
-{
-	return server->has_status && server->status_us > succession->phase_us;
-}
-
-static bool
-is_candidate (const struct succession *succession, const struct succession_server *server)
-{
-	return server->is_listed && !server->is_draining && has_final_status (succession, server) &&
-	       strcmp (server->id, succession->failed_target) != 0;
-}
-
-/**
- * Tells whether the server already leads, because an earlier claim was carried out but not recorded. After two earlier
- * claims it is unknown whether the second one has promoted another server, which is not reached now. Until the first
- * change, the recorded term is not known, and the first primary may have started again under another id.
- */
-static bool
-leads_already (const struct succession *succession, const struct succession_server *server)
-{
-	enum
-	{
-		MAX_CLAIMS = 2, /* The present one and the one that was carried out. */
-	};
-
-	return succession->record.claims <= MAX_CLAIMS && succession->record.term > 0 &&
-	       server->is_primary && server->term > succession->record.term &&
-	       strcmp (server->id, succession->record.primary) != 0;
-}
-
-/**
- * Prefers a server that already leads, then the latest term, then the longest log. Positions are comparable only between
- * servers of the same term: the log of an earlier one may have a higher position and lack commits of the later primary.
- */
-static bool
-is_better (const struct succession *succession, const struct succession_server *server,
-           const struct succession_server *best)
-{
-	bool leads = leads_already (succession, server);
-	bool best_leads = best && leads_already (succession, best);
-
-	if (!best || leads != best_leads)
-		return !best || leads;
-	if (server->term != best->term)
-		return server->term > best->term;
-	return log_position_compare (server->received, best->received) > 0;
-}
-
-/** Whether the server's log has entries that an earlier promotion has given up. */
-static bool
-has_diverged (const struct succession *succession, const struct succession_server *server)
-{
-	return !leads_already (succession, server) &&
-	       !term_history_contains (&succession->record.terms, server->received);
-}
-
-struct choice
-{
-	const struct succession_server *best;
-	size_t known;   /**< Replicas with a final status. */
-	size_t missing; /**< Replicas that may still answer. */
-	size_t unknown; /**< Listed servers without a final status. */
-	size_t holders; /**< Listed servers that have answered and have the log of the latest term. */
-	/** Only servers that lack the log of the latest term can be chosen, and others may still answer or return. */
-	bool is_behind;
-	uint64_t max_term;
-};
-
-static uint64_t
-find_latest_term (const struct succession *succession, const struct succession_input *input)
-{
-	uint64_t term = succession->record.term;
-
-	for (size_t i = 0; i < input->server_count; i++)
-		if (input->servers[i].has_status && input->servers[i].term > term)
-			term = input->servers[i].term;
-	return term;
-}
-
-/** Counts a server that is not chosen as well: it may hold commits that the chosen one lacks. */
-static void
-count_server (const struct succession *succession, const struct succession_server *server,
-              struct choice *choice)
-{
-	bool is_old = strcmp (server->id, succession->record.primary) == 0;
-	bool is_final = has_final_status (succession, server);
-
-	choice->unknown += server->is_listed && !is_final;
-	choice->holders += server->is_listed && is_final && server->term >= choice->max_term &&
-	                   !has_diverged (succession, server);
-	choice->known += is_final && !is_old;
-	choice->missing += !is_old && server->is_listed && !is_final && !server->is_unreachable;
-}
-
-static struct choice
-choose (const struct succession *succession, const struct succession_input *input, int64_t now_us)
-{
-	bool is_late = now_us - succession->phase_us > CHOICE_TIMEOUT_US;
-	bool may_diverge =
-		succession->changing_us > 0 && now_us - succession->changing_us > DIVERGED_WAIT_US;
-	struct choice choice = { .max_term = find_latest_term (succession, input) };
-	const struct succession_server *best_behind = NULL;
-	const struct succession_server *best_diverged = NULL;
-
-	for (size_t i = 0; i < input->server_count; i++)
-	{
-		const struct succession_server *server = &input->servers[i];
-		bool is_old = strcmp (server->id, succession->record.primary) == 0;
-
-		count_server (succession, server, &choice);
-		/* The old primary may lead again when there is no other candidate. */
-		if (!is_candidate (succession, server) ||
-		    (is_old && (succession->is_planned || !is_late || choice.best)))
-			continue;
-		if (has_diverged (succession, server))
-			best_diverged = is_better (succession, server, best_diverged) ? server : best_diverged;
-		else if (server->term < choice.max_term)
-			best_behind = is_better (succession, server, best_behind) ? server : best_behind;
-		else if (is_better (succession, server, choice.best))
-			choice.best = server;
-	}
-	if (!choice.best && choice.unknown == 0 && choice.holders == 0)
-		choice.best = best_behind || !may_diverge ? best_behind : best_diverged;
-	choice.is_behind =
-		!choice.best && ((best_behind && choice.unknown > 0) || (best_diverged && !best_behind));
-	return choice;
-}
-
-/**
- * Number of replicas whose positions must be known so that no acknowledged commit is lost. One that has left cannot be
- * asked; it need not be if @p best holds all that it can have received.
- */
-static size_t
-required_replicas (const struct succession *succession, const struct succession_input *input,
-                   const struct succession_server *best)
-{
-	size_t replicas = 0;
-
-	for (size_t i = 0; i < input->server_count; i++)
-	{
-		const struct succession_server *server = &input->servers[i];
-		bool is_covered = server->has_left && !server->is_listed &&
-		                  log_position_covers (best->received, server->left_position);
-
-		replicas += strcmp (server->id, succession->record.primary) != 0 && !is_covered;
-	}
-	if (input->sync_replicas == 0)
-		return 1;
-	return replicas >= input->sync_replicas ? replicas - input->sync_replicas + 1 : 1;
-}
-
 /**
  * Tells whether the successor has received all that the old primary holds, or need not be waited for any longer. The old
  * primary is not demoted before: whether a demoted one sends its log to replicas is up to the platform.
@@ -443,14 +279,15 @@
 has_caught_up (const struct succession *succession, const struct succession_input *input,
                const struct succession_server *best, int64_t now_us)
 {
-	const struct succession_server *old = find_server (input, succession->record.primary);
+	const struct succession_server *old =
+		succession_find_server (input, succession->record.primary);
 	int64_t end_us = succession->successor_us + CATCH_UP_US;
 
 	if (succession->is_planned && input->planned_wait_end_us > end_us)
 		end_us = input->planned_wait_end_us;
 	if (!old || old->is_unreachable || now_us > end_us)
 		return true;
-	return has_final_status (succession, old) &&
+	return succession_has_final_status (succession, old) &&
 	       log_position_covers (best->received, old->received);
 }
 
@@ -465,7 +302,7 @@
 
 /** Ends a claim during which no successor was found. Another VM may reach a server of the latest term. */
 static enum succession_action
-end_claim (struct succession *succession, const struct choice *choice, int64_t now_us)
+end_claim (struct succession *succession, const struct succession_choice *choice, int64_t now_us)
 {
 	/* After a suspension this VM has not asked the servers until now. */
 	bool has_asked = now_us - succession->asked_us < 2 * ASK_INTERVAL_US;
@@ -480,9 +317,10 @@
 static enum succession_action
 step_choosing (struct succession *succession, const struct succession_input *input, int64_t now_us)
 {
-	const struct succession_server *old = find_server (input, succession->record.primary);
-	bool is_late = now_us - succession->phase_us > CHOICE_TIMEOUT_US;
-	struct choice choice = choose (succession, input, now_us);
+	const struct succession_server *old =
+		succession_find_server (input, succession->record.primary);
+	bool is_late = now_us - succession->phase_us > SUCCESSION_CHOICE_TIMEOUT_US;
+	struct succession_choice choice = succession_choose (succession, input, now_us);
 
 	if (!choice.best)
 		succession->successor_us = 0;
@@ -491,7 +329,7 @@
 	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
 		return end_claim (succession, &choice, now_us);
 	if (!choice.best || (choice.missing > 0 && !is_late) ||
-	    choice.known < required_replicas (succession, input, choice.best) ||
+	    choice.known < succession_required_replicas (succession, input, choice.best) ||
 	    !has_caught_up (succession, input, choice.best, now_us))
 		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
 	if (!succession->has_demoted && old && !old->is_unreachable && choice.max_term > 0)
@@ -504,8 +342,9 @@
 	if (is_stepping_down (succession, old, now_us))
 		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
 	snprintf (succession->target, sizeof succession->target, "%s", choice.best->id);
-	succession->old_term =
-		leads_already (succession, choice.best) ? succession->record.term : choice.max_term;
+	succession->old_term = succession_leads_already (succession, choice.best)
+	                           ? succession->record.term
+	                           : choice.max_term;
 	set_phase (succession, SUCCESSION_PROMOTING, now_us);
 	succession->asked_us = now_us;
 	return SUCCESSION_PROMOTE;
@@ -527,7 +366,7 @@
 step_confirming (struct succession *succession, const struct succession_input *input,
                  int64_t now_us)
 {
-	const struct succession_server *target = find_server (input, succession->target);
+	const struct succession_server *target = succession_find_server (input, succession->target);
 	/* The platform changes nothing if the target has been the present primary since an earlier claim. */
 	bool is_unchanged = target && target->status_us - succession->phase_us > UNCHANGED_US;
 	uint64_t old_term = is_unchanged ? succession->record.term : succession->old_term;
--- /dev/null
+++ b/decision/succession_choice.c
@@ -0,0 +1,156 @@
+#include "decision/succession_choice.h"
+
+#include <string.h>
+
+enum
+{
+	US_PER_MS = 1000,
+	/** A log with entries that were given up is used when no other has been found for this time. Crashed servers and
+	 * zones that were cut off were back in the directory after 15 s at most. */
+	DIVERGED_WAIT_US = 30 * 1000 * US_PER_MS,
+};
+
+const struct succession_server *
+succession_find_server (const struct succession_input *input, const char *id)
+{
+	for (size_t i = 0; i < input->server_count; i++)
+		if (strcmp (input->servers[i].id, id) == 0)
+			return &input->servers[i];
+	return NULL;
+}
+
+bool
+succession_has_final_status (const struct succession *succession,
+                             const struct succession_server *server)
+{
+	return server->has_status && server->status_us > succession->phase_us;
+}
+
+static bool
+is_candidate (const struct succession *succession, const struct succession_server *server)
+{
+	return server->is_listed && !server->is_draining &&
+	       succession_has_final_status (succession, server) &&
+	       strcmp (server->id, succession->failed_target) != 0;
+}
+
+bool
+succession_leads_already (const struct succession *succession,
+                          const struct succession_server *server)
+{
+	enum
+	{
+		MAX_CLAIMS = 2, /* The present one and the one that was carried out. */
+	};
+
+	return succession->record.claims <= MAX_CLAIMS && succession->record.term > 0 &&
+	       server->is_primary && server->term > succession->record.term &&
+	       strcmp (server->id, succession->record.primary) != 0;
+}
+
+/**
+ * Prefers a server that already leads, then the latest term, then the longest log. Positions are comparable only between
+ * servers of the same term: the log of an earlier one may have a higher position and lack commits of the later primary.
+ */
+static bool
+is_better (const struct succession *succession, const struct succession_server *server,
+           const struct succession_server *best)
+{
+	bool leads = succession_leads_already (succession, server);
+	bool best_leads = best && succession_leads_already (succession, best);
+
+	if (!best || leads != best_leads)
+		return !best || leads;
+	if (server->term != best->term)
+		return server->term > best->term;
+	return log_position_compare (server->received, best->received) > 0;
+}
+
+/** Whether the server's log has entries that an earlier promotion has given up. */
+static bool
+has_diverged (const struct succession *succession, const struct succession_server *server)
+{
+	return !succession_leads_already (succession, server) &&
+	       !term_history_contains (&succession->record.terms, server->received);
+}
+
+static uint64_t
+find_latest_term (const struct succession *succession, const struct succession_input *input)
+{
+	uint64_t term = succession->record.term;
+
+	for (size_t i = 0; i < input->server_count; i++)
+		if (input->servers[i].has_status && input->servers[i].term > term)
+			term = input->servers[i].term;
+	return term;
+}
+
+/** Counts a server that is not chosen as well: it may hold commits that the chosen one lacks. */
+static void
+count_server (const struct succession *succession, const struct succession_server *server,
+              struct succession_choice *choice)
+{
+	bool is_old = strcmp (server->id, succession->record.primary) == 0;
+	bool is_final = succession_has_final_status (succession, server);
+
+	choice->unknown += server->is_listed && !is_final;
+	choice->holders += server->is_listed && is_final && server->term >= choice->max_term &&
+	                   !has_diverged (succession, server);
+	choice->known += is_final && !is_old;
+	choice->missing += !is_old && server->is_listed && !is_final && !server->is_unreachable;
+}
+
+struct succession_choice
+succession_choose (const struct succession *succession, const struct succession_input *input,
+                   int64_t now_us)
+{
+	bool is_late = now_us - succession->phase_us > SUCCESSION_CHOICE_TIMEOUT_US;
+	bool may_diverge =
+		succession->changing_us > 0 && now_us - succession->changing_us > DIVERGED_WAIT_US;
+	struct succession_choice choice = { .max_term = find_latest_term (succession, input) };
+	const struct succession_server *best_behind = NULL;
+	const struct succession_server *best_diverged = NULL;
+
+	for (size_t i = 0; i < input->server_count; i++)
+	{
+		const struct succession_server *server = &input->servers[i];
+		bool is_old = strcmp (server->id, succession->record.primary) == 0;
+
+		count_server (succession, server, &choice);
+		/* The old primary may lead again when there is no other candidate. */
+		if (!is_candidate (succession, server) ||
+		    (is_old && (succession->is_planned || !is_late || choice.best)))
+			continue;
+		if (has_diverged (succession, server))
+			best_diverged = is_better (succession, server, best_diverged) ? server : best_diverged;
+		else if (server->term < choice.max_term)
+			best_behind = is_better (succession, server, best_behind) ? server : best_behind;
+		else if (is_better (succession, server, choice.best))
+			choice.best = server;
+	}
+	if (!choice.best && choice.unknown == 0 && choice.holders == 0)
+		choice.best = best_behind || !may_diverge ? best_behind : best_diverged;
+	choice.is_behind =
+		!choice.best && ((best_behind && choice.unknown > 0) || (best_diverged && !best_behind));
+	return choice;
+}
+
+size_t
+succession_required_replicas (const struct succession *succession,
+                              const struct succession_input *input,
+                              const struct succession_server *best)
+{
+	size_t replicas = 0;
+
+	for (size_t i = 0; i < input->server_count; i++)
+	{
+		const struct succession_server *server = &input->servers[i];
+		bool is_covered = server->has_left && !server->is_listed &&
+		                  log_position_covers (best->received, server->left_position);
+
+		replicas += strcmp (server->id, succession->record.primary) != 0 && !is_covered;
+	}
+	if (input->sync_replicas == 0)
+		return 1;
+	return replicas >= input->sync_replicas ? replicas - input->sync_replicas + 1 : 1;
+}
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -25,9 +25,6 @@
 	/* A VM whose questions are not answered reads the store after this time. */
 	MANAGER_READ_US = 150 * US_PER_MS,
 	MANAGER_STATUS_INTERVAL_US = 200 * US_PER_MS,
-	MANAGER_MAX_SERVERS = 32,
-	/* A server sends its directory entry about once a second, so its role is no newer than that. */
-	MANAGER_FORMER_INTERVAL_US = 500 * US_PER_MS,
 	/* The VMs that may write a record again do so one after another, so that usually one write is enough. */
 	MANAGER_RESTORE_STEPS = 16,
 	MANAGER_RESTORE_STEP_US = 40 * US_PER_MS,
@@ -309,12 +306,6 @@
 	return votes;
 }
 
-static struct known_server *
-find_server (const struct primary_manager *primary_manager, const char *id)
-{
-	return g_hash_table_lookup (primary_manager->controller->servers, id);
-}
-
 /**
  * Whether the server's entry has been missing for longer than an outage of the store explains.
  * @param record_us when the record that names the server was adopted. Servers that are promoted are listed, so an entry
@@ -366,7 +357,8 @@
 {
 	struct controller *controller = primary_manager->controller;
 	struct succession *succession = &primary_manager->succession;
-	struct known_server *primary = find_server (primary_manager, succession->record.primary);
+	struct known_server *primary =
+		primary_manager_find_server (primary_manager, succession->record.primary);
 	struct reachability_votes votes;
 	int64_t since_us;
 
@@ -417,61 +409,6 @@
 	           : SUCCESSION_NO_CAUSE;
 }
 
-/** Until when a planned change may wait for a successor: the leaving primary must be out of use in time. */
-static int64_t
-find_wait_end (const struct primary_manager *primary_manager)
-{
-	const struct controller *controller = primary_manager->controller;
-	const struct known_server *primary =
-		find_server (primary_manager, primary_manager->succession.record.primary);
-	int64_t wait_ms = (int64_t) controller->boot.drain_ms - SUCCESSION_PLANNED_MS;
-
-	if (!primary || primary->draining_us == 0 || primary->missing_us > 0)
-		return 0;
-	return primary->draining_us + wait_ms * US_PER_MS;
-}
-
-static size_t
-collect_servers (const struct primary_manager *primary_manager, struct succession_server *servers)
-{
-	size_t listed = 0;
-	size_t count = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init (&iter, primary_manager->controller->servers);
-	while (listed < MANAGER_MAX_SERVERS && g_hash_table_iter_next (&iter, NULL, &value))
-	{
-		const struct known_server *known = value;
-		size_t slot;
-
-		if (strcmp (known->entry.service, primary_manager->service) != 0 ||
-		    (!known->is_listed && count == MANAGER_MAX_SERVERS))
-			continue;
-		/* Servers that are gone stay known, and must not take the place of one that is listed. */
-		slot = known->is_listed ? listed++ : count;
-		if (slot < count)
-			servers[MIN (count, MANAGER_MAX_SERVERS - 1)] = servers[slot];
-		count = MIN (count + 1, MANAGER_MAX_SERVERS);
-		servers[slot] = (struct succession_server){
-			.id = known->entry.id,
-			.is_listed = known->is_listed,
-			.is_draining = known->entry.is_draining,
-			.is_unreachable = known->is_unreachable,
-			.reports_primary = known->entry.reports_primary,
-			.has_status = known->has_status,
-			.status_us = known->status_us,
-			.is_primary = known->status.is_primary,
-			.term = known->status.term,
-			.received = known->status.received,
-			.applied = known->status.applied,
-			.has_left = known->has_left,
-			.left_position = known->left_position,
-		};
-	}
-	return count;
-}
-
 /** Takes over the record from the answer to a refused swap. */
 static void
 apply_refused_swap (struct primary_manager *primary_manager, const struct platform_answer *answer,
@@ -654,7 +591,8 @@
 log_claim (const struct primary_manager *primary_manager, int64_t now_us)
 {
 	const struct succession *succession = &primary_manager->succession;
-	const struct known_server *primary = find_server (primary_manager, succession->record.primary);
+	const struct known_server *primary =
+		primary_manager_find_server (primary_manager, succession->record.primary);
 	struct reachability_votes votes = count_opinions (primary_manager, now_us);
 
 	log_event (LOG_LEVEL_INFO, "change_claimed",
@@ -671,30 +609,6 @@
 	           (long long) (now_us - primary_manager->controller->store_ok_us) / US_PER_MS);
 }
 
-/** Logs what this VM knows of each server when it promotes one. */
-static void
-log_choice (const struct primary_manager *primary_manager, int64_t now_us)
-{
-	const struct succession *succession = &primary_manager->succession;
-	struct succession_server servers[MANAGER_MAX_SERVERS];
-	size_t count = collect_servers (primary_manager, servers);
-
-	for (size_t i = 0; i < count; i++)
-		log_event (
-			LOG_LEVEL_INFO, "change_candidate",
-			"service=%s server=%s chosen=%d record_term=%llu listed=%d draining=%d "
-			"unreachable=%d primary=%d term=%llu received=%llu.%llu diverged=%d "
-			"status_age_ms=%lld",
-			primary_manager->service, servers[i].id,
-			strcmp (servers[i].id, succession->target) == 0,
-			(unsigned long long) succession->record.term, servers[i].is_listed,
-			servers[i].is_draining, servers[i].is_unreachable, servers[i].is_primary,
-			(unsigned long long) servers[i].term, (unsigned long long) servers[i].received.term,
-			(unsigned long long) servers[i].received.index,
-			!term_history_contains (&succession->record.terms, servers[i].received),
-			servers[i].has_status ? (long long) (now_us - servers[i].status_us) / US_PER_MS : -1);
-}
-
 /** Writes a step of a change of primary. */
 static void
 write_step (struct primary_manager *primary_manager, const struct succession_record *record)
@@ -753,84 +667,17 @@
 		                  succession->phase == SUCCESSION_CONFIRMING ? succession->target : NULL);
 		break;
 	case SUCCESSION_PROMOTE:
-		log_choice (primary_manager, clock_now_us ());
+		primary_manager_log_choice (primary_manager, clock_now_us ());
 		promote (primary_manager);
 		break;
 	}
 }
 
-void
-primary_manager_note_departure (struct controller *controller, struct known_server *server,
-                                int64_t now_us)
-{
-	const struct primary_manager *primary_manager =
-		g_hash_table_lookup (controller->managers, server->entry.service);
-
-	server->left_us = now_us;
-	if (primary_manager && primary_manager->succession.record.change > 0)
-		gateway_traffic_request_status (controller->traffic,
-		                                primary_manager->succession.record.primary, 0);
-}
-
-void
-primary_manager_apply_status (struct controller *controller, const struct known_server *primary)
-{
-	const struct primary_manager *primary_manager =
-		g_hash_table_lookup (controller->managers, primary->entry.service);
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!primary_manager || !primary->status.is_primary ||
-	    primary_manager->succession.record.is_changing ||
-	    strcmp (primary_manager->succession.record.primary, primary->entry.id) != 0)
-		return;
-	g_hash_table_iter_init (&iter, controller->servers);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-	{
-		struct known_server *server = value;
-
-		if (server->left_us == 0 || server->has_left || primary->status_us <= server->left_us ||
-		    strcmp (server->entry.service, primary->entry.service) != 0)
-			continue;
-		server->has_left = true;
-		server->left_position = primary->status.received;
-	}
-}
-
-void
-controller_demote_former (struct controller *controller, int64_t now_us)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!controller->is_poller ||
-	    now_us - controller->former_demoted_us < MANAGER_FORMER_INTERVAL_US)
-		return;
-	controller->former_demoted_us = now_us;
-	g_hash_table_iter_init (&iter, controller->servers);
-	while (g_hash_table_iter_next (&iter, NULL, &value))
-	{
-		const struct known_server *server = value;
-		const struct primary_manager *primary_manager =
-			g_hash_table_lookup (controller->managers, server->entry.service);
-		const struct succession_record *record =
-			primary_manager ? &primary_manager->succession.record : NULL;
-
-		if (!server->is_listed || !server->entry.reports_primary || server->is_unreachable ||
-		    !record || record->term == 0 || strcmp (record->primary, server->entry.id) == 0)
-			continue;
-		log_event (LOG_LEVEL_INFO, "former_primary_demoted", "service=%s server=%s term=%llu",
-		           primary_manager->service, server->entry.id, (unsigned long long) record->term);
-		/* A server of this term or a later one ignores it. */
-		gateway_traffic_request_status (controller->traffic, server->entry.id, record->term);
-	}
-}
-
 void
 primary_manager_tick (struct primary_manager *primary_manager, int64_t now_us)
 {
 	struct controller *controller = primary_manager->controller;
-	struct succession_server servers[MANAGER_MAX_SERVERS];
+	struct succession_server servers[PRIMARY_MANAGER_MAX_SERVERS];
 	bool is_stored_known = primary_manager->stored.at.era == controller->store_era;
 	const struct database_service *declared =
 		controller->configuration
@@ -840,7 +687,7 @@
 		.servers = servers,
 		.sync_replicas = declared ? declared->sync_replicas : 0,
 		.cause = find_change_cause (primary_manager, now_us),
-		.planned_wait_end_us = find_wait_end (primary_manager),
+		.planned_wait_end_us = primary_manager_wait_end (primary_manager),
 		.has_read_records = controller->members_valid_us > 0 && is_stored_known,
 		.may_claim = controller->is_settled && is_stored_known,
 		.era = controller->store_era,
@@ -850,7 +697,7 @@
 	/* Both walk whole tables, and this function runs every 20 ms for each service. */
 	if (!succession_is_idle (&primary_manager->succession, input.cause))
 	{
-		input.server_count = collect_servers (primary_manager, servers);
+		input.server_count = primary_manager_collect_servers (primary_manager, servers);
 		input.rank = find_rank (primary_manager, now_us);
 	}
 	if (primary_manager->succession.phase == SUCCESSION_GATHERING)
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -108,6 +108,7 @@
 
 enum
 {
+	PRIMARY_MANAGER_MAX_SERVERS = 32,
 	CONTROL_LARGE_FLEET =
 		20, /**< VMs above which calls and messages of each VM are spread or left to pollers. */
 	/** By then a VM that has a poller in its zone follows it, and needs no watches. */
@@ -270,23 +271,6 @@
                                  const struct succession_record *record, uint64_t record_era,
                                  struct store_position at, int64_t now_us);
 
-/**
- * Demotes servers that report themselves as the primary of a term before the recorded one. While they cannot reach the
- * present primary they would go on leading, and replicas could receive commits from them that were given up.
- */
-void controller_demote_former (struct controller *controller, int64_t now_us);
-
-/**
- * Asks the primary for its position after @p server has left: with synchronous replicas, a commit may be acknowledged
- * because only that server had received it.
- */
-void primary_manager_note_departure (struct controller *controller, struct known_server *server,
-                                     int64_t now_us);
-
-/** Takes over the status of a primary for the servers that have left before. */
-void primary_manager_apply_status (struct controller *controller,
-                                   const struct known_server *primary);
-
 /** Writes the known record again if a restored store lacks it. */
 void primary_manager_restore (struct primary_manager *primary_manager, int64_t now_us);
 
@@ -308,6 +292,37 @@
 /** Digest of the numbers of all records; equal on VMs that have the same records. */
 uint64_t controller_records_digest (const struct controller *controller);
 
+/* controller_servers.c */
+struct known_server *primary_manager_find_server (const struct primary_manager *primary_manager,
+                                                  const char *id);
+
+/** Until when a planned change may wait for a successor: the leaving primary must be out of use in time. 0: it may not. */
+int64_t primary_manager_wait_end (const struct primary_manager *primary_manager);
+
+/** Lists what is known of the service's servers, the listed ones first. @return their number. */
+size_t primary_manager_collect_servers (const struct primary_manager *primary_manager,
+                                        struct succession_server *servers);
+
+/** Logs what this VM knows of each server when it promotes one. */
+void primary_manager_log_choice (const struct primary_manager *primary_manager, int64_t now_us);
+
+/**
+ * Demotes servers that report themselves as the primary of a term before the recorded one. While they cannot reach the
+ * present primary they would go on leading, and replicas could receive commits from them that were given up.
+ */
+void controller_demote_former (struct controller *controller, int64_t now_us);
+
+/**
+ * Asks the primary for its position after @p server has left: with synchronous replicas, a commit may be acknowledged
+ * because only that server had received it.
+ */
+void primary_manager_note_departure (struct controller *controller, struct known_server *server,
+                                     int64_t now_us);
+
+/** Takes over the status of a primary for the servers that have left before. */
+void primary_manager_apply_status (struct controller *controller,
+                                   const struct known_server *primary);
+
 /* controller.c */
 /** Whether the traffic thread turns, so that callers and other VMs may use this one. */
 bool controller_serves (const struct controller *controller, int64_t now_us);
