succession: a server whose log counts as known counts in the choice too

One replica drains and holds all commits, the other one receives nothing for some seconds, and the primary crashes.

Cause: count_server() took the draining replica as one whose position is known, so that required_replicas() was met; is_candidate() left it out; nothing compared the longest log among those counted with the chosen one. In the record of the case both statuses are there (50 and 33 commits), and the one with 33 is promoted.

Why this works: the last entry that any replica with a final status holds is part of the choice, and with synchronous replicas nothing is promoted that lacks it. So that this does not end in an outage, a server that should not lead (draining, or refused before) does so when the others can no longer receive what only it holds; as a primary it passes it on, and the usual planned change follows. Without synchronous replicas it has to have time for that before it ends (lead_end_us).

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -271,13 +271,11 @@
 	return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_MEMBERS : SUCCESSION_NOTHING;
 }
 
-/**
- * Tells whether the successor has received all that the old primary holds, or need not be waited for any longer. The old
- * primary is not demoted before: whether a demoted one sends its log to replicas is up to the platform.
- */
+/** Tells whether the successor need not be waited for any longer, or has received all that the old primary holds. The old
+ * primary is not demoted before: whether a demoted one sends its log to replicas is up to the platform. */
 static bool
-has_caught_up (const struct succession *succession, const struct succession_input *input,
-               const struct succession_server *best, int64_t now_us)
+is_catch_up_over (const struct succession *succession, const struct succession_input *input,
+                  int64_t now_us)
 {
 	const struct succession_server *old =
 		succession_find_server (input, succession->record.primary);
@@ -285,12 +283,39 @@
 
 	if (succession->is_planned && input->planned_wait_end_us > end_us)
 		end_us = input->planned_wait_end_us;
-	if (!old || old->is_unreachable || now_us > end_us)
+	return !old || old->is_unreachable || now_us > end_us;
+}
+
+static bool
+has_caught_up (const struct succession *succession, const struct succession_input *input,
+               const struct succession_server *best, int64_t now_us)
+{
+	const struct succession_server *old =
+		succession_find_server (input, succession->record.primary);
+
+	if (is_catch_up_over (succession, input, now_us))
 		return true;
 	return succession_has_final_status (succession, old) &&
 	       log_position_covers (best->received, old->received);
 }
 
+/**
+ * Chooses the server to promote. A server that should not lead does so when the other ones can no longer receive what only
+ * it holds; as a primary it passes that on. One that the platform has refused is tried again after the others had time to
+ * answer.
+ */
+static const struct succession_server *
+find_successor (const struct succession *succession, const struct succession_input *input,
+                const struct succession_choice *choice, int64_t now_us)
+{
+	bool is_late = now_us - succession->phase_us > SUCCESSION_CHOICE_TIMEOUT_US;
+
+	if (!choice->reserve || (!choice->reserve->is_draining && !is_late) ||
+	    !is_catch_up_over (succession, input, now_us))
+		return choice->best;
+	return choice->reserve;
+}
+
 /** Tells whether the old primary may still lead although it was told to step down a moment ago. */
 static bool
 is_stepping_down (const struct succession *succession, const struct succession_server *old,
@@ -321,16 +346,18 @@
 		succession_find_server (input, succession->record.primary);
 	bool is_late = now_us - succession->phase_us > SUCCESSION_CHOICE_TIMEOUT_US;
 	struct succession_choice choice = succession_choose (succession, input, now_us);
+	const struct succession_server *best;
 
-	if (!choice.best)
+	if (!choice.best && !choice.reserve)
 		succession->successor_us = 0;
 	else if (succession->successor_us == 0)
 		succession->successor_us = now_us;
+	best = find_successor (succession, input, &choice, now_us);
 	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
 		return end_claim (succession, &choice, now_us);
-	if (!choice.best || (choice.missing > 0 && !is_late) ||
-	    choice.known < succession_required_replicas (succession, input, choice.best) ||
-	    !has_caught_up (succession, input, choice.best, now_us))
+	if (!best || (choice.missing > 0 && !is_late) ||
+	    !succession_keeps_commits (succession, input, &choice, best) ||
+	    !has_caught_up (succession, input, best, now_us))
 		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
 	if (!succession->has_demoted && old && !old->is_unreachable && choice.max_term > 0)
 	{
@@ -341,10 +368,9 @@
 	}
 	if (is_stepping_down (succession, old, now_us))
 		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
-	snprintf (succession->target, sizeof succession->target, "%s", choice.best->id);
-	succession->old_term = succession_leads_already (succession, choice.best)
-	                           ? succession->record.term
-	                           : choice.max_term;
+	snprintf (succession->target, sizeof succession->target, "%s", best->id);
+	succession->old_term =
+		succession_leads_already (succession, best) ? succession->record.term : choice.max_term;
 	set_phase (succession, SUCCESSION_PROMOTING, now_us);
 	succession->asked_us = now_us;
 	return SUCCESSION_PROMOTE;
--- a/decision/succession_choice.c
+++ b/decision/succession_choice.c
@@ -34,6 +34,15 @@
 	       strcmp (server->id, succession->failed_target) != 0;
 }
 
+/** Whether the server can lead although it ends soon, or although the platform did not make it the primary before. */
+static bool
+is_reserve (const struct succession *succession, const struct succession_server *server)
+{
+	return server->is_listed && !is_candidate (succession, server) &&
+	       succession_has_final_status (succession, server) &&
+	       strcmp (server->id, succession->record.primary) != 0;
+}
+
 bool
 succession_leads_already (const struct succession *succession,
                           const struct succession_server *server)
@@ -97,9 +106,23 @@
 	choice->holders += server->is_listed && is_final && server->term >= choice->max_term &&
 	                   !has_diverged (succession, server);
 	choice->known += is_final && !is_old;
+	if (is_final && !is_old && server->term >= choice->max_term &&
+	    !has_diverged (succession, server) && !log_position_covers (choice->held, server->received))
+		choice->held = server->received;
 	choice->missing += !is_old && server->is_listed && !is_final && !server->is_unreachable;
 }
 
+/**
+ * Whether a reserve is worth a second change of primary, which follows at once. With synchronous replicas no acknowledged
+ * commit may be given up. Otherwise it has to have time to pass its log on before it ends.
+ */
+static bool
+is_worth_leading (const struct succession_input *input, const struct succession_server *reserve,
+                  int64_t now_us)
+{
+	return input->sync_replicas > 0 || (reserve->is_draining && now_us < reserve->lead_end_us);
+}
+
 struct succession_choice
 succession_choose (const struct succession *succession, const struct succession_input *input,
                    int64_t now_us)
@@ -110,6 +133,7 @@
 	struct succession_choice choice = { .max_term = find_latest_term (succession, input) };
 	const struct succession_server *best_behind = NULL;
 	const struct succession_server *best_diverged = NULL;
+	const struct succession_server *reserve = NULL;
 
 	for (size_t i = 0; i < input->server_count; i++)
 	{
@@ -117,6 +141,10 @@
 		bool is_old = strcmp (server->id, succession->record.primary) == 0;
 
 		count_server (succession, server, &choice);
+		if (is_reserve (succession, server) && server->term >= choice.max_term &&
+		    !has_diverged (succession, server) && is_worth_leading (input, server, now_us) &&
+		    is_better (succession, server, reserve))
+			reserve = server;
 		/* The old primary may lead again when there is no other candidate. */
 		if (!is_candidate (succession, server) ||
 		    (is_old && (succession->is_planned || !is_late || choice.best)))
@@ -130,15 +158,21 @@
 	}
 	if (!choice.best && choice.unknown == 0 && choice.holders == 0)
 		choice.best = best_behind || !may_diverge ? best_behind : best_diverged;
+	if (reserve &&
+	    (!choice.best || !log_position_covers (choice.best->received, reserve->received)))
+		choice.reserve = reserve;
 	choice.is_behind =
 		!choice.best && ((best_behind && choice.unknown > 0) || (best_diverged && !best_behind));
 	return choice;
 }
 
-size_t
-succession_required_replicas (const struct succession *succession,
-                              const struct succession_input *input,
-                              const struct succession_server *best)
+/**
+ * Number of replicas whose positions must be known so that no acknowledged commit is lost. One that has left cannot be
+ * asked; it need not be if @p best holds all that it can have received.
+ */
+static size_t
+count_required (const struct succession *succession, const struct succession_input *input,
+                const struct succession_server *best)
 {
 	size_t replicas = 0;
 
@@ -150,7 +184,33 @@
 
 		replicas += strcmp (server->id, succession->record.primary) != 0 && !is_covered;
 	}
-	if (input->sync_replicas == 0)
-		return 1;
 	return replicas >= input->sync_replicas ? replicas - input->sync_replicas + 1 : 1;
 }
+
+/** Tells whether the old primary has answered since it is out of use, and @p best holds exactly what it and its replicas do. */
+static bool
+holds_whole_log (const struct succession *succession, const struct succession_input *input,
+                 const struct succession_choice *choice, const struct succession_server *best)
+{
+	const struct succession_server *old =
+		succession_find_server (input, succession->record.primary);
+
+	/* One that has started again under its id has forgotten its log, and a replica holds more. */
+	return old && succession_has_final_status (succession, old) &&
+	       (old->is_primary || succession->has_demoted) &&
+	       log_position_compare (best->received, old->received) == 0 &&
+	       log_position_covers (best->received, choice->held);
+}
+
+bool
+succession_keeps_commits (const struct succession *succession, const struct succession_input *input,
+                          const struct succession_choice *choice,
+                          const struct succession_server *best)
+{
+	if (input->sync_replicas == 0)
+		return choice->known >= 1;
+	if (!log_position_covers (best->received, choice->held))
+		return false;
+	return choice->known >= count_required (succession, input, best) ||
+	       holds_whole_log (succession, input, choice, best);
+}
--- a/gateway/controller_servers.c
+++ b/gateway/controller_servers.c
@@ -20,17 +20,24 @@
 	return g_hash_table_lookup (primary_manager->controller->servers, id);
 }
 
+/** When a planned change has to begin at a server that has announced its end, so that it is out of use in time. */
+static int64_t
+find_lead_end (const struct controller *controller, const struct known_server *server)
+{
+	int64_t wait_ms = (int64_t) controller->boot.drain_ms - SUCCESSION_PLANNED_MS;
+
+	return server->draining_us + wait_ms * US_PER_MS;
+}
+
 int64_t
 primary_manager_wait_end (const struct primary_manager *primary_manager)
 {
-	const struct controller *controller = primary_manager->controller;
 	const struct known_server *primary =
 		primary_manager_find_server (primary_manager, primary_manager->succession.record.primary);
-	int64_t wait_ms = (int64_t) controller->boot.drain_ms - SUCCESSION_PLANNED_MS;
 
 	if (!primary || primary->draining_us == 0 || primary->missing_us > 0)
 		return 0;
-	return primary->draining_us + wait_ms * US_PER_MS;
+	return find_lead_end (primary_manager->controller, primary);
 }
 
 size_t
@@ -60,6 +67,8 @@
 			.id = known->entry.id,
 			.is_listed = known->is_listed,
 			.is_draining = known->entry.is_draining,
+			.lead_end_us =
+				known->draining_us > 0 ? find_lead_end (primary_manager->controller, known) : 0,
 			.is_unreachable = known->is_unreachable,
 			.reports_primary = known->entry.reports_primary,
 			.has_status = known->has_status,
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -81,6 +81,8 @@
 	const char *id;
 	bool is_listed; /**< Its directory entry exists. */
 	bool is_draining;
+	/** Draining: by then a planned change has to begin if the server leads, so that it is out of use in time. */
+	int64_t lead_end_us;
 	bool is_unreachable;
 	bool reports_primary; /**< According to its directory entry. */
 	bool has_status;
--- a/include/decision/succession_choice.h
+++ b/include/decision/succession_choice.h
@@ -16,6 +16,10 @@
 struct succession_choice
 {
 	const struct succession_server *best;
+	/** Server that should not lead, but holds entries that @c best lacks; NULL: there is none. */
+	const struct succession_server *reserve;
+	/** Last entry that a replica with a final status holds, whether or not it can be chosen. */
+	struct log_position held;
 	size_t known;   /**< Replicas with a final status. */
 	size_t missing; /**< Replicas that may still answer. */
 	size_t unknown; /**< Listed servers without a final status. */
@@ -43,10 +47,8 @@
 struct succession_choice succession_choose (const struct succession *succession,
                                             const struct succession_input *input, int64_t now_us);
 
-/**
- * Number of replicas whose positions must be known so that no acknowledged commit is lost. One that has left cannot be
- * asked; it need not be if @p best holds all that it can have received.
- */
-size_t succession_required_replicas (const struct succession *succession,
-                                     const struct succession_input *input,
-                                     const struct succession_server *best);
+/** Tells whether @p best holds all acknowledged commits of a service with synchronous replicas, or it has none. */
+bool succession_keeps_commits (const struct succession *succession,
+                               const struct succession_input *input,
+                               const struct succession_choice *choice,
+                               const struct succession_server *best);
