tests: an answer that its caller reads slowly is sent to the end at a planned stop

Cause: session_tick_leaving() and session_tick_isolated() closed a session that had no request, and a request ends when its answer is in the output buffer, not when it has been sent. line_stream_finish() then drops what is unsent.

Evidence: /gateway_leave/unread and /unread_isolated, a row of 1,000,000 bytes and a caller with a small window. Both fail on, "assertion failed (caller.answered == 1): (0 == 1)".

--- a/tests/integration/gateway_leave.c
+++ b/tests/integration/gateway_leave.c
@@ -110,6 +110,8 @@
 		.grace_ms = GRACE_MS,
 		.max_sessions = MAX_CALLERS + 10,
 		.min_silence_ms = 60000,
+		/* Bounds the kernel's buffers of connections. */
+		.memory_bytes = 256 * 1024 * 1024,
 	};
 
 	memset (fixture, 0, sizeof *fixture);
@@ -402,6 +404,55 @@
 	stop (&fixture);
 }
 
+/** Requests a large answer, and does not read it until the VM has had time to end the session. */
+static void
+check_unread_answer (bool is_isolated)
+{
+	enum
+	{
+		ROW_BYTES = 1000000,
+		RECEIVE_BYTES = 4096,
+		/* Beyond the end of idle sessions, by any rule. */
+		UNREAD_US = 2500 * US_PER_MS,
+	};
+	struct fixture fixture;
+	struct caller caller;
+
+	start (&fixture);
+	fixture.database.row_bytes = ROW_BYTES;
+	caller_open (&caller, &fixture, RECEIVE_BYTES);
+	wait_for_greeting (&caller);
+	caller_send (&caller, "READ 1");
+	g_assert_nonnull (fake_database_find (&fixture.database, "q0"));
+	fixture.is_isolated = is_isolated;
+	if (is_isolated)
+		send_view (&fixture);
+	else
+		gateway_traffic_send_leave (fixture.vm);
+	g_usleep (UNREAD_US);
+	caller_read_to_end (&caller);
+	g_assert_cmpuint (caller.answered, ==, 1);
+	g_assert_false (caller.is_reset);
+	caller_close (&caller);
+	if (!is_isolated)
+		wait_for_left (&fixture, clock_now_us () + PATIENCE_US);
+	stop (&fixture);
+}
+
+/* Guards against an answer that is cut off because the session has no request any more: its caller reads it slowly (LOST). */
+static void
+test_unread_answer (void)
+{
+	check_unread_answer (false);
+}
+
+/* The same for a VM that is isolated, which ends its sessions earlier. */
+static void
+test_unread_answer_isolated (void)
+{
+	check_unread_answer (true);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -412,5 +463,7 @@
 	g_test_add_func ("/gateway_leave/transaction", test_transaction_sent_ahead);
 	g_test_add_func ("/gateway_leave/long", test_long_statement);
 	g_test_add_func ("/gateway_leave/isolated", test_isolated_vm_without_a_pause);
+	g_test_add_func ("/gateway_leave/unread", test_unread_answer);
+	g_test_add_func ("/gateway_leave/unread_isolated", test_unread_answer_isolated);
 	return g_test_run ();
 }
