gateway: ids, names and small entries of tables are in the account of buffers

Cause: the id of a query was copied into a buffer that kept its largest size for the session's life, and count_bytes() left it out. So it did with the names of prepared statements, and with what an entry of a table takes besides its texts.

A connection is charged for the prepared statements that it knows.

--- a/gateway/client_limits.c
+++ b/gateway/client_limits.c
@@ -64,7 +64,9 @@
 	session_close (session);
 	line_stream_release_buffer (session->request.text);
 	line_stream_release_buffer (session->request.answer);
+	line_stream_release_buffer (session->request.id);
 	g_hash_table_remove_all (session->values);
+	g_hash_table_remove_all (session->prepared);
 }
 
 static void
--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -362,7 +362,8 @@
 {
 	const struct connection *connection = (const struct connection *) stream;
 
-	return connection->answer->allocated_len + connection->value_bytes;
+	return connection->answer->allocated_len + connection->value_bytes +
+	       g_hash_table_size (connection->prepared) * (size_t) TABLE_POINTER_BYTES;
 }
 
 static const struct line_stream_ops connection_ops = {
@@ -576,7 +577,9 @@
 		if (held && strcmp (held, value) == 0)
 			continue;
 		wire_encode_set (out, name, value);
-		connection->value_bytes += strlen (value) + (held ? 0 : strlen (name));
+		connection->value_bytes += strlen (value);
+		if (!held)
+			connection->value_bytes += strlen (name) + TABLE_ENTRY_BYTES;
 		connection->value_bytes -= held ? strlen (held) : 0;
 		g_hash_table_replace (connection->values, g_strdup (name), g_strdup (value));
 		count++;
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -166,6 +166,7 @@
 	g_hash_table_remove_all (session->prepared);
 	session->value_bytes = 0;
 	session->shape_bytes = 0;
+	session->name_bytes = 0;
 	relay_complete (session);
 }
 
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -105,6 +105,8 @@
 		line_stream_release_buffer (request->text);
 	if (request->answer->allocated_len > SESSION_KEPT_TEXT_BYTES)
 		line_stream_release_buffer (request->answer);
+	if (request->id->allocated_len > SESSION_KEPT_TEXT_BYTES)
+		line_stream_release_buffer (request->id);
 	session->active_us = clock_now_us ();
 	line_stream_flush (&session->stream);
 	session_check_end (session, session->active_us);
@@ -434,8 +436,10 @@
 {
 	const struct session *session = (const struct session *) stream;
 
-	return SESSION_BASE_BYTES + session->request.text->allocated_len +
-	       session->request.answer->allocated_len + session->value_bytes;
+	return SESSION_BASE_BYTES + session->request.id->allocated_len +
+	       session->request.text->allocated_len + session->request.answer->allocated_len +
+	       session->value_bytes + session->name_bytes +
+	       (session->database ? strlen (session->database) : 0);
 }
 
 static const struct line_stream_ops session_ops = {
--- a/gateway/session_query.c
+++ b/gateway/session_query.c
@@ -82,6 +82,8 @@
 
 	if (held)
 		bytes -= strlen (name) + strlen (held);
+	else
+		bytes += TABLE_ENTRY_BYTES;
 	if (bytes > max_kept_bytes (session))
 	{
 		g_free (name);
@@ -100,7 +102,7 @@
 static size_t
 prepared_bytes (const char *name, const struct prepared_shape *shape)
 {
-	return strlen (name) + strlen (shape->shape);
+	return strlen (name) + strlen (shape->shape) + TABLE_ENTRY_BYTES;
 }
 
 bool
@@ -120,6 +122,8 @@
 		return false;
 	}
 	session->shape_bytes = bytes;
+	if (!held)
+		session->name_bytes += strlen (name) + TABLE_ENTRY_BYTES;
 	g_hash_table_replace (session->prepared, name, shape);
 	return true;
 }
@@ -160,7 +164,10 @@
 	const struct prepared_shape *held = g_hash_table_lookup (session->prepared, name);
 
 	if (held)
+	{
 		session->shape_bytes -= prepared_bytes (name, held);
+		session->name_bytes -= strlen (name) + TABLE_ENTRY_BYTES;
+	}
 	g_hash_table_remove (session->prepared, name);
 	g_free (name);
 	if (held)
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -26,6 +26,13 @@
 struct service;
 struct session;
 
+enum
+{
+	/** Of an entry of a session's or connection's tables besides its texts: two blocks of the heap and a row. */
+	TABLE_ENTRY_BYTES = 128,
+	TABLE_POINTER_BYTES = 32, /**< Of an entry without texts of its own. */
+};
+
 /** Text of a prepared statement, which has the same name on all server connections. */
 struct prepared_shape
 {
@@ -256,6 +263,7 @@
 	GHashTable *values;   /**< Acknowledged session values, name to value. */
 	size_t value_bytes;   /**< Of @c values. */
 	size_t shape_bytes;   /**< Of the names and texts of @c prepared. */
+	size_t name_bytes;    /**< Of the names alone; the texts belong to all sessions. */
 	GHashTable *prepared; /**< Name to struct prepared_shape. */
 	enum transaction_state state;
 	bool is_read_only;
--- a/tests/integration/gateway_clients.py
+++ b/tests/integration/gateway_clients.py
@@ -293,6 +293,19 @@
                 sampled_at = time.monotonic()
         selector.close()
 
+    def ask(self, data, answers):
+        """Sends the data on one connection after the other, and reads that many answers before the next one."""
+        for client in self.clients:
+            client.settimeout(LIMIT_S)
+            seen = 0
+            try:
+                client.sendall(data)
+                while seen < answers and (part := client.recv(65536)):
+                    seen += part.count(b"READY")
+            except OSError:
+                pass
+            self.gateway.sample()
+
     def hold(self, drip=b""):
         end = time.monotonic() + HOLD_S
         while time.monotonic() < end:
@@ -396,6 +409,29 @@
         crowd.hold()
         self.check(crowd)
 
+    def test_ids(self):
+        """The id of a statement stays until the next one arrives."""
+        crowd = self.crowd()
+        crowd.ask(b"QUERY " + b"i" * MESSAGE + b" READ small\r\n", 1)
+        crowd.hold()
+        self.check(crowd)
+
+    def test_names(self):
+        """Names of prepared statements belong to one session each."""
+        crowd = self.crowd()
+        crowd.ask(b"QUERY q PREPARE " + b"p" * MESSAGE + b" READ 1\r\n", 1)
+        crowd.hold()
+        self.check(crowd)
+
+    def test_relay_values(self):
+        """Another VM sets many session values, each of which is small."""
+        rounds, batch = (1, 100) if IS_SANITIZED else (30, 1000)
+        crowd = self.relay_crowd(20)
+        for i in range(rounds):
+            crowd.ask(b"".join(b"QUERY q SET v%d 1\r\n" % (i * batch + j) for j in range(batch)), batch)
+        crowd.hold()
+        self.check(crowd)
+
     def test_slow(self):
         crowd = self.crowd()
         crowd.hold(drip=b"Q")
