gateway: an owner asks a draining replica for its status on behalf of other VMs

Cause: the claimant asks through the replica's owner. The owner opened a connection for the forwarded question, and connection_release() closed it as soon as it was greeted, since the server drains; then it opened the next one. So the position of the replica never became known, and the replica got connections in a loop.

Evidence: /gateway/draining_replica_owner fails without the change: no status in 20 s, 15.5 s of system time for the connections. With it: at once. The direct question already had its test (/gateway/draining_replica).

Why this works: the connection stays until the timer that closes surplus connections runs (20 ms), after the queue has been passed. Reads do not use it: server_may_read() leaves draining replicas out.

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -453,8 +453,6 @@
 	connection_set_state (connection, CONNECTION_IDLE);
 	if (server->status_requested || server->demote_term > 0)
 		connection_request_status (connection, now_us);
-	else if (server->is_draining && server->service->primary != server)
-		connection_close (connection);
 	service_dispatch (server->service);
 }
 
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -674,15 +674,15 @@
 /* Guards against a change of primary that waits for the position of a replica that is about to shut down: its connection was
  * closed before it was asked. It counts as long as it runs. */
 static void
-test_status_of_draining_replica (void)
+check_status_of_draining_replica (int vm_count)
 {
 	struct fixture fixture;
 	int64_t end_us;
 
-	fixture_start (&fixture, 1, ROUTE_BOUNDED_STALENESS);
+	fixture_start (&fixture, vm_count, ROUTE_BOUNDED_STALENESS);
 	fixture.is_replica_draining = true;
 	send_long_lived_views (&fixture);
-	gateway_traffic_request_status (fixture.vms[0], "db1", 0);
+	gateway_traffic_request_status (fixture.vms[vm_count - 1], "db1", 0);
 	end_us = clock_now_us () + 20 * US_PER_S;
 	while (g_atomic_int_get (&fixture.replica_statuses) == 0 && clock_now_us () < end_us)
 		g_usleep (10 * US_PER_MS);
@@ -690,6 +690,19 @@
 	fixture_stop (&fixture);
 }
 
+static void
+test_status_of_draining_replica (void)
+{
+	check_status_of_draining_replica (1);
+}
+
+/* The same through the owner, whose VM is in the replica's zone: it closed the connection that it had opened to ask. */
+static void
+test_status_of_draining_replica_forwarded (void)
+{
+	check_status_of_draining_replica (2);
+}
+
 /* A read must see its session's write: a replica that lacks it refuses, and the primary serves the read. */
 static void
 test_read_your_writes (void)
@@ -985,6 +998,7 @@
 	g_test_add_func ("/gateway/ordered_change", test_planned_change_quiesces);
 	g_test_add_func ("/gateway/reads_after_restart", test_reads_after_a_restart);
 	g_test_add_func ("/gateway/draining_replica", test_status_of_draining_replica);
+	g_test_add_func ("/gateway/draining_replica_owner", test_status_of_draining_replica_forwarded);
 	g_test_add_func ("/gateway/replica_behind", test_replica_behind);
 	g_test_add_func ("/gateway/read_your_writes", test_read_your_writes);
 	g_test_add_func ("/gateway/position_after_change", test_position_after_a_change);
