succession: a replica that leaves during a change of primary does not block it

Cause: required_replicas() went on counting the server that left. Its position was taken from a leading primary only, and there was none; and what the replica itself had answered counted only within the claim in which it was asked.

Evidence: succession_commits/leaves and /replaced, both blocked without this change ("" promoted in place of "c" and "d").

Why this works: since all VMs have stopped using the old primary, for as long as the change is unfinished, no server can receive a commit that is acknowledged; so an answer from an earlier claim of the same change counts as its log (stopped_us). Nothing shorter than any known log is promoted, as before (the first half of /leaves). Era and end of the change reset stopped_us, since VMs may have used the primary in between.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -105,10 +105,11 @@
 
 	if (record->change <= succession->record.change)
 		return;
-	if (!record->is_changing)
-		succession->changing_us = 0;
-	else if (succession->changing_us == 0 || is_of_later_era)
-		succession->changing_us = now_us;
+	if (!record->is_changing || succession->changing_us == 0 || is_of_later_era)
+	{
+		succession->changing_us = record->is_changing ? now_us : 0;
+		succession->stopped_us = 0;
+	}
 	succession->record = *record;
 	succession->record_us = now_us;
 	if (succession->phase == SUCCESSION_CLAIMING && is_own)
@@ -264,6 +265,8 @@
 	    (succession->changing_us > 0 && now_us - succession->changing_us >= LIST_EXPIRY_US))
 	{
 		set_phase (succession, SUCCESSION_CHOOSING, now_us);
+		if (succession->stopped_us == 0)
+			succession->stopped_us = now_us;
 		return SUCCESSION_NOTHING;
 	}
 	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
--- a/decision/succession_choice.c
+++ b/decision/succession_choice.c
@@ -94,6 +94,17 @@
 	return term;
 }
 
+/**
+ * Tells whether the server has answered since the old primary is out of use, be it in an earlier claim of this change: it can
+ * have received no acknowledged commit since then.
+ */
+static bool
+has_known_log (const struct succession *succession, const struct succession_server *server)
+{
+	return server->has_status && succession->stopped_us > 0 &&
+	       server->status_us > succession->stopped_us;
+}
+
 /** Counts a server that is not chosen as well: it may hold commits that the chosen one lacks. */
 static void
 count_server (const struct succession *succession, const struct succession_server *server,
@@ -101,13 +112,14 @@
 {
 	bool is_old = strcmp (server->id, succession->record.primary) == 0;
 	bool is_final = succession_has_final_status (succession, server);
+	bool is_known = !is_old && has_known_log (succession, server);
 
 	choice->unknown += server->is_listed && !is_final;
 	choice->holders += server->is_listed && is_final && server->term >= choice->max_term &&
 	                   !has_diverged (succession, server);
-	choice->known += is_final && !is_old;
-	if (is_final && !is_old && server->term >= choice->max_term &&
-	    !has_diverged (succession, server) && !log_position_covers (choice->held, server->received))
+	choice->known += is_known;
+	if (is_known && server->term >= choice->max_term && !has_diverged (succession, server) &&
+	    !log_position_covers (choice->held, server->received))
 		choice->held = server->received;
 	choice->missing += !is_old && server->is_listed && !is_final && !server->is_unreachable;
 }
@@ -166,6 +178,18 @@
 	return choice;
 }
 
+/** Tells whether the server has left and the one that has its log now counts in its place. */
+static bool
+is_replaced (const struct succession_input *input, const struct succession_server *server)
+{
+	if (server->is_listed || !server->has_announced_end)
+		return false;
+	for (size_t i = 0; i < input->server_count; i++)
+		if (input->servers[i].is_listed && input->servers[i].address == server->address)
+			return true;
+	return false;
+}
+
 /**
  * Number of replicas whose positions must be known so that no acknowledged commit is lost. One that has left cannot be
  * asked; it need not be if @p best holds all that it can have received.
@@ -182,7 +206,8 @@
 		bool is_covered = server->has_left && !server->is_listed &&
 		                  log_position_covers (best->received, server->left_position);
 
-		replicas += strcmp (server->id, succession->record.primary) != 0 && !is_covered;
+		replicas += strcmp (server->id, succession->record.primary) != 0 && !is_covered &&
+		            !is_replaced (input, server);
 	}
 	return replicas >= input->sync_replicas ? replicas - input->sync_replicas + 1 : 1;
 }
--- a/gateway/controller_servers.c
+++ b/gateway/controller_servers.c
@@ -77,6 +77,8 @@
 			.term = known->status.term,
 			.received = known->status.received,
 			.applied = known->status.applied,
+			.address = (uint64_t) known->entry.ip << 16 | known->entry.port,
+			.has_announced_end = known->left_us > 0,
 			.has_left = known->has_left,
 			.left_position = known->left_position,
 		};
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -91,6 +91,9 @@
 	uint64_t term;
 	struct log_position received;
 	struct log_position applied; /**< Position that its reads see. */
+	uint64_t address;            /**< Identifies where it listens or listened. */
+	bool
+		has_announced_end; /**< It is gone as announced: its log is transferred to a server at its address. */
 	/** It has announced its end and is gone, and the primary was asked for its position afterwards. */
 	bool has_left;
 	struct log_position left_position; /**< What the primary held then: no less than this server. */
@@ -143,6 +146,8 @@
 	int64_t most_stopped_us; /**< Since when most VMs have stopped; 0: they have not. */
 	/** Since when this VM knows of an unfinished change in the era of its record; 0: none. */
 	int64_t changing_us;
+	/** Since when no VM uses the old primary of this unfinished change; 0: this VM has not seen that. */
+	int64_t stopped_us;
 	int64_t successor_us;    /**< Since when a successor is known in this claim; 0: none is. */
 	int64_t phase_us;        /**< Start of the phase, or of the delay after a failed promotion. */
 	int64_t asked_us;        /**< When the phase's last request was sent; 0: none, or it failed. */
--- a/tests/unit/succession_commits.c
+++ b/tests/unit/succession_commits.c
@@ -11,13 +11,15 @@
 	MS = 1000,
 	STEP_US = 20 * MS,
 	SERVERS = 3,
+	MAX_SERVERS = 4,
 };
 
 /** Primary a and its replicas b, which has all commits, and c, which is behind. VM vm1 carries out the change alone. */
 struct fixture
 {
 	struct succession succession;
-	struct succession_server servers[SERVERS];
+	struct succession_server
+		servers[MAX_SERVERS]; /**< The last one is there when a test says so. */
 	struct succession_input input;
 	struct succession_record stored;
 	int64_t now_us;
@@ -42,6 +44,7 @@
 			.term = 1,
 			.received = { 1, received[i] },
 			.applied = { 1, received[i] },
+			.address = i + 1,
 		};
 	fixture->input = (struct succession_input){
 		.servers = fixture->servers,
@@ -60,7 +63,7 @@
 static void
 answer_status (struct fixture *fixture)
 {
-	for (size_t i = 0; i < SERVERS; i++)
+	for (size_t i = 0; i < fixture->input.server_count; i++)
 		if (!fixture->servers[i].is_unreachable)
 			fixture->servers[i].status_us = fixture->now_us + 1;
 }
@@ -89,7 +92,7 @@
 {
 	g_strlcpy (fixture->promoted, fixture->succession.target, sizeof fixture->promoted);
 	succession_handle_promote (&fixture->succession, 0, fixture->now_us);
-	for (size_t i = 0; i < SERVERS; i++)
+	for (size_t i = 0; i < fixture->input.server_count; i++)
 	{
 		struct succession_server *server = &fixture->servers[i];
 
@@ -261,6 +264,56 @@
 	g_assert_cmpstr (fixture.promoted, ==, "c");
 }
 
+/** The primary is down and c is not reached, so that nothing can be promoted; meanwhile b drains, and leaves. */
+static void
+leave_during_change (struct fixture *fixture)
+{
+	fixture_init (fixture, 1);
+	fixture->servers[0].is_unreachable = true;
+	fixture->servers[1].is_draining = true;
+	fixture->servers[2].is_unreachable = true;
+	fixture->servers[2].status_us = 0;
+	run (fixture, 2000 * MS);
+	g_assert_cmpstr (fixture->promoted, ==, "");
+	fixture->servers[1].is_listed = false;
+	fixture->servers[1].is_unreachable = true;
+	fixture->servers[1].has_announced_end = true;
+	fixture->servers[2].is_unreachable = false;
+	run (fixture, 6000 * MS);
+}
+
+/* Guards against a service without a primary after a replica has left while the primary was down: it was waited for, though
+ * it had answered when the old primary was out of use already. A shorter log is still not promoted. */
+static void
+test_replica_leaves_during_change (void)
+{
+	struct fixture fixture;
+
+	leave_during_change (&fixture);
+	g_assert_cmpstr (fixture.promoted, ==, "");
+	fixture.servers[2].received.index = fixture.servers[2].applied.index = 100;
+	run (&fixture, 4000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "c");
+}
+
+/* The same when a server at its address has taken over its log. */
+static void
+test_replica_is_replaced_during_change (void)
+{
+	struct fixture fixture;
+
+	leave_during_change (&fixture);
+	fixture.servers[3] = fixture.servers[1];
+	fixture.servers[3].id = "d";
+	fixture.servers[3].is_listed = true;
+	fixture.servers[3].is_unreachable = fixture.servers[3].is_draining = false;
+	fixture.servers[3].has_announced_end = false;
+	fixture.servers[1].has_status = false;
+	fixture.input.server_count = MAX_SERVERS;
+	run (&fixture, 4000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "d");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -274,5 +327,7 @@
 	g_test_add_func ("/succession_commits/without_sync", test_draining_replica_without_sync);
 	g_test_add_func ("/succession_commits/planned_draining",
 	                 test_planned_change_prefers_remaining_replica);
+	g_test_add_func ("/succession_commits/leaves", test_replica_leaves_during_change);
+	g_test_add_func ("/succession_commits/replaced", test_replica_is_replaced_during_change);
 	return g_test_run ();
 }
