gateway: connections to the former address of a server are closed

Cause: has_moved in server_update() asks for is_listed, which apply_servers() has cleared for all servers before. It was never true.

Evidence: /gateway/server_moves fails without the change, "fake_database_find (&fixture.databases[1], "r1") should not be NULL": the read runs at the former address.

Why this works: a server that is known has a port, so that an address that differs from the known one is a move.

--- a/gateway/server.c
+++ b/gateway/server.c
@@ -46,7 +46,7 @@
 server_update (struct server *server, const struct server_entry *entry)
 {
 	struct gateway_traffic *traffic = server->service->traffic;
-	bool has_moved = server->is_listed && (server->ip != entry->ip || server->port != entry->port);
+	bool has_moved = server->port != 0 && (server->ip != entry->ip || server->port != entry->port);
 
 	g_free (server->zone);
 	server->zone = g_strdup (entry->zone);
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -928,6 +928,30 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against statements that go on running where a server listened before it started again under its id at another
+ * address: a connection was kept, since all servers count as unlisted while a view is applied. */
+static void
+test_server_moves (void)
+{
+	struct fixture fixture;
+	uint16_t port;
+	int fd;
+
+	fixture_start (&fixture, 1, ROUTE_PRIMARY);
+	send_long_lived_views (&fixture);
+	fd = open_session (&fixture, 0);
+	ASSERT_SERVED (execute_line (fd, "QUERY r0 READ 1"));
+	port = fixture.databases[0].port;
+	fixture.databases[0].port = fixture.databases[1].port;
+	fixture.databases[1].port = port;
+	send_long_lived_views (&fixture);
+	g_usleep (100 * US_PER_MS);
+	ASSERT_SERVED (execute_line (fd, "QUERY r1 READ 1"));
+	g_assert_nonnull (fake_database_find (&fixture.databases[1], "r1"));
+	close (fd);
+	fixture_stop (&fixture);
+}
+
 /* Guards against idle sessions that stay at an isolated VM: they stayed for 2.2 s, and permanently when they were
  * opened late (runs with cut-off zones). The VM must close them as soon as the load balancer has taken it out of
  * rotation, and not before. */
@@ -1008,6 +1032,7 @@
 	g_test_add_func ("/gateway/connect_fails_at_once", test_connect_fails_at_once);
 	g_test_add_func ("/gateway/turns", test_turns);
 	g_test_add_func ("/gateway/cut_off", test_isolated_vm_closes_idle_sessions);
+	g_test_add_func ("/gateway/server_moves", test_server_moves);
 	g_test_add_func ("/gateway/malformed", test_malformed);
 	return g_test_run ();
 }
