gateway: nothing begins at a draining server when its time is over

A primary that drains stayed in use until it ended by itself.

Cause: only a change of primary ended the use. Nothing in the traffic thread knew of the bound.

Evidence: /gateway/past_use and /past_use_owner, which fail with the condition taken out (the second read is served), and /gateway_directory/use_end.

Why this works: the control thread gives each draining server the time at which its use ends, 0.5 s before drainMs is over; from then on nothing begins there, directly or forwarded. Open transactions and questions for the status go on. A VM that first learns of the server when it is draining already does not know since when, and stops after half of drainMs less 0.5 s: until then it has just started and is not held to the bound. A planned change ends the use earlier in the usual course, so that nothing else changes.

--- a/gateway/controller_directory.c
+++ b/gateway/controller_directory.c
@@ -105,6 +105,7 @@
 	}
 	server_entry_clear (&server->entry);
 	server->entry = entry;
+	server->was_ready |= !entry.is_draining;
 	if (!entry.is_draining)
 		server->draining_us = 0;
 	else if (server->draining_us == 0)
--- a/gateway/controller_servers.c
+++ b/gateway/controller_servers.c
@@ -12,6 +12,8 @@
 {
 	/* A server sends its directory entry about once a second, so its role is no newer than that. */
 	MANAGER_FORMER_INTERVAL_US = 500 * US_PER_MS,
+	/* News of a server that drains takes up to so long, and so does a statement that has begun. */
+	MANAGER_USE_MARGIN_US = 500 * US_PER_MS,
 };
 
 struct known_server *
@@ -29,6 +31,19 @@
 	return server->draining_us + wait_ms * US_PER_MS;
 }
 
+int64_t
+controller_find_use_end (const struct controller *controller, const struct known_server *server)
+{
+	int64_t drain_us = (int64_t) controller->boot.drain_ms * US_PER_MS;
+
+	if (server->draining_us == 0 || drain_us == 0)
+		return 0;
+	/* A VM that has started since does not know for how long the server has been draining. */
+	if (!server->was_ready)
+		return server->draining_us + drain_us / 2 - MANAGER_USE_MARGIN_US;
+	return server->draining_us + drain_us - MANAGER_USE_MARGIN_US;
+}
+
 int64_t
 primary_manager_wait_end (const struct primary_manager *primary_manager)
 {
--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -329,6 +329,7 @@
 		if (!server->is_listed)
 			continue;
 		server_entry_copy (&entry, &server->entry);
+		entry.use_end_us = controller_find_use_end (controller, server);
 		g_array_append_val (view->servers, entry);
 	}
 	g_hash_table_iter_init (&iter, controller->members);
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -61,6 +61,7 @@
 	server->ip = entry->ip;
 	server->port = entry->port;
 	server->is_draining = entry->is_draining;
+	server->use_end_us = entry->is_draining ? entry->use_end_us : 0;
 	server->is_listed = true;
 }
 
--- a/gateway/service.c
+++ b/gateway/service.c
@@ -57,10 +57,17 @@
 	g_free (service);
 }
 
+/** Whether the server drains and must be out of use by now: it leaves soon, and another service may get its address. */
+static bool
+is_past_use (const struct server *server, int64_t now_us)
+{
+	return server->use_end_us > 0 && now_us >= server->use_end_us;
+}
+
 bool
 service_can_use_primary (const struct service *service, int64_t now_us)
 {
-	return service->primary && !service->is_changing &&
+	return service->primary && !service->is_changing && !is_past_use (service->primary, now_us) &&
 	       gateway_traffic_has_authority (service->traffic, now_us);
 }
 
@@ -138,8 +145,10 @@
 	/* A transaction stays on the connection that it began on. */
 	if (session->state != TRANSACTION_NONE && session->is_started)
 		return session->connection && session->connection->server == server;
+	/* Questions of other VMs for the status go on. */
 	if (session->is_relay)
-		return server == session->relay_server && server->is_listed;
+		return server == session->relay_server && server->is_listed &&
+		       (session->takes_any_tenant || !is_past_use (server, now_us));
 	if (session_needs_primary (session))
 		return server == service->primary && server->failed_us == 0 &&
 		       service_can_use_primary (service, now_us);
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -24,6 +24,7 @@
 	struct log_position left_position; /**< What its service's primary held afterwards. */
 	int64_t left_us;     /**< When it was found gone after it had announced that; 0: it is not. */
 	int64_t draining_us; /**< When its entry first said that it leaves; 0: it does not. */
+	bool was_ready;      /**< Its entry has said before that it does not leave. */
 	int64_t missing_us;  /**< When its entry was first found missing; 0: it is present. */
 	bool is_unreachable;
 	int64_t contact_us;      /**< Time of its last answer to the traffic thread. */
@@ -299,6 +300,10 @@
 /** Until when a planned change may wait for a successor: the leaving primary must be out of use in time. 0: it may not. */
 int64_t primary_manager_wait_end (const struct primary_manager *primary_manager);
 
+/** When nothing may begin any more at a server that has announced its end; 0: it has not. */
+int64_t controller_find_use_end (const struct controller *controller,
+                                 const struct known_server *server);
+
 /** Lists what is known of the service's servers, the listed ones first. @return their number. */
 size_t primary_manager_collect_servers (const struct primary_manager *primary_manager,
                                         struct succession_server *servers);
--- a/include/gateway/directory.h
+++ b/include/gateway/directory.h
@@ -93,11 +93,13 @@
 	char *zone;
 	uint32_t ip; /**< Host byte order. */
 	uint16_t port;
-	uint32_t slots;       /**< Statements that it runs concurrently. */
-	uint32_t cold_ms;     /**< Remaining cold time, during which it is slow. */
-	uint64_t born_ms;     /**< Wall clock time of its start; 0: not known. */
-	uint64_t sequence;    /**< Rises with each write of this process; 0: not known. */
-	bool is_draining;     /**< It is about to shut down. */
+	uint32_t slots;    /**< Statements that it runs concurrently. */
+	uint32_t cold_ms;  /**< Remaining cold time, during which it is slow. */
+	uint64_t born_ms;  /**< Wall clock time of its start; 0: not known. */
+	uint64_t sequence; /**< Rises with each write of this process; 0: not known. */
+	bool is_draining;  /**< It is about to shut down. */
+	/** Draining: nothing begins there from then on, by this VM's clock; 0: not known. The platform does not send it. */
+	int64_t use_end_us;
 	bool reports_primary; /**< The server reports that it is the primary. */
 };
 
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -124,7 +124,8 @@
 	uint32_t slots; /**< Statements that it runs concurrently. */
 	bool is_listed; /**< It is in the view. */
 	bool is_draining;
-	bool is_same_zone; /**< The server is in this VM's zone. */
+	int64_t use_end_us; /**< Draining: nothing begins there from then on; 0: not known. */
+	bool is_same_zone;  /**< The server is in this VM's zone. */
 	struct connection *connections;
 	uint32_t connection_count;
 	uint32_t running_count; /**< Statements that hold a slot, as far as this VM knows. */
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -47,7 +47,8 @@
 	bool is_out_of_rotation;
 	int quiesced;
 	bool is_replica_draining;
-	int replica_statuses; /**< Status reports of the replica. */
+	int64_t primary_use_end_us; /**< The primary drains, until then; 0: it does not. */
+	int replica_statuses;       /**< Status reports of the replica. */
 };
 
 static void
@@ -133,7 +134,8 @@
 			.ip = fixture->server_ip,
 			.port = fixture->databases[i].port,
 			.slots = 2,
-			.is_draining = i == 1 && fixture->is_replica_draining,
+			.is_draining = i == 1 ? fixture->is_replica_draining : fixture->primary_use_end_us > 0,
+			.use_end_us = i == 0 ? fixture->primary_use_end_us : 0,
 		};
 
 		g_array_append_val (view->servers, entry);
@@ -952,6 +954,41 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against a primary that drains and stays in use until it ends, e.g. because no VM may claim a change: all have started
+ * since it announced that (DRAIN). */
+static void
+check_primary_past_use (int vm_count)
+{
+	struct fixture fixture;
+	int fd;
+
+	fixture_start (&fixture, vm_count, ROUTE_PRIMARY);
+	fixture.statement_timeout_ms = 500;
+	fixture.primary_use_end_us = clock_now_us () + 60 * US_PER_S;
+	send_long_lived_views (&fixture);
+	fd = open_session (&fixture, vm_count - 1);
+	ASSERT_SERVED (execute_line (fd, "QUERY r0 READ 1"));
+	fixture.primary_use_end_us = 1;
+	send_long_lived_views (&fixture);
+	g_usleep (100 * US_PER_MS);
+	ASSERT_CODE (execute_line (fd, "QUERY r1 READ 1"), "BUSY");
+	g_assert_cmpuint (fixture.databases[0].statements->len, ==, 1);
+	close (fd);
+	fixture_stop (&fixture);
+}
+
+static void
+test_primary_past_use (void)
+{
+	check_primary_past_use (1);
+}
+
+static void
+test_primary_past_use_forwarded (void)
+{
+	check_primary_past_use (2);
+}
+
 /* Guards against idle sessions that stay at an isolated VM: they stayed for 2.2 s, and permanently when they were
  * opened late (runs with cut-off zones). The VM must close them as soon as the load balancer has taken it out of
  * rotation, and not before. */
@@ -1033,6 +1070,8 @@
 	g_test_add_func ("/gateway/turns", test_turns);
 	g_test_add_func ("/gateway/cut_off", test_isolated_vm_closes_idle_sessions);
 	g_test_add_func ("/gateway/server_moves", test_server_moves);
+	g_test_add_func ("/gateway/past_use", test_primary_past_use);
+	g_test_add_func ("/gateway/past_use_owner", test_primary_past_use_forwarded);
 	g_test_add_func ("/gateway/malformed", test_malformed);
 	return g_test_run ();
 }
--- a/tests/unit/gateway_directory.c
+++ b/tests/unit/gateway_directory.c
@@ -455,6 +455,25 @@
 		check_all_pages (sizes[i], true);
 }
 
+/* Guards against the use of a server beyond its announced time, also by a VM that does not know when that began: it has
+ * started since, and is held to the bound once it has run for as long as counts as undisturbed. */
+static void
+test_use_of_draining_server (void)
+{
+	struct controller controller = { .boot.drain_ms = 7000 };
+	struct known_server server = { .was_ready = true };
+
+	g_assert_cmpint (controller_find_use_end (&controller, &server), ==, 0);
+	server.draining_us = 100 * US_PER_S;
+	g_assert_cmpint (controller_find_use_end (&controller, &server), >, 105 * US_PER_S);
+	g_assert_cmpint (controller_find_use_end (&controller, &server), <, 107 * US_PER_S);
+	server.was_ready = false;
+	g_assert_cmpint (controller_find_use_end (&controller, &server), >, 102 * US_PER_S);
+	g_assert_cmpint (controller_find_use_end (&controller, &server), <, 104 * US_PER_S);
+	controller.boot.drain_ms = 0;
+	g_assert_cmpint (controller_find_use_end (&controller, &server), ==, 0);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -462,5 +481,6 @@
 	log_init (LOG_LEVEL_ERROR, "test");
 	g_test_add_func ("/gateway_directory/poller", test_poller);
 	g_test_add_func ("/gateway_directory/follower", test_follower);
+	g_test_add_func ("/gateway_directory/use_end", test_use_of_draining_server);
 	return g_test_run ();
 }
