succession: a VM that started during a change knows too few replicas to choose

Cause: a VM is killed and starts again while its own claim is unfinished. By then the entries of a replica in a zone that is cut off, and of the crashed primary, have expired. required_replicas() counts the servers that this VM knows, which is one, and that one is promoted.

Why this works: with synchronous replicas a VM claims a change only if it has followed the directory for 3 s, the life of an entry, before the change began. The others know the replicas whose entries have expired. If all have started since, it waits for 15 s, after which servers that live are listed again.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -40,6 +40,10 @@
 	 * present primary. Less than TAKEOVER_US, so that the next claimant does not begin anew. */
 	UNCHANGED_US = 2000 * US_PER_MS,
 	CONFIRM_TIMEOUT_US = 5000 * US_PER_MS,
+	/** A VM that has followed the directory for so long before a change knows of replicas whose entries expire. */
+	DIRECTORY_AGE_US = 3000 * US_PER_MS,
+	/** Crashed servers and zones that were cut off were back in the directory after this time. */
+	DIRECTORY_BACK_US = 15 * 1000 * US_PER_MS,
 	PROMOTE_RETRY_US = 100 * US_PER_MS,
 	/** A record's number holds the era in its upper half and a count in its lower one. */
 	CHANGE_ERA_SHIFT = 32,
@@ -199,6 +203,20 @@
 	return SUCCESSION_ASK_SERVERS;
 }
 
+/**
+ * Tells whether this VM knows of all replicas that may hold acknowledged commits. One that has started since does not know
+ * of those whose entries have expired, so that it would not ask for them. Without another VM it waits until they are back.
+ */
+static bool
+knows_replicas (const struct succession *succession, const struct succession_input *input,
+                int64_t now_us)
+{
+	int64_t change_us = succession->changing_us > 0 ? succession->changing_us : now_us;
+
+	return input->sync_replicas == 0 || change_us - input->directory_us > DIRECTORY_AGE_US ||
+	       now_us - change_us > DIRECTORY_BACK_US;
+}
+
 static enum succession_action
 step_steady (struct succession *succession, const struct succession_input *input, int64_t now_us)
 {
@@ -206,7 +224,7 @@
 
 	if (succession->record.change == 0)
 		return step_without_record (succession, input, now_us);
-	if (!input->may_claim)
+	if (!input->may_claim || !knows_replicas (succession, input, now_us))
 		return SUCCESSION_NOTHING;
 	if (succession->record.is_changing)
 	{
--- a/gateway/controller_directory.c
+++ b/gateway/controller_directory.c
@@ -181,6 +181,8 @@
 	if (answer->error == 0 && controller_set_era (controller, answer->era, clock_now_us ()))
 	{
 		mark_absent_servers (controller, answer);
+		if (!controller->has_directory)
+			controller->directory_us = clock_now_us ();
 		controller->has_directory = true;
 		/* Entries of later pages may be newer, but do not show that the earlier pages are. */
 		controller->directory_at = (struct store_position){ answer->era, answer->revision };
--- a/gateway/controller_primary.c
+++ b/gateway/controller_primary.c
@@ -690,6 +690,7 @@
 		.planned_wait_end_us = primary_manager_wait_end (primary_manager),
 		.has_read_records = controller->members_valid_us > 0 && is_stored_known,
 		.may_claim = controller->is_settled && is_stored_known,
+		.directory_us = controller->directory_us,
 		.era = controller->store_era,
 		.former_claims_end_us = restore_claims_end_us (controller->restored_us),
 	};
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -110,6 +110,7 @@
 	uint32_t rank;         /**< Place of this VM among those that may act; 0 acts first. */
 	bool has_read_records; /**< The records were read since this VM started. */
 	bool may_claim;        /**< This VM is settled, so that all others know of it. */
+	int64_t directory_us;  /**< When this VM first read the directory of servers. */
 	enum succession_answers answers;
 	uint64_t era; /**< Present era of the store. */
 	/** Until then, claims that the store has forgotten may still act; 0: there are none. */
--- a/include/gateway/controller_private.h
+++ b/include/gateway/controller_private.h
@@ -143,6 +143,7 @@
 	GHashTable *members;  /**< struct member by VM name, without this VM. */
 	GHashTable *zones;    /**< struct zone_report by zone. */
 	bool has_directory;
+	int64_t directory_us; /**< When it was first read. */
 	bool is_polling;
 	bool is_registering;
 	bool is_registered;
--- a/tests/unit/succession.c
+++ b/tests/unit/succession.c
@@ -40,7 +40,7 @@
 
 	memset (fixture, 0, sizeof *fixture);
 	succession_init (&fixture->succession, "vm1");
-	fixture->now_us = 1000 * MS;
+	fixture->now_us = 10000 * MS;
 	fixture->change = 10;
 	fixture->all_answer = true;
 	for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
--- a/tests/unit/succession_commits.c
+++ b/tests/unit/succession_commits.c
@@ -33,7 +33,7 @@
 	static const uint64_t received[SERVERS] = { 100, 100, 83 };
 
 	memset (fixture, 0, sizeof *fixture);
-	fixture->now_us = 1000 * MS;
+	fixture->now_us = 10000 * MS;
 	for (size_t i = 0; i < SERVERS; i++)
 		fixture->servers[i] = (struct succession_server){
 			.id = ids[i],
@@ -314,6 +314,29 @@
 	g_assert_cmpstr (fixture.promoted, ==, "d");
 }
 
+/* Guards against the loss of commits of a replica that the claimant does not know: it has started after the replica's entry
+ * had expired. Another VM knows it; without one, it is waited for until it must be back if it lives. */
+static void
+test_claimant_has_started_since (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture, 1);
+	fixture.servers[0].is_unreachable = true;
+	fixture.servers[1] = fixture.servers[2];
+	fixture.input.server_count = 2;
+	fixture.input.directory_us = fixture.now_us;
+	fixture.stored.is_changing = true;
+	fixture.stored.claims = 1;
+	fixture.stored.change++;
+	g_strlcpy (fixture.stored.claimant, "vm1", sizeof fixture.stored.claimant);
+	succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+	run (&fixture, 14000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "");
+	run (&fixture, 6000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "c");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -329,5 +352,6 @@
 	                 test_planned_change_prefers_remaining_replica);
 	g_test_add_func ("/succession_commits/leaves", test_replica_leaves_during_change);
 	g_test_add_func ("/succession_commits/replaced", test_replica_is_replaced_during_change);
+	g_test_add_func ("/succession_commits/started_since", test_claimant_has_started_since);
 	return g_test_run ();
 }
