succession: a server that the platform has refused leads if no other one can

Cause: failed_target is kept for as long as the change is unfinished, and a refused server was left out of the choice, but counted as a holder of the latest term, so that no other one could be chosen either. Independent of syncReplicas.

It leads if there is no other candidate.

--- a/decision/succession_choice.c
+++ b/decision/succession_choice.c
@@ -39,8 +39,7 @@
 is_reserve (const struct succession *succession, const struct succession_server *server)
 {
 	return server->is_listed && !is_candidate (succession, server) &&
-	       succession_has_final_status (succession, server) &&
-	       strcmp (server->id, succession->record.primary) != 0;
+	       succession_has_final_status (succession, server);
 }
 
 bool
@@ -153,13 +152,13 @@
 		bool is_old = strcmp (server->id, succession->record.primary) == 0;
 
 		count_server (succession, server, &choice);
+		/* The old primary may lead again when there is no other candidate. */
+		if (is_old && (succession->is_planned || !is_late || choice.best))
+			continue;
 		if (is_reserve (succession, server) && server->term >= choice.max_term &&
-		    !has_diverged (succession, server) && is_worth_leading (input, server, now_us) &&
-		    is_better (succession, server, reserve))
+		    !has_diverged (succession, server) && is_better (succession, server, reserve))
 			reserve = server;
-		/* The old primary may lead again when there is no other candidate. */
-		if (!is_candidate (succession, server) ||
-		    (is_old && (succession->is_planned || !is_late || choice.best)))
+		if (!is_candidate (succession, server))
 			continue;
 		if (has_diverged (succession, server))
 			best_diverged = is_better (succession, server, best_diverged) ? server : best_diverged;
@@ -171,7 +170,8 @@
 	if (!choice.best && choice.unknown == 0 && choice.holders == 0)
 		choice.best = best_behind || !may_diverge ? best_behind : best_diverged;
 	if (reserve &&
-	    (!choice.best || !log_position_covers (choice.best->received, reserve->received)))
+	    (!choice.best || (is_worth_leading (input, reserve, now_us) &&
+	                      !log_position_covers (choice.best->received, reserve->received))))
 		choice.reserve = reserve;
 	choice.is_behind =
 		!choice.best && ((best_behind && choice.unknown > 0) || (best_diverged && !best_behind));
--- a/tests/unit/succession_commits.c
+++ b/tests/unit/succession_commits.c
@@ -337,6 +337,28 @@
 	g_assert_cmpstr (fixture.promoted, ==, "c");
 }
 
+/* Guards against a service without a primary for good: the platform refused the old primary while it was down, so that it was
+ * skipped for the rest of the change, and only it has the log of the latest term. */
+static void
+test_refused_primary_is_back (void)
+{
+	for (uint32_t sync_replicas = 0; sync_replicas < 2; sync_replicas++)
+	{
+		struct fixture fixture;
+
+		fixture_init (&fixture, sync_replicas);
+		fixture.stored.term = 2;
+		fixture.stored.change++;
+		succession_set_record (&fixture.succession, &fixture.stored, fixture.now_us);
+		fixture.servers[0].is_primary = false;
+		fixture.servers[0].term = 2;
+		fixture.servers[0].received.term = fixture.servers[0].applied.term = 2;
+		g_strlcpy (fixture.succession.failed_target, "a", sizeof fixture.succession.failed_target);
+		run (&fixture, 4000 * MS);
+		g_assert_cmpstr (fixture.promoted, ==, "a");
+	}
+}
+
 int
 main (int argc, char **argv)
 {
@@ -353,5 +375,6 @@
 	g_test_add_func ("/succession_commits/leaves", test_replica_leaves_during_change);
 	g_test_add_func ("/succession_commits/replaced", test_replica_is_replaced_during_change);
 	g_test_add_func ("/succession_commits/started_since", test_claimant_has_started_since);
+	g_test_add_func ("/succession_commits/primary_is_back", test_refused_primary_is_back);
 	return g_test_run ();
 }
