--- a/tests/unit/gateway_fleet_losses.c
+++ b/tests/unit/gateway_fleet_losses.c
@@ -87,6 +87,19 @@
 	                                                   .losses = 3 });
 }
 
+/* Guards against the loss of commits that were acknowledged because a replica had received them (LOST): that replica leaves,
+ * or receives nothing any more, around the loss of the primary. */
+static void
+test_random_synchronous (void)
+{
+	gateway_fleet_play_random (&(struct fleet_series){ .first = 1,
+	                                                   .count = 40,
+	                                                   .vm_count = 7,
+	                                                   .service_count = 3,
+	                                                   .faults_ms = 6000,
+	                                                   .sync_replicas = 1 });
+}
+
 int
 main (int argc, char **argv)
 {
@@ -96,5 +109,6 @@
 	g_test_add_func ("/gateway_fleet/present_primary_is_recorded",
 	                 test_present_primary_is_recorded);
 	g_test_add_func ("/gateway_fleet/random_losses", test_random_losses);
+	g_test_add_func ("/gateway_fleet/random_synchronous", test_random_synchronous);
 	return g_test_run ();
 }
--- a/tests/virtual/gateway_fleet.c
+++ b/tests/virtual/gateway_fleet.c
@@ -104,8 +104,8 @@
 	                        (unsigned long long) fleet->configuration);
 	for (int i = 0; i < fleet->service_count; i++)
 		g_string_append_printf (text,
-		                        "%s{\"name\":\"%s\",\"maxConnections\":16,\"syncReplicas\":0}",
-		                        i > 0 ? "," : "", fleet->services[i].name);
+		                        "%s{\"name\":\"%s\",\"maxConnections\":16,\"syncReplicas\":%u}",
+		                        i > 0 ? "," : "", fleet->services[i].name, fleet->sync_replicas);
 	g_string_append (text, "]}");
 	fleet_store_put (fleet->store, documents_configuration_key, text->str, 0);
 	g_string_free (text, TRUE);
@@ -161,13 +161,31 @@
 		fleet_server_start (fleet, &fleet->servers[service * FLEET_SERVERS + i]);
 }
 
+/** The server that was promoted last (number 0) or one of the others, in their order. */
+static struct fleet_server *
+nth_server (struct gateway_fleet *fleet, int service, int64_t number)
+{
+	int index = service * FLEET_SERVERS;
+
+	if (number == 0)
+		return &fleet->servers[fleet->services[service].leader];
+	while (index == fleet->services[service].leader || --number > 0)
+		index++;
+	return &fleet->servers[index];
+}
+
 static void
-set_deaf (struct gateway_fleet *fleet, int service, bool is_deaf)
+set_deaf (struct gateway_fleet *fleet, const struct fleet_fault *fault)
 {
+	bool is_deaf = fault->action == FLEET_DEAFEN;
+
 	for (int i = 0; i < FLEET_SERVERS; i++)
 	{
-		struct fleet_server *server = &fleet->servers[service * FLEET_SERVERS + i];
+		struct fleet_server *server = &fleet->servers[fault->subject * FLEET_SERVERS + i];
 
+		if (is_deaf && fault->value > 0 &&
+		    server != nth_server (fleet, fault->subject, fault->value))
+			continue;
 		server->is_deaf = is_deaf && !server->is_primary;
 		server->disturbed_us = fleet->world.now_us;
 	}
@@ -266,10 +284,10 @@
 		break;
 	case FLEET_DEAFEN:
 	case FLEET_RESUME:
-		set_deaf (fleet, fault->subject, fault->action == FLEET_DEAFEN);
+		set_deaf (fleet, fault);
 		break;
 	case FLEET_RELEASE:
-		fleet_server_release (fleet, &fleet->servers[fleet->services[fault->subject].leader]);
+		fleet_server_release (fleet, nth_server (fleet, fault->subject, fault->value));
 		break;
 	case FLEET_FREEZE_VM:
 	case FLEET_THAW_VM:
@@ -377,6 +395,21 @@
 	virtual_run (&fleet->world, fleet->settled_us + until_ms * US_PER_MS);
 }
 
+void
+gateway_fleet_require_replicas (struct gateway_fleet *fleet, uint32_t count)
+{
+	enum
+	{
+		APPLY_US = 4 * US_PER_S,
+	};
+
+	fleet->sync_replicas = count;
+	fleet->configuration++;
+	write_configuration (fleet);
+	fleet->settled_us += APPLY_US;
+	virtual_run (&fleet->world, fleet->settled_us);
+}
+
 void
 gateway_fleet_finish (struct gateway_fleet *fleet)
 {
--- a/tests/virtual/gateway_fleet.h
+++ b/tests/virtual/gateway_fleet.h
@@ -107,9 +107,11 @@
 	FLEET_HEAL_ZONE,
 	FLEET_CRASH_SERVER, /**< Subject: the primary of this service; value 1: it does not refuse connections. */
 	FLEET_START_SERVER, /**< Subject: the servers of this service that have crashed. */
-	FLEET_DEAFEN,       /**< Subject: the replicas of this service receive nothing. */
-	FLEET_RESUME,       /**< Subject: the servers of this service receive again. */
-	FLEET_RELEASE,      /**< Subject: the primary of this service leaves. */
+	/** Subject: the replicas of this service receive nothing; value 1 or 2: only the first or second of them. */
+	FLEET_DEAFEN,
+	FLEET_RESUME, /**< Subject: the servers of this service receive again. */
+	/** Subject: the primary of this service leaves; value 1 or 2: the first or second of its replicas. */
+	FLEET_RELEASE,
 	FLEET_FREEZE_VM,
 	FLEET_THAW_VM,
 	FLEET_KILL_VM,
@@ -145,6 +147,7 @@
 	struct fleet_store *store;
 	int store_node;
 	int write_interval_us;
+	uint32_t sync_replicas; /**< Replicas that must have received a write before its answer. */
 	uint64_t next_write_id;
 	uint64_t configuration; /**< Version that the operator has written. */
 	int64_t settled_us;     /**< When the plan of faults begins. */
@@ -166,6 +169,9 @@
                             int service_count);
 void gateway_fleet_finish (struct gateway_fleet *fleet);
 
+/** Has writes wait for a replica from now on, and runs until all VMs know that. */
+void gateway_fleet_require_replicas (struct gateway_fleet *fleet, uint32_t count);
+
 /** Schedules @p count faults. */
 void gateway_fleet_plan (struct gateway_fleet *fleet, const struct fleet_fault *faults,
                          size_t count);
@@ -190,6 +196,8 @@
 /** Checks that a record that a VM writes as one of the present era expects a revision of it. */
 void fleet_check_swap (struct gateway_fleet *fleet, const struct fleet_vm *vm, const char *service,
                        const char *value, size_t value_length);
+/** Whether the server's log contains the write. */
+bool fleet_server_holds (const struct fleet_server *server, const struct fleet_commit *commit);
 void fleet_acknowledge (struct gateway_fleet *fleet, int vm, int service,
                         const struct fleet_commit *commit);
 
--- a/tests/virtual/gateway_fleet_checks.c
+++ b/tests/virtual/gateway_fleet_checks.c
@@ -40,8 +40,8 @@
 	return g_array_index (service->led_us, int64_t, term);
 }
 
-static bool
-holds (const struct fleet_server *server, const struct fleet_commit *commit)
+bool
+fleet_server_holds (const struct fleet_server *server, const struct fleet_commit *commit)
 {
 	return server->log->len >= commit->index &&
 	       g_array_index (server->log, struct fleet_entry, commit->index - 1).id == commit->id;
@@ -63,9 +63,13 @@
 			fleet->vms[vm].name, state->name, (unsigned long long) commit->term,
 			(double) (commit->committed_us - led_us (state, commit->term + 1)) / US_PER_MS,
 			(unsigned long long) commit->term + 1);
-	added.is_lost = !holds (&fleet->servers[state->leader], commit);
+	added.is_lost = !fleet_server_holds (&fleet->servers[state->leader], commit);
 	added.lost_term = added.is_lost ? state->term : 0;
 	state->lost += added.is_lost;
+	if (added.is_lost && fleet->sync_replicas > 0)
+		fleet_violation (fleet,
+		                 "lost commits: %s acknowledged a write of %s that its primary lacks",
+		                 fleet->vms[vm].name, state->name);
 	g_array_append_val (state->commits, added);
 }
 
@@ -106,7 +110,7 @@
 	{
 		struct fleet_commit *commit = &g_array_index (service->commits, struct fleet_commit, i);
 
-		if (!commit->is_lost || !holds (server, commit))
+		if (!commit->is_lost || !fleet_server_holds (server, commit))
 			continue;
 		returned += commit->lost_term <= record.term;
 		commit->is_lost = false;
@@ -130,13 +134,18 @@
 	{
 		struct fleet_commit *commit = &g_array_index (service->commits, struct fleet_commit, i);
 
-		if (commit->is_lost || holds (server, commit))
+		if (commit->is_lost || fleet_server_holds (server, commit))
 			continue;
 		commit->is_lost = true;
 		commit->lost_term = service->term + 1;
 		lost++;
 	}
 	service->lost += lost;
+	if (lost > 0 && fleet->sync_replicas > 0)
+		fleet_violation (fleet,
+		                 "lost commits: %s of %s is promoted and lacks %llu acknowledged commits "
+		                 "that a replica had received",
+		                 server->id, service->name, (unsigned long long) lost);
 	/* A server that followed the latest primary lacks only what it had not received yet. */
 	if (lost > 0 && server->term < service->term && has_holder (fleet, server))
 		fleet_violation (
--- a/tests/virtual/gateway_fleet_exchange.c
+++ b/tests/virtual/gateway_fleet_exchange.c
@@ -7,6 +7,8 @@
 {
 	EXCHANGE_RECONNECT_US = 250 * US_PER_MS,
 	EXCHANGE_RUN_US = 20 * US_PER_MS, /* Longest time of a write at a server. */
+	EXCHANGE_SYNC_US =
+		5 * US_PER_MS, /* Interval at which the server looks whether a replica has received it. */
 };
 
 /** A request to a server and its answer. */
@@ -92,6 +94,45 @@
 	exchange->commit.committed_us = fleet->world.now_us;
 }
 
+static void
+send_answer (struct gateway_fleet *fleet, struct exchange *exchange)
+{
+	const struct fleet_server *server = &fleet->servers[exchange->server];
+
+	exchange->status = fleet_server_status (server);
+	virtual_send (&fleet->world, true, server->node, exchange->vm,
+	              (struct virtual_handler){ handle_exchange_answer, fleet }, exchange,
+	              sizeof *exchange);
+}
+
+/** Answers a write once a replica has received it; never if the server stops leading before. */
+static void
+handle_replicated (void *context, const void *payload)
+{
+	struct gateway_fleet *fleet = context;
+	struct exchange exchange = *(const struct exchange *) payload;
+	const struct fleet_server *server = &fleet->servers[exchange.server];
+	bool is_received = false;
+
+	if (!server->is_running || strcmp (server->id, exchange.id) != 0 || !server->is_primary ||
+	    server->term != exchange.commit.term)
+		return;
+	for (int i = 0; i < FLEET_SERVERS; i++)
+	{
+		const struct fleet_server *other = &fleet->servers[exchange.service * FLEET_SERVERS + i];
+
+		is_received |= other != server && other->is_running &&
+		               fleet_reaches (fleet, server->node, other->node) &&
+		               fleet_server_holds (other, &exchange.commit);
+	}
+	if (is_received)
+		send_answer (fleet, &exchange);
+	else
+		virtual_schedule (&fleet->world, server->node, fleet->world.now_us + EXCHANGE_SYNC_US,
+		                  (struct virtual_handler){ handle_replicated, fleet }, &exchange,
+		                  sizeof exchange);
+}
+
 static void
 handle_exchange (void *context, const void *payload)
 {
@@ -109,10 +150,10 @@
 	}
 	if (!exchange.is_refused && exchange.is_write)
 		run_write (fleet, server, &exchange);
-	exchange.status = fleet_server_status (server);
-	virtual_send (&fleet->world, true, server->node, exchange.vm,
-	              (struct virtual_handler){ handle_exchange_answer, fleet }, &exchange,
-	              sizeof exchange);
+	if (exchange.is_committed && fleet->sync_replicas > 0)
+		handle_replicated (fleet, &exchange);
+	else
+		send_answer (fleet, &exchange);
 }
 
 /** Runs a write after it has waited at the server. */
--- a/tests/virtual/gateway_fleet_random.c
+++ b/tests/virtual/gateway_fleet_random.c
@@ -67,8 +67,8 @@
 		                (long long) played->faults[i].value);
 }
 
-uint32_t
-gateway_fleet_play (const struct fleet_case *played)
+static uint32_t
+play (const struct fleet_case *played, uint32_t sync_replicas)
 {
 	struct gateway_fleet fleet;
 	uint32_t count;
@@ -76,6 +76,8 @@
 	uint32_t promotions = 0;
 
 	gateway_fleet_init (&fleet, played->seed, played->vm_count, played->service_count);
+	if (sync_replicas > 0)
+		gateway_fleet_require_replicas (&fleet, sync_replicas);
 	gateway_fleet_check_recovered (&fleet);
 	gateway_fleet_plan (&fleet, played->faults, played->fault_count);
 	gateway_fleet_run (&fleet, played->until_ms);
@@ -101,6 +103,12 @@
 	return count;
 }
 
+uint32_t
+gateway_fleet_play (const struct fleet_case *played)
+{
+	return play (played, 0);
+}
+
 /* Random plans. */
 
 static int
@@ -242,6 +250,25 @@
 	}
 }
 
+/** Adds losses of primaries, before each of which a replica begins to leave and one receives nothing for a while. */
+static void
+add_replica_losses (struct random_plan *plan)
+{
+	const struct fleet_fault resume = { .action = FLEET_RESUME };
+	int64_t at_ms = pick (plan, plan->series->faults_ms);
+
+	for (int i = 0; i < plan->series->service_count; i++)
+	{
+		const struct fleet_fault deafen = { .action = FLEET_DEAFEN, .value = pick (plan, 3) };
+		int64_t service_ms = at_ms + pick (plan, 1000);
+
+		add_fault (plan, service_ms, FLEET_RELEASE, i, pick (plan, 3));
+		add_disturbance (plan, RANDOM_DEAF, i, service_ms + pick (plan, 2500), &deafen, &resume);
+		add_random (plan, pick (plan, 4) > 0 ? RANDOM_CRASH : RANDOM_CUT_ZONE,
+		            service_ms + pick (plan, 4000));
+	}
+}
+
 static int
 compare_faults (const void *a, const void *b)
 {
@@ -276,11 +303,13 @@
 		add_restore (plan, pick (plan, series->faults_ms));
 	if (series->losses > 0)
 		add_losses (plan);
+	if (series->sync_replicas > 0)
+		add_replica_losses (plan);
 	g_array_sort (plan->faults, compare_faults);
 	played.faults = (const struct fleet_fault *) plan->faults->data;
 	played.fault_count = plan->faults->len;
 	played.until_ms = plan->end_ms + RANDOM_RECOVERY_MS;
-	gateway_fleet_play (&played);
+	play (&played, series->sync_replicas);
 	g_array_free (plan->faults, TRUE);
 	g_free (plan);
 }
--- a/tests/virtual/gateway_fleet_random.h
+++ b/tests/virtual/gateway_fleet_random.h
@@ -26,6 +26,8 @@
 	int faults_ms;    /**< All faults begin within this time. */
 	bool is_restored; /**< The store may come back from an older copy. */
 	int losses; /**< Longest series of losses of primaries that follow one another within seconds. */
+	/** Writes wait for a replica; a replica leaves beside each loss of a primary. */
+	uint32_t sync_replicas;
 };
 
 /** Plays a case; violations fail the test. @return their number. */
