succession: a replica that was replaced does not count twice

Cause: the replicas that have to be known left out the one that was replaced, while those that are known counted it, as well as the one in its place; so two of two seemed known although a third was not. The same held before for one that had left and had answered in the same claim.

Why this works: one list is counted, of replicas that may hold commits and whose logs are not known.

--- a/decision/succession_choice.c
+++ b/decision/succession_choice.c
@@ -191,25 +191,26 @@
 }
 
 /**
- * Number of replicas whose positions must be known so that no acknowledged commit is lost. One that has left cannot be
- * asked; it need not be if @p best holds all that it can have received.
+ * Number of replicas that may hold acknowledged commits and whose logs are not known. One that has left cannot be asked; it
+ * need not be if @p best holds all that it can have received.
  */
 static size_t
-count_required (const struct succession *succession, const struct succession_input *input,
-                const struct succession_server *best)
+count_unknown_logs (const struct succession *succession, const struct succession_input *input,
+                    const struct succession_server *best)
 {
-	size_t replicas = 0;
+	size_t unknown = 0;
 
 	for (size_t i = 0; i < input->server_count; i++)
 	{
 		const struct succession_server *server = &input->servers[i];
+		bool is_old = strcmp (server->id, succession->record.primary) == 0;
 		bool is_covered = server->has_left && !server->is_listed &&
 		                  log_position_covers (best->received, server->left_position);
 
-		replicas += strcmp (server->id, succession->record.primary) != 0 && !is_covered &&
-		            !is_replaced (input, server);
+		unknown += !is_old && !is_covered && !is_replaced (input, server) &&
+		           !has_known_log (succession, server);
 	}
-	return replicas >= input->sync_replicas ? replicas - input->sync_replicas + 1 : 1;
+	return unknown;
 }
 
 /** Tells whether the old primary has answered since it is out of use, and @p best holds exactly what it and its replicas do. */
@@ -236,6 +237,7 @@
 		return choice->known >= 1;
 	if (!log_position_covers (best->received, choice->held))
 		return false;
-	return choice->known >= count_required (succession, input, best) ||
+	/* Each acknowledged commit is held by this number of replicas, one of which is known then. */
+	return count_unknown_logs (succession, input, best) < input->sync_replicas ||
 	       holds_whole_log (succession, input, choice, best);
 }
--- a/include/decision/succession_choice.h
+++ b/include/decision/succession_choice.h
@@ -20,7 +20,7 @@
 	const struct succession_server *reserve;
 	/** Last entry that a replica with a final status holds, whether or not it can be chosen. */
 	struct log_position held;
-	size_t known;   /**< Replicas with a final status. */
+	size_t known;   /**< Replicas whose logs are known. */
 	size_t missing; /**< Replicas that may still answer. */
 	size_t unknown; /**< Listed servers without a final status. */
 	size_t holders; /**< Listed servers that have answered and have the log of the latest term. */
--- a/tests/unit/succession_commits.c
+++ b/tests/unit/succession_commits.c
@@ -337,6 +337,33 @@
 	g_assert_cmpstr (fixture.promoted, ==, "c");
 }
 
+/* Guards against the loss of commits of a replica that is not reached: one that has left and the one in its place counted as
+ * two whose logs are known. */
+static void
+test_replaced_replica_counts_once (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture, 1);
+	fixture.servers[0].is_unreachable = true;
+	fixture.servers[1].is_unreachable = true;
+	fixture.servers[1].status_us = 0;
+	fixture.servers[2].is_draining = true;
+	run (&fixture, 2000 * MS);
+	fixture.servers[3] = fixture.servers[2];
+	fixture.servers[3].id = "d";
+	fixture.servers[3].is_draining = false;
+	fixture.servers[2].is_listed = false;
+	fixture.servers[2].is_unreachable = true;
+	fixture.servers[2].has_announced_end = true;
+	fixture.input.server_count = MAX_SERVERS;
+	run (&fixture, 8000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "");
+	fixture.servers[1].is_unreachable = false;
+	run (&fixture, 4000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "b");
+}
+
 /* Guards against a service without a primary for good: the platform refused the old primary while it was down, so that it was
  * skipped for the rest of the change, and only it has the log of the latest term. */
 static void
@@ -375,6 +402,7 @@
 	g_test_add_func ("/succession_commits/leaves", test_replica_leaves_during_change);
 	g_test_add_func ("/succession_commits/replaced", test_replica_is_replaced_during_change);
 	g_test_add_func ("/succession_commits/started_since", test_claimant_has_started_since);
+	g_test_add_func ("/succession_commits/replaced_once", test_replaced_replica_counts_once);
 	g_test_add_func ("/succession_commits/primary_is_back", test_refused_primary_is_back);
 	return g_test_run ();
 }
