--- a/decision/session_end.c
+++ b/decision/session_end.c
@@ -24,7 +24,7 @@
 static enum session_end
 judge_stop (const struct session_outlook *outlook)
 {
-	int64_t grace_us = outlook->grace_us;
+	int64_t grace_us = outlook->grace_us > 0 ? outlook->grace_us : INT64_MAX;
 	int64_t rotation_us = least (LEAVE_ROTATION_US, grace_us / LEAVE_ROTATION_DIVISOR);
 	int64_t give_up_us = grace_us - SESSION_EXIT_MARGIN_MS * US_PER_MS - GIVE_UP_US;
 
--- a/include/decision/session_end.h
+++ b/include/decision/session_end.h
@@ -32,7 +32,7 @@
 	bool is_leaving;    /**< The planned stop of the VM has begun. */
 	int64_t leaving_us; /**< Time since then. */
 	int64_t
-		grace_us; /**< Time from the beginning of the stop until the platform kills the process. */
+		grace_us; /**< Time from the beginning of the stop until the platform kills the process; 0: no limit. */
 	bool is_in_transaction; /**< A transaction is open. */
 	bool is_peer;           /**< The peer is another VM, which forwards statements. */
 	/** For how long this VM, which is isolated, has been out of the rotation of the platform's balancer; 0: it is not. */
