succession: a late successor gets its time to catch up beside a reserve

Cause: the time to catch up ran from when a successor or a reserve was known. With a draining replica known for long, one whose zone was cut off until a moment ago was promoted at once.

Evidence: succession_commits/late_successor fails without the change ("c" promoted).

Why this works: the time of each is counted by itself.

--- a/decision/succession.c
+++ b/decision/succession.c
@@ -94,6 +94,7 @@
 	succession->most_stopped_us = 0;
 	succession->has_demoted = false;
 	succession->successor_us = 0;
+	succession->reserve_us = 0;
 	succession->target[0] = '\0';
 	set_phase (succession, SUCCESSION_GATHERING, now_us);
 }
@@ -296,11 +297,11 @@
  * primary is not demoted before: whether a demoted one sends its log to replicas is up to the platform. */
 static bool
 is_catch_up_over (const struct succession *succession, const struct succession_input *input,
-                  int64_t now_us)
+                  int64_t since_us, int64_t now_us)
 {
 	const struct succession_server *old =
 		succession_find_server (input, succession->record.primary);
-	int64_t end_us = succession->successor_us + CATCH_UP_US;
+	int64_t end_us = since_us + CATCH_UP_US;
 
 	if (succession->is_planned && input->planned_wait_end_us > end_us)
 		end_us = input->planned_wait_end_us;
@@ -309,12 +310,12 @@
 
 static bool
 has_caught_up (const struct succession *succession, const struct succession_input *input,
-               const struct succession_server *best, int64_t now_us)
+               const struct succession_server *best, int64_t since_us, int64_t now_us)
 {
 	const struct succession_server *old =
 		succession_find_server (input, succession->record.primary);
 
-	if (is_catch_up_over (succession, input, now_us))
+	if (is_catch_up_over (succession, input, since_us, now_us))
 		return true;
 	return succession_has_final_status (succession, old) &&
 	       log_position_covers (best->received, old->received);
@@ -331,12 +332,24 @@
 {
 	bool is_late = now_us - succession->phase_us > SUCCESSION_CHOICE_TIMEOUT_US;
 
+	int64_t since_us = choice->best ? succession->successor_us : succession->reserve_us;
+
 	if (!choice->reserve || (!choice->reserve->is_draining && !is_late) ||
-	    !is_catch_up_over (succession, input, now_us))
+	    !is_catch_up_over (succession, input, since_us, now_us))
 		return choice->best;
 	return choice->reserve;
 }
 
+/** Updates since when a server that could lead is known. */
+static void
+note_known (int64_t *since_us, const struct succession_server *server, int64_t now_us)
+{
+	if (!server)
+		*since_us = 0;
+	else if (*since_us == 0)
+		*since_us = now_us;
+}
+
 /** Tells whether the old primary may still lead although it was told to step down a moment ago. */
 static bool
 is_stepping_down (const struct succession *succession, const struct succession_server *old,
@@ -369,16 +382,16 @@
 	struct succession_choice choice = succession_choose (succession, input, now_us);
 	const struct succession_server *best;
 
-	if (!choice.best && !choice.reserve)
-		succession->successor_us = 0;
-	else if (succession->successor_us == 0)
-		succession->successor_us = now_us;
+	note_known (&succession->successor_us, choice.best, now_us);
+	note_known (&succession->reserve_us, choice.reserve, now_us);
 	best = find_successor (succession, input, &choice, now_us);
 	if (now_us - succession->claim_sent_us > CLAIM_WINDOW_US)
 		return end_claim (succession, &choice, now_us);
 	if (!best || (choice.missing > 0 && !is_late) ||
 	    !succession_keeps_commits (succession, input, &choice, best) ||
-	    !has_caught_up (succession, input, best, now_us))
+	    !has_caught_up (succession, input, best,
+	                    best == choice.best ? succession->successor_us : succession->reserve_us,
+	                    now_us))
 		return is_time_to_ask (succession, now_us) ? SUCCESSION_ASK_SERVERS : SUCCESSION_NOTHING;
 	if (!succession->has_demoted && old && !old->is_unreachable && choice.max_term > 0)
 	{
--- a/include/decision/succession.h
+++ b/include/decision/succession.h
@@ -150,6 +150,7 @@
 	/** Since when no VM uses the old primary of this unfinished change; 0: this VM has not seen that. */
 	int64_t stopped_us;
 	int64_t successor_us;    /**< Since when a successor is known in this claim; 0: none is. */
+	int64_t reserve_us;      /**< Since when a reserve is known in this claim; 0: none is. */
 	int64_t phase_us;        /**< Start of the phase, or of the delay after a failed promotion. */
 	int64_t asked_us;        /**< When the phase's last request was sent; 0: none, or it failed. */
 	uint64_t yielded_change; /**< Own claim that other VMs may take over first; 0: none. */
--- a/tests/unit/succession_commits.c
+++ b/tests/unit/succession_commits.c
@@ -386,6 +386,30 @@
 	}
 }
 
+/* Guards against a planned change to a replica that is only beginning to receive the old primary's log: the time that it is
+ * given counted from when a draining replica had become known. */
+static void
+test_late_successor_beside_reserve (void)
+{
+	struct fixture fixture;
+
+	fixture_init (&fixture, 0);
+	fixture.input.cause = SUCCESSION_LEAVING;
+	fixture.servers[0].is_draining = true;
+	fixture.servers[1].is_draining = true;
+	fixture.servers[1].received.index = fixture.servers[1].applied.index = 50;
+	fixture.servers[2].is_unreachable = true;
+	fixture.servers[2].status_us = 0;
+	run (&fixture, 1000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "");
+	fixture.servers[2].is_unreachable = false;
+	run (&fixture, 600 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "");
+	fixture.servers[2].received.index = fixture.servers[2].applied.index = 100;
+	run (&fixture, 1000 * MS);
+	g_assert_cmpstr (fixture.promoted, ==, "c");
+}
+
 int
 main (int argc, char **argv)
 {
@@ -404,5 +428,6 @@
 	g_test_add_func ("/succession_commits/started_since", test_claimant_has_started_since);
 	g_test_add_func ("/succession_commits/replaced_once", test_replaced_replica_counts_once);
 	g_test_add_func ("/succession_commits/primary_is_back", test_refused_primary_is_back);
+	g_test_add_func ("/succession_commits/late_successor", test_late_successor_beside_reserve);
 	return g_test_run ();
 }
