--- a/tests/integration/gateway_clients.py
+++ b/tests/integration/gateway_clients.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import os
 import resource
@@ -104,16 +105,19 @@
 
     async def accept_session(self, reader, writer):
         try:
-            while line := (await reader.readline()).decode():
-                words = line.split()
-                answer = "" if words[0] == "START" else "COMPLETE -\r\n"
+            state, signatures = "I", itertools.count()
+            while line := (await reader.readuntil(b"\r\n"))[:-2].decode():
+                words = line.split(" ")
+                signature = "-" if words[1] == "-" else f"mac.{next(signatures)}"
+                answer = "" if words[0] == "START" else f"COMPLETE {signature}\r\n"
+                state = {"BEGIN": "T", "COMMIT": "I", "ROLLBACK": "I"}.get(words[2] if words[0] == "QUERY" else "", state)
                 if words[2:3] in (["STATUS"], ["DEMOTE"]):
                     answer = "ROW primary 1 1.0 0 0 0 1\r\n" + answer
                 elif words[2:3] == ["READ"]:
                     answer = f"ROW {ROW if words[3] == 'big' else 'small'}\r\n" + answer
-                writer.write(f"{answer}READY I 1.0\r\n".encode())
+                writer.write(f"{answer}READY {state} 1.0\r\n".encode())
                 await writer.drain()
-        except (ConnectionError, ValueError):
+        except (ConnectionError, ValueError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
         writer.close()
 
--- a/tests/integration/gateway_promise.c
+++ b/tests/integration/gateway_promise.c
@@ -257,7 +257,7 @@
 	g_assert_true (execute_line (fd, "START s vm9 db0", answer));
 	g_assert_true (execute_line (fd, "QUERY - BEGIN", answer));
 	g_assert_true (execute_line (fd, "QUERY w RANK 0 500 0 5000 WRITE 1 data", answer));
-	g_assert_cmpstr (answer, ==, "COMPLETE mac\r\nREADY T 1.100 LOAD 0 0\r\n");
+	g_assert_cmpstr (answer, ==, "COMPLETE mac.1\r\nREADY T 1.100 LOAD 0 0\r\n");
 	fault_link_set (&fixture.server_link, "c", LINK_LOSE, 0);
 	start_us = clock_now_us ();
 	g_assert_true (execute_line (fd, "QUERY c RANK 0 500 0 300 COMMIT", answer));
--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -778,9 +778,9 @@
 	g_assert_cmpstr (execute_line (fd, "QUERY - BEGIN"), ==,
 	                 "COMPLETE -\r\nREADY T - LOAD 0 0\r\n");
 	g_assert_cmpstr (execute_line (fd, "QUERY w RANK 0 500 0 WRITE 1 data"), ==,
-	                 "COMPLETE mac\r\nREADY T 1.100 LOAD 0 0\r\n");
+	                 "COMPLETE mac.2\r\nREADY T 1.100 LOAD 0 0\r\n");
 	g_assert_cmpstr (execute_line (fd, "QUERY c COMMIT"), ==,
-	                 "COMPLETE mac\r\nREADY I 1.101 LOAD 0 0\r\n");
+	                 "COMPLETE mac.3\r\nREADY I 1.101 LOAD 0 0\r\n");
 	close (fd);
 	fixture_stop (&fixture);
 }
@@ -946,6 +946,9 @@
 	port = fixture.databases[0].port;
 	fixture.databases[0].port = fixture.databases[1].port;
 	fixture.databases[1].port = port;
+	g_mutex_lock (&fixture.databases[1].mutex);
+	fixture.databases[1].id = fixture.databases[0].id;
+	g_mutex_unlock (&fixture.databases[1].mutex);
 	send_long_lived_views (&fixture);
 	g_usleep (100 * US_PER_MS);
 	ASSERT_SERVED (execute_line (fd, "QUERY r1 READ 1"));
--- a/tests/support/fake_database.c
+++ b/tests/support/fake_database.c
@@ -1,3 +1,4 @@
+#define _GNU_SOURCE /* memmem() */
 #include "fake_database.h"
 
 #include "common/rpc.h"
@@ -26,44 +27,125 @@
 	bool is_open;         /* A transaction is open. */
 	bool has_written;
 	GPtrArray *writes; /* Ids of the open transaction's writes. */
+	struct fake_reaction reaction;
+};
+
+/** An answer that is sent again. */
+struct fake_repeat
+{
+	int connection;
+	int64_t due_us;
+	char *answer;
+	size_t length;
 };
 
+static void
+send_all (int fd, const char *bytes, size_t length)
+{
+	ssize_t sent = 1;
+
+	for (size_t at = 0; at < length && sent > 0; at += (size_t) sent)
+		sent = send (fd, bytes + at, length - at, MSG_NOSIGNAL);
+}
+
+static void
+repeat_free (void *data)
+{
+	struct fake_repeat *repeat = data;
+
+	g_free (repeat->answer);
+	g_free (repeat);
+}
+
 static void
 statement_free (void *data)
 {
 	struct fake_statement *statement = data;
 
 	g_free (statement->id);
-	g_free (statement->text);
+	g_bytes_unref (statement->text);
 	g_free (statement->value);
 	g_free (statement->shape);
 	g_free (statement->caller);
 	g_free (statement);
 }
 
+/** Sends an answer as the reaction says; @p lines may hold any bytes. */
+static void
+send_bytes (struct fake_database *database, struct fake_connection *connection,
+            const GString *lines)
+{
+	const struct fake_reaction *reaction = &connection->reaction;
+	GString *answer = g_string_new_len (lines->str, (gssize) lines->len);
+
+	g_string_append_printf (answer, "READY %c %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT "\r\n",
+	                        connection->is_open ? 'T' : 'I', database->term, database->index);
+	if (reaction->cut_bytes > 0)
+		send_all (connection->fd, answer->str, MIN ((size_t) reaction->cut_bytes, answer->len));
+	send_all (connection->fd, answer->str, answer->len);
+	if (reaction->repeat_ms >= 0)
+	{
+		struct fake_repeat *repeat = g_new0 (struct fake_repeat, 1);
+
+		*repeat = (struct fake_repeat){
+			.connection = connection->number,
+			.due_us = g_get_monotonic_time () + reaction->repeat_ms * (int64_t) 1000,
+			.length = answer->len,
+			.answer = g_string_free (answer, FALSE),
+		};
+		g_queue_push_tail (&database->repeats, repeat);
+		return;
+	}
+	g_string_free (answer, TRUE);
+}
+
 static void
 send_answer (struct fake_database *database, struct fake_connection *connection, const char *lines)
 {
-	char *text =
-		g_strdup_printf ("%sREADY %c %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT "\r\n", lines,
-	                     connection->is_open ? 'T' : 'I', database->term, database->index);
-	size_t length = strlen (text);
-	ssize_t sent = 1;
+	GString *bytes = g_string_new (lines);
 
-	for (size_t at = 0; at < length && sent > 0; at += (size_t) sent)
-		sent = send (connection->fd, text + at, length - at, MSG_NOSIGNAL);
-	g_free (text);
+	send_bytes (database, connection, bytes);
+	g_string_free (bytes, TRUE);
+}
+
+/** Sends the answer to a statement that ran, with its signature, which no other answer has. */
+static void
+send_success (struct fake_database *database, struct fake_connection *connection, bool has_row,
+              guint number)
+{
+	GString *lines = g_string_new (NULL);
+
+	if (has_row && database->row)
+	{
+		gsize length;
+		const char *row = g_bytes_get_data (database->row, &length);
+
+		g_string_append (lines, "ROW ");
+		g_string_append_len (lines, row, (gssize) length);
+		g_string_append (lines, "\r\n");
+	}
+	else if (has_row && database->row_bytes > 0)
+	{
+		g_autofree char *row = g_strnfill ((gsize) database->row_bytes, 'x');
+
+		g_string_append_printf (lines, "ROW %s\r\n", row);
+	}
+	else if (has_row)
+		g_string_append (lines, "ROW row\r\n");
+	g_string_append_printf (lines, "COMPLETE mac.%u\r\n", number);
+	send_bytes (database, connection, lines);
+	g_string_free (lines, TRUE);
 }
 
 static void
 record_statement (struct fake_database *database, const struct fake_connection *connection,
-                  const char *id, const char *text, const char *shape)
+                  const char *id, const char *text, size_t length, const char *shape)
 {
 	struct fake_statement *statement = g_new0 (struct fake_statement, 1);
 	const char *value = g_hash_table_lookup (connection->values, "v0");
 
 	statement->id = g_strdup (id);
-	statement->text = g_strdup (text);
+	statement->text = g_bytes_new (text, length);
 	statement->value = g_strdup (value ? value : "-");
 	statement->shape = g_strdup (shape ? shape : "-");
 	statement->connection = connection->number;
@@ -74,7 +156,7 @@
 
 /** Removes the prefix "AFTER TERM.INDEX ". @return false when the log does not contain this position. */
 static bool
-strip_required_position (const struct fake_database *database, const char **text)
+strip_required_position (const struct fake_database *database, const char **text, size_t *bytes)
 {
 	unsigned long long term;
 	unsigned long long index;
@@ -83,15 +165,17 @@
 	if (sscanf (*text, "AFTER %llu.%llu %n", &term, &index, &length) < 2)
 		return true;
 	*text += length;
+	*bytes -= (size_t) length;
 	return database->term > term || (database->term == term && database->index >= index);
 }
 
 static void
 run_statement (struct fake_database *database, struct fake_connection *connection, const char *id,
-               const char *text)
+               const char *text, size_t length)
 {
 	char **words = g_strsplit (text, " ", 3);
 	const char *shape = NULL;
+	guint number;
 	bool is_commit = strcmp (words[0], "COMMIT") == 0;
 	bool is_write = strcmp (words[0], "WRITE") == 0;
 	int delay_ms;
@@ -112,7 +196,8 @@
 		send_answer (database, connection, "ERROR READONLY replica\r\n");
 		goto out;
 	}
-	record_statement (database, connection, id, text, shape);
+	record_statement (database, connection, id, text, length, shape);
+	number = database->statements->len;
 	delay_ms = is_write || is_commit ? database->delay_ms : database->read_delay_ms;
 	if (delay_ms > 0)
 	{
@@ -137,16 +222,7 @@
 		connection->is_open = false;
 		connection->has_written = false;
 	}
-	if (database->row_bytes > 0 && !is_write && !is_commit)
-	{
-		g_autofree char *row = g_strnfill ((gsize) database->row_bytes, 'x');
-		g_autofree char *lines = g_strdup_printf ("ROW %s\r\nCOMPLETE mac\r\n", row);
-
-		send_answer (database, connection, lines);
-	}
-	else
-		send_answer (database, connection,
-		             is_write || is_commit ? "COMPLETE mac\r\n" : "ROW row\r\nCOMPLETE mac\r\n");
+	send_success (database, connection, !is_write && !is_commit, number);
 out:
 	g_strfreev (words);
 }
@@ -192,31 +268,56 @@
 	g_strfreev (words);
 }
 
+/** Handles a START line: a server refuses a greeting that names another server. */
 static void
-handle_line (struct fake_database *database, struct fake_connection *connection, const char *line)
+handle_start (struct fake_database *database, struct fake_connection *connection, const char *line)
+{
+	char **fields = g_strsplit (line, " ", 4);
+
+	g_strlcpy (connection->caller, fields[1] && fields[2] ? fields[2] : "",
+	           sizeof connection->caller);
+	g_ptr_array_add (database->greetings, g_strdup (line));
+	if (fields[1] && fields[2] && fields[3] && strcmp (fields[3], database->id) != 0)
+		send_all (connection->fd, "ERROR MISDIRECT other\r\n",
+		          strlen ("ERROR MISDIRECT other\r\n"));
+	else
+		send_answer (database, connection, "");
+	g_strfreev (fields);
+}
+
+/** Handles a line of @p length bytes, which may hold any byte but a line end. */
+static void
+handle_line (struct fake_database *database, struct fake_connection *connection, const char *line,
+             size_t length)
 {
 	char **words = g_strsplit (line, " ", 3);
-	const char *text = words[0] && words[1] ? words[2] : NULL;
+	const char *text = words[0] && words[1] && words[2] ? line : NULL;
+	size_t bytes = 0;
 
-	if (g_str_has_prefix (line, "START "))
+	connection->reaction = (struct fake_reaction){ .repeat_ms = -1 };
+	if (text)
 	{
-		char **fields = g_strsplit (line, " ", 4);
-
-		g_strlcpy (connection->caller, fields[1] && fields[2] ? fields[2] : "",
-		           sizeof connection->caller);
-		g_ptr_array_add (database->greetings, g_strdup (line));
-		g_strfreev (fields);
-		send_answer (database, connection, "");
+		text += strlen (words[0]) + strlen (words[1]) + 2;
+		bytes = length - (size_t) (text - line);
 	}
-	else if (text && !strip_required_position (database, &text))
+	if (g_str_has_prefix (line, "START "))
+		handle_start (database, connection, line);
+	else if (text)
 	{
-		database->refused++;
-		send_answer (database, connection, "ERROR LAGGING behind\r\n");
+		if (database->react)
+			database->react (database->react_data, words[1], text, &connection->reaction);
+		if (!strip_required_position (database, &text, &bytes))
+		{
+			database->refused++;
+			send_answer (database, connection, "ERROR LAGGING behind\r\n");
+		}
+		else if (connection->reaction.is_refused)
+			send_answer (database, connection, "ERROR BUSY slots\r\n");
+		else if (strcmp (words[1], "-") == 0)
+			run_session_command (database, connection, text);
+		else
+			run_statement (database, connection, words[1], text, bytes);
 	}
-	else if (text && strcmp (words[1], "-") == 0)
-		run_session_command (database, connection, text);
-	else if (text)
-		run_statement (database, connection, words[1], text);
 	g_strfreev (words);
 }
 
@@ -244,18 +345,45 @@
 		return;
 	}
 	g_string_append_len (connection->in, buffer, count);
-	while ((end = strstr (connection->in->str, "\r\n")))
+	while ((end = memmem (connection->in->str, connection->in->len, "\r\n", 2)))
 	{
-		char *line = g_strndup (connection->in->str, (gsize) (end - connection->in->str));
+		size_t length = (size_t) (end - connection->in->str);
+		char *line = g_malloc0 (length + 1);
 
-		g_string_erase (connection->in, 0, end + 2 - connection->in->str);
+		memcpy (line, connection->in->str, length);
+		g_string_erase (connection->in, 0, (gssize) length + 2);
 		g_mutex_lock (&database->mutex);
-		handle_line (database, connection, line);
+		handle_line (database, connection, line, length);
 		g_mutex_unlock (&database->mutex);
 		g_free (line);
 	}
 }
 
+/** Sends the answers again whose time has come, if their connections are open. */
+static void
+send_repeats (struct fake_database *database, const struct fake_connection *connections)
+{
+	int64_t now_us = g_get_monotonic_time ();
+	GList *next;
+
+	for (GList *link = database->repeats.head; link; link = next)
+	{
+		struct fake_repeat *repeat = link->data;
+
+		next = link->next;
+		if (repeat->due_us > now_us)
+			continue;
+		for (int i = 0; i < FAKE_MAX_CONNECTIONS; i++)
+			if (connections[i].fd >= 0 && connections[i].number == repeat->connection)
+			{
+				send_all (connections[i].fd, repeat->answer, repeat->length);
+				g_atomic_int_inc (&database->repeated);
+			}
+		g_queue_delete_link (&database->repeats, link);
+		repeat_free (repeat);
+	}
+}
+
 static void *
 fake_database_main (void *data)
 {
@@ -271,7 +399,8 @@
 		polls[FAKE_MAX_CONNECTIONS] = (struct pollfd){ database->listener, POLLIN, 0 };
 		for (int i = 0; i < FAKE_MAX_CONNECTIONS; i++)
 			polls[i] = (struct pollfd){ connections[i].fd, POLLIN, 0 };
-		poll (polls, FAKE_MAX_CONNECTIONS + 1, FAKE_POLL_MS);
+		poll (polls, FAKE_MAX_CONNECTIONS + 1, database->repeats.length > 0 ? 1 : FAKE_POLL_MS);
+		send_repeats (database, connections);
 		for (int i = 0; i < FAKE_MAX_CONNECTIONS; i++)
 			if (connections[i].fd >= 0 && polls[i].revents)
 				connection_read (database, &connections[i]);
@@ -328,6 +457,9 @@
 	g_ptr_array_free (database->statements, TRUE);
 	g_ptr_array_free (database->committed, TRUE);
 	g_ptr_array_free (database->greetings, TRUE);
+	g_queue_clear_full (&database->repeats, repeat_free);
+	if (database->row)
+		g_bytes_unref (database->row);
 	g_mutex_clear (&database->mutex);
 }
 
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -12,14 +12,22 @@
 struct fake_statement
 {
 	char *id;
-	char *text;
-	char *value; /**< Session value "v0", or "-". */
-	char *shape; /**< Text of the prepared statement, or "-". */
+	GBytes *text; /**< As it was sent, without a required position; any bytes. */
+	char *value;  /**< Session value "v0", or "-". */
+	char *shape;  /**< Text of the prepared statement, or "-". */
 	int connection;
 	char *caller; /**< Name that the connection's START gave. */
 	bool is_in_transaction;
 };
 
+/** What the server does with a statement or command besides its work. */
+struct fake_reaction
+{
+	bool is_refused; /**< It is answered BUSY and does not run. */
+	int repeat_ms;   /**< The whole answer is sent again so much later; negative: it is not. */
+	int cut_bytes;   /**< So many bytes of the answer are sent before the whole one. */
+};
+
 struct fake_database
 {
 	const char *id;
@@ -40,6 +48,13 @@
 		*committed; /**< Ids of the writes that took effect, in order; one id may be there twice. */
 	int is_stopped;
 	int listener;
+	/** Called for each statement and command; NULL: each is answered once. Set before connections are made. */
+	void (*react) (void *data, const char *id, const char *text, struct fake_reaction *reaction);
+	void *react_data;
+	GQueue repeats; /**< Answers that are sent again later. */
+	int repeated;   /**< Answers that were sent again. */
+	/** Row that a read returns, any bytes; NULL: "row", or row_bytes of it. */
+	GBytes *row;
 };
 
 /** Listens on 127.0.0.1. */
--- a/tests/support/slot_server.c
+++ b/tests/support/slot_server.c
@@ -88,6 +88,7 @@
 	struct slot_server *server = link->server;
 	bool is_write = strstr (job->text, "WRITE ") != NULL;
 	bool is_commit = strstr (job->text, "COMMIT") != NULL;
+	char lines[64];
 
 	/* A connection that is closed rolls back. */
 	if (link->is_gone && (link->is_open || is_commit))
@@ -106,7 +107,9 @@
 	server->index += is_commit || (is_write && !link->is_open);
 	if (server->loses && server->loses (server->data, job->text))
 		link->is_mute = true;
-	answer (link, is_write || is_commit ? "COMPLETE mac\r\n" : "ROW row\r\nCOMPLETE mac\r\n");
+	snprintf (lines, sizeof lines, "%sCOMPLETE mac.%u\r\n",
+	          is_write || is_commit ? "" : "ROW row\r\n", ++server->answers);
+	answer (link, lines);
 }
 
 static void
--- a/tests/support/slot_server.h
+++ b/tests/support/slot_server.h
@@ -34,6 +34,7 @@
 	/** Called with the name that the connection's greeting gave, for each statement of a session; may be NULL. */
 	void (*handle_statement) (void *data, const char *tenant, const char *text);
 	void *data;
+	uint32_t answers; /**< Signed answers; each has its own signature. */
 	/* Counts for the test. */
 	uint32_t refused_busy;
 	uint32_t refused_connections;
--- a/tests/unit/gateway_queue.c
+++ b/tests/unit/gateway_queue.c
@@ -50,6 +50,7 @@
 	char id[8];
 	bool is_silent;
 	uint64_t index;
+	uint32_t signatures; /* Signed answers; each has its own signature. */
 };
 
 /** A connection to a server, at the server. */
@@ -122,22 +123,27 @@
 	struct model *model = server->model;
 	char *text = g_strndup (line.start, line.length);
 	bool is_statement = g_str_has_prefix (text, "QUERY ");
+	bool is_command = g_str_has_prefix (text, "QUERY - ");
+	bool is_refused;
 
 	if (server->is_silent)
 		goto out;
-	if (strstr (text, " BEGIN"))
+	is_refused = is_statement && !strstr (text, " ROLLBACK") && happens (model, 0.08);
+	if (!is_refused && strstr (text, " BEGIN"))
 		link->is_open = true;
-	if (strstr (text, " COMMIT") || strstr (text, " ROLLBACK"))
+	if (!is_refused && (strstr (text, " COMMIT") || strstr (text, " ROLLBACK")))
 		link->is_open = false;
-	if (is_statement && happens (model, 0.08))
+	if (is_refused)
 		g_string_append_printf (link->answers, "ERROR %s model\r\n",
 		                        errors[g_rand_int_range (model->random, 0, 5)]);
 	else if (strstr (text, " STATUS"))
 		g_string_append_printf (link->answers, "ROW %s 1 1.%llu 0 0 0 1\r\nCOMPLETE -\r\n",
 		                        server == &model->servers[model->primary] ? "primary" : "replica",
 		                        (unsigned long long) server->index);
+	else if (is_command)
+		g_string_append (link->answers, "COMPLETE -\r\n");
 	else if (is_statement)
-		g_string_append (link->answers, "COMPLETE mac\r\n");
+		g_string_append_printf (link->answers, "COMPLETE mac.%u\r\n", ++server->signatures);
 	server->index += strstr (text, " WRITE ") != NULL;
 	g_string_append_printf (link->answers, "READY %c 1.%llu\r\n", link->is_open ? 'T' : 'I',
 	                        (unsigned long long) server->index);
