--- a/tests/integration/gateway_traffic.c
+++ b/tests/integration/gateway_traffic.c
@@ -947,7 +947,7 @@
 	fixture.databases[0].port = fixture.databases[1].port;
 	fixture.databases[1].port = port;
 	g_mutex_lock (&fixture.databases[1].mutex);
-	fixture.databases[1].id = fixture.databases[0].id;
+	fixture.databases[1].own_id = fixture.databases[0].id;
 	g_mutex_unlock (&fixture.databases[1].mutex);
 	send_long_lived_views (&fixture);
 	g_usleep (100 * US_PER_MS);
--- a/tests/support/fake_database.c
+++ b/tests/support/fake_database.c
@@ -277,7 +277,7 @@
 	g_strlcpy (connection->caller, fields[1] && fields[2] ? fields[2] : "",
 	           sizeof connection->caller);
 	g_ptr_array_add (database->greetings, g_strdup (line));
-	if (fields[1] && fields[2] && fields[3] && strcmp (fields[3], database->id) != 0)
+	if (fields[1] && fields[2] && fields[3] && strcmp (fields[3], database->own_id) != 0)
 		send_all (connection->fd, "ERROR MISDIRECT other\r\n",
 		          strlen ("ERROR MISDIRECT other\r\n"));
 	else
@@ -434,6 +434,7 @@
 	memset (database, 0, sizeof *database);
 	g_mutex_init (&database->mutex);
 	database->id = id;
+	database->own_id = id;
 	database->is_primary = is_primary;
 	database->term = 1;
 	database->index = 100;
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -30,7 +30,8 @@
 
 struct fake_database
 {
-	const char *id;
+	const char *id;     /**< Name of the server in a test's directory. */
+	const char *own_id; /**< Id that a greeting has to give; as @c id at the start. */
 	uint16_t port;
 	GThread *thread;
 	GMutex mutex; /**< Guards the fields below. */
