gateway: log and count answers that nothing waits for or that have come before

The record of the incident cannot tell a server that repeats an answer from a row that was split: no line is written in either case. Each answer is now judged against what its connection waits for and has answered. The verdict is only logged (answer_repeated, answer_out_of_step) and counted.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -77,6 +77,12 @@
 		session->connection = NULL;
 		connection_close (connection);
 	}
+	/* Without a request, the next statement is told that the transaction was rolled back. */
+	if (!session->request.is_active)
+	{
+		session->is_aborted = session->state == TRANSACTION_OPEN;
+		return;
+	}
 	/* Only the forwarding VM knows when the statement takes effect. */
 	relay_refuse (session, answer_code_of_delivery (session->request.delivery), cause);
 }
--- a/gateway/server_slots.c
+++ b/gateway/server_slots.c
@@ -48,10 +48,7 @@
 		connection->lost_us > 0 ? (long long) (now_us - connection->lost_us) / US_PER_MS : -1,
 		connection->server->connection_count);
 	counter_add (COUNTER_ANSWERS_GIVEN_UP, 1);
-	if (session && session->is_relay)
-		relay_give_up (session, "the answer of the server is lost");
-	else
-		server_end_connection (connection);
+	connection_give_up (connection, "the answer of the server is lost");
 }
 
 /** Finds the oldest statement that counts as running, of those that were sent before @p before_us. */
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -7,6 +7,8 @@
 #include "gateway/traffic_metrics.h"
 #include "platform/wire.h"
 
+#include <xxhash.h>
+
 enum
 {
 	SESSION_MAX_ATTEMPTS = 6,
@@ -86,6 +88,11 @@
 	g_strlcpy (request->server, server->id, sizeof request->server);
 	request->sent_us = now_us;
 	request->attempts++;
+	connection->statement_id = XXH3_64bits (id.start, id.length);
+	connection->state_after =
+		session->state == TRANSACTION_OPEN && request->statement.kind != STATEMENT_COMMIT
+			? TRANSACTION_OPEN
+			: TRANSACTION_NONE;
 	connection_set_state (connection, CONNECTION_RUNNING);
 	if (request->shape)
 		wire_encode_execute (out, id, prefix, request->shape->name, request->statement.arguments);
@@ -124,6 +131,7 @@
 	connection->setup_pending = connection_prepare (connection, session);
 	connection->setup_code = ANSWER_DONE;
 	connection->setup_has_begin = begins;
+	connection->setup_is_read_only = session->is_read_only;
 	connection->setup_is_in_doubt = false;
 	session->is_first_statement = begins;
 	if (begins)
@@ -150,6 +158,20 @@
 	line_stream_flush (&connection->stream);
 }
 
+void
+server_heed_refusal (struct server *server, enum answer_code code, int64_t now_us)
+{
+	if (code == ANSWER_BEHIND)
+	{
+		server->is_behind = true;
+		server->behind_until_us = now_us + SESSION_BEHIND_US;
+	}
+	else if (code == ANSWER_OVERLOADED)
+		server->overloaded_until_us = now_us + SESSION_OVERLOADED_US;
+	else if (code == ANSWER_NOT_PRIMARY)
+		gateway_traffic_send_report (server, NULL, now_us);
+}
+
 /** Prepares the retry of a request that has had no effect. @return false when there were too many attempts. */
 static bool
 session_retry (struct session *session, struct server *server, enum answer_code code,
@@ -163,23 +185,11 @@
 	/* A read that replicas refuse for its position has no limit of attempts: it waits until it would be late. */
 	if (code != ANSWER_BEHIND && request->attempts > SESSION_MAX_ATTEMPTS)
 		return false;
-	switch (code)
-	{
-	case ANSWER_BEHIND:
-		server->is_behind = true;
-		server->behind_until_us = now_us + SESSION_BEHIND_US;
-		break;
-	case ANSWER_OVERLOADED:
-		server->overloaded_until_us = now_us + SESSION_OVERLOADED_US;
+	server_heed_refusal (server, code, now_us);
+	if (code == ANSWER_OVERLOADED)
 		request->retry_us = now_us + SESSION_RETRY_US;
-		break;
-	case ANSWER_NOT_PRIMARY:
-		gateway_traffic_send_report (server, NULL, now_us);
+	else if (code == ANSWER_NOT_PRIMARY)
 		request->retry_us = now_us + SESSION_OVERLOADED_US;
-		break;
-	default:
-		break;
-	}
 	counter_add (COUNTER_RETRIES, 1);
 	return true;
 }
@@ -397,10 +407,11 @@
 session_handle_answer (struct session *session, struct connection *connection,
                        const struct server_message *ready, int64_t now_us)
 {
-	session->request.delivery = answer_code_delivery (connection->code, connection->is_complete);
+	session->request.delivery =
+		answer_code_delivery (connection->code, connection->summary.has_completion);
 	if (session->is_relay)
 		relay_handle_answer (session, connection, ready, now_us);
-	else if (connection->code == ANSWER_DONE && connection->is_complete)
+	else if (connection->code == ANSWER_DONE && connection->summary.has_completion)
 		session_handle_success (session, connection, ready, now_us);
 	else if (session->state == TRANSACTION_OPEN && session->is_first_statement &&
 	         ready->state == TRANSACTION_NONE && answer_code_did_not_run (connection->code))
@@ -409,13 +420,6 @@
 		session_handle_transaction_error (session, connection, ready, now_us);
 	else
 		session_handle_error (session, connection, now_us);
-	if (connection->state != CONNECTION_CLOSED)
-	{
-		line_stream_release_buffer (connection->answer);
-		line_stream_settle (&connection->stream);
-		connection->code = ANSWER_DONE;
-		connection->is_complete = false;
-	}
 }
 
 void
--- a/include/common/counters.h
+++ b/include/common/counters.h
@@ -52,6 +52,8 @@
 	X (SLOT_QUESTIONS, "slot_questions")                                                           \
 	X (SLOTS_RELEASED, "slots_released")                                                           \
 	X (ANSWERS_GIVEN_UP, "answers_given_up")                                                       \
+	X (ANSWERS_REPEATED, "answers_repeated")                                                       \
+	X (ANSWERS_OUT_OF_STEP, "answers_out_of_step")                                                 \
 	X (SERVER_CONNECTIONS_OPENED, "server_connections_opened")                                     \
 	X (SERVER_CONNECTIONS_REPLACED, "server_connections_replaced")                                 \
 	X (WAIT_PREDICTIONS, "wait_predictions")                                                       \
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "decision/answer_match.h"
 #include "decision/delivery.h"
 #include "decision/position.h"
 
@@ -44,14 +45,6 @@
 	struct text arguments; /**< SET: value; PREPARE: shape; EXECUTE: arguments as sent. */
 };
 
-/** Transaction state at the end of each answer. */
-enum transaction_state
-{
-	TRANSACTION_NONE,
-	TRANSACTION_OPEN,
-	TRANSACTION_FAILED, /**< Only COMMIT and ROLLBACK are accepted. */
-};
-
 enum answer_code
 {
 	ANSWER_DONE,
@@ -131,7 +124,8 @@
 	bool has_load;                /**< SERVER_READY, only between VMs: @c load is given. */
 	struct load_report load;      /**< SERVER_READY. */
 	enum answer_code code;        /**< SERVER_ERROR. */
-	struct text text;             /**< SERVER_ROW: the row; SERVER_ERROR: the message. */
+	/** SERVER_ROW: the row; SERVER_COMPLETE: the signature, "-" if there is none; SERVER_ERROR: the message. */
+	struct text text;
 };
 
 /** A server's answer to a status query. */
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "common/mailbox.h"
+#include "decision/answer_match.h"
 #include "decision/own_commits.h"
 #include "decision/position_history.h"
 #include "decision/service_time.h"
@@ -59,16 +60,21 @@
 	/** Tenant that the server was told; NULL: none. A connection to an owner has none. */
 	struct tenant_state *tenant;
 	enum connection_state state;
-	GHashTable *values;     /**< Session values that are set on the server, name to value. */
-	size_t value_bytes;     /**< Of @c values. */
-	GHashTable *prepared;   /**< Set of struct prepared_shape that are prepared on the server. */
-	GString *answer;        /**< Lines of the current answer, without READY. */
-	enum answer_code code;  /**< Error code of the current answer. */
-	bool is_complete;       /**< The answer contains its COMPLETE line. */
-	bool is_in_transaction; /**< According to the last answer. */
-	uint32_t setup_pending; /**< Outstanding answers to the setup before the statement. */
+	GHashTable *values;   /**< Session values that are set on the server, name to value. */
+	size_t value_bytes;   /**< Of @c values. */
+	GHashTable *prepared; /**< Set of struct prepared_shape that are prepared on the server. */
+	GString *answer;      /**< Lines that have come of the present answer, without READY. */
+	struct answer_summary summary; /**< Of these lines. */
+	enum answer_code code;         /**< Error code among these lines. */
+	/** What the server itself has answered; NULL: connected to its owner. */
+	struct answer_match *match;
+	uint64_t statement_id;              /**< Hash of the id of the statement that was sent last. */
+	enum transaction_state state_after; /**< State after that statement, if it succeeds. */
+	bool is_in_transaction;             /**< According to the last answer. */
+	uint32_t setup_pending;      /**< Outstanding answers to the setup before the statement. */
 	enum answer_code setup_code; /**< First error among the answers to the setup. */
 	bool setup_has_begin;        /**< The last setup statement is BEGIN. */
+	bool setup_is_read_only;     /**< Of a read-only transaction. */
 	bool setup_is_in_doubt;      /**< A setup statement other than BEGIN was refused. */
 	/** Session of the transaction or running statement; NULL when it was closed. */
 	struct session *session;
@@ -139,6 +145,7 @@
 	int64_t measured_us;
 	struct load_report load;     /**< Last report of the owner. */
 	int64_t load_us;             /**< When the report came; 0: never. */
+	int64_t repeated_us;         /**< When it last sent an answer again; 0: never. */
 	uint64_t slots_released;     /**< Slots of statements whose answers were lost. */
 	struct log_position applied; /**< Last position that it reported. */
 	int64_t applied_us;          /**< When it last reported its position. */
@@ -375,6 +382,9 @@
 /** Sets up @p connection for the session and sends the statement. */
 void session_run (struct session *session, struct connection *connection, int64_t now_us);
 
+/** Avoids a server for a while that has refused a statement. */
+void server_heed_refusal (struct server *server, enum answer_code code, int64_t now_us);
+
 /** Called when the server refused the setup, before the statement was sent. */
 void session_handle_setup_failed (struct session *session, struct server *server,
                                   enum answer_code code, int64_t now_us);
@@ -419,7 +429,7 @@
 void relay_handle_query (struct session *session, const struct caller_message *message,
                          int64_t now_us);
 void relay_refuse (struct session *session, enum answer_code code, const char *message);
-/** Answers a request with what is known of its statement, and closes the connection that runs it. */
+/** Closes the session's connection to the server, and answers its request, if there is one, with what is known of it. */
 void relay_give_up (struct session *session, const char *cause);
 void relay_handle_answer (struct session *session, struct connection *connection,
                           const struct server_message *ready, int64_t now_us);
@@ -580,6 +590,12 @@
 /** Periodically opens a connection to a lost owner, or switches to the standby. */
 void server_retry_relay (struct server *server, int64_t now_us);
 
+/* connection_answer.c */
+/** Handles a line of the server or owner, without its end. */
+void connection_handle_line (struct connection *connection, struct text line);
+/** Whether the server has sent an answer again lately. */
+bool server_has_repeats (const struct server *server);
+
 /* connection.c */
 /**
  * Opens a connection to an owner, or to the server itself (@p owner NULL). A failure is handled from the loop, never
@@ -589,6 +605,10 @@
 void connection_open (struct server *server, const struct server_owner *owner,
                       struct tenant_state *tenant, int64_t now_us);
 void connection_set_state (struct connection *connection, enum connection_state state);
+/** Handles the end of the connection, by its peer or for an error, as the loss of the path to the server or owner. */
+void connection_handle_lost (struct connection *connection, const char *cause, int error);
+/** Closes the connection; what waits for an answer on it is unanswered, and its path is not lost. */
+void connection_give_up (struct connection *connection, const char *cause);
 /** Its statement does not run any more, but its answer has not come. */
 void connection_release_slot (struct connection *connection, int64_t now_us);
 /** Closes the connection without notifying its session. */
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -11,8 +11,12 @@
 
 #include <glib.h>
 
+/** Ends a line. Each of the two bytes alone is part of a field, as any other byte. */
+#define WIRE_LINE_END "\r\n"
+
 enum
 {
+	WIRE_LINE_END_BYTES = 2,
 	WIRE_MAX_MESSAGE_BYTES = 1024 * 1024, /**< Limit of the platform's protocol. */
 };
 
