gateway: one place decides what counts as the answer to a statement

What callers saw: beside servers that send an answer twice, most successes carried the answer of an earlier statement (MIXED), refused writes ran twice or ran although a promise was given (TWICE, REFUSED), and a gateway ended by itself (SIGSEGV) when a repeated answer met an idle transaction.

Cause: whatever came on a connection was taken for the answer to what was outstanding on it. Nothing compared form, signature or state, a repetition that came while the connection was idle left its lines in the next answer, and one in an idle transaction closed the connection below the session's pointer.

An answer that has come before is dropped; one that belongs to nothing ends the connection, and what waits counts as sent and unanswered. Writes avoid connections that have answered an error. Dates and times are learned from believed answers only.

slot_server ran BEGIN as a read when a position came before it, which the check of the form found.

--- a/gateway/connection_answer.c
+++ b/gateway/connection_answer.c
@@ -245,7 +245,6 @@
 		handle_report (connection, now_us);
 		break;
 	default:
-		connection_close (connection);
 		break;
 	}
 }
@@ -265,7 +264,7 @@
 	case CONNECTION_RUNNING:
 		expected.id = connection->statement_id;
 		expected.state = connection->state_after;
-		expected.wanted = ANSWER_WANTED_STATEMENT;
+		expected.wanted = connection->statement_wanted;
 		if (connection->setup_pending == 0)
 			break;
 		expected.wanted = ANSWER_WANTED_COMMAND;
@@ -334,6 +333,38 @@
 		connection->session ? connection->session->request.id->str : "-");
 }
 
+/** Drops an answer that has come before. What waits has no answer yet. */
+static void
+drop_repeated (struct connection *connection, int64_t now_us)
+{
+	struct server *server = connection->server;
+	struct service *service = server->service;
+	bool was_known = server_has_repeats (server);
+
+	log_repeated (connection);
+	server->repeated_us = now_us;
+	/* A status that was the same as an earlier one was dated as if it were new. */
+	if (!was_known && service->primary == server)
+		position_history_init (&service->history);
+}
+
+/** Ends a connection on which nothing says which statement the next answer belongs to. */
+static void
+handle_out_of_step (struct connection *connection, const char *cause)
+{
+	struct server *server = connection->server;
+
+	log_out_of_step (connection, cause);
+	if (connection->code != ANSWER_DONE)
+		server_heed_refusal (server, connection->code, clock_now_us ());
+	/* The question is asked again, on another connection. */
+	server->status_requested |= connection->state == CONNECTION_PROBING && connection->is_status;
+	if (connection->state == CONNECTION_OPENING)
+		connection_handle_lost (connection, cause, -EPROTO);
+	else
+		connection_give_up (connection, "the server's answer may be that of another statement");
+}
+
 static void
 reset_answer (struct connection *connection)
 {
@@ -349,10 +380,11 @@
 	enum answer_verdict verdict = judge_answer (connection, line, ready);
 
 	if (verdict == ANSWER_REPEATED)
-		log_repeated (connection);
+		drop_repeated (connection, clock_now_us ());
 	else if (verdict == ANSWER_OUT_OF_STEP)
-		log_out_of_step (connection, "unexpected");
-	handle_answer (connection, ready, true);
+		handle_out_of_step (connection, "unexpected");
+	else
+		handle_answer (connection, ready, verdict == ANSWER_CURRENT);
 	if (connection->state != CONNECTION_CLOSED)
 		reset_answer (connection);
 }
@@ -364,9 +396,9 @@
 	GString *answer = connection->answer;
 
 	if (!connection->summary.is_ordered)
-		log_out_of_step (connection, "order");
-	if (answer->len + line.length >
-	    buffer_budget_share (&connection->server->service->traffic->budget))
+		handle_out_of_step (connection, "order");
+	else if (answer->len + line.length >
+	         buffer_budget_share (&connection->server->service->traffic->budget))
 	{
 		counter_add (COUNTER_ANSWERS_OVERSIZED, 1);
 		connection_handle_lost (connection, "answer_oversized", -EMSGSIZE);
@@ -412,7 +444,7 @@
 		handle_ready (connection, line, &message);
 		break;
 	case SERVER_MALFORMED:
-		connection_handle_lost (connection, "malformed", -EPROTO);
+		handle_out_of_step (connection, "malformed");
 		break;
 	}
 }
--- a/gateway/server.c
+++ b/gateway/server.c
@@ -169,11 +169,22 @@
 	return connection->is_relayed == (uses_relay && !session->is_relay);
 }
 
+/** Whether a refusal on the connection would be taken for an earlier one, which leaves a statement that writes in doubt. */
+static bool
+leaves_in_doubt (const struct connection *connection, const struct session *session)
+{
+	bool writes = session->state == TRANSACTION_OPEN ? !session->is_read_only
+	                                                 : request_is_write (&session->request);
+
+	return writes && connection->match && !answer_match_believes_refusals (connection->match);
+}
+
 struct connection *
 server_find_idle (struct server *server, const struct session *session)
 {
 	bool uses_relay = server_uses_relay (server);
 	struct connection *best = NULL;
+	struct connection *doubtful = NULL;
 	uint32_t best_cost = UINT32_MAX;
 
 	for (struct connection *connection = server->connections; connection;
@@ -183,6 +194,11 @@
 
 		if (!connection_fits (connection, session, uses_relay))
 			continue;
+		if (leaves_in_doubt (connection, session))
+		{
+			doubtful = connection;
+			continue;
+		}
 		cost = connection_setup_cost (connection, session);
 		if (cost < best_cost)
 		{
@@ -190,6 +206,9 @@
 			best_cost = cost;
 		}
 	}
+	/* A new connection takes its place. */
+	if (!best && doubtful)
+		connection_close (doubtful);
 	if (best && !best->is_relayed && server_pool_yields (server, session->tenant, clock_now_us ()))
 		return NULL;
 	return best;
--- a/gateway/session_attempt.c
+++ b/gateway/session_attempt.c
@@ -88,6 +88,9 @@
 	g_strlcpy (request->server, server->id, sizeof request->server);
 	request->sent_us = now_us;
 	request->attempts++;
+	connection->statement_wanted = request->statement.kind == STATEMENT_CONTROL
+	                                   ? ANSWER_WANTED_REPORT
+	                                   : ANSWER_WANTED_STATEMENT;
 	connection->statement_id = XXH3_64bits (id.start, id.length);
 	connection->state_after =
 		session->state == TRANSACTION_OPEN && request->statement.kind != STATEMENT_COMMIT
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -68,6 +68,8 @@
 	enum answer_code code;         /**< Error code among these lines. */
 	/** What the server itself has answered; NULL: connected to its owner. */
 	struct answer_match *match;
+	/** What the statement that was sent last waits for. */
+	enum answer_wanted statement_wanted;
 	uint64_t statement_id;              /**< Hash of the id of the statement that was sent last. */
 	enum transaction_state state_after; /**< State after that statement, if it succeeds. */
 	bool is_in_transaction;             /**< According to the last answer. */
--- a/tests/support/slot_server.c
+++ b/tests/support/slot_server.c
@@ -199,14 +199,15 @@
 	char **words = g_strsplit (text, " ", 3);
 	const char *statement = words[0] && words[1] ? words[2] : NULL;
 
+	/* A position may precede a BEGIN as well as a read. All reads of this server see all commits. */
+	if (statement && g_str_has_prefix (statement, "AFTER "))
+		statement = strchr (statement + strlen ("AFTER "), ' ') + 1;
 	if (g_str_has_prefix (text, "START ") && statement)
 	{
 		g_free (link->tenant);
 		link->tenant = g_strndup (statement, strcspn (statement, " "));
 		answer (link, "");
 	}
-	else if (statement && g_str_has_prefix (statement, "AFTER "))
-		queue_job (link, words[1], strchr (statement + strlen ("AFTER "), ' ') + 1);
 	else if (statement && (strcmp (words[1], "-") != 0 || strcmp (statement, "STATUS") == 0))
 		queue_job (link, words[1], statement);
 	else if (statement)
