gateway: one place decides what a message is, and a field holds any byte

line_stream ends lines at CR LF only, on all hops: callers, servers, owners and forwarders. The limit of a message counts its bytes without the end, however they arrive. Kept texts have a length (byte_string). A read that would be too long with the position that a replica needs goes to the primary; EXECUTE and PREPARE that would be too long under the gateway's name are refused.

The oracle of the fuzz target shared the wrong reading; it now separates lines by their lengths.

--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -130,7 +130,7 @@
 	connection->server = server;
 	connection->tenant = owner ? NULL : tenant;
 	connection->state = CONNECTION_CLOSED;
-	connection->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	connection->values = byte_string_table_new (g_free);
 	connection->prepared = g_hash_table_new (NULL, NULL);
 	connection->answer = g_string_new (NULL);
 	connection->summary.is_ordered = true;
@@ -289,9 +289,9 @@
 	g_hash_table_iter_init (&iter, session->values);
 	while (g_hash_table_iter_next (&iter, &name, &value))
 	{
-		const char *held = g_hash_table_lookup (connection->values, name);
+		struct byte_string *held = g_hash_table_lookup (connection->values, name);
 
-		if (!held || strcmp (held, value) != 0)
+		if (!held || !byte_string_equals (held, value))
 			cost++;
 	}
 	if (session->request.shape &&
@@ -321,21 +321,23 @@
 	g_hash_table_iter_init (&iter, session->values);
 	while (g_hash_table_iter_next (&iter, &name, &value))
 	{
-		const char *held = g_hash_table_lookup (connection->values, name);
+		struct byte_string *held = g_hash_table_lookup (connection->values, name);
 
-		if (held && strcmp (held, value) == 0)
+		if (held && byte_string_equals (held, value))
 			continue;
-		wire_encode_set (out, name, value);
-		connection->value_bytes += strlen (value);
+		wire_encode_set (out, byte_string_text (name), byte_string_text (value));
+		connection->value_bytes += ((const struct byte_string *) value)->length;
 		if (!held)
-			connection->value_bytes += strlen (name) + TABLE_ENTRY_BYTES;
-		connection->value_bytes -= held ? strlen (held) : 0;
-		g_hash_table_replace (connection->values, g_strdup (name), g_strdup (value));
+			connection->value_bytes +=
+				((const struct byte_string *) name)->length + TABLE_ENTRY_BYTES;
+		connection->value_bytes -= held ? held->length : 0;
+		g_hash_table_replace (connection->values, byte_string_new (byte_string_text (name)),
+		                      byte_string_new (byte_string_text (value)));
 		count++;
 	}
 	if (shape && !g_hash_table_contains (connection->prepared, shape))
 	{
-		wire_encode_prepare (out, shape->name, shape->is_write, shape->shape);
+		wire_encode_prepare (out, shape->name, shape->is_write, byte_string_text (shape->shape));
 		g_hash_table_add (connection->prepared, shape);
 		count++;
 	}
--- a/gateway/line_stream.c
+++ b/gateway/line_stream.c
@@ -1,5 +1,7 @@
 #include "gateway/line_stream.h"
 
+#include "platform/wire.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <linux/sockios.h>
@@ -154,6 +156,22 @@
 	stream->in_start = 0;
 }
 
+/** Finds the end of the first undelivered line. @return NULL if it has not come. */
+static const char *
+find_line_end (struct line_stream *stream)
+{
+	size_t from = MAX (stream->in_scanned, stream->in_start);
+	size_t length = stream->in->len - from;
+	const char *end =
+		length > 0 ? memmem (stream->in->str + from, length, WIRE_LINE_END, WIRE_LINE_END_BYTES)
+				   : NULL;
+
+	/* The last byte may be the first half of an end. */
+	if (!end && length > 0)
+		stream->in_scanned = stream->in->len - 1;
+	return end;
+}
+
 /** Passes complete lines to handle_line(). @return false when the stream was closed or finished by a callback. */
 static bool
 stream_deliver_lines (struct line_stream *stream)
@@ -161,21 +179,19 @@
 	while (!stream->is_closed && !is_held (stream))
 	{
 		const char *start = stream->in->str + stream->in_start;
-		size_t from = MAX (stream->in_scanned, stream->in_start);
-		size_t length = stream->in->len - from;
-		const char *end = length > 0 ? memchr (stream->in->str + from, '\n', length) : NULL;
+		const char *end = find_line_end (stream);
 		struct text line;
 
 		if (!end)
+			break;
+		line = (struct text){ start, (size_t) (end - start) };
+		if (line.length > stream->max_line_bytes)
 		{
-			stream->in_scanned = stream->in->len;
+			stream_close (stream, -EMSGSIZE);
 			break;
 		}
 		buffer_progress_end (&stream->progress);
-		line = (struct text){ start, (size_t) (end - start) };
-		stream->in_start += line.length + 1;
-		if (line.length > 0 && line.start[line.length - 1] == '\r')
-			line.length--;
+		stream->in_start += line.length + WIRE_LINE_END_BYTES;
 		stream->is_handling = true;
 		stream->ops->handle_line (stream, line);
 		stream->is_handling = false;
@@ -220,7 +236,8 @@
 	g_string_append_len (stream->in, buffer, count);
 	if (!stream_deliver_lines (stream))
 		return false;
-	if (stream->in->len - stream->in_start > stream->max_line_bytes)
+	/* The first half of an end may follow the longest line. */
+	if (stream->in->len - stream->in_start > stream->max_line_bytes + 1)
 	{
 		stream_close (stream, -EMSGSIZE);
 		return false;
--- a/gateway/session.c
+++ b/gateway/session.c
@@ -44,7 +44,10 @@
 		return true;
 	if (session->state != TRANSACTION_NONE)
 		return !session->is_read_only;
-	return request_is_write (&session->request);
+	/* A replica is told the position that a read needs, which makes the message longer. */
+	return request_is_write (&session->request) ||
+	       !wire_query_fits (session->request.id->len,
+	                         session->request.text->len + WIRE_MAX_POSITION_BYTES);
 }
 
 enum statement_effect
@@ -252,7 +255,7 @@
 {
 	const struct view *view = session->traffic->view;
 	const struct route *route =
-		view && view->configuration
+		view && view->configuration && !session->has_nul
 			? g_hash_table_lookup (view->configuration->routes, session->database)
 			: NULL;
 	const struct tenant *tenant;
@@ -369,6 +372,7 @@
 handle_start (struct session *session, const struct caller_message *message)
 {
 	session->database = g_strndup (message->database.start, message->database.length);
+	session->has_nul = memchr (message->database.start, '\0', message->database.length) != NULL;
 	session->key = key_digest_of (message->caller.start, message->caller.length);
 	session_greet (session);
 }
@@ -467,8 +471,8 @@
 	session->is_relay = peer_ip != 0;
 	session->peer_ip = peer_ip;
 	session->stream.bounds_output = true;
-	session->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-	session->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+	session->values = byte_string_table_new (g_free);
+	session->prepared = byte_string_table_new (NULL);
 	session->request.id = g_string_new (NULL);
 	session->request.text = g_string_new (NULL);
 	session->request.answer = g_string_new (NULL);
--- a/gateway/session_query.c
+++ b/gateway/session_query.c
@@ -76,33 +76,28 @@
 bool
 session_set_value (struct session *session, const struct statement *statement)
 {
-	char *name = g_strndup (statement->name.start, statement->name.length);
-	const char *held = g_hash_table_lookup (session->values, name);
-	size_t bytes = session->value_bytes + statement->name.length + statement->arguments.length;
+	struct byte_string *name = byte_string_new (statement->name);
+	struct byte_string *held = g_hash_table_lookup (session->values, name);
+	size_t bytes = session->value_bytes + statement->arguments.length;
 
 	if (held)
-		bytes -= strlen (name) + strlen (held);
+		bytes -= held->length;
 	else
-		bytes += TABLE_ENTRY_BYTES;
+		bytes += statement->name.length + TABLE_ENTRY_BYTES;
 	if (bytes > max_kept_bytes (session))
 	{
 		g_free (name);
 		return false;
 	}
 	session->value_bytes = bytes;
-	g_hash_table_replace (session->values, name,
-	                      g_strndup (statement->arguments.start, statement->arguments.length));
-	/* What is counted is what strings hold: a text may contain a NUL byte. */
-	session->value_bytes -= statement->name.length - strlen (name);
-	session->value_bytes -=
-		statement->arguments.length - strlen (g_hash_table_lookup (session->values, name));
+	g_hash_table_replace (session->values, name, byte_string_new (statement->arguments));
 	return true;
 }
 
 static size_t
-prepared_bytes (const char *name, const struct prepared_shape *shape)
+prepared_bytes (size_t name_bytes, const struct prepared_shape *shape)
 {
-	return strlen (name) + strlen (shape->shape) + TABLE_ENTRY_BYTES;
+	return name_bytes + shape->shape->length + TABLE_ENTRY_BYTES;
 }
 
 bool
@@ -110,12 +105,13 @@
 {
 	struct prepared_shape *shape =
 		gateway_traffic_get_shape (session->traffic, statement->arguments, statement->is_write);
-	char *name = g_strndup (statement->name.start, statement->name.length);
+	size_t name_bytes = statement->name.length;
+	struct byte_string *name = byte_string_new (statement->name);
 	const struct prepared_shape *held = g_hash_table_lookup (session->prepared, name);
-	size_t bytes = session->shape_bytes + (shape ? prepared_bytes (name, shape) : 0);
+	size_t bytes = session->shape_bytes + (shape ? prepared_bytes (name_bytes, shape) : 0);
 
 	if (held)
-		bytes -= prepared_bytes (name, held);
+		bytes -= prepared_bytes (name_bytes, held);
 	if (!shape || bytes > max_kept_bytes (session))
 	{
 		g_free (name);
@@ -123,7 +119,7 @@
 	}
 	session->shape_bytes = bytes;
 	if (!held)
-		session->name_bytes += strlen (name) + TABLE_ENTRY_BYTES;
+		session->name_bytes += name_bytes + TABLE_ENTRY_BYTES;
 	g_hash_table_replace (session->prepared, name, shape);
 	return true;
 }
@@ -142,9 +138,25 @@
 		session_fail (session, ANSWER_OVERLOADED, "too large session values");
 }
 
+/** Whether a server takes the statement under the gateway's name of its text, which may be longer than the caller's. */
+static bool
+fits_renamed (const struct session *session)
+{
+	const struct request *request = &session->request;
+	size_t name_bytes = sizeof ((struct prepared_shape *) NULL)->name;
+
+	return wire_query_fits (request->id->len,
+	                        request->text->len - request->statement.name.length + name_bytes);
+}
+
 static void
 handle_prepare (struct session *session)
 {
+	if (!fits_renamed (session))
+	{
+		session_fail (session, ANSWER_MALFORMED, "the statement is too long");
+		return;
+	}
 	if (g_hash_table_size (session->prepared) >= SESSION_MAX_PREPARED)
 	{
 		session_fail (session, ANSWER_OVERLOADED, "too many prepared statements");
@@ -160,13 +172,13 @@
 handle_deallocate (struct session *session)
 {
 	const struct statement *statement = &session->request.statement;
-	char *name = g_strndup (statement->name.start, statement->name.length);
+	struct byte_string *name = byte_string_new (statement->name);
 	const struct prepared_shape *held = g_hash_table_lookup (session->prepared, name);
 
 	if (held)
 	{
-		session->shape_bytes -= prepared_bytes (name, held);
-		session->name_bytes -= strlen (name) + TABLE_ENTRY_BYTES;
+		session->shape_bytes -= prepared_bytes (statement->name.length, held);
+		session->name_bytes -= statement->name.length + TABLE_ENTRY_BYTES;
 	}
 	g_hash_table_remove (session->prepared, name);
 	g_free (name);
@@ -181,11 +193,11 @@
 session_find_shape (struct session *session)
 {
 	struct request *request = &session->request;
-	char *name;
+	struct byte_string *name;
 
 	if (request->statement.kind != STATEMENT_EXECUTE)
 		return true;
-	name = g_strndup (request->statement.name.start, request->statement.name.length);
+	name = byte_string_new (request->statement.name);
 	request->shape = g_hash_table_lookup (session->prepared, name);
 	g_free (name);
 	return request->shape != NULL;
@@ -212,6 +224,11 @@
 		session_fail (session, ANSWER_UNKNOWN_STATEMENT, "no such prepared statement");
 		return;
 	}
+	if (request->shape && !fits_renamed (session))
+	{
+		session_fail (session, ANSWER_MALFORMED, "the statement is too long");
+		return;
+	}
 	if (session->state == TRANSACTION_NONE)
 	{
 		if (!begin_operation (session))
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -91,7 +91,7 @@
 static size_t
 shape_bytes (const struct prepared_shape *shape)
 {
-	return 2 * strlen (shape->shape) + sizeof *shape + 64;
+	return 2 * shape->shape->length + sizeof *shape + 64;
 }
 
 static void
@@ -159,9 +159,14 @@
 struct prepared_shape *
 gateway_traffic_get_shape (struct gateway_traffic *traffic, struct text shape, bool is_write)
 {
-	char *key = g_strdup_printf ("%c%.*s", is_write ? 'w' : 'r', (int) shape.length, shape.start);
-	struct prepared_shape *found = g_hash_table_lookup (traffic->shapes, key);
+	GString *text = g_string_new (is_write ? "w" : "r");
+	struct byte_string *key;
+	struct prepared_shape *found;
 
+	g_string_append_len (text, shape.start, (gssize) shape.length);
+	key = byte_string_new ((struct text){ text->str, text->len });
+	g_string_free (text, TRUE);
+	found = g_hash_table_lookup (traffic->shapes, key);
 	if (found || !has_room_for_shape (traffic, shape.length))
 	{
 		g_free (key);
@@ -170,7 +175,7 @@
 	if (g_hash_table_size (traffic->shapes) == TRAFFIC_MANY_SHAPES)
 		log_event (LOG_LEVEL_WARN, "many_shapes", "count=%d", TRAFFIC_MANY_SHAPES);
 	found = g_new0 (struct prepared_shape, 1);
-	found->shape = g_strndup (shape.start, shape.length);
+	found->shape = byte_string_new (shape);
 	found->is_write = is_write;
 	/* Never a name that a server may still hold with another text. */
 	snprintf (found->name, sizeof found->name, "p%u", traffic->shape_number++);
@@ -529,7 +534,7 @@
 	traffic->servers =
 		g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) server_free);
 	traffic->tenants = tenant_table_new ();
-	traffic->shapes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, shape_free);
+	traffic->shapes = byte_string_table_new (shape_free);
 	traffic->peer_sessions = g_hash_table_new (NULL, NULL);
 	client_limits_init (traffic);
 	g_queue_init (&traffic->sessions);
--- a/include/gateway/statement.h
+++ b/include/gateway/statement.h
@@ -11,7 +11,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-/** A part of a message, which points into the receive buffer. */
+/** A part of a message, which points into the receive buffer. It holds any byte, also line feeds and NUL. */
 struct text
 {
 	const char *start;
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -14,6 +14,7 @@
 #include "decision/tenant_pool.h"
 #include "decision/wait_prediction.h"
 #include "decision/work_queue.h"
+#include "gateway/byte_string.h"
 #include "gateway/cap_exchange.h"
 #include "gateway/line_stream.h"
 #include "gateway/tenant.h"
@@ -37,7 +38,7 @@
 /** Text of a prepared statement, which has the same name on all server connections. */
 struct prepared_shape
 {
-	char *shape; /**< Statement text as in PREPARE. */
+	struct byte_string *shape; /**< Statement text as in PREPARE. */
 	char name[16];
 	bool is_write;
 };
@@ -60,7 +61,8 @@
 	/** Tenant that the server was told; NULL: none. A connection to an owner has none. */
 	struct tenant_state *tenant;
 	enum connection_state state;
-	GHashTable *values;   /**< Session values that are set on the server, name to value. */
+	GHashTable *
+		values; /**< Session values that are set on the server, name to value, both struct byte_string. */
 	size_t value_bytes;   /**< Of @c values. */
 	GHashTable *prepared; /**< Set of struct prepared_shape that are prepared on the server. */
 	GString *answer;      /**< Lines that have come of the present answer, without READY. */
@@ -263,6 +265,7 @@
 	struct log_position relay_after;
 	bool is_first_statement; /**< The current statement was sent together with BEGIN. */
 	char *database;
+	bool has_nul; /**< The name of the database holds a NUL byte, so that it is none of a route. */
 	struct key_digest key; /**< Digest of the caller's key. */
 	/** Tenant of the current operation; NULL: none, the deployment or the route has no tenants. */
 	struct tenant_state *tenant;
@@ -270,11 +273,11 @@
 		takes_any_tenant; /**< A forwarded statement of a gateway itself: it runs on any tenant's connection. */
 	enum cap_state cap_state;
 	int64_t cap_until_us; /**< End of the wait for a token. */
-	GHashTable *values;   /**< Acknowledged session values, name to value. */
-	size_t value_bytes;   /**< Of @c values. */
-	size_t shape_bytes;   /**< Of the names and texts of @c prepared. */
-	size_t name_bytes;    /**< Of the names alone; the texts belong to all sessions. */
-	GHashTable *prepared; /**< Name to struct prepared_shape. */
+	GHashTable *values; /**< Acknowledged session values, name to value, both struct byte_string. */
+	size_t value_bytes; /**< Of @c values. */
+	size_t shape_bytes; /**< Of the names and texts of @c prepared. */
+	size_t name_bytes;  /**< Of the names alone; the texts belong to all sessions. */
+	GHashTable *prepared; /**< Name (struct byte_string) to struct prepared_shape. */
 	enum transaction_state state;
 	bool is_read_only;
 	bool is_started; /**< The server has begun the transaction. */
@@ -322,7 +325,8 @@
 		*tenant_report; /**< Handed to other threads by an atomic exchange; NULL: it was taken. */
 	int64_t tenant_report_us; /**< When the last one was made. */
 	struct cap_exchange cap_exchange;
-	GHashTable *shapes;    /**< struct prepared_shape by kind (read or write) and text. */
+	GHashTable *
+		shapes; /**< struct prepared_shape by kind (read or write) and text (struct byte_string). */
 	size_t shape_bytes;    /**< Charge of @c shapes in the budget. */
 	uint32_t shape_number; /**< Number of the next one's name. */
 	int64_t shapes_swept_us;
--- a/include/platform/wire.h
+++ b/include/platform/wire.h
@@ -18,6 +18,8 @@
 {
 	WIRE_LINE_END_BYTES = 2,
 	WIRE_MAX_MESSAGE_BYTES = 1024 * 1024, /**< Limit of the platform's protocol. */
+	/** What is put in front of a statement for a server at most: "AFTER ", two numbers of 20 digits, a dot and a blank. */
+	WIRE_MAX_POSITION_BYTES = 48,
 };
 
 struct caller_message wire_decode_caller (struct text line);
@@ -58,6 +60,9 @@
 	const struct log_position *after; /**< Position that the server's log must contain. */
 };
 
+/** Whether a server takes a statement of @p text_bytes, with what is put in front of it. */
+bool wire_query_fits (size_t id_bytes, size_t text_bytes);
+
 /** Encodes a caller's statement with its id and text unchanged. */
 void wire_encode_query (GString *out, struct text id, struct wire_prefix prefix, struct text text);
 
@@ -67,8 +72,8 @@
 void wire_encode_begin (GString *out, bool is_read_only, const struct log_position *after);
 void wire_encode_rollback (GString *out);
 void wire_encode_reset (GString *out);
-void wire_encode_set (GString *out, const char *name, const char *value);
-void wire_encode_prepare (GString *out, const char *name, bool is_write, const char *shape);
+void wire_encode_set (GString *out, struct text name, struct text value);
+void wire_encode_prepare (GString *out, const char *name, bool is_write, struct text shape);
 void wire_encode_status (GString *out);
 
 /** Between VMs: the request for the last sample of a primary's owner, and the row of the response. */
--- a/tests/fuzz/gateway.c
+++ b/tests/fuzz/gateway.c
@@ -137,7 +137,7 @@
 	STREAM_MAX_LINE_BYTES = 512,
 };
 
-/** A stream that gets the input in pieces, and the lines that it delivers, each with an end. */
+/** A stream that gets the input in pieces, and the lines that it delivers, each after its length. */
 struct fuzzed_stream
 {
 	struct line_stream stream; /* First, for the callbacks. */
@@ -145,13 +145,20 @@
 	bool is_closed;
 };
 
+/** Appends a line with its length, since it may hold any byte. */
+static void
+append_line (GString *lines, const char *start, size_t length)
+{
+	g_string_append_printf (lines, "%zu:", length);
+	g_string_append_len (lines, start, (gssize) length);
+}
+
 static void
 handle_stream_line (struct line_stream *stream, struct text line)
 {
 	struct fuzzed_stream *fuzzed = (struct fuzzed_stream *) stream;
 
-	g_string_append_len (fuzzed->lines, line.start, (gssize) line.length);
-	g_string_append_c (fuzzed->lines, '\n');
+	append_line (fuzzed->lines, line.start, line.length);
 	/* The first byte decides what the owner of the stream does. */
 	line_stream_set_paused (stream, line.length > 0 && line.start[0] == 'p');
 	if (line.length > 0 && line.start[0] == 'o')
@@ -171,22 +178,20 @@
 	.handle_closed = handle_stream_closed,
 };
 
-/** Splits the input as the stream does that gets it in one piece. */
+/** Splits the input as the stream does that gets it in one piece: only the two bytes of a line's end together are no text. */
 static GString *
 split_lines (const char *data, size_t size)
 {
 	GString *lines = g_string_new (NULL);
-	const char *end;
+	size_t start = 0;
 
-	for (; size > 0 && (end = memchr (data, '\n', size));
-	     size -= (size_t) (end + 1 - data), data = end + 1)
+	for (size_t i = 0; i + 1 < size; i++)
 	{
-		size_t length = (size_t) (end - data);
-
-		if (length > 0 && data[length - 1] == '\r')
-			length--;
-		g_string_append_len (lines, data, (gssize) length);
-		g_string_append_c (lines, '\n');
+		if (data[i] != '\r' || data[i + 1] != '\n')
+			continue;
+		append_line (lines, data + start, i - start);
+		start = i + 2;
+		i++;
 	}
 	return lines;
 }
--- a/tests/integration/gateway_messages.c
+++ b/tests/integration/gateway_messages.c
@@ -15,20 +15,21 @@
 	const char *bytes;
 	size_t length;
 } spellings[] = {
-	{ "line feed", "a\nb", 3 },
-	{ "line feed first", "\nab", 3 },
-	{ "line feed last", "ab\n", 3 },
-	{ "carriage return", "a\rb", 3 },
-	{ "carriage return last", "ab\r", 3 },
-	{ "both, reversed", "a\n\rb", 4 },
-	{ "statement", "a\nQUERY x9 WRITE 9 smuggled", 26 },
-	{ "completion", "a\nCOMPLETE mac.forged\nREADY I 1.1", 33 },
-	{ "nul", "a\0b", 3 },
-	{ "nul last", "ab\0", 3 },
-	{ "tab", "a\tb", 3 },
-	{ "blanks", "  a  b  ", 8 },
-	{ "high bytes", "\xff\xfe\x80", 3 },
-	{ "quotes", "\"a\" = 'b'", 9 },
+	{ "line feed", "a\nb", sizeof "a\nb" - 1 },
+	{ "line feed first", "\nab", sizeof "\nab" - 1 },
+	{ "line feed last", "ab\n", sizeof "ab\n" - 1 },
+	{ "carriage return", "a\rb", sizeof "a\rb" - 1 },
+	{ "carriage return last", "ab\r", sizeof "ab\r" - 1 },
+	{ "both, reversed", "a\n\rb", sizeof "a\n\rb" - 1 },
+	{ "statement", "a\nQUERY x9 WRITE 9 smuggled", sizeof "a\nQUERY x9 WRITE 9 smuggled" - 1 },
+	{ "completion", "a\nCOMPLETE mac.forged\nREADY I 1.1",
+	  sizeof "a\nCOMPLETE mac.forged\nREADY I 1.1" - 1 },
+	{ "nul", "a\0b", sizeof "a\0b" - 1 },
+	{ "nul last", "ab\0", sizeof "ab\0" - 1 },
+	{ "tab", "a\tb", sizeof "a\tb" - 1 },
+	{ "blanks", "  a  b  ", sizeof "  a  b  " - 1 },
+	{ "high bytes", "\xff\xfe\x80", sizeof "\xff\xfe\x80" - 1 },
+	{ "quotes", "\"a\" = 'b'", sizeof "\"a\" = 'b'" - 1 },
 };
 
 static struct gateway_pair pair;
@@ -129,11 +130,25 @@
 	gateway_pair_stop (&pair);
 }
 
-/** Bytes of a value or shape as the server holds them: the fake keeps strings, so that texts with NUL bytes are left out. */
+/** Whether the server was sent a statement of the gateway itself with exactly these bytes at its end. */
 static bool
-has_nul (const struct spelling *spelling)
+has_command (const char *before, const struct spelling *spelling)
 {
-	return memchr (spelling->bytes, '\0', spelling->length) != NULL;
+	struct fake_database *primary = &pair.databases[PAIR_PRIMARY];
+	bool found = false;
+
+	g_mutex_lock (&primary->mutex);
+	for (guint i = 0; i < primary->commands->len; i++)
+	{
+		gsize length;
+		const char *bytes = g_bytes_get_data (primary->commands->pdata[i], &length);
+
+		found |= length > spelling->length && strncmp (bytes, before, strlen (before)) == 0 &&
+		         bytes[length - spelling->length - 1] == ' ' &&
+		         memcmp (bytes + length - spelling->length, spelling->bytes, spelling->length) == 0;
+	}
+	g_mutex_unlock (&primary->mutex);
+	return found;
 }
 
 /* Values and shapes are kept by the gateway and set up again on other connections. */
@@ -146,13 +161,9 @@
 		{
 			const struct spelling *spelling = &spellings[i];
 			g_autofree char *id = g_strdup_printf ("q%d.%zu", vm, i);
-			g_autofree char *shape = g_strdup_printf ("READ %s", spelling->bytes);
-			const struct fake_statement *ran;
 			GString *text = g_string_new (NULL);
 			int fd;
 
-			if (has_nul (spelling))
-				continue;
 			fd = gateway_pair_open (&pair, vm, "primary");
 			append_text (text, "SET v0 ", spelling);
 			g_string_free (pair_execute (fd, "v", text->str, text->len), TRUE);
@@ -160,11 +171,9 @@
 			g_string_free (pair_execute (fd, "p", text->str, text->len), TRUE);
 			g_string_assign (text, "EXECUTE s 1");
 			g_string_free (pair_execute (fd, id, text->str, text->len), TRUE);
-			ran = fake_database_find (&pair.databases[PAIR_PRIMARY], id);
-			if (!ran || strcmp (ran->value, spelling->bytes) != 0 ||
-			    strcmp (ran->shape, shape) != 0)
-				g_test_fail_printf ("%s: %s runs with value %s and shape %s", spelling->name, id,
-				                    ran ? ran->value : "-", ran ? ran->shape : "-");
+			g_assert_nonnull (fake_database_find (&pair.databases[PAIR_PRIMARY], id));
+			if (!has_command ("SET v0 ", spelling) || !has_command ("PREPARE p", spelling))
+				g_test_fail_printf ("%s: value or text changed", spelling->name);
 			g_string_free (text, TRUE);
 			close (fd);
 		}
@@ -196,6 +205,96 @@
 	gateway_pair_stop (&pair);
 }
 
+/* Ids are words: any bytes but blanks. */
+static void
+test_ids (void)
+{
+	static const char *const ids[] = { "q\n1", "q\r1", "\nq", "q\t1", "\xff\xfe", "q\"=1" };
+
+	gateway_pair_start (&pair, 400);
+	for (int vm = 0; vm < PAIR_VMS; vm++)
+		for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+		{
+			const struct spelling spelling = { "id", "a", 1 };
+			int fd = gateway_pair_open (&pair, vm, "primary");
+			guint count = count_statements ();
+			GString *text = g_string_new ("WRITE 1 a");
+			GString *answer = pair_execute (fd, ids[i], text->str, text->len);
+
+			check_success (answer, NULL, 0, ids[i], &spelling);
+			check_ran (ids[i], text, count, ids[i], &spelling);
+			g_string_free (answer, TRUE);
+			g_string_free (text, TRUE);
+			close (fd);
+		}
+	gateway_pair_stop (&pair);
+}
+
+/* The name of a database that begins with that of a route is another one. */
+static void
+test_databases (void)
+{
+	static const struct spelling names[] = {
+		{ "nul", "primary\0x", 9 },
+		{ "line feed", "primary\n", 8 },
+		{ "carriage return", "primary\r", 8 },
+		{ "tab", "primary\t", 8 },
+	};
+
+	gateway_pair_start (&pair, 400);
+	for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+	{
+		int fd = gateway_pair_connect (pair.caller_ports[PAIR_OWNER]);
+		GString *answer;
+
+		g_assert_true (pair_send (fd, "START ", 6) &&
+		               pair_send (fd, names[i].bytes, names[i].length) &&
+		               pair_send (fd, " who\r\n", 6));
+		answer = pair_read (fd);
+		if (!g_str_has_prefix (answer->str, "ERROR NODB "))
+			g_test_fail_printf ("%s: %s", names[i].name, answer->str);
+		g_string_free (answer, TRUE);
+		close (fd);
+	}
+	gateway_pair_stop (&pair);
+}
+
+/* A message of the largest size stays one: what the gateway puts in front of a read would make it too long for a server. */
+static void
+test_largest (void)
+{
+	enum
+	{
+		MAX_BYTES = 1024 * 1024,
+		FRAME_BYTES = 6 + 2 + 1 + 2, /* "QUERY ", the id, a blank, the line end. */
+	};
+	static const char *const databases[] = { "primary", "staleness" };
+	static const char *const kinds[] = { "READ ", "WRITE 1 " };
+	const struct spelling spelling = { "largest", "", 0 };
+
+	gateway_pair_start (&pair, 400);
+	for (int vm = 0; vm < PAIR_VMS; vm++)
+		for (size_t i = 0; i < G_N_ELEMENTS (databases) * G_N_ELEMENTS (kinds); i++)
+		{
+			GString *text = g_string_new (kinds[i / 2]);
+			int fd = gateway_pair_open (&pair, vm, databases[i % 2]);
+			guint count = count_statements ();
+			GString *answer;
+
+			while (text->len < MAX_BYTES - FRAME_BYTES)
+				g_string_append_c (text, (char) ('a' + text->len % 26));
+			answer = pair_execute (fd, "q1", text->str, text->len);
+			check_success (answer, i / 2 ? NULL : "row", 3, databases[i % 2], &spelling);
+			check_ran ("q1", text, count, databases[i % 2], &spelling);
+			g_string_free (answer, TRUE);
+			g_string_free (text, TRUE);
+			close (fd);
+		}
+	for (int i = 0; i < PAIR_SERVERS; i++)
+		g_assert_cmpuint (pair.databases[i].max_line_bytes + 2, <=, MAX_BYTES);
+	gateway_pair_stop (&pair);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -203,6 +302,9 @@
 	log_init (LOG_LEVEL_ERROR, "test");
 	g_test_add_func ("/gateway_messages/texts_and_rows", test_texts_and_rows);
 	g_test_add_func ("/gateway_messages/values_and_shapes", test_values_and_shapes);
+	g_test_add_func ("/gateway_messages/ids", test_ids);
+	g_test_add_func ("/gateway_messages/databases", test_databases);
+	g_test_add_func ("/gateway_messages/largest", test_largest);
 	g_test_add_func ("/gateway_messages/shapes_with_nul", test_shapes_with_nul);
 	return g_test_run ();
 }
--- a/tests/support/fake_database.c
+++ b/tests/support/fake_database.c
@@ -292,6 +292,7 @@
 	size_t bytes = 0;
 
 	connection->reaction = (struct fake_reaction){ .repeat_ms = -1 };
+	database->max_line_bytes = MAX (database->max_line_bytes, length);
 	if (text)
 	{
 		text += strlen (words[0]) + strlen (words[1]) + 2;
@@ -311,7 +312,10 @@
 		else if (connection->reaction.is_refused)
 			send_answer (database, connection, "ERROR BUSY slots\r\n");
 		else if (strcmp (words[1], "-") == 0)
+		{
+			g_ptr_array_add (database->commands, g_bytes_new (text, bytes));
 			run_session_command (database, connection, text);
+		}
 		else
 			run_statement (database, connection, words[1], text, bytes);
 	}
@@ -332,7 +336,7 @@
 static void
 connection_read (struct fake_database *database, struct fake_connection *connection)
 {
-	char buffer[4096];
+	char buffer[65536];
 	ssize_t count = recv (connection->fd, buffer, sizeof buffer, 0);
 	char *end;
 
@@ -437,6 +441,7 @@
 	database->index = 100;
 	database->committed = g_ptr_array_new_with_free_func (g_free);
 	database->greetings = g_ptr_array_new_with_free_func (g_free);
+	database->commands = g_ptr_array_new_with_free_func ((GDestroyNotify) g_bytes_unref);
 	database->statements = g_ptr_array_new_with_free_func (statement_free);
 	database->listener = rpc_listen (INADDR_LOOPBACK, 0);
 	g_assert_cmpint (database->listener, >=, 0);
@@ -455,6 +460,7 @@
 	g_ptr_array_free (database->statements, TRUE);
 	g_ptr_array_free (database->committed, TRUE);
 	g_ptr_array_free (database->greetings, TRUE);
+	g_ptr_array_free (database->commands, TRUE);
 	g_queue_clear_full (&database->repeats, repeat_free);
 	if (database->row)
 		g_bytes_unref (database->row);
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -45,6 +45,8 @@
 	GPtrArray *greetings; /**< The START lines that it got. */
 	int refused;          /**< Statements that were answered LAGGING or READONLY. */
 	GPtrArray *statements;
+	GPtrArray *commands;   /**< GBytes; texts of the statements with the id "-". */
+	size_t max_line_bytes; /**< Of the longest line, without its end. */
 	GPtrArray
 		*committed; /**< Ids of the writes that took effect, in order; one id may be there twice. */
 	int is_stopped;
--- a/tests/unit/line_stream.c
+++ b/tests/unit/line_stream.c
@@ -2,6 +2,7 @@
  * the peer does not read, a charge that is not given back, and lines that are torn or lost by these. */
 #include "gateway/line_stream.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -26,6 +27,7 @@
 	unsigned answer_bytes;
 	bool pauses;
 	bool is_closed;
+	GString *joined; /* Lines with a bar after each; NULL: they are those of send_lines(). */
 };
 
 static void
@@ -33,6 +35,13 @@
 {
 	struct fixture *fixture = (struct fixture *) stream;
 
+	if (fixture->joined)
+	{
+		g_string_append_len (fixture->joined, line.start, (gssize) line.length);
+		g_string_append_c (fixture->joined, '|');
+		fixture->lines++;
+		return;
+	}
 	g_assert_cmpuint (line.length, ==, LINE_BYTES);
 	g_assert_cmpint ((unsigned char) line.start[0], ==, 'a' + (int) (fixture->lines % 26));
 	fixture->lines++;
@@ -79,6 +88,8 @@
 	g_assert_cmpuint (fixture->budget.used_bytes, ==, 0);
 	loop_finish (&fixture->loop);
 	close (fixture->peer);
+	if (fixture->joined)
+		g_string_free (fixture->joined, TRUE);
 }
 
 static void
@@ -92,7 +103,7 @@
 static size_t
 send_lines (struct fixture *fixture, size_t sent, size_t limit)
 {
-	char line[LINE_BYTES + 1];
+	char line[LINE_BYTES + 2];
 	ssize_t count = 0;
 
 	while (sent < limit)
@@ -100,7 +111,8 @@
 		size_t begin = sent % sizeof line;
 
 		memset (line, 'a' + (int) (sent / sizeof line % 26), LINE_BYTES);
-		line[LINE_BYTES] = '\n';
+		line[LINE_BYTES] = '\r';
+		line[LINE_BYTES + 1] = '\n';
 		count = send (fixture->peer, line + begin, MIN (sizeof line - begin, limit - sent),
 		              MSG_NOSIGNAL);
 		if (count > 0)
@@ -125,14 +137,14 @@
 
 	fixture_init (&fixture);
 	fixture.pauses = true;
-	sent = send_lines (&fixture, 0, (size_t) LINES * (LINE_BYTES + 1));
-	g_assert_cmpuint (sent, <, (size_t) LINES * (LINE_BYTES + 1));
+	sent = send_lines (&fixture, 0, (size_t) LINES * (LINE_BYTES + 2));
+	g_assert_cmpuint (sent, <, (size_t) LINES * (LINE_BYTES + 2));
 	g_assert_cmpuint (fixture.lines, ==, 1);
 	g_assert_cmpuint (fixture.stream.in->allocated_len, <=, SMALL_INPUT_BYTES);
 	for (unsigned i = 0; fixture.lines < LINES && i < 2 * LINES; i++)
 	{
 		line_stream_set_paused (&fixture.stream, false);
-		sent = send_lines (&fixture, sent, (size_t) LINES * (LINE_BYTES + 1));
+		sent = send_lines (&fixture, sent, (size_t) LINES * (LINE_BYTES + 2));
 		loop_step (&fixture.loop, 0);
 	}
 	g_assert_cmpuint (fixture.lines, ==, LINES);
@@ -146,7 +158,7 @@
 
 	fixture_init (&fixture);
 	fixture.pauses = true;
-	send_lines (&fixture, 0, (size_t) LINES * (LINE_BYTES + 1));
+	send_lines (&fixture, 0, (size_t) LINES * (LINE_BYTES + 2));
 	run_turns (&fixture);
 	g_assert_false (fixture.is_closed);
 	g_assert_cmpint (shutdown (fixture.peer, SHUT_WR), ==, 0);
@@ -164,7 +176,7 @@
 
 	fixture_init (&fixture);
 	fixture.answer_bytes = 5000;
-	sent = send_lines (&fixture, 0, (size_t) LINES * (LINE_BYTES + 1));
+	sent = send_lines (&fixture, 0, (size_t) LINES * (LINE_BYTES + 2));
 	g_assert_cmpuint (fixture.lines, <, LINES);
 	g_assert_true (line_stream_owes (&fixture.stream));
 	g_assert_cmpuint (fixture.stream.out->len - fixture.stream.out_start, <=,
@@ -174,7 +186,7 @@
 		while (recv (fixture.peer, buffer, sizeof buffer, 0) > 0)
 			continue;
 		loop_step (&fixture.loop, 0);
-		sent = send_lines (&fixture, sent, (size_t) LINES * (LINE_BYTES + 1));
+		sent = send_lines (&fixture, sent, (size_t) LINES * (LINE_BYTES + 2));
 	}
 	g_assert_cmpuint (fixture.lines, ==, LINES);
 	fixture_finish (&fixture);
@@ -200,6 +212,59 @@
 	fixture_finish (&fixture);
 }
 
+/* Guards against a line that ends at a line feed or a carriage return alone, also when its bytes come one by one. */
+static void
+test_line_end (void)
+{
+	static const char bytes[] = "a\nb\r\n\n\r\rc\r\r\n\r\nd";
+	struct fixture fixture;
+
+	for (size_t piece = 1; piece < sizeof bytes; piece++)
+	{
+		fixture_init (&fixture);
+		fixture.joined = g_string_new (NULL);
+		for (size_t sent = 0; sent < sizeof bytes - 1; sent += piece)
+		{
+			g_assert_cmpint (send (fixture.peer, bytes + sent, MIN (piece, sizeof bytes - 1 - sent),
+			                       MSG_NOSIGNAL),
+			                 >, 0);
+			run_turns (&fixture);
+		}
+		g_assert_cmpuint (fixture.lines, ==, 3);
+		g_assert_cmpstr (fixture.joined->str, ==, "a\nb|\n\r\rc\r||");
+		fixture_finish (&fixture);
+	}
+}
+
+/* The limit counts the bytes of the line without its end, however they come. */
+static void
+test_limit (void)
+{
+	for (int more = 0; more < 2; more++)
+	{
+		struct fixture fixture;
+		g_autofree char *line = g_strnfill (MAX_LINE_BYTES + (gsize) more + 2, 'z');
+		size_t length = MAX_LINE_BYTES + (size_t) more + 2;
+
+		memcpy (line + length - 2, "\r\n", 2);
+		fixture_init (&fixture);
+		fixture.joined = g_string_new (NULL);
+		for (size_t sent = 0; sent < length && !fixture.is_closed;)
+		{
+			ssize_t count = send (fixture.peer, line + sent, length - sent, MSG_NOSIGNAL);
+
+			if (count < 0 && errno != EAGAIN)
+				break;
+			sent += count > 0 ? (size_t) count : 0;
+			run_turns (&fixture);
+		}
+		run_turns (&fixture);
+		g_assert_cmpint (fixture.is_closed, ==, more == 1);
+		g_assert_cmpuint (fixture.lines, ==, more == 0);
+		fixture_finish (&fixture);
+	}
+}
+
 int
 main (int argc, char **argv)
 {
@@ -208,5 +273,7 @@
 	g_test_add_func ("/line_stream/paused_closed", test_paused_closed);
 	g_test_add_func ("/line_stream/unread_output", test_unread_output);
 	g_test_add_func ("/line_stream/large_line", test_large_line);
+	g_test_add_func ("/line_stream/line_end", test_line_end);
+	g_test_add_func ("/line_stream/limit", test_limit);
 	return g_test_run ();
 }
