gateway: rows that look like a cut answer are served

A read whose first two rows are equal, or whose row begins with ROW, looks like an answer that was cut off and sent whole, and was never believed. The same lines in three attempts are the server's rows, unless it has also answered with the whole part alone. gateway_messages/rows_like_cut failed before.

--- a/decision/answer_match.c
+++ b/decision/answer_match.c
@@ -221,26 +221,3 @@
 	}
 	return is_expected && answer->is_ordered ? ANSWER_CURRENT : ANSWER_OUT_OF_STEP;
 }
-
-bool
-answer_lines_are_restarted (const char *lines, size_t length)
-{
-	enum
-	{
-		WORD_BYTES = 4, /* Less than this in front makes the first line malformed. */
-	};
-	const char *at = lines + 1;
-
-	while (length > WORD_BYTES &&
-	       (at = memmem (at, (size_t) (lines + length - at), lines, WORD_BYTES)))
-	{
-		size_t part = (size_t) (at - lines);
-
-		if (2 * part > length)
-			return false;
-		if (memcmp (lines, at, part) == 0)
-			return true;
-		at++;
-	}
-	return false;
-}
--- a/gateway/connection_answer.c
+++ b/gateway/connection_answer.c
@@ -287,6 +287,27 @@
 	return expected;
 }
 
+/** Whether the rows may be those of an answer that was cut off, and of the whole one after it. */
+static bool
+is_restarted (struct connection *connection)
+{
+	struct answer_restarts *restarts = &connection->server->restarts;
+	const GString *answer = connection->answer;
+	size_t rows_bytes = connection->completion_start;
+	size_t whole = answer_restart_find (answer->str, answer->len);
+	uint64_t rows;
+
+	if (whole == 0 && !answer_restarts_wait (restarts))
+		return false;
+	rows = XXH3_64bits (answer->str, rows_bytes);
+	if (whole > 0 && whole <= rows_bytes)
+		return !answer_restarts_believe (
+			restarts, rows, XXH3_64bits (answer->str + whole, rows_bytes - whole), clock_now_us ());
+	if (whole == 0)
+		answer_restarts_note (restarts, rows, clock_now_us ());
+	return whole > 0;
+}
+
 static enum answer_verdict
 judge_answer (struct connection *connection, struct text ready_line,
               const struct server_message *ready)
@@ -300,8 +321,7 @@
 		return answer_match_judge_peer (&expected, summary);
 	summary->lines = XXH3_64bits (answer->str, answer->len);
 	summary->whole = XXH3_64bits_withSeed (ready_line.start, ready_line.length, summary->lines);
-	summary->is_restarted =
-		summary->is_signed && answer_lines_are_restarted (answer->str, answer->len);
+	summary->is_restarted = summary->is_signed && is_restarted (connection);
 	return answer_match_judge (connection->match, &expected, summary);
 }
 
@@ -429,6 +449,7 @@
 		summary->has_completion = true;
 		summary->is_signed = !text_equals (message.text, "-", 1);
 		summary->signature = XXH3_64bits (message.text.start, message.text.length);
+		connection->completion_start = connection->answer->len;
 		append_line (connection, line);
 		break;
 	case SERVER_ERROR:
--- a/include/decision/answer_match.h
+++ b/include/decision/answer_match.h
@@ -10,7 +10,6 @@
 #pragma once
 
 #include <stdbool.h>
-#include <stddef.h>
 #include <stdint.h>
 
 /** Transaction state at the end of each answer. */
@@ -111,12 +110,6 @@
 enum answer_verdict answer_match_judge_peer (const struct answer_expectation *expected,
                                              const struct answer_summary *answer);
 
-/**
- * Whether the lines of a signed answer begin with a part of themselves, as if the answer had been cut off there and followed by
- * the whole one.
- */
-bool answer_lines_are_restarted (const char *lines, size_t length);
-
 /**
  * Whether a refusal of a statement that changes something would be believed. After an error on the connection, the next
  * one may be the same one again.
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "common/mailbox.h"
 #include "decision/answer_match.h"
+#include "decision/answer_restart.h"
 #include "decision/own_commits.h"
 #include "decision/position_history.h"
 #include "decision/service_time.h"
@@ -67,6 +68,7 @@
 	GHashTable *prepared; /**< Set of struct prepared_shape that are prepared on the server. */
 	GString *answer;      /**< Lines that have come of the present answer, without READY. */
 	struct answer_summary summary; /**< Of these lines. */
+	size_t completion_start;       /**< Offset of the COMPLETE line. */
 	enum answer_code code;         /**< Error code among these lines. */
 	/** What the server itself has answered; NULL: connected to its owner. */
 	struct answer_match *match;
@@ -147,9 +149,10 @@
 	struct wait_error wait_error; /**< Of the predicted waits of statements that run from here. */
 	struct load_report measured;  /**< Last measurement here, of a server that is used directly. */
 	int64_t measured_us;
-	struct load_report load;     /**< Last report of the owner. */
-	int64_t load_us;             /**< When the report came; 0: never. */
-	int64_t repeated_us;         /**< When it last sent an answer again; 0: never. */
+	struct load_report load; /**< Last report of the owner. */
+	int64_t load_us;         /**< When the report came; 0: never. */
+	int64_t repeated_us;     /**< When it last sent an answer again; 0: never. */
+	struct answer_restarts restarts;
 	uint64_t slots_released;     /**< Slots of statements whose answers were lost. */
 	struct log_position applied; /**< Last position that it reported. */
 	int64_t applied_us;          /**< When it last reported its position. */
--- a/tests/integration/gateway_messages.c
+++ b/tests/integration/gateway_messages.c
@@ -295,6 +295,35 @@
 	gateway_pair_stop (&pair);
 }
 
+/* Rows that look like an answer that was cut off and then sent whole are served: the server sends them each time. */
+static void
+test_rows_like_cut (void)
+{
+	static const struct spelling rows[] = {
+		{ "equal rows", "a\r\nROW a", 8 },
+		{ "word of the protocol", "ROW a", 5 },
+	};
+
+	gateway_pair_start (&pair, 400);
+	for (int vm = 0; vm < PAIR_VMS; vm++)
+		for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+		{
+			struct fake_database *primary = &pair.databases[PAIR_PRIMARY];
+			int fd = gateway_pair_open (&pair, vm, "primary");
+			GString *answer;
+
+			g_mutex_lock (&primary->mutex);
+			g_clear_pointer (&primary->row, g_bytes_unref);
+			primary->row = g_bytes_new (rows[i].bytes, rows[i].length);
+			g_mutex_unlock (&primary->mutex);
+			answer = pair_execute (fd, "q1", "READ 1", 6);
+			check_success (answer, rows[i].bytes, rows[i].length, "READ", &rows[i]);
+			g_string_free (answer, TRUE);
+			close (fd);
+		}
+	gateway_pair_stop (&pair);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -305,6 +334,7 @@
 	g_test_add_func ("/gateway_messages/ids", test_ids);
 	g_test_add_func ("/gateway_messages/databases", test_databases);
 	g_test_add_func ("/gateway_messages/largest", test_largest);
+	g_test_add_func ("/gateway_messages/rows_like_cut", test_rows_like_cut);
 	g_test_add_func ("/gateway_messages/shapes_with_nul", test_shapes_with_nul);
 	return g_test_run ();
 }
