--- a/decision/answer_match.c
+++ b/decision/answer_match.c
@@ -8,6 +8,12 @@
 	memset (match, 0, sizeof *match);
 }
 
+bool
+answer_match_may_go_on (const struct answer_match *match)
+{
+	return !match->has_ended;
+}
+
 bool
 answer_match_believes_refusals (const struct answer_match *match)
 {
@@ -78,14 +84,25 @@
 
 /** An answer that was not expected is an earlier one if the same has come before. */
 static enum answer_verdict
-judge_unexpected (const struct answer_match *match, const struct answer_summary *answer)
+judge_unexpected (struct answer_match *match, const struct answer_summary *answer)
 {
 	bool is_known = answer->has_error ? is_known_error (match, answer)
 	                                  : is_known_completion (match, answer, false);
 
+	/* The READY line may be new, if an earlier answer was believed in place of this one. It may come again as well. */
+	if (is_known && !answer->has_error)
+		add_completion (match, answer);
 	return is_known ? ANSWER_REPEATED : ANSWER_OUT_OF_STEP;
 }
 
+/** Whether a commit directly follows a begin that may have been refused. Its state does not show that. */
+static bool
+is_empty_commit (const struct answer_match *match, const struct answer_expectation *expected)
+{
+	return match->is_begin_unsure && expected->has_repeats && expected->in_transaction &&
+	       expected->state == TRANSACTION_NONE;
+}
+
 static enum answer_verdict
 judge_signed (struct answer_match *match, const struct answer_expectation *expected,
               const struct answer_summary *answer)
@@ -104,11 +121,11 @@
 		           : ANSWER_OUT_OF_STEP;
 	}
 	if (expected->wanted != ANSWER_WANTED_STATEMENT || answer->state != expected->state ||
-	    answer->is_restarted)
+	    answer->is_restarted || is_empty_commit (match, expected))
 		return ANSWER_OUT_OF_STEP;
 	add_signed (match, answer, expected->id);
 	/* Answers come in the order of their statements, so all earlier ones have come. */
-	match->is_unsure = false;
+	match->is_unsure = match->is_begin_unsure = match->is_report_unsure = false;
 	return ANSWER_CURRENT;
 }
 
@@ -116,12 +133,13 @@
 judge_error (struct answer_match *match, const struct answer_expectation *expected,
              const struct answer_summary *answer)
 {
-	bool is_ambiguous =
-		is_known_error (match, answer) || (match->is_unsure && expected->has_repeats);
+	bool is_ambiguous = is_known_error (match, answer) ||
+	                    (match->is_unsure && (expected->has_repeats || expected->in_transaction));
 
 	if (expected->wanted == ANSWER_WANTED_NOTHING)
 		return judge_unexpected (match, answer);
 	add_error (match, answer);
+	match->has_ended |= match->is_unsure;
 	return is_ambiguous ? ANSWER_OUT_OF_STEP : ANSWER_CURRENT;
 }
 
@@ -142,13 +160,19 @@
 	}
 }
 
-/** Whether it does harm to believe an earlier answer, which is the same as this one, in its place. */
+/**
+ * Whether it would do harm if the answer were an earlier one, and it may be one.
+ * @param is_same the same answer has come before.
+ */
 static bool
-is_harmful_if_earlier (const struct answer_expectation *expected)
+is_doubtful (const struct answer_match *match, const struct answer_expectation *expected,
+             bool is_same)
 {
 	/* Statements after a begin that was refused would run outside of a transaction. A read-only one is seen by the state
 	 * of its first answer. A status is what a change of primary and the age of reads rest on. */
-	return expected->wanted == ANSWER_WANTED_BEGIN || expected->wanted == ANSWER_WANTED_REPORT;
+	if (expected->wanted == ANSWER_WANTED_BEGIN)
+		return is_same || match->is_begin_unsure;
+	return expected->wanted == ANSWER_WANTED_REPORT && (is_same || match->is_report_unsure);
 }
 
 static enum answer_verdict
@@ -160,11 +184,14 @@
 	if (!has_expected_form (expected, answer))
 		return judge_unexpected (match, answer);
 	add_completion (match, answer);
+	if (expected->has_repeats && is_doubtful (match, expected, is_same))
+		return ANSWER_OUT_OF_STEP;
 	if (!is_same)
 		return ANSWER_CURRENT;
-	if (expected->has_repeats && is_harmful_if_earlier (expected))
-		return ANSWER_OUT_OF_STEP;
 	match->is_unsure = true;
+	match->is_begin_unsure |=
+		expected->wanted == ANSWER_WANTED_BEGIN || expected->wanted == ANSWER_WANTED_BEGIN_READ;
+	match->is_report_unsure |= expected->wanted == ANSWER_WANTED_REPORT;
 	/* Without a sign of repeats, the status of an idle server is the same each time. */
 	return expected->wanted == ANSWER_WANTED_REPORT ? ANSWER_CURRENT : ANSWER_UNDATED;
 }
--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -202,6 +202,12 @@
 		return;
 	}
 	connection->session = NULL;
+	if (connection->match && !answer_match_may_go_on (connection->match))
+	{
+		connection_close (connection);
+		service_dispatch (server->service);
+		return;
+	}
 	connection->idle_us = now_us;
 	connection_set_state (connection, CONNECTION_IDLE);
 	if (server->status_requested || server->demote_term > 0)
--- a/gateway/connection_answer.c
+++ b/gateway/connection_answer.c
@@ -265,6 +265,7 @@
 		expected.id = connection->statement_id;
 		expected.state = connection->state_after;
 		expected.wanted = connection->statement_wanted;
+		expected.in_transaction = connection->is_in_transaction;
 		if (connection->setup_pending == 0)
 			break;
 		expected.wanted = ANSWER_WANTED_COMMAND;
--- a/include/decision/answer_match.h
+++ b/include/decision/answer_match.h
@@ -37,8 +37,9 @@
 	enum answer_wanted wanted;
 	/** State after success. Not looked at for a report. */
 	enum transaction_state state;
-	uint64_t id;      /**< Hash of the statement's id. */
-	bool has_repeats; /**< The server is known to send answers again. */
+	uint64_t id;         /**< Hash of the statement's id. */
+	bool has_repeats;    /**< The server is known to send answers again. */
+	bool in_transaction; /**< The statement belongs to a transaction, or commits one. */
 };
 
 /** A complete answer, up to its READY line. */
@@ -95,8 +96,13 @@
 	uint32_t answered_count;  /**< Of all times. */
 	uint32_t completed_count; /**< Of all times. */
 	uint32_t error_count;
-	/** An answer without signature was accepted that may have been an earlier one, and none with a signature since. */
+	/** Answers without signature were accepted that may have been earlier ones, and none with a signature since: their own
+	 * answers may follow. */
 	bool is_unsure;
+	bool is_begin_unsure;  /**< One of them answered a begin. */
+	bool is_report_unsure; /**< One of them answered a question of the gateway. */
+	/** An error was accepted meanwhile, which may answer an earlier command: the statement's own answer may follow. */
+	bool has_ended;
 };
 
 void answer_match_init (struct answer_match *match);
@@ -110,6 +116,9 @@
 enum answer_verdict answer_match_judge_peer (const struct answer_expectation *expected,
                                              const struct answer_summary *answer);
 
+/** Whether a further statement may be sent on the connection. */
+bool answer_match_may_go_on (const struct answer_match *match);
+
 /**
  * Whether a refusal of a statement that changes something would be believed. After an error on the connection, the next
  * one may be the same one again.
--- a/tests/unit/answer_match.c
+++ b/tests/unit/answer_match.c
@@ -162,6 +162,12 @@
 	                 ANSWER_UNDATED);
 	/* The refusal of that command may come instead of the next statement's answer. */
 	g_assert_cmpint (judge (&match, repeating (statement), error (1)), ==, ANSWER_OUT_OF_STEP);
+	/* Believed outside of a transaction while no repeats are known, but nothing else is sent on the connection. */
+	answer_match_init (&match);
+	judge (&match, command, completion (0, TRANSACTION_NONE, 1));
+	judge (&match, command, completion (0, TRANSACTION_NONE, 1));
+	g_assert_cmpint (judge (&match, statement, error (1)), ==, ANSWER_CURRENT);
+	g_assert_false (answer_match_may_go_on (&match));
 	answer_match_init (&match);
 	judge (&match, begin, completion (0, TRANSACTION_OPEN, 1));
 	judge (&match, report, completion (1, TRANSACTION_NONE, 1));
