tests: sequences of answers that are still taken for those of other statements

A repeated answer in front of another one, kept by the fake server, is sent before the answer that it precedes.

--- a/tests/support/fake_database.c
+++ b/tests/support/fake_database.c
@@ -27,6 +27,7 @@
 	bool has_written;
 	GPtrArray *writes; /* Ids of the open transaction's writes. */
 	struct fake_reaction reaction;
+	GString *kept; /* Answer that is sent again in front of a later one. */
 };
 
 /** An answer that is sent again. */
@@ -79,6 +80,13 @@
 
 	g_string_append_printf (answer, "READY %c %" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT "\r\n",
 	                        connection->is_open ? 'T' : 'I', database->term, database->index);
+	if (reaction->replays)
+		send_all (connection->fd, connection->kept->str, connection->kept->len);
+	if (reaction->is_kept)
+	{
+		g_string_truncate (connection->kept, 0);
+		g_string_append_len (connection->kept, answer->str, (gssize) answer->len);
+	}
 	if (reaction->cut_bytes > 0)
 		send_all (connection->fd, answer->str, MIN ((size_t) reaction->cut_bytes, answer->len));
 	send_all (connection->fd, answer->str, answer->len);
@@ -88,7 +96,9 @@
 
 		repeat->connection = connection->number;
 		repeat->due_us = g_get_monotonic_time () + reaction->repeat_ms * (int64_t) 1000;
-		repeat->length = answer->len;
+		repeat->length = reaction->repeat_bytes > 0
+		                     ? MIN ((size_t) reaction->repeat_bytes, answer->len)
+		                     : answer->len;
 		repeat->answer = g_string_free (answer, FALSE);
 		g_queue_push_tail (&database->repeats, repeat);
 		return;
@@ -330,6 +340,7 @@
 	g_hash_table_destroy (connection->values);
 	g_hash_table_destroy (connection->prepared);
 	g_ptr_array_free (connection->writes, TRUE);
+	g_string_free (connection->kept, TRUE);
 	connection->fd = -1;
 }
 
@@ -416,6 +427,7 @@
 				.values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
 				.prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
 				.writes = g_ptr_array_new_with_free_func (g_free),
+				.kept = g_string_new (NULL),
 			};
 			break;
 		}
--- a/tests/support/fake_database.h
+++ b/tests/support/fake_database.h
@@ -23,9 +23,13 @@
 /** What the server does with a statement or command besides its work. */
 struct fake_reaction
 {
-	bool is_refused; /**< It is answered BUSY and does not run. */
-	int repeat_ms;   /**< The whole answer is sent again so much later; negative: it is not. */
-	int cut_bytes;   /**< So many bytes of the answer are sent before the whole one. */
+	bool is_refused;  /**< It is answered BUSY and does not run. */
+	int repeat_ms;    /**< The whole answer is sent again so much later; negative: it is not. */
+	int cut_bytes;    /**< So many bytes of the answer are sent before the whole one. */
+	int repeat_bytes; /**< Only so many bytes of the answer are sent again; 0: the whole one. */
+	bool
+		is_kept; /**< The answer is kept for a later one of the connection that is preceded by it. */
+	bool replays; /**< The kept answer is sent again in front of this one. */
 };
 
 struct fake_database
