tests: a signature that is cut off and continued by an earlier answer

gateway_wire.py gains test_cut_and_repeated: three in ten write and commit answers stop inside their signature and come whole 5 to 30 ms later, three in ten of the others are repeated.

--- a/tests/integration/gateway_wire.py
+++ b/tests/integration/gateway_wire.py
@@ -902,6 +902,13 @@
     return cut(draw, kind, answer, True)
 
 
+def cut_and_repeat(draw, kind, answer):
+    """An answer that stops inside its signature may be followed by the repetition of an earlier answer."""
+    if kind == "START" or not answer.startswith(b"COMPLETE ") or answer.startswith(b"COMPLETE -") or draw.random() < 0.7:
+        return [(0, answer), (draw.uniform(0.0001, 0.03), answer)] if draw.random() < 0.3 else [(0, answer)]
+    return [(0, answer[:draw.randint(len(b"COMPLETE ") + 1, answer.index(b"\r\n") - 1)]), (draw.uniform(0.005, 0.03), answer)]
+
+
 def lose_some(draw, kind, answer):
     if kind == "START" or draw.random() > 0.02:
         return [(0, answer)]
@@ -977,6 +984,11 @@
         self.play(world)
         self.check_served(world, 0.5)
 
+    def test_cut_and_repeated(self):
+        """The rest of a signature must not be taken from an earlier answer that comes again."""
+        world = World("answers cut off in the signature, others repeated", cut_and_repeat, busy_share=0.05)
+        self.play(world)
+
     def test_lost(self):
         world = World("answers lost", lose_some)
         self.play(world)
