ctl: explain reads quoted values

`flamingospring explain ID` looked for ` request=ID` anywhere in a line and cut values at the first blank. A text inside the quoted value of another request was taken for the request's own, and an id that the log quotes was not found at all.

explain walks over whole pairs, and takes the id as the caller sent it as well as in its written form. Test: command_line/explain_quoted, which failed before (exit code 1, and the lines of other requests).

--- a/ctl/commands/explain.c
+++ b/ctl/commands/explain.c
@@ -1,6 +1,8 @@
 #include "ctl/cmd.h"
 #include "ctl/commands.h"
 
+#include "common/log.h"
+
 #include <errno.h>
 #include <glib.h>
 #include <stdio.h>
@@ -40,16 +42,35 @@
 	return first->time_s < second->time_s ? -1 : 1;
 }
 
-/** Value of @p key in a line of key=value pairs; g_free() it. @return NULL when absent. */
+/** @return the blank after the word at @p at, or the end of the line. Blanks in double quotes are parts of the word. */
+static const char *
+word_end (const char *at)
+{
+	bool is_quoted = false;
+
+	for (; *at && *at != '\n' && (is_quoted || *at != ' '); at++)
+	{
+		if (*at == '"')
+			is_quoted = !is_quoted;
+		else if (is_quoted && *at == '\\' && at[1])
+			at++;
+	}
+	return at;
+}
+
+/** Value of @p key in a line of key=value pairs, as it stands there; g_free() it. @return NULL when absent. */
 static char *
 find_value (const char *text, const char *key)
 {
 	size_t length = strlen (key);
 
-	for (const char *at = strstr (text, key); at; at = strstr (at + 1, key))
+	for (const char *at = text; *at && *at != '\n';)
 	{
-		if ((at == text || at[-1] == ' ') && at[length] == '=')
-			return g_strndup (at + length + 1, strcspn (at + length + 1, " \n"));
+		const char *end = word_end (at);
+
+		if (strncmp (at, key, length) == 0 && at[length] == '=')
+			return g_strndup (at + length + 1, (gsize) (end - at) - length - 1);
+		at = *end == ' ' ? end + 1 : end;
 	}
 	return NULL;
 }
@@ -88,7 +109,8 @@
 			continue;
 		line.time_s = g_ascii_strtod (start + strlen ("time="), NULL);
 		line.text = g_strdup (start);
-		line.belongs_to_request = has_value (start, "request", id);
+		line.belongs_to_request =
+			has_value (start, "request", id) || has_value (start, "request", log_text (id));
 		g_array_append_vals (lines, &line, 1);
 		/* cppcheck-suppress memleak; the array owns the text. */
 	}
@@ -118,9 +140,13 @@
 		"store_regained", "watching",
 	};
 
+	char *request;
+
 	if (is_lost_answer (text, service))
 		return true;
-	if (strstr (text, " request="))
+	request = find_value (text, "request");
+	g_free (request);
+	if (request)
 		return false;
 	if (service && has_value (text, "service", service))
 		return true;
--- a/tests/integration/command_line.c
+++ b/tests/integration/command_line.c
@@ -264,6 +264,39 @@
 	g_free (path);
 }
 
+/* Guards against a request that is found by a text inside another one's value, or not found because its id is quoted. */
+static void
+test_explain_quoted (void)
+{
+	static const char log[] =
+		"time=100.0 level=warn vm=a event=failed request=\"a request=odd service=s\" cause=\"busy\"\n"
+		"time=100.1 level=warn vm=a event=failed request=\"a\\\" request=odd b\" cause=\"busy\"\n"
+		"time=100.2 level=warn vm=a event=failed request=odd cause=\"a \\\" b\" service=s\n"
+		"time=100.3 level=warn vm=a event=failed request=\"a=b\" cause=\"busy\" service=t\n";
+	char *path = g_build_filename (g_get_tmp_dir (), "explain-XXXXXX", NULL);
+	int file = g_mkstemp (path);
+	char *plain = g_strdup_printf ("explain odd %s", path);
+	char *decoded = g_strdup_printf ("explain a=b %s", path);
+	struct output output;
+
+	g_assert_cmpint (write (file, log, strlen (log)), ==, (int) strlen (log));
+	close (file);
+	output = run (plain, NULL);
+	g_assert_cmpint (output.code, ==, EXIT_OK);
+	assert_contains (output.out, "time=100.2");
+	g_assert_null (strstr (output.out, "time=100.0"));
+	g_assert_null (strstr (output.out, "time=100.1"));
+	output_finish (&output);
+	output = run (decoded, NULL);
+	g_assert_cmpint (output.code, ==, EXIT_OK);
+	assert_contains (output.out, "time=100.3");
+	output_finish (&output);
+	unlink (path);
+	g_free (decoded);
+	g_free (plain);
+	g_free (path);
+}
+
 /** The page must contain @p before and @p name, enclosed together in back quotes. */
 static void
 assert_documented (const char *page, const char *before, const char *name)
@@ -498,6 +531,7 @@
 	g_test_add_func ("/command_line/drain_limit", test_drain_limit);
 	g_test_add_func ("/command_line/apply_unknown", test_apply_unknown);
 	g_test_add_func ("/command_line/explain_lost_answer", test_explain_lost_answer);
+	g_test_add_func ("/command_line/explain_quoted", test_explain_quoted);
 	g_test_add_func ("/command_line/gateway_grace", test_gateway_grace);
 	return g_test_run ();
 }
