gateway: escape the values of metrics labels

Names of services and primaries in the metrics come from keys and records of the store. One with a quote, a backslash or a line feed ended its label or its line, and one that is not UTF-8 made the page invalid: a monitoring tool then drops the whole page, also the figures of all other services.

append_label() escapes \, " and line feeds as the text format asks for, and replaces what is not UTF-8. Plain names are written as before. The other front has no metrics page; /tenants is JSON and its names are words without quotes (is_word()).

Test: gateway_members/metrics_of_odd_names, which failed before.

--- a/gateway/controller_metrics.c
+++ b/gateway/controller_metrics.c
@@ -10,6 +10,26 @@
 	METRICS_TENANTS = 16,
 };
 
+/** Appends NAME="VALUE". @p value may be any bytes: names of records come from the store. */
+static void
+append_label (GString *body, const char *name, const char *value)
+{
+	char *text = g_utf8_make_valid (value, -1);
+
+	g_string_append_printf (body, "%s=\"", name);
+	for (const char *c = text; *c; c++)
+	{
+		if (*c == '\n')
+			g_string_append (body, "\\n");
+		else if (*c == '"' || *c == '\\')
+			g_string_append_printf (body, "\\%c", *c);
+		else
+			g_string_append_c (body, *c);
+	}
+	g_string_append_c (body, '"');
+	g_free (text);
+}
+
 static void
 append_gauge (GString *body, const char *name, const char *help, double value)
 {
@@ -64,11 +84,12 @@
 		const struct primary_manager *primary_manager = value;
 		const struct succession_record *record = &primary_manager->succession.record;
 
-		g_string_append_printf (
-			body,
-			"flamingospring_lead_change{service=\"%s\",primary=\"%s\",changing=\"%d\"} %llu\n",
-			primary_manager->service, record->primary, record->is_changing,
-			(unsigned long long) record->change);
+		g_string_append (body, "flamingospring_lead_change{");
+		append_label (body, "service", primary_manager->service);
+		g_string_append_c (body, ',');
+		append_label (body, "primary", record->primary);
+		g_string_append_printf (body, ",changing=\"%d\"} %llu\n", record->is_changing,
+		                        (unsigned long long) record->change);
 	}
 }
 
@@ -86,12 +107,13 @@
 	{
 		const struct known_server *server = value;
 
-		if (server->is_listed)
-			g_string_append_printf (
-				body,
-				"flamingospring_server_slots_released_total{service=\"%s\",server=\"%s\"} %llu\n",
-				server->entry.service, server->entry.id,
-				(unsigned long long) server->slots_released);
+		if (!server->is_listed)
+			continue;
+		g_string_append (body, "flamingospring_server_slots_released_total{");
+		append_label (body, "service", server->entry.service);
+		g_string_append_c (body, ',');
+		append_label (body, "server", server->entry.id);
+		g_string_append_printf (body, "} %llu\n", (unsigned long long) server->slots_released);
 	}
 }
 
@@ -236,12 +258,15 @@
 		{
 			const struct tenant_state *state = &g_array_index (tenants, struct tenant_state, j);
 
-			if (j < METRICS_TENANTS)
-				g_string_append_printf (body, "flamingospring_%s{tenant=\"%s\"%s} %llu\n",
-				                        metric->name, state->name, metric->labels,
-				                        (unsigned long long) metric->read (state));
-			else
+			if (j >= METRICS_TENANTS)
+			{
 				others += metric->read (state);
+				continue;
+			}
+			g_string_append_printf (body, "flamingospring_%s{", metric->name);
+			append_label (body, "tenant", state->name);
+			g_string_append_printf (body, "%s} %llu\n", metric->labels,
+			                        (unsigned long long) metric->read (state));
 		}
 		if (tenants->len > METRICS_TENANTS)
 			g_string_append_printf (body, "flamingospring_%s{tenant=\"other tenants\"%s} %llu\n",
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -680,6 +680,31 @@
 	g_string_free (body, TRUE);
 }
 
+/* Guards against a name of the store that ends a label or a line of the metrics, so that the whole page is not read. */
+static void
+test_metrics_of_odd_names (void)
+{
+	struct controller controller;
+	struct known_server server = { .entry = { .id = "i\"1", .service = "s\\" }, .is_listed = true };
+	struct succession_record *record;
+	GString *body = g_string_new (NULL);
+
+	set_up (&controller);
+	g_hash_table_insert (controller.servers, server.entry.id, &server);
+	record = &primary_manager_get (&controller, "a\nb\xff")->succession.record;
+	g_strlcpy (record->primary, "\"} 1\n\\", sizeof record->primary);
+	record->change = 7;
+	g_assert_cmpuint (controller_answer_metrics (&controller, body), ==, 200);
+	g_assert_true (g_utf8_validate (body->str, (gssize) body->len, NULL));
+	g_assert_nonnull (strstr (
+		body->str,
+		"\nflamingospring_server_slots_released_total{service=\"s\\\\\",server=\"i\\\"1\"} 0\n"));
+	g_assert_nonnull (strstr (body->str, "\nflamingospring_lead_change{service=\"a\\nb\uFFFD\","
+	                                     "primary=\"\\\"} 1\\n\\\\\",changing=\"0\"} 7\n"));
+	tear_down (&controller);
+	g_string_free (body, TRUE);
+}
+
 /* Guards against one series for each of any number of tenants, against tenants beyond the largest that are not counted at
  * all, and against a refusal by the cap that is counted as overload too. */
 static void
@@ -1404,6 +1429,7 @@
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/metrics_of_lost_answers", test_metrics_of_lost_answers);
+	g_test_add_func ("/gateway_members/metrics_of_odd_names", test_metrics_of_odd_names);
 	g_test_add_func ("/gateway_members/metrics_of_tenants", test_metrics_of_tenants);
 	g_test_add_func ("/gateway_members/hung_traffic", test_hung_traffic);
 	g_test_add_func ("/gateway_members/older_records", test_records_older_than_registration);
