http: refuse requests whose body other receivers end elsewhere

libmicrohttpd 0.9.75 takes the first of two Content-Length fields, prefers Transfer-Encoding over Content-Length, ignores a field whose name ends with a blank or that hides behind a bare CR or a folded line, and reads any other Transfer-Encoding until the connection ends. A balancer that decides otherwise passes a body on as a body, and the proxy ran it as the next request of that connection: a write of one caller in the stream of another (200 for both, tests/unit/traffic.c on the former code).

http_head_is_valid() refuses these with 400 before the body is read, and the connection is closed. A target with %00, whose path ended there, is no longer decoded (404).

The readiness and metrics pages (common/http_responder.c) are not affected: their connections have one request. The test http_responder keeps it so.

Not covered: libmicrohttpd cuts a field's value and a target at a raw NUL byte before the program sees them, and takes a bare line feed for the end of a chunk's size.

Tests: traffic/ambiguous_heads (13 heads) and traffic/path_with_nul, which failed before; http_responder.

--- a/flamingospring/http.c
+++ b/flamingospring/http.c
@@ -1,6 +1,7 @@
 #include "flamingospring/http.h"
 
 #include "common/clock.h"
+#include "common/http_head.h"
 #include "common/log.h"
 #include "common/rpc.h"
 #include "flamingospring/http_message.h"
@@ -188,6 +189,17 @@
 		entry_start (request->server->entries, call, handle_entry_done, request);
 }
 
+/** Refuses a request that other receivers may read differently, and closes its connection, since it is not known where
+ * the next request begins. */
+static enum MHD_Result
+request_refuse_head (struct http_request *request)
+{
+	request->is_started = true;
+	request_set_problem (request, MHD_HTTP_BAD_REQUEST, "the head of the request is ambiguous");
+	MHD_add_response_header (request->response, "Connection", "close");
+	return MHD_queue_response (request->connection, request->status, request->response);
+}
+
 /** Answers a completely received request, or passes it to the entry. */
 static void
 request_start (struct http_request *request, const char *path, const char *method)
@@ -250,8 +262,11 @@
 	(void) version;
 	if (!request)
 	{
-		*context = request_new (data, connection);
-		return *context ? MHD_YES : MHD_NO;
+		request = request_new (data, connection);
+		*context = request;
+		if (!request)
+			return MHD_NO;
+		return http_head_is_valid (connection) ? MHD_YES : request_refuse_head (request);
 	}
 	if (*upload_length > 0)
 	{
@@ -342,7 +357,8 @@
 		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT, settings->max_connections,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) HTTP_IDLE_TIMEOUT_S,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) HTTP_CONNECTION_MEMORY_BYTES,
-		MHD_OPTION_NOTIFY_COMPLETED, handle_completed, server, MHD_OPTION_END);
+		MHD_OPTION_UNESCAPE_CALLBACK, http_target_decode, NULL, MHD_OPTION_NOTIFY_COMPLETED,
+		handle_completed, server, MHD_OPTION_END);
 	if (!server->daemon)
 	{
 		close (fd);
--- a/tests/unit/traffic.c
+++ b/tests/unit/traffic.c
@@ -322,6 +322,84 @@
 	vms_stop ();
 }
 
+/** A request whose body is a request of another caller, where receivers disagree on the end of the body. */
+#define SMUGGLED_BODY  "{\"params\":[\"k\",\"v\"]}"
+#define SMUGGLED_BYTES "94"
+#define SMUGGLED                                                                                   \
+	"POST /v1/services/post/calls/set HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n\r\n" SMUGGLED_BODY
+
+/* Guards against a body that is run as the next request: behind a balancer that takes it for a body, it runs in the name of
+ * another caller, or its answer reaches one. */
+static void
+test_ambiguous_heads (void)
+{
+	static const char *const heads[] = {
+		"Content-Length: 0\r\nContent-Length: " SMUGGLED_BYTES,
+		"Content-Length: " SMUGGLED_BYTES "\r\nContent-Length: 0",
+		"Content-Length: 0\r\nContent-Length: 0",
+		"Content-Length: 0, " SMUGGLED_BYTES,
+		"Content-Length: +0",
+		"Content-Length : " SMUGGLED_BYTES,
+		"Content-Length: " SMUGGLED_BYTES "\r\nTransfer-Encoding: chunked",
+		"Transfer-Encoding: chunked\r\nContent-Length: " SMUGGLED_BYTES,
+		"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+		"Transfer-Encoding: identity\r\nContent-Length: 0",
+		"Transfer-Encoding: gzip, chunked",
+		"X: a\rContent-Length: " SMUGGLED_BYTES,
+		"X: a\r\n Content-Length: " SMUGGLED_BYTES,
+	};
+	uint64_t first_index = ck_pr_load_64 (&last_index);
+
+	vms_start ();
+	for (size_t i = 0; i < G_N_ELEMENTS (heads); i++)
+	{
+		bool is_chunked = strstr (heads[i], "chunked") != NULL;
+		char *request = g_strdup_printf ("POST /v1/services/post/calls/none HTTP/1.1\r\nHost: x\r\n"
+		                                 "%s\r\n\r\n%s" SMUGGLED,
+		                                 heads[i], is_chunked ? "0\r\n\r\n" : "");
+		struct http_client client;
+		struct http_reply reply;
+
+		g_test_message ("%s", heads[i]);
+		client_open (&client, 0);
+		http_client_send (&client, request, strlen (request));
+		reply = http_client_read (&client);
+		g_assert_cmpint (reply.status, ==, 400);
+		http_reply_finish (&reply);
+		while (reply = http_client_read (&client), reply.status != 0)
+		{
+			g_assert_cmpint (reply.status, ==, 400);
+			http_reply_finish (&reply);
+		}
+		g_assert_cmpuint (ck_pr_load_64 (&last_index), ==, first_index);
+		http_client_close (&client);
+		g_free (request);
+	}
+	vms_stop ();
+}
+
+/* Guards against a path that ends at an encoded NUL byte: a balancer sees another path than the one that is run. */
+static void
+test_path_with_nul (void)
+{
+	static const char request[] =
+		"POST /v1/services/post/calls/set%00/x HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n"
+		"\r\n" SMUGGLED_BODY;
+	uint64_t first_index = ck_pr_load_64 (&last_index);
+	struct http_client client;
+	struct http_reply reply;
+
+	vms_start ();
+	client_open (&client, 0);
+	http_client_send (&client, request, strlen (request));
+	reply = http_client_read (&client);
+	g_assert_cmpint (reply.status, ==, 404);
+	g_assert_cmpuint (ck_pr_load_64 (&last_index), ==, first_index);
+	http_reply_finish (&reply);
+	http_client_close (&client);
+	vms_stop ();
+}
+
 static void
 test_transaction (void)
 {
@@ -616,6 +694,8 @@
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/traffic/read_write", test_read_write);
 	g_test_add_func ("/traffic/largest_token", test_largest_token);
+	g_test_add_func ("/traffic/ambiguous_heads", test_ambiguous_heads);
+	g_test_add_func ("/traffic/path_with_nul", test_path_with_nul);
 	g_test_add_func ("/traffic/transaction", test_transaction);
 	g_test_add_func ("/traffic/callers", test_concurrent_callers);
 	g_test_add_func ("/traffic/bad_requests", test_bad_requests);
