--- a/tests/unit/platform_documents.c
+++ b/tests/unit/platform_documents.c
@@ -501,6 +501,35 @@
 	findings_finish (&findings);
 }
 
+/* Guards against a name of this VM that adds a line to the head of a request to the platform or a word to a record. */
+static void
+test_settings_names (void)
+{
+	static const char *const odd[][2] = {
+		{ "node: \"front-a-1\"", "node: \"front\\r\\nFencing-Token: 9\"" },
+		{ "node: \"front-a-1\"", "node: \"front a\"" },
+		{ "node: \"front-a-1\"", "node: 'front\"a'" },
+		{ "node: \"front-a-1\"", "node: 'front\\a'" },
+		{ "zone: \"a\"", "zone: \"a\\nb\"" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+	{
+		char **parts = g_strsplit (settings_text, odd[i][0], 2);
+		char *text = g_strjoinv (odd[i][1], parts);
+		struct boot_settings settings;
+		struct findings findings;
+
+		g_test_message ("%s", odd[i][1]);
+		findings_init (&findings);
+		g_assert_cmpint (read_settings (text, &settings, &findings), ==, -EINVAL);
+		g_assert_cmpuint (findings.count, ==, 1);
+		findings_finish (&findings);
+		g_free (text);
+		g_strfreev (parts);
+	}
+}
+
 int
 main (int argc, char **argv)
 {
@@ -517,5 +546,6 @@
 	g_test_add_func ("/documents/no_tenants", test_no_tenants);
 	g_test_add_func ("/settings/read", test_settings);
 	g_test_add_func ("/settings/findings", test_settings_findings);
+	g_test_add_func ("/settings/names", test_settings_names);
 	return g_test_run ();
 }
