gateway: a zone's name is one word of a VM's record

Zones of server entries may contain blanks, but a VM whose own zone does wrote `zone=riga a` into its record. Neither it nor the other VMs could read that (member_malformed): it never counted as registered, and by reading, it registered again with each poll.

member_record_format() escapes a zone as in a URI, and the reader undoes it. Names without blanks, control characters, quotes and `%` are written as before, so that VMs of both versions read each other's records.

Test: gateway_members/odd_zones, which failed before.

--- a/gateway/controller_store.c
+++ b/gateway/controller_store.c
@@ -20,6 +20,7 @@
 	 * refused calls are charged as well. The poller of a zone uses its usual interval instead. */
 	CONTROL_RETRY_US = 200 * US_PER_MS,
 	CONTROL_MAX_RETRY_US = 1000 * US_PER_MS,
+	RECORD_ZONE_BYTES = 3 * BOOT_NAME_BYTES, /* A zone, all of whose bytes are escaped. */
 };
 
 static const char store_prefix[] = "flamingospring/";
@@ -133,9 +134,13 @@
 member_record_format (const struct peer_address *address, const char *zone, const char *start,
                       bool is_settled, bool is_removed)
 {
+	/* A word of the record. Common names have no character that is escaped. */
+	g_autofree char *escaped = g_uri_escape_string (zone, "!$&'()*+,;=:@/?#[]", TRUE);
+
 	return g_strdup_printf ("address=%u.%u.%u.%u:%u zone=%s start=%s settled=%d removed=%d",
 	                        address->ip >> 24, address->ip >> 16 & 255, address->ip >> 8 & 255,
-	                        address->ip & 255, address->port, zone, start, is_settled, is_removed);
+	                        address->ip & 255, address->port, escaped, start, is_settled,
+	                        is_removed);
 }
 
 /** Handles this VM's record, which an earlier process may have written. */
@@ -164,14 +169,14 @@
 	char *value = g_strndup (pair->value, pair->value_length);
 	struct member *member;
 	char address[BOOT_ADDRESS_BYTES];
-	char zone[BOOT_NAME_BYTES];
+	char zone[RECORD_ZONE_BYTES];
 	int is_settled = 0;
 	int is_removed = 0;
 
 	if (strcmp (vm, controller->boot.vm) == 0)
 		apply_own_record (controller, pair, value);
-	else if (sscanf (value, "address=%63s zone=%79s start=%*s settled=%d removed=%d", address, zone,
-	                 &is_settled, &is_removed) == 4)
+	else if (sscanf (value, "address=%63s zone=%239s start=%*s settled=%d removed=%d", address,
+	                 zone, &is_settled, &is_removed) == 4)
 	{
 		member = member_get (controller, vm, now_us);
 		if (boot_address_parse (address, &member->address.ip, &member->address.port) < 0)
@@ -179,7 +184,9 @@
 		if (store_position_compare (member->at, at) != 0)
 			member->seen_us = now_us;
 		g_free (member->zone);
-		member->zone = g_strdup (zone);
+		member->zone = g_uri_unescape_string (zone, NULL);
+		if (!member->zone)
+			member->zone = g_strdup (zone);
 		member->at = at;
 		member->is_listed = is_removed == 0;
 		member->is_removed = is_removed != 0;
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -983,6 +983,48 @@
 		}
 }
 
+/* Guards against a zone with a blank that makes the VM's record unreadable, also for itself: it wrote the record again with each
+ * poll, and the other VMs did not know it. */
+static void
+test_odd_zones (void)
+{
+	static const char *const zones[] = {
+		"riga a", "riga\u00a0a", "50%", "%20", " start=9 settled=0", "v\u0113ja zona", "riga-a",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (zones); i++)
+	{
+		struct platform_answer answer = { .revision = 1, .request_sent_us = clock_now_us () };
+		struct controller controller;
+		const struct member *member;
+
+		set_up (&controller);
+		g_strlcpy (controller.boot.zone, zones[i], sizeof controller.boot.zone);
+		controller_poll (&controller, clock_now_us ());
+		fake.handle_poll (fake.poll_data, &answer);
+		g_assert_cmpstr (fake.swap_key, ==, "flamingospring/vm/vm5");
+		{
+			/* The store answers with this record for this VM, and for another one. */
+			const struct platform_pair pairs[] = {
+				{ "flamingospring/vm/vm2", fake.swap_value, strlen (fake.swap_value), 2, false },
+				{ "flamingospring/vm/vm5", fake.swap_value, strlen (fake.swap_value), 3, false },
+			};
+
+			answer.revision = 4;
+			answer.pairs = pairs;
+			answer.count = G_N_ELEMENTS (pairs);
+			controller.is_registering = false;
+			controller_poll (&controller, clock_now_us ());
+			fake.handle_poll (fake.poll_data, &answer);
+		}
+		g_assert_true (controller.is_registered);
+		member = g_hash_table_lookup (controller.members, "vm2");
+		g_assert_nonnull (member);
+		g_assert_cmpstr (member->zone, ==, zones[i]);
+		tear_down (&controller);
+	}
+}
+
 /* Guards against replacing a primary at once because its entry was missing before it was promoted. In two plays of
  * trouble-1 of Grindwell, seed 28832871869, VMs did so that had not read yet that the entry was back. */
 static void
@@ -1429,6 +1471,7 @@
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/metrics_of_lost_answers", test_metrics_of_lost_answers);
+	g_test_add_func ("/gateway_members/odd_zones", test_odd_zones);
 	g_test_add_func ("/gateway_members/metrics_of_odd_names", test_metrics_of_odd_names);
 	g_test_add_func ("/gateway_members/metrics_of_tenants", test_metrics_of_tenants);
 	g_test_add_func ("/gateway_members/hung_traffic", test_hung_traffic);
