gateway: datagrams whose names are no words are malformed

A record of a primary that another process sent with a blank, a quote or a line feed in a name was adopted, and after a restore of the store written back as `primary=i 1 claimant=...`, which no VM can read: the record counted as lost.

peers_receive() drops a datagram whose names are not words, as entries of servers with such names are, and counts it in rpc_malformed.

Test: gateway_members/odd_datagrams, which failed before.

--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -3,6 +3,7 @@
 #include "common/counters.h"
 #include "common/log.h"
 #include "common/rpc.h"
+#include "platform/documents.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -17,50 +18,88 @@
 	PEERS_READ_BURST = 64,
 };
 
-/** Decodes one datagram and passes it to its callback. @return 0 or -EBADMSG. */
+/** Whether the names of a record are words, as the store's record needs them. A claimant may be missing. */
+static bool
+record_is_valid (const struct fs_lead_args *record)
+{
+	return documents_is_word (record->vm) && documents_is_word (record->service) &&
+	       documents_is_word (record->primary) &&
+	       (!*record->claimant || documents_is_word (record->claimant));
+}
+
+/** Passes on a datagram of the given procedure. @return 0, or -EBADMSG when a name in it is not a word. */
 static int
-peers_receive (struct peers *peers, const char *buffer, size_t length, struct peer_address from)
+peers_dispatch (struct peers *peers, uint32_t procedure, const void *args, struct peer_address from)
 {
-	struct fs_lead_args record = { 0 };
-	struct fs_quiesced_args quiesced = { 0 };
-	struct fs_reachability_args opinion = { 0 };
-	struct fs_hello_args hello = { 0 };
-	struct fs_zone_args zone = { 0 };
-
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION, FS_HELLO,
-	                         (xdrproc_t) xdr_fs_hello_args, &hello) == 0)
+	const struct fs_quiesced_args *quiesced = args;
+	const struct fs_reachability_args *opinion = args;
+	const struct fs_hello_args *hello = args;
+	const struct fs_zone_args *zone = args;
+
+	switch (procedure)
 	{
-		peers->ops->handle_hello (peers->data, &hello, from);
-		xdr_free ((xdrproc_t) xdr_fs_hello_args, &hello);
+	case FS_HELLO:
+		if (!documents_is_word (hello->vm))
+			return -EBADMSG;
+		peers->ops->handle_hello (peers->data, hello, from);
 		return 0;
-	}
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION,
-	                         FS_REACHABILITY, (xdrproc_t) xdr_fs_reachability_args, &opinion) == 0)
-	{
-		peers->ops->handle_opinion (peers->data, &opinion, from);
-		xdr_free ((xdrproc_t) xdr_fs_reachability_args, &opinion);
+	case FS_REACHABILITY:
+		if (!documents_is_word (opinion->vm) || !documents_is_word (opinion->server))
+			return -EBADMSG;
+		peers->ops->handle_opinion (peers->data, opinion, from);
 		return 0;
-	}
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION, FS_LEAD,
-	                         (xdrproc_t) xdr_fs_lead_args, &record) == 0)
-	{
-		peers->ops->handle_primary_record (peers->data, &record, from);
-		xdr_free ((xdrproc_t) xdr_fs_lead_args, &record);
+	case FS_LEAD:
+		if (!record_is_valid (args))
+			return -EBADMSG;
+		peers->ops->handle_primary_record (peers->data, args, from);
 		return 0;
-	}
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION, FS_QUIESCED,
-	                         (xdrproc_t) xdr_fs_quiesced_args, &quiesced) == 0)
-	{
-		peers->ops->handle_quiesced (peers->data, &quiesced, from);
-		xdr_free ((xdrproc_t) xdr_fs_quiesced_args, &quiesced);
+	case FS_QUIESCED:
+		if (!documents_is_word (quiesced->vm) || !documents_is_word (quiesced->service))
+			return -EBADMSG;
+		peers->ops->handle_quiesced (peers->data, quiesced, from);
+		return 0;
+	default:
+		if (!documents_is_word (zone->vm) || documents_has_control_character (zone->zone))
+			return -EBADMSG;
+		peers->ops->handle_zone (peers->data, zone);
 		return 0;
 	}
-	if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION, FS_ZONE,
-	                         (xdrproc_t) xdr_fs_zone_args, &zone) == 0)
+}
+
+/** Decodes one datagram and passes it to its callback. @return 0 or -EBADMSG. */
+static int
+peers_receive (struct peers *peers, const char *buffer, size_t length, struct peer_address from)
+{
+	static const struct
 	{
-		peers->ops->handle_zone (peers->data, &zone);
-		xdr_free ((xdrproc_t) xdr_fs_zone_args, &zone);
-		return 0;
+		uint32_t procedure;
+		xdrproc_t decode;
+	} calls[] = {
+		{ FS_HELLO, (xdrproc_t) xdr_fs_hello_args },
+		{ FS_REACHABILITY, (xdrproc_t) xdr_fs_reachability_args },
+		{ FS_LEAD, (xdrproc_t) xdr_fs_lead_args },
+		{ FS_QUIESCED, (xdrproc_t) xdr_fs_quiesced_args },
+		{ FS_ZONE, (xdrproc_t) xdr_fs_zone_args },
+	};
+
+	for (size_t i = 0; i < sizeof calls / sizeof calls[0]; i++)
+	{
+		union
+		{
+			struct fs_lead_args record;
+			struct fs_quiesced_args quiesced;
+			struct fs_reachability_args opinion;
+			struct fs_hello_args hello;
+			struct fs_zone_args zone;
+		} args = { 0 };
+		int result;
+
+		if (rpc_datagram_decode (buffer, length, FS_GATEWAY_PROGRAM, FS_GATEWAY_VERSION,
+		                         calls[i].procedure, calls[i].decode, &args) < 0)
+			continue;
+		result = peers_dispatch (peers, calls[i].procedure, &args, from);
+		xdr_free (calls[i].decode, &args);
+		return result;
 	}
 	return -EBADMSG;
 }
--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -1,6 +1,7 @@
 /* Guards against errors in how a VM uses the list of VMs: which VMs serve, and which VM it asks for the
  * records of the primaries. The control thread's state is set up directly; the platform is a fake that
  * keeps the last read request. */
+#include "common/counters.h"
 #include "common/log.h"
 #include "free_port.h"
 #include "gateway/controller_private.h"
@@ -660,6 +661,62 @@
 	return answer.is_leaving;
 }
 
+static unsigned records_handled;
+
+static void
+count_record (void *data, const struct fs_lead_args *args, struct peer_address from)
+{
+	(void) data;
+	(void) args;
+	(void) from;
+	records_handled++;
+}
+
+/* Guards against a record of another process whose names are adopted, and written to the store as a record that no VM can
+ * read. */
+static void
+test_odd_datagrams (void)
+{
+	static const struct peers_ops ops = { .handle_primary_record = count_record };
+	static const struct
+	{
+		const char *service;
+		const char *primary;
+		const char *claimant;
+		unsigned handled;
+	} rows[] = {
+		{ "s", "i-1", "", 1 },         { "s", "i-1", "vm1", 1 },  { "s", "i-1", "-", 1 },
+		{ "s", "i 1", "vm1", 0 },      { "s", "i-1", "vm 1", 0 }, { "s t", "i-1", "vm1", 0 },
+		{ "s", "i-1\nx=y", "vm1", 0 }, { "s", "i\"1", "vm1", 0 }, { "", "i-1", "vm1", 0 },
+	};
+	struct controller controller;
+	struct peer_address own = { INADDR_LOOPBACK, free_port () };
+	struct peers peers;
+
+	set_up (&controller);
+	g_assert_cmpint (peers_init (&peers, &controller.loop, own, &ops, NULL), ==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+	{
+		struct fs_lead_args args = {
+			.vm = (char *) "vm1",
+			.service = (char *) rows[i].service,
+			.primary = (char *) rows[i].primary,
+			.claimant = (char *) rows[i].claimant,
+			.change = 1,
+		};
+		uint64_t malformed = counter_get (COUNTER_RPC_MALFORMED);
+
+		records_handled = 0;
+		peers_send_primary_record (&peers, own, &args);
+		while (records_handled == 0 && counter_get (COUNTER_RPC_MALFORMED) == malformed)
+			g_assert_cmpint (loop_step (&controller.loop, US_PER_S), ==, 0);
+		g_test_message ("%s, %s, %s", rows[i].service, rows[i].primary, rows[i].claimant);
+		g_assert_cmpuint (records_handled, ==, rows[i].handled);
+	}
+	peers_finish (&peers);
+	tear_down (&controller);
+}
+
 /* Guards against an operator who sees that answers are lost, but not at which server. */
 static void
 test_metrics_of_lost_answers (void)
@@ -1471,6 +1528,7 @@
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/metrics_of_lost_answers", test_metrics_of_lost_answers);
+	g_test_add_func ("/gateway_members/odd_datagrams", test_odd_datagrams);
 	g_test_add_func ("/gateway_members/odd_zones", test_odd_zones);
 	g_test_add_func ("/gateway_members/metrics_of_odd_names", test_metrics_of_odd_names);
 	g_test_add_func ("/gateway_members/metrics_of_tenants", test_metrics_of_tenants);
