--- a/tests/unit/platform_store.c
+++ b/tests/unit/platform_store.c
@@ -38,6 +38,11 @@
 	STORE_PATIENCE_MS = 30000,
 };
 
+/** Line of the head of answers without an era, and what is sent after each answer, on connections that are then kept; NULL:
+ * nothing. Set before a fixture is started. */
+static const char *fake_store_field;
+static const char *fake_store_glued;
+
 /** A fake store that answers requests in sequence, each on a new connection. */
 struct fake_store
 {
@@ -54,6 +59,8 @@
 fake_store_main (void *data)
 {
 	struct fake_store *store = data;
+	int kept[MAX_ANSWERS];
+	size_t kept_count = 0;
 
 	for (size_t i = 0; i < store->count; i++)
 	{
@@ -66,18 +73,25 @@
 		{
 			const char *body = strchr (store->answers[i], ' ') + 1;
 			char *era = store->eras[i] > 0 ? g_strdup_printf ("Store-Era: %u\r\n", store->eras[i])
-			                               : g_strdup ("");
+			                               : g_strdup (fake_store_field ? fake_store_field : "");
 			char *text = g_strdup_printf (
-				"HTTP/1.1 %.3s X\r\nContent-Type: application/json\r\nConnection: close\r\n"
-				"%sContent-Length: %zu\r\n\r\n%s",
-				store->answers[i], era, strlen (body), body);
+				"HTTP/1.1 %.3s X\r\nContent-Type: application/json\r\n%s"
+				"%sContent-Length: %zu\r\n\r\n%s%s",
+				store->answers[i], fake_store_glued ? "" : "Connection: close\r\n", era,
+				strlen (body), body, fake_store_glued ? fake_store_glued : "");
 
 			g_assert_cmpint (send (fd, text, strlen (text), MSG_NOSIGNAL), >, 0);
 			g_free (text);
 			g_free (era);
 		}
-		close (fd);
+		/* A client that sends its next request on this connection waits for the answer. */
+		if (fake_store_glued)
+			kept[kept_count++] = fd;
+		else
+			close (fd);
 	}
+	while (kept_count > 0)
+		close (kept[--kept_count]);
 	return NULL;
 }
 
@@ -426,6 +440,65 @@
 	fixture_stop (&fixture);
 }
 
+/* Guards against an era that is no number: all later answers would be those of an older copy. */
+static void
+test_odd_eras (void)
+{
+	static const char *const fields[] = {
+		"Store-Era: -1\r\n",
+		"Store-Era: 99999999999999999999\r\n",
+		"Store-Era: 9x\r\n",
+		"Store-Era: \r\n",
+	};
+	static const char *const answers[] = {
+		"200 {\"items\":[],\"hasMore\":false,\"at\":50}",
+		"200 {\"items\":[],\"hasMore\":false,\"at\":51}",
+		"200 {\"items\":[],\"hasMore\":false,\"at\":52}",
+	};
+	static const unsigned eras[] = { 7, 0, 8 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+	{
+		struct fixture fixture;
+
+		g_test_message ("%s", fields[i]);
+		fake_store_field = fields[i];
+		fixture_start_in_eras (&fixture, answers, G_N_ELEMENTS (answers), eras, STORE_PATIENCE_MS);
+		for (size_t j = 0; j < G_N_ELEMENTS (answers); j++)
+		{
+			fixture.platform.ops->range (&fixture.platform, "op/", 0, handle_answer, &fixture);
+			fixture_run (&fixture, (int) j + 1);
+			g_assert_cmpuint (fixture.era, ==, j < 2 ? 7 : 8);
+		}
+		fixture_stop (&fixture);
+		fake_store_field = NULL;
+	}
+}
+
+/* Guards against bytes after an answer of the store that are taken for the answer to the next request. */
+static void
+test_glued_answers (void)
+{
+	static const char *const answers[] = {
+		"200 {\"items\":[],\"hasMore\":false,\"at\":50}",
+		"200 {\"items\":[],\"hasMore\":false,\"at\":51}",
+	};
+	struct fixture fixture;
+
+	fake_store_glued = "HTTP/1.1 200 X\r\nContent-Length: 37\r\n\r\n"
+					   "{\"items\":[],\"hasMore\":false,\"at\":66}";
+	fixture_start (&fixture, answers, G_N_ELEMENTS (answers));
+	for (int i = 0; i < (int) G_N_ELEMENTS (answers); i++)
+	{
+		fixture.platform.ops->range (&fixture.platform, "op/", 0, handle_answer, &fixture);
+		fixture_run (&fixture, i + 1);
+		g_assert_cmpint (fixture.last_error, ==, 0);
+		g_assert_cmpuint (fixture.revision, ==, 50 + (uint64_t) i);
+	}
+	fixture_stop (&fixture);
+	fake_store_glued = NULL;
+}
+
 /* Guards against confusing a server that is not running with a call whose answer is lost. */
 static void
 test_promotion (void)
@@ -691,6 +764,8 @@
 	g_test_add_func ("/store/large_values", test_large_values);
 	g_test_add_func ("/store/silent", test_silent_store);
 	g_test_add_func ("/store/restored", test_restored_store);
+	g_test_add_func ("/store/odd_eras", test_odd_eras);
+	g_test_add_func ("/store/glued_answers", test_glued_answers);
 	g_test_add_func ("/store/promotion", test_promotion);
 	return g_test_run ();
 }
