--- a/tests/unit/gateway_members.c
+++ b/tests/unit/gateway_members.c
@@ -1,6 +1,7 @@
 /* Guards against errors in how a VM uses the list of VMs: which VMs serve, and which VM it asks for the
  * records of the primaries. The control thread's state is set up directly; the platform is a fake that
  * keeps the last read request. */
+#include "common/counters.h"
 #include "common/log.h"
 #include "free_port.h"
 #include "gateway/controller_private.h"
@@ -660,6 +661,62 @@
 	return answer.is_leaving;
 }
 
+static unsigned records_handled;
+
+static void
+count_record (void *data, const struct fs_lead_args *args, struct peer_address from)
+{
+	(void) data;
+	(void) args;
+	(void) from;
+	records_handled++;
+}
+
+/* Guards against a record of another process whose names are adopted, and written to the store as a record that no VM can
+ * read. */
+static void
+test_odd_datagrams (void)
+{
+	static const struct peers_ops ops = { .handle_primary_record = count_record };
+	static const struct
+	{
+		const char *service;
+		const char *primary;
+		const char *claimant;
+		unsigned handled;
+	} rows[] = {
+		{ "s", "i-1", "", 1 },         { "s", "i-1", "vm1", 1 },  { "s", "i-1", "-", 1 },
+		{ "s", "i 1", "vm1", 0 },      { "s", "i-1", "vm 1", 0 }, { "s t", "i-1", "vm1", 0 },
+		{ "s", "i-1\nx=y", "vm1", 0 }, { "s", "i\"1", "vm1", 0 }, { "", "i-1", "vm1", 0 },
+	};
+	struct controller controller;
+	struct peer_address own = { INADDR_LOOPBACK, free_port () };
+	struct peers peers;
+
+	set_up (&controller);
+	g_assert_cmpint (peers_init (&peers, &controller.loop, own, &ops, NULL), ==, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+	{
+		struct fs_lead_args args = {
+			.vm = (char *) "vm1",
+			.service = (char *) rows[i].service,
+			.primary = (char *) rows[i].primary,
+			.claimant = (char *) rows[i].claimant,
+			.change = 1,
+		};
+		uint64_t malformed = counter_get (COUNTER_RPC_MALFORMED);
+
+		records_handled = 0;
+		peers_send_primary_record (&peers, own, &args);
+		while (records_handled == 0 && counter_get (COUNTER_RPC_MALFORMED) == malformed)
+			g_assert_cmpint (loop_step (&controller.loop, US_PER_S), ==, 0);
+		g_test_message ("%s, %s, %s", rows[i].service, rows[i].primary, rows[i].claimant);
+		g_assert_cmpuint (records_handled, ==, rows[i].handled);
+	}
+	peers_finish (&peers);
+	tear_down (&controller);
+}
+
 /* Guards against an operator who sees that answers are lost, but not at which server. */
 static void
 test_metrics_of_lost_answers (void)
@@ -680,6 +737,31 @@
 	g_string_free (body, TRUE);
 }
 
+/* Guards against a name of the store that ends a label or a line of the metrics, so that the whole page is not read. */
+static void
+test_metrics_of_odd_names (void)
+{
+	struct controller controller;
+	struct known_server server = { .entry = { .id = "i\"1", .service = "s\\" }, .is_listed = true };
+	struct succession_record *record;
+	GString *body = g_string_new (NULL);
+
+	set_up (&controller);
+	g_hash_table_insert (controller.servers, server.entry.id, &server);
+	record = &primary_manager_get (&controller, "a\nb\xff")->succession.record;
+	g_strlcpy (record->primary, "\"} 1\n\\", sizeof record->primary);
+	record->change = 7;
+	g_assert_cmpuint (controller_answer_metrics (&controller, body), ==, 200);
+	g_assert_true (g_utf8_validate (body->str, (gssize) body->len, NULL));
+	g_assert_nonnull (strstr (
+		body->str,
+		"\nflamingospring_server_slots_released_total{service=\"s\\\\\",server=\"i\\\"1\"} 0\n"));
+	g_assert_nonnull (strstr (body->str, "\nflamingospring_lead_change{service=\"a\\nb\uFFFD\","
+	                                     "primary=\"\\\"} 1\\n\\\\\",changing=\"0\"} 7\n"));
+	tear_down (&controller);
+	g_string_free (body, TRUE);
+}
+
 /* Guards against one series for each of any number of tenants, against tenants beyond the largest that are not counted at
  * all, and against a refusal by the cap that is counted as overload too. */
 static void
@@ -958,6 +1040,48 @@
 		}
 }
 
+/* Guards against a zone with a blank that makes the VM's record unreadable, also for itself: it wrote the record again with each
+ * poll, and the other VMs did not know it. */
+static void
+test_odd_zones (void)
+{
+	static const char *const zones[] = {
+		"riga a", "riga\u00a0a", "50%", "%20", " start=9 settled=0", "v\u0113ja zona", "riga-a",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (zones); i++)
+	{
+		struct platform_answer answer = { .revision = 1, .request_sent_us = clock_now_us () };
+		struct controller controller;
+		const struct member *member;
+
+		set_up (&controller);
+		g_strlcpy (controller.boot.zone, zones[i], sizeof controller.boot.zone);
+		controller_poll (&controller, clock_now_us ());
+		fake.handle_poll (fake.poll_data, &answer);
+		g_assert_cmpstr (fake.swap_key, ==, "flamingospring/vm/vm5");
+		{
+			/* The store answers with this record for this VM, and for another one. */
+			const struct platform_pair pairs[] = {
+				{ "flamingospring/vm/vm2", fake.swap_value, strlen (fake.swap_value), 2, false },
+				{ "flamingospring/vm/vm5", fake.swap_value, strlen (fake.swap_value), 3, false },
+			};
+
+			answer.revision = 4;
+			answer.pairs = pairs;
+			answer.count = G_N_ELEMENTS (pairs);
+			controller.is_registering = false;
+			controller_poll (&controller, clock_now_us ());
+			fake.handle_poll (fake.poll_data, &answer);
+		}
+		g_assert_true (controller.is_registered);
+		member = g_hash_table_lookup (controller.members, "vm2");
+		g_assert_nonnull (member);
+		g_assert_cmpstr (member->zone, ==, zones[i]);
+		tear_down (&controller);
+	}
+}
+
 /* Guards against replacing a primary at once because its entry was missing before it was promoted. In two plays of
  * trouble-1 of Grindwell, seed 28832871869, VMs did so that had not read yet that the entry was back. */
 static void
@@ -1404,6 +1528,9 @@
 	g_test_add_func ("/gateway_members/lost_vm", test_lost_vm_counts);
 	g_test_add_func ("/gateway_members/directory_after_restore", test_directory_after_restore);
 	g_test_add_func ("/gateway_members/metrics_of_lost_answers", test_metrics_of_lost_answers);
+	g_test_add_func ("/gateway_members/odd_datagrams", test_odd_datagrams);
+	g_test_add_func ("/gateway_members/odd_zones", test_odd_zones);
+	g_test_add_func ("/gateway_members/metrics_of_odd_names", test_metrics_of_odd_names);
 	g_test_add_func ("/gateway_members/metrics_of_tenants", test_metrics_of_tenants);
 	g_test_add_func ("/gateway_members/hung_traffic", test_hung_traffic);
 	g_test_add_func ("/gateway_members/older_records", test_records_older_than_registration);
