--- a/gateway/connection.c
+++ b/gateway/connection.c
@@ -133,6 +133,7 @@
 	connection->values = byte_string_table_new (g_free);
 	connection->prepared = g_hash_table_new (NULL, NULL);
 	connection->answer = g_string_new (NULL);
+	connection->greeting = g_string_new (NULL);
 	connection->summary.is_ordered = true;
 	if (!owner)
 	{
@@ -186,6 +187,7 @@
 	g_hash_table_destroy (connection->values);
 	g_hash_table_destroy (connection->prepared);
 	g_string_free (connection->answer, TRUE);
+	g_string_free (connection->greeting, TRUE);
 	g_free (connection->match);
 	g_free (connection);
 }
--- a/gateway/connection_answer.c
+++ b/gateway/connection_answer.c
@@ -356,7 +356,8 @@
 	struct answer_restarts *restarts = &connection->server->restarts;
 	const GString *answer = connection->answer;
 	size_t rows_bytes = connection->completion_start;
-	size_t whole = answer_restart_find (answer->str, answer->len);
+	size_t whole = answer_restart_find (answer->str, answer->len, connection->greeting->str,
+	                                    connection->greeting->len);
 	uint64_t rows;
 
 	if (whole == 0 && !answer_restarts_wait (restarts))
@@ -463,6 +464,9 @@
 {
 	enum answer_verdict verdict = judge_answer (connection, line, ready);
 
+	if (connection->state == CONNECTION_OPENING)
+		g_string_append_len (connection->greeting, line.start, (gssize) line.length);
+
 	if (verdict == ANSWER_REPEATED)
 		drop_repeated (connection, clock_now_us ());
 	else if (verdict == ANSWER_OUT_OF_STEP)
@@ -494,6 +498,16 @@
 	}
 }
 
+/** Whether the text is one word. Two messages, of which the first was cut off in its signature, are not. */
+static bool
+is_signature (struct text text)
+{
+	for (size_t i = 0; i < text.length; i++)
+		if (text.start[i] == ' ' || text.start[i] == '\r' || text.start[i] == '\n')
+			return false;
+	return text.length > 0;
+}
+
 void
 connection_handle_line (struct connection *connection, struct text line)
 {
@@ -509,7 +523,7 @@
 		append_line (connection, line);
 		break;
 	case SERVER_COMPLETE:
-		summary->is_ordered = !is_complete && message.text.length > 0;
+		summary->is_ordered = !is_complete && is_signature (message.text);
 		summary->has_completion = true;
 		summary->is_signed = !text_equals (message.text, "-", 1);
 		summary->signature = XXH3_64bits (message.text.start, message.text.length);
--- a/include/gateway/traffic_private.h
+++ b/include/gateway/traffic_private.h
@@ -67,6 +67,7 @@
 	size_t value_bytes;   /**< Of @c values. */
 	GHashTable *prepared; /**< Set of struct prepared_shape that are prepared on the server. */
 	GString *answer;      /**< Lines that have come of the present answer, without READY. */
+	GString *greeting;    /**< READY line of the answer to the greeting. */
 	struct answer_summary summary; /**< Of these lines. */
 	size_t completion_start;       /**< Offset of the COMPLETE line. */
 	enum answer_code code;         /**< Error code among these lines. */
--- a/tests/unit/answer_match.c
+++ b/tests/unit/answer_match.c
@@ -207,11 +207,16 @@
 		{ "ROW xROW abc\r\nCOMPLETE m\r\n", 0 },
 		{ "ROW a\rROW a\r\nCOMPLETE m\r\n", 6 },
 		{ "ROW\r\n", 0 },
+		{ "ROW a9READY I 1.1\r\nROW a93\r\nCOMPLETE m\r\n", 19 },
+		{ "ROW a9READY I 1.2\r\nROW a93\r\nCOMPLETE m\r\n", 0 },
+		{ "ROW b9READY I 1.1\r\nROW a93\r\nCOMPLETE m\r\n", 0 },
 	};
+	static const char greeting[] = "READY I 1.1";
 
 	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-		g_assert_cmpuint (answer_restart_find (cases[i].lines, strlen (cases[i].lines)), ==,
-		                  cases[i].whole);
+		g_assert_cmpuint (answer_restart_find (cases[i].lines, strlen (cases[i].lines), greeting,
+		                                       strlen (greeting)),
+		                  ==, cases[i].whole);
 }
 
 /* Two rows that are the same are no cut answer: a server that has them sends them each time. One that cuts answers off has sent
@@ -228,6 +233,9 @@
 	g_assert_true (answer_restarts_believe (&restarts, 22, 2, 10));
 	answer_restarts_note (&restarts, 3, 11);
 	g_assert_true (answer_restarts_believe (&restarts, 22, 2, 12));
+	for (int i = 0; i < ANSWER_RESTART_TIMES; i++)
+		answer_restarts_believe (&restarts, 44, 4, 13);
+	g_assert_true (answer_restarts_believe (&restarts, 66, 6, 13));
 	answer_restarts_note (&restarts, 2, 13);
 	for (int i = 0; i < 2 * ANSWER_RESTART_TIMES; i++)
 		g_assert_false (answer_restarts_believe (&restarts, 22, 2, 20 + i));
