upstream_pg: one place decides what counts as the answer to a statement

What callers saw: a database server or middle box that sends an answer twice gave the repetition to the next statement of the connection, also of another session, and the connection stayed an answer behind. A write could be told as executed with the answer of a read, or as refused without effect with an error that libpq made up. A COPY response stopped the thread of the loop for ever.

Cause: all results up to ReadyForQuery were taken, the last one won, and neither form nor transaction state was compared. Bytes that arrived together with the answer stayed in the buffer of libpq, and messages of an idle connection were dropped without notice.

The driver reads what has arrived when it delivers an answer and before it sends a statement; a message that answers nothing closes the connection. A statement has one result, which an error of the server may follow, with the command tag of the statement and the transaction state that it leads to; any other answer counts as lost. Notifications are freed. A repetition of the same form that arrives while the next statement runs is still not recognised.

The emulated database repeats answers on request (repeat_answers, repeat_ms).

--- a/emulator/database.c
+++ b/emulator/database.c
@@ -120,6 +120,41 @@
 	message_end (result->rows, begin);
 }
 
+/** Sends the repeated answers before the unsent part of the present one. */
+static void
+handle_repeat_timer (struct loop_timer *timer, int64_t now_us)
+{
+	struct session *session = timer->data;
+
+	(void) now_us;
+	g_byte_array_prepend (session->stream.out, session->repeated->data, session->repeated->len);
+	g_byte_array_set_size (session->repeated, 0);
+	stream_flush (&session->stream);
+}
+
+/** Applies repeat_answers to a complete answer that is not yet sent. */
+static void
+fault_repeats_answer (struct session *session)
+{
+	struct database *database = session->database;
+	const struct statement *statement = session->query.statement;
+	GByteArray *out = session->stream.out;
+
+	if (database->repeat_answers == 0 ||
+	    (statement && g_str_has_prefix (statement->pattern, "SELECT standin_")))
+		return;
+	database->repeat_answers--;
+	g_byte_array_append (session->repeated, out->data, out->len);
+	if (database->repeat_ms > 0)
+	{
+		loop_set_timer (&database->loop, &session->repeat_timer,
+		                clock_now_us () + database->repeat_ms * US_PER_MS);
+		return;
+	}
+	g_byte_array_append (out, session->repeated->data, session->repeated->len);
+	g_byte_array_set_size (session->repeated, 0);
+}
+
 static void
 session_send_ready (struct session *session)
 {
@@ -132,6 +167,7 @@
 	g_snprintf (text, sizeof text, "%lu", position.index);
 	put_message (out, 'S', "ss", "group_position", text);
 	put_message (out, 'Z', "b", session->transaction);
+	fault_repeats_answer (session);
 	stream_flush (&session->stream);
 }
 
@@ -155,6 +191,8 @@
 
 	session_discard_transaction (session);
 	loop_cancel_timer (&database->loop, &session->timer);
+	loop_cancel_timer (&database->loop, &session->repeat_timer);
+	g_byte_array_unref (session->repeated);
 	g_ptr_array_remove (database->sessions, session);
 	query_clear (&session->query);
 	g_hash_table_unref (session->prepared);
@@ -666,6 +704,9 @@
 	session->transaction = TRANSACTION_NONE;
 	session->timer.data = session;
 	session->timer.handle_timer = handle_session_timer;
+	session->repeat_timer.data = session;
+	session->repeat_timer.handle_timer = handle_repeat_timer;
+	session->repeated = g_byte_array_new ();
 	session->pending_writes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 	session->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, prepared_free);
 	g_ptr_array_add (database->sessions, session);
--- a/emulator/statements.c
+++ b/emulator/statements.c
@@ -246,6 +246,8 @@
 		{ "drop_answers", &database->drop_answers },
 		{ "drop_commits", &database->drop_commits },
 		{ "lag_ms", &database->group.lag_ms },
+		{ "repeat_answers", &database->repeat_answers },
+		{ "repeat_ms", &database->repeat_ms },
 		{ "run_us", &database->run_us },
 	};
 
--- a/flamingospring/upstream_pg.c
+++ b/flamingospring/upstream_pg.c
@@ -1,6 +1,7 @@
 #include "flamingospring/upstream.h"
 
 #include "common/clock.h"
+#include "common/log.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -8,11 +9,34 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/epoll.h>
 
 enum
 {
 	PG_STATEMENT_BYTES = 128, /* Holds a fence or promotion with its numbers. */
+	PG_MAX_BATCH = 8,
+};
+
+/* Statements whose completion has a known form. */
+enum pg_command
+{
+	PG_COMMAND_OTHER,
+	PG_COMMAND_BEGIN,
+	PG_COMMAND_COMMIT,
+	PG_COMMAND_ROLLBACK,
+	PG_COMMAND_SELECT,
+	PG_COMMAND_INSERT,
+	PG_COMMAND_UPDATE,
+	PG_COMMAND_DELETE,
+};
+
+/* The first word of the statement and of its command tag. */
+static const char *const command_words[] = {
+	[PG_COMMAND_BEGIN] = "BEGIN",       [PG_COMMAND_COMMIT] = "COMMIT",
+	[PG_COMMAND_ROLLBACK] = "ROLLBACK", [PG_COMMAND_SELECT] = "SELECT",
+	[PG_COMMAND_INSERT] = "INSERT",     [PG_COMMAND_UPDATE] = "UPDATE",
+	[PG_COMMAND_DELETE] = "DELETE",
 };
 
 struct pg_connection
@@ -20,10 +44,16 @@
 	struct upstream *upstream;
 	PGconn *conn;
 	PGresult *result; /* Result of the outstanding statement. */
-	bool is_commit;
-	bool is_pipeline; /* A batch is outstanding. */
+	/* A message came while no statement was outstanding. Since answers carry no id, no later one can
+	 * be assigned to its statement. */
+	bool is_out_of_step;
+	bool is_mismatched;      /* The answer cannot be that of the outstanding statements. */
+	bool was_in_transaction; /* Before the outstanding statements. */
+	bool is_pipeline;        /* A batch is outstanding. */
+	enum pg_command commands[PG_MAX_BATCH];
 	size_t batch_count;
 	size_t batch_completed;          /* Completed statements of the batch, up to a failed one. */
+	size_t result_count;             /* Results without an error. */
 	struct loop_timer failure_timer; /* Reports a failed send after execute() has returned. */
 	const char **column_names;
 	const char **cells;
@@ -130,6 +160,91 @@
 	       pg_read_field (result, "promised_term", &status->promised_term);
 }
 
+static enum pg_command
+pg_find_command (const char *text)
+{
+	size_t length = strcspn (text, " \t\r\n;(");
+
+	for (int i = PG_COMMAND_BEGIN; i <= PG_COMMAND_DELETE; i++)
+	{
+		if (strlen (command_words[i]) == length &&
+		    strncasecmp (text, command_words[i], length) == 0)
+			return (enum pg_command) i;
+	}
+	return PG_COMMAND_OTHER;
+}
+
+static bool
+pg_is_error (const PGresult *result)
+{
+	return result && PQresultStatus (result) == PGRES_FATAL_ERROR;
+}
+
+static void
+pg_report (const struct pg_connection *pg, const char *cause)
+{
+	log_event (LOG_LEVEL_WARN, "answer_out_of_step", "server=%s:%s cause=%s", PQhostaddr (pg->conn),
+	           PQport (pg->conn), cause);
+}
+
+static void
+pg_set_mismatched (struct pg_connection *pg, const char *cause)
+{
+	if (!pg->is_mismatched)
+		pg_report (pg, cause);
+	pg->is_mismatched = true;
+}
+
+/* @return whether the result can be that of @p command. The server's errors carry a SQLSTATE; those
+ * of libpq do not, and say nothing about the effect of the statement. */
+static bool
+pg_result_fits (const PGresult *result, enum pg_command command)
+{
+	const char *tag;
+
+	switch (PQresultStatus (result))
+	{
+	case PGRES_FATAL_ERROR:
+		return PQresultErrorField (result, PG_DIAG_SQLSTATE) != NULL;
+	case PGRES_EMPTY_QUERY:
+		return command == PG_COMMAND_OTHER;
+	case PGRES_COMMAND_OK:
+	case PGRES_TUPLES_OK:
+		break;
+	default:
+		return false;
+	}
+	if (command == PG_COMMAND_OTHER)
+		return true;
+	tag = PQcmdStatus ((PGresult *) (uintptr_t) result);
+	/* COMMIT of an aborted transaction succeeds with the command tag ROLLBACK. */
+	return pg_find_command (tag) == command ||
+	       (command == PG_COMMAND_COMMIT && strcmp (tag, "ROLLBACK") == 0);
+}
+
+/* @return whether the transaction state of the server is the one that the outstanding statements
+ * lead to. */
+static bool
+pg_state_fits (const struct pg_connection *pg)
+{
+	bool is_error = pg_is_error (pg->result);
+	bool is_open = pg->was_in_transaction;
+
+	for (size_t i = 0; i <= pg->batch_completed; i++)
+	{
+		bool has_failed = is_error && i == pg->batch_completed;
+
+		if (pg->commands[i] == PG_COMMAND_BEGIN && !has_failed)
+			is_open = true;
+		if (pg->commands[i] == PG_COMMAND_COMMIT ||
+		    (pg->commands[i] == PG_COMMAND_ROLLBACK && !has_failed))
+			is_open = false;
+	}
+	if (!is_open)
+		return PQtransactionStatus (pg->conn) == PQTRANS_IDLE;
+	return PQtransactionStatus (pg->conn) == (is_error ? PQTRANS_INERROR : PQTRANS_INTRANS);
+}
+
 static enum upstream_result
 pg_classify_result (const struct pg_connection *pg, const char *sqlstate)
 {
@@ -139,8 +254,8 @@
 		return UPSTREAM_OK;
 	if (status == PGRES_COMMAND_OK)
 	{
-		/* COMMIT of an aborted transaction succeeds with the command tag ROLLBACK. */
-		if (pg->is_commit && strcmp (PQcmdStatus (pg->result), "ROLLBACK") == 0)
+		if (pg->commands[pg->batch_count - 1] == PG_COMMAND_COMMIT &&
+		    strcmp (PQcmdStatus (pg->result), "ROLLBACK") == 0)
 			return UPSTREAM_STATEMENT_ERROR;
 		return UPSTREAM_OK;
 	}
@@ -194,6 +309,18 @@
 	return 0;
 }
 
+/* Handles messages that came while no statement is outstanding. libpq passes those that answer
+ * nothing to the notice receiver. */
+static void
+pg_read_idle (struct pg_connection *pg)
+{
+	PGnotify *notification;
+
+	PQisBusy (pg->conn);
+	while ((notification = PQnotifies (pg->conn)))
+		PQfreemem (notification);
+}
+
 /* Passes the result to the user after the server's ReadyForQuery. Only then is the statement's
  * effect decided, since an implicit transaction commits at Sync. */
 static void
@@ -204,7 +331,11 @@
 	struct upstream_answer answer = { 0 };
 	const char *sqlstate;
 
-	if (PQstatus (pg->conn) == CONNECTION_BAD || !result || pg_read_rows (pg, &answer) < 0)
+	if (PQstatus (pg->conn) != CONNECTION_BAD && result && !pg->is_mismatched &&
+	    !pg_state_fits (pg))
+		pg_set_mismatched (pg, "state");
+	if (PQstatus (pg->conn) == CONNECTION_BAD || !result || pg->is_mismatched ||
+	    pg_read_rows (pg, &answer) < 0)
 	{
 		pg_fail (upstream);
 		return;
@@ -223,20 +354,27 @@
 	pg->result = NULL;
 	upstream->is_busy = false;
 	upstream->expects_status = false;
+	/* What came after this answer in the same segment would be taken for the next one. */
+	pg_read_idle (pg);
+	if (pg->is_out_of_step)
+		loop_set_timer (upstream->loop, &pg->failure_timer, clock_now_us ());
 	/* The callback may send the next statement or close the connection. */
 	upstream->user_ops->handle_answer (upstream, &answer);
 	PQclear (result);
 }
 
+/* Keeps the last result. Each statement has one, which an error may follow, such as that of a
+ * constraint that is checked at the end of the transaction. */
 static void
 pg_keep_result (struct pg_connection *pg, PGresult *result)
 {
-	/* An error replaces rows that came before it. */
-	if (pg->result && PQresultStatus (pg->result) == PGRES_FATAL_ERROR)
-	{
-		PQclear (result);
-		return;
-	}
+	bool is_error = pg_is_error (result);
+
+	if (pg_is_error (pg->result) || !pg_result_fits (result, pg->commands[pg->batch_completed]) ||
+	    (!is_error && pg->result_count > pg->batch_completed))
+		pg_set_mismatched (pg, "form");
+	if (!is_error)
+		pg->result_count++;
 	PQclear (pg->result);
 	pg->result = result;
 }
@@ -247,12 +385,16 @@
 {
 	if (!result)
 	{
-		bool has_failed = PQresultStatus (pg->result) == PGRES_FATAL_ERROR;
-
-		if (!has_failed && pg->batch_completed + 1 < pg->batch_count)
+		if (pg->result && !pg_is_error (pg->result) && pg->batch_completed + 1 < pg->batch_count)
 			pg->batch_completed++;
 		return PQstatus (pg->conn) == CONNECTION_BAD;
 	}
+	if (PQresultStatus (result) == PGRES_PIPELINE_ABORTED)
+	{
+		/* A statement after the failed one. */
+		PQclear (result);
+		return false;
+	}
 	if (PQresultStatus (result) == PGRES_PIPELINE_SYNC)
 	{
 		PQclear (result);
@@ -295,15 +437,17 @@
 			has_ended = pg_handle_pipeline_result (pg, result);
 		else if (result)
 			pg_keep_result (pg, result);
-		if (has_ended)
+		/* After a COPY response, PQgetResult() would return it again and again. */
+		if (has_ended || pg->is_mismatched)
 		{
 			pg_deliver (upstream);
 			return;
 		}
 	}
 	if (!is_broken && !upstream->is_busy)
-		PQisBusy (pg->conn); /* Parses notices and parameter changes. */
-	if (is_broken || PQstatus (pg->conn) == CONNECTION_BAD)
+		pg_read_idle (pg);
+	if (is_broken || (!upstream->is_busy && pg->is_out_of_step) ||
+	    PQstatus (pg->conn) == CONNECTION_BAD)
 		pg_fail (upstream);
 }
 
@@ -356,11 +500,22 @@
 		pg_read (upstream);
 }
 
+/* libpq reports messages that come while no statement is outstanding as notices: those of an
+ * unexpected type without a SQLSTATE, and errors with their own severity. */
 static void
-ignore_notice (void *data, const PGresult *result)
+handle_notice (void *data, const PGresult *result)
 {
-	(void) data;
-	(void) result;
+	struct pg_connection *pg = data;
+	const char *severity = PQresultErrorField (result, PG_DIAG_SEVERITY_NONLOCALIZED);
+
+	if (!PQresultErrorField (result, PG_DIAG_SQLSTATE) || !severity ||
+	    strcmp (severity, "ERROR") == 0 || strcmp (severity, "FATAL") == 0 ||
+	    strcmp (severity, "PANIC") == 0)
+	{
+		if (!pg->is_out_of_step)
+			pg_report (pg, "unexpected");
+		pg->is_out_of_step = true;
+	}
 }
 
 static int
@@ -383,6 +538,7 @@
 
 	if (pg->conn)
 		return -EBUSY;
+	pg->is_out_of_step = false;
 	snprintf (address, sizeof address, "%u.%u.%u.%u", ip >> 24 & 255, ip >> 16 & 255, ip >> 8 & 255,
 	          ip & 255);
 	snprintf (port_text, sizeof port_text, "%u", port);
@@ -393,7 +549,7 @@
 	if (PQstatus (pg->conn) == CONNECTION_BAD)
 		goto fail;
 	PQsetErrorVerbosity (pg->conn, PQERRORS_VERBOSE);
-	PQsetNoticeReceiver (pg->conn, ignore_notice, NULL);
+	PQsetNoticeReceiver (pg->conn, handle_notice, pg);
 	upstream->source.fd = PQsocket (pg->conn);
 	if (loop_set_source (upstream->loop, &upstream->source, EPOLLOUT) < 0)
 		goto fail;
@@ -423,7 +579,7 @@
 }
 
 static int
-pg_start (struct upstream *upstream)
+pg_start (struct upstream *upstream, const struct upstream_statement *statements, size_t count)
 {
 	struct pg_connection *pg = upstream->connection;
 
@@ -431,11 +587,25 @@
 		return -ENOTCONN;
 	if (upstream->is_busy)
 		return -EBUSY;
+	if (count > PG_MAX_BATCH)
+		return -EMSGSIZE;
+	/* The loop may not have reported yet that the socket is readable. What it holds would be taken
+	 * for the answer. */
+	if (PQconsumeInput (pg->conn) == 0)
+		return -ENOTCONN;
+	pg_read_idle (pg);
+	if (pg->is_out_of_step)
+		return -ENOTCONN;
 	upstream->is_busy = true;
 	upstream->expects_status = false;
+	pg->was_in_transaction = PQtransactionStatus (pg->conn) != PQTRANS_IDLE;
 	pg->is_pipeline = false;
-	pg->batch_count = 1;
+	pg->is_mismatched = false;
+	for (size_t i = 0; i < count; i++)
+		pg->commands[i] = pg_find_command (statements[i].text);
+	pg->batch_count = count;
 	pg->batch_completed = 0;
+	pg->result_count = 0;
 	return 0;
 }
 
@@ -458,12 +628,12 @@
          size_t param_count, bool expects_status)
 {
 	struct pg_connection *pg = upstream->connection;
-	int result = pg_start (upstream);
+	const struct upstream_statement outstanding = { statement, params, param_count };
+	int result = pg_start (upstream, &outstanding, 1);
 
 	if (result < 0)
 		return result;
 	upstream->expects_status = expects_status;
-	pg->is_commit = strcmp (statement, "COMMIT") == 0;
 	return pg_finish_send (upstream, pg_send_query (pg->conn, statement, params, param_count));
 }
 
@@ -472,13 +642,11 @@
                   size_t count)
 {
 	struct pg_connection *pg = upstream->connection;
-	int result = pg_start (upstream);
+	int result = pg_start (upstream, statements, count);
 
 	if (result < 0)
 		return result;
-	pg->is_commit = strcmp (statements[count - 1].text, "COMMIT") == 0;
 	pg->is_pipeline = true;
-	pg->batch_count = count;
 	return pg_finish_send (upstream, pg_send_batch (pg->conn, statements, count));
 }
 
--- a/include/emulator/database.h
+++ b/include/emulator/database.h
@@ -80,8 +80,10 @@
 	int64_t refused_connections; /**< Connections refused above max_connections. */
 	int64_t drop_answers;        /**< Number of answers to drop after the statement took effect. */
 	int64_t drop_commits;        /**< Number of answers to COMMIT to drop. */
-	int64_t cut_ids;     /**< Number of request id inserts to break the connection before. */
-	int64_t cut_commits; /**< Number of COMMITs to break the connection before. */
+	int64_t cut_ids;        /**< Number of request id inserts to break the connection before. */
+	int64_t cut_commits;    /**< Number of COMMITs to break the connection before. */
+	int64_t repeat_answers; /**< Number of answers to send twice. */
+	int64_t repeat_ms;      /**< Delay of the repeated answers. */
 };
 
 enum session_state
@@ -102,9 +104,11 @@
 	struct loop_timer timer;
 	enum transaction transaction;
 	uint64_t transaction_term;
-	GHashTable *pending_writes; /**< Row (table letter and key) to its new value. */
-	GHashTable *prepared;       /**< Statement name to struct query. */
-	struct query query;         /**< The unnamed portal or the simple query. */
+	GHashTable *pending_writes;     /**< Row (table letter and key) to its new value. */
+	GHashTable *prepared;           /**< Statement name to struct query. */
+	struct query query;             /**< The unnamed portal or the simple query. */
+	struct loop_timer repeat_timer; /**< Sends the repeated answers. */
+	GByteArray *repeated;
 	bool is_extended;
 	bool skips_until_sync;
 	bool is_client_closed; /**< The session is freed when its statement ends. */
--- a/tests/integration/upstream_pg.c
+++ b/tests/integration/upstream_pg.c
@@ -8,6 +8,9 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
@@ -359,6 +362,254 @@
 	database_group_stop (&group);
 }
 
+static void
+set_fault (struct client *client, const char *fault, const char *value)
+{
+	g_assert_cmpint (run_statement (client, "SELECT standin_fault($1, $2)", fault, value), ==,
+	                 UPSTREAM_OK);
+}
+
+static void
+run_loop (int64_t duration_us)
+{
+	int64_t end_us = clock_now_us () + duration_us;
+
+	while (clock_now_us () < end_us)
+		loop_step (&loop, US_PER_MS);
+}
+
+/* Guards against the repetition of an answer being taken for the answer to the next statement, and
+ * against a connection that stays in use after it. */
+static void
+test_repeated_answer (void)
+{
+	static const char *const delays_ms[] = { "0", "20" };
+	static const char *const statements[] = { find, "BEGIN", "SELEKT" };
+	struct client admin;
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&admin, 0), ==, 0);
+	g_assert_cmpint (run_statement (&admin, insert, "a", "1"), ==, UPSTREAM_OK);
+	for (unsigned i = 0; i < G_N_ELEMENTS (delays_ms) * G_N_ELEMENTS (statements) * 2; i++)
+	{
+		const char *statement = statements[i % G_N_ELEMENTS (statements)];
+		bool is_late = i / G_N_ELEMENTS (statements) % 2 == 1;
+		bool is_polled = i / G_N_ELEMENTS (statements) / 2 == 1;
+		const char *params[] = { "b" };
+		struct client client;
+
+		g_assert_cmpint (client_connect (&client, 0), ==, 0);
+		set_fault (&admin, "repeat_ms", delays_ms[is_late]);
+		set_fault (&admin, "repeat_answers", "1");
+		g_assert_cmpint (
+			run_statement (&client, statement, statement == find ? "a" : NULL, NULL), ==,
+			i % G_N_ELEMENTS (statements) == 2 ? UPSTREAM_STATEMENT_ERROR : UPSTREAM_OK);
+		/* Without the loop, only the next statement can notice the repetition. */
+		if (is_polled)
+			run_loop (50 * US_PER_MS);
+		else
+			g_usleep (50 * US_PER_MS);
+		g_assert_true (client.is_closed || !is_polled);
+		g_assert_cmpint (client.upstream.ops->execute (&client.upstream, find, params, 1), ==,
+		                 -ENOTCONN);
+		upstream_pg_finish (&client.upstream);
+	}
+	upstream_pg_finish (&admin.upstream);
+	database_group_stop (&group);
+}
+
+/* Guards against a repeated answer that arrives while another statement runs, and tells of a write
+ * or a transaction that did not happen. */
+static void
+test_repeated_answer_of_other_form (void)
+{
+	static const char *const statements[][2] = { { find, insert },
+		                                         { insert, find },
+		                                         { find, NULL } };
+	struct client admin;
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&admin, 0), ==, 0);
+	g_assert_cmpint (run_statement (&admin, insert, "a", "1"), ==, UPSTREAM_OK);
+	for (unsigned i = 0; i < G_N_ELEMENTS (statements); i++)
+	{
+		char key[] = { (char) ('b' + i), 0 };
+		bool in_transaction = !statements[i][1];
+		struct client client;
+
+		g_assert_cmpint (client_connect (&client, 0), ==, 0);
+		set_fault (&admin, "run_us", "100000");
+		set_fault (&admin, "repeat_ms", "30");
+		set_fault (&admin, "repeat_answers", "1");
+		run_statement (&client, statements[i][0],
+		               statements[i][0] == find || statements[i][0] == insert ? key : NULL,
+		               statements[i][0] == insert ? "1" : NULL);
+		if (in_transaction)
+			client.result = commit (&client, insert, key, "1");
+		else
+			run_statement (&client, statements[i][1],
+			               statements[i][1] == find || statements[i][1] == insert ? key : NULL,
+			               statements[i][1] == insert ? "1" : NULL);
+		g_assert_cmpint (client.result, ==, UPSTREAM_LOST);
+		set_fault (&admin, "run_us", "500");
+		upstream_pg_finish (&client.upstream);
+	}
+	upstream_pg_finish (&admin.upstream);
+	database_group_stop (&group);
+}
+
+/* Guards against a connection whose setup was answered twice. */
+static void
+test_repeated_setup (void)
+{
+	struct client admin;
+	struct client client;
+
+	database_group_start (&group, "5", "16");
+	g_assert_cmpint (client_connect (&admin, 0), ==, 0);
+	set_fault (&admin, "repeat_answers", "1");
+	g_assert_cmpint (client_connect (&client, 0), ==, 0);
+	g_assert_cmpint (client.upstream.ops->query_status (&client.upstream), ==, -ENOTCONN);
+	upstream_pg_finish (&client.upstream);
+	upstream_pg_finish (&admin.upstream);
+	database_group_stop (&group);
+}
+
+/* A server that sends the same bytes for each Sync. */
+struct scripted_server
+{
+	struct loop_source listener;
+	struct loop_source source;
+	uint16_t port;
+	bool is_started;
+	const char *answer;
+	size_t answer_length;
+};
+
+static void
+handle_scripted_input (struct loop_source *source, uint32_t epoll_events)
+{
+	/* AuthenticationOk, ReadyForQuery in no transaction. */
+	static const char setup[] = "R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I";
+	static const char sync[] = "S\0\0\0\x04";
+	struct scripted_server *server = source->data;
+	char input[4096];
+	ssize_t length = recv (source->fd, input, sizeof input, 0);
+
+	(void) epoll_events;
+	if (length <= 0)
+	{
+		loop_remove_source (&loop, source);
+		close (source->fd);
+		return;
+	}
+	if (!server->is_started)
+		send (source->fd, setup, sizeof setup - 1, MSG_NOSIGNAL);
+	else if (length >= 5 && memcmp (input + length - 5, sync, 5) == 0)
+		send (source->fd, server->answer, server->answer_length, MSG_NOSIGNAL);
+	server->is_started = true;
+}
+
+static void
+handle_scripted_accept (struct loop_source *source, uint32_t epoll_events)
+{
+	struct scripted_server *server = source->data;
+
+	(void) epoll_events;
+	server->source.fd = accept (source->fd, NULL, NULL);
+	server->source.data = server;
+	server->source.handle_ready = handle_scripted_input;
+	loop_set_source (&loop, &server->source, EPOLLIN);
+}
+
+static void
+scripted_server_start (struct scripted_server *server, const char *answer, size_t length)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t size = sizeof address;
+
+	memset (server, 0, sizeof *server);
+	address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+	server->answer = answer;
+	server->answer_length = length;
+	server->listener.fd = socket (AF_INET, SOCK_STREAM, 0);
+	server->listener.data = server;
+	server->listener.handle_ready = handle_scripted_accept;
+	g_assert_cmpint (bind (server->listener.fd, (struct sockaddr *) &address, size), ==, 0);
+	g_assert_cmpint (listen (server->listener.fd, 1), ==, 0);
+	getsockname (server->listener.fd, (struct sockaddr *) &address, &size);
+	server->port = ntohs (address.sin_port);
+	loop_set_source (&loop, &server->listener, EPOLLIN);
+}
+
+#define COMPLETED                                                                                  \
+	"1\0\0\0\x04"                                                                                  \
+	"2\0\0\0\x04"                                                                                  \
+	"n\0\0\0\x04"                                                                                  \
+	"C\0\0\0\x0fINSERT 0 1\0"
+#define READY "Z\0\0\0\x05I"
+#define ERROR "E\0\0\0\x1cSERROR\0VERROR\0C23505\0M\0\0"
+#define ANSWER(text, result)                                                                       \
+	{                                                                                              \
+		text, sizeof text - 1, result                                                              \
+	}
+
+/* Guards against an answer to a write that cannot be its answer: such a write counts neither as
+ * executed nor as refused. A COPY response must not stop the loop. */
+static void
+test_unexpected_answers (void)
+{
+	static const struct
+	{
+		const char *answer;
+		size_t length;
+		enum upstream_result result;
+	} cases[] = {
+		ANSWER (COMPLETED READY, UPSTREAM_OK),
+		ANSWER ("S\0\0\0\x08"
+		        "a\0b\0" COMPLETED "A\0\0\0\x0b\0\0\0\1c\0\0" READY,
+		        UPSTREAM_OK),
+		ANSWER ("1\0\0\0\x04" ERROR READY, UPSTREAM_DUPLICATE),
+		ANSWER (COMPLETED ERROR READY, UPSTREAM_DUPLICATE),
+		ANSWER (ERROR ERROR READY, UPSTREAM_LOST),
+		ANSWER (ERROR COMPLETED READY, UPSTREAM_LOST),
+		ANSWER (COMPLETED COMPLETED READY, UPSTREAM_LOST),
+		ANSWER (COMPLETED "Z\0\0\0\x05T", UPSTREAM_LOST),
+		ANSWER (READY, UPSTREAM_LOST),
+		/* A row without its description, for which libpq makes up an error. */
+		ANSWER ("1\0\0\0\x04"
+		        "2\0\0\0\x04"
+		        "D\0\0\0\x06\0\0" COMPLETED READY,
+		        UPSTREAM_LOST),
+		ANSWER ("1\0\0\0\x04"
+		        "2\0\0\0\x04"
+		        "I\0\0\0\x04" READY,
+		        UPSTREAM_LOST),
+		ANSWER ("1\0\0\0\x04"
+		        "2\0\0\0\x04"
+		        "G\0\0\0\x07\0\0\0" READY,
+		        UPSTREAM_LOST),
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+	{
+		struct scripted_server server;
+		struct client client = { 0 };
+
+		scripted_server_start (&server, cases[i].answer, cases[i].length);
+		upstream_pg_init (&client.upstream, &loop, &user_ops, &client);
+		client.upstream.ops->connect (&client.upstream, INADDR_LOOPBACK, server.port, "ledger");
+		wait_event (&client);
+		g_assert_cmpint (client.connect_error, ==, 0);
+		g_test_message ("answer %zu", i);
+		g_assert_cmpint (run_statement (&client, insert, "a", "1"), ==, cases[i].result);
+		upstream_pg_finish (&client.upstream);
+		run_loop (5 * US_PER_MS);
+		loop_remove_source (&loop, &server.listener);
+		close (server.listener.fd);
+	}
+}
+
 static void
 test_connection_limit (void)
 {
@@ -407,6 +658,10 @@
 	g_test_add_func ("/upstream_pg/duplicate_waits", test_duplicate_waits_for_transaction);
 	g_test_add_func ("/upstream_pg/connection_limit", test_connection_limit);
 	g_test_add_func ("/upstream_pg/large", test_large_value);
+	g_test_add_func ("/upstream_pg/repeated", test_repeated_answer);
+	g_test_add_func ("/upstream_pg/repeated_setup", test_repeated_setup);
+	g_test_add_func ("/upstream_pg/unexpected", test_unexpected_answers);
+	g_test_add_func ("/upstream_pg/repeated_other_form", test_repeated_answer_of_other_form);
 	result = g_test_run ();
 	loop_finish (&loop);
 	return result;
