owner_monitor: a fence counts as accepted when its row shows the promise

What callers saw: nothing yet; two primaries could follow. The row of group_status() has the form of the row of group_fence(), so that the answer to an earlier status query, sent twice, counted as an accepted fence although the server had promised nothing.

A fence is accepted when the row shows its term as promised, and a promotion when the row also shows a primary. Any other row closes the connection, and the command counts as failed. The fake database answered a rejected fence with a row; PostgreSQL sends none with an error, and neither does the fake now.

/owner_connections/fence_answered_by_status fails on the former code (accepted) and passes now; owner, owner_random, owner_pg, failover and random_runs pass.

--- a/flamingospring/owner_monitor.c
+++ b/flamingospring/owner_monitor.c
@@ -254,16 +254,29 @@
 		monitor_send (monitor, clock_now_us ());
 }
 
+/* @return whether the row that a command returned shows its effect. The row of an earlier status
+ * query has the same form. */
+static bool
+shows_effect (const struct observer_request *command, const struct upstream_answer *answer)
+{
+	return answer->has_status && answer->status.promised_term == command->term &&
+	       (command->kind == OBSERVER_FENCE || answer->status.is_primary);
+}
+
 static void
 complete_command (struct owner_monitor *monitor, const struct upstream_answer *answer)
 {
-	bool is_accepted = answer->result == UPSTREAM_OK;
-	bool is_rejected = answer->result == UPSTREAM_TERM_REJECTED;
-
+	if (answer->result == UPSTREAM_OK && !shows_effect (&monitor->outstanding, answer))
+	{
+		monitor->upstream.ops->close (&monitor->upstream);
+		monitor_fail (monitor);
+		return;
+	}
+	monitor_set_ready (monitor);
 	answer_command (monitor, &monitor->outstanding,
-	                is_accepted   ? OBSERVER_ACCEPTED
-	                : is_rejected ? OBSERVER_REJECTED
-	                              : OBSERVER_FAILED,
+	                answer->result == UPSTREAM_OK              ? OBSERVER_ACCEPTED
+	                : answer->result == UPSTREAM_TERM_REJECTED ? OBSERVER_REJECTED
+	                                                           : OBSERVER_FAILED,
 	                &answer->status);
 }
 
@@ -279,7 +292,8 @@
 		monitor_fail (monitor);
 		return;
 	}
-	monitor_set_ready (monitor);
+	if (!was_command)
+		monitor_set_ready (monitor);
 	if (was_command)
 		complete_command (monitor, answer);
 	else if (answer->has_status)
--- a/include/flamingospring/observer_request.h
+++ b/include/flamingospring/observer_request.h
@@ -42,6 +42,6 @@
 {
 	struct observer_request request;
 	enum observer_result result;
-	struct server_status status; /**< Set for accepted and rejected requests. */
+	struct server_status status; /**< Set for accepted requests. */
 	int64_t sent_us;
 };
--- a/tests/unit/owner_connections.c
+++ b/tests/unit/owner_connections.c
@@ -170,6 +170,23 @@
 	world_finish (&world);
 }
 
+/* Guards against a fence that counts as accepted because of the answer to an earlier status query,
+ * whose row has the same form. Two primaries could follow. */
+static void
+test_fence_answered_by_status (void)
+{
+	struct world world;
+
+	world_init (&world);
+	world.servers[1].repeats_status = true;
+	send_observer_request (&world, OBSERVER_FENCE, 1, 2);
+	world_run (&world, 20 * US_PER_MS);
+	g_assert_cmpuint (world.servers[1].fences, ==, 1);
+	g_assert_cmpuint (world.observer_answers, ==, 1);
+	g_assert_cmpint (world.observer_answer.result, ==, OBSERVER_FAILED);
+	world_finish (&world);
+}
+
 /* The server still counts connections that were closed because of overdue statements, so they count
  * towards the limit for a while. */
 static void
@@ -206,6 +223,7 @@
 	g_test_add_func ("/owner_connections/refused_work", test_refused_work_connection);
 	g_test_add_func ("/owner_connections/refused_monitor", test_refused_monitor);
 	g_test_add_func ("/owner_connections/fence", test_fence);
+	g_test_add_func ("/owner_connections/fence_answered_by_status", test_fence_answered_by_status);
 	g_test_add_func ("/owner_connections/overdue", test_overdue_statements);
 	return g_test_run ();
 }
--- a/tests/unit/owner_world.c
+++ b/tests/unit/owner_world.c
@@ -434,9 +434,14 @@
 	upstream->is_busy = true;
 	fake->server->fences++;
 	fake->pending.result = term > status->promised_term ? UPSTREAM_OK : UPSTREAM_TERM_REJECTED;
+	/* As PostgreSQL, an error comes without a row. */
+	fake->pending.has_status = fake->pending.result == UPSTREAM_OK;
+	fake->pending.status = (struct server_status){ 0 };
+	if (fake->pending.has_status && fake->server->repeats_status)
+		fake->pending.status = *status;
 	status->promised_term = MAX (status->promised_term, term);
-	fake->pending.has_status = true;
-	fake->pending.status = *status;
+	if (fake->pending.has_status && !fake->server->repeats_status)
+		fake->pending.status = *status;
 	loop_set_timer (upstream->loop, &fake->timer, clock_now_us () + 100);
 	return 0;
 }
--- a/tests/unit/owner_world.h
+++ b/tests/unit/owner_world.h
@@ -45,6 +45,7 @@
 	bool is_down; /* Refuses connections. */
 	bool is_full; /* At its connection limit. */
 	bool ignores_status_queries;
+	bool repeats_status;  /* Answers a fence with the status from before it. */
 	bool applies_entries; /* Has each new entry at once. */
 	unsigned open;        /* Connections, including monitors and those being opened. */
 	unsigned max_open;    /* Highest value of open. */
