http: names keep their encoded bytes, and a body has one length

What callers saw: a path with the name find%00more ran the call find, and post%2Fcalls%2Ffind was read as three segments. A request with two lengths (Content-Length twice, or beside Transfer-Encoding) was run by one of them; a middle box that takes the other sees other requests on the kept connection, so that a caller's body becomes a request, and its answer another one's.

Cause: libmicrohttpd decodes the path in place into a C string before it is split, and takes the first Content-Length that it finds.

The path arrives as sent, is split, and each segment is decoded by itself; a zero byte, a malformed escape or bytes that are not UTF-8 give 404. A length that is stated more than once gives 400 before the body is read, and closes the connection.

--- a/flamingospring/http.c
+++ b/flamingospring/http.c
@@ -214,6 +214,54 @@
 	entry_call_free (call);
 }
 
+/** Leaves the path as it was sent, since a decoded zero byte would end it. */
+static size_t
+keep_escapes (void *data, struct MHD_Connection *connection, char *text)
+{
+	(void) data;
+	(void) connection;
+	return strlen (text);
+}
+
+struct body_headers
+{
+	unsigned lengths;
+	unsigned encodings;
+};
+
+static enum MHD_Result
+count_body_header (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	struct body_headers *headers = data;
+
+	(void) kind;
+	(void) value;
+	headers->lengths += g_ascii_strcasecmp (name, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0;
+	headers->encodings += g_ascii_strcasecmp (name, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 0;
+	return MHD_YES;
+}
+
+/** @return whether the headers state the length of the body more than once. libmicrohttpd takes one of them; a
+ * middle box that takes another one would see other requests on the connection. */
+static bool
+body_length_is_ambiguous (struct MHD_Connection *connection)
+{
+	struct body_headers headers = { 0 };
+
+	MHD_get_connection_values (connection, MHD_HEADER_KIND, count_body_header, &headers);
+	return headers.lengths + headers.encodings > 1;
+}
+
+/** Answers before the body is read, and closes the connection. */
+static enum MHD_Result
+request_reject (struct http_request *request, const char *message)
+{
+	request->is_started = true;
+	request_set_problem (request, MHD_HTTP_BAD_REQUEST, message);
+	MHD_add_response_header (request->response, "Connection", "close");
+	return MHD_queue_response (request->connection, request->status, request->response);
+}
+
 static struct http_request *
 request_new (struct http_server *server, struct MHD_Connection *connection)
 {
@@ -250,8 +298,13 @@
 	(void) version;
 	if (!request)
 	{
-		*context = request_new (data, connection);
-		return *context ? MHD_YES : MHD_NO;
+		request = request_new (data, connection);
+		*context = request;
+		if (!request)
+			return MHD_NO;
+		if (body_length_is_ambiguous (connection))
+			return request_reject (request, "the length of the body is stated more than once");
+		return MHD_YES;
 	}
 	if (*upload_length > 0)
 	{
@@ -342,7 +395,8 @@
 		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT, settings->max_connections,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) HTTP_IDLE_TIMEOUT_S,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) HTTP_CONNECTION_MEMORY_BYTES,
-		MHD_OPTION_NOTIFY_COMPLETED, handle_completed, server, MHD_OPTION_END);
+		MHD_OPTION_NOTIFY_COMPLETED, handle_completed, server, MHD_OPTION_UNESCAPE_CALLBACK,
+		keep_escapes, NULL, MHD_OPTION_END);
 	if (!server->daemon)
 	{
 		close (fd);
--- a/flamingospring/http_message.c
+++ b/flamingospring/http_message.c
@@ -62,6 +62,25 @@
 	return true;
 }
 
+/** Decodes the segments one by one, so that an encoded slash stays in its name. @return false when one has a
+ * malformed escape or a zero byte, which would end the name, or is not UTF-8. */
+static bool
+path_decode (char **parts)
+{
+	for (; *parts; parts++)
+	{
+		char *decoded = g_uri_unescape_segment (*parts, NULL, NULL);
+
+		if (!decoded)
+			return false;
+		g_free (*parts);
+		*parts = decoded;
+		if (!g_utf8_validate (decoded, -1, NULL))
+			return false;
+	}
+	return true;
+}
+
 enum http_route
 http_path_parse (const char *path, struct entry_call *call)
 {
@@ -69,10 +88,12 @@
 	char **parts;
 	guint count;
 
-	if (path[0] != '/' || !g_utf8_validate (path, -1, NULL))
+	if (path[0] != '/')
 		return HTTP_ROUTE_NONE;
 	parts = g_strsplit (path + 1, "/", PATH_MAX_SEGMENTS);
 	count = g_strv_length (parts);
+	if (!path_decode (parts))
+		goto out;
 	if (count == 2 && strcmp (parts[0], "v1") == 0 && strcmp (parts[1], "health") == 0)
 		route = HTTP_ROUTE_HEALTH;
 	else if (count >= 4 && strcmp (parts[0], "v1") == 0)
@@ -81,6 +102,8 @@
 		    (strcmp (parts[1], "transactions") == 0 && path_parse_transaction (parts, count, call)))
 			route = HTTP_ROUTE_ENTRY;
 	}
+
+out:
 	g_strfreev (parts);
 	return route;
 }
--- a/tests/unit/http_message.c
+++ b/tests/unit/http_message.c
@@ -196,6 +196,12 @@
 	{ "/v1/transactions/ABC/abort", HTTP_ROUTE_NONE, 0 },
 	{ "/v2/health", HTTP_ROUTE_NONE, 0 },
 	{ "/v1/services/\xff/calls/find", HTTP_ROUTE_NONE, 0 },
+	{ "/v1/services/p%6Fst/calls/find", HTTP_ROUTE_ENTRY, FS_OPERATION_CALL },
+	{ "/v1/services/post%2Fcalls%2Ffind", HTTP_ROUTE_NONE, 0 },
+	{ "/v1/services/post/calls/find%00", HTTP_ROUTE_NONE, 0 },
+	{ "/v1/services/post%00a/calls/find", HTTP_ROUTE_NONE, 0 },
+	{ "/v1/services/post/calls/find%ff", HTTP_ROUTE_NONE, 0 },
+	{ "/v1/services/post/calls/find%4", HTTP_ROUTE_NONE, 0 },
 	{ "/v1/services/"
 	  "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa/calls/find",
 	  HTTP_ROUTE_NONE, 0 },
--- a/tests/unit/traffic.c
+++ b/tests/unit/traffic.c
@@ -415,6 +415,9 @@
 	int status; /* Expected status; 0: the test awaits no answer, but the VM must stay healthy. */
 };
 
+#define FIND(name) "POST /v1/services/post/calls/" name " HTTP/1.1\r\nHost: a\r\n"
+#define BODY       "{\"params\":[\"k\"]}"
+
 static const struct http_case http_cases[] = {
 	{ "GET /v1/health HTTP/1.1\r\nHost: a\r\n\r\n", 200 },
 	{ "POST /v1/health HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", 405 },
@@ -428,6 +431,21 @@
 	{ "POST /v1/services/post/calls/find HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 	  "zz\r\n{}\r\n0\r\n\r\n",
 	  0 },
+	{ FIND ("find") "Content-Length: 16\r\n\r\n" BODY, 200 },
+	{ FIND ("%66in%64") "Content-Length: 16\r\n\r\n" BODY, 200 },
+	/* Another name than that of the call. */
+	{ FIND ("find%00") "Content-Length: 16\r\n\r\n" BODY, 404 },
+	{ FIND ("find%00more") "Content-Length: 16\r\n\r\n" BODY, 404 },
+	{ FIND ("find%2Fmore") "Content-Length: 16\r\n\r\n" BODY, 400 },
+	{ FIND ("find%ff") "Content-Length: 16\r\n\r\n" BODY, 404 },
+	{ FIND ("find%") "Content-Length: 16\r\n\r\n" BODY, 404 },
+	{ "POST /v1/services/post%2Fcalls%2Ffind HTTP/1.1\r\nHost: a\r\nContent-Length: 16\r\n\r\n" BODY,
+	  404 },
+	{ FIND ("find") "Content-Length: 16\r\nContent-Length: 0\r\n\r\n" BODY, 400 },
+	{ FIND ("find") "Content-Length: 0\r\nContent-Length: 16\r\n\r\n" BODY, 400 },
+	{ FIND ("find") "Content-Length: 16\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n" BODY
+	                "\r\n0\r\n\r\n",
+	  400 },
 	{ "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n", 0 },
 	{ "\r\n\r\n\r\n", 0 },
 	{ "GET\r\n\r\n", 0 },
@@ -463,6 +481,8 @@
 		if (http_cases[i].status)
 		{
 			reply = http_client_read (&client);
+			if (reply.status != http_cases[i].status)
+				g_test_message ("%s", http_cases[i].request);
 			g_assert_cmpint (reply.status, ==, http_cases[i].status);
 			http_reply_finish (&reply);
 		}
