control: compare the xid of an answer with that of the call

What callers saw: nothing; a reply to another call, on the connection of a state pull, an opinion or an announcement, was believed and ended the call.

Each call opens its own connection and used xid 1, and the reply's xid was not read. Calls now have a number of their own, and other replies are counted as late answers and ignored; the call ends with its own reply or after its limit.

--- a/flamingospring/control_call.c
+++ b/flamingospring/control_call.c
@@ -15,6 +15,7 @@
 	struct control *control;
 	struct control_call_request request;
 	struct loop_timer timer;
+	uint32_t xid;
 	void *result;
 };
 
@@ -66,9 +67,13 @@
 {
 	struct control_call *call = connection->data;
 
-	(void) xid;
 	if (!call->result)
 		return;
+	if (xid != call->xid)
+	{
+		counter_add (COUNTER_LATE_ANSWERS, 1);
+		return;
+	}
 	if (status == 0 && !call->request.decode (result, call->result))
 	{
 		xdr_free (call->request.decode, call->result);
@@ -110,8 +115,9 @@
 	                                 request->ip, request->port, control->settings->source_ip);
 	if (result < 0)
 		goto fail;
-	result = rpc_connection_call (&call->connection, 1, request->program, 1, request->procedure,
-	                              request->encode, request->args);
+	call->xid = ++control->last_call_xid;
+	result = rpc_connection_call (&call->connection, call->xid, request->program, 1,
+	                              request->procedure, request->encode, request->args);
 	if (result < 0)
 		goto fail_connection;
 	loop_set_timer (&control->loop, &call->timer, clock_now_us () + CONTROL_CALL_TIMEOUT_US);
--- a/include/flamingospring/control_private.h
+++ b/include/flamingospring/control_private.h
@@ -79,6 +79,7 @@
 
 	struct control_observer *observers;
 	struct control_call *calls;
+	uint32_t last_call_xid;
 	struct rpc_listener server;
 
 	struct drain_settings drain_settings;
