peer: a system error of another VM does not prove that a call did not run

What callers saw: nothing from VMs of this project, which reject calls only before they run. A SYSTEM_ERR counted as "not sent", so that the entry could run the call again at another VM.

All rejections had one status. SYSTEM_ERR, which RFC 5531 allows at any time, now gives -EIO, and the execution counts as lost.

/peer/rejected fails on the former code (NOT_SENT for SYSTEM_ERR); 9 of 9 cases of peer pass, also with the sanitizers.

--- a/common/rpc.c
+++ b/common/rpc.c
@@ -90,8 +90,10 @@
 	message.acpted_rply.ar_results.proc = (xdrproc_t) xdr_void;
 	if (!connection->ops->handle_reply || !xdr_replymsg (xdrs, &message))
 		return false;
-	if (message.rm_reply.rp_stat != MSG_ACCEPTED || message.acpted_rply.ar_stat != SUCCESS)
+	if (message.rm_reply.rp_stat != MSG_ACCEPTED)
 		status = -EPROTO;
+	else if (message.acpted_rply.ar_stat != SUCCESS)
+		status = message.acpted_rply.ar_stat == SYSTEM_ERR ? -EIO : -EPROTO;
 	connection->ops->handle_reply (connection, message.rm_xid, status, xdrs);
 	return true;
 }
--- a/flamingospring/peer.c
+++ b/flamingospring/peer.c
@@ -187,8 +187,10 @@
 call_complete (struct peer_call *call, int status, XDR *xdrs)
 {
 	struct peer *peer = call->peer;
-	/* The peer rejected the RPC call, so the execution did not run. */
-	enum execution_status outcome = status < 0 ? EXECUTION_NOT_SENT : EXECUTION_ANSWERED;
+	/* A peer that rejects an RPC call has not run the execution, except after a SYSTEM_ERR. */
+	enum execution_status outcome = status == -EPROTO ? EXECUTION_NOT_SENT
+	                                : status < 0      ? EXECUTION_LOST
+	                                                  : EXECUTION_ANSWERED;
 	struct fs_execute_result result;
 	struct execution *execution;
 
--- a/include/common/rpc.h
+++ b/include/common/rpc.h
@@ -25,7 +25,8 @@
 	 * now or later with rpc_connection_reply(). @return false to close the connection. */
 	bool (*handle_call) (struct rpc_connection *connection, uint32_t xid, uint32_t program,
 	                     uint32_t procedure, XDR *args);
-	/** Handles a reply. @p status is 0, or a negative error number when the peer rejected the call. */
+	/** Handles a reply. @p status is 0, -EPROTO when the peer rejected the call without running it, or -EIO after
+	 * an error of its system, which says nothing about the run. */
 	void (*handle_reply) (struct rpc_connection *connection, uint32_t xid, int status, XDR *result);
 	/** The connection is established (client side). */
 	void (*handle_connected) (struct rpc_connection *connection);
--- a/tests/unit/peer.c
+++ b/tests/unit/peer.c
@@ -427,6 +427,39 @@
 	world_finish (&world);
 }
 
+/* Guards against an execution that counts as not run after an error of the peer's system, which may
+ * come at any time. */
+static void
+test_rejected (void)
+{
+	static const struct
+	{
+		enum accept_stat reply;
+		enum execution_status status;
+	} cases[] = {
+		{ PROG_UNAVAIL, EXECUTION_NOT_SENT },
+		{ PROC_UNAVAIL, EXECUTION_NOT_SENT },
+		{ GARBAGE_ARGS, EXECUTION_NOT_SENT },
+		{ SYSTEM_ERR, EXECUTION_LOST },
+	};
+	struct world world;
+
+	world_init (&world);
+	for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+	{
+		struct caller caller;
+
+		caller_init (&caller, 0, FIRST_VM, DEADLINE_US);
+		world_send (&world, &caller, 0);
+		world_run_until (&world, &world.peers[0].held_count, i + 1);
+		rpc_connection_reject (world.peers[0].held[i].connection, world.peers[0].held[i].xid,
+		                       cases[i].reply);
+		world_run_until (&world, &caller.answers, 1);
+		g_assert_cmpint (caller.status, ==, cases[i].status);
+	}
+	world_finish (&world);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -436,6 +469,7 @@
 	g_test_add_func ("/peer/late", test_late_answer);
 	g_test_add_func ("/peer/lost_before_sending", test_lost_before_sending);
 	g_test_add_func ("/peer/lost_after_sending", test_lost_after_sending);
+	g_test_add_func ("/peer/rejected", test_rejected);
 	g_test_add_func ("/peer/silent", test_silent_peer);
 	g_test_add_func ("/peer/slow", test_slow_owner);
 	g_test_add_func ("/peer/malformed_result", test_malformed_result);
