http_client: a response that no request waits for ends its connection

What callers saw: a store or middle box that sends a response again while the connection is idle gave it to the next request, such as the answer to a swap or to a renewal of a lease.

Cause: libcurl 7.88 reuses a kept connection on which something has arrived. Only what arrives together with the response, or a closed connection, ends it.

Before a request is sent, the client looks whether its connection is readable. If so, the request goes out once more on a new connection; nothing of it has been sent. A repeated response that arrives after the next request is sent has nothing that tells it from that request's own.

--- a/common/http_client.c
+++ b/common/http_client.c
@@ -3,12 +3,14 @@
 #include "common/clock.h"
 #include "common/counters.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
@@ -31,6 +33,8 @@
 	void *data;
 	int64_t request_sent_us;
 	bool is_cancelled; /* Runs no callback; freed by handle_reap(). */
+	bool is_unsent; /* Given up before the request was sent, since the connection was not idle. */
+	bool is_repeated;
 };
 
 struct http_socket
@@ -204,6 +208,89 @@
 	}
 }
 
+static curl_socket_t
+handle_open_socket (void *data, curlsocktype purpose, struct curl_sockaddr *address)
+{
+	struct http_client *client = data;
+	int fd = socket (address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+
+	(void) purpose;
+	if (fd < 0)
+		return CURL_SOCKET_BAD;
+	g_array_append_val (client->sockets, fd);
+	return fd;
+}
+
+static int
+handle_close_socket (void *data, curl_socket_t fd)
+{
+	const struct http_client *client = data;
+
+	for (guint i = 0; i < client->sockets->len; i++)
+	{
+		if (g_array_index (client->sockets, int, i) != fd)
+			continue;
+		g_array_remove_index_fast (client->sockets, i);
+		break;
+	}
+	return close (fd);
+}
+
+/** @return the socket at a local port, or -1. */
+static int
+client_find_socket (const struct http_client *client, int port)
+{
+	for (guint i = 0; i < client->sockets->len; i++)
+	{
+		int fd = g_array_index (client->sockets, int, i);
+		union
+		{
+			struct sockaddr any;
+			struct sockaddr_in v4;
+			struct sockaddr_in6 v6;
+		} address = { 0 };
+		socklen_t length = sizeof address;
+
+		if (getsockname (fd, &address.any, &length) < 0)
+			continue;
+		if ((address.any.sa_family == AF_INET && ntohs (address.v4.sin_port) == port) ||
+		    (address.any.sa_family == AF_INET6 && ntohs (address.v6.sin6_port) == port))
+			return fd;
+	}
+	return -1;
+}
+
+/** Refuses a kept connection on which something has arrived since the last response: libcurl would take it for
+ * the response to this request. */
+static int
+handle_before_request (void *data, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+	struct http_call *call = data;
+	int fd = client_find_socket (call->client, local_port);
+	char byte;
+
+	(void) remote_ip;
+	(void) local_ip;
+	(void) remote_port;
+	if (fd < 0 || recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0)
+		return CURL_PREREQFUNC_OK;
+	call->is_unsent = true;
+	return CURL_PREREQFUNC_ABORT;
+}
+
+/** Starts a call again on a new connection when its request was not sent. @return false otherwise. */
+static bool
+call_repeat (struct http_call *call)
+{
+	if (!call->is_unsent || call->is_repeated || call->is_cancelled)
+		return false;
+	call->is_unsent = false;
+	call->is_repeated = true;
+	curl_multi_remove_handle (call->client->multi, call->easy);
+	curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+	return curl_multi_add_handle (call->client->multi, call->easy) == CURLM_OK;
+}
+
 static void
 http_client_complete_calls (struct http_client *client)
 {
@@ -220,6 +307,8 @@
 		result.error = error_from_curl (message->data.result);
 		curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
 		curl_easy_getinfo (message->easy_handle, CURLINFO_RESPONSE_CODE, &result.status);
+		if (call_repeat (call))
+			continue;
 		curl_multi_remove_handle (client->multi, call->easy);
 		call_unlink (client, call);
 		result.body = (const char *) call->received->data;
@@ -255,6 +344,12 @@
 	curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
 	curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, handle_received);
 	curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt (call->easy, CURLOPT_OPENSOCKETFUNCTION, handle_open_socket);
+	curl_easy_setopt (call->easy, CURLOPT_OPENSOCKETDATA, call->client);
+	curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETFUNCTION, handle_close_socket);
+	curl_easy_setopt (call->easy, CURLOPT_CLOSESOCKETDATA, call->client);
+	curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, handle_before_request);
+	curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
 	curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
 	if (call->client->source[0])
@@ -330,6 +425,7 @@
 	if (source_ip)
 		snprintf (client->source, sizeof client->source, "host!%u.%u.%u.%u", source_ip >> 24,
 		          source_ip >> 16 & 255, source_ip >> 8 & 255, source_ip & 255);
+	client->sockets = g_array_new (FALSE, FALSE, sizeof (int));
 	client->multi = curl_multi_init ();
 	if (!client->multi)
 		return -ENOMEM;
@@ -353,6 +449,10 @@
 	}
 	if (client->multi)
 		curl_multi_cleanup (client->multi);
+	client->multi = NULL;
+	if (client->sockets)
+		g_array_free (client->sockets, TRUE);
+	client->sockets = NULL;
 	loop_cancel_timer (client->loop, &client->timer);
 	loop_cancel_timer (client->loop, &client->reap_timer);
 }
--- a/include/common/http_client.h
+++ b/include/common/http_client.h
@@ -7,6 +7,7 @@
 #include "common/loop.h"
 
 #include <curl/curl.h>
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -53,6 +54,7 @@
 {
 	struct loop *loop;
 	CURLM *multi;
+	GArray *sockets; /**< Sockets of all connections, idle ones included. */
 	struct loop_timer timer;
 	struct loop_timer reap_timer; /**< Removes cancelled calls outside of libcurl's callbacks. */
 	struct http_call *calls;
