tests: requests of an owner beside a server that repeats answers

Guards against an answer that the emulated database sends twice, at once or 20 ms later while the connection is idle, and that reaches another request.

--- a/tests/integration/owner_pg.c
+++ b/tests/integration/owner_pg.c
@@ -16,6 +16,7 @@
 	SELF = 1,
 	CALLS = 200,
 	COMMIT_TRIES = 20,
+	REPEATED_ROUNDS = 20,
 };
 
 struct fixture
@@ -730,6 +731,37 @@
 	report_times ("commit with an id, replicas 20 ms behind", times[1], CALLS / 2);
 }
 
+/* Guards against an answer that the server sends twice and that reaches another request: a read of an
+ * older value, a write that is told as done without having run, or one that runs twice. */
+static void
+test_repeated_answers (struct fixture *fixture, gconstpointer data)
+{
+	static const char *const delays_ms[] = { "0", "20" };
+	struct submission submission;
+	int sum = 0;
+
+	for (unsigned i = 0; i < 2 * REPEATED_ROUNDS; i++)
+	{
+		unsigned delay = i / REPEATED_ROUNDS;
+		char id[16];
+
+		set_fault (fixture, "repeat_ms", delays_ms[delay]);
+		set_fault (fixture, "repeat_answers", i % 2 ? "1" : "3");
+		g_snprintf (id, sizeof id, "id-%u", i);
+		run (fixture, &submission, "add", 0, id);
+		g_assert_cmpint (submission.outcome, ==, OUTCOME_DONE);
+		g_assert_cmpint (atoi (submission.cell), ==, ++sum);
+		if (delay > 0)
+			run_for (fixture, 50 * US_PER_MS);
+		run (fixture, &submission, "find", 0, "");
+		g_assert_cmpint (submission.outcome, ==, OUTCOME_DONE);
+		g_assert_cmpint (atoi (submission.cell), ==, sum);
+		if (delay > 0)
+			run_for (fixture, 50 * US_PER_MS);
+	}
+	g_assert_cmpint (server_sum (fixture, 0), ==, sum);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -755,6 +787,8 @@
 	g_test_add ("/owner_pg/late_commit", struct fixture, NULL, set_up, test_late_commit, tear_down);
 	g_test_add ("/owner_pg/late_commit_replaced", struct fixture, "replaced", set_up,
 	            test_late_commit, tear_down);
+	g_test_add ("/owner_pg/repeated_answers", struct fixture, NULL, set_up, test_repeated_answers,
+	            tear_down);
 	g_test_add ("/owner_pg/commit_times", struct fixture, NULL, set_up, test_commit_times,
 	            tear_down);
 	return g_test_run ();
