upstream_pg: the answer to a statement begins with a row of its own

What callers saw: an answer sent twice, whose repetition arrives while the next statement of the connection runs and has its form, was that statement's answer: a read got the rows of another one, a write was told as executed by an earlier write's answer or as refused by an earlier error, and then ran.

Cause: answers of the PostgreSQL protocol carry no id; form and transaction state are the same for two reads, two writes and two errors.

Each batch starts with SELECT $1 AS answer_to and a value that no other batch has, in the same round trip. An answer whose first row is another one counts as lost, and so does an error in place of that row. An aborted transaction accepts only its end, so it gets no such row; the command tag and the end of the transaction are compared there. All statements go through the pipeline.

/upstream_pg/repeated_while_running fails on the former code; the cases of another form are part of it. upstream_pg, owner_pg and emulator_database pass, also with the sanitizers; connection_limit and emulator_load pass.

--- a/emulator/statements.c
+++ b/emulator/statements.c
@@ -229,6 +229,13 @@
 	return run_status (session, query, result);
 }
 
+static enum run_result
+run_value (struct session *session, const struct query *query, struct result *result)
+{
+	(void) session;
+	return result_set_value (result, query->arguments[0]);
+}
+
 static enum run_result
 run_fault (struct session *session, const struct query *query, struct result *result)
 {
@@ -288,6 +295,7 @@
 	{ "SELECT value FROM ledger WHERE key = $1",
 	  run_find, STATEMENT_READ, TABLE_LEDGER, { "value" } },
 	{ "SELECT count(*) FROM ledger", run_count, STATEMENT_READ, TABLE_LEDGER, { "count" } },
+	{ "SELECT $1 AS answer_to", run_value, STATEMENT_CONTROL, 0, { "answer_to" } },
 	{ "SELECT report($1)", run_count, STATEMENT_READ, TABLE_LEDGER, { "report" } },
 	{ "INSERT INTO ledger (key, value) VALUES ($1, $2)",
 	  run_insert, STATEMENT_WRITE, TABLE_LEDGER, { 0 } },
--- a/flamingospring/upstream_pg.c
+++ b/flamingospring/upstream_pg.c
@@ -15,13 +15,15 @@
 enum
 {
 	PG_STATEMENT_BYTES = 128, /* Holds a fence or promotion with its numbers. */
-	PG_MAX_BATCH = 8,
+	PG_MAX_BATCH = 8,         /* With the marker. */
+	PG_MARKER_BYTES = 40,
 };
 
 /* Statements whose completion has a known form. */
 enum pg_command
 {
 	PG_COMMAND_OTHER,
+	PG_COMMAND_MARKER, /* The first one; its row tells to which statements the answer belongs. */
 	PG_COMMAND_BEGIN,
 	PG_COMMAND_COMMIT,
 	PG_COMMAND_ROLLBACK,
@@ -47,9 +49,11 @@
 	/* A message came while no statement was outstanding. Since answers carry no id, no later one can
 	 * be assigned to its statement. */
 	bool is_out_of_step;
-	bool is_mismatched;      /* The answer cannot be that of the outstanding statements. */
+	bool is_mismatched;     /* The answer cannot be that of the outstanding statements. */
+	bool has_marker;        /* The first of the outstanding statements is a marker. */
+	uint64_t marker_number; /* Grows with each marker. */
+	char marker[PG_MARKER_BYTES];
 	bool was_in_transaction; /* Before the outstanding statements. */
-	bool is_pipeline;        /* A batch is outstanding. */
 	enum pg_command commands[PG_MAX_BATCH];
 	size_t batch_count;
 	size_t batch_completed;          /* Completed statements of the batch, up to a failed one. */
@@ -214,7 +218,7 @@
 	default:
 		return false;
 	}
-	if (command == PG_COMMAND_OTHER)
+	if (command == PG_COMMAND_OTHER || command == PG_COMMAND_MARKER)
 		return true;
 	tag = PQcmdStatus ((PGresult *) (uintptr_t) result);
 	/* COMMIT of an aborted transaction succeeds with the command tag ROLLBACK. */
@@ -343,7 +347,7 @@
 	sqlstate = PQresultErrorField (result, PG_DIAG_SQLSTATE);
 	snprintf (answer.sqlstate, sizeof answer.sqlstate, "%s", sqlstate ? sqlstate : "00000");
 	answer.result = pg_classify_result (pg, answer.sqlstate);
-	answer.statement = pg->batch_completed;
+	answer.statement = pg->batch_completed - (pg->has_marker ? 1 : 0);
 	answer.message = PQresultErrorField (result, PG_DIAG_MESSAGE_PRIMARY);
 	if (!answer.message)
 		answer.message = "";
@@ -368,11 +372,16 @@
 static void
 pg_keep_result (struct pg_connection *pg, PGresult *result)
 {
+	bool is_marker = pg->commands[pg->batch_completed] == PG_COMMAND_MARKER;
 	bool is_error = pg_is_error (result);
 
 	if (pg_is_error (pg->result) || !pg_result_fits (result, pg->commands[pg->batch_completed]) ||
 	    (!is_error && pg->result_count > pg->batch_completed))
 		pg_set_mismatched (pg, "form");
+	/* An error in place of the row may be the answer to an earlier statement as well. */
+	else if (is_marker && (is_error || PQntuples (result) != 1 || PQnfields (result) != 1 ||
+	                       strcmp (PQgetvalue (result, 0, 0), pg->marker) != 0))
+		pg_set_mismatched (pg, "marker");
 	if (!is_error)
 		pg->result_count++;
 	PQclear (pg->result);
@@ -398,7 +407,6 @@
 	if (PQresultStatus (result) == PGRES_PIPELINE_SYNC)
 	{
 		PQclear (result);
-		pg->is_pipeline = false;
 		/* Fails only when commands are outstanding. Without a result the connection counts as
 		 * lost. */
 		if (PQexitPipelineMode (pg->conn) == 0)
@@ -430,13 +438,8 @@
 
 	while (upstream->is_busy && !PQisBusy (pg->conn))
 	{
-		PGresult *result = PQgetResult (pg->conn);
-		bool has_ended = !result;
+		bool has_ended = pg_handle_pipeline_result (pg, PQgetResult (pg->conn));
 
-		if (pg->is_pipeline)
-			has_ended = pg_handle_pipeline_result (pg, result);
-		else if (result)
-			pg_keep_result (pg, result);
 		/* After a COPY response, PQgetResult() would return it again and again. */
 		if (has_ended || pg->is_mismatched)
 		{
@@ -539,6 +542,7 @@
 	if (pg->conn)
 		return -EBUSY;
 	pg->is_out_of_step = false;
+	pg->marker_number = clock_wall_ns ();
 	snprintf (address, sizeof address, "%u.%u.%u.%u", ip >> 24 & 255, ip >> 16 & 255, ip >> 8 & 255,
 	          ip & 255);
 	snprintf (port_text, sizeof port_text, "%u", port);
@@ -567,10 +571,15 @@
 }
 
 static bool
-pg_send_batch (PGconn *conn, const struct upstream_statement *statements, size_t count)
+pg_send_batch (const struct pg_connection *pg, const struct upstream_statement *statements,
+               size_t count)
 {
+	PGconn *conn = pg->conn;
+	const char *const marker[] = { pg->marker };
 	bool is_sent = PQenterPipelineMode (conn) == 1;
 
+	if (is_sent && pg->has_marker)
+		is_sent = pg_send_query (conn, "SELECT $1 AS answer_to", marker, 1);
 	for (size_t i = 0; i < count && is_sent; i++)
 		is_sent = pg_send_query (conn, statements[i].text, statements[i].params,
 		                         statements[i].param_count);
@@ -587,7 +596,7 @@
 		return -ENOTCONN;
 	if (upstream->is_busy)
 		return -EBUSY;
-	if (count > PG_MAX_BATCH)
+	if (count > PG_MAX_BATCH - 1)
 		return -EMSGSIZE;
 	/* The loop may not have reported yet that the socket is readable. What it holds would be taken
 	 * for the answer. */
@@ -599,11 +608,17 @@
 	upstream->is_busy = true;
 	upstream->expects_status = false;
 	pg->was_in_transaction = PQtransactionStatus (pg->conn) != PQTRANS_IDLE;
-	pg->is_pipeline = false;
 	pg->is_mismatched = false;
+	/* An aborted transaction accepts only its end, whose answer shows the end of the transaction. */
+	pg->has_marker = PQtransactionStatus (pg->conn) != PQTRANS_INERROR;
+	pg->marker_number++;
+	snprintf (pg->marker, sizeof pg->marker, "%" PRIu32 "-%" PRIu64, upstream->vm_id,
+	          pg->marker_number);
+	pg->batch_count = 0;
+	if (pg->has_marker)
+		pg->commands[pg->batch_count++] = PG_COMMAND_MARKER;
 	for (size_t i = 0; i < count; i++)
-		pg->commands[i] = pg_find_command (statements[i].text);
-	pg->batch_count = count;
+		pg->commands[pg->batch_count++] = pg_find_command (statements[i].text);
 	pg->batch_completed = 0;
 	pg->result_count = 0;
 	return 0;
@@ -634,7 +649,7 @@
 	if (result < 0)
 		return result;
 	upstream->expects_status = expects_status;
-	return pg_finish_send (upstream, pg_send_query (pg->conn, statement, params, param_count));
+	return pg_finish_send (upstream, pg_send_batch (pg, &outstanding, 1));
 }
 
 static int
@@ -646,8 +661,7 @@
 
 	if (result < 0)
 		return result;
-	pg->is_pipeline = true;
-	return pg_finish_send (upstream, pg_send_batch (pg->conn, statements, count));
+	return pg_finish_send (upstream, pg_send_batch (pg, statements, count));
 }
 
 static int
--- a/tests/integration/upstream_pg.c
+++ b/tests/integration/upstream_pg.c
@@ -418,14 +418,15 @@
 	database_group_stop (&group);
 }
 
-/* Guards against a repeated answer that arrives while another statement runs, and tells of a write
- * or a transaction that did not happen. */
+/* Guards against a repeated answer that arrives while another statement runs: a read gets the rows of
+ * another one, and a write is told as executed or refused by an earlier statement's answer. */
 static void
-test_repeated_answer_of_other_form (void)
+test_repeated_answer_while_running (void)
 {
-	static const char *const statements[][2] = { { find, insert },
-		                                         { insert, find },
-		                                         { find, NULL } };
+	static const char *const statements[][2] = {
+		{ find, insert },     { insert, find },   { find, NULL },     { find, find },
+		{ "SELEKT", insert }, { insert, insert }, { "SELEKT", NULL },
+	};
 	struct client admin;
 
 	database_group_start (&group, "5", "16");
@@ -434,6 +435,7 @@
 	for (unsigned i = 0; i < G_N_ELEMENTS (statements); i++)
 	{
 		char key[] = { (char) ('b' + i), 0 };
+		char other_key[] = { (char) ('B' + i), 0 };
 		bool in_transaction = !statements[i][1];
 		struct client client;
 
@@ -445,10 +447,9 @@
 		               statements[i][0] == find || statements[i][0] == insert ? key : NULL,
 		               statements[i][0] == insert ? "1" : NULL);
 		if (in_transaction)
-			client.result = commit (&client, insert, key, "1");
+			client.result = commit (&client, insert, other_key, "1");
 		else
-			run_statement (&client, statements[i][1],
-			               statements[i][1] == find || statements[i][1] == insert ? key : NULL,
+			run_statement (&client, statements[i][1], statements[i][1] ? other_key : NULL,
 			               statements[i][1] == insert ? "1" : NULL);
 		g_assert_cmpint (client.result, ==, UPSTREAM_LOST);
 		set_fault (&admin, "run_us", "500");
@@ -475,7 +476,7 @@
 	database_group_stop (&group);
 }
 
-/* A server that sends the same bytes for each Sync. */
+/* A server that sends the row of the marker and then the same bytes for each Sync. */
 struct scripted_server
 {
 	struct loop_source listener;
@@ -486,6 +487,30 @@
 	size_t answer_length;
 };
 
+/* Answers the first Bind of a batch, which is that of the marker, with its parameter. */
+static void
+send_marker (int fd, const char *input, size_t length)
+{
+	static const char bind[] = "\0\0\0\0\0\1\0\0\0";
+	static const char described[] =
+		"1\0\0\0\x04"
+		"2\0\0\0\x04"
+		"T\0\0\0\x1a\0\1m\0\0\0\0\0\0\0\0\0\0\x19\xff\xff\xff\xff\xff\xff\0\0";
+	static const char completed[] = "C\0\0\0\x0dSELECT 1\0";
+	const char *at = memmem (input, length, bind, sizeof bind - 1);
+	size_t value_length;
+	char row[] = "D\0\0\0\0\0\1\0\0\0";
+
+	g_assert_nonnull (at);
+	at += sizeof bind - 1;
+	value_length = (size_t) *at;
+	row[4] = (char) (10 + value_length);
+	send (fd, described, sizeof described - 1, MSG_NOSIGNAL);
+	send (fd, row, sizeof row - 1, MSG_NOSIGNAL);
+	send (fd, at, value_length + 1, MSG_NOSIGNAL);
+	send (fd, completed, sizeof completed - 1, MSG_NOSIGNAL);
+}
+
 static void
 handle_scripted_input (struct loop_source *source, uint32_t epoll_events)
 {
@@ -506,7 +531,10 @@
 	if (!server->is_started)
 		send (source->fd, setup, sizeof setup - 1, MSG_NOSIGNAL);
 	else if (length >= 5 && memcmp (input + length - 5, sync, 5) == 0)
+	{
+		send_marker (source->fd, input, (size_t) length);
 		send (source->fd, server->answer, server->answer_length, MSG_NOSIGNAL);
+	}
 	server->is_started = true;
 }
 
@@ -661,7 +689,7 @@
 	g_test_add_func ("/upstream_pg/repeated", test_repeated_answer);
 	g_test_add_func ("/upstream_pg/repeated_setup", test_repeated_setup);
 	g_test_add_func ("/upstream_pg/unexpected", test_unexpected_answers);
-	g_test_add_func ("/upstream_pg/repeated_other_form", test_repeated_answer_of_other_form);
+	g_test_add_func ("/upstream_pg/repeated_while_running", test_repeated_answer_while_running);
 	result = g_test_run ();
 	loop_finish (&loop);
 	return result;
