control: free arguments that cannot be decoded

A proxy kept the memory of each operator call, opinion or announcement whose arguments are decoded in part only, 4 bytes and more for each, without limit. An announcement with a database name that is too long was applied to the name's first part, and is now refused, as gossip refuses it.

/control_call/malformed_args leaks 12 bytes in 3 allocations on the former code under the sanitizers, and nothing now. The paths of opinion and announcement are the same by reading and have no test of their own.

--- a/flamingospring/control_operator.c
+++ b/flamingospring/control_operator.c
@@ -247,7 +247,10 @@
 	bool is_deleted;
 
 	if (!xdr_fs_name_args (xdrs, &args))
+	{
+		xdr_free ((xdrproc_t) xdr_fs_name_args, &args);
 		return rpc_connection_reject (connection, xid, GARBAGE_ARGS) == 0;
+	}
 	document = control_documents_find (control, args.name);
 	if (!args.name[0])
 	{
@@ -426,7 +429,10 @@
 	struct fs_drain_args args = { 0 };
 
 	if (!xdr_fs_drain_args (xdrs, &args))
+	{
+		xdr_free ((xdrproc_t) xdr_fs_drain_args, &args);
 		return rpc_connection_reject (connection, xid, GARBAGE_ARGS) == 0;
+	}
 	if (args.target[0])
 		result.code = server_drain (control, args.target, args.leaving);
 	else
@@ -493,7 +499,10 @@
 	struct fs_promote_args args = { 0 };
 
 	if (!xdr_fs_promote_args (xdrs, &args))
+	{
+		xdr_free ((xdrproc_t) xdr_fs_promote_args, &args);
 		return rpc_connection_reject (connection, xid, GARBAGE_ARGS) == 0;
+	}
 	result.code = control_observers_promote (control, args.database, args.server);
 	if (result.code == -ENOENT)
 	{
--- a/flamingospring/control_server.c
+++ b/flamingospring/control_server.c
@@ -68,7 +68,10 @@
 	struct failover_opinion opinion;
 
 	if (!xdr_fs_opinion_args (args, &in))
+	{
+		xdr_free ((xdrproc_t) xdr_fs_opinion_args, &in);
 		return rpc_connection_reject (connection, xid, GARBAGE_ARGS) == 0;
+	}
 	out.is_observer = control_observers_opinion (control, in.database, &opinion);
 	if (out.is_observer)
 	{
@@ -87,8 +90,11 @@
 	struct fs_announce_args in = { 0 };
 	struct membership_item item = { .type = ITEM_GROUP };
 
-	if (!xdr_fs_announce_args (args, &in))
+	if (!xdr_fs_announce_args (args, &in) || strlen (in.database) >= sizeof item.key)
+	{
+		xdr_free ((xdrproc_t) xdr_fs_announce_args, &in);
 		return rpc_connection_reject (connection, xid, GARBAGE_ARGS) == 0;
+	}
 	g_strlcpy (item.key, in.database, sizeof item.key);
 	item.version = in.term;
 	item.value = in.primary;
--- a/tests/unit/control_call.c
+++ b/tests/unit/control_call.c
@@ -121,10 +121,42 @@
 	g_assert_cmpint (last_status, ==, -ETIMEDOUT);
 }
 
+/* Guards against memory of malformed arguments that is not freed, which the sanitizers report. */
+static void
+test_malformed_args (void)
+{
+	static const uint32_t procedures[] = { FS_OPERATOR_APPLY, FS_OPERATOR_GET, FS_OPERATOR_DRAIN,
+		                                   FS_OPERATOR_PROMOTE };
+	static const char bytes[] = "\0\0\0\3a\0b\0\0\0\0";
+	static struct control control;
+	struct rpc_connection connection;
+	int sockets[2];
+
+	loop_init (&control.loop);
+	g_assert_cmpint (socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets), ==, 0);
+	rpc_connection_init (&connection, &control.loop, &server_ops, NULL, sockets[0]);
+	for (size_t i = 0; i < G_N_ELEMENTS (procedures); i++)
+	{
+		char reply[256];
+		XDR xdrs;
+
+		xdrmem_create (&xdrs, (char *) bytes, sizeof bytes - 1, XDR_DECODE);
+		g_assert_true (
+			control_operator_handle_call (&control, &connection, 1, procedures[i], &xdrs));
+		g_assert_cmpint (recv (sockets[1], reply, sizeof reply, 0), ==, 28);
+		/* The last word of the reply is its state. */
+		g_assert_cmpint (reply[27], ==, GARBAGE_ARGS);
+	}
+	rpc_connection_finish (&connection);
+	close (sockets[1]);
+	loop_finish (&control.loop);
+}
+
 int
 main (int argc, char **argv)
 {
 	g_test_init (&argc, &argv, NULL);
 	g_test_add_func ("/control_call/other_xid", test_other_xid);
+	g_test_add_func ("/control_call/malformed_args", test_malformed_args);
 	return g_test_run ();
 }
