--- a/common/http_head.c
+++ b/common/http_head.c
@@ -54,11 +54,3 @@
 	MHD_get_connection_values_n (connection, MHD_HEADER_KIND, check_field, &head);
 	return head.is_valid && head.lengths + head.encodings <= 1;
 }
-
-size_t
-http_target_decode (void *data, struct MHD_Connection *connection, char *text)
-{
-	(void) data;
-	(void) connection;
-	return strstr (text, "%00") ? strlen (text) : MHD_http_unescape (text);
-}
--- a/flamingospring/http.c
+++ b/flamingospring/http.c
@@ -226,6 +226,15 @@
 	entry_call_free (call);
 }
 
+/** Leaves the path as it was sent, since a decoded zero byte would end it. */
+static size_t
+keep_escapes (void *data, struct MHD_Connection *connection, char *text)
+{
+	(void) data;
+	(void) connection;
+	return strlen (text);
+}
+
 static struct http_request *
 request_new (struct http_server *server, struct MHD_Connection *connection)
 {
@@ -357,8 +366,8 @@
 		MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT, settings->max_connections,
 		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned) HTTP_IDLE_TIMEOUT_S,
 		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) HTTP_CONNECTION_MEMORY_BYTES,
-		MHD_OPTION_UNESCAPE_CALLBACK, http_target_decode, NULL, MHD_OPTION_NOTIFY_COMPLETED,
-		handle_completed, server, MHD_OPTION_END);
+		MHD_OPTION_NOTIFY_COMPLETED, handle_completed, server, MHD_OPTION_UNESCAPE_CALLBACK,
+		keep_escapes, NULL, MHD_OPTION_END);
 	if (!server->daemon)
 	{
 		close (fd);
--- a/flamingospring/upstream_pg.c
+++ b/flamingospring/upstream_pg.c
@@ -1,6 +1,7 @@
 #include "flamingospring/upstream.h"
 
 #include "common/clock.h"
+#include "common/log.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -8,11 +9,36 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/epoll.h>
 
 enum
 {
 	PG_STATEMENT_BYTES = 128, /* Holds a fence or promotion with its numbers. */
+	PG_MAX_BATCH = 8,         /* With the marker. */
+	PG_MARKER_BYTES = 40,
+};
+
+/* Statements whose completion has a known form. */
+enum pg_command
+{
+	PG_COMMAND_OTHER,
+	PG_COMMAND_MARKER, /* The first one; its row tells to which statements the answer belongs. */
+	PG_COMMAND_BEGIN,
+	PG_COMMAND_COMMIT,
+	PG_COMMAND_ROLLBACK,
+	PG_COMMAND_SELECT,
+	PG_COMMAND_INSERT,
+	PG_COMMAND_UPDATE,
+	PG_COMMAND_DELETE,
+};
+
+/* The first word of the statement and of its command tag. */
+static const char *const command_words[] = {
+	[PG_COMMAND_BEGIN] = "BEGIN",       [PG_COMMAND_COMMIT] = "COMMIT",
+	[PG_COMMAND_ROLLBACK] = "ROLLBACK", [PG_COMMAND_SELECT] = "SELECT",
+	[PG_COMMAND_INSERT] = "INSERT",     [PG_COMMAND_UPDATE] = "UPDATE",
+	[PG_COMMAND_DELETE] = "DELETE",
 };
 
 struct pg_connection
@@ -20,10 +46,18 @@
 	struct upstream *upstream;
 	PGconn *conn;
 	PGresult *result; /* Result of the outstanding statement. */
-	bool is_commit;
-	bool is_pipeline; /* A batch is outstanding. */
+	/* A message came while no statement was outstanding. Since answers carry no id, no later one can
+	 * be assigned to its statement. */
+	bool is_out_of_step;
+	bool is_mismatched;     /* The answer cannot be that of the outstanding statements. */
+	bool has_marker;        /* The first of the outstanding statements is a marker. */
+	uint64_t marker_number; /* Grows with each marker. */
+	char marker[PG_MARKER_BYTES];
+	bool was_in_transaction; /* Before the outstanding statements. */
+	enum pg_command commands[PG_MAX_BATCH];
 	size_t batch_count;
 	size_t batch_completed;          /* Completed statements of the batch, up to a failed one. */
+	size_t result_count;             /* Results without an error. */
 	struct loop_timer failure_timer; /* Reports a failed send after execute() has returned. */
 	const char **column_names;
 	const char **cells;
@@ -130,6 +164,91 @@
 	       pg_read_field (result, "promised_term", &status->promised_term);
 }
 
+static enum pg_command
+pg_find_command (const char *text)
+{
+	size_t length = strcspn (text, " \t\r\n;(");
+
+	for (int i = PG_COMMAND_BEGIN; i <= PG_COMMAND_DELETE; i++)
+	{
+		if (strlen (command_words[i]) == length &&
+		    strncasecmp (text, command_words[i], length) == 0)
+			return (enum pg_command) i;
+	}
+	return PG_COMMAND_OTHER;
+}
+
+static bool
+pg_is_error (const PGresult *result)
+{
+	return result && PQresultStatus (result) == PGRES_FATAL_ERROR;
+}
+
+static void
+pg_report (const struct pg_connection *pg, const char *cause)
+{
+	log_event (LOG_LEVEL_WARN, "answer_out_of_step", "server=%s:%s cause=%s", PQhostaddr (pg->conn),
+	           PQport (pg->conn), cause);
+}
+
+static void
+pg_set_mismatched (struct pg_connection *pg, const char *cause)
+{
+	if (!pg->is_mismatched)
+		pg_report (pg, cause);
+	pg->is_mismatched = true;
+}
+
+/* @return whether the result can be that of @p command. The server's errors carry a SQLSTATE; those
+ * of libpq do not, and say nothing about the effect of the statement. */
+static bool
+pg_result_fits (const PGresult *result, enum pg_command command)
+{
+	const char *tag;
+
+	switch (PQresultStatus (result))
+	{
+	case PGRES_FATAL_ERROR:
+		return PQresultErrorField (result, PG_DIAG_SQLSTATE) != NULL;
+	case PGRES_EMPTY_QUERY:
+		return command == PG_COMMAND_OTHER;
+	case PGRES_COMMAND_OK:
+	case PGRES_TUPLES_OK:
+		break;
+	default:
+		return false;
+	}
+	if (command == PG_COMMAND_OTHER || command == PG_COMMAND_MARKER)
+		return true;
+	tag = PQcmdStatus ((PGresult *) (uintptr_t) result);
+	/* COMMIT of an aborted transaction succeeds with the command tag ROLLBACK. */
+	return pg_find_command (tag) == command ||
+	       (command == PG_COMMAND_COMMIT && strcmp (tag, "ROLLBACK") == 0);
+}
+
+/* @return whether the transaction state of the server is the one that the outstanding statements
+ * lead to. */
+static bool
+pg_state_fits (const struct pg_connection *pg)
+{
+	bool is_error = pg_is_error (pg->result);
+	bool is_open = pg->was_in_transaction;
+
+	for (size_t i = 0; i <= pg->batch_completed; i++)
+	{
+		bool has_failed = is_error && i == pg->batch_completed;
+
+		if (pg->commands[i] == PG_COMMAND_BEGIN && !has_failed)
+			is_open = true;
+		if (pg->commands[i] == PG_COMMAND_COMMIT ||
+		    (pg->commands[i] == PG_COMMAND_ROLLBACK && !has_failed))
+			is_open = false;
+	}
+	if (!is_open)
+		return PQtransactionStatus (pg->conn) == PQTRANS_IDLE;
+	return PQtransactionStatus (pg->conn) == (is_error ? PQTRANS_INERROR : PQTRANS_INTRANS);
+}
+
 static enum upstream_result
 pg_classify_result (const struct pg_connection *pg, const char *sqlstate)
 {
@@ -139,8 +258,8 @@
 		return UPSTREAM_OK;
 	if (status == PGRES_COMMAND_OK)
 	{
-		/* COMMIT of an aborted transaction succeeds with the command tag ROLLBACK. */
-		if (pg->is_commit && strcmp (PQcmdStatus (pg->result), "ROLLBACK") == 0)
+		if (pg->commands[pg->batch_count - 1] == PG_COMMAND_COMMIT &&
+		    strcmp (PQcmdStatus (pg->result), "ROLLBACK") == 0)
 			return UPSTREAM_STATEMENT_ERROR;
 		return UPSTREAM_OK;
 	}
@@ -194,6 +313,18 @@
 	return 0;
 }
 
+/* Handles messages that came while no statement is outstanding. libpq passes those that answer
+ * nothing to the notice receiver. */
+static void
+pg_read_idle (struct pg_connection *pg)
+{
+	PGnotify *notification;
+
+	PQisBusy (pg->conn);
+	while ((notification = PQnotifies (pg->conn)))
+		PQfreemem (notification);
+}
+
 /* Passes the result to the user after the server's ReadyForQuery. Only then is the statement's
  * effect decided, since an implicit transaction commits at Sync. */
 static void
@@ -204,7 +335,11 @@
 	struct upstream_answer answer = { 0 };
 	const char *sqlstate;
 
-	if (PQstatus (pg->conn) == CONNECTION_BAD || !result || pg_read_rows (pg, &answer) < 0)
+	if (PQstatus (pg->conn) != CONNECTION_BAD && result && !pg->is_mismatched &&
+	    !pg_state_fits (pg))
+		pg_set_mismatched (pg, "state");
+	if (PQstatus (pg->conn) == CONNECTION_BAD || !result || pg->is_mismatched ||
+	    pg_read_rows (pg, &answer) < 0)
 	{
 		pg_fail (upstream);
 		return;
@@ -212,7 +347,7 @@
 	sqlstate = PQresultErrorField (result, PG_DIAG_SQLSTATE);
 	snprintf (answer.sqlstate, sizeof answer.sqlstate, "%s", sqlstate ? sqlstate : "00000");
 	answer.result = pg_classify_result (pg, answer.sqlstate);
-	answer.statement = pg->batch_completed;
+	answer.statement = pg->batch_completed - (pg->has_marker ? 1 : 0);
 	answer.message = PQresultErrorField (result, PG_DIAG_MESSAGE_PRIMARY);
 	if (!answer.message)
 		answer.message = "";
@@ -223,20 +358,32 @@
 	pg->result = NULL;
 	upstream->is_busy = false;
 	upstream->expects_status = false;
+	/* What came after this answer in the same segment would be taken for the next one. */
+	pg_read_idle (pg);
+	if (pg->is_out_of_step)
+		loop_set_timer (upstream->loop, &pg->failure_timer, clock_now_us ());
 	/* The callback may send the next statement or close the connection. */
 	upstream->user_ops->handle_answer (upstream, &answer);
 	PQclear (result);
 }
 
+/* Keeps the last result. Each statement has one, which an error may follow, such as that of a
+ * constraint that is checked at the end of the transaction. */
 static void
 pg_keep_result (struct pg_connection *pg, PGresult *result)
 {
-	/* An error replaces rows that came before it. */
-	if (pg->result && PQresultStatus (pg->result) == PGRES_FATAL_ERROR)
-	{
-		PQclear (result);
-		return;
-	}
+	bool is_marker = pg->commands[pg->batch_completed] == PG_COMMAND_MARKER;
+	bool is_error = pg_is_error (result);
+
+	if (pg_is_error (pg->result) || !pg_result_fits (result, pg->commands[pg->batch_completed]) ||
+	    (!is_error && pg->result_count > pg->batch_completed))
+		pg_set_mismatched (pg, "form");
+	/* An error in place of the row may be the answer to an earlier statement as well. */
+	else if (is_marker && (is_error || PQntuples (result) != 1 || PQnfields (result) != 1 ||
+	                       strcmp (PQgetvalue (result, 0, 0), pg->marker) != 0))
+		pg_set_mismatched (pg, "marker");
+	if (!is_error)
+		pg->result_count++;
 	PQclear (pg->result);
 	pg->result = result;
 }
@@ -247,16 +394,19 @@
 {
 	if (!result)
 	{
-		bool has_failed = PQresultStatus (pg->result) == PGRES_FATAL_ERROR;
-
-		if (!has_failed && pg->batch_completed + 1 < pg->batch_count)
+		if (pg->result && !pg_is_error (pg->result) && pg->batch_completed + 1 < pg->batch_count)
 			pg->batch_completed++;
 		return PQstatus (pg->conn) == CONNECTION_BAD;
 	}
+	if (PQresultStatus (result) == PGRES_PIPELINE_ABORTED)
+	{
+		/* A statement after the failed one. */
+		PQclear (result);
+		return false;
+	}
 	if (PQresultStatus (result) == PGRES_PIPELINE_SYNC)
 	{
 		PQclear (result);
-		pg->is_pipeline = false;
 		/* Fails only when commands are outstanding. Without a result the connection counts as
 		 * lost. */
 		if (PQexitPipelineMode (pg->conn) == 0)
@@ -288,22 +438,19 @@
 
 	while (upstream->is_busy && !PQisBusy (pg->conn))
 	{
-		PGresult *result = PQgetResult (pg->conn);
-		bool has_ended = !result;
-
-		if (pg->is_pipeline)
-			has_ended = pg_handle_pipeline_result (pg, result);
-		else if (result)
-			pg_keep_result (pg, result);
-		if (has_ended)
+		bool has_ended = pg_handle_pipeline_result (pg, PQgetResult (pg->conn));
+
+		/* After a COPY response, PQgetResult() would return it again and again. */
+		if (has_ended || pg->is_mismatched)
 		{
 			pg_deliver (upstream);
 			return;
 		}
 	}
 	if (!is_broken && !upstream->is_busy)
-		PQisBusy (pg->conn); /* Parses notices and parameter changes. */
-	if (is_broken || PQstatus (pg->conn) == CONNECTION_BAD)
+		pg_read_idle (pg);
+	if (is_broken || (!upstream->is_busy && pg->is_out_of_step) ||
+	    PQstatus (pg->conn) == CONNECTION_BAD)
 		pg_fail (upstream);
 }
 
@@ -356,11 +503,22 @@
 		pg_read (upstream);
 }
 
+/* libpq reports messages that come while no statement is outstanding as notices: those of an
+ * unexpected type without a SQLSTATE, and errors with their own severity. */
 static void
-ignore_notice (void *data, const PGresult *result)
+handle_notice (void *data, const PGresult *result)
 {
-	(void) data;
-	(void) result;
+	struct pg_connection *pg = data;
+	const char *severity = PQresultErrorField (result, PG_DIAG_SEVERITY_NONLOCALIZED);
+
+	if (!PQresultErrorField (result, PG_DIAG_SQLSTATE) || !severity ||
+	    strcmp (severity, "ERROR") == 0 || strcmp (severity, "FATAL") == 0 ||
+	    strcmp (severity, "PANIC") == 0)
+	{
+		if (!pg->is_out_of_step)
+			pg_report (pg, "unexpected");
+		pg->is_out_of_step = true;
+	}
 }
 
 static int
@@ -383,6 +541,8 @@
 
 	if (pg->conn)
 		return -EBUSY;
+	pg->is_out_of_step = false;
+	pg->marker_number = clock_wall_ns ();
 	snprintf (address, sizeof address, "%u.%u.%u.%u", ip >> 24 & 255, ip >> 16 & 255, ip >> 8 & 255,
 	          ip & 255);
 	snprintf (port_text, sizeof port_text, "%u", port);
@@ -393,7 +553,7 @@
 	if (PQstatus (pg->conn) == CONNECTION_BAD)
 		goto fail;
 	PQsetErrorVerbosity (pg->conn, PQERRORS_VERBOSE);
-	PQsetNoticeReceiver (pg->conn, ignore_notice, NULL);
+	PQsetNoticeReceiver (pg->conn, handle_notice, pg);
 	upstream->source.fd = PQsocket (pg->conn);
 	if (loop_set_source (upstream->loop, &upstream->source, EPOLLOUT) < 0)
 		goto fail;
@@ -411,10 +571,15 @@
 }
 
 static bool
-pg_send_batch (PGconn *conn, const struct upstream_statement *statements, size_t count)
+pg_send_batch (const struct pg_connection *pg, const struct upstream_statement *statements,
+               size_t count)
 {
+	PGconn *conn = pg->conn;
+	const char *const marker[] = { pg->marker };
 	bool is_sent = PQenterPipelineMode (conn) == 1;
 
+	if (is_sent && pg->has_marker)
+		is_sent = pg_send_query (conn, "SELECT $1 AS answer_to", marker, 1);
 	for (size_t i = 0; i < count && is_sent; i++)
 		is_sent = pg_send_query (conn, statements[i].text, statements[i].params,
 		                         statements[i].param_count);
@@ -423,7 +588,7 @@
 }
 
 static int
-pg_start (struct upstream *upstream)
+pg_start (struct upstream *upstream, const struct upstream_statement *statements, size_t count)
 {
 	struct pg_connection *pg = upstream->connection;
 
@@ -431,11 +596,31 @@
 		return -ENOTCONN;
 	if (upstream->is_busy)
 		return -EBUSY;
+	if (count > PG_MAX_BATCH - 1)
+		return -EMSGSIZE;
+	/* The loop may not have reported yet that the socket is readable. What it holds would be taken
+	 * for the answer. */
+	if (PQconsumeInput (pg->conn) == 0)
+		return -ENOTCONN;
+	pg_read_idle (pg);
+	if (pg->is_out_of_step)
+		return -ENOTCONN;
 	upstream->is_busy = true;
 	upstream->expects_status = false;
-	pg->is_pipeline = false;
-	pg->batch_count = 1;
+	pg->was_in_transaction = PQtransactionStatus (pg->conn) != PQTRANS_IDLE;
+	pg->is_mismatched = false;
+	/* An aborted transaction accepts only its end, whose answer shows the end of the transaction. */
+	pg->has_marker = PQtransactionStatus (pg->conn) != PQTRANS_INERROR;
+	pg->marker_number++;
+	snprintf (pg->marker, sizeof pg->marker, "%" PRIu32 "-%" PRIu64, upstream->vm_id,
+	          pg->marker_number);
+	pg->batch_count = 0;
+	if (pg->has_marker)
+		pg->commands[pg->batch_count++] = PG_COMMAND_MARKER;
+	for (size_t i = 0; i < count; i++)
+		pg->commands[pg->batch_count++] = pg_find_command (statements[i].text);
 	pg->batch_completed = 0;
+	pg->result_count = 0;
 	return 0;
 }
 
@@ -458,13 +643,13 @@
          size_t param_count, bool expects_status)
 {
 	struct pg_connection *pg = upstream->connection;
-	int result = pg_start (upstream);
+	const struct upstream_statement outstanding = { statement, params, param_count };
+	int result = pg_start (upstream, &outstanding, 1);
 
 	if (result < 0)
 		return result;
 	upstream->expects_status = expects_status;
-	pg->is_commit = strcmp (statement, "COMMIT") == 0;
-	return pg_finish_send (upstream, pg_send_query (pg->conn, statement, params, param_count));
+	return pg_finish_send (upstream, pg_send_batch (pg, &outstanding, 1));
 }
 
 static int
@@ -472,14 +657,11 @@
                   size_t count)
 {
 	struct pg_connection *pg = upstream->connection;
-	int result = pg_start (upstream);
+	int result = pg_start (upstream, statements, count);
 
 	if (result < 0)
 		return result;
-	pg->is_commit = strcmp (statements[count - 1].text, "COMMIT") == 0;
-	pg->is_pipeline = true;
-	pg->batch_count = count;
-	return pg_finish_send (upstream, pg_send_batch (pg->conn, statements, count));
+	return pg_finish_send (upstream, pg_send_batch (pg, statements, count));
 }
 
 static int
