--- a/tests/integration/gateway_clients.py
+++ b/tests/integration/gateway_clients.py
@@ -44,7 +44,7 @@
     """The metadata store and one database server, the primary."""
 
     def __init__(self):
-        self.items, self.revision = {}, 1
+        self.items, self.revision, self.signatures = {}, 1, itertools.count()
 
     async def run(self):
         self.servers = [await asyncio.start_server(f, ADDRESS, 0, limit=2 << 20) for f in (self.accept_call, self.accept_session)]
@@ -105,17 +105,26 @@
 
     async def accept_session(self, reader, writer):
         try:
-            state, signatures = "I", itertools.count()
-            while line := (await reader.readuntil(b"\r\n"))[:-2].decode():
-                words = line.split(" ")
-                signature = "-" if words[1] == "-" else f"mac.{next(signatures)}"
-                answer = "" if words[0] == "START" else f"COMPLETE {signature}\r\n"
-                state = {"BEGIN": "T", "COMMIT": "I", "ROLLBACK": "I"}.get(words[2] if words[0] == "QUERY" else "", state)
-                if words[2:3] in (["STATUS"], ["DEMOTE"]):
-                    answer = "ROW primary 1 1.0 0 0 0 1\r\n" + answer
-                elif words[2:3] == ["READ"]:
-                    answer = f"ROW {ROW if words[3] == 'big' else 'small'}\r\n" + answer
-                writer.write(f"{answer}READY {state} 1.0\r\n".encode())
+            fields, state = (await reader.readuntil(b"\r\n"))[:-2].split(b" ", 3), "I"
+            if fields[:2] != [b"START", b"s"] or fields[3:] not in ([], [b"s-1"]):
+                writer.write(b"ERROR MISDIRECT another server\r\n")
+                writer.close()
+                return
+            writer.write(b"READY I 1.0\r\n")
+            while (line := (await reader.readuntil(b"\r\n"))[:-2]) != b"BYE":
+                _, number, text = line.split(b" ", 2)
+                if text.startswith(b"AFTER "):
+                    text = text.split(b" ", 2)[2]
+                word = text.partition(b" ")[0]
+                state = {b"BEGIN": "T", b"COMMIT": "I", b"ROLLBACK": "I"}.get(word, state)
+                rows = ""
+                if word in (b"STATUS", b"DEMOTE"):
+                    rows = "ROW primary 1 1.0 0 0 0 1\r\n"
+                elif word == b"READ":
+                    rows = f"ROW {ROW if text == b'READ big' else 'small'}\r\n"
+                # A signature belongs to one statement that has run, whatever its connection.
+                signature = "-" if number == b"-" else f"mac.{next(self.signatures)}"
+                writer.write(f"{rows}COMPLETE {signature}\r\nREADY {state} 1.0\r\n".encode())
                 await writer.drain()
         except (ConnectionError, ValueError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
@@ -141,6 +150,12 @@
         return probe.getsockname()[1]
 
 
+def is_complete(answer):
+    """Whether an answer has ended: its last line, which CR LF ends, is READY."""
+    lines = answer.split(b"\r\n")
+    return len(lines) > 1 and lines[-1] == b"" and lines[-2].startswith(b"READY ")
+
+
 def connect(port, blocking_s=LIMIT_S):
     client = socket.create_connection((ADDRESS, port), timeout=LIMIT_S)
     client.settimeout(blocking_s)
@@ -206,8 +221,8 @@
         client = connect(self.front, 10)
         client.sendall(b"START db key\r\n")
         answer = b""
-        while not answer.endswith(b"\n"):
-            answer += client.recv(4096) or b"closed\n"
+        while not answer.endswith(b"\r\n"):
+            answer += client.recv(4096) or b"closed\r\n"
         return client
 
     def ask(self, text="READ small", session=None):
@@ -216,7 +231,7 @@
         try:
             with session or self.greet() as client:
                 client.sendall(f"QUERY q {text}\r\n".encode())
-                while b"READY" not in answer:
+                while not is_complete(answer):
                     part = client.recv(4096)
                     if not part:
                         return ""
@@ -301,11 +316,11 @@
         """Sends the data on one connection after the other, and reads that many answers before the next one."""
         for client in self.clients:
             client.settimeout(LIMIT_S)
-            seen = 0
+            received = b""
             try:
                 client.sendall(data)
-                while seen < answers and (part := client.recv(65536)):
-                    seen += part.count(b"READY")
+                while (b"\r\n" + received).count(b"\r\nREADY ") < answers and (part := client.recv(65536)):
+                    received += part
             except OSError:
                 pass
             self.gateway.sample()
