--- a/protocols/text_xdr.c
+++ b/protocols/text_xdr.c
@@ -1,6 +1,8 @@
 /* Codec of the strings of all protocols. The generated files call it in place of xdr_string(). */
 #undef xdr_string
+#include <limits.h>
 #include <rpc/rpc.h>
+#include <stdlib.h>
 #include <string.h>
 
 bool_t fs_xdr_string (XDR *xdrs, char **text, u_int limit);
@@ -9,11 +11,14 @@
 bool_t
 fs_xdr_string (XDR *xdrs, char **text, u_int limit)
 {
-	u_int start = xdrs->x_op == XDR_DECODE ? xdr_getpos (xdrs) : 0;
 	u_int length;
 
 	if (xdrs->x_op != XDR_DECODE)
 		return xdr_string (xdrs, text, limit);
-	return xdr_u_int (xdrs, &length) && xdr_setpos (xdrs, start) &&
-	       xdr_string (xdrs, text, limit) && strlen (*text) == length;
+	/* A record stream cannot go back to the length after xdr_string() has taken it. */
+	if (!xdr_u_int (xdrs, &length) || length > limit || length == UINT_MAX)
+		return FALSE;
+	if (!*text)
+		*text = calloc (1, (size_t) length + 1);
+	return *text && xdr_opaque (xdrs, *text, length) && !memchr (*text, '\0', length);
 }
