--- a/tests/fuzz/answers.c
+++ b/tests/fuzz/answers.c
@@ -210,9 +210,8 @@
 			model->has_repeated = true;
 			deliver (model, &model->answers[detail % model->delivered], false);
 		}
-		else if (model->expected.wanted == ANSWER_WANTED_NOTHING && model->delivered == model->made)
-			ask (model, choice / 4, detail);
-		else if (model->expected.wanted == ANSWER_WANTED_NOTHING && choice % 4 == 2)
+		else if (model->expected.wanted == ANSWER_WANTED_NOTHING &&
+		         (model->delivered == model->made || choice % 4 == 2))
 			ask (model, choice / 4, detail);
 		else if (model->delivered < model->made)
 		{
--- a/tests/integration/gateway_messages.c
+++ b/tests/integration/gateway_messages.c
@@ -34,6 +34,14 @@
 
 static struct gateway_pair pair;
 
+static void
+clear_row (struct fake_database *database)
+{
+	if (database->row)
+		g_bytes_unref (database->row);
+	database->row = NULL;
+}
+
 static void
 append_text (GString *text, const char *before, const struct spelling *spelling)
 {
@@ -105,7 +113,7 @@
 
 	append_text (text, before, spelling);
 	g_mutex_lock (&primary->mutex);
-	g_clear_pointer (&primary->row, g_bytes_unref);
+	clear_row (primary);
 	if (is_read)
 		primary->row = g_bytes_new (spelling->bytes, spelling->length);
 	g_mutex_unlock (&primary->mutex);
@@ -313,7 +321,7 @@
 			GString *answer;
 
 			g_mutex_lock (&primary->mutex);
-			g_clear_pointer (&primary->row, g_bytes_unref);
+			clear_row (primary);
 			primary->row = g_bytes_new (rows[i].bytes, rows[i].length);
 			g_mutex_unlock (&primary->mutex);
 			answer = pair_execute (fd, "q1", "READ 1", 6);
--- a/tests/unit/line_stream.c
+++ b/tests/unit/line_stream.c
@@ -246,7 +246,8 @@
 		g_autofree char *line = g_strnfill (MAX_LINE_BYTES + (gsize) more + 2, 'z');
 		size_t length = MAX_LINE_BYTES + (size_t) more + 2;
 
-		memcpy (line + length - 2, "\r\n", 2);
+		line[length - 2] = '\r';
+		line[length - 1] = '\n';
 		fixture_init (&fixture);
 		fixture.joined = g_string_new (NULL);
 		for (size_t sent = 0; sent < length && !fixture.is_closed;)
