--- a/gateway/service.c
+++ b/gateway/service.c
@@ -350,7 +350,7 @@
 	return choose_for_read (service, session, now_us);
 }
 
-/** Offers each request of the queue once. Connections are closed from the loop only, so no entry but the present one goes. */
+/** Offers each request of the queue once. Connections of sessions are closed from the loop only, so no other entry goes. */
 static void
 dispatch_once (struct service *service, int64_t now_us)
 {
